--- /dev/null
+++ b/daemons/masticmill_entry.c
@@ -0,0 +1,60 @@
+/* masticmill-entry: an entry instance, as a daemon.  SIGTERM is a
+   graceful shutdown: nothing in flight is cut off.  */
+#include <masticmill.h>
+
+#include <signal.h>
+#include <stdio.h>
+
+static struct ev_loop *loop;
+
+static void
+stopped (void *ctx)
+{
+  ev_break (loop, EVBREAK_ALL);
+}
+
+static void
+on_signal (struct ev_loop *l, ev_signal *w, int revents)
+{
+  g_message ("signal %d: graceful shutdown", w->signum);
+  mm_entry_shutdown (w->data, stopped, NULL);
+}
+
+int
+main (int argc, char **argv)
+{
+  mm_log_init ("masticmill-entry");
+  mm_entry_settings s;
+  mm_entry_settings_defaults (&s);
+  GError *err = NULL;
+  switch (mm_daemon_args (argc, argv,
+                          "Entry instance: takes jobs, dispatches tasks.",
+                          mm_entry_setting_specs, &s, &err))
+    {
+    case MM_DAEMON_EXIT:
+      return 0;
+    case MM_DAEMON_ERROR:
+      fprintf (stderr, "masticmill-entry: %s\n", err->message);
+      return 2;
+    case MM_DAEMON_RUN:
+      break;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  loop = EV_DEFAULT;
+  mm_entry *e = mm_entry_create (loop, &s, &err);
+  if (!e)
+    {
+      g_critical ("%s", err->message);
+      return 1;
+    }
+  ev_signal term, intr;
+  ev_signal_init (&term, on_signal, SIGTERM);
+  ev_signal_init (&intr, on_signal, SIGINT);
+  term.data = intr.data = e;
+  ev_signal_start (loop, &term);
+  ev_signal_start (loop, &intr);
+  g_message ("entry %s listening on port %" G_GINT64_FORMAT, s.name, s.port);
+  ev_run (loop, 0);
+  mm_entry_destroy (e);
+  return 0;
+}
--- /dev/null
+++ b/src/mm_clock.c
@@ -0,0 +1,32 @@
+/* mm_clock: the one clock type of masticmill, in milliseconds.  */
+#include "masticmill.h"
+
+#include <time.h>
+
+/**
+ * mm_clock_now_ms() - monotonic time.
+ *
+ * Return: milliseconds since an arbitrary start (CLOCK_MONOTONIC); never
+ * goes back, so it is the clock for deadlines and timeouts.
+ */
+mm_time_ms
+mm_clock_now_ms (void)
+{
+  struct timespec ts;
+  clock_gettime (CLOCK_MONOTONIC, &ts);
+  return (mm_time_ms) ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+/**
+ * mm_clock_wall_ms() - wall-clock time.
+ *
+ * Return: milliseconds since 1970 (CLOCK_REALTIME); for logs and records
+ * read by people, never for deadlines.
+ */
+mm_time_ms
+mm_clock_wall_ms (void)
+{
+  struct timespec ts;
+  clock_gettime (CLOCK_REALTIME, &ts);
+  return (mm_time_ms) ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
--- /dev/null
+++ b/src/mm_entry_platform.c
@@ -0,0 +1,278 @@
+/* mm_entry_platform: what an entry instance does with the platform's
+   service: heartbeats into the member list, upstreams and peers taken
+   from that (lagging) list, and the config stream read in log order.
+
+   When the platform is down, all of this simply fails and is retried on
+   the next tick: the instance keeps its last upstreams and its last
+   configuration, and goes on serving (a cut-off data centre serves what
+   it can).  */
+#include "mm_entry_priv.h"
+
+#include <cJSON.h>
+#include <string.h>
+
+static void
+heartbeat_done (const mm_http_result *res, void *ctx)
+{
+  mm_entry *e = ctx;
+  mm_counters_add (e->counters, res->status == 200 ? "heartbeats_ok"
+                                                   : "heartbeats_failed",
+                   1);
+}
+
+/**
+ * mm_entry_heartbeat_now() - tell the member list we are here.
+ * @e: the entry instance.
+ *
+ * Carries our state (live or leaving) and the config offset in force,
+ * which operators and starting peers read.
+ */
+void
+mm_entry_heartbeat_now (mm_entry *e)
+{
+  char *url = g_strdup_printf ("%s/v1/members/%s", e->settings.platform_url,
+                               e->settings.name);
+  cJSON *o = cJSON_CreateObject ();
+  cJSON_AddStringToObject (o, "kind", "entry");
+  char *addr = g_strdup_printf ("%s:%u", e->settings.listen_host,
+                                mm_http_server_port (e->http));
+  cJSON_AddStringToObject (o, "addr", addr);
+  g_free (addr);
+  cJSON_AddStringToObject (o, "datacentre", e->settings.datacentre);
+  cJSON_AddStringToObject (o, "site", e->settings.site);
+  cJSON_AddStringToObject (o, "state", e->shutting_down ? "leaving" : "live");
+  cJSON_AddNumberToObject (o, "config_offset", (double) mm_cfg_head (e->cfg));
+  char *body = cJSON_PrintUnformatted (o);
+  cJSON_Delete (o);
+  mm_http_client_call (e->platform, "PUT", url, body, 1000, heartbeat_done, e);
+  g_free (url);
+  free (body);
+}
+
+static void
+heartbeat_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  mm_entry_heartbeat_now (w->data);
+}
+
+static void
+take_upstream (mm_entry *e, const cJSON *m)
+{
+  const char *addr = cJSON_GetStringValue (cJSON_GetObjectItem (m, "addr"));
+  const char *dc = cJSON_GetStringValue (cJSON_GetObjectItem (m, "datacentre"));
+  const char *state = cJSON_GetStringValue (cJSON_GetObjectItem (m, "state"));
+  const cJSON *slots = cJSON_GetObjectItem (m, "slots");
+  if (!addr || !dc || !state || strcmp (dc, e->settings.datacentre) != 0)
+    return;
+  int i = mm_pool_add (e->pool, addr, addr,
+                       cJSON_IsNumber (slots) ? (uint32_t) slots->valuedouble
+                                              : 0);
+  mm_pool_set_state (e->pool, i, g_str_equal (state, "live")
+                                     ? MM_UPSTREAM_LIVE
+                                     : MM_UPSTREAM_LEAVING);
+}
+
+static void
+members_done (const mm_http_result *res, void *ctx)
+{
+  mm_entry *e = ctx;
+  if (res->status != 200)
+    {
+      mm_counters_add (e->counters, "member_polls_failed", 1);
+      return;
+    }
+  cJSON *o = cJSON_ParseWithLength (res->body, res->body_bytes);
+  const cJSON *m;
+  GPtrArray *entries = g_ptr_array_new ();
+  int64_t peer_max = -1;
+  cJSON_ArrayForEach (m, cJSON_GetObjectItem (o, "members"))
+  {
+    const char *kind = cJSON_GetStringValue (cJSON_GetObjectItem (m, "kind"));
+    const char *state = cJSON_GetStringValue (cJSON_GetObjectItem (m, "state"));
+    if (kind && g_str_equal (kind, "upstream"))
+      take_upstream (e, m);
+    else if (kind && g_str_equal (kind, "entry") && state
+             && g_str_equal (state, "live"))
+      {
+        const char *name
+            = cJSON_GetStringValue (cJSON_GetObjectItem (m, "name"));
+        const cJSON *off = cJSON_GetObjectItem (m, "config_offset");
+        if (name)
+          g_ptr_array_add (entries, g_strdup (name));
+        if (name && cJSON_IsNumber (off)
+            && strcmp (name, e->settings.name) != 0)
+          peer_max = MAX (peer_max, (int64_t) off->valuedouble);
+      }
+  }
+  g_ptr_array_add (entries, NULL);
+  g_strfreev (e->live_entries);
+  e->live_entries = (char **) g_ptr_array_free (entries, FALSE);
+  e->peer_config_max = peer_max;
+  cJSON_Delete (o);
+  mm_counters_add (e->counters, "member_polls_ok", 1);
+  mm_entry_pump (e);
+}
+
+static void
+member_poll_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  mm_entry *e = w->data;
+  char *url = g_strdup_printf ("%s/v1/members", e->settings.platform_url);
+  mm_http_client_call (e->platform, "GET", url, NULL, 1000, members_done, e);
+  g_free (url);
+}
+
+static void
+apply_record (mm_entry *e, int64_t offset, const cJSON *data)
+{
+  char *text = cJSON_PrintUnformatted (data);
+  GError *err = NULL;
+  int64_t before = mm_cfg_head (e->cfg);
+  if (mm_cfg_offer (e->cfg, offset, text, &err))
+    {
+      e->head_seen_ms = mm_clock_now_ms ();
+      mm_counters_add (e->counters, "config_applied", 1);
+      g_message ("config %" G_GINT64_FORMAT " in force (was %" G_GINT64_FORMAT
+                 ")",
+                 offset, before);
+    }
+  else if (err)
+    {
+      mm_counters_add (e->counters, "config_rejected", 1);
+      g_message ("config %" G_GINT64_FORMAT " refused: %s", offset,
+                 err->message);
+      g_error_free (err);
+    }
+  free (text);
+}
+
+/* A fresh instance whose log window no longer starts at 0 adopts the
+   head that live peers report, else the last snapshot in the window.  */
+static int64_t
+adopt_start (mm_entry *e, const cJSON *records)
+{
+  const cJSON *r, *pick = NULL;
+  cJSON_ArrayForEach (r, records)
+  {
+    int64_t off = (int64_t) cJSON_GetNumberValue (cJSON_GetObjectItem (r, "offset"));
+    const cJSON *d = cJSON_GetObjectItem (r, "data");
+    const char *kind = cJSON_GetStringValue (cJSON_GetObjectItem (d, "kind"));
+    if (e->peer_config_max >= 0 ? off == e->peer_config_max
+                                : kind && g_str_equal (kind, "snapshot"))
+      pick = r;
+  }
+  if (!pick)
+    return -1;
+  int64_t off = (int64_t) cJSON_GetNumberValue (cJSON_GetObjectItem (pick, "offset"));
+  char *text = cJSON_PrintUnformatted (cJSON_GetObjectItem (pick, "data"));
+  GError *err = NULL;
+  if (mm_cfg_adopt (e->cfg, off, text, &err))
+    {
+      e->head_seen_ms = mm_clock_now_ms ();
+      g_message ("config %" G_GINT64_FORMAT " adopted at start", off);
+    }
+  g_clear_error (&err);
+  free (text);
+  return off;
+}
+
+static void
+snapshot_done (const mm_http_result *res, void *ctx)
+{
+  mm_entry *e = ctx;
+  mm_counters_add (e->counters, res->status == 200 ? "config_snapshots"
+                                                   : "config_snapshots_failed",
+                   1);
+}
+
+/* Before retention drops the head, one live instance (the rendezvous
+   owner of "config-snapshot") appends it again as a snapshot.  */
+static void
+maybe_snapshot (mm_entry *e)
+{
+  if (mm_cfg_head (e->cfg) < 0 || !e->live_entries
+      || mm_clock_now_ms () - e->head_seen_ms < e->settings.config_snapshot_ms)
+    return;
+  int owner = mm_hash_owner ("config-snapshot", e->live_entries,
+                             g_strv_length (e->live_entries));
+  if (owner < 0 || strcmp (e->live_entries[owner], e->settings.name) != 0)
+    return;
+  char *rec = mm_cfg_snapshot_record (e->cfg);
+  char *url = g_strdup_printf ("%s/v1/log/config", e->settings.platform_url);
+  mm_http_client_call (e->platform, "POST", url, rec, 1000, snapshot_done, e);
+  e->head_seen_ms = mm_clock_now_ms ();
+  g_free (url);
+  free (rec);
+}
+
+static void
+config_done (const mm_http_result *res, void *ctx)
+{
+  mm_entry *e = ctx;
+  e->config_reading = false;
+  if (res->status != 200)
+    {
+      mm_counters_add (e->counters, "config_polls_failed", 1);
+      return;
+    }
+  cJSON *o = cJSON_ParseWithLength (res->body, res->body_bytes);
+  int64_t first = (int64_t) cJSON_GetNumberValue (cJSON_GetObjectItem (o, "first"));
+  const cJSON *records = cJSON_GetObjectItem (o, "records");
+  int64_t skip_to = -1;
+  if (first > e->config_cursor && mm_cfg_head (e->cfg) < 0)
+    skip_to = adopt_start (e, records);
+  const cJSON *r;
+  cJSON_ArrayForEach (r, records)
+  {
+    int64_t off = (int64_t) cJSON_GetNumberValue (cJSON_GetObjectItem (r, "offset"));
+    if (off > skip_to)
+      apply_record (e, off, cJSON_GetObjectItem (r, "data"));
+    e->config_cursor = off + 1;
+  }
+  cJSON_Delete (o);
+  maybe_snapshot (e);
+}
+
+static void
+config_poll_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  mm_entry *e = w->data;
+  if (e->config_reading)
+    return;
+  e->config_reading = true;
+  char *url = g_strdup_printf ("%s/v1/log/config?from=%" G_GINT64_FORMAT,
+                               e->settings.platform_url, e->config_cursor);
+  mm_http_client_call (e->platform, "GET", url, NULL, 1000, config_done, e);
+  g_free (url);
+}
+
+/**
+ * mm_entry_platform_start() - start heartbeats and polls.
+ * @e: the entry instance; does nothing when platform_url is empty.
+ */
+void
+mm_entry_platform_start (mm_entry *e)
+{
+  if (!*e->settings.platform_url)
+    return;
+  ev_timer_init (&e->heartbeat, heartbeat_cb, 0.,
+                 (double) e->settings.heartbeat_ms / 1000.0);
+  e->heartbeat.data = e;
+  ev_timer_start (e->loop, &e->heartbeat);
+  ev_timer_init (&e->member_poll, member_poll_cb, 0.,
+                 (double) e->settings.member_poll_ms / 1000.0);
+  e->member_poll.data = e;
+  ev_timer_start (e->loop, &e->member_poll);
+  ev_timer_init (&e->config_poll, config_poll_cb, 0.,
+                 (double) e->settings.config_poll_ms / 1000.0);
+  e->config_poll.data = e;
+  ev_timer_start (e->loop, &e->config_poll);
+}
+
+void
+mm_entry_platform_stop (mm_entry *e)
+{
+  ev_timer_stop (e->loop, &e->heartbeat);
+  ev_timer_stop (e->loop, &e->member_poll);
+  ev_timer_stop (e->loop, &e->config_poll);
+}
--- /dev/null
+++ b/src/mm_hash.c
@@ -0,0 +1,35 @@
+/* mm_hash: rendezvous (highest random weight) hashing with xxhash.  */
+#include "masticmill.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/**
+ * mm_hash_owner() - which member owns a key.
+ * @key: e.g. a job id.
+ * @members: member names; the same list in any order gives the same owner.
+ * @n: number of members.
+ *
+ * Each member scores XXH3(key) seeded by XXH3(member name); the highest
+ * wins.  When one member leaves, only its keys move.  Return: index into
+ * @members, or -1 when @n is 0.
+ */
+int
+mm_hash_owner (const char *key, char *const *members, size_t n)
+{
+  int best = -1;
+  uint64_t best_score = 0;
+  size_t key_len = strlen (key);
+  for (size_t i = 0; i < n; i++)
+    {
+      uint64_t seed = XXH3_64bits (members[i], strlen (members[i]));
+      uint64_t score = XXH3_64bits_withSeed (key, key_len, seed);
+      if (best < 0 || score > best_score
+          || (score == best_score && strcmp (members[i], members[best]) < 0))
+        {
+          best = (int) i;
+          best_score = score;
+        }
+    }
+  return best;
+}
--- /dev/null
+++ b/src/mm_http_client.c
@@ -0,0 +1,280 @@
+/* mm_http_client: libcurl multi driven by a libev loop (one ev_io per
+   socket curl asks for, one ev_timer for curl's timeout).  */
+#include "masticmill.h"
+
+#include <curl/curl.h>
+#include <string.h>
+
+struct mm_http_client
+{
+  struct ev_loop *loop;
+  CURLM *multi;
+  ev_timer timer;
+  uint32_t in_flight;
+};
+
+typedef struct
+{
+  mm_http_client *client;
+  CURL *easy;
+  struct curl_slist *headers;
+  GString *answer;
+  char *body;
+  mm_http_done done;
+  void *ctx;
+} call;
+
+typedef struct
+{
+  ev_io io;
+  mm_http_client *client;
+} sock_watch;
+
+static void
+finish_call (call *c, CURLcode code)
+{
+  mm_http_result res = { 0 };
+  curl_easy_getinfo (c->easy, CURLINFO_RESPONSE_CODE, &res.status);
+  long connect_code = 0;
+  curl_easy_getinfo (c->easy, CURLINFO_HTTP_CONNECTCODE, &connect_code);
+  long uploaded = 0;
+  curl_easy_getinfo (c->easy, CURLINFO_REQUEST_SIZE, &uploaded);
+  /* A request counts as sent once curl wrote any of it; a refused or
+     failed connect means the upstream never saw it.  */
+  res.sent = uploaded > 0 && code != CURLE_COULDNT_CONNECT
+             && code != CURLE_COULDNT_RESOLVE_HOST;
+  if (code != CURLE_OK)
+    res.error = g_error_new (MM_ERROR,
+                             code == CURLE_OPERATION_TIMEDOUT
+                                 ? MM_ERROR_TIMEOUT
+                                 : MM_ERROR_IO,
+                             "%s", curl_easy_strerror (code));
+  res.body = c->answer->str;
+  res.body_bytes = c->answer->len;
+  c->client->in_flight--;
+  curl_multi_remove_handle (c->client->multi, c->easy);
+  c->done (&res, c->ctx);
+  if (res.error)
+    g_error_free (res.error);
+  curl_easy_cleanup (c->easy);
+  curl_slist_free_all (c->headers);
+  g_string_free (c->answer, TRUE);
+  g_free (c->body);
+  g_free (c);
+}
+
+static void
+check_done (mm_http_client *client)
+{
+  CURLMsg *msg;
+  int left;
+  while ((msg = curl_multi_info_read (client->multi, &left)))
+    {
+      if (msg->msg != CURLMSG_DONE)
+        continue;
+      call *c = NULL;
+      curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, (char **) &c);
+      finish_call (c, msg->data.result);
+    }
+}
+
+static void
+sock_cb_ev (struct ev_loop *loop, ev_io *w, int revents)
+{
+  sock_watch *sw = (sock_watch *) w;
+  int action = (revents & EV_READ ? CURL_CSELECT_IN : 0)
+               | (revents & EV_WRITE ? CURL_CSELECT_OUT : 0);
+  int running;
+  curl_multi_socket_action (sw->client->multi, w->fd, action, &running);
+  check_done (sw->client);
+}
+
+static void
+timer_cb_ev (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  mm_http_client *client = w->data;
+  int running;
+  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  check_done (client);
+}
+
+static int
+curl_sock_cb (CURL *e, curl_socket_t s, int what, void *cbp, void *sockp)
+{
+  mm_http_client *client = cbp;
+  sock_watch *sw = sockp;
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (sw)
+        {
+          ev_io_stop (client->loop, &sw->io);
+          g_free (sw);
+          curl_multi_assign (client->multi, s, NULL);
+        }
+      return 0;
+    }
+  int events = (what & CURL_POLL_IN ? EV_READ : 0)
+               | (what & CURL_POLL_OUT ? EV_WRITE : 0);
+  if (!sw)
+    {
+      sw = g_new0 (sock_watch, 1);
+      sw->client = client;
+      curl_multi_assign (client->multi, s, sw);
+    }
+  else
+    ev_io_stop (client->loop, &sw->io);
+  ev_io_init (&sw->io, sock_cb_ev, s, events);
+  ev_io_start (client->loop, &sw->io);
+  return 0;
+}
+
+static int
+curl_timer_cb (CURLM *multi, long timeout_ms, void *userp)
+{
+  mm_http_client *client = userp;
+  ev_timer_stop (client->loop, &client->timer);
+  if (timeout_ms >= 0)
+    {
+      ev_timer_set (&client->timer, (double) timeout_ms / 1000.0, 0.);
+      ev_timer_start (client->loop, &client->timer);
+    }
+  return 0;
+}
+
+static size_t
+write_cb (char *ptr, size_t size, size_t n, void *userdata)
+{
+  g_string_append_len (userdata, ptr, (gssize) (size * n));
+  return size * n;
+}
+
+/**
+ * mm_http_client_create() - an HTTP client on a libev loop.
+ * @loop: the loop.
+ * @max_host_connections: connections kept per host (an upstream's limit).
+ *
+ * Return: the client; free with mm_http_client_destroy().
+ */
+mm_http_client *
+mm_http_client_create (struct ev_loop *loop, uint32_t max_host_connections)
+{
+  static gsize once;
+  if (g_once_init_enter (&once))
+    {
+      curl_global_init (CURL_GLOBAL_DEFAULT);
+      g_once_init_leave (&once, 1);
+    }
+  mm_http_client *c = g_new0 (mm_http_client, 1);
+  c->loop = loop;
+  c->multi = curl_multi_init ();
+  ev_timer_init (&c->timer, timer_cb_ev, 0., 0.);
+  c->timer.data = c;
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETFUNCTION, curl_sock_cb);
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERFUNCTION, curl_timer_cb);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                     (long) max_host_connections);
+  return c;
+}
+
+void
+mm_http_client_destroy (mm_http_client *c)
+{
+  if (!c)
+    return;
+  ev_timer_stop (c->loop, &c->timer);
+  curl_multi_cleanup (c->multi);
+  g_free (c);
+}
+
+uint32_t
+mm_http_client_in_flight (const mm_http_client *c)
+{
+  return c->in_flight;
+}
+
+static CURL *
+make_easy (const char *method, const char *url, const char *body,
+           mm_time_ms timeout_ms, struct curl_slist **headers, GString *out)
+{
+  CURL *e = curl_easy_init ();
+  curl_easy_setopt (e, CURLOPT_URL, url);
+  curl_easy_setopt (e, CURLOPT_CUSTOMREQUEST, method);
+  curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, (long) timeout_ms);
+  curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long) MIN (timeout_ms, 2000));
+  curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, write_cb);
+  curl_easy_setopt (e, CURLOPT_WRITEDATA, out);
+  *headers = curl_slist_append (NULL, "Content-Type: application/json");
+  *headers = curl_slist_append (*headers, "Expect:");
+  curl_easy_setopt (e, CURLOPT_HTTPHEADER, *headers);
+  if (body)
+    {
+      curl_easy_setopt (e, CURLOPT_POSTFIELDS, body);
+      curl_easy_setopt (e, CURLOPT_POSTFIELDSIZE, (long) strlen (body));
+    }
+  return e;
+}
+
+/**
+ * mm_http_client_call() - start an HTTP call.
+ * @c: the client.
+ * @method: "GET", "POST", ...
+ * @url: full URL.
+ * @body: JSON body or NULL; copied.
+ * @timeout_ms: whole-call timeout.
+ * @done: called once from the loop with the result and @ctx.
+ * @ctx: context pointer for @done.
+ */
+void
+mm_http_client_call (mm_http_client *c, const char *method, const char *url,
+                     const char *body, mm_time_ms timeout_ms,
+                     mm_http_done done, void *ctx)
+{
+  call *k = g_new0 (call, 1);
+  k->client = c;
+  k->answer = g_string_new (NULL);
+  k->body = g_strdup (body);
+  k->done = done;
+  k->ctx = ctx;
+  k->easy = make_easy (method, url, k->body, timeout_ms, &k->headers,
+                       k->answer);
+  curl_easy_setopt (k->easy, CURLOPT_PRIVATE, k);
+  c->in_flight++;
+  curl_multi_add_handle (c->multi, k->easy);
+}
+
+/**
+ * mm_http_call_sync() - a blocking HTTP call, for the command line.
+ * @method: "GET", "POST", ...
+ * @url: full URL.
+ * @body: JSON body or NULL.
+ * @timeout_ms: whole-call timeout.
+ * @status: set to the HTTP status.
+ * @error: MM_ERROR_IO or MM_ERROR_TIMEOUT when no answer came.
+ *
+ * Return: the answer body (g_free it), or NULL with @error set.
+ */
+char *
+mm_http_call_sync (const char *method, const char *url, const char *body,
+                   mm_time_ms timeout_ms, long *status, GError **error)
+{
+  GString *out = g_string_new (NULL);
+  struct curl_slist *headers = NULL;
+  CURL *e = make_easy (method, url, body, timeout_ms, &headers, out);
+  CURLcode code = curl_easy_perform (e);
+  curl_easy_getinfo (e, CURLINFO_RESPONSE_CODE, status);
+  curl_easy_cleanup (e);
+  curl_slist_free_all (headers);
+  if (code != CURLE_OK)
+    {
+      g_set_error (error, MM_ERROR,
+                   code == CURLE_OPERATION_TIMEDOUT ? MM_ERROR_TIMEOUT
+                                                    : MM_ERROR_IO,
+                   "%s: %s", url, curl_easy_strerror (code));
+      g_string_free (out, TRUE);
+      return NULL;
+    }
+  return g_string_free (out, FALSE);
+}
--- /dev/null
+++ b/src/mm_http_server.c
@@ -0,0 +1,313 @@
+/* mm_http_server: libmicrohttpd driven by a libev loop.
+
+   MHD runs in external mode with its own epoll set; we watch that one fd
+   and MHD's timeout.  A handler may answer at once or later: a request
+   not answered when the handler returns is suspended, and resumed when
+   mm_http_reply() is called.  Suspended connections are not polled by
+   MHD, so a request stays valid until it is answered.  */
+#include "masticmill.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <unistd.h>
+#include <string.h>
+
+struct mm_http_server
+{
+  struct ev_loop *loop;
+  struct MHD_Daemon *daemon;
+  ev_io io;
+  ev_timer timer;
+  ev_idle kick;
+  mm_http_handler handler;
+  void *ctx;
+  size_t max_body_bytes;
+  uint32_t in_flight;
+  uint16_t port;
+};
+
+struct mm_http_request
+{
+  mm_http_server *server;
+  struct MHD_Connection *conn;
+  char *method;
+  char *path;
+  GByteArray *body;
+  bool too_large;
+  bool dispatched;
+  bool in_handler;
+  bool suspended;
+  bool answered;
+  unsigned status;
+  char *answer;
+  uint32_t retry_after_s;
+};
+
+static void server_run (mm_http_server *s);
+
+static void
+io_cb (struct ev_loop *loop, ev_io *w, int revents)
+{
+  server_run (w->data);
+}
+
+static void
+timer_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  server_run (w->data);
+}
+
+static void
+kick_cb (struct ev_loop *loop, ev_idle *w, int revents)
+{
+  ev_idle_stop (loop, w);
+  server_run (w->data);
+}
+
+static void
+server_run (mm_http_server *s)
+{
+  MHD_run (s->daemon);
+  MHD_UNSIGNED_LONG_LONG timeout;
+  ev_timer_stop (s->loop, &s->timer);
+  if (MHD_get_timeout (s->daemon, &timeout) == MHD_YES)
+    {
+      ev_timer_set (&s->timer, (double) timeout / 1000.0, 0.);
+      ev_timer_start (s->loop, &s->timer);
+    }
+}
+
+static enum MHD_Result
+queue_answer (mm_http_request *r)
+{
+  struct MHD_Response *resp = MHD_create_response_from_buffer (
+      strlen (r->answer), r->answer, MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header (resp, "Content-Type", "application/json");
+  if (r->retry_after_s)
+    {
+      char buf[16];
+      g_snprintf (buf, sizeof buf, "%u", r->retry_after_s);
+      MHD_add_response_header (resp, "Retry-After", buf);
+    }
+  enum MHD_Result ret = MHD_queue_response (r->conn, r->status, resp);
+  MHD_destroy_response (resp);
+  return ret;
+}
+
+static enum MHD_Result
+access_cb (void *cls, struct MHD_Connection *conn, const char *url,
+           const char *method, const char *version, const char *upload,
+           size_t *upload_size, void **con_cls)
+{
+  mm_http_server *s = cls;
+  mm_http_request *r = *con_cls;
+  if (!r)
+    {
+      r = g_new0 (mm_http_request, 1);
+      r->server = s;
+      r->conn = conn;
+      r->method = g_strdup (method);
+      r->path = g_strdup (url);
+      r->body = g_byte_array_new ();
+      *con_cls = r;
+      return MHD_YES;
+    }
+  if (*upload_size)
+    {
+      if (r->body->len + *upload_size > s->max_body_bytes)
+        r->too_large = true;
+      else
+        g_byte_array_append (r->body, (const guint8 *) upload, *upload_size);
+      *upload_size = 0;
+      return MHD_YES;
+    }
+  if (!r->dispatched)
+    {
+      r->dispatched = true;
+      s->in_flight++;
+      g_byte_array_append (r->body, (const guint8 *) "", 1);
+      if (r->too_large)
+        {
+          char *b = mm_json_error_body (MM_ERROR_BAD_REQUEST,
+                                        "request body too large", 0);
+          mm_http_reply (r, 413, b, 0);
+          free (b);
+        }
+      else
+        {
+          r->in_handler = true;
+          s->handler (r, s->ctx);
+          r->in_handler = false;
+        }
+    }
+  if (r->answered)
+    return queue_answer (r);
+  /* Not answered yet (first time, or a spurious resume): wait.  */
+  r->suspended = true;
+  MHD_suspend_connection (conn);
+  return MHD_YES;
+}
+
+static void
+completed_cb (void *cls, struct MHD_Connection *conn, void **con_cls,
+              enum MHD_RequestTerminationCode toe)
+{
+  mm_http_request *r = *con_cls;
+  if (!r)
+    return;
+  if (r->dispatched && r->server->in_flight > 0)
+    r->server->in_flight--;
+  g_free (r->method);
+  g_free (r->path);
+  g_byte_array_free (r->body, TRUE);
+  g_free (r->answer);
+  g_free (r);
+  *con_cls = NULL;
+}
+
+/**
+ * mm_http_server_create() - listen for HTTP on a libev loop.
+ * @loop: the loop that drives it.
+ * @host: address to bind, e.g. "127.0.0.1".
+ * @port: port, 0 for any free port (see mm_http_server_port()).
+ * @max_body_bytes: larger bodies are answered 413.
+ * @handler: called once per request with @ctx; must call mm_http_reply()
+ *           sooner or later.
+ * @ctx: context pointer for @handler.
+ * @error: MM_ERROR_IO when the port cannot be bound.
+ *
+ * Return: the server, or NULL with @error set.
+ */
+mm_http_server *
+mm_http_server_create (struct ev_loop *loop, const char *host, uint16_t port,
+                       size_t max_body_bytes, mm_http_handler handler,
+                       void *ctx, GError **error)
+{
+  struct sockaddr_in addr = { 0 };
+  addr.sin_family = AF_INET;
+  addr.sin_port = htons (port);
+  if (inet_pton (AF_INET, host, &addr.sin_addr) != 1)
+    {
+      g_set_error (error, MM_ERROR, MM_ERROR_IO, "bad listen address %s",
+                   host);
+      return NULL;
+    }
+  mm_http_server *s = g_new0 (mm_http_server, 1);
+  s->loop = loop;
+  s->handler = handler;
+  s->ctx = ctx;
+  s->max_body_bytes = max_body_bytes;
+  s->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, port, NULL, NULL, access_cb,
+      s, MHD_OPTION_SOCK_ADDR, &addr, MHD_OPTION_NOTIFY_COMPLETED,
+      completed_cb, s, MHD_OPTION_CONNECTION_LIMIT, (unsigned) 4096,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, (unsigned) 1, MHD_OPTION_END);
+  if (!s->daemon)
+    {
+      g_set_error (error, MM_ERROR, MM_ERROR_IO,
+                   "cannot listen on %s:%u (port in use?)", host, port);
+      g_free (s);
+      return NULL;
+    }
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (s->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  const union MHD_DaemonInfo *pinfo
+      = MHD_get_daemon_info (s->daemon, MHD_DAEMON_INFO_BIND_PORT);
+  s->port = pinfo ? pinfo->port : port;
+  ev_io_init (&s->io, io_cb, info->epoll_fd, EV_READ);
+  s->io.data = s;
+  ev_io_start (loop, &s->io);
+  ev_timer_init (&s->timer, timer_cb, 0., 0.);
+  s->timer.data = s;
+  ev_idle_init (&s->kick, kick_cb);
+  s->kick.data = s;
+  return s;
+}
+
+/**
+ * mm_http_server_quiesce() - stop accepting connections.
+ * @s: the server; open requests go on until answered.
+ */
+void
+mm_http_server_quiesce (mm_http_server *s)
+{
+  MHD_socket fd = MHD_quiesce_daemon (s->daemon);
+  if (fd != MHD_INVALID_SOCKET)
+    close (fd);
+}
+
+uint32_t
+mm_http_server_in_flight (const mm_http_server *s)
+{
+  return s->in_flight;
+}
+
+uint16_t
+mm_http_server_port (const mm_http_server *s)
+{
+  return s->port;
+}
+
+void
+mm_http_server_destroy (mm_http_server *s)
+{
+  if (!s)
+    return;
+  ev_io_stop (s->loop, &s->io);
+  ev_timer_stop (s->loop, &s->timer);
+  ev_idle_stop (s->loop, &s->kick);
+  MHD_stop_daemon (s->daemon);
+  g_free (s);
+}
+
+const char *
+mm_http_request_method (const mm_http_request *r)
+{
+  return r->method;
+}
+
+const char *
+mm_http_request_path (const mm_http_request *r)
+{
+  return r->path;
+}
+
+const char *
+mm_http_request_body (const mm_http_request *r, size_t *len)
+{
+  if (len)
+    *len = r->body->len ? r->body->len - 1 : 0;
+  return (const char *) r->body->data;
+}
+
+const char *
+mm_http_request_query (const mm_http_request *r, const char *key)
+{
+  return MHD_lookup_connection_value (r->conn, MHD_GET_ARGUMENT_KIND, key);
+}
+
+/**
+ * mm_http_reply() - answer a request with a JSON body.
+ * @r: the request; it must not be used after this call.
+ * @status: HTTP status.
+ * @body: JSON text, copied.
+ * @retry_after_s: sent as Retry-After when not 0.
+ *
+ * A second reply to the same request is ignored.
+ */
+void
+mm_http_reply (mm_http_request *r, unsigned status, const char *body,
+               uint32_t retry_after_s)
+{
+  if (r->answered)
+    return;
+  r->answered = true;
+  r->status = status;
+  r->answer = g_strdup (body);
+  r->retry_after_s = retry_after_s;
+  if (r->in_handler || !r->suspended)
+    return;
+  r->suspended = false;
+  MHD_resume_connection (r->conn);
+  ev_idle_start (r->server->loop, &r->server->kick);
+}
--- /dev/null
+++ b/src/mm_log.c
@@ -0,0 +1,81 @@
+/* mm_log: GLib structured logging written as JSON lines on stderr.  */
+#include "masticmill.h"
+
+#include <cJSON.h>
+#include <stdio.h>
+
+static char *program_name;
+
+static const char *
+level_name (GLogLevelFlags level)
+{
+  if (level & G_LOG_LEVEL_ERROR)
+    return "error";
+  if (level & G_LOG_LEVEL_CRITICAL)
+    return "critical";
+  if (level & G_LOG_LEVEL_WARNING)
+    return "warning";
+  if (level & G_LOG_LEVEL_MESSAGE)
+    return "message";
+  if (level & G_LOG_LEVEL_INFO)
+    return "info";
+  return "debug";
+}
+
+/**
+ * mm_log_format_json() - format one log record as a JSON line.
+ * @fields: the structured fields GLib hands the writer.
+ * @n_fields: their number.
+ *
+ * Fields whose length is -1 are strings; others are skipped unless they
+ * are the MESSAGE.  Return: a newly allocated line without newline.
+ */
+char *
+mm_log_format_json (const GLogField *fields, size_t n_fields)
+{
+  cJSON *o = cJSON_CreateObject ();
+  cJSON_AddNumberToObject (o, "ts_ms", (double) mm_clock_wall_ms ());
+  if (program_name)
+    cJSON_AddStringToObject (o, "program", program_name);
+  for (size_t i = 0; i < n_fields; i++)
+    {
+      const GLogField *f = &fields[i];
+      if (f->length != -1 || g_str_equal (f->key, "PRIORITY")
+          || g_str_equal (f->key, "GLIB_OLD_LOG_API"))
+        continue;
+      char *key = g_ascii_strdown (f->key, -1);
+      cJSON_AddStringToObject (o, key, f->value);
+      g_free (key);
+    }
+  char *line = cJSON_PrintUnformatted (o);
+  cJSON_Delete (o);
+  return line;
+}
+
+static GLogWriterOutput
+json_writer (GLogLevelFlags level, const GLogField *fields, gsize n_fields,
+             gpointer user_data)
+{
+  if (!(level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL
+                 | G_LOG_LEVEL_WARNING | G_LOG_LEVEL_MESSAGE))
+      && !g_getenv ("MM_LOG_DEBUG"))
+    return G_LOG_WRITER_HANDLED;
+  char *line = mm_log_format_json (fields, n_fields);
+  fprintf (stderr, "{\"level\":\"%s\",%s\n", level_name (level), line + 1);
+  free (line);
+  return G_LOG_WRITER_HANDLED;
+}
+
+/**
+ * mm_log_init() - send all GLib logging to stderr as JSON lines.
+ * @program: name put in every line.
+ *
+ * Info and debug lines are written only when MM_LOG_DEBUG is set.
+ */
+void
+mm_log_init (const char *program)
+{
+  g_free (program_name);
+  program_name = g_strdup (program);
+  g_log_set_writer_func (json_writer, NULL, NULL);
+}
--- /dev/null
+++ b/src/mm_platform.c
@@ -0,0 +1,453 @@
+/* mm_platform: stand-in for the platform's service.
+
+   - An append-only log per stream: POST /v1/log/STREAM appends a JSON
+     record and answers its offset; GET /v1/log/STREAM?from=N&max=M reads
+     in order.  Records older than the retention are dropped from the
+     front, and "first" says where the log now begins.
+   - A member list: PUT /v1/members/NAME is a heartbeat carrying the
+     member's state; GET /v1/members shows each member as it was
+     member_lag_ms ago, and drops members silent for member_ttl_ms.
+   - Faults, POST /v1/faults: {"down":true} answers 503 to all but
+     /v1/faults and /v1/state; {"slow_ms":N} delays every answer;
+     {"lose_answers":N} applies the next N appends but loses their
+     answers (the caller sees 504 although the record is in the log).  */
+#include "config.h"
+#include "masticmill.h"
+
+#include <cJSON.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct
+{
+  int64_t offset;
+  mm_time_ms at_ms;
+  char *data;
+} log_record;
+
+typedef struct
+{
+  char *name;
+  int64_t first;     /* offset of records->head */
+  int64_t head;      /* next offset to write */
+  GQueue records;    /* log_record * */
+} log_stream;
+
+typedef struct
+{
+  char *name;
+  char *shown;          /* JSON the list shows */
+  char *latest;         /* JSON last heard */
+  mm_time_ms latest_ms; /* when latest changed */
+  mm_time_ms seen_ms;   /* last heartbeat */
+} member;
+
+struct mm_platform
+{
+  struct ev_loop *loop;
+  mm_platform_settings settings;
+  mm_http_server *http;
+  mm_counters *counters;
+  GHashTable *streams; /* name -> log_stream */
+  GHashTable *members; /* name -> member */
+  bool down;
+  int64_t slow_ms;
+  int64_t lose_answers;
+};
+
+typedef struct
+{
+  ev_timer timer;
+  mm_http_request *req;
+  unsigned status;
+  char *body;
+} delayed;
+
+const mm_setting_spec mm_platform_setting_specs[] = {
+  { "platform.listen_host", MM_SETTING_STRING,
+    offsetof (mm_platform_settings, listen_host), 0, 0, "address to bind" },
+  { "platform.port", MM_SETTING_INT, offsetof (mm_platform_settings, port), 0,
+    65535, "HTTP port" },
+  { "platform.retention_ms", MM_SETTING_INT,
+    offsetof (mm_platform_settings, retention_ms), 100, INT32_MAX,
+    "log records kept this long" },
+  { "platform.member_ttl_ms", MM_SETTING_INT,
+    offsetof (mm_platform_settings, member_ttl_ms), 100, 600000,
+    "member dropped after this silence" },
+  { "platform.member_lag_ms", MM_SETTING_INT,
+    offsetof (mm_platform_settings, member_lag_ms), 0, 600000,
+    "the member list lags this much" },
+  { NULL },
+};
+
+void
+mm_platform_settings_defaults (mm_platform_settings *s)
+{
+  memset (s, 0, sizeof *s);
+  s->listen_host = g_strdup ("127.0.0.1");
+  s->port = MM_DEFAULT_PLATFORM_PORT;
+  s->retention_ms = MM_DEFAULT_RETENTION_MS;
+  s->member_ttl_ms = MM_DEFAULT_MEMBER_TTL_MS;
+  s->member_lag_ms = MM_DEFAULT_MEMBER_LAG_MS;
+}
+
+static void
+delayed_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  delayed *d = (delayed *) w;
+  mm_http_reply (d->req, d->status, d->body, 0);
+  g_free (d->body);
+  g_free (d);
+}
+
+/* Every answer goes through here so that "slow" delays them all.  */
+static void
+answer (mm_platform *p, mm_http_request *req, unsigned status, char *body)
+{
+  if (p->slow_ms <= 0)
+    {
+      mm_http_reply (req, status, body, 0);
+      free (body);
+      return;
+    }
+  delayed *d = g_new0 (delayed, 1);
+  d->req = req;
+  d->status = status;
+  d->body = g_strdup (body);
+  free (body);
+  ev_timer_init (&d->timer, delayed_cb, (double) p->slow_ms / 1000.0, 0.);
+  ev_timer_start (p->loop, &d->timer);
+}
+
+static void
+answer_error (mm_platform *p, mm_http_request *req, unsigned status, int code,
+              const char *msg)
+{
+  answer (p, req, status, mm_json_error_body (code, msg, 1));
+}
+
+static log_stream *
+get_stream (mm_platform *p, const char *name)
+{
+  log_stream *s = g_hash_table_lookup (p->streams, name);
+  if (!s)
+    {
+      s = g_new0 (log_stream, 1);
+      s->name = g_strdup (name);
+      g_queue_init (&s->records);
+      g_hash_table_insert (p->streams, s->name, s);
+    }
+  return s;
+}
+
+static void
+free_record (gpointer data)
+{
+  log_record *r = data;
+  g_free (r->data);
+  g_free (r);
+}
+
+static void
+free_stream (gpointer data)
+{
+  log_stream *s = data;
+  g_queue_clear_full (&s->records, free_record);
+  g_free (s->name);
+  g_free (s);
+}
+
+static void
+apply_retention (mm_platform *p, log_stream *s, mm_time_ms now)
+{
+  log_record *r;
+  while ((r = g_queue_peek_head (&s->records))
+         && now - r->at_ms > p->settings.retention_ms)
+    {
+      free_record (g_queue_pop_head (&s->records));
+      s->first++;
+      mm_counters_add (p->counters, "log_records_expired", 1);
+    }
+}
+
+static void
+log_append (mm_platform *p, mm_http_request *req, const char *stream)
+{
+  size_t len;
+  const char *body = mm_http_request_body (req, &len);
+  cJSON *check = cJSON_ParseWithLength (body, len);
+  if (!check)
+    {
+      answer_error (p, req, 400, MM_ERROR_BAD_REQUEST, "record is not JSON");
+      return;
+    }
+  cJSON_Delete (check);
+  log_stream *s = get_stream (p, stream);
+  mm_time_ms now = mm_clock_now_ms ();
+  apply_retention (p, s, now);
+  log_record *r = g_new0 (log_record, 1);
+  r->offset = s->head++;
+  r->at_ms = now;
+  r->data = g_strndup (body, len);
+  g_queue_push_tail (&s->records, r);
+  mm_counters_add (p->counters, "log_appends", 1);
+  if (p->lose_answers > 0)
+    {
+      /* The fault the brief names: the action took effect, the answer
+         is lost.  */
+      p->lose_answers--;
+      mm_counters_add (p->counters, "answers_lost", 1);
+      answer_error (p, req, 504, MM_ERROR_PLATFORM, "answer lost");
+      return;
+    }
+  answer (p, req, 200,
+          g_strdup_printf ("{\"offset\":%" G_GINT64_FORMAT "}", r->offset));
+}
+
+static void
+log_read (mm_platform *p, mm_http_request *req, const char *stream)
+{
+  log_stream *s = get_stream (p, stream);
+  apply_retention (p, s, mm_clock_now_ms ());
+  const char *from_s = mm_http_request_query (req, "from");
+  const char *max_s = mm_http_request_query (req, "max");
+  int64_t from = from_s ? g_ascii_strtoll (from_s, NULL, 10) : 0;
+  int64_t max = max_s ? g_ascii_strtoll (max_s, NULL, 10)
+                      : MM_DEFAULT_LOG_READ_MAX;
+  max = CLAMP (max, 1, MM_DEFAULT_LOG_READ_MAX);
+  cJSON *o = cJSON_CreateObject ();
+  cJSON_AddNumberToObject (o, "first", (double) s->first);
+  cJSON_AddNumberToObject (o, "head", (double) s->head);
+  cJSON *arr = cJSON_AddArrayToObject (o, "records");
+  int64_t n = 0;
+  for (GList *l = s->records.head; l && n < max; l = l->next)
+    {
+      log_record *r = l->data;
+      if (r->offset < from)
+        continue;
+      cJSON *rec = cJSON_CreateObject ();
+      cJSON_AddNumberToObject (rec, "offset", (double) r->offset);
+      cJSON_AddItemToObject (rec, "data", cJSON_CreateRaw (r->data));
+      cJSON_AddItemToArray (arr, rec);
+      n++;
+    }
+  mm_counters_add (p->counters, "log_reads", 1);
+  char *text = cJSON_PrintUnformatted (o);
+  cJSON_Delete (o);
+  answer (p, req, 200, text);
+}
+
+static void
+member_put (mm_platform *p, mm_http_request *req, const char *name)
+{
+  size_t len;
+  const char *body = mm_http_request_body (req, &len);
+  cJSON *o = cJSON_ParseWithLength (body, len);
+  if (!cJSON_IsObject (o))
+    {
+      cJSON_Delete (o);
+      answer_error (p, req, 400, MM_ERROR_BAD_REQUEST, "member is not JSON");
+      return;
+    }
+  cJSON_AddStringToObject (o, "name", name);
+  char *text = cJSON_PrintUnformatted (o);
+  cJSON_Delete (o);
+  mm_time_ms now = mm_clock_now_ms ();
+  member *m = g_hash_table_lookup (p->members, name);
+  if (!m)
+    {
+      m = g_new0 (member, 1);
+      m->name = g_strdup (name);
+      g_hash_table_insert (p->members, m->name, m);
+    }
+  if (!m->latest || strcmp (m->latest, text) != 0)
+    {
+      g_free (m->latest);
+      m->latest = g_strdup (text);
+      m->latest_ms = now;
+    }
+  m->seen_ms = now;
+  free (text);
+  mm_counters_add (p->counters, "member_heartbeats", 1);
+  answer (p, req, 200, g_strdup ("{\"status\":\"ok\"}"));
+}
+
+static void
+free_member (gpointer data)
+{
+  member *m = data;
+  g_free (m->name);
+  g_free (m->shown);
+  g_free (m->latest);
+  g_free (m);
+}
+
+static void
+members_get (mm_platform *p, mm_http_request *req)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  cJSON *o = cJSON_CreateObject ();
+  cJSON *arr = cJSON_AddArrayToObject (o, "members");
+  GHashTableIter it;
+  gpointer k, v;
+  g_hash_table_iter_init (&it, p->members);
+  while (g_hash_table_iter_next (&it, &k, &v))
+    {
+      member *m = v;
+      /* The list lags: a change shows only member_lag_ms after it, and a
+         silent member goes only member_lag_ms after its TTL.  */
+      if (now - m->seen_ms
+          > p->settings.member_ttl_ms + p->settings.member_lag_ms)
+        {
+          g_hash_table_iter_remove (&it);
+          continue;
+        }
+      if (now - m->latest_ms >= p->settings.member_lag_ms
+          && (!m->shown || strcmp (m->shown, m->latest) != 0))
+        {
+          g_free (m->shown);
+          m->shown = g_strdup (m->latest);
+        }
+      if (m->shown)
+        cJSON_AddItemToArray (arr, cJSON_CreateRaw (m->shown));
+    }
+  char *text = cJSON_PrintUnformatted (o);
+  cJSON_Delete (o);
+  answer (p, req, 200, text);
+}
+
+static void
+set_faults (mm_platform *p, mm_http_request *req)
+{
+  size_t len;
+  const char *body = mm_http_request_body (req, &len);
+  cJSON *o = cJSON_ParseWithLength (body, len);
+  const cJSON *down = cJSON_GetObjectItemCaseSensitive (o, "down");
+  const cJSON *slow = cJSON_GetObjectItemCaseSensitive (o, "slow_ms");
+  const cJSON *lose = cJSON_GetObjectItemCaseSensitive (o, "lose_answers");
+  if (cJSON_IsBool (down))
+    p->down = cJSON_IsTrue (down);
+  if (cJSON_IsNumber (slow))
+    p->slow_ms = (int64_t) slow->valuedouble;
+  if (cJSON_IsNumber (lose))
+    p->lose_answers = (int64_t) lose->valuedouble;
+  cJSON_Delete (o);
+  g_message ("faults: down=%d slow_ms=%" G_GINT64_FORMAT
+             " lose_answers=%" G_GINT64_FORMAT,
+             p->down, p->slow_ms, p->lose_answers);
+  mm_http_reply (req, 200, "{\"status\":\"ok\"}", 0);
+}
+
+static void
+handle (mm_http_request *req, void *ctx)
+{
+  mm_platform *p = ctx;
+  const char *m = mm_http_request_method (req);
+  const char *path = mm_http_request_path (req);
+  if (g_str_equal (path, "/v1/faults") && g_str_equal (m, "POST"))
+    set_faults (p, req);
+  else if (g_str_equal (path, "/v1/state"))
+    {
+      char *d = mm_platform_dump (p);
+      mm_http_reply (req, 200, d, 0);
+      free (d);
+    }
+  else if (p->down)
+    {
+      mm_counters_add (p->counters, "refused_down", 1);
+      mm_http_reply (req, 503, "{\"status\":\"failed\",\"error\":"
+                     "{\"code\":\"platform\",\"message\":\"down\"}}", 1);
+    }
+  else if (g_str_has_prefix (path, "/v1/log/") && path[8])
+    {
+      if (g_str_equal (m, "POST"))
+        log_append (p, req, path + 8);
+      else
+        log_read (p, req, path + 8);
+    }
+  else if (g_str_has_prefix (path, "/v1/members/") && path[12]
+           && g_str_equal (m, "PUT"))
+    member_put (p, req, path + 12);
+  else if (g_str_equal (path, "/v1/members"))
+    members_get (p, req);
+  else
+    answer_error (p, req, 404, MM_ERROR_BAD_REQUEST, "no such path");
+}
+
+/**
+ * mm_platform_create() - start the platform stand-in.
+ * @loop: its loop.
+ * @s: settings, copied.
+ * @error: MM_ERROR_IO when the port cannot be bound.
+ *
+ * Return: the stand-in, or NULL with @error set.
+ */
+mm_platform *
+mm_platform_create (struct ev_loop *loop, const mm_platform_settings *s,
+                    GError **error)
+{
+  mm_platform *p = g_new0 (mm_platform, 1);
+  p->loop = loop;
+  p->settings = *s;
+  p->settings.listen_host = g_strdup (s->listen_host);
+  p->counters = mm_counters_create ();
+  p->streams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                      free_stream);
+  p->members = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                      free_member);
+  p->http = mm_http_server_create (loop, s->listen_host, (uint16_t) s->port,
+                                   4 << 20, handle, p, error);
+  if (!p->http)
+    {
+      mm_platform_destroy (p);
+      return NULL;
+    }
+  return p;
+}
+
+void
+mm_platform_destroy (mm_platform *p)
+{
+  if (!p)
+    return;
+  mm_http_server_destroy (p->http);
+  mm_counters_destroy (p->counters);
+  g_hash_table_destroy (p->streams);
+  g_hash_table_destroy (p->members);
+  g_free (p->settings.listen_host);
+  g_free (p);
+}
+
+/**
+ * mm_platform_dump() - the stand-in's state.
+ * @p: the stand-in.
+ *
+ * Return: JSON text with faults, streams and counters; free with free().
+ */
+char *
+mm_platform_dump (const mm_platform *p)
+{
+  cJSON *o = cJSON_CreateObject ();
+  cJSON_AddBoolToObject (o, "down", p->down);
+  cJSON_AddNumberToObject (o, "slow_ms", (double) p->slow_ms);
+  cJSON_AddNumberToObject (o, "lose_answers", (double) p->lose_answers);
+  cJSON *streams = cJSON_AddObjectToObject (o, "streams");
+  GHashTableIter it;
+  gpointer k, v;
+  g_hash_table_iter_init (&it, p->streams);
+  while (g_hash_table_iter_next (&it, &k, &v))
+    {
+      log_stream *s = v;
+      cJSON *so = cJSON_AddObjectToObject (streams, s->name);
+      cJSON_AddNumberToObject (so, "first", (double) s->first);
+      cJSON_AddNumberToObject (so, "head", (double) s->head);
+    }
+  cJSON_AddNumberToObject (o, "members", g_hash_table_size (p->members));
+  char *c = mm_counters_to_json (p->counters);
+  cJSON_AddItemToObject (o, "counters", cJSON_Parse (c));
+  free (c);
+  char *text = cJSON_PrintUnformatted (o);
+  cJSON_Delete (o);
+  return text;
+}
--- /dev/null
+++ b/src/mm_pool.c
@@ -0,0 +1,199 @@
+/* mm_pool: which upstream gets the next task.
+
+   Upstreams start whatever they are given, fits or not, so the entry
+   instance keeps its own count of each one's tasks in flight and sends
+   only into free slots: least loaded first (most free slots), ties to
+   the lower index.  An upstream that is leaving gets no new work; one
+   that fails eject_after times in a row is ejected for eject_ms.  */
+#include "mm_pool.h"
+
+#include <string.h>
+
+struct mm_pool
+{
+  GPtrArray *members; /* mm_pool_member * */
+  uint32_t default_slots;
+};
+
+static void
+free_member (gpointer data)
+{
+  mm_pool_member *m = data;
+  g_free (m->name);
+  g_free (m->url);
+  g_free (m);
+}
+
+mm_pool *
+mm_pool_create (uint32_t default_slots)
+{
+  mm_pool *p = g_new0 (mm_pool, 1);
+  p->members = g_ptr_array_new_with_free_func (free_member);
+  p->default_slots = default_slots;
+  return p;
+}
+
+void
+mm_pool_destroy (mm_pool *p)
+{
+  if (!p)
+    return;
+  g_ptr_array_free (p->members, TRUE);
+  g_free (p);
+}
+
+int
+mm_pool_find (const mm_pool *p, const char *name)
+{
+  for (guint i = 0; i < p->members->len; i++)
+    if (strcmp (((mm_pool_member *) p->members->pdata[i])->name, name) == 0)
+      return (int) i;
+  return -1;
+}
+
+/**
+ * mm_pool_add() - add an upstream, or refresh one already known.
+ * @p: the pool.
+ * @name: its member name.
+ * @addr: "host:port".
+ * @slots: its slots, 0 for the default.
+ *
+ * Members are never removed, so indexes held by tasks in flight stay
+ * valid.  Return: its index.
+ */
+int
+mm_pool_add (mm_pool *p, const char *name, const char *addr, uint32_t slots)
+{
+  int i = mm_pool_find (p, name);
+  mm_pool_member *m;
+  if (i >= 0)
+    m = p->members->pdata[i];
+  else
+    {
+      m = g_new0 (mm_pool_member, 1);
+      m->name = g_strdup (name);
+      m->url = g_strdup_printf ("http://%s", addr);
+      g_ptr_array_add (p->members, m);
+      i = (int) p->members->len - 1;
+    }
+  m->slots = slots ? slots : p->default_slots;
+  return i;
+}
+
+void
+mm_pool_set_state (mm_pool *p, int i, mm_upstream_state s)
+{
+  mm_pool_member *m = p->members->pdata[i];
+  if (m->state == MM_UPSTREAM_EJECTED && s == MM_UPSTREAM_LIVE)
+    return; /* an ejection ends by time, not by the member list */
+  m->state = s;
+}
+
+static bool
+takes_work (mm_pool_member *m, mm_time_ms now)
+{
+  if (m->state == MM_UPSTREAM_EJECTED && now >= m->ejected_until_ms)
+    {
+      m->state = MM_UPSTREAM_LIVE;
+      m->failures_in_row = 0;
+    }
+  return m->state == MM_UPSTREAM_LIVE;
+}
+
+/**
+ * mm_pool_pick() - the upstream for the next task.
+ * @p: the pool.
+ * @now: mm_clock_now_ms().
+ *
+ * Return: index of the live upstream with the most free slots, or -1
+ * when every slot is taken (the task then waits in the entry's queue).
+ */
+int
+mm_pool_pick (mm_pool *p, mm_time_ms now)
+{
+  int best = -1;
+  uint32_t best_free = 0;
+  for (guint i = 0; i < p->members->len; i++)
+    {
+      mm_pool_member *m = p->members->pdata[i];
+      if (!takes_work (m, now) || m->in_flight >= m->slots)
+        continue;
+      uint32_t free_slots = m->slots - m->in_flight;
+      if (free_slots > best_free)
+        {
+          best = (int) i;
+          best_free = free_slots;
+        }
+    }
+  return best;
+}
+
+void
+mm_pool_sent (mm_pool *p, int i)
+{
+  ((mm_pool_member *) p->members->pdata[i])->in_flight++;
+}
+
+/**
+ * mm_pool_done() - account for a task's answer.
+ * @p: the pool.
+ * @i: the upstream it ran on.
+ * @o: what happened.
+ * @now: mm_clock_now_ms().
+ * @eject_after: failures in a row that eject it.
+ * @eject_ms: how long an ejection lasts.
+ *
+ * A refusal marks the upstream leaving: the upstream says it drains
+ * before the lagging member list does.
+ */
+void
+mm_pool_done (mm_pool *p, int i, mm_outcome o, mm_time_ms now,
+              uint32_t eject_after, mm_time_ms eject_ms)
+{
+  mm_pool_member *m = p->members->pdata[i];
+  if (m->in_flight)
+    m->in_flight--;
+  if (o == MM_OUTCOME_OK)
+    {
+      m->failures_in_row = 0;
+      return;
+    }
+  if (o == MM_OUTCOME_REFUSED)
+    {
+      m->state = MM_UPSTREAM_LEAVING;
+      return;
+    }
+  if (++m->failures_in_row >= eject_after && m->state == MM_UPSTREAM_LIVE)
+    {
+      m->state = MM_UPSTREAM_EJECTED;
+      m->ejected_until_ms = now + eject_ms;
+      g_warning ("upstream %s ejected for %" G_GINT64_FORMAT " ms after %u "
+                 "failures in a row",
+                 m->name, eject_ms, m->failures_in_row);
+    }
+}
+
+uint32_t
+mm_pool_size (const mm_pool *p)
+{
+  return p->members->len;
+}
+
+const mm_pool_member *
+mm_pool_at (const mm_pool *p, int i)
+{
+  return p->members->pdata[i];
+}
+
+uint32_t
+mm_pool_free_slots (const mm_pool *p, mm_time_ms now)
+{
+  uint32_t n = 0;
+  for (guint i = 0; i < p->members->len; i++)
+    {
+      mm_pool_member *m = p->members->pdata[i];
+      if (takes_work (m, now) && m->in_flight < m->slots)
+        n += m->slots - m->in_flight;
+    }
+  return n;
+}
--- /dev/null
+++ b/src/mm_pool.h
@@ -0,0 +1,50 @@
+/* mm_pool: the entry instance's view of its upstreams.  Internal.  */
+#ifndef MM_POOL_H
+#define MM_POOL_H
+
+#include "masticmill.h"
+
+typedef enum
+{
+  MM_UPSTREAM_LIVE,    /* takes new work */
+  MM_UPSTREAM_LEAVING, /* drains: no new work, answers still awaited */
+  MM_UPSTREAM_EJECTED  /* failed too often: no new work for a while */
+} mm_upstream_state;
+
+typedef enum
+{
+  MM_OUTCOME_OK,          /* it ran and answered */
+  MM_OUTCOME_FAILED,      /* it ran and failed */
+  MM_OUTCOME_REFUSED,     /* refused before start (draining) */
+  MM_OUTCOME_UNREACHABLE, /* never reached: not sent */
+  MM_OUTCOME_LOST         /* sent, no answer: outcome unknown */
+} mm_outcome;
+
+typedef struct
+{
+  char *name;             /* member name, or the address when static */
+  char *url;              /* "http://host:port" */
+  uint32_t slots;         /* its slots */
+  uint32_t in_flight;     /* tasks sent, not answered */
+  mm_upstream_state state;
+  uint32_t failures_in_row;
+  mm_time_ms ejected_until_ms;
+  mm_time_ms seen_ms;     /* last time the member list showed it */
+} mm_pool_member;
+
+typedef struct mm_pool mm_pool;
+mm_pool *mm_pool_create (uint32_t default_slots);
+void mm_pool_destroy (mm_pool *p);
+int mm_pool_add (mm_pool *p, const char *name, const char *addr,
+                 uint32_t slots);                 /* or refresh; index */
+int mm_pool_find (const mm_pool *p, const char *name); /* index or -1 */
+void mm_pool_set_state (mm_pool *p, int i, mm_upstream_state s);
+int mm_pool_pick (mm_pool *p, mm_time_ms now);   /* -1 when none free */
+void mm_pool_sent (mm_pool *p, int i);            /* a task went out */
+void mm_pool_done (mm_pool *p, int i, mm_outcome o, mm_time_ms now,
+                   uint32_t eject_after, mm_time_ms eject_ms);
+uint32_t mm_pool_size (const mm_pool *p);
+const mm_pool_member *mm_pool_at (const mm_pool *p, int i);
+uint32_t mm_pool_free_slots (const mm_pool *p, mm_time_ms now); /* live */
+
+#endif /* MM_POOL_H */
--- /dev/null
+++ b/src/mm_toml.cc
@@ -0,0 +1,226 @@
+// mm_toml: the one C++ file.  toml++ parses; the C side sees a flat list
+// of leaf entries with dotted keys, so settings checks stay in C.
+#include "masticmill.h"
+
+#include <cstring>
+#include <sstream>
+#include <string>
+#include <toml++/toml.h>
+#include <vector>
+
+struct mm_toml
+{
+  std::string source;
+  std::vector<mm_toml_entry> entries;
+};
+
+static void
+free_entry (mm_toml_entry *e)
+{
+  g_free (e->key);
+  g_free (e->string_value);
+  g_strfreev (e->strings);
+}
+
+static bool
+add_leaf (mm_toml *t, const std::string &key, const toml::node &node,
+          GError **error)
+{
+  mm_toml_entry e = {};
+  e.line = node.source ().begin.line;
+  if (auto v = node.as_integer ())
+    {
+      e.type = MM_TOML_INT;
+      e.int_value = v->get ();
+    }
+  else if (auto f = node.as_floating_point ())
+    {
+      e.type = MM_TOML_FLOAT;
+      e.float_value = f->get ();
+    }
+  else if (auto b = node.as_boolean ())
+    {
+      e.type = MM_TOML_BOOL;
+      e.bool_value = b->get ();
+    }
+  else if (auto s = node.as_string ())
+    {
+      e.type = MM_TOML_STRING;
+      e.string_value = g_strdup (s->get ().c_str ());
+    }
+  else if (auto a = node.as_array ())
+    {
+      e.type = MM_TOML_STRING_ARRAY;
+      GPtrArray *items = g_ptr_array_new ();
+      for (auto &item : *a)
+        {
+          auto s = item.as_string ();
+          if (!s)
+            {
+              g_ptr_array_free (items, TRUE);
+              g_set_error (error, MM_ERROR, MM_ERROR_CONFIG_TYPE,
+                           "%s:%u: %s: only arrays of strings are allowed",
+                           t->source.c_str (), e.line, key.c_str ());
+              return false;
+            }
+          g_ptr_array_add (items, g_strdup (s->get ().c_str ()));
+        }
+      g_ptr_array_add (items, NULL);
+      e.strings = (char **) g_ptr_array_free (items, FALSE);
+    }
+  else
+    {
+      g_set_error (error, MM_ERROR, MM_ERROR_CONFIG_TYPE,
+                   "%s:%u: %s: dates and times are not settings",
+                   t->source.c_str (), e.line, key.c_str ());
+      return false;
+    }
+  e.key = g_strdup (key.c_str ());
+  t->entries.push_back (e);
+  return true;
+}
+
+static bool
+flatten (mm_toml *t, const std::string &prefix, const toml::table &table,
+         GError **error)
+{
+  for (auto &&[k, node] : table)
+    {
+      std::string key = prefix.empty () ? std::string (k.str ())
+                                        : prefix + "." + std::string (k.str ());
+      if (auto sub = node.as_table ())
+        {
+          if (!flatten (t, key, *sub, error))
+            return false;
+        }
+      else if (!add_leaf (t, key, node, error))
+        return false;
+    }
+  return true;
+}
+
+static mm_toml *
+from_table (const toml::table &table, const char *source, GError **error)
+{
+  mm_toml *t = new mm_toml;
+  t->source = source;
+  if (!flatten (t, "", table, error))
+    {
+      mm_toml_destroy (t);
+      return NULL;
+    }
+  return t;
+}
+
+/**
+ * mm_toml_parse_string() - parse TOML text.
+ * @text: the document.
+ * @source: name used in errors (file name or a label).
+ * @error: MM_ERROR_CONFIG_SYNTAX with line and column on bad TOML,
+ *         MM_ERROR_CONFIG_TYPE for values settings cannot hold.
+ *
+ * Return: the document, or NULL with @error set.
+ */
+mm_toml *
+mm_toml_parse_string (const char *text, const char *source, GError **error)
+{
+  try
+    {
+      toml::table table = toml::parse (std::string_view (text),
+                                       std::string_view (source));
+      return from_table (table, source, error);
+    }
+  catch (const toml::parse_error &err)
+    {
+      g_set_error (error, MM_ERROR, MM_ERROR_CONFIG_SYNTAX, "%s:%u:%u: %s",
+                   source, err.source ().begin.line,
+                   err.source ().begin.column,
+                   std::string (err.description ()).c_str ());
+      return NULL;
+    }
+}
+
+/**
+ * mm_toml_parse_file() - read and parse a TOML file.
+ * @path: file to read.
+ * @error: MM_ERROR_IO when it cannot be read, else as mm_toml_parse_string().
+ *
+ * Return: the document, or NULL with @error set.
+ */
+mm_toml *
+mm_toml_parse_file (const char *path, GError **error)
+{
+  char *text = NULL;
+  GError *io = NULL;
+  if (!g_file_get_contents (path, &text, NULL, &io))
+    {
+      g_set_error (error, MM_ERROR, MM_ERROR_IO, "%s: %s", path, io->message);
+      g_error_free (io);
+      return NULL;
+    }
+  mm_toml *t = mm_toml_parse_string (text, path, error);
+  g_free (text);
+  return t;
+}
+
+void
+mm_toml_destroy (mm_toml *t)
+{
+  if (!t)
+    return;
+  for (auto &e : t->entries)
+    free_entry (&e);
+  delete t;
+}
+
+size_t
+mm_toml_count (const mm_toml *t)
+{
+  return t->entries.size ();
+}
+
+const mm_toml_entry *
+mm_toml_at (const mm_toml *t, size_t i)
+{
+  return i < t->entries.size () ? &t->entries[i] : NULL;
+}
+
+const char *
+mm_toml_source (const mm_toml *t)
+{
+  return t->source.c_str ();
+}
+
+static mm_toml_entry
+copy_entry (const mm_toml_entry *src)
+{
+  mm_toml_entry e = *src;
+  e.key = g_strdup (src->key);
+  e.string_value = g_strdup (src->string_value);
+  e.strings = g_strdupv (src->strings);
+  return e;
+}
+
+/**
+ * mm_toml_overlay() - lay an overlay over a base document.
+ * @base: changed in place.
+ * @overlay: its keys replace the base's; new keys are added.
+ */
+void
+mm_toml_overlay (mm_toml *base, const mm_toml *overlay)
+{
+  for (const auto &o : overlay->entries)
+    {
+      bool replaced = false;
+      for (auto &b : base->entries)
+        if (std::strcmp (b.key, o.key) == 0)
+          {
+            free_entry (&b);
+            b = copy_entry (&o);
+            replaced = true;
+            break;
+          }
+      if (!replaced)
+        base->entries.push_back (copy_entry (&o));
+    }
+}
--- /dev/null
+++ b/src/mm_upstream.c
@@ -0,0 +1,397 @@
+/* mm_upstream: stand-in for an upstream executor.
+
+   It has N slots and starts whatever it is given, fits or not: past N
+   running tasks, each run stretches by running/N.  Modes, set by
+   POST /v1/mode: "normal", "drain" (refuse new tasks before start,
+   finish the rest), "freeze" (hold every answer until unfrozen) and
+   "fail_all" (every task starts and fails).  GET /v1/starts lists every
+   task it ever started, with a count, so tests can prove that no task
+   started twice and that a "not run" task never started.  */
+#include "config.h"
+#include "masticmill.h"
+
+#include <cJSON.h>
+#include <stddef.h>
+#include <string.h>
+
+typedef enum
+{
+  MODE_NORMAL,
+  MODE_DRAIN,
+  MODE_FREEZE,
+  MODE_FAIL_ALL
+} upstream_mode;
+
+static const char *const mode_names[] = { "normal", "drain", "freeze",
+                                          "fail_all" };
+
+typedef struct run run;
+
+struct mm_upstream
+{
+  struct ev_loop *loop;
+  mm_upstream_settings settings;
+  mm_http_server *http;
+  mm_http_client *client;
+  mm_counters *counters;
+  upstream_mode mode;
+  GHashTable *starts;  /* "job/task" -> count (GUINT_TO_POINTER) */
+  GQueue frozen;       /* runs finished while frozen */
+  uint32_t running;
+  ev_timer heartbeat;
+  void (*drained) (void *);
+  void *drained_ctx;
+};
+
+struct run
+{
+  ev_timer timer;
+  mm_upstream *u;
+  mm_http_request *req;
+  char *task_id;
+};
+
+const mm_setting_spec mm_upstream_setting_specs[] = {
+  { "upstream.listen_host", MM_SETTING_STRING,
+    offsetof (mm_upstream_settings, listen_host), 0, 0, "address to bind" },
+  { "upstream.port", MM_SETTING_INT, offsetof (mm_upstream_settings, port), 0,
+    65535, "HTTP port" },
+  { "upstream.slots", MM_SETTING_INT, offsetof (mm_upstream_settings, slots),
+    1, 4096, "tasks run at full speed" },
+  { "upstream.connections", MM_SETTING_INT,
+    offsetof (mm_upstream_settings, connections), 1, 65535,
+    "HTTP connections accepted" },
+  { "upstream.name", MM_SETTING_STRING, offsetof (mm_upstream_settings, name),
+    0, 0, "member name" },
+  { "upstream.datacentre", MM_SETTING_STRING,
+    offsetof (mm_upstream_settings, datacentre), 0, 0, "data centre" },
+  { "upstream.platform_url", MM_SETTING_STRING,
+    offsetof (mm_upstream_settings, platform_url), 0, 0,
+    "platform service URL, empty for none" },
+  { "upstream.heartbeat_ms", MM_SETTING_INT,
+    offsetof (mm_upstream_settings, heartbeat_ms), 50, 60000,
+    "heartbeat period" },
+  { NULL },
+};
+
+void
+mm_upstream_settings_defaults (mm_upstream_settings *s)
+{
+  memset (s, 0, sizeof *s);
+  s->listen_host = g_strdup ("127.0.0.1");
+  s->port = MM_DEFAULT_UPSTREAM_PORT;
+  s->slots = MM_DEFAULT_UPSTREAM_SLOTS;
+  s->connections = MM_DEFAULT_UPSTREAM_CONNECTIONS;
+  s->name = g_strdup ("upstream-1");
+  s->datacentre = g_strdup ("dc1");
+  s->platform_url = g_strdup ("");
+  s->heartbeat_ms = MM_DEFAULT_HEARTBEAT_MS;
+}
+
+static void
+reply_json (mm_http_request *req, unsigned status, cJSON *o)
+{
+  char *s = cJSON_PrintUnformatted (o);
+  mm_http_reply (req, status, s, 0);
+  free (s);
+  cJSON_Delete (o);
+}
+
+static void
+check_drained (mm_upstream *u)
+{
+  if (u->mode == MODE_DRAIN && u->running == 0 && u->drained)
+    {
+      void (*cb) (void *) = u->drained;
+      u->drained = NULL;
+      cb (u->drained_ctx);
+    }
+}
+
+static void
+answer_run (run *r)
+{
+  mm_upstream *u = r->u;
+  cJSON *o = cJSON_CreateObject ();
+  cJSON_AddStringToObject (o, "task_id", r->task_id);
+  bool fail = u->mode == MODE_FAIL_ALL;
+  cJSON_AddStringToObject (o, "status", fail ? "failed" : "done");
+  if (!fail)
+    {
+      char *res = g_strdup_printf ("ok:%s@%s", r->task_id, u->settings.name);
+      cJSON_AddStringToObject (o, "result", res);
+      g_free (res);
+    }
+  mm_counters_add (u->counters, fail ? "tasks_failed" : "tasks_done", 1);
+  reply_json (r->req, fail ? 500 : 200, o);
+  u->running--;
+  g_free (r->task_id);
+  g_free (r);
+  check_drained (u);
+}
+
+static void
+run_done_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  run *r = (run *) w;
+  if (r->u->mode == MODE_FREEZE)
+    {
+      g_queue_push_tail (&r->u->frozen, r);
+      return;
+    }
+  answer_run (r);
+}
+
+static void
+start_task (mm_upstream *u, mm_http_request *req)
+{
+  size_t len;
+  const char *body = mm_http_request_body (req, &len);
+  cJSON *o = cJSON_ParseWithLength (body, len);
+  const cJSON *job = cJSON_GetObjectItemCaseSensitive (o, "job_id");
+  const cJSON *task = cJSON_GetObjectItemCaseSensitive (o, "task_id");
+  const cJSON *run_ms = cJSON_GetObjectItemCaseSensitive (o, "run_ms");
+  if (!cJSON_IsString (job) || !cJSON_IsString (task))
+    {
+      char *b = mm_json_error_body (MM_ERROR_BAD_REQUEST,
+                                    "job_id and task_id are required", 0);
+      mm_http_reply (req, 400, b, 0);
+      free (b);
+      cJSON_Delete (o);
+      return;
+    }
+  char *key = g_strdup_printf ("%s/%s", job->valuestring, task->valuestring);
+  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (u->starts, key));
+  g_hash_table_insert (u->starts, key, GUINT_TO_POINTER (n + 1));
+  mm_counters_add (u->counters, "tasks_started", 1);
+  if (n)
+    mm_counters_add (u->counters, "tasks_started_again", 1);
+  u->running++;
+  double ms = cJSON_IsNumber (run_ms) ? run_ms->valuedouble : 0;
+  if (u->running > (uint32_t) u->settings.slots)
+    ms = ms * u->running / (double) u->settings.slots;
+  run *r = g_new0 (run, 1);
+  r->u = u;
+  r->req = req;
+  r->task_id = g_strdup (task->valuestring);
+  ev_timer_init (&r->timer, run_done_cb, ms / 1000.0, 0.);
+  ev_timer_start (u->loop, &r->timer);
+  cJSON_Delete (o);
+}
+
+static void
+refuse (mm_http_request *req, const char *why)
+{
+  cJSON *o = cJSON_CreateObject ();
+  cJSON_AddStringToObject (o, "status", "refused");
+  cJSON_AddStringToObject (o, "reason", why);
+  reply_json (req, 503, o);
+}
+
+static void
+set_mode (mm_upstream *u, mm_http_request *req)
+{
+  size_t len;
+  const char *body = mm_http_request_body (req, &len);
+  cJSON *o = cJSON_ParseWithLength (body, len);
+  const cJSON *m = cJSON_GetObjectItemCaseSensitive (o, "mode");
+  int found = -1;
+  for (int i = 0; cJSON_IsString (m) && i < (int) G_N_ELEMENTS (mode_names);
+       i++)
+    if (g_str_equal (m->valuestring, mode_names[i]))
+      found = i;
+  cJSON_Delete (o);
+  if (found < 0)
+    {
+      char *b = mm_json_error_body (MM_ERROR_BAD_REQUEST,
+                                    "mode is normal, drain, freeze or fail_all",
+                                    0);
+      mm_http_reply (req, 400, b, 0);
+      free (b);
+      return;
+    }
+  u->mode = (upstream_mode) found;
+  g_message ("mode set to %s", mode_names[found]);
+  if (u->mode != MODE_FREEZE)
+    while (!g_queue_is_empty (&u->frozen))
+      answer_run (g_queue_pop_head (&u->frozen));
+  mm_http_reply (req, 200, "{\"status\":\"ok\"}", 0);
+  check_drained (u);
+}
+
+static void
+list_starts (mm_upstream *u, mm_http_request *req)
+{
+  cJSON *o = cJSON_CreateObject ();
+  cJSON *s = cJSON_AddObjectToObject (o, "starts");
+  GHashTableIter it;
+  gpointer k, v;
+  g_hash_table_iter_init (&it, u->starts);
+  while (g_hash_table_iter_next (&it, &k, &v))
+    cJSON_AddNumberToObject (s, k, GPOINTER_TO_UINT (v));
+  reply_json (req, 200, o);
+}
+
+static void
+handle (mm_http_request *req, void *ctx)
+{
+  mm_upstream *u = ctx;
+  const char *m = mm_http_request_method (req);
+  const char *p = mm_http_request_path (req);
+  if (g_str_equal (m, "POST") && g_str_equal (p, "/v1/tasks"))
+    {
+      if (u->mode == MODE_DRAIN)
+        {
+          mm_counters_add (u->counters, "tasks_refused", 1);
+          refuse (req, "draining");
+        }
+      else
+        start_task (u, req);
+    }
+  else if (g_str_equal (m, "POST") && g_str_equal (p, "/v1/mode"))
+    set_mode (u, req);
+  else if (g_str_equal (p, "/v1/starts"))
+    list_starts (u, req);
+  else if (g_str_equal (p, "/v1/state"))
+    {
+      char *d = mm_upstream_dump (u);
+      mm_http_reply (req, 200, d, 0);
+      free (d);
+    }
+  else
+    {
+      char *b = mm_json_error_body (MM_ERROR_BAD_REQUEST, "no such path", 0);
+      mm_http_reply (req, 404, b, 0);
+      free (b);
+    }
+}
+
+static void
+heartbeat_done (const mm_http_result *res, void *ctx)
+{
+  mm_upstream *u = ctx;
+  mm_counters_add (u->counters, res->status == 200 ? "heartbeats_ok"
+                                                   : "heartbeats_failed",
+                   1);
+}
+
+static void
+heartbeat_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  mm_upstream *u = w->data;
+  if (!*u->settings.platform_url)
+    return;
+  char *url = g_strdup_printf ("%s/v1/members/%s", u->settings.platform_url,
+                               u->settings.name);
+  char *body = g_strdup_printf (
+      "{\"kind\":\"upstream\",\"addr\":\"%s:%u\",\"datacentre\":\"%s\","
+      "\"state\":\"%s\",\"slots\":%" G_GINT64_FORMAT "}",
+      u->settings.listen_host, mm_http_server_port (u->http),
+      u->settings.datacentre, u->mode == MODE_DRAIN ? "leaving" : "live",
+      u->settings.slots);
+  mm_http_client_call (u->client, "PUT", url, body, 1000, heartbeat_done, u);
+  g_free (url);
+  g_free (body);
+}
+
+static void
+copy_settings (mm_upstream_settings *dst, const mm_upstream_settings *src)
+{
+  *dst = *src;
+  dst->listen_host = g_strdup (src->listen_host);
+  dst->name = g_strdup (src->name);
+  dst->datacentre = g_strdup (src->datacentre);
+  dst->platform_url = g_strdup (src->platform_url);
+}
+
+/**
+ * mm_upstream_create() - start an upstream stand-in.
+ * @loop: its loop.
+ * @s: settings, copied.
+ * @error: MM_ERROR_IO when the port cannot be bound.
+ *
+ * Return: the stand-in, or NULL with @error set.
+ */
+mm_upstream *
+mm_upstream_create (struct ev_loop *loop, const mm_upstream_settings *s,
+                    GError **error)
+{
+  mm_upstream *u = g_new0 (mm_upstream, 1);
+  u->loop = loop;
+  copy_settings (&u->settings, s);
+  u->counters = mm_counters_create ();
+  u->starts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_queue_init (&u->frozen);
+  u->http = mm_http_server_create (loop, s->listen_host, (uint16_t) s->port,
+                                   1 << 20, handle, u, error);
+  if (!u->http)
+    {
+      mm_upstream_destroy (u);
+      return NULL;
+    }
+  u->client = mm_http_client_create (loop, 4);
+  ev_timer_init (&u->heartbeat, heartbeat_cb, 0.,
+                 (double) s->heartbeat_ms / 1000.0);
+  u->heartbeat.data = u;
+  ev_timer_start (loop, &u->heartbeat);
+  return u;
+}
+
+void
+mm_upstream_destroy (mm_upstream *u)
+{
+  if (!u)
+    return;
+  ev_timer_stop (u->loop, &u->heartbeat);
+  mm_http_server_destroy (u->http);
+  mm_http_client_destroy (u->client);
+  mm_counters_destroy (u->counters);
+  g_hash_table_destroy (u->starts);
+  g_free (u->settings.listen_host);
+  g_free (u->settings.name);
+  g_free (u->settings.datacentre);
+  g_free (u->settings.platform_url);
+  g_free (u);
+}
+
+/**
+ * mm_upstream_drain() - graceful stop: refuse new tasks, finish the rest.
+ * @u: the stand-in.
+ * @drained: called once no task runs any more.
+ * @ctx: context pointer for @drained.
+ */
+void
+mm_upstream_drain (mm_upstream *u, void (*drained) (void *), void *ctx)
+{
+  u->mode = MODE_DRAIN;
+  u->drained = drained;
+  u->drained_ctx = ctx;
+  heartbeat_cb (u->loop, &u->heartbeat, 0);
+  while (!g_queue_is_empty (&u->frozen))
+    answer_run (g_queue_pop_head (&u->frozen));
+  check_drained (u);
+}
+
+/**
+ * mm_upstream_dump() - the stand-in's state.
+ * @u: the stand-in.
+ *
+ * Return: JSON text, free with free().
+ */
+char *
+mm_upstream_dump (const mm_upstream *u)
+{
+  cJSON *o = cJSON_CreateObject ();
+  cJSON_AddStringToObject (o, "name", u->settings.name);
+  cJSON_AddStringToObject (o, "mode", mode_names[u->mode]);
+  cJSON_AddNumberToObject (o, "slots", (double) u->settings.slots);
+  cJSON_AddNumberToObject (o, "running", u->running);
+  cJSON_AddNumberToObject (o, "http_in_flight",
+                           mm_http_server_in_flight (u->http));
+  char *c = mm_counters_to_json (u->counters);
+  cJSON_AddItemToObject (o, "counters", cJSON_Parse (c));
+  free (c);
+  char *s = cJSON_PrintUnformatted (o);
+  cJSON_Delete (o);
+  return s;
+}
