Tests of the job promises; a lagging member list no longer revives a leaving upstream

Cause: test leaving_upstream_gets_no_new_work_and_refusals_did_not_run failed: with the member list 2 s behind, a drained upstream was sent 12 and then 14 tasks (counted by its tasks_refused). The refusal marked it leaving, and the next poll of the lagging list, still showing it live, set it live again.

Ruled out: the entry's own burst before the first refusal (at most one task per slot, 8, which the test allows and names in its story).

Fix: the upstream stand-in bumps a mode_seq on every mode change and sends it with each heartbeat and each refusal; the pool takes a state from the list only when its seq is newer than the one it holds.

Before: 12 and 14 tasks sent to a leaving upstream; after: within the first burst (test passes; all 30 tasks ran on the live upstream and none started on the leaving ones).

Also: test ports moved below the ephemeral range (a listener collided with a client socket at 50600), and daemons started by a test die with it (PR_SET_PDEATHSIG).

Conclusion: 7 job promise tests and 5 unit tests pass.

--- a/src/mm_entry_job.c
+++ b/src/mm_entry_job.c
@@ -238,7 +238,14 @@
   mm_entry *e = ej->entry;
   mm_outcome o = classify (res);
   const mm_knobs *k = mm_cfg_knobs (e->cfg);
-  mm_pool_done (e->pool, s->upstream, o, mm_clock_now_ms (),
+  int64_t seq = 0;
+  if (o == MM_OUTCOME_REFUSED)
+    {
+      cJSON *a = cJSON_ParseWithLength (res->body, res->body_bytes);
+      seq = (int64_t) cJSON_GetNumberValue (cJSON_GetObjectItem (a, "mode_seq"));
+      cJSON_Delete (a);
+    }
+  mm_pool_done (e->pool, s->upstream, o, seq, mm_clock_now_ms (),
                 (uint32_t) k->eject_after_failures, k->eject_ms);
   mm_counters_add (e->counters, "upstream_answers", 1);
   if (ej->finished)
--- a/src/mm_entry_platform.c
+++ b/src/mm_entry_platform.c
@@ -62,6 +62,7 @@
   const char *dc = cJSON_GetStringValue (cJSON_GetObjectItem (m, "datacentre"));
   const char *state = cJSON_GetStringValue (cJSON_GetObjectItem (m, "state"));
   const cJSON *slots = cJSON_GetObjectItem (m, "slots");
+  const cJSON *seq = cJSON_GetObjectItem (m, "mode_seq");
   if (!addr || !dc || !state || strcmp (dc, e->settings.datacentre) != 0)
     return;
   int i = mm_pool_add (e->pool, addr, addr,
@@ -69,7 +70,8 @@
                                               : 0);
   mm_pool_set_state (e->pool, i, g_str_equal (state, "live")
                                      ? MM_UPSTREAM_LIVE
-                                     : MM_UPSTREAM_LEAVING);
+                                     : MM_UPSTREAM_LEAVING,
+                     cJSON_IsNumber (seq) ? (int64_t) seq->valuedouble : 0);
 }
 
 static void
--- a/src/mm_pool.c
+++ b/src/mm_pool.c
@@ -80,10 +80,26 @@
   return i;
 }
 
+/**
+ * mm_pool_set_state() - the member list's word on an upstream.
+ * @p: the pool.
+ * @i: the upstream.
+ * @s: live or leaving.
+ * @seq: the upstream's mode_seq behind that word.
+ *
+ * Guards against a lagging list: an upstream that refused us because it
+ * drains (seq N) is still shown live, with seq N-1 or N, for up to the
+ * list's lag.  Only a word newer than what we know (higher seq) moves
+ * the state, so the list cannot send new work to a leaving upstream.
+ */
 void
-mm_pool_set_state (mm_pool *p, int i, mm_upstream_state s)
+mm_pool_set_state (mm_pool *p, int i, mm_upstream_state s, int64_t seq)
 {
   mm_pool_member *m = p->members->pdata[i];
+  if (seq < m->state_seq || (seq == m->state_seq && s == MM_UPSTREAM_LIVE
+                             && m->state == MM_UPSTREAM_LEAVING))
+    return;
+  m->state_seq = seq;
   if (m->state == MM_UPSTREAM_EJECTED && s == MM_UPSTREAM_LIVE)
     return; /* an ejection ends by time, not by the member list */
   m->state = s;
@@ -139,6 +155,7 @@
  * @p: the pool.
  * @i: the upstream it ran on.
  * @o: what happened.
+ * @seq: with MM_OUTCOME_REFUSED, the upstream's mode_seq, else ignored.
  * @now: mm_clock_now_ms().
  * @eject_after: failures in a row that eject it.
  * @eject_ms: how long an ejection lasts.
@@ -147,7 +164,7 @@
  * before the lagging member list does.
  */
 void
-mm_pool_done (mm_pool *p, int i, mm_outcome o, mm_time_ms now,
+mm_pool_done (mm_pool *p, int i, mm_outcome o, int64_t seq, mm_time_ms now,
               uint32_t eject_after, mm_time_ms eject_ms)
 {
   mm_pool_member *m = p->members->pdata[i];
@@ -161,6 +178,7 @@
   if (o == MM_OUTCOME_REFUSED)
     {
       m->state = MM_UPSTREAM_LEAVING;
+      m->state_seq = MAX (m->state_seq, seq);
       return;
     }
   if (++m->failures_in_row >= eject_after && m->state == MM_UPSTREAM_LIVE)
--- a/src/mm_pool.h
+++ b/src/mm_pool.h
@@ -29,7 +29,7 @@
   mm_upstream_state state;
   uint32_t failures_in_row;
   mm_time_ms ejected_until_ms;
-  mm_time_ms seen_ms;     /* last time the member list showed it */
+  int64_t state_seq;      /* upstream's mode_seq the state came from */
 } mm_pool_member;
 
 typedef struct mm_pool mm_pool;
@@ -38,11 +38,12 @@
 int mm_pool_add (mm_pool *p, const char *name, const char *addr,
                  uint32_t slots);                 /* or refresh; index */
 int mm_pool_find (const mm_pool *p, const char *name); /* index or -1 */
-void mm_pool_set_state (mm_pool *p, int i, mm_upstream_state s);
+void mm_pool_set_state (mm_pool *p, int i, mm_upstream_state s,
+                        int64_t seq);               /* newer seq wins */
 int mm_pool_pick (mm_pool *p, mm_time_ms now);   /* -1 when none free */
 void mm_pool_sent (mm_pool *p, int i);            /* a task went out */
-void mm_pool_done (mm_pool *p, int i, mm_outcome o, mm_time_ms now,
-                   uint32_t eject_after, mm_time_ms eject_ms);
+void mm_pool_done (mm_pool *p, int i, mm_outcome o, int64_t seq,
+                   mm_time_ms now, uint32_t eject_after, mm_time_ms eject_ms);
 uint32_t mm_pool_size (const mm_pool *p);
 const mm_pool_member *mm_pool_at (const mm_pool *p, int i);
 uint32_t mm_pool_free_slots (const mm_pool *p, mm_time_ms now); /* live */
--- a/src/mm_upstream.c
+++ b/src/mm_upstream.c
@@ -35,6 +35,7 @@
   mm_http_client *client;
   mm_counters *counters;
   upstream_mode mode;
+  uint32_t mode_seq;   /* bumped on every mode change */
   GHashTable *starts;  /* "job/task" -> count (GUINT_TO_POINTER) */
   GQueue frozen;       /* runs finished while frozen */
   uint32_t running;
@@ -180,11 +181,12 @@
 }
 
 static void
-refuse (mm_http_request *req, const char *why)
+refuse (mm_upstream *u, mm_http_request *req, const char *why)
 {
   cJSON *o = cJSON_CreateObject ();
   cJSON_AddStringToObject (o, "status", "refused");
   cJSON_AddStringToObject (o, "reason", why);
+  cJSON_AddNumberToObject (o, "mode_seq", u->mode_seq);
   reply_json (req, 503, o);
 }
 
@@ -211,6 +213,7 @@
       return;
     }
   u->mode = (upstream_mode) found;
+  u->mode_seq++;
   g_message ("mode set to %s", mode_names[found]);
   if (u->mode != MODE_FREEZE)
     while (!g_queue_is_empty (&u->frozen))
@@ -243,7 +246,7 @@
       if (u->mode == MODE_DRAIN)
         {
           mm_counters_add (u->counters, "tasks_refused", 1);
-          refuse (req, "draining");
+          refuse (u, req, "draining");
         }
       else
         start_task (u, req);
@@ -285,10 +288,10 @@
                                u->settings.name);
   char *body = g_strdup_printf (
       "{\"kind\":\"upstream\",\"addr\":\"%s:%u\",\"datacentre\":\"%s\","
-      "\"state\":\"%s\",\"slots\":%" G_GINT64_FORMAT "}",
+      "\"state\":\"%s\",\"mode_seq\":%u,\"slots\":%" G_GINT64_FORMAT "}",
       u->settings.listen_host, mm_http_server_port (u->http),
       u->settings.datacentre, u->mode == MODE_DRAIN ? "leaving" : "live",
-      u->settings.slots);
+      u->mode_seq, u->settings.slots);
   mm_http_client_call (u->client, "PUT", url, body, 1000, heartbeat_done, u);
   g_free (url);
   g_free (body);
@@ -364,6 +367,7 @@
 mm_upstream_drain (mm_upstream *u, void (*drained) (void *), void *ctx)
 {
   u->mode = MODE_DRAIN;
+  u->mode_seq++;
   u->drained = drained;
   u->drained_ctx = ctx;
   heartbeat_cb (u->loop, &u->heartbeat, 0);
--- /dev/null
+++ b/tests/harness.c
@@ -0,0 +1,231 @@
+/* Test harness: see harness.h.  */
+#include "harness.h"
+
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+pid_t h_platform, h_upstreams[8], h_entries[8];
+int h_platform_port, h_upstream_ports[8], h_entry_ports[8];
+static int n_up, n_en;
+
+int
+h_port_base (void)
+{
+  /* Below the ephemeral range (32768 up), so no client socket holds it. */
+  return 10000 + (int) (getpid () % 500) * 40;
+}
+
+pid_t
+h_start (const char *program, ...)
+{
+  char *path = g_strdup_printf ("%s/%s", MM_BIN_DIR, program);
+  GPtrArray *args = g_ptr_array_new ();
+  g_ptr_array_add (args, path);
+  va_list ap;
+  va_start (ap, program);
+  const char *a;
+  while ((a = va_arg (ap, const char *)))
+    {
+      g_ptr_array_add (args, (char *) "--set");
+      g_ptr_array_add (args, (char *) a);
+    }
+  va_end (ap);
+  g_ptr_array_add (args, NULL);
+  pid_t pid = fork ();
+  if (pid == 0)
+    {
+      /* Daemons die with the test process, even when an assertion ends
+         it early.  */
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
+      if (!g_getenv ("MM_TEST_LOGS"))
+        freopen ("/dev/null", "w", stderr);
+      execv (path, (char **) args->pdata);
+      _exit (127);
+    }
+  g_ptr_array_free (args, TRUE);
+  g_free (path);
+  return pid;
+}
+
+void
+h_stop (pid_t pid, int sig)
+{
+  if (pid <= 0)
+    return;
+  kill (pid, SIGCONT);
+  kill (pid, sig);
+  for (int i = 0; i < 100; i++)
+    {
+      if (waitpid (pid, NULL, WNOHANG) == pid)
+        return;
+      g_usleep (50000);
+    }
+  kill (pid, SIGKILL);
+  waitpid (pid, NULL, 0);
+}
+
+bool
+h_wait_port (int port, mm_time_ms timeout_ms)
+{
+  mm_time_ms until = mm_clock_now_ms () + timeout_ms;
+  while (mm_clock_now_ms () < until)
+    {
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+      struct sockaddr_in a = { .sin_family = AF_INET,
+                               .sin_port = htons ((uint16_t) port) };
+      inet_pton (AF_INET, "127.0.0.1", &a.sin_addr);
+      int rc = connect (fd, (struct sockaddr *) &a, sizeof a);
+      close (fd);
+      if (rc == 0)
+        return true;
+      g_usleep (20000);
+    }
+  return false;
+}
+
+cJSON *
+h_call (const char *method, int port, const char *path, const char *body,
+        long *status)
+{
+  char *url = g_strdup_printf ("http://127.0.0.1:%d%s", port, path);
+  long st = 0;
+  char *ans = mm_http_call_sync (method, url, body, 30000, &st, NULL);
+  g_free (url);
+  if (status)
+    *status = st;
+  cJSON *o = ans ? cJSON_Parse (ans) : NULL;
+  g_free (ans);
+  return o;
+}
+
+char *
+h_job_json (const char *job_id, int n, int run_ms, int deadline_ms,
+            bool idempotent)
+{
+  GString *s = g_string_new (NULL);
+  g_string_append_printf (s, "{\"job_id\":\"%s\",\"team\":\"t\",\"tasks\":[",
+                          job_id);
+  for (int i = 0; i < n; i++)
+    g_string_append_printf (s,
+                            "%s{\"id\":\"%s-t%d\",\"payload\":\"p\","
+                            "\"run_ms\":%d,\"deadline_ms\":%d,"
+                            "\"idempotent\":%s}",
+                            i ? "," : "", job_id, i, run_ms, deadline_ms,
+                            idempotent ? "true" : "false");
+  g_string_append (s, "]}");
+  return g_string_free (s, FALSE);
+}
+
+/* Tasks of a job started on one upstream, and the most starts of one.  */
+int
+h_starts_of (int upstream_port, const char *job_id, int *max_count)
+{
+  cJSON *o = h_call ("GET", upstream_port, "/v1/starts", NULL, NULL);
+  int n = 0;
+  const cJSON *s;
+  char *prefix = g_strdup_printf ("%s/", job_id);
+  cJSON_ArrayForEach (s, cJSON_GetObjectItem (o, "starts"))
+  {
+    if (!g_str_has_prefix (s->string, prefix))
+      continue;
+    n++;
+    if (max_count && (int) s->valuedouble > *max_count)
+      *max_count = (int) s->valuedouble;
+  }
+  g_free (prefix);
+  cJSON_Delete (o);
+  return n;
+}
+
+bool
+h_wait_json (int port, const char *path, const char *key, double want,
+             mm_time_ms timeout_ms)
+{
+  mm_time_ms until = mm_clock_now_ms () + timeout_ms;
+  while (mm_clock_now_ms () < until)
+    {
+      cJSON *o = h_call ("GET", port, path, NULL, NULL);
+      double v = cJSON_GetNumberValue (cJSON_GetObjectItem (o, key));
+      cJSON_Delete (o);
+      if (v == want)
+        return true;
+      g_usleep (50000);
+    }
+  return false;
+}
+
+/* A platform, n upstreams and n entry instances on ports from the base. */
+void
+h_cluster (int n_upstreams, int n_entries, int member_lag_ms)
+{
+  signal (SIGPIPE, SIG_IGN);
+  int base = h_port_base ();
+  char buf[8][64];
+  h_platform_port = base;
+  g_snprintf (buf[0], 64, "platform.port=%d", base);
+  g_snprintf (buf[1], 64, "platform.member_lag_ms=%d", member_lag_ms);
+  h_platform = h_start ("masticmill-platform", buf[0], buf[1],
+                        "platform.member_ttl_ms=1500", NULL);
+  ck_assert (h_wait_port (base, 5000));
+  char plat[64];
+  g_snprintf (plat, sizeof plat, "upstream.platform_url=\"http://127.0.0.1:%d\"",
+              base);
+  n_up = n_upstreams;
+  for (int i = 0; i < n_upstreams; i++)
+    {
+      h_upstream_ports[i] = base + 10 + i;
+      g_snprintf (buf[2], 64, "upstream.port=%d", h_upstream_ports[i]);
+      g_snprintf (buf[3], 64, "upstream.name=\"up%d\"", i);
+      h_upstreams[i] = h_start ("masticmill-upstream", buf[2], buf[3], plat,
+                                "upstream.heartbeat_ms=200", NULL);
+    }
+  g_snprintf (plat, sizeof plat, "entry.platform_url=\"http://127.0.0.1:%d\"",
+              base);
+  n_en = n_entries;
+  for (int i = 0; i < n_entries; i++)
+    {
+      h_entry_ports[i] = base + 20 + i;
+      g_snprintf (buf[4], 64, "entry.port=%d", h_entry_ports[i]);
+      g_snprintf (buf[5], 64, "entry.name=\"entry%d\"", i);
+      g_snprintf (buf[6], 64, "entry.peer_port=%d", base + 30 + i);
+      h_entries[i] = h_start ("masticmill-entry", buf[4], buf[5], buf[6], plat,
+                              "entry.heartbeat_ms=200",
+                              "entry.member_poll_ms=200", NULL);
+    }
+  for (int i = 0; i < n_upstreams; i++)
+    ck_assert (h_wait_port (h_upstream_ports[i], 5000));
+  for (int i = 0; i < n_entries; i++)
+    ck_assert (h_wait_port (h_entry_ports[i], 5000));
+  /* Every entry instance knows every upstream from the member list.  */
+  for (int i = 0; i < n_entries; i++)
+    {
+      mm_time_ms until = mm_clock_now_ms () + 5000;
+      int known = 0;
+      while (known < n_upstreams && mm_clock_now_ms () < until)
+        {
+          cJSON *o = h_call ("GET", h_entry_ports[i], "/v1/state", NULL, NULL);
+          known = cJSON_GetArraySize (cJSON_GetObjectItem (o, "upstreams"));
+          cJSON_Delete (o);
+          g_usleep (50000);
+        }
+      ck_assert_int_eq (known, n_upstreams);
+    }
+}
+
+void
+h_cluster_stop (void)
+{
+  for (int i = 0; i < n_en; i++)
+    h_stop (h_entries[i], SIGKILL);
+  for (int i = 0; i < n_up; i++)
+    h_stop (h_upstreams[i], SIGKILL);
+  h_stop (h_platform, SIGKILL);
+  n_en = n_up = 0;
+}
--- /dev/null
+++ b/tests/test_jobs.c
@@ -0,0 +1,289 @@
+/* The promises about jobs, each proved by causing its fault through the
+   stand-ins: whole answers, no double start on resubmit, crossed
+   answers, complete-or-failed, not-run, at-most-once, leaving upstreams,
+   graceful shutdown, and answers given up on.  */
+#include "harness.h"
+
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+static const char *
+status_of (cJSON *o)
+{
+  return cJSON_GetStringValue (cJSON_GetObjectItem (o, "status"));
+}
+
+static int
+tasks_in_state (cJSON *o, const char *state)
+{
+  int n = 0;
+  const cJSON *t;
+  cJSON_ArrayForEach (t, cJSON_GetObjectItem (o, "tasks"))
+  {
+    if (g_str_equal (cJSON_GetStringValue (cJSON_GetObjectItem (t, "state")),
+                     state))
+      n++;
+  }
+  return n;
+}
+
+static int
+all_starts (const char *job, int *max_count)
+{
+  int n = 0;
+  for (int i = 0; i < 3; i++)
+    n += h_starts_of (h_upstream_ports[i], job, max_count);
+  return n;
+}
+
+static void
+mode (int upstream, const char *m)
+{
+  char *body = g_strdup_printf ("{\"mode\":\"%s\"}", m);
+  cJSON_Delete (h_call ("POST", h_upstream_ports[upstream], "/v1/mode", body,
+                        NULL));
+  g_free (body);
+}
+
+/* A coordinator submits a job of 40 tasks, then resubmits it because the
+   answer seemed slow.  Both calls must get the same whole answer, and
+   the upstreams' own start records must show every task started once.  */
+START_TEST (resubmit_to_same_instance_starts_nothing_twice)
+{
+  h_cluster (3, 1, 100);
+  char *job = h_job_json ("rs1", 40, 100, 5000, false);
+  long st1 = 0, st2 = 0;
+  pid_t child = fork ();
+  if (child == 0)
+    {
+      g_usleep (50000);
+      cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st2);
+      _exit (st2 == 200 && tasks_in_state (o, "done") == 40 ? 0 : 1);
+    }
+  cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st1);
+  int wst;
+  waitpid (child, &wst, 0);
+  ck_assert_int_eq (st1, 200);
+  ck_assert_str_eq (status_of (o), "complete");
+  ck_assert_int_eq (tasks_in_state (o, "done"), 40);
+  ck_assert (WIFEXITED (wst) && WEXITSTATUS (wst) == 0);
+  int max = 0;
+  ck_assert_int_eq (all_starts ("rs1", &max), 40);
+  ck_assert_int_eq (max, 1);
+  cJSON *again = h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st1);
+  ck_assert_int_eq (st1, 200);
+  ck_assert_int_eq (tasks_in_state (again, "done"), 40);
+  ck_assert_int_eq (all_starts ("rs1", &max), 40);
+  ck_assert_int_eq (max, 1);
+  cJSON_Delete (o);
+  cJSON_Delete (again);
+  g_free (job);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* Twelve callers submit at once, with run times chosen so that answers
+   come back in the opposite order of submission.  Each caller must get
+   its own job's answer, with its own tasks' results, none crossed.  */
+START_TEST (crossed_answers_reach_their_own_callers)
+{
+  h_cluster (3, 1, 100);
+  pid_t kids[12];
+  for (int i = 0; i < 12; i++)
+    if ((kids[i] = fork ()) == 0)
+      {
+        char id[16];
+        g_snprintf (id, sizeof id, "x%d", i);
+        char *job = h_job_json (id, 3, 50 + (12 - i) * 30, 5000, true);
+        long st = 0;
+        cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st);
+        bool ok = st == 200
+                  && g_str_equal (cJSON_GetStringValue (
+                                      cJSON_GetObjectItem (o, "job_id")),
+                                  id);
+        const cJSON *t;
+        cJSON_ArrayForEach (t, cJSON_GetObjectItem (o, "tasks"))
+        {
+          const char *tid = cJSON_GetStringValue (cJSON_GetObjectItem (t, "id"));
+          const char *res
+              = cJSON_GetStringValue (cJSON_GetObjectItem (t, "result"));
+          ok = ok && g_str_has_prefix (tid, id) && res
+               && g_str_has_prefix (res + 3, tid);
+        }
+        _exit (ok ? 0 : 1);
+      }
+  for (int i = 0; i < 12; i++)
+    {
+      int wst;
+      waitpid (kids[i], &wst, 0);
+      ck_assert_msg (WIFEXITED (wst) && WEXITSTATUS (wst) == 0,
+                     "caller %d got a wrong answer", i);
+    }
+  h_cluster_stop ();
+}
+END_TEST
+
+/* Every upstream fails every task it starts.  The caller must get one
+   failed answer for the whole job (never a partial booking), at once,
+   with a time to come back, and idempotent tasks are retried only within
+   the budget.  */
+START_TEST (failing_upstreams_fail_the_job_whole)
+{
+  h_cluster (3, 1, 100);
+  for (int i = 0; i < 3; i++)
+    mode (i, "fail_all");
+  char *job = h_job_json ("f1", 10, 20, 20000, true);
+  long st = 0;
+  mm_time_ms t0 = mm_clock_now_ms ();
+  cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st);
+  mm_time_ms took = mm_clock_now_ms () - t0;
+  ck_assert_int_eq (st, 502);
+  ck_assert_str_eq (status_of (o), "failed");
+  ck_assert_int_eq (tasks_in_state (o, "done"), 0);
+  ck_assert (cJSON_GetNumberValue (cJSON_GetObjectItem (o, "retry_after_s")) >= 1);
+  ck_assert_msg (took < 5000, "failed answer held back %ld ms", (long) took);
+  int max = 0;
+  all_starts ("f1", &max);
+  ck_assert_int_le (max, 3); /* one try and at most two retries */
+  cJSON_Delete (o);
+  g_free (job);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* A pass is issued by a non-idempotent task; the upstream takes it and
+   freezes, so the answer never comes.  The entry must not send it again:
+   the caller learns the outcome is unknown (not "not run"), and the
+   upstreams show exactly one start.  */
+START_TEST (non_idempotent_lost_answer_is_unknown_not_retried)
+{
+  h_cluster (3, 1, 100);
+  cJSON_Delete (h_call ("POST", h_platform_port, "/v1/faults", "{}", NULL));
+  const char *cfg = "{\"kind\":\"config\",\"parent\":-1,\"base\":"
+                    "\"[dispatch]\\ntimeout_ms = 500\\n\",\"overlays\":{}}";
+  cJSON_Delete (h_call ("POST", h_platform_port, "/v1/log/config", cfg, NULL));
+  ck_assert (h_wait_json (h_entry_ports[0], "/v1/state", "config_offset", 0,
+                          5000));
+  for (int i = 0; i < 3; i++)
+    mode (i, "freeze");
+  char *job = h_job_json ("n1", 1, 50, 20000, false);
+  long st = 0;
+  cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st);
+  ck_assert_int_eq (st, 502);
+  ck_assert_int_eq (tasks_in_state (o, "unknown"), 1);
+  for (int i = 0; i < 3; i++)
+    mode (i, "normal");
+  int max = 0;
+  ck_assert_int_eq (all_starts ("n1", &max), 1);
+  ck_assert_int_eq (max, 1);
+  cJSON_Delete (o);
+  g_free (job);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* Two upstreams drain (leaving) just before a job comes, and the member
+   list lags by 2 s, still showing them live.  Tasks they refuse were
+   never started there ("not run" is true) and run elsewhere.  Only the
+   first burst (one per slot, 8) may reach a leaving upstream before its
+   refusal is heard; the lagging list must not send it more.  */
+START_TEST (leaving_upstream_gets_no_new_work_and_refusals_did_not_run)
+{
+  h_cluster (3, 1, 2000);
+  mode (0, "drain");
+  mode (1, "drain");
+  char *job = h_job_json ("d1", 30, 50, 20000, false);
+  long st = 0;
+  cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st);
+  ck_assert_int_eq (st, 200);
+  ck_assert_int_eq (tasks_in_state (o, "done"), 30);
+  ck_assert_int_eq (h_starts_of (h_upstream_ports[0], "d1", NULL), 0);
+  ck_assert_int_eq (h_starts_of (h_upstream_ports[1], "d1", NULL), 0);
+  ck_assert_int_eq (h_starts_of (h_upstream_ports[2], "d1", NULL), 30);
+  cJSON *state = h_call ("GET", h_upstream_ports[0], "/v1/state", NULL, NULL);
+  double refused = cJSON_GetNumberValue (cJSON_GetObjectItem (
+      cJSON_GetObjectItem (state, "counters"), "tasks_refused"));
+  ck_assert_msg (refused <= 8, "a leaving upstream was sent %g tasks", refused);
+  cJSON_Delete (state);
+  cJSON_Delete (o);
+  g_free (job);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* An operator sends SIGTERM to the entry instance while a job of 1 s
+   tasks runs.  The caller must still get the whole answer, and a new job
+   sent after the signal is refused as not run with a Retry-After.  */
+START_TEST (graceful_shutdown_cuts_off_nothing)
+{
+  h_cluster (3, 1, 100);
+  pid_t child = fork ();
+  if (child == 0)
+    {
+      char *job = h_job_json ("g1", 20, 1000, 20000, false);
+      long st = 0;
+      cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st);
+      _exit (st == 200 && tasks_in_state (o, "done") == 20 ? 0 : 1);
+    }
+  g_usleep (300000);
+  kill (h_entries[0], SIGTERM);
+  int wst;
+  waitpid (child, &wst, 0);
+  ck_assert_msg (WIFEXITED (wst) && WEXITSTATUS (wst) == 0,
+                 "a job in flight was cut off by the shutdown");
+  int max = 0;
+  ck_assert_int_eq (all_starts ("g1", &max), 20);
+  ck_assert_int_eq (max, 1);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* A caller posts a malformed body, then a job of zero tasks, then one of
+   300: each gets a typed error at once and nothing is queued or lost.  */
+START_TEST (bad_requests_get_typed_errors)
+{
+  h_cluster (1, 1, 100);
+  long st = 0;
+  cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", "{oops", &st);
+  ck_assert_int_eq (st, 400);
+  ck_assert_str_eq (cJSON_GetStringValue (cJSON_GetObjectItem (
+                        cJSON_GetObjectItem (o, "error"), "code")),
+                    "bad_request");
+  cJSON_Delete (o);
+  o = h_call ("POST", h_entry_ports[0], "/v1/jobs",
+              "{\"job_id\":\"z\",\"tasks\":[]}", &st);
+  ck_assert_int_eq (st, 413);
+  cJSON_Delete (o);
+  char *big = h_job_json ("big", 300, 1, 100, true);
+  o = h_call ("POST", h_entry_ports[0], "/v1/jobs", big, &st);
+  ck_assert_int_eq (st, 413);
+  cJSON_Delete (o);
+  o = h_call ("GET", h_entry_ports[0], "/v1/state", NULL, NULL);
+  ck_assert_int_eq (cJSON_GetNumberValue (cJSON_GetObjectItem (o, "tasks_queued")), 0);
+  cJSON_Delete (o);
+  g_free (big);
+  h_cluster_stop ();
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("jobs");
+  TCase *tc = tcase_create ("jobs");
+  tcase_set_timeout (tc, 60);
+  tcase_add_test (tc, resubmit_to_same_instance_starts_nothing_twice);
+  tcase_add_test (tc, crossed_answers_reach_their_own_callers);
+  tcase_add_test (tc, failing_upstreams_fail_the_job_whole);
+  tcase_add_test (tc, non_idempotent_lost_answer_is_unknown_not_retried);
+  tcase_add_test (tc, leaving_upstream_gets_no_new_work_and_refusals_did_not_run);
+  tcase_add_test (tc, graceful_shutdown_cuts_off_nothing);
+  tcase_add_test (tc, bad_requests_get_typed_errors);
+  suite_add_tcase (s, tc);
+  SRunner *r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? 1 : 0;
+}
--- /dev/null
+++ b/tests/test_units.c
@@ -0,0 +1,193 @@
+/* Units without processes: settings checks, job decoding, config
+   ordering, the msgpack codec and rendezvous hashing.  */
+#include "harness.h"
+#include "mm_cfg.h"
+
+#include <stdio.h>
+#include <unistd.h>
+
+static char *
+write_tmp (const char *text)
+{
+  char *path = g_strdup_printf ("/tmp/mm-test-%d-%d.toml", getpid (),
+                                g_random_int_range (0, 1 << 30));
+  g_file_set_contents (path, text, -1, NULL);
+  return path;
+}
+
+static GError *
+load_entry (const char *text)
+{
+  mm_entry_settings s;
+  mm_entry_settings_defaults (&s);
+  char *path = write_tmp (text);
+  GError *err = NULL;
+  mm_settings_load_file (mm_entry_setting_specs, &s, path, &err);
+  unlink (path);
+  g_free (path);
+  return err;
+}
+
+/* An operator mistypes a key, gives a string for a port, or a port out
+   of range: the daemon must not start, and the error must name the file,
+   line, key and reason, with a typed code.  */
+START_TEST (bad_settings_are_typed)
+{
+  GError *e = load_entry ("[entry]\nprot = 7100\n");
+  ck_assert (g_error_matches (e, MM_ERROR, MM_ERROR_CONFIG_UNKNOWN_KEY));
+  ck_assert (strstr (e->message, ":2: entry.prot: unknown key"));
+  g_error_free (e);
+  e = load_entry ("[entry]\nport = \"7100\"\n");
+  ck_assert (g_error_matches (e, MM_ERROR, MM_ERROR_CONFIG_TYPE));
+  g_error_free (e);
+  e = load_entry ("[entry]\nport = 70000\n");
+  ck_assert (g_error_matches (e, MM_ERROR, MM_ERROR_CONFIG_RANGE));
+  ck_assert (strstr (e->message, "out of range 0..65535"));
+  g_error_free (e);
+  e = load_entry ("[entry\nport = 1\n");
+  ck_assert (g_error_matches (e, MM_ERROR, MM_ERROR_CONFIG_SYNTAX));
+  g_error_free (e);
+  e = load_entry ("[entry]\nport = 7101\nupstreams = [\"127.0.0.1:1\"]\n");
+  ck_assert (e == NULL);
+}
+END_TEST
+
+/* A caller sends garbage, an empty job or a job over the limit: each is
+   refused with its own code before anything is queued.  */
+START_TEST (bad_jobs_are_typed)
+{
+  GError *e = NULL;
+  ck_assert (!mm_job_parse_json ("{", 1, 10, &e));
+  ck_assert (g_error_matches (e, MM_ERROR, MM_ERROR_BAD_REQUEST));
+  g_clear_error (&e);
+  const char *zero = "{\"job_id\":\"j\",\"tasks\":[]}";
+  ck_assert (!mm_job_parse_json (zero, strlen (zero), 10, &e));
+  ck_assert (g_error_matches (e, MM_ERROR, MM_ERROR_JOB_SIZE));
+  g_clear_error (&e);
+  char *big = h_job_json ("j", 11, 1, 100, true);
+  ck_assert (!mm_job_parse_json (big, strlen (big), 10, &e));
+  ck_assert (g_error_matches (e, MM_ERROR, MM_ERROR_JOB_SIZE));
+  g_clear_error (&e);
+  const char *dup = "{\"job_id\":\"j\",\"tasks\":[{\"id\":\"a\"},{\"id\":\"a\"}]}";
+  ck_assert (!mm_job_parse_json (dup, strlen (dup), 10, &e));
+  ck_assert (strstr (e->message, "appears twice"));
+  g_clear_error (&e);
+  mm_job *j = mm_job_parse_json (big, strlen (big), 11, &e);
+  ck_assert (j && j->n_tasks == 11 && j->tasks[3].idempotent);
+  GByteArray *b = g_byte_array_new ();
+  mm_job_pack (j, b);
+  mm_job *k = mm_job_unpack (b->data, b->len, 11, &e);
+  ck_assert (k && k->n_tasks == 11);
+  ck_assert_str_eq (k->tasks[10].id, j->tasks[10].id);
+  ck_assert (!mm_job_unpack (b->data, b->len / 2, 11, &e));
+  ck_assert (g_error_matches (e, MM_ERROR, MM_ERROR_DECODE));
+  g_clear_error (&e);
+  mm_job_destroy (j);
+  mm_job_destroy (k);
+  g_byte_array_free (b, TRUE);
+  g_free (big);
+}
+END_TEST
+
+static char *
+record (int64_t parent, const char *base, const char *lima)
+{
+  const char *sites[] = { "lima", NULL };
+  const char *ovs[] = { lima, NULL };
+  return mm_cfg_make_record ("config", parent, base, lima ? sites : NULL,
+                             lima ? ovs : NULL);
+}
+
+/* Two operators edit from the same head and publish at once: both
+   records land in the log; the first in log order wins at every site, the
+   second is refused at every site, and the head never goes back.  */
+START_TEST (config_race_has_one_winner_everywhere)
+{
+  mm_cfg *lima = mm_cfg_create ("lima");
+  mm_cfg *ba = mm_cfg_create ("buenos-aires");
+  char *r0 = record (-1, "[dispatch]\nretry_budget = 1\n", NULL);
+  char *r1 = record (0, "[dispatch]\nretry_budget = 2\n",
+                     "[dispatch]\nretry_budget = 0\n");
+  char *r2 = record (0, "[dispatch]\nretry_budget = 3\n", NULL);
+  char *r3 = record (1, "[dispatch]\nretry_budget = 4\n",
+                     "[dispatch]\nretry_budget = 99\n"); /* bad for lima */
+  const char *log[] = { r0, r1, r2, r3 };
+  mm_cfg *sites[] = { lima, ba };
+  for (int s = 0; s < 2; s++)
+    for (int i = 0; i < 4; i++)
+      {
+        GError *e = NULL;
+        mm_cfg_offer (sites[s], i, log[i], &e);
+        g_clear_error (&e);
+      }
+  ck_assert_int_eq (mm_cfg_head (lima), 1);
+  ck_assert_int_eq (mm_cfg_head (ba), 1);
+  ck_assert_int_eq (mm_cfg_knobs (lima)->retry_budget, 0);
+  ck_assert_int_eq (mm_cfg_knobs (ba)->retry_budget, 2);
+  ck_assert (!mm_cfg_offer (lima, 0, r0, NULL)); /* never reverts */
+  ck_assert_int_eq (mm_cfg_head (lima), 1);
+  char *snap = mm_cfg_snapshot_record (lima);
+  ck_assert (mm_cfg_offer (ba, 4, snap, NULL));
+  ck_assert_int_eq (mm_cfg_knobs (ba)->retry_budget, 2);
+  GError *e = NULL;
+  const char *sites_[] = { "lima", NULL };
+  const char *bad[] = { "[dispatch]\nretry_budget = 99\n", NULL };
+  ck_assert (!mm_cfg_record_text ("config", 4, "", sites_, bad, &e));
+  ck_assert (g_error_matches (e, MM_ERROR, MM_ERROR_CONFIG_RANGE));
+  g_clear_error (&e);
+  free (snap);
+  free (r0);
+  free (r1);
+  free (r2);
+  free (r3);
+  mm_cfg_destroy (lima);
+  mm_cfg_destroy (ba);
+}
+END_TEST
+
+START_TEST (rendezvous_moves_only_the_leavers_keys)
+{
+  char *three[] = { "a", "b", "c" };
+  char *two[] = { "a", "c" };
+  int moved = 0;
+  for (int i = 0; i < 300; i++)
+    {
+      char key[16];
+      g_snprintf (key, sizeof key, "job-%d", i);
+      int o3 = mm_hash_owner (key, three, 3);
+      int o2 = mm_hash_owner (key, two, 2);
+      if (o3 != 1)
+        ck_assert_str_eq (three[o3], two[o2]);
+      else
+        moved++;
+    }
+  ck_assert (moved > 50 && moved < 150);
+}
+END_TEST
+
+START_TEST (decoders_survive_fuzzing)
+{
+  char *cmd = g_strdup_printf ("%s/fuzz_decoders 5000 > /dev/null", MM_BIN_DIR);
+  ck_assert_int_eq (system (cmd), 0);
+  g_free (cmd);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("units");
+  TCase *tc = tcase_create ("units");
+  tcase_set_timeout (tc, 60);
+  tcase_add_test (tc, bad_settings_are_typed);
+  tcase_add_test (tc, bad_jobs_are_typed);
+  tcase_add_test (tc, config_race_has_one_winner_everywhere);
+  tcase_add_test (tc, rendezvous_moves_only_the_leavers_keys);
+  tcase_add_test (tc, decoders_survive_fuzzing);
+  suite_add_tcase (s, tc);
+  SRunner *r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? 1 : 0;
+}
