Own each job at one entry instance; a resubmit to another instance joins the one run

Cause: test resubmit_to_another_instance_starts_nothing_twice failed: the same job sent to three entry instances started each task 3 times (upstreams' own start records), since each instance ran what it got.

Ruled out: deduplicating at the upstreams (nothing of ours runs there) and recording every start in the platform log before dispatch (a synced write of several ms per task and more appends than the log's few hundred a second; weighed in docs/DESIGN.md).

Fix: the owner of a job is the rendezvous (xxhash) choice over the live entry instances of the data centre from the member list; the others forward the job over a TCP link with msgpack frames (mm_peer) and relay the owner's answer. A forwarded job is run by the instance it reaches (one hop). If the owner does not answer, the caller is answered at once with 503 and Retry-After, and the job is not run locally (it may be running at the owner).

Before: 3 starts per task; after: 1 start per task for 6 jobs x 3 callers, each caller got the whole answer (test passes).

Not yet covered: an owner killed mid-job (its tasks may have started; a resubmit to the new owner can start them again) and two instances disagreeing on the owner while the member list lags.

Conclusion: resubmits across instances are safe while the owner lives.

--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -200,6 +200,31 @@
                           const char *const *overlays,
                           GError **error); /* checked record, or NULL */
 
+/* ---- mm_peer: TCP links between entry instances, msgpack frames -------- */
+typedef struct mm_peer mm_peer;
+typedef struct
+{
+  unsigned status;        /* the owner's HTTP status for the caller */
+  uint32_t retry_after_s; /* its Retry-After, 0 for none */
+  const char *body;       /* its JSON answer */
+  GError *error;          /* link failure: no answer came */
+} mm_peer_answer;
+typedef void (*mm_peer_request_cb) (mm_peer *p, uint64_t conn_id,
+                                    uint64_t req_id, const uint8_t *job,
+                                    size_t len, void *ctx); /* job came */
+typedef void (*mm_peer_answer_cb) (const mm_peer_answer *a, void *ctx);
+mm_peer *mm_peer_create (struct ev_loop *loop, const char *host,
+                         uint16_t port, mm_peer_request_cb on_request,
+                         void *ctx, GError **error); /* listen */
+void mm_peer_destroy (mm_peer *p);                   /* close all links */
+void mm_peer_forward (mm_peer *p, const char *addr, const uint8_t *job,
+                      size_t len, mm_time_ms timeout_ms,
+                      mm_peer_answer_cb done, void *ctx); /* to the owner */
+void mm_peer_reply (mm_peer *p, uint64_t conn_id, uint64_t req_id,
+                    unsigned status, uint32_t retry_after_s,
+                    const char *body); /* answer a forwarded job */
+uint16_t mm_peer_port (const mm_peer *p); /* bound port */
+
 /* ---- mm_hash: rendezvous hashing (xxhash) ------------------------------ */
 int mm_hash_owner (const char *key, char *const *members, size_t n); /* index */
 
--- a/src/mm_entry.c
+++ b/src/mm_entry.c
@@ -118,6 +118,13 @@
     }
 }
 
+static void
+on_peer_job (mm_peer *p, uint64_t conn_id, uint64_t req_id,
+             const uint8_t *job, size_t len, void *ctx)
+{
+  mm_entry_take_forwarded (ctx, conn_id, req_id, job, len);
+}
+
 static void
 shutdown_check_cb (struct ev_loop *loop, ev_idle *w, int revents)
 {
@@ -157,6 +164,8 @@
   e->team_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          NULL);
   e->peer_config_max = -1;
+  e->peer_addrs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                         g_free);
   g_queue_init (&e->queue);
   ev_idle_init (&e->shutdown_check, shutdown_check_cb);
   e->shutdown_check.data = e;
@@ -170,6 +179,13 @@
       mm_entry_destroy (e);
       return NULL;
     }
+  e->peer = mm_peer_create (loop, s->listen_host, (uint16_t) s->peer_port,
+                            on_peer_job, e, error);
+  if (!e->peer)
+    {
+      mm_entry_destroy (e);
+      return NULL;
+    }
   e->upstreams = mm_http_client_create (loop, MM_DEFAULT_UPSTREAM_CONNECTIONS);
   e->platform = mm_http_client_create (loop, 8);
   mm_entry_platform_start (e);
@@ -185,6 +201,8 @@
   ev_idle_stop (e->loop, &e->shutdown_check);
   mm_entry_jobs_free (e);
   mm_http_server_destroy (e->http);
+  mm_peer_destroy (e->peer);
+  g_hash_table_destroy (e->peer_addrs);
   mm_http_client_destroy (e->upstreams);
   mm_http_client_destroy (e->platform);
   g_hash_table_destroy (e->jobs);
--- a/src/mm_entry_job.c
+++ b/src/mm_entry_job.c
@@ -12,11 +12,20 @@
 #include <cJSON.h>
 #include <string.h>
 
+/* Who waits for a job's answer: a caller on HTTP, or a peer instance
+   that forwarded the job to us, its owner.  */
+typedef struct
+{
+  mm_http_request *http; /* NULL for a peer */
+  uint64_t conn_id;      /* peer link */
+  uint64_t req_id;       /* peer request */
+} waiter;
+
 struct mm_entry_job
 {
   mm_entry *entry;
   mm_job *job;
-  GPtrArray *waiters;   /* mm_http_request * */
+  GPtrArray *waiters;   /* waiter * */
   uint32_t remaining;   /* tasks without a final state */
   uint32_t refs;        /* table + queue entries + sends in flight */
   bool finished;
@@ -38,6 +47,17 @@
 
 static void job_fail (mm_entry_job *ej, int code, const char *why);
 
+static void
+waiter_reply (mm_entry *e, const waiter *w, unsigned status, const char *body,
+              uint32_t retry_after_s)
+{
+  if (w->http)
+    mm_http_reply (w->http, status, body, retry_after_s);
+  else
+    mm_peer_reply (e->peer, w->conn_id, w->req_id, status, retry_after_s,
+                   body);
+}
+
 static void
 job_unref (mm_entry_job *ej)
 {
@@ -110,7 +130,7 @@
   ej->finished = true;
   ev_timer_stop (e->loop, &ej->deadline);
   for (guint i = 0; i < ej->waiters->len; i++)
-    mm_http_reply (ej->waiters->pdata[i], status, answer, retry_after_s);
+    waiter_reply (e, ej->waiters->pdata[i], status, answer, retry_after_s);
   g_ptr_array_set_size (ej->waiters, 0);
   g_hash_table_insert (e->answers, g_strdup (ej->job->id), answer);
   g_hash_table_remove (e->jobs, ej->job->id);
@@ -317,31 +337,33 @@
 }
 
 static void
-refuse (mm_http_request *req, unsigned status, int code, const char *why,
-        uint32_t retry_after_s)
+refuse (mm_entry *e, const waiter *w, unsigned status, int code,
+        const char *why, uint32_t retry_after_s)
 {
   char *b = mm_json_error_body (code, why, retry_after_s);
-  mm_http_reply (req, status, b, retry_after_s);
+  waiter_reply (e, w, status, b, retry_after_s);
   free (b);
 }
 
 static bool
-admit (mm_entry *e, mm_http_request *req, const mm_job *job)
+admit (mm_entry *e, const waiter *req, const mm_job *job)
 {
   const mm_knobs *k = mm_cfg_knobs (e->cfg);
   uint32_t after = (uint32_t) k->retry_after_s;
   int64_t team = GPOINTER_TO_SIZE (g_hash_table_lookup (e->team_tasks,
                                                        job->team));
   if (e->shutting_down)
-    refuse (req, 503, MM_ERROR_OVERLOADED,
+    refuse (e, req, 503, MM_ERROR_OVERLOADED,
             "instance is shutting down; not run", after);
   else if (e->tasks_queued + job->n_tasks > (uint64_t) k->max_queued_tasks)
-    refuse (req, 503, MM_ERROR_OVERLOADED, "instance is full; not run", after);
+    refuse (e, req, 503, MM_ERROR_OVERLOADED, "instance is full; not run",
+            after);
   else if (team + job->n_tasks > k->team_max_queued_tasks)
-    refuse (req, 429, MM_ERROR_OVERLOADED, "team over its quota; not run",
+    refuse (e, req, 429, MM_ERROR_OVERLOADED, "team over its quota; not run",
             after);
   else if (mm_pool_size (e->pool) == 0)
-    refuse (req, 503, MM_ERROR_UPSTREAM, "no upstream known; not run", after);
+    refuse (e, req, 503, MM_ERROR_UPSTREAM, "no upstream known; not run",
+            after);
   else
     return true;
   mm_counters_add (e->counters, "jobs_refused", 1);
@@ -358,13 +380,13 @@
 }
 
 static void
-start_job (mm_entry *e, mm_http_request *req, mm_job *job)
+start_job (mm_entry *e, waiter *w, mm_job *job)
 {
   mm_entry_job *ej = g_new0 (mm_entry_job, 1);
   ej->entry = e;
   ej->job = job;
-  ej->waiters = g_ptr_array_new ();
-  g_ptr_array_add (ej->waiters, req);
+  ej->waiters = g_ptr_array_new_with_free_func (g_free);
+  g_ptr_array_add (ej->waiters, w);
   ej->remaining = job->n_tasks;
   ej->refs = 1;
   job->submitted_ms = mm_clock_now_ms ();
@@ -382,10 +404,80 @@
   mm_entry_pump (e);
 }
 
+/* The job is ours to run: answer from the kept answer, join the run in
+   progress, or admit it.  Takes @w and @job.  */
+static void
+take_job (mm_entry *e, waiter *w, mm_job *job)
+{
+  const char *done = g_hash_table_lookup (e->answers, job->id);
+  mm_entry_job *running = g_hash_table_lookup (e->jobs, job->id);
+  if (done)
+    {
+      mm_counters_add (e->counters, "resubmits_answered", 1);
+      cJSON *o = cJSON_Parse (done);
+      bool ok = g_str_equal (cJSON_GetStringValue (
+                                 cJSON_GetObjectItem (o, "status")),
+                             "complete");
+      cJSON_Delete (o);
+      waiter_reply (e, w, ok ? 200 : 502, done, 0);
+      g_free (w);
+      mm_job_destroy (job);
+    }
+  else if (running)
+    {
+      mm_counters_add (e->counters, "resubmits_joined", 1);
+      g_ptr_array_add (running->waiters, w);
+      mm_job_destroy (job);
+    }
+  else if (admit (e, w, job))
+    start_job (e, w, job);
+  else
+    {
+      g_free (w);
+      mm_job_destroy (job);
+    }
+}
+
+typedef struct
+{
+  mm_entry *entry;
+  mm_http_request *req;
+} forward_ctx;
+
+static void
+forward_done (const mm_peer_answer *a, void *ctx)
+{
+  forward_ctx *f = ctx;
+  mm_entry *e = f->entry;
+  if (a->error)
+    {
+      /* The owner did not answer: the link broke or timed out.  The job
+         may be running there, so we must not run it here (that could
+         start a task twice), and we must not call it "not run" either.
+         The caller is answered at once and told when to come back.  */
+      uint32_t after = (uint32_t) mm_cfg_knobs (e->cfg)->retry_after_s;
+      char *why = g_strdup_printf ("owner instance unreachable (%s); "
+                                   "outcome unknown, resubmit the same job",
+                                   a->error->message);
+      char *b = mm_json_error_body (MM_ERROR_UPSTREAM, why, after);
+      mm_http_reply (f->req, 503, b, after);
+      mm_counters_add (e->counters, "forwards_failed", 1);
+      free (b);
+      g_free (why);
+    }
+  else
+    mm_http_reply (f->req, a->status, a->body, a->retry_after_s);
+  g_free (f);
+}
+
 /**
  * mm_entry_submit() - take a caller's POST /v1/jobs.
  * @e: the entry instance.
  * @req: the request; answered now or when the job ends.
+ *
+ * The job's owner is the rendezvous choice over the live entry instances
+ * of the data centre; a job owned by another instance is forwarded to
+ * it, so that a resubmit reaching any instance joins the one run.
  */
 void
 mm_entry_submit (mm_entry *e, mm_http_request *req)
@@ -396,37 +488,68 @@
   const mm_knobs *k = mm_cfg_knobs (e->cfg);
   mm_job *job = mm_job_parse_json (body, len, (uint32_t) k->max_tasks_per_job,
                                    &err);
+  waiter *w = g_new0 (waiter, 1);
+  w->http = req;
   if (!job)
     {
       mm_counters_add (e->counters, "requests_bad", 1);
-      refuse (req, err->code == MM_ERROR_JOB_SIZE ? 413 : 400, err->code,
+      refuse (e, w, err->code == MM_ERROR_JOB_SIZE ? 413 : 400, err->code,
               err->message, 0);
       g_error_free (err);
+      g_free (w);
       return;
     }
-  const char *done = g_hash_table_lookup (e->answers, job->id);
-  mm_entry_job *running = g_hash_table_lookup (e->jobs, job->id);
-  if (done)
+  const char *owner = mm_entry_owner_addr (e, job->id);
+  if (!owner)
     {
-      mm_counters_add (e->counters, "resubmits_answered", 1);
-      cJSON *o = cJSON_Parse (done);
-      bool ok = g_str_equal (cJSON_GetStringValue (
-                                 cJSON_GetObjectItem (o, "status")),
-                             "complete");
-      cJSON_Delete (o);
-      mm_http_reply (req, ok ? 200 : 502, done, 0);
-      mm_job_destroy (job);
+      take_job (e, w, job);
+      return;
     }
-  else if (running)
+  GByteArray *packed = g_byte_array_new ();
+  mm_job_pack (job, packed);
+  forward_ctx *f = g_new0 (forward_ctx, 1);
+  f->entry = e;
+  f->req = req;
+  mm_counters_add (e->counters, "jobs_forwarded", 1);
+  mm_peer_forward (e->peer, owner, packed->data, packed->len,
+                   first_deadline_ms (job) + 2000, forward_done, f);
+  g_byte_array_free (packed, TRUE);
+  g_free (w);
+  mm_job_destroy (job);
+}
+
+/**
+ * mm_entry_take_forwarded() - a job a peer forwarded to us, its owner.
+ * @e: the entry instance.
+ * @conn_id: the peer link.
+ * @req_id: the peer's request id.
+ * @data: the packed job.
+ * @len: its length.
+ *
+ * A forwarded job is run here whatever our own view of ownership says:
+ * one hop at most, so differing views cannot bounce it around.
+ */
+void
+mm_entry_take_forwarded (mm_entry *e, uint64_t conn_id, uint64_t req_id,
+                         const uint8_t *data, size_t len)
+{
+  GError *err = NULL;
+  waiter *w = g_new0 (waiter, 1);
+  w->conn_id = conn_id;
+  w->req_id = req_id;
+  mm_job *job = mm_job_unpack (data, len,
+                               (uint32_t) mm_cfg_knobs (e->cfg)->max_tasks_per_job,
+                               &err);
+  if (!job)
     {
-      mm_counters_add (e->counters, "resubmits_joined", 1);
-      g_ptr_array_add (running->waiters, req);
-      mm_job_destroy (job);
+      refuse (e, w, err->code == MM_ERROR_JOB_SIZE ? 413 : 400, err->code,
+              err->message, 0);
+      g_error_free (err);
+      g_free (w);
+      return;
     }
-  else if (admit (e, req, job))
-    start_job (e, req, job);
-  else
-    mm_job_destroy (job);
+  mm_counters_add (e->counters, "jobs_taken_from_peers", 1);
+  take_job (e, w, job);
 }
 
 /**
--- a/src/mm_entry_platform.c
+++ b/src/mm_entry_platform.c
@@ -38,6 +38,10 @@
                                 mm_http_server_port (e->http));
   cJSON_AddStringToObject (o, "addr", addr);
   g_free (addr);
+  addr = g_strdup_printf ("%s:%u", e->settings.listen_host,
+                          mm_peer_port (e->peer));
+  cJSON_AddStringToObject (o, "peer_addr", addr);
+  g_free (addr);
   cJSON_AddStringToObject (o, "datacentre", e->settings.datacentre);
   cJSON_AddStringToObject (o, "site", e->settings.site);
   cJSON_AddStringToObject (o, "state", e->shutting_down ? "leaving" : "live");
@@ -86,6 +90,8 @@
   cJSON *o = cJSON_ParseWithLength (res->body, res->body_bytes);
   const cJSON *m;
   GPtrArray *entries = g_ptr_array_new ();
+  g_ptr_array_add (entries, g_strdup (e->settings.name));
+  g_hash_table_remove_all (e->peer_addrs);
   int64_t peer_max = -1;
   cJSON_ArrayForEach (m, cJSON_GetObjectItem (o, "members"))
   {
@@ -99,8 +105,17 @@
         const char *name
             = cJSON_GetStringValue (cJSON_GetObjectItem (m, "name"));
         const cJSON *off = cJSON_GetObjectItem (m, "config_offset");
-        if (name)
-          g_ptr_array_add (entries, g_strdup (name));
+        const char *dc
+            = cJSON_GetStringValue (cJSON_GetObjectItem (m, "datacentre"));
+        const char *peer
+            = cJSON_GetStringValue (cJSON_GetObjectItem (m, "peer_addr"));
+        if (name && peer && dc && g_str_equal (dc, e->settings.datacentre)
+            && strcmp (name, e->settings.name) != 0)
+          {
+            g_ptr_array_add (entries, g_strdup (name));
+            g_hash_table_insert (e->peer_addrs, g_strdup (name),
+                                 g_strdup (peer));
+          }
         if (name && cJSON_IsNumber (off)
             && strcmp (name, e->settings.name) != 0)
           peer_max = MAX (peer_max, (int64_t) off->valuedouble);
@@ -278,3 +293,25 @@
   ev_timer_stop (e->loop, &e->member_poll);
   ev_timer_stop (e->loop, &e->config_poll);
 }
+
+/**
+ * mm_entry_owner_addr() - where a job is owned.
+ * @e: the entry instance.
+ * @job_id: the job.
+ *
+ * Rendezvous hashing of the job id over the live entry instances of our
+ * data centre as the member list last showed them, ourselves included.
+ * While we are shutting down, jobs new to us still go to their owner.
+ * Return: the owner's peer address, or NULL when we own it.
+ */
+const char *
+mm_entry_owner_addr (mm_entry *e, const char *job_id)
+{
+  if (!e->live_entries)
+    return NULL;
+  int i = mm_hash_owner (job_id, e->live_entries,
+                         g_strv_length (e->live_entries));
+  if (i < 0 || strcmp (e->live_entries[i], e->settings.name) == 0)
+    return NULL;
+  return g_hash_table_lookup (e->peer_addrs, e->live_entries[i]);
+}
--- a/src/mm_entry_priv.h
+++ b/src/mm_entry_priv.h
@@ -15,6 +15,8 @@
   mm_http_server *http;
   mm_http_client *upstreams;   /* calls to upstreams */
   mm_http_client *platform;    /* calls to the platform's service */
+  mm_peer *peer;               /* links to the other entry instances */
+  GHashTable *peer_addrs;      /* live entry name -> "host:peer_port" */
   mm_counters *counters;
   mm_pool *pool;
   mm_cfg *cfg;
@@ -42,6 +44,9 @@
 void mm_entry_pump (mm_entry *e);
 char *mm_entry_jobs_dump (const mm_entry *e);
 void mm_entry_jobs_free (mm_entry *e);
+void mm_entry_take_forwarded (mm_entry *e, uint64_t conn_id, uint64_t req_id,
+                              const uint8_t *data, size_t len);
+const char *mm_entry_owner_addr (mm_entry *e, const char *job_id); /* NULL: us */
 
 /* mm_entry_platform.c */
 void mm_entry_platform_start (mm_entry *e);
