Tests of the configuration promise: in force within 3 s, one winner of a race, outage, retention

What the tests cause: masticctl config publish to three instances (must report in force within 3 s); two records edited from the same head (all instances keep the first, refuse the second, and a replayed old edit does not take the head back); platform down for 1.5 s (the config in force stays, a job still completes, a change after recovery is taken); retention of 2 s with a late instance.

--- a/tests/harness.c
+++ b/tests/harness.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 pid_t h_platform, h_upstreams[8], h_entries[8];
+const char *h_platform_extra, *h_entry_extra;
 int h_platform_port, h_upstream_ports[8], h_entry_ports[8];
 static int n_up, n_en;
 
@@ -161,6 +162,24 @@
   return false;
 }
 
+/* Entry instance i of the cluster, on its own ports.  */
+void
+h_start_entry (int i)
+{
+  int base = h_port_base ();
+  char port[64], name[64], peer[64], plat[80];
+  g_snprintf (plat, sizeof plat, "entry.platform_url=\"http://127.0.0.1:%d\"",
+              base);
+  h_entry_ports[i] = base + 20 + i;
+  g_snprintf (port, 64, "entry.port=%d", h_entry_ports[i]);
+  g_snprintf (name, 64, "entry.name=\"entry%d\"", i);
+  g_snprintf (peer, 64, "entry.peer_port=%d", base + 30 + i);
+  h_entries[i] = h_start ("masticmill-entry", port, name, peer, plat,
+                          "entry.heartbeat_ms=200", "entry.member_poll_ms=200",
+                          h_entry_extra, NULL);
+  n_en = MAX (n_en, i + 1);
+}
+
 /* A platform, n upstreams and n entry instances on ports from the base. */
 void
 h_cluster (int n_upstreams, int n_entries, int member_lag_ms)
@@ -172,7 +191,7 @@
   g_snprintf (buf[0], 64, "platform.port=%d", base);
   g_snprintf (buf[1], 64, "platform.member_lag_ms=%d", member_lag_ms);
   h_platform = h_start ("masticmill-platform", buf[0], buf[1],
-                        "platform.member_ttl_ms=1500", NULL);
+                        "platform.member_ttl_ms=1500", h_platform_extra, NULL);
   ck_assert (h_wait_port (base, 5000));
   char plat[64];
   g_snprintf (plat, sizeof plat, "upstream.platform_url=\"http://127.0.0.1:%d\"",
@@ -186,19 +205,9 @@
       h_upstreams[i] = h_start ("masticmill-upstream", buf[2], buf[3], plat,
                                 "upstream.heartbeat_ms=200", NULL);
     }
-  g_snprintf (plat, sizeof plat, "entry.platform_url=\"http://127.0.0.1:%d\"",
-              base);
-  n_en = n_entries;
+  n_en = 0;
   for (int i = 0; i < n_entries; i++)
-    {
-      h_entry_ports[i] = base + 20 + i;
-      g_snprintf (buf[4], 64, "entry.port=%d", h_entry_ports[i]);
-      g_snprintf (buf[5], 64, "entry.name=\"entry%d\"", i);
-      g_snprintf (buf[6], 64, "entry.peer_port=%d", base + 30 + i);
-      h_entries[i] = h_start ("masticmill-entry", buf[4], buf[5], buf[6], plat,
-                              "entry.heartbeat_ms=200",
-                              "entry.member_poll_ms=200", NULL);
-    }
+    h_start_entry (i);
   for (int i = 0; i < n_upstreams; i++)
     ck_assert (h_wait_port (h_upstream_ports[i], 5000));
   for (int i = 0; i < n_entries; i++)
--- /dev/null
+++ b/tests/test_config.c
@@ -0,0 +1,189 @@
+/* The promise about configuration: an accepted change is in force at
+   every entry instance within seconds and never reverts, under operator
+   races, platform outages, retention and late starts.  */
+#include "harness.h"
+
+#include <stdio.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+static int64_t
+append (const char *record, long *status)
+{
+  char path[64];
+  g_snprintf (path, sizeof path, "/v1/log/config");
+  cJSON *o = h_call ("POST", h_platform_port, path, record, status);
+  int64_t off = (int64_t) cJSON_GetNumberValue (cJSON_GetObjectItem (o, "offset"));
+  cJSON_Delete (o);
+  return off;
+}
+
+static char *
+record (int64_t parent, int budget)
+{
+  return g_strdup_printf ("{\"kind\":\"config\",\"parent\":%" G_GINT64_FORMAT
+                          ",\"base\":\"[dispatch]\\nretry_budget = %d\\n\","
+                          "\"overlays\":{}}",
+                          parent, budget);
+}
+
+static int
+budget_at (int entry)
+{
+  cJSON *o = h_call ("GET", h_entry_ports[entry], "/v1/state", NULL, NULL);
+  int b = (int) cJSON_GetNumberValue (
+      cJSON_GetObjectItem (cJSON_GetObjectItem (o, "config"), "retry_budget"));
+  cJSON_Delete (o);
+  return b;
+}
+
+static int
+publish_with_ctl (const char *base_text)
+{
+  char *path = g_strdup_printf ("/tmp/mm-cfg-%d.toml", getpid ());
+  g_file_set_contents (path, base_text, -1, NULL);
+  char *cmd = g_strdup_printf ("%s/masticctl --platform http://127.0.0.1:%d "
+                               "--wait-ms 3000 config publish %s >/dev/null 2>&1",
+                               MM_BIN_DIR, h_platform_port, path);
+  int rc = system (cmd);
+  unlink (path);
+  g_free (cmd);
+  g_free (path);
+  return WIFEXITED (rc) ? WEXITSTATUS (rc) : -1;
+}
+
+/* An operator publishes a change with masticctl: it must report the
+   change in force at all three instances within 3 s (the letter's bound),
+   and each instance's state must show it.  */
+START_TEST (published_config_is_in_force_everywhere_within_3s)
+{
+  h_cluster (1, 3, 100);
+  g_usleep (500000);
+  mm_time_ms t0 = mm_clock_now_ms ();
+  ck_assert_int_eq (publish_with_ctl ("[dispatch]\nretry_budget = 5\n"), 0);
+  mm_time_ms took = mm_clock_now_ms () - t0;
+  ck_assert_msg (took < 3000, "publish took %ld ms", (long) took);
+  for (int i = 0; i < 3; i++)
+    ck_assert_int_eq (budget_at (i), 5);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* Two operators edit from the same head and publish at the same moment.
+   Both records land in the log; every instance must keep the first and
+   refuse the second, so all end on the same configuration, and an old
+   record seen again never takes the head back.  */
+START_TEST (racing_operators_end_with_one_winner_everywhere)
+{
+  h_cluster (1, 3, 100);
+  char *r0 = record (-1, 1), *ra = record (0, 3), *rb = record (0, 4);
+  long st;
+  ck_assert_int_eq (append (r0, &st), 0);
+  ck_assert_int_eq (append (ra, &st), 1);
+  ck_assert_int_eq (append (rb, &st), 2);
+  for (int i = 0; i < 3; i++)
+    {
+      ck_assert (h_wait_json (h_entry_ports[i], "/v1/state", "config_offset",
+                              1, 3000));
+      ck_assert_int_eq (budget_at (i), 3);
+    }
+  char *late = record (-1, 9); /* a replay of an edit from nothing */
+  append (late, &st);
+  g_usleep (600000);
+  for (int i = 0; i < 3; i++)
+    ck_assert_int_eq (budget_at (i), 3);
+  g_free (r0);
+  g_free (ra);
+  g_free (rb);
+  g_free (late);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* The platform's service goes down after a config is in force.  The
+   instances must keep that config (no revert to defaults) and keep
+   serving jobs; when it comes back, a new change is taken up.  */
+START_TEST (platform_outage_keeps_config_and_service)
+{
+  h_cluster (2, 2, 100);
+  char *r0 = record (-1, 0);
+  long st;
+  append (r0, &st);
+  for (int i = 0; i < 2; i++)
+    ck_assert (h_wait_json (h_entry_ports[i], "/v1/state", "config_offset", 0,
+                            3000));
+  cJSON_Delete (h_call ("POST", h_platform_port, "/v1/faults",
+                        "{\"down\":true}", NULL));
+  g_usleep (1500000);
+  char *job = h_job_json ("po1", 10, 50, 5000, true);
+  cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st);
+  ck_assert_int_eq (st, 200);
+  cJSON_Delete (o);
+  for (int i = 0; i < 2; i++)
+    ck_assert_int_eq (budget_at (i), 0);
+  cJSON_Delete (h_call ("POST", h_platform_port, "/v1/faults",
+                        "{\"down\":false}", NULL));
+  char *r1 = record (0, 2);
+  append (r1, &st);
+  for (int i = 0; i < 2; i++)
+    {
+      ck_assert (h_wait_json (h_entry_ports[i], "/v1/state", "config_offset",
+                              1, 3000));
+      ck_assert_int_eq (budget_at (i), 2);
+    }
+  g_free (r0);
+  g_free (r1);
+  g_free (job);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* The log keeps records for 2 s only.  A config is published, its record
+   expires, and a new instance starts later.  It must start on the config
+   in force (kept alive by snapshots), not on an older one or defaults.  */
+START_TEST (late_instance_gets_config_after_retention)
+{
+  h_platform_extra = "platform.retention_ms=2000";
+  h_entry_extra = "entry.config_snapshot_ms=600";
+  h_cluster (1, 2, 100);
+  char *r0 = record (-1, 7);
+  long st;
+  append (r0, &st);
+  for (int i = 0; i < 2; i++)
+    ck_assert (h_wait_json (h_entry_ports[i], "/v1/state", "config_offset", 0,
+                            3000));
+  g_usleep (3500000);
+  cJSON *plat = h_call ("GET", h_platform_port, "/v1/state", NULL, NULL);
+  double first = cJSON_GetNumberValue (cJSON_GetObjectItem (
+      cJSON_GetObjectItem (cJSON_GetObjectItem (plat, "streams"), "config"),
+      "first"));
+  cJSON_Delete (plat);
+  ck_assert_msg (first > 0, "retention dropped nothing");
+  h_start_entry (2);
+  ck_assert (h_wait_port (h_entry_ports[2], 5000));
+  mm_time_ms until = mm_clock_now_ms () + 3000;
+  while (budget_at (2) != 7 && mm_clock_now_ms () < until)
+    g_usleep (50000);
+  ck_assert_int_eq (budget_at (2), 7);
+  g_free (r0);
+  h_cluster_stop ();
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("config");
+  TCase *tc = tcase_create ("config");
+  tcase_set_timeout (tc, 60);
+  tcase_add_test (tc, published_config_is_in_force_everywhere_within_3s);
+  tcase_add_test (tc, racing_operators_end_with_one_winner_everywhere);
+  tcase_add_test (tc, platform_outage_keeps_config_and_service);
+  tcase_add_test (tc, late_instance_gets_config_after_retention);
+  suite_add_tcase (s, tc);
+  SRunner *r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? 1 : 0;
+}
