Give up at once on a job the queue would push past its deadline; bench script

Cause: scripts/bench.sh with one upstream (8 slots), 40 jobs of 50 tasks of ~100 ms, 8 at a time: one job failed only at its 10 s deadline, so its caller waited the whole deadline for a failure. The users' rule: a request given up on gets its final answer at once, with a time to come back.

Fix: at admission, the expected wait (tasks ahead / live slots x the observed mean run time) is compared with the job's first deadline; a job that cannot make it is refused as not run, 503 with Retry-After = the expected wait. Test job_given_up_on_is_answered_at_once_with_retry_after fails without the guard (504 after 2 s) and passes with it (503 at once, no task started).

Also: masticctl bench read a missing counter as NaN (printed as a huge negative number); a missing counter is now 0.

--- a/daemons/masticctl.c
+++ b/daemons/masticctl.c
@@ -247,8 +247,9 @@
   g_free (url);
   cJSON *o = cJSON_Parse (body ? body : "");
   g_free (body);
-  int64_t v = (int64_t) cJSON_GetNumberValue (
-      cJSON_GetObjectItem (cJSON_GetObjectItem (o, "counters"), name));
+  const cJSON *c
+      = cJSON_GetObjectItem (cJSON_GetObjectItem (o, "counters"), name);
+  int64_t v = cJSON_IsNumber (c) ? (int64_t) c->valuedouble : 0;
   cJSON_Delete (o);
   return v;
 }
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,46 @@
+#!/usr/bin/env bash
+# Load run on loopback: a platform stand-in, N upstreams (8 slots each),
+# E entry instances; masticctl bench prints response time over the ideal
+# and wasted messages per 1,000 tasks.  FAULT picks a fault injected one
+# second into the run: none, fail_all (one upstream fails every task),
+# drain (one upstream leaves), kill_entry (an entry instance is killed),
+# platform_down.  Also prints each entry instance's CPU ms per task and
+# resident memory, read from /proc, for docs/CAPACITY.md.
+#   scripts/bench.sh UPSTREAMS ENTRIES JOBS TASKS CONCURRENCY RUN_MS [FAULT]
+set -euo pipefail
+here=$(cd "$(dirname "$0")/.." && pwd)
+bin=${MM_BIN:-$here/build}
+n_up=${1:-8} n_en=${2:-2} jobs=${3:-40} tasks=${4:-50} conc=${5:-8} run_ms=${6:-100} fault=${7:-none}
+base=${MM_PORT_BASE:-18000}
+plat=http://127.0.0.1:$base
+pids=()
+stop () { for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done; wait 2>/dev/null || true; }
+trap stop EXIT
+"$bin/masticmill-platform" --set platform.port=$base --set platform.member_lag_ms=500 2>/dev/null & pids+=($!)
+for i in $(seq 1 "$n_up"); do
+  "$bin/masticmill-upstream" --set upstream.port=$((base + 1000 + i)) --set "upstream.name=\"up$i\"" \
+    --set "upstream.platform_url=\"$plat\"" 2>/dev/null & pids+=($!)
+done
+entries=() entry_pids=()
+for i in $(seq 1 "$n_en"); do
+  "$bin/masticmill-entry" --set entry.port=$((base + 100 + i)) --set "entry.name=\"entry$i\"" \
+    --set "entry.platform_url=\"$plat\"" 2>/dev/null & pids+=($!); entry_pids+=($!)
+  entries+=("http://127.0.0.1:$((base + 100 + i))")
+done
+sleep 2
+cpu_ms () { awk '{print ($14 + $15) * 1000 / '"$(getconf CLK_TCK)"'}' "/proc/$1/stat"; }
+declare -A cpu0; for p in "${entry_pids[@]}"; do cpu0[$p]=$(cpu_ms "$p"); done
+list=$(IFS=,; echo "${entries[*]}")
+case "$fault" in
+  none) ;;
+  fail_all) (sleep 1; "$bin/masticctl" fault 127.0.0.1:$((base + 1001)) '{"mode":"fail_all"}' >/dev/null) & ;;
+  drain) (sleep 1; "$bin/masticctl" fault 127.0.0.1:$((base + 1001)) '{"mode":"drain"}' >/dev/null) & ;;
+  platform_down) (sleep 1; "$bin/masticctl" fault 127.0.0.1:$base '{"down":true}' >/dev/null) & ;;
+  kill_entry) (sleep 1; kill -9 "${entry_pids[-1]}") & list=$(IFS=,; echo "${entries[*]:0:$((n_en - 1))}") ;;
+esac
+"$bin/masticctl" bench --entries "$list" --jobs "$jobs" --tasks "$tasks" --concurrency "$conc" --run-ms "$run_ms" --non-idempotent 0.1
+wait_jobs=$(jobs -p | grep -v -F "$(printf '%s\n' "${pids[@]}")" || true)
+for p in "${entry_pids[@]}"; do
+  [ -d "/proc/$p" ] || continue
+  echo "entry pid $p: cpu_ms $(echo "$(cpu_ms "$p") - ${cpu0[$p]}" | bc) rss_kb $(awk '/VmRSS/{print $2}' "/proc/$p/status")"
+done
--- a/src/mm_entry_job.c
+++ b/src/mm_entry_job.c
@@ -218,6 +218,8 @@
       cJSON_Delete (a);
       t->state = MM_TASK_DONE;
       t->finished_ms = mm_clock_now_ms ();
+      e->run_ewma_ms = 0.9 * e->run_ewma_ms
+                       + 0.1 * (double) (t->finished_ms - t->started_ms);
       task_settled (ej);
       if (--ej->remaining == 0)
         job_complete (ej);
@@ -345,6 +347,20 @@
   free (b);
 }
 
+static mm_time_ms first_deadline_ms (const mm_job *job);
+
+/* How long until the last task of a new job could start, if every live
+   slot works through the queue at the observed run time.  */
+static mm_time_ms
+expected_wait_ms (mm_entry *e, uint32_t n_tasks)
+{
+  uint32_t slots = mm_pool_live_slots (e->pool, mm_clock_now_ms ());
+  if (!slots)
+    return 0;
+  double ahead = (double) e->tasks_queued + n_tasks;
+  return (mm_time_ms) (ahead / slots * e->run_ewma_ms);
+}
+
 static bool
 admit (mm_entry *e, const waiter *req, const mm_job *job)
 {
@@ -364,6 +380,16 @@
   else if (mm_pool_size (e->pool) == 0)
     refuse (e, req, 503, MM_ERROR_UPSTREAM, "no upstream known; not run",
             after);
+  /* Guard against answering only at the deadline: a job that the queue
+     ahead of it would push past its first deadline is refused now, as
+     not run, with the expected wait as its time to come back.  */
+  else if (expected_wait_ms (e, job->n_tasks) > first_deadline_ms (job))
+    {
+      mm_time_ms wait = expected_wait_ms (e, job->n_tasks);
+      uint32_t back = (uint32_t) MAX ((wait + 999) / 1000, (int64_t) after);
+      refuse (e, req, 503, MM_ERROR_OVERLOADED,
+              "the queue would make it miss its deadline; not run", back);
+    }
   else
     return true;
   mm_counters_add (e->counters, "jobs_refused", 1);
--- a/src/mm_entry_priv.h
+++ b/src/mm_entry_priv.h
@@ -25,6 +25,7 @@
   GHashTable *team_tasks;      /* team -> tasks queued or running */
   GQueue queue;                /* task_ref *, waiting for a slot */
   uint32_t tasks_queued;       /* waiting or running */
+  double run_ewma_ms;          /* observed task run time, moving mean */
   ev_timer heartbeat;
   ev_timer member_poll;
   ev_timer config_poll;
--- a/src/mm_pool.c
+++ b/src/mm_pool.c
@@ -215,3 +215,23 @@
     }
   return n;
 }
+
+/**
+ * mm_pool_live_slots() - slots of the upstreams that take work.
+ * @p: the pool.
+ * @now: mm_clock_now_ms().
+ *
+ * Return: the sum of their slots, taken or free.
+ */
+uint32_t
+mm_pool_live_slots (const mm_pool *p, mm_time_ms now)
+{
+  uint32_t n = 0;
+  for (guint i = 0; i < p->members->len; i++)
+    {
+      mm_pool_member *m = p->members->pdata[i];
+      if (takes_work (m, now))
+        n += m->slots;
+    }
+  return n;
+}
--- a/src/mm_pool.h
+++ b/src/mm_pool.h
@@ -47,5 +47,6 @@
 uint32_t mm_pool_size (const mm_pool *p);
 const mm_pool_member *mm_pool_at (const mm_pool *p, int i);
 uint32_t mm_pool_free_slots (const mm_pool *p, mm_time_ms now); /* live */
+uint32_t mm_pool_live_slots (const mm_pool *p, mm_time_ms now); /* all */
 
 #endif /* MM_POOL_H */
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -239,6 +239,32 @@
 }
 END_TEST
 
+/* One upstream of 8 slots; a school's job of 80 tasks of 300 ms comes
+   with a 2 s deadline.  The queue cannot meet it, so the caller must be
+   told at once (not at the deadline) that it did not run, with a time to
+   come back, and no task of it may start.  */
+START_TEST (job_given_up_on_is_answered_at_once_with_retry_after)
+{
+  h_cluster (1, 1, 100);
+  char *warm = h_job_json ("w1", 16, 300, 10000, true);
+  long st = 0;
+  cJSON_Delete (h_call ("POST", h_entry_ports[0], "/v1/jobs", warm, &st));
+  ck_assert_int_eq (st, 200);
+  char *job = h_job_json ("late1", 80, 300, 2000, true);
+  mm_time_ms t0 = mm_clock_now_ms ();
+  cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st);
+  mm_time_ms took = mm_clock_now_ms () - t0;
+  ck_assert_int_eq (st, 503);
+  ck_assert_msg (took < 500, "answer held back %ld ms", (long) took);
+  ck_assert (cJSON_GetNumberValue (cJSON_GetObjectItem (o, "retry_after_s")) >= 2);
+  ck_assert_int_eq (h_starts_of (h_upstream_ports[0], "late1", NULL), 0);
+  cJSON_Delete (o);
+  g_free (job);
+  g_free (warm);
+  h_cluster_stop ();
+}
+END_TEST
+
 /* A caller posts a malformed body, then a job of zero tasks, then one of
    300: each gets a typed error at once and nothing is queued or lost.  */
 START_TEST (bad_requests_get_typed_errors)
@@ -280,6 +306,7 @@
   tcase_add_test (tc, leaving_upstream_gets_no_new_work_and_refusals_did_not_run);
   tcase_add_test (tc, graceful_shutdown_cuts_off_nothing);
   tcase_add_test (tc, bad_requests_get_typed_errors);
+  tcase_add_test (tc, job_given_up_on_is_answered_at_once_with_retry_after);
   suite_add_tcase (s, tc);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_NORMAL);
