Kept answers expire after done_ttl_ms

Cause: working the capacity slopes showed that every finished job's answer was kept forever (answers_kept only grew). At the two-year size an entry instance finishes about 4 jobs a second of up to ~12 KB answers: about 3 MB a minute, past the 256 MB budget within two hours.

Ruled out: dropping answers at once (a resubmit would then run the job again) and a size bound alone (it would drop young answers in bursts).

Fix: answers are kept in insertion order and swept once a second when older than entry.done_ttl_ms (default 10 min). Test kept_answers_expire_after_their_ttl (TTL 1 s) sees answers_kept go 1 -> 0; before the fix it stayed 1.

Figures: memory held by answers is bounded by jobs/s x TTL x answer size: 4 x 600 x 12 KB = about 29 MB per instance at the design size.

Conclusion: memory is bounded; a resubmit after the TTL runs anew, which docs/DESIGN.md states as the contract.

--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -324,6 +324,7 @@
   int64_t member_poll_ms;     /* member list poll period */
   int64_t config_poll_ms;     /* config stream poll period */
   int64_t config_snapshot_ms; /* re-append the head this often */
+  int64_t done_ttl_ms;        /* finished answers kept for resubmits */
 } mm_entry_settings;
 extern const mm_setting_spec mm_entry_setting_specs[];
 void mm_entry_settings_defaults (mm_entry_settings *s);
--- /dev/null
+++ b/scripts/slopes.sh
@@ -0,0 +1,60 @@
+#!/usr/bin/env bash
+# Slopes for docs/CAPACITY.md, measured on loopback with small
+# stand-ins: control bytes per poll against the number of members, an
+# idle entry instance's control CPU, and memory per job in flight.
+#   scripts/slopes.sh [UPSTREAMS]
+set -euo pipefail
+here=$(cd "$(dirname "$0")/.." && pwd)
+bin=${MM_BIN:-$here/build}
+n_up=${1:-40}
+base=${MM_PORT_BASE:-19000}
+plat=http://127.0.0.1:$base
+pids=()
+stop () { for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done; wait 2>/dev/null || true; }
+trap stop EXIT
+"$bin/masticmill-platform" --set platform.port=$base --set platform.member_lag_ms=0 2>/dev/null & pids+=($!)
+for i in $(seq 1 "$n_up"); do
+  "$bin/masticmill-upstream" --set upstream.port=$((base + 1000 + i)) --set "upstream.name=\"up$i\"" \
+    --set "upstream.platform_url=\"$plat\"" --set upstream.slots=8 2>/dev/null & pids+=($!)
+done
+for i in 1 2 3 4 5 6; do
+  "$bin/masticmill-entry" --set entry.port=$((base + 100 + i)) --set "entry.name=\"entry$i\"" \
+    --set "entry.platform_url=\"$plat\"" 2>/dev/null & pids+=($!)
+done
+entry=${pids[-1]}
+sleep 3
+members=$(curl -s "$plat/v1/members" | python3 -c 'import json,sys; print(len(json.load(sys.stdin)["members"]))')
+list_bytes=$(curl -s "$plat/v1/members" | wc -c)
+hb_bytes=$(curl -s "$plat/v1/members" | python3 -c 'import json,sys; m=[x for x in json.load(sys.stdin)["members"] if x["kind"]=="entry"][0]; print(len(json.dumps(m, separators=(",",":"))))')
+cfg_bytes=$(curl -s "$plat/v1/log/config?from=0" | wc -c)
+tck=$(getconf CLK_TCK)
+cpu () { awk '{print $14 + $15}' "/proc/$1/stat"; }
+c0=$(cpu "$entry"); sleep 10; c1=$(cpu "$entry")
+echo "members=$members member_list_bytes=$list_bytes bytes_per_member=$((list_bytes / members)) entry_heartbeat_body_bytes=$hb_bytes empty_config_read_bytes=$cfg_bytes"
+echo "idle_entry_control_cpu_ms_per_s=$(echo "scale=2; ($c1 - $c0) * 1000 / $tck / 10" | bc)"
+entry_pids="${pids[*]: -6}"
+python3 - "$base" $entry_pids <<'PY'
+import json, sys, time, urllib.request, threading
+base = int(sys.argv[1]); pids = sys.argv[2:]
+def rss():
+    return sum(int(l.split()[1]) for p in pids for l in open(f"/proc/{p}/status") if l.startswith("VmRSS"))
+def queued():
+    n = 0
+    for i in range(1, 7):
+        d = json.load(urllib.request.urlopen(f"http://127.0.0.1:{base + 100 + i}/v1/state"))
+        n += d["tasks_queued"]
+    return n
+def post(j):
+    tasks = [{"id": f"t{i}", "payload": "x" * 64, "run_ms": 4000, "deadline_ms": 20000, "idempotent": True} for i in range(290)]
+    body = json.dumps({"job_id": f"mem{j}", "tasks": tasks}).encode()
+    try:
+        urllib.request.urlopen(urllib.request.Request(f"http://127.0.0.1:{base + 101 + j % 6}/v1/jobs", body), timeout=30).read()
+    except Exception:
+        pass
+r0, q0 = rss(), queued()
+ts = [threading.Thread(target=post, args=(j,), daemon=True) for j in range(30)]
+[t.start() for t in ts]
+time.sleep(2)
+r1, q1 = rss(), queued()
+print(f"rss_6_entries_idle_kb={r0} rss_with_jobs_kb={r1} tasks_in_flight={q1 - q0} bytes_per_task_in_flight={(r1 - r0) * 1024 // max(q1 - q0, 1)}")
+PY
--- a/src/mm_entry.c
+++ b/src/mm_entry.c
@@ -39,6 +39,8 @@
         "config stream poll period"),
   SPEC ("entry.config_snapshot_ms", MM_SETTING_INT, config_snapshot_ms, 100,
         INT32_MAX, "re-append the config in force this often"),
+  SPEC ("entry.done_ttl_ms", MM_SETTING_INT, done_ttl_ms, 1000, INT32_MAX,
+        "finished answers kept this long for resubmits"),
   { NULL },
 };
 
@@ -60,6 +62,7 @@
   s->member_poll_ms = MM_DEFAULT_MEMBER_POLL_MS;
   s->config_poll_ms = MM_DEFAULT_CONFIG_POLL_MS;
   s->config_snapshot_ms = MM_DEFAULT_RETENTION_MS / 3;
+  s->done_ttl_ms = MM_DEFAULT_DONE_TTL_MS;
 }
 
 static void
@@ -167,6 +170,7 @@
   e->peer_addrs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          g_free);
   g_queue_init (&e->queue);
+  g_queue_init (&e->answer_order);
   ev_idle_init (&e->shutdown_check, shutdown_check_cb);
   e->shutdown_check.data = e;
   for (char **u = s->upstreams; u && *u; u++)
@@ -189,6 +193,7 @@
   e->upstreams = mm_http_client_create (loop, MM_DEFAULT_UPSTREAM_CONNECTIONS);
   e->platform = mm_http_client_create (loop, 8);
   mm_entry_platform_start (e);
+  mm_entry_answers_start (e);
   return e;
 }
 
--- a/src/mm_entry_job.c
+++ b/src/mm_entry_job.c
@@ -121,6 +121,54 @@
   return s;
 }
 
+typedef struct
+{
+  char *job_id;
+  mm_time_ms at_ms;
+} kept_answer;
+
+/* A finished job's answer is kept for done_ttl_ms, so that a resubmit
+   in that time gets it without running anything; after that it goes,
+   so memory stays bounded by the answers of the last done_ttl_ms.  */
+static void
+keep_answer (mm_entry *e, const char *job_id, char *answer)
+{
+  g_hash_table_insert (e->answers, g_strdup (job_id), answer);
+  kept_answer *k = g_new0 (kept_answer, 1);
+  k->job_id = g_strdup (job_id);
+  k->at_ms = mm_clock_now_ms ();
+  g_queue_push_tail (&e->answer_order, k);
+}
+
+static void
+sweep_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  mm_entry *e = w->data;
+  mm_time_ms now = mm_clock_now_ms ();
+  kept_answer *k;
+  while ((k = g_queue_peek_head (&e->answer_order))
+         && (now - k->at_ms > e->settings.done_ttl_ms || !loop))
+    {
+      g_queue_pop_head (&e->answer_order);
+      g_hash_table_remove (e->answers, k->job_id);
+      mm_counters_add (e->counters, "answers_expired", 1);
+      g_free (k->job_id);
+      g_free (k);
+    }
+}
+
+/**
+ * mm_entry_answers_start() - start dropping answers older than the TTL.
+ * @e: the entry instance.
+ */
+void
+mm_entry_answers_start (mm_entry *e)
+{
+  ev_timer_init (&e->answer_sweep, sweep_cb, 1., 1.);
+  e->answer_sweep.data = e;
+  ev_timer_start (e->loop, &e->answer_sweep);
+}
+
 /* Answer every waiter at once and keep the answer for resubmits.  */
 static void
 job_finish (mm_entry_job *ej, unsigned status, char *answer,
@@ -132,7 +180,7 @@
   for (guint i = 0; i < ej->waiters->len; i++)
     waiter_reply (e, ej->waiters->pdata[i], status, answer, retry_after_s);
   g_ptr_array_set_size (ej->waiters, 0);
-  g_hash_table_insert (e->answers, g_strdup (ej->job->id), answer);
+  keep_answer (e, ej->job->id, answer);
   g_hash_table_remove (e->jobs, ej->job->id);
   job_unref (ej);
 }
@@ -614,6 +662,8 @@
 void
 mm_entry_jobs_free (mm_entry *e)
 {
+  ev_timer_stop (e->loop, &e->answer_sweep);
+  sweep_cb (NULL, &e->answer_sweep, 0);
   task_ref *r;
   while ((r = g_queue_pop_head (&e->queue)))
     {
--- a/src/mm_entry_priv.h
+++ b/src/mm_entry_priv.h
@@ -22,6 +22,8 @@
   mm_cfg *cfg;
   GHashTable *jobs;            /* job id -> mm_entry_job, not finished */
   GHashTable *answers;         /* job id -> finished answer (JSON) */
+  GQueue answer_order;         /* kept_answer *, oldest first */
+  ev_timer answer_sweep;
   GHashTable *team_tasks;      /* team -> tasks queued or running */
   GQueue queue;                /* task_ref *, waiting for a slot */
   uint32_t tasks_queued;       /* waiting or running */
@@ -45,6 +47,7 @@
 void mm_entry_pump (mm_entry *e);
 char *mm_entry_jobs_dump (const mm_entry *e);
 void mm_entry_jobs_free (mm_entry *e);
+void mm_entry_answers_start (mm_entry *e);
 void mm_entry_take_forwarded (mm_entry *e, uint64_t conn_id, uint64_t req_id,
                               const uint8_t *data, size_t len);
 const char *mm_entry_owner_addr (mm_entry *e, const char *job_id); /* NULL: us */
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -293,6 +293,24 @@
 }
 END_TEST
 
+/* An instance runs for days; every finished job's answer was kept
+   forever, so memory grew without bound (found reading the capacity
+   slopes).  Answers must go after done_ttl_ms, here 1 s.  */
+START_TEST (kept_answers_expire_after_their_ttl)
+{
+  h_entry_extra = "entry.done_ttl_ms=1000";
+  h_cluster (1, 1, 100);
+  char *job = h_job_json ("ttl1", 2, 10, 5000, true);
+  long st = 0;
+  cJSON_Delete (h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st));
+  ck_assert_int_eq (st, 200);
+  ck_assert (h_wait_json (h_entry_ports[0], "/v1/state", "answers_kept", 1, 500));
+  ck_assert (h_wait_json (h_entry_ports[0], "/v1/state", "answers_kept", 0, 3000));
+  g_free (job);
+  h_cluster_stop ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -307,6 +325,7 @@
   tcase_add_test (tc, graceful_shutdown_cuts_off_nothing);
   tcase_add_test (tc, bad_requests_get_typed_errors);
   tcase_add_test (tc, job_given_up_on_is_answered_at_once_with_retry_after);
+  tcase_add_test (tc, kept_answers_expire_after_their_ttl);
   suite_add_tcase (s, tc);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_NORMAL);
