Member list read per data centre and only when changed; fix a use-after-free in the curl socket callback

Cause 1 (capacity): an entry instance polled the whole member list twice a second. At the design size (22 data centres x ~61 members) that is ~162 KB per poll, ~324 KB/s per instance against a control budget of 11 KB/s. Fix: GET /v1/members?datacentre=DC&since=V; the platform stand-in keeps a version bumped whenever the shown list changes and answers {version,unchanged:true} when nothing changed. Ruled out: all-to-all heartbeats between instances (O(n^2) and a second membership). After: an unchanged poll is ~40 bytes of body.

Cause 2 (crash found by test_ownership under load, 1 run in ~4 with test_jobs running beside it): the owner instance died; its stack (printed by a new SIGSEGV/SIGABRT handler in masticmill-entry) ended in check_done called from sock_cb_ev. curl may close the socket inside curl_multi_socket_action, our socket callback then frees the watcher, and sock_cb_ev read sw->client after. Fix: read client and fd first.

Conclusion: control traffic per instance no longer grows with the fleet, and the HTTP client survives sockets closed under it.

--- a/daemons/masticmill_entry.c
+++ b/daemons/masticmill_entry.c
@@ -2,8 +2,10 @@
    graceful shutdown: nothing in flight is cut off.  */
 #include <masticmill.h>
 
+#include <execinfo.h>
 #include <signal.h>
 #include <stdio.h>
+#include <unistd.h>
 
 static struct ev_loop *loop;
 
@@ -20,9 +22,22 @@
   mm_entry_shutdown (w->data, stopped, NULL);
 }
 
+/* A crash leaves its stack on stderr, so that the log says where.  */
+static void
+on_crash (int sig)
+{
+  void *frames[64];
+  int n = backtrace (frames, 64);
+  backtrace_symbols_fd (frames, n, 2);
+  signal (sig, SIG_DFL);
+  raise (sig);
+}
+
 int
 main (int argc, char **argv)
 {
+  signal (SIGSEGV, on_crash);
+  signal (SIGABRT, on_crash);
   mm_log_init ("masticmill-entry");
   mm_entry_settings s;
   mm_entry_settings_defaults (&s);
--- a/src/mm_entry.c
+++ b/src/mm_entry.c
@@ -167,6 +167,7 @@
   e->team_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          NULL);
   e->peer_config_max = -1;
+  e->members_version = -1;
   e->peer_addrs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          g_free);
   g_queue_init (&e->queue);
--- a/src/mm_entry_platform.c
+++ b/src/mm_entry_platform.c
@@ -88,6 +88,14 @@
       return;
     }
   cJSON *o = cJSON_ParseWithLength (res->body, res->body_bytes);
+  if (cJSON_IsTrue (cJSON_GetObjectItem (o, "unchanged")))
+    {
+      cJSON_Delete (o);
+      mm_counters_add (e->counters, "member_polls_unchanged", 1);
+      return;
+    }
+  e->members_version
+      = (int64_t) cJSON_GetNumberValue (cJSON_GetObjectItem (o, "version"));
   const cJSON *m;
   GPtrArray *entries = g_ptr_array_new ();
   g_ptr_array_add (entries, g_strdup (e->settings.name));
@@ -134,7 +142,12 @@
 member_poll_cb (struct ev_loop *loop, ev_timer *w, int revents)
 {
   mm_entry *e = w->data;
-  char *url = g_strdup_printf ("%s/v1/members", e->settings.platform_url);
+  /* Only our data centre, and only when it changed: a full list of the
+     whole fleet on every poll would break the control-traffic budget
+     (docs/CAPACITY.md).  */
+  char *url = g_strdup_printf ("%s/v1/members?datacentre=%s&since=%" G_GINT64_FORMAT,
+                               e->settings.platform_url, e->settings.datacentre,
+                               e->members_version);
   mm_http_client_call (e->platform, "GET", url, NULL, 1000, members_done, e);
   g_free (url);
 }
--- a/src/mm_entry_priv.h
+++ b/src/mm_entry_priv.h
@@ -36,6 +36,7 @@
   mm_time_ms head_seen_ms;     /* when the head config was applied */
   int64_t peer_config_max;     /* highest config offset live peers report */
   char **live_entries;         /* names of live entry instances in the DC */
+  int64_t members_version;     /* version of the list last read, -1 none */
   bool shutting_down;
   void (*shutdown_done) (void *);
   void *shutdown_ctx;
--- a/src/mm_http_client.c
+++ b/src/mm_http_client.c
@@ -82,11 +82,16 @@
 sock_cb_ev (struct ev_loop *loop, ev_io *w, int revents)
 {
   sock_watch *sw = (sock_watch *) w;
+  /* curl may close this socket inside socket_action, and our socket
+     callback then frees sw: a crash under load when read after.  Keep
+     what we need first.  */
+  mm_http_client *client = sw->client;
+  int fd = w->fd;
   int action = (revents & EV_READ ? CURL_CSELECT_IN : 0)
                | (revents & EV_WRITE ? CURL_CSELECT_OUT : 0);
   int running;
-  curl_multi_socket_action (sw->client->multi, w->fd, action, &running);
-  check_done (sw->client);
+  curl_multi_socket_action (client->multi, fd, action, &running);
+  check_done (client);
 }
 
 static void
--- a/src/mm_platform.c
+++ b/src/mm_platform.c
@@ -37,6 +37,7 @@
 typedef struct
 {
   char *name;
+  char *datacentre;     /* from its heartbeat, for filtered reads */
   char *shown;          /* JSON the list shows */
   char *latest;         /* JSON last heard */
   mm_time_ms latest_ms; /* when latest changed */
@@ -51,6 +52,7 @@
   mm_counters *counters;
   GHashTable *streams; /* name -> log_stream */
   GHashTable *members; /* name -> member */
+  int64_t members_version; /* bumped whenever the shown list changes */
   bool down;
   int64_t slow_ms;
   int64_t lose_answers;
@@ -251,6 +253,7 @@
       return;
     }
   cJSON_AddStringToObject (o, "name", name);
+  char *dc = g_strdup (cJSON_GetStringValue (cJSON_GetObjectItem (o, "datacentre")));
   char *text = cJSON_PrintUnformatted (o);
   cJSON_Delete (o);
   mm_time_ms now = mm_clock_now_ms ();
@@ -268,6 +271,8 @@
       m->latest_ms = now;
     }
   m->seen_ms = now;
+  g_free (m->datacentre);
+  m->datacentre = dc ? dc : g_strdup ("");
   free (text);
   mm_counters_add (p->counters, "member_heartbeats", 1);
   answer (p, req, 200, g_strdup ("{\"status\":\"ok\"}"));
@@ -278,28 +283,28 @@
 {
   member *m = data;
   g_free (m->name);
+  g_free (m->datacentre);
   g_free (m->shown);
   g_free (m->latest);
   g_free (m);
 }
 
+/* The list lags: a change shows only member_lag_ms after it, and a
+   silent member goes only member_lag_ms after its TTL.  */
 static void
-members_get (mm_platform *p, mm_http_request *req)
+members_refresh (mm_platform *p, mm_time_ms now)
 {
-  mm_time_ms now = mm_clock_now_ms ();
-  cJSON *o = cJSON_CreateObject ();
-  cJSON *arr = cJSON_AddArrayToObject (o, "members");
   GHashTableIter it;
   gpointer k, v;
   g_hash_table_iter_init (&it, p->members);
   while (g_hash_table_iter_next (&it, &k, &v))
     {
       member *m = v;
-      /* The list lags: a change shows only member_lag_ms after it, and a
-         silent member goes only member_lag_ms after its TTL.  */
       if (now - m->seen_ms
           > p->settings.member_ttl_ms + p->settings.member_lag_ms)
         {
+          if (m->shown)
+            p->members_version++;
           g_hash_table_iter_remove (&it);
           continue;
         }
@@ -308,12 +313,44 @@
         {
           g_free (m->shown);
           m->shown = g_strdup (m->latest);
+          p->members_version++;
         }
-      if (m->shown)
+    }
+}
+
+/* GET /v1/members[?datacentre=DC][&since=V]: the shown list, only the
+   members of DC when given; when nothing changed since version V, only
+   {"version":V,"unchanged":true}, so that polling costs a few bytes.  */
+static void
+members_get (mm_platform *p, mm_http_request *req)
+{
+  members_refresh (p, mm_clock_now_ms ());
+  const char *dc = mm_http_request_query (req, "datacentre");
+  const char *since = mm_http_request_query (req, "since");
+  if (since && g_ascii_strtoll (since, NULL, 10) == p->members_version)
+    {
+      mm_counters_add (p->counters, "member_reads_unchanged", 1);
+      answer (p, req, 200,
+              g_strdup_printf ("{\"version\":%" G_GINT64_FORMAT
+                               ",\"unchanged\":true}",
+                               p->members_version));
+      return;
+    }
+  cJSON *o = cJSON_CreateObject ();
+  cJSON_AddNumberToObject (o, "version", (double) p->members_version);
+  cJSON *arr = cJSON_AddArrayToObject (o, "members");
+  GHashTableIter it;
+  gpointer k, v;
+  g_hash_table_iter_init (&it, p->members);
+  while (g_hash_table_iter_next (&it, &k, &v))
+    {
+      member *m = v;
+      if (m->shown && (!dc || g_str_equal (dc, m->datacentre)))
         cJSON_AddItemToArray (arr, cJSON_CreateRaw (m->shown));
     }
   char *text = cJSON_PrintUnformatted (o);
   cJSON_Delete (o);
+  mm_counters_add (p->counters, "member_reads_full", 1);
   answer (p, req, 200, text);
 }
 
--- a/tests/test_ownership.c
+++ b/tests/test_ownership.c
@@ -3,6 +3,7 @@
    start any task again.  */
 #include "harness.h"
 
+#include <stdio.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -37,8 +38,14 @@
             cJSON *o = h_call ("POST", h_entry_ports[i], "/v1/jobs", job, &st);
             const char *status
                 = cJSON_GetStringValue (cJSON_GetObjectItem (o, "status"));
-            _exit (st == 200 && status && g_str_equal (status, "complete")
-                       ? 0 : 1);
+            if (!(st == 200 && status && g_str_equal (status, "complete")))
+              {
+                char *text = cJSON_PrintUnformatted (o);
+                fprintf (stderr, "instance %d answered %ld: %.300s\n", i, st,
+                         text ? text : "(none)");
+                _exit (1);
+              }
+            _exit (0);
           }
       for (int i = 0; i < 3; i++)
         {
