--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -27,6 +27,9 @@
 list_bytes=$(curl -s "$plat/v1/members" | wc -c)
 hb_bytes=$(curl -s "$plat/v1/members" | python3 -c 'import json,sys; m=[x for x in json.load(sys.stdin)["members"] if x["kind"]=="entry"][0]; print(len(json.dumps(m, separators=(",",":"))))')
 cfg_bytes=$(curl -s "$plat/v1/log/config?from=0" | wc -c)
+ver=$(curl -s "$plat/v1/members?datacentre=dc1" | python3 -c 'import json,sys; print(json.load(sys.stdin)["version"])')
+wire () { curl -s -o /dev/null -w '%{size_request}+%{size_header}+%{size_download}' "$@"; }
+echo "wire_bytes(request+answer headers+body): config_poll=$(wire "$plat/v1/log/config?from=0") member_poll_unchanged=$(wire "$plat/v1/members?datacentre=dc1&since=$ver") heartbeat=$(wire -X PUT -H 'Content-Type: application/json' -H 'Expect:' --data "$(printf '%*s' 154 | tr ' ' x | sed 's/^/{"k":"/;s/$/"}/')" "$plat/v1/members/probe")"
 tck=$(getconf CLK_TCK)
 cpu () { awk '{print $14 + $15}' "/proc/$1/stat"; }
 c0=$(cpu "$entry"); sleep 10; c1=$(cpu "$entry")
