--- a/daemons/masticctl.c
+++ b/daemons/masticctl.c
@@ -104,11 +104,12 @@
   cJSON_ArrayForEach (m, cJSON_GetObjectItem (list, "members"))
   {
     const char *kind = cJSON_GetStringValue (cJSON_GetObjectItem (m, "kind"));
-    const char *state = cJSON_GetStringValue (cJSON_GetObjectItem (m, "state"));
+    const char *state
+        = cJSON_GetStringValue (cJSON_GetObjectItem (m, "state"));
     if (!kind || !g_str_equal (kind, "entry") || !state
         || !g_str_equal (state, "live"))
       continue;
-    int64_t off = (int64_t) cJSON_GetNumberValue (
+    int64_t off = (int64_t)cJSON_GetNumberValue (
         cJSON_GetObjectItem (m, "config_offset"));
     head = MAX (head, off);
     (*n_live)++;
@@ -134,7 +135,7 @@
       if (!eq || !g_file_get_contents (eq + 1, &text, NULL, NULL))
         return fail (g_error_new (MM_ERROR, MM_ERROR_IO,
                                   "%s: want SITE=FILE, readable", argv[i]));
-      g_ptr_array_add (sites, g_strndup (argv[i], (gsize) (eq - argv[i])));
+      g_ptr_array_add (sites, g_strndup (argv[i], (gsize)(eq - argv[i])));
       g_ptr_array_add (texts, text);
     }
   g_ptr_array_add (sites, NULL);
@@ -146,8 +147,8 @@
   int64_t parent = reported_head (list, &live, &at, 0);
   cJSON_Delete (list);
   char *rec = mm_cfg_record_text ("config", parent, base,
-                                  (const char *const *) sites->pdata,
-                                  (const char *const *) texts->pdata, &err);
+                                  (const char *const *)sites->pdata,
+                                  (const char *const *)texts->pdata, &err);
   g_free (base);
   g_ptr_array_free (sites, TRUE);
   g_ptr_array_free (texts, TRUE);
@@ -161,23 +162,27 @@
   if (!answer)
     return fail (err);
   cJSON *a = cJSON_Parse (answer);
-  int64_t offset = status == 200 ? (int64_t) cJSON_GetNumberValue (
-                                       cJSON_GetObjectItem (a, "offset"))
-                                 : -1;
+  int64_t offset
+      = status == 200
+            ? (int64_t)cJSON_GetNumberValue (cJSON_GetObjectItem (a, "offset"))
+            : -1;
   cJSON_Delete (a);
   if (offset < 0)
     {
       /* The append may have taken effect with its answer lost: say so
          rather than guess; publishing again from the same parent is
          safe, since at most one record per parent is accepted.  */
-      fprintf (stderr, "masticctl: platform: append answered %ld (%s); the "
-               "record may or may not be in the log\n", status, answer);
+      fprintf (stderr,
+               "masticctl: platform: append answered %ld (%s); the "
+               "record may or may not be in the log\n",
+               status, answer);
       g_free (answer);
       return 1;
     }
   g_free (answer);
   printf ("published config at offset %" G_GINT64_FORMAT
-          " (edited from %" G_GINT64_FORMAT ")\n", offset, parent);
+          " (edited from %" G_GINT64_FORMAT ")\n",
+          offset, parent);
   mm_time_ms until = mm_clock_now_ms () + wait_ms;
   while (mm_clock_now_ms () < until)
     {
@@ -186,9 +191,11 @@
       cJSON_Delete (list);
       if (head > offset || (live && at == live && head != offset))
         {
-          fprintf (stderr, "masticctl: config_rejected: offset %" G_GINT64_FORMAT
+          fprintf (stderr,
+                   "masticctl: config_rejected: offset %" G_GINT64_FORMAT
                    " lost to a concurrent change (head %" G_GINT64_FORMAT
-                   "); edit again from the head\n", offset, head);
+                   "); edit again from the head\n",
+                   offset, head);
           return 1;
         }
       if (live && at == live)
@@ -198,8 +205,10 @@
         }
       g_usleep (100000);
     }
-  fprintf (stderr, "masticctl: timeout: not yet in force everywhere after "
-           "%" G_GINT64_FORMAT " ms (%u of %u instances)\n", wait_ms, at, live);
+  fprintf (stderr,
+           "masticctl: timeout: not yet in force everywhere after "
+           "%" G_GINT64_FORMAT " ms (%u of %u instances)\n",
+           wait_ms, at, live);
   return 1;
 }
 
@@ -249,7 +258,7 @@
   g_free (body);
   const cJSON *c
       = cJSON_GetObjectItem (cJSON_GetObjectItem (o, "counters"), name);
-  int64_t v = cJSON_IsNumber (c) ? (int64_t) c->valuedouble : 0;
+  int64_t v = cJSON_IsNumber (c) ? (int64_t)c->valuedouble : 0;
   cJSON_Delete (o);
   return v;
 }
@@ -269,9 +278,14 @@
 static int
 cmd_bench (int argc, char **argv)
 {
-  mm_bench_plan p = { .jobs = 20, .tasks = 50, .concurrency = 4,
-                      .run_ms = 100, .deadline_ms = 10000,
-                      .non_idempotent = 0.1, .seed = 1, .max_ms = 120000 };
+  mm_bench_plan p = { .jobs = 20,
+                      .tasks = 50,
+                      .concurrency = 4,
+                      .run_ms = 100,
+                      .deadline_ms = 10000,
+                      .non_idempotent = 0.1,
+                      .seed = 1,
+                      .max_ms = 120000 };
   const char *entries = entry_url;
   static const struct option opts[]
       = { { "jobs", required_argument, NULL, 'j' },
@@ -288,15 +302,32 @@
   while ((c = getopt_long (argc, argv, "j:t:c:r:d:n:s:e:", opts, NULL)) != -1)
     switch (c)
       {
-      case 'j': p.jobs = (uint32_t) atoi (optarg); break;
-      case 't': p.tasks = (uint32_t) atoi (optarg); break;
-      case 'c': p.concurrency = (uint32_t) atoi (optarg); break;
-      case 'r': p.run_ms = atoi (optarg); break;
-      case 'd': p.deadline_ms = atoi (optarg); break;
-      case 'n': p.non_idempotent = atof (optarg); break;
-      case 's': p.seed = (uint32_t) atoi (optarg); break;
-      case 'e': entries = optarg; break;
-      default: return usage ();
+      case 'j':
+        p.jobs = (uint32_t)atoi (optarg);
+        break;
+      case 't':
+        p.tasks = (uint32_t)atoi (optarg);
+        break;
+      case 'c':
+        p.concurrency = (uint32_t)atoi (optarg);
+        break;
+      case 'r':
+        p.run_ms = atoi (optarg);
+        break;
+      case 'd':
+        p.deadline_ms = atoi (optarg);
+        break;
+      case 'n':
+        p.non_idempotent = atof (optarg);
+        break;
+      case 's':
+        p.seed = (uint32_t)atoi (optarg);
+        break;
+      case 'e':
+        entries = optarg;
+        break;
+      default:
+        return usage ();
       }
   if (!p.jobs || !p.tasks || !p.concurrency)
     return usage ();
@@ -312,7 +343,8 @@
   int64_t waste = 0;
   printf ("{\"jobs_complete\":%u,\"jobs_failed\":%u,\"jobs_refused\":%u,"
           "\"tasks\":%u,\"wall_ms\":%" G_GINT64_FORMAT ",\"ratio_p50\":%.3f,"
-          "\"ratio_p99\":%.3f,\"ratio_p999\":%.3f,\"tasks_sent\":%" G_GINT64_FORMAT,
+          "\"ratio_p99\":%.3f,\"ratio_p999\":%.3f,\"tasks_sent\":"
+          "%" G_GINT64_FORMAT,
           r.jobs_complete, r.jobs_failed, r.jobs_refused, r.tasks, r.wall_ms,
           r.ratio_p50, r.ratio_p99, r.ratio_p999, sent);
   for (int i = 0; waste_counters[i]; i++)
@@ -322,7 +354,7 @@
       printf (",\"%s\":%" G_GINT64_FORMAT, waste_counters[i], d);
     }
   printf (",\"wasted_per_1000_tasks\":%.2f}\n",
-          r.tasks ? 1000.0 * (double) waste / (double) (r.tasks) : 0.0);
+          r.tasks ? 1000.0 * (double)waste / (double)(r.tasks) : 0.0);
   g_strfreev (p.entries);
   return r.jobs_complete ? 0 : 1;
 }
@@ -344,12 +376,23 @@
   while ((c = getopt_long (argc, argv, "+p:e:w:hV", opts, NULL)) != -1)
     switch (c)
       {
-      case 'p': platform_url = optarg; break;
-      case 'e': entry_url = optarg; break;
-      case 'w': wait_ms = atoll (optarg); break;
-      case 'h': usage (); return 0;
-      case 'V': printf ("masticctl %s\n", MM_VERSION); return 0;
-      default: return usage ();
+      case 'p':
+        platform_url = optarg;
+        break;
+      case 'e':
+        entry_url = optarg;
+        break;
+      case 'w':
+        wait_ms = atoll (optarg);
+        break;
+      case 'h':
+        usage ();
+        return 0;
+      case 'V':
+        printf ("masticctl %s\n", MM_VERSION);
+        return 0;
+      default:
+        return usage ();
       }
   argc -= optind;
   argv += optind;
--- a/daemons/masticmill_upstream.c
+++ b/daemons/masticmill_upstream.c
@@ -52,7 +52,8 @@
   term.data = intr.data = u;
   ev_signal_start (loop, &term);
   ev_signal_start (loop, &intr);
-  g_message ("upstream %s listening on port %" G_GINT64_FORMAT, s.name, s.port);
+  g_message ("upstream %s listening on port %" G_GINT64_FORMAT, s.name,
+             s.port);
   ev_run (loop, 0);
   mm_upstream_destroy (u);
   return 0;
--- a/fuzz/fuzz_decoders.c
+++ b/fuzz/fuzz_decoders.c
@@ -19,10 +19,10 @@
   mm_job *j = mm_job_unpack (data, size, 290, &err);
   mm_job_destroy (j);
   g_clear_error (&err);
-  j = mm_job_parse_json ((const char *) data, size, 290, &err);
+  j = mm_job_parse_json ((const char *)data, size, 290, &err);
   mm_job_destroy (j);
   g_clear_error (&err);
-  char *text = g_strndup ((const char *) data, size);
+  char *text = g_strndup ((const char *)data, size);
   mm_toml *t = mm_toml_parse_string (text, "fuzz", &err);
   mm_toml_destroy (t);
   g_clear_error (&err);
@@ -34,10 +34,16 @@
 static GByteArray *
 seed_packed (void)
 {
-  mm_task tasks[2] = { { .id = "a", .payload = "p", .run_ms = 5,
-                         .deadline_ms = 100, .idempotent = true },
-                       { .id = "b", .payload = "", .run_ms = 0,
-                         .deadline_ms = 9, .idempotent = false } };
+  mm_task tasks[2] = { { .id = "a",
+                         .payload = "p",
+                         .run_ms = 5,
+                         .deadline_ms = 100,
+                         .idempotent = true },
+                       { .id = "b",
+                         .payload = "",
+                         .run_ms = 0,
+                         .deadline_ms = 9,
+                         .idempotent = false } };
   mm_job job = { .id = "job", .team = "team", .n_tasks = 2, .tasks = tasks };
   GByteArray *b = g_byte_array_new ();
   mm_job_pack (&job, b);
@@ -53,8 +59,8 @@
         "\"deadline_ms\":50,\"idempotent\":true}]}";
   static const char toml[] = "[limits]\nmax_tasks_per_job = 10\n";
   GByteArray *packed = seed_packed ();
-  const uint8_t *seeds[] = { packed->data, (const uint8_t *) json,
-                             (const uint8_t *) toml };
+  const uint8_t *seeds[]
+      = { packed->data, (const uint8_t *)json, (const uint8_t *)toml };
   size_t lens[] = { packed->len, sizeof json - 1, sizeof toml - 1 };
   GRand *r = g_rand_new_with_seed (7);
   uint8_t buf[512];
@@ -65,8 +71,8 @@
       memcpy (buf, seeds[s], n);
       int flips = g_rand_int_range (r, 1, 6);
       for (int f = 0; f < flips; f++)
-        buf[g_rand_int_range (r, 0, (gint32) n)] = (uint8_t) g_rand_int (r);
-      size_t cut = (size_t) g_rand_int_range (r, 0, (gint32) n + 1);
+        buf[g_rand_int_range (r, 0, (gint32)n)] = (uint8_t)g_rand_int (r);
+      size_t cut = (size_t)g_rand_int_range (r, 0, (gint32)n + 1);
       LLVMFuzzerTestOneInput (buf, cut);
     }
   g_rand_free (r);
--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -14,325 +14,354 @@
 #include <stdint.h>
 
 #ifdef __cplusplus
-extern "C" {
+extern "C"
+{
 #endif
 
-/* ---- mm_clock: the one clock type (milliseconds) ---------------------- */
-typedef int64_t mm_time_ms;                    /* a time or span in ms */
-mm_time_ms mm_clock_now_ms (void);             /* monotonic now */
-mm_time_ms mm_clock_wall_ms (void);            /* wall clock, ms since 1970 */
+  /* ---- mm_clock: the one clock type (milliseconds) ---------------------- */
+  typedef int64_t mm_time_ms;         /* a time or span in ms */
+  mm_time_ms mm_clock_now_ms (void);  /* monotonic now */
+  mm_time_ms mm_clock_wall_ms (void); /* wall clock, ms since 1970 */
 
 /* ---- mm_error: typed failures ------------------------------------------ */
 #define MM_ERROR (mm_error_quark ())
-typedef enum
-{
-  MM_ERROR_CONFIG_SYNTAX,      /* TOML did not parse */
-  MM_ERROR_CONFIG_UNKNOWN_KEY, /* a key the program does not know */
-  MM_ERROR_CONFIG_TYPE,        /* a value of the wrong type */
-  MM_ERROR_CONFIG_RANGE,       /* a value out of its range */
-  MM_ERROR_IO,                 /* a file or socket failed */
-  MM_ERROR_BAD_REQUEST,        /* a request did not decode */
-  MM_ERROR_JOB_SIZE,           /* a job of zero or too many tasks */
-  MM_ERROR_OVERLOADED,         /* admission refused: come back later */
-  MM_ERROR_PLATFORM,           /* the platform's service failed */
-  MM_ERROR_UPSTREAM,           /* an upstream failed */
-  MM_ERROR_CONFIG_REJECTED,    /* a published config lost a race */
-  MM_ERROR_TIMEOUT,            /* no answer in time */
-  MM_ERROR_DECODE              /* a peer frame did not decode */
-} mm_error_code;
-GQuark mm_error_quark (void);                  /* the MM_ERROR domain */
-const char *mm_error_code_name (int code);     /* stable name of a code */
+  typedef enum
+  {
+    MM_ERROR_CONFIG_SYNTAX,      /* TOML did not parse */
+    MM_ERROR_CONFIG_UNKNOWN_KEY, /* a key the program does not know */
+    MM_ERROR_CONFIG_TYPE,        /* a value of the wrong type */
+    MM_ERROR_CONFIG_RANGE,       /* a value out of its range */
+    MM_ERROR_IO,                 /* a file or socket failed */
+    MM_ERROR_BAD_REQUEST,        /* a request did not decode */
+    MM_ERROR_JOB_SIZE,           /* a job of zero or too many tasks */
+    MM_ERROR_OVERLOADED,         /* admission refused: come back later */
+    MM_ERROR_PLATFORM,           /* the platform's service failed */
+    MM_ERROR_UPSTREAM,           /* an upstream failed */
+    MM_ERROR_CONFIG_REJECTED,    /* a published config lost a race */
+    MM_ERROR_TIMEOUT,            /* no answer in time */
+    MM_ERROR_DECODE              /* a peer frame did not decode */
+  } mm_error_code;
+  GQuark mm_error_quark (void);              /* the MM_ERROR domain */
+  const char *mm_error_code_name (int code); /* stable name of a code */
 
-/* ---- mm_log: GLib structured logging as JSON lines --------------------- */
-void mm_log_init (const char *program);        /* JSON lines to stderr */
-char *mm_log_format_json (const GLogField *fields, size_t n_fields); /* one line */
+  /* ---- mm_log: GLib structured logging as JSON lines ---------------------
+   */
+  void mm_log_init (const char *program); /* JSON lines to stderr */
+  char *mm_log_format_json (const GLogField *fields,
+                            size_t n_fields); /* one line */
 
-/* ---- mm_counters: metrics by counters of our own ----------------------- */
-typedef struct mm_counters mm_counters;
-mm_counters *mm_counters_create (void);        /* an empty set */
-void mm_counters_destroy (mm_counters *c);     /* free the set */
-void mm_counters_add (mm_counters *c, const char *name, int64_t n); /* add n */
-int64_t mm_counters_get (const mm_counters *c, const char *name); /* 0 if none */
-char *mm_counters_to_json (const mm_counters *c); /* {"name":n,...} */
+  /* ---- mm_counters: metrics by counters of our own -----------------------
+   */
+  typedef struct mm_counters mm_counters;
+  mm_counters *mm_counters_create (void);    /* an empty set */
+  void mm_counters_destroy (mm_counters *c); /* free the set */
+  void mm_counters_add (mm_counters *c, const char *name,
+                        int64_t n); /* add n */
+  int64_t mm_counters_get (const mm_counters *c,
+                           const char *name);       /* 0 if none */
+  char *mm_counters_to_json (const mm_counters *c); /* {"name":n,...} */
 
-/* ---- mm_toml: TOML documents (toml++ behind a C API) ------------------- */
-typedef enum
-{
-  MM_TOML_INT,
-  MM_TOML_FLOAT,
-  MM_TOML_BOOL,
-  MM_TOML_STRING,
-  MM_TOML_STRING_ARRAY
-} mm_toml_type;
-typedef struct
-{
-  char *key;          /* dotted key, "section.name" */
-  mm_toml_type type;  /* what the value is */
-  int64_t int_value;  /* MM_TOML_INT */
-  double float_value; /* MM_TOML_FLOAT */
-  bool bool_value;    /* MM_TOML_BOOL */
-  char *string_value; /* MM_TOML_STRING */
-  char **strings;     /* MM_TOML_STRING_ARRAY, NULL-terminated */
-  uint32_t line;      /* source line of the value */
-} mm_toml_entry;
-typedef struct mm_toml mm_toml;
-mm_toml *mm_toml_parse_file (const char *path, GError **error); /* read a file */
-mm_toml *mm_toml_parse_string (const char *text, const char *source,
-                               GError **error); /* parse text */
-void mm_toml_destroy (mm_toml *t);             /* free a document */
-size_t mm_toml_count (const mm_toml *t);       /* number of leaf entries */
-const mm_toml_entry *mm_toml_at (const mm_toml *t, size_t i); /* i-th entry */
-const char *mm_toml_source (const mm_toml *t); /* file name or label */
-void mm_toml_overlay (mm_toml *base, const mm_toml *overlay); /* overlay wins */
+  /* ---- mm_toml: TOML documents (toml++ behind a C API) -------------------
+   */
+  typedef enum
+  {
+    MM_TOML_INT,
+    MM_TOML_FLOAT,
+    MM_TOML_BOOL,
+    MM_TOML_STRING,
+    MM_TOML_STRING_ARRAY
+  } mm_toml_type;
+  typedef struct
+  {
+    char *key;          /* dotted key, "section.name" */
+    mm_toml_type type;  /* what the value is */
+    int64_t int_value;  /* MM_TOML_INT */
+    double float_value; /* MM_TOML_FLOAT */
+    bool bool_value;    /* MM_TOML_BOOL */
+    char *string_value; /* MM_TOML_STRING */
+    char **strings;     /* MM_TOML_STRING_ARRAY, NULL-terminated */
+    uint32_t line;      /* source line of the value */
+  } mm_toml_entry;
+  typedef struct mm_toml mm_toml;
+  mm_toml *mm_toml_parse_file (const char *path,
+                               GError **error); /* read a file */
+  mm_toml *mm_toml_parse_string (const char *text, const char *source,
+                                 GError **error); /* parse text */
+  void mm_toml_destroy (mm_toml *t);              /* free a document */
+  size_t mm_toml_count (const mm_toml *t);        /* number of leaf entries */
+  const mm_toml_entry *mm_toml_at (const mm_toml *t,
+                                   size_t i);    /* i-th entry */
+  const char *mm_toml_source (const mm_toml *t); /* file name or label */
+  void mm_toml_overlay (mm_toml *base,
+                        const mm_toml *overlay); /* overlay wins */
 
-/* ---- mm_settings: checked settings from TOML --------------------------- */
-typedef enum
-{
-  MM_SETTING_INT,
-  MM_SETTING_BOOL,
-  MM_SETTING_STRING,
-  MM_SETTING_STRINGS,
-  MM_SETTING_FLOAT
-} mm_setting_type;
-typedef struct
-{
-  const char *key;      /* dotted key */
-  mm_setting_type type; /* expected type */
-  size_t offset;        /* offsetof the field in the target struct */
-  int64_t min;          /* inclusive bound for ints */
-  int64_t max;          /* inclusive bound for ints */
-  const char *help;     /* one line for --help and errors */
-} mm_setting_spec;
-bool mm_settings_apply (const mm_setting_spec *specs, void *target,
-                        const mm_toml *t, GError **error); /* check + copy */
-bool mm_settings_load_file (const mm_setting_spec *specs, void *target,
-                            const char *path, GError **error); /* file */
+  /* ---- mm_settings: checked settings from TOML ---------------------------
+   */
+  typedef enum
+  {
+    MM_SETTING_INT,
+    MM_SETTING_BOOL,
+    MM_SETTING_STRING,
+    MM_SETTING_STRINGS,
+    MM_SETTING_FLOAT
+  } mm_setting_type;
+  typedef struct
+  {
+    const char *key;      /* dotted key */
+    mm_setting_type type; /* expected type */
+    size_t offset;        /* offsetof the field in the target struct */
+    int64_t min;          /* inclusive bound for ints */
+    int64_t max;          /* inclusive bound for ints */
+    const char *help;     /* one line for --help and errors */
+  } mm_setting_spec;
+  bool mm_settings_apply (const mm_setting_spec *specs, void *target,
+                          const mm_toml *t, GError **error); /* check + copy */
+  bool mm_settings_load_file (const mm_setting_spec *specs, void *target,
+                              const char *path, GError **error); /* file */
 
-/* ---- mm_json: small helpers over cJSON --------------------------------- */
-char *mm_json_error_body (int code, const char *message,
-                          uint32_t retry_after_s); /* {"error":...} */
+  /* ---- mm_json: small helpers over cJSON ---------------------------------
+   */
+  char *mm_json_error_body (int code, const char *message,
+                            uint32_t retry_after_s); /* {"error":...} */
 
-/* ---- mm_http_server: HTTP server (libmicrohttpd) on libev -------------- */
-typedef struct mm_http_server mm_http_server;
-typedef struct mm_http_request mm_http_request;
-typedef void (*mm_http_handler) (mm_http_request *req, void *ctx);
-mm_http_server *mm_http_server_create (struct ev_loop *loop, const char *host,
-                                       uint16_t port, size_t max_body_bytes,
-                                       mm_http_handler handler, void *ctx,
-                                       GError **error); /* listen */
-void mm_http_server_destroy (mm_http_server *s);   /* close all */
-void mm_http_server_quiesce (mm_http_server *s);   /* stop accepting */
-uint32_t mm_http_server_in_flight (const mm_http_server *s); /* open requests */
-uint16_t mm_http_server_port (const mm_http_server *s); /* bound port */
-const char *mm_http_request_method (const mm_http_request *r); /* "GET" */
-const char *mm_http_request_path (const mm_http_request *r);   /* "/v1/jobs" */
-const char *mm_http_request_body (const mm_http_request *r, size_t *len); /* body */
-const char *mm_http_request_query (const mm_http_request *r, const char *key); /* ?key= */
-void mm_http_reply (mm_http_request *r, unsigned status, const char *body,
-                    uint32_t retry_after_s); /* JSON reply, frees r later */
+  /* ---- mm_http_server: HTTP server (libmicrohttpd) on libev --------------
+   */
+  typedef struct mm_http_server mm_http_server;
+  typedef struct mm_http_request mm_http_request;
+  typedef void (*mm_http_handler) (mm_http_request *req, void *ctx);
+  mm_http_server *mm_http_server_create (struct ev_loop *loop,
+                                         const char *host, uint16_t port,
+                                         size_t max_body_bytes,
+                                         mm_http_handler handler, void *ctx,
+                                         GError **error); /* listen */
+  void mm_http_server_destroy (mm_http_server *s);        /* close all */
+  void mm_http_server_quiesce (mm_http_server *s);        /* stop accepting */
+  uint32_t
+  mm_http_server_in_flight (const mm_http_server *s);     /* open requests */
+  uint16_t mm_http_server_port (const mm_http_server *s); /* bound port */
+  const char *mm_http_request_method (const mm_http_request *r); /* "GET" */
+  const char *mm_http_request_path (const mm_http_request *r); /* "/v1/jobs" */
+  const char *mm_http_request_body (const mm_http_request *r,
+                                    size_t *len); /* body */
+  const char *mm_http_request_query (const mm_http_request *r,
+                                     const char *key); /* ?key= */
+  void mm_http_reply (mm_http_request *r, unsigned status, const char *body,
+                      uint32_t retry_after_s); /* JSON reply, frees r later */
 
-/* ---- mm_http_client: HTTP client (libcurl multi) on libev -------------- */
-typedef struct mm_http_client mm_http_client;
-typedef struct
-{
-  long status;         /* HTTP status, 0 when no answer */
-  const char *body;    /* answer body, NUL-terminated */
-  size_t body_bytes;   /* its length */
-  bool sent;           /* the request left this process */
-  GError *error;       /* transport failure, or NULL */
-} mm_http_result;
-typedef void (*mm_http_done) (const mm_http_result *res, void *ctx);
-mm_http_client *mm_http_client_create (struct ev_loop *loop,
-                                       uint32_t max_host_connections); /* */
-void mm_http_client_destroy (mm_http_client *c); /* abort all */
-void mm_http_client_call (mm_http_client *c, const char *method,
-                          const char *url, const char *body,
-                          mm_time_ms timeout_ms, mm_http_done done,
-                          void *ctx); /* async call */
-uint32_t mm_http_client_in_flight (const mm_http_client *c); /* open calls */
-char *mm_http_call_sync (const char *method, const char *url,
-                         const char *body, mm_time_ms timeout_ms,
-                         long *status, GError **error); /* blocking, for CLI */
+  /* ---- mm_http_client: HTTP client (libcurl multi) on libev --------------
+   */
+  typedef struct mm_http_client mm_http_client;
+  typedef struct
+  {
+    long status;       /* HTTP status, 0 when no answer */
+    const char *body;  /* answer body, NUL-terminated */
+    size_t body_bytes; /* its length */
+    bool sent;         /* the request left this process */
+    GError *error;     /* transport failure, or NULL */
+  } mm_http_result;
+  typedef void (*mm_http_done) (const mm_http_result *res, void *ctx);
+  mm_http_client *mm_http_client_create (struct ev_loop *loop,
+                                         uint32_t max_host_connections); /* */
+  void mm_http_client_destroy (mm_http_client *c); /* abort all */
+  void mm_http_client_call (mm_http_client *c, const char *method,
+                            const char *url, const char *body,
+                            mm_time_ms timeout_ms, mm_http_done done,
+                            void *ctx);                        /* async call */
+  uint32_t mm_http_client_in_flight (const mm_http_client *c); /* open calls */
+  char *mm_http_call_sync (const char *method, const char *url,
+                           const char *body, mm_time_ms timeout_ms,
+                           long *status,
+                           GError **error); /* blocking, for CLI */
 
-/* ---- mm_job: jobs and tasks -------------------------------------------- */
-typedef enum
-{
-  MM_TASK_PENDING,  /* not sent anywhere */
-  MM_TASK_RUNNING,  /* sent to an upstream */
-  MM_TASK_DONE,     /* result in hand */
-  MM_TASK_FAILED,   /* ran and failed */
-  MM_TASK_UNKNOWN,  /* sent, outcome lost (never retried if not idempotent) */
-  MM_TASK_NOT_RUN   /* never started anywhere */
-} mm_task_state;
-typedef struct
-{
-  char *id;              /* task id, unique in its job */
-  char *payload;         /* opaque payload */
-  mm_time_ms run_ms;     /* declared run time (a hint) */
-  mm_time_ms deadline_ms; /* relative to submission */
-  bool idempotent;       /* may be run again */
-  mm_task_state state;   /* where it is */
-  char *result;          /* upstream result, when DONE */
-  uint32_t attempts;     /* sends so far */
-  int32_t upstream;      /* index of the upstream it runs on, -1 none */
-  mm_time_ms started_ms; /* when last sent */
-  mm_time_ms finished_ms; /* when its result came */
-} mm_task;
-typedef struct
-{
-  char *id;             /* job id, chosen by the caller */
-  char *team;           /* team (customer) the job belongs to */
-  uint32_t n_tasks;     /* number of tasks */
-  mm_task *tasks;       /* the tasks */
-  mm_time_ms submitted_ms; /* when accepted */
-} mm_job;
-mm_job *mm_job_parse_json (const char *body, size_t len,
-                           uint32_t max_tasks, GError **error); /* decode */
-void mm_job_destroy (mm_job *job);            /* free a job */
-const char *mm_task_state_name (mm_task_state s); /* "done", ... */
-bool mm_job_pack (const mm_job *job, GByteArray *out); /* msgpack encode */
-mm_job *mm_job_unpack (const uint8_t *data, size_t len, uint32_t max_tasks,
-                       GError **error);       /* msgpack decode */
+  /* ---- mm_job: jobs and tasks --------------------------------------------
+   */
+  typedef enum
+  {
+    MM_TASK_PENDING, /* not sent anywhere */
+    MM_TASK_RUNNING, /* sent to an upstream */
+    MM_TASK_DONE,    /* result in hand */
+    MM_TASK_FAILED,  /* ran and failed */
+    MM_TASK_UNKNOWN, /* sent, outcome lost (never retried if not idempotent) */
+    MM_TASK_NOT_RUN  /* never started anywhere */
+  } mm_task_state;
+  typedef struct
+  {
+    char *id;               /* task id, unique in its job */
+    char *payload;          /* opaque payload */
+    mm_time_ms run_ms;      /* declared run time (a hint) */
+    mm_time_ms deadline_ms; /* relative to submission */
+    bool idempotent;        /* may be run again */
+    mm_task_state state;    /* where it is */
+    char *result;           /* upstream result, when DONE */
+    uint32_t attempts;      /* sends so far */
+    int32_t upstream;       /* index of the upstream it runs on, -1 none */
+    mm_time_ms started_ms;  /* when last sent */
+    mm_time_ms finished_ms; /* when its result came */
+  } mm_task;
+  typedef struct
+  {
+    char *id;                /* job id, chosen by the caller */
+    char *team;              /* team (customer) the job belongs to */
+    uint32_t n_tasks;        /* number of tasks */
+    mm_task *tasks;          /* the tasks */
+    mm_time_ms submitted_ms; /* when accepted */
+  } mm_job;
+  mm_job *mm_job_parse_json (const char *body, size_t len, uint32_t max_tasks,
+                             GError **error);            /* decode */
+  void mm_job_destroy (mm_job *job);                     /* free a job */
+  const char *mm_task_state_name (mm_task_state s);      /* "done", ... */
+  bool mm_job_pack (const mm_job *job, GByteArray *out); /* msgpack encode */
+  mm_job *mm_job_unpack (const uint8_t *data, size_t len, uint32_t max_tasks,
+                         GError **error); /* msgpack decode */
 
-/* ---- mm_cfg: published configuration records --------------------------- */
-char *mm_cfg_record_text (const char *kind, int64_t parent, const char *base,
-                          const char *const *sites,
-                          const char *const *overlays,
-                          GError **error); /* checked record, or NULL */
+  /* ---- mm_cfg: published configuration records ---------------------------
+   */
+  char *mm_cfg_record_text (const char *kind, int64_t parent, const char *base,
+                            const char *const *sites,
+                            const char *const *overlays,
+                            GError **error); /* checked record, or NULL */
 
-/* ---- mm_peer: TCP links between entry instances, msgpack frames -------- */
-typedef struct mm_peer mm_peer;
-typedef struct
-{
-  unsigned status;        /* the owner's HTTP status for the caller */
-  uint32_t retry_after_s; /* its Retry-After, 0 for none */
-  const char *body;       /* its JSON answer */
-  GError *error;          /* link failure: no answer came */
-} mm_peer_answer;
-typedef void (*mm_peer_request_cb) (mm_peer *p, uint64_t conn_id,
-                                    uint64_t req_id, const uint8_t *job,
-                                    size_t len, void *ctx); /* job came */
-typedef void (*mm_peer_answer_cb) (const mm_peer_answer *a, void *ctx);
-mm_peer *mm_peer_create (struct ev_loop *loop, const char *host,
-                         uint16_t port, mm_peer_request_cb on_request,
-                         void *ctx, GError **error); /* listen */
-void mm_peer_destroy (mm_peer *p);                   /* close all links */
-void mm_peer_forward (mm_peer *p, const char *addr, const uint8_t *job,
-                      size_t len, mm_time_ms timeout_ms,
-                      mm_peer_answer_cb done, void *ctx); /* to the owner */
-void mm_peer_reply (mm_peer *p, uint64_t conn_id, uint64_t req_id,
-                    unsigned status, uint32_t retry_after_s,
-                    const char *body); /* answer a forwarded job */
-uint16_t mm_peer_port (const mm_peer *p); /* bound port */
+  /* ---- mm_peer: TCP links between entry instances, msgpack frames --------
+   */
+  typedef struct mm_peer mm_peer;
+  typedef struct
+  {
+    unsigned status;        /* the owner's HTTP status for the caller */
+    uint32_t retry_after_s; /* its Retry-After, 0 for none */
+    const char *body;       /* its JSON answer */
+    GError *error;          /* link failure: no answer came */
+  } mm_peer_answer;
+  typedef void (*mm_peer_request_cb) (mm_peer *p, uint64_t conn_id,
+                                      uint64_t req_id, const uint8_t *job,
+                                      size_t len, void *ctx); /* job came */
+  typedef void (*mm_peer_answer_cb) (const mm_peer_answer *a, void *ctx);
+  mm_peer *mm_peer_create (struct ev_loop *loop, const char *host,
+                           uint16_t port, mm_peer_request_cb on_request,
+                           void *ctx, GError **error); /* listen */
+  void mm_peer_destroy (mm_peer *p);                   /* close all links */
+  void mm_peer_forward (mm_peer *p, const char *addr, const uint8_t *job,
+                        size_t len, mm_time_ms timeout_ms,
+                        mm_peer_answer_cb done, void *ctx); /* to the owner */
+  void mm_peer_reply (mm_peer *p, uint64_t conn_id, uint64_t req_id,
+                      unsigned status, uint32_t retry_after_s,
+                      const char *body);    /* answer a forwarded job */
+  uint16_t mm_peer_port (const mm_peer *p); /* bound port */
 
-/* ---- mm_hash: rendezvous hashing (xxhash) ------------------------------ */
-int mm_hash_owner (const char *key, char *const *members, size_t n); /* index */
+  /* ---- mm_hash: rendezvous hashing (xxhash) ------------------------------
+   */
+  int mm_hash_owner (const char *key, char *const *members,
+                     size_t n); /* index */
 
-/* ---- mm_daemon: command line shared by the daemons --------------------- */
-typedef enum
-{
-  MM_DAEMON_RUN,   /* settings loaded: run */
-  MM_DAEMON_EXIT,  /* --help, --version or --check done: exit 0 */
-  MM_DAEMON_ERROR  /* bad arguments or settings: exit 2 */
-} mm_daemon_verdict;
-mm_daemon_verdict mm_daemon_args (int argc, char **argv, const char *summary,
-                                  const mm_setting_spec *specs,
-                                  void *settings, GError **error); /* parse */
-void mm_daemon_print_settings_help (const mm_setting_spec *specs); /* keys */
+  /* ---- mm_daemon: command line shared by the daemons ---------------------
+   */
+  typedef enum
+  {
+    MM_DAEMON_RUN,  /* settings loaded: run */
+    MM_DAEMON_EXIT, /* --help, --version or --check done: exit 0 */
+    MM_DAEMON_ERROR /* bad arguments or settings: exit 2 */
+  } mm_daemon_verdict;
+  mm_daemon_verdict mm_daemon_args (int argc, char **argv, const char *summary,
+                                    const mm_setting_spec *specs,
+                                    void *settings,
+                                    GError **error); /* parse */
+  void mm_daemon_print_settings_help (const mm_setting_spec *specs); /* keys */
 
-/* ---- mm_bench: load and experiment runs against entry instances ------- */
-typedef struct
-{
-  char **entries;        /* entry base URLs; jobs go round-robin */
-  uint32_t jobs;         /* jobs to submit */
-  uint32_t tasks;        /* tasks per job */
-  uint32_t concurrency;  /* jobs in flight at once */
-  mm_time_ms run_ms;     /* mean task run time */
-  mm_time_ms deadline_ms; /* per task */
-  double non_idempotent; /* share of tasks marked non-idempotent */
-  uint32_t seed;         /* run-time draws */
-  mm_time_ms max_ms;     /* stop submitting after this */
-} mm_bench_plan;
-typedef struct
-{
-  uint32_t jobs_complete;  /* whole answers */
-  uint32_t jobs_failed;    /* failed answers */
-  uint32_t jobs_refused;   /* refused before start */
-  uint32_t tasks;          /* tasks in answered jobs */
-  double ratio_p50;        /* response time over ideal */
-  double ratio_p99;
-  double ratio_p999;
-  mm_time_ms wall_ms;      /* whole run */
-} mm_bench_report;
-bool mm_bench_run (const mm_bench_plan *plan, mm_bench_report *out,
-                   GError **error); /* blocking */
+  /* ---- mm_bench: load and experiment runs against entry instances ------- */
+  typedef struct
+  {
+    char **entries;         /* entry base URLs; jobs go round-robin */
+    uint32_t jobs;          /* jobs to submit */
+    uint32_t tasks;         /* tasks per job */
+    uint32_t concurrency;   /* jobs in flight at once */
+    mm_time_ms run_ms;      /* mean task run time */
+    mm_time_ms deadline_ms; /* per task */
+    double non_idempotent;  /* share of tasks marked non-idempotent */
+    uint32_t seed;          /* run-time draws */
+    mm_time_ms max_ms;      /* stop submitting after this */
+  } mm_bench_plan;
+  typedef struct
+  {
+    uint32_t jobs_complete; /* whole answers */
+    uint32_t jobs_failed;   /* failed answers */
+    uint32_t jobs_refused;  /* refused before start */
+    uint32_t tasks;         /* tasks in answered jobs */
+    double ratio_p50;       /* response time over ideal */
+    double ratio_p99;
+    double ratio_p999;
+    mm_time_ms wall_ms; /* whole run */
+  } mm_bench_report;
+  bool mm_bench_run (const mm_bench_plan *plan, mm_bench_report *out,
+                     GError **error); /* blocking */
 
-/* ---- daemons: each runs a loop until told to stop ---------------------- */
-typedef struct mm_platform mm_platform;   /* the platform stand-in */
-typedef struct mm_upstream mm_upstream;   /* the upstream stand-in */
-typedef struct mm_entry mm_entry;         /* an entry instance */
+  /* ---- daemons: each runs a loop until told to stop ----------------------
+   */
+  typedef struct mm_platform mm_platform; /* the platform stand-in */
+  typedef struct mm_upstream mm_upstream; /* the upstream stand-in */
+  typedef struct mm_entry mm_entry;       /* an entry instance */
 
-typedef struct
-{
-  char *listen_host;       /* "127.0.0.1" */
-  int64_t port;            /* HTTP port */
-  int64_t retention_ms;    /* log retention */
-  int64_t member_ttl_ms;   /* member dropped after this silence */
-  int64_t member_lag_ms;   /* the list served is this old */
-} mm_platform_settings;
-extern const mm_setting_spec mm_platform_setting_specs[];
-void mm_platform_settings_defaults (mm_platform_settings *s); /* embedded */
-mm_platform *mm_platform_create (struct ev_loop *loop,
-                                 const mm_platform_settings *s,
-                                 GError **error); /* listen */
-void mm_platform_destroy (mm_platform *p);  /* close */
-char *mm_platform_dump (const mm_platform *p); /* state as JSON */
+  typedef struct
+  {
+    char *listen_host;     /* "127.0.0.1" */
+    int64_t port;          /* HTTP port */
+    int64_t retention_ms;  /* log retention */
+    int64_t member_ttl_ms; /* member dropped after this silence */
+    int64_t member_lag_ms; /* the list served is this old */
+  } mm_platform_settings;
+  extern const mm_setting_spec mm_platform_setting_specs[];
+  void mm_platform_settings_defaults (mm_platform_settings *s); /* embedded */
+  mm_platform *mm_platform_create (struct ev_loop *loop,
+                                   const mm_platform_settings *s,
+                                   GError **error); /* listen */
+  void mm_platform_destroy (mm_platform *p);        /* close */
+  char *mm_platform_dump (const mm_platform *p);    /* state as JSON */
 
-typedef struct
-{
-  char *listen_host;      /* "127.0.0.1" */
-  int64_t port;           /* HTTP port */
-  int64_t slots;          /* tasks it runs at full speed */
-  int64_t connections;    /* HTTP connections it accepts */
-  char *name;             /* member name on the platform */
-  char *datacentre;       /* data centre it belongs to */
-  char *platform_url;     /* where to heartbeat, "" for none */
-  int64_t heartbeat_ms;   /* heartbeat period */
-} mm_upstream_settings;
-extern const mm_setting_spec mm_upstream_setting_specs[];
-void mm_upstream_settings_defaults (mm_upstream_settings *s);
-mm_upstream *mm_upstream_create (struct ev_loop *loop,
-                                 const mm_upstream_settings *s,
-                                 GError **error);
-void mm_upstream_destroy (mm_upstream *u);
-void mm_upstream_drain (mm_upstream *u, void (*drained) (void *), void *ctx); /* graceful */
-char *mm_upstream_dump (const mm_upstream *u);
+  typedef struct
+  {
+    char *listen_host;    /* "127.0.0.1" */
+    int64_t port;         /* HTTP port */
+    int64_t slots;        /* tasks it runs at full speed */
+    int64_t connections;  /* HTTP connections it accepts */
+    char *name;           /* member name on the platform */
+    char *datacentre;     /* data centre it belongs to */
+    char *platform_url;   /* where to heartbeat, "" for none */
+    int64_t heartbeat_ms; /* heartbeat period */
+  } mm_upstream_settings;
+  extern const mm_setting_spec mm_upstream_setting_specs[];
+  void mm_upstream_settings_defaults (mm_upstream_settings *s);
+  mm_upstream *mm_upstream_create (struct ev_loop *loop,
+                                   const mm_upstream_settings *s,
+                                   GError **error);
+  void mm_upstream_destroy (mm_upstream *u);
+  void mm_upstream_drain (mm_upstream *u, void (*drained) (void *),
+                          void *ctx); /* graceful */
+  char *mm_upstream_dump (const mm_upstream *u);
 
-typedef struct
-{
-  char *listen_host;       /* "127.0.0.1" */
-  int64_t port;            /* caller HTTP port */
-  int64_t peer_port;       /* peer TCP port (msgpack frames) */
-  char *name;              /* member name, unique */
-  char *site;              /* site (deployment) whose overlay applies */
-  char *datacentre;        /* data centre */
-  char *platform_url;      /* the platform's service */
-  char **upstreams;        /* "host:port" of upstreams, until the list says */
-  char **peers;            /* "name=host:peer_port" of entry peers in the DC */
-  int64_t upstream_slots;     /* slots of an upstream that does not say */
-  int64_t heartbeat_ms;       /* heartbeat period */
-  int64_t member_poll_ms;     /* member list poll period */
-  int64_t config_poll_ms;     /* config stream poll period */
-  int64_t config_snapshot_ms; /* re-append the head this often */
-  int64_t done_ttl_ms;        /* finished answers kept for resubmits */
-} mm_entry_settings;
-extern const mm_setting_spec mm_entry_setting_specs[];
-void mm_entry_settings_defaults (mm_entry_settings *s);
-mm_entry *mm_entry_create (struct ev_loop *loop, const mm_entry_settings *s,
-                           GError **error);
-void mm_entry_destroy (mm_entry *e);
-void mm_entry_shutdown (mm_entry *e, void (*done) (void *), void *ctx); /* graceful */
-char *mm_entry_dump (const mm_entry *e);
+  typedef struct
+  {
+    char *listen_host;  /* "127.0.0.1" */
+    int64_t port;       /* caller HTTP port */
+    int64_t peer_port;  /* peer TCP port (msgpack frames) */
+    char *name;         /* member name, unique */
+    char *site;         /* site (deployment) whose overlay applies */
+    char *datacentre;   /* data centre */
+    char *platform_url; /* the platform's service */
+    char **upstreams;   /* "host:port" of upstreams, until the list says */
+    char **peers;       /* "name=host:peer_port" of entry peers in the DC */
+    int64_t upstream_slots;     /* slots of an upstream that does not say */
+    int64_t heartbeat_ms;       /* heartbeat period */
+    int64_t member_poll_ms;     /* member list poll period */
+    int64_t config_poll_ms;     /* config stream poll period */
+    int64_t config_snapshot_ms; /* re-append the head this often */
+    int64_t done_ttl_ms;        /* finished answers kept for resubmits */
+  } mm_entry_settings;
+  extern const mm_setting_spec mm_entry_setting_specs[];
+  void mm_entry_settings_defaults (mm_entry_settings *s);
+  mm_entry *mm_entry_create (struct ev_loop *loop, const mm_entry_settings *s,
+                             GError **error);
+  void mm_entry_destroy (mm_entry *e);
+  void mm_entry_shutdown (mm_entry *e, void (*done) (void *),
+                          void *ctx); /* graceful */
+  char *mm_entry_dump (const mm_entry *e);
 
 #ifdef __cplusplus
 }
--- a/src/config.h
+++ b/src/config.h
@@ -5,29 +5,29 @@
 #define MM_CONFIG_H
 
 /* Entry instance.  */
-#define MM_DEFAULT_ENTRY_PORT 7100          /* caller HTTP port */
-#define MM_DEFAULT_MAX_TASKS_PER_JOB 290    /* largest job (letter 1) */
-#define MM_DEFAULT_MAX_BODY_BYTES (4 << 20) /* largest request body */
-#define MM_DEFAULT_TASK_DEADLINE_MS 10000   /* when a task gives none */
-#define MM_DEFAULT_RETRY_BUDGET 2           /* retries per task */
-#define MM_DEFAULT_RETRY_AFTER_S 1          /* told to refused callers */
+#define MM_DEFAULT_ENTRY_PORT 7100           /* caller HTTP port */
+#define MM_DEFAULT_MAX_TASKS_PER_JOB 290     /* largest job (letter 1) */
+#define MM_DEFAULT_MAX_BODY_BYTES (4 << 20)  /* largest request body */
+#define MM_DEFAULT_TASK_DEADLINE_MS 10000    /* when a task gives none */
+#define MM_DEFAULT_RETRY_BUDGET 2            /* retries per task */
+#define MM_DEFAULT_RETRY_AFTER_S 1           /* told to refused callers */
 #define MM_DEFAULT_DISPATCH_TIMEOUT_MS 15000 /* upstream call timeout */
-#define MM_DEFAULT_DONE_TTL_MS 600000       /* finished answers kept */
-#define MM_DEFAULT_MEMBER_POLL_MS 500       /* member list poll */
-#define MM_DEFAULT_CONFIG_POLL_MS 200       /* config stream poll */
-#define MM_DEFAULT_HEARTBEAT_MS 500         /* heartbeat to platform */
-#define MM_DEFAULT_EJECT_AFTER_FAILURES 5   /* failures in a row */
-#define MM_DEFAULT_EJECT_MS 5000            /* how long an ejection lasts */
-#define MM_DEFAULT_MAX_QUEUED_TASKS 20000   /* admission bound */
-#define MM_DEFAULT_UPSTREAM_SLOTS 8         /* slots when not told */
-#define MM_DEFAULT_UPSTREAM_CONNECTIONS 60  /* connections per upstream */
+#define MM_DEFAULT_DONE_TTL_MS 600000        /* finished answers kept */
+#define MM_DEFAULT_MEMBER_POLL_MS 500        /* member list poll */
+#define MM_DEFAULT_CONFIG_POLL_MS 200        /* config stream poll */
+#define MM_DEFAULT_HEARTBEAT_MS 500          /* heartbeat to platform */
+#define MM_DEFAULT_EJECT_AFTER_FAILURES 5    /* failures in a row */
+#define MM_DEFAULT_EJECT_MS 5000             /* how long an ejection lasts */
+#define MM_DEFAULT_MAX_QUEUED_TASKS 20000    /* admission bound */
+#define MM_DEFAULT_UPSTREAM_SLOTS 8          /* slots when not told */
+#define MM_DEFAULT_UPSTREAM_CONNECTIONS 60   /* connections per upstream */
 
 /* Platform stand-in.  */
 #define MM_DEFAULT_PLATFORM_PORT 7000
-#define MM_DEFAULT_RETENTION_MS 600000   /* log records kept */
-#define MM_DEFAULT_MEMBER_TTL_MS 3000    /* member gone after silence */
-#define MM_DEFAULT_MEMBER_LAG_MS 1000    /* the member list lags */
-#define MM_DEFAULT_LOG_READ_MAX 512      /* records per read */
+#define MM_DEFAULT_RETENTION_MS 600000 /* log records kept */
+#define MM_DEFAULT_MEMBER_TTL_MS 3000  /* member gone after silence */
+#define MM_DEFAULT_MEMBER_LAG_MS 1000  /* the member list lags */
+#define MM_DEFAULT_LOG_READ_MAX 512    /* records per read */
 
 /* Upstream stand-in.  */
 #define MM_DEFAULT_UPSTREAM_PORT 7200
--- a/src/mm_bench.c
+++ b/src/mm_bench.c
@@ -38,14 +38,16 @@
   job_ctx *j = ctx;
   bench *b = j->b;
   mm_time_ms took = mm_clock_now_ms () - j->sent_ms;
-  cJSON *o = cJSON_ParseWithLength (res->body ? res->body : "", res->body_bytes);
-  const char *status = cJSON_GetStringValue (cJSON_GetObjectItem (o, "status"));
+  cJSON *o
+      = cJSON_ParseWithLength (res->body ? res->body : "", res->body_bytes);
+  const char *status
+      = cJSON_GetStringValue (cJSON_GetObjectItem (o, "status"));
   bool has_tasks = cJSON_GetArraySize (cJSON_GetObjectItem (o, "tasks")) > 0;
   if (res->status == 200 && status && g_str_equal (status, "complete"))
     {
       b->report->jobs_complete++;
       b->report->tasks += j->tasks;
-      double r = (double) took / (double) j->ideal_ms;
+      double r = (double)took / (double)j->ideal_ms;
       g_array_append_val (b->ratios, r);
     }
   else if (has_tasks)
@@ -75,7 +77,7 @@
     {
       /* Run times: mostly around the mean, one in fifty 4x longer.  */
       double u = g_rand_double (b->rand);
-      mm_time_ms run = (mm_time_ms) (p->run_ms * (0.5 + u));
+      mm_time_ms run = (mm_time_ms)(p->run_ms * (0.5 + u));
       if (g_rand_int_range (b->rand, 0, 50) == 0)
         run *= 4;
       longest = MAX (longest, run);
@@ -84,8 +86,8 @@
       g_snprintf (tid, sizeof tid, "t%u", i);
       cJSON_AddStringToObject (t, "id", tid);
       cJSON_AddStringToObject (t, "payload", "bench");
-      cJSON_AddNumberToObject (t, "run_ms", (double) run);
-      cJSON_AddNumberToObject (t, "deadline_ms", (double) p->deadline_ms);
+      cJSON_AddNumberToObject (t, "run_ms", (double)run);
+      cJSON_AddNumberToObject (t, "deadline_ms", (double)p->deadline_ms);
       cJSON_AddBoolToObject (t, "idempotent",
                              g_rand_double (b->rand) >= p->non_idempotent);
       cJSON_AddItemToArray (tasks, t);
@@ -111,8 +113,8 @@
       char *url = g_strdup_printf ("%s/v1/jobs",
                                    p->entries[b->submitted % n_entries]);
       j->sent_ms = mm_clock_now_ms ();
-      mm_http_client_call (b->client, "POST", url, body,
-                           p->deadline_ms + 5000, job_done, j);
+      mm_http_client_call (b->client, "POST", url, body, p->deadline_ms + 5000,
+                           job_done, j);
       g_free (url);
       free (body);
       b->submitted++;
@@ -123,7 +125,7 @@
 static int
 cmp_double (const void *a, const void *b)
 {
-  double x = *(const double *) a, y = *(const double *) b;
+  double x = *(const double *)a, y = *(const double *)b;
   return (x > y) - (x < y);
 }
 
@@ -132,7 +134,7 @@
 {
   if (!v->len)
     return 0;
-  guint i = (guint) ceil (q * v->len) - 1;
+  guint i = (guint)ceil (q * v->len) - 1;
   return g_array_index (v, double, MIN (i, v->len - 1));
 }
 
--- a/src/mm_cfg.c
+++ b/src/mm_cfg.c
@@ -34,8 +34,8 @@
   { "limits.team_max_queued_tasks", MM_SETTING_INT,
     offsetof (mm_knobs, team_max_queued_tasks), 1, 10000000,
     "tasks waiting or running for one team" },
-  { "dispatch.retry_budget", MM_SETTING_INT,
-    offsetof (mm_knobs, retry_budget), 0, 10, "retries per idempotent task" },
+  { "dispatch.retry_budget", MM_SETTING_INT, offsetof (mm_knobs, retry_budget),
+    0, 10, "retries per idempotent task" },
   { "dispatch.timeout_ms", MM_SETTING_INT,
     offsetof (mm_knobs, dispatch_timeout_ms), 10, 600000,
     "upstream call timeout" },
@@ -172,13 +172,14 @@
   if (!cJSON_IsNumber (parent))
     g_set_error (error, MM_ERROR, MM_ERROR_BAD_REQUEST,
                  "config record %" G_GINT64_FORMAT " has no parent", offset);
-  else if ((int64_t) parent->valuedouble != c->head)
+  else if ((int64_t)parent->valuedouble != c->head)
     {
       c->rejected++;
       g_set_error (error, MM_ERROR, MM_ERROR_CONFIG_REJECTED,
-                   "config record %" G_GINT64_FORMAT " was edited from %"
-                   G_GINT64_FORMAT " but the head was %" G_GINT64_FORMAT,
-                   offset, (int64_t) parent->valuedouble, c->head);
+                   "config record %" G_GINT64_FORMAT
+                   " was edited from %" G_GINT64_FORMAT
+                   " but the head was %" G_GINT64_FORMAT,
+                   offset, (int64_t)parent->valuedouble, c->head);
     }
   else
     ok = take (c, offset, rec, record, error);
@@ -249,7 +250,7 @@
 {
   cJSON *o = cJSON_CreateObject ();
   cJSON_AddStringToObject (o, "kind", kind);
-  cJSON_AddNumberToObject (o, "parent", (double) parent);
+  cJSON_AddNumberToObject (o, "parent", (double)parent);
   cJSON_AddStringToObject (o, "base", base);
   cJSON *ovs = cJSON_AddObjectToObject (o, "overlays");
   for (size_t i = 0; sites && sites[i]; i++)
@@ -275,7 +276,8 @@
     return NULL;
   cJSON *o = cJSON_Parse (c->head_record);
   cJSON_ReplaceItemInObject (o, "kind", cJSON_CreateString ("snapshot"));
-  cJSON_ReplaceItemInObject (o, "parent", cJSON_CreateNumber ((double) c->head));
+  cJSON_ReplaceItemInObject (o, "parent",
+                             cJSON_CreateNumber ((double)c->head));
   char *s = cJSON_PrintUnformatted (o);
   cJSON_Delete (o);
   return s;
--- a/src/mm_cfg.h
+++ b/src/mm_cfg.h
@@ -24,16 +24,16 @@
 mm_cfg *mm_cfg_create (const char *site);
 void mm_cfg_destroy (mm_cfg *c);
 bool mm_cfg_offer (mm_cfg *c, int64_t offset, const char *record,
-                   GError **error);   /* apply if it extends the head */
+                   GError **error); /* apply if it extends the head */
 bool mm_cfg_adopt (mm_cfg *c, int64_t offset, const char *record,
-                   GError **error);   /* take as head (fresh start) */
-int64_t mm_cfg_head (const mm_cfg *c);           /* -1: none yet */
-const mm_knobs *mm_cfg_knobs (const mm_cfg *c);  /* in force */
+                   GError **error);    /* take as head (fresh start) */
+int64_t mm_cfg_head (const mm_cfg *c); /* -1: none yet */
+const mm_knobs *mm_cfg_knobs (const mm_cfg *c);   /* in force */
 const char *mm_cfg_head_record (const mm_cfg *c); /* JSON, or NULL */
-char *mm_cfg_snapshot_record (const mm_cfg *c);  /* re-append text */
-uint64_t mm_cfg_rejected (const mm_cfg *c);      /* records refused */
-char *mm_cfg_make_record (const char *kind, int64_t parent,
-                          const char *base, const char *const *sites,
+char *mm_cfg_snapshot_record (const mm_cfg *c);   /* re-append text */
+uint64_t mm_cfg_rejected (const mm_cfg *c);       /* records refused */
+char *mm_cfg_make_record (const char *kind, int64_t parent, const char *base,
+                          const char *const *sites,
                           const char *const *overlays); /* publisher */
 
 #endif /* MM_CFG_H */
--- a/src/mm_clock.c
+++ b/src/mm_clock.c
@@ -14,7 +14,7 @@
 {
   struct timespec ts;
   clock_gettime (CLOCK_MONOTONIC, &ts);
-  return (mm_time_ms) ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+  return (mm_time_ms)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
 /**
@@ -28,5 +28,5 @@
 {
   struct timespec ts;
   clock_gettime (CLOCK_REALTIME, &ts);
-  return (mm_time_ms) ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+  return (mm_time_ms)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
--- a/src/mm_counters.c
+++ b/src/mm_counters.c
@@ -69,7 +69,7 @@
   gpointer k, v;
   g_hash_table_iter_init (&it, c->by_name);
   while (g_hash_table_iter_next (&it, &k, &v))
-    cJSON_AddNumberToObject (o, k, (double) *(int64_t *) v);
+    cJSON_AddNumberToObject (o, k, (double)*(int64_t *)v);
   char *s = cJSON_PrintUnformatted (o);
   cJSON_Delete (o);
   return s;
--- a/src/mm_daemon.c
+++ b/src/mm_daemon.c
@@ -34,9 +34,9 @@
       return false;
     }
   /* "a.b=1" becomes a table [a] holding b = 1.  */
-  char *key = g_strndup (arg, (gsize) (eq - arg));
+  char *key = g_strndup (arg, (gsize)(eq - arg));
   char *dot = strrchr (key, '.');
-  char *text = dot ? g_strdup_printf ("[%.*s]\n%s = %s\n", (int) (dot - key),
+  char *text = dot ? g_strdup_printf ("[%.*s]\n%s = %s\n", (int)(dot - key),
                                       key, dot + 1, eq + 1)
                    : g_strdup_printf ("%s = %s\n", key, eq + 1);
   mm_toml *t = mm_toml_parse_string (text, "--set", error);
--- a/src/mm_entry.c
+++ b/src/mm_entry.c
@@ -10,7 +10,9 @@
 #include <string.h>
 
 #define SPEC(k, t, f, lo, hi, h)                                              \
-  { k, t, offsetof (mm_entry_settings, f), lo, hi, h }
+  {                                                                           \
+    k, t, offsetof (mm_entry_settings, f), lo, hi, h                          \
+  }
 
 const mm_setting_spec mm_entry_setting_specs[] = {
   SPEC ("entry.listen_host", MM_SETTING_STRING, listen_host, 0, 0,
@@ -122,8 +124,8 @@
 }
 
 static void
-on_peer_job (mm_peer *p, uint64_t conn_id, uint64_t req_id,
-             const uint8_t *job, size_t len, void *ctx)
+on_peer_job (mm_peer *p, uint64_t conn_id, uint64_t req_id, const uint8_t *job,
+             size_t len, void *ctx)
 {
   mm_entry_take_forwarded (ctx, conn_id, req_id, job, len);
 }
@@ -160,31 +162,31 @@
   e->loop = loop;
   copy_settings (&e->settings, s);
   e->counters = mm_counters_create ();
-  e->pool = mm_pool_create ((uint32_t) s->upstream_slots);
+  e->pool = mm_pool_create ((uint32_t)s->upstream_slots);
   e->cfg = mm_cfg_create (s->site);
   e->jobs = g_hash_table_new (g_str_hash, g_str_equal);
   e->answers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free);
-  e->team_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                         NULL);
+  e->team_tasks
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   e->peer_config_max = -1;
   e->members_version = -1;
-  e->peer_addrs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                         g_free);
+  e->peer_addrs
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_queue_init (&e->queue);
   g_queue_init (&e->answer_order);
   ev_idle_init (&e->shutdown_check, shutdown_check_cb);
   e->shutdown_check.data = e;
   for (char **u = s->upstreams; u && *u; u++)
     mm_pool_add (e->pool, *u, *u, 0);
-  e->http = mm_http_server_create (loop, s->listen_host, (uint16_t) s->port,
-                                   MM_DEFAULT_MAX_BODY_BYTES, handle, e,
-                                   error);
+  e->http
+      = mm_http_server_create (loop, s->listen_host, (uint16_t)s->port,
+                               MM_DEFAULT_MAX_BODY_BYTES, handle, e, error);
   if (!e->http)
     {
       mm_entry_destroy (e);
       return NULL;
     }
-  e->peer = mm_peer_create (loop, s->listen_host, (uint16_t) s->peer_port,
+  e->peer = mm_peer_create (loop, s->listen_host, (uint16_t)s->peer_port,
                             on_peer_job, e, error);
   if (!e->peer)
     {
@@ -259,23 +261,25 @@
   cJSON_AddStringToObject (o, "site", e->settings.site);
   cJSON_AddStringToObject (o, "datacentre", e->settings.datacentre);
   cJSON_AddBoolToObject (o, "shutting_down", e->shutting_down);
-  cJSON_AddNumberToObject (o, "config_offset", (double) mm_cfg_head (e->cfg));
+  cJSON_AddNumberToObject (o, "config_offset", (double)mm_cfg_head (e->cfg));
   cJSON_AddNumberToObject (o, "config_rejected",
-                           (double) mm_cfg_rejected (e->cfg));
+                           (double)mm_cfg_rejected (e->cfg));
   const mm_knobs *k = mm_cfg_knobs (e->cfg);
   cJSON *ko = cJSON_AddObjectToObject (o, "config");
-  cJSON_AddNumberToObject (ko, "max_tasks_per_job", (double) k->max_tasks_per_job);
-  cJSON_AddNumberToObject (ko, "retry_budget", (double) k->retry_budget);
+  cJSON_AddNumberToObject (ko, "max_tasks_per_job",
+                           (double)k->max_tasks_per_job);
+  cJSON_AddNumberToObject (ko, "retry_budget", (double)k->retry_budget);
   cJSON_AddNumberToObject (ko, "dispatch_timeout_ms",
-                           (double) k->dispatch_timeout_ms);
-  cJSON_AddNumberToObject (ko, "max_queued_tasks", (double) k->max_queued_tasks);
+                           (double)k->dispatch_timeout_ms);
+  cJSON_AddNumberToObject (ko, "max_queued_tasks",
+                           (double)k->max_queued_tasks);
   cJSON_AddNumberToObject (ko, "team_max_queued_tasks",
-                           (double) k->team_max_queued_tasks);
+                           (double)k->team_max_queued_tasks);
   cJSON *ups = cJSON_AddArrayToObject (o, "upstreams");
   static const char *const states[] = { "live", "leaving", "ejected" };
   for (uint32_t i = 0; i < mm_pool_size (e->pool); i++)
     {
-      const mm_pool_member *m = mm_pool_at (e->pool, (int) i);
+      const mm_pool_member *m = mm_pool_at (e->pool, (int)i);
       cJSON *u = cJSON_CreateObject ();
       cJSON_AddStringToObject (u, "name", m->name);
       cJSON_AddStringToObject (u, "state", states[m->state]);
--- a/src/mm_entry_job.c
+++ b/src/mm_entry_job.c
@@ -25,9 +25,9 @@
 {
   mm_entry *entry;
   mm_job *job;
-  GPtrArray *waiters;   /* waiter * */
-  uint32_t remaining;   /* tasks without a final state */
-  uint32_t refs;        /* table + queue entries + sends in flight */
+  GPtrArray *waiters; /* waiter * */
+  uint32_t remaining; /* tasks without a final state */
+  uint32_t refs;      /* table + queue entries + sends in flight */
   bool finished;
   ev_timer deadline;
 };
@@ -94,9 +94,8 @@
   cJSON *o = cJSON_CreateObject ();
   cJSON_AddStringToObject (o, "job_id", ej->job->id);
   cJSON_AddStringToObject (o, "status", status);
-  cJSON_AddNumberToObject (o, "elapsed_ms",
-                           (double) (mm_clock_now_ms ()
-                                     - ej->job->submitted_ms));
+  cJSON_AddNumberToObject (
+      o, "elapsed_ms", (double)(mm_clock_now_ms () - ej->job->submitted_ms));
   if (why)
     {
       cJSON *err = cJSON_AddObjectToObject (o, "error");
@@ -213,7 +212,7 @@
           task_settled (ej);
         }
     }
-  uint32_t after = (uint32_t) mm_cfg_knobs (e->cfg)->retry_after_s;
+  uint32_t after = (uint32_t)mm_cfg_knobs (e->cfg)->retry_after_s;
   mm_counters_add (e->counters, "jobs_failed", 1);
   g_message ("job %s failed: %s", ej->job->id, why);
   job_finish (ej, code == MM_ERROR_TIMEOUT ? 504 : 502,
@@ -267,7 +266,7 @@
       t->state = MM_TASK_DONE;
       t->finished_ms = mm_clock_now_ms ();
       e->run_ewma_ms = 0.9 * e->run_ewma_ms
-                       + 0.1 * (double) (t->finished_ms - t->started_ms);
+                       + 0.1 * (double)(t->finished_ms - t->started_ms);
       task_settled (ej);
       if (--ej->remaining == 0)
         job_complete (ej);
@@ -280,16 +279,16 @@
       t->attempts--;
       t->state = MM_TASK_PENDING;
       mm_counters_add (e->counters, "resends_not_run", 1);
-      enqueue (e, ej, (uint32_t) (t - ej->job->tasks), true);
+      enqueue (e, ej, (uint32_t)(t - ej->job->tasks), true);
       return;
     }
   /* It ran and failed, or it may have run: only an idempotent task may
      run again, and only within the retry budget.  */
-  if (t->idempotent && t->attempts <= (uint32_t) k->retry_budget)
+  if (t->idempotent && t->attempts <= (uint32_t)k->retry_budget)
     {
       t->state = MM_TASK_PENDING;
       mm_counters_add (e->counters, "retries", 1);
-      enqueue (e, ej, (uint32_t) (t - ej->job->tasks), true);
+      enqueue (e, ej, (uint32_t)(t - ej->job->tasks), true);
       return;
     }
   t->state = o == MM_OUTCOME_FAILED ? MM_TASK_FAILED : MM_TASK_UNKNOWN;
@@ -312,11 +311,12 @@
   if (o == MM_OUTCOME_REFUSED)
     {
       cJSON *a = cJSON_ParseWithLength (res->body, res->body_bytes);
-      seq = (int64_t) cJSON_GetNumberValue (cJSON_GetObjectItem (a, "mode_seq"));
+      seq = (int64_t)cJSON_GetNumberValue (
+          cJSON_GetObjectItem (a, "mode_seq"));
       cJSON_Delete (a);
     }
   mm_pool_done (e->pool, s->upstream, o, seq, mm_clock_now_ms (),
-                (uint32_t) k->eject_after_failures, k->eject_ms);
+                (uint32_t)k->eject_after_failures, k->eject_ms);
   mm_counters_add (e->counters, "upstream_answers", 1);
   if (ej->finished)
     mm_counters_add (e->counters, "answers_unused", 1);
@@ -336,7 +336,7 @@
   cJSON_AddStringToObject (o, "job_id", ej->job->id);
   cJSON_AddStringToObject (o, "task_id", t->id);
   cJSON_AddStringToObject (o, "payload", t->payload);
-  cJSON_AddNumberToObject (o, "run_ms", (double) t->run_ms);
+  cJSON_AddNumberToObject (o, "run_ms", (double)t->run_ms);
   char *body = cJSON_PrintUnformatted (o);
   cJSON_Delete (o);
   char *url = g_strdup_printf ("%s/v1/tasks", m->url);
@@ -405,21 +405,21 @@
   uint32_t slots = mm_pool_live_slots (e->pool, mm_clock_now_ms ());
   if (!slots)
     return 0;
-  double ahead = (double) e->tasks_queued + n_tasks;
-  return (mm_time_ms) (ahead / slots * e->run_ewma_ms);
+  double ahead = (double)e->tasks_queued + n_tasks;
+  return (mm_time_ms)(ahead / slots * e->run_ewma_ms);
 }
 
 static bool
 admit (mm_entry *e, const waiter *req, const mm_job *job)
 {
   const mm_knobs *k = mm_cfg_knobs (e->cfg);
-  uint32_t after = (uint32_t) k->retry_after_s;
-  int64_t team = GPOINTER_TO_SIZE (g_hash_table_lookup (e->team_tasks,
-                                                       job->team));
+  uint32_t after = (uint32_t)k->retry_after_s;
+  int64_t team
+      = GPOINTER_TO_SIZE (g_hash_table_lookup (e->team_tasks, job->team));
   if (e->shutting_down)
     refuse (e, req, 503, MM_ERROR_OVERLOADED,
             "instance is shutting down; not run", after);
-  else if (e->tasks_queued + job->n_tasks > (uint64_t) k->max_queued_tasks)
+  else if (e->tasks_queued + job->n_tasks > (uint64_t)k->max_queued_tasks)
     refuse (e, req, 503, MM_ERROR_OVERLOADED, "instance is full; not run",
             after);
   else if (team + job->n_tasks > k->team_max_queued_tasks)
@@ -434,7 +434,7 @@
   else if (expected_wait_ms (e, job->n_tasks) > first_deadline_ms (job))
     {
       mm_time_ms wait = expected_wait_ms (e, job->n_tasks);
-      uint32_t back = (uint32_t) MAX ((wait + 999) / 1000, (int64_t) after);
+      uint32_t back = (uint32_t)MAX ((wait + 999) / 1000, (int64_t)after);
       refuse (e, req, 503, MM_ERROR_OVERLOADED,
               "the queue would make it miss its deadline; not run", back);
     }
@@ -468,7 +468,7 @@
   e->tasks_queued += job->n_tasks;
   team_add (e, job->team, job->n_tasks);
   ev_timer_init (&ej->deadline, deadline_cb,
-                 (double) first_deadline_ms (job) / 1000.0, 0.);
+                 (double)first_deadline_ms (job) / 1000.0, 0.);
   ej->deadline.data = ej;
   ev_timer_start (e->loop, &ej->deadline);
   for (uint32_t i = 0; i < job->n_tasks; i++)
@@ -489,9 +489,9 @@
     {
       mm_counters_add (e->counters, "resubmits_answered", 1);
       cJSON *o = cJSON_Parse (done);
-      bool ok = g_str_equal (cJSON_GetStringValue (
-                                 cJSON_GetObjectItem (o, "status")),
-                             "complete");
+      bool ok = g_str_equal (
+          cJSON_GetStringValue (cJSON_GetObjectItem (o, "status")),
+          "complete");
       cJSON_Delete (o);
       waiter_reply (e, w, ok ? 200 : 502, done, 0);
       g_free (w);
@@ -529,7 +529,7 @@
          may be running there, so we must not run it here (that could
          start a task twice), and we must not call it "not run" either.
          The caller is answered at once and told when to come back.  */
-      uint32_t after = (uint32_t) mm_cfg_knobs (e->cfg)->retry_after_s;
+      uint32_t after = (uint32_t)mm_cfg_knobs (e->cfg)->retry_after_s;
       char *why = g_strdup_printf ("owner instance unreachable (%s); "
                                    "outcome unknown, resubmit the same job",
                                    a->error->message);
@@ -560,8 +560,8 @@
   const char *body = mm_http_request_body (req, &len);
   GError *err = NULL;
   const mm_knobs *k = mm_cfg_knobs (e->cfg);
-  mm_job *job = mm_job_parse_json (body, len, (uint32_t) k->max_tasks_per_job,
-                                   &err);
+  mm_job *job
+      = mm_job_parse_json (body, len, (uint32_t)k->max_tasks_per_job, &err);
   waiter *w = g_new0 (waiter, 1);
   w->http = req;
   if (!job)
@@ -611,9 +611,8 @@
   waiter *w = g_new0 (waiter, 1);
   w->conn_id = conn_id;
   w->req_id = req_id;
-  mm_job *job = mm_job_unpack (data, len,
-                               (uint32_t) mm_cfg_knobs (e->cfg)->max_tasks_per_job,
-                               &err);
+  mm_job *job = mm_job_unpack (
+      data, len, (uint32_t)mm_cfg_knobs (e->cfg)->max_tasks_per_job, &err);
   if (!job)
     {
       refuse (e, w, err->code == MM_ERROR_JOB_SIZE ? 413 : 400, err->code,
--- a/src/mm_entry_platform.c
+++ b/src/mm_entry_platform.c
@@ -15,8 +15,8 @@
 heartbeat_done (const mm_http_result *res, void *ctx)
 {
   mm_entry *e = ctx;
-  mm_counters_add (e->counters, res->status == 200 ? "heartbeats_ok"
-                                                   : "heartbeats_failed",
+  mm_counters_add (e->counters,
+                   res->status == 200 ? "heartbeats_ok" : "heartbeats_failed",
                    1);
 }
 
@@ -45,7 +45,7 @@
   cJSON_AddStringToObject (o, "datacentre", e->settings.datacentre);
   cJSON_AddStringToObject (o, "site", e->settings.site);
   cJSON_AddStringToObject (o, "state", e->shutting_down ? "leaving" : "live");
-  cJSON_AddNumberToObject (o, "config_offset", (double) mm_cfg_head (e->cfg));
+  cJSON_AddNumberToObject (o, "config_offset", (double)mm_cfg_head (e->cfg));
   char *body = cJSON_PrintUnformatted (o);
   cJSON_Delete (o);
   mm_http_client_call (e->platform, "PUT", url, body, 1000, heartbeat_done, e);
@@ -63,19 +63,20 @@
 take_upstream (mm_entry *e, const cJSON *m)
 {
   const char *addr = cJSON_GetStringValue (cJSON_GetObjectItem (m, "addr"));
-  const char *dc = cJSON_GetStringValue (cJSON_GetObjectItem (m, "datacentre"));
+  const char *dc
+      = cJSON_GetStringValue (cJSON_GetObjectItem (m, "datacentre"));
   const char *state = cJSON_GetStringValue (cJSON_GetObjectItem (m, "state"));
   const cJSON *slots = cJSON_GetObjectItem (m, "slots");
   const cJSON *seq = cJSON_GetObjectItem (m, "mode_seq");
   if (!addr || !dc || !state || strcmp (dc, e->settings.datacentre) != 0)
     return;
   int i = mm_pool_add (e->pool, addr, addr,
-                       cJSON_IsNumber (slots) ? (uint32_t) slots->valuedouble
+                       cJSON_IsNumber (slots) ? (uint32_t)slots->valuedouble
                                               : 0);
-  mm_pool_set_state (e->pool, i, g_str_equal (state, "live")
-                                     ? MM_UPSTREAM_LIVE
-                                     : MM_UPSTREAM_LEAVING,
-                     cJSON_IsNumber (seq) ? (int64_t) seq->valuedouble : 0);
+  mm_pool_set_state (e->pool, i,
+                     g_str_equal (state, "live") ? MM_UPSTREAM_LIVE
+                                                 : MM_UPSTREAM_LEAVING,
+                     cJSON_IsNumber (seq) ? (int64_t)seq->valuedouble : 0);
 }
 
 static void
@@ -95,7 +96,7 @@
       return;
     }
   e->members_version
-      = (int64_t) cJSON_GetNumberValue (cJSON_GetObjectItem (o, "version"));
+      = (int64_t)cJSON_GetNumberValue (cJSON_GetObjectItem (o, "version"));
   const cJSON *m;
   GPtrArray *entries = g_ptr_array_new ();
   g_ptr_array_add (entries, g_strdup (e->settings.name));
@@ -104,7 +105,8 @@
   cJSON_ArrayForEach (m, cJSON_GetObjectItem (o, "members"))
   {
     const char *kind = cJSON_GetStringValue (cJSON_GetObjectItem (m, "kind"));
-    const char *state = cJSON_GetStringValue (cJSON_GetObjectItem (m, "state"));
+    const char *state
+        = cJSON_GetStringValue (cJSON_GetObjectItem (m, "state"));
     if (kind && g_str_equal (kind, "upstream"))
       take_upstream (e, m);
     else if (kind && g_str_equal (kind, "entry") && state
@@ -126,12 +128,12 @@
           }
         if (name && cJSON_IsNumber (off)
             && strcmp (name, e->settings.name) != 0)
-          peer_max = MAX (peer_max, (int64_t) off->valuedouble);
+          peer_max = MAX (peer_max, (int64_t)off->valuedouble);
       }
   }
   g_ptr_array_add (entries, NULL);
   g_strfreev (e->live_entries);
-  e->live_entries = (char **) g_ptr_array_free (entries, FALSE);
+  e->live_entries = (char **)g_ptr_array_free (entries, FALSE);
   e->peer_config_max = peer_max;
   cJSON_Delete (o);
   mm_counters_add (e->counters, "member_polls_ok", 1);
@@ -145,9 +147,9 @@
   /* Only our data centre, and only when it changed: a full list of the
      whole fleet on every poll would break the control-traffic budget
      (docs/CAPACITY.md).  */
-  char *url = g_strdup_printf ("%s/v1/members?datacentre=%s&since=%" G_GINT64_FORMAT,
-                               e->settings.platform_url, e->settings.datacentre,
-                               e->members_version);
+  char *url = g_strdup_printf (
+      "%s/v1/members?datacentre=%s&since=%" G_GINT64_FORMAT,
+      e->settings.platform_url, e->settings.datacentre, e->members_version);
   mm_http_client_call (e->platform, "GET", url, NULL, 1000, members_done, e);
   g_free (url);
 }
@@ -184,7 +186,8 @@
   const cJSON *r, *pick = NULL;
   cJSON_ArrayForEach (r, records)
   {
-    int64_t off = (int64_t) cJSON_GetNumberValue (cJSON_GetObjectItem (r, "offset"));
+    int64_t off
+        = (int64_t)cJSON_GetNumberValue (cJSON_GetObjectItem (r, "offset"));
     const cJSON *d = cJSON_GetObjectItem (r, "data");
     const char *kind = cJSON_GetStringValue (cJSON_GetObjectItem (d, "kind"));
     if (e->peer_config_max >= 0 ? off == e->peer_config_max
@@ -193,7 +196,8 @@
   }
   if (!pick)
     return -1;
-  int64_t off = (int64_t) cJSON_GetNumberValue (cJSON_GetObjectItem (pick, "offset"));
+  int64_t off
+      = (int64_t)cJSON_GetNumberValue (cJSON_GetObjectItem (pick, "offset"));
   char *text = cJSON_PrintUnformatted (cJSON_GetObjectItem (pick, "data"));
   GError *err = NULL;
   if (mm_cfg_adopt (e->cfg, off, text, &err))
@@ -210,9 +214,9 @@
 snapshot_done (const mm_http_result *res, void *ctx)
 {
   mm_entry *e = ctx;
-  mm_counters_add (e->counters, res->status == 200 ? "config_snapshots"
-                                                   : "config_snapshots_failed",
-                   1);
+  mm_counters_add (
+      e->counters,
+      res->status == 200 ? "config_snapshots" : "config_snapshots_failed", 1);
 }
 
 /* Before retention drops the head, one live instance (the rendezvous
@@ -246,7 +250,8 @@
       return;
     }
   cJSON *o = cJSON_ParseWithLength (res->body, res->body_bytes);
-  int64_t first = (int64_t) cJSON_GetNumberValue (cJSON_GetObjectItem (o, "first"));
+  int64_t first
+      = (int64_t)cJSON_GetNumberValue (cJSON_GetObjectItem (o, "first"));
   const cJSON *records = cJSON_GetObjectItem (o, "records");
   int64_t skip_to = -1;
   if (first > e->config_cursor && mm_cfg_head (e->cfg) < 0)
@@ -254,7 +259,8 @@
   const cJSON *r;
   cJSON_ArrayForEach (r, records)
   {
-    int64_t off = (int64_t) cJSON_GetNumberValue (cJSON_GetObjectItem (r, "offset"));
+    int64_t off
+        = (int64_t)cJSON_GetNumberValue (cJSON_GetObjectItem (r, "offset"));
     if (off > skip_to)
       apply_record (e, off, cJSON_GetObjectItem (r, "data"));
     e->config_cursor = off + 1;
@@ -286,15 +292,15 @@
   if (!*e->settings.platform_url)
     return;
   ev_timer_init (&e->heartbeat, heartbeat_cb, 0.,
-                 (double) e->settings.heartbeat_ms / 1000.0);
+                 (double)e->settings.heartbeat_ms / 1000.0);
   e->heartbeat.data = e;
   ev_timer_start (e->loop, &e->heartbeat);
   ev_timer_init (&e->member_poll, member_poll_cb, 0.,
-                 (double) e->settings.member_poll_ms / 1000.0);
+                 (double)e->settings.member_poll_ms / 1000.0);
   e->member_poll.data = e;
   ev_timer_start (e->loop, &e->member_poll);
   ev_timer_init (&e->config_poll, config_poll_cb, 0.,
-                 (double) e->settings.config_poll_ms / 1000.0);
+                 (double)e->settings.config_poll_ms / 1000.0);
   e->config_poll.data = e;
   ev_timer_start (e->loop, &e->config_poll);
 }
--- a/src/mm_error.c
+++ b/src/mm_error.c
@@ -1,7 +1,7 @@
 /* mm_error: the MM_ERROR GError domain and the names of its codes.  */
 #include "masticmill.h"
 
-G_DEFINE_QUARK (mm-error-quark, mm_error)
+G_DEFINE_QUARK (mm - error - quark, mm_error)
 
 static const char *const code_names[] = {
   [MM_ERROR_CONFIG_SYNTAX] = "config_syntax",
@@ -29,8 +29,7 @@
 const char *
 mm_error_code_name (int code)
 {
-  if (code < 0 || code >= (int) G_N_ELEMENTS (code_names)
-      || !code_names[code])
+  if (code < 0 || code >= (int)G_N_ELEMENTS (code_names) || !code_names[code])
     return "unknown";
   return code_names[code];
 }
--- a/src/mm_hash.c
+++ b/src/mm_hash.c
@@ -27,7 +27,7 @@
       if (best < 0 || score > best_score
           || (score == best_score && strcmp (members[i], members[best]) < 0))
         {
-          best = (int) i;
+          best = (int)i;
           best_score = score;
         }
     }
--- a/src/mm_http_client.c
+++ b/src/mm_http_client.c
@@ -44,11 +44,10 @@
   res.sent = uploaded > 0 && code != CURLE_COULDNT_CONNECT
              && code != CURLE_COULDNT_RESOLVE_HOST;
   if (code != CURLE_OK)
-    res.error = g_error_new (MM_ERROR,
-                             code == CURLE_OPERATION_TIMEDOUT
-                                 ? MM_ERROR_TIMEOUT
-                                 : MM_ERROR_IO,
-                             "%s", curl_easy_strerror (code));
+    res.error = g_error_new (
+        MM_ERROR,
+        code == CURLE_OPERATION_TIMEDOUT ? MM_ERROR_TIMEOUT : MM_ERROR_IO,
+        "%s", curl_easy_strerror (code));
   res.body = c->answer->str;
   res.body_bytes = c->answer->len;
   c->client->in_flight--;
@@ -73,7 +72,7 @@
       if (msg->msg != CURLMSG_DONE)
         continue;
       call *c = NULL;
-      curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, (char **) &c);
+      curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, (char **)&c);
       finish_call (c, msg->data.result);
     }
 }
@@ -81,7 +80,7 @@
 static void
 sock_cb_ev (struct ev_loop *loop, ev_io *w, int revents)
 {
-  sock_watch *sw = (sock_watch *) w;
+  sock_watch *sw = (sock_watch *)w;
   /* curl may close this socket inside socket_action, and our socket
      callback then frees sw: a crash under load when read after.  Keep
      what we need first.  */
@@ -140,7 +139,7 @@
   ev_timer_stop (client->loop, &client->timer);
   if (timeout_ms >= 0)
     {
-      ev_timer_set (&client->timer, (double) timeout_ms / 1000.0, 0.);
+      ev_timer_set (&client->timer, (double)timeout_ms / 1000.0, 0.);
       ev_timer_start (client->loop, &client->timer);
     }
   return 0;
@@ -149,7 +148,7 @@
 static size_t
 write_cb (char *ptr, size_t size, size_t n, void *userdata)
 {
-  g_string_append_len (userdata, ptr, (gssize) (size * n));
+  g_string_append_len (userdata, ptr, (gssize)(size * n));
   return size * n;
 }
 
@@ -179,7 +178,7 @@
   curl_multi_setopt (c->multi, CURLMOPT_TIMERFUNCTION, curl_timer_cb);
   curl_multi_setopt (c->multi, CURLMOPT_TIMERDATA, c);
   curl_multi_setopt (c->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                     (long) max_host_connections);
+                     (long)max_host_connections);
   return c;
 }
 
@@ -206,8 +205,9 @@
   CURL *e = curl_easy_init ();
   curl_easy_setopt (e, CURLOPT_URL, url);
   curl_easy_setopt (e, CURLOPT_CUSTOMREQUEST, method);
-  curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, (long) timeout_ms);
-  curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long) MIN (timeout_ms, 2000));
+  curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+  curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)MIN (timeout_ms, 2000));
   curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, write_cb);
   curl_easy_setopt (e, CURLOPT_WRITEDATA, out);
@@ -217,7 +217,7 @@
   if (body)
     {
       curl_easy_setopt (e, CURLOPT_POSTFIELDS, body);
-      curl_easy_setopt (e, CURLOPT_POSTFIELDSIZE, (long) strlen (body));
+      curl_easy_setopt (e, CURLOPT_POSTFIELDSIZE, (long)strlen (body));
     }
   return e;
 }
@@ -243,8 +243,8 @@
   k->body = g_strdup (body);
   k->done = done;
   k->ctx = ctx;
-  k->easy = make_easy (method, url, k->body, timeout_ms, &k->headers,
-                       k->answer);
+  k->easy
+      = make_easy (method, url, k->body, timeout_ms, &k->headers, k->answer);
   curl_easy_setopt (k->easy, CURLOPT_PRIVATE, k);
   c->in_flight++;
   curl_multi_add_handle (c->multi, k->easy);
--- a/src/mm_http_server.c
+++ b/src/mm_http_server.c
@@ -72,7 +72,7 @@
   ev_timer_stop (s->loop, &s->timer);
   if (MHD_get_timeout (s->daemon, &timeout) == MHD_YES)
     {
-      ev_timer_set (&s->timer, (double) timeout / 1000.0, 0.);
+      ev_timer_set (&s->timer, (double)timeout / 1000.0, 0.);
       ev_timer_start (s->loop, &s->timer);
     }
 }
@@ -117,7 +117,7 @@
       if (r->body->len + *upload_size > s->max_body_bytes)
         r->too_large = true;
       else
-        g_byte_array_append (r->body, (const guint8 *) upload, *upload_size);
+        g_byte_array_append (r->body, (const guint8 *)upload, *upload_size);
       *upload_size = 0;
       return MHD_YES;
     }
@@ -125,7 +125,7 @@
     {
       r->dispatched = true;
       s->in_flight++;
-      g_byte_array_append (r->body, (const guint8 *) "", 1);
+      g_byte_array_append (r->body, (const guint8 *)"", 1);
       if (r->too_large)
         {
           char *b = mm_json_error_body (MM_ERROR_BAD_REQUEST,
@@ -198,10 +198,10 @@
   s->ctx = ctx;
   s->max_body_bytes = max_body_bytes;
   s->daemon = MHD_start_daemon (
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, port, NULL, NULL, access_cb,
-      s, MHD_OPTION_SOCK_ADDR, &addr, MHD_OPTION_NOTIFY_COMPLETED,
-      completed_cb, s, MHD_OPTION_CONNECTION_LIMIT, (unsigned) 4096,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, (unsigned) 1, MHD_OPTION_END);
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, port, NULL, NULL, access_cb, s,
+      MHD_OPTION_SOCK_ADDR, &addr, MHD_OPTION_NOTIFY_COMPLETED, completed_cb,
+      s, MHD_OPTION_CONNECTION_LIMIT, (unsigned)4096,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, (unsigned)1, MHD_OPTION_END);
   if (!s->daemon)
     {
       g_set_error (error, MM_ERROR, MM_ERROR_IO,
@@ -277,7 +277,7 @@
 {
   if (len)
     *len = r->body->len ? r->body->len - 1 : 0;
-  return (const char *) r->body->data;
+  return (const char *)r->body->data;
 }
 
 const char *
--- a/src/mm_job.c
+++ b/src/mm_job.c
@@ -58,7 +58,8 @@
   if (!cJSON_IsString (id) || !*id->valuestring)
     return bad (error, MM_ERROR_BAD_REQUEST, "%s.id: missing or empty", where);
   if (payload && !cJSON_IsString (payload))
-    return bad (error, MM_ERROR_BAD_REQUEST, "%s.payload: not a string", where);
+    return bad (error, MM_ERROR_BAD_REQUEST, "%s.payload: not a string",
+                where);
   if (run && (!cJSON_IsNumber (run) || run->valuedouble < 0))
     return bad (error, MM_ERROR_BAD_REQUEST, "%s.run_ms: not a number >= 0",
                 where);
@@ -70,9 +71,8 @@
                 where);
   task->id = g_strdup (id->valuestring);
   task->payload = g_strdup (payload ? payload->valuestring : "");
-  task->run_ms = run ? (mm_time_ms) run->valuedouble : 0;
-  task->deadline_ms = deadline ? (mm_time_ms) deadline->valuedouble
-                               : 10000;
+  task->run_ms = run ? (mm_time_ms)run->valuedouble : 0;
+  task->deadline_ms = deadline ? (mm_time_ms)deadline->valuedouble : 10000;
   task->idempotent = idem ? cJSON_IsTrue (idem) : false;
   task->state = MM_TASK_PENDING;
   task->upstream = -1;
@@ -124,7 +124,7 @@
     bad (error, MM_ERROR_BAD_REQUEST, "%s", "team: not a string");
   else if (!cJSON_IsArray (tasks))
     bad (error, MM_ERROR_BAD_REQUEST, "%s", "tasks: missing or not an array");
-  else if (n == 0 || (uint32_t) n > max_tasks)
+  else if (n == 0 || (uint32_t)n > max_tasks)
     g_set_error (error, MM_ERROR, MM_ERROR_JOB_SIZE,
                  "a job has 1 to %u tasks, this one has %d", max_tasks, n);
   else
@@ -135,9 +135,9 @@
       job->tasks = g_new0 (mm_task, n);
       for (int i = 0; i < n; i++, job->n_tasks++)
         if (!parse_task (cJSON_GetArrayItem (tasks, i), &job->tasks[i],
-                         (uint32_t) i, error))
+                         (uint32_t)i, error))
           break;
-      if (job->n_tasks != (uint32_t) n || !ids_unique (job, error))
+      if (job->n_tasks != (uint32_t)n || !ids_unique (job, error))
         {
           mm_job_destroy (job);
           job = NULL;
--- a/src/mm_job_codec.c
+++ b/src/mm_job_codec.c
@@ -9,7 +9,7 @@
 static int
 write_cb (void *data, const char *buf, size_t len)
 {
-  g_byte_array_append (data, (const guint8 *) buf, len);
+  g_byte_array_append (data, (const guint8 *)buf, len);
   return 0;
 }
 
@@ -65,7 +65,7 @@
 int_of (const msgpack_object *o, int64_t *v)
 {
   if (o->type == MSGPACK_OBJECT_POSITIVE_INTEGER)
-    *v = (int64_t) MIN (o->via.u64, (uint64_t) INT64_MAX);
+    *v = (int64_t)MIN (o->via.u64, (uint64_t)INT64_MAX);
   else if (o->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
     *v = o->via.i64;
   else
@@ -111,7 +111,7 @@
   msgpack_unpacked_init (&msg);
   mm_job *job = NULL;
   size_t off = 0;
-  if (msgpack_unpack_next (&msg, (const char *) data, len, &off)
+  if (msgpack_unpack_next (&msg, (const char *)data, len, &off)
           != MSGPACK_UNPACK_SUCCESS
       || msg.data.type != MSGPACK_OBJECT_ARRAY || msg.data.via.array.size != 3
       || msg.data.via.array.ptr[2].type != MSGPACK_OBJECT_ARRAY)
--- a/src/mm_log.c
+++ b/src/mm_log.c
@@ -34,7 +34,7 @@
 mm_log_format_json (const GLogField *fields, size_t n_fields)
 {
   cJSON *o = cJSON_CreateObject ();
-  cJSON_AddNumberToObject (o, "ts_ms", (double) mm_clock_wall_ms ());
+  cJSON_AddNumberToObject (o, "ts_ms", (double)mm_clock_wall_ms ());
   if (program_name)
     cJSON_AddStringToObject (o, "program", program_name);
   for (size_t i = 0; i < n_fields; i++)
@@ -56,8 +56,9 @@
 json_writer (GLogLevelFlags level, const GLogField *fields, gsize n_fields,
              gpointer user_data)
 {
-  if (!(level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL
-                 | G_LOG_LEVEL_WARNING | G_LOG_LEVEL_MESSAGE))
+  if (!(level
+        & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_WARNING
+           | G_LOG_LEVEL_MESSAGE))
       && !g_getenv ("MM_LOG_DEBUG"))
     return G_LOG_WRITER_HANDLED;
   char *line = mm_log_format_json (fields, n_fields);
--- a/src/mm_peer.c
+++ b/src/mm_peer.c
@@ -36,8 +36,8 @@
   uint16_t port;
   mm_peer_request_cb on_request;
   void *ctx;
-  GHashTable *links_by_id;   /* id -> peer_link */
-  GHashTable *out_by_addr;   /* "host:port" -> peer_link (outgoing) */
+  GHashTable *links_by_id; /* id -> peer_link */
+  GHashTable *out_by_addr; /* "host:port" -> peer_link (outgoing) */
   uint64_t next_link_id;
   uint64_t next_req_id;
 };
@@ -56,10 +56,10 @@
   mm_peer *peer;
   uint64_t id;
   int fd;
-  char *addr;           /* outgoing: the owner's address */
+  char *addr; /* outgoing: the owner's address */
   ev_io rio, wio;
   GByteArray *in, *out;
-  GHashTable *pending;  /* req_id -> pending */
+  GHashTable *pending; /* req_id -> pending */
 };
 
 static void link_close (peer_link *l, const char *why);
@@ -67,7 +67,7 @@
 static int
 write_cb (void *data, const char *buf, size_t len)
 {
-  g_byte_array_append (data, (const guint8 *) buf, len);
+  g_byte_array_append (data, (const guint8 *)buf, len);
   return 0;
 }
 
@@ -75,7 +75,7 @@
 link_queue (peer_link *l, GByteArray *body)
 {
   uint32_t n = htonl (body->len);
-  g_byte_array_append (l->out, (const guint8 *) &n, 4);
+  g_byte_array_append (l->out, (const guint8 *)&n, 4);
   g_byte_array_append (l->out, body->data, body->len);
   ev_io_start (l->peer->loop, &l->wio);
 }
@@ -113,7 +113,7 @@
   msgpack_unpacked msg;
   msgpack_unpacked_init (&msg);
   size_t off = 0;
-  bool ok = msgpack_unpack_next (&msg, (const char *) data, len, &off)
+  bool ok = msgpack_unpack_next (&msg, (const char *)data, len, &off)
                 == MSGPACK_UNPACK_SUCCESS
             && msg.data.type == MSGPACK_OBJECT_ARRAY
             && msg.data.via.array.size >= 3;
@@ -122,7 +122,7 @@
   ok = ok && int_of (&f[0], &type) && int_of (&f[1], &req);
   if (ok && type == FRAME_FORWARD && f[2].type == MSGPACK_OBJECT_BIN)
     l->peer->on_request (l->peer, l->id, req,
-                         (const uint8_t *) f[2].via.bin.ptr, f[2].via.bin.size,
+                         (const uint8_t *)f[2].via.bin.ptr, f[2].via.bin.size,
                          l->peer->ctx);
   else if (ok && type == FRAME_ANSWER && msg.data.via.array.size == 5
            && f[4].type == MSGPACK_OBJECT_STR)
@@ -134,8 +134,8 @@
         {
           g_hash_table_steal (l->pending, &req);
           char *body = g_strndup (f[4].via.str.ptr, f[4].via.str.size);
-          mm_peer_answer a = { .status = (unsigned) status,
-                               .retry_after_s = (uint32_t) after,
+          mm_peer_answer a = { .status = (unsigned)status,
+                               .retry_after_s = (uint32_t)after,
                                .body = body };
           answer_pending (p, &a);
           g_free (body);
@@ -160,7 +160,7 @@
     }
   if (n < 0)
     return;
-  g_byte_array_append (l->in, buf, (guint) n);
+  g_byte_array_append (l->in, buf, (guint)n);
   while (l->in->len >= 4)
     {
       uint32_t len;
@@ -202,7 +202,7 @@
       return;
     }
   if (n > 0)
-    g_byte_array_remove_range (l->out, 0, (guint) n);
+    g_byte_array_remove_range (l->out, 0, (guint)n);
   if (!l->out->len)
     ev_io_stop (loop, w);
 }
@@ -273,8 +273,8 @@
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   socklen_t alen = sizeof a;
   if (inet_pton (AF_INET, host, &a.sin_addr) != 1
-      || bind (fd, (struct sockaddr *) &a, sizeof a) < 0 || listen (fd, 128) < 0
-      || getsockname (fd, (struct sockaddr *) &a, &alen) < 0)
+      || bind (fd, (struct sockaddr *)&a, sizeof a) < 0 || listen (fd, 128) < 0
+      || getsockname (fd, (struct sockaddr *)&a, &alen) < 0)
     {
       g_set_error (error, MM_ERROR, MM_ERROR_IO, "peer port %s:%u: %s", host,
                    port, strerror (errno));
@@ -353,14 +353,15 @@
   if (ok)
     {
       *colon = '\0';
-      a.sin_port = htons ((uint16_t) atoi (colon + 1));
+      a.sin_port = htons ((uint16_t)atoi (colon + 1));
       ok = inet_pton (AF_INET, host, &a.sin_addr) == 1;
     }
   g_free (host);
   int fd = ok ? socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)
               : -1;
-  if (fd < 0 || (connect (fd, (struct sockaddr *) &a, sizeof a) < 0
-                 && errno != EINPROGRESS))
+  if (fd < 0
+      || (connect (fd, (struct sockaddr *)&a, sizeof a) < 0
+          && errno != EINPROGRESS))
     {
       g_set_error (error, MM_ERROR, MM_ERROR_IO, "peer %s: %s", addr,
                    ok ? strerror (errno) : "bad address");
@@ -407,7 +408,7 @@
   pd->ctx = ctx;
   pd->l = l;
   pd->req_id = ++p->next_req_id;
-  ev_timer_init (&pd->timer, timeout_cb, (double) timeout_ms / 1000.0, 0.);
+  ev_timer_init (&pd->timer, timeout_cb, (double)timeout_ms / 1000.0, 0.);
   pd->timer.data = pd;
   ev_timer_start (p->loop, &pd->timer);
   g_hash_table_insert (l->pending, &pd->req_id, pd);
--- a/src/mm_platform.c
+++ b/src/mm_platform.c
@@ -29,9 +29,9 @@
 typedef struct
 {
   char *name;
-  int64_t first;     /* offset of records->head */
-  int64_t head;      /* next offset to write */
-  GQueue records;    /* log_record * */
+  int64_t first;  /* offset of records->head */
+  int64_t head;   /* next offset to write */
+  GQueue records; /* log_record * */
 } log_stream;
 
 typedef struct
@@ -50,8 +50,8 @@
   mm_platform_settings settings;
   mm_http_server *http;
   mm_counters *counters;
-  GHashTable *streams; /* name -> log_stream */
-  GHashTable *members; /* name -> member */
+  GHashTable *streams;     /* name -> log_stream */
+  GHashTable *members;     /* name -> member */
   int64_t members_version; /* bumped whenever the shown list changes */
   bool down;
   int64_t slow_ms;
@@ -97,7 +97,7 @@
 static void
 delayed_cb (struct ev_loop *loop, ev_timer *w, int revents)
 {
-  delayed *d = (delayed *) w;
+  delayed *d = (delayed *)w;
   mm_http_reply (d->req, d->status, d->body, 0);
   g_free (d->body);
   g_free (d);
@@ -118,7 +118,7 @@
   d->status = status;
   d->body = g_strdup (body);
   free (body);
-  ev_timer_init (&d->timer, delayed_cb, (double) p->slow_ms / 1000.0, 0.);
+  ev_timer_init (&d->timer, delayed_cb, (double)p->slow_ms / 1000.0, 0.);
   ev_timer_start (p->loop, &d->timer);
 }
 
@@ -215,12 +215,12 @@
   const char *from_s = mm_http_request_query (req, "from");
   const char *max_s = mm_http_request_query (req, "max");
   int64_t from = from_s ? g_ascii_strtoll (from_s, NULL, 10) : 0;
-  int64_t max = max_s ? g_ascii_strtoll (max_s, NULL, 10)
-                      : MM_DEFAULT_LOG_READ_MAX;
+  int64_t max
+      = max_s ? g_ascii_strtoll (max_s, NULL, 10) : MM_DEFAULT_LOG_READ_MAX;
   max = CLAMP (max, 1, MM_DEFAULT_LOG_READ_MAX);
   cJSON *o = cJSON_CreateObject ();
-  cJSON_AddNumberToObject (o, "first", (double) s->first);
-  cJSON_AddNumberToObject (o, "head", (double) s->head);
+  cJSON_AddNumberToObject (o, "first", (double)s->first);
+  cJSON_AddNumberToObject (o, "head", (double)s->head);
   cJSON *arr = cJSON_AddArrayToObject (o, "records");
   int64_t n = 0;
   for (GList *l = s->records.head; l && n < max; l = l->next)
@@ -229,7 +229,7 @@
       if (r->offset < from)
         continue;
       cJSON *rec = cJSON_CreateObject ();
-      cJSON_AddNumberToObject (rec, "offset", (double) r->offset);
+      cJSON_AddNumberToObject (rec, "offset", (double)r->offset);
       cJSON_AddItemToObject (rec, "data", cJSON_CreateRaw (r->data));
       cJSON_AddItemToArray (arr, rec);
       n++;
@@ -253,7 +253,8 @@
       return;
     }
   cJSON_AddStringToObject (o, "name", name);
-  char *dc = g_strdup (cJSON_GetStringValue (cJSON_GetObjectItem (o, "datacentre")));
+  char *dc = g_strdup (
+      cJSON_GetStringValue (cJSON_GetObjectItem (o, "datacentre")));
   char *text = cJSON_PrintUnformatted (o);
   cJSON_Delete (o);
   mm_time_ms now = mm_clock_now_ms ();
@@ -337,7 +338,7 @@
       return;
     }
   cJSON *o = cJSON_CreateObject ();
-  cJSON_AddNumberToObject (o, "version", (double) p->members_version);
+  cJSON_AddNumberToObject (o, "version", (double)p->members_version);
   cJSON *arr = cJSON_AddArrayToObject (o, "members");
   GHashTableIter it;
   gpointer k, v;
@@ -366,9 +367,9 @@
   if (cJSON_IsBool (down))
     p->down = cJSON_IsTrue (down);
   if (cJSON_IsNumber (slow))
-    p->slow_ms = (int64_t) slow->valuedouble;
+    p->slow_ms = (int64_t)slow->valuedouble;
   if (cJSON_IsNumber (lose))
-    p->lose_answers = (int64_t) lose->valuedouble;
+    p->lose_answers = (int64_t)lose->valuedouble;
   cJSON_Delete (o);
   g_message ("faults: down=%d slow_ms=%" G_GINT64_FORMAT
              " lose_answers=%" G_GINT64_FORMAT,
@@ -393,8 +394,10 @@
   else if (p->down)
     {
       mm_counters_add (p->counters, "refused_down", 1);
-      mm_http_reply (req, 503, "{\"status\":\"failed\",\"error\":"
-                     "{\"code\":\"platform\",\"message\":\"down\"}}", 1);
+      mm_http_reply (req, 503,
+                     "{\"status\":\"failed\",\"error\":"
+                     "{\"code\":\"platform\",\"message\":\"down\"}}",
+                     1);
     }
   else if (g_str_has_prefix (path, "/v1/log/") && path[8])
     {
@@ -429,11 +432,11 @@
   p->settings = *s;
   p->settings.listen_host = g_strdup (s->listen_host);
   p->counters = mm_counters_create ();
-  p->streams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                      free_stream);
-  p->members = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                      free_member);
-  p->http = mm_http_server_create (loop, s->listen_host, (uint16_t) s->port,
+  p->streams
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_stream);
+  p->members
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_member);
+  p->http = mm_http_server_create (loop, s->listen_host, (uint16_t)s->port,
                                    4 << 20, handle, p, error);
   if (!p->http)
     {
@@ -467,8 +470,8 @@
 {
   cJSON *o = cJSON_CreateObject ();
   cJSON_AddBoolToObject (o, "down", p->down);
-  cJSON_AddNumberToObject (o, "slow_ms", (double) p->slow_ms);
-  cJSON_AddNumberToObject (o, "lose_answers", (double) p->lose_answers);
+  cJSON_AddNumberToObject (o, "slow_ms", (double)p->slow_ms);
+  cJSON_AddNumberToObject (o, "lose_answers", (double)p->lose_answers);
   cJSON *streams = cJSON_AddObjectToObject (o, "streams");
   GHashTableIter it;
   gpointer k, v;
@@ -477,8 +480,8 @@
     {
       log_stream *s = v;
       cJSON *so = cJSON_AddObjectToObject (streams, s->name);
-      cJSON_AddNumberToObject (so, "first", (double) s->first);
-      cJSON_AddNumberToObject (so, "head", (double) s->head);
+      cJSON_AddNumberToObject (so, "first", (double)s->first);
+      cJSON_AddNumberToObject (so, "head", (double)s->head);
     }
   cJSON_AddNumberToObject (o, "members", g_hash_table_size (p->members));
   char *c = mm_counters_to_json (p->counters);
--- a/src/mm_pool.c
+++ b/src/mm_pool.c
@@ -46,8 +46,8 @@
 mm_pool_find (const mm_pool *p, const char *name)
 {
   for (guint i = 0; i < p->members->len; i++)
-    if (strcmp (((mm_pool_member *) p->members->pdata[i])->name, name) == 0)
-      return (int) i;
+    if (strcmp (((mm_pool_member *)p->members->pdata[i])->name, name) == 0)
+      return (int)i;
   return -1;
 }
 
@@ -74,7 +74,7 @@
       m->name = g_strdup (name);
       m->url = g_strdup_printf ("http://%s", addr);
       g_ptr_array_add (p->members, m);
-      i = (int) p->members->len - 1;
+      i = (int)p->members->len - 1;
     }
   m->slots = slots ? slots : p->default_slots;
   return i;
@@ -96,8 +96,9 @@
 mm_pool_set_state (mm_pool *p, int i, mm_upstream_state s, int64_t seq)
 {
   mm_pool_member *m = p->members->pdata[i];
-  if (seq < m->state_seq || (seq == m->state_seq && s == MM_UPSTREAM_LIVE
-                             && m->state == MM_UPSTREAM_LEAVING))
+  if (seq < m->state_seq
+      || (seq == m->state_seq && s == MM_UPSTREAM_LIVE
+          && m->state == MM_UPSTREAM_LEAVING))
     return;
   m->state_seq = seq;
   if (m->state == MM_UPSTREAM_EJECTED && s == MM_UPSTREAM_LIVE)
@@ -137,7 +138,7 @@
       uint32_t free_slots = m->slots - m->in_flight;
       if (free_slots > best_free)
         {
-          best = (int) i;
+          best = (int)i;
           best_free = free_slots;
         }
     }
@@ -147,7 +148,7 @@
 void
 mm_pool_sent (mm_pool *p, int i)
 {
-  ((mm_pool_member *) p->members->pdata[i])->in_flight++;
+  ((mm_pool_member *)p->members->pdata[i])->in_flight++;
 }
 
 /**
--- a/src/mm_pool.h
+++ b/src/mm_pool.h
@@ -22,26 +22,26 @@
 
 typedef struct
 {
-  char *name;             /* member name, or the address when static */
-  char *url;              /* "http://host:port" */
-  uint32_t slots;         /* its slots */
-  uint32_t in_flight;     /* tasks sent, not answered */
+  char *name;         /* member name, or the address when static */
+  char *url;          /* "http://host:port" */
+  uint32_t slots;     /* its slots */
+  uint32_t in_flight; /* tasks sent, not answered */
   mm_upstream_state state;
   uint32_t failures_in_row;
   mm_time_ms ejected_until_ms;
-  int64_t state_seq;      /* upstream's mode_seq the state came from */
+  int64_t state_seq; /* upstream's mode_seq the state came from */
 } mm_pool_member;
 
 typedef struct mm_pool mm_pool;
 mm_pool *mm_pool_create (uint32_t default_slots);
 void mm_pool_destroy (mm_pool *p);
 int mm_pool_add (mm_pool *p, const char *name, const char *addr,
-                 uint32_t slots);                 /* or refresh; index */
+                 uint32_t slots);                      /* or refresh; index */
 int mm_pool_find (const mm_pool *p, const char *name); /* index or -1 */
 void mm_pool_set_state (mm_pool *p, int i, mm_upstream_state s,
-                        int64_t seq);               /* newer seq wins */
-int mm_pool_pick (mm_pool *p, mm_time_ms now);   /* -1 when none free */
-void mm_pool_sent (mm_pool *p, int i);            /* a task went out */
+                        int64_t seq);          /* newer seq wins */
+int mm_pool_pick (mm_pool *p, mm_time_ms now); /* -1 when none free */
+void mm_pool_sent (mm_pool *p, int i);         /* a task went out */
 void mm_pool_done (mm_pool *p, int i, mm_outcome o, int64_t seq,
                    mm_time_ms now, uint32_t eject_after, mm_time_ms eject_ms);
 uint32_t mm_pool_size (const mm_pool *p);
--- a/src/mm_settings.c
+++ b/src/mm_settings.c
@@ -56,26 +56,26 @@
 static void
 store (const mm_setting_spec *spec, void *target, const mm_toml_entry *e)
 {
-  char *field = (char *) target + spec->offset;
+  char *field = (char *)target + spec->offset;
   switch (spec->type)
     {
     case MM_SETTING_INT:
-      *(int64_t *) field = e->int_value;
+      *(int64_t *)field = e->int_value;
       break;
     case MM_SETTING_BOOL:
-      *(bool *) field = e->bool_value;
+      *(bool *)field = e->bool_value;
       break;
     case MM_SETTING_STRING:
-      g_free (*(char **) field);
-      *(char **) field = g_strdup (e->string_value);
+      g_free (*(char **)field);
+      *(char **)field = g_strdup (e->string_value);
       break;
     case MM_SETTING_STRINGS:
-      g_strfreev (*(char ***) field);
-      *(char ***) field = g_strdupv (e->strings);
+      g_strfreev (*(char ***)field);
+      *(char ***)field = g_strdupv (e->strings);
       break;
     case MM_SETTING_FLOAT:
-      *(double *) field = e->type == MM_TOML_INT ? (double) e->int_value
-                                                 : e->float_value;
+      *(double *)field
+          = e->type == MM_TOML_INT ? (double)e->int_value : e->float_value;
       break;
     }
 }
@@ -117,12 +117,11 @@
       if (spec->type == MM_SETTING_INT
           && (e->int_value < spec->min || e->int_value > spec->max))
         {
-          g_set_error (error, MM_ERROR, MM_ERROR_CONFIG_RANGE,
-                       "%s:%u: %s: %" G_GINT64_FORMAT
-                       " is out of range %" G_GINT64_FORMAT
-                       "..%" G_GINT64_FORMAT,
-                       src, e->line, e->key, e->int_value, spec->min,
-                       spec->max);
+          g_set_error (
+              error, MM_ERROR, MM_ERROR_CONFIG_RANGE,
+              "%s:%u: %s: %" G_GINT64_FORMAT
+              " is out of range %" G_GINT64_FORMAT "..%" G_GINT64_FORMAT,
+              src, e->line, e->key, e->int_value, spec->min, spec->max);
           return false;
         }
     }
--- a/src/mm_toml.cc
+++ b/src/mm_toml.cc
@@ -66,7 +66,7 @@
           g_ptr_array_add (items, g_strdup (s->get ().c_str ()));
         }
       g_ptr_array_add (items, NULL);
-      e.strings = (char **) g_ptr_array_free (items, FALSE);
+      e.strings = (char **)g_ptr_array_free (items, FALSE);
     }
   else
     {
@@ -86,8 +86,9 @@
 {
   for (auto &&[k, node] : table)
     {
-      std::string key = prefix.empty () ? std::string (k.str ())
-                                        : prefix + "." + std::string (k.str ());
+      std::string key = prefix.empty ()
+                            ? std::string (k.str ())
+                            : prefix + "." + std::string (k.str ());
       if (auto sub = node.as_table ())
         {
           if (!flatten (t, key, *sub, error))
@@ -126,8 +127,8 @@
 {
   try
     {
-      toml::table table = toml::parse (std::string_view (text),
-                                       std::string_view (source));
+      toml::table table
+          = toml::parse (std::string_view (text), std::string_view (source));
       return from_table (table, source, error);
     }
   catch (const toml::parse_error &err)
--- a/src/mm_upstream.c
+++ b/src/mm_upstream.c
@@ -22,8 +22,8 @@
   MODE_FAIL_ALL
 } upstream_mode;
 
-static const char *const mode_names[] = { "normal", "drain", "freeze",
-                                          "fail_all" };
+static const char *const mode_names[]
+    = { "normal", "drain", "freeze", "fail_all" };
 
 typedef struct run run;
 
@@ -35,9 +35,9 @@
   mm_http_client *client;
   mm_counters *counters;
   upstream_mode mode;
-  uint32_t mode_seq;   /* bumped on every mode change */
-  GHashTable *starts;  /* "job/task" -> count (GUINT_TO_POINTER) */
-  GQueue frozen;       /* runs finished while frozen */
+  uint32_t mode_seq;  /* bumped on every mode change */
+  GHashTable *starts; /* "job/task" -> count (GUINT_TO_POINTER) */
+  GQueue frozen;      /* runs finished while frozen */
   uint32_t running;
   ev_timer heartbeat;
   void (*drained) (void *);
@@ -134,7 +134,7 @@
 static void
 run_done_cb (struct ev_loop *loop, ev_timer *w, int revents)
 {
-  run *r = (run *) w;
+  run *r = (run *)w;
   if (r->u->mode == MODE_FREEZE)
     {
       g_queue_push_tail (&r->u->frozen, r);
@@ -169,8 +169,8 @@
     mm_counters_add (u->counters, "tasks_started_again", 1);
   u->running++;
   double ms = cJSON_IsNumber (run_ms) ? run_ms->valuedouble : 0;
-  if (u->running > (uint32_t) u->settings.slots)
-    ms = ms * u->running / (double) u->settings.slots;
+  if (u->running > (uint32_t)u->settings.slots)
+    ms = ms * u->running / (double)u->settings.slots;
   run *r = g_new0 (run, 1);
   r->u = u;
   r->req = req;
@@ -198,21 +198,21 @@
   cJSON *o = cJSON_ParseWithLength (body, len);
   const cJSON *m = cJSON_GetObjectItemCaseSensitive (o, "mode");
   int found = -1;
-  for (int i = 0; cJSON_IsString (m) && i < (int) G_N_ELEMENTS (mode_names);
+  for (int i = 0; cJSON_IsString (m) && i < (int)G_N_ELEMENTS (mode_names);
        i++)
     if (g_str_equal (m->valuestring, mode_names[i]))
       found = i;
   cJSON_Delete (o);
   if (found < 0)
     {
-      char *b = mm_json_error_body (MM_ERROR_BAD_REQUEST,
-                                    "mode is normal, drain, freeze or fail_all",
-                                    0);
+      char *b = mm_json_error_body (
+          MM_ERROR_BAD_REQUEST, "mode is normal, drain, freeze or fail_all",
+          0);
       mm_http_reply (req, 400, b, 0);
       free (b);
       return;
     }
-  u->mode = (upstream_mode) found;
+  u->mode = (upstream_mode)found;
   u->mode_seq++;
   g_message ("mode set to %s", mode_names[found]);
   if (u->mode != MODE_FREEZE)
@@ -273,8 +273,8 @@
 heartbeat_done (const mm_http_result *res, void *ctx)
 {
   mm_upstream *u = ctx;
-  mm_counters_add (u->counters, res->status == 200 ? "heartbeats_ok"
-                                                   : "heartbeats_failed",
+  mm_counters_add (u->counters,
+                   res->status == 200 ? "heartbeats_ok" : "heartbeats_failed",
                    1);
 }
 
@@ -325,7 +325,7 @@
   u->counters = mm_counters_create ();
   u->starts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&u->frozen);
-  u->http = mm_http_server_create (loop, s->listen_host, (uint16_t) s->port,
+  u->http = mm_http_server_create (loop, s->listen_host, (uint16_t)s->port,
                                    1 << 20, handle, u, error);
   if (!u->http)
     {
@@ -334,7 +334,7 @@
     }
   u->client = mm_http_client_create (loop, 4);
   ev_timer_init (&u->heartbeat, heartbeat_cb, 0.,
-                 (double) s->heartbeat_ms / 1000.0);
+                 (double)s->heartbeat_ms / 1000.0);
   u->heartbeat.data = u;
   ev_timer_start (loop, &u->heartbeat);
   return u;
@@ -388,7 +388,7 @@
   cJSON *o = cJSON_CreateObject ();
   cJSON_AddStringToObject (o, "name", u->settings.name);
   cJSON_AddStringToObject (o, "mode", mode_names[u->mode]);
-  cJSON_AddNumberToObject (o, "slots", (double) u->settings.slots);
+  cJSON_AddNumberToObject (o, "slots", (double)u->settings.slots);
   cJSON_AddNumberToObject (o, "running", u->running);
   cJSON_AddNumberToObject (o, "http_in_flight",
                            mm_http_server_in_flight (u->http));
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -20,7 +20,7 @@
 h_port_base (void)
 {
   /* Below the ephemeral range (32768 up), so no client socket holds it. */
-  return 10000 + (int) (getpid () % 500) * 40;
+  return 10000 + (int)(getpid () % 500) * 40;
 }
 
 pid_t
@@ -34,8 +34,8 @@
   const char *a;
   while ((a = va_arg (ap, const char *)))
     {
-      g_ptr_array_add (args, (char *) "--set");
-      g_ptr_array_add (args, (char *) a);
+      g_ptr_array_add (args, (char *)"--set");
+      g_ptr_array_add (args, (char *)a);
     }
   va_end (ap);
   g_ptr_array_add (args, NULL);
@@ -47,7 +47,7 @@
       prctl (PR_SET_PDEATHSIG, SIGKILL);
       if (!g_getenv ("MM_TEST_LOGS"))
         freopen ("/dev/null", "w", stderr);
-      execv (path, (char **) args->pdata);
+      execv (path, (char **)args->pdata);
       _exit (127);
     }
   g_ptr_array_free (args, TRUE);
@@ -79,10 +79,10 @@
   while (mm_clock_now_ms () < until)
     {
       int fd = socket (AF_INET, SOCK_STREAM, 0);
-      struct sockaddr_in a = { .sin_family = AF_INET,
-                               .sin_port = htons ((uint16_t) port) };
+      struct sockaddr_in a
+          = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
       inet_pton (AF_INET, "127.0.0.1", &a.sin_addr);
-      int rc = connect (fd, (struct sockaddr *) &a, sizeof a);
+      int rc = connect (fd, (struct sockaddr *)&a, sizeof a);
       close (fd);
       if (rc == 0)
         return true;
@@ -137,8 +137,8 @@
     if (!g_str_has_prefix (s->string, prefix))
       continue;
     n++;
-    if (max_count && (int) s->valuedouble > *max_count)
-      *max_count = (int) s->valuedouble;
+    if (max_count && (int)s->valuedouble > *max_count)
+      *max_count = (int)s->valuedouble;
   }
   g_free (prefix);
   cJSON_Delete (o);
@@ -194,8 +194,8 @@
                         "platform.member_ttl_ms=1500", h_platform_extra, NULL);
   ck_assert (h_wait_port (base, 5000));
   char plat[64];
-  g_snprintf (plat, sizeof plat, "upstream.platform_url=\"http://127.0.0.1:%d\"",
-              base);
+  g_snprintf (plat, sizeof plat,
+              "upstream.platform_url=\"http://127.0.0.1:%d\"", base);
   n_up = n_upstreams;
   for (int i = 0; i < n_upstreams; i++)
     {
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -9,20 +9,20 @@
 #include <masticmill.h>
 #include <sys/types.h>
 
-int h_port_base (void);                       /* per test process */
-pid_t h_start (const char *program, ...);     /* NULL-ended --set args */
-void h_stop (pid_t pid, int sig);             /* signal and reap */
+int h_port_base (void);                   /* per test process */
+pid_t h_start (const char *program, ...); /* NULL-ended --set args */
+void h_stop (pid_t pid, int sig);         /* signal and reap */
 bool h_wait_port (int port, mm_time_ms timeout_ms);
 cJSON *h_call (const char *method, int port, const char *path,
                const char *body, long *status); /* JSON answer or NULL */
 char *h_job_json (const char *job_id, int n, int run_ms, int deadline_ms,
-                  bool idempotent);            /* a job body */
+                  bool idempotent); /* a job body */
 int h_starts_of (int upstream_port, const char *job_id, int *max_count);
-bool h_wait_json (int port, const char *path, const char *key,
-                  double want, mm_time_ms timeout_ms); /* top-level number */
+bool h_wait_json (int port, const char *path, const char *key, double want,
+                  mm_time_ms timeout_ms); /* top-level number */
 void h_cluster (int n_upstreams, int n_entries, int member_lag_ms);
 void h_cluster_stop (void);
-void h_start_entry (int i);                    /* one more entry instance */
+void h_start_entry (int i); /* one more entry instance */
 extern const char *h_platform_extra, *h_entry_extra; /* one more --set */
 extern pid_t h_platform, h_upstreams[8], h_entries[8];
 extern int h_platform_port, h_upstream_ports[8], h_entry_ports[8];
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -13,7 +13,8 @@
   char path[64];
   g_snprintf (path, sizeof path, "/v1/log/config");
   cJSON *o = h_call ("POST", h_platform_port, path, record, status);
-  int64_t off = (int64_t) cJSON_GetNumberValue (cJSON_GetObjectItem (o, "offset"));
+  int64_t off
+      = (int64_t)cJSON_GetNumberValue (cJSON_GetObjectItem (o, "offset"));
   cJSON_Delete (o);
   return off;
 }
@@ -31,7 +32,7 @@
 budget_at (int entry)
 {
   cJSON *o = h_call ("GET", h_entry_ports[entry], "/v1/state", NULL, NULL);
-  int b = (int) cJSON_GetNumberValue (
+  int b = (int)cJSON_GetNumberValue (
       cJSON_GetObjectItem (cJSON_GetObjectItem (o, "config"), "retry_budget"));
   cJSON_Delete (o);
   return b;
@@ -42,9 +43,10 @@
 {
   char *path = g_strdup_printf ("/tmp/mm-cfg-%d.toml", getpid ());
   g_file_set_contents (path, base_text, -1, NULL);
-  char *cmd = g_strdup_printf ("%s/masticctl --platform http://127.0.0.1:%d "
-                               "--wait-ms 3000 config publish %s >/dev/null 2>&1",
-                               MM_BIN_DIR, h_platform_port, path);
+  char *cmd
+      = g_strdup_printf ("%s/masticctl --platform http://127.0.0.1:%d "
+                         "--wait-ms 3000 config publish %s >/dev/null 2>&1",
+                         MM_BIN_DIR, h_platform_port, path);
   int rc = system (cmd);
   unlink (path);
   g_free (cmd);
@@ -62,7 +64,7 @@
   mm_time_ms t0 = mm_clock_now_ms ();
   ck_assert_int_eq (publish_with_ctl ("[dispatch]\nretry_budget = 5\n"), 0);
   mm_time_ms took = mm_clock_now_ms () - t0;
-  ck_assert_msg (took < 3000, "publish took %ld ms", (long) took);
+  ck_assert_msg (took < 3000, "publish took %ld ms", (long)took);
   for (int i = 0; i < 3; i++)
     ck_assert_int_eq (budget_at (i), 5);
   h_cluster_stop ();
@@ -110,10 +112,10 @@
   long st;
   append (r0, &st);
   for (int i = 0; i < 2; i++)
-    ck_assert (h_wait_json (h_entry_ports[i], "/v1/state", "config_offset", 0,
-                            3000));
-  cJSON_Delete (h_call ("POST", h_platform_port, "/v1/faults",
-                        "{\"down\":true}", NULL));
+    ck_assert (
+        h_wait_json (h_entry_ports[i], "/v1/state", "config_offset", 0, 3000));
+  cJSON_Delete (
+      h_call ("POST", h_platform_port, "/v1/faults", "{\"down\":true}", NULL));
   g_usleep (1500000);
   char *job = h_job_json ("po1", 10, 50, 5000, true);
   cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st);
@@ -150,8 +152,8 @@
   long st;
   append (r0, &st);
   for (int i = 0; i < 2; i++)
-    ck_assert (h_wait_json (h_entry_ports[i], "/v1/state", "config_offset", 0,
-                            3000));
+    ck_assert (
+        h_wait_json (h_entry_ports[i], "/v1/state", "config_offset", 0, 3000));
   g_usleep (3500000);
   cJSON *plat = h_call ("GET", h_platform_port, "/v1/state", NULL, NULL);
   double first = cJSON_GetNumberValue (cJSON_GetObjectItem (
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -41,8 +41,8 @@
 mode (int upstream, const char *m)
 {
   char *body = g_strdup_printf ("{\"mode\":\"%s\"}", m);
-  cJSON_Delete (h_call ("POST", h_upstream_ports[upstream], "/v1/mode", body,
-                        NULL));
+  cJSON_Delete (
+      h_call ("POST", h_upstream_ports[upstream], "/v1/mode", body, NULL));
   g_free (body);
 }
 
@@ -99,13 +99,14 @@
         long st = 0;
         cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st);
         bool ok = st == 200
-                  && g_str_equal (cJSON_GetStringValue (
-                                      cJSON_GetObjectItem (o, "job_id")),
-                                  id);
+                  && g_str_equal (
+                      cJSON_GetStringValue (cJSON_GetObjectItem (o, "job_id")),
+                      id);
         const cJSON *t;
         cJSON_ArrayForEach (t, cJSON_GetObjectItem (o, "tasks"))
         {
-          const char *tid = cJSON_GetStringValue (cJSON_GetObjectItem (t, "id"));
+          const char *tid
+              = cJSON_GetStringValue (cJSON_GetObjectItem (t, "id"));
           const char *res
               = cJSON_GetStringValue (cJSON_GetObjectItem (t, "result"));
           ok = ok && g_str_has_prefix (tid, id) && res
@@ -141,8 +142,9 @@
   ck_assert_int_eq (st, 502);
   ck_assert_str_eq (status_of (o), "failed");
   ck_assert_int_eq (tasks_in_state (o, "done"), 0);
-  ck_assert (cJSON_GetNumberValue (cJSON_GetObjectItem (o, "retry_after_s")) >= 1);
-  ck_assert_msg (took < 5000, "failed answer held back %ld ms", (long) took);
+  ck_assert (cJSON_GetNumberValue (cJSON_GetObjectItem (o, "retry_after_s"))
+             >= 1);
+  ck_assert_msg (took < 5000, "failed answer held back %ld ms", (long)took);
   int max = 0;
   all_starts ("f1", &max);
   ck_assert_int_le (max, 3); /* one try and at most two retries */
@@ -163,8 +165,8 @@
   const char *cfg = "{\"kind\":\"config\",\"parent\":-1,\"base\":"
                     "\"[dispatch]\\ntimeout_ms = 500\\n\",\"overlays\":{}}";
   cJSON_Delete (h_call ("POST", h_platform_port, "/v1/log/config", cfg, NULL));
-  ck_assert (h_wait_json (h_entry_ports[0], "/v1/state", "config_offset", 0,
-                          5000));
+  ck_assert (
+      h_wait_json (h_entry_ports[0], "/v1/state", "config_offset", 0, 5000));
   for (int i = 0; i < 3; i++)
     mode (i, "freeze");
   char *job = h_job_json ("n1", 1, 50, 20000, false);
@@ -204,7 +206,8 @@
   cJSON *state = h_call ("GET", h_upstream_ports[0], "/v1/state", NULL, NULL);
   double refused = cJSON_GetNumberValue (cJSON_GetObjectItem (
       cJSON_GetObjectItem (state, "counters"), "tasks_refused"));
-  ck_assert_msg (refused <= 8, "a leaving upstream was sent %g tasks", refused);
+  ck_assert_msg (refused <= 8, "a leaving upstream was sent %g tasks",
+                 refused);
   cJSON_Delete (state);
   cJSON_Delete (o);
   g_free (job);
@@ -255,8 +258,9 @@
   cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st);
   mm_time_ms took = mm_clock_now_ms () - t0;
   ck_assert_int_eq (st, 503);
-  ck_assert_msg (took < 500, "answer held back %ld ms", (long) took);
-  ck_assert (cJSON_GetNumberValue (cJSON_GetObjectItem (o, "retry_after_s")) >= 2);
+  ck_assert_msg (took < 500, "answer held back %ld ms", (long)took);
+  ck_assert (cJSON_GetNumberValue (cJSON_GetObjectItem (o, "retry_after_s"))
+             >= 2);
   ck_assert_int_eq (h_starts_of (h_upstream_ports[0], "late1", NULL), 0);
   cJSON_Delete (o);
   g_free (job);
@@ -286,7 +290,8 @@
   ck_assert_int_eq (st, 413);
   cJSON_Delete (o);
   o = h_call ("GET", h_entry_ports[0], "/v1/state", NULL, NULL);
-  ck_assert_int_eq (cJSON_GetNumberValue (cJSON_GetObjectItem (o, "tasks_queued")), 0);
+  ck_assert_int_eq (
+      cJSON_GetNumberValue (cJSON_GetObjectItem (o, "tasks_queued")), 0);
   cJSON_Delete (o);
   g_free (big);
   h_cluster_stop ();
@@ -304,8 +309,10 @@
   long st = 0;
   cJSON_Delete (h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st));
   ck_assert_int_eq (st, 200);
-  ck_assert (h_wait_json (h_entry_ports[0], "/v1/state", "answers_kept", 1, 500));
-  ck_assert (h_wait_json (h_entry_ports[0], "/v1/state", "answers_kept", 0, 3000));
+  ck_assert (
+      h_wait_json (h_entry_ports[0], "/v1/state", "answers_kept", 1, 500));
+  ck_assert (
+      h_wait_json (h_entry_ports[0], "/v1/state", "answers_kept", 0, 3000));
   g_free (job);
   h_cluster_stop ();
 }
@@ -321,7 +328,8 @@
   tcase_add_test (tc, crossed_answers_reach_their_own_callers);
   tcase_add_test (tc, failing_upstreams_fail_the_job_whole);
   tcase_add_test (tc, non_idempotent_lost_answer_is_unknown_not_retried);
-  tcase_add_test (tc, leaving_upstream_gets_no_new_work_and_refusals_did_not_run);
+  tcase_add_test (tc,
+                  leaving_upstream_gets_no_new_work_and_refusals_did_not_run);
   tcase_add_test (tc, graceful_shutdown_cuts_off_nothing);
   tcase_add_test (tc, bad_requests_get_typed_errors);
   tcase_add_test (tc, job_given_up_on_is_answered_at_once_with_retry_after);
--- a/tests/test_ownership.c
+++ b/tests/test_ownership.c
@@ -34,7 +34,7 @@
         if ((kids[i] = fork ()) == 0)
           {
             long st = 0;
-            g_usleep ((useconds_t) (i * 30000));
+            g_usleep ((useconds_t)(i * 30000));
             cJSON *o = h_call ("POST", h_entry_ports[i], "/v1/jobs", job, &st);
             const char *status
                 = cJSON_GetStringValue (cJSON_GetObjectItem (o, "status"));
--- a/tests/test_units.c
+++ b/tests/test_units.c
@@ -68,7 +68,8 @@
   ck_assert (!mm_job_parse_json (big, strlen (big), 10, &e));
   ck_assert (g_error_matches (e, MM_ERROR, MM_ERROR_JOB_SIZE));
   g_clear_error (&e);
-  const char *dup = "{\"job_id\":\"j\",\"tasks\":[{\"id\":\"a\"},{\"id\":\"a\"}]}";
+  const char *dup
+      = "{\"job_id\":\"j\",\"tasks\":[{\"id\":\"a\"},{\"id\":\"a\"}]}";
   ck_assert (!mm_job_parse_json (dup, strlen (dup), 10, &e));
   ck_assert (strstr (e->message, "appears twice"));
   g_clear_error (&e);
@@ -167,7 +168,8 @@
 
 START_TEST (decoders_survive_fuzzing)
 {
-  char *cmd = g_strdup_printf ("%s/fuzz_decoders 5000 > /dev/null", MM_BIN_DIR);
+  char *cmd
+      = g_strdup_printf ("%s/fuzz_decoders 5000 > /dev/null", MM_BIN_DIR);
   ck_assert_int_eq (system (cmd), 0);
   g_free (cmd);
 }
