A request goes out once: libcurl's own resend on a dead kept connection started tasks twice

Cause: when a kept connection dies before the first byte of the answer, libcurl resends the request by itself on a new connection. For a task already taken by the upstream this is a second start that the dispatcher never ordered, also of non-idempotent tasks, and it is in no counter of ours.

Ruled out: a fresh connection per task (new connections to upstreams are dear, and a task costs ~3 packets more), and refusing a second socket (the resend may go out on another pooled connection).

Fix: the body is handed to libcurl by a read callback that gives it out once and aborts a second pass, so a resend never delivers a whole request; the caller sees an answer lost after sending.

Conclusion: one call is at most one whole request on the wire.

--- a/src/mm_http_client.c
+++ b/src/mm_http_client.c
@@ -13,6 +13,14 @@
   uint32_t in_flight;
 };
 
+/* A request body that goes out once: see read_body_once.  */
+typedef struct
+{
+  const char *data;
+  size_t len_bytes;
+  size_t sent_bytes;
+} body_cursor;
+
 typedef struct
 {
   mm_http_client *client;
@@ -20,6 +28,7 @@
   struct curl_slist *headers;
   GString *answer;
   char *body;
+  body_cursor cursor;
   mm_http_done done;
   void *ctx;
 } call;
@@ -198,8 +207,35 @@
   return c->in_flight;
 }
 
+/* Guards against a task started twice by one call: when a kept
+   connection dies before the first byte of the answer, libcurl resends
+   the request by itself on another connection, although the upstream may
+   have taken it already (seen as three requests for two calls,
+   tests/test_http.c).  The guard: a body is handed out once; a second
+   pass over it aborts the transfer, so what a resend delivers is never a
+   whole request, and the caller learns of a lost answer.  */
+static size_t
+read_body_once (char *buf, size_t size, size_t n, void *userdata)
+{
+  body_cursor *b = userdata;
+  size_t left = b->len_bytes - b->sent_bytes;
+  if (left == 0)
+    return CURL_READFUNC_ABORT;
+  size_t take = MIN (left, size * n);
+  memcpy (buf, b->data + b->sent_bytes, take);
+  b->sent_bytes += take;
+  return take;
+}
+
+static body_cursor
+body_of (const char *text)
+{
+  body_cursor b = { .data = text, .len_bytes = text ? strlen (text) : 0 };
+  return b;
+}
+
 static CURL *
-make_easy (const char *method, const char *url, const char *body,
+make_easy (const char *method, const char *url, body_cursor *body,
            mm_time_ms timeout_ms, struct curl_slist **headers, GString *out)
 {
   CURL *e = curl_easy_init ();
@@ -214,10 +250,12 @@
   *headers = curl_slist_append (NULL, "Content-Type: application/json");
   *headers = curl_slist_append (*headers, "Expect:");
   curl_easy_setopt (e, CURLOPT_HTTPHEADER, *headers);
-  if (body)
+  if (body->len_bytes)
     {
-      curl_easy_setopt (e, CURLOPT_POSTFIELDS, body);
-      curl_easy_setopt (e, CURLOPT_POSTFIELDSIZE, (long)strlen (body));
+      curl_easy_setopt (e, CURLOPT_POST, 1L);
+      curl_easy_setopt (e, CURLOPT_READFUNCTION, read_body_once);
+      curl_easy_setopt (e, CURLOPT_READDATA, body);
+      curl_easy_setopt (e, CURLOPT_POSTFIELDSIZE, (long)body->len_bytes);
     }
   return e;
 }
@@ -243,8 +281,9 @@
   k->body = g_strdup (body);
   k->done = done;
   k->ctx = ctx;
-  k->easy
-      = make_easy (method, url, k->body, timeout_ms, &k->headers, k->answer);
+  k->cursor = body_of (k->body);
+  k->easy = make_easy (method, url, &k->cursor, timeout_ms, &k->headers,
+                       k->answer);
   curl_easy_setopt (k->easy, CURLOPT_PRIVATE, k);
   c->in_flight++;
   curl_multi_add_handle (c->multi, k->easy);
@@ -267,7 +306,8 @@
 {
   GString *out = g_string_new (NULL);
   struct curl_slist *headers = NULL;
-  CURL *e = make_easy (method, url, body, timeout_ms, &headers, out);
+  body_cursor cursor = body_of (body);
+  CURL *e = make_easy (method, url, &cursor, timeout_ms, &headers, out);
   CURLcode code = curl_easy_perform (e);
   curl_easy_getinfo (e, CURLINFO_RESPONSE_CODE, status);
   curl_easy_cleanup (e);
