--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -145,6 +145,8 @@
                                     size_t *len); /* body */
   const char *mm_http_request_query (const mm_http_request *r,
                                      const char *key); /* ?key= */
+  const char *mm_http_request_header (const mm_http_request *r,
+                                      const char *name); /* or NULL */
   void mm_http_reply (mm_http_request *r, unsigned status, const char *body,
                       uint32_t retry_after_s); /* JSON reply, frees r later */
 
@@ -163,6 +165,8 @@
   mm_http_client *mm_http_client_create (struct ev_loop *loop,
                                          uint32_t max_host_connections); /* */
   void mm_http_client_destroy (mm_http_client *c); /* abort all */
+  void mm_http_client_set_member (mm_http_client *c,
+                                  const char *name); /* who calls */
   void mm_http_client_call (mm_http_client *c, const char *method,
                             const char *url, const char *body,
                             mm_time_ms timeout_ms, mm_http_done done,
@@ -232,20 +236,28 @@
     GError *error;          /* link failure: no answer came */
   } mm_peer_answer;
   typedef void (*mm_peer_request_cb) (mm_peer *p, uint64_t conn_id,
-                                      uint64_t req_id, const uint8_t *job,
-                                      size_t len, void *ctx); /* job came */
+                                      uint64_t req_id, uint32_t hops,
+                                      const uint8_t *job, size_t len,
+                                      void *ctx); /* job came */
   typedef void (*mm_peer_answer_cb) (const mm_peer_answer *a, void *ctx);
   mm_peer *mm_peer_create (struct ev_loop *loop, const char *host,
                            uint16_t port, mm_peer_request_cb on_request,
                            void *ctx, GError **error); /* listen */
   void mm_peer_destroy (mm_peer *p);                   /* close all links */
-  void mm_peer_forward (mm_peer *p, const char *addr, const uint8_t *job,
-                        size_t len, mm_time_ms timeout_ms,
+  void mm_peer_forward (mm_peer *p, const char *addr, uint32_t hops,
+                        const uint8_t *job, size_t len, mm_time_ms timeout_ms,
                         mm_peer_answer_cb done, void *ctx); /* to the owner */
   void mm_peer_reply (mm_peer *p, uint64_t conn_id, uint64_t req_id,
                       unsigned status, uint32_t retry_after_s,
-                      const char *body);    /* answer a forwarded job */
-  uint16_t mm_peer_port (const mm_peer *p); /* bound port */
+                      const char *body); /* answer a forwarded job */
+  typedef unsigned (*mm_peer_contact_cb) (void *ctx); /* ping's status */
+  void mm_peer_set_contact (mm_peer *p, mm_peer_contact_cb in_contact,
+                            void *ctx); /* what pings are told */
+  void mm_peer_ping (mm_peer *p, const char *addr, mm_time_ms timeout_ms,
+                     mm_peer_answer_cb done,
+                     void *ctx); /* 200: it reaches the platform, 503: not */
+  void mm_peer_drop (mm_peer *p, const char *addr); /* fail its link now */
+  uint16_t mm_peer_port (const mm_peer *p);         /* bound port */
 
   /* ---- mm_hash: rendezvous hashing (xxhash) ------------------------------
    */
@@ -353,6 +365,7 @@
     int64_t config_poll_ms;     /* config stream poll period */
     int64_t config_snapshot_ms; /* re-append the head this often */
     int64_t done_ttl_ms;        /* finished answers kept for resubmits */
+    int64_t shards;             /* shards of the data centre's jobs */
   } mm_entry_settings;
   extern const mm_setting_spec mm_entry_setting_specs[];
   void mm_entry_settings_defaults (mm_entry_settings *s);
--- a/src/config.h
+++ b/src/config.h
@@ -22,6 +22,25 @@
 #define MM_DEFAULT_UPSTREAM_SLOTS 8          /* slots when not told */
 #define MM_DEFAULT_UPSTREAM_CONNECTIONS 60   /* connections per upstream */
 
+/* Ownership of jobs among the entry instances.  */
+#define MM_DEFAULT_SHARDS 16        /* shards of a data centre's jobs */
+#define MM_LOG_CALL_TIMEOUT_MS 1000 /* a call to a shard's log */
+#define MM_VERIFY_TIMEOUT_MS 300    /* then "not run" is not claimed */
+#define MM_VIEW_SETTLE_MS 1000      /* members unchanged: align shards */
+#define MM_SHARD_HOLD_DOWN_MS 2000  /* after losing a shard, do not retake */
+#define MM_SHARD_TICK_MS 150        /* retries, takes, pings */
+#define MM_CONTACT_LOST_MS 500      /* failing this long: no contact */
+#define MM_LIST_GRACE_MS 3000       /* after an outage, drop nobody */
+#define MM_CONTACT_ALONE_MS 1500    /* and no peer has a word: alone */
+#define MM_VOTE_VALID_MS 1000       /* a peer's word on its contact */
+#define MM_PEER_PING_TIMEOUT_MS 400 /* a peer that is slower has no vote */
+#define MM_PEER_SUSPECT_MS 3000     /* not asked again after failing */
+#define MM_FORWARD_MAX_HOPS 3       /* then the job is run where it is */
+#define MM_RELEASE_LIMIT_MS 1500    /* shutdown waits for the log */
+#define MM_FORWARD_SLACK_MS 500     /* past the deadline for the answer */
+#define MM_FENCE_TIMEOUT_MS 1000    /* an upstream's report on a job */
+#define MM_RECOVER_POLL_MS 100      /* asking for tasks still running */
+
 /* Platform stand-in.  */
 #define MM_DEFAULT_PLATFORM_PORT 7000
 #define MM_DEFAULT_RETENTION_MS 600000 /* log records kept */
--- a/src/mm_entry.c
+++ b/src/mm_entry.c
@@ -43,6 +43,8 @@
         INT32_MAX, "re-append the config in force this often"),
   SPEC ("entry.done_ttl_ms", MM_SETTING_INT, done_ttl_ms, 1000, INT32_MAX,
         "finished answers kept this long for resubmits"),
+  SPEC ("entry.shards", MM_SETTING_INT, shards, 1, 1024,
+        "shards of the data centre's jobs; the same on every instance"),
   { NULL },
 };
 
@@ -65,6 +67,7 @@
   s->config_poll_ms = MM_DEFAULT_CONFIG_POLL_MS;
   s->config_snapshot_ms = MM_DEFAULT_RETENTION_MS / 3;
   s->done_ttl_ms = MM_DEFAULT_DONE_TTL_MS;
+  s->shards = MM_DEFAULT_SHARDS;
 }
 
 static void
@@ -124,10 +127,10 @@
 }
 
 static void
-on_peer_job (mm_peer *p, uint64_t conn_id, uint64_t req_id, const uint8_t *job,
-             size_t len, void *ctx)
+on_peer_job (mm_peer *p, uint64_t conn_id, uint64_t req_id, uint32_t hops,
+             const uint8_t *job, size_t len, void *ctx)
 {
-  mm_entry_take_forwarded (ctx, conn_id, req_id, job, len);
+  mm_entry_take_forwarded (ctx, conn_id, req_id, hops, job, len);
 }
 
 static void
@@ -136,7 +139,8 @@
   mm_entry *e = w->data;
   ev_idle_stop (loop, w);
   if (g_hash_table_size (e->jobs) || mm_http_server_in_flight (e->http)
-      || mm_http_client_in_flight (e->upstreams))
+      || mm_http_client_in_flight (e->upstreams)
+      || !mm_entry_shards_released (e))
     return;
   if (e->shutdown_done)
     {
@@ -177,7 +181,7 @@
   ev_idle_init (&e->shutdown_check, shutdown_check_cb);
   e->shutdown_check.data = e;
   for (char **u = s->upstreams; u && *u; u++)
-    mm_pool_add (e->pool, *u, *u, 0);
+    mm_pool_add (e->pool, *u, *u, 0, 0);
   e->http
       = mm_http_server_create (loop, s->listen_host, (uint16_t)s->port,
                                MM_DEFAULT_MAX_BODY_BYTES, handle, e, error);
@@ -195,6 +199,8 @@
     }
   e->upstreams = mm_http_client_create (loop, MM_DEFAULT_UPSTREAM_CONNECTIONS);
   e->platform = mm_http_client_create (loop, 8);
+  mm_http_client_set_member (e->platform, s->name);
+  mm_entry_shards_start (e);
   mm_entry_platform_start (e);
   mm_entry_answers_start (e);
   return e;
@@ -206,6 +212,7 @@
   if (!e)
     return;
   mm_entry_platform_stop (e);
+  ev_timer_stop (e->loop, &e->shutdown_limit);
   ev_idle_stop (e->loop, &e->shutdown_check);
   mm_entry_jobs_free (e);
   mm_http_server_destroy (e->http);
@@ -213,6 +220,7 @@
   g_hash_table_destroy (e->peer_addrs);
   mm_http_client_destroy (e->upstreams);
   mm_http_client_destroy (e->platform);
+  mm_entry_shards_stop (e);
   g_hash_table_destroy (e->jobs);
   g_hash_table_destroy (e->answers);
   g_hash_table_destroy (e->team_tasks);
@@ -290,6 +298,7 @@
   cJSON_AddNumberToObject (o, "tasks_queued", e->tasks_queued);
   cJSON_AddNumberToObject (o, "queue_length", e->queue.length);
   cJSON_AddNumberToObject (o, "answers_kept", g_hash_table_size (e->answers));
+  mm_entry_shards_dump (e, o);
   char *jobs = mm_entry_jobs_dump (e);
   cJSON_AddItemToObject (o, "jobs", cJSON_Parse (jobs));
   free (jobs);
--- /dev/null
+++ b/src/mm_entry_admit.c
@@ -0,0 +1,72 @@
+/* mm_entry_admit: whether a job fits, decided whole and at once.  */
+#include "mm_entry_priv.h"
+
+void
+mm_entry_team_add (mm_entry *e, const char *team, int64_t n)
+{
+  int64_t v = GPOINTER_TO_SIZE (g_hash_table_lookup (e->team_tasks, team));
+  v += n;
+  if (v <= 0)
+    g_hash_table_remove (e->team_tasks, team);
+  else
+    g_hash_table_insert (e->team_tasks, g_strdup (team), GSIZE_TO_POINTER (v));
+}
+
+mm_time_ms
+mm_entry_first_deadline_ms (const mm_job *job)
+{
+  mm_time_ms d = job->tasks[0].deadline_ms;
+  for (uint32_t i = 1; i < job->n_tasks; i++)
+    d = MIN (d, job->tasks[i].deadline_ms);
+  return d;
+}
+
+/* How long until the last task of a new job could start, if every live
+   slot works through the queue at the observed run time.  */
+static mm_time_ms
+expected_wait_ms (mm_entry *e, uint32_t n_tasks)
+{
+  uint32_t slots = mm_pool_live_slots (e->pool, mm_clock_now_ms ());
+  if (!slots)
+    return 0;
+  double ahead = (double)e->tasks_queued + n_tasks;
+  return (mm_time_ms)(ahead / slots * e->run_ewma_ms);
+}
+
+static bool
+refusal (mm_refusal *r, unsigned status, int code, const char *why,
+         uint32_t retry_after_s)
+{
+  *r = (mm_refusal){ status, code, why, retry_after_s };
+  return false;
+}
+
+/**
+ * mm_entry_admit() - does a job fit?
+ * @e: the entry instance.
+ * @job: the job, new to us.
+ * @r: filled in when it does not, with a time to come back.
+ */
+bool
+mm_entry_admit (mm_entry *e, const mm_job *job, mm_refusal *r)
+{
+  const mm_knobs *k = mm_cfg_knobs (e->cfg);
+  uint32_t after = (uint32_t)k->retry_after_s;
+  int64_t team
+      = GPOINTER_TO_SIZE (g_hash_table_lookup (e->team_tasks, job->team));
+  mm_time_ms wait = expected_wait_ms (e, job->n_tasks);
+  if (e->tasks_queued + job->n_tasks > (uint64_t)k->max_queued_tasks)
+    return refusal (r, 503, MM_ERROR_OVERLOADED, "instance is full", after);
+  if (team + job->n_tasks > k->team_max_queued_tasks)
+    return refusal (r, 429, MM_ERROR_OVERLOADED, "team over its quota", after);
+  if (mm_pool_size (e->pool) == 0)
+    return refusal (r, 503, MM_ERROR_UPSTREAM, "no upstream known", after);
+  /* Guard against answering only at the deadline: a job that the queue
+     ahead of it would push past its first deadline is refused now, with
+     the expected wait as its time to come back.  */
+  if (wait > mm_entry_first_deadline_ms (job))
+    return refusal (r, 503, MM_ERROR_OVERLOADED,
+                    "the queue would make it miss its deadline",
+                    (uint32_t)MAX ((wait + 999) / 1000, (int64_t)after));
+  return true;
+}
--- /dev/null
+++ b/src/mm_entry_answer.c
@@ -0,0 +1,111 @@
+/* mm_entry_answer: a job's one answer, and keeping it for resubmits.  */
+#include "mm_entry_priv.h"
+
+typedef struct
+{
+  char *job_id;
+  mm_time_ms at_ms;
+} kept_answer;
+
+/**
+ * mm_entry_answer_json() - the whole answer of a job.
+ * @ej: the job.
+ * @status: "complete" or "failed".
+ * @code: mm_error_code of a failure.
+ * @why: what failed, or NULL.
+ * @retry_after_s: when to come back after a failure.
+ *
+ * Return: JSON text, free with free().
+ */
+char *
+mm_entry_answer_json (const mm_entry_job *ej, const char *status, int code,
+                      const char *why, uint32_t retry_after_s)
+{
+  cJSON *o = cJSON_CreateObject ();
+  cJSON_AddStringToObject (o, "job_id", ej->job->id);
+  cJSON_AddStringToObject (o, "status", status);
+  cJSON_AddNumberToObject (
+      o, "elapsed_ms", (double)(mm_clock_now_ms () - ej->job->submitted_ms));
+  if (why)
+    {
+      cJSON *err = cJSON_AddObjectToObject (o, "error");
+      cJSON_AddStringToObject (err, "code", mm_error_code_name (code));
+      cJSON_AddStringToObject (err, "message", why);
+      cJSON_AddNumberToObject (o, "retry_after_s", retry_after_s);
+    }
+  cJSON *tasks = cJSON_AddArrayToObject (o, "tasks");
+  for (uint32_t i = 0; i < ej->job->n_tasks; i++)
+    {
+      const mm_task *t = &ej->job->tasks[i];
+      cJSON *to = cJSON_CreateObject ();
+      cJSON_AddStringToObject (to, "id", t->id);
+      cJSON_AddStringToObject (to, "state", mm_task_state_name (t->state));
+      if (t->result)
+        cJSON_AddStringToObject (to, "result", t->result);
+      cJSON_AddNumberToObject (to, "attempts", t->attempts);
+      cJSON_AddItemToArray (tasks, to);
+    }
+  char *s = cJSON_PrintUnformatted (o);
+  cJSON_Delete (o);
+  return s;
+}
+
+/**
+ * mm_entry_answer_keep() - keep a finished job's answer for done_ttl_ms.
+ * @e: the entry instance.
+ * @job_id: the job, copied.
+ * @answer: from mm_entry_answer_json(), taken.
+ *
+ * A resubmit in that time gets it without running anything; after that
+ * it goes, so memory stays bounded by the answers of done_ttl_ms.
+ */
+void
+mm_entry_answer_keep (mm_entry *e, const char *job_id, char *answer)
+{
+  g_hash_table_insert (e->answers, g_strdup (job_id), answer);
+  kept_answer *k = g_new0 (kept_answer, 1);
+  k->job_id = g_strdup (job_id);
+  k->at_ms = mm_clock_now_ms ();
+  g_queue_push_tail (&e->answer_order, k);
+}
+
+static void
+drop_older_than (mm_entry *e, mm_time_ms ttl_ms)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  kept_answer *k;
+  while ((k = g_queue_peek_head (&e->answer_order)) && now - k->at_ms > ttl_ms)
+    {
+      g_queue_pop_head (&e->answer_order);
+      g_hash_table_remove (e->answers, k->job_id);
+      mm_counters_add (e->counters, "answers_expired", 1);
+      g_free (k->job_id);
+      g_free (k);
+    }
+}
+
+static void
+sweep_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  mm_entry *e = w->data;
+  drop_older_than (e, e->settings.done_ttl_ms);
+}
+
+/**
+ * mm_entry_answers_start() - start dropping answers older than the TTL.
+ * @e: the entry instance.
+ */
+void
+mm_entry_answers_start (mm_entry *e)
+{
+  ev_timer_init (&e->answer_sweep, sweep_cb, 1., 1.);
+  e->answer_sweep.data = e;
+  ev_timer_start (e->loop, &e->answer_sweep);
+}
+
+void
+mm_entry_answers_free (mm_entry *e)
+{
+  ev_timer_stop (e->loop, &e->answer_sweep);
+  drop_older_than (e, -1);
+}
--- a/src/mm_entry_job.c
+++ b/src/mm_entry_job.c
@@ -1,37 +1,17 @@
-/* mm_entry_job: jobs on an entry instance, from admission to answer.
-
-   A job is admitted whole or refused whole.  Its tasks wait in one FIFO
-   queue and go out only into free upstream slots.  The answer is built
-   once, when every task has a result (complete) or when the job can no
-   longer complete (failed): never a partial answer.  Every caller that
-   submitted the same job id gets that same whole answer; a resubmit of a
-   job in progress waits for it, one of a finished job gets it at once,
-   and neither starts any task again.  */
+/* mm_entry_job: a job on an entry instance, from accept to answer.
+
+   First the job is recorded in its shard's log (ACCEPTING), so that
+   whoever owns the shard later knows of it.  If an earlier owner had it,
+   the upstreams are asked what already ran (RECOVERING).  Then its tasks
+   wait in one FIFO queue and go out only into free upstream slots
+   (RUNNING).  The answer is built once, when every task has a result
+   (complete) or when the job can no longer complete (failed): never a
+   partial answer.  Every caller that submitted the same job id gets that
+   same whole answer.  */
 #include "mm_entry_priv.h"
 
-#include <cJSON.h>
 #include <string.h>
 
-/* Who waits for a job's answer: a caller on HTTP, or a peer instance
-   that forwarded the job to us, its owner.  */
-typedef struct
-{
-  mm_http_request *http; /* NULL for a peer */
-  uint64_t conn_id;      /* peer link */
-  uint64_t req_id;       /* peer request */
-} waiter;
-
-struct mm_entry_job
-{
-  mm_entry *entry;
-  mm_job *job;
-  GPtrArray *waiters; /* waiter * */
-  uint32_t remaining; /* tasks without a final state */
-  uint32_t refs;      /* table + queue entries + sends in flight */
-  bool finished;
-  ev_timer deadline;
-};
-
 typedef struct
 {
   mm_entry_job *ej;
@@ -45,185 +25,196 @@
   int upstream;
 } send_ctx;
 
-static void job_fail (mm_entry_job *ej, int code, const char *why);
-
-static void
-waiter_reply (mm_entry *e, const waiter *w, unsigned status, const char *body,
-              uint32_t retry_after_s)
+void
+mm_entry_job_ref (mm_entry_job *ej)
 {
-  if (w->http)
-    mm_http_reply (w->http, status, body, retry_after_s);
-  else
-    mm_peer_reply (e->peer, w->conn_id, w->req_id, status, retry_after_s,
-                   body);
+  ej->refs++;
 }
 
-static void
-job_unref (mm_entry_job *ej)
+void
+mm_entry_job_unref (mm_entry_job *ej)
 {
   if (--ej->refs)
     return;
+  mm_entry_recovery_free (ej);
   mm_job_destroy (ej->job);
   g_ptr_array_free (ej->waiters, TRUE);
   g_free (ej);
 }
 
 static void
-team_add (mm_entry *e, const char *team, int64_t n)
+task_settled (mm_entry_job *ej)
 {
-  int64_t v = GPOINTER_TO_SIZE (g_hash_table_lookup (e->team_tasks, team));
-  v += n;
-  if (v <= 0)
-    g_hash_table_remove (e->team_tasks, team);
-  else
-    g_hash_table_insert (e->team_tasks, g_strdup (team), GSIZE_TO_POINTER (v));
+  mm_entry *e = ej->entry;
+  e->tasks_queued--;
+  mm_entry_team_add (e, ej->job->team, -1);
 }
 
+/* Out of the table, for good; late calls find it FINISHED.  */
 static void
-task_settled (mm_entry_job *ej)
+job_leave (mm_entry_job *ej)
 {
   mm_entry *e = ej->entry;
-  e->tasks_queued--;
-  team_add (e, ej->job->team, -1);
+  ej->phase = MM_JOB_FINISHED;
+  ev_timer_stop (e->loop, &ej->deadline);
+  g_hash_table_remove (e->jobs, ej->job->id);
 }
 
-static char *
-answer_json (const mm_entry_job *ej, const char *status, int code,
-             const char *why, uint32_t retry_after_s)
+static void
+job_answer (mm_entry_job *ej, unsigned status, const char *answer,
+            uint32_t retry_after_s)
 {
-  cJSON *o = cJSON_CreateObject ();
-  cJSON_AddStringToObject (o, "job_id", ej->job->id);
-  cJSON_AddStringToObject (o, "status", status);
-  cJSON_AddNumberToObject (
-      o, "elapsed_ms", (double)(mm_clock_now_ms () - ej->job->submitted_ms));
-  if (why)
-    {
-      cJSON *err = cJSON_AddObjectToObject (o, "error");
-      cJSON_AddStringToObject (err, "code", mm_error_code_name (code));
-      cJSON_AddStringToObject (err, "message", why);
-      cJSON_AddNumberToObject (o, "retry_after_s", retry_after_s);
-    }
-  cJSON *tasks = cJSON_AddArrayToObject (o, "tasks");
-  for (uint32_t i = 0; i < ej->job->n_tasks; i++)
-    {
-      const mm_task *t = &ej->job->tasks[i];
-      cJSON *to = cJSON_CreateObject ();
-      cJSON_AddStringToObject (to, "id", t->id);
-      cJSON_AddStringToObject (to, "state", mm_task_state_name (t->state));
-      if (t->result)
-        cJSON_AddStringToObject (to, "result", t->result);
-      cJSON_AddNumberToObject (to, "attempts", t->attempts);
-      cJSON_AddItemToArray (tasks, to);
-    }
-  char *s = cJSON_PrintUnformatted (o);
-  cJSON_Delete (o);
-  return s;
+  for (guint i = 0; i < ej->waiters->len; i++)
+    mm_entry_waiter_reply (ej->entry, ej->waiters->pdata[i], status, answer,
+                           retry_after_s);
+  g_ptr_array_set_size (ej->waiters, 0);
 }
 
-typedef struct
+static void
+job_complete (mm_entry_job *ej)
 {
-  char *job_id;
-  mm_time_ms at_ms;
-} kept_answer;
+  mm_counters_add (ej->entry->counters, "jobs_complete", 1);
+  char *answer = mm_entry_answer_json (ej, "complete", 0, NULL, 0);
+  job_leave (ej);
+  job_answer (ej, 200, answer, 0);
+  mm_entry_answer_keep (ej->entry, ej->job->id, answer);
+  mm_entry_job_unref (ej);
+}
 
-/* A finished job's answer is kept for done_ttl_ms, so that a resubmit
-   in that time gets it without running anything; after that it goes,
-   so memory stays bounded by the answers of the last done_ttl_ms.  */
-static void
-keep_answer (mm_entry *e, const char *job_id, char *answer)
+static bool
+is_open (const mm_task *t)
 {
-  g_hash_table_insert (e->answers, g_strdup (job_id), answer);
-  kept_answer *k = g_new0 (kept_answer, 1);
-  k->job_id = g_strdup (job_id);
-  k->at_ms = mm_clock_now_ms ();
-  g_queue_push_tail (&e->answer_order, k);
+  return t->state == MM_TASK_PENDING || t->state == MM_TASK_RUNNING;
 }
 
-static void
-sweep_cb (struct ev_loop *loop, ev_timer *w, int revents)
+static bool
+never_sent (const mm_task *t)
 {
-  mm_entry *e = w->data;
-  mm_time_ms now = mm_clock_now_ms ();
-  kept_answer *k;
-  while ((k = g_queue_peek_head (&e->answer_order))
-         && (now - k->at_ms > e->settings.done_ttl_ms || !loop))
-    {
-      g_queue_pop_head (&e->answer_order);
-      g_hash_table_remove (e->answers, k->job_id);
-      mm_counters_add (e->counters, "answers_expired", 1);
-      g_free (k->job_id);
-      g_free (k);
-    }
+  return t->state == MM_TASK_PENDING && t->attempts == 0;
 }
 
-/**
- * mm_entry_answers_start() - start dropping answers older than the TTL.
- * @e: the entry instance.
- */
-void
-mm_entry_answers_start (mm_entry *e)
+/* Settle every task that has no final state.  One that we never sent is
+   "not run" only when @ours: no other instance can have sent it.
+   Return: tasks that ran or may have run.  */
+static uint32_t
+settle_rest (mm_entry_job *ej, bool ours)
 {
-  ev_timer_init (&e->answer_sweep, sweep_cb, 1., 1.);
-  e->answer_sweep.data = e;
-  ev_timer_start (e->loop, &e->answer_sweep);
+  uint32_t ran = 0;
+  for (uint32_t i = 0; i < ej->job->n_tasks; i++)
+    {
+      mm_task *t = &ej->job->tasks[i];
+      if (is_open (t))
+        {
+          t->state
+              = never_sent (t) && ours ? MM_TASK_NOT_RUN : MM_TASK_UNKNOWN;
+          task_settled (ej);
+        }
+      ran += t->state != MM_TASK_NOT_RUN;
+    }
+  return ran;
 }
 
-/* Answer every waiter at once and keep the answer for resubmits.  */
 static void
-job_finish (mm_entry_job *ej, unsigned status, char *answer,
-            uint32_t retry_after_s)
+fail_now (mm_entry_job *ej, bool ours)
 {
   mm_entry *e = ej->entry;
-  ej->finished = true;
-  ev_timer_stop (e->loop, &ej->deadline);
-  for (guint i = 0; i < ej->waiters->len; i++)
-    waiter_reply (e, ej->waiters->pdata[i], status, answer, retry_after_s);
-  g_ptr_array_set_size (ej->waiters, 0);
-  keep_answer (e, ej->job->id, answer);
-  g_hash_table_remove (e->jobs, ej->job->id);
-  job_unref (ej);
+  uint32_t ran = settle_rest (ej, ours);
+  uint32_t after = (uint32_t)mm_cfg_knobs (e->cfg)->retry_after_s;
+  mm_counters_add (e->counters, "jobs_failed", 1);
+  g_message ("job %s failed: %s", ej->job->id, ej->fail_why);
+  char *answer = mm_entry_answer_json (ej, "failed", ej->fail_code,
+                                       ej->fail_why, after);
+  job_leave (ej);
+  job_answer (ej, ej->fail_code == MM_ERROR_TIMEOUT ? 504 : 502, answer,
+              after);
+  if (ran)
+    mm_entry_answer_keep (e, ej->job->id, answer);
+  else
+    free (answer);
+  mm_entry_job_unref (ej);
 }
 
 static void
-job_complete (mm_entry_job *ej)
+fail_verified (bool ours, void *ctx)
 {
-  mm_counters_add (ej->entry->counters, "jobs_complete", 1);
-  job_finish (ej, 200, answer_json (ej, "complete", 0, NULL, 0), 0);
+  mm_entry_job *ej = ctx;
+  if (ej->phase == MM_JOB_FAILING)
+    fail_now (ej, ours);
+  mm_entry_job_unref (ej);
 }
 
-/* Pending tasks never left this instance: they are truly not run.  */
-static void
-job_fail (mm_entry_job *ej, int code, const char *why)
+static bool
+any_never_sent (const mm_entry_job *ej)
 {
-  mm_entry *e = ej->entry;
   for (uint32_t i = 0; i < ej->job->n_tasks; i++)
+    if (never_sent (&ej->job->tasks[i]))
+      return true;
+  return false;
+}
+
+/**
+ * mm_entry_job_fail() - end a job that can no longer complete.
+ * @ej: the job.
+ * @code: mm_error_code.
+ * @why: told to the callers; a constant string.
+ *
+ * Guards against calling a task "not run" that a later owner has run:
+ * we may have been frozen and replaced without knowing.  If there is
+ * such a claim to make, the log is first asked whether the shard is
+ * still ours, which takes one call, MM_VERIFY_TIMEOUT_MS at most.  A job
+ * of which nothing ran is not kept: a resubmit may run it.
+ */
+void
+mm_entry_job_fail (mm_entry_job *ej, int code, const char *why)
+{
+  if (ej->phase == MM_JOB_FAILING)
+    return;
+  bool claims = any_never_sent (ej) && ej->prior == MM_PRIOR_NONE;
+  if (ej->phase == MM_JOB_ACCEPTING)
+    mm_shard_cancel (ej->shard, ej);
+  ej->phase = MM_JOB_FAILING;
+  ej->fail_code = code;
+  ej->fail_why = why;
+  if (!claims || !*ej->entry->settings.platform_url)
+    fail_now (ej, claims);
+  else
     {
-      mm_task *t = &ej->job->tasks[i];
-      if (t->state == MM_TASK_PENDING)
-        {
-          t->state = t->attempts ? MM_TASK_UNKNOWN : MM_TASK_NOT_RUN;
-          task_settled (ej);
-        }
-      else if (t->state == MM_TASK_RUNNING)
-        {
-          /* Sent and not answered: it may run, so it is not "not run".
-             Its late answer is counted as unused.  */
-          t->state = MM_TASK_UNKNOWN;
-          task_settled (ej);
-        }
+      mm_entry_job_ref (ej);
+      mm_shard_verify (ej->shard, fail_verified, ej);
     }
-  uint32_t after = (uint32_t)mm_cfg_knobs (e->cfg)->retry_after_s;
-  mm_counters_add (e->counters, "jobs_failed", 1);
-  g_message ("job %s failed: %s", ej->job->id, why);
-  job_finish (ej, code == MM_ERROR_TIMEOUT ? 504 : 502,
-              answer_json (ej, "failed", code, why, after), after);
+}
+
+/**
+ * mm_entry_job_moved() - another instance owns the job now.
+ * @ej: the job; it ends here without an answer of ours.
+ * @holder: the instance that has it, or NULL when unknown.
+ *
+ * Every waiter's request goes on to the new owner, which finds out at
+ * the upstreams what we started.
+ */
+void
+mm_entry_job_moved (mm_entry_job *ej, const char *holder)
+{
+  mm_entry *e = ej->entry;
+  mm_counters_add (e->counters, "jobs_moved", 1);
+  if (ej->phase != MM_JOB_ACCEPTING)
+    mm_shard_remember (ej->shard, ej->job->id, ej->fingerprint);
+  settle_rest (ej, false);
+  job_leave (ej);
+  for (guint i = 0; i < ej->waiters->len; i++)
+    {
+      mm_waiter *w = g_new (mm_waiter, 1);
+      *w = *(mm_waiter *)ej->waiters->pdata[i];
+      mm_entry_reroute (e, w, ej->job, holder);
+    }
+  g_ptr_array_set_size (ej->waiters, 0);
+  mm_entry_job_unref (ej);
 }
 
 static void
 deadline_cb (struct ev_loop *loop, ev_timer *w, int revents)
 {
-  mm_entry_job *ej = w->data;
-  job_fail (ej, MM_ERROR_TIMEOUT, "a task passed its deadline");
+  mm_entry_job_fail (w->data, MM_ERROR_TIMEOUT, "a task passed its deadline");
 }
 
 static void
@@ -232,7 +223,7 @@
   task_ref *r = g_new0 (task_ref, 1);
   r->ej = ej;
   r->index = index;
-  ej->refs++;
+  mm_entry_job_ref (ej);
   if (front)
     g_queue_push_head (&e->queue, r);
   else
@@ -246,57 +237,78 @@
     return MM_OUTCOME_OK;
   if (res->status == 503)
     return MM_OUTCOME_REFUSED;
+  if (res->status == 409)
+    return MM_OUTCOME_FENCED;
   if (res->status >= 400 && res->status < 600)
     return MM_OUTCOME_FAILED;
   return res->sent ? MM_OUTCOME_LOST : MM_OUTCOME_UNREACHABLE;
 }
 
 static void
-task_result (mm_entry_job *ej, mm_task *t, mm_outcome o,
-             const mm_http_result *res)
+send_again (mm_entry_job *ej, mm_task *t, const char *counter)
+{
+  t->state = MM_TASK_PENDING;
+  mm_counters_add (ej->entry->counters, counter, 1);
+  enqueue (ej->entry, ej, (uint32_t)(t - ej->job->tasks), true);
+}
+
+/**
+ * mm_entry_task_outcome() - what became of a task that was sent.
+ * @ej: its job, not finished; may be finished and freed by this call
+ *      unless the caller holds a reference.
+ * @t: the task, RUNNING.
+ * @o: the outcome.
+ * @result: with MM_OUTCOME_OK, the task's result, copied.
+ */
+void
+mm_entry_task_outcome (mm_entry_job *ej, mm_task *t, mm_outcome o,
+                       const char *result)
 {
   mm_entry *e = ej->entry;
   const mm_knobs *k = mm_cfg_knobs (e->cfg);
-  if (o == MM_OUTCOME_OK)
+  switch (o)
     {
-      cJSON *a = cJSON_ParseWithLength (res->body, res->body_bytes);
-      const cJSON *r = cJSON_GetObjectItemCaseSensitive (a, "result");
-      t->result = g_strdup (cJSON_IsString (r) ? r->valuestring : "");
-      cJSON_Delete (a);
+    case MM_OUTCOME_OK:
+      t->result = g_strdup (result ? result : "");
       t->state = MM_TASK_DONE;
       t->finished_ms = mm_clock_now_ms ();
-      e->run_ewma_ms = 0.9 * e->run_ewma_ms
-                       + 0.1 * (double)(t->finished_ms - t->started_ms);
       task_settled (ej);
       if (--ej->remaining == 0)
         job_complete (ej);
       return;
-    }
-  /* Refused before start or never reached: it did not run, so sending it
-     elsewhere cannot start it twice, idempotent or not.  */
-  if (o == MM_OUTCOME_REFUSED || o == MM_OUTCOME_UNREACHABLE)
-    {
+    /* Refused before start or never reached: it did not run, so sending
+       it elsewhere cannot start it twice, idempotent or not.  */
+    case MM_OUTCOME_REFUSED:
+    case MM_OUTCOME_UNREACHABLE:
+      t->attempts--;
+      send_again (ej, t, "resends_not_run");
+      return;
+    /* A later owner has raised the job's epoch at the upstream: we were
+       replaced, e.g. while this process was frozen.  */
+    case MM_OUTCOME_FENCED:
       t->attempts--;
       t->state = MM_TASK_PENDING;
-      mm_counters_add (e->counters, "resends_not_run", 1);
-      enqueue (e, ej, (uint32_t)(t - ej->job->tasks), true);
+      mm_shard_superseded (ej->shard, 0);
+      mm_entry_job_moved (ej, mm_shard_holder (ej->shard));
       return;
+    case MM_OUTCOME_FAILED:
+    case MM_OUTCOME_LOST:
+      break;
     }
   /* It ran and failed, or it may have run: only an idempotent task may
      run again, and only within the retry budget.  */
   if (t->idempotent && t->attempts <= (uint32_t)k->retry_budget)
     {
-      t->state = MM_TASK_PENDING;
-      mm_counters_add (e->counters, "retries", 1);
-      enqueue (e, ej, (uint32_t)(t - ej->job->tasks), true);
+      send_again (ej, t, "retries");
       return;
     }
   t->state = o == MM_OUTCOME_FAILED ? MM_TASK_FAILED : MM_TASK_UNKNOWN;
   task_settled (ej);
-  job_fail (ej, MM_ERROR_UPSTREAM,
-            o == MM_OUTCOME_FAILED
-                ? "a task failed"
-                : "a task's outcome is unknown and it is not idempotent");
+  mm_entry_job_fail (ej, MM_ERROR_UPSTREAM,
+                     o == MM_OUTCOME_FAILED
+                         ? "a task failed"
+                         : "a task's outcome is unknown and it is not "
+                           "idempotent");
 }
 
 static void
@@ -305,24 +317,28 @@
   send_ctx *s = ctx;
   mm_entry_job *ej = s->ej;
   mm_entry *e = ej->entry;
+  mm_task *t = &ej->job->tasks[s->index];
   mm_outcome o = classify (res);
   const mm_knobs *k = mm_cfg_knobs (e->cfg);
-  int64_t seq = 0;
-  if (o == MM_OUTCOME_REFUSED)
-    {
-      cJSON *a = cJSON_ParseWithLength (res->body, res->body_bytes);
-      seq = (int64_t)cJSON_GetNumberValue (
-          cJSON_GetObjectItem (a, "mode_seq"));
-      cJSON_Delete (a);
-    }
-  mm_pool_done (e->pool, s->upstream, o, seq, mm_clock_now_ms (),
-                (uint32_t)k->eject_after_failures, k->eject_ms);
+  cJSON *a = NULL;
+  if (o == MM_OUTCOME_OK || o == MM_OUTCOME_REFUSED)
+    a = cJSON_ParseWithLength (res->body, res->body_bytes);
+  const cJSON *seq = cJSON_GetObjectItem (a, "mode_seq");
+  mm_pool_done (e->pool, s->upstream, o,
+                cJSON_IsNumber (seq) ? (int64_t)seq->valuedouble : 0,
+                mm_clock_now_ms (), (uint32_t)k->eject_after_failures,
+                k->eject_ms);
   mm_counters_add (e->counters, "upstream_answers", 1);
-  if (ej->finished)
+  if (o == MM_OUTCOME_OK)
+    e->run_ewma_ms = 0.9 * e->run_ewma_ms
+                     + 0.1 * (double)(mm_clock_now_ms () - t->started_ms);
+  if (ej->phase >= MM_JOB_FAILING)
     mm_counters_add (e->counters, "answers_unused", 1);
   else
-    task_result (ej, &ej->job->tasks[s->index], o, res);
-  job_unref (ej);
+    mm_entry_task_outcome (
+        ej, t, o, cJSON_GetStringValue (cJSON_GetObjectItem (a, "result")));
+  cJSON_Delete (a);
+  mm_entry_job_unref (ej);
   g_free (s);
   mm_entry_pump (e);
 }
@@ -337,6 +353,7 @@
   cJSON_AddStringToObject (o, "task_id", t->id);
   cJSON_AddStringToObject (o, "payload", t->payload);
   cJSON_AddNumberToObject (o, "run_ms", (double)t->run_ms);
+  cJSON_AddNumberToObject (o, "epoch", (double)ej->epoch);
   char *body = cJSON_PrintUnformatted (o);
   cJSON_Delete (o);
   char *url = g_strdup_printf ("%s/v1/tasks", m->url);
@@ -344,7 +361,7 @@
   s->ej = ej;
   s->index = index;
   s->upstream = upstream;
-  ej->refs++;
+  mm_entry_job_ref (ej);
   t->state = MM_TASK_RUNNING;
   t->attempts++;
   t->upstream = upstream;
@@ -371,7 +388,7 @@
   while (!g_queue_is_empty (&e->queue))
     {
       task_ref *r = g_queue_peek_head (&e->queue);
-      if (!r->ej->finished)
+      if (r->ej->phase < MM_JOB_FAILING)
         {
           int up = mm_pool_pick (e->pool, now);
           if (up < 0)
@@ -379,86 +396,73 @@
           send_task (e, r->ej, r->index, up);
         }
       g_queue_pop_head (&e->queue);
-      job_unref (r->ej);
+      mm_entry_job_unref (r->ej);
       g_free (r);
     }
   if (e->shutting_down)
     ev_idle_start (e->loop, &e->shutdown_check);
 }
 
-static void
-refuse (mm_entry *e, const waiter *w, unsigned status, int code,
-        const char *why, uint32_t retry_after_s)
-{
-  char *b = mm_json_error_body (code, why, retry_after_s);
-  waiter_reply (e, w, status, b, retry_after_s);
-  free (b);
-}
-
-static mm_time_ms first_deadline_ms (const mm_job *job);
-
-/* How long until the last task of a new job could start, if every live
-   slot works through the queue at the observed run time.  */
-static mm_time_ms
-expected_wait_ms (mm_entry *e, uint32_t n_tasks)
+/**
+ * mm_entry_job_run() - queue the job's pending tasks.
+ * @ej: the job, accepted, and recovered if need be.
+ */
+void
+mm_entry_job_run (mm_entry_job *ej)
 {
-  uint32_t slots = mm_pool_live_slots (e->pool, mm_clock_now_ms ());
-  if (!slots)
-    return 0;
-  double ahead = (double)e->tasks_queued + n_tasks;
-  return (mm_time_ms)(ahead / slots * e->run_ewma_ms);
+  ej->phase = MM_JOB_RUNNING;
+  for (uint32_t i = 0; i < ej->job->n_tasks; i++)
+    if (ej->job->tasks[i].state == MM_TASK_PENDING)
+      enqueue (ej->entry, ej, i, false);
+  mm_entry_pump (ej->entry);
 }
 
-static bool
-admit (mm_entry *e, const waiter *req, const mm_job *job)
+static void
+accepted (const mm_accept *a, void *ctx)
 {
-  const mm_knobs *k = mm_cfg_knobs (e->cfg);
-  uint32_t after = (uint32_t)k->retry_after_s;
-  int64_t team
-      = GPOINTER_TO_SIZE (g_hash_table_lookup (e->team_tasks, job->team));
-  if (e->shutting_down)
-    refuse (e, req, 503, MM_ERROR_OVERLOADED,
-            "instance is shutting down; not run", after);
-  else if (e->tasks_queued + job->n_tasks > (uint64_t)k->max_queued_tasks)
-    refuse (e, req, 503, MM_ERROR_OVERLOADED, "instance is full; not run",
-            after);
-  else if (team + job->n_tasks > k->team_max_queued_tasks)
-    refuse (e, req, 429, MM_ERROR_OVERLOADED, "team over its quota; not run",
-            after);
-  else if (mm_pool_size (e->pool) == 0)
-    refuse (e, req, 503, MM_ERROR_UPSTREAM, "no upstream known; not run",
-            after);
-  /* Guard against answering only at the deadline: a job that the queue
-     ahead of it would push past its first deadline is refused now, as
-     not run, with the expected wait as its time to come back.  */
-  else if (expected_wait_ms (e, job->n_tasks) > first_deadline_ms (job))
+  mm_entry_job *ej = ctx;
+  mm_entry *e = ej->entry;
+  ej->epoch = a->epoch;
+  ej->fingerprint = a->verdict == MM_ACCEPT_KNOWN
+                        ? a->fingerprint
+                        : mm_pool_fingerprint (e->pool);
+  switch (a->verdict)
     {
-      mm_time_ms wait = expected_wait_ms (e, job->n_tasks);
-      uint32_t back = (uint32_t)MAX ((wait + 999) / 1000, (int64_t)after);
-      refuse (e, req, 503, MM_ERROR_OVERLOADED,
-              "the queue would make it miss its deadline; not run", back);
+    case MM_ACCEPT_FRESH:
+      ej->prior = mm_entry_prior (e, ej->job->id);
+      if (ej->prior == MM_PRIOR_MAYBE)
+        mm_entry_recover (ej, false, 0);
+      else
+        mm_entry_job_run (ej);
+      break;
+    case MM_ACCEPT_UNRECORDED:
+      ej->prior = MM_PRIOR_MAYBE;
+      mm_entry_recover (ej, false, 0);
+      break;
+    case MM_ACCEPT_KNOWN:
+      ej->prior = MM_PRIOR_KNOWN;
+      mm_entry_recover (ej, true, a->fingerprint);
+      break;
+    case MM_ACCEPT_MOVED:
+      mm_entry_job_moved (ej, a->holder);
+      break;
     }
-  else
-    return true;
-  mm_counters_add (e->counters, "jobs_refused", 1);
-  return false;
-}
-
-static mm_time_ms
-first_deadline_ms (const mm_job *job)
-{
-  mm_time_ms d = job->tasks[0].deadline_ms;
-  for (uint32_t i = 1; i < job->n_tasks; i++)
-    d = MIN (d, job->tasks[i].deadline_ms);
-  return d;
 }
 
-static void
-start_job (mm_entry *e, waiter *w, mm_job *job)
+/**
+ * mm_entry_job_start() - take a job on.
+ * @e: the entry instance.
+ * @w: who waits for its answer; taken.
+ * @job: the job; taken.
+ */
+void
+mm_entry_job_start (mm_entry *e, mm_waiter *w, mm_job *job)
 {
   mm_entry_job *ej = g_new0 (mm_entry_job, 1);
   ej->entry = e;
   ej->job = job;
+  ej->shard = mm_entry_shard_of (e, job->id);
+  ej->prior = mm_entry_prior (e, job->id);
   ej->waiters = g_ptr_array_new_with_free_func (g_free);
   g_ptr_array_add (ej->waiters, w);
   ej->remaining = job->n_tasks;
@@ -466,163 +470,17 @@
   job->submitted_ms = mm_clock_now_ms ();
   g_hash_table_insert (e->jobs, job->id, ej);
   e->tasks_queued += job->n_tasks;
-  team_add (e, job->team, job->n_tasks);
+  mm_entry_team_add (e, job->team, job->n_tasks);
   ev_timer_init (&ej->deadline, deadline_cb,
-                 (double)first_deadline_ms (job) / 1000.0, 0.);
+                 (double)mm_entry_first_deadline_ms (job) / 1000.0, 0.);
   ej->deadline.data = ej;
   ev_timer_start (e->loop, &ej->deadline);
-  for (uint32_t i = 0; i < job->n_tasks; i++)
-    enqueue (e, ej, i, false);
   mm_counters_add (e->counters, "jobs_accepted", 1);
   mm_counters_add (e->counters, "tasks_accepted", job->n_tasks);
-  mm_entry_pump (e);
-}
-
-/* The job is ours to run: answer from the kept answer, join the run in
-   progress, or admit it.  Takes @w and @job.  */
-static void
-take_job (mm_entry *e, waiter *w, mm_job *job)
-{
-  const char *done = g_hash_table_lookup (e->answers, job->id);
-  mm_entry_job *running = g_hash_table_lookup (e->jobs, job->id);
-  if (done)
-    {
-      mm_counters_add (e->counters, "resubmits_answered", 1);
-      cJSON *o = cJSON_Parse (done);
-      bool ok = g_str_equal (
-          cJSON_GetStringValue (cJSON_GetObjectItem (o, "status")),
-          "complete");
-      cJSON_Delete (o);
-      waiter_reply (e, w, ok ? 200 : 502, done, 0);
-      g_free (w);
-      mm_job_destroy (job);
-    }
-  else if (running)
-    {
-      mm_counters_add (e->counters, "resubmits_joined", 1);
-      g_ptr_array_add (running->waiters, w);
-      mm_job_destroy (job);
-    }
-  else if (admit (e, w, job))
-    start_job (e, w, job);
-  else
-    {
-      g_free (w);
-      mm_job_destroy (job);
-    }
-}
-
-typedef struct
-{
-  mm_entry *entry;
-  mm_http_request *req;
-} forward_ctx;
-
-static void
-forward_done (const mm_peer_answer *a, void *ctx)
-{
-  forward_ctx *f = ctx;
-  mm_entry *e = f->entry;
-  if (a->error)
-    {
-      /* The owner did not answer: the link broke or timed out.  The job
-         may be running there, so we must not run it here (that could
-         start a task twice), and we must not call it "not run" either.
-         The caller is answered at once and told when to come back.  */
-      uint32_t after = (uint32_t)mm_cfg_knobs (e->cfg)->retry_after_s;
-      char *why = g_strdup_printf ("owner instance unreachable (%s); "
-                                   "outcome unknown, resubmit the same job",
-                                   a->error->message);
-      char *b = mm_json_error_body (MM_ERROR_UPSTREAM, why, after);
-      mm_http_reply (f->req, 503, b, after);
-      mm_counters_add (e->counters, "forwards_failed", 1);
-      free (b);
-      g_free (why);
-    }
+  if (*e->settings.platform_url)
+    mm_shard_accept (ej->shard, job->id, accepted, ej);
   else
-    mm_http_reply (f->req, a->status, a->body, a->retry_after_s);
-  g_free (f);
-}
-
-/**
- * mm_entry_submit() - take a caller's POST /v1/jobs.
- * @e: the entry instance.
- * @req: the request; answered now or when the job ends.
- *
- * The job's owner is the rendezvous choice over the live entry instances
- * of the data centre; a job owned by another instance is forwarded to
- * it, so that a resubmit reaching any instance joins the one run.
- */
-void
-mm_entry_submit (mm_entry *e, mm_http_request *req)
-{
-  size_t len;
-  const char *body = mm_http_request_body (req, &len);
-  GError *err = NULL;
-  const mm_knobs *k = mm_cfg_knobs (e->cfg);
-  mm_job *job
-      = mm_job_parse_json (body, len, (uint32_t)k->max_tasks_per_job, &err);
-  waiter *w = g_new0 (waiter, 1);
-  w->http = req;
-  if (!job)
-    {
-      mm_counters_add (e->counters, "requests_bad", 1);
-      refuse (e, w, err->code == MM_ERROR_JOB_SIZE ? 413 : 400, err->code,
-              err->message, 0);
-      g_error_free (err);
-      g_free (w);
-      return;
-    }
-  const char *owner = mm_entry_owner_addr (e, job->id);
-  if (!owner)
-    {
-      take_job (e, w, job);
-      return;
-    }
-  GByteArray *packed = g_byte_array_new ();
-  mm_job_pack (job, packed);
-  forward_ctx *f = g_new0 (forward_ctx, 1);
-  f->entry = e;
-  f->req = req;
-  mm_counters_add (e->counters, "jobs_forwarded", 1);
-  mm_peer_forward (e->peer, owner, packed->data, packed->len,
-                   first_deadline_ms (job) + 2000, forward_done, f);
-  g_byte_array_free (packed, TRUE);
-  g_free (w);
-  mm_job_destroy (job);
-}
-
-/**
- * mm_entry_take_forwarded() - a job a peer forwarded to us, its owner.
- * @e: the entry instance.
- * @conn_id: the peer link.
- * @req_id: the peer's request id.
- * @data: the packed job.
- * @len: its length.
- *
- * A forwarded job is run here whatever our own view of ownership says:
- * one hop at most, so differing views cannot bounce it around.
- */
-void
-mm_entry_take_forwarded (mm_entry *e, uint64_t conn_id, uint64_t req_id,
-                         const uint8_t *data, size_t len)
-{
-  GError *err = NULL;
-  waiter *w = g_new0 (waiter, 1);
-  w->conn_id = conn_id;
-  w->req_id = req_id;
-  mm_job *job = mm_job_unpack (
-      data, len, (uint32_t)mm_cfg_knobs (e->cfg)->max_tasks_per_job, &err);
-  if (!job)
-    {
-      refuse (e, w, err->code == MM_ERROR_JOB_SIZE ? 413 : 400, err->code,
-              err->message, 0);
-      g_error_free (err);
-      g_free (w);
-      return;
-    }
-  mm_counters_add (e->counters, "jobs_taken_from_peers", 1);
-  take_job (e, w, job);
+    mm_entry_job_run (ej);
 }
 
 /**
@@ -634,6 +492,8 @@
 char *
 mm_entry_jobs_dump (const mm_entry *e)
 {
+  static const char *const phases[]
+      = { "accepting", "recovering", "running", "failing", "finished" };
   cJSON *arr = cJSON_CreateArray ();
   GHashTableIter it;
   gpointer k, v;
@@ -644,6 +504,8 @@
       cJSON *o = cJSON_CreateObject ();
       cJSON_AddStringToObject (o, "job_id", ej->job->id);
       cJSON_AddStringToObject (o, "team", ej->job->team);
+      cJSON_AddStringToObject (o, "phase", phases[ej->phase]);
+      cJSON_AddNumberToObject (o, "epoch", (double)ej->epoch);
       cJSON_AddNumberToObject (o, "tasks", ej->job->n_tasks);
       cJSON_AddNumberToObject (o, "remaining", ej->remaining);
       cJSON_AddNumberToObject (o, "waiters", ej->waiters->len);
@@ -661,12 +523,11 @@
 void
 mm_entry_jobs_free (mm_entry *e)
 {
-  ev_timer_stop (e->loop, &e->answer_sweep);
-  sweep_cb (NULL, &e->answer_sweep, 0);
+  mm_entry_answers_free (e);
   task_ref *r;
   while ((r = g_queue_pop_head (&e->queue)))
     {
-      job_unref (r->ej);
+      mm_entry_job_unref (r->ej);
       g_free (r);
     }
   GHashTableIter it;
@@ -677,6 +538,6 @@
       mm_entry_job *ej = v;
       ev_timer_stop (e->loop, &ej->deadline);
       g_hash_table_iter_steal (&it);
-      job_unref (ej);
+      mm_entry_job_unref (ej);
     }
 }
--- a/src/mm_entry_platform.c
+++ b/src/mm_entry_platform.c
@@ -15,6 +15,7 @@
 heartbeat_done (const mm_http_result *res, void *ctx)
 {
   mm_entry *e = ctx;
+  mm_entry_contact_note (e, res->status == 200);
   mm_counters_add (e->counters,
                    res->status == 200 ? "heartbeats_ok" : "heartbeats_failed",
                    1);
@@ -46,6 +47,8 @@
   cJSON_AddStringToObject (o, "site", e->settings.site);
   cJSON_AddStringToObject (o, "state", e->shutting_down ? "leaving" : "live");
   cJSON_AddNumberToObject (o, "config_offset", (double)mm_cfg_head (e->cfg));
+  cJSON_AddNumberToObject (o, "outage_ms",
+                           (double)mm_contact_outage_wall_ms (e->contact));
   char *body = cJSON_PrintUnformatted (o);
   cJSON_Delete (o);
   mm_http_client_call (e->platform, "PUT", url, body, 1000, heartbeat_done, e);
@@ -68,21 +71,39 @@
   const char *state = cJSON_GetStringValue (cJSON_GetObjectItem (m, "state"));
   const cJSON *slots = cJSON_GetObjectItem (m, "slots");
   const cJSON *seq = cJSON_GetObjectItem (m, "mode_seq");
+  const cJSON *boot = cJSON_GetObjectItem (m, "boot_ms");
   if (!addr || !dc || !state || strcmp (dc, e->settings.datacentre) != 0)
     return;
-  int i = mm_pool_add (e->pool, addr, addr,
-                       cJSON_IsNumber (slots) ? (uint32_t)slots->valuedouble
-                                              : 0);
+  int i
+      = mm_pool_add (e->pool, addr, addr,
+                     cJSON_IsNumber (slots) ? (uint32_t)slots->valuedouble : 0,
+                     cJSON_IsNumber (boot) ? (int64_t)boot->valuedouble : 0);
   mm_pool_set_state (e->pool, i,
                      g_str_equal (state, "live") ? MM_UPSTREAM_LIVE
                                                  : MM_UPSTREAM_LEAVING,
                      cJSON_IsNumber (seq) ? (int64_t)seq->valuedouble : 0);
 }
 
+/* Add the peers of the list before that the new one lacks.  */
+static void
+keep_peers (mm_entry *e, GHashTable *before, GPtrArray *names)
+{
+  GHashTableIter it;
+  gpointer name, addr;
+  g_hash_table_iter_init (&it, before);
+  while (g_hash_table_iter_next (&it, &name, &addr))
+    if (!g_hash_table_contains (e->peer_addrs, name))
+      {
+        g_ptr_array_add (names, g_strdup (name));
+        g_hash_table_insert (e->peer_addrs, g_strdup (name), g_strdup (addr));
+      }
+}
+
 static void
 members_done (const mm_http_result *res, void *ctx)
 {
   mm_entry *e = ctx;
+  mm_entry_contact_note (e, res->status == 200);
   if (res->status != 200)
     {
       mm_counters_add (e->counters, "member_polls_failed", 1);
@@ -95,12 +116,21 @@
       mm_counters_add (e->counters, "member_polls_unchanged", 1);
       return;
     }
-  e->members_version
-      = (int64_t)cJSON_GetNumberValue (cJSON_GetObjectItem (o, "version"));
+  /* Guards against the short list right after an outage, when living
+     members had expired: until they had time to come back, the list only
+     adds.  It is read whole again on the next poll.  */
+  bool unsure = mm_contact_list_unsure (e->contact, mm_clock_now_ms ());
+  e->members_version = unsure ? -1
+                              : (int64_t)cJSON_GetNumberValue (
+                                  cJSON_GetObjectItem (o, "version"));
   const cJSON *m;
   GPtrArray *entries = g_ptr_array_new ();
   g_ptr_array_add (entries, g_strdup (e->settings.name));
-  g_hash_table_remove_all (e->peer_addrs);
+  GHashTable *before = e->peer_addrs;
+  e->peer_addrs
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  if (!unsure)
+    mm_pool_list_begin (e->pool, mm_clock_now_ms ());
   int64_t peer_max = -1;
   cJSON_ArrayForEach (m, cJSON_GetObjectItem (o, "members"))
   {
@@ -126,16 +156,25 @@
             g_hash_table_insert (e->peer_addrs, g_strdup (name),
                                  g_strdup (peer));
           }
+        const cJSON *outage = cJSON_GetObjectItem (m, "outage_ms");
+        if (cJSON_IsNumber (outage))
+          e->peer_outage_wall_ms
+              = MAX (e->peer_outage_wall_ms, (int64_t)outage->valuedouble);
         if (name && cJSON_IsNumber (off)
             && strcmp (name, e->settings.name) != 0)
           peer_max = MAX (peer_max, (int64_t)off->valuedouble);
       }
   }
+  if (unsure)
+    keep_peers (e, before, entries);
+  mm_pool_list_end (e->pool);
   g_ptr_array_add (entries, NULL);
   g_strfreev (e->live_entries);
   e->live_entries = (char **)g_ptr_array_free (entries, FALSE);
   e->peer_config_max = peer_max;
   cJSON_Delete (o);
+  mm_entry_peers_changed (e, before);
+  g_hash_table_destroy (before);
   mm_counters_add (e->counters, "member_polls_ok", 1);
   mm_entry_pump (e);
 }
@@ -244,6 +283,7 @@
 {
   mm_entry *e = ctx;
   e->config_reading = false;
+  mm_entry_contact_note (e, res->status == 200);
   if (res->status != 200)
     {
       mm_counters_add (e->counters, "config_polls_failed", 1);
@@ -312,25 +352,3 @@
   ev_timer_stop (e->loop, &e->member_poll);
   ev_timer_stop (e->loop, &e->config_poll);
 }
-
-/**
- * mm_entry_owner_addr() - where a job is owned.
- * @e: the entry instance.
- * @job_id: the job.
- *
- * Rendezvous hashing of the job id over the live entry instances of our
- * data centre as the member list last showed them, ourselves included.
- * While we are shutting down, jobs new to us still go to their owner.
- * Return: the owner's peer address, or NULL when we own it.
- */
-const char *
-mm_entry_owner_addr (mm_entry *e, const char *job_id)
-{
-  if (!e->live_entries)
-    return NULL;
-  int i = mm_hash_owner (job_id, e->live_entries,
-                         g_strv_length (e->live_entries));
-  if (i < 0 || strcmp (e->live_entries[i], e->settings.name) == 0)
-    return NULL;
-  return g_hash_table_lookup (e->peer_addrs, e->live_entries[i]);
-}
--- a/src/mm_entry_priv.h
+++ b/src/mm_entry_priv.h
@@ -4,9 +4,60 @@
 
 #include "masticmill.h"
 #include "mm_cfg.h"
+#include "mm_contact.h"
 #include "mm_pool.h"
+#include "mm_shard.h"
 
-typedef struct mm_entry_job mm_entry_job;
+#include <cJSON.h>
+
+/* Who waits for a job's answer: a caller on HTTP, or a peer instance
+   that forwarded the job to us.  */
+typedef struct
+{
+  mm_http_request *http; /* NULL for a peer */
+  uint64_t conn_id;      /* peer link */
+  uint64_t req_id;       /* peer request */
+  uint32_t hops;         /* how often the job was forwarded */
+} mm_waiter;
+
+typedef struct mm_entry mm_entry;
+typedef struct mm_recovery mm_recovery;
+
+typedef enum
+{
+  MM_JOB_ACCEPTING,  /* its record is on the way to the log */
+  MM_JOB_RECOVERING, /* asking the upstreams what already ran */
+  MM_JOB_RUNNING,    /* its tasks are queued or sent */
+  MM_JOB_FAILING,    /* nothing more is sent; the log is asked who owns it */
+  MM_JOB_FINISHED    /* answered; late task answers are dropped */
+} mm_job_phase;
+
+/* May an earlier owner have run a job that is new to us?  */
+typedef enum
+{
+  MM_PRIOR_NONE,  /* no: it is in no record, and none is missing */
+  MM_PRIOR_MAYBE, /* records may be missing, or are not read yet */
+  MM_PRIOR_KNOWN  /* an earlier owner accepted it */
+} mm_prior;
+
+/* A job on this instance.  */
+typedef struct
+{
+  mm_entry *entry;
+  mm_job *job;
+  mm_shard *shard;
+  GPtrArray *waiters; /* mm_waiter * */
+  mm_job_phase phase;
+  mm_prior prior;
+  int fail_code; /* a failure that waits for the log's word */
+  const char *fail_why;
+  int64_t epoch;         /* carried by its task starts */
+  uint64_t fingerprint;  /* upstreams listed when it was accepted */
+  uint32_t remaining;    /* tasks without a final state */
+  uint32_t refs;         /* table + queue entries + calls in flight */
+  mm_recovery *recovery; /* while RECOVERING or polling */
+  ev_timer deadline;
+} mm_entry_job;
 
 struct mm_entry
 {
@@ -17,12 +68,21 @@
   mm_http_client *platform;  /* calls to the platform's service */
   mm_peer *peer;             /* links to the other entry instances */
   GHashTable *peer_addrs;    /* live entry name -> "host:peer_port" */
+  GHashTable *suspects;      /* entry name -> mm_time_ms it failed us */
   mm_counters *counters;
   mm_pool *pool;
   mm_cfg *cfg;
-  GHashTable *jobs;    /* job id -> mm_entry_job, not finished */
-  GHashTable *answers; /* job id -> finished answer (JSON) */
-  GQueue answer_order; /* kept_answer *, oldest first */
+  mm_contact *contact;
+  mm_shard_env shard_env;
+  mm_shard **shards; /* settings.shards of them */
+  ev_timer shard_tick;
+  mm_time_ms pinged_ms;
+  mm_time_ms view_changed_ms;  /* when the set of peers last changed */
+  bool view_checked;           /* held shards were verified since */
+  int64_t peer_outage_wall_ms; /* latest outage that peers report */
+  GHashTable *jobs;            /* job id -> mm_entry_job, not finished */
+  GHashTable *answers;         /* job id -> finished answer (JSON) */
+  GQueue answer_order;         /* kept_answer *, oldest first */
   ev_timer answer_sweep;
   GHashTable *team_tasks; /* team -> tasks queued or running */
   GQueue queue;           /* task_ref *, waiting for a slot */
@@ -41,18 +101,70 @@
   void (*shutdown_done) (void *);
   void *shutdown_ctx;
   ev_idle shutdown_check;
+  ev_timer shutdown_limit; /* hand-over of shards waits no longer */
+  bool shutdown_late;
 };
 
-/* mm_entry_job.c */
+/* mm_entry_route.c: where a request's job goes */
 void mm_entry_submit (mm_entry *e, mm_http_request *req);
+void mm_entry_take_forwarded (mm_entry *e, uint64_t conn_id, uint64_t req_id,
+                              uint32_t hops, const uint8_t *data, size_t len);
+void mm_entry_waiter_reply (mm_entry *e, const mm_waiter *w, unsigned status,
+                            const char *body, uint32_t retry_after_s);
+void mm_entry_refuse (mm_entry *e, const mm_waiter *w, unsigned status,
+                      int code, const char *why, uint32_t retry_after_s);
+void mm_entry_reroute (mm_entry *e, mm_waiter *w, const mm_job *job,
+                       const char *holder); /* takes w */
+
+/* mm_entry_admit.c: does a job fit? */
+typedef struct
+{
+  unsigned status; /* HTTP */
+  int code;        /* mm_error_code */
+  const char *why;
+  uint32_t retry_after_s;
+} mm_refusal;
+bool mm_entry_admit (mm_entry *e, const mm_job *job, mm_refusal *r);
+mm_time_ms mm_entry_first_deadline_ms (const mm_job *job);
+void mm_entry_team_add (mm_entry *e, const char *team, int64_t n);
+
+/* mm_entry_answer.c: answers, built once and kept for resubmits */
+char *mm_entry_answer_json (const mm_entry_job *ej, const char *status,
+                            int code, const char *why, uint32_t retry_after_s);
+void mm_entry_answer_keep (mm_entry *e, const char *job_id, char *answer);
+void mm_entry_answers_start (mm_entry *e);
+void mm_entry_answers_free (mm_entry *e);
+
+/* mm_entry_job.c: a job from accept to answer */
+void mm_entry_job_start (mm_entry *e, mm_waiter *w, mm_job *job);
+void mm_entry_job_run (mm_entry_job *ej); /* queue its pending tasks */
+void mm_entry_job_fail (mm_entry_job *ej, int code, const char *why);
+void mm_entry_job_moved (mm_entry_job *ej, const char *holder);
+void mm_entry_job_ref (mm_entry_job *ej);
+void mm_entry_job_unref (mm_entry_job *ej);
+void mm_entry_task_outcome (mm_entry_job *ej, mm_task *t, mm_outcome o,
+                            const char *result);
 void mm_entry_pump (mm_entry *e);
 char *mm_entry_jobs_dump (const mm_entry *e);
 void mm_entry_jobs_free (mm_entry *e);
-void mm_entry_answers_start (mm_entry *e);
-void mm_entry_take_forwarded (mm_entry *e, uint64_t conn_id, uint64_t req_id,
-                              const uint8_t *data, size_t len);
-const char *mm_entry_owner_addr (mm_entry *e,
-                                 const char *job_id); /* NULL: us */
+
+/* mm_entry_recover.c: what an earlier owner already ran */
+void mm_entry_recover (mm_entry_job *ej, bool check_fingerprint,
+                       uint64_t fingerprint);
+void mm_entry_recovery_free (mm_entry_job *ej);
+
+/* mm_entry_shards.c: which jobs are ours */
+void mm_entry_shards_start (mm_entry *e);
+void mm_entry_shards_stop (mm_entry *e);
+bool mm_entry_shards_released (mm_entry *e); /* begins the release */
+void mm_entry_shards_dump (const mm_entry *e, cJSON *out);
+mm_shard *mm_entry_shard_of (mm_entry *e, const char *job_id);
+const char *mm_entry_route (mm_entry *e, const char *job_id, uint32_t hops);
+void mm_entry_settle_holder (mm_entry *e, const char *job_id);
+void mm_entry_suspect (mm_entry *e, const char *peer);
+void mm_entry_contact_note (mm_entry *e, bool ok);
+void mm_entry_peers_changed (mm_entry *e, GHashTable *before);
+mm_prior mm_entry_prior (mm_entry *e, const char *job_id);
 
 /* mm_entry_platform.c */
 void mm_entry_platform_start (mm_entry *e);
--- /dev/null
+++ b/src/mm_entry_recover.c
@@ -0,0 +1,278 @@
+/* mm_entry_recover: take over a job that an earlier owner accepted.
+
+   The earlier owner died, froze or lost its shard, and with it the
+   knowledge of which tasks it started.  The upstreams know: each is told
+   the job's new epoch and reports the job's tasks that started there.
+   From its report on, an upstream refuses starts of the older epoch, so
+   once all have reported, a task that none of them names has not started
+   and never will by the earlier owner's hand: we start it.  Results are
+   taken over, and running tasks are asked for until they end.
+
+   When an upstream does not report, or the set of upstream incarnations
+   is not the one the job was accepted under, a task may have started on
+   one that is gone: then it is "unknown", and runs again only if it is
+   idempotent.  */
+#include "config.h"
+#include "mm_entry_priv.h"
+
+struct mm_recovery
+{
+  uint32_t open; /* reports awaited */
+  bool complete; /* every upstream reported */
+  bool check_fingerprint;
+  uint64_t want;        /* fingerprint when the job was accepted */
+  GHashTable *reported; /* set of int64: incarnations that reported */
+  GHashTable *by_id;    /* task id -> mm_task */
+  GHashTable *running;  /* set of mm_task: the earlier owner's, not ended */
+  ev_timer poll;
+};
+
+typedef struct
+{
+  mm_entry_job *ej;
+  int upstream;
+  bool poll; /* only for tasks already known to run there */
+} report_ctx;
+
+static void ask (mm_entry_job *ej, int upstream, bool poll);
+
+void
+mm_entry_recovery_free (mm_entry_job *ej)
+{
+  if (!ej->recovery)
+    return;
+  ev_timer_stop (ej->entry->loop, &ej->recovery->poll);
+  GHashTableIter it;
+  gpointer t;
+  g_hash_table_iter_init (&it, ej->recovery->running);
+  while (g_hash_table_iter_next (&it, &t, NULL))
+    mm_pool_done (ej->entry->pool, ((mm_task *)t)->upstream, MM_OUTCOME_FENCED,
+                  0, 0, 0, 0);
+  g_hash_table_destroy (ej->recovery->by_id);
+  g_hash_table_destroy (ej->recovery->running);
+  g_hash_table_destroy (ej->recovery->reported);
+  g_free (ej->recovery);
+  ej->recovery = NULL;
+}
+
+static bool
+recovered_on (const mm_entry_job *ej, mm_task *t, int upstream)
+{
+  return t->upstream == upstream
+         && g_hash_table_contains (ej->recovery->running, t);
+}
+
+static void
+recovered_end (mm_entry_job *ej, mm_task *t, mm_outcome o, const char *result)
+{
+  mm_entry *e = ej->entry;
+  const mm_knobs *k = mm_cfg_knobs (e->cfg);
+  g_hash_table_remove (ej->recovery->running, t);
+  mm_pool_done (e->pool, t->upstream, o, 0, mm_clock_now_ms (),
+                (uint32_t)k->eject_after_failures, k->eject_ms);
+  mm_entry_task_outcome (ej, t, o, result);
+}
+
+/* One task an upstream names.  */
+static void
+take_row (mm_entry_job *ej, const cJSON *row, int upstream)
+{
+  mm_entry *e = ej->entry;
+  const char *id = cJSON_GetStringValue (cJSON_GetObjectItem (row, "id"));
+  const char *state
+      = cJSON_GetStringValue (cJSON_GetObjectItem (row, "state"));
+  const char *result
+      = cJSON_GetStringValue (cJSON_GetObjectItem (row, "result"));
+  mm_task *t = id ? g_hash_table_lookup (ej->recovery->by_id, id) : NULL;
+  if (!t || !state)
+    return;
+  if (ej->phase == MM_JOB_RECOVERING && t->state == MM_TASK_PENDING)
+    {
+      t->state = MM_TASK_RUNNING;
+      t->upstream = upstream;
+      t->attempts = 1;
+      t->started_ms = mm_clock_now_ms ();
+      g_hash_table_add (ej->recovery->running, t);
+      mm_pool_sent (e->pool, upstream);
+      mm_counters_add (e->counters, "tasks_recovered", 1);
+    }
+  if (!recovered_on (ej, t, upstream))
+    return;
+  if (g_str_equal (state, "done"))
+    recovered_end (ej, t, MM_OUTCOME_OK, result);
+  /* A failure may lead to a retry: only when all have reported.  */
+  else if (g_str_equal (state, "failed") && ej->phase == MM_JOB_RUNNING)
+    recovered_end (ej, t, MM_OUTCOME_FAILED, NULL);
+}
+
+/* Every report is in: start what started nowhere.  */
+static void
+all_reported (mm_entry_job *ej)
+{
+  mm_recovery *r = ej->recovery;
+  /* With a record, those must have reported that it was made under;
+     without one, everybody we know of.  */
+  bool exact = r->check_fingerprint
+                   ? mm_pool_covers (ej->entry->pool, r->reported, r->want)
+                   : r->complete;
+  if (!exact)
+    mm_counters_add (ej->entry->counters, "recoveries_inexact", 1);
+  for (uint32_t i = 0; i < ej->job->n_tasks; i++)
+    {
+      mm_task *t = &ej->job->tasks[i];
+      if (t->state != MM_TASK_PENDING || exact)
+        continue;
+      if (!t->idempotent)
+        {
+          mm_entry_job_fail (ej, MM_ERROR_UPSTREAM,
+                             "an earlier owner may have started a task on an "
+                             "upstream that is gone; its outcome is unknown");
+          return;
+        }
+      t->attempts = 1; /* it may have run: this is its retry */
+    }
+  mm_entry_job_run (ej);
+}
+
+/* An upstream that ran recovered tasks does not answer any more.  */
+static void
+lose_tasks_on (mm_entry_job *ej, int upstream)
+{
+  for (uint32_t i = 0; i < ej->job->n_tasks && ej->phase < MM_JOB_FAILING; i++)
+    if (recovered_on (ej, &ej->job->tasks[i], upstream))
+      recovered_end (ej, &ej->job->tasks[i], MM_OUTCOME_LOST, NULL);
+}
+
+static void
+report_done (const mm_http_result *res, void *ctx)
+{
+  report_ctx *c = ctx;
+  mm_entry_job *ej = c->ej;
+  mm_entry *e = ej->entry;
+  const mm_pool_member *m = mm_pool_at (e->pool, c->upstream);
+  mm_recovery *r = ej->recovery;
+  cJSON *o = res->status == 200
+                 ? cJSON_ParseWithLength (res->body, res->body_bytes)
+                 : NULL;
+  const cJSON *epoch = cJSON_GetObjectItem (o, "epoch");
+  const cJSON *boot = cJSON_GetObjectItem (o, "boot_ms");
+  r->open--;
+  if (ej->phase >= MM_JOB_FAILING)
+    ;
+  else if (cJSON_IsNumber (epoch) && (int64_t)epoch->valuedouble > ej->epoch)
+    {
+      mm_shard_superseded (ej->shard, (int64_t)epoch->valuedouble);
+      mm_entry_job_moved (ej, NULL);
+    }
+  else
+    {
+      if (cJSON_IsNumber (boot))
+        {
+          int64_t *hash = g_new (int64_t, 1);
+          *hash = (int64_t)mm_pool_fingerprint_of (
+              m->name, m->boot_ms ? (int64_t)boot->valuedouble : 0);
+          g_hash_table_add (r->reported, hash);
+        }
+      else
+        r->complete = false;
+      const cJSON *row;
+      cJSON_ArrayForEach (row, cJSON_GetObjectItem (o, "tasks"))
+      {
+        if (ej->phase < MM_JOB_FAILING)
+          take_row (ej, row, c->upstream);
+      }
+      if (c->poll && !o)
+        lose_tasks_on (ej, c->upstream);
+      if (ej->phase == MM_JOB_RECOVERING && !r->open)
+        all_reported (ej);
+    }
+  cJSON_Delete (o);
+  mm_entry_job_unref (ej);
+  g_free (c);
+  mm_entry_pump (e);
+}
+
+static void
+ask (mm_entry_job *ej, int upstream, bool poll)
+{
+  mm_entry *e = ej->entry;
+  char *id = g_uri_escape_string (ej->job->id, NULL, FALSE);
+  char *url = g_strdup_printf ("%s/v1/jobs/%s/fence",
+                               mm_pool_at (e->pool, upstream)->url, id);
+  char *body = g_strdup_printf ("{\"epoch\":%" G_GINT64_FORMAT "}", ej->epoch);
+  report_ctx *c = g_new0 (report_ctx, 1);
+  c->ej = ej;
+  c->upstream = upstream;
+  c->poll = poll;
+  mm_entry_job_ref (ej);
+  ej->recovery->open++;
+  mm_counters_add (e->counters, "fences_sent", 1);
+  mm_http_client_call (e->upstreams, "POST", url, body, MM_FENCE_TIMEOUT_MS,
+                       report_done, c);
+  g_free (body);
+  g_free (url);
+  g_free (id);
+}
+
+/* Ask again where recovered tasks still run.  */
+static void
+poll_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  mm_entry_job *ej = w->data;
+  GHashTable *running = ej->recovery->running;
+  if (ej->recovery->open)
+    return;
+  if (ej->phase >= MM_JOB_FAILING || !g_hash_table_size (running))
+    {
+      ev_timer_stop (loop, w);
+      return;
+    }
+  GHashTable *upstreams = g_hash_table_new (NULL, NULL);
+  GHashTableIter it;
+  gpointer t, upstream;
+  g_hash_table_iter_init (&it, running);
+  while (g_hash_table_iter_next (&it, &t, NULL))
+    g_hash_table_add (upstreams, GINT_TO_POINTER (((mm_task *)t)->upstream));
+  g_hash_table_iter_init (&it, upstreams);
+  while (g_hash_table_iter_next (&it, &upstream, NULL))
+    ask (ej, GPOINTER_TO_INT (upstream), true);
+  g_hash_table_destroy (upstreams);
+}
+
+/**
+ * mm_entry_recover() - find out what ran of a job, then run the rest.
+ * @ej: the job, accepted at a new epoch.
+ * @check_fingerprint: @fingerprint is known.
+ * @fingerprint: the upstream incarnations listed when it was accepted.
+ */
+void
+mm_entry_recover (mm_entry_job *ej, bool check_fingerprint,
+                  uint64_t fingerprint)
+{
+  mm_entry *e = ej->entry;
+  mm_recovery *r = g_new0 (mm_recovery, 1);
+  r->complete = true;
+  r->check_fingerprint = check_fingerprint;
+  r->want = fingerprint;
+  r->by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  r->running = g_hash_table_new (NULL, NULL);
+  r->reported
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  ev_timer_init (&r->poll, poll_cb, MM_RECOVER_POLL_MS / 1000.0,
+                 MM_RECOVER_POLL_MS / 1000.0);
+  r->poll.data = ej;
+  ej->recovery = r;
+  ej->phase = MM_JOB_RECOVERING;
+  mm_counters_add (e->counters, "jobs_recovered", 1);
+  g_message ("job %s: recovering at epoch %" G_GINT64_FORMAT, ej->job->id,
+             ej->epoch);
+  for (uint32_t i = 0; i < ej->job->n_tasks; i++)
+    g_hash_table_insert (r->by_id, ej->job->tasks[i].id, &ej->job->tasks[i]);
+  for (uint32_t i = 0; i < mm_pool_size (e->pool); i++)
+    if (mm_pool_worth_asking (e->pool, (int)i, mm_clock_now_ms (),
+                              e->settings.done_ttl_ms))
+      ask (ej, (int)i, false);
+  ev_timer_start (e->loop, &r->poll);
+  if (!r->open)
+    all_reported (ej);
+}
--- /dev/null
+++ b/src/mm_entry_route.c
@@ -0,0 +1,383 @@
+/* mm_entry_route: a request's job goes to the instance that owns it.
+
+   The owner is found by shard (mm_entry_shards.c).  When the owner does
+   not answer, the request is routed again: the log decides who owns the
+   shard and the upstreams know what ran, so handing the same job in at
+   another instance starts no task twice.  The caller waits for the one
+   answer, at most until the job's deadline.  */
+#include "config.h"
+#include "mm_entry_priv.h"
+
+/* A leaving instance's answer to a peer: route the job elsewhere.  */
+#define PEER_LEAVING_STATUS 421
+
+/* A request on its way to another instance.  */
+typedef struct
+{
+  mm_entry *entry;
+  mm_waiter *waiter;
+  char *job_id;
+  char *peer; /* where it is now */
+  GByteArray *packed;
+  mm_time_ms deadline_ms; /* by mm_clock_now_ms() */
+  uint32_t failures;      /* links that failed under it */
+} routed_request;
+
+static void route (routed_request *q, const char *holder);
+
+void
+mm_entry_waiter_reply (mm_entry *e, const mm_waiter *w, unsigned status,
+                       const char *body, uint32_t retry_after_s)
+{
+  if (w->http)
+    mm_http_reply (w->http, status, body, retry_after_s);
+  else
+    mm_peer_reply (e->peer, w->conn_id, w->req_id, status, retry_after_s,
+                   body);
+}
+
+/**
+ * mm_entry_refuse() - a typed failure to one waiter.
+ * @e: the entry instance.
+ * @w: who is told.
+ * @status: HTTP status.
+ * @code: mm_error_code.
+ * @why: for the caller.
+ * @retry_after_s: when to come back, 0 for never.
+ */
+void
+mm_entry_refuse (mm_entry *e, const mm_waiter *w, unsigned status, int code,
+                 const char *why, uint32_t retry_after_s)
+{
+  char *b = mm_json_error_body (code, why, retry_after_s);
+  mm_entry_waiter_reply (e, w, status, b, retry_after_s);
+  free (b);
+}
+
+static uint32_t
+retry_after_s (mm_entry *e)
+{
+  return (uint32_t)mm_cfg_knobs (e->cfg)->retry_after_s;
+}
+
+static void
+answer_kept (mm_entry *e, const mm_waiter *w, const char *answer)
+{
+  mm_counters_add (e->counters, "resubmits_answered", 1);
+  cJSON *o = cJSON_Parse (answer);
+  const char *status
+      = cJSON_GetStringValue (cJSON_GetObjectItem (o, "status"));
+  bool complete = status && g_str_equal (status, "complete");
+  cJSON_Delete (o);
+  mm_entry_waiter_reply (e, w, complete ? 200 : 502, answer, 0);
+}
+
+/* We have the job already: its answer, or its run in progress.  Takes @w
+   when true.  */
+static bool
+join_own (mm_entry *e, mm_waiter *w, const char *job_id)
+{
+  const char *answer = g_hash_table_lookup (e->answers, job_id);
+  mm_entry_job *running = g_hash_table_lookup (e->jobs, job_id);
+  if (answer)
+    {
+      answer_kept (e, w, answer);
+      g_free (w);
+    }
+  else if (running)
+    {
+      mm_counters_add (e->counters, "resubmits_joined", 1);
+      g_ptr_array_add (running->waiters, w);
+    }
+  return answer || running;
+}
+
+/* A refusal that waits for the log's word on who owns the shard.  */
+typedef struct
+{
+  mm_entry *entry;
+  mm_waiter *waiter;
+  mm_refusal refusal;
+} verified_refusal;
+
+static void
+refuse_verified (bool ours, void *ctx)
+{
+  verified_refusal *v = ctx;
+  const mm_refusal *r = &v->refusal;
+  char *text = g_strdup_printf (
+      "%s; %s", r->why,
+      ours ? "not run"
+           : "not taken, what came of an earlier submission is unknown");
+  mm_entry_refuse (v->entry, v->waiter, r->status, r->code, text,
+                   r->retry_after_s);
+  g_free (text);
+  g_free (v->waiter);
+  g_free (v);
+}
+
+/* Guards against "not run" for a job that another instance ran: we may
+   have lost its shard without knowing.  The claim is made only after the
+   log, asked now, names us as the owner.  Takes @w.  */
+static void
+refuse (mm_entry *e, mm_waiter *w, const mm_job *job, const mm_refusal *r)
+{
+  verified_refusal *v = g_new0 (verified_refusal, 1);
+  v->entry = e;
+  v->waiter = w;
+  v->refusal = *r;
+  mm_counters_add (e->counters, "jobs_refused", 1);
+  if (!*e->settings.platform_url)
+    refuse_verified (true, v);
+  else if (mm_entry_prior (e, job->id) != MM_PRIOR_NONE)
+    refuse_verified (false, v);
+  else
+    mm_shard_verify (mm_entry_shard_of (e, job->id), refuse_verified, v);
+}
+
+/* The job is ours to run: admit and start it.  Takes @w and @job.  */
+static void
+take_job (mm_entry *e, mm_waiter *w, mm_job *job)
+{
+  mm_refusal r;
+  /* A job that an earlier owner accepted was admitted then.  */
+  if (!e->shutting_down
+      && (mm_entry_prior (e, job->id) == MM_PRIOR_KNOWN
+          || mm_entry_admit (e, job, &r)))
+    {
+      mm_entry_job_start (e, w, job);
+      return;
+    }
+  if (e->shutting_down)
+    r = (mm_refusal){ 503, MM_ERROR_OVERLOADED, "instance is shutting down",
+                      retry_after_s (e) };
+  refuse (e, w, job, &r);
+  mm_job_destroy (job);
+}
+
+static mm_job *
+unpack (mm_entry *e, const uint8_t *data, size_t len, GError **error)
+{
+  return mm_job_unpack (
+      data, len, (uint32_t)mm_cfg_knobs (e->cfg)->max_tasks_per_job, error);
+}
+
+static void
+free_routed (routed_request *q)
+{
+  g_byte_array_free (q->packed, TRUE);
+  g_free (q->job_id);
+  g_free (q->peer);
+  g_free (q->waiter);
+  g_free (q);
+}
+
+/* Nobody answered for the job: the caller hears it now.  The job may be
+   running somewhere, so it is not called "not run".  */
+static void
+give_up (routed_request *q, const char *why)
+{
+  mm_entry *e = q->entry;
+  char *text = g_strdup_printf (
+      "%s; outcome unknown, submit the same job again", why);
+  mm_counters_add (e->counters, "forwards_failed", 1);
+  mm_entry_refuse (e, q->waiter, 503, MM_ERROR_UPSTREAM, text,
+                   retry_after_s (e));
+  g_free (text);
+  free_routed (q);
+}
+
+static void
+forward_done (const mm_peer_answer *a, void *ctx)
+{
+  routed_request *q = ctx;
+  mm_entry *e = q->entry;
+  if (!a->error && a->status != PEER_LEAVING_STATUS)
+    {
+      mm_entry_waiter_reply (e, q->waiter, a->status, a->body,
+                             a->retry_after_s);
+      free_routed (q);
+    }
+  else if (a->error && a->error->code == MM_ERROR_TIMEOUT)
+    give_up (q, "the owner did not answer in time");
+  else
+    {
+      mm_counters_add (e->counters, "reroutes", 1);
+      q->failures++;
+      mm_entry_suspect (e, q->peer);
+      route (q, NULL);
+    }
+}
+
+static void
+forward (routed_request *q, const char *peer)
+{
+  mm_entry *e = q->entry;
+  mm_time_ms left = q->deadline_ms - mm_clock_now_ms ();
+  g_free (q->peer);
+  q->peer = g_strdup (peer);
+  mm_counters_add (e->counters, "jobs_forwarded", 1);
+  mm_peer_forward (e->peer, g_hash_table_lookup (e->peer_addrs, peer),
+                   q->waiter->hops + 1, q->packed->data, q->packed->len,
+                   left + MM_FORWARD_SLACK_MS, forward_done, q);
+}
+
+/* Send a request where its job belongs now: a peer, or ourselves.  */
+static void
+route (routed_request *q, const char *holder)
+{
+  mm_entry *e = q->entry;
+  if (q->failures > MM_FORWARD_MAX_HOPS
+      || mm_clock_now_ms () >= q->deadline_ms)
+    {
+      give_up (q, "no instance answered for the job");
+      return;
+    }
+  const char *peer = holder && g_hash_table_contains (e->peer_addrs, holder)
+                         ? holder
+                         : mm_entry_route (e, q->job_id, q->waiter->hops);
+  if (peer && g_hash_table_contains (e->peer_addrs, peer))
+    {
+      forward (q, peer);
+      return;
+    }
+  mm_waiter *w = g_new (mm_waiter, 1);
+  *w = *q->waiter;
+  mm_entry_settle_holder (e, q->job_id);
+  if (!join_own (e, w, q->job_id))
+    {
+      GError *err = NULL;
+      mm_job *job = unpack (e, q->packed->data, q->packed->len, &err);
+      if (job)
+        take_job (e, w, job);
+      else
+        {
+          mm_entry_refuse (e, w, 413, err->code, err->message, 0);
+          g_free (w);
+          g_error_free (err);
+        }
+    }
+  free_routed (q);
+}
+
+static routed_request *
+make_routed (mm_entry *e, mm_waiter *w, const mm_job *job)
+{
+  routed_request *q = g_new0 (routed_request, 1);
+  q->entry = e;
+  q->waiter = w;
+  q->job_id = g_strdup (job->id);
+  q->packed = g_byte_array_new ();
+  mm_job_pack (job, q->packed);
+  q->deadline_ms = mm_clock_now_ms () + mm_entry_first_deadline_ms (job);
+  return q;
+}
+
+/**
+ * mm_entry_reroute() - a job we had is not ours any more.
+ * @e: the entry instance.
+ * @w: one of its waiters; taken.
+ * @job: the job.
+ * @holder: who has it now, or NULL when that is not known.
+ */
+void
+mm_entry_reroute (mm_entry *e, mm_waiter *w, const mm_job *job,
+                  const char *holder)
+{
+  routed_request *q = make_routed (e, w, job);
+  if (!holder && !mm_entry_route (e, job->id, w->hops)
+      && mm_contact_lost (e->contact, mm_clock_now_ms ()))
+    {
+      /* Neither a record nor another owner can be had: say so now.  */
+      give_up (q, "the platform's log cannot be reached");
+      return;
+    }
+  route (q, holder);
+}
+
+/* A job came in, from a caller or a peer.  Takes @w and @job.  */
+static void
+take_request (mm_entry *e, mm_waiter *w, mm_job *job)
+{
+  if (join_own (e, w, job->id))
+    {
+      mm_job_destroy (job);
+      return;
+    }
+  /* Guards against a job that bounces between a leaving instance and a
+     peer whose member list still names it as the owner.  */
+  if (e->shutting_down && !w->http)
+    {
+      mm_entry_waiter_reply (e, w, PEER_LEAVING_STATUS, "", 0);
+      g_free (w);
+      mm_job_destroy (job);
+      return;
+    }
+  const char *peer = mm_entry_route (e, job->id, w->hops);
+  if (!peer || !g_hash_table_contains (e->peer_addrs, peer))
+    {
+      take_job (e, w, job);
+      return;
+    }
+  forward (make_routed (e, w, job), peer);
+  mm_job_destroy (job);
+}
+
+static void
+refuse_bad (mm_entry *e, mm_waiter *w, GError *err)
+{
+  mm_counters_add (e->counters, "requests_bad", 1);
+  mm_entry_refuse (e, w, err->code == MM_ERROR_JOB_SIZE ? 413 : 400, err->code,
+                   err->message, 0);
+  g_error_free (err);
+  g_free (w);
+}
+
+/**
+ * mm_entry_submit() - take a caller's POST /v1/jobs.
+ * @e: the entry instance.
+ * @req: the request; answered now or when the job ends.
+ */
+void
+mm_entry_submit (mm_entry *e, mm_http_request *req)
+{
+  size_t len;
+  const char *body = mm_http_request_body (req, &len);
+  GError *err = NULL;
+  mm_job *job = mm_job_parse_json (
+      body, len, (uint32_t)mm_cfg_knobs (e->cfg)->max_tasks_per_job, &err);
+  mm_waiter *w = g_new0 (mm_waiter, 1);
+  w->http = req;
+  if (job)
+    take_request (e, w, job);
+  else
+    refuse_bad (e, w, err);
+}
+
+/**
+ * mm_entry_take_forwarded() - a job a peer forwarded to us.
+ * @e: the entry instance.
+ * @conn_id: the peer link.
+ * @req_id: the peer's request id.
+ * @hops: how often it was forwarded.
+ * @data: the packed job.
+ * @len: its length.
+ */
+void
+mm_entry_take_forwarded (mm_entry *e, uint64_t conn_id, uint64_t req_id,
+                         uint32_t hops, const uint8_t *data, size_t len)
+{
+  GError *err = NULL;
+  mm_waiter *w = g_new0 (mm_waiter, 1);
+  w->conn_id = conn_id;
+  w->req_id = req_id;
+  w->hops = hops;
+  mm_job *job = unpack (e, data, len, &err);
+  if (job)
+    {
+      mm_counters_add (e->counters, "jobs_taken_from_peers", 1);
+      take_request (e, w, job);
+    }
+  else
+    refuse_bad (e, w, err);
+}
--- /dev/null
+++ b/src/mm_entry_shards.c
@@ -0,0 +1,426 @@
+/* mm_entry_shards: which jobs belong to this instance.
+
+   A job's shard is a hash of its id; the shard's rendezvous choice over
+   the live entry instances of the data centre takes it ahead of jobs.
+   Who really owns a shard is decided by its log stream (mm_shard.c):
+   member lists that lag or differ cost a detour, never a double start. */
+#include "config.h"
+#include "mm_entry_priv.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+mm_shard *
+mm_entry_shard_of (mm_entry *e, const char *job_id)
+{
+  return e->shards[XXH3_64bits (job_id, strlen (job_id))
+                   % (uint64_t)e->settings.shards];
+}
+
+static uint32_t
+index_of (const mm_entry *e, const mm_shard *shard)
+{
+  uint32_t i = 0;
+  while (e->shards[i] != shard)
+    i++;
+  return i;
+}
+
+static bool
+is_suspect (const mm_entry *e, const char *peer)
+{
+  const mm_time_ms *at = g_hash_table_lookup (e->suspects, peer);
+  return at && mm_clock_now_ms () - *at < MM_PEER_SUSPECT_MS;
+}
+
+/**
+ * mm_entry_suspect() - a peer did not answer.
+ * @e: the entry instance.
+ * @peer: its name.
+ *
+ * For MM_PEER_SUSPECT_MS its shards belong to the next choice, so jobs
+ * need not wait until the lagging member list drops a dead peer.
+ */
+void
+mm_entry_suspect (mm_entry *e, const char *peer)
+{
+  mm_time_ms *at = g_new0 (mm_time_ms, 1);
+  *at = mm_clock_now_ms ();
+  g_hash_table_insert (e->suspects, g_strdup (peer), at);
+}
+
+static bool
+is_routable (const mm_entry *e, const char *peer)
+{
+  return peer && g_hash_table_contains (e->peer_addrs, peer)
+         && !is_suspect (e, peer);
+}
+
+/* The rendezvous choice for a shard, suspects left out, and ourselves
+   when we are leaving; NULL for us or nobody.  */
+static const char *
+chosen_owner (const mm_entry *e, uint32_t shard)
+{
+  if (!e->live_entries)
+    return NULL;
+  char key[32];
+  g_snprintf (key, sizeof key, "shard-%u", shard);
+  char **names = g_new0 (char *, g_strv_length (e->live_entries) + 1);
+  size_t n = 0;
+  for (char **m = e->live_entries; *m; m++)
+    if (strcmp (*m, e->settings.name) == 0 ? !e->shutting_down
+                                           : !is_suspect (e, *m))
+      names[n++] = *m;
+  int i = mm_hash_owner (key, names, n);
+  const char *owner = i < 0 ? NULL : names[i];
+  g_free (names);
+  return owner && strcmp (owner, e->settings.name) != 0 ? owner : NULL;
+}
+
+static mm_standing
+standing (const mm_entry *e, const char **peer)
+{
+  return mm_contact_standing (e->contact, g_hash_table_size (e->peer_addrs),
+                              mm_clock_now_ms (), peer);
+}
+
+/**
+ * mm_entry_route() - where a job goes.
+ * @e: the entry instance.
+ * @job_id: the job.
+ * @hops: how often it was forwarded already; after MM_FORWARD_MAX_HOPS
+ *        it stays here, so differing member lists cannot bounce it on.
+ *
+ * Return: the name of a peer, or NULL when it is for us.
+ */
+const char *
+mm_entry_route (mm_entry *e, const char *job_id, uint32_t hops)
+{
+  mm_shard *s = mm_entry_shard_of (e, job_id);
+  const char *contact_peer = NULL;
+  if (hops >= MM_FORWARD_MAX_HOPS || !*e->settings.platform_url)
+    return NULL;
+  if (standing (e, &contact_peer) == MM_STANDING_CUT
+      && is_routable (e, contact_peer))
+    return contact_peer;
+  if (mm_shard_held (s) && !e->shutting_down)
+    return NULL;
+  if (mm_shard_yielded (s, mm_clock_now_ms ())
+      && is_routable (e, mm_shard_holder (s)))
+    return mm_shard_holder (s);
+  return chosen_owner (e, index_of (e, s));
+}
+
+/**
+ * mm_entry_settle_holder() - a job stays here: who has its shard?
+ * @e: the entry instance.
+ * @job_id: the job.
+ *
+ * When a shard was taken from us just now, its jobs wait for the new
+ * holder; when that one is gone, we take it back without waiting.
+ */
+void
+mm_entry_settle_holder (mm_entry *e, const char *job_id)
+{
+  mm_shard *s = mm_entry_shard_of (e, job_id);
+  const char *holder = mm_shard_holder (s);
+  if (holder && strcmp (holder, e->settings.name) != 0
+      && !is_routable (e, holder))
+    mm_shard_insist (s);
+}
+
+/**
+ * mm_entry_peers_changed() - a new member list was read.
+ * @e: the entry instance, its peer_addrs new.
+ * @before: the peer_addrs of the list before.
+ *
+ * Guards against waiting for a frozen peer until the deadline: its
+ * sockets stay open, but it leaves the list; calls to it fail now.
+ */
+void
+mm_entry_peers_changed (mm_entry *e, GHashTable *before)
+{
+  GHashTableIter it;
+  gpointer name, addr;
+  bool changed
+      = g_hash_table_size (before) != g_hash_table_size (e->peer_addrs);
+  g_hash_table_iter_init (&it, before);
+  while (g_hash_table_iter_next (&it, &name, &addr))
+    if (!g_hash_table_contains (e->peer_addrs, name))
+      {
+        changed = true;
+        mm_counters_add (e->counters, "peers_gone", 1);
+        mm_peer_drop (e->peer, addr);
+      }
+  if (changed)
+    {
+      e->view_changed_ms = mm_clock_now_ms ();
+      e->view_checked = false;
+    }
+}
+
+static void
+checked (bool ours, void *ctx)
+{
+}
+
+/* Bring who holds which shard in line with the member list.  What is
+   ours is taken at once and from whoever holds it: there is no moment in
+   which nobody holds a shard, so an outage finds every shard served.
+   Once the list has stood for a while, the log is asked about those we
+   hold, as an idle one may have been taken from us without a word.  */
+static void
+align_shard (mm_entry *e, uint32_t i)
+{
+  mm_shard *s = e->shards[i];
+  mm_time_ms now = mm_clock_now_ms ();
+  bool settled = now - e->view_changed_ms > MM_VIEW_SETTLE_MS;
+  if (mm_shard_held (s))
+    {
+      if (settled && !e->view_checked)
+        mm_shard_verify (s, checked, NULL);
+    }
+  else if (!chosen_owner (e, i) && !mm_shard_yielded (s, now))
+    mm_shard_take (s);
+}
+
+void
+mm_entry_contact_note (mm_entry *e, bool ok)
+{
+  mm_contact_note (e->contact, ok, mm_clock_now_ms ());
+}
+
+/* May accepts be missing in the log?  We or a live peer saw the platform
+   out while an answer of that time could still be asked for.  */
+static bool
+outage_within_ttl (const mm_entry *e)
+{
+  int64_t last
+      = MAX (mm_contact_outage_wall_ms (e->contact), e->peer_outage_wall_ms);
+  return last && mm_clock_wall_ms () - last < e->settings.done_ttl_ms;
+}
+
+/**
+ * mm_entry_prior() - may an earlier owner have run a job?
+ * @e: the entry instance, which neither runs it nor has its answer.
+ * @job_id: the job.
+ */
+mm_prior
+mm_entry_prior (mm_entry *e, const char *job_id)
+{
+  mm_shard *s = mm_entry_shard_of (e, job_id);
+  if (mm_shard_knows (s, job_id))
+    return MM_PRIOR_KNOWN;
+  if (!*e->settings.platform_url)
+    return MM_PRIOR_NONE;
+  if (!mm_shard_held (s) || (mm_shard_owner_gap (s) && outage_within_ttl (e)))
+    return MM_PRIOR_MAYBE;
+  return MM_PRIOR_NONE;
+}
+
+typedef struct
+{
+  mm_entry *entry;
+  char *peer;
+} ping_ctx;
+
+static void
+ping_done (const mm_peer_answer *a, void *ctx)
+{
+  ping_ctx *p = ctx;
+  if (!a->error && (a->status == 200 || a->status == 503))
+    mm_contact_vote (p->entry->contact, p->peer, a->status == 200,
+                     mm_clock_now_ms ());
+  g_free (p->peer);
+  g_free (p);
+}
+
+static void
+ping_peers (mm_entry *e)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  if (now - e->pinged_ms < MM_VOTE_VALID_MS / 3)
+    return;
+  e->pinged_ms = now;
+  GList *names = g_hash_table_get_keys (e->peer_addrs);
+  for (GList *l = names; l; l = l->next)
+    {
+      ping_ctx *p = g_new0 (ping_ctx, 1);
+      p->entry = e;
+      p->peer = g_strdup (l->data);
+      mm_counters_add (e->counters, "pings", 1);
+      mm_peer_ping (e->peer, g_hash_table_lookup (e->peer_addrs, l->data),
+                    MM_PEER_PING_TIMEOUT_MS, ping_done, p);
+    }
+  g_list_free (names);
+}
+
+static unsigned
+ping_status (void *ctx)
+{
+  mm_entry *e = ctx;
+  return mm_contact_ping_status (e->contact, mm_clock_now_ms ());
+}
+
+/* One shard's step while the log does not answer, or after it failed.  */
+static void
+tend_shard (mm_entry *e, uint32_t i, mm_standing st, const char *peer)
+{
+  mm_shard *s = e->shards[i];
+  switch (st)
+    {
+    case MM_STANDING_CONTACT:
+      if (!e->shutting_down && e->live_entries)
+        align_shard (e, i);
+      mm_shard_retry (s);
+      break;
+    case MM_STANDING_OUTAGE:
+      if (mm_shard_held (s))
+        mm_shard_serve_unrecorded (s);
+      else if (mm_shard_waiting (s))
+        mm_shard_give_up (s, NULL);
+      break;
+    case MM_STANDING_CUT:
+      mm_shard_give_up (s, peer);
+      break;
+    case MM_STANDING_ALONE:
+      mm_shard_give_up (s, NULL);
+      break;
+    }
+}
+
+static void
+tick_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  mm_entry *e = w->data;
+  const char *peer = NULL;
+  if (mm_contact_lost (e->contact, mm_clock_now_ms ()))
+    ping_peers (e);
+  mm_standing st = standing (e, &peer);
+  for (uint32_t i = 0; i < (uint32_t)e->settings.shards; i++)
+    tend_shard (e, i, st, peer);
+  if (mm_clock_now_ms () - e->view_changed_ms > MM_VIEW_SETTLE_MS)
+    e->view_checked = true;
+  if (e->shutting_down)
+    ev_idle_start (loop, &e->shutdown_check);
+}
+
+static uint64_t
+listed_fingerprint (void *ctx)
+{
+  return mm_pool_fingerprint (((mm_entry *)ctx)->pool);
+}
+
+static void
+note_contact (bool ok, void *ctx)
+{
+  mm_entry_contact_note (ctx, ok);
+}
+
+/**
+ * mm_entry_shards_start() - set up the shards.
+ * @e: the entry instance, its platform client created.
+ */
+void
+mm_entry_shards_start (mm_entry *e)
+{
+  e->contact = mm_contact_create (mm_clock_now_ms ());
+  e->view_changed_ms = mm_clock_now_ms ();
+  e->suspects
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  e->shard_env = (mm_shard_env){
+    .loop = e->loop,
+    .http = e->platform,
+    .counters = e->counters,
+    .platform_url = e->settings.platform_url,
+    .datacentre = e->settings.datacentre,
+    .self = e->settings.name,
+    .incarnation
+    = g_strdup_printf ("%s#%" G_GINT64_FORMAT ".%08x", e->settings.name,
+                       mm_clock_wall_ms (), g_random_int ()),
+    .ttl_ms = e->settings.done_ttl_ms,
+    .fingerprint = listed_fingerprint,
+    .contact = note_contact,
+    .ctx = e,
+  };
+  e->shards = g_new0 (mm_shard *, e->settings.shards);
+  for (uint32_t i = 0; i < (uint32_t)e->settings.shards; i++)
+    e->shards[i] = mm_shard_create (&e->shard_env, i);
+  mm_peer_set_contact (e->peer, ping_status, e);
+  ev_timer_init (&e->shard_tick, tick_cb, MM_SHARD_TICK_MS / 1000.0,
+                 MM_SHARD_TICK_MS / 1000.0);
+  e->shard_tick.data = e;
+  if (*e->settings.platform_url)
+    ev_timer_start (e->loop, &e->shard_tick);
+}
+
+void
+mm_entry_shards_stop (mm_entry *e)
+{
+  if (!e->shards)
+    return;
+  ev_timer_stop (e->loop, &e->shard_tick);
+  for (uint32_t i = 0; i < (uint32_t)e->settings.shards; i++)
+    mm_shard_destroy (e->shards[i]);
+  g_free (e->shards);
+  g_free (e->shard_env.incarnation);
+  g_hash_table_destroy (e->suspects);
+  mm_contact_destroy (e->contact);
+}
+
+static void
+limit_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  mm_entry *e = w->data;
+  e->shutdown_late = true;
+  ev_idle_start (loop, &e->shutdown_check);
+}
+
+/**
+ * mm_entry_shards_released() - hand our shards over when shutting down.
+ * @e: the entry instance; its jobs have ended.
+ *
+ * A release in the log tells the next owner that nothing unrecorded was
+ * left behind.  It is a courtesy: with the log out of reach the process
+ * goes without after MM_RELEASE_LIMIT_MS.
+ *
+ * Return: true when no shard is held any more, or the limit has passed.
+ */
+bool
+mm_entry_shards_released (mm_entry *e)
+{
+  uint32_t held = 0;
+  for (uint32_t i = 0; i < (uint32_t)e->settings.shards; i++)
+    if (mm_shard_held (e->shards[i]))
+      {
+        held++;
+        mm_shard_release (e->shards[i]);
+      }
+  if (!held || e->shutdown_late)
+    return true;
+  if (!ev_is_active (&e->shutdown_limit))
+    {
+      ev_timer_init (&e->shutdown_limit, limit_cb,
+                     MM_RELEASE_LIMIT_MS / 1000.0, 0.);
+      e->shutdown_limit.data = e;
+      ev_timer_start (e->loop, &e->shutdown_limit);
+    }
+  return false;
+}
+
+void
+mm_entry_shards_dump (const mm_entry *e, cJSON *out)
+{
+  cJSON *o = cJSON_AddObjectToObject (out, "shards");
+  cJSON *held = cJSON_AddArrayToObject (o, "held");
+  uint32_t known = 0;
+  for (uint32_t i = 0; i < (uint32_t)e->settings.shards; i++)
+    {
+      if (mm_shard_held (e->shards[i]))
+        cJSON_AddItemToArray (held, cJSON_CreateNumber (i));
+      known += mm_shard_known_jobs (e->shards[i]);
+    }
+  cJSON_AddNumberToObject (o, "jobs_known_from_earlier_owners", known);
+  cJSON_AddStringToObject (out, "standing",
+                           mm_standing_name (standing (e, NULL)));
+}
--- a/src/mm_http_client.c
+++ b/src/mm_http_client.c
@@ -11,6 +11,7 @@
   CURLM *multi;
   ev_timer timer;
   uint32_t in_flight;
+  char *member_header; /* "X-Masticmill-Member: NAME", or NULL */
 };
 
 /* A request body that goes out once: see read_body_once.  */
@@ -198,9 +199,22 @@
     return;
   ev_timer_stop (c->loop, &c->timer);
   curl_multi_cleanup (c->multi);
+  g_free (c->member_header);
   g_free (c);
 }
 
+/**
+ * mm_http_client_set_member() - name ourselves in every call.
+ * @c: the client.
+ * @name: our member name, sent as X-Masticmill-Member.
+ */
+void
+mm_http_client_set_member (mm_http_client *c, const char *name)
+{
+  g_free (c->member_header);
+  c->member_header = g_strdup_printf ("X-Masticmill-Member: %s", name);
+}
+
 uint32_t
 mm_http_client_in_flight (const mm_http_client *c)
 {
@@ -249,7 +263,6 @@
   curl_easy_setopt (e, CURLOPT_WRITEDATA, out);
   *headers = curl_slist_append (NULL, "Content-Type: application/json");
   *headers = curl_slist_append (*headers, "Expect:");
-  curl_easy_setopt (e, CURLOPT_HTTPHEADER, *headers);
   if (body->len_bytes)
     {
       curl_easy_setopt (e, CURLOPT_POST, 1L);
@@ -284,6 +297,9 @@
   k->cursor = body_of (k->body);
   k->easy = make_easy (method, url, &k->cursor, timeout_ms, &k->headers,
                        k->answer);
+  if (c->member_header)
+    k->headers = curl_slist_append (k->headers, c->member_header);
+  curl_easy_setopt (k->easy, CURLOPT_HTTPHEADER, k->headers);
   curl_easy_setopt (k->easy, CURLOPT_PRIVATE, k);
   c->in_flight++;
   curl_multi_add_handle (c->multi, k->easy);
@@ -308,6 +324,7 @@
   struct curl_slist *headers = NULL;
   body_cursor cursor = body_of (body);
   CURL *e = make_easy (method, url, &cursor, timeout_ms, &headers, out);
+  curl_easy_setopt (e, CURLOPT_HTTPHEADER, headers);
   CURLcode code = curl_easy_perform (e);
   curl_easy_getinfo (e, CURLINFO_RESPONSE_CODE, status);
   curl_easy_cleanup (e);
--- a/src/mm_http_server.c
+++ b/src/mm_http_server.c
@@ -286,6 +286,12 @@
   return MHD_lookup_connection_value (r->conn, MHD_GET_ARGUMENT_KIND, key);
 }
 
+const char *
+mm_http_request_header (const mm_http_request *r, const char *name)
+{
+  return MHD_lookup_connection_value (r->conn, MHD_HEADER_KIND, name);
+}
+
 /**
  * mm_http_reply() - answer a request with a JSON body.
  * @r: the request; it must not be used after this call.
--- a/src/mm_peer.c
+++ b/src/mm_peer.c
@@ -1,8 +1,10 @@
 /* mm_peer: links between the entry instances of a data centre.
 
    TCP, each frame a 4-byte big-endian length and a msgpack array:
-     [1, req_id, job]                       forward a job to its owner
+     [1, req_id, hops, job]                 forward a job to its owner
      [2, req_id, status, retry_after, body] the owner's answer
+     [3, req_id]                            do you reach the platform?
+                                            (answered by 200, 204 or 503)
    A peer_link is a small task: it owns its socket, buffers and pending calls.
    A peer_link that fails answers every pending call with an error at once, so
    no caller waits for an answer that cannot come.  */
@@ -23,7 +25,8 @@
 enum
 {
   FRAME_FORWARD = 1,
-  FRAME_ANSWER = 2
+  FRAME_ANSWER = 2,
+  FRAME_PING = 3
 };
 
 typedef struct peer_link peer_link;
@@ -36,6 +39,8 @@
   uint16_t port;
   mm_peer_request_cb on_request;
   void *ctx;
+  mm_peer_contact_cb in_contact;
+  void *contact_ctx;
   GHashTable *links_by_id; /* id -> peer_link */
   GHashTable *out_by_addr; /* "host:port" -> peer_link (outgoing) */
   uint64_t next_link_id;
@@ -89,10 +94,10 @@
 }
 
 static void
-fail_pending (pending *p, const char *why)
+fail_pending (pending *p, int code, const char *why)
 {
   mm_peer_answer a = { 0 };
-  a.error = g_error_new (MM_ERROR, MM_ERROR_IO, "peer peer_link: %s", why);
+  a.error = g_error_new (MM_ERROR, code, "peer link: %s", why);
   answer_pending (p, &a);
   g_error_free (a.error);
 }
@@ -116,15 +121,24 @@
   bool ok = msgpack_unpack_next (&msg, (const char *)data, len, &off)
                 == MSGPACK_UNPACK_SUCCESS
             && msg.data.type == MSGPACK_OBJECT_ARRAY
-            && msg.data.via.array.size >= 3;
-  uint64_t type = 0, req = 0;
+            && msg.data.via.array.size >= 2;
+  size_t fields = ok ? msg.data.via.array.size : 0;
+  uint64_t type = 0, req = 0, hops = 0;
   const msgpack_object *f = ok ? msg.data.via.array.ptr : NULL;
   ok = ok && int_of (&f[0], &type) && int_of (&f[1], &req);
-  if (ok && type == FRAME_FORWARD && f[2].type == MSGPACK_OBJECT_BIN)
-    l->peer->on_request (l->peer, l->id, req,
-                         (const uint8_t *)f[2].via.bin.ptr, f[2].via.bin.size,
+  if (ok && type == FRAME_FORWARD && fields == 4 && int_of (&f[2], &hops)
+      && f[3].type == MSGPACK_OBJECT_BIN)
+    l->peer->on_request (l->peer, l->id, req, (uint32_t)hops,
+                         (const uint8_t *)f[3].via.bin.ptr, f[3].via.bin.size,
                          l->peer->ctx);
-  else if (ok && type == FRAME_ANSWER && msg.data.via.array.size == 5
+  else if (ok && type == FRAME_PING && fields == 2)
+    {
+      unsigned status = l->peer->in_contact
+                            ? l->peer->in_contact (l->peer->contact_ctx)
+                            : 204;
+      mm_peer_reply (l->peer, l->id, req, status, 0, "");
+    }
+  else if (ok && type == FRAME_ANSWER && fields == 5
            && f[4].type == MSGPACK_OBJECT_STR)
     {
       uint64_t status = 0, after = 0;
@@ -246,7 +260,7 @@
   while (g_hash_table_iter_next (&it, &k, &v))
     {
       g_hash_table_iter_steal (&it);
-      fail_pending (v, why);
+      fail_pending (v, MM_ERROR_IO, why);
     }
   g_hash_table_destroy (l->pending);
   g_byte_array_free (l->in, TRUE);
@@ -377,22 +391,13 @@
 {
   pending *p = w->data;
   g_hash_table_remove (p->l->pending, &p->req_id);
-  fail_pending (p, "no answer in time");
+  fail_pending (p, MM_ERROR_TIMEOUT, "no answer in time");
 }
 
-/**
- * mm_peer_forward() - send a packed job to its owner, await its answer.
- * @p: the peer endpoint.
- * @addr: the owner's "host:peer_port".
- * @job: bytes from mm_job_pack().
- * @len: their number.
- * @timeout_ms: give up after this (the caller is then answered at once).
- * @done: called once with the answer or an error.
- * @ctx: context pointer for @done.
- */
-void
-mm_peer_forward (mm_peer *p, const char *addr, const uint8_t *job, size_t len,
-                 mm_time_ms timeout_ms, mm_peer_answer_cb done, void *ctx)
+/* Send a request frame whose req_id is the newest, and await its answer. */
+static void
+send_request (mm_peer *p, const char *addr, GByteArray *frame,
+              mm_time_ms timeout_ms, mm_peer_answer_cb done, void *ctx)
 {
   GError *err = NULL;
   peer_link *l = link_to (p, addr, &err);
@@ -407,23 +412,88 @@
   pd->done = done;
   pd->ctx = ctx;
   pd->l = l;
-  pd->req_id = ++p->next_req_id;
+  pd->req_id = p->next_req_id;
   ev_timer_init (&pd->timer, timeout_cb, (double)timeout_ms / 1000.0, 0.);
   pd->timer.data = pd;
   ev_timer_start (p->loop, &pd->timer);
   g_hash_table_insert (l->pending, &pd->req_id, pd);
+  link_queue (l, frame);
+}
+
+/**
+ * mm_peer_forward() - send a packed job to its owner, await its answer.
+ * @p: the peer endpoint.
+ * @addr: the owner's "host:peer_port".
+ * @hops: how often the job was forwarded before.
+ * @job: bytes from mm_job_pack().
+ * @len: their number.
+ * @timeout_ms: give up after this (the caller is then answered at once).
+ * @done: called once with the answer or an error.
+ * @ctx: context pointer for @done.
+ */
+void
+mm_peer_forward (mm_peer *p, const char *addr, uint32_t hops,
+                 const uint8_t *job, size_t len, mm_time_ms timeout_ms,
+                 mm_peer_answer_cb done, void *ctx)
+{
   GByteArray *b = g_byte_array_new ();
   msgpack_packer pk;
   msgpack_packer_init (&pk, b, write_cb);
-  msgpack_pack_array (&pk, 3);
+  msgpack_pack_array (&pk, 4);
   msgpack_pack_uint32 (&pk, FRAME_FORWARD);
-  msgpack_pack_uint64 (&pk, pd->req_id);
+  msgpack_pack_uint64 (&pk, ++p->next_req_id);
+  msgpack_pack_uint32 (&pk, hops);
   msgpack_pack_bin (&pk, len);
   msgpack_pack_bin_body (&pk, job, len);
-  link_queue (l, b);
+  send_request (p, addr, b, timeout_ms, done, ctx);
+  g_byte_array_free (b, TRUE);
+}
+
+/**
+ * mm_peer_ping() - ask a peer whether it reaches the platform's service.
+ * @p: the peer endpoint.
+ * @addr: the peer's "host:peer_port".
+ * @timeout_ms: give up after this.
+ * @done: status 200 when it does, 503 when it does not, or an error.
+ * @ctx: context pointer for @done.
+ */
+void
+mm_peer_ping (mm_peer *p, const char *addr, mm_time_ms timeout_ms,
+              mm_peer_answer_cb done, void *ctx)
+{
+  GByteArray *b = g_byte_array_new ();
+  msgpack_packer pk;
+  msgpack_packer_init (&pk, b, write_cb);
+  msgpack_pack_array (&pk, 2);
+  msgpack_pack_uint32 (&pk, FRAME_PING);
+  msgpack_pack_uint64 (&pk, ++p->next_req_id);
+  send_request (p, addr, b, timeout_ms, done, ctx);
   g_byte_array_free (b, TRUE);
 }
 
+/**
+ * mm_peer_drop() - fail a peer's link now.
+ * @p: the peer endpoint.
+ * @addr: the peer's "host:peer_port".
+ *
+ * For a peer that left the member list: a frozen process keeps its
+ * sockets open, so nothing else tells that no answer will come.
+ */
+void
+mm_peer_drop (mm_peer *p, const char *addr)
+{
+  peer_link *l = g_hash_table_lookup (p->out_by_addr, addr);
+  if (l)
+    link_close (l, "it left the member list");
+}
+
+void
+mm_peer_set_contact (mm_peer *p, mm_peer_contact_cb in_contact, void *ctx)
+{
+  p->in_contact = in_contact;
+  p->contact_ctx = ctx;
+}
+
 /**
  * mm_peer_reply() - answer a job forwarded to us.
  * @p: the peer endpoint.
--- a/src/mm_platform.c
+++ b/src/mm_platform.c
@@ -4,13 +4,20 @@
      record and answers its offset; GET /v1/log/STREAM?from=N&max=M reads
      in order.  Records older than the retention are dropped from the
      front, and "first" says where the log now begins.
+     A stream keeps the highest producer epoch it has seen: an append
+     with ?epoch=N lower than that answers 409 with the epoch it has, so a
+     writer that was replaced cannot write any more.  Reads tell it too.
+     An append with ?at=N answers 412 unless the stream ends at N.
    - A member list: PUT /v1/members/NAME is a heartbeat carrying the
      member's state; GET /v1/members shows each member as it was
      member_lag_ms ago, and drops members silent for member_ttl_ms.
    - Faults, POST /v1/faults: {"down":true} answers 503 to all but
      /v1/faults and /v1/state; {"slow_ms":N} delays every answer;
      {"lose_answers":N} applies the next N appends but loses their
-     answers (the caller sees 504 although the record is in the log).  */
+     answers (the caller sees 504 although the record is in the log);
+     {"cut":"NAME"} answers 503 to everything the member NAME asks, and
+     serves the others ("" ends it).  Callers name themselves in
+     X-Masticmill-Member.  */
 #include "config.h"
 #include "masticmill.h"
 
@@ -31,6 +38,7 @@
   char *name;
   int64_t first;  /* offset of records->head */
   int64_t head;   /* next offset to write */
+  int64_t epoch;  /* highest producer epoch seen, 0 none */
   GQueue records; /* log_record * */
 } log_stream;
 
@@ -56,6 +64,7 @@
   bool down;
   int64_t slow_ms;
   int64_t lose_answers;
+  char *cut; /* member turned away, "" for none */
 };
 
 typedef struct
@@ -186,6 +195,25 @@
     }
   cJSON_Delete (check);
   log_stream *s = get_stream (p, stream);
+  const char *epoch_s = mm_http_request_query (req, "epoch");
+  int64_t epoch = epoch_s ? g_ascii_strtoll (epoch_s, NULL, 10) : s->epoch;
+  if (epoch < s->epoch)
+    {
+      mm_counters_add (p->counters, "log_appends_fenced", 1);
+      answer (p, req, 409,
+              g_strdup_printf ("{\"reason\":\"fenced\",\"epoch\":"
+                               "%" G_GINT64_FORMAT "}",
+                               s->epoch));
+      return;
+    }
+  const char *at_s = mm_http_request_query (req, "at");
+  if (at_s && g_ascii_strtoll (at_s, NULL, 10) != s->head)
+    {
+      answer (p, req, 412,
+              g_strdup_printf ("{\"end\":%" G_GINT64_FORMAT "}", s->head));
+      return;
+    }
+  s->epoch = epoch;
   mm_time_ms now = mm_clock_now_ms ();
   apply_retention (p, s, now);
   log_record *r = g_new0 (log_record, 1);
@@ -221,6 +249,7 @@
   cJSON *o = cJSON_CreateObject ();
   cJSON_AddNumberToObject (o, "first", (double)s->first);
   cJSON_AddNumberToObject (o, "head", (double)s->head);
+  cJSON_AddNumberToObject (o, "epoch", (double)s->epoch);
   cJSON *arr = cJSON_AddArrayToObject (o, "records");
   int64_t n = 0;
   for (GList *l = s->records.head; l && n < max; l = l->next)
@@ -370,13 +399,26 @@
     p->slow_ms = (int64_t)slow->valuedouble;
   if (cJSON_IsNumber (lose))
     p->lose_answers = (int64_t)lose->valuedouble;
+  const cJSON *cut = cJSON_GetObjectItemCaseSensitive (o, "cut");
+  if (cJSON_IsString (cut))
+    {
+      g_free (p->cut);
+      p->cut = g_strdup (cut->valuestring);
+    }
   cJSON_Delete (o);
   g_message ("faults: down=%d slow_ms=%" G_GINT64_FORMAT
-             " lose_answers=%" G_GINT64_FORMAT,
-             p->down, p->slow_ms, p->lose_answers);
+             " lose_answers=%" G_GINT64_FORMAT " cut=%s",
+             p->down, p->slow_ms, p->lose_answers, p->cut);
   mm_http_reply (req, 200, "{\"status\":\"ok\"}", 0);
 }
 
+static bool
+turned_away (const mm_platform *p, const mm_http_request *req)
+{
+  const char *member = mm_http_request_header (req, "X-Masticmill-Member");
+  return p->down || (*p->cut && member && g_str_equal (member, p->cut));
+}
+
 static void
 handle (mm_http_request *req, void *ctx)
 {
@@ -391,7 +433,7 @@
       mm_http_reply (req, 200, d, 0);
       free (d);
     }
-  else if (p->down)
+  else if (turned_away (p, req))
     {
       mm_counters_add (p->counters, "refused_down", 1);
       mm_http_reply (req, 503,
@@ -432,6 +474,7 @@
   p->settings = *s;
   p->settings.listen_host = g_strdup (s->listen_host);
   p->counters = mm_counters_create ();
+  p->cut = g_strdup ("");
   p->streams
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_stream);
   p->members
@@ -456,6 +499,7 @@
   g_hash_table_destroy (p->streams);
   g_hash_table_destroy (p->members);
   g_free (p->settings.listen_host);
+  g_free (p->cut);
   g_free (p);
 }
 
@@ -482,6 +526,7 @@
       cJSON *so = cJSON_AddObjectToObject (streams, s->name);
       cJSON_AddNumberToObject (so, "first", (double)s->first);
       cJSON_AddNumberToObject (so, "head", (double)s->head);
+      cJSON_AddNumberToObject (so, "epoch", (double)s->epoch);
     }
   cJSON_AddNumberToObject (o, "members", g_hash_table_size (p->members));
   char *c = mm_counters_to_json (p->counters);
--- a/src/mm_pool.c
+++ b/src/mm_pool.c
@@ -8,13 +8,24 @@
 #include "mm_pool.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 struct mm_pool
 {
   GPtrArray *members; /* mm_pool_member * */
   uint32_t default_slots;
+  GQueue lists; /* listed_set *, newest first */
 };
 
+/* The upstream incarnations of one member list.  */
+typedef struct
+{
+  uint64_t fingerprint;
+  GArray *hashes; /* uint64_t, one for each */
+} listed_set;
+
+#define KEPT_LISTS 256
+
 static void
 free_member (gpointer data)
 {
@@ -24,12 +35,21 @@
   g_free (m);
 }
 
+static void
+free_list (gpointer data)
+{
+  listed_set *l = data;
+  g_array_free (l->hashes, TRUE);
+  g_free (l);
+}
+
 mm_pool *
 mm_pool_create (uint32_t default_slots)
 {
   mm_pool *p = g_new0 (mm_pool, 1);
   p->members = g_ptr_array_new_with_free_func (free_member);
   p->default_slots = default_slots;
+  g_queue_init (&p->lists);
   return p;
 }
 
@@ -39,6 +59,7 @@
   if (!p)
     return;
   g_ptr_array_free (p->members, TRUE);
+  g_queue_clear_full (&p->lists, free_list);
   g_free (p);
 }
 
@@ -57,12 +78,14 @@
  * @name: its member name.
  * @addr: "host:port".
  * @slots: its slots, 0 for the default.
+ * @boot_ms: names its incarnation, 0 when not told.
  *
  * Members are never removed, so indexes held by tasks in flight stay
  * valid.  Return: its index.
  */
 int
-mm_pool_add (mm_pool *p, const char *name, const char *addr, uint32_t slots)
+mm_pool_add (mm_pool *p, const char *name, const char *addr, uint32_t slots,
+             int64_t boot_ms)
 {
   int i = mm_pool_find (p, name);
   mm_pool_member *m;
@@ -77,9 +100,66 @@
       i = (int)p->members->len - 1;
     }
   m->slots = slots ? slots : p->default_slots;
+  m->listed = true;
+  /* A new incarnation at an old address starts with a clean record.  */
+  if (boot_ms != m->boot_ms)
+    {
+      m->boot_ms = boot_ms;
+      m->state = MM_UPSTREAM_LIVE;
+      m->state_seq = 0;
+      m->failures_in_row = 0;
+    }
   return i;
 }
 
+/**
+ * mm_pool_list_begin() - a whole new member list follows.
+ * @p: the pool.
+ * @now: mm_clock_now_ms().
+ *
+ * Guards against work for an upstream that crashed: it vanishes from the
+ * list without ever having said that it leaves.  Whoever is not added
+ * again after this gets no new work until it is listed again.  Upstreams
+ * that only the settings name (boot_ms 0) stay.
+ */
+void
+mm_pool_list_begin (mm_pool *p, mm_time_ms now)
+{
+  for (guint i = 0; i < p->members->len; i++)
+    {
+      mm_pool_member *m = p->members->pdata[i];
+      if (m->listed && m->boot_ms)
+        m->unlisted_ms = now;
+      m->listed = m->boot_ms == 0;
+    }
+}
+
+uint64_t
+mm_pool_fingerprint_of (const char *name, int64_t boot_ms)
+{
+  return XXH3_64bits_withSeed (name, strlen (name), (uint64_t)boot_ms);
+}
+
+/**
+ * mm_pool_fingerprint() - which upstream incarnations are listed.
+ * @p: the pool.
+ *
+ * Return: equal for equal sets, whatever their order (an exclusive or of
+ * one hash each).
+ */
+uint64_t
+mm_pool_fingerprint (const mm_pool *p)
+{
+  uint64_t sum = 0;
+  for (guint i = 0; i < p->members->len; i++)
+    {
+      const mm_pool_member *m = p->members->pdata[i];
+      if (m->listed)
+        sum ^= mm_pool_fingerprint_of (m->name, m->boot_ms);
+    }
+  return sum;
+}
+
 /**
  * mm_pool_set_state() - the member list's word on an upstream.
  * @p: the pool.
@@ -106,6 +186,89 @@
   m->state = s;
 }
 
+static listed_set *
+find_list (const mm_pool *p, uint64_t fingerprint)
+{
+  for (GList *l = p->lists.head; l; l = l->next)
+    if (((listed_set *)l->data)->fingerprint == fingerprint)
+      return l->data;
+  return NULL;
+}
+
+/**
+ * mm_pool_list_end() - the new member list has been added.
+ * @p: the pool.
+ *
+ * Its set of upstreams is remembered by fingerprint, so that an accept
+ * record that names the fingerprint tells which upstreams it meant.
+ */
+void
+mm_pool_list_end (mm_pool *p)
+{
+  uint64_t fingerprint = mm_pool_fingerprint (p);
+  if (find_list (p, fingerprint))
+    return;
+  listed_set *l = g_new0 (listed_set, 1);
+  l->fingerprint = fingerprint;
+  l->hashes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  for (guint i = 0; i < p->members->len; i++)
+    {
+      const mm_pool_member *m = p->members->pdata[i];
+      uint64_t hash = mm_pool_fingerprint_of (m->name, m->boot_ms);
+      if (m->listed)
+        g_array_append_val (l->hashes, hash);
+    }
+  g_queue_push_head (&p->lists, l);
+  if (p->lists.length > KEPT_LISTS)
+    free_list (g_queue_pop_tail (&p->lists));
+}
+
+/**
+ * mm_pool_covers() - did all upstreams of an old list report?
+ * @p: the pool.
+ * @hashes: set of mm_pool_fingerprint_of() (as int64 keys) that did.
+ * @fingerprint: the old list's.
+ *
+ * Return: false also when we never saw that list, unless just those
+ * reported that it names.
+ */
+bool
+mm_pool_covers (const mm_pool *p, GHashTable *hashes, uint64_t fingerprint)
+{
+  const listed_set *l = find_list (p, fingerprint);
+  if (l)
+    {
+      for (guint i = 0; i < l->hashes->len; i++)
+        if (!g_hash_table_contains (hashes,
+                                    &g_array_index (l->hashes, int64_t, i)))
+          return false;
+      return true;
+    }
+  uint64_t sum = 0;
+  GHashTableIter it;
+  gpointer hash;
+  g_hash_table_iter_init (&it, hashes);
+  while (g_hash_table_iter_next (&it, &hash, NULL))
+    sum ^= *(uint64_t *)hash;
+  return sum == fingerprint;
+}
+
+/**
+ * mm_pool_worth_asking() - may an upstream know of a job of the last
+ * @ttl_ms?
+ * @p: the pool.
+ * @i: the upstream.
+ * @now: mm_clock_now_ms().
+ * @ttl_ms: how far back.
+ */
+bool
+mm_pool_worth_asking (const mm_pool *p, int i, mm_time_ms now,
+                      mm_time_ms ttl_ms)
+{
+  const mm_pool_member *m = p->members->pdata[i];
+  return m->listed || now - m->unlisted_ms < ttl_ms;
+}
+
 static bool
 takes_work (mm_pool_member *m, mm_time_ms now)
 {
@@ -114,7 +277,7 @@
       m->state = MM_UPSTREAM_LIVE;
       m->failures_in_row = 0;
     }
-  return m->state == MM_UPSTREAM_LIVE;
+  return m->listed && m->state == MM_UPSTREAM_LIVE;
 }
 
 /**
@@ -176,6 +339,8 @@
       m->failures_in_row = 0;
       return;
     }
+  if (o == MM_OUTCOME_FENCED)
+    return;
   if (o == MM_OUTCOME_REFUSED)
     {
       m->state = MM_UPSTREAM_LEAVING;
--- a/src/mm_upstream.c
+++ b/src/mm_upstream.c
@@ -6,7 +6,13 @@
    finish the rest), "freeze" (hold every answer until unfrozen) and
    "fail_all" (every task starts and fails).  GET /v1/starts lists every
    task it ever started, with a count, so tests can prove that no task
-   started twice and that a "not run" task never started.  */
+   started twice and that a "not run" task never started.
+
+   POST /v1/jobs/JOB/fence {"epoch":N} raises the job's epoch and reports
+   every task of it that started here, with its state and result; a start
+   with a lower epoch is refused from then on (409).  Raising and
+   reporting are one step, so a task is either in the report or will
+   never start here under an older epoch.  */
 #include "config.h"
 #include "masticmill.h"
 
@@ -35,23 +41,69 @@
   mm_http_client *client;
   mm_counters *counters;
   upstream_mode mode;
-  uint32_t mode_seq;  /* bumped on every mode change */
-  GHashTable *starts; /* "job/task" -> count (GUINT_TO_POINTER) */
-  GQueue frozen;      /* runs finished while frozen */
+  uint32_t mode_seq; /* bumped on every mode change */
+  GHashTable *jobs;  /* job id -> job_record */
+  int64_t boot_ms;   /* wall clock at start: names this incarnation */
+  GQueue frozen;     /* runs finished while frozen */
   uint32_t running;
   ev_timer heartbeat;
   void (*drained) (void *);
   void *drained_ctx;
 };
 
+/* What a task that started here has come to.  */
+typedef struct
+{
+  uint32_t starts;   /* how often it started */
+  const char *state; /* "running", "done" or "failed" */
+  char *result;      /* when done */
+} task_record;
+
+typedef struct
+{
+  int64_t epoch;     /* starts below it are refused */
+  GHashTable *tasks; /* task id -> task_record */
+} job_record;
+
 struct run
 {
   ev_timer timer;
   mm_upstream *u;
   mm_http_request *req;
   char *task_id;
+  task_record *record;
 };
 
+static void
+free_task_record (gpointer data)
+{
+  task_record *t = data;
+  g_free (t->result);
+  g_free (t);
+}
+
+static void
+free_job_record (gpointer data)
+{
+  job_record *j = data;
+  g_hash_table_destroy (j->tasks);
+  g_free (j);
+}
+
+static job_record *
+get_job_record (mm_upstream *u, const char *job_id)
+{
+  job_record *j = g_hash_table_lookup (u->jobs, job_id);
+  if (!j)
+    {
+      j = g_new0 (job_record, 1);
+      j->tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                        free_task_record);
+      g_hash_table_insert (u->jobs, g_strdup (job_id), j);
+    }
+  return j;
+}
+
 const mm_setting_spec mm_upstream_setting_specs[] = {
   { "upstream.listen_host", MM_SETTING_STRING,
     offsetof (mm_upstream_settings, listen_host), 0, 0, "address to bind" },
@@ -119,10 +171,11 @@
   cJSON_AddStringToObject (o, "status", fail ? "failed" : "done");
   if (!fail)
     {
-      char *res = g_strdup_printf ("ok:%s@%s", r->task_id, u->settings.name);
-      cJSON_AddStringToObject (o, "result", res);
-      g_free (res);
+      r->record->result
+          = g_strdup_printf ("ok:%s@%s", r->task_id, u->settings.name);
+      cJSON_AddStringToObject (o, "result", r->record->result);
     }
+  r->record->state = fail ? "failed" : "done";
   mm_counters_add (u->counters, fail ? "tasks_failed" : "tasks_done", 1);
   reply_json (r->req, fail ? 500 : 200, o);
   u->running--;
@@ -152,6 +205,7 @@
   const cJSON *job = cJSON_GetObjectItemCaseSensitive (o, "job_id");
   const cJSON *task = cJSON_GetObjectItemCaseSensitive (o, "task_id");
   const cJSON *run_ms = cJSON_GetObjectItemCaseSensitive (o, "run_ms");
+  const cJSON *epoch = cJSON_GetObjectItemCaseSensitive (o, "epoch");
   if (!cJSON_IsString (job) || !cJSON_IsString (task))
     {
       char *b = mm_json_error_body (MM_ERROR_BAD_REQUEST,
@@ -161,12 +215,26 @@
       cJSON_Delete (o);
       return;
     }
-  char *key = g_strdup_printf ("%s/%s", job->valuestring, task->valuestring);
-  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (u->starts, key));
-  g_hash_table_insert (u->starts, key, GUINT_TO_POINTER (n + 1));
-  mm_counters_add (u->counters, "tasks_started", 1);
-  if (n)
+  job_record *j = get_job_record (u, job->valuestring);
+  if (cJSON_IsNumber (epoch) && (int64_t)epoch->valuedouble < j->epoch)
+    {
+      mm_counters_add (u->counters, "tasks_fenced", 1);
+      mm_http_reply (req, 409,
+                     "{\"status\":\"refused\",\"reason\":\"fenced\"}", 0);
+      cJSON_Delete (o);
+      return;
+    }
+  task_record *t = g_hash_table_lookup (j->tasks, task->valuestring);
+  if (!t)
+    {
+      t = g_new0 (task_record, 1);
+      g_hash_table_insert (j->tasks, g_strdup (task->valuestring), t);
+    }
+  else
     mm_counters_add (u->counters, "tasks_started_again", 1);
+  t->starts++;
+  t->state = "running";
+  mm_counters_add (u->counters, "tasks_started", 1);
   u->running++;
   double ms = cJSON_IsNumber (run_ms) ? run_ms->valuedouble : 0;
   if (u->running > (uint32_t)u->settings.slots)
@@ -175,6 +243,7 @@
   r->u = u;
   r->req = req;
   r->task_id = g_strdup (task->valuestring);
+  r->record = t;
   ev_timer_init (&r->timer, run_done_cb, ms / 1000.0, 0.);
   ev_timer_start (u->loop, &r->timer);
   cJSON_Delete (o);
@@ -227,11 +296,60 @@
 {
   cJSON *o = cJSON_CreateObject ();
   cJSON *s = cJSON_AddObjectToObject (o, "starts");
+  GHashTableIter jobs, tasks;
+  gpointer job, j, task, t;
+  g_hash_table_iter_init (&jobs, u->jobs);
+  while (g_hash_table_iter_next (&jobs, &job, &j))
+    {
+      g_hash_table_iter_init (&tasks, ((job_record *)j)->tasks);
+      while (g_hash_table_iter_next (&tasks, &task, &t))
+        {
+          char *key = g_strdup_printf ("%s/%s", (char *)job, (char *)task);
+          cJSON_AddNumberToObject (s, key, ((task_record *)t)->starts);
+          g_free (key);
+        }
+    }
+  reply_json (req, 200, o);
+}
+
+/* POST /v1/jobs/JOB/fence: see the head of this file.  */
+static void
+fence_job (mm_upstream *u, mm_http_request *req, const char *job_id)
+{
+  size_t len;
+  const char *body = mm_http_request_body (req, &len);
+  cJSON *in = cJSON_ParseWithLength (body, len);
+  const cJSON *epoch = cJSON_GetObjectItemCaseSensitive (in, "epoch");
+  if (!cJSON_IsNumber (epoch))
+    {
+      char *b
+          = mm_json_error_body (MM_ERROR_BAD_REQUEST, "epoch is required", 0);
+      mm_http_reply (req, 400, b, 0);
+      free (b);
+      cJSON_Delete (in);
+      return;
+    }
+  job_record *j = get_job_record (u, job_id);
+  j->epoch = MAX (j->epoch, (int64_t)epoch->valuedouble);
+  cJSON_Delete (in);
+  mm_counters_add (u->counters, "fences", 1);
+  cJSON *o = cJSON_CreateObject ();
+  cJSON_AddNumberToObject (o, "epoch", (double)j->epoch);
+  cJSON_AddNumberToObject (o, "boot_ms", (double)u->boot_ms);
+  cJSON *tasks = cJSON_AddArrayToObject (o, "tasks");
   GHashTableIter it;
-  gpointer k, v;
-  g_hash_table_iter_init (&it, u->starts);
-  while (g_hash_table_iter_next (&it, &k, &v))
-    cJSON_AddNumberToObject (s, k, GPOINTER_TO_UINT (v));
+  gpointer id, v;
+  g_hash_table_iter_init (&it, j->tasks);
+  while (g_hash_table_iter_next (&it, &id, &v))
+    {
+      const task_record *t = v;
+      cJSON *row = cJSON_CreateObject ();
+      cJSON_AddStringToObject (row, "id", id);
+      cJSON_AddStringToObject (row, "state", t->state);
+      if (t->result)
+        cJSON_AddStringToObject (row, "result", t->result);
+      cJSON_AddItemToArray (tasks, row);
+    }
   reply_json (req, 200, o);
 }
 
@@ -253,6 +371,14 @@
     }
   else if (g_str_equal (m, "POST") && g_str_equal (p, "/v1/mode"))
     set_mode (u, req);
+  else if (g_str_equal (m, "POST") && g_str_has_prefix (p, "/v1/jobs/")
+           && g_str_has_suffix (p, "/fence"))
+    {
+      char *job_id
+          = g_strndup (p + 9, strlen (p) - strlen ("/v1/jobs//fence"));
+      fence_job (u, req, job_id);
+      g_free (job_id);
+    }
   else if (g_str_equal (p, "/v1/starts"))
     list_starts (u, req);
   else if (g_str_equal (p, "/v1/state"))
@@ -288,10 +414,11 @@
                                u->settings.name);
   char *body = g_strdup_printf (
       "{\"kind\":\"upstream\",\"addr\":\"%s:%u\",\"datacentre\":\"%s\","
-      "\"state\":\"%s\",\"mode_seq\":%u,\"slots\":%" G_GINT64_FORMAT "}",
+      "\"state\":\"%s\",\"mode_seq\":%u,\"slots\":%" G_GINT64_FORMAT
+      ",\"boot_ms\":%" G_GINT64_FORMAT "}",
       u->settings.listen_host, mm_http_server_port (u->http),
       u->settings.datacentre, u->mode == MODE_DRAIN ? "leaving" : "live",
-      u->mode_seq, u->settings.slots);
+      u->mode_seq, u->settings.slots, u->boot_ms);
   mm_http_client_call (u->client, "PUT", url, body, 1000, heartbeat_done, u);
   g_free (url);
   g_free (body);
@@ -323,7 +450,9 @@
   u->loop = loop;
   copy_settings (&u->settings, s);
   u->counters = mm_counters_create ();
-  u->starts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  u->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                   free_job_record);
+  u->boot_ms = mm_clock_wall_ms ();
   g_queue_init (&u->frozen);
   u->http = mm_http_server_create (loop, s->listen_host, (uint16_t)s->port,
                                    1 << 20, handle, u, error);
@@ -349,7 +478,7 @@
   mm_http_server_destroy (u->http);
   mm_http_client_destroy (u->client);
   mm_counters_destroy (u->counters);
-  g_hash_table_destroy (u->starts);
+  g_hash_table_destroy (u->jobs);
   g_free (u->settings.listen_host);
   g_free (u->settings.name);
   g_free (u->settings.datacentre);
