--- a/daemons/masticctl.c
+++ b/daemons/masticctl.c
@@ -119,6 +119,41 @@
   return head;
 }
 
+/* Guards against an append whose answer was lost after it took effect:
+   the operator would publish again and lose to their own record.  The
+   log is read until it answers; the record is ours when its text is.
+   Return: its offset, or -1 when the log does not have it.  */
+static int64_t
+find_record (const char *rec, int64_t parent, int64_t wait_ms)
+{
+  cJSON *want = cJSON_Parse (rec);
+  char *url = g_strdup_printf ("%s/v1/log/config?from=%" G_GINT64_FORMAT,
+                               platform_url, parent + 1);
+  mm_time_ms until = mm_clock_now_ms () + wait_ms;
+  int64_t offset = -1;
+  bool read = false;
+  while (!read && mm_clock_now_ms () < until)
+    {
+      char *body = get (url, NULL);
+      cJSON *o = cJSON_Parse (body ? body : "");
+      const cJSON *r;
+      read = o != NULL;
+      cJSON_ArrayForEach (r, cJSON_GetObjectItem (o, "records"))
+      {
+        if (cJSON_Compare (cJSON_GetObjectItem (r, "data"), want, true))
+          offset = (int64_t)cJSON_GetNumberValue (
+              cJSON_GetObjectItem (r, "offset"));
+      }
+      cJSON_Delete (o);
+      g_free (body);
+      if (!read)
+        g_usleep (100000);
+    }
+  g_free (url);
+  cJSON_Delete (want);
+  return offset;
+}
+
 static int
 cmd_config_publish (int argc, char **argv, int64_t wait_ms)
 {
@@ -158,23 +193,24 @@
   long status = 0;
   char *answer = mm_http_call_sync ("POST", url, rec, 5000, &status, &err);
   g_free (url);
-  free (rec);
   if (!answer)
-    return fail (err);
+    {
+      /* No answer at all: what came of it is found in the log.  */
+      answer = g_strdup (err->message);
+      g_clear_error (&err);
+    }
   cJSON *a = cJSON_Parse (answer);
   int64_t offset
       = status == 200
             ? (int64_t)cJSON_GetNumberValue (cJSON_GetObjectItem (a, "offset"))
-            : -1;
+            : find_record (rec, parent, wait_ms);
   cJSON_Delete (a);
+  free (rec);
   if (offset < 0)
     {
-      /* The append may have taken effect with its answer lost: say so
-         rather than guess; publishing again from the same parent is
-         safe, since at most one record per parent is accepted.  */
       fprintf (stderr,
                "masticctl: platform: append answered %ld (%s); the "
-               "record may or may not be in the log\n",
+               "record is not in the log\n",
                status, answer);
       g_free (answer);
       return 1;
--- a/src/config.h
+++ b/src/config.h
@@ -50,5 +50,6 @@
 
 /* Upstream stand-in.  */
 #define MM_DEFAULT_UPSTREAM_PORT 7200
+#define MM_DRAIN_CHECK_MS 20 /* draining: are all answers out? */
 
 #endif /* MM_CONFIG_H */
--- a/src/mm_cfg.c
+++ b/src/mm_cfg.c
@@ -8,7 +8,12 @@
    own, so every node accepts the same records: two operators racing
    from the same head end with one winner, and the loser is refused the
    same way everywhere.  The head only moves forward, so an applied
-   configuration never reverts.  */
+   configuration never reverts.
+
+   A snapshot is the head once more, appended before retention drops it.
+   An operator who edits while a snapshot lands must not lose to it: all
+   offsets from the change itself (its "origin") to the head stand for
+   the same configuration, and each is a valid parent.  */
 #include "mm_cfg.h"
 
 #include "config.h"
@@ -20,6 +25,7 @@
 {
   char *site;
   int64_t head;
+  int64_t origin; /* offset of the change that the head is or repeats */
   char *head_record;
   mm_knobs knobs;
   uint64_t rejected;
@@ -68,7 +74,7 @@
 {
   mm_cfg *c = g_new0 (mm_cfg, 1);
   c->site = g_strdup (site);
-  c->head = -1;
+  c->head = c->origin = -1;
   mm_knobs_defaults (&c->knobs);
   return c;
 }
@@ -144,6 +150,12 @@
       c->rejected++;
       return false;
     }
+  const char *kind
+      = cJSON_GetStringValue (cJSON_GetObjectItemCaseSensitive (rec, "kind"));
+  const cJSON *origin = cJSON_GetObjectItemCaseSensitive (rec, "origin");
+  bool repeats
+      = kind && g_str_equal (kind, "snapshot") && cJSON_IsNumber (origin);
+  c->origin = repeats ? (int64_t)origin->valuedouble : offset;
   c->knobs = k;
   c->head = offset;
   g_free (c->head_record);
@@ -172,7 +184,8 @@
   if (!cJSON_IsNumber (parent))
     g_set_error (error, MM_ERROR, MM_ERROR_BAD_REQUEST,
                  "config record %" G_GINT64_FORMAT " has no parent", offset);
-  else if ((int64_t)parent->valuedouble != c->head)
+  else if ((int64_t)parent->valuedouble < c->origin
+           || (int64_t)parent->valuedouble > c->head)
     {
       c->rejected++;
       g_set_error (error, MM_ERROR, MM_ERROR_CONFIG_REJECTED,
@@ -266,7 +279,7 @@
  *
  * Appended before retention drops the head, so that a node starting
  * later still finds the configuration in force.  Its parent is the head,
- * so if two nodes write one, the second is refused like any stale edit.
+ * so one that lands after a newer change is refused like any stale edit.
  * Return: newly allocated text, or NULL when there is no head.
  */
 char *
@@ -278,6 +291,8 @@
   cJSON_ReplaceItemInObject (o, "kind", cJSON_CreateString ("snapshot"));
   cJSON_ReplaceItemInObject (o, "parent",
                              cJSON_CreateNumber ((double)c->head));
+  cJSON_DeleteItemFromObject (o, "origin");
+  cJSON_AddNumberToObject (o, "origin", (double)c->origin);
   char *s = cJSON_PrintUnformatted (o);
   cJSON_Delete (o);
   return s;
--- a/src/mm_upstream.c
+++ b/src/mm_upstream.c
@@ -47,6 +47,7 @@
   GQueue frozen;     /* runs finished while frozen */
   uint32_t running;
   ev_timer heartbeat;
+  ev_timer drain_check; /* while draining for good */
   void (*drained) (void *);
   void *drained_ctx;
 };
@@ -150,17 +151,6 @@
   cJSON_Delete (o);
 }
 
-static void
-check_drained (mm_upstream *u)
-{
-  if (u->mode == MODE_DRAIN && u->running == 0 && u->drained)
-    {
-      void (*cb) (void *) = u->drained;
-      u->drained = NULL;
-      cb (u->drained_ctx);
-    }
-}
-
 static void
 answer_run (run *r)
 {
@@ -181,7 +171,6 @@
   u->running--;
   g_free (r->task_id);
   g_free (r);
-  check_drained (u);
 }
 
 static void
@@ -288,7 +277,6 @@
     while (!g_queue_is_empty (&u->frozen))
       answer_run (g_queue_pop_head (&u->frozen));
   mm_http_reply (req, 200, "{\"status\":\"ok\"}", 0);
-  check_drained (u);
 }
 
 static void
@@ -475,6 +463,7 @@
   if (!u)
     return;
   ev_timer_stop (u->loop, &u->heartbeat);
+  ev_timer_stop (u->loop, &u->drain_check);
   mm_http_server_destroy (u->http);
   mm_http_client_destroy (u->client);
   mm_counters_destroy (u->counters);
@@ -486,6 +475,19 @@
   g_free (u);
 }
 
+/* Guards against a stop that cuts off the last answer: a task has ended
+   when its run is over, but its answer is out only when the HTTP server
+   has written it (the caller saw an empty reply).  */
+static void
+drain_check_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  mm_upstream *u = w->data;
+  if (u->running || mm_http_server_in_flight (u->http))
+    return;
+  ev_timer_stop (loop, w);
+  u->drained (u->drained_ctx);
+}
+
 /**
  * mm_upstream_drain() - graceful stop: refuse new tasks, finish the rest.
  * @u: the stand-in.
@@ -502,7 +504,10 @@
   heartbeat_cb (u->loop, &u->heartbeat, 0);
   while (!g_queue_is_empty (&u->frozen))
     answer_run (g_queue_pop_head (&u->frozen));
-  check_drained (u);
+  ev_timer_init (&u->drain_check, drain_check_cb, MM_DRAIN_CHECK_MS / 1000.0,
+                 MM_DRAIN_CHECK_MS / 1000.0);
+  u->drain_check.data = u;
+  ev_timer_start (u->loop, &u->drain_check);
 }
 
 /**
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -172,6 +172,22 @@
 }
 END_TEST
 
+/* The platform takes an operator's change and loses the answer.  The
+   operator must learn that the change is in force, not be told to try
+   again and lose to their own record.  */
+START_TEST (publish_with_a_lost_answer_is_found_in_force)
+{
+  h_cluster (1, 2, 100);
+  g_usleep (500000);
+  cJSON_Delete (h_call ("POST", h_platform_port, "/v1/faults",
+                        "{\"lose_answers\":1}", NULL));
+  ck_assert_int_eq (publish_with_ctl ("[dispatch]\nretry_budget = 4\n"), 0);
+  for (int i = 0; i < 2; i++)
+    ck_assert_int_eq (budget_at (i), 4);
+  h_cluster_stop ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -182,6 +198,7 @@
   tcase_add_test (tc, racing_operators_end_with_one_winner_everywhere);
   tcase_add_test (tc, platform_outage_keeps_config_and_service);
   tcase_add_test (tc, late_instance_gets_config_after_retention);
+  tcase_add_test (tc, publish_with_a_lost_answer_is_found_in_force);
   suite_add_tcase (s, tc);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_NORMAL);
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -318,6 +318,111 @@
 }
 END_TEST
 
+/* An upstream is killed with tasks running.  A job of idempotent tasks
+   still completes whole: its lost tasks run again elsewhere.  A job with
+   non-idempotent ones fails whole: the lost ones are "unknown" and start
+   nowhere again.  */
+START_TEST (killed_upstream_leaves_no_partial_answer)
+{
+  h_cluster (3, 1, 100);
+  char *once = h_job_json ("uk-once", 12, 800, 9000, false);
+  char *again = h_job_json ("uk-again", 12, 800, 9000, true);
+  pid_t child = fork ();
+  if (child == 0)
+    {
+      long st = 0;
+      cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", again, &st);
+      _exit (st == 200 && tasks_in_state (o, "done") == 12 ? 0 : 1);
+    }
+  pid_t killer = fork ();
+  if (killer == 0)
+    {
+      g_usleep (400000);
+      kill (h_upstreams[0], SIGKILL);
+      _exit (0);
+    }
+  long st = 0;
+  cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", once, &st);
+  ck_assert_int_eq (st, 502);
+  ck_assert_str_eq (status_of (o), "failed");
+  ck_assert_int_ge (tasks_in_state (o, "unknown"), 1);
+  int wst;
+  waitpid (child, &wst, 0);
+  ck_assert (WIFEXITED (wst) && WEXITSTATUS (wst) == 0);
+  waitpid (killer, &wst, 0);
+  int max = 0, n = 0;
+  for (int i = 1; i < 3; i++)
+    n += h_starts_of (h_upstream_ports[i], "uk-once", &max);
+  ck_assert_int_eq (max, 1);
+  ck_assert_int_lt (n, 12); /* what the dead one took runs nowhere else */
+  cJSON_Delete (o);
+  g_free (once);
+  g_free (again);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* An operator stops an upstream with SIGTERM while it runs tasks of a
+   non-idempotent job.  Nothing in flight may be cut off: the job
+   completes, each task started once, and the process ends by itself.  */
+START_TEST (graceful_stop_of_an_upstream_cuts_off_nothing)
+{
+  h_cluster (3, 1, 100);
+  pid_t child = fork ();
+  if (child == 0)
+    {
+      char *job = h_job_json ("ug1", 30, 900, 9000, false);
+      long st = 0;
+      cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st);
+      _exit (st == 200 && tasks_in_state (o, "done") == 30 ? 0 : 1);
+    }
+  g_usleep (300000);
+  int before = h_starts_of (h_upstream_ports[0], "ug1", NULL);
+  kill (h_upstreams[0], SIGTERM);
+  int wst;
+  waitpid (child, &wst, 0);
+  ck_assert (WIFEXITED (wst) && WEXITSTATUS (wst) == 0);
+  ck_assert_int_gt (before, 0);
+  int max = 0, n = before;
+  for (int i = 1; i < 3; i++)
+    n += h_starts_of (h_upstream_ports[i], "ug1", &max);
+  ck_assert_int_eq (max, 1);
+  ck_assert_int_eq (n, 30);
+  ck_assert_int_eq (waitpid (h_upstreams[0], &wst, 0), h_upstreams[0]);
+  h_upstreams[0] = 0;
+  ck_assert (WIFEXITED (wst) && WEXITSTATUS (wst) == 0);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* Every upstream stands still while a job runs and its deadline passes.
+   The caller gets the whole answer at the deadline: failed, with a time
+   to come back, sent tasks "unknown", and never-sent ones "not run" --
+   which the upstreams' own records must bear out.  */
+START_TEST (passed_deadline_fails_the_job_and_not_run_is_true)
+{
+  h_cluster (1, 1, 100);
+  mode (0, "freeze");
+  char *job = h_job_json ("dl1", 20, 100, 1500, false);
+  long st = 0;
+  mm_time_ms t0 = mm_clock_now_ms ();
+  cJSON *o = h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st);
+  mm_time_ms took = mm_clock_now_ms () - t0;
+  ck_assert_int_eq (st, 504);
+  ck_assert_msg (took < 2500, "answered after %ld ms", (long)took);
+  ck_assert_int_eq (tasks_in_state (o, "unknown"), 8);
+  ck_assert_int_eq (tasks_in_state (o, "not_run"), 12);
+  ck_assert (cJSON_GetNumberValue (cJSON_GetObjectItem (o, "retry_after_s"))
+             >= 1);
+  mode (0, "normal");
+  g_usleep (500000);
+  ck_assert_int_eq (h_starts_of (h_upstream_ports[0], "dl1", NULL), 8);
+  cJSON_Delete (o);
+  g_free (job);
+  h_cluster_stop ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -334,6 +439,9 @@
   tcase_add_test (tc, bad_requests_get_typed_errors);
   tcase_add_test (tc, job_given_up_on_is_answered_at_once_with_retry_after);
   tcase_add_test (tc, kept_answers_expire_after_their_ttl);
+  tcase_add_test (tc, killed_upstream_leaves_no_partial_answer);
+  tcase_add_test (tc, graceful_stop_of_an_upstream_cuts_off_nothing);
+  tcase_add_test (tc, passed_deadline_fails_the_job_and_not_run_is_true);
   suite_add_tcase (s, tc);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_NORMAL);
--- a/tests/test_units.c
+++ b/tests/test_units.c
@@ -166,6 +166,35 @@
 }
 END_TEST
 
+/* An operator edits from the head; before the change lands, an instance
+   appends a snapshot of that same head.  The change must be accepted, by
+   an instance that saw it all and by one that started at the snapshot;
+   an edit from before the change is still refused.  */
+START_TEST (snapshot_does_not_beat_an_operators_change)
+{
+  mm_cfg *seen = mm_cfg_create ("lima"), *late = mm_cfg_create ("lima");
+  char *a = mm_cfg_make_record ("config", -1, "", NULL, NULL);
+  ck_assert (mm_cfg_offer (seen, 4, a, NULL));
+  char *snap = mm_cfg_snapshot_record (seen);
+  ck_assert (mm_cfg_offer (seen, 5, snap, NULL));
+  ck_assert (mm_cfg_adopt (late, 5, snap, NULL));
+  char *b = mm_cfg_make_record ("config", 4, "[dispatch]\nretry_budget = 9\n",
+                                NULL, NULL);
+  ck_assert (mm_cfg_offer (seen, 6, b, NULL));
+  ck_assert (mm_cfg_offer (late, 6, b, NULL));
+  ck_assert_int_eq (mm_cfg_knobs (late)->retry_budget, 9);
+  char *stale = mm_cfg_make_record ("config", 5, "", NULL, NULL);
+  ck_assert (!mm_cfg_offer (seen, 7, stale, NULL));
+  ck_assert (!mm_cfg_offer (late, 7, stale, NULL));
+  free (a);
+  free (b);
+  free (snap);
+  free (stale);
+  mm_cfg_destroy (seen);
+  mm_cfg_destroy (late);
+}
+END_TEST
+
 START_TEST (decoders_survive_fuzzing)
 {
   char *cmd
@@ -185,6 +214,7 @@
   tcase_add_test (tc, bad_jobs_are_typed);
   tcase_add_test (tc, config_race_has_one_winner_everywhere);
   tcase_add_test (tc, rendezvous_moves_only_the_leavers_keys);
+  tcase_add_test (tc, snapshot_does_not_beat_an_operators_change);
   tcase_add_test (tc, decoders_survive_fuzzing);
   suite_add_tcase (s, tc);
   SRunner *r = srunner_create (s);
