Team quotas over the data centre; load at the sites' rates; an outage serves what it holds

Cause 1 (quota): limits.team_max_queued_tasks was checked per instance; a team's jobs land on all six by their ids, so it got six quotas. 270 teams with quotas of their own had no place in the configuration. Fix: [teams] NAME = N in the published configuration; instances tell each other, twice a second, the teams that use a noticeable part of their quota there (src/mm_quota.c). Ruled out: a fixed share per instance (a team of few jobs could not use its quota) and counting through the platform (one write per job). Test teams_quota_holds_over_the_data_centre: 2 jobs of 20 run within a quota of 40, another team is served.

Cause 3 (found by it): with the platform down at Lima's rates 431 of 784 jobs were refused. At a start each instance saw only itself and took all 16 shards in turn, and those that lost theirs refused in the outage instead of passing jobs to the holder they knew. Now a shard is taken from a living holder only once the member list has stood for a second; who cannot take a shard passes its jobs to the holder; in an outage jobs start without first trying the log.

Also: takes that keep failing wait for the tick (two clusters on the same ports by mistake made 57,000 appends in a loop).

--- a/daemons/masticctl.c
+++ b/daemons/masticctl.c
@@ -43,7 +43,8 @@
            "/v1/mode)\n"
            "  bench [--jobs N] [--tasks N] [--concurrency N] [--run-ms N]\n"
            "        [--deadline-ms N] [--non-idempotent F] [--seed N]\n"
-           "        [--entries URL,URL]\n");
+           "        [--entries URL,URL]\n"
+           "        [--site lima|buenos-aires --seconds N [--scale F]]\n");
   return 2;
 }
 
@@ -321,7 +322,8 @@
                       .deadline_ms = 10000,
                       .non_idempotent = 0.1,
                       .seed = 1,
-                      .max_ms = 120000 };
+                      .max_ms = 120000,
+                      .scale = 1 };
   const char *entries = entry_url;
   static const struct option opts[]
       = { { "jobs", required_argument, NULL, 'j' },
@@ -332,10 +334,14 @@
           { "non-idempotent", required_argument, NULL, 'n' },
           { "seed", required_argument, NULL, 's' },
           { "entries", required_argument, NULL, 'e' },
+          { "site", required_argument, NULL, 'S' },
+          { "seconds", required_argument, NULL, 'T' },
+          { "scale", required_argument, NULL, 'x' },
           { NULL, 0, NULL, 0 } };
   int c;
   optind = 1;
-  while ((c = getopt_long (argc, argv, "j:t:c:r:d:n:s:e:", opts, NULL)) != -1)
+  while ((c = getopt_long (argc, argv, "j:t:c:r:d:n:s:e:S:T:x:", opts, NULL))
+         != -1)
     switch (c)
       {
       case 'j':
@@ -362,6 +368,18 @@
       case 'e':
         entries = optarg;
         break;
+      case 'S':
+        p.kinds = mm_bench_site (optarg);
+        if (!p.kinds)
+          return usage ();
+        p.concurrency = 1000;
+        break;
+      case 'T':
+        p.max_ms = atoll (optarg) * 1000;
+        break;
+      case 'x':
+        p.scale = atof (optarg);
+        break;
       default:
         return usage ();
       }
@@ -389,8 +407,14 @@
       waste += d;
       printf (",\"%s\":%" G_GINT64_FORMAT, waste_counters[i], d);
     }
-  printf (",\"wasted_per_1000_tasks\":%.2f}\n",
+  printf (",\"wasted_per_1000_tasks\":%.2f",
           r.tasks ? 1000.0 * (double)waste / (double)(r.tasks) : 0.0);
+  for (int i = 0; p.kinds && p.kinds[i].name; i++)
+    printf (",\"%s\":{\"complete\":%u,\"not_served\":%u,\"ratio_p50\":"
+            "%.3f,\"ratio_p99\":%.3f}",
+            p.kinds[i].name, r.kinds[i].complete, r.kinds[i].not_served,
+            r.kinds[i].ratio_p50, r.kinds[i].ratio_p99);
+  printf ("}\n");
   g_strfreev (p.entries);
   return r.jobs_complete ? 0 : 1;
 }
--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -103,7 +103,8 @@
     MM_SETTING_BOOL,
     MM_SETTING_STRING,
     MM_SETTING_STRINGS,
-    MM_SETTING_FLOAT
+    MM_SETTING_FLOAT,
+    MM_SETTING_INT_TABLE /* "section.*": GHashTable of name -> int */
   } mm_setting_type;
   typedef struct
   {
@@ -211,9 +212,10 @@
     mm_time_ms submitted_ms; /* when accepted */
   } mm_job;
   mm_job *mm_job_parse_json (const char *body, size_t len, uint32_t max_tasks,
-                             GError **error);            /* decode */
-  void mm_job_destroy (mm_job *job);                     /* free a job */
-  const char *mm_task_state_name (mm_task_state s);      /* "done", ... */
+                             GError **error);                /* decode */
+  bool mm_job_check_ids (const mm_job *job, GError **error); /* distinct? */
+  void mm_job_destroy (mm_job *job);                         /* free a job */
+  const char *mm_task_state_name (mm_task_state s);          /* "done", ... */
   bool mm_job_pack (const mm_job *job, GByteArray *out); /* msgpack encode */
   mm_job *mm_job_unpack (const uint8_t *data, size_t len, uint32_t max_tasks,
                          GError **error); /* msgpack decode */
@@ -256,6 +258,12 @@
   void mm_peer_ping (mm_peer *p, const char *addr, mm_time_ms timeout_ms,
                      mm_peer_answer_cb done,
                      void *ctx); /* 200: it reaches the platform, 503: not */
+  typedef void (*mm_peer_usage_cb) (const char *peer, const uint8_t *report,
+                                    size_t len, void *ctx);
+  void mm_peer_set_usage (mm_peer *p, mm_peer_usage_cb on_usage,
+                          void *ctx); /* who takes reports */
+  void mm_peer_tell_usage (mm_peer *p, const char *addr, const char *self,
+                           const uint8_t *report, size_t len); /* one way */
   void mm_peer_drop (mm_peer *p, const char *addr); /* fail its link now */
   uint16_t mm_peer_port (const mm_peer *p);         /* bound port */
 
@@ -281,16 +289,34 @@
   /* ---- mm_bench: load and experiment runs against entry instances ------- */
   typedef struct
   {
-    char **entries;         /* entry base URLs; jobs go round-robin */
-    uint32_t jobs;          /* jobs to submit */
-    uint32_t tasks;         /* tasks per job */
-    uint32_t concurrency;   /* jobs in flight at once */
-    mm_time_ms run_ms;      /* mean task run time */
-    mm_time_ms deadline_ms; /* per task */
-    double non_idempotent;  /* share of tasks marked non-idempotent */
-    uint32_t seed;          /* run-time draws */
-    mm_time_ms max_ms;      /* stop submitting after this */
+    const char *name;  /* of this kind of request, NULL ends a list */
+    uint32_t tasks;    /* tasks per job, all in parallel */
+    mm_time_ms run_ms; /* of each task */
+    double jobs_per_s; /* mean arrivals */
+  } mm_bench_kind;
+  const mm_bench_kind *mm_bench_site (const char *site); /* NULL: unknown */
+  typedef struct
+  {
+    char **entries;             /* entry base URLs; jobs go round-robin */
+    uint32_t jobs;              /* jobs to submit */
+    uint32_t tasks;             /* tasks per job */
+    uint32_t concurrency;       /* jobs in flight at once */
+    mm_time_ms run_ms;          /* mean task run time */
+    mm_time_ms deadline_ms;     /* per task */
+    double non_idempotent;      /* share of tasks marked non-idempotent */
+    uint32_t seed;              /* run-time draws */
+    mm_time_ms max_ms;          /* stop submitting after this */
+    const mm_bench_kind *kinds; /* open-loop arrivals of these, or NULL */
+    double scale;               /* times their rates */
   } mm_bench_plan;
+  typedef struct
+  {
+    uint32_t complete;
+    uint32_t not_served; /* failed or refused */
+    double ratio_p50;
+    double ratio_p99;
+  } mm_bench_kind_report;
+#define MM_BENCH_MAX_KINDS 8
   typedef struct
   {
     uint32_t jobs_complete; /* whole answers */
@@ -300,7 +326,8 @@
     double ratio_p50;       /* response time over ideal */
     double ratio_p99;
     double ratio_p999;
-    mm_time_ms wall_ms; /* whole run */
+    mm_time_ms wall_ms;                             /* whole run */
+    mm_bench_kind_report kinds[MM_BENCH_MAX_KINDS]; /* as in the plan */
   } mm_bench_report;
   bool mm_bench_run (const mm_bench_plan *plan, mm_bench_report *out,
                      GError **error); /* blocking */
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -4,14 +4,19 @@
 # and wasted messages per 1,000 tasks.  FAULT picks a fault injected one
 # second into the run: none, fail_all (one upstream fails every task),
 # drain (one upstream leaves), kill_entry (an entry instance is killed),
+# platform_slow (each answer 4 ms late, as a synced write),
 # platform_down.  Also prints each entry instance's CPU ms per task and
 # resident memory, read from /proc, for docs/CAPACITY.md.
 #   scripts/bench.sh UPSTREAMS ENTRIES JOBS TASKS CONCURRENCY RUN_MS [FAULT]
+# With SITE=lima or SITE=buenos-aires, arrivals are the site's instead of
+# JOBS x TASKS (open loop, SECONDS long, times SCALE, deadline 1.5 s,
+# every task non-idempotent):
+#   SITE=lima SECONDS_=15 scripts/bench.sh 50 6 - - - - [FAULT]
 set -euo pipefail
 here=$(cd "$(dirname "$0")/.." && pwd)
 bin=${MM_BIN:-$here/build}
 n_up=${1:-8} n_en=${2:-2} jobs=${3:-40} tasks=${4:-50} conc=${5:-8} run_ms=${6:-100} fault=${7:-none}
-base=${MM_PORT_BASE:-18000}
+base=${MM_PORT_BASE:-31000} # above the tests' ports
 plat=http://127.0.0.1:$base
 pids=()
 stop () { for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done; wait 2>/dev/null || true; }
@@ -35,10 +40,16 @@
   none) ;;
   fail_all) (sleep 1; "$bin/masticctl" fault 127.0.0.1:$((base + 1001)) '{"mode":"fail_all"}' >/dev/null) & ;;
   drain) (sleep 1; "$bin/masticctl" fault 127.0.0.1:$((base + 1001)) '{"mode":"drain"}' >/dev/null) & ;;
+  platform_slow) "$bin/masticctl" fault 127.0.0.1:$base '{"slow_ms":4}' >/dev/null ;;
   platform_down) (sleep 1; "$bin/masticctl" fault 127.0.0.1:$base '{"down":true}' >/dev/null) & ;;
   kill_entry) (sleep 1; kill -9 "${entry_pids[-1]}") & list=$(IFS=,; echo "${entries[*]:0:$((n_en - 1))}") ;;
 esac
-"$bin/masticctl" bench --entries "$list" --jobs "$jobs" --tasks "$tasks" --concurrency "$conc" --run-ms "$run_ms" --non-idempotent 0.1
+if [ -n "${SITE:-}" ]; then
+  "$bin/masticctl" bench --entries "$list" --site "$SITE" --seconds "${SECONDS_:-15}" --scale "${SCALE:-1}" \
+    --deadline-ms 1500 --non-idempotent 1
+else
+  "$bin/masticctl" bench --entries "$list" --jobs "$jobs" --tasks "$tasks" --concurrency "$conc" --run-ms "$run_ms" --non-idempotent 0.1
+fi
 wait_jobs=$(jobs -p | grep -v -F "$(printf '%s\n' "${pids[@]}")" || true)
 for p in "${entry_pids[@]}"; do
   [ -d "/proc/$p" ] || continue
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -7,7 +7,7 @@
 here=$(cd "$(dirname "$0")/.." && pwd)
 bin=${MM_BIN:-$here/build}
 n_up=${1:-40}
-base=${MM_PORT_BASE:-19000}
+base=${MM_PORT_BASE:-31000} # above the tests' ports
 plat=http://127.0.0.1:$base
 pids=()
 stop () { for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done; wait 2>/dev/null || true; }
--- a/src/config.h
+++ b/src/config.h
@@ -25,6 +25,7 @@
 /* Ownership of jobs among the entry instances.  */
 #define MM_DEFAULT_SHARDS 16        /* shards of a data centre's jobs */
 #define MM_LOG_CALL_TIMEOUT_MS 1000 /* a call to a shard's log */
+#define MM_SHARD_TAKE_BURST 3       /* takes at once, then the tick */
 #define MM_VERIFY_TIMEOUT_MS 300    /* then "not run" is not claimed */
 #define MM_VIEW_SETTLE_MS 1000      /* members unchanged: align shards */
 #define MM_SHARD_HOLD_DOWN_MS 2000  /* after losing a shard, do not retake */
@@ -41,6 +42,11 @@
 #define MM_FENCE_TIMEOUT_MS 1000    /* an upstream's report on a job */
 #define MM_RECOVER_POLL_MS 100      /* asking for tasks still running */
 
+/* Team quotas over a data centre.  */
+#define MM_QUOTA_REPORT_MS 500      /* to the peers */
+#define MM_QUOTA_REPORT_TTL_MS 1500 /* a peer's report counts this long */
+#define MM_QUOTA_MAX_ROWS 20u       /* teams in one report */
+
 /* Platform stand-in.  */
 #define MM_DEFAULT_PLATFORM_PORT 7000
 #define MM_DEFAULT_RETENTION_MS 600000 /* log records kept */
--- a/src/mm_bench.c
+++ b/src/mm_bench.c
@@ -2,7 +2,11 @@
    response time against the ideal: its longest task plus one round trip
    (taken as 1 ms on loopback), the best a fully parallel dispatcher
    could do.  Wasted messages are read from the entries' counters by the
-   caller (masticctl bench), before and after.  */
+   caller (masticctl bench), before and after.
+
+   Two ways to load: a fixed number of jobs in flight (closed loop), or
+   arrivals at a site's rates whether or not earlier jobs are answered
+   (open loop), so that a slow answer does not hide later ones.  */
 #include "masticmill.h"
 
 #include <cJSON.h>
@@ -18,19 +22,50 @@
   GRand *rand;
   uint32_t submitted;
   uint32_t open;
-  GArray *ratios; /* double */
+  GArray *ratios;                          /* double */
+  GArray *kind_ratios[MM_BENCH_MAX_KINDS]; /* double */
   mm_time_ms start_ms;
+  ev_timer arrival; /* open loop */
 } bench;
 
+/* The brief's two sites: kinds of requests, tasks, run times, rates.  */
+static const mm_bench_kind lima_kinds[] = { { "seat-hold", 8, 60, 34.4 },
+                                            { "guide-assign", 4, 900, 6.25 },
+                                            { "pass-print", 2, 200, 100 },
+                                            { NULL } };
+static const mm_bench_kind buenos_aires_kinds[]
+    = { { "clash-check", 8, 60, 34.4 },
+        { "clause-draft", 4, 900, 6.25 },
+        { "holiday-flag", 2, 200, 100 },
+        { NULL } };
+
+/**
+ * mm_bench_site() - the request kinds of one of the users' sites.
+ * @site: "lima" or "buenos-aires".
+ *
+ * Return: a list ended by a NULL name, or NULL for an unknown site.
+ */
+const mm_bench_kind *
+mm_bench_site (const char *site)
+{
+  if (g_str_equal (site, "lima"))
+    return lima_kinds;
+  if (g_str_equal (site, "buenos-aires"))
+    return buenos_aires_kinds;
+  return NULL;
+}
+
 typedef struct
 {
   bench *b;
   mm_time_ms sent_ms;
   mm_time_ms ideal_ms;
   uint32_t tasks;
+  int kind; /* index into the plan's kinds, -1 for none */
 } job_ctx;
 
 static void submit_next (bench *b);
+static bool arrivals_over (const bench *b);
 
 static void
 job_done (const mm_http_result *res, void *ctx)
@@ -42,6 +77,7 @@
       = cJSON_ParseWithLength (res->body ? res->body : "", res->body_bytes);
   const char *status
       = cJSON_GetStringValue (cJSON_GetObjectItem (o, "status"));
+  mm_bench_kind_report *k = j->kind < 0 ? NULL : &b->report->kinds[j->kind];
   bool has_tasks = cJSON_GetArraySize (cJSON_GetObjectItem (o, "tasks")) > 0;
   if (res->status == 200 && status && g_str_equal (status, "complete"))
     {
@@ -49,21 +85,43 @@
       b->report->tasks += j->tasks;
       double r = (double)took / (double)j->ideal_ms;
       g_array_append_val (b->ratios, r);
+      if (k)
+        {
+          k->complete++;
+          g_array_append_val (b->kind_ratios[j->kind], r);
+        }
     }
-  else if (has_tasks)
-    b->report->jobs_failed++;
   else
-    b->report->jobs_refused++;
+    {
+      if (has_tasks)
+        b->report->jobs_failed++;
+      else
+        b->report->jobs_refused++;
+      if (k)
+        k->not_served++;
+    }
   cJSON_Delete (o);
   g_free (j);
   b->open--;
-  submit_next (b);
-  if (b->open == 0)
+  if (!b->plan->kinds)
+    submit_next (b);
+  if (b->open == 0 && arrivals_over (b))
     ev_break (b->loop, EVBREAK_ALL);
 }
 
+/* Run times of a closed loop: mostly around the mean, one in fifty 4x
+   longer.  */
+static mm_time_ms
+draw_run_ms (bench *b)
+{
+  double u = g_rand_double (b->rand);
+  mm_time_ms run = (mm_time_ms)((double)b->plan->run_ms * (0.5 + u));
+  return g_rand_int_range (b->rand, 0, 50) == 0 ? 4 * run : run;
+}
+
 static char *
-make_job (bench *b, uint32_t n, mm_time_ms *ideal)
+make_job (bench *b, uint32_t n, const mm_bench_kind *kind, uint32_t n_tasks,
+          mm_time_ms *ideal)
 {
   const mm_bench_plan *p = b->plan;
   cJSON *o = cJSON_CreateObject ();
@@ -73,13 +131,9 @@
   cJSON_AddStringToObject (o, "team", "bench");
   cJSON *tasks = cJSON_AddArrayToObject (o, "tasks");
   mm_time_ms longest = 0;
-  for (uint32_t i = 0; i < p->tasks; i++)
+  for (uint32_t i = 0; i < n_tasks; i++)
     {
-      /* Run times: mostly around the mean, one in fifty 4x longer.  */
-      double u = g_rand_double (b->rand);
-      mm_time_ms run = (mm_time_ms)(p->run_ms * (0.5 + u));
-      if (g_rand_int_range (b->rand, 0, 50) == 0)
-        run *= 4;
+      mm_time_ms run = kind ? kind->run_ms : draw_run_ms (b);
       longest = MAX (longest, run);
       cJSON *t = cJSON_CreateObject ();
       char tid[16];
@@ -98,28 +152,74 @@
   return s;
 }
 
+static void
+submit (bench *b, int kind)
+{
+  const mm_bench_plan *p = b->plan;
+  const mm_bench_kind *k = kind < 0 ? NULL : &p->kinds[kind];
+  job_ctx *j = g_new0 (job_ctx, 1);
+  j->b = b;
+  j->kind = kind;
+  j->tasks = k ? k->tasks : p->tasks;
+  char *body = make_job (b, b->submitted, k, j->tasks, &j->ideal_ms);
+  guint n_entries = g_strv_length (p->entries);
+  char *url
+      = g_strdup_printf ("%s/v1/jobs", p->entries[b->submitted % n_entries]);
+  j->sent_ms = mm_clock_now_ms ();
+  mm_http_client_call (b->client, "POST", url, body, p->deadline_ms + 5000,
+                       job_done, j);
+  g_free (url);
+  free (body);
+  b->submitted++;
+  b->open++;
+}
+
+static bool
+arrivals_over (const bench *b)
+{
+  return !b->plan->kinds
+         || mm_clock_now_ms () - b->start_ms >= b->plan->max_ms;
+}
+
+static double
+total_rate (const mm_bench_plan *p)
+{
+  double sum = 0;
+  for (const mm_bench_kind *k = p->kinds; k->name; k++)
+    sum += k->jobs_per_s * p->scale;
+  return sum;
+}
+
+/* Open loop: one job of a kind drawn by the rates, then an exponential
+   pause to the next.  */
+static void
+arrival_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  bench *b = w->data;
+  if (arrivals_over (b))
+    {
+      if (b->open == 0)
+        ev_break (loop, EVBREAK_ALL);
+      return;
+    }
+  double rate = total_rate (b->plan);
+  double u = g_rand_double (b->rand) * rate;
+  int kind = 0;
+  while (b->plan->kinds[kind + 1].name
+         && u >= b->plan->kinds[kind].jobs_per_s * b->plan->scale)
+    u -= b->plan->kinds[kind++].jobs_per_s * b->plan->scale;
+  submit (b, kind);
+  ev_timer_set (w, -log (1 - g_rand_double (b->rand)) / rate, 0.);
+  ev_timer_start (loop, w);
+}
+
 static void
 submit_next (bench *b)
 {
   const mm_bench_plan *p = b->plan;
   while (b->submitted < p->jobs && b->open < p->concurrency
          && mm_clock_now_ms () - b->start_ms < p->max_ms)
-    {
-      job_ctx *j = g_new0 (job_ctx, 1);
-      j->b = b;
-      j->tasks = p->tasks;
-      char *body = make_job (b, b->submitted, &j->ideal_ms);
-      guint n_entries = g_strv_length (p->entries);
-      char *url = g_strdup_printf ("%s/v1/jobs",
-                                   p->entries[b->submitted % n_entries]);
-      j->sent_ms = mm_clock_now_ms ();
-      mm_http_client_call (b->client, "POST", url, body, p->deadline_ms + 5000,
-                           job_done, j);
-      g_free (url);
-      free (body);
-      b->submitted++;
-      b->open++;
-    }
+    submit (b, -1);
 }
 
 static int
@@ -163,10 +263,25 @@
   b.client = mm_http_client_create (b.loop, plan->concurrency + 4);
   b.rand = g_rand_new_with_seed (plan->seed);
   b.ratios = g_array_new (FALSE, FALSE, sizeof (double));
+  for (int i = 0; i < MM_BENCH_MAX_KINDS; i++)
+    b.kind_ratios[i] = g_array_new (FALSE, FALSE, sizeof (double));
   b.start_ms = mm_clock_now_ms ();
-  submit_next (&b);
+  ev_timer_init (&b.arrival, arrival_cb, 0., 0.);
+  b.arrival.data = &b;
+  if (plan->kinds)
+    ev_timer_start (b.loop, &b.arrival);
+  else
+    submit_next (&b);
   ev_run (b.loop, 0);
   out->wall_ms = mm_clock_now_ms () - b.start_ms;
+  for (int i = 0; i < MM_BENCH_MAX_KINDS; i++)
+    {
+      GArray *v = b.kind_ratios[i];
+      qsort (v->data, v->len, sizeof (double), cmp_double);
+      out->kinds[i].ratio_p50 = quantile (v, 0.5);
+      out->kinds[i].ratio_p99 = quantile (v, 0.99);
+      g_array_free (v, TRUE);
+    }
   qsort (b.ratios->data, b.ratios->len, sizeof (double), cmp_double);
   out->ratio_p50 = quantile (b.ratios, 0.5);
   out->ratio_p99 = quantile (b.ratios, 0.99);
--- a/src/mm_cfg.c
+++ b/src/mm_cfg.c
@@ -39,7 +39,9 @@
     "tasks waiting or running on one instance" },
   { "limits.team_max_queued_tasks", MM_SETTING_INT,
     offsetof (mm_knobs, team_max_queued_tasks), 1, 10000000,
-    "tasks waiting or running for one team" },
+    "tasks of one team waiting or running in a data centre" },
+  { "teams.*", MM_SETTING_INT_TABLE, offsetof (mm_knobs, team_quotas), 1,
+    10000000, "the same, for the team named" },
   { "dispatch.retry_budget", MM_SETTING_INT, offsetof (mm_knobs, retry_budget),
     0, 10, "retries per idempotent task" },
   { "dispatch.timeout_ms", MM_SETTING_INT,
@@ -56,9 +58,31 @@
   { NULL },
 };
 
+void
+mm_knobs_clear (mm_knobs *k)
+{
+  if (k->team_quotas)
+    g_hash_table_destroy (k->team_quotas);
+  k->team_quotas = NULL;
+}
+
+/**
+ * mm_knobs_team_quota() - a team's tasks allowed in a data centre.
+ * @k: the knobs in force.
+ * @team: the team.
+ */
+int64_t
+mm_knobs_team_quota (const mm_knobs *k, const char *team)
+{
+  gpointer own
+      = k->team_quotas ? g_hash_table_lookup (k->team_quotas, team) : NULL;
+  return own ? (int64_t)GPOINTER_TO_SIZE (own) : k->team_max_queued_tasks;
+}
+
 void
 mm_knobs_defaults (mm_knobs *k)
 {
+  k->team_quotas = NULL;
   k->max_tasks_per_job = MM_DEFAULT_MAX_TASKS_PER_JOB;
   k->max_queued_tasks = MM_DEFAULT_MAX_QUEUED_TASKS;
   k->team_max_queued_tasks = MM_DEFAULT_MAX_QUEUED_TASKS;
@@ -84,6 +108,7 @@
 {
   if (!c)
     return;
+  mm_knobs_clear (&c->knobs);
   g_free (c->site);
   g_free (c->head_record);
   g_free (c);
@@ -118,6 +143,8 @@
     }
   mm_knobs_defaults (out);
   bool ok = mm_settings_apply (mm_knob_specs, out, t, error);
+  if (!ok)
+    mm_knobs_clear (out);
   mm_toml_destroy (t);
   return ok;
 }
@@ -130,12 +157,14 @@
   mm_knobs k;
   if (!knobs_for (rec, NULL, &k, error))
     return false;
+  mm_knobs_clear (&k);
   const cJSON *ovs = cJSON_GetObjectItemCaseSensitive (rec, "overlays");
   const cJSON *ov;
   cJSON_ArrayForEach (ov, ovs)
   {
     if (!knobs_for (rec, ov->string, &k, error))
       return false;
+    mm_knobs_clear (&k);
   }
   return true;
 }
@@ -156,6 +185,7 @@
   bool repeats
       = kind && g_str_equal (kind, "snapshot") && cJSON_IsNumber (origin);
   c->origin = repeats ? (int64_t)origin->valuedouble : offset;
+  mm_knobs_clear (&c->knobs);
   c->knobs = k;
   c->head = offset;
   g_free (c->head_record);
--- a/src/mm_cfg.h
+++ b/src/mm_cfg.h
@@ -9,7 +9,8 @@
 {
   int64_t max_tasks_per_job;     /* larger jobs are refused */
   int64_t max_queued_tasks;      /* admission bound for the instance */
-  int64_t team_max_queued_tasks; /* admission bound for one team */
+  int64_t team_max_queued_tasks; /* quota of a team not in team_quotas */
+  GHashTable *team_quotas;       /* team -> tasks in a data centre, or NULL */
   int64_t retry_budget;          /* retries per idempotent task */
   int64_t dispatch_timeout_ms;   /* upstream call timeout */
   int64_t retry_after_s;         /* told to refused callers */
@@ -19,6 +20,8 @@
 
 extern const mm_setting_spec mm_knob_specs[];
 void mm_knobs_defaults (mm_knobs *k);
+void mm_knobs_clear (mm_knobs *k); /* free what it holds */
+int64_t mm_knobs_team_quota (const mm_knobs *k, const char *team);
 
 typedef struct mm_cfg mm_cfg;
 mm_cfg *mm_cfg_create (const char *site);
--- a/src/mm_entry.c
+++ b/src/mm_entry.c
@@ -170,8 +170,7 @@
   e->cfg = mm_cfg_create (s->site);
   e->jobs = g_hash_table_new (g_str_hash, g_str_equal);
   e->answers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free);
-  e->team_tasks
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  e->quota = mm_quota_create ();
   e->peer_config_max = -1;
   e->members_version = -1;
   e->peer_addrs
@@ -203,6 +202,7 @@
   mm_entry_shards_start (e);
   mm_entry_platform_start (e);
   mm_entry_answers_start (e);
+  mm_entry_quota_start (e);
   return e;
 }
 
@@ -212,6 +212,7 @@
   if (!e)
     return;
   mm_entry_platform_stop (e);
+  mm_entry_quota_stop (e);
   ev_timer_stop (e->loop, &e->shutdown_limit);
   ev_idle_stop (e->loop, &e->shutdown_check);
   mm_entry_jobs_free (e);
@@ -223,7 +224,7 @@
   mm_entry_shards_stop (e);
   g_hash_table_destroy (e->jobs);
   g_hash_table_destroy (e->answers);
-  g_hash_table_destroy (e->team_tasks);
+  mm_quota_destroy (e->quota);
   mm_pool_destroy (e->pool);
   mm_cfg_destroy (e->cfg);
   mm_counters_destroy (e->counters);
@@ -296,6 +297,7 @@
       cJSON_AddItemToArray (ups, u);
     }
   cJSON_AddNumberToObject (o, "tasks_queued", e->tasks_queued);
+  cJSON_AddNumberToObject (o, "teams", mm_quota_teams (e->quota));
   cJSON_AddNumberToObject (o, "queue_length", e->queue.length);
   cJSON_AddNumberToObject (o, "answers_kept", g_hash_table_size (e->answers));
   mm_entry_shards_dump (e, o);
--- a/src/mm_entry_job.c
+++ b/src/mm_entry_job.c
@@ -47,7 +47,7 @@
 {
   mm_entry *e = ej->entry;
   e->tasks_queued--;
-  mm_entry_team_add (e, ej->job->team, -1);
+  mm_quota_add (e->quota, ej->job->team, -1);
 }
 
 /* Out of the table, for good; late calls find it FINISHED.  */
@@ -470,7 +470,7 @@
   job->submitted_ms = mm_clock_now_ms ();
   g_hash_table_insert (e->jobs, job->id, ej);
   e->tasks_queued += job->n_tasks;
-  mm_entry_team_add (e, job->team, job->n_tasks);
+  mm_quota_add (e->quota, job->team, job->n_tasks);
   ev_timer_init (&ej->deadline, deadline_cb,
                  (double)mm_entry_first_deadline_ms (job) / 1000.0, 0.);
   ej->deadline.data = ej;
--- a/src/mm_entry_priv.h
+++ b/src/mm_entry_priv.h
@@ -6,6 +6,7 @@
 #include "mm_cfg.h"
 #include "mm_contact.h"
 #include "mm_pool.h"
+#include "mm_quota.h"
 #include "mm_shard.h"
 
 #include <cJSON.h>
@@ -84,10 +85,11 @@
   GHashTable *answers;         /* job id -> finished answer (JSON) */
   GQueue answer_order;         /* kept_answer *, oldest first */
   ev_timer answer_sweep;
-  GHashTable *team_tasks; /* team -> tasks queued or running */
-  GQueue queue;           /* task_ref *, waiting for a slot */
-  uint32_t tasks_queued;  /* waiting or running */
-  double run_ewma_ms;     /* observed task run time, moving mean */
+  mm_quota *quota;
+  ev_timer quota_report;
+  GQueue queue;          /* task_ref *, waiting for a slot */
+  uint32_t tasks_queued; /* waiting or running */
+  double run_ewma_ms;    /* observed task run time, moving mean */
   ev_timer heartbeat;
   ev_timer member_poll;
   ev_timer config_poll;
@@ -126,7 +128,8 @@
 } mm_refusal;
 bool mm_entry_admit (mm_entry *e, const mm_job *job, mm_refusal *r);
 mm_time_ms mm_entry_first_deadline_ms (const mm_job *job);
-void mm_entry_team_add (mm_entry *e, const char *team, int64_t n);
+void mm_entry_quota_start (mm_entry *e);
+void mm_entry_quota_stop (mm_entry *e);
 
 /* mm_entry_answer.c: answers, built once and kept for resubmits */
 char *mm_entry_answer_json (const mm_entry_job *ej, const char *status,
--- a/src/mm_entry_shards.c
+++ b/src/mm_entry_shards.c
@@ -105,7 +105,10 @@
     return contact_peer;
   if (mm_shard_held (s) && !e->shutting_down)
     return NULL;
-  if (mm_shard_yielded (s, mm_clock_now_ms ())
+  /* Who was fenced, and who cannot reach the log to take the shard,
+     passes the job to the holder.  */
+  if ((mm_shard_yielded (s, mm_clock_now_ms ())
+       || mm_contact_lost (e->contact, mm_clock_now_ms ()))
       && is_routable (e, mm_shard_holder (s)))
     return mm_shard_holder (s);
   return chosen_owner (e, index_of (e, s));
@@ -159,16 +162,25 @@
     }
 }
 
+static bool
+check_due (const mm_entry *e)
+{
+  return !e->view_checked
+         && mm_clock_now_ms () - e->view_changed_ms > 2 * MM_VIEW_SETTLE_MS;
+}
+
 static void
 checked (bool ours, void *ctx)
 {
 }
 
-/* Bring who holds which shard in line with the member list.  What is
-   ours is taken at once and from whoever holds it: there is no moment in
-   which nobody holds a shard, so an outage finds every shard served.
-   Once the list has stood for a while, the log is asked about those we
-   hold, as an idle one may have been taken from us without a word.  */
+/* Bring who holds which shard in line with the member list.  What nobody
+   holds is taken at once, and what another holds once the list has stood
+   for a while; at a start, instances that see only themselves would else
+   take everything from each other in turn.  There is no moment in which
+   nobody holds a shard, so an outage finds every shard served.  A little
+   later the log is asked about those we hold, as an idle one may have
+   been taken from us without a word.  */
 static void
 align_shard (mm_entry *e, uint32_t i)
 {
@@ -177,11 +189,11 @@
   bool settled = now - e->view_changed_ms > MM_VIEW_SETTLE_MS;
   if (mm_shard_held (s))
     {
-      if (settled && !e->view_checked)
+      if (check_due (e))
         mm_shard_verify (s, checked, NULL);
     }
   else if (!chosen_owner (e, i) && !mm_shard_yielded (s, now))
-    mm_shard_take (s);
+    mm_shard_take (s, !settled);
 }
 
 void
@@ -299,7 +311,7 @@
   mm_standing st = standing (e, &peer);
   for (uint32_t i = 0; i < (uint32_t)e->settings.shards; i++)
     tend_shard (e, i, st, peer);
-  if (mm_clock_now_ms () - e->view_changed_ms > MM_VIEW_SETTLE_MS)
+  if (check_due (e) && st == MM_STANDING_CONTACT)
     e->view_checked = true;
   if (e->shutting_down)
     ev_idle_start (loop, &e->shutdown_check);
@@ -317,6 +329,12 @@
   mm_entry_contact_note (ctx, ok);
 }
 
+static bool
+in_outage (void *ctx)
+{
+  return standing (ctx, NULL) == MM_STANDING_OUTAGE;
+}
+
 /**
  * mm_entry_shards_start() - set up the shards.
  * @e: the entry instance, its platform client created.
@@ -341,6 +359,7 @@
     .ttl_ms = e->settings.done_ttl_ms,
     .fingerprint = listed_fingerprint,
     .contact = note_contact,
+    .outage = in_outage,
     .ctx = e,
   };
   e->shards = g_new0 (mm_shard *, e->settings.shards);
--- a/src/mm_job.c
+++ b/src/mm_job.c
@@ -79,8 +79,16 @@
   return true;
 }
 
-static bool
-ids_unique (const mm_job *job, GError **error)
+/**
+ * mm_job_check_ids() - no two tasks of a job share an id.
+ * @job: the job.
+ * @error: MM_ERROR_BAD_REQUEST naming the id.
+ *
+ * A task is known by its job and id everywhere: two of one id could not
+ * be told apart at the upstreams.  Return: true when they are distinct.
+ */
+bool
+mm_job_check_ids (const mm_job *job, GError **error)
 {
   GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
   bool ok = true;
@@ -137,7 +145,7 @@
         if (!parse_task (cJSON_GetArrayItem (tasks, i), &job->tasks[i],
                          (uint32_t)i, error))
           break;
-      if (job->n_tasks != (uint32_t)n || !ids_unique (job, error))
+      if (job->n_tasks != (uint32_t)n || !mm_job_check_ids (job, error))
         {
           mm_job_destroy (job);
           job = NULL;
--- a/src/mm_job_codec.c
+++ b/src/mm_job_codec.c
@@ -141,6 +141,8 @@
       mm_job_destroy (job);
       job = NULL;
     }
+  else if (!mm_job_check_ids (job, error))
+    g_clear_pointer (&job, mm_job_destroy);
 out:
   msgpack_unpacked_destroy (&msg);
   return job;
--- a/src/mm_peer.c
+++ b/src/mm_peer.c
@@ -3,6 +3,7 @@
    TCP, each frame a 4-byte big-endian length and a msgpack array:
      [1, req_id, hops, job]                 forward a job to its owner
      [2, req_id, status, retry_after, body] the owner's answer
+     [4, req_id, name, report]              our teams' usage, no answer
      [3, req_id]                            do you reach the platform?
                                             (answered by 200, 204 or 503)
    A peer_link is a small task: it owns its socket, buffers and pending calls.
@@ -26,7 +27,8 @@
 {
   FRAME_FORWARD = 1,
   FRAME_ANSWER = 2,
-  FRAME_PING = 3
+  FRAME_PING = 3,
+  FRAME_USAGE = 4
 };
 
 typedef struct peer_link peer_link;
@@ -41,6 +43,8 @@
   void *ctx;
   mm_peer_contact_cb in_contact;
   void *contact_ctx;
+  mm_peer_usage_cb on_usage;
+  void *usage_ctx;
   GHashTable *links_by_id; /* id -> peer_link */
   GHashTable *out_by_addr; /* "host:port" -> peer_link (outgoing) */
   uint64_t next_link_id;
@@ -138,6 +142,16 @@
                             : 204;
       mm_peer_reply (l->peer, l->id, req, status, 0, "");
     }
+  else if (ok && type == FRAME_USAGE && fields == 4
+           && f[2].type == MSGPACK_OBJECT_STR
+           && f[3].type == MSGPACK_OBJECT_BIN)
+    {
+      char *name = g_strndup (f[2].via.str.ptr, f[2].via.str.size);
+      if (l->peer->on_usage)
+        l->peer->on_usage (name, (const uint8_t *)f[3].via.bin.ptr,
+                           f[3].via.bin.size, l->peer->usage_ctx);
+      g_free (name);
+    }
   else if (ok && type == FRAME_ANSWER && fields == 5
            && f[4].type == MSGPACK_OBJECT_STR)
     {
@@ -471,6 +485,45 @@
   g_byte_array_free (b, TRUE);
 }
 
+void
+mm_peer_set_usage (mm_peer *p, mm_peer_usage_cb on_usage, void *ctx)
+{
+  p->on_usage = on_usage;
+  p->usage_ctx = ctx;
+}
+
+/**
+ * mm_peer_tell_usage() - send our usage report; no answer comes.
+ * @p: the peer endpoint.
+ * @addr: the peer's "host:peer_port".
+ * @self: our member name.
+ * @report: bytes from mm_quota_report().
+ * @len: their number.
+ *
+ * A report that cannot be sent is dropped: the next one follows soon.
+ */
+void
+mm_peer_tell_usage (mm_peer *p, const char *addr, const char *self,
+                    const uint8_t *report, size_t len)
+{
+  peer_link *l = link_to (p, addr, NULL);
+  if (!l)
+    return;
+  GByteArray *b = g_byte_array_new ();
+  msgpack_packer pk;
+  msgpack_packer_init (&pk, b, write_cb);
+  msgpack_pack_array (&pk, 4);
+  msgpack_pack_uint32 (&pk, FRAME_USAGE);
+  msgpack_pack_uint64 (&pk, ++p->next_req_id);
+  size_t n = strlen (self);
+  msgpack_pack_str (&pk, n);
+  msgpack_pack_str_body (&pk, self, n);
+  msgpack_pack_bin (&pk, len);
+  msgpack_pack_bin_body (&pk, report, len);
+  link_queue (l, b);
+  g_byte_array_free (b, TRUE);
+}
+
 /**
  * mm_peer_drop() - fail a peer's link now.
  * @p: the peer endpoint.
--- a/src/mm_settings.c
+++ b/src/mm_settings.c
@@ -6,11 +6,20 @@
 
 #include <string.h>
 
+/* "teams.*" takes any key under "teams.".  */
+static bool
+in_table (const mm_setting_spec *s, const char *key)
+{
+  size_t prefix = strlen (s->key) - 1;
+  return strncmp (s->key, key, prefix) == 0 && key[prefix];
+}
+
 static const mm_setting_spec *
 find_spec (const mm_setting_spec *specs, const char *key)
 {
   for (const mm_setting_spec *s = specs; s->key; s++)
-    if (strcmp (s->key, key) == 0)
+    if (strcmp (s->key, key) == 0
+        || (s->type == MM_SETTING_INT_TABLE && in_table (s, key)))
       return s;
   return NULL;
 }
@@ -30,6 +39,8 @@
       return "an array of strings";
     case MM_SETTING_FLOAT:
       return "a number";
+    case MM_SETTING_INT_TABLE:
+      return "an integer";
     }
   return "?";
 }
@@ -40,6 +51,7 @@
   switch (want)
     {
     case MM_SETTING_INT:
+    case MM_SETTING_INT_TABLE:
       return have == MM_TOML_INT;
     case MM_SETTING_BOOL:
       return have == MM_TOML_BOOL;
@@ -73,6 +85,14 @@
       g_strfreev (*(char ***)field);
       *(char ***)field = g_strdupv (e->strings);
       break;
+    case MM_SETTING_INT_TABLE:
+      if (!*(GHashTable **)field)
+        *(GHashTable **)field
+            = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      g_hash_table_insert (*(GHashTable **)field,
+                           g_strdup (e->key + strlen (spec->key) - 1),
+                           GSIZE_TO_POINTER ((gsize)e->int_value));
+      break;
     case MM_SETTING_FLOAT:
       *(double *)field
           = e->type == MM_TOML_INT ? (double)e->int_value : e->float_value;
@@ -114,7 +134,7 @@
                        type_name (spec->type));
           return false;
         }
-      if (spec->type == MM_SETTING_INT
+      if (e->type == MM_TOML_INT && spec->type != MM_SETTING_FLOAT
           && (e->int_value < spec->min || e->int_value > spec->max))
         {
           g_set_error (
--- a/src/mm_shard.c
+++ b/src/mm_shard.c
@@ -60,6 +60,8 @@
   bool holder_released;
   bool owner_gap;
   bool releasing;
+  bool polite; /* leave the shard to a holder that has not released it */
+  uint32_t failed_takes; /* in a row */
   mm_time_ms taken_ms;
   mm_time_ms yielded_ms; /* when we were fenced, 0 never */
   GQueue waiting;        /* waiting_job *, oldest first */
@@ -265,6 +267,12 @@
           settle (s, any_job, MM_ACCEPT_MOVED);
           return;
         }
+      if (s->polite && g_queue_is_empty (&s->waiting) && s->holder
+          && !s->holder_released && strcmp (s->holder, s->env->self) != 0)
+        {
+          s->state = SHARD_IDLE;
+          return;
+        }
       s->state = SHARD_TAKING;
     }
   advance (s);
@@ -327,6 +335,7 @@
   s->holder = g_strdup (s->env->self);
   s->holder_released = false;
   s->state = SHARD_HELD;
+  s->failed_takes = 0;
   s->taken_ms = mm_clock_now_ms ();
   s->yielded_ms = 0;
   mm_counters_add (s->env->counters, "shards_taken", 1);
@@ -346,11 +355,14 @@
       return;
     }
   /* Somebody wrote meanwhile, or our take may be in the log although its
-     answer was lost: read on and try with a higher epoch.  */
+     answer was lost: read on and try with a higher epoch.  Against a busy
+     owner that can fail for long, so after a few tries the next waits for
+     mm_shard_retry().  */
   s->state = SHARD_READING;
+  s->failed_takes++;
   if (res->status == 409)
     s->seen_epoch = MAX (s->seen_epoch, answer_field (res, "epoch"));
-  if (answered (res))
+  if (answered (res) && s->failed_takes % MM_SHARD_TAKE_BURST)
     advance (s);
 }
 
@@ -463,7 +475,9 @@
       /* The callbacks may have brought us back here already.  */
       if (s->call_open || s->state != SHARD_HELD)
         break;
-      if (s->releasing && !s->owed->len)
+      if (s->env->outage (s->env->ctx))
+        mm_shard_serve_unrecorded (s);
+      else if (s->releasing && !s->owed->len)
         append_release (s);
       else if (!g_queue_is_empty (&s->waiting) || s->owed->len)
         append_accepts (s);
@@ -594,12 +608,16 @@
 /**
  * mm_shard_take() - own the shard ahead of its jobs.
  * @s: the shard; nothing happens when it is held or being taken.
+ * @polite: not from a holder that has not released it.
  */
 void
-mm_shard_take (mm_shard *s)
+mm_shard_take (mm_shard *s, bool polite)
 {
-  if (s->state != SHARD_IDLE || s->call_open)
+  if (s->state != SHARD_IDLE || s->call_open
+      || (polite && s->holder && !s->holder_released
+          && strcmp (s->holder, s->env->self) != 0))
     return;
+  s->polite = polite;
   s->state = SHARD_READING;
   read_on (s);
 }
--- a/src/mm_shard.h
+++ b/src/mm_shard.h
@@ -38,6 +38,7 @@
   mm_time_ms ttl_ms;                    /* accepts older than this go */
   uint64_t (*fingerprint) (void *ctx);  /* upstreams listed now */
   void (*contact) (bool ok, void *ctx); /* a call to the log ended */
+  bool (*outage) (void *ctx);           /* nobody reaches the log */
   void *ctx;
 } mm_shard_env;
 
@@ -50,8 +51,8 @@
 void mm_shard_cancel (mm_shard *s, void *ctx); /* forget a pending accept */
 typedef void (*mm_shard_verify_cb) (bool ours, void *ctx);
 void mm_shard_verify (mm_shard *s, mm_shard_verify_cb done,
-                      void *ctx); /* ask the log: still ours? */
-void mm_shard_take (mm_shard *s); /* own it ahead of jobs */
+                      void *ctx);              /* ask the log: still ours? */
+void mm_shard_take (mm_shard *s, bool polite); /* own it ahead of jobs */
 bool mm_shard_held (const mm_shard *s);
 void mm_shard_remember (mm_shard *s, const char *job_id,
                         uint64_t fingerprint); /* accepted, let go */
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -423,6 +423,67 @@
 }
 END_TEST
 
+/* Hand a job in without waiting for its answer; the child's exit tells
+   its HTTP status's first digit.  */
+static pid_t
+submit_in_child (int entry, const char *job)
+{
+  pid_t pid = fork ();
+  if (pid)
+    return pid;
+  long st = 0;
+  h_call ("POST", h_entry_ports[entry], "/v1/jobs", job, &st);
+  _exit ((int)(st / 100));
+}
+
+/* A team with a quota of 40 tasks in the data centre sends 6 jobs of 20
+   tasks to three instances, one after the other.  Each instance alone
+   has room for them; together they must not take much more than the
+   quota, refused jobs must not run, and another team is served.  Cause:
+   the team's jobs land on different instances by their ids.  */
+START_TEST (teams_quota_holds_over_the_data_centre)
+{
+  h_cluster (3, 3, 100);
+  const char *cfg = "{\"kind\":\"config\",\"parent\":-1,\"base\":"
+                    "\"[teams]\\nt = 40\\n\",\"overlays\":{}}";
+  cJSON_Delete (h_call ("POST", h_platform_port, "/v1/log/config", cfg, NULL));
+  for (int i = 0; i < 3; i++)
+    ck_assert (
+        h_wait_json (h_entry_ports[i], "/v1/state", "config_offset", 0, 5000));
+  g_usleep (500000);
+  pid_t kids[6];
+  for (int j = 0; j < 6; j++)
+    {
+      char id[16];
+      g_snprintf (id, sizeof id, "quota%d", j);
+      char *job = h_job_json (id, 20, 6000, 20000, false);
+      kids[j] = submit_in_child (j % 3, job);
+      g_free (job);
+      g_usleep (700000);
+    }
+  long st = 0;
+  cJSON_Delete (h_call ("POST", h_entry_ports[0], "/v1/jobs",
+                        "{\"job_id\":\"other\",\"team\":\"u\",\"tasks\":[{"
+                        "\"id\":\"a\",\"run_ms\":5,\"deadline_ms\":15000,"
+                        "\"idempotent\":true}]}",
+                        &st));
+  ck_assert_int_eq (st, 200);
+  int served = 0;
+  for (int j = 0; j < 6; j++)
+    {
+      int wst;
+      waitpid (kids[j], &wst, 0);
+      char id[16];
+      g_snprintf (id, sizeof id, "quota%d", j);
+      bool ok = WEXITSTATUS (wst) == 2;
+      served += ok;
+      ck_assert_int_eq (all_starts (id, NULL), ok ? 20 : 0);
+    }
+  ck_assert_msg (served == 2, "%d jobs of 20 within a quota of 40", served);
+  h_cluster_stop ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -442,6 +503,7 @@
   tcase_add_test (tc, killed_upstream_leaves_no_partial_answer);
   tcase_add_test (tc, graceful_stop_of_an_upstream_cuts_off_nothing);
   tcase_add_test (tc, passed_deadline_fails_the_job_and_not_run_is_true);
+  tcase_add_test (tc, teams_quota_holds_over_the_data_centre);
   suite_add_tcase (s, tc);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_NORMAL);
--- a/tests/test_units.c
+++ b/tests/test_units.c
@@ -2,6 +2,9 @@
    ordering, the msgpack codec and rendezvous hashing.  */
 #include "harness.h"
 #include "mm_cfg.h"
+#include "mm_contact.h"
+#include "mm_pool.h"
+#include "mm_quota.h"
 
 #include <stdio.h>
 #include <unistd.h>
@@ -195,6 +198,127 @@
 }
 END_TEST
 
+/* A caller's job names one task id twice; it is refused with a typed
+   error, from a caller and from a peer.  */
+START_TEST (task_ids_must_be_distinct)
+{
+  static const char body[]
+      = "{\"job_id\":\"j\",\"tasks\":[{\"id\":\"a\"},{\"id\":\"a\"}]}";
+  GError *e = NULL;
+  ck_assert (!mm_job_parse_json (body, strlen (body), 10, &e));
+  ck_assert (g_error_matches (e, MM_ERROR, MM_ERROR_BAD_REQUEST));
+  g_clear_error (&e);
+  mm_task tasks[2] = { { .id = "a", .payload = "", .deadline_ms = 1 },
+                       { .id = "a", .payload = "", .deadline_ms = 1 } };
+  mm_job job = { .id = "j", .team = "t", .n_tasks = 2, .tasks = tasks };
+  GByteArray *b = g_byte_array_new ();
+  mm_job_pack (&job, b);
+  ck_assert (!mm_job_unpack (b->data, b->len, 10, &e));
+  ck_assert (g_error_matches (e, MM_ERROR, MM_ERROR_BAD_REQUEST));
+  g_error_free (e);
+  g_byte_array_free (b, TRUE);
+}
+END_TEST
+
+/* An instance that cannot reach the platform asks its peers.  One that
+   is in contact means "cut off"; only lost ones mean an outage; no word
+   means waiting a little, then "alone".  */
+START_TEST (standing_follows_the_peers_word)
+{
+  mm_contact *c = mm_contact_create (0);
+  const char *peer = NULL;
+  mm_contact_note (c, false, 400);
+  ck_assert_int_eq (mm_contact_standing (c, 2, 400, &peer),
+                    MM_STANDING_CONTACT);
+  mm_contact_note (c, false, 600);
+  ck_assert_int_eq (mm_contact_standing (c, 0, 600, &peer),
+                    MM_STANDING_OUTAGE);
+  ck_assert_int_eq (mm_contact_standing (c, 2, 600, &peer),
+                    MM_STANDING_CONTACT);
+  ck_assert_int_eq (mm_contact_standing (c, 2, 1600, &peer),
+                    MM_STANDING_ALONE);
+  mm_contact_vote (c, "b", false, 700);
+  ck_assert_int_eq (mm_contact_standing (c, 2, 800, &peer),
+                    MM_STANDING_OUTAGE);
+  mm_contact_vote (c, "a", true, 800);
+  ck_assert_int_eq (mm_contact_standing (c, 2, 900, &peer), MM_STANDING_CUT);
+  ck_assert_str_eq (peer, "a");
+  mm_contact_note (c, true, 1000);
+  ck_assert_int_eq (mm_contact_standing (c, 2, 1000, &peer),
+                    MM_STANDING_CONTACT);
+  ck_assert (mm_contact_list_unsure (c, 3900));
+  ck_assert (!mm_contact_list_unsure (c, 4100));
+  mm_contact_destroy (c);
+}
+END_TEST
+
+/* A job was accepted while upstreams a and b were listed; b restarts.
+   Its new incarnation's report must not stand in for the old one's.  */
+START_TEST (restarted_upstream_does_not_cover_its_former_self)
+{
+  mm_pool *p = mm_pool_create (8);
+  mm_pool_list_begin (p, 0);
+  mm_pool_add (p, "a", "a", 8, 11);
+  mm_pool_add (p, "b", "b", 8, 22);
+  mm_pool_list_end (p);
+  uint64_t then = mm_pool_fingerprint (p);
+  mm_pool_list_begin (p, 0);
+  mm_pool_add (p, "a", "a", 8, 11);
+  mm_pool_add (p, "b", "b", 8, 33);
+  mm_pool_add (p, "c", "c", 8, 44);
+  mm_pool_list_end (p);
+  ck_assert (then != mm_pool_fingerprint (p));
+  int64_t a = (int64_t)mm_pool_fingerprint_of ("a", 11);
+  int64_t b_old = (int64_t)mm_pool_fingerprint_of ("b", 22);
+  int64_t b_new = (int64_t)mm_pool_fingerprint_of ("b", 33);
+  GHashTable *reported = g_hash_table_new (g_int64_hash, g_int64_equal);
+  g_hash_table_add (reported, &a);
+  g_hash_table_add (reported, &b_new);
+  ck_assert (!mm_pool_covers (p, reported, then));
+  g_hash_table_add (reported, &b_old);
+  ck_assert (mm_pool_covers (p, reported, then));
+  g_hash_table_destroy (reported);
+  mm_pool_destroy (p);
+}
+END_TEST
+
+static int64_t
+quota_100 (const char *team, void *ctx)
+{
+  return 100;
+}
+
+/* Two instances tell each other their teams' usage: it adds up, small
+   users are not told, a silent peer's report expires, and a malformed
+   one changes nothing.  */
+START_TEST (usage_adds_up_and_expires)
+{
+  mm_quota *a = mm_quota_create (), *b = mm_quota_create ();
+  mm_quota_add (a, "big", 30);
+  mm_quota_add (a, "small", 2);
+  mm_quota_add (b, "big", 40);
+  GByteArray *r = g_byte_array_new ();
+  ck_assert (mm_quota_report (a, 2, quota_100, NULL, r));
+  ck_assert (mm_quota_take_report (b, "a", r->data, r->len, 0, NULL));
+  ck_assert_int_eq (mm_quota_used (b, "big", 100), 70);
+  ck_assert_int_eq (mm_quota_used (b, "small", 100), 0);
+  GError *e = NULL;
+  ck_assert (!mm_quota_take_report (b, "a", r->data, r->len - 1, 0, &e));
+  ck_assert (g_error_matches (e, MM_ERROR, MM_ERROR_DECODE));
+  g_error_free (e);
+  ck_assert_int_eq (mm_quota_used (b, "big", 100), 70);
+  ck_assert_int_eq (mm_quota_used (b, "big", 5000), 40);
+  mm_quota_add (a, "big", -30);
+  g_byte_array_set_size (r, 0);
+  ck_assert (mm_quota_report (a, 2, quota_100, NULL, r));
+  g_byte_array_set_size (r, 0);
+  ck_assert (!mm_quota_report (a, 2, quota_100, NULL, r));
+  g_byte_array_free (r, TRUE);
+  mm_quota_destroy (a);
+  mm_quota_destroy (b);
+}
+END_TEST
+
 START_TEST (decoders_survive_fuzzing)
 {
   char *cmd
@@ -215,6 +339,10 @@
   tcase_add_test (tc, config_race_has_one_winner_everywhere);
   tcase_add_test (tc, rendezvous_moves_only_the_leavers_keys);
   tcase_add_test (tc, snapshot_does_not_beat_an_operators_change);
+  tcase_add_test (tc, task_ids_must_be_distinct);
+  tcase_add_test (tc, standing_follows_the_peers_word);
+  tcase_add_test (tc, restarted_upstream_does_not_cover_its_former_self);
+  tcase_add_test (tc, usage_adds_up_and_expires);
   tcase_add_test (tc, decoders_survive_fuzzing);
   suite_add_tcase (s, tc);
   SRunner *r = srunner_create (s);
