--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -258,12 +258,19 @@
   void mm_peer_ping (mm_peer *p, const char *addr, mm_time_ms timeout_ms,
                      mm_peer_answer_cb done,
                      void *ctx); /* 200: it reaches the platform, 503: not */
-  typedef void (*mm_peer_usage_cb) (const char *peer, const uint8_t *report,
-                                    size_t len, void *ctx);
-  void mm_peer_set_usage (mm_peer *p, mm_peer_usage_cb on_usage,
-                          void *ctx); /* who takes reports */
-  void mm_peer_tell_usage (mm_peer *p, const char *addr, const char *self,
-                           const uint8_t *report, size_t len); /* one way */
+  typedef enum
+  {
+    MM_TELL_USAGE = 1,  /* teams' tasks, see mm_quota */
+    MM_TELL_EJECTED = 2 /* name of an upstream that fails its tasks */
+  } mm_tell_kind;
+  typedef void (*mm_peer_tell_cb) (mm_tell_kind kind, const char *peer,
+                                   const uint8_t *payload, size_t len,
+                                   void *ctx);
+  void mm_peer_set_tell (mm_peer *p, mm_peer_tell_cb on_tell,
+                         void *ctx); /* who takes news */
+  void mm_peer_tell (mm_peer *p, const char *addr, mm_tell_kind kind,
+                     const char *self, const uint8_t *payload,
+                     size_t len);                   /* one way */
   void mm_peer_drop (mm_peer *p, const char *addr); /* fail its link now */
   uint16_t mm_peer_port (const mm_peer *p);         /* bound port */
 
@@ -393,6 +400,7 @@
     int64_t config_snapshot_ms; /* re-append the head this often */
     int64_t done_ttl_ms;        /* finished answers kept for resubmits */
     int64_t shards;             /* shards of the data centre's jobs */
+    int64_t accept_interval_ms; /* least time between a shard\'s appends */
   } mm_entry_settings;
   extern const mm_setting_spec mm_entry_setting_specs[];
   void mm_entry_settings_defaults (mm_entry_settings *s);
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -29,7 +29,7 @@
 entries=() entry_pids=()
 for i in $(seq 1 "$n_en"); do
   "$bin/masticmill-entry" --set entry.port=$((base + 100 + i)) --set "entry.name=\"entry$i\"" \
-    --set "entry.platform_url=\"$plat\"" 2>/dev/null & pids+=($!); entry_pids+=($!)
+    --set "entry.platform_url=\"$plat\"" ${ENTRY_EXTRA:+--set "$ENTRY_EXTRA"} 2>/dev/null & pids+=($!); entry_pids+=($!)
   entries+=("http://127.0.0.1:$((base + 100 + i))")
 done
 sleep 3
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
 # Slopes for docs/CAPACITY.md, measured on loopback with small
 # stand-ins: control bytes per poll against the number of members, an
-# idle entry instance's control CPU, and memory per job in flight.
+# idle entry instance's control CPU, log appends per job, bytes of an
+# accept and of a fence, a configuration of 270 teams, and memory per
+# task in flight.
 #   scripts/slopes.sh [UPSTREAMS]
 set -euo pipefail
 here=$(cd "$(dirname "$0")/.." && pwd)
@@ -36,6 +38,27 @@
 echo "members=$members member_list_bytes=$list_bytes bytes_per_member=$((list_bytes / members)) entry_heartbeat_body_bytes=$hb_bytes empty_config_read_bytes=$cfg_bytes"
 echo "idle_entry_control_cpu_ms_per_s=$(echo "scale=2; ($c1 - $c0) * 1000 / $tck / 10" | bc)"
 entry_pids="${pids[*]: -6}"
+# Per accepted job: log appends and reads, and the bytes of one append.
+sum_state () { for i in 1 2 3 4 5 6; do curl -s "http://127.0.0.1:$((base + 100 + i))/v1/state"; echo; done \
+  | python3 -c 'import json,sys
+t = {}
+for l in sys.stdin:
+    for k, v in json.loads(l)["counters"].items(): t[k] = t.get(k, 0) + v
+print(" ".join(str(t.get(k, 0)) for k in sys.argv[1:]))' "$@"; }
+read -r a0 r0 j0 n0 <<< "$(sum_state shard_appends shard_reads jobs_accepted news_bytes)"
+list=$(for i in 1 2 3 4 5 6; do printf 'http://127.0.0.1:%d,' $((base + 100 + i)); done)
+"$bin/masticctl" bench --entries "${list%,}" --site lima --seconds 10 --deadline-ms 3000 --non-idempotent 1
+read -r a1 r1 j1 n1 <<< "$(sum_state shard_appends shard_reads jobs_accepted news_bytes)"
+echo "site_lima: jobs=$((j1 - j0)) shard_appends_per_job=$(echo "scale=2; ($a1 - $a0) / ($j1 - $j0)" | bc) shard_reads_per_job=$(echo "scale=2; ($r1 - $r0) / ($j1 - $j0)" | bc) news_payload_bytes_per_s=$(( (n1 - n0) / 10 ))"
+accept='{"kind":"accept","fp":"0123456789abcdef","jobs":["5c0e7a21d94b36f8"],"by":"entry1","inc":"entry1#1796244689657.0a1b2c3d"}'
+echo "accept_append_wire_bytes=$(wire -X POST -H 'Expect:' -H 'X-Masticmill-Member: entry1' --data "$accept" "$plat/v1/log/probe?epoch=1") extra_bytes_per_job_in_batch=19"
+echo "fence_wire_bytes_per_upstream=$(wire -X POST -H 'Expect:' --data '{"epoch":7}' "http://127.0.0.1:$((base + 1001))/v1/jobs/5c0e7a21d94b36f8/fence")"
+# A configuration with 270 teams: its size, and the time to be in force.
+cfg=$(mktemp)
+{ echo '[teams]'; for i in $(seq 1 270); do echo "team-$i = $((100 + i))"; done; } > "$cfg"
+t0=$(date +%s%N); "$bin/masticctl" --platform "$plat" config publish "$cfg"; t1=$(date +%s%N)
+echo "config_270_teams_bytes=$(wc -c < "$cfg") in_force_ms=$(( (t1 - t0) / 1000000 ))"
+rm -f "$cfg"
 python3 - "$base" $entry_pids <<'PY'
 import json, sys, time, urllib.request, threading
 base = int(sys.argv[1]); pids = sys.argv[2:]
--- a/src/config.h
+++ b/src/config.h
@@ -17,7 +17,8 @@
 #define MM_DEFAULT_CONFIG_POLL_MS 200        /* config stream poll */
 #define MM_DEFAULT_HEARTBEAT_MS 500          /* heartbeat to platform */
 #define MM_DEFAULT_EJECT_AFTER_FAILURES 5    /* failures in a row */
-#define MM_DEFAULT_EJECT_MS 5000             /* how long an ejection lasts */
+#define MM_DEFAULT_EJECT_MS 5000             /* the first ejection's length */
+#define MM_EJECT_MAX_DOUBLINGS 4u            /* the longest: 16 times that */
 #define MM_DEFAULT_MAX_QUEUED_TASKS 20000    /* admission bound */
 #define MM_DEFAULT_UPSTREAM_SLOTS 8          /* slots when not told */
 #define MM_DEFAULT_UPSTREAM_CONNECTIONS 60   /* connections per upstream */
--- a/src/mm_entry.c
+++ b/src/mm_entry.c
@@ -45,6 +45,8 @@
         "finished answers kept this long for resubmits"),
   SPEC ("entry.shards", MM_SETTING_INT, shards, 1, 1024,
         "shards of the data centre's jobs; the same on every instance"),
+  SPEC ("entry.accept_interval_ms", MM_SETTING_INT, accept_interval_ms, 0,
+        10000, "least time between two appends of a shard's accepts"),
   { NULL },
 };
 
@@ -202,7 +204,7 @@
   mm_entry_shards_start (e);
   mm_entry_platform_start (e);
   mm_entry_answers_start (e);
-  mm_entry_quota_start (e);
+  mm_entry_news_start (e);
   return e;
 }
 
@@ -212,7 +214,7 @@
   if (!e)
     return;
   mm_entry_platform_stop (e);
-  mm_entry_quota_stop (e);
+  mm_entry_news_stop (e);
   ev_timer_stop (e->loop, &e->shutdown_limit);
   ev_idle_stop (e->loop, &e->shutdown_check);
   mm_entry_jobs_free (e);
@@ -285,7 +287,8 @@
   cJSON_AddNumberToObject (ko, "team_max_queued_tasks",
                            (double)k->team_max_queued_tasks);
   cJSON *ups = cJSON_AddArrayToObject (o, "upstreams");
-  static const char *const states[] = { "live", "leaving", "ejected" };
+  static const char *const states[]
+      = { "live", "leaving", "ejected", "on_trial" };
   for (uint32_t i = 0; i < mm_pool_size (e->pool); i++)
     {
       const mm_pool_member *m = mm_pool_at (e->pool, (int)i);
--- a/src/mm_entry_admit.c
+++ b/src/mm_entry_admit.c
@@ -1,69 +1,6 @@
 /* mm_entry_admit: whether a job fits, decided whole and at once.  */
-#include "config.h"
 #include "mm_entry_priv.h"
 
-static int64_t
-quota_of (const char *team, void *ctx)
-{
-  mm_entry *e = ctx;
-  return mm_knobs_team_quota (mm_cfg_knobs (e->cfg), team);
-}
-
-static void
-report_cb (struct ev_loop *loop, ev_timer *w, int revents)
-{
-  mm_entry *e = w->data;
-  GByteArray *report = g_byte_array_new ();
-  if (mm_quota_report (e->quota, g_hash_table_size (e->peer_addrs) + 1,
-                       quota_of, e, report))
-    {
-      GHashTableIter it;
-      gpointer name, addr;
-      g_hash_table_iter_init (&it, e->peer_addrs);
-      while (g_hash_table_iter_next (&it, &name, &addr))
-        {
-          mm_peer_tell_usage (e->peer, addr, e->settings.name, report->data,
-                              report->len);
-          mm_counters_add (e->counters, "usage_reports", 1);
-          mm_counters_add (e->counters, "usage_report_bytes", report->len);
-        }
-    }
-  g_byte_array_free (report, TRUE);
-}
-
-static void
-on_usage (const char *peer, const uint8_t *report, size_t len, void *ctx)
-{
-  mm_entry *e = ctx;
-  GError *err = NULL;
-  if (!mm_quota_take_report (e->quota, peer, report, len, mm_clock_now_ms (),
-                             &err))
-    {
-      g_warning ("%s from %s", err->message, peer);
-      g_error_free (err);
-    }
-}
-
-/**
- * mm_entry_quota_start() - tell peers of our teams' usage, and listen.
- * @e: the entry instance.
- */
-void
-mm_entry_quota_start (mm_entry *e)
-{
-  mm_peer_set_usage (e->peer, on_usage, e);
-  ev_timer_init (&e->quota_report, report_cb, MM_QUOTA_REPORT_MS / 1000.0,
-                 MM_QUOTA_REPORT_MS / 1000.0);
-  e->quota_report.data = e;
-  ev_timer_start (e->loop, &e->quota_report);
-}
-
-void
-mm_entry_quota_stop (mm_entry *e)
-{
-  ev_timer_stop (e->loop, &e->quota_report);
-}
-
 mm_time_ms
 mm_entry_first_deadline_ms (const mm_job *job)
 {
--- a/src/mm_entry_job.c
+++ b/src/mm_entry_job.c
@@ -311,6 +311,23 @@
                            "idempotent");
 }
 
+/**
+ * mm_entry_upstream_outcome() - a task's end, for the upstream's record.
+ * @e: the entry instance.
+ * @upstream: its index in the pool.
+ * @o: what became of the task.
+ * @mode_seq: with MM_OUTCOME_REFUSED, the upstream's mode_seq.
+ */
+void
+mm_entry_upstream_outcome (mm_entry *e, int upstream, mm_outcome o,
+                           int64_t mode_seq)
+{
+  const mm_knobs *k = mm_cfg_knobs (e->cfg);
+  if (mm_pool_done (e->pool, upstream, o, mode_seq, mm_clock_now_ms (),
+                    (uint32_t)k->eject_after_failures, k->eject_ms))
+    mm_entry_tell_ejected (e, mm_pool_at (e->pool, upstream)->name);
+}
+
 static void
 send_done (const mm_http_result *res, void *ctx)
 {
@@ -319,15 +336,12 @@
   mm_entry *e = ej->entry;
   mm_task *t = &ej->job->tasks[s->index];
   mm_outcome o = classify (res);
-  const mm_knobs *k = mm_cfg_knobs (e->cfg);
   cJSON *a = NULL;
   if (o == MM_OUTCOME_OK || o == MM_OUTCOME_REFUSED)
     a = cJSON_ParseWithLength (res->body, res->body_bytes);
   const cJSON *seq = cJSON_GetObjectItem (a, "mode_seq");
-  mm_pool_done (e->pool, s->upstream, o,
-                cJSON_IsNumber (seq) ? (int64_t)seq->valuedouble : 0,
-                mm_clock_now_ms (), (uint32_t)k->eject_after_failures,
-                k->eject_ms);
+  mm_entry_upstream_outcome (
+      e, s->upstream, o, cJSON_IsNumber (seq) ? (int64_t)seq->valuedouble : 0);
   mm_counters_add (e->counters, "upstream_answers", 1);
   if (o == MM_OUTCOME_OK)
     e->run_ewma_ms = 0.9 * e->run_ewma_ms
--- a/src/mm_entry_priv.h
+++ b/src/mm_entry_priv.h
@@ -128,8 +128,11 @@
 } mm_refusal;
 bool mm_entry_admit (mm_entry *e, const mm_job *job, mm_refusal *r);
 mm_time_ms mm_entry_first_deadline_ms (const mm_job *job);
-void mm_entry_quota_start (mm_entry *e);
-void mm_entry_quota_stop (mm_entry *e);
+
+/* mm_entry_news.c: what the instances of a data centre tell each other */
+void mm_entry_news_start (mm_entry *e);
+void mm_entry_news_stop (mm_entry *e);
+void mm_entry_tell_ejected (mm_entry *e, const char *upstream);
 
 /* mm_entry_answer.c: answers, built once and kept for resubmits */
 char *mm_entry_answer_json (const mm_entry_job *ej, const char *status,
@@ -147,6 +150,8 @@
 void mm_entry_job_unref (mm_entry_job *ej);
 void mm_entry_task_outcome (mm_entry_job *ej, mm_task *t, mm_outcome o,
                             const char *result);
+void mm_entry_upstream_outcome (mm_entry *e, int upstream, mm_outcome o,
+                                int64_t mode_seq); /* keep the pool's books */
 void mm_entry_pump (mm_entry *e);
 char *mm_entry_jobs_dump (const mm_entry *e);
 void mm_entry_jobs_free (mm_entry *e);
--- a/src/mm_entry_recover.c
+++ b/src/mm_entry_recover.c
@@ -65,11 +65,8 @@
 static void
 recovered_end (mm_entry_job *ej, mm_task *t, mm_outcome o, const char *result)
 {
-  mm_entry *e = ej->entry;
-  const mm_knobs *k = mm_cfg_knobs (e->cfg);
   g_hash_table_remove (ej->recovery->running, t);
-  mm_pool_done (e->pool, t->upstream, o, 0, mm_clock_now_ms (),
-                (uint32_t)k->eject_after_failures, k->eject_ms);
+  mm_entry_upstream_outcome (ej->entry, t->upstream, o, 0);
   mm_entry_task_outcome (ej, t, o, result);
 }
 
--- a/src/mm_entry_shards.c
+++ b/src/mm_entry_shards.c
@@ -357,6 +357,7 @@
     = g_strdup_printf ("%s#%" G_GINT64_FORMAT ".%08x", e->settings.name,
                        mm_clock_wall_ms (), g_random_int ()),
     .ttl_ms = e->settings.done_ttl_ms,
+    .accept_interval_ms = e->settings.accept_interval_ms,
     .fingerprint = listed_fingerprint,
     .contact = note_contact,
     .outage = in_outage,
--- a/src/mm_peer.c
+++ b/src/mm_peer.c
@@ -3,7 +3,7 @@
    TCP, each frame a 4-byte big-endian length and a msgpack array:
      [1, req_id, hops, job]                 forward a job to its owner
      [2, req_id, status, retry_after, body] the owner's answer
-     [4, req_id, name, report]              our teams' usage, no answer
+     [4, req_id, kind, name, payload]       news from us, no answer
      [3, req_id]                            do you reach the platform?
                                             (answered by 200, 204 or 503)
    A peer_link is a small task: it owns its socket, buffers and pending calls.
@@ -28,7 +28,7 @@
   FRAME_FORWARD = 1,
   FRAME_ANSWER = 2,
   FRAME_PING = 3,
-  FRAME_USAGE = 4
+  FRAME_TELL = 4
 };
 
 typedef struct peer_link peer_link;
@@ -43,8 +43,8 @@
   void *ctx;
   mm_peer_contact_cb in_contact;
   void *contact_ctx;
-  mm_peer_usage_cb on_usage;
-  void *usage_ctx;
+  mm_peer_tell_cb on_tell;
+  void *tell_ctx;
   GHashTable *links_by_id; /* id -> peer_link */
   GHashTable *out_by_addr; /* "host:port" -> peer_link (outgoing) */
   uint64_t next_link_id;
@@ -127,7 +127,7 @@
             && msg.data.type == MSGPACK_OBJECT_ARRAY
             && msg.data.via.array.size >= 2;
   size_t fields = ok ? msg.data.via.array.size : 0;
-  uint64_t type = 0, req = 0, hops = 0;
+  uint64_t type = 0, req = 0, hops = 0, kind = 0;
   const msgpack_object *f = ok ? msg.data.via.array.ptr : NULL;
   ok = ok && int_of (&f[0], &type) && int_of (&f[1], &req);
   if (ok && type == FRAME_FORWARD && fields == 4 && int_of (&f[2], &hops)
@@ -142,14 +142,15 @@
                             : 204;
       mm_peer_reply (l->peer, l->id, req, status, 0, "");
     }
-  else if (ok && type == FRAME_USAGE && fields == 4
-           && f[2].type == MSGPACK_OBJECT_STR
-           && f[3].type == MSGPACK_OBJECT_BIN)
+  else if (ok && type == FRAME_TELL && fields == 5 && int_of (&f[2], &kind)
+           && f[3].type == MSGPACK_OBJECT_STR
+           && f[4].type == MSGPACK_OBJECT_BIN)
     {
-      char *name = g_strndup (f[2].via.str.ptr, f[2].via.str.size);
-      if (l->peer->on_usage)
-        l->peer->on_usage (name, (const uint8_t *)f[3].via.bin.ptr,
-                           f[3].via.bin.size, l->peer->usage_ctx);
+      char *name = g_strndup (f[3].via.str.ptr, f[3].via.str.size);
+      if (l->peer->on_tell)
+        l->peer->on_tell ((mm_tell_kind)kind, name,
+                          (const uint8_t *)f[4].via.bin.ptr, f[4].via.bin.size,
+                          l->peer->tell_ctx);
       g_free (name);
     }
   else if (ok && type == FRAME_ANSWER && fields == 5
@@ -486,25 +487,26 @@
 }
 
 void
-mm_peer_set_usage (mm_peer *p, mm_peer_usage_cb on_usage, void *ctx)
+mm_peer_set_tell (mm_peer *p, mm_peer_tell_cb on_tell, void *ctx)
 {
-  p->on_usage = on_usage;
-  p->usage_ctx = ctx;
+  p->on_tell = on_tell;
+  p->tell_ctx = ctx;
 }
 
 /**
- * mm_peer_tell_usage() - send our usage report; no answer comes.
+ * mm_peer_tell() - send news to a peer; no answer comes.
  * @p: the peer endpoint.
  * @addr: the peer's "host:peer_port".
+ * @kind: what the payload is.
  * @self: our member name.
- * @report: bytes from mm_quota_report().
- * @len: their number.
+ * @payload: the news.
+ * @len: its length.
  *
- * A report that cannot be sent is dropped: the next one follows soon.
+ * News that cannot be sent is dropped: it only saves work.
  */
 void
-mm_peer_tell_usage (mm_peer *p, const char *addr, const char *self,
-                    const uint8_t *report, size_t len)
+mm_peer_tell (mm_peer *p, const char *addr, mm_tell_kind kind,
+              const char *self, const uint8_t *payload, size_t len)
 {
   peer_link *l = link_to (p, addr, NULL);
   if (!l)
@@ -512,14 +514,15 @@
   GByteArray *b = g_byte_array_new ();
   msgpack_packer pk;
   msgpack_packer_init (&pk, b, write_cb);
-  msgpack_pack_array (&pk, 4);
-  msgpack_pack_uint32 (&pk, FRAME_USAGE);
+  msgpack_pack_array (&pk, 5);
+  msgpack_pack_uint32 (&pk, FRAME_TELL);
   msgpack_pack_uint64 (&pk, ++p->next_req_id);
+  msgpack_pack_uint32 (&pk, kind);
   size_t n = strlen (self);
   msgpack_pack_str (&pk, n);
   msgpack_pack_str_body (&pk, self, n);
   msgpack_pack_bin (&pk, len);
-  msgpack_pack_bin_body (&pk, report, len);
+  msgpack_pack_bin_body (&pk, payload, len);
   link_queue (l, b);
   g_byte_array_free (b, TRUE);
 }
--- a/src/mm_pool.c
+++ b/src/mm_pool.c
@@ -3,10 +3,17 @@
    Upstreams start whatever they are given, fits or not, so the entry
    instance keeps its own count of each one's tasks in flight and sends
    only into free slots: least loaded first (most free slots), ties to
-   the lower index.  An upstream that is leaving gets no new work; one
-   that fails eject_after times in a row is ejected for eject_ms.  */
+   the lower index.  An upstream that is leaving gets no new work.
+
+   Some upstreams fail every task they start.  One that fails eject_after
+   times in a row is ejected for eject_ms, then on trial with one task at
+   a time: a task done ends the trial, a failure ejects it for twice as
+   long as before.  Peers that hear of an ejection put the upstream on
+   trial, so that each need not lose eject_after tasks of its own.  */
 #include "mm_pool.h"
 
+#include "config.h"
+
 #include <string.h>
 #include <xxhash.h>
 
@@ -107,7 +114,7 @@
       m->boot_ms = boot_ms;
       m->state = MM_UPSTREAM_LIVE;
       m->state_seq = 0;
-      m->failures_in_row = 0;
+      m->failures_in_row = m->ejections = 0;
     }
   return i;
 }
@@ -181,7 +188,8 @@
           && m->state == MM_UPSTREAM_LEAVING))
     return;
   m->state_seq = seq;
-  if (m->state == MM_UPSTREAM_EJECTED && s == MM_UPSTREAM_LIVE)
+  if ((m->state == MM_UPSTREAM_EJECTED || m->state == MM_UPSTREAM_ON_TRIAL)
+      && s == MM_UPSTREAM_LIVE)
     return; /* an ejection ends by time, not by the member list */
   m->state = s;
 }
@@ -273,11 +281,40 @@
 takes_work (mm_pool_member *m, mm_time_ms now)
 {
   if (m->state == MM_UPSTREAM_EJECTED && now >= m->ejected_until_ms)
-    {
-      m->state = MM_UPSTREAM_LIVE;
-      m->failures_in_row = 0;
-    }
-  return m->listed && m->state == MM_UPSTREAM_LIVE;
+    m->state = MM_UPSTREAM_ON_TRIAL;
+  return m->listed
+         && (m->state == MM_UPSTREAM_LIVE || m->state == MM_UPSTREAM_ON_TRIAL);
+}
+
+static uint32_t
+usable_slots (const mm_pool_member *m)
+{
+  return m->state == MM_UPSTREAM_ON_TRIAL ? 1 : m->slots;
+}
+
+static void
+eject (mm_pool_member *m, mm_time_ms now, mm_time_ms eject_ms)
+{
+  mm_time_ms span = eject_ms << MIN (m->ejections, MM_EJECT_MAX_DOUBLINGS);
+  m->ejections++;
+  m->state = MM_UPSTREAM_EJECTED;
+  m->ejected_until_ms = now + span;
+  g_warning ("upstream %s ejected for %" G_GINT64_FORMAT " ms after %u "
+             "failures in a row",
+             m->name, span, m->failures_in_row);
+}
+
+/**
+ * mm_pool_doubt() - a peer ejected an upstream.
+ * @p: the pool.
+ * @i: the upstream.
+ */
+void
+mm_pool_doubt (mm_pool *p, int i)
+{
+  mm_pool_member *m = p->members->pdata[i];
+  if (m->state == MM_UPSTREAM_LIVE)
+    m->state = MM_UPSTREAM_ON_TRIAL;
 }
 
 /**
@@ -296,9 +333,9 @@
   for (guint i = 0; i < p->members->len; i++)
     {
       mm_pool_member *m = p->members->pdata[i];
-      if (!takes_work (m, now) || m->in_flight >= m->slots)
+      if (!takes_work (m, now) || m->in_flight >= usable_slots (m))
         continue;
-      uint32_t free_slots = m->slots - m->in_flight;
+      uint32_t free_slots = usable_slots (m) - m->in_flight;
       if (free_slots > best_free)
         {
           best = (int)i;
@@ -325,36 +362,41 @@
  * @eject_ms: how long an ejection lasts.
  *
  * A refusal marks the upstream leaving: the upstream says it drains
- * before the lagging member list does.
+ * before the lagging member list does.  Return: true when this answer
+ * ejected it.
  */
-void
+bool
 mm_pool_done (mm_pool *p, int i, mm_outcome o, int64_t seq, mm_time_ms now,
               uint32_t eject_after, mm_time_ms eject_ms)
 {
   mm_pool_member *m = p->members->pdata[i];
   if (m->in_flight)
     m->in_flight--;
-  if (o == MM_OUTCOME_OK)
+  switch (o)
     {
+    case MM_OUTCOME_OK:
       m->failures_in_row = 0;
-      return;
-    }
-  if (o == MM_OUTCOME_FENCED)
-    return;
-  if (o == MM_OUTCOME_REFUSED)
-    {
+      m->ejections = 0;
+      if (m->state == MM_UPSTREAM_ON_TRIAL)
+        m->state = MM_UPSTREAM_LIVE;
+      return false;
+    case MM_OUTCOME_FENCED:
+      return false;
+    case MM_OUTCOME_REFUSED:
       m->state = MM_UPSTREAM_LEAVING;
       m->state_seq = MAX (m->state_seq, seq);
-      return;
-    }
-  if (++m->failures_in_row >= eject_after && m->state == MM_UPSTREAM_LIVE)
-    {
-      m->state = MM_UPSTREAM_EJECTED;
-      m->ejected_until_ms = now + eject_ms;
-      g_warning ("upstream %s ejected for %" G_GINT64_FORMAT " ms after %u "
-                 "failures in a row",
-                 m->name, eject_ms, m->failures_in_row);
+      return false;
+    case MM_OUTCOME_FAILED:
+    case MM_OUTCOME_UNREACHABLE:
+    case MM_OUTCOME_LOST:
+      break;
     }
+  m->failures_in_row++;
+  if (m->state != MM_UPSTREAM_ON_TRIAL
+      && !(m->state == MM_UPSTREAM_LIVE && m->failures_in_row >= eject_after))
+    return false;
+  eject (m, now, eject_ms);
+  return true;
 }
 
 uint32_t
@@ -376,8 +418,8 @@
   for (guint i = 0; i < p->members->len; i++)
     {
       mm_pool_member *m = p->members->pdata[i];
-      if (takes_work (m, now) && m->in_flight < m->slots)
-        n += m->slots - m->in_flight;
+      if (takes_work (m, now) && m->in_flight < usable_slots (m))
+        n += usable_slots (m) - m->in_flight;
     }
   return n;
 }
@@ -397,7 +439,7 @@
     {
       mm_pool_member *m = p->members->pdata[i];
       if (takes_work (m, now))
-        n += m->slots;
+        n += usable_slots (m);
     }
   return n;
 }
--- a/src/mm_pool.h
+++ b/src/mm_pool.h
@@ -8,7 +8,8 @@
 {
   MM_UPSTREAM_LIVE,    /* takes new work */
   MM_UPSTREAM_LEAVING, /* drains: no new work, answers still awaited */
-  MM_UPSTREAM_EJECTED  /* failed too often: no new work for a while */
+  MM_UPSTREAM_EJECTED, /* failed too often: no new work for a while */
+  MM_UPSTREAM_ON_TRIAL /* after that: one task at a time until one is done */
 } mm_upstream_state;
 
 typedef enum
@@ -29,6 +30,7 @@
   uint32_t in_flight; /* tasks sent, not answered */
   mm_upstream_state state;
   uint32_t failures_in_row;
+  uint32_t ejections; /* in a row, each longer than the last */
   mm_time_ms ejected_until_ms;
   int64_t state_seq;      /* upstream's mode_seq the state came from */
   int64_t boot_ms;        /* names its incarnation, 0 when not told */
@@ -54,8 +56,9 @@
                         int64_t seq);          /* newer seq wins */
 int mm_pool_pick (mm_pool *p, mm_time_ms now); /* -1 when none free */
 void mm_pool_sent (mm_pool *p, int i);         /* a task went out */
-void mm_pool_done (mm_pool *p, int i, mm_outcome o, int64_t seq,
+bool mm_pool_done (mm_pool *p, int i, mm_outcome o, int64_t seq,
                    mm_time_ms now, uint32_t eject_after, mm_time_ms eject_ms);
+void mm_pool_doubt (mm_pool *p, int i); /* a peer ejected it */
 uint32_t mm_pool_size (const mm_pool *p);
 const mm_pool_member *mm_pool_at (const mm_pool *p, int i);
 uint32_t mm_pool_free_slots (const mm_pool *p, mm_time_ms now); /* live */
--- a/src/mm_shard.c
+++ b/src/mm_shard.c
@@ -61,7 +61,9 @@
   bool owner_gap;
   bool releasing;
   bool polite; /* leave the shard to a holder that has not released it */
-  uint32_t failed_takes; /* in a row */
+  uint32_t failed_takes;  /* in a row */
+  mm_time_ms appended_ms; /* the last accept record */
+  ev_timer pace;          /* until the next may go out */
   mm_time_ms taken_ms;
   mm_time_ms yielded_ms; /* when we were fenced, 0 never */
   GQueue waiting;        /* waiting_job *, oldest first */
@@ -79,6 +81,7 @@
 } verify_waiter;
 
 static void advance (mm_shard *s);
+static void pace_cb (struct ev_loop *loop, ev_timer *w, int revents);
 
 static void
 free_waiting (gpointer data)
@@ -104,6 +107,9 @@
   g_queue_init (&s->waiting);
   g_queue_init (&s->verify);
   g_queue_init (&s->verifying);
+  ev_timer_init (&s->pace, pace_cb, 0., 0.);
+  s->pace.data = s;
+  s->appended_ms = -env->accept_interval_ms;
   s->owed = g_ptr_array_new_with_free_func (g_free);
   s->known = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return s;
@@ -114,6 +120,7 @@
 {
   if (!s)
     return;
+  ev_timer_stop (s->env->loop, &s->pace);
   g_queue_clear_full (&s->waiting, free_waiting);
   g_queue_clear_full (&s->verify, g_free);
   g_queue_clear_full (&s->verifying, g_free);
@@ -399,9 +406,35 @@
     }
 }
 
+static void
+pace_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  advance (w->data);
+}
+
+/* Keeps the log's appends within its budget at a large size, at the
+   price of waiting: jobs that come meanwhile share the next record.  */
+static bool
+must_wait (mm_shard *s)
+{
+  mm_time_ms left
+      = s->appended_ms + s->env->accept_interval_ms - mm_clock_now_ms ();
+  if (left <= 0)
+    return false;
+  if (!ev_is_active (&s->pace))
+    {
+      ev_timer_set (&s->pace, (double)left / 1000.0, 0.);
+      ev_timer_start (s->env->loop, &s->pace);
+    }
+  return true;
+}
+
 static void
 append_accepts (mm_shard *s)
 {
+  if (must_wait (s))
+    return;
+  s->appended_ms = mm_clock_now_ms ();
   cJSON *r = cJSON_CreateObject ();
   cJSON_AddStringToObject (r, "kind", "accept");
   char fp[17];
--- a/src/mm_shard.h
+++ b/src/mm_shard.h
@@ -36,6 +36,7 @@
   char *self;                           /* our member name */
   char *incarnation;                    /* "name#start", one per process */
   mm_time_ms ttl_ms;                    /* accepts older than this go */
+  mm_time_ms accept_interval_ms;        /* least time between appends */
   uint64_t (*fingerprint) (void *ctx);  /* upstreams listed now */
   void (*contact) (bool ok, void *ctx); /* a call to the log ended */
   bool (*outage) (void *ctx);           /* nobody reaches the log */
--- a/tests/test_units.c
+++ b/tests/test_units.c
@@ -282,6 +282,35 @@
 }
 END_TEST
 
+/* A worker fails every task it starts.  It is ejected, then gets one
+   task at a time, and stays away twice as long after each failure, until
+   a task is done; a peer's word puts it on trial at once.  */
+START_TEST (failing_upstream_stays_on_trial)
+{
+  mm_pool *p = mm_pool_create (8);
+  int i = mm_pool_add (p, "w", "w", 8, 1);
+  for (int n = 0; n < 3; n++)
+    {
+      mm_pool_sent (p, i);
+      ck_assert (mm_pool_done (p, i, MM_OUTCOME_FAILED, 0, 0, 3, 100)
+                 == (n == 2));
+    }
+  ck_assert_int_eq (mm_pool_pick (p, 99), -1);
+  ck_assert_int_eq (mm_pool_pick (p, 100), i);
+  mm_pool_sent (p, i);
+  ck_assert_int_eq (mm_pool_pick (p, 100), -1);
+  ck_assert (mm_pool_done (p, i, MM_OUTCOME_FAILED, 0, 100, 3, 100));
+  ck_assert_int_eq (mm_pool_pick (p, 299), -1);
+  ck_assert_int_eq (mm_pool_pick (p, 300), i);
+  mm_pool_sent (p, i);
+  ck_assert (!mm_pool_done (p, i, MM_OUTCOME_OK, 0, 310, 3, 100));
+  ck_assert_int_eq (mm_pool_free_slots (p, 310), 8);
+  mm_pool_doubt (p, i);
+  ck_assert_int_eq (mm_pool_free_slots (p, 310), 1);
+  mm_pool_destroy (p);
+}
+END_TEST
+
 static int64_t
 quota_100 (const char *team, void *ctx)
 {
@@ -342,6 +371,7 @@
   tcase_add_test (tc, task_ids_must_be_distinct);
   tcase_add_test (tc, standing_follows_the_peers_word);
   tcase_add_test (tc, restarted_upstream_does_not_cover_its_former_self);
+  tcase_add_test (tc, failing_upstream_stays_on_trial);
   tcase_add_test (tc, usage_adds_up_and_expires);
   tcase_add_test (tc, decoders_survive_fuzzing);
   suite_add_tcase (s, tc);
