--- /dev/null
+++ b/examples/peer_forward.c
@@ -0,0 +1,44 @@
+/* Peers: forward bytes to another instance and get its answer; a peer
+   that is not there is a typed error at once.  */
+#include <masticmill.h>
+
+#include <stdio.h>
+
+static void
+on_job (mm_peer *p, uint64_t conn_id, uint64_t req_id, uint32_t hops,
+        const uint8_t *job, size_t len, void *ctx)
+{
+  printf ("owner got %zu bytes after %u hops\n", len, hops);
+  mm_peer_reply (p, conn_id, req_id, 200, 0, "{\"status\":\"complete\"}");
+}
+
+static void
+on_answer (const mm_peer_answer *a, void *ctx)
+{
+  if (a->error)
+    printf ("%s: %s\n", mm_error_code_name (a->error->code),
+            a->error->message);
+  else
+    printf ("answer %u: %s\n", a->status, a->body);
+  ev_break (ctx, EVBREAK_ALL);
+}
+
+int
+main (void)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  mm_peer *owner = mm_peer_create (loop, "127.0.0.1", 0, on_job, NULL, NULL);
+  mm_peer *other = mm_peer_create (loop, "127.0.0.1", 0, on_job, NULL, NULL);
+  char *addr = g_strdup_printf ("127.0.0.1:%u", mm_peer_port (owner));
+  mm_peer_forward (other, addr, 1, (const uint8_t *)"job", 3, 1000, on_answer,
+                   loop);
+  ev_run (loop, 0);
+  mm_peer_destroy (owner);
+  mm_peer_forward (other, addr, 1, (const uint8_t *)"job", 3, 1000, on_answer,
+                   loop);
+  ev_run (loop, 0);
+  mm_peer_destroy (other);
+  g_free (addr);
+  ev_loop_destroy (loop);
+  return 0;
+}
--- a/fuzz/fuzz_decoders.c
+++ b/fuzz/fuzz_decoders.c
@@ -4,11 +4,15 @@
    exits 0 if no decoder crashed; run under valgrind or ASan to see
    memory errors.  Built with clang -fsanitize=fuzzer -DMM_LIBFUZZER, it
    is a libFuzzer target.  */
-#include <masticmill.h>
+#include "mm_cfg.h"
+#include "mm_quota.h"
 
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
@@ -26,7 +30,15 @@
   mm_toml *t = mm_toml_parse_string (text, "fuzz", &err);
   mm_toml_destroy (t);
   g_clear_error (&err);
+  mm_cfg *c = mm_cfg_create ("lima");
+  mm_cfg_offer (c, 0, text, &err);
+  mm_cfg_destroy (c);
+  g_clear_error (&err);
   g_free (text);
+  mm_quota *q = mm_quota_create ();
+  mm_quota_take_report (q, "peer", data, size, 0, &err);
+  mm_quota_destroy (q);
+  g_clear_error (&err);
   return 0;
 }
 
@@ -50,6 +62,53 @@
   return b;
 }
 
+static void
+on_job (mm_peer *p, uint64_t conn_id, uint64_t req_id, uint32_t hops,
+        const uint8_t *job, size_t len, void *ctx)
+{
+  mm_peer_reply (p, conn_id, req_id, 200, 0, "{}");
+}
+
+/* Whole frames on a real peer link, their bodies mutated: the link must
+   close or answer, never crash.  */
+static void
+fuzz_peer_frames (GRand *r, long rounds)
+{
+  static const uint8_t forward[] = { 0x94, 1, 7, 0, 0xc4, 2, 'x', 'y' };
+  static const uint8_t answer[] = { 0x95, 2, 7, 0xcc, 200, 0, 0xa1, 'b' };
+  static const uint8_t ping[] = { 0x92, 3, 7 };
+  static const uint8_t tell[]
+      = { 0x95, 4, 7, 1, 0xa1, 'e', 0xc4, 3, 0x92, 0xa1, 't' };
+  static const uint8_t *const frames[] = { forward, answer, ping, tell };
+  static const size_t lens[]
+      = { sizeof forward, sizeof answer, sizeof ping, sizeof tell };
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  mm_peer *p = mm_peer_create (loop, "127.0.0.1", 0, on_job, NULL, NULL);
+  struct sockaddr_in a
+      = { .sin_family = AF_INET, .sin_port = htons (mm_peer_port (p)) };
+  inet_pton (AF_INET, "127.0.0.1", &a.sin_addr);
+  for (long i = 0; i < rounds; i++)
+    {
+      uint8_t buf[64];
+      int k = g_rand_int_range (r, 0, 4);
+      uint32_t n = htonl ((uint32_t)lens[k]);
+      memcpy (buf, &n, 4);
+      memcpy (buf + 4, frames[k], lens[k]);
+      for (int f = g_rand_int_range (r, 0, 4); f > 0; f--)
+        buf[4 + g_rand_int_range (r, 0, (gint32)lens[k])]
+            = (uint8_t)g_rand_int (r);
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+      if (connect (fd, (struct sockaddr *)&a, sizeof a) == 0
+          && write (fd, buf, 4 + lens[k]) > 0)
+        for (int turn = 0; turn < 4; turn++)
+          ev_run (loop, EVRUN_NOWAIT);
+      close (fd);
+      ev_run (loop, EVRUN_NOWAIT);
+    }
+  mm_peer_destroy (p);
+  ev_loop_destroy (loop);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -58,15 +117,23 @@
       = "{\"job_id\":\"j\",\"tasks\":[{\"id\":\"a\",\"run_ms\":5,"
         "\"deadline_ms\":50,\"idempotent\":true}]}";
   static const char toml[] = "[limits]\nmax_tasks_per_job = 10\n";
+  static const char record[]
+      = "{\"kind\":\"config\",\"parent\":-1,\"base\":\"[teams]\\na = 5\\n\","
+        "\"overlays\":{\"lima\":\"\"}}";
+  static const char report[] = "\x94\xa1"
+                               "a\x05\xa1"
+                               "b\xcd\x01\x00";
   GByteArray *packed = seed_packed ();
   const uint8_t *seeds[]
-      = { packed->data, (const uint8_t *)json, (const uint8_t *)toml };
-  size_t lens[] = { packed->len, sizeof json - 1, sizeof toml - 1 };
+      = { packed->data, (const uint8_t *)json, (const uint8_t *)toml,
+          (const uint8_t *)record, (const uint8_t *)report };
+  size_t lens[] = { packed->len, sizeof json - 1, sizeof toml - 1,
+                    sizeof record - 1, sizeof report - 1 };
   GRand *r = g_rand_new_with_seed (7);
   uint8_t buf[512];
   for (long i = 0; i < rounds; i++)
     {
-      int s = g_rand_int_range (r, 0, 3);
+      int s = g_rand_int_range (r, 0, (gint32)G_N_ELEMENTS (seeds));
       size_t n = MIN (lens[s], sizeof buf);
       memcpy (buf, seeds[s], n);
       int flips = g_rand_int_range (r, 1, 6);
@@ -75,6 +142,7 @@
       size_t cut = (size_t)g_rand_int_range (r, 0, (gint32)n + 1);
       LLVMFuzzerTestOneInput (buf, cut);
     }
+  fuzz_peer_frames (r, rounds / 5);
   g_rand_free (r);
   g_byte_array_free (packed, TRUE);
   printf ("fuzz_decoders: %ld rounds, no crash\n", rounds);
--- a/src/config.h
+++ b/src/config.h
@@ -23,6 +23,8 @@
 #define MM_DEFAULT_UPSTREAM_SLOTS 8          /* slots when not told */
 #define MM_DEFAULT_UPSTREAM_CONNECTIONS 60   /* connections per upstream */
 
+#define MM_PLATFORM_CONNECTIONS 32 /* to the platform: one call a shard */
+
 /* Ownership of jobs among the entry instances.  */
 #define MM_DEFAULT_SHARDS 16        /* shards of a data centre's jobs */
 #define MM_LOG_CALL_TIMEOUT_MS 1000 /* a call to a shard's log */
--- a/src/mm_entry.c
+++ b/src/mm_entry.c
@@ -199,7 +199,7 @@
       return NULL;
     }
   e->upstreams = mm_http_client_create (loop, MM_DEFAULT_UPSTREAM_CONNECTIONS);
-  e->platform = mm_http_client_create (loop, 8);
+  e->platform = mm_http_client_create (loop, MM_PLATFORM_CONNECTIONS);
   mm_http_client_set_member (e->platform, s->name);
   mm_entry_shards_start (e);
   mm_entry_platform_start (e);
--- a/src/mm_peer.c
+++ b/src/mm_peer.c
@@ -80,6 +80,33 @@
   return 0;
 }
 
+/* A frame of @fields parts, its type and request id packed.  */
+static GByteArray *
+frame_begin (msgpack_packer *pk, size_t fields, uint32_t type, uint64_t req_id)
+{
+  GByteArray *b = g_byte_array_new ();
+  msgpack_packer_init (pk, b, write_cb);
+  msgpack_pack_array (pk, fields);
+  msgpack_pack_uint32 (pk, type);
+  msgpack_pack_uint64 (pk, req_id);
+  return b;
+}
+
+static void
+pack_text (msgpack_packer *pk, const char *text)
+{
+  size_t n = strlen (text);
+  msgpack_pack_str (pk, n);
+  msgpack_pack_str_body (pk, text, n);
+}
+
+static void
+pack_bytes (msgpack_packer *pk, const uint8_t *data, size_t len)
+{
+  msgpack_pack_bin (pk, len);
+  msgpack_pack_bin_body (pk, data, len);
+}
+
 static void
 link_queue (peer_link *l, GByteArray *body)
 {
@@ -451,15 +478,10 @@
                  const uint8_t *job, size_t len, mm_time_ms timeout_ms,
                  mm_peer_answer_cb done, void *ctx)
 {
-  GByteArray *b = g_byte_array_new ();
   msgpack_packer pk;
-  msgpack_packer_init (&pk, b, write_cb);
-  msgpack_pack_array (&pk, 4);
-  msgpack_pack_uint32 (&pk, FRAME_FORWARD);
-  msgpack_pack_uint64 (&pk, ++p->next_req_id);
+  GByteArray *b = frame_begin (&pk, 4, FRAME_FORWARD, ++p->next_req_id);
   msgpack_pack_uint32 (&pk, hops);
-  msgpack_pack_bin (&pk, len);
-  msgpack_pack_bin_body (&pk, job, len);
+  pack_bytes (&pk, job, len);
   send_request (p, addr, b, timeout_ms, done, ctx);
   g_byte_array_free (b, TRUE);
 }
@@ -476,12 +498,8 @@
 mm_peer_ping (mm_peer *p, const char *addr, mm_time_ms timeout_ms,
               mm_peer_answer_cb done, void *ctx)
 {
-  GByteArray *b = g_byte_array_new ();
   msgpack_packer pk;
-  msgpack_packer_init (&pk, b, write_cb);
-  msgpack_pack_array (&pk, 2);
-  msgpack_pack_uint32 (&pk, FRAME_PING);
-  msgpack_pack_uint64 (&pk, ++p->next_req_id);
+  GByteArray *b = frame_begin (&pk, 2, FRAME_PING, ++p->next_req_id);
   send_request (p, addr, b, timeout_ms, done, ctx);
   g_byte_array_free (b, TRUE);
 }
@@ -511,18 +529,11 @@
   peer_link *l = link_to (p, addr, NULL);
   if (!l)
     return;
-  GByteArray *b = g_byte_array_new ();
   msgpack_packer pk;
-  msgpack_packer_init (&pk, b, write_cb);
-  msgpack_pack_array (&pk, 5);
-  msgpack_pack_uint32 (&pk, FRAME_TELL);
-  msgpack_pack_uint64 (&pk, ++p->next_req_id);
+  GByteArray *b = frame_begin (&pk, 5, FRAME_TELL, ++p->next_req_id);
   msgpack_pack_uint32 (&pk, kind);
-  size_t n = strlen (self);
-  msgpack_pack_str (&pk, n);
-  msgpack_pack_str_body (&pk, self, n);
-  msgpack_pack_bin (&pk, len);
-  msgpack_pack_bin_body (&pk, payload, len);
+  pack_text (&pk, self);
+  pack_bytes (&pk, payload, len);
   link_queue (l, b);
   g_byte_array_free (b, TRUE);
 }
@@ -569,17 +580,11 @@
   peer_link *l = g_hash_table_lookup (p->links_by_id, &conn_id);
   if (!l)
     return;
-  GByteArray *b = g_byte_array_new ();
   msgpack_packer pk;
-  msgpack_packer_init (&pk, b, write_cb);
-  msgpack_pack_array (&pk, 5);
-  msgpack_pack_uint32 (&pk, FRAME_ANSWER);
-  msgpack_pack_uint64 (&pk, req_id);
+  GByteArray *b = frame_begin (&pk, 5, FRAME_ANSWER, req_id);
   msgpack_pack_uint32 (&pk, status);
   msgpack_pack_uint32 (&pk, retry_after_s);
-  size_t n = strlen (body);
-  msgpack_pack_str (&pk, n);
-  msgpack_pack_str_body (&pk, body, n);
+  pack_text (&pk, body);
   link_queue (l, b);
   g_byte_array_free (b, TRUE);
 }
--- a/src/mm_quota.c
+++ b/src/mm_quota.c
@@ -156,7 +156,7 @@
       if (row.tasks * 4 * n_instances >= quota_of (team, ctx))
         g_array_append_val (rows, row);
     }
-  qsort (rows->data, rows->len, sizeof (usage_row), larger_first);
+  g_array_sort (rows, larger_first);
   uint32_t n_rows = MIN (rows->len, MM_QUOTA_MAX_ROWS);
   bool worth_it = n_rows || q->reported;
   q->reported = n_rows > 0;
--- a/src/mm_shard.c
+++ b/src/mm_shard.c
@@ -19,6 +19,7 @@
 #include "mm_shard.h"
 
 #include "config.h"
+#include "mm_known.h"
 
 #include <cJSON.h>
 #include <string.h>
@@ -40,38 +41,31 @@
   bool in_append; /* part of the append in flight */
 } waiting_job;
 
-/* A job that an owner before us accepted.  */
-typedef struct
-{
-  uint64_t fingerprint;
-  mm_time_ms read_ms;
-} known_job;
-
 struct mm_shard
 {
   const mm_shard_env *env;
   char *stream;
   shard_state state;
   bool call_open;
-  int64_t epoch;      /* ours while HELD or TAKING */
-  int64_t seen_epoch; /* highest the stream told */
-  int64_t cursor;     /* next offset to read */
-  char *holder;       /* of the last take record */
-  bool holder_released;
-  bool owner_gap;
-  bool releasing;
+  int64_t epoch;        /* ours while HELD or TAKING */
+  int64_t seen_epoch;   /* highest the stream told */
+  int64_t cursor;       /* next offset to read */
+  char *holder;         /* of the last take record */
+  bool holder_released; /* the last take was followed by a release */
+  bool owner_gap;       /* we took it from one that had not released it */
+  bool releasing;       /* hand it over with the next append */
   bool polite; /* leave the shard to a holder that has not released it */
   uint32_t failed_takes;  /* in a row */
   mm_time_ms appended_ms; /* the last accept record */
   ev_timer pace;          /* until the next may go out */
-  mm_time_ms taken_ms;
-  mm_time_ms yielded_ms; /* when we were fenced, 0 never */
-  GQueue waiting;        /* waiting_job *, oldest first */
-  GPtrArray *owed;       /* ids of jobs that started unrecorded */
-  guint owed_in_append;  /* how many of them are on their way */
-  GHashTable *known;     /* job id -> known_job */
-  GQueue verify;         /* verify_waiter *, for the next call */
-  GQueue verifying;      /* verify_waiter *, for the call that is open */
+  mm_time_ms taken_ms;    /* when we became the owner */
+  mm_time_ms yielded_ms;  /* when we were fenced, 0 never */
+  GQueue waiting;         /* waiting_job *, oldest first */
+  GPtrArray *owed;        /* ids of jobs that started unrecorded */
+  guint owed_in_append;   /* how many of them are on their way */
+  mm_known *known;        /* jobs accepted before, not held here */
+  GQueue verify;          /* verify_waiter *, for the next call */
+  GQueue verifying;       /* verify_waiter *, for the call that is open */
 };
 
 typedef struct
@@ -111,7 +105,7 @@
   s->pace.data = s;
   s->appended_ms = -env->accept_interval_ms;
   s->owed = g_ptr_array_new_with_free_func (g_free);
-  s->known = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  s->known = mm_known_create ();
   return s;
 }
 
@@ -124,7 +118,7 @@
   g_queue_clear_full (&s->waiting, free_waiting);
   g_queue_clear_full (&s->verify, g_free);
   g_queue_clear_full (&s->verifying, g_free);
-  g_hash_table_destroy (s->known);
+  mm_known_destroy (s->known);
   g_ptr_array_free (s->owed, TRUE);
   g_free (s->holder);
   g_free (s->stream);
@@ -148,7 +142,7 @@
 static bool
 is_known (const mm_shard *s, const waiting_job *w)
 {
-  return g_hash_table_contains (s->known, w->job_id);
+  return mm_known_find (s->known, w->job_id, NULL);
 }
 
 /* Answer the waiting jobs that pass @test.  They leave the queue before
@@ -171,9 +165,7 @@
     {
       mm_accept a
           = { .verdict = verdict, .epoch = s->epoch, .holder = holder };
-      const known_job *k = g_hash_table_lookup (s->known, w->job_id);
-      if (k)
-        a.fingerprint = k->fingerprint;
+      mm_known_find (s->known, w->job_id, &a.fingerprint);
       if (w->done)
         w->done (&a, w->ctx);
       free_waiting (w);
@@ -226,12 +218,10 @@
     }
 }
 
-static gboolean
-too_old (gpointer key, gpointer value, gpointer data)
+static void
+expire_known (mm_shard *s)
 {
-  const known_job *k = value;
-  const mm_shard *s = data;
-  return mm_clock_now_ms () - k->read_ms > s->env->ttl_ms;
+  mm_known_expire (s->known, mm_clock_now_ms () - s->env->ttl_ms);
 }
 
 static int64_t
@@ -241,6 +231,14 @@
   return cJSON_IsNumber (v) ? (int64_t)v->valuedouble : 0;
 }
 
+/* As far as we have read.  */
+static bool
+held_by_another (const mm_shard *s)
+{
+  return s->holder && !s->holder_released
+         && strcmp (s->holder, s->env->self) != 0;
+}
+
 static void
 read_done (const mm_http_result *res, void *ctx)
 {
@@ -266,16 +264,15 @@
   cJSON_Delete (o);
   if (s->state == SHARD_READING && s->cursor >= head)
     {
-      bool yielded = mm_shard_yielded (s, mm_clock_now_ms ());
-      if (yielded && s->holder && strcmp (s->holder, s->env->self) != 0)
+      if (mm_shard_yielded (s, mm_clock_now_ms ()) && s->holder
+          && strcmp (s->holder, s->env->self) != 0)
         {
           /* Fenced just now: the jobs go to who took the shard.  */
           s->state = SHARD_IDLE;
           settle (s, any_job, MM_ACCEPT_MOVED);
           return;
         }
-      if (s->polite && g_queue_is_empty (&s->waiting) && s->holder
-          && !s->holder_released && strcmp (s->holder, s->env->self) != 0)
+      if (s->polite && g_queue_is_empty (&s->waiting) && held_by_another (s))
         {
           s->state = SHARD_IDLE;
           return;
@@ -336,7 +333,7 @@
 static void
 become_owner (mm_shard *s)
 {
-  g_hash_table_foreach_remove (s->known, too_old, s);
+  expire_known (s);
   s->owner_gap = s->holder && !s->holder_released;
   g_free (s->holder);
   s->holder = g_strdup (s->env->self);
@@ -647,8 +644,7 @@
 mm_shard_take (mm_shard *s, bool polite)
 {
   if (s->state != SHARD_IDLE || s->call_open
-      || (polite && s->holder && !s->holder_released
-          && strcmp (s->holder, s->env->self) != 0))
+      || (polite && held_by_another (s)))
     return;
   s->polite = polite;
   s->state = SHARD_READING;
@@ -674,10 +670,7 @@
 void
 mm_shard_remember (mm_shard *s, const char *job_id, uint64_t fingerprint)
 {
-  known_job *k = g_new0 (known_job, 1);
-  k->fingerprint = fingerprint;
-  k->read_ms = mm_clock_now_ms ();
-  g_hash_table_insert (s->known, g_strdup (job_id), k);
+  mm_known_add (s->known, job_id, fingerprint, mm_clock_now_ms ());
 }
 
 /**
@@ -688,7 +681,7 @@
 bool
 mm_shard_knows (const mm_shard *s, const char *job_id)
 {
-  return g_hash_table_contains (s->known, job_id);
+  return mm_known_find (s->known, job_id, NULL);
 }
 
 /**
@@ -732,6 +725,7 @@
 void
 mm_shard_retry (mm_shard *s)
 {
+  expire_known (s);
   advance (s);
 }
 
@@ -799,5 +793,5 @@
 uint32_t
 mm_shard_known_jobs (const mm_shard *s)
 {
-  return g_hash_table_size (s->known);
+  return mm_known_count (s->known);
 }
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -145,6 +145,74 @@
   return n;
 }
 
+int
+h_starts (const char *job_id, int *max_count)
+{
+  int n = 0;
+  for (int i = 0; i < n_up; i++)
+    n += h_starts_of (h_upstream_ports[i], job_id, max_count);
+  return n;
+}
+
+enum
+{
+  SUBMIT_COMPLETE = 100 /* added to the status class in the exit code */
+};
+
+pid_t
+h_submit (int entry, const char *job)
+{
+  pid_t pid = fork ();
+  if (pid)
+    return pid;
+  long st = 0;
+  cJSON *o = h_call ("POST", h_entry_ports[entry], "/v1/jobs", job, &st);
+  const char *status
+      = cJSON_GetStringValue (cJSON_GetObjectItem (o, "status"));
+  if (st == 200 && status && g_str_equal (status, "complete"))
+    _exit (SUBMIT_COMPLETE + 2);
+  char *text = cJSON_PrintUnformatted (o);
+  fprintf (stderr, "instance %d answered %ld: %.300s\n", entry, st,
+           text ? text : "(none)");
+  _exit ((int)(st / 100));
+}
+
+static int
+exit_of (pid_t pid)
+{
+  int st;
+  waitpid (pid, &st, 0);
+  return WIFEXITED (st) ? WEXITSTATUS (st) : 0;
+}
+
+bool
+h_answered (pid_t submit)
+{
+  return exit_of (submit) == SUBMIT_COMPLETE + 2;
+}
+
+int
+h_status_class (pid_t submit)
+{
+  return exit_of (submit) % SUBMIT_COMPLETE;
+}
+
+void
+h_platform_fault (const char *json)
+{
+  cJSON_Delete (h_call ("POST", h_platform_port, "/v1/faults", json, NULL));
+}
+
+int
+h_run_suite (Suite *s)
+{
+  SRunner *r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? 1 : 0;
+}
+
 bool
 h_wait_json (int port, const char *path, const char *key, double want,
              mm_time_ms timeout_ms)
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -17,6 +17,15 @@
                const char *body, long *status); /* JSON answer or NULL */
 char *h_job_json (const char *job_id, int n, int run_ms, int deadline_ms,
                   bool idempotent); /* a job body */
+/* Hand a job in from a process of its own; h_answered() tells whether a
+   whole complete answer came, h_status_class() the first digit of the
+   HTTP status (0: none).  */
+pid_t h_submit (int entry, const char *job);
+bool h_answered (pid_t submit);
+int h_status_class (pid_t submit);
+int h_starts (const char *job_id, int *max_count); /* at all upstreams */
+void h_platform_fault (const char *json);
+int h_run_suite (Suite *s); /* exit status for main */
 int h_starts_of (int upstream_port, const char *job_id, int *max_count);
 bool h_wait_json (int port, const char *path, const char *key, double want,
                   mm_time_ms timeout_ms); /* top-level number */
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -200,9 +200,5 @@
   tcase_add_test (tc, late_instance_gets_config_after_retention);
   tcase_add_test (tc, publish_with_a_lost_answer_is_found_in_force);
   suite_add_tcase (s, tc);
-  SRunner *r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  int failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? 1 : 0;
+  return h_run_suite (s);
 }
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -129,9 +129,5 @@
   tcase_set_timeout (tc, 30);
   tcase_add_test (tc, request_on_a_dying_kept_connection_is_sent_once);
   suite_add_tcase (s, tc);
-  SRunner *r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  int failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? 1 : 0;
+  return h_run_suite (s);
 }
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -28,15 +28,6 @@
   return n;
 }
 
-static int
-all_starts (const char *job, int *max_count)
-{
-  int n = 0;
-  for (int i = 0; i < 3; i++)
-    n += h_starts_of (h_upstream_ports[i], job, max_count);
-  return n;
-}
-
 static void
 mode (int upstream, const char *m)
 {
@@ -69,12 +60,12 @@
   ck_assert_int_eq (tasks_in_state (o, "done"), 40);
   ck_assert (WIFEXITED (wst) && WEXITSTATUS (wst) == 0);
   int max = 0;
-  ck_assert_int_eq (all_starts ("rs1", &max), 40);
+  ck_assert_int_eq (h_starts ("rs1", &max), 40);
   ck_assert_int_eq (max, 1);
   cJSON *again = h_call ("POST", h_entry_ports[0], "/v1/jobs", job, &st1);
   ck_assert_int_eq (st1, 200);
   ck_assert_int_eq (tasks_in_state (again, "done"), 40);
-  ck_assert_int_eq (all_starts ("rs1", &max), 40);
+  ck_assert_int_eq (h_starts ("rs1", &max), 40);
   ck_assert_int_eq (max, 1);
   cJSON_Delete (o);
   cJSON_Delete (again);
@@ -146,7 +137,7 @@
              >= 1);
   ck_assert_msg (took < 5000, "failed answer held back %ld ms", (long)took);
   int max = 0;
-  all_starts ("f1", &max);
+  h_starts ("f1", &max);
   ck_assert_int_le (max, 3); /* one try and at most two retries */
   cJSON_Delete (o);
   g_free (job);
@@ -177,7 +168,7 @@
   for (int i = 0; i < 3; i++)
     mode (i, "normal");
   int max = 0;
-  ck_assert_int_eq (all_starts ("n1", &max), 1);
+  ck_assert_int_eq (h_starts ("n1", &max), 1);
   ck_assert_int_eq (max, 1);
   cJSON_Delete (o);
   g_free (job);
@@ -236,7 +227,7 @@
   ck_assert_msg (WIFEXITED (wst) && WEXITSTATUS (wst) == 0,
                  "a job in flight was cut off by the shutdown");
   int max = 0;
-  ck_assert_int_eq (all_starts ("g1", &max), 20);
+  ck_assert_int_eq (h_starts ("g1", &max), 20);
   ck_assert_int_eq (max, 1);
   h_cluster_stop ();
 }
@@ -423,19 +414,6 @@
 }
 END_TEST
 
-/* Hand a job in without waiting for its answer; the child's exit tells
-   its HTTP status's first digit.  */
-static pid_t
-submit_in_child (int entry, const char *job)
-{
-  pid_t pid = fork ();
-  if (pid)
-    return pid;
-  long st = 0;
-  h_call ("POST", h_entry_ports[entry], "/v1/jobs", job, &st);
-  _exit ((int)(st / 100));
-}
-
 /* A team with a quota of 40 tasks in the data centre sends 6 jobs of 20
    tasks to three instances, one after the other.  Each instance alone
    has room for them; together they must not take much more than the
@@ -457,7 +435,7 @@
       char id[16];
       g_snprintf (id, sizeof id, "quota%d", j);
       char *job = h_job_json (id, 20, 6000, 20000, false);
-      kids[j] = submit_in_child (j % 3, job);
+      kids[j] = h_submit (j % 3, job);
       g_free (job);
       g_usleep (700000);
     }
@@ -471,13 +449,11 @@
   int served = 0;
   for (int j = 0; j < 6; j++)
     {
-      int wst;
-      waitpid (kids[j], &wst, 0);
       char id[16];
       g_snprintf (id, sizeof id, "quota%d", j);
-      bool ok = WEXITSTATUS (wst) == 2;
+      bool ok = h_answered (kids[j]);
       served += ok;
-      ck_assert_int_eq (all_starts (id, NULL), ok ? 20 : 0);
+      ck_assert_int_eq (h_starts (id, NULL), ok ? 20 : 0);
     }
   ck_assert_msg (served == 2, "%d jobs of 20 within a quota of 40", served);
   h_cluster_stop ();
@@ -505,9 +481,5 @@
   tcase_add_test (tc, passed_deadline_fails_the_job_and_not_run_is_true);
   tcase_add_test (tc, teams_quota_holds_over_the_data_centre);
   suite_add_tcase (s, tc);
-  SRunner *r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  int failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? 1 : 0;
+  return h_run_suite (s);
 }
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -4,9 +4,6 @@
 #include "harness.h"
 
 #include <signal.h>
-#include <stdio.h>
-#include <string.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 enum
@@ -15,60 +12,17 @@
   N_ENTRIES = 3
 };
 
-static void
-fault (const char *json)
-{
-  cJSON_Delete (h_call ("POST", h_platform_port, "/v1/faults", json, NULL));
-}
-
-static int
-starts (const char *job, int *max)
-{
-  int n = 0;
-  for (int i = 0; i < N_UPSTREAMS; i++)
-    n += h_starts_of (h_upstream_ports[i], job, max);
-  return n;
-}
-
 static void
 assert_started_once (const char *job, int n_tasks)
 {
   int max = 0;
-  int n = starts (job, &max);
+  int n = h_starts (job, &max);
   ck_assert_msg (max <= 1, "job %s: a task started %d times on one upstream",
                  job, max);
   ck_assert_msg (n == n_tasks, "job %s: %d starts of %d tasks", job, n,
                  n_tasks);
 }
 
-/* Hand the job in from a process of its own; its exit tells whether a
-   whole complete answer came.  */
-static pid_t
-submit_in_child (int entry, const char *job)
-{
-  pid_t pid = fork ();
-  if (pid)
-    return pid;
-  long st = 0;
-  cJSON *o = h_call ("POST", h_entry_ports[entry], "/v1/jobs", job, &st);
-  const char *status
-      = cJSON_GetStringValue (cJSON_GetObjectItem (o, "status"));
-  if (st == 200 && status && g_str_equal (status, "complete"))
-    _exit (0);
-  char *text = cJSON_PrintUnformatted (o);
-  fprintf (stderr, "instance %d answered %ld: %.300s\n", entry, st,
-           text ? text : "(none)");
-  _exit (1);
-}
-
-static bool
-child_got_answer (pid_t pid)
-{
-  int st;
-  waitpid (pid, &st, 0);
-  return WIFEXITED (st) && WEXITSTATUS (st) == 0;
-}
-
 /* Submit until a whole answer comes, coming back as told.  */
 static bool
 submit_until_complete (int entry, const char *job, mm_time_ms limit_ms)
@@ -131,14 +85,14 @@
   char *job = h_job_json ("kill1", 40, 500, 9000, false);
   pid_t callers[N_ENTRIES];
   for (int i = 0; i < N_ENTRIES; i++)
-    callers[i] = submit_in_child (i, job);
+    callers[i] = h_submit (i, job);
   g_usleep (250000);
   int owner = owner_of ("kill1");
   ck_assert_int_ge (owner, 0);
   h_stop (h_entries[owner], SIGKILL);
   for (int i = 0; i < N_ENTRIES; i++)
     {
-      bool whole = child_got_answer (callers[i]);
+      bool whole = h_answered (callers[i]);
       ck_assert_msg (whole == (i != owner), "caller at %d, owner %d", i,
                      owner);
     }
@@ -157,7 +111,7 @@
 {
   start_cluster ();
   char *job = h_job_json ("freeze1", 60, 500, 20000, false);
-  pid_t first = submit_in_child (0, job);
+  pid_t first = h_submit (0, job);
   int owner = owner_of ("freeze1");
   ck_assert_int_ge (owner, 0);
   g_usleep (200000);
@@ -167,7 +121,7 @@
   kill (h_entries[owner], SIGCONT);
   g_usleep (1500000);
   /* The caller that waited at the frozen instance gets it too.  */
-  ck_assert (child_got_answer (first));
+  ck_assert (h_answered (first));
   assert_started_once ("freeze1", 60);
   g_free (job);
   h_cluster_stop ();
@@ -181,21 +135,21 @@
 START_TEST (owner_killed_in_an_outage_leaves_no_double_start)
 {
   start_cluster ();
-  fault ("{\"down\":true}");
+  h_platform_fault ("{\"down\":true}");
   g_usleep (1000000);
   char *job = h_job_json ("out1", 20, 1500, 9000, false);
   pid_t callers[N_ENTRIES];
   for (int i = 0; i < N_ENTRIES; i++)
-    callers[i] = submit_in_child (i, job);
+    callers[i] = h_submit (i, job);
   int owner = owner_of ("out1");
   ck_assert_int_ge (owner, 0);
   g_usleep (600000);
   int max = 0;
-  ck_assert_msg (starts ("out1", &max) > 0, "nothing served in the outage");
+  ck_assert_msg (h_starts ("out1", &max) > 0, "nothing served in the outage");
   h_stop (h_entries[owner], SIGKILL);
   for (int i = 0; i < N_ENTRIES; i++)
-    child_got_answer (callers[i]);
-  fault ("{\"down\":false}");
+    h_answered (callers[i]);
+  h_platform_fault ("{\"down\":false}");
   ck_assert (submit_until_complete ((owner + 1) % N_ENTRIES, job, 12000));
   assert_started_once ("out1", 20);
   g_free (job);
@@ -214,10 +168,10 @@
       char id[16];
       g_snprintf (id, sizeof id, "lost%d", j);
       char *job = h_job_json (id, 10, 100, 8000, false);
-      fault ("{\"lose_answers\":2}");
-      pid_t a = submit_in_child (0, job), b = submit_in_child (1, job);
-      ck_assert (child_got_answer (a));
-      ck_assert (child_got_answer (b));
+      h_platform_fault ("{\"lose_answers\":2}");
+      pid_t a = h_submit (0, job), b = h_submit (1, job);
+      ck_assert (h_answered (a));
+      ck_assert (h_answered (b));
       assert_started_once (id, 10);
       g_free (job);
     }
@@ -232,19 +186,19 @@
 START_TEST (instance_cut_off_from_the_platform_passes_its_jobs_on)
 {
   start_cluster ();
-  fault ("{\"cut\":\"entry0\"}");
+  h_platform_fault ("{\"cut\":\"entry0\"}");
   for (int j = 0; j < 12; j++)
     {
       char id[16];
       g_snprintf (id, sizeof id, "cut%d", j);
       char *job = h_job_json (id, 6, 150, 8000, false);
-      pid_t a = submit_in_child (0, job), b = submit_in_child (1, job);
-      ck_assert_msg (child_got_answer (a), "job %s at the cut instance", id);
-      ck_assert_msg (child_got_answer (b), "job %s at its peer", id);
+      pid_t a = h_submit (0, job), b = h_submit (1, job);
+      ck_assert_msg (h_answered (a), "job %s at the cut instance", id);
+      ck_assert_msg (h_answered (b), "job %s at its peer", id);
       assert_started_once (id, 6);
       g_free (job);
     }
-  fault ("{\"cut\":\"\"}");
+  h_platform_fault ("{\"cut\":\"\"}");
   h_cluster_stop ();
 }
 END_TEST
@@ -265,10 +219,10 @@
       char id[16];
       g_snprintf (id, sizeof id, "join%d", j);
       char *job = h_job_json (id, 4, 100, 8000, false);
-      pid_t a = submit_in_child (j < 20 ? 0 : 2, job);
-      pid_t b = submit_in_child (1, job);
-      ck_assert_msg (child_got_answer (a), "job %s, first caller", id);
-      ck_assert_msg (child_got_answer (b), "job %s, second caller", id);
+      pid_t a = h_submit (j < 20 ? 0 : 2, job);
+      pid_t b = h_submit (1, job);
+      ck_assert_msg (h_answered (a), "job %s, first caller", id);
+      ck_assert_msg (h_answered (b), "job %s, second caller", id);
       assert_started_once (id, 4);
       g_free (job);
     }
@@ -289,9 +243,5 @@
   tcase_add_test (tc, instance_cut_off_from_the_platform_passes_its_jobs_on);
   tcase_add_test (tc, instances_joining_and_leaving_double_nothing);
   suite_add_tcase (s, tc);
-  SRunner *r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  int failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? 1 : 0;
+  return h_run_suite (s);
 }
--- a/tests/test_units.c
+++ b/tests/test_units.c
@@ -351,7 +351,7 @@
 START_TEST (decoders_survive_fuzzing)
 {
   char *cmd
-      = g_strdup_printf ("%s/fuzz_decoders 5000 > /dev/null", MM_BIN_DIR);
+      = g_strdup_printf ("%s/fuzz_decoders 20000 > /dev/null", MM_BIN_DIR);
   ck_assert_int_eq (system (cmd), 0);
   g_free (cmd);
 }
@@ -375,9 +375,5 @@
   tcase_add_test (tc, usage_adds_up_and_expires);
   tcase_add_test (tc, decoders_survive_fuzzing);
   suite_add_tcase (s, tc);
-  SRunner *r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  int failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? 1 : 0;
+  return h_run_suite (s);
 }
