All instances killed in an outage: a shard without a witness asks the upstreams

Cause: jobs served without records in a platform outage were known only to the instances that served them and, through the outage marks, to those that lived on. When all died in the outage, new instances found a shard whose owner had not released it and no word of an outage, took jobs for new and started their tasks again.

Fix: instances publish their start in the heartbeat; a take counts as witnessed when we or a live peer have been up for 15 s, as vanished owners' shards are taken within seconds. An unwitnessed one asks the upstreams about each job until the answers' TTL has passed.

--- a/src/config.h
+++ b/src/config.h
@@ -29,6 +29,7 @@
 #define MM_DEFAULT_SHARDS 16        /* shards of a data centre's jobs */
 #define MM_LOG_CALL_TIMEOUT_MS 1000 /* a call to a shard's log */
 #define MM_SHARD_TAKE_BURST 3       /* takes at once, then the tick */
+#define MM_WITNESS_MS 15000         /* up this long: saw earlier owners */
 #define MM_VERIFY_TIMEOUT_MS 300    /* then "not run" is not claimed */
 #define MM_VIEW_SETTLE_MS 1000      /* members unchanged: align shards */
 #define MM_SHARD_HOLD_DOWN_MS 2000  /* after losing a shard, do not retake */
--- a/src/mm_entry_platform.c
+++ b/src/mm_entry_platform.c
@@ -49,6 +49,7 @@
   cJSON_AddNumberToObject (o, "config_offset", (double)mm_cfg_head (e->cfg));
   cJSON_AddNumberToObject (o, "outage_ms",
                            (double)mm_contact_outage_wall_ms (e->contact));
+  cJSON_AddNumberToObject (o, "started_ms", (double)e->started_wall_ms);
   char *body = cJSON_PrintUnformatted (o);
   cJSON_Delete (o);
   mm_http_client_call (e->platform, "PUT", url, body, 1000, heartbeat_done, e);
@@ -132,6 +133,7 @@
   if (!unsure)
     mm_pool_list_begin (e->pool, mm_clock_now_ms ());
   int64_t peer_max = -1;
+  int64_t peers_started = INT64_MAX;
   cJSON_ArrayForEach (m, cJSON_GetObjectItem (o, "members"))
   {
     const char *kind = cJSON_GetStringValue (cJSON_GetObjectItem (m, "kind"));
@@ -156,6 +158,10 @@
             g_hash_table_insert (e->peer_addrs, g_strdup (name),
                                  g_strdup (peer));
           }
+        const cJSON *started = cJSON_GetObjectItem (m, "started_ms");
+        if (cJSON_IsNumber (started) && name
+            && strcmp (name, e->settings.name) != 0)
+          peers_started = MIN (peers_started, (int64_t)started->valuedouble);
         const cJSON *outage = cJSON_GetObjectItem (m, "outage_ms");
         if (cJSON_IsNumber (outage))
           e->peer_outage_wall_ms
@@ -172,6 +178,7 @@
   g_strfreev (e->live_entries);
   e->live_entries = (char **)g_ptr_array_free (entries, FALSE);
   e->peer_config_max = peer_max;
+  e->peers_started_wall_ms = peers_started == INT64_MAX ? 0 : peers_started;
   cJSON_Delete (o);
   mm_entry_peers_changed (e, before);
   g_hash_table_destroy (before);
--- a/src/mm_entry_priv.h
+++ b/src/mm_entry_priv.h
@@ -78,12 +78,14 @@
   mm_shard **shards; /* settings.shards of them */
   ev_timer shard_tick;
   mm_time_ms pinged_ms;
-  mm_time_ms view_changed_ms;  /* when the set of peers last changed */
-  bool view_checked;           /* held shards were verified since */
-  int64_t peer_outage_wall_ms; /* latest outage that peers report */
-  GHashTable *jobs;            /* job id -> mm_entry_job, not finished */
-  GHashTable *answers;         /* job id -> finished answer (JSON) */
-  GQueue answer_order;         /* kept_answer *, oldest first */
+  mm_time_ms view_changed_ms;    /* when the set of peers last changed */
+  bool view_checked;             /* held shards were verified since */
+  int64_t peer_outage_wall_ms;   /* latest outage that peers report */
+  int64_t started_wall_ms;       /* our start */
+  int64_t peers_started_wall_ms; /* the longest-running live peer\'s, or 0 */
+  GHashTable *jobs;              /* job id -> mm_entry_job, not finished */
+  GHashTable *answers;           /* job id -> finished answer (JSON) */
+  GQueue answer_order;           /* kept_answer *, oldest first */
   ev_timer answer_sweep;
   mm_quota *quota;
   ev_timer quota_report;
--- a/src/mm_entry_shards.c
+++ b/src/mm_entry_shards.c
@@ -225,7 +225,9 @@
     return MM_PRIOR_KNOWN;
   if (!*e->settings.platform_url)
     return MM_PRIOR_NONE;
-  if (!mm_shard_held (s) || (mm_shard_owner_gap (s) && outage_within_ttl (e)))
+  if (!mm_shard_held (s)
+      || (mm_shard_owner_gap (s)
+          && (mm_shard_unwitnessed (s) || outage_within_ttl (e))))
     return MM_PRIOR_MAYBE;
   return MM_PRIOR_NONE;
 }
@@ -329,6 +331,20 @@
   mm_entry_contact_note (ctx, ok);
 }
 
+/* Guards against jobs that every instance served unrecorded in an outage
+   and took with them when all died in it: nobody is left who saw the
+   outage.  Vanished owners' shards are taken within seconds, so whoever
+   has been up for MM_WITNESS_MS was there in the earlier owner's time.  */
+static bool
+is_witnessed (void *ctx)
+{
+  const mm_entry *e = ctx;
+  int64_t oldest = e->started_wall_ms;
+  if (e->peers_started_wall_ms)
+    oldest = MIN (oldest, e->peers_started_wall_ms);
+  return mm_clock_wall_ms () - oldest > MM_WITNESS_MS;
+}
+
 static bool
 in_outage (void *ctx)
 {
@@ -344,6 +360,7 @@
 {
   e->contact = mm_contact_create (mm_clock_now_ms ());
   e->view_changed_ms = mm_clock_now_ms ();
+  e->started_wall_ms = mm_clock_wall_ms ();
   e->suspects
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   e->shard_env = (mm_shard_env){
@@ -361,6 +378,7 @@
     .fingerprint = listed_fingerprint,
     .contact = note_contact,
     .outage = in_outage,
+    .witnessed = is_witnessed,
     .ctx = e,
   };
   e->shards = g_new0 (mm_shard *, e->settings.shards);
--- a/src/mm_shard.c
+++ b/src/mm_shard.c
@@ -53,6 +53,7 @@
   char *holder;         /* of the last take record */
   bool holder_released; /* the last take was followed by a release */
   bool owner_gap;       /* we took it from one that had not released it */
+  bool unwitnessed;     /* and nobody alive was up in its time */
   bool releasing;       /* hand it over with the next append */
   bool polite; /* leave the shard to a holder that has not released it */
   uint32_t failed_takes;  /* in a row */
@@ -335,6 +336,7 @@
 {
   expire_known (s);
   s->owner_gap = s->holder && !s->holder_released;
+  s->unwitnessed = s->owner_gap && !s->env->witnessed (s->env->ctx);
   g_free (s->holder);
   s->holder = g_strdup (s->env->self);
   s->holder_released = false;
@@ -697,6 +699,19 @@
   return s->owner_gap && mm_clock_now_ms () - s->taken_ms < s->env->ttl_ms;
 }
 
+/**
+ * mm_shard_unwitnessed() - could an outage have gone unseen?
+ * @s: the shard, with an owner gap.
+ *
+ * Return: true when no instance that is alive was up in the time of the
+ * owner before us.
+ */
+bool
+mm_shard_unwitnessed (const mm_shard *s)
+{
+  return s->unwitnessed;
+}
+
 /* Guards against two instances with different member lists taking a
    shard from each other for every job: who was fenced holds back for a
    while and passes jobs on to who took it.  */
--- a/src/mm_shard.h
+++ b/src/mm_shard.h
@@ -38,6 +38,7 @@
   mm_time_ms ttl_ms;                    /* accepts older than this go */
   mm_time_ms accept_interval_ms;        /* least time between appends */
   uint64_t (*fingerprint) (void *ctx);  /* upstreams listed now */
+  bool (*witnessed) (void *ctx);        /* some live instance was up before */
   void (*contact) (bool ok, void *ctx); /* a call to the log ended */
   bool (*outage) (void *ctx);           /* nobody reaches the log */
   void *ctx;
@@ -58,7 +59,8 @@
 void mm_shard_remember (mm_shard *s, const char *job_id,
                         uint64_t fingerprint); /* accepted, let go */
 bool mm_shard_knows (const mm_shard *s, const char *job_id);
-bool mm_shard_owner_gap (const mm_shard *s); /* taken without a release */
+bool mm_shard_owner_gap (const mm_shard *s);   /* taken without a release */
+bool mm_shard_unwitnessed (const mm_shard *s); /* see there */
 bool mm_shard_yielded (const mm_shard *s, mm_time_ms now); /* lost just now */
 const char *mm_shard_holder (const mm_shard *s); /* last known, or NULL */
 void mm_shard_insist (mm_shard *s);           /* the one who took it is gone */
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -230,6 +230,36 @@
 }
 END_TEST
 
+/* The platform is out, jobs are served without records, and then every
+   entry instance loses power.  The platform and new instances come back
+   and the job is handed in again.  Nobody is left who saw the outage, and
+   no record names the job, yet no task may start twice.  */
+START_TEST (all_instances_killed_in_an_outage_double_nothing)
+{
+  start_cluster ();
+  h_platform_fault ("{\"down\":true}");
+  g_usleep (1000000);
+  char *job = h_job_json ("herd1", 20, 3000, 20000, false);
+  pid_t caller = h_submit (0, job);
+  g_usleep (1500000);
+  int max = 0;
+  ck_assert_msg (h_starts ("herd1", &max) > 0, "nothing served in the outage");
+  for (int i = 0; i < N_ENTRIES; i++)
+    h_stop (h_entries[i], SIGKILL);
+  ck_assert (!h_answered (caller));
+  h_platform_fault ("{\"down\":false}");
+  for (int i = 0; i < N_ENTRIES; i++)
+    h_start_entry (i);
+  for (int i = 0; i < N_ENTRIES; i++)
+    ck_assert (h_wait_port (h_entry_ports[i], 5000));
+  g_usleep (3000000);
+  ck_assert (submit_until_complete (1, job, 15000));
+  assert_started_once ("herd1", 20);
+  g_free (job);
+  h_cluster_stop ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -242,6 +272,7 @@
   tcase_add_test (tc, lost_answers_of_the_log_double_nothing);
   tcase_add_test (tc, instance_cut_off_from_the_platform_passes_its_jobs_on);
   tcase_add_test (tc, instances_joining_and_leaving_double_nothing);
+  tcase_add_test (tc, all_instances_killed_in_an_outage_double_nothing);
   suite_add_tcase (s, tc);
   return h_run_suite (s);
 }
