masticctl: config show prints the configuration, status a table

Cause: "config show" printed the same raw member list as "status"; an operator could not see what is in force without reading the log by hand.

Test operator_sees_config_and_members (the first check fails on the code before: it printed JSON).

Conclusion: operators see members and configuration in their own words.

--- a/daemons/masticctl.c
+++ b/daemons/masticctl.c
@@ -4,8 +4,8 @@
      job submit FILE           submit a job (JSON) and print the answer
      config publish BASE [SITE=OVERLAY]...
                                publish base + overlays; wait until in force
-     config show               the config head each live instance reports
-     status                    the member list
+     config show               the configuration in force
+     status [--json]           the member list
      dump ADDR                 a process's state (host:port)
      fault ADDR JSON           set platform faults or an upstream's mode
      bench [options]           load run: latency over ideal, messages/task  */
@@ -37,7 +37,7 @@
            "  job submit FILE\n"
            "  config publish BASE [SITE=OVERLAY]... [--wait-ms N]\n"
            "  config show\n"
-           "  status\n"
+           "  status [--json]\n"
            "  dump HOST:PORT\n"
            "  fault HOST:PORT JSON   (platform: /v1/faults, upstream: "
            "/v1/mode)\n"
@@ -261,6 +261,87 @@
   return 0;
 }
 
+static const char *
+text_of (const cJSON *o, const char *key)
+{
+  const char *t = cJSON_GetStringValue (cJSON_GetObjectItem (o, key));
+  return t ? t : "-";
+}
+
+/* The member list, one line each; the list lags behind its members.  */
+static int
+cmd_status (bool json)
+{
+  GError *err = NULL;
+  cJSON *list = members (&err);
+  if (!list)
+    return fail (err);
+  if (json)
+    {
+      char *text = cJSON_Print (list);
+      printf ("%s\n", text);
+      free (text);
+    }
+  else
+    printf ("%-20s %-9s %-14s %-8s %-22s %s\n", "NAME", "KIND", "DATACENTRE",
+            "STATE", "ADDRESS", "CONFIG/SLOTS");
+  const cJSON *m;
+  cJSON_ArrayForEach (m, cJSON_GetObjectItem (list, "members"))
+  {
+    bool entry = g_str_equal (text_of (m, "kind"), "entry");
+    const cJSON *n
+        = cJSON_GetObjectItem (m, entry ? "config_offset" : "slots");
+    if (!json)
+      printf ("%-20s %-9s %-14s %-8s %-22s %.0f\n", text_of (m, "name"),
+              text_of (m, "kind"), text_of (m, "datacentre"),
+              text_of (m, "state"), text_of (m, "addr"),
+              cJSON_IsNumber (n) ? n->valuedouble : 0.0);
+  }
+  cJSON_Delete (list);
+  return 0;
+}
+
+/* The configuration in force, as the newest offset that live entry
+   instances report has it.  */
+static int
+cmd_config_show (void)
+{
+  GError *err = NULL;
+  cJSON *list = members (&err);
+  if (!list)
+    return fail (err);
+  uint32_t live, at;
+  int64_t head = reported_head (list, &live, &at, 0);
+  cJSON_Delete (list);
+  if (head < 0)
+    {
+      printf ("# no configuration published; %u live entry instances run on "
+              "defaults\n",
+              live);
+      return 0;
+    }
+  char *url = g_strdup_printf ("%s/v1/log/config?max=1&from=%" G_GINT64_FORMAT,
+                               platform_url, head);
+  char *body = get (url, &err);
+  g_free (url);
+  if (!body)
+    return fail (err);
+  cJSON *o = cJSON_Parse (body);
+  g_free (body);
+  const cJSON *r = cJSON_GetArrayItem (cJSON_GetObjectItem (o, "records"), 0);
+  const cJSON *data = cJSON_GetObjectItem (r, "data");
+  printf ("# offset %" G_GINT64_FORMAT ", %u live entry instances\n%s", head,
+          live, text_of (data, "base"));
+  const cJSON *overlay;
+  cJSON_ArrayForEach (overlay, cJSON_GetObjectItem (data, "overlays"))
+  {
+    printf ("\n# overlay of site %s\n%s", overlay->string,
+            overlay->valuestring);
+  }
+  cJSON_Delete (o);
+  return 0;
+}
+
 static int
 cmd_fault (const char *addr, const char *json)
 {
@@ -464,19 +545,9 @@
     return cmd_config_publish (argc - 2, argv + 2, wait_ms);
   if (argc >= 2 && g_str_equal (argv[0], "config")
       && g_str_equal (argv[1], "show"))
-    {
-      char *url = g_strdup_printf ("%s/v1/members", platform_url);
-      int rc = cmd_print (url);
-      g_free (url);
-      return rc;
-    }
+    return cmd_config_show ();
   if (argc >= 1 && g_str_equal (argv[0], "status"))
-    {
-      char *url = g_strdup_printf ("%s/v1/members", platform_url);
-      int rc = cmd_print (url);
-      g_free (url);
-      return rc;
-    }
+    return cmd_status (argc >= 2 && g_str_equal (argv[1], "--json"));
   if (argc >= 2 && g_str_equal (argv[0], "dump"))
     {
       char *url = g_strdup_printf ("http://%s/v1/state", argv[1]);
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -3,6 +3,7 @@
    races, platform outages, retention and late starts.  */
 #include "harness.h"
 
+#include <string.h>
 #include <stdio.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -188,6 +189,39 @@
 }
 END_TEST
 
+static char *
+ctl_output (const char *args)
+{
+  char *out = NULL;
+  char *cmd
+      = g_strdup_printf ("%s/masticctl --platform http://127.0.0.1:%d %s",
+                         MM_BIN_DIR, h_platform_port, args);
+  ck_assert (g_spawn_command_line_sync (cmd, &out, NULL, NULL, NULL));
+  g_free (cmd);
+  return out;
+}
+
+/* An operator asks what is in force and who is there, before and after a
+   change, and is told in the words that were published.  */
+START_TEST (operator_sees_config_and_members)
+{
+  h_cluster (1, 2, 100);
+  g_usleep (500000);
+  char *out = ctl_output ("config show");
+  ck_assert_msg (strstr (out, "no configuration published") != NULL, "%s",
+                 out);
+  g_free (out);
+  ck_assert_int_eq (publish_with_ctl ("[teams]\naula-viva = 40\n"), 0);
+  out = ctl_output ("config show");
+  ck_assert_msg (strstr (out, "aula-viva = 40") != NULL, "%s", out);
+  g_free (out);
+  out = ctl_output ("status");
+  ck_assert_msg (strstr (out, "entry1") && strstr (out, "up0"), "%s", out);
+  g_free (out);
+  h_cluster_stop ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -199,6 +233,7 @@
   tcase_add_test (tc, platform_outage_keeps_config_and_service);
   tcase_add_test (tc, late_instance_gets_config_after_retention);
   tcase_add_test (tc, publish_with_a_lost_answer_is_found_in_force);
+  tcase_add_test (tc, operator_sees_config_and_members);
   suite_add_tcase (s, tc);
   return h_run_suite (s);
 }
