Newcomer's pass: masticctl in one file a command, the member list taken in short steps

What: daemons/ctl*.c, one a command, failures as GError; take_peer, take_members; an unreadable list counts as a failed poll.

--- /dev/null
+++ b/daemons/ctl.c
@@ -0,0 +1,70 @@
+/* ctl: what masticctl's commands share.  */
+#include "ctl.h"
+
+#include <stdio.h>
+
+const char *ctl_platform_url = "http://127.0.0.1:7000";
+const char *ctl_entry_url = "http://127.0.0.1:7100";
+
+int
+ctl_fail (GError *err)
+{
+  fprintf (stderr, "masticctl: %s: %s\n", mm_error_code_name (err->code),
+           err->message);
+  g_error_free (err);
+  return 1;
+}
+
+int
+ctl_usage (void)
+{
+  fprintf (stderr,
+           "Usage: masticctl [--platform URL] [--entry URL] COMMAND ...\n"
+           "  job submit FILE\n"
+           "  config publish BASE [SITE=OVERLAY]... [--wait-ms N]\n"
+           "  config show\n"
+           "  status [--json]\n"
+           "  dump HOST:PORT\n"
+           "  fault HOST:PORT JSON   (platform: /v1/faults, upstream: "
+           "/v1/mode)\n"
+           "  bench [--jobs N] [--tasks N] [--concurrency N] [--run-ms N]\n"
+           "        [--deadline-ms N] [--non-idempotent F] [--seed N]\n"
+           "        [--entries URL,URL]\n"
+           "        [--site lima|buenos-aires --seconds N [--scale F]]\n");
+  return 2;
+}
+
+char *
+ctl_get (const char *url, GError **error)
+{
+  long status = 0;
+  char *body = mm_http_call_sync ("GET", url, NULL, 5000, &status, error);
+  if (body && status != 200)
+    {
+      g_set_error (error, MM_ERROR, MM_ERROR_IO, "%s answered %ld: %s", url,
+                   status, body);
+      g_free (body);
+      return NULL;
+    }
+  return body;
+}
+
+cJSON *
+ctl_members (GError **error)
+{
+  char *url = g_strdup_printf ("%s/v1/members", ctl_platform_url);
+  char *body = ctl_get (url, error);
+  g_free (url);
+  if (!body)
+    return NULL;
+  cJSON *o = cJSON_Parse (body);
+  g_free (body);
+  return o;
+}
+
+const char *
+ctl_text (const cJSON *o, const char *key)
+{
+  const char *t = cJSON_GetStringValue (cJSON_GetObjectItem (o, key));
+  return t ? t : "-";
+}
--- /dev/null
+++ b/daemons/ctl.h
@@ -0,0 +1,22 @@
+/* ctl: what masticctl's commands share.  Internal to masticctl.  */
+#ifndef CTL_H
+#define CTL_H
+
+#include <cJSON.h>
+#include <masticmill.h>
+
+extern const char *ctl_platform_url;
+extern const char *ctl_entry_url;
+
+int ctl_usage (void);       /* print it; exit status 2 */
+int ctl_fail (GError *err); /* print and free it; exit status 1 */
+char *ctl_get (const char *url, GError **error);        /* body of a 200 */
+cJSON *ctl_members (GError **error);                    /* the member list */
+const char *ctl_text (const cJSON *o, const char *key); /* or "-" */
+
+int ctl_config_publish (int argc, char **argv, int64_t wait_ms);
+int ctl_config_show (void);
+int ctl_status (bool json);
+int ctl_bench (int argc, char **argv);
+
+#endif /* CTL_H */
--- a/src/mm_entry_platform.c
+++ b/src/mm_entry_platform.c
@@ -100,90 +100,104 @@
       }
 }
 
+/* What one reading of the member list says of our peers.  */
+typedef struct
+{
+  GPtrArray *names;          /* live instances of our data centre, and us */
+  int64_t config_max;        /* the highest offset in force, -1 none */
+  int64_t oldest_started_ms; /* INT64_MAX: no peer says */
+} peer_view;
+
+static int64_t
+number_of (const cJSON *m, const char *key, int64_t otherwise)
+{
+  const cJSON *n = cJSON_GetObjectItem (m, key);
+  return cJSON_IsNumber (n) ? (int64_t)n->valuedouble : otherwise;
+}
+
 static void
-members_done (const mm_http_result *res, void *ctx)
+take_peer (mm_entry *e, const cJSON *m, peer_view *view)
+{
+  const char *name = cJSON_GetStringValue (cJSON_GetObjectItem (m, "name"));
+  const char *state = cJSON_GetStringValue (cJSON_GetObjectItem (m, "state"));
+  const char *dc
+      = cJSON_GetStringValue (cJSON_GetObjectItem (m, "datacentre"));
+  const char *addr
+      = cJSON_GetStringValue (cJSON_GetObjectItem (m, "peer_addr"));
+  if (!name || !state || !g_str_equal (state, "live")
+      || g_str_equal (name, e->settings.name))
+    return;
+  view->config_max
+      = MAX (view->config_max, number_of (m, "config_offset", -1));
+  if (!dc || !addr || !g_str_equal (dc, e->settings.datacentre))
+    return;
+  g_ptr_array_add (view->names, g_strdup (name));
+  g_hash_table_insert (e->peer_addrs, g_strdup (name), g_strdup (addr));
+  view->oldest_started_ms
+      = MIN (view->oldest_started_ms, number_of (m, "started_ms", INT64_MAX));
+  e->peer_outage_wall_ms
+      = MAX (e->peer_outage_wall_ms, number_of (m, "outage_ms", 0));
+}
+
+/* A whole new member list.  */
+static void
+take_members (mm_entry *e, const cJSON *list)
 {
-  mm_entry *e = ctx;
-  mm_entry_contact_note (e, res->status == 200);
-  if (res->status != 200)
-    {
-      mm_counters_add (e->counters, "member_polls_failed", 1);
-      return;
-    }
-  cJSON *o = cJSON_ParseWithLength (res->body, res->body_bytes);
-  if (cJSON_IsTrue (cJSON_GetObjectItem (o, "unchanged")))
-    {
-      cJSON_Delete (o);
-      mm_counters_add (e->counters, "member_polls_unchanged", 1);
-      return;
-    }
   /* Guards against the short list right after an outage, when living
      members had expired: until they had time to come back, the list only
      adds.  It is read whole again on the next poll.  */
   bool unsure = mm_contact_list_unsure (e->contact, mm_clock_now_ms ());
-  e->members_version = unsure ? -1
-                              : (int64_t)cJSON_GetNumberValue (
-                                  cJSON_GetObjectItem (o, "version"));
-  const cJSON *m;
-  GPtrArray *entries = g_ptr_array_new ();
-  g_ptr_array_add (entries, g_strdup (e->settings.name));
+  e->members_version = unsure ? -1 : number_of (list, "version", -1);
   GHashTable *before = e->peer_addrs;
   e->peer_addrs
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  peer_view view = { .names = g_ptr_array_new (),
+                     .config_max = -1,
+                     .oldest_started_ms = INT64_MAX };
+  g_ptr_array_add (view.names, g_strdup (e->settings.name));
   if (!unsure)
     mm_pool_list_begin (e->pool, mm_clock_now_ms ());
-  int64_t peer_max = -1;
-  int64_t peers_started = INT64_MAX;
-  cJSON_ArrayForEach (m, cJSON_GetObjectItem (o, "members"))
+  const cJSON *m;
+  cJSON_ArrayForEach (m, cJSON_GetObjectItem (list, "members"))
   {
     const char *kind = cJSON_GetStringValue (cJSON_GetObjectItem (m, "kind"));
-    const char *state
-        = cJSON_GetStringValue (cJSON_GetObjectItem (m, "state"));
     if (kind && g_str_equal (kind, "upstream"))
       take_upstream (e, m);
-    else if (kind && g_str_equal (kind, "entry") && state
-             && g_str_equal (state, "live"))
-      {
-        const char *name
-            = cJSON_GetStringValue (cJSON_GetObjectItem (m, "name"));
-        const cJSON *off = cJSON_GetObjectItem (m, "config_offset");
-        const char *dc
-            = cJSON_GetStringValue (cJSON_GetObjectItem (m, "datacentre"));
-        const char *peer
-            = cJSON_GetStringValue (cJSON_GetObjectItem (m, "peer_addr"));
-        if (name && peer && dc && g_str_equal (dc, e->settings.datacentre)
-            && strcmp (name, e->settings.name) != 0)
-          {
-            g_ptr_array_add (entries, g_strdup (name));
-            g_hash_table_insert (e->peer_addrs, g_strdup (name),
-                                 g_strdup (peer));
-          }
-        const cJSON *started = cJSON_GetObjectItem (m, "started_ms");
-        if (cJSON_IsNumber (started) && name
-            && strcmp (name, e->settings.name) != 0)
-          peers_started = MIN (peers_started, (int64_t)started->valuedouble);
-        const cJSON *outage = cJSON_GetObjectItem (m, "outage_ms");
-        if (cJSON_IsNumber (outage))
-          e->peer_outage_wall_ms
-              = MAX (e->peer_outage_wall_ms, (int64_t)outage->valuedouble);
-        if (name && cJSON_IsNumber (off)
-            && strcmp (name, e->settings.name) != 0)
-          peer_max = MAX (peer_max, (int64_t)off->valuedouble);
-      }
+    else if (kind && g_str_equal (kind, "entry"))
+      take_peer (e, m, &view);
   }
   if (unsure)
-    keep_peers (e, before, entries);
+    keep_peers (e, before, view.names);
   mm_pool_list_end (e->pool);
-  g_ptr_array_add (entries, NULL);
+  g_ptr_array_add (view.names, NULL);
   g_strfreev (e->live_entries);
-  e->live_entries = (char **)g_ptr_array_free (entries, FALSE);
-  e->peer_config_max = peer_max;
-  e->peers_started_wall_ms = peers_started == INT64_MAX ? 0 : peers_started;
-  cJSON_Delete (o);
+  e->live_entries = (char **)g_ptr_array_free (view.names, FALSE);
+  e->peer_config_max = view.config_max;
+  e->peers_started_wall_ms
+      = view.oldest_started_ms == INT64_MAX ? 0 : view.oldest_started_ms;
   mm_entry_peers_changed (e, before);
   g_hash_table_destroy (before);
-  mm_counters_add (e->counters, "member_polls_ok", 1);
-  mm_entry_pump (e);
+}
+
+static void
+members_done (const mm_http_result *res, void *ctx)
+{
+  mm_entry *e = ctx;
+  cJSON *o = res->status == 200
+                 ? cJSON_ParseWithLength (res->body, res->body_bytes)
+                 : NULL;
+  mm_entry_contact_note (e, o != NULL);
+  if (cJSON_IsTrue (cJSON_GetObjectItem (o, "unchanged")))
+    mm_counters_add (e->counters, "member_polls_unchanged", 1);
+  else if (cJSON_IsArray (cJSON_GetObjectItem (o, "members")))
+    {
+      take_members (e, o);
+      mm_counters_add (e->counters, "member_polls_ok", 1);
+      mm_entry_pump (e);
+    }
+  else
+    mm_counters_add (e->counters, "member_polls_failed", 1);
+  cJSON_Delete (o);
 }
 
 static void
