--- /dev/null
+++ b/daemons/masticmill_node.c
@@ -0,0 +1,130 @@
+/* masticmill-node: an instance on the prepared platform.  SIGTERM is a
+   graceful shutdown; SIGHUP says that the settings may have changed.  */
+#include "platform.h"
+
+#include "config.h"
+
+#include <signal.h>
+#include <stdio.h>
+
+typedef struct
+{
+  struct ev_loop *loop;
+  mm_node *node;
+  pf_front *front;
+  ev_timer leave_timer;
+  mm_time_ms leave_ms;
+} process;
+
+static void
+leave_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  process *p = w->data;
+  if (mm_clock_now_ms () - p->leave_ms >= MM_LEAVE_DRAIN_MS)
+    pf_front_set_leaving (p->front);
+  if (mm_node_left (p->node, pf_front_connections (p->front)))
+    ev_break (loop, EVBREAK_ALL);
+}
+
+static void
+on_stop (struct ev_loop *loop, ev_signal *w, int revents)
+{
+  process *p = w->data;
+  if (p->leave_ms)
+    return;
+  g_message ("signal %d: graceful shutdown", w->signum);
+  p->leave_ms = mm_clock_now_ms ();
+  mm_node_leave (p->node);
+  ev_timer_init (&p->leave_timer, leave_cb, 0., MM_LEAVE_CHECK_MS / 1000.);
+  p->leave_timer.data = p;
+  ev_timer_start (loop, &p->leave_timer);
+}
+
+/* Addresses and bounds are fixed for a process's life; a change of the
+   rest is taken at the next start.  */
+static void
+on_reload (struct ev_loop *loop, ev_signal *w, int revents)
+{
+  g_message ("signal %d: settings stay as at the start", w->signum);
+}
+
+static void
+on_state (mm_http_request *req, void *ctx)
+{
+  char *text = mm_node_dump (((process *)ctx)->node);
+  mm_http_reply (req, 200, text, 0);
+  free (text);
+}
+
+static void
+watch_signals (process *p, ev_signal *watchers)
+{
+  static const int stops[] = { SIGTERM, SIGINT };
+  for (size_t i = 0; i < G_N_ELEMENTS (stops); i++)
+    {
+      ev_signal_init (&watchers[i], on_stop, stops[i]);
+      watchers[i].data = p;
+      ev_signal_start (p->loop, &watchers[i]);
+    }
+  ev_signal_init (&watchers[2], on_reload, SIGHUP);
+  ev_signal_start (p->loop, &watchers[2]);
+  signal (SIGPIPE, SIG_IGN);
+}
+
+static int
+run (const mm_node_settings *s)
+{
+  process p = { .loop = EV_DEFAULT };
+  GError *error = NULL;
+  ev_signal watchers[3];
+  watch_signals (&p, watchers);
+  mm_http_client *to_upstreams
+      = mm_http_client_create (p.loop, MM_DEFAULT_UPSTREAM_CONNECTIONS);
+  mm_http_client *to_store
+      = mm_http_client_create (p.loop, MM_PLATFORM_CONNECTIONS);
+  pf_store *store = pf_store_create (to_store, s->store);
+  mm_exec_port exec_port = pf_exec_port (to_upstreams);
+  mm_store_port store_port = pf_store_port (store);
+  p.node = mm_node_create (p.loop, s, &exec_port, &store_port, &error);
+  if (p.node)
+    p.front = pf_front_create (p.loop, s, p.node, &error);
+  mm_http_server *state = p.front ? mm_http_server_create (
+                              p.loop, s->address, (uint16_t)s->state_port,
+                              MM_STATE_MAX_BODY_BYTES, on_state, &p, &error)
+                                  : NULL;
+  if (!state)
+    {
+      g_critical ("cannot start: %s", error->message);
+      return 1;
+    }
+  g_message ("instance %s of %s serves callers at %s", s->name, s->datacentre,
+             s->front);
+  ev_run (p.loop, 0);
+  g_message ("instance %s stops", s->name);
+  mm_http_server_destroy (state);
+  pf_front_destroy (p.front);
+  return 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  mm_log_init ("masticmill-node");
+  mm_node_settings s;
+  mm_node_settings_defaults (&s);
+  GError *error = NULL;
+  switch (mm_daemon_args (argc, argv,
+                          "Instance on the prepared platform: takes jobs, "
+                          "runs their tasks on upstreams.",
+                          mm_node_setting_specs, &s, &error))
+    {
+    case MM_DAEMON_EXIT:
+      return 0;
+    case MM_DAEMON_ERROR:
+      fprintf (stderr, "masticmill-node: %s\n", error->message);
+      return 2;
+    case MM_DAEMON_RUN:
+      break;
+    }
+  return run (&s);
+}
--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -150,6 +150,12 @@
                                       const char *name); /* or NULL */
   void mm_http_reply (mm_http_request *r, unsigned status, const char *body,
                       uint32_t retry_after_s); /* JSON reply, frees r later */
+  typedef void (*mm_http_left_cb) (void *ctx);
+  void mm_http_request_on_left (mm_http_request *r, mm_http_left_cb left,
+                                void *ctx);            /* the caller closed */
+  void mm_http_server_set_leaving (mm_http_server *s); /* close after each */
+  uint32_t
+  mm_http_server_connections (const mm_http_server *s); /* open ones */
 
   /* ---- mm_http_client: HTTP client (libcurl multi) on libev --------------
    */
@@ -163,6 +169,15 @@
     GError *error;     /* transport failure, or NULL */
   } mm_http_result;
   typedef void (*mm_http_done) (const mm_http_result *res, void *ctx);
+  typedef struct
+  {
+    const char *method; /* "GET", "POST", ... */
+    const char *url;    /* full URL */
+    const char *body;   /* text, or NULL; copied */
+    const char *header; /* one more header line, or NULL */
+    bool fresh;         /* on a new connection */
+    mm_time_ms timeout_ms;
+  } mm_http_call;
   mm_http_client *mm_http_client_create (struct ev_loop *loop,
                                          uint32_t max_host_connections); /* */
   void mm_http_client_destroy (mm_http_client *c); /* abort all */
@@ -171,7 +186,9 @@
   void mm_http_client_call (mm_http_client *c, const char *method,
                             const char *url, const char *body,
                             mm_time_ms timeout_ms, mm_http_done done,
-                            void *ctx);                        /* async call */
+                            void *ctx); /* async call */
+  void mm_http_client_send (mm_http_client *c, const mm_http_call *call,
+                            mm_http_done done, void *ctx);     /* async call */
   uint32_t mm_http_client_in_flight (const mm_http_client *c); /* open calls */
   char *mm_http_call_sync (const char *method, const char *url,
                            const char *body, mm_time_ms timeout_ms,
--- a/src/config.h
+++ b/src/config.h
@@ -62,4 +62,91 @@
 #define MM_DEFAULT_UPSTREAM_PORT 7200
 #define MM_DRAIN_CHECK_MS 20 /* draining: are all answers out? */
 
+/* Sessions with upstreams (mm_exec).  */
+#define MM_EXEC_TICK_MS 25 /* timers of sessions, queues and jobs */
+/* Lease of what runs: a lease outlives its holder by this much, and a
+   caller whose connection broke sends its job again 1,300 ms later.  The
+   remainder covers a clock 2 % slow and the way to the caller.  */
+#define MM_LEASE_MS 1000
+#define MM_HOLD_WAIT_MS 400    /* a hold waits for an end: renews in time */
+#define MM_HOLD_TIMEOUT_MS 250 /* past the wait: then on a new connection */
+#define MM_HOLD_RETRY_MS 200   /* between holds that get no answer */
+#define MM_ACK_DELAY_MS 300    /* ends of an idle upstream, taken note of */
+/* An answer takes about 2 ms; a start that is slower is stopped and its
+   task placed elsewhere, while that still helps its caller.  */
+#define MM_START_TIMEOUT_MS 100
+#define MM_STOP_TIMEOUT_MS 100
+/* Past a lease's end by our estimate of the upstream's clock: 2 % of a
+   lease for a slow clock, the rest for the estimate's error.  */
+#define MM_LEASE_SLACK_MS 60
+
+/* Which upstreams get work (mm_trust, mm_place).  */
+/* One task in 500 fails by its own fault: three in a row on one upstream
+   by chance is one in 125 million, five would cost two more tasks.  */
+#define MM_TRUST_FAILURES 3u
+#define MM_TRUST_EXCLUDE_MS 1000 /* the first exclusion's length */
+#define MM_TRUST_MAX_DOUBLINGS 3u
+#define MM_PLACE_SPEED_STEP 0.25 /* estimates are off by up to 40 % */
+
+/* Queue of an owner (mm_owner).  */
+#define MM_OWNER_PUMP_MISSES 16u       /* tasks tried that do not fit */
+#define MM_OWNER_GUESS_CPU_MILLI 16000 /* a task's size, until one is seen */
+
+/* Links between instances (mm_link, mm_mesh).  */
+#define MM_LINK_MAX_BYTES (8u << 20) /* unread or unsent: then it is closed   \
+                                      */
+#define MM_MESH_BEAT_MS 150 /* each side says something at least this often   \
+                             */
+/* A peer silent for so long is given up: its tasks' work here is stopped
+   well before their callers send them again, 1,300 ms after a break.  */
+#define MM_MESH_SILENT_MS 600
+#define MM_MESH_RECONNECT_MS 250
+#define MM_MESH_REPORT_MS 25 /* at most this often, when room changes */
+
+/* Jobs and admission (mm_jobs, mm_admission, mm_fleet).  */
+#define MM_MAX_JOB_TASKS 1024u /* the design asks for 290 */
+/* Caller to instance to upstream and back, with the orders' handling.  */
+#define MM_OVERHEAD_MS 15
+#define MM_RETRY_AFTER_NO_ROOM_S 1
+#define MM_GUESS_TASK_MS 250 /* a task's run time, until some have ended */
+#define MM_FLEET_MAX 128     /* instances that a task is spread over */
+
+/* The platform's store (mm_stream, mm_shares, mm_members, mm_node).  */
+#define MM_STORE_TIMEOUT_MS 1500 /* a call; a slow store takes 0.4 s */
+#define MM_STORE_RETRY_MS 250    /* after a call that failed */
+/* A configuration is in force 2 s after it is published: a read that
+   waits at the store learns of it at once, and a silent connection is
+   noticed in time.  */
+#define MM_CONFIG_WAIT_MS 1200
+/* Upstreams write to their list some 30 times a second, so no read waits
+   there.  A leaving one must get no start 2 s after it said so.  */
+#define MM_LIST_POLL_MS 600
+#define MM_LIST_DROP_MS 2500 /* missing entries come back within 2 s */
+#define MM_GROUP_TTL_MS 1500 /* a silent owner's upstreams go to others */
+#define MM_GROUP_BEAT_MS 300
+#define MM_MEMBERS_POLL_MS 2000 /* who the other instances are */
+/* Upstreams to be handed over may finish what they run for so long.  */
+#define MM_HANDOVER_MS 1200
+/* Standing still for longer than this, an instance starts nothing of what
+   it had: callers may have sent their jobs again elsewhere.  */
+#define MM_STALL_MS 700
+/* The balancer asks once a second and takes an instance out after two
+   misses; until then new connections still come.  */
+#define MM_LEAVE_DRAIN_MS 2500
+#define MM_LEAVE_MARGIN_MS 500 /* gone this long before the kill */
+
+/* Kept connections of an HTTP client: four to each of 100 upstreams.  */
+#define MM_HTTP_KEPT_CONNECTIONS 400
+
+/* An instance (mm_node).  */
+#define MM_DEFAULT_MESH_PORT 7402
+#define MM_DEFAULT_STATE_PORT 7403
+#define MM_DEFAULT_PARTITIONS 16
+#define MM_DEFAULT_GRACE_MS 6000
+#define MM_RECONCILE_MS 500 /* check ownership at least this often */
+
+#define MM_MAX_PATIENCE_MS 3600000 /* longest deadline of a caller taken */
+#define MM_STATE_MAX_BODY_BYTES 4096
+#define MM_LEAVE_CHECK_MS 50
+
 #endif /* MM_CONFIG_H */
--- /dev/null
+++ b/src/mm_catalog.c
@@ -0,0 +1,146 @@
+/* mm_catalog: keep what the list says, and forget with delay.
+
+   Entries lapse while the store is down and are back within two seconds
+   of its return.  An upstream dropped at once would lose its running
+   tasks for that gap, so a missing one stays for MM_LIST_DROP_MS of
+   contact with the store.  */
+#include "mm_catalog.h"
+
+#include "config.h"
+
+#include <string.h>
+
+typedef struct
+{
+  mm_upstream_info *info;
+  mm_time_ms missing_since_ms; /* 0: listed */
+} entry;
+
+struct mm_catalog
+{
+  GHashTable *by_name; /* name -> entry */
+  uint64_t changes;
+};
+
+static void
+entry_free (gpointer p)
+{
+  entry *e = p;
+  mm_upstream_info_free (e->info);
+  g_free (e);
+}
+
+mm_catalog *
+mm_catalog_create (void)
+{
+  mm_catalog *c = g_new0 (mm_catalog, 1);
+  c->by_name
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, entry_free);
+  return c;
+}
+
+void
+mm_catalog_destroy (mm_catalog *c)
+{
+  if (!c)
+    return;
+  g_hash_table_destroy (c->by_name);
+  g_free (c);
+}
+
+/* Heartbeats repeat the same words: only these matter.  */
+static bool
+same (const mm_upstream_info *a, const mm_upstream_info *b)
+{
+  return a->draining == b->draining && a->slots == b->slots
+         && memcmp (&a->capacity, &b->capacity, sizeof a->capacity) == 0
+         && strcmp (a->addr, b->addr) == 0
+         && strcmp (a->service, b->service) == 0;
+}
+
+void
+mm_catalog_put (mm_catalog *c, const mm_upstream_info *u)
+{
+  entry *e = g_hash_table_lookup (c->by_name, u->name);
+  if (e && same (e->info, u))
+    {
+      e->missing_since_ms = 0;
+      return;
+    }
+  if (!e || e->info->draining != u->draining)
+    g_message ("upstream %s of %s at %s: %s", u->name, u->service, u->addr,
+               u->draining ? "draining" : "ready");
+  entry *fresh = g_new0 (entry, 1);
+  fresh->info = mm_upstream_info_copy (u);
+  /* A report of ready that is older than one of draining cannot undo it:
+     records of a key come in order.  */
+  g_hash_table_replace (c->by_name, g_strdup (u->name), fresh);
+  c->changes++;
+}
+
+void
+mm_catalog_missing (mm_catalog *c, const char *name)
+{
+  entry *e = g_hash_table_lookup (c->by_name, name);
+  if (e && !e->missing_since_ms)
+    e->missing_since_ms = mm_clock_now_ms ();
+}
+
+void
+mm_catalog_keep_only (mm_catalog *c, GHashTable *names)
+{
+  GHashTableIter it;
+  gpointer k;
+  g_hash_table_iter_init (&it, c->by_name);
+  while (g_hash_table_iter_next (&it, &k, NULL))
+    if (!g_hash_table_contains (names, k))
+      mm_catalog_missing (c, k);
+}
+
+void
+mm_catalog_tick (mm_catalog *c, bool in_touch)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  GHashTableIter it;
+  gpointer k, v;
+  g_hash_table_iter_init (&it, c->by_name);
+  while (g_hash_table_iter_next (&it, &k, &v))
+    {
+      entry *e = v;
+      if (!e->missing_since_ms)
+        continue;
+      if (!in_touch)
+        e->missing_since_ms = now;
+      else if (now - e->missing_since_ms > MM_LIST_DROP_MS)
+        {
+          g_message ("upstream %s gone from the list", (char *)k);
+          g_hash_table_iter_remove (&it);
+          c->changes++;
+        }
+    }
+}
+
+GList *
+mm_catalog_all (const mm_catalog *c)
+{
+  GList *all = NULL;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, c->by_name);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    all = g_list_prepend (all, ((entry *)v)->info);
+  return all;
+}
+
+const mm_upstream_info *
+mm_catalog_find (const mm_catalog *c, const char *name)
+{
+  entry *e = g_hash_table_lookup (c->by_name, name);
+  return e ? e->info : NULL;
+}
+
+uint64_t
+mm_catalog_changes (const mm_catalog *c)
+{
+  return c->changes;
+}
--- /dev/null
+++ b/src/mm_catalog.h
@@ -0,0 +1,21 @@
+/* mm_catalog: the upstreams that the platform lists.  */
+#ifndef MM_CATALOG_H
+#define MM_CATALOG_H
+
+#include "mm_upstream_info.h"
+
+typedef struct mm_catalog mm_catalog;
+
+mm_catalog *mm_catalog_create (void);
+void mm_catalog_destroy (mm_catalog *c);
+void mm_catalog_put (mm_catalog *c, const mm_upstream_info *u); /* listed */
+void mm_catalog_missing (mm_catalog *c, const char *name); /* not listed */
+/* All listed names are known: the others are missing.  */
+void mm_catalog_keep_only (mm_catalog *c, GHashTable *names);
+void mm_catalog_tick (mm_catalog *c, bool in_touch); /* drop the missing */
+GList *mm_catalog_all (const mm_catalog *c); /* infos; free list only */
+const mm_upstream_info *mm_catalog_find (const mm_catalog *c,
+                                         const char *name);
+uint64_t mm_catalog_changes (const mm_catalog *c); /* rises */
+
+#endif /* MM_CATALOG_H */
--- a/src/mm_clock.c
+++ b/src/mm_clock.c
@@ -6,14 +6,18 @@
 /**
  * mm_clock_now_ms() - monotonic time.
  *
- * Return: milliseconds since an arbitrary start (CLOCK_MONOTONIC); never
- * goes back, so it is the clock for deadlines and timeouts.
+ * CLOCK_BOOTTIME, as CLOCK_MONOTONIC stands still while the machine is
+ * suspended: leases and deadlines would look valid long after others saw
+ * them expire.
+ *
+ * Return: milliseconds since an arbitrary start; never goes back, so it is
+ * the clock for deadlines and timeouts.
  */
 mm_time_ms
 mm_clock_now_ms (void)
 {
   struct timespec ts;
-  clock_gettime (CLOCK_MONOTONIC, &ts);
+  clock_gettime (CLOCK_BOOTTIME, &ts);
   return (mm_time_ms)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
--- /dev/null
+++ b/src/mm_exec.h
@@ -0,0 +1,128 @@
+/* mm_exec: the session of an owner with one upstream.
+
+   An upstream starts whatever it is told, so exactly one instance at a
+   time may order starts there.  The session carries that instance's
+   fencing token, keeps the leases of what runs, and accounts for the
+   room that runs, unanswered orders and stops take up.  */
+#ifndef MM_EXEC_H
+#define MM_EXEC_H
+
+#include "mm_upstream_info.h"
+
+/* What came of a call to an upstream.  */
+typedef enum
+{
+  MM_CALL_OK,
+  MM_CALL_FENCED,   /* a higher token was seen there */
+  MM_CALL_OLD_RUN,  /* the run number is not higher than an ended one */
+  MM_CALL_LATE,     /* its deadline had passed on arrival */
+  MM_CALL_NO_ROOM,  /* it guards its capacity, and is full */
+  MM_CALL_BAD,      /* not understood */
+  MM_CALL_REFUSED,  /* unhealthy: nothing was done */
+  MM_CALL_GONE,     /* another incarnation answers at that address */
+  MM_CALL_NO_ANSWER /* may have been carried out, or may be yet */
+} mm_call_verdict;
+
+const char *mm_call_verdict_name (mm_call_verdict v); /* "ok", ... */
+
+typedef struct
+{
+  mm_call_verdict verdict;
+  mm_time_ms clock_ms; /* the upstream's clock, -1 when not told */
+} mm_call_result;
+
+typedef struct
+{
+  mm_task_id task;
+  uint32_t run;
+  int32_t percent; /* done so far */
+} mm_running;
+
+typedef struct
+{
+  uint64_t seq; /* rises within an incarnation */
+  mm_task_id task;
+  uint32_t run;
+  mm_end how;
+} mm_ended;
+
+typedef struct
+{
+  mm_call_result call;
+  const mm_running *running;
+  size_t n_running;
+  const mm_ended *ended;
+  size_t n_ended;
+} mm_hold_result;
+
+typedef struct
+{
+  const mm_task_id *task;
+  uint32_t run;
+  const char *payload;
+  uint64_t fence;
+  mm_time_ms deadline_ms; /* on the upstream's clock: void after it */
+  bool fresh;             /* on a new connection */
+  mm_time_ms timeout_ms;
+} mm_order;
+
+typedef struct
+{
+  uint64_t fence;
+  uint64_t acked_seq;     /* ends up to it may be forgotten */
+  mm_time_ms deadline_ms; /* new lease of all that runs, 0 for none */
+  mm_time_ms wait_ms;     /* answer later, when a run ends */
+  bool fresh;
+  mm_time_ms timeout_ms;
+} mm_hold;
+
+typedef void (*mm_call_done) (const mm_call_result *res, void *ctx);
+typedef void (*mm_hold_done) (const mm_hold_result *res, void *ctx);
+
+/* How a session reaches its upstream; an answer never comes before the
+   call has returned.  */
+typedef struct
+{
+  void (*start) (void *ctx, const mm_upstream_info *u, const mm_order *o,
+                 mm_call_done done, void *done_ctx);
+  void (*stop) (void *ctx, const mm_upstream_info *u, const mm_order *o,
+                mm_call_done done, void *done_ctx);
+  void (*hold) (void *ctx, const mm_upstream_info *u, const mm_hold *h,
+                mm_hold_done done, void *done_ctx);
+  void *ctx;
+} mm_exec_port;
+
+typedef struct mm_exec mm_exec;
+
+/* What a session tells its owner.  */
+typedef struct
+{
+  /* A run is over; @why says what was seen.  */
+  void (*ended) (void *ctx, mm_exec *x, void *work, mm_end how,
+                 mm_time_ms ran_ms, const char *why);
+  /* Room came free, or the session can be used (again).  */
+  void (*room) (void *ctx, mm_exec *x);
+  /* Another owner's token was seen: this session is over.  */
+  void (*fenced) (void *ctx, mm_exec *x);
+  void *ctx;
+} mm_exec_events;
+
+mm_exec *mm_exec_create (const mm_upstream_info *u, uint64_t fence,
+                         const mm_exec_port *port,
+                         const mm_exec_events *events); /* first: a hold */
+void mm_exec_destroy (mm_exec *x); /* no events from now on */
+void mm_exec_update (mm_exec *x, const mm_upstream_info *u); /* list news */
+void mm_exec_tick (mm_exec *x);          /* call each MM_EXEC_TICK_MS */
+bool mm_exec_usable (const mm_exec *x);  /* may take a start */
+bool mm_exec_fenced (const mm_exec *x);  /* another owns it */
+bool mm_exec_quiet (const mm_exec *x);   /* nothing runs */
+mm_need mm_exec_room (const mm_exec *x); /* what is free */
+size_t mm_exec_runs (const mm_exec *x);  /* runs it accounts */
+const mm_upstream_info *mm_exec_info (const mm_exec *x);
+uint64_t mm_exec_fence (const mm_exec *x);
+void mm_exec_start (mm_exec *x, const mm_task_request *t,
+                    void *work);            /* must fit */
+void mm_exec_stop (mm_exec *x, void *work); /* ends as stopped */
+double mm_exec_slowness (const mm_exec *x); /* run time over estimate */
+
+#endif /* MM_EXEC_H */
--- /dev/null
+++ b/src/mm_fleet.c
@@ -0,0 +1,131 @@
+/* mm_fleet: hand tasks to the owner that mm_spread chooses.  */
+#include "mm_fleet.h"
+
+#include "config.h"
+#include "mm_spread.h"
+
+#include <string.h>
+
+struct mm_fleet
+{
+  mm_owner *owner;
+  mm_mesh *mesh;
+  char *datacentre;
+  double mean_task_ms;
+};
+
+struct mm_ticket
+{
+  mm_fleet *fleet;
+  mm_work *work;     /* here, or */
+  mm_remote *remote; /* at a peer */
+  mm_time_ms handed_ms;
+  mm_work_done done;
+  void *ctx;
+};
+
+mm_fleet *
+mm_fleet_create (mm_owner *owner, mm_mesh *mesh, const char *datacentre)
+{
+  mm_fleet *f = g_new0 (mm_fleet, 1);
+  f->owner = owner;
+  f->mesh = mesh;
+  f->datacentre = g_strdup (datacentre);
+  f->mean_task_ms = MM_GUESS_TASK_MS;
+  return f;
+}
+
+void
+mm_fleet_destroy (mm_fleet *f)
+{
+  if (!f)
+    return;
+  g_free (f->datacentre);
+  g_free (f);
+}
+
+static size_t
+places (const mm_fleet *f, const char *service, mm_mesh_place *out)
+{
+  out[0].name = NULL;
+  out[0].datacentre = f->datacentre;
+  out[0].room = mm_owner_report (f->owner, service);
+  return 1 + mm_mesh_places (f->mesh, service, out + 1, MM_FLEET_MAX - 1);
+}
+
+mm_load
+mm_fleet_load (const mm_fleet *f, const char *service)
+{
+  mm_mesh_place p[MM_FLEET_MAX];
+  size_t n = places (f, service, p);
+  mm_load load = { .mean_task_ms = (mm_time_ms)f->mean_task_ms };
+  for (size_t i = 0; i < n; i++)
+    {
+      load.places += p[i].room.places;
+      load.free += p[i].room.free;
+      load.waiting += p[i].room.waiting;
+    }
+  return load;
+}
+
+static void
+on_done (void *ctx, mm_end how, const char *upstream, const char *why)
+{
+  mm_ticket *t = ctx;
+  if (how == MM_END_DONE)
+    {
+      double ran = (double)(mm_clock_now_ms () - t->handed_ms);
+      t->fleet->mean_task_ms += 0.02 * (ran - t->fleet->mean_task_ms);
+    }
+  t->done (t->ctx, how, upstream, why);
+  g_free (t);
+}
+
+/**
+ * mm_fleet_submit() - hand a task to an owner.
+ * @f: the fleet.
+ * @t: the task.
+ * @done: called once, later, unless it is cancelled before.
+ * @ctx: for @done.
+ *
+ * Return: a ticket valid until @done, or NULL when no owner has a place.
+ */
+mm_ticket *
+mm_fleet_submit (mm_fleet *f, const mm_task_request *t, mm_work_done done,
+                 void *ctx)
+{
+  mm_mesh_place p[MM_FLEET_MAX];
+  mm_spread_choice c[MM_FLEET_MAX];
+  size_t n = places (f, t->service, p);
+  for (size_t i = 0; i < n; i++)
+    {
+      bool here = strcmp (p[i].datacentre, f->datacentre) == 0;
+      c[i].near = i == 0 ? MM_NEAR_SELF
+                  : here ? MM_NEAR_DATACENTRE
+                         : MM_NEAR_FAR;
+      c[i].room = p[i].room;
+    }
+  int best = mm_spread_choose (c, n);
+  if (best < 0)
+    return NULL;
+  mm_ticket *k = g_new0 (mm_ticket, 1);
+  k->fleet = f;
+  k->handed_ms = mm_clock_now_ms ();
+  k->done = done;
+  k->ctx = ctx;
+  if (best == 0)
+    k->work = mm_owner_submit (f->owner, t, on_done, k);
+  else
+    k->remote = mm_mesh_submit (f->mesh, p[best].name, t, on_done, k);
+  return k;
+}
+
+void
+mm_fleet_cancel (mm_fleet *f, mm_ticket *t)
+{
+  if (t->work)
+    mm_owner_cancel (f->owner, t->work);
+  else
+    mm_mesh_cancel (f->mesh, t->remote);
+  g_free (t);
+}
--- a/src/mm_http_client.c
+++ b/src/mm_http_client.c
@@ -2,6 +2,8 @@
    socket curl asks for, one ev_timer for curl's timeout).  */
 #include "masticmill.h"
 
+#include "config.h"
+
 #include <curl/curl.h>
 #include <string.h>
 
@@ -187,6 +189,8 @@
   curl_multi_setopt (c->multi, CURLMOPT_SOCKETDATA, c);
   curl_multi_setopt (c->multi, CURLMOPT_TIMERFUNCTION, curl_timer_cb);
   curl_multi_setopt (c->multi, CURLMOPT_TIMERDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_MAXCONNECTS,
+                     (long)MM_HTTP_KEPT_CONNECTIONS);
   curl_multi_setopt (c->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                      (long)max_host_connections);
   return c;
@@ -274,37 +278,58 @@
 }
 
 /**
- * mm_http_client_call() - start an HTTP call.
+ * mm_http_client_send() - start an HTTP call.
  * @c: the client.
- * @method: "GET", "POST", ...
- * @url: full URL.
- * @body: JSON body or NULL; copied.
- * @timeout_ms: whole-call timeout.
+ * @spec: what to send; copied.
  * @done: called once from the loop with the result and @ctx.
  * @ctx: context pointer for @done.
  */
 void
-mm_http_client_call (mm_http_client *c, const char *method, const char *url,
-                     const char *body, mm_time_ms timeout_ms,
+mm_http_client_send (mm_http_client *c, const mm_http_call *spec,
                      mm_http_done done, void *ctx)
 {
   call *k = g_new0 (call, 1);
   k->client = c;
   k->answer = g_string_new (NULL);
-  k->body = g_strdup (body);
+  k->body = g_strdup (spec->body);
   k->done = done;
   k->ctx = ctx;
   k->cursor = body_of (k->body);
-  k->easy = make_easy (method, url, &k->cursor, timeout_ms, &k->headers,
-                       k->answer);
+  k->easy = make_easy (spec->method, spec->url, &k->cursor, spec->timeout_ms,
+                       &k->headers, k->answer);
   if (c->member_header)
     k->headers = curl_slist_append (k->headers, c->member_header);
+  if (spec->header)
+    k->headers = curl_slist_append (k->headers, spec->header);
+  if (spec->fresh)
+    curl_easy_setopt (k->easy, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt (k->easy, CURLOPT_HTTPHEADER, k->headers);
   curl_easy_setopt (k->easy, CURLOPT_PRIVATE, k);
   c->in_flight++;
   curl_multi_add_handle (c->multi, k->easy);
 }
 
+/**
+ * mm_http_client_call() - start a plain HTTP call.
+ * @c: the client.
+ * @method: "GET", "POST", ...
+ * @url: full URL.
+ * @body: JSON body or NULL; copied.
+ * @timeout_ms: whole-call timeout.
+ * @done: called once from the loop with the result and @ctx.
+ * @ctx: context pointer for @done.
+ */
+void
+mm_http_client_call (mm_http_client *c, const char *method, const char *url,
+                     const char *body, mm_time_ms timeout_ms,
+                     mm_http_done done, void *ctx)
+{
+  mm_http_call spec = {
+    .method = method, .url = url, .body = body, .timeout_ms = timeout_ms
+  };
+  mm_http_client_send (c, &spec, done, ctx);
+}
+
 /**
  * mm_http_call_sync() - a blocking HTTP call, for the command line.
  * @method: "GET", "POST", ...
--- a/src/mm_http_server.c
+++ b/src/mm_http_server.c
@@ -8,9 +8,11 @@
 #include "masticmill.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <microhttpd.h>
 #include <unistd.h>
 #include <string.h>
+#include <sys/socket.h>
 
 struct mm_http_server
 {
@@ -23,6 +25,8 @@
   void *ctx;
   size_t max_body_bytes;
   uint32_t in_flight;
+  uint32_t connections;
+  bool leaving;
   uint16_t port;
 };
 
@@ -41,6 +45,9 @@
   unsigned status;
   char *answer;
   uint32_t retry_after_s;
+  ev_io left_io; /* watches the caller's socket while we keep it waiting */
+  mm_http_left_cb left;
+  void *left_ctx;
 };
 
 static void server_run (mm_http_server *s);
@@ -89,6 +96,8 @@
       g_snprintf (buf, sizeof buf, "%u", r->retry_after_s);
       MHD_add_response_header (resp, "Retry-After", buf);
     }
+  if (r->server->leaving)
+    MHD_add_response_header (resp, "Connection", "close");
   enum MHD_Result ret = MHD_queue_response (r->conn, r->status, resp);
   MHD_destroy_response (resp);
   return ret;
@@ -157,6 +166,7 @@
     return;
   if (r->dispatched && r->server->in_flight > 0)
     r->server->in_flight--;
+  ev_io_stop (r->server->loop, &r->left_io);
   g_free (r->method);
   g_free (r->path);
   g_byte_array_free (r->body, TRUE);
@@ -165,6 +175,17 @@
   *con_cls = NULL;
 }
 
+static void
+connection_cb (void *cls, struct MHD_Connection *conn, void **socket_ctx,
+               enum MHD_ConnectionNotificationCode toe)
+{
+  mm_http_server *s = cls;
+  if (toe == MHD_CONNECTION_NOTIFY_STARTED)
+    s->connections++;
+  else
+    s->connections--;
+}
+
 /**
  * mm_http_server_create() - listen for HTTP on a libev loop.
  * @loop: the loop that drives it.
@@ -200,7 +221,8 @@
   s->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, port, NULL, NULL, access_cb, s,
       MHD_OPTION_SOCK_ADDR, &addr, MHD_OPTION_NOTIFY_COMPLETED, completed_cb,
-      s, MHD_OPTION_CONNECTION_LIMIT, (unsigned)4096,
+      s, MHD_OPTION_NOTIFY_CONNECTION, connection_cb, s,
+      MHD_OPTION_CONNECTION_LIMIT, (unsigned)4096,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, (unsigned)1, MHD_OPTION_END);
   if (!s->daemon)
     {
@@ -292,6 +314,60 @@
   return MHD_lookup_connection_value (r->conn, MHD_HEADER_KIND, name);
 }
 
+/* A suspended connection is not polled by MHD: a caller that closes would
+   go unnoticed until the answer, and its work would run on for nobody.  */
+static void
+left_cb (struct ev_loop *loop, ev_io *w, int revents)
+{
+  mm_http_request *r = w->data;
+  char byte;
+  ssize_t n = recv (w->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (n < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  ev_io_stop (loop, w); /* closed, or its next request came early */
+  if (n > 0 || !r->left)
+    return;
+  mm_http_left_cb left = r->left;
+  r->left = NULL;
+  left (r->left_ctx);
+}
+
+/**
+ * mm_http_request_on_left() - learn that the caller closed its connection.
+ * @r: a request that is not answered yet.
+ * @left: called at most once; the request still wants mm_http_reply().
+ * @ctx: for @left.
+ */
+void
+mm_http_request_on_left (mm_http_request *r, mm_http_left_cb left, void *ctx)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+  if (!info)
+    return;
+  r->left = left;
+  r->left_ctx = ctx;
+  ev_io_init (&r->left_io, left_cb, info->connect_fd, EV_READ);
+  r->left_io.data = r;
+  ev_io_start (r->server->loop, &r->left_io);
+}
+
+/**
+ * mm_http_server_set_leaving() - close each connection with its answer.
+ * @s: the server; callers then come back on a connection elsewhere.
+ */
+void
+mm_http_server_set_leaving (mm_http_server *s)
+{
+  s->leaving = true;
+}
+
+uint32_t
+mm_http_server_connections (const mm_http_server *s)
+{
+  return s->connections;
+}
+
 /**
  * mm_http_reply() - answer a request with a JSON body.
  * @r: the request; it must not be used after this call.
@@ -308,6 +384,8 @@
   if (r->answered)
     return;
   r->answered = true;
+  r->left = NULL;
+  ev_io_stop (r->server->loop, &r->left_io);
   r->status = status;
   r->answer = g_strdup (body);
   r->retry_after_s = retry_after_s;
--- /dev/null
+++ b/src/mm_jobs.c
@@ -0,0 +1,436 @@
+/* mm_jobs: each job owns its tasks; each task is at most at one owner.
+
+   Nothing of a job is kept: its caller's open request is all that asks
+   for it.  When the caller leaves, its tasks are stopped, so that the
+   same job sent again elsewhere finds none of them running.  */
+#include "mm_jobs.h"
+
+#include "config.h"
+
+#include <string.h>
+
+typedef struct job job;
+typedef char mm_job_name[MM_JOB_ID_MAX + 1];
+
+typedef struct
+{
+  job *job;
+  mm_task_id id;
+  mm_ticket *ticket; /* at an owner, or NULL */
+  uint32_t failures;
+  char *avoid; /* upstream of the last failure */
+  bool done;
+} task;
+
+typedef struct
+{
+  uint32_t first_task;
+  uint32_t done;
+  bool begun;
+} step_state;
+
+struct job
+{
+  mm_jobs *jobs;
+  mm_submission *s;
+  char *service;
+  char *queue;
+  uint32_t priority;
+  uint32_t attempts;
+  mm_time_ms submitted_ms;
+  mm_time_ms deadline_ms; /* the caller leaves */
+  mm_time_ms start_by_ms; /* a task not begun by then comes too late */
+  task *tasks;
+  uint32_t n_tasks;
+  uint32_t done;
+  step_state *steps;
+  bool handed_out; /* a task may have started */
+  GList *callers;
+};
+
+struct mm_caller
+{
+  job *job;
+  mm_answer_cb on_answer;
+  void *ctx;
+};
+
+struct mm_jobs
+{
+  mm_fleet *fleet;
+  GHashTable *by_id; /* job id -> job */
+};
+
+mm_jobs *
+mm_jobs_create (mm_fleet *fleet)
+{
+  mm_jobs *j = g_new0 (mm_jobs, 1);
+  j->fleet = fleet;
+  j->by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  return j;
+}
+
+static void
+stop_tasks (job *b)
+{
+  for (uint32_t i = 0; i < b->n_tasks; i++)
+    if (b->tasks[i].ticket)
+      mm_fleet_cancel (b->jobs->fleet, g_steal_pointer (&b->tasks[i].ticket));
+}
+
+static void
+job_free (job *b)
+{
+  stop_tasks (b);
+  g_hash_table_remove (b->jobs->by_id, b->s->id);
+  for (uint32_t i = 0; i < b->n_tasks; i++)
+    g_free (b->tasks[i].avoid);
+  g_free (b->tasks);
+  g_free (b->steps);
+  g_free (b->service);
+  g_free (b->queue);
+  mm_submission_free (b->s);
+  g_list_free_full (b->callers, g_free);
+  g_free (b);
+}
+
+/* Every caller gets the same whole answer; the job is over.  */
+static void
+answer (job *b, mm_answer_kind kind, const char *why, uint32_t retry_after_s)
+{
+  static const char *const names[]
+      = { "completed", "failed", "refused", "unknown" };
+  mm_answer a = { .kind = kind, .why = why, .retry_after_s = retry_after_s };
+  if (kind != MM_ANSWER_COMPLETED)
+    g_message ("job %s of %s: %s after %" G_GINT64_FORMAT " ms: %s", b->s->id,
+               b->queue, names[kind], mm_clock_now_ms () - b->submitted_ms,
+               why);
+  stop_tasks (b);
+  while (b->callers)
+    {
+      mm_caller *c = b->callers->data;
+      b->callers = g_list_delete_link (b->callers, b->callers);
+      c->on_answer (c->ctx, &a);
+      g_free (c);
+    }
+  job_free (b);
+}
+
+void
+mm_jobs_destroy (mm_jobs *j)
+{
+  if (!j)
+    return;
+  GList *jobs = g_hash_table_get_values (j->by_id);
+  g_list_free_full (jobs, (GDestroyNotify)job_free);
+  g_hash_table_destroy (j->by_id);
+  g_free (j);
+}
+
+/* No room in time: refused if nothing of it can have run.  */
+static void
+give_up (job *b, const char *why)
+{
+  if (b->handed_out)
+    answer (b, MM_ANSWER_FAILED, why, MM_RETRY_AFTER_NO_ROOM_S);
+  else
+    answer (b, MM_ANSWER_REFUSED, why, MM_RETRY_AFTER_NO_ROOM_S);
+}
+
+static void on_task_done (void *ctx, mm_end how, const char *upstream,
+                          const char *why);
+
+/* Return: whether the job still lives.  */
+static bool
+hand_out (task *t)
+{
+  job *b = t->job;
+  const mm_step *step = &b->s->steps[t->id.step];
+  mm_time_ms now = mm_clock_now_ms ();
+  mm_task_request r = { .id = t->id,
+                        .service = b->service,
+                        .payload = b->s->payload,
+                        .label = step->label,
+                        .avoid = t->avoid,
+                        .need = step->need,
+                        .priority = b->priority,
+                        .estimate_ms = step->estimate_ms,
+                        .start_within = MAX (b->start_by_ms - now, 1) };
+  t->ticket = mm_fleet_submit (b->jobs->fleet, &r, on_task_done, t);
+  if (!t->ticket)
+    {
+      give_up (b, "no owner has a place");
+      return false;
+    }
+  b->handed_out = true;
+  return true;
+}
+
+static bool
+step_ready (const job *b, uint32_t i)
+{
+  const mm_step *s = &b->s->steps[i];
+  for (uint32_t k = 0; k < s->n_after; k++)
+    if (b->steps[s->after[k]].done < b->s->steps[s->after[k]].count)
+      return false;
+  return true;
+}
+
+static void
+begin_ready_steps (job *b)
+{
+  for (uint32_t i = 0; i < b->s->n_steps; i++)
+    {
+      if (b->steps[i].begun || !step_ready (b, i))
+        continue;
+      b->steps[i].begun = true;
+      for (uint32_t k = 0; k < b->s->steps[i].count; k++)
+        if (!hand_out (&b->tasks[b->steps[i].first_task + k]))
+          return;
+    }
+}
+
+static void
+on_done (task *t)
+{
+  job *b = t->job;
+  t->done = true;
+  b->done++;
+  b->steps[t->id.step].done++;
+  if (b->done == b->n_tasks)
+    answer (b, MM_ANSWER_COMPLETED, "", 0);
+  else if (b->steps[t->id.step].done == b->s->steps[t->id.step].count)
+    begin_ready_steps (b);
+}
+
+static void
+on_failed (task *t, const char *upstream)
+{
+  job *b = t->job;
+  g_free (t->avoid);
+  t->avoid = g_strdup (upstream);
+  t->failures++;
+  if (t->failures >= b->attempts)
+    answer (b, MM_ANSWER_FAILED, "a task failed in every attempt", 0);
+  else
+    hand_out (t);
+}
+
+static void
+on_task_done (void *ctx, mm_end how, const char *upstream, const char *why)
+{
+  task *t = ctx;
+  job *b = t->job;
+  t->ticket = NULL;
+  mm_time_ms now = mm_clock_now_ms ();
+  if (how != MM_END_DONE)
+    g_message ("task %s.%u.%u %s on %s: %s", t->id.job, t->id.step,
+               t->id.index, mm_end_name (how), upstream ? upstream : "-",
+               why ? why : "");
+  switch (how)
+    {
+    case MM_END_DONE:
+      on_done (t);
+      break;
+    case MM_END_FAILED:
+      on_failed (t, upstream);
+      break;
+    case MM_END_NOT_RUN:
+      if (now < b->start_by_ms)
+        hand_out (t);
+      else
+        give_up (b, "no room in time");
+      break;
+    case MM_END_STOPPED:
+    case MM_END_LOST:
+      if (now < b->deadline_ms)
+        hand_out (t);
+      else
+        answer (b, MM_ANSWER_FAILED, "a task was lost too late", 0);
+      break;
+    case MM_END_UNKNOWN:
+      answer (b, MM_ANSWER_UNKNOWN, why, MM_RETRY_AFTER_NO_ROOM_S);
+      break;
+    }
+}
+
+static job *
+job_create (mm_jobs *j, mm_submission *s, const mm_route *route,
+            mm_time_ms patience_ms)
+{
+  job *b = g_new0 (job, 1);
+  mm_time_ms now = mm_clock_now_ms ();
+  b->jobs = j;
+  b->s = s;
+  b->service = g_strdup (route->service);
+  b->queue = g_strdup (route->name);
+  b->priority = route->priority;
+  b->attempts = MAX (route->attempts, 1);
+  b->submitted_ms = now;
+  b->deadline_ms = now + patience_ms;
+  b->start_by_ms = now
+                   + mm_admission_slack_ms (route->stretch, route->slo_ms,
+                                            mm_submission_chain_ms (s));
+  b->n_tasks = mm_submission_tasks (s);
+  b->tasks = g_new0 (task, b->n_tasks);
+  b->steps = g_new0 (step_state, s->n_steps);
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < s->n_steps; i++)
+    {
+      b->steps[i].first_task = n;
+      for (uint32_t k = 0; k < s->steps[i].count; k++, n++)
+        {
+          b->tasks[n].job = b;
+          g_strlcpy (b->tasks[n].id.job, s->id, sizeof b->tasks[n].id.job);
+          b->tasks[n].id.step = i;
+          b->tasks[n].id.index = k;
+        }
+    }
+  g_hash_table_insert (j->by_id, s->id, b);
+  return b;
+}
+
+static uint32_t
+first_tasks (const mm_submission *s)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < s->n_steps; i++)
+    if (s->steps[i].n_after == 0)
+      n += s->steps[i].count;
+  return n;
+}
+
+static mm_caller *
+add_caller (job *b, mm_answer_cb on_answer, void *ctx)
+{
+  mm_caller *c = g_new0 (mm_caller, 1);
+  c->job = b;
+  c->on_answer = on_answer;
+  c->ctx = ctx;
+  b->callers = g_list_append (b->callers, c);
+  return c;
+}
+
+/**
+ * mm_jobs_submit() - take a job, or refuse it at once.
+ * @j: the jobs.
+ * @s: the job; taken.
+ * @route: its queue.
+ * @patience_ms: how long its caller waits.
+ * @on_answer: called once, unless the caller leaves before.
+ * @ctx: for @on_answer.
+ *
+ * Return: the caller's handle, NULL when it was refused.
+ */
+mm_caller *
+mm_jobs_submit (mm_jobs *j, mm_submission *s, const mm_route *route,
+                mm_time_ms patience_ms, mm_answer_cb on_answer, void *ctx)
+{
+  job *b = g_hash_table_lookup (j->by_id, s->id);
+  if (b)
+    {
+      mm_submission_free (s);
+      return add_caller (b, on_answer, ctx);
+    }
+  mm_answer no = { .kind = MM_ANSWER_REFUSED,
+                   .retry_after_s = MM_RETRY_AFTER_NO_ROOM_S };
+  no.why = route->needs_advice ? "queues with advice are not served"
+                               : mm_submission_unsupported (s);
+  mm_load load = mm_fleet_load (j->fleet, route->service);
+  mm_time_ms slack = mm_admission_slack_ms (route->stretch, route->slo_ms,
+                                            mm_submission_chain_ms (s));
+  mm_admission a = mm_admission_decide (&load, first_tasks (s), slack);
+  if (!no.why && !a.take)
+    {
+      no.why = "would come too late";
+      no.retry_after_s = a.retry_after_s;
+    }
+  if (no.why)
+    {
+      g_message ("job %s of %s refused: %s (places %u, free %u, waiting %u, "
+                 "tasks %u, wait %" G_GINT64_FORMAT
+                 " ms, slack %" G_GINT64_FORMAT " ms)",
+                 s->id, route->name, no.why, load.places, load.free,
+                 load.waiting, first_tasks (s), a.wait_ms, slack);
+      on_answer (ctx, &no);
+      mm_submission_free (s);
+      return NULL;
+    }
+  b = job_create (j, s, route, patience_ms);
+  mm_caller *c = add_caller (b, on_answer, ctx);
+  if (b->n_tasks == 0)
+    {
+      answer (b, MM_ANSWER_COMPLETED, "", 0);
+      return NULL;
+    }
+  mm_job_name name;
+  g_strlcpy (name, s->id, sizeof name);
+  begin_ready_steps (b);
+  /* With no owner in reach the job is answered, and gone, by now.  */
+  return g_hash_table_lookup (j->by_id, name) == b ? c : NULL;
+}
+
+void
+mm_jobs_caller_left (mm_jobs *j, mm_caller *c)
+{
+  job *b = c->job;
+  b->callers = g_list_remove (b->callers, c);
+  g_free (c);
+  if (b->callers)
+    return;
+  g_message ("job %s of %s: its caller left after %" G_GINT64_FORMAT " ms",
+             b->s->id, b->queue, mm_clock_now_ms () - b->submitted_ms);
+  job_free (b);
+}
+
+bool
+mm_jobs_running (const mm_jobs *j, const char *job_id)
+{
+  return g_hash_table_contains (j->by_id, job_id);
+}
+
+bool
+mm_jobs_cancel (mm_jobs *j, const char *job_id)
+{
+  job *b = g_hash_table_lookup (j->by_id, job_id);
+  if (b)
+    answer (b, MM_ANSWER_FAILED, "cancelled", 0);
+  return b != NULL;
+}
+
+static void
+answer_all (mm_jobs *j, mm_answer_kind kind, const char *why,
+            mm_time_ms due_before_ms)
+{
+  GList *jobs = g_hash_table_get_values (j->by_id);
+  for (GList *l = jobs; l; l = l->next)
+    if (((job *)l->data)->deadline_ms < due_before_ms)
+      answer (l->data, kind, why, MM_RETRY_AFTER_NO_ROOM_S);
+  g_list_free (jobs);
+}
+
+/**
+ * mm_jobs_woke() - the process stood still, longer than leases last.
+ * @j: the jobs.
+ *
+ * Callers may have sent their jobs to another instance meanwhile, and
+ * what ran here has lapsed: start nothing of them any more.
+ */
+void
+mm_jobs_woke (mm_jobs *j)
+{
+  answer_all (j, MM_ANSWER_UNKNOWN, "this instance stood still", G_MAXINT64);
+}
+
+void
+mm_jobs_tick (mm_jobs *j)
+{
+  answer_all (j, MM_ANSWER_FAILED, "the caller's time is over",
+              mm_clock_now_ms ());
+}
+
+uint32_t
+mm_jobs_count (const mm_jobs *j)
+{
+  return g_hash_table_size (j->by_id);
+}
--- /dev/null
+++ b/src/mm_members.c
@@ -0,0 +1,142 @@
+/* mm_members: ask the store who holds partitions in each data centre.  */
+#include "mm_members.h"
+
+#include "config.h"
+
+#include <string.h>
+
+#define NAME_SEPARATOR '@'
+
+typedef struct
+{
+  mm_members *members;
+  char *name; /* of the data centre */
+  char *group;
+  char **who; /* member names last told */
+  bool in_flight;
+} datacentre;
+
+struct mm_members
+{
+  int refs; /* the maker's, and one a call in flight */
+  bool closed;
+  mm_store_port port;
+  mm_mesh *mesh;
+  char *self;
+  datacentre *dcs;
+  size_t n;
+  mm_time_ms due_ms;
+};
+
+char *
+mm_members_name (const char *instance, const char *mesh_addr)
+{
+  return g_strdup_printf ("%s%c%s", instance, NAME_SEPARATOR, mesh_addr);
+}
+
+char *
+mm_members_group (const char *dc)
+{
+  return g_strdup_printf ("room-%s", dc);
+}
+
+static void
+members_unref (mm_members *m)
+{
+  if (--m->refs > 0)
+    return;
+  for (size_t i = 0; i < m->n; i++)
+    {
+      g_free (m->dcs[i].name);
+      g_free (m->dcs[i].group);
+      g_strfreev (m->dcs[i].who);
+    }
+  g_free (m->dcs);
+  g_free (m->self);
+  g_free (m);
+}
+
+mm_members *
+mm_members_create (const mm_store_port *port, mm_mesh *mesh,
+                   char *const *datacentres, const char *self)
+{
+  mm_members *m = g_new0 (mm_members, 1);
+  m->refs = 1;
+  m->port = *port;
+  m->mesh = mesh;
+  m->self = g_strdup (self);
+  m->n = g_strv_length ((char **)datacentres);
+  m->dcs = g_new0 (datacentre, m->n + 1);
+  for (size_t i = 0; i < m->n; i++)
+    {
+      m->dcs[i].members = m;
+      m->dcs[i].name = g_strdup (datacentres[i]);
+      m->dcs[i].group = mm_members_group (datacentres[i]);
+    }
+  return m;
+}
+
+void
+mm_members_destroy (mm_members *m)
+{
+  if (!m)
+    return;
+  m->closed = true;
+  members_unref (m);
+}
+
+static void
+publish (mm_members *m)
+{
+  GArray *peers = g_array_new (FALSE, FALSE, sizeof (mm_peer_info));
+  for (size_t i = 0; i < m->n; i++)
+    for (char **w = m->dcs[i].who; w && *w; w++)
+      {
+        char *addr = strrchr (*w, NAME_SEPARATOR);
+        if (!addr || strcmp (*w, m->self) == 0)
+          continue;
+        mm_peer_info p
+            = { .name = *w, .addr = addr + 1, .datacentre = m->dcs[i].name };
+        g_array_append_val (peers, p);
+      }
+  mm_mesh_set_peers (m->mesh, (mm_peer_info *)(void *)peers->data, peers->len);
+  g_array_free (peers, TRUE);
+}
+
+static void
+on_members (const mm_members_result *res, void *ctx)
+{
+  datacentre *dc = ctx;
+  mm_members *m = dc->members;
+  dc->in_flight = false;
+  if (!m->closed && res->ok)
+    {
+      g_strfreev (dc->who);
+      dc->who = g_new0 (char *, res->n_members + 1);
+      for (size_t i = 0; i < res->n_members; i++)
+        dc->who[i] = g_strdup (res->members[i]);
+      publish (m);
+    }
+  members_unref (m);
+}
+
+void
+mm_members_tick (mm_members *m)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  if (now < m->due_ms)
+    return;
+  /* Soon again while somebody may just have joined.  */
+  bool alone = m->due_ms == 0;
+  m->due_ms = now + (alone ? MM_GROUP_BEAT_MS : MM_MEMBERS_POLL_MS);
+  for (size_t i = 0; i < m->n; i++)
+    {
+      datacentre *dc = &m->dcs[i];
+      if (dc->in_flight)
+        continue;
+      dc->in_flight = true;
+      m->refs++;
+      m->port.members (m->port.ctx, dc->group, MM_STORE_TIMEOUT_MS, on_members,
+                       dc);
+    }
+}
--- /dev/null
+++ b/src/mm_members.h
@@ -0,0 +1,20 @@
+/* mm_members: who the other instances are, from the store's groups.  */
+#ifndef MM_MEMBERS_H
+#define MM_MEMBERS_H
+
+#include "mm_mesh.h"
+#include "mm_store.h"
+
+typedef struct mm_members mm_members;
+
+/* A member's name carries its mesh address.  */
+char *mm_members_name (const char *instance, const char *mesh_addr);
+char *mm_members_group (const char *datacentre); /* its group's name */
+
+mm_members *mm_members_create (const mm_store_port *port, mm_mesh *mesh,
+                               char *const *datacentres,
+                               const char *self /* member name */);
+void mm_members_destroy (mm_members *m);
+void mm_members_tick (mm_members *m);
+
+#endif /* MM_MEMBERS_H */
--- /dev/null
+++ b/src/mm_mesh.c
@@ -0,0 +1,513 @@
+/* mm_mesh: links to and from the other instances.
+
+   Each instance opens one link to each other one and hands it tasks over
+   that link.  A link that breaks or falls silent ends everything on it:
+   the owner stops the tasks that came over it, as their callers may send
+   the job again elsewhere; the sender reports them as out of sight.  */
+#define _GNU_SOURCE
+#include "mm_mesh.h"
+
+#include "config.h"
+#include "mm_link.h"
+#include "mm_mesh_msg.h"
+
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+typedef struct
+{
+  mm_mesh *mesh;
+  mm_peer_info info;
+  mm_link *link;
+  bool connected; /* a report has come over this link */
+  mm_time_ms tried_ms;
+  mm_time_ms beat_ms;
+  uint64_t next_no;
+  uint64_t seen_no;   /* highest task that its report counts */
+  GHashTable *remote; /* no -> mm_remote */
+  mm_mesh_room *rooms;
+  size_t n_rooms;
+} peer;
+
+struct mm_remote
+{
+  peer *peer;
+  uint64_t no;
+  mm_work_done done;
+  void *ctx;
+};
+
+typedef struct
+{
+  mm_mesh *mesh;
+  mm_link *link;
+  GHashTable *works; /* no -> taken */
+  uint64_t seen_no;
+  mm_time_ms report_ms;
+  GByteArray *last_report;
+} inbound;
+
+/* A task taken in over a link.  */
+typedef struct
+{
+  inbound *from;
+  uint64_t no;
+  mm_work *work;
+} taken;
+
+struct mm_mesh
+{
+  struct ev_loop *loop;
+  mm_owner *owner;
+  int listen_fd;
+  ev_io accept_io;
+  GHashTable *peers; /* name -> peer */
+  GList *inbound;
+};
+
+/* ---- the owner's side ------------------------------------------------- */
+
+static void
+on_taken_done (void *ctx, mm_end how, const char *upstream, const char *why)
+{
+  taken *t = ctx;
+  inbound *in = t->from;
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init (&b);
+  mm_mesh_pack_ended (&b, t->no, how, upstream, why);
+  mm_link_send (in->link, &b);
+  msgpack_sbuffer_destroy (&b);
+  g_hash_table_remove (in->works, &t->no);
+}
+
+static void
+take_run (inbound *in, const mm_mesh_msg *m)
+{
+  if (g_hash_table_contains (in->works, &m->no))
+    return;
+  taken *t = g_new0 (taken, 1);
+  t->from = in;
+  t->no = m->no;
+  in->seen_no = MAX (in->seen_no, m->no);
+  g_hash_table_insert (in->works, &t->no, t);
+  t->work = mm_owner_submit (in->mesh->owner, &m->request, on_taken_done, t);
+}
+
+static void
+take_cancel (inbound *in, uint64_t no)
+{
+  taken *t = g_hash_table_lookup (in->works, &no);
+  if (!t)
+    return;
+  mm_owner_cancel (in->mesh->owner, t->work);
+  g_hash_table_remove (in->works, &no);
+}
+
+static bool
+on_inbound_object (void *ctx, const msgpack_object *o)
+{
+  inbound *in = ctx;
+  mm_mesh_msg m;
+  bool ok = mm_mesh_msg_read (o, &m);
+  if (ok && m.kind == MM_MESH_RUN)
+    take_run (in, &m);
+  else if (ok && m.kind == MM_MESH_CANCEL)
+    take_cancel (in, m.no);
+  else
+    ok = ok && m.kind == MM_MESH_BEAT;
+  mm_mesh_msg_clear (&m);
+  return ok;
+}
+
+static void
+on_inbound_closed (void *ctx, const char *why)
+{
+  inbound *in = ctx;
+  mm_mesh *m = in->mesh;
+  guint n = g_hash_table_size (in->works);
+  if (n)
+    g_message ("mesh: link from a peer lost (%s): %u tasks of its jobs "
+               "stopped",
+               why, n);
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, in->works);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    mm_owner_cancel (m->owner, ((taken *)v)->work);
+  g_hash_table_destroy (in->works);
+  g_byte_array_free (in->last_report, TRUE);
+  m->inbound = g_list_remove (m->inbound, in);
+  g_free (in);
+}
+
+static void
+accept_cb (struct ev_loop *loop, ev_io *w, int revents)
+{
+  mm_mesh *m = w->data;
+  int fd = accept4 (m->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (fd < 0)
+    return;
+  inbound *in = g_new0 (inbound, 1);
+  in->mesh = m;
+  in->works
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  in->last_report = g_byte_array_new ();
+  mm_link_events ev = { .object = on_inbound_object,
+                        .closed = on_inbound_closed,
+                        .ctx = in };
+  in->link = mm_link_adopt (loop, fd, &ev);
+  m->inbound = g_list_prepend (m->inbound, in);
+}
+
+static size_t
+rooms_of (mm_owner *o, mm_mesh_room *out)
+{
+  size_t n = 0;
+  GList *services = mm_owner_services (o);
+  for (GList *l = services; l && n < MM_MESH_MAX_SERVICES; l = l->next)
+    {
+      g_strlcpy (out[n].service, l->data, sizeof out[n].service);
+      out[n].room = mm_owner_report (o, l->data);
+      n++;
+    }
+  g_list_free (services);
+  return n;
+}
+
+/* Tell of our room when it changed, and now and then as a sign of life. */
+static void
+send_report (inbound *in, const mm_mesh_room *rooms, size_t n, mm_time_ms now)
+{
+  if (now - in->report_ms < MM_MESH_REPORT_MS)
+    return;
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init (&b);
+  mm_mesh_pack_report (&b, in->seen_no, rooms, n);
+  bool same = b.size == in->last_report->len
+              && memcmp (b.data, in->last_report->data, b.size) == 0;
+  if (!same || now - in->report_ms >= MM_MESH_BEAT_MS)
+    {
+      in->report_ms = now;
+      g_byte_array_set_size (in->last_report, 0);
+      g_byte_array_append (in->last_report, (const guint8 *)b.data,
+                           (guint)b.size);
+      mm_link_send (in->link, &b);
+    }
+  msgpack_sbuffer_destroy (&b);
+}
+
+/* ---- the sender's side ------------------------------------------------ */
+
+static void
+take_ended (peer *p, const mm_mesh_msg *m)
+{
+  mm_remote *r = g_hash_table_lookup (p->remote, &m->no);
+  if (!r)
+    return; /* cancelled meanwhile */
+  g_hash_table_steal (p->remote, &m->no);
+  r->done (r->ctx, m->how, m->upstream, m->why);
+  g_free (r);
+}
+
+static void
+take_report (peer *p, mm_mesh_msg *m)
+{
+  if (!p->connected)
+    g_message ("mesh: peer %s at %s connected", p->info.name, p->info.addr);
+  p->connected = true;
+  p->seen_no = m->no;
+  g_free (p->rooms);
+  p->rooms = g_steal_pointer (&m->rooms);
+  p->n_rooms = m->n_rooms;
+}
+
+static bool
+on_peer_object (void *ctx, const msgpack_object *o)
+{
+  peer *p = ctx;
+  mm_mesh_msg m;
+  bool ok = mm_mesh_msg_read (o, &m);
+  if (ok && m.kind == MM_MESH_ENDED)
+    take_ended (p, &m);
+  else if (ok && m.kind == MM_MESH_REPORT)
+    take_report (p, &m);
+  else
+    ok = false;
+  mm_mesh_msg_clear (&m);
+  return ok;
+}
+
+static void
+on_peer_closed (void *ctx, const char *why)
+{
+  peer *p = ctx;
+  if (p->connected)
+    g_message ("mesh: link to peer %s lost (%s), %u tasks out of sight",
+               p->info.name, why, g_hash_table_size (p->remote));
+  p->link = NULL;
+  p->connected = false;
+  p->n_rooms = 0;
+  /* One at a time: an answer given meanwhile cancels its job's others.  */
+  GHashTableIter it;
+  gpointer v;
+  while (g_hash_table_iter_init (&it, p->remote),
+         g_hash_table_iter_next (&it, NULL, &v))
+    {
+      mm_remote *r = v;
+      g_hash_table_iter_steal (&it);
+      r->done (r->ctx, MM_END_UNKNOWN, NULL, "owner out of contact");
+      g_free (r);
+    }
+}
+
+static void
+peer_connect (peer *p, mm_time_ms now)
+{
+  if (now - p->tried_ms < MM_MESH_RECONNECT_MS)
+    return;
+  p->tried_ms = now;
+  mm_link_events ev
+      = { .object = on_peer_object, .closed = on_peer_closed, .ctx = p };
+  GError *error = NULL;
+  p->next_no = p->seen_no = 0;
+  p->link = mm_link_connect (p->mesh->loop, p->info.addr, &ev, &error);
+  if (!p->link)
+    g_message ("mesh: %s", error->message);
+  g_clear_error (&error);
+}
+
+static void
+peer_free (gpointer v)
+{
+  peer *p = v;
+  if (p->link)
+    mm_link_close (p->link, "peer not listed any more");
+  g_hash_table_destroy (p->remote);
+  g_free (p->rooms);
+  g_free (p->info.name);
+  g_free (p->info.addr);
+  g_free (p->info.datacentre);
+  g_free (p);
+}
+
+static void
+peer_tick (peer *p, mm_time_ms now)
+{
+  if (p->link && now - mm_link_heard_ms (p->link) > MM_MESH_SILENT_MS)
+    mm_link_close (p->link, "silent");
+  if (!p->link)
+    {
+      peer_connect (p, now);
+      return;
+    }
+  if (now - p->beat_ms < MM_MESH_BEAT_MS)
+    return;
+  p->beat_ms = now;
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init (&b);
+  mm_mesh_pack_beat (&b);
+  mm_link_send (p->link, &b);
+  msgpack_sbuffer_destroy (&b);
+}
+
+/* ---- both ------------------------------------------------------------- */
+
+/**
+ * mm_mesh_create() - listen for other instances.
+ * @loop: the loop.
+ * @host: our address.
+ * @port: our port for them.
+ * @owner: runs what they hand in.
+ * @error: MM_ERROR_IO when the port cannot be bound.
+ *
+ * Return: the mesh, or NULL; free with mm_mesh_destroy().
+ */
+mm_mesh *
+mm_mesh_create (struct ev_loop *loop, const char *host, uint16_t port,
+                mm_owner *owner, GError **error)
+{
+  int fd = mm_link_listen (host, port, error);
+  if (fd < 0)
+    return NULL;
+  mm_mesh *m = g_new0 (mm_mesh, 1);
+  m->loop = loop;
+  m->owner = owner;
+  m->listen_fd = fd;
+  m->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
+  ev_io_init (&m->accept_io, accept_cb, fd, EV_READ);
+  m->accept_io.data = m;
+  ev_io_start (loop, &m->accept_io);
+  return m;
+}
+
+void
+mm_mesh_destroy (mm_mesh *m)
+{
+  if (!m)
+    return;
+  ev_io_stop (m->loop, &m->accept_io);
+  close (m->listen_fd);
+  while (m->inbound)
+    mm_link_close (((inbound *)m->inbound->data)->link, "shutdown");
+  g_hash_table_destroy (m->peers);
+  g_free (m);
+}
+
+static bool
+is_listed (const char *name, const mm_peer_info *peers, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    if (strcmp (peers[i].name, name) == 0)
+      return true;
+  return false;
+}
+
+/**
+ * mm_mesh_set_peers() - who the other instances are.
+ * @m: the mesh.
+ * @peers: without ourselves; copied.
+ * @n: their number.
+ *
+ * A peer not listed any more is kept while its link lives: the list lags,
+ * and what runs there goes on.
+ */
+void
+mm_mesh_set_peers (mm_mesh *m, const mm_peer_info *peers, size_t n)
+{
+  GHashTableIter it;
+  gpointer k, v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, &k, &v))
+    if (!((peer *)v)->connected && !is_listed (k, peers, n))
+      g_hash_table_iter_remove (&it);
+  for (size_t i = 0; i < n; i++)
+    {
+      if (g_hash_table_contains (m->peers, peers[i].name))
+        continue;
+      peer *p = g_new0 (peer, 1);
+      p->mesh = m;
+      p->info.name = g_strdup (peers[i].name);
+      p->info.addr = g_strdup (peers[i].addr);
+      p->info.datacentre = g_strdup (peers[i].datacentre);
+      p->remote = g_hash_table_new (g_int64_hash, g_int64_equal);
+      g_hash_table_insert (m->peers, p->info.name, p);
+    }
+}
+
+static mm_room_report
+room_at (const peer *p, const char *service)
+{
+  mm_room_report r = { 0 };
+  for (size_t i = 0; i < p->n_rooms; i++)
+    if (strcmp (p->rooms[i].service, service) == 0)
+      r = p->rooms[i].room;
+  uint64_t unseen = p->next_no - p->seen_no;
+  uint32_t used = (uint32_t)MIN (unseen, r.free);
+  r.free -= used;
+  r.waiting += (uint32_t)(unseen - used);
+  return r;
+}
+
+size_t
+mm_mesh_places (const mm_mesh *m, const char *service, mm_mesh_place *out,
+                size_t cap)
+{
+  size_t n = 0;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (n < cap && g_hash_table_iter_next (&it, NULL, &v))
+    {
+      peer *p = v;
+      if (!p->connected)
+        continue;
+      out[n].name = p->info.name;
+      out[n].datacentre = p->info.datacentre;
+      out[n].room = room_at (p, service);
+      n++;
+    }
+  return n;
+}
+
+/**
+ * mm_mesh_submit() - hand a task to a peer.
+ * @m: the mesh.
+ * @peer_name: a connected one.
+ * @t: the task.
+ * @done: called once, later, unless it is cancelled before.
+ * @ctx: for @done.
+ *
+ * Return: a handle valid until @done, or NULL when there is no link.
+ */
+mm_remote *
+mm_mesh_submit (mm_mesh *m, const char *peer_name, const mm_task_request *t,
+                mm_work_done done, void *ctx)
+{
+  peer *p = g_hash_table_lookup (m->peers, peer_name);
+  if (!p || !p->connected)
+    return NULL;
+  mm_remote *r = g_new0 (mm_remote, 1);
+  r->peer = p;
+  r->no = ++p->next_no;
+  r->done = done;
+  r->ctx = ctx;
+  g_hash_table_insert (p->remote, &r->no, r);
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init (&b);
+  mm_mesh_pack_run (&b, r->no, t);
+  mm_link_send (p->link, &b);
+  msgpack_sbuffer_destroy (&b);
+  return r;
+}
+
+void
+mm_mesh_cancel (mm_mesh *m, mm_remote *r)
+{
+  peer *p = r->peer;
+  g_hash_table_remove (p->remote, &r->no);
+  if (p->link)
+    {
+      msgpack_sbuffer b;
+      msgpack_sbuffer_init (&b);
+      mm_mesh_pack_cancel (&b, r->no);
+      mm_link_send (p->link, &b);
+      msgpack_sbuffer_destroy (&b);
+    }
+  g_free (r);
+}
+
+void
+mm_mesh_woke (mm_mesh *m)
+{
+  while (m->inbound)
+    mm_link_close (((inbound *)m->inbound->data)->link, "we stood still");
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    if (((peer *)v)->link)
+      mm_link_close (((peer *)v)->link, "we stood still");
+}
+
+void
+mm_mesh_tick (mm_mesh *m)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  GList *peers = g_hash_table_get_values (m->peers);
+  for (GList *l = peers; l; l = l->next)
+    peer_tick (l->data, now);
+  g_list_free (peers);
+  mm_mesh_room rooms[MM_MESH_MAX_SERVICES];
+  size_t n = rooms_of (m->owner, rooms);
+  GList *next;
+  for (GList *l = m->inbound; l; l = next)
+    {
+      next = l->next;
+      inbound *in = l->data;
+      if (now - mm_link_heard_ms (in->link) > MM_MESH_SILENT_MS)
+        mm_link_close (in->link, "silent");
+      else
+        send_report (in, rooms, n, now);
+    }
+}
--- /dev/null
+++ b/src/mm_mesh.h
@@ -0,0 +1,38 @@
+/* mm_mesh: the other instances, as places to run tasks.  */
+#ifndef MM_MESH_H
+#define MM_MESH_H
+
+#include "mm_owner.h"
+
+typedef struct mm_mesh mm_mesh;
+typedef struct mm_remote mm_remote; /* a task handed to a peer */
+
+typedef struct
+{
+  char *name;       /* of this incarnation */
+  char *addr;       /* "ip:port" of its mesh socket */
+  char *datacentre; /* where it stands */
+} mm_peer_info;
+
+/* Another instance, and the room it last told of.  */
+typedef struct
+{
+  const char *name;
+  const char *datacentre;
+  mm_room_report room; /* less what was sent there since */
+} mm_mesh_place;
+
+mm_mesh *mm_mesh_create (struct ev_loop *loop, const char *host, uint16_t port,
+                         mm_owner *owner, GError **error); /* listen */
+void mm_mesh_destroy (mm_mesh *m);
+void mm_mesh_set_peers (mm_mesh *m, const mm_peer_info *peers, size_t n);
+size_t mm_mesh_places (const mm_mesh *m, const char *service,
+                       mm_mesh_place *out, size_t cap); /* connected ones */
+mm_remote *mm_mesh_submit (mm_mesh *m, const char *peer,
+                           const mm_task_request *t, mm_work_done done,
+                           void *ctx);          /* NULL: not connected */
+void mm_mesh_cancel (mm_mesh *m, mm_remote *r); /* @done is not called */
+void mm_mesh_woke (mm_mesh *m); /* we stood still: every link is cut */
+void mm_mesh_tick (mm_mesh *m); /* each MM_EXEC_TICK_MS */
+
+#endif /* MM_MESH_H */
--- /dev/null
+++ b/src/mm_mesh_msg.h
@@ -0,0 +1,58 @@
+/* mm_mesh_msg: the messages between instances, as msgpack arrays.
+
+   From the instance that took a job to the owner of upstreams:
+     [RUN, no, job, step, index, service, payload, label, avoid, cpu_milli,
+      mem_mb, gpus, priority, estimate_ms, start_within_ms]
+     [CANCEL, no]
+     [BEAT]
+   Back:
+     [ENDED, no, how, upstream, why]
+     [REPORT, seen_no, [[service, places, free, waiting], ...]]  */
+#ifndef MM_MESH_MSG_H
+#define MM_MESH_MSG_H
+
+#include "mm_owner.h"
+
+#include <msgpack.h>
+
+typedef enum
+{
+  MM_MESH_RUN = 1,
+  MM_MESH_CANCEL = 2,
+  MM_MESH_BEAT = 3,
+  MM_MESH_ENDED = 4,
+  MM_MESH_REPORT = 5
+} mm_mesh_kind;
+
+#define MM_MESH_MAX_SERVICES 64 /* rows of a report that are read */
+
+typedef struct
+{
+  char service[64];
+  mm_room_report room;
+} mm_mesh_room;
+
+typedef struct
+{
+  mm_mesh_kind kind;
+  uint64_t no;             /* RUN, CANCEL, ENDED; REPORT: highest RUN seen */
+  mm_task_request request; /* RUN; strings are copies, see _clear */
+  mm_end how;              /* ENDED */
+  char *upstream;          /* ENDED, or NULL */
+  char *why;               /* ENDED */
+  mm_mesh_room *rooms;     /* REPORT */
+  size_t n_rooms;
+} mm_mesh_msg;
+
+bool mm_mesh_msg_read (const msgpack_object *o, mm_mesh_msg *out);
+void mm_mesh_msg_clear (mm_mesh_msg *m); /* free what _read copied */
+void mm_mesh_pack_run (msgpack_sbuffer *b, uint64_t no,
+                       const mm_task_request *t);
+void mm_mesh_pack_cancel (msgpack_sbuffer *b, uint64_t no);
+void mm_mesh_pack_beat (msgpack_sbuffer *b);
+void mm_mesh_pack_ended (msgpack_sbuffer *b, uint64_t no, mm_end how,
+                         const char *upstream, const char *why);
+void mm_mesh_pack_report (msgpack_sbuffer *b, uint64_t seen_no,
+                          const mm_mesh_room *rooms, size_t n);
+
+#endif /* MM_MESH_MSG_H */
--- /dev/null
+++ b/src/mm_node.c
@@ -0,0 +1,426 @@
+/* mm_node: wire the parts of an instance together, and run its timers.  */
+#include "mm_node.h"
+
+#include "config.h"
+#include "mm_catalog.h"
+#include "mm_members.h"
+#include "mm_shares.h"
+#include "mm_stream.h"
+
+#include <cJSON.h>
+#include <string.h>
+
+struct mm_node
+{
+  struct ev_loop *loop;
+  mm_node_settings s; /* strings are the caller's */
+  ev_timer tick;
+  ev_check stall_check;
+  mm_time_ms alive_ms; /* when the loop last went round */
+  mm_catalog *catalog;
+  mm_routes *routes;
+  mm_stream *config;
+  mm_stream *upstreams;
+  mm_shares *shares;
+  mm_members *members;
+  mm_owner *owner;
+  mm_mesh *mesh;
+  mm_fleet *fleet;
+  mm_jobs *jobs;
+  uint64_t reconciled_changes;
+  uint64_t reconciled_generation;
+  mm_time_ms reconciled_ms;
+  mm_time_ms leaving_ms; /* 0: not */
+};
+
+#define F(field) offsetof (mm_node_settings, field)
+const mm_setting_spec mm_node_setting_specs[]
+    = { { "node.name", MM_SETTING_STRING, F (name), 0, 0,
+          "name of this machine" },
+        { "node.address", MM_SETTING_STRING, F (address), 0, 0,
+          "IP address to listen on" },
+        { "node.datacentre", MM_SETTING_STRING, F (datacentre), 0, 0,
+          "data centre of this machine" },
+        { "node.datacentres", MM_SETTING_STRINGS, F (datacentres), 0, 0,
+          "all data centres" },
+        { "node.front", MM_SETTING_STRING, F (front), 0, 0,
+          "ip:port where callers hand in jobs" },
+        { "node.ready", MM_SETTING_STRING, F (ready), 0, 0,
+          "ip:port where the balancer asks for readiness" },
+        { "node.mesh_port", MM_SETTING_INT, F (mesh_port), 1, 65535,
+          "port for the other instances" },
+        { "node.state_port", MM_SETTING_INT, F (state_port), 1, 65535,
+          "port of the state dump" },
+        { "node.grace_ms", MM_SETTING_INT, F (grace_ms), 1000, 600000,
+          "ms from SIGTERM to the kill" },
+        { "store.address", MM_SETTING_STRING, F (store), 0, 0,
+          "ip:port of the platform's store" },
+        { "store.partitions", MM_SETTING_INT, F (partitions), 1, 4096,
+          "partitions of a topic" },
+        { NULL, 0, 0, 0, 0, NULL } };
+#undef F
+
+void
+mm_node_settings_defaults (mm_node_settings *s)
+{
+  memset (s, 0, sizeof *s);
+  s->name = g_strdup ("node");
+  s->address = g_strdup ("127.0.0.1");
+  s->datacentre = g_strdup ("dc1");
+  s->datacentres = g_strsplit ("dc1", ",", 0);
+  s->front = g_strdup ("127.0.0.1:7400");
+  s->ready = g_strdup ("127.0.0.1:7401");
+  s->store = g_strdup ("127.0.0.1:7000");
+  s->mesh_port = MM_DEFAULT_MESH_PORT;
+  s->state_port = MM_DEFAULT_STATE_PORT;
+  s->partitions = MM_DEFAULT_PARTITIONS;
+  s->grace_ms = MM_DEFAULT_GRACE_MS;
+}
+
+static void
+on_config (void *ctx, const mm_stream_item *item)
+{
+  mm_node *n = ctx;
+  if (!item->routes)
+    return;
+  if (n->routes && item->routes->version <= n->routes->version)
+    {
+      g_message ("configuration %" G_GUINT64_FORMAT
+                 " not taken: %" G_GUINT64_FORMAT " is in force",
+                 item->routes->version, n->routes->version);
+      return;
+    }
+  mm_routes *r = g_new0 (mm_routes, 1);
+  r->version = item->routes->version;
+  r->n = item->routes->n;
+  r->routes = g_new0 (mm_route, r->n + 1);
+  for (size_t i = 0; i < r->n; i++)
+    {
+      r->routes[i] = item->routes->routes[i];
+      r->routes[i].name = g_strdup (r->routes[i].name);
+      r->routes[i].host = g_strdup (r->routes[i].host);
+      r->routes[i].prefix = g_strdup (r->routes[i].prefix);
+      r->routes[i].service = g_strdup (r->routes[i].service);
+    }
+  mm_routes_free (n->routes);
+  n->routes = r;
+  g_message ("configuration %" G_GUINT64_FORMAT " in force, %zu queues",
+             r->version, r->n);
+}
+
+static void
+on_config_whole (void *ctx, GHashTable *keys)
+{
+}
+
+static void
+on_upstream (void *ctx, const mm_stream_item *item)
+{
+  mm_node *n = ctx;
+  if (item->upstream)
+    mm_catalog_put (n->catalog, item->upstream);
+  else
+    mm_catalog_missing (n->catalog, item->key);
+}
+
+static void
+on_upstreams_whole (void *ctx, GHashTable *keys)
+{
+  mm_catalog_keep_only (((mm_node *)ctx)->catalog, keys);
+}
+
+static void
+reconcile_one (mm_node *n, const mm_upstream_info *u)
+{
+  uint64_t fence = 0;
+  bool here = strcmp (u->datacentre, n->s.datacentre) == 0;
+  mm_share_state state
+      = here ? mm_shares_of (n->shares, u->name, &fence) : MM_SHARE_OTHERS;
+  switch (state)
+    {
+    case MM_SHARE_OTHERS:
+      mm_owner_disown (n->owner, u->name);
+      break;
+    case MM_SHARE_LEAVING:
+      mm_owner_freeze (n->owner, u->name);
+      break;
+    case MM_SHARE_OURS:
+      if (mm_owner_fenced (n->owner, u->name))
+        {
+          mm_shares_retake (n->shares, u->name);
+          mm_shares_of (n->shares, u->name, &fence);
+        }
+      mm_owner_own (n->owner, u, fence);
+      break;
+    }
+}
+
+/* Own exactly the upstreams that are listed and ours.  */
+static void
+reconcile (mm_node *n)
+{
+  GList *owned = mm_owner_names (n->owner);
+  for (GList *l = owned; l; l = l->next)
+    if (!mm_catalog_find (n->catalog, l->data))
+      mm_owner_disown (n->owner, l->data);
+  g_list_free (owned);
+  GList *all = mm_catalog_all (n->catalog);
+  for (GList *l = all; l; l = l->next)
+    reconcile_one (n, l->data);
+  g_list_free (all);
+}
+
+static bool
+handover_quiet (mm_node *n)
+{
+  bool quiet = true;
+  uint64_t fence;
+  GList *owned = mm_owner_names (n->owner);
+  for (GList *l = owned; l; l = l->next)
+    if (mm_shares_of (n->shares, l->data, &fence) == MM_SHARE_LEAVING
+        && !mm_owner_quiet (n->owner, l->data))
+      quiet = false;
+  g_list_free (owned);
+  return quiet;
+}
+
+static bool
+all_quiet (mm_node *n)
+{
+  bool quiet = true;
+  GList *owned = mm_owner_names (n->owner);
+  for (GList *l = owned; l; l = l->next)
+    quiet = quiet && mm_owner_quiet (n->owner, l->data);
+  g_list_free (owned);
+  return quiet;
+}
+
+static void
+tick_ownership (mm_node *n, mm_time_ms now)
+{
+  uint64_t changes = mm_catalog_changes (n->catalog);
+  uint64_t generation = mm_shares_generation (n->shares);
+  bool changed = changes != n->reconciled_changes
+                 || generation != n->reconciled_generation;
+  if (changed || now - n->reconciled_ms >= MM_RECONCILE_MS)
+    {
+      n->reconciled_changes = changes;
+      n->reconciled_generation = generation;
+      n->reconciled_ms = now;
+      reconcile (n);
+    }
+  if (mm_shares_releasing (n->shares) && handover_quiet (n))
+    mm_shares_release (n->shares);
+  if (n->leaving_ms && (all_quiet (n) || now - n->leaving_ms > MM_HANDOVER_MS))
+    mm_shares_leave (n->shares);
+}
+
+static void
+tick_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  mm_node *n = w->data;
+  mm_time_ms now = mm_clock_now_ms ();
+  mm_stream_tick (n->config);
+  mm_stream_tick (n->upstreams);
+  mm_catalog_tick (n->catalog, mm_stream_in_touch (n->upstreams));
+  mm_shares_tick (n->shares);
+  mm_members_tick (n->members);
+  tick_ownership (n, now);
+  mm_mesh_tick (n->mesh);
+  mm_owner_tick (n->owner);
+  mm_jobs_tick (n->jobs);
+}
+
+/* Runs first after each wait of the loop.  After a freeze, what waited
+   here must not start before its callers were heard: they may have sent
+   their jobs elsewhere, where they run now.  */
+static void
+stall_cb (struct ev_loop *loop, ev_check *w, int revents)
+{
+  mm_node *n = w->data;
+  mm_time_ms now = mm_clock_now_ms ();
+  mm_time_ms gap = now - n->alive_ms;
+  n->alive_ms = now;
+  if (gap <= MM_STALL_MS)
+    return;
+  g_message ("stood still for %" G_GINT64_FORMAT " ms: open jobs given up",
+             gap);
+  mm_mesh_woke (n->mesh);
+  mm_jobs_woke (n->jobs);
+}
+
+static void
+start_timers (mm_node *n)
+{
+  n->alive_ms = mm_clock_now_ms ();
+  ev_timer_init (&n->tick, tick_cb, 0., MM_EXEC_TICK_MS / 1000.);
+  n->tick.data = n;
+  ev_timer_start (n->loop, &n->tick);
+  ev_check_init (&n->stall_check, stall_cb);
+  ev_set_priority (&n->stall_check, EV_MAXPRI);
+  n->stall_check.data = n;
+  ev_check_start (n->loop, &n->stall_check);
+}
+
+static void
+create_parts (mm_node *n, const mm_store_port *store)
+{
+  const mm_node_settings *s = &n->s;
+  n->catalog = mm_catalog_create ();
+  n->fleet = mm_fleet_create (n->owner, n->mesh, s->datacentre);
+  n->jobs = mm_jobs_create (n->fleet);
+  mm_stream_events config
+      = { .item = on_config, .whole = on_config_whole, .ctx = n };
+  mm_stream_events list
+      = { .item = on_upstream, .whole = on_upstreams_whole, .ctx = n };
+  n->config = mm_stream_create (store, MM_STREAM_CONFIG, MM_CONFIG_WAIT_MS, 0,
+                                &config);
+  n->upstreams = mm_stream_create (store, MM_STREAM_UPSTREAMS, 0,
+                                   MM_LIST_POLL_MS, &list);
+  /* A restart is a new member: the old one's partitions wait for its
+     silence, so two lives never hold one token.  */
+  char *instance = g_strdup_printf ("%s.%" G_GINT64_MODIFIER "x", s->name,
+                                    mm_clock_wall_ms ());
+  char *addr = g_strdup_printf ("%s:%d", s->address, (int)s->mesh_port);
+  char *member = mm_members_name (instance, addr);
+  char *group = mm_members_group (s->datacentre);
+  n->shares = mm_shares_create (store, group, member, (uint32_t)s->partitions);
+  n->members = mm_members_create (store, n->mesh, s->datacentres, member);
+  g_free (instance);
+  g_free (addr);
+  g_free (member);
+  g_free (group);
+}
+
+/**
+ * mm_node_create() - an instance.
+ * @loop: the loop.
+ * @s: settings; its strings must live as long as the node.
+ * @exec: calls to upstreams.
+ * @store: calls to the platform's store.
+ * @error: MM_ERROR_IO when the mesh port cannot be bound.
+ *
+ * Return: the node, or NULL; free with mm_node_destroy().
+ */
+mm_node *
+mm_node_create (struct ev_loop *loop, const mm_node_settings *s,
+                const mm_exec_port *exec, const mm_store_port *store,
+                GError **error)
+{
+  mm_node *n = g_new0 (mm_node, 1);
+  n->loop = loop;
+  n->s = *s;
+  n->owner = mm_owner_create (exec);
+  n->mesh = mm_mesh_create (loop, s->address, (uint16_t)s->mesh_port, n->owner,
+                            error);
+  if (!n->mesh)
+    {
+      mm_owner_destroy (n->owner);
+      g_free (n);
+      return NULL;
+    }
+  create_parts (n, store);
+  start_timers (n);
+  return n;
+}
+
+void
+mm_node_destroy (mm_node *n)
+{
+  if (!n)
+    return;
+  ev_timer_stop (n->loop, &n->tick);
+  ev_check_stop (n->loop, &n->stall_check);
+  mm_jobs_destroy (n->jobs);
+  mm_fleet_destroy (n->fleet);
+  mm_members_destroy (n->members);
+  mm_mesh_destroy (n->mesh);
+  mm_owner_destroy (n->owner);
+  mm_shares_destroy (n->shares);
+  mm_stream_destroy (n->config);
+  mm_stream_destroy (n->upstreams);
+  mm_catalog_destroy (n->catalog);
+  mm_routes_free (n->routes);
+  g_free (n);
+}
+
+/* Ready once a job could be taken: its queue is known, and some owner in
+   reach has room for it.  */
+bool
+mm_node_ready (const mm_node *n)
+{
+  if (n->leaving_ms || !n->routes)
+    return false;
+  for (size_t i = 0; i < n->routes->n; i++)
+    if (mm_fleet_load (n->fleet, n->routes->routes[i].service).places > 0)
+      return true;
+  return false;
+}
+
+bool
+mm_node_leaving (const mm_node *n)
+{
+  return n->leaving_ms != 0;
+}
+
+const mm_routes *
+mm_node_routes (const mm_node *n)
+{
+  return n->routes;
+}
+
+mm_jobs *
+mm_node_jobs (mm_node *n)
+{
+  return n->jobs;
+}
+
+/**
+ * mm_node_leave() - begin a graceful shutdown.
+ * @n: the node.
+ *
+ * Our upstreams take no new work and go to the other instances once what
+ * runs there has ended; callers are served through the others' upstreams
+ * until they have moved on.
+ */
+void
+mm_node_leave (mm_node *n)
+{
+  if (n->leaving_ms)
+    return;
+  n->leaving_ms = mm_clock_now_ms ();
+  mm_owner_set_closed (n->owner, true);
+}
+
+bool
+mm_node_left (const mm_node *n, uint32_t open_connections)
+{
+  if (!n->leaving_ms)
+    return false;
+  mm_time_ms since = mm_clock_now_ms () - n->leaving_ms;
+  if (since >= n->s.grace_ms - MM_LEAVE_MARGIN_MS)
+    return true;
+  return since >= MM_LEAVE_DRAIN_MS && mm_shares_left (n->shares)
+         && mm_jobs_count (n->jobs) == 0 && open_connections == 0;
+}
+
+char *
+mm_node_dump (const mm_node *n)
+{
+  cJSON *d = cJSON_CreateObject ();
+  cJSON_AddStringToObject (d, "name", n->s.name);
+  cJSON_AddStringToObject (d, "datacentre", n->s.datacentre);
+  cJSON_AddBoolToObject (d, "ready", mm_node_ready (n));
+  cJSON_AddBoolToObject (d, "leaving", n->leaving_ms != 0);
+  cJSON_AddNumberToObject (d, "config_version",
+                           n->routes ? (double)n->routes->version : 0);
+  cJSON_AddNumberToObject (d, "generation",
+                           (double)mm_shares_generation (n->shares));
+  cJSON_AddNumberToObject (d, "jobs", mm_jobs_count (n->jobs));
+  char *owner = mm_owner_dump (n->owner);
+  cJSON_AddItemToObject (d, "owner", cJSON_Parse (owner));
+  free (owner);
+  char *text = cJSON_PrintUnformatted (d);
+  cJSON_Delete (d);
+  return text;
+}
--- /dev/null
+++ b/src/mm_owner.c
@@ -0,0 +1,540 @@
+/* mm_owner: a queue of tasks over the upstreams owned here.
+
+   Room has one owner, so what is seen as free is free.  The queue is
+   short by design: a task says how long it may wait (start_within), and
+   is given back as not run after that, so that its caller learns soon.  */
+#include "mm_owner.h"
+
+#include "config.h"
+#include "mm_place.h"
+#include "mm_trust.h"
+
+#include <cJSON.h>
+#include <string.h>
+
+typedef struct
+{
+  mm_owner *owner;
+  mm_exec *exec;
+  mm_trust trust;
+  bool frozen; /* about to be handed over */
+} slot;
+
+struct mm_work
+{
+  mm_owner *owner;
+  mm_task_request t; /* its strings are ours */
+  mm_time_ms start_by_ms;
+  uint64_t order; /* of arrival */
+  slot *at;       /* where it runs or is being stopped, NULL: waiting */
+  bool cancelled;
+  mm_work_done done;
+  void *ctx;
+};
+
+struct mm_owner
+{
+  mm_exec_port port;
+  GHashTable *slots;  /* upstream name -> slot */
+  GQueue *waiting;    /* mm_work, by priority and arrival */
+  GHashTable *active; /* mm_task_id -> mm_work that has a run */
+  uint64_t next_order;
+  double usual_cpu_milli; /* of a task, for reports */
+  bool closed;
+  bool pumping;
+  bool pump_again;
+  bool destroyed;
+};
+
+static void pump (mm_owner *o);
+
+static void
+work_free (mm_work *w)
+{
+  g_free ((char *)w->t.service);
+  g_free ((char *)w->t.payload);
+  g_free ((char *)w->t.label);
+  g_free ((char *)w->t.avoid);
+  g_free (w);
+}
+
+static void
+finish (mm_work *w, mm_end how, const char *upstream, const char *why)
+{
+  if (!w->cancelled)
+    w->done (w->ctx, how, upstream, why);
+  work_free (w);
+}
+
+/* By priority, then by arrival.  */
+static gint
+work_order (gconstpointer a, gconstpointer b, gpointer unused)
+{
+  const mm_work *x = a, *y = b;
+  if (x->t.priority != y->t.priority)
+    return x->t.priority < y->t.priority ? -1 : 1;
+  return x->order < y->order ? -1 : x->order > y->order;
+}
+
+static void
+enqueue (mm_owner *o, mm_work *w)
+{
+  w->at = NULL;
+  g_queue_insert_sorted (o->waiting, w, work_order, NULL);
+}
+
+/* Not started after all: back into the queue, unless that is pointless. */
+static void
+give_back (mm_work *w, const char *upstream, const char *why)
+{
+  mm_owner *o = w->owner;
+  bool late = mm_clock_now_ms () > w->start_by_ms;
+  if (w->cancelled || late || o->closed || o->destroyed)
+    finish (w, MM_END_NOT_RUN, upstream, why);
+  else
+    enqueue (o, w);
+}
+
+static void
+on_ended (void *ctx, mm_exec *x, void *work, mm_end how, mm_time_ms ran_ms,
+          const char *why)
+{
+  slot *s = ctx;
+  mm_work *w = work;
+  mm_owner *o = s->owner;
+  const char *name = mm_exec_info (x)->name;
+  mm_time_ms now = mm_clock_now_ms ();
+  if (how != MM_END_STOPPED)
+    mm_trust_note (&s->trust, how == MM_END_DONE, now);
+  g_hash_table_remove (o->active, &w->t.id);
+  if (how == MM_END_NOT_RUN)
+    give_back (w, name, why);
+  else
+    finish (w, how, name, why);
+}
+
+static void
+on_room (void *ctx, mm_exec *x)
+{
+  slot *s = ctx;
+  pump (s->owner);
+}
+
+static void
+slot_free (gpointer p)
+{
+  slot *s = p;
+  mm_exec_destroy (s->exec);
+  g_free (s);
+}
+
+/* Work at an upstream that is not ours any more: its outcome is lost, and
+   it may still run for the rest of its lease.  */
+static void
+lose_work_at (mm_owner *o, slot *s, const char *why)
+{
+  GList *works = g_hash_table_get_values (o->active);
+  for (GList *l = works; l; l = l->next)
+    {
+      mm_work *w = l->data;
+      if (w->at != s)
+        continue;
+      g_hash_table_remove (o->active, &w->t.id);
+      finish (w, MM_END_UNKNOWN, mm_exec_info (s->exec)->name, why);
+    }
+  g_list_free (works);
+}
+
+static void
+on_fenced (void *ctx, mm_exec *x)
+{
+  slot *s = ctx;
+  g_message (
+      "upstream %s fenced: another owner has token above %" G_GUINT64_FORMAT,
+      mm_exec_info (x)->name, mm_exec_fence (x));
+  lose_work_at (s->owner, s, "fenced");
+}
+
+/**
+ * mm_owner_create() - an owner of no upstreams yet.
+ * @port: how upstreams are reached.
+ *
+ * Return: the owner; free with mm_owner_destroy().
+ */
+mm_owner *
+mm_owner_create (const mm_exec_port *port)
+{
+  mm_owner *o = g_new0 (mm_owner, 1);
+  o->port = *port;
+  o->slots
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, slot_free);
+  o->waiting = g_queue_new ();
+  o->active = g_hash_table_new (mm_task_id_hash, mm_task_id_equal);
+  return o;
+}
+
+void
+mm_owner_destroy (mm_owner *o)
+{
+  if (!o)
+    return;
+  o->destroyed = true;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, o->active);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    work_free (v);
+  g_queue_free_full (o->waiting, (GDestroyNotify)work_free);
+  g_hash_table_destroy (o->slots);
+  g_hash_table_destroy (o->active);
+  g_free (o);
+}
+
+/**
+ * mm_owner_own() - own an upstream, or take the list's news of it.
+ * @o: the owner.
+ * @u: the upstream; copied.
+ * @fence: our token there; a higher one than before begins a new session.
+ */
+void
+mm_owner_own (mm_owner *o, const mm_upstream_info *u, uint64_t fence)
+{
+  slot *s = g_hash_table_lookup (o->slots, u->name);
+  if (s && mm_exec_fence (s->exec) >= fence)
+    {
+      s->frozen = false;
+      mm_exec_update (s->exec, u);
+      pump (o);
+      return;
+    }
+  if (s)
+    mm_owner_disown (o, u->name);
+  s = g_new0 (slot, 1);
+  s->owner = o;
+  mm_exec_events ev
+      = { .ended = on_ended, .room = on_room, .fenced = on_fenced, .ctx = s };
+  s->exec = mm_exec_create (u, fence, &o->port, &ev);
+  g_hash_table_insert (o->slots, g_strdup (u->name), s);
+}
+
+void
+mm_owner_disown (mm_owner *o, const char *upstream)
+{
+  slot *s = g_hash_table_lookup (o->slots, upstream);
+  if (!s)
+    return;
+  lose_work_at (o, s, "upstream handed over or gone");
+  g_hash_table_remove (o->slots, upstream);
+}
+
+void
+mm_owner_freeze (mm_owner *o, const char *upstream)
+{
+  slot *s = g_hash_table_lookup (o->slots, upstream);
+  if (s)
+    s->frozen = true;
+}
+
+bool
+mm_owner_owns (const mm_owner *o, const char *upstream)
+{
+  return g_hash_table_contains (o->slots, upstream);
+}
+
+/* Another owner's token was seen at this upstream.  */
+bool
+mm_owner_fenced (const mm_owner *o, const char *upstream)
+{
+  slot *s = g_hash_table_lookup (o->slots, upstream);
+  return s && mm_exec_fenced (s->exec);
+}
+
+GList *
+mm_owner_names (const mm_owner *o)
+{
+  return g_hash_table_get_keys (o->slots);
+}
+
+bool
+mm_owner_quiet (const mm_owner *o, const char *upstream)
+{
+  slot *s = g_hash_table_lookup (o->slots, upstream);
+  return !s || mm_exec_quiet (s->exec);
+}
+
+static bool
+has_label (const mm_upstream_info *u, const char *label)
+{
+  return !label
+         || (u->labels
+             && g_strv_contains ((const char *const *)u->labels, label));
+}
+
+static mm_place_candidate
+candidate (slot *s, const mm_work *w, mm_time_ms now)
+{
+  const mm_upstream_info *u = mm_exec_info (s->exec);
+  mm_place_candidate c = { .room = mm_exec_room (s->exec),
+                           .slowness = mm_exec_slowness (s->exec) };
+  size_t runs = mm_exec_runs (s->exec);
+  c.allowed = !s->frozen && mm_exec_usable (s->exec)
+              && strcmp (u->service, w->t.service) == 0
+              && has_label (u, w->t.label)
+              && (!w->t.avoid || strcmp (u->name, w->t.avoid) != 0)
+              && (u->slots == 0 || runs < (size_t)u->slots)
+              && mm_trust_allows (&s->trust, runs, now);
+  return c;
+}
+
+/* Start @w where it fits best.  Return: whether it was started.  */
+static bool
+place (mm_owner *o, mm_work *w, mm_time_ms now)
+{
+  guint n = g_hash_table_size (o->slots);
+  if (n == 0 || g_hash_table_contains (o->active, &w->t.id))
+    return false; /* an earlier run of it is not over */
+  mm_place_candidate *c = g_new (mm_place_candidate, n);
+  slot **at = g_new (slot *, n);
+  GHashTableIter it;
+  gpointer v;
+  size_t i = 0;
+  g_hash_table_iter_init (&it, o->slots);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      at[i] = v;
+      c[i++] = candidate (v, w, now);
+    }
+  int best = mm_place_choose (c, n, &w->t.need);
+  if (best >= 0)
+    {
+      w->at = at[best];
+      g_hash_table_insert (o->active, &w->t.id, w);
+      mm_exec_start (w->at->exec, &w->t, w);
+    }
+  g_free (c);
+  g_free (at);
+  return best >= 0;
+}
+
+static mm_work *
+first_expired (mm_owner *o, mm_time_ms now)
+{
+  for (GList *l = o->waiting->head; l; l = l->next)
+    if (o->closed || now > ((mm_work *)l->data)->start_by_ms)
+      return l->data;
+  return NULL;
+}
+
+/* One at a time: what is told of one may cancel others.  */
+static void
+expire_waiting (mm_owner *o, mm_time_ms now)
+{
+  mm_work *w;
+  while ((w = first_expired (o, now)))
+    {
+      g_queue_remove (o->waiting, w);
+      finish (w, MM_END_NOT_RUN, NULL,
+              o->closed ? "owner is leaving" : "waited too long");
+    }
+}
+
+/* One pass over the queue; a task that does not fit does not hold up a
+   smaller one behind it, but only a bounded number of them is tried.  */
+static void
+pump_once (mm_owner *o)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  uint32_t misses = 0;
+  GList *l = o->waiting->head;
+  while (l && misses < MM_OWNER_PUMP_MISSES)
+    {
+      GList *next = l->next;
+      mm_work *w = l->data;
+      g_queue_unlink (o->waiting, l);
+      if (place (o, w, now))
+        g_list_free (l);
+      else
+        {
+          misses++;
+          if (next)
+            g_queue_insert_before_link (o->waiting, next, l);
+          else
+            g_queue_push_tail_link (o->waiting, l);
+        }
+      l = next;
+    }
+}
+
+static void
+pump (mm_owner *o)
+{
+  if (o->destroyed)
+    return;
+  o->pump_again = true;
+  if (o->pumping)
+    return;
+  o->pumping = true;
+  while (o->pump_again)
+    {
+      o->pump_again = false;
+      pump_once (o);
+    }
+  o->pumping = false;
+}
+
+/**
+ * mm_owner_set_closed() - take no more work, give back what waits.
+ * @o: the owner; what runs goes on.
+ */
+void
+mm_owner_set_closed (mm_owner *o, bool closed)
+{
+  o->closed = closed;
+}
+
+/**
+ * mm_owner_submit() - run a task once there is room.
+ * @o: the owner.
+ * @t: the task; copied.
+ * @done: called once, later, unless the work is cancelled before.
+ * @ctx: for @done.
+ *
+ * Return: a handle for mm_owner_cancel(), valid until @done.
+ */
+mm_work *
+mm_owner_submit (mm_owner *o, const mm_task_request *t, mm_work_done done,
+                 void *ctx)
+{
+  mm_work *w = g_new0 (mm_work, 1);
+  w->owner = o;
+  w->t = *t;
+  w->t.service = g_strdup (t->service);
+  w->t.payload = g_strdup (t->payload);
+  w->t.label = g_strdup (t->label);
+  w->t.avoid = g_strdup (t->avoid);
+  w->start_by_ms = mm_clock_now_ms () + t->start_within;
+  w->order = ++o->next_order;
+  w->done = done;
+  w->ctx = ctx;
+  double cpu = (double)t->need.cpu_milli;
+  o->usual_cpu_milli
+      = o->usual_cpu_milli > 0 ? 0.95 * o->usual_cpu_milli + 0.05 * cpu : cpu;
+  enqueue (o, w);
+  pump (o);
+  return w;
+}
+
+/**
+ * mm_owner_cancel() - nobody waits for this task any more.
+ * @o: the owner.
+ * @w: its handle; not valid after this.
+ */
+void
+mm_owner_cancel (mm_owner *o, mm_work *w)
+{
+  w->cancelled = true;
+  if (w->at)
+    {
+      mm_exec_stop (w->at->exec, w);
+      return;
+    }
+  g_queue_remove (o->waiting, w);
+  work_free (w);
+}
+
+void
+mm_owner_tick (mm_owner *o)
+{
+  expire_waiting (o, mm_clock_now_ms ());
+  GList *slots = g_hash_table_get_values (o->slots);
+  for (GList *l = slots; l; l = l->next)
+    mm_exec_tick (((slot *)l->data)->exec);
+  g_list_free (slots);
+  if (o->waiting->length)
+    pump (o);
+}
+
+/**
+ * mm_owner_report() - room of a service, for those who place work.
+ * @o: the owner.
+ * @service: the service.
+ *
+ * Return: counted in tasks of the size seen lately.
+ */
+mm_room_report
+mm_owner_report (const mm_owner *o, const char *service)
+{
+  mm_room_report r = { 0 };
+  int64_t cpu = o->usual_cpu_milli > 0 ? (int64_t)o->usual_cpu_milli
+                                       : MM_OWNER_GUESS_CPU_MILLI;
+  mm_time_ms now = mm_clock_now_ms ();
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, o->slots);
+  while (!o->closed && g_hash_table_iter_next (&it, NULL, &v))
+    {
+      slot *s = v;
+      const mm_upstream_info *u = mm_exec_info (s->exec);
+      if (strcmp (u->service, service) != 0 || s->frozen
+          || !mm_exec_usable (s->exec) || !mm_trust_allows (&s->trust, 0, now))
+        continue;
+      r.places += (uint32_t)(u->capacity.cpu_milli / cpu);
+      int64_t room = mm_exec_room (s->exec).cpu_milli;
+      if (room > 0)
+        r.free += (uint32_t)(room / cpu);
+    }
+  for (GList *l = o->waiting->head; l; l = l->next)
+    if (strcmp (((mm_work *)l->data)->t.service, service) == 0)
+      r.waiting++;
+  return r;
+}
+
+/* Distinct services of the upstreams owned here.  */
+GList *
+mm_owner_services (const mm_owner *o)
+{
+  GList *names = NULL;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, o->slots);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      char *service = mm_exec_info (((slot *)v)->exec)->service;
+      if (!g_list_find_custom (names, service, (GCompareFunc)strcmp))
+        names = g_list_prepend (names, service);
+    }
+  return names;
+}
+
+/**
+ * mm_owner_dump() - state as JSON, for operators.
+ * @o: the owner.
+ *
+ * Return: newly allocated text, free with free().
+ */
+char *
+mm_owner_dump (const mm_owner *o)
+{
+  cJSON *d = cJSON_CreateObject ();
+  cJSON_AddNumberToObject (d, "waiting", o->waiting->length);
+  cJSON *a = cJSON_AddArrayToObject (d, "upstreams");
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, o->slots);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      slot *s = v;
+      cJSON *u = cJSON_CreateObject ();
+      cJSON_AddStringToObject (u, "name", mm_exec_info (s->exec)->name);
+      cJSON_AddNumberToObject (u, "fence", (double)mm_exec_fence (s->exec));
+      cJSON_AddBoolToObject (u, "usable", mm_exec_usable (s->exec));
+      cJSON_AddNumberToObject (u, "runs", (double)mm_exec_runs (s->exec));
+      cJSON_AddNumberToObject (u, "free_cpu_milli",
+                               (double)mm_exec_room (s->exec).cpu_milli);
+      cJSON_AddNumberToObject (u, "slowness", mm_exec_slowness (s->exec));
+      cJSON_AddItemToArray (a, u);
+    }
+  char *text = cJSON_PrintUnformatted (d);
+  cJSON_Delete (d);
+  return text;
+}
--- /dev/null
+++ b/src/mm_owner.h
@@ -0,0 +1,42 @@
+/* mm_owner: the upstreams this instance owns, and the tasks that wait
+   for room there.  */
+#ifndef MM_OWNER_H
+#define MM_OWNER_H
+
+#include "mm_exec.h"
+
+typedef struct mm_owner mm_owner;
+typedef struct mm_work mm_work; /* a task taken in */
+
+/* The task is over; @upstream names where it ran last, or NULL.  */
+typedef void (*mm_work_done) (void *ctx, mm_end how, const char *upstream,
+                              const char *why);
+
+/* Room of one service on the upstreams of one owner.  */
+typedef struct
+{
+  uint32_t places;  /* tasks of the usual size that fit in all */
+  uint32_t free;    /* that fit now */
+  uint32_t waiting; /* tasks that wait for room */
+} mm_room_report;
+
+mm_owner *mm_owner_create (const mm_exec_port *port);
+void mm_owner_destroy (mm_owner *o);
+void mm_owner_own (mm_owner *o, const mm_upstream_info *u,
+                   uint64_t fence); /* own it, or take list news of it */
+void mm_owner_disown (mm_owner *o, const char *upstream); /* at once */
+void mm_owner_freeze (mm_owner *o, const char *upstream); /* no new starts */
+bool mm_owner_owns (const mm_owner *o, const char *upstream);
+bool mm_owner_fenced (const mm_owner *o, const char *upstream);
+GList *mm_owner_names (const mm_owner *o); /* owned; free list, not names */
+bool mm_owner_quiet (const mm_owner *o, const char *upstream); /* no runs */
+void mm_owner_set_closed (mm_owner *o, bool closed); /* takes no work */
+mm_work *mm_owner_submit (mm_owner *o, const mm_task_request *t,
+                          mm_work_done done, void *ctx); /* may wait */
+void mm_owner_cancel (mm_owner *o, mm_work *w); /* @done is not called */
+void mm_owner_tick (mm_owner *o);               /* each MM_EXEC_TICK_MS */
+mm_room_report mm_owner_report (const mm_owner *o, const char *service);
+GList *mm_owner_services (const mm_owner *o); /* names; free list only */
+char *mm_owner_dump (const mm_owner *o);      /* JSON */
+
+#endif /* MM_OWNER_H */
--- /dev/null
+++ b/src/mm_place.c
@@ -0,0 +1,34 @@
+/* mm_place: fastest first, then tightest fit.
+
+   A job ends with its last task, so a slow upstream costs a whole job:
+   speed comes before packing.  Speeds within MM_PLACE_SPEED_STEP of each
+   other count as the same, as the observation is that rough; among these
+   the tightest fit keeps wide gaps for wide tasks.  */
+#include "mm_place.h"
+
+#include "config.h"
+
+#include <math.h>
+
+static bool
+better (const mm_place_candidate *a, const mm_place_candidate *b)
+{
+  if (a->near_data != b->near_data)
+    return a->near_data;
+  double step_a = floor (a->slowness / MM_PLACE_SPEED_STEP);
+  double step_b = floor (b->slowness / MM_PLACE_SPEED_STEP);
+  if (step_a != step_b)
+    return step_a < step_b;
+  return a->room.cpu_milli < b->room.cpu_milli;
+}
+
+int
+mm_place_choose (const mm_place_candidate *c, size_t n, const mm_need *need)
+{
+  int best = -1;
+  for (size_t i = 0; i < n; i++)
+    if (c[i].allowed && mm_need_fits (need, &c[i].room)
+        && (best < 0 || better (&c[i], &c[best])))
+      best = (int)i;
+  return best;
+}
--- /dev/null
+++ b/src/mm_routes.c
@@ -0,0 +1,50 @@
+/* mm_routes: look up a queue by host and longest path prefix.  */
+#include "mm_routes.h"
+
+#include <string.h>
+
+void
+mm_routes_free (mm_routes *r)
+{
+  if (!r)
+    return;
+  for (size_t i = 0; i < r->n; i++)
+    {
+      g_free (r->routes[i].name);
+      g_free (r->routes[i].host);
+      g_free (r->routes[i].prefix);
+      g_free (r->routes[i].service);
+    }
+  g_free (r->routes);
+  g_free (r);
+}
+
+/* A Host header may carry a port.  */
+static bool
+same_host (const char *want, const char *header)
+{
+  size_t n = strcspn (header, ":");
+  return strlen (want) == n && g_ascii_strncasecmp (want, header, n) == 0;
+}
+
+const mm_route *
+mm_routes_find (const mm_routes *r, const char *host, const char *path,
+                const char **rest)
+{
+  const mm_route *best = NULL;
+  size_t best_len = 0;
+  for (size_t i = 0; i < r->n; i++)
+    {
+      const mm_route *c = &r->routes[i];
+      size_t len = strlen (c->prefix);
+      if (same_host (c->host, host) && strncmp (path, c->prefix, len) == 0
+          && (!best || len > best_len))
+        {
+          best = c;
+          best_len = len;
+        }
+    }
+  if (best)
+    *rest = path + best_len;
+  return best;
+}
--- /dev/null
+++ b/src/mm_shares.c
@@ -0,0 +1,216 @@
+/* mm_shares: membership in the data centre's group.
+
+   A partition is handed over in two steps: the store no longer lists it
+   to us, and gives it to another member once we join with the generation
+   that said so.  In between we start nothing there and let what runs
+   end.  The generation at which a partition came to us is our fencing
+   token at its upstreams: it is higher than that of any earlier owner.
+
+   While the store is out of reach we keep what we have: if it gave our
+   partitions away meanwhile, the new owner's higher token stops us at the
+   upstreams.  */
+#include "mm_shares.h"
+
+#include "config.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+typedef struct
+{
+  uint64_t fence; /* 0: not ours */
+  bool leaving;
+} share;
+
+struct mm_shares
+{
+  int refs;
+  bool closed;
+  mm_store_port port;
+  char *group;
+  char *member;
+  share *shares;
+  uint32_t n;
+  uint64_t listed;    /* generation of the last answer */
+  uint64_t confirmed; /* the one we join with */
+  mm_time_ms leaving_since_ms;
+  bool in_flight;
+  bool in_touch;
+  bool quitting;
+  bool left;
+  mm_time_ms due_ms;
+};
+
+static void
+shares_unref (mm_shares *s)
+{
+  if (--s->refs > 0)
+    return;
+  g_free (s->group);
+  g_free (s->member);
+  g_free (s->shares);
+  g_free (s);
+}
+
+mm_shares *
+mm_shares_create (const mm_store_port *port, const char *group,
+                  const char *member, uint32_t parts)
+{
+  mm_shares *s = g_new0 (mm_shares, 1);
+  s->refs = 1;
+  s->port = *port;
+  s->group = g_strdup (group);
+  s->member = g_strdup (member);
+  s->n = parts;
+  s->shares = g_new0 (share, parts);
+  return s;
+}
+
+void
+mm_shares_destroy (mm_shares *s)
+{
+  if (!s)
+    return;
+  s->closed = true;
+  shares_unref (s);
+}
+
+static bool
+is_listed (const mm_join_result *res, uint32_t part)
+{
+  for (size_t i = 0; i < res->n_parts; i++)
+    if (res->parts[i] == part)
+      return true;
+  return false;
+}
+
+static void
+take_list (mm_shares *s, const mm_join_result *res)
+{
+  uint32_t ours = 0, leaving = 0;
+  for (uint32_t i = 0; i < s->n; i++)
+    {
+      share *p = &s->shares[i];
+      bool listed = is_listed (res, i);
+      if (listed && !p->fence)
+        p->fence = res->generation;
+      p->leaving = p->fence && !listed;
+      ours += listed;
+      leaving += p->leaving;
+    }
+  g_message ("group %s: generation %" G_GUINT64_FORMAT
+             ", %u partitions ours, %u to hand over",
+             s->group, res->generation, ours, leaving);
+  if (!leaving)
+    s->confirmed = res->generation;
+  else if (!s->leaving_since_ms)
+    s->leaving_since_ms = mm_clock_now_ms ();
+}
+
+static void
+on_joined (const mm_join_result *res, void *ctx)
+{
+  mm_shares *s = ctx;
+  s->in_flight = false;
+  if (!s->closed && s->in_touch != res->ok)
+    g_message ("group %s: %s%s", s->group,
+               res->ok ? "joined" : "out of touch: ", res->ok ? "" : res->why);
+  s->in_touch = res->ok;
+  if (!s->closed && res->ok && !s->quitting && res->generation != s->listed)
+    {
+      s->listed = res->generation;
+      take_list (s, res);
+    }
+  shares_unref (s);
+}
+
+static void
+on_left (const mm_join_result *res, void *ctx)
+{
+  mm_shares *s = ctx;
+  s->in_flight = false;
+  s->left = s->left || res->ok;
+  shares_unref (s);
+}
+
+void
+mm_shares_tick (mm_shares *s)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  if (s->leaving_since_ms && now - s->leaving_since_ms > MM_HANDOVER_MS)
+    mm_shares_release (s);
+  if (s->in_flight || s->left || now < s->due_ms)
+    return;
+  s->in_flight = true;
+  s->due_ms = now + MM_GROUP_BEAT_MS;
+  s->refs++;
+  if (s->quitting)
+    s->port.leave (s->port.ctx, s->group, s->member, MM_STORE_TIMEOUT_MS,
+                   on_left, s);
+  else
+    s->port.join (s->port.ctx, s->group, s->member, s->confirmed,
+                  MM_GROUP_TTL_MS, MM_STORE_TIMEOUT_MS, on_joined, s);
+}
+
+void
+mm_shares_leave (mm_shares *s)
+{
+  if (s->quitting)
+    return;
+  s->quitting = true;
+  s->due_ms = 0;
+  memset (s->shares, 0, s->n * sizeof *s->shares);
+}
+
+bool
+mm_shares_left (const mm_shares *s)
+{
+  return s->left;
+}
+
+static share *
+share_of (const mm_shares *s, const char *upstream)
+{
+  return &s->shares[XXH3_64bits (upstream, strlen (upstream)) % s->n];
+}
+
+mm_share_state
+mm_shares_of (const mm_shares *s, const char *upstream, uint64_t *fence)
+{
+  const share *p = share_of (s, upstream);
+  *fence = p->fence;
+  if (!p->fence)
+    return MM_SHARE_OTHERS;
+  return p->leaving ? MM_SHARE_LEAVING : MM_SHARE_OURS;
+}
+
+void
+mm_shares_retake (mm_shares *s, const char *upstream)
+{
+  share *p = share_of (s, upstream);
+  if (p->fence && !p->leaving && p->fence < s->listed)
+    p->fence = s->listed;
+}
+
+void
+mm_shares_release (mm_shares *s)
+{
+  for (uint32_t i = 0; i < s->n; i++)
+    if (s->shares[i].leaving)
+      s->shares[i] = (share){ 0 };
+  s->leaving_since_ms = 0;
+  s->confirmed = s->listed;
+  s->due_ms = 0;
+}
+
+bool
+mm_shares_releasing (const mm_shares *s)
+{
+  return s->leaving_since_ms != 0;
+}
+
+uint64_t
+mm_shares_generation (const mm_shares *s)
+{
+  return s->listed;
+}
--- /dev/null
+++ b/src/mm_shares.h
@@ -0,0 +1,34 @@
+/* mm_shares: which of a data centre's upstreams are ours.
+
+   Upstreams are hashed to numbered partitions, and the store shares the
+   partitions out among the data centre's instances.  */
+#ifndef MM_SHARES_H
+#define MM_SHARES_H
+
+#include "mm_store.h"
+
+typedef struct mm_shares mm_shares;
+
+typedef enum
+{
+  MM_SHARE_OTHERS, /* another instance's, or nobody's */
+  MM_SHARE_OURS,   /* start what fits */
+  MM_SHARE_LEAVING /* about to be handed over: start nothing */
+} mm_share_state;
+
+mm_shares *mm_shares_create (const mm_store_port *port, const char *group,
+                             const char *member, uint32_t parts);
+void mm_shares_destroy (mm_shares *s);
+void mm_shares_tick (mm_shares *s);
+void mm_shares_leave (mm_shares *s); /* give up all of them */
+bool mm_shares_left (const mm_shares *s);
+mm_share_state mm_shares_of (const mm_shares *s, const char *upstream,
+                             uint64_t *fence); /* whose is it? */
+/* A higher token than ours was seen: use the newest generation.  */
+void mm_shares_retake (mm_shares *s, const char *upstream);
+/* Nothing runs any more on what is leaving: hand it over.  */
+void mm_shares_release (mm_shares *s);
+bool mm_shares_releasing (const mm_shares *s);
+uint64_t mm_shares_generation (const mm_shares *s);
+
+#endif /* MM_SHARES_H */
--- /dev/null
+++ b/src/mm_store.h
@@ -0,0 +1,75 @@
+/* mm_store: what the core asks of the platform's store.
+
+   The store keeps streams whose newest record of each key stays, and
+   groups: members among which numbered partitions are shared out, with a
+   generation that rises at each change.  */
+#ifndef MM_STORE_H
+#define MM_STORE_H
+
+#include "mm_routes.h"
+#include "mm_upstream_info.h"
+
+typedef enum
+{
+  MM_STREAM_CONFIG,   /* the operators' configuration */
+  MM_STREAM_UPSTREAMS /* the upstreams' reports of themselves */
+} mm_stream_kind;
+
+/* A record; with neither value the key is dropped.  */
+typedef struct
+{
+  char *key;
+  mm_routes *routes;          /* MM_STREAM_CONFIG */
+  mm_upstream_info *upstream; /* MM_STREAM_UPSTREAMS */
+} mm_stream_item;
+
+typedef struct
+{
+  bool ok;
+  const char *why;   /* when not ok */
+  bool history_lost; /* tail: the records asked for are gone */
+  mm_stream_item *items;
+  size_t n_items;
+  uint64_t next;     /* offset to go on from */
+  const char *after; /* newest: go on after this key, NULL at the end */
+} mm_stream_result;
+
+typedef struct
+{
+  bool ok;
+  const char *why;
+  uint64_t generation;
+  const uint32_t *parts; /* this member's */
+  size_t n_parts;
+} mm_join_result;
+
+typedef struct
+{
+  bool ok;
+  const char *why;
+  const char *const *members; /* those that hold a partition */
+  size_t n_members;
+} mm_members_result;
+
+typedef void (*mm_stream_done) (const mm_stream_result *res, void *ctx);
+typedef void (*mm_join_done) (const mm_join_result *res, void *ctx);
+typedef void (*mm_members_done) (const mm_members_result *res, void *ctx);
+
+typedef struct
+{
+  void (*newest) (void *ctx, mm_stream_kind kind, const char *after,
+                  mm_time_ms timeout_ms, mm_stream_done done, void *done_ctx);
+  void (*tail) (void *ctx, mm_stream_kind kind, uint64_t from,
+                mm_time_ms wait_ms, mm_time_ms timeout_ms, mm_stream_done done,
+                void *done_ctx);
+  void (*join) (void *ctx, const char *group, const char *member,
+                uint64_t generation, mm_time_ms ttl_ms, mm_time_ms timeout_ms,
+                mm_join_done done, void *done_ctx);
+  void (*leave) (void *ctx, const char *group, const char *member,
+                 mm_time_ms timeout_ms, mm_join_done done, void *done_ctx);
+  void (*members) (void *ctx, const char *group, mm_time_ms timeout_ms,
+                   mm_members_done done, void *done_ctx);
+  void *ctx;
+} mm_store_port;
+
+#endif /* MM_STORE_H */
--- /dev/null
+++ b/src/mm_stream.h
@@ -0,0 +1,25 @@
+/* mm_stream: follow a stream of the store.  */
+#ifndef MM_STREAM_H
+#define MM_STREAM_H
+
+#include "mm_store.h"
+
+typedef struct mm_stream mm_stream;
+
+typedef struct
+{
+  void (*item) (void *ctx, const mm_stream_item *item);
+  /* All newest records were read; keys not among them are gone.  */
+  void (*whole) (void *ctx, GHashTable *keys);
+  void *ctx;
+} mm_stream_events;
+
+mm_stream *mm_stream_create (const mm_store_port *port, mm_stream_kind kind,
+                             mm_time_ms wait_ms, mm_time_ms pause_ms,
+                             const mm_stream_events *ev);
+void mm_stream_destroy (mm_stream *s); /* open calls are ignored */
+void mm_stream_tick (mm_stream *s);
+bool mm_stream_whole (const mm_stream *s);    /* read once in full */
+bool mm_stream_in_touch (const mm_stream *s); /* the last call worked */
+
+#endif /* MM_STREAM_H */
--- /dev/null
+++ b/src/mm_submission.c
@@ -0,0 +1,70 @@
+/* mm_submission: what a job asks for as a whole.  */
+#include "mm_submission.h"
+
+#include "config.h"
+
+void
+mm_submission_free (mm_submission *s)
+{
+  if (!s)
+    return;
+  for (uint32_t i = 0; i < s->n_steps; i++)
+    {
+      g_free (s->steps[i].after);
+      g_free (s->steps[i].label);
+    }
+  g_free (s->steps);
+  g_free (s->payload);
+  g_free (s);
+}
+
+uint32_t
+mm_submission_tasks (const mm_submission *s)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < s->n_steps; i++)
+    n += s->steps[i].count;
+  return n;
+}
+
+const char *
+mm_submission_unsupported (const mm_submission *s)
+{
+  if (!s->best_effort)
+    return "jobs that must be kept are not served";
+  if (s->repeats)
+    return "repeated jobs are not served";
+  if (mm_submission_tasks (s) > MM_MAX_JOB_TASKS)
+    return "too many tasks in one job";
+  for (uint32_t i = 0; i < s->n_steps; i++)
+    {
+      const mm_step *step = &s->steps[i];
+      if (step->gang && step->count > 1)
+        return "gangs are not served";
+      if (step->lasting)
+        return "tasks without an end are not served";
+      if (step->fills)
+        return "tasks that fill unused capacity are not served";
+      if (step->max_per_upstream)
+        return "limits of tasks per upstream are not served";
+    }
+  return NULL;
+}
+
+/* Steps name only earlier ones, so one pass in order is enough.  */
+mm_time_ms
+mm_submission_chain_ms (const mm_submission *s)
+{
+  mm_time_ms *ends = g_new0 (mm_time_ms, s->n_steps + 1);
+  mm_time_ms longest = 0;
+  for (uint32_t i = 0; i < s->n_steps; i++)
+    {
+      mm_time_ms start = 0;
+      for (uint32_t j = 0; j < s->steps[i].n_after; j++)
+        start = MAX (start, ends[s->steps[i].after[j]]);
+      ends[i] = start + s->steps[i].estimate_ms;
+      longest = MAX (longest, ends[i]);
+    }
+  g_free (ends);
+  return longest;
+}
--- /dev/null
+++ b/src/mm_upstream_info.c
@@ -0,0 +1,28 @@
+/* mm_upstream_info: copies of list entries.  */
+#include "mm_upstream_info.h"
+
+mm_upstream_info *
+mm_upstream_info_copy (const mm_upstream_info *u)
+{
+  mm_upstream_info *c = g_new (mm_upstream_info, 1);
+  *c = *u;
+  c->name = g_strdup (u->name);
+  c->addr = g_strdup (u->addr);
+  c->service = g_strdup (u->service);
+  c->datacentre = g_strdup (u->datacentre);
+  c->labels = g_strdupv (u->labels);
+  return c;
+}
+
+void
+mm_upstream_info_free (mm_upstream_info *u)
+{
+  if (!u)
+    return;
+  g_free (u->name);
+  g_free (u->addr);
+  g_free (u->service);
+  g_free (u->datacentre);
+  g_strfreev (u->labels);
+  g_free (u);
+}
