A job given up is not a failed one; fenced runs are reported once

Exits with 139: a fenced session's runs kept handles of work that was freed; its runs are now reported through the session, once.

--- a/daemons/masticmill_entry.c
+++ b/daemons/masticmill_entry.c
@@ -2,10 +2,8 @@
    graceful shutdown: nothing in flight is cut off.  */
 #include <masticmill.h>
 
-#include <execinfo.h>
 #include <signal.h>
 #include <stdio.h>
-#include <unistd.h>
 
 static struct ev_loop *loop;
 
@@ -22,25 +20,10 @@
   mm_entry_shutdown (w->data, stopped, NULL);
 }
 
-/* A crash leaves its stack on stderr, so that the log says where.
-   backtrace() is not async-signal-safe; in a handler for a fatal signal
-   that is accepted: the process is dying either way, and the stack is
-   worth the risk of a garbled line (it found a use-after-free).  */
-static void
-on_crash (int sig)
-{
-  void *frames[64];
-  int n = backtrace (frames, 64);      /* NOLINT(bugprone-signal-handler) */
-  backtrace_symbols_fd (frames, n, 2); /* NOLINT(bugprone-signal-handler) */
-  signal (sig, SIG_DFL);
-  raise (sig);
-}
-
 int
 main (int argc, char **argv)
 {
-  signal (SIGSEGV, on_crash);
-  signal (SIGABRT, on_crash);
+  mm_daemon_catch_crashes ();
   mm_log_init ("masticmill-entry");
   mm_entry_settings s;
   mm_entry_settings_defaults (&s);
--- a/daemons/masticmill_node.c
+++ b/daemons/masticmill_node.c
@@ -110,6 +110,7 @@
 main (int argc, char **argv)
 {
   mm_log_init ("masticmill-node");
+  mm_daemon_catch_crashes ();
   mm_node_settings s;
   mm_node_settings_defaults (&s);
   GError *error = NULL;
--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -308,6 +308,7 @@
                                     const mm_setting_spec *specs,
                                     void *settings,
                                     GError **error); /* parse */
+  void mm_daemon_catch_crashes (void); /* stack on stderr */
   void mm_daemon_print_settings_help (const mm_setting_spec *specs); /* keys */
 
   /* ---- mm_bench: load and experiment runs against entry instances ------- */
--- a/src/mm_daemon.c
+++ b/src/mm_daemon.c
@@ -6,7 +6,9 @@
    (--set entry.port=7101, --set 'entry.name="e2"').  */
 #include "masticmill.h"
 
+#include <execinfo.h>
 #include <getopt.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -127,3 +129,27 @@
     }
   return MM_DAEMON_RUN;
 }
+
+/* A crash leaves its stack on stderr, so that the log says where.
+   backtrace() is not async-signal-safe; in a handler for a fatal signal
+   that is accepted: the process is dying either way, and the stack is
+   worth the risk of a garbled line (it found a use-after-free).  */
+static void
+on_crash (int sig)
+{
+  void *frames[64];
+  int n = backtrace (frames, 64);      /* NOLINT(bugprone-signal-handler) */
+  backtrace_symbols_fd (frames, n, 2); /* NOLINT(bugprone-signal-handler) */
+  signal (sig, SIG_DFL);
+  raise (sig);
+}
+
+/**
+ * mm_daemon_catch_crashes() - let a crash leave its stack on stderr.
+ */
+void
+mm_daemon_catch_crashes (void)
+{
+  signal (SIGSEGV, on_crash);
+  signal (SIGABRT, on_crash);
+}
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -180,13 +180,20 @@
   return live;
 }
 
+/* Another owner has taken over: what runs is its to stop, and out of our
+   sight.  */
 static void
 become_fenced (mm_exec *x)
 {
   if (x->fenced || x->closed)
     return;
   x->fenced = true;
-  x->ev.fenced (x->ev.ctx, x);
+  GList *runs = g_hash_table_get_values (x->runs);
+  for (GList *l = runs; l && !x->closed; l = l->next)
+    report (l->data, MM_END_UNKNOWN, "fenced");
+  g_list_free (runs);
+  if (!x->closed)
+    x->ev.fenced (x->ev.ctx, x);
 }
 
 static void
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -99,7 +99,8 @@
 answer (job *b, mm_answer_kind kind, const char *why, uint32_t retry_after_s)
 {
   static const char *const names[]
-      = { "completed", "failed", "refused", "unknown" };
+      = { "completed", "failed",   "cancelled",
+          "refused",   "given up", "unknown" };
   mm_answer a = { .kind = kind, .why = why, .retry_after_s = retry_after_s };
   if (kind != MM_ANSWER_COMPLETED)
     g_message ("job %s of %s: %s after %" G_GINT64_FORMAT " ms: %s", b->s->id,
@@ -132,7 +133,7 @@
 give_up (job *b, const char *why)
 {
   if (b->handed_out)
-    answer (b, MM_ANSWER_FAILED, why, MM_RETRY_AFTER_NO_ROOM_S);
+    answer (b, MM_ANSWER_GIVEN_UP, why, MM_RETRY_AFTER_NO_ROOM_S);
   else
     answer (b, MM_ANSWER_REFUSED, why, MM_RETRY_AFTER_NO_ROOM_S);
 }
@@ -246,7 +247,7 @@
       if (now < b->deadline_ms)
         hand_out (t);
       else
-        answer (b, MM_ANSWER_FAILED, "a task was lost too late", 0);
+        give_up (b, "a task was lost too late");
       break;
     case MM_END_UNKNOWN:
       answer (b, MM_ANSWER_UNKNOWN, why, MM_RETRY_AFTER_NO_ROOM_S);
@@ -394,7 +395,7 @@
 {
   job *b = g_hash_table_lookup (j->by_id, job_id);
   if (b)
-    answer (b, MM_ANSWER_FAILED, "cancelled", 0);
+    answer (b, MM_ANSWER_CANCELLED, "by its caller", 0);
   return b != NULL;
 }
 
@@ -425,7 +426,7 @@
 void
 mm_jobs_tick (mm_jobs *j)
 {
-  answer_all (j, MM_ANSWER_FAILED, "the caller's time is over",
+  answer_all (j, MM_ANSWER_GIVEN_UP, "the caller's time is over",
               mm_clock_now_ms ());
 }
 
--- a/src/mm_jobs.h
+++ b/src/mm_jobs.h
@@ -12,8 +12,10 @@
 typedef enum
 {
   MM_ANSWER_COMPLETED, /* every task is done */
-  MM_ANSWER_FAILED,    /* a task failed for good, or time ran out */
+  MM_ANSWER_FAILED,    /* a task failed in every attempt */
+  MM_ANSWER_CANCELLED, /* by its caller */
   MM_ANSWER_REFUSED,   /* nothing of it ran, nor will: come back later */
+  MM_ANSWER_GIVEN_UP,  /* some of it ran, the rest found no room in time */
   MM_ANSWER_UNKNOWN    /* a task is out of sight: send it again */
 } mm_answer_kind;
 
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -104,7 +104,7 @@
   mm_owner *o = s->owner;
   const char *name = mm_exec_info (x)->name;
   mm_time_ms now = mm_clock_now_ms ();
-  if (how != MM_END_STOPPED)
+  if (how != MM_END_STOPPED && how != MM_END_UNKNOWN)
     mm_trust_note (&s->trust, how == MM_END_DONE, now);
   g_hash_table_remove (o->active, &w->t.id);
   if (how == MM_END_NOT_RUN)
