A leaving instance closes idle connections and exits once its callers have gone

Ruled out: connections that were answered (they carry Connection: close). Now idle ones are closed 1 s after the balancer has taken the instance out, it exits when none is left, and refuses jobs that come in the last 2 s.

--- a/src/config.h
+++ b/src/config.h
@@ -93,10 +93,12 @@
 #define MM_OWNER_GUESS_CPU_MILLI 16000 /* a task's size, until one is seen */
 
 /* Links between instances (mm_link, mm_mesh).  */
-#define MM_LINK_MAX_BYTES (8u << 20) /* unread or unsent: then it is closed   \
-                                      */
-#define MM_MESH_BEAT_MS 150 /* each side says something at least this often   \
-                             */
+#define MM_LINK_MAX_BYTES                                                     \
+  (8u << 20) /* unread or unsent: then it is closed                           \
+              */
+#define MM_MESH_BEAT_MS                                                       \
+  150 /* each side says something at least this often                         \
+       */
 /* A peer silent for so long is given up: its tasks' work here is stopped
    well before their callers send them again, 1,300 ms after a break.  */
 #define MM_MESH_SILENT_MS 600
@@ -132,8 +134,12 @@
 #define MM_STALL_MS 700
 /* The balancer asks once a second and takes an instance out after two
    misses; until then new connections still come.  */
-#define MM_LEAVE_DRAIN_MS 2500
-#define MM_LEAVE_MARGIN_MS 500 /* gone this long before the kill */
+#define MM_LEAVE_DRAIN_MS 2200
+#define MM_LEAVE_MARGIN_MS 300 /* gone this long before the kill */
+/* Longer than most jobs take: a job that comes later than this before the
+   kill may be cut off, and is refused.  */
+#define MM_LEAVE_REFUSE_MS 2000
+#define MM_HTTP_LEAVING_IDLE_S 1 /* the shortest that libmicrohttpd has */
 
 /* Kept connections of an HTTP client: four to each of 100 upstreams.  */
 #define MM_HTTP_KEPT_CONNECTIONS 400
--- a/src/mm_http_server.c
+++ b/src/mm_http_server.c
@@ -7,6 +7,8 @@
    MHD, so a request stays valid until it is answered.  */
 #include "masticmill.h"
 
+#include "config.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <microhttpd.h>
@@ -25,7 +27,7 @@
   void *ctx;
   size_t max_body_bytes;
   uint32_t in_flight;
-  uint32_t connections;
+  GHashTable *connections; /* set of struct MHD_Connection */
   bool leaving;
   uint16_t port;
 };
@@ -175,15 +177,27 @@
   *con_cls = NULL;
 }
 
+/* A leaving server closes connections that stay idle.  */
+static void
+limit_idle (mm_http_server *s, struct MHD_Connection *conn)
+{
+  if (s->leaving)
+    MHD_set_connection_option (conn, MHD_CONNECTION_OPTION_TIMEOUT,
+                               (unsigned)MM_HTTP_LEAVING_IDLE_S);
+}
+
 static void
 connection_cb (void *cls, struct MHD_Connection *conn, void **socket_ctx,
                enum MHD_ConnectionNotificationCode toe)
 {
   mm_http_server *s = cls;
-  if (toe == MHD_CONNECTION_NOTIFY_STARTED)
-    s->connections++;
+  if (toe != MHD_CONNECTION_NOTIFY_STARTED)
+    g_hash_table_remove (s->connections, conn);
   else
-    s->connections--;
+    {
+      g_hash_table_add (s->connections, conn);
+      limit_idle (s, conn);
+    }
 }
 
 /**
@@ -218,6 +232,7 @@
   s->handler = handler;
   s->ctx = ctx;
   s->max_body_bytes = max_body_bytes;
+  s->connections = g_hash_table_new (NULL, NULL);
   s->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, port, NULL, NULL, access_cb, s,
       MHD_OPTION_SOCK_ADDR, &addr, MHD_OPTION_NOTIFY_COMPLETED, completed_cb,
@@ -279,6 +294,7 @@
   ev_timer_stop (s->loop, &s->timer);
   ev_idle_stop (s->loop, &s->kick);
   MHD_stop_daemon (s->daemon);
+  g_hash_table_destroy (s->connections);
   g_free (s);
 }
 
@@ -353,19 +369,32 @@
 }
 
 /**
- * mm_http_server_set_leaving() - close each connection with its answer.
- * @s: the server; callers then come back on a connection elsewhere.
+ * mm_http_server_set_leaving() - see callers off.
+ * @s: the server; each connection is closed with its next answer, or after
+ *     MM_HTTP_LEAVING_IDLE_S without a request, so that its caller comes
+ *     back elsewhere.
+ *
+ * Without the second, a caller's spare connection brought requests until
+ * the very end of a shutdown, and some were cut off by it.
  */
 void
 mm_http_server_set_leaving (mm_http_server *s)
 {
+  if (s->leaving)
+    return;
   s->leaving = true;
+  GHashTableIter it;
+  gpointer conn;
+  g_hash_table_iter_init (&it, s->connections);
+  while (g_hash_table_iter_next (&it, &conn, NULL))
+    limit_idle (s, conn);
+  ev_idle_start (s->loop, &s->kick);
 }
 
 uint32_t
 mm_http_server_connections (const mm_http_server *s)
 {
-  return s->connections;
+  return g_hash_table_size (s->connections);
 }
 
 /**
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -98,9 +98,8 @@
 static void
 answer (job *b, mm_answer_kind kind, const char *why, uint32_t retry_after_s)
 {
-  static const char *const names[]
-      = { "completed", "failed",   "cancelled",
-          "refused",   "given up", "unknown" };
+  static const char *const names[] = { "completed", "failed",   "cancelled",
+                                       "refused",   "given up", "unknown" };
   mm_answer a = { .kind = kind, .why = why, .retry_after_s = retry_after_s };
   if (kind != MM_ANSWER_COMPLETED)
     g_message ("job %s of %s: %s after %" G_GINT64_FORMAT " ms: %s", b->s->id,
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -358,9 +358,11 @@
 }
 
 bool
-mm_node_leaving (const mm_node *n)
+mm_node_takes_jobs (const mm_node *n)
 {
-  return n->leaving_ms != 0;
+  return !n->leaving_ms
+         || mm_clock_now_ms () - n->leaving_ms
+                < n->s.grace_ms - MM_LEAVE_REFUSE_MS;
 }
 
 const mm_routes *
--- a/src/mm_node.h
+++ b/src/mm_node.h
@@ -30,8 +30,8 @@
                          const mm_exec_port *exec, const mm_store_port *store,
                          GError **error);
 void mm_node_destroy (mm_node *n);
-bool mm_node_ready (const mm_node *n);   /* new callers are welcome */
-bool mm_node_leaving (const mm_node *n); /* shutting down */
+bool mm_node_ready (const mm_node *n);      /* new callers are welcome */
+bool mm_node_takes_jobs (const mm_node *n); /* not about to exit */
 const mm_routes *mm_node_routes (const mm_node *n); /* NULL: none yet */
 mm_jobs *mm_node_jobs (mm_node *n);
 void mm_node_leave (mm_node *n); /* begin a graceful shutdown */
