Owner and sessions under faults: tests on a clock of their own, upstreams in memory

100 random seeds of lost, late and unanswered orders, silences and cancels break no promise. Found by them: a fenced start was placed again on the upstream that fenced it, and its task reported as out of sight though it never ran.

--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -22,6 +22,8 @@
   typedef int64_t mm_time_ms;         /* a time or span in ms */
   mm_time_ms mm_clock_now_ms (void);  /* monotonic now */
   mm_time_ms mm_clock_wall_ms (void); /* wall clock, ms since 1970 */
+  typedef mm_time_ms (*mm_clock_source) (void *ctx);
+  void mm_clock_set_source (mm_clock_source now, void *ctx); /* for tests */
 
 /* ---- mm_error: typed failures ------------------------------------------ */
 #define MM_ERROR (mm_error_quark ())
--- a/src/mm_clock.c
+++ b/src/mm_clock.c
@@ -3,6 +3,9 @@
 
 #include <time.h>
 
+static mm_clock_source source;
+static void *source_ctx;
+
 /**
  * mm_clock_now_ms() - monotonic time.
  *
@@ -16,6 +19,8 @@
 mm_time_ms
 mm_clock_now_ms (void)
 {
+  if (source)
+    return source (source_ctx);
   struct timespec ts;
   clock_gettime (CLOCK_BOOTTIME, &ts);
   return (mm_time_ms)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
@@ -34,3 +39,17 @@
   clock_gettime (CLOCK_REALTIME, &ts);
   return (mm_time_ms)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
+
+/**
+ * mm_clock_set_source() - take monotonic time from somewhere else.
+ * @now: returns it, or NULL for the machine's own.
+ * @ctx: for @now.
+ *
+ * For tests of time-outs and leases that must not take real time.
+ */
+void
+mm_clock_set_source (mm_clock_source now, void *ctx)
+{
+  source = now;
+  source_ctx = ctx;
+}
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -181,13 +181,16 @@
 }
 
 /* Another owner has taken over: what runs is its to stop, and out of our
-   sight.  */
+   sight, but for @refused (or NULL), whose start was what told us.  */
 static void
-become_fenced (mm_exec *x)
+become_fenced (mm_exec *x, run *refused)
 {
-  if (x->fenced || x->closed)
-    return;
+  bool known = x->fenced;
   x->fenced = true;
+  if (refused)
+    release (refused, MM_END_NOT_RUN, "fenced");
+  if (known || x->closed)
+    return;
   GList *runs = g_hash_table_get_values (x->runs);
   for (GList *l = runs; l && !x->closed; l = l->next)
     report (l->data, MM_END_UNKNOWN, "fenced");
@@ -237,7 +240,7 @@
         send_hold (x, 0, false);
       break;
     case MM_CALL_FENCED:
-      become_fenced (x);
+      become_fenced (x, NULL);
       break;
     case MM_CALL_GONE:
       on_gone (x);
@@ -303,8 +306,7 @@
       send_stop (r, true);
       break;
     case MM_CALL_FENCED:
-      release (r, MM_END_NOT_RUN, "fenced");
-      become_fenced (x);
+      become_fenced (x, r);
       break;
     case MM_CALL_GONE:
       release (r, MM_END_NOT_RUN, "upstream restarted");
@@ -561,7 +563,7 @@
         break;
       }
     case MM_CALL_FENCED:
-      become_fenced (x);
+      become_fenced (x, NULL);
       break;
     case MM_CALL_GONE:
       on_gone (x);
--- /dev/null
+++ b/tests/test_owner.c
@@ -0,0 +1,485 @@
+/* The owner of upstreams and its sessions under faults, on a clock that
+   the test moves and upstreams in memory.  */
+#include "config.h"
+#include "fake_upstreams.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WIDE 32000 /* cpu of an upstream: two tasks of USUAL fit */
+#define USUAL 14000
+
+/* What became of a task handed to the owner.  */
+typedef struct
+{
+  mm_work *work;
+  uint32_t answers;
+  mm_end how;
+  mm_time_ms at_ms;
+  char upstream[32];
+} outcome;
+
+typedef struct
+{
+  fakes *f;
+  mm_owner *o;
+} world;
+
+static void
+on_done (void *ctx, mm_end how, const char *upstream, const char *why)
+{
+  outcome *r = ctx;
+  r->answers++;
+  r->how = how;
+  r->at_ms = mm_clock_now_ms ();
+  r->work = NULL;
+  g_strlcpy (r->upstream, upstream ? upstream : "", sizeof r->upstream);
+}
+
+static world
+world_create (void)
+{
+  world w = { .f = fakes_create () };
+  mm_exec_port port = fakes_port (w.f);
+  w.o = mm_owner_create (&port);
+  return w;
+}
+
+static fake *
+world_add (world *w, const char *name)
+{
+  fake *x = fakes_add (w->f, name, WIDE);
+  mm_owner_own (w->o, fake_info (x), 5);
+  return x;
+}
+
+static void
+world_run (world *w, mm_time_ms ms)
+{
+  fakes_run (w->f, w->o, ms);
+}
+
+static void
+world_destroy (world *w)
+{
+  mm_owner_destroy (w->o);
+  fakes_destroy (w->f);
+}
+
+static void
+submit (world *w, outcome *r, const char *job, uint32_t index,
+        mm_time_ms run_ms)
+{
+  memset (r, 0, sizeof *r);
+  mm_task_request t = fakes_task (job, index, USUAL, run_ms);
+  r->work = mm_owner_submit (w->o, &t, on_done, r);
+}
+
+static void
+assert_kept_promises (world *w)
+{
+  fakes_counts c = fakes_count (w->f);
+  ck_assert_uint_eq (c.over_capacity, 0);
+  ck_assert_uint_eq (c.double_runs, 0);
+}
+
+START_TEST (tasks_wait_for_room_and_all_end)
+{
+  world w = world_create ();
+  world_add (&w, "a");
+  world_run (&w, 10);
+  outcome r[5];
+  for (uint32_t i = 0; i < 5; i++)
+    submit (&w, &r[i], "job", i, 100);
+  world_run (&w, 400);
+  for (int i = 0; i < 5; i++)
+    {
+      ck_assert_uint_eq (r[i].answers, 1);
+      ck_assert_int_eq (r[i].how, MM_END_DONE);
+    }
+  assert_kept_promises (&w);
+  world_destroy (&w);
+}
+END_TEST
+
+/* An upstream takes an order without a word and carries it out 2.5 s
+   later.  Its room was meanwhile given to other tasks, and it ran three
+   where two fit: bookings on that machine failed.  The room must stay
+   taken until the order is certain to be void, and the task must run
+   elsewhere at once, only once.  */
+START_TEST (order_carried_out_late_finds_its_room_free)
+{
+  world w = world_create ();
+  fake *a = world_add (&w, "a");
+  world_run (&w, 10);
+  fake_mode_of (a)->lose_starts = 1;
+  fake_mode_of (a)->late_ms = 2500;
+  outcome r[9];
+  submit (&w, &r[0], "late", 0, 300);
+  world_run (&w, 20);
+  world_add (&w, "b");
+  for (uint32_t i = 1; i < 9; i++)
+    submit (&w, &r[i], "more", i, 600);
+  world_run (&w, 4000);
+  for (int i = 0; i < 9; i++)
+    {
+      ck_assert_uint_eq (r[i].answers, 1);
+      ck_assert_int_eq (r[i].how, MM_END_DONE);
+    }
+  ck_assert_uint_eq (fakes_count (w.f).starts, 9);
+  assert_kept_promises (&w);
+  world_destroy (&w);
+}
+END_TEST
+
+/* As above, and the stops get no answer either: nobody may count on the
+   room, nor start the task elsewhere, before the order's own deadline has
+   passed at the upstream.  */
+START_TEST (order_without_any_answer_is_waited_out)
+{
+  world w = world_create ();
+  fake *a = world_add (&w, "a");
+  world_add (&w, "b");
+  world_run (&w, 10);
+  fake_mode_of (a)->lose_starts = 1;
+  fake_mode_of (a)->late_ms = 900;
+  fake_mode_of (a)->lose_stops = 100;
+  fake_mode_of (a)->lose_holds = 100;
+  mm_task_request t = fakes_task ("late", 0, WIDE, 300);
+  outcome r[2] = { 0 };
+  r[0].work = mm_owner_submit (w.o, &t, on_done, &r[0]);
+  t = fakes_task ("late", 1, WIDE, 300);
+  r[1].work = mm_owner_submit (w.o, &t, on_done, &r[1]);
+  world_run (&w, 6000);
+  ck_assert_uint_eq (r[0].answers, 1);
+  ck_assert_uint_eq (r[1].answers, 1);
+  assert_kept_promises (&w);
+  world_destroy (&w);
+}
+END_TEST
+
+/* An upstream is cut off with a task on it.  The caller's task must not
+   be started elsewhere while its lease can still run there, and must be
+   reported lost once the lease is over, not only when contact returns.  */
+START_TEST (cut_off_upstream_loses_its_task_with_the_lease)
+{
+  world w = world_create ();
+  fake *a = world_add (&w, "a");
+  world_run (&w, 10);
+  outcome r;
+  submit (&w, &r, "cut", 0, 3000);
+  world_run (&w, 100);
+  ck_assert_uint_eq (fake_running (a), 1);
+  fake_mode_of (a)->silent = true;
+  mm_time_ms cut_ms = fakes_now (w.f);
+  world_run (&w, 2000);
+  ck_assert_uint_eq (r.answers, 1);
+  ck_assert_int_eq (r.how, MM_END_LOST);
+  ck_assert_uint_eq (fake_running (a), 0);
+  ck_assert_int_le (r.at_ms - cut_ms, 1500);
+  world_destroy (&w);
+}
+END_TEST
+
+/* Answers get lost, orders arrive (a cut one way).  Renewing a lease blind
+   would keep a task alive for ever that is about to run elsewhere.  */
+START_TEST (answers_lost_one_way_do_not_prolong_leases)
+{
+  world w = world_create ();
+  fake *a = world_add (&w, "a");
+  world_run (&w, 10);
+  outcome r;
+  submit (&w, &r, "mute", 0, 8000);
+  world_run (&w, 100);
+  fake_mode_of (a)->mute = true;
+  world_run (&w, 2500);
+  ck_assert_int_eq (r.how, MM_END_LOST);
+  ck_assert_uint_eq (r.answers, 1);
+  ck_assert_uint_eq (fake_running (a), 0);
+  world_destroy (&w);
+}
+END_TEST
+
+/* An instance dies, another takes its upstreams.  Its hold prolongs the
+   dead one's runs too: left alone they fill the room, and run beside the
+   same tasks sent again.  They are stopped first; only then is anything
+   started, as nobody knows how much room they take.  */
+START_TEST (new_owner_stops_what_it_finds_before_it_starts)
+{
+  world w = world_create ();
+  fake *a = fakes_add (w.f, "a", WIDE);
+  fake_start_foreign (a, "orphan", 4, 20000, 5000);
+  mm_owner_own (w.o, fake_info (a), 5);
+  outcome r[2];
+  submit (&w, &r[0], "mine", 0, 100);
+  submit (&w, &r[1], "mine", 1, 100);
+  world_run (&w, 500);
+  ck_assert_int_eq (r[0].how, MM_END_DONE);
+  ck_assert_int_eq (r[1].how, MM_END_DONE);
+  assert_kept_promises (&w);
+  world_destroy (&w);
+}
+END_TEST
+
+/* Two instances believe to own an upstream, as the store was away.  The
+   one with the lower token starts nothing more there, and tells its
+   callers at once that their tasks are out of sight.  */
+START_TEST (fenced_owner_reports_its_tasks_once_and_starts_no_more)
+{
+  world w = world_create ();
+  fake *a = world_add (&w, "a");
+  world_run (&w, 10);
+  outcome r[2];
+  submit (&w, &r[0], "old", 0, 900);
+  world_run (&w, 50);
+  fake_start_foreign (a, "other", 9, 1000, 2000);
+  submit (&w, &r[1], "old", 1, 100);
+  world_run (&w, 1500);
+  ck_assert_uint_eq (r[0].answers, 1);
+  ck_assert_int_eq (r[0].how, MM_END_UNKNOWN);
+  ck_assert_uint_eq (r[1].answers, 0);
+  ck_assert_uint_eq (fakes_count (w.f).starts, 2);
+  ck_assert (mm_owner_fenced (w.o, "a"));
+  world_destroy (&w);
+}
+END_TEST
+
+/* A caller leaves.  Its task is stopped, but its room is not free before
+   the upstream lists the end: a task started at once found too little.  */
+START_TEST (cancelled_task_keeps_its_room_until_it_has_ended)
+{
+  world w = world_create ();
+  world_add (&w, "a");
+  world_run (&w, 10);
+  outcome r[4];
+  submit (&w, &r[0], "gone", 0, 5000);
+  submit (&w, &r[1], "gone", 1, 5000);
+  world_run (&w, 50);
+  mm_owner_cancel (w.o, r[0].work);
+  mm_owner_cancel (w.o, r[1].work);
+  submit (&w, &r[2], "next", 0, 100);
+  submit (&w, &r[3], "next", 1, 100);
+  world_run (&w, 400);
+  ck_assert_uint_eq (r[0].answers, 0);
+  ck_assert_int_eq (r[2].how, MM_END_DONE);
+  ck_assert_int_eq (r[3].how, MM_END_DONE);
+  assert_kept_promises (&w);
+  world_destroy (&w);
+}
+END_TEST
+
+/* A caller's connection breaks and the same job comes again while its
+   first tasks are still being stopped here: they must not run twice.  */
+START_TEST (same_task_again_waits_for_the_end_of_its_first_run)
+{
+  world w = world_create ();
+  world_add (&w, "a");
+  world_add (&w, "b");
+  world_run (&w, 10);
+  outcome first, again;
+  submit (&w, &first, "twice", 0, 3000);
+  world_run (&w, 50);
+  mm_owner_cancel (w.o, first.work);
+  submit (&w, &again, "twice", 0, 100);
+  world_run (&w, 400);
+  ck_assert_int_eq (again.how, MM_END_DONE);
+  assert_kept_promises (&w);
+  world_destroy (&w);
+}
+END_TEST
+
+/* A task that ended on an upstream is started there again, by a caller
+   that sent its job again: the upstream takes only a higher number.  */
+START_TEST (task_that_ended_there_gets_a_higher_run_number)
+{
+  world w = world_create ();
+  world_add (&w, "a");
+  world_run (&w, 10);
+  outcome r;
+  for (int i = 0; i < 4; i++)
+    {
+      submit (&w, &r, "again", 0, 50);
+      world_run (&w, 200);
+      ck_assert_int_eq (r.how, MM_END_DONE);
+    }
+  world_destroy (&w);
+}
+END_TEST
+
+/* An upstream fails whatever it starts, at once, with good reports: it is
+   always free and drew every task.  After three it is left alone.  */
+START_TEST (upstream_that_fails_everything_draws_few_tasks)
+{
+  world w = world_create ();
+  fake *bad = world_add (&w, "bad");
+  fake_mode_of (bad)->fails_tasks = true;
+  world_add (&w, "good");
+  world_run (&w, 10);
+  int failed = 0;
+  for (uint32_t i = 0; i < 40; i++)
+    {
+      outcome r;
+      submit (&w, &r, "grey", i, 20);
+      world_run (&w, 50);
+      failed += r.how == MM_END_FAILED;
+    }
+  ck_assert_int_le (failed, 5);
+  world_destroy (&w);
+}
+END_TEST
+
+/* An upstream restarts at its old address.  What ran there is dead, so
+   its tasks can run elsewhere at once; nothing is ordered from the new
+   incarnation in the old one's name.  */
+START_TEST (restarted_upstream_loses_its_tasks_at_once)
+{
+  world w = world_create ();
+  fake *a = world_add (&w, "a");
+  world_run (&w, 10);
+  outcome r;
+  submit (&w, &r, "crash", 0, 3000);
+  world_run (&w, 50);
+  fake_restart (a);
+  world_run (&w, 700);
+  ck_assert_int_eq (r.how, MM_END_LOST);
+  world_destroy (&w);
+}
+END_TEST
+
+/* A task that finds no room in the time it may wait is given back then,
+   so that its caller is told at once.  */
+START_TEST (task_without_room_is_given_back_in_time)
+{
+  world w = world_create ();
+  world_add (&w, "a");
+  world_run (&w, 10);
+  outcome r[3];
+  submit (&w, &r[0], "full", 0, 2000);
+  submit (&w, &r[1], "full", 1, 2000);
+  memset (&r[2], 0, sizeof r[2]);
+  mm_task_request t = fakes_task ("full", 2, USUAL, 100);
+  t.start_within = 80;
+  mm_time_ms from_ms = fakes_now (w.f);
+  mm_owner_submit (w.o, &t, on_done, &r[2]);
+  world_run (&w, 300);
+  ck_assert_uint_eq (r[2].answers, 1);
+  ck_assert_int_eq (r[2].how, MM_END_NOT_RUN);
+  ck_assert_int_le (r[2].at_ms - from_ms, 80 + 2 * MM_EXEC_TICK_MS);
+  world_destroy (&w);
+}
+END_TEST
+
+/* A draining upstream runs on what it has and is given nothing.  */
+START_TEST (draining_upstream_gets_nothing_new)
+{
+  world w = world_create ();
+  fake *a = world_add (&w, "a");
+  world_run (&w, 10);
+  outcome r[2];
+  submit (&w, &r[0], "drain", 0, 300);
+  world_run (&w, 10);
+  mm_upstream_info *u = mm_upstream_info_copy (fake_info (a));
+  u->draining = true;
+  mm_owner_own (w.o, u, 5);
+  submit (&w, &r[1], "drain", 1, 100);
+  world_run (&w, 600);
+  ck_assert_int_eq (r[0].how, MM_END_DONE);
+  ck_assert_uint_eq (r[1].answers, 0);
+  mm_upstream_info_free (u);
+  world_destroy (&w);
+}
+END_TEST
+
+/* A hundred seeds of random losses, silences and cancels: whatever comes,
+   no upstream is over its room, no task runs twice at once, and each task
+   is answered exactly once.  */
+START_TEST (random_faults_break_no_promise)
+{
+  GRand *rnd = g_rand_new_with_seed ((guint32)_i);
+  world w = world_create ();
+  fake *x[3] = { world_add (&w, "a"), world_add (&w, "b"),
+                 world_add (&w, "c") };
+  world_run (&w, 10);
+  enum
+  {
+    TASKS = 120
+  };
+  outcome r[TASKS];
+  bool cancelled[TASKS] = { false };
+  for (uint32_t i = 0; i < TASKS; i++)
+    {
+      submit (&w, &r[i], "soak", i, g_rand_int_range (rnd, 20, 400));
+      fake_mode *m = fake_mode_of (x[g_rand_int_range (rnd, 0, 3)]);
+      switch (g_rand_int_range (rnd, 0, 12))
+        {
+        case 0:
+          m->lose_starts = 2;
+          m->late_ms = g_rand_int_range (rnd, 0, 4000);
+          break;
+        case 1:
+          m->lose_stops = 2;
+          break;
+        case 2:
+          m->lose_holds = 2;
+          break;
+        case 3:
+          m->silent = !m->silent;
+          break;
+        case 4:
+          m->mute = !m->mute;
+          break;
+        case 5:
+          m->fails_tasks = !m->fails_tasks;
+          break;
+        case 6:
+          if (r[i / 2].work && !cancelled[i / 2])
+            {
+              cancelled[i / 2] = true;
+              mm_owner_cancel (w.o, r[i / 2].work);
+            }
+          break;
+        default:
+          break;
+        }
+      world_run (&w, g_rand_int_range (rnd, 1, 60));
+    }
+  for (int i = 0; i < 3; i++)
+    *fake_mode_of (x[i]) = (fake_mode){ 0 };
+  world_run (&w, 8000);
+  for (int i = 0; i < TASKS; i++)
+    ck_assert_uint_eq (r[i].answers, cancelled[i] ? 0 : 1);
+  assert_kept_promises (&w);
+  world_destroy (&w);
+  g_rand_free (rnd);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("owner");
+  TCase *c = tcase_create ("faults");
+  tcase_set_timeout (c, 60);
+  tcase_add_test (c, tasks_wait_for_room_and_all_end);
+  tcase_add_test (c, order_carried_out_late_finds_its_room_free);
+  tcase_add_test (c, order_without_any_answer_is_waited_out);
+  tcase_add_test (c, cut_off_upstream_loses_its_task_with_the_lease);
+  tcase_add_test (c, answers_lost_one_way_do_not_prolong_leases);
+  tcase_add_test (c, new_owner_stops_what_it_finds_before_it_starts);
+  tcase_add_test (c, fenced_owner_reports_its_tasks_once_and_starts_no_more);
+  tcase_add_test (c, cancelled_task_keeps_its_room_until_it_has_ended);
+  tcase_add_test (c, same_task_again_waits_for_the_end_of_its_first_run);
+  tcase_add_test (c, task_that_ended_there_gets_a_higher_run_number);
+  tcase_add_test (c, upstream_that_fails_everything_draws_few_tasks);
+  tcase_add_test (c, restarted_upstream_loses_its_tasks_at_once);
+  tcase_add_test (c, task_without_room_is_given_back_in_time);
+  tcase_add_test (c, draining_upstream_gets_nothing_new);
+  tcase_add_loop_test (c, random_faults_break_no_promise, 0, 100);
+  suite_add_tcase (s, c);
+  SRunner *r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
