--- a/src/config.h
+++ b/src/config.h
@@ -110,6 +110,8 @@
 /* Caller to instance to upstream and back, with the orders' handling.  */
 #define MM_OVERHEAD_MS 15
 #define MM_RETRY_AFTER_NO_ROOM_S 1
+#define MM_LATE_FACTOR 3.0   /* answers up to 3 objectives are of use */
+#define MM_SPREAD_WAIT_MS 40 /* in one owner's queue, then spread anew */
 #define MM_GUESS_TASK_MS 250 /* a task's run time, until some have ended */
 #define MM_FLEET_MAX 128     /* instances that a task is spread over */
 
--- a/src/mm_admission.c
+++ b/src/mm_admission.c
@@ -26,6 +26,23 @@
   return MAX ((mm_time_ms)slack - MM_OVERHEAD_MS, 0);
 }
 
+/**
+ * mm_admission_limit_ms() - how long a job that was taken may wait.
+ * @stretch: objective over the longest chain of work.
+ * @slo_ms: added to that.
+ * @chain_ms: the longest chain, as declared.
+ *
+ * An answer up to MM_LATE_FACTOR objectives after the job came is of use
+ * to its caller.  Return: the wait that still allows for that.
+ */
+mm_time_ms
+mm_admission_limit_ms (double stretch, mm_time_ms slo_ms, mm_time_ms chain_ms)
+{
+  double objective = stretch * (double)chain_ms + (double)slo_ms;
+  double limit = MM_LATE_FACTOR * objective - (double)chain_ms;
+  return MAX ((mm_time_ms)limit - MM_OVERHEAD_MS, 0);
+}
+
 /**
  * mm_admission_decide() - take a job or refuse it.
  * @load: the room for its service, as far as known.
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -39,7 +39,8 @@
   uint32_t attempts;
   mm_time_ms submitted_ms;
   mm_time_ms deadline_ms; /* the caller leaves */
-  mm_time_ms start_by_ms; /* a task not begun by then comes too late */
+  mm_time_ms due_ms;      /* a task begun by then is in time */
+  mm_time_ms start_by_ms; /* one not begun by then comes too late */
   task *tasks;
   uint32_t n_tasks;
   uint32_t done;
@@ -155,7 +156,10 @@
                         .need = step->need,
                         .priority = b->priority,
                         .estimate_ms = step->estimate_ms,
-                        .start_within = MAX (b->start_by_ms - now, 1) };
+                        .due_within = MAX (b->due_ms - now, 0) };
+  /* A short wait, then it is spread anew: room may have come free at
+     another owner meanwhile.  */
+  r.start_within = CLAMP (b->start_by_ms - now, 1, MM_SPREAD_WAIT_MS);
   t->ticket = mm_fleet_submit (b->jobs->fleet, &r, on_task_done, t);
   if (!t->ticket)
     {
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -5,7 +5,7 @@
 
 enum
 {
-  RUN_FIELDS = 15,
+  RUN_FIELDS = 16,
   ENDED_FIELDS = 5,
   REPORT_FIELDS = 3,
   ROOM_FIELDS = 4
@@ -51,6 +51,7 @@
   msgpack_pack_int64 (&pk, t->need.gpus);
   msgpack_pack_uint32 (&pk, t->priority);
   msgpack_pack_int64 (&pk, t->estimate_ms);
+  msgpack_pack_int64 (&pk, t->due_within);
   msgpack_pack_int64 (&pk, t->start_within);
 }
 
@@ -171,7 +172,8 @@
          && read_i64 (&f[10], &t->need.mem_mb)
          && read_i64 (&f[11], &t->need.gpus) && read_u32 (&f[12], &t->priority)
          && read_i64 (&f[13], &t->estimate_ms)
-         && read_i64 (&f[14], &t->start_within) && t->need.cpu_milli >= 0
+         && read_i64 (&f[14], &t->due_within)
+         && read_i64 (&f[15], &t->start_within) && t->need.cpu_milli >= 0
          && t->need.mem_mb >= 0 && t->need.gpus >= 0;
 }
 
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -2,7 +2,7 @@
 
    From the instance that took a job to the owner of upstreams:
      [RUN, no, job, step, index, service, payload, label, avoid, cpu_milli,
-      mem_mb, gpus, priority, estimate_ms, start_within_ms]
+      mem_mb, gpus, priority, estimate_ms, due_within_ms, start_within_ms]
      [CANCEL, no]
      [BEAT]
    Back:
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -25,6 +25,7 @@
   mm_owner *owner;
   mm_task_request t; /* its strings are ours */
   mm_time_ms start_by_ms;
+  mm_time_ms due_ms;
   uint64_t order; /* of arrival */
   slot *at;       /* where it runs or is being stopped, NULL: waiting */
   bool cancelled;
@@ -66,13 +67,16 @@
   work_free (w);
 }
 
-/* By priority, then by arrival.  */
+/* By priority, then by due time, then by arrival.  A task that comes from
+   another owner's queue keeps its turn by its due time.  */
 static gint
 work_order (gconstpointer a, gconstpointer b, gpointer unused)
 {
   const mm_work *x = a, *y = b;
   if (x->t.priority != y->t.priority)
     return x->t.priority < y->t.priority ? -1 : 1;
+  if (x->due_ms != y->due_ms)
+    return x->due_ms < y->due_ms ? -1 : 1;
   return x->order < y->order ? -1 : x->order > y->order;
 }
 
@@ -413,6 +417,7 @@
   w->t.label = g_strdup (t->label);
   w->t.avoid = g_strdup (t->avoid);
   w->start_by_ms = mm_clock_now_ms () + t->start_within;
+  w->due_ms = mm_clock_now_ms () + t->due_within;
   w->order = ++o->next_order;
   w->done = done;
   w->ctx = ctx;
--- a/src/mm_task.h
+++ b/src/mm_task.h
@@ -54,6 +54,7 @@
   mm_need need;
   uint32_t priority;       /* 0 first */
   mm_time_ms estimate_ms;  /* declared run time, a hint */
+  mm_time_ms due_within;   /* ms from now; among equals, sooner goes first */
   mm_time_ms start_within; /* ms from now; then given back as not run */
 } mm_task_request;
 
--- a/tests/fake_upstreams.c
+++ b/tests/fake_upstreams.c
@@ -4,9 +4,9 @@
 #include <stdio.h>
 #include <string.h>
 
-#define LINK_MS 1       /* one way */
+#define LINK_MS 1 /* one way */
 #define MAX_LEASE_MS 1000
-#define STOP_MS 30      /* a stop takes so long */
+#define STOP_MS 30 /* a stop takes so long */
 
 typedef struct
 {
@@ -34,8 +34,8 @@
   bool gone; /* this incarnation */
   uint64_t fence;
   mm_time_ms lease_until_ms;
-  GArray *runs;      /* fake_run */
-  GArray *ends;      /* fake_end, not acknowledged */
+  GArray *runs; /* fake_run */
+  GArray *ends; /* fake_end, not acknowledged */
   uint64_t next_seq;
   GHashTable *highest; /* task -> highest run stopped or ended, as uint */
 };
@@ -231,10 +231,9 @@
 end_run (fake *x, guint i, mm_end how)
 {
   fake_run *r = &g_array_index (x->runs, fake_run, i);
-  fake_end e = { .seq = ++x->next_seq,
-                 .task = r->task,
-                 .number = r->number,
-                 .how = how };
+  fake_end e = {
+    .seq = ++x->next_seq, .task = r->task, .number = r->number, .how = how
+  };
   g_array_append_val (x->ends, e);
   bar_run (x, &r->task, r->number);
   g_array_remove_index (x->runs, i);
@@ -439,10 +438,9 @@
 mm_exec_port
 fakes_port (fakes *f)
 {
-  return (mm_exec_port){ .start = port_start,
-                         .stop = port_stop,
-                         .hold = port_hold,
-                         .ctx = f };
+  return (mm_exec_port){
+    .start = port_start, .stop = port_stop, .hold = port_hold, .ctx = f
+  };
 }
 
 void
@@ -470,10 +468,9 @@
   for (guint i = 0; i < x->ends->len; i++)
     {
       fake_end *e = &g_array_index (x->ends, fake_end, i);
-      mm_ended row = { .seq = e->seq,
-                       .task = e->task,
-                       .run = e->number,
-                       .how = e->how };
+      mm_ended row = {
+        .seq = e->seq, .task = e->task, .run = e->number, .how = e->how
+      };
       g_array_append_val (ended, row);
     }
   mm_hold_result r = { .call = c->result,
@@ -504,8 +501,7 @@
 static void
 give_timeout (fake_call *c)
 {
-  c->result = (mm_call_result){ .verdict = MM_CALL_NO_ANSWER,
-                                .clock_ms = -1 };
+  c->result = (mm_call_result){ .verdict = MM_CALL_NO_ANSWER, .clock_ms = -1 };
   give_answer (c);
 }
 
@@ -530,8 +526,7 @@
 step_hold (fake_call *c)
 {
   if (c->kind != CALL_HOLD || c->arrives_ms >= 0 || c->answer_ms >= 0
-      || c->lost || c->result.verdict != MM_CALL_OK
-      || c->result.clock_ms == 0)
+      || c->lost || c->result.verdict != MM_CALL_OK || c->result.clock_ms == 0)
     return;
   if (c->to->ends->len || c->to->all->now_ms >= c->wait_until_ms)
     c->answer_ms = c->to->all->now_ms + LINK_MS;
--- a/tests/fake_upstreams.h
+++ b/tests/fake_upstreams.h
@@ -18,12 +18,12 @@
   uint32_t lose_starts; /* this many starts get no answer */
   uint32_t lose_stops;
   uint32_t lose_holds;
-  mm_time_ms late_ms;  /* lost starts are carried out so late; 0: never */
-  bool silent;         /* nothing arrives and nothing is answered */
-  bool mute;           /* all arrives, nothing is answered */
-  bool fails_tasks;    /* each task fails after 5 ms */
-  bool unhealthy;      /* refuses starts */
-  bool hangs;          /* tasks never end */
+  mm_time_ms late_ms; /* lost starts are carried out so late; 0: never */
+  bool silent;        /* nothing arrives and nothing is answered */
+  bool mute;          /* all arrives, nothing is answered */
+  bool fails_tasks;   /* each task fails after 5 ms */
+  bool unhealthy;     /* refuses starts */
+  bool hangs;         /* tasks never end */
 } fake_mode;
 
 fakes *fakes_create (void); /* takes over the clock */
@@ -42,14 +42,14 @@
 mm_time_ms fakes_now (const fakes *f);
 
 /* The payload tells a fake what a task needs and how long it runs.  */
-mm_task_request fakes_task (const char *job, uint32_t index,
-                            int64_t cpu_milli, mm_time_ms run_ms);
+mm_task_request fakes_task (const char *job, uint32_t index, int64_t cpu_milli,
+                            mm_time_ms run_ms);
 
 typedef struct
 {
   uint32_t starts;
-  uint32_t over_capacity;  /* a start brought an upstream over its room */
-  uint32_t double_runs;    /* a task ran twice at one time */
+  uint32_t over_capacity; /* a start brought an upstream over its room */
+  uint32_t double_runs;   /* a task ran twice at one time */
   uint32_t holds;
 } fakes_counts;
 fakes_counts fakes_count (const fakes *f);
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -398,8 +398,8 @@
 {
   GRand *rnd = g_rand_new_with_seed ((guint32)_i);
   world w = world_create ();
-  fake *x[3] = { world_add (&w, "a"), world_add (&w, "b"),
-                 world_add (&w, "c") };
+  fake *x[3]
+      = { world_add (&w, "a"), world_add (&w, "b"), world_add (&w, "c") };
   world_run (&w, 10);
   enum
   {
