A job that was taken waits for room until its answer would be of no use

Cause: a taken job was given up at its slack (36 ms tasks: 66 ms), though an answer up to three objectives later still serves its caller; what it had run was thrown away.

--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -272,9 +272,12 @@
   b->attempts = MAX (route->attempts, 1);
   b->submitted_ms = now;
   b->deadline_ms = now + patience_ms;
-  b->start_by_ms = now
-                   + mm_admission_slack_ms (route->stretch, route->slo_ms,
-                                            mm_submission_chain_ms (s));
+  mm_time_ms chain_ms = mm_submission_chain_ms (s);
+  b->due_ms
+      = now + mm_admission_slack_ms (route->stretch, route->slo_ms, chain_ms);
+  b->start_by_ms
+      = now + mm_admission_limit_ms (route->stretch, route->slo_ms, chain_ms);
+  b->start_by_ms = MIN (b->start_by_ms, b->deadline_ms);
   b->n_tasks = mm_submission_tasks (s);
   b->tasks = g_new0 (task, b->n_tasks);
   b->steps = g_new0 (step_state, s->n_steps);
