--- a/daemons/masticctl.c
+++ b/daemons/masticctl.c
@@ -74,7 +74,7 @@
 int
 main (int argc, char **argv)
 {
-  mm_log_init ("masticctl");
+  mm_log_init_stderr ("masticctl");
   static const struct option opts[]
       = { { "platform", required_argument, NULL, 'p' },
           { "entry", required_argument, NULL, 'e' },
--- a/daemons/masticmill_node.c
+++ b/daemons/masticmill_node.c
@@ -3,9 +3,11 @@
 #include "platform.h"
 
 #include "config.h"
+#include "mm_event.h"
 
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 
 typedef struct
 {
@@ -32,7 +34,7 @@
   process *p = w->data;
   if (p->leave_ms)
     return;
-  g_message ("signal %d: graceful shutdown", w->signum);
+  mm_log_event (MM_EV_STOPPING, MM_INT (w->signum));
   p->leave_ms = mm_clock_now_ms ();
   mm_node_leave (p->node);
   ev_timer_init (&p->leave_timer, leave_cb, 0., MM_LEAVE_CHECK_MS / 1000.);
@@ -45,13 +47,17 @@
 static void
 on_reload (struct ev_loop *loop, ev_signal *w, int revents)
 {
-  g_message ("signal %d: settings stay as at the start", w->signum);
+  mm_log_event (MM_EV_RELOAD, MM_INT (w->signum),
+                MM_TEXT ("settings stay as at the start"));
 }
 
+/* GET /metrics, or the state as JSON.  */
 static void
 on_state (mm_http_request *req, void *ctx)
 {
-  char *text = mm_node_dump (((process *)ctx)->node);
+  mm_node *node = ((process *)ctx)->node;
+  bool metrics = strcmp (mm_http_request_path (req), "/metrics") == 0;
+  char *text = metrics ? mm_node_metrics (node) : mm_node_dump (node);
   mm_http_reply (req, 200, text, 0);
   free (text);
 }
@@ -97,12 +103,14 @@
       g_critical ("cannot start: %s", error->message);
       return 1;
     }
-  g_message ("instance %s of %s serves callers at %s", s->name, s->datacentre,
-             s->front);
+  mm_log_event (MM_EV_STARTED, MM_TEXT (s->name), MM_TEXT (s->datacentre),
+                MM_TEXT (s->front));
   ev_run (p.loop, 0);
-  g_message ("instance %s stops", s->name);
+  mm_log_event (MM_EV_STOPPED, MM_INT (mm_jobs_count (mm_node_jobs (p.node))),
+                MM_INT (pf_front_connections (p.front)));
   mm_http_server_destroy (state);
   pf_front_destroy (p.front);
+  mm_log_close ();
   return 0;
 }
 
--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -48,7 +48,10 @@
 
   /* ---- mm_log: GLib structured logging as JSON lines ---------------------
    */
-  void mm_log_init (const char *program); /* JSON lines to stderr */
+  void mm_log_init (const char *program); /* JSON lines to stdout */
+  void mm_log_init_stderr (const char *program); /* for commands */
+  void mm_log_close (void);               /* before the exit */
+  void mm_log_flush (void);               /* never blocks */
   char *mm_log_format_json (const GLogField *fields,
                             size_t n_fields); /* one line */
 
--- a/src/mm_catalog.c
+++ b/src/mm_catalog.c
@@ -7,6 +7,7 @@
 #include "mm_catalog.h"
 
 #include "config.h"
+#include "mm_event.h"
 
 #include <string.h>
 
@@ -68,8 +69,9 @@
       return;
     }
   if (!e || e->info->draining != u->draining)
-    g_message ("upstream %s of %s at %s: %s", u->name, u->service, u->addr,
-               u->draining ? "draining" : "ready");
+    mm_log_event (MM_EV_UPSTREAM_LISTED, MM_TEXT (u->name),
+                  MM_TEXT (u->service), MM_TEXT (u->addr),
+                  MM_INT (u->draining));
   entry *fresh = g_new0 (entry, 1);
   fresh->info = mm_upstream_info_copy (u);
   /* A report of ready that is older than one of draining cannot undo it:
@@ -113,7 +115,8 @@
         e->missing_since_ms = now;
       else if (now - e->missing_since_ms > MM_LIST_DROP_MS)
         {
-          g_message ("upstream %s gone from the list", (char *)k);
+          mm_log_event (MM_EV_UPSTREAM_GONE, MM_TEXT (k),
+                        MM_INT (now - e->missing_since_ms));
           g_hash_table_iter_remove (&it);
           c->changes++;
         }
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -10,6 +10,8 @@
 #include "mm_exec.h"
 
 #include "config.h"
+#include "mm_event.h"
+#include "mm_metrics.h"
 
 #include <string.h>
 
@@ -36,6 +38,7 @@
   uint64_t running_event;       /* when RUN_RUNNING was learned, 0: not yet */
   uint64_t stop_answered_event; /* 0: not yet */
   mm_time_ms ordered_ms;
+  mm_time_ms sent_ms; /* the last start order */
   mm_time_ms estimate_ms;
   int32_t percent;
   char *payload; /* for a start under another number */
@@ -158,6 +161,32 @@
   x->clock_known = true;
 }
 
+static void
+become_suspect (mm_exec *x, const char *what, mm_call_verdict v)
+{
+  if (!x->suspect)
+    mm_log_event (MM_EV_UPSTREAM_SUSPECT, MM_TEXT (x->info->name),
+                  MM_TEXT (what), MM_TEXT (mm_call_verdict_name (v)));
+  x->suspect = true;
+}
+
+static void
+become_usable (mm_exec *x)
+{
+  if (x->suspect)
+    mm_log_event (MM_EV_UPSTREAM_BACK, MM_TEXT (x->info->name));
+  x->suspect = false;
+}
+
+static void
+note_unanswered (const run *r, const char *what)
+{
+  mm_metrics_count (MM_CT_ORDERS_UNANSWERED);
+  mm_log_event (MM_EV_TASK_ORDER_UNANSWERED, MM_TASK (&r->id),
+                MM_TEXT (r->exec->info->name), MM_INT (r->number),
+                MM_TEXT (what));
+}
+
 static call *
 call_open (mm_exec *x, run *r)
 {
@@ -233,7 +262,7 @@
     {
     case MM_CALL_OK:
       r->stop_answered_event = ++x->events;
-      x->suspect = false;
+      become_usable (x);
       /* Never seen to run: only a hold after this can show that it is not
          there; a waiting hold would show it up to its wait later.  */
       if (r->phase != RUN_RUNNING)
@@ -246,7 +275,8 @@
       on_gone (x);
       break;
     default:
-      x->suspect = res->verdict == MM_CALL_NO_ANSWER || x->suspect;
+      note_unanswered (r, "stop");
+      become_suspect (x, "stop", res->verdict);
       send_stop (r, true);
       break;
     }
@@ -301,7 +331,8 @@
       break;
     case MM_CALL_NO_ANSWER:
       r->phase = RUN_UNSURE;
-      x->suspect = true;
+      note_unanswered (r, "start");
+      become_suspect (x, "start", v);
       r->stop_wanted = true;
       send_stop (r, true);
       break;
@@ -319,7 +350,7 @@
     case MM_CALL_LATE:
     case MM_CALL_NO_ROOM:
     case MM_CALL_REFUSED:
-      x->suspect = true;
+      become_suspect (x, "start", v);
       release (r, MM_END_NOT_RUN, mm_call_verdict_name (v));
       break;
     }
@@ -339,6 +370,7 @@
       return;
     }
   learn_clock (x, res);
+  mm_metrics_time (MM_HG_START_CALL, mm_clock_now_ms () - r->sent_ms);
   /* A hold may have shown it running before this answer came.  */
   if (r->phase == RUN_ORDERED)
     {
@@ -368,6 +400,7 @@
                  .deadline_ms = lease_deadline (x),
                  .timeout_ms = MM_START_TIMEOUT_MS };
   r->start_in_flight = true;
+  r->sent_ms = mm_clock_now_ms ();
   x->port.start (x->port.ctx, x->info, &o, on_start_answer, call_open (x, r));
 }
 
@@ -391,6 +424,8 @@
   r->ordered_ms = mm_clock_now_ms ();
   mm_need_add (&x->used, &r->need);
   g_hash_table_insert (x->runs, &r->id, r);
+  mm_log_event (MM_EV_TASK_STARTED, MM_TASK (&r->id), MM_TEXT (x->info->name),
+                MM_INT (r->number), MM_INT (x->fence), MM_INT (t->waited_ms));
   send_start (r);
 }
 
@@ -411,6 +446,8 @@
       if (r->work != work)
         continue;
       r->stop_wanted = r->stop_by_owner = true;
+      mm_log_event (MM_EV_TASK_STOPPED, MM_TASK (&r->id),
+                    MM_TEXT (x->info->name), MM_TEXT ("nobody waits for it"));
       send_stop (r, false);
       return;
     }
@@ -463,6 +500,9 @@
   set_running (r);
   r->stop_wanted = r->stop_by_owner = true;
   x->n_foreign++;
+  mm_metrics_count (MM_CT_FOREIGN_RUNS);
+  mm_log_event (MM_EV_TASK_FOREIGN, MM_TASK (&r->id), MM_TEXT (x->info->name),
+                MM_INT (r->number));
   g_hash_table_insert (x->runs, &r->id, r);
   send_stop (r, false);
 }
@@ -516,7 +556,7 @@
 on_hold_ok (mm_exec *x, const call *c, const mm_hold_result *res)
 {
   learn_clock (x, &res->call);
-  x->suspect = false;
+  become_usable (x);
   x->hold_failed_ms = 0;
   x->acked_seq = MAX (x->acked_seq, c->acked_seq);
   if (x->acked_seq >= x->seen_seq)
@@ -569,7 +609,8 @@
       on_gone (x);
       break;
     default:
-      x->suspect = true;
+      mm_metrics_count (MM_CT_HOLDS_FAILED);
+      become_suspect (x, "hold", res->call.verdict);
       x->hold_failed_ms = mm_clock_now_ms ();
       break;
     }
@@ -589,6 +630,7 @@
   if (renew && x->clock_known)
     h.deadline_ms = lease_deadline (x);
   x->holds_in_flight++;
+  mm_metrics_count (MM_CT_HOLDS);
   call *c = call_open (x, NULL);
   c->acked_seq = x->seen_seq;
   x->hold_sent_ms = mm_clock_now_ms ();
@@ -755,6 +797,18 @@
   return g_hash_table_size (x->runs);
 }
 
+size_t
+mm_exec_unsure (const mm_exec *x)
+{
+  size_t n = 0;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, x->runs);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    n += ((run *)v)->phase == RUN_UNSURE;
+  return n;
+}
+
 const mm_upstream_info *
 mm_exec_info (const mm_exec *x)
 {
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -112,12 +112,13 @@
                          const mm_exec_events *events); /* first: a hold */
 void mm_exec_destroy (mm_exec *x); /* no events from now on */
 void mm_exec_update (mm_exec *x, const mm_upstream_info *u); /* list news */
-void mm_exec_tick (mm_exec *x);          /* call each MM_EXEC_TICK_MS */
-bool mm_exec_usable (const mm_exec *x);  /* may take a start */
-bool mm_exec_fenced (const mm_exec *x);  /* another owns it */
-bool mm_exec_quiet (const mm_exec *x);   /* nothing runs */
-mm_need mm_exec_room (const mm_exec *x); /* what is free */
-size_t mm_exec_runs (const mm_exec *x);  /* runs it accounts */
+void mm_exec_tick (mm_exec *x);           /* call each MM_EXEC_TICK_MS */
+bool mm_exec_usable (const mm_exec *x);   /* may take a start */
+bool mm_exec_fenced (const mm_exec *x);   /* another owns it */
+bool mm_exec_quiet (const mm_exec *x);    /* nothing runs */
+mm_need mm_exec_room (const mm_exec *x);  /* what is free */
+size_t mm_exec_runs (const mm_exec *x);   /* runs it accounts */
+size_t mm_exec_unsure (const mm_exec *x); /* of these, start unanswered */
 const mm_upstream_info *mm_exec_info (const mm_exec *x);
 uint64_t mm_exec_fence (const mm_exec *x);
 void mm_exec_start (mm_exec *x, const mm_task_request *t,
--- a/src/mm_fleet.c
+++ b/src/mm_fleet.c
@@ -2,6 +2,8 @@
 #include "mm_fleet.h"
 
 #include "config.h"
+#include "mm_event.h"
+#include "mm_metrics.h"
 #include "mm_spread.h"
 
 #include <string.h>
@@ -113,6 +115,11 @@
   k->handed_ms = mm_clock_now_ms ();
   k->done = done;
   k->ctx = ctx;
+  mm_metrics_count (MM_CT_TASKS_HANDED);
+  mm_log_event (MM_EV_TASK_HANDED, MM_TASK (&t->id),
+                MM_TEXT (best ? p[best].name : "self"),
+                MM_INT (p[best].room.free), MM_INT (p[best].room.waiting),
+                MM_INT (t->attempt));
   if (best == 0)
     k->work = mm_owner_submit (f->owner, t, on_done, k);
   else
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -6,6 +6,8 @@
 #include "mm_jobs.h"
 
 #include "config.h"
+#include "mm_event.h"
+#include "mm_metrics.h"
 
 #include <string.h>
 
@@ -18,6 +20,7 @@
   mm_task_id id;
   mm_ticket *ticket; /* at an owner, or NULL */
   uint32_t failures;
+  mm_time_ms handed_ms;
   char *avoid; /* upstream of the last failure */
   bool done;
 } task;
@@ -99,13 +102,25 @@
 static void
 answer (job *b, mm_answer_kind kind, const char *why, uint32_t retry_after_s)
 {
-  static const char *const names[] = { "completed", "failed",   "cancelled",
-                                       "refused",   "given up", "unknown" };
+  static const struct
+  {
+    const char *name;
+    mm_counter_id counter;
+  } kinds[] = {
+    [MM_ANSWER_COMPLETED] = { "completed", MM_CT_JOBS_COMPLETED },
+    [MM_ANSWER_FAILED] = { "failed", MM_CT_JOBS_FAILED },
+    [MM_ANSWER_CANCELLED] = { "cancelled", MM_CT_JOBS_CANCELLED },
+    [MM_ANSWER_REFUSED] = { "refused", MM_CT_JOBS_REFUSED_OTHER },
+    [MM_ANSWER_GIVEN_UP] = { "given_up", MM_CT_JOBS_GIVEN_UP },
+    [MM_ANSWER_UNKNOWN] = { "unknown", MM_CT_JOBS_UNKNOWN },
+  };
   mm_answer a = { .kind = kind, .why = why, .retry_after_s = retry_after_s };
-  if (kind != MM_ANSWER_COMPLETED)
-    g_message ("job %s of %s: %s after %" G_GINT64_FORMAT " ms: %s", b->s->id,
-               b->queue, names[kind], mm_clock_now_ms () - b->submitted_ms,
-               why);
+  mm_time_ms took_ms = mm_clock_now_ms () - b->submitted_ms;
+  mm_metrics_count (kinds[kind].counter);
+  if (kind == MM_ANSWER_COMPLETED)
+    mm_metrics_time (MM_HG_JOB, took_ms);
+  mm_log_event (MM_EV_JOB_ANSWERED, MM_TEXT (b->s->id), MM_TEXT (b->queue),
+                MM_TEXT (kinds[kind].name), MM_INT (took_ms), MM_TEXT (why));
   stop_tasks (b);
   while (b->callers)
     {
@@ -154,12 +169,15 @@
                         .label = step->label,
                         .avoid = t->avoid,
                         .need = step->need,
+                        .attempt = t->failures,
                         .priority = b->priority,
                         .estimate_ms = step->estimate_ms,
                         .due_within = MAX (b->due_ms - now, 0) };
   /* A short wait, then it is spread anew: room may have come free at
      another owner meanwhile.  */
   r.start_within = CLAMP (b->start_by_ms - now, 1, MM_SPREAD_WAIT_MS);
+  r.waited_ms = now - b->submitted_ms;
+  t->handed_ms = now;
   t->ticket = mm_fleet_submit (b->jobs->fleet, &r, on_task_done, t);
   if (!t->ticket)
     {
@@ -220,6 +238,35 @@
     hand_out (t);
 }
 
+/* Until when a task is handed out again.  */
+static mm_time_ms
+give_up_time (const job *b, mm_end how)
+{
+  return how == MM_END_NOT_RUN ? b->start_by_ms : b->deadline_ms;
+}
+
+static const char *
+what_next (const task *t, mm_end how, mm_time_ms now)
+{
+  const job *b = t->job;
+  if (how == MM_END_UNKNOWN)
+    return "caller is told to send the job again";
+  if (how == MM_END_FAILED)
+    return t->failures + 1 < b->attempts ? "another attempt"
+                                         : "job fails: no attempt left";
+  return now < give_up_time (b, how) ? "handed out again"
+                                     : "job is given up: too late";
+}
+
+static const mm_counter_id end_counters[MM_END_COUNT] = {
+  [MM_END_DONE] = MM_CT_TASKS_DONE,
+  [MM_END_FAILED] = MM_CT_TASKS_FAILED,
+  [MM_END_STOPPED] = MM_CT_TASKS_STOPPED,
+  [MM_END_LOST] = MM_CT_TASKS_LOST,
+  [MM_END_NOT_RUN] = MM_CT_TASKS_NOT_RUN,
+  [MM_END_UNKNOWN] = MM_CT_TASKS_UNKNOWN,
+};
+
 static void
 on_task_done (void *ctx, mm_end how, const char *upstream, const char *why)
 {
@@ -227,10 +274,11 @@
   job *b = t->job;
   t->ticket = NULL;
   mm_time_ms now = mm_clock_now_ms ();
+  mm_metrics_count (end_counters[how]);
   if (how != MM_END_DONE)
-    g_message ("task %s.%u.%u %s on %s: %s", t->id.job, t->id.step,
-               t->id.index, mm_end_name (how), upstream ? upstream : "-",
-               why ? why : "");
+    mm_log_event (MM_EV_TASK_FAILED, MM_TASK (&t->id), MM_TEXT (upstream),
+                  MM_TEXT (mm_end_name (how)), MM_INT (now - t->handed_ms),
+                  MM_TEXT (why), MM_TEXT (what_next (t, how, now)));
   switch (how)
     {
     case MM_END_DONE:
@@ -240,17 +288,13 @@
       on_failed (t, upstream);
       break;
     case MM_END_NOT_RUN:
-      if (now < b->start_by_ms)
-        hand_out (t);
-      else
-        give_up (b, "no room in time");
-      break;
     case MM_END_STOPPED:
     case MM_END_LOST:
-      if (now < b->deadline_ms)
+      if (now < give_up_time (b, how))
         hand_out (t);
       else
-        give_up (b, "a task was lost too late");
+        give_up (b, how == MM_END_NOT_RUN ? "no room in time"
+                                          : "a task was lost too late");
       break;
     case MM_END_UNKNOWN:
       answer (b, MM_ANSWER_UNKNOWN, why, MM_RETRY_AFTER_NO_ROOM_S);
@@ -333,6 +377,7 @@
 mm_jobs_submit (mm_jobs *j, mm_submission *s, const mm_route *route,
                 mm_time_ms patience_ms, mm_answer_cb on_answer, void *ctx)
 {
+  mm_metrics_count (MM_CT_JOBS_SUBMITTED);
   job *b = g_hash_table_lookup (j->by_id, s->id);
   if (b)
     {
@@ -354,15 +399,21 @@
     }
   if (no.why)
     {
-      g_message ("job %s of %s refused: %s (places %u, free %u, waiting %u, "
-                 "tasks %u, wait %" G_GINT64_FORMAT
-                 " ms, slack %" G_GINT64_FORMAT " ms)",
-                 s->id, route->name, no.why, load.places, load.free,
-                 load.waiting, first_tasks (s), a.wait_ms, slack);
+      mm_metrics_count (a.take ? MM_CT_JOBS_REFUSED_KIND
+                               : MM_CT_JOBS_REFUSED_LATE);
+      mm_log_event (MM_EV_JOB_REFUSED, MM_TEXT (s->id), MM_TEXT (route->name),
+                    MM_INT (route->config_version), MM_INT (first_tasks (s)),
+                    MM_INT (load.places), MM_INT (load.free),
+                    MM_INT (load.waiting), MM_INT (a.wait_ms), MM_INT (slack),
+                    MM_TEXT (no.why));
       on_answer (ctx, &no);
       mm_submission_free (s);
       return NULL;
     }
+  mm_log_event (MM_EV_JOB_ACCEPTED, MM_TEXT (s->id), MM_TEXT (route->name),
+                MM_INT (route->config_version), MM_INT (first_tasks (s)),
+                MM_INT (load.places), MM_INT (load.free),
+                MM_INT (load.waiting), MM_INT (a.wait_ms), MM_INT (slack));
   b = job_create (j, s, route, patience_ms);
   mm_caller *c = add_caller (b, on_answer, ctx);
   if (b->n_tasks == 0)
@@ -385,8 +436,9 @@
   g_free (c);
   if (b->callers)
     return;
-  g_message ("job %s of %s: its caller left after %" G_GINT64_FORMAT " ms",
-             b->s->id, b->queue, mm_clock_now_ms () - b->submitted_ms);
+  mm_metrics_count (MM_CT_JOBS_LEFT);
+  mm_log_event (MM_EV_JOB_CALLER_LEFT, MM_TEXT (b->s->id), MM_TEXT (b->queue),
+                MM_INT (mm_clock_now_ms () - b->submitted_ms));
   job_free (b);
 }
 
--- a/src/mm_log.c
+++ b/src/mm_log.c
@@ -1,8 +1,12 @@
-/* mm_log: GLib structured logging written as JSON lines on stderr.  */
+/* mm_log: GLib structured logging as JSON lines on standard output.  */
 #include "masticmill.h"
 
+#include "config.h"
+#include "mm_log_sink.h"
+
 #include <cJSON.h>
-#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
 
 static char *program_name;
 
@@ -52,6 +56,16 @@
   return line;
 }
 
+/* An event's line is ready made (mm_event); others are put together.  */
+static const char *
+ready_line (const GLogField *fields, gsize n_fields)
+{
+  for (gsize i = 0; i < n_fields; i++)
+    if (strcmp (fields[i].key, MM_LOG_LINE_FIELD) == 0)
+      return fields[i].value;
+  return NULL;
+}
+
 static GLogWriterOutput
 json_writer (GLogLevelFlags level, const GLogField *fields, gsize n_fields,
              gpointer user_data)
@@ -61,14 +75,24 @@
            | G_LOG_LEVEL_MESSAGE))
       && !g_getenv ("MM_LOG_DEBUG"))
     return G_LOG_WRITER_HANDLED;
+  const char *ready = ready_line (fields, n_fields);
+  if (ready)
+    {
+      mm_log_sink_put (ready, strlen (ready));
+      return G_LOG_WRITER_HANDLED;
+    }
   char *line = mm_log_format_json (fields, n_fields);
-  fprintf (stderr, "{\"level\":\"%s\",%s\n", level_name (level), line + 1);
+  char *whole
+      = g_strdup_printf ("{\"level\":\"%s\",%s", level_name (level), line + 1);
+  mm_log_sink_put (whole, strlen (whole));
+  mm_log_sink_flush ();
+  g_free (whole);
   free (line);
   return G_LOG_WRITER_HANDLED;
 }
 
 /**
- * mm_log_init() - send all GLib logging to stderr as JSON lines.
+ * mm_log_init() - send all GLib logging to stdout as JSON lines.
  * @program: name put in every line.
  *
  * Info and debug lines are written only when MM_LOG_DEBUG is set.
@@ -78,5 +102,37 @@
 {
   g_free (program_name);
   program_name = g_strdup (program);
+  mm_log_sink_open (STDOUT_FILENO);
   g_log_set_writer_func (json_writer, NULL, NULL);
 }
+
+/**
+ * mm_log_init_stderr() - the same on stderr, for a command whose output is
+ * its result.
+ * @program: name put in every line.
+ */
+void
+mm_log_init_stderr (const char *program)
+{
+  mm_log_init (program);
+  mm_log_sink_close ();
+  mm_log_sink_open (STDERR_FILENO);
+}
+
+/**
+ * mm_log_close() - write what is left and give stdout its mode back.
+ */
+void
+mm_log_close (void)
+{
+  mm_log_sink_close ();
+}
+
+/**
+ * mm_log_flush() - write what is buffered, as far as the reader takes it.
+ */
+void
+mm_log_flush (void)
+{
+  mm_log_sink_flush ();
+}
--- /dev/null
+++ b/src/mm_log_sink.c
@@ -0,0 +1,82 @@
+/* mm_log_sink: a bounded buffer in front of standard output.
+
+   A reader that stops reading fills the pipe; a blocking write would then
+   stop the process with it, and its callers.  Here the buffer fills
+   instead, and lines are dropped and counted.  */
+#include "mm_log_sink.h"
+
+#include "config.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <unistd.h>
+
+static int sink_fd = -1;
+static int old_flags;
+static GByteArray *buffer;
+static uint64_t dropped;
+
+void
+mm_log_sink_open (int fd)
+{
+  sink_fd = fd;
+  old_flags = fcntl (fd, F_GETFL);
+  if (old_flags >= 0)
+    (void)fcntl (fd, F_SETFL, old_flags | O_NONBLOCK);
+  if (!buffer)
+    buffer = g_byte_array_sized_new (MM_LOG_FLUSH_BYTES * 2);
+}
+
+void
+mm_log_sink_flush (void)
+{
+  guint done = 0;
+  while (buffer && done < buffer->len)
+    {
+      ssize_t n = write (sink_fd, buffer->data + done, buffer->len - done);
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n < 0 && errno == EAGAIN)
+        break;
+      if (n <= 0)
+        {
+          done = buffer->len; /* no reader any more, and none comes */
+          break;
+        }
+      done += (guint)n;
+    }
+  if (done)
+    g_byte_array_remove_range (buffer, 0, done);
+}
+
+bool
+mm_log_sink_put (const char *line, size_t len)
+{
+  if (!buffer)
+    return false;
+  if (buffer->len + len + 1 > MM_LOG_BUFFER_BYTES)
+    {
+      dropped++;
+      return false;
+    }
+  g_byte_array_append (buffer, (const guint8 *)line, (guint)len);
+  g_byte_array_append (buffer, (const guint8 *)"\n", 1);
+  if (buffer->len >= MM_LOG_FLUSH_BYTES)
+    mm_log_sink_flush ();
+  return true;
+}
+
+uint64_t
+mm_log_sink_dropped (void)
+{
+  return dropped;
+}
+
+void
+mm_log_sink_close (void)
+{
+  mm_log_sink_flush ();
+  if (sink_fd >= 0 && old_flags >= 0)
+    (void)fcntl (sink_fd, F_SETFL, old_flags);
+}
--- a/src/mm_members.c
+++ b/src/mm_members.c
@@ -2,6 +2,7 @@
 #include "mm_members.h"
 
 #include "config.h"
+#include "mm_metrics.h"
 
 #include <string.h>
 
@@ -109,6 +110,7 @@
   datacentre *dc = ctx;
   mm_members *m = dc->members;
   dc->in_flight = false;
+  mm_metrics_count (res->ok ? MM_CT_MEMBERS_OK : MM_CT_MEMBERS_FAILED);
   if (!m->closed && res->ok)
     {
       g_strfreev (dc->who);
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -8,7 +8,9 @@
 #include "mm_mesh.h"
 
 #include "config.h"
+#include "mm_event.h"
 #include "mm_link.h"
+#include "mm_metrics.h"
 #include "mm_mesh_msg.h"
 
 #include <string.h>
@@ -127,9 +129,7 @@
   mm_mesh *m = in->mesh;
   guint n = g_hash_table_size (in->works);
   if (n)
-    g_message ("mesh: link from a peer lost (%s): %u tasks of its jobs "
-               "stopped",
-               why, n);
+    mm_log_event (MM_EV_SENDER_LOST, MM_TEXT (why), MM_INT (n));
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init (&it, in->works);
@@ -214,7 +214,8 @@
 take_report (peer *p, mm_mesh_msg *m)
 {
   if (!p->connected)
-    g_message ("mesh: peer %s at %s connected", p->info.name, p->info.addr);
+    mm_log_event (MM_EV_PEER_REACHED, MM_TEXT (p->info.name),
+                  MM_TEXT (p->info.addr));
   p->connected = true;
   p->seen_no = m->no;
   g_free (p->rooms);
@@ -243,8 +244,11 @@
 {
   peer *p = ctx;
   if (p->connected)
-    g_message ("mesh: link to peer %s lost (%s), %u tasks out of sight",
-               p->info.name, why, g_hash_table_size (p->remote));
+    {
+      mm_metrics_count (MM_CT_PEERS_LOST);
+      mm_log_event (MM_EV_PEER_LOST, MM_TEXT (p->info.name), MM_TEXT (why),
+                    MM_INT (g_hash_table_size (p->remote)));
+    }
   p->link = NULL;
   p->connected = false;
   p->n_rooms = 0;
@@ -273,7 +277,7 @@
   p->next_no = p->seen_no = 0;
   p->link = mm_link_connect (p->mesh->loop, p->info.addr, &ev, &error);
   if (!p->link)
-    g_message ("mesh: %s", error->message);
+    g_warning ("mesh: %s", error->message);
   g_clear_error (&error);
 }
 
--- /dev/null
+++ b/src/mm_metrics.c
@@ -0,0 +1,237 @@
+/* mm_metrics: the table of series, and their text.
+
+   Counters of our own, as the house style asks.  Debian 12 has no C
+   library for histograms; prometheus-cpp would bring a C++ runtime and an
+   HTTP server of its own for what is one array here.  */
+#include "mm_metrics.h"
+
+typedef struct
+{
+  const char *name;
+  const char *label; /* LABEL="VALUE", or NULL */
+  const char *help;
+} series;
+
+#define JOBS "masticmill_jobs_answered_total"
+#define JOBS_HELP "Jobs answered, by outcome."
+#define REFUSED "masticmill_jobs_refused_total"
+#define REFUSED_HELP "Jobs refused at once, by reason."
+#define TASKS "masticmill_tasks_ended_total"
+#define TASKS_HELP "Tasks of this instance's jobs that ended, by how."
+#define STORE "masticmill_store_calls_total"
+#define STORE_HELP "Calls to the platform's store, by kind and outcome."
+
+static const series counter_table[MM_CT_COUNT] = {
+  [MM_CT_JOBS_SUBMITTED]
+  = { "masticmill_jobs_submitted_total", NULL, "Jobs that callers sent." },
+  [MM_CT_JOBS_COMPLETED] = { JOBS, "outcome=\"completed\"", JOBS_HELP },
+  [MM_CT_JOBS_FAILED] = { JOBS, "outcome=\"failed\"", JOBS_HELP },
+  [MM_CT_JOBS_CANCELLED] = { JOBS, "outcome=\"cancelled\"", JOBS_HELP },
+  [MM_CT_JOBS_GIVEN_UP] = { JOBS, "outcome=\"given_up\"", JOBS_HELP },
+  [MM_CT_JOBS_UNKNOWN] = { JOBS, "outcome=\"unknown\"", JOBS_HELP },
+  [MM_CT_JOBS_LEFT] = { JOBS, "outcome=\"caller_left\"", JOBS_HELP },
+  [MM_CT_JOBS_REFUSED_LATE] = { REFUSED, "reason=\"too_late\"", REFUSED_HELP },
+  [MM_CT_JOBS_REFUSED_KIND]
+  = { REFUSED, "reason=\"not_served\"", REFUSED_HELP },
+  [MM_CT_JOBS_REFUSED_OTHER] = { REFUSED, "reason=\"other\"", REFUSED_HELP },
+  [MM_CT_TASKS_HANDED] = { "masticmill_tasks_handed_total", NULL,
+                           "Tasks handed to an owner of upstreams." },
+  [MM_CT_TASKS_STARTED] = { "masticmill_tasks_started_total", NULL,
+                            "Starts ordered at upstreams owned here." },
+  [MM_CT_TASKS_DONE] = { TASKS, "how=\"done\"", TASKS_HELP },
+  [MM_CT_TASKS_FAILED] = { TASKS, "how=\"failed\"", TASKS_HELP },
+  [MM_CT_TASKS_STOPPED] = { TASKS, "how=\"stopped\"", TASKS_HELP },
+  [MM_CT_TASKS_LOST] = { TASKS, "how=\"lost\"", TASKS_HELP },
+  [MM_CT_TASKS_NOT_RUN] = { TASKS, "how=\"not_run\"", TASKS_HELP },
+  [MM_CT_TASKS_UNKNOWN] = { TASKS, "how=\"unknown\"", TASKS_HELP },
+  [MM_CT_ORDERS_UNANSWERED] = { "masticmill_orders_unanswered_total", NULL,
+                                "Starts and stops without an answer." },
+  [MM_CT_HOLDS]
+  = { "masticmill_holds_total", NULL, "Lease renewals and looks." },
+  [MM_CT_HOLDS_FAILED] = { "masticmill_holds_failed_total", NULL,
+                           "Lease renewals and looks without an answer." },
+  [MM_CT_FENCED] = { "masticmill_fenced_total", NULL,
+                     "Upstreams where a higher token was seen." },
+  [MM_CT_FOREIGN_RUNS] = { "masticmill_foreign_runs_total", NULL,
+                           "Runs of an earlier owner found and stopped." },
+  [MM_CT_EXCLUSIONS] = { "masticmill_exclusions_total", NULL,
+                         "Upstreams excluded after failures in a row." },
+  [MM_CT_OWNERSHIP_CHANGES] = { "masticmill_ownership_changes_total", NULL,
+                                "New sharings-out of the partitions." },
+  [MM_CT_PEERS_LOST] = { "masticmill_peers_lost_total", NULL,
+                         "Links to other instances that ended." },
+  [MM_CT_STALLS]
+  = { "masticmill_stalls_total", NULL, "Times that the process stood still." },
+  [MM_CT_STREAM_OK] = { STORE, "call=\"read\",outcome=\"ok\"", STORE_HELP },
+  [MM_CT_STREAM_FAILED]
+  = { STORE, "call=\"read\",outcome=\"failed\"", STORE_HELP },
+  [MM_CT_JOIN_OK] = { STORE, "call=\"join\",outcome=\"ok\"", STORE_HELP },
+  [MM_CT_JOIN_FAILED]
+  = { STORE, "call=\"join\",outcome=\"failed\"", STORE_HELP },
+  [MM_CT_MEMBERS_OK]
+  = { STORE, "call=\"members\",outcome=\"ok\"", STORE_HELP },
+  [MM_CT_MEMBERS_FAILED]
+  = { STORE, "call=\"members\",outcome=\"failed\"", STORE_HELP },
+};
+
+static const series gauge_table[MM_GG_COUNT] = {
+  [MM_GG_JOBS_OPEN]
+  = { "masticmill_jobs_open", NULL, "Jobs whose callers wait." },
+  [MM_GG_UPSTREAMS_OWNED]
+  = { "masticmill_upstreams_owned", NULL, "Upstreams owned here." },
+  [MM_GG_PLACES]
+  = { "masticmill_places", NULL,
+      "Tasks of the usual size that fit on the usable upstreams owned." },
+  [MM_GG_PLACES_FREE]
+  = { "masticmill_places_free", NULL, "Of these, how many are free." },
+  [MM_GG_TASKS_WAITING]
+  = { "masticmill_tasks_waiting", NULL, "Tasks that wait for room here." },
+  [MM_GG_RUNS] = { "masticmill_runs", NULL, "Runs that take up room here." },
+  [MM_GG_RUNS_UNSURE]
+  = { "masticmill_runs_unsure", NULL,
+      "Of these, starts without an answer, whose room is reserved." },
+  [MM_GG_CONFIG_VERSION]
+  = { "masticmill_config_version", NULL, "Configuration in force." },
+  [MM_GG_GENERATION] = { "masticmill_group_generation", NULL,
+                         "Generation of the data centre's group." },
+  [MM_GG_LOG_DROPPED]
+  = { "masticmill_log_lines_dropped", NULL,
+      "Log lines dropped, as nobody read standard output." },
+};
+
+static const series histogram_table[MM_HG_COUNT] = {
+  [MM_HG_JOB] = { "masticmill_job_duration_seconds", NULL,
+                  "Submission to answer, completed jobs." },
+  [MM_HG_QUEUE_WAIT] = { "masticmill_queue_wait_seconds", NULL,
+                         "Taken in by an owner until ordered to start." },
+  [MM_HG_START_CALL] = { "masticmill_start_call_seconds", NULL,
+                         "Order to start until its answer." },
+  [MM_HG_TASK_RUN] = { "masticmill_task_run_seconds", NULL,
+                       "Order to start until the end, done tasks." },
+  [MM_HG_JOIN_CALL] = { "masticmill_join_call_seconds", NULL,
+                        "Calls that keep the group membership." },
+};
+
+/* From a call on the local network to the longest job.  */
+static const mm_time_ms bounds_ms[]
+    = { 1,   2,   5,   10,  20,   35,   50,   75,   100,  150,
+        200, 300, 500, 750, 1000, 1500, 2000, 3000, 5000, 10000 };
+#define N_BOUNDS G_N_ELEMENTS (bounds_ms)
+
+typedef struct
+{
+  uint64_t in_bucket[N_BOUNDS + 1]; /* the last: above all bounds */
+  uint64_t n;
+  int64_t sum_ms;
+} histogram;
+
+static uint64_t counters[MM_CT_COUNT];
+static int64_t gauges[MM_GG_COUNT];
+static histogram histograms[MM_HG_COUNT];
+
+void
+mm_metrics_count (mm_counter_id id)
+{
+  counters[id]++;
+}
+
+uint64_t
+mm_metrics_counter (mm_counter_id id)
+{
+  return counters[id];
+}
+
+void
+mm_metrics_set (mm_gauge_id id, int64_t value)
+{
+  gauges[id] = value;
+}
+
+void
+mm_metrics_time (mm_histogram_id id, mm_time_ms ms)
+{
+  histogram *h = &histograms[id];
+  size_t i = 0;
+  while (i < N_BOUNDS && ms > bounds_ms[i])
+    i++;
+  h->in_bucket[i]++;
+  h->n++;
+  h->sum_ms += ms;
+}
+
+uint64_t
+mm_metrics_observed (mm_histogram_id id)
+{
+  return histograms[id].n;
+}
+
+/* Help and type stand once before all series of a name.  */
+static void
+append_head (GString *s, const series *row, const series *before,
+             const char *type)
+{
+  if (before && g_str_equal (before->name, row->name))
+    return;
+  g_string_append_printf (s, "# HELP %s %s\n# TYPE %s %s\n", row->name,
+                          row->help, row->name, type);
+}
+
+static void
+append_value (GString *s, const series *row, int64_t value)
+{
+  g_string_append (s, row->name);
+  if (row->label)
+    g_string_append_printf (s, "{%s}", row->label);
+  g_string_append_printf (s, " %" G_GINT64_FORMAT "\n", value);
+}
+
+static void
+append_seconds (GString *s, mm_time_ms ms)
+{
+  char text[G_ASCII_DTOSTR_BUF_SIZE];
+  g_string_append (
+      s, g_ascii_formatd (text, sizeof text, "%g", (double)ms / 1000.0));
+}
+
+static void
+append_histogram (GString *s, const series *row, const histogram *h)
+{
+  append_head (s, row, NULL, "histogram");
+  uint64_t up_to = 0;
+  for (size_t i = 0; i < N_BOUNDS; i++)
+    {
+      up_to += h->in_bucket[i];
+      g_string_append_printf (s, "%s_bucket{le=\"", row->name);
+      append_seconds (s, bounds_ms[i]);
+      g_string_append_printf (s, "\"} %" G_GUINT64_FORMAT "\n", up_to);
+    }
+  g_string_append_printf (
+      s, "%s_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT "\n%s_sum ", row->name,
+      h->n, row->name);
+  append_seconds (s, h->sum_ms);
+  g_string_append_printf (s, "\n%s_count %" G_GUINT64_FORMAT "\n", row->name,
+                          h->n);
+}
+
+/**
+ * mm_metrics_text() - all series, in the Prometheus text format.
+ */
+char *
+mm_metrics_text (void)
+{
+  GString *s = g_string_sized_new (8192);
+  for (int i = 0; i < MM_CT_COUNT; i++)
+    {
+      append_head (s, &counter_table[i], i ? &counter_table[i - 1] : NULL,
+                   "counter");
+      append_value (s, &counter_table[i], (int64_t)counters[i]);
+    }
+  for (int i = 0; i < MM_GG_COUNT; i++)
+    {
+      append_head (s, &gauge_table[i], NULL, "gauge");
+      append_value (s, &gauge_table[i], gauges[i]);
+    }
+  for (int i = 0; i < MM_HG_COUNT; i++)
+    append_histogram (s, &histogram_table[i], &histograms[i]);
+  return g_string_free (s, FALSE);
+}
--- /dev/null
+++ b/src/mm_metrics.h
@@ -0,0 +1,81 @@
+/* mm_metrics: counters, gauges and latency histograms of this process, as
+   text in the Prometheus exposition format.
+
+   All series stand in one table (mm_metrics.c).  Times are given in
+   milliseconds and served in seconds, as the format's conventions ask.  */
+#ifndef MM_METRICS_H
+#define MM_METRICS_H
+
+#include "masticmill.h"
+
+typedef enum
+{
+  MM_CT_JOBS_SUBMITTED,
+  MM_CT_JOBS_COMPLETED,
+  MM_CT_JOBS_FAILED,
+  MM_CT_JOBS_CANCELLED,
+  MM_CT_JOBS_GIVEN_UP,
+  MM_CT_JOBS_UNKNOWN,
+  MM_CT_JOBS_LEFT,
+  MM_CT_JOBS_REFUSED_LATE,
+  MM_CT_JOBS_REFUSED_KIND,
+  MM_CT_JOBS_REFUSED_OTHER,
+  MM_CT_TASKS_HANDED,
+  MM_CT_TASKS_STARTED,
+  MM_CT_TASKS_DONE,
+  MM_CT_TASKS_FAILED,
+  MM_CT_TASKS_STOPPED,
+  MM_CT_TASKS_LOST,
+  MM_CT_TASKS_NOT_RUN,
+  MM_CT_TASKS_UNKNOWN,
+  MM_CT_ORDERS_UNANSWERED,
+  MM_CT_HOLDS,
+  MM_CT_HOLDS_FAILED,
+  MM_CT_FENCED,
+  MM_CT_FOREIGN_RUNS,
+  MM_CT_EXCLUSIONS,
+  MM_CT_OWNERSHIP_CHANGES,
+  MM_CT_PEERS_LOST,
+  MM_CT_STALLS,
+  MM_CT_STREAM_OK,
+  MM_CT_STREAM_FAILED,
+  MM_CT_JOIN_OK,
+  MM_CT_JOIN_FAILED,
+  MM_CT_MEMBERS_OK,
+  MM_CT_MEMBERS_FAILED,
+  MM_CT_COUNT
+} mm_counter_id;
+
+typedef enum
+{
+  MM_GG_JOBS_OPEN,
+  MM_GG_UPSTREAMS_OWNED,
+  MM_GG_PLACES,
+  MM_GG_PLACES_FREE,
+  MM_GG_TASKS_WAITING,
+  MM_GG_RUNS,
+  MM_GG_RUNS_UNSURE,
+  MM_GG_CONFIG_VERSION,
+  MM_GG_GENERATION,
+  MM_GG_LOG_DROPPED,
+  MM_GG_COUNT
+} mm_gauge_id;
+
+typedef enum
+{
+  MM_HG_JOB,        /* submission to answer, completed jobs */
+  MM_HG_QUEUE_WAIT, /* handed to an owner until ordered to start */
+  MM_HG_START_CALL, /* start order to its answer */
+  MM_HG_TASK_RUN,   /* start order to the end, done tasks */
+  MM_HG_JOIN_CALL,  /* a join of the group at the store */
+  MM_HG_COUNT
+} mm_histogram_id;
+
+void mm_metrics_count (mm_counter_id id);                 /* add one */
+uint64_t mm_metrics_counter (mm_counter_id id);           /* its value */
+void mm_metrics_set (mm_gauge_id id, int64_t value);      /* a gauge */
+void mm_metrics_time (mm_histogram_id id, mm_time_ms ms); /* observe */
+uint64_t mm_metrics_observed (mm_histogram_id id);        /* how many */
+char *mm_metrics_text (void);                             /* g_free */
+
+#endif /* MM_METRICS_H */
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -3,6 +3,9 @@
 
 #include "config.h"
 #include "mm_catalog.h"
+#include "mm_event.h"
+#include "mm_metrics.h"
+#include "mm_log_sink.h"
 #include "mm_members.h"
 #include "mm_shares.h"
 #include "mm_stream.h"
@@ -85,27 +88,15 @@
     return;
   if (n->routes && item->routes->version <= n->routes->version)
     {
-      g_message ("configuration %" G_GUINT64_FORMAT
-                 " not taken: %" G_GUINT64_FORMAT " is in force",
-                 item->routes->version, n->routes->version);
+      if (item->routes->version < n->routes->version)
+        mm_log_event (MM_EV_CONFIG_REFUSED, MM_INT (item->routes->version),
+                      MM_INT (n->routes->version));
       return;
     }
-  mm_routes *r = g_new0 (mm_routes, 1);
-  r->version = item->routes->version;
-  r->n = item->routes->n;
-  r->routes = g_new0 (mm_route, r->n + 1);
-  for (size_t i = 0; i < r->n; i++)
-    {
-      r->routes[i] = item->routes->routes[i];
-      r->routes[i].name = g_strdup (r->routes[i].name);
-      r->routes[i].host = g_strdup (r->routes[i].host);
-      r->routes[i].prefix = g_strdup (r->routes[i].prefix);
-      r->routes[i].service = g_strdup (r->routes[i].service);
-    }
-  mm_routes_free (n->routes);
-  n->routes = r;
-  g_message ("configuration %" G_GUINT64_FORMAT " in force, %zu queues",
-             r->version, r->n);
+  mm_routes_unref (n->routes);
+  n->routes = mm_routes_ref (item->routes);
+  mm_log_event (MM_EV_CONFIG_APPLIED, MM_INT (n->routes->version),
+                MM_INT (n->routes->n));
 }
 
 static void
@@ -229,6 +220,7 @@
   mm_mesh_tick (n->mesh);
   mm_owner_tick (n->owner);
   mm_jobs_tick (n->jobs);
+  mm_log_flush ();
 }
 
 /* Runs first after each wait of the loop.  After a freeze, what waited
@@ -243,8 +235,8 @@
   n->alive_ms = now;
   if (gap <= MM_STALL_MS)
     return;
-  g_message ("stood still for %" G_GINT64_FORMAT " ms: open jobs given up",
-             gap);
+  mm_metrics_count (MM_CT_STALLS);
+  mm_log_event (MM_EV_STALLED, MM_INT (gap), MM_INT (mm_jobs_count (n->jobs)));
   mm_mesh_woke (n->mesh);
   mm_jobs_woke (n->jobs);
 }
@@ -340,7 +332,7 @@
   mm_stream_destroy (n->config);
   mm_stream_destroy (n->upstreams);
   mm_catalog_destroy (n->catalog);
-  mm_routes_free (n->routes);
+  mm_routes_unref (n->routes);
   g_free (n);
 }
 
@@ -406,6 +398,28 @@
          && mm_jobs_count (n->jobs) == 0 && open_connections == 0;
 }
 
+/**
+ * mm_node_metrics() - counters, gauges and histograms as text.
+ * @n: the node.
+ */
+char *
+mm_node_metrics (const mm_node *n)
+{
+  mm_owner_gauges g = mm_owner_measure (n->owner);
+  mm_metrics_set (MM_GG_JOBS_OPEN, mm_jobs_count (n->jobs));
+  mm_metrics_set (MM_GG_UPSTREAMS_OWNED, g.upstreams);
+  mm_metrics_set (MM_GG_PLACES, g.room.places);
+  mm_metrics_set (MM_GG_PLACES_FREE, g.room.free);
+  mm_metrics_set (MM_GG_TASKS_WAITING, g.room.waiting);
+  mm_metrics_set (MM_GG_RUNS, g.runs);
+  mm_metrics_set (MM_GG_RUNS_UNSURE, g.unsure);
+  mm_metrics_set (MM_GG_CONFIG_VERSION,
+                  n->routes ? (int64_t)n->routes->version : 0);
+  mm_metrics_set (MM_GG_GENERATION, (int64_t)mm_shares_generation (n->shares));
+  mm_metrics_set (MM_GG_LOG_DROPPED, (int64_t)mm_log_sink_dropped ());
+  return mm_metrics_text ();
+}
+
 char *
 mm_node_dump (const mm_node *n)
 {
--- a/src/mm_node.h
+++ b/src/mm_node.h
@@ -36,6 +36,7 @@
 mm_jobs *mm_node_jobs (mm_node *n);
 void mm_node_leave (mm_node *n); /* begin a graceful shutdown */
 bool mm_node_left (const mm_node *n, uint32_t open_connections); /* may exit */
-char *mm_node_dump (const mm_node *n); /* state as JSON, free() */
+char *mm_node_metrics (const mm_node *n); /* text, g_free */
+char *mm_node_dump (const mm_node *n);    /* state as JSON, free() */
 
 #endif /* MM_NODE_H */
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -6,6 +6,8 @@
 #include "mm_owner.h"
 
 #include "config.h"
+#include "mm_event.h"
+#include "mm_metrics.h"
 #include "mm_place.h"
 #include "mm_trust.h"
 
@@ -26,6 +28,7 @@
   mm_task_request t; /* its strings are ours */
   mm_time_ms start_by_ms;
   mm_time_ms due_ms;
+  mm_time_ms taken_ms;
   uint64_t order; /* of arrival */
   slot *at;       /* where it runs or is being stopped, NULL: waiting */
   bool cancelled;
@@ -99,6 +102,22 @@
     enqueue (o, w);
 }
 
+static void
+note_trust (slot *s, const char *name, bool ok, mm_time_ms now)
+{
+  bool was_on_trial = s->trust.on_trial;
+  mm_time_ms excluded_until = s->trust.excluded_until;
+  mm_trust_note (&s->trust, ok, now);
+  if (was_on_trial && !s->trust.on_trial)
+    mm_log_event (MM_EV_UPSTREAM_TRUSTED, MM_TEXT (name));
+  if (s->trust.excluded_until == excluded_until || ok)
+    return;
+  mm_metrics_count (MM_CT_EXCLUSIONS);
+  mm_log_event (MM_EV_UPSTREAM_EXCLUDED, MM_TEXT (name),
+                MM_INT (s->trust.failures_in_row),
+                MM_INT (s->trust.excluded_until - now));
+}
+
 static void
 on_ended (void *ctx, mm_exec *x, void *work, mm_end how, mm_time_ms ran_ms,
           const char *why)
@@ -109,7 +128,13 @@
   const char *name = mm_exec_info (x)->name;
   mm_time_ms now = mm_clock_now_ms ();
   if (how != MM_END_STOPPED && how != MM_END_UNKNOWN)
-    mm_trust_note (&s->trust, how == MM_END_DONE, now);
+    note_trust (s, name, how == MM_END_DONE, now);
+  if (how == MM_END_DONE)
+    {
+      mm_metrics_time (MM_HG_TASK_RUN, ran_ms);
+      mm_log_event (MM_EV_TASK_ENDED, MM_TASK (&w->t.id), MM_TEXT (name),
+                    MM_INT (ran_ms));
+    }
   g_hash_table_remove (o->active, &w->t.id);
   if (how == MM_END_NOT_RUN)
     give_back (w, name, why);
@@ -152,11 +177,9 @@
 static void
 on_fenced (void *ctx, mm_exec *x)
 {
-  slot *s = ctx;
-  g_message (
-      "upstream %s fenced: another owner has token above %" G_GUINT64_FORMAT,
-      mm_exec_info (x)->name, mm_exec_fence (x));
-  lose_work_at (s->owner, s, "fenced");
+  mm_metrics_count (MM_CT_FENCED);
+  mm_log_event (MM_EV_UPSTREAM_FENCED, MM_TEXT (mm_exec_info (x)->name),
+                MM_INT (mm_exec_fence (x)));
 }
 
 /**
@@ -313,6 +336,9 @@
     {
       w->at = at[best];
       g_hash_table_insert (o->active, &w->t.id, w);
+      mm_metrics_count (MM_CT_TASKS_STARTED);
+      w->t.waited_ms += now - w->taken_ms;
+      mm_metrics_time (MM_HG_QUEUE_WAIT, now - w->taken_ms);
       mm_exec_start (w->at->exec, &w->t, w);
     }
   g_free (c);
@@ -416,8 +442,9 @@
   w->t.payload = g_strdup (t->payload);
   w->t.label = g_strdup (t->label);
   w->t.avoid = g_strdup (t->avoid);
-  w->start_by_ms = mm_clock_now_ms () + t->start_within;
-  w->due_ms = mm_clock_now_ms () + t->due_within;
+  w->taken_ms = mm_clock_now_ms ();
+  w->start_by_ms = w->taken_ms + t->start_within;
+  w->due_ms = w->taken_ms + t->due_within;
   w->order = ++o->next_order;
   w->done = done;
   w->ctx = ctx;
@@ -494,6 +521,30 @@
   return r;
 }
 
+mm_owner_gauges
+mm_owner_measure (const mm_owner *o)
+{
+  mm_owner_gauges g = { .upstreams = g_hash_table_size (o->slots) };
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, o->slots);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      g.runs += (uint32_t)mm_exec_runs (((slot *)v)->exec);
+      g.unsure += (uint32_t)mm_exec_unsure (((slot *)v)->exec);
+    }
+  GList *services = mm_owner_services (o);
+  for (GList *l = services; l; l = l->next)
+    {
+      mm_room_report r = mm_owner_report (o, l->data);
+      g.room.places += r.places;
+      g.room.free += r.free;
+      g.room.waiting += r.waiting;
+    }
+  g_list_free (services);
+  return g;
+}
+
 /* Distinct services of the upstreams owned here.  */
 GList *
 mm_owner_services (const mm_owner *o)
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -20,6 +20,15 @@
   uint32_t waiting; /* tasks that wait for room */
 } mm_room_report;
 
+/* All services together, for metrics.  */
+typedef struct
+{
+  uint32_t upstreams;
+  uint32_t runs;   /* that take up room */
+  uint32_t unsure; /* of these, starts without an answer */
+  mm_room_report room;
+} mm_owner_gauges;
+
 mm_owner *mm_owner_create (const mm_exec_port *port);
 void mm_owner_destroy (mm_owner *o);
 void mm_owner_own (mm_owner *o, const mm_upstream_info *u,
@@ -36,6 +45,7 @@
 void mm_owner_cancel (mm_owner *o, mm_work *w); /* @done is not called */
 void mm_owner_tick (mm_owner *o);               /* each MM_EXEC_TICK_MS */
 mm_room_report mm_owner_report (const mm_owner *o, const char *service);
+mm_owner_gauges mm_owner_measure (const mm_owner *o);
 GList *mm_owner_services (const mm_owner *o); /* names; free list only */
 char *mm_owner_dump (const mm_owner *o);      /* JSON */
 
--- a/src/mm_routes.c
+++ b/src/mm_routes.c
@@ -3,10 +3,25 @@
 
 #include <string.h>
 
+mm_routes *
+mm_routes_new (void)
+{
+  mm_routes *r = g_new0 (mm_routes, 1);
+  r->refs = 1;
+  return r;
+}
+
+mm_routes *
+mm_routes_ref (mm_routes *r)
+{
+  r->refs++;
+  return r;
+}
+
 void
-mm_routes_free (mm_routes *r)
+mm_routes_unref (mm_routes *r)
 {
-  if (!r)
+  if (!r || --r->refs > 0)
     return;
   for (size_t i = 0; i < r->n; i++)
     {
--- a/src/mm_routes.h
+++ b/src/mm_routes.h
@@ -15,17 +15,21 @@
   uint32_t attempts; /* runs of a task that may fail */
   double stretch;    /* objective: this times the longest chain of work */
   mm_time_ms slo_ms; /* and this much more */
+  uint64_t config_version; /* that it stands in */
   bool needs_advice; /* only an adviser knows which upstreams may run it */
 } mm_route;
 
 typedef struct
 {
+  int refs;
   uint64_t version;
   mm_route *routes;
   size_t n;
 } mm_routes;
 
-void mm_routes_free (mm_routes *r);
+mm_routes *mm_routes_new (void);
+mm_routes *mm_routes_ref (mm_routes *r);
+void mm_routes_unref (mm_routes *r); /* NULL is fine */
 /* The route of a path, NULL for none; @rest: what follows the prefix.  */
 const mm_route *mm_routes_find (const mm_routes *r, const char *host,
                                 const char *path, const char **rest);
--- a/src/mm_shares.c
+++ b/src/mm_shares.c
@@ -12,6 +12,8 @@
 #include "mm_shares.h"
 
 #include "config.h"
+#include "mm_event.h"
+#include "mm_metrics.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -36,6 +38,7 @@
   mm_time_ms leaving_since_ms;
   bool in_flight;
   bool in_touch;
+  mm_time_ms sent_ms; /* the call in flight */
   bool quitting;
   bool left;
   mm_time_ms due_ms;
@@ -98,24 +101,35 @@
       ours += listed;
       leaving += p->leaving;
     }
-  g_message ("group %s: generation %" G_GUINT64_FORMAT
-             ", %u partitions ours, %u to hand over",
-             s->group, res->generation, ours, leaving);
+  mm_metrics_count (MM_CT_OWNERSHIP_CHANGES);
+  mm_log_event (MM_EV_GROUP_CHANGED, MM_TEXT (s->group),
+                MM_INT (res->generation), MM_INT (ours), MM_INT (leaving));
   if (!leaving)
     s->confirmed = res->generation;
   else if (!s->leaving_since_ms)
     s->leaving_since_ms = mm_clock_now_ms ();
 }
 
+static void
+note_touch (mm_shares *s, const mm_join_result *res)
+{
+  if (s->closed || s->in_touch == res->ok)
+    return;
+  s->in_touch = res->ok;
+  if (res->ok)
+    mm_log_event (MM_EV_STORE_REACHED, MM_TEXT (s->group));
+  else
+    mm_log_event (MM_EV_STORE_LOST, MM_TEXT (s->group), MM_TEXT (res->why));
+}
+
 static void
 on_joined (const mm_join_result *res, void *ctx)
 {
   mm_shares *s = ctx;
   s->in_flight = false;
-  if (!s->closed && s->in_touch != res->ok)
-    g_message ("group %s: %s%s", s->group,
-               res->ok ? "joined" : "out of touch: ", res->ok ? "" : res->why);
-  s->in_touch = res->ok;
+  mm_metrics_count (res->ok ? MM_CT_JOIN_OK : MM_CT_JOIN_FAILED);
+  mm_metrics_time (MM_HG_JOIN_CALL, mm_clock_now_ms () - s->sent_ms);
+  note_touch (s, res);
   if (!s->closed && res->ok && !s->quitting && res->generation != s->listed)
     {
       s->listed = res->generation;
@@ -142,6 +156,7 @@
   if (s->in_flight || s->left || now < s->due_ms)
     return;
   s->in_flight = true;
+  s->sent_ms = now;
   s->due_ms = now + MM_GROUP_BEAT_MS;
   s->refs++;
   if (s->quitting)
--- a/src/mm_stream.c
+++ b/src/mm_stream.c
@@ -5,6 +5,8 @@
 #include "mm_stream.h"
 
 #include "config.h"
+#include "mm_event.h"
+#include "mm_metrics.h"
 
 struct mm_stream
 {
@@ -72,11 +74,15 @@
 note_touch (mm_stream *s, const mm_stream_result *res)
 {
   static const char *const names[] = { "configuration", "upstream list" };
-  if (s->in_touch != res->ok)
-    g_message ("store: %s %s%s%s", names[s->kind],
-               res->ok ? "readable" : "not readable", res->ok ? "" : ": ",
-               res->ok ? "" : res->why);
+  mm_metrics_count (res->ok ? MM_CT_STREAM_OK : MM_CT_STREAM_FAILED);
+  if (s->in_touch == res->ok)
+    return;
   s->in_touch = res->ok;
+  if (res->ok)
+    mm_log_event (MM_EV_STORE_REACHED, MM_TEXT (names[s->kind]));
+  else
+    mm_log_event (MM_EV_STORE_LOST, MM_TEXT (names[s->kind]),
+                  MM_TEXT (res->why));
 }
 
 static void
--- a/src/mm_task.h
+++ b/src/mm_task.h
@@ -52,8 +52,10 @@
   const char *label;   /* an upstream must carry it, or NULL */
   const char *avoid;   /* name of an upstream to pass over, or NULL */
   mm_need need;
+  uint32_t attempt;        /* 0: has not failed yet */
   uint32_t priority;       /* 0 first */
   mm_time_ms estimate_ms;  /* declared run time, a hint */
+  mm_time_ms waited_ms;    /* in queues so far */
   mm_time_ms due_within;   /* ms from now; among equals, sooner goes first */
   mm_time_ms start_within; /* ms from now; then given back as not run */
 } mm_task_request;
