--- a/daemons/ctl_config.c
+++ b/daemons/ctl_config.c
@@ -13,20 +13,21 @@
   const cJSON *m;
   *n_live = *n_at = 0;
   cJSON_ArrayForEach (m, cJSON_GetObjectItem (list, "members"))
-  {
-    const char *kind = cJSON_GetStringValue (cJSON_GetObjectItem (m, "kind"));
-    const char *state
-        = cJSON_GetStringValue (cJSON_GetObjectItem (m, "state"));
-    if (!kind || !g_str_equal (kind, "entry") || !state
-        || !g_str_equal (state, "live"))
-      continue;
-    int64_t off = (int64_t)cJSON_GetNumberValue (
-        cJSON_GetObjectItem (m, "config_offset"));
-    head = MAX (head, off);
-    (*n_live)++;
-    if (off >= want)
-      (*n_at)++;
-  }
+    {
+      const char *kind
+          = cJSON_GetStringValue (cJSON_GetObjectItem (m, "kind"));
+      const char *state
+          = cJSON_GetStringValue (cJSON_GetObjectItem (m, "state"));
+      if (!kind || !g_str_equal (kind, "entry") || !state
+          || !g_str_equal (state, "live"))
+        continue;
+      int64_t off = (int64_t)cJSON_GetNumberValue (
+          cJSON_GetObjectItem (m, "config_offset"));
+      head = MAX (head, off);
+      (*n_live)++;
+      if (off >= want)
+        (*n_at)++;
+    }
   return head;
 }
 
@@ -50,11 +51,11 @@
       const cJSON *r;
       read = o != NULL;
       cJSON_ArrayForEach (r, cJSON_GetObjectItem (o, "records"))
-      {
-        if (cJSON_Compare (cJSON_GetObjectItem (r, "data"), want, true))
-          offset = (int64_t)cJSON_GetNumberValue (
-              cJSON_GetObjectItem (r, "offset"));
-      }
+        {
+          if (cJSON_Compare (cJSON_GetObjectItem (r, "data"), want, true))
+            offset = (int64_t)cJSON_GetNumberValue (
+                cJSON_GetObjectItem (r, "offset"));
+        }
       cJSON_Delete (o);
       g_free (body);
       if (!read)
@@ -252,10 +253,10 @@
           live, ctl_text (data, "base"));
   const cJSON *overlay;
   cJSON_ArrayForEach (overlay, cJSON_GetObjectItem (data, "overlays"))
-  {
-    printf ("\n# overlay of site %s\n%s", overlay->string,
-            overlay->valuestring);
-  }
+    {
+      printf ("\n# overlay of site %s\n%s", overlay->string,
+              overlay->valuestring);
+    }
   cJSON_Delete (o);
   return 0;
 }
--- a/daemons/ctl_status.c
+++ b/daemons/ctl_status.c
@@ -23,16 +23,16 @@
             "STATE", "ADDRESS", "CONFIG/SLOTS");
   const cJSON *m;
   cJSON_ArrayForEach (m, cJSON_GetObjectItem (list, "members"))
-  {
-    bool entry = g_str_equal (ctl_text (m, "kind"), "entry");
-    const cJSON *n
-        = cJSON_GetObjectItem (m, entry ? "config_offset" : "slots");
-    if (!json)
-      printf ("%-20s %-9s %-14s %-8s %-22s %.0f\n", ctl_text (m, "name"),
-              ctl_text (m, "kind"), ctl_text (m, "datacentre"),
-              ctl_text (m, "state"), ctl_text (m, "addr"),
-              cJSON_IsNumber (n) ? n->valuedouble : 0.0);
-  }
+    {
+      bool entry = g_str_equal (ctl_text (m, "kind"), "entry");
+      const cJSON *n
+          = cJSON_GetObjectItem (m, entry ? "config_offset" : "slots");
+      if (!json)
+        printf ("%-20s %-9s %-14s %-8s %-22s %.0f\n", ctl_text (m, "name"),
+                ctl_text (m, "kind"), ctl_text (m, "datacentre"),
+                ctl_text (m, "state"), ctl_text (m, "addr"),
+                cJSON_IsNumber (n) ? n->valuedouble : 0.0);
+    }
   cJSON_Delete (list);
   return 0;
 }
--- /dev/null
+++ b/daemons/ctl_top.c
@@ -0,0 +1,76 @@
+/* masticctl top HOST:PORT...: live metrics of instances in one table.  */
+#include "ctl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const struct
+{
+  const char *head;
+  const char *series;
+} columns[] = {
+  { "OPEN", "masticmill_jobs_open" },
+  { "DONE", "masticmill_jobs_answered_total{outcome=\"completed\"}" },
+  { "FAILED", "masticmill_jobs_answered_total{outcome=\"failed\"}" },
+  { "LOST", "masticmill_jobs_answered_total{outcome=\"unknown\"}" },
+  { "GIVEN-UP", "masticmill_jobs_answered_total{outcome=\"given_up\"}" },
+  { "REFUSED", "masticmill_jobs_refused_total{reason=\"too_late\"}" },
+  { "PLACES", "masticmill_places" },
+  { "FREE", "masticmill_places_free" },
+  { "WAITING", "masticmill_tasks_waiting" },
+  { "UNSURE", "masticmill_runs_unsure" },
+  { "CONFIG", "masticmill_config_version" },
+};
+
+/* The value of a series in the text format, NULL when it is missing.  */
+static char *
+value_of (const char *text, const char *series)
+{
+  size_t len = strlen (series);
+  for (const char *p = text; p && *p; p = strchr (p, '\n'))
+    {
+      p += *p == '\n';
+      if (strncmp (p, series, len) == 0 && p[len] == ' ')
+        return g_strndup (p + len + 1, strcspn (p + len + 1, "\n"));
+    }
+  return NULL;
+}
+
+static bool
+print_row (const char *addr)
+{
+  GError *err = NULL;
+  char *url = g_strdup_printf ("http://%s/metrics", addr);
+  char *text = ctl_get (url, &err);
+  g_free (url);
+  printf ("%-24s", addr);
+  if (!text)
+    {
+      printf (" %s\n", err->message);
+      g_error_free (err);
+      return false;
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (columns); i++)
+    {
+      char *value = value_of (text, columns[i].series);
+      printf (" %8s", value ? value : "-");
+      g_free (value);
+    }
+  printf ("\n");
+  g_free (text);
+  return true;
+}
+
+int
+ctl_top (int argc, char **argv)
+{
+  printf ("%-24s", "INSTANCE");
+  for (size_t i = 0; i < G_N_ELEMENTS (columns); i++)
+    printf (" %8s", columns[i].head);
+  printf ("\n");
+  bool ok = true;
+  for (int i = 0; i < argc; i++)
+    ok = print_row (argv[i]) && ok;
+  return ok ? 0 : 1;
+}
--- a/daemons/masticctl.c
+++ b/daemons/masticctl.c
@@ -8,6 +8,9 @@
      status [--json]           the member list
      dump ADDR                 a process's state (host:port)
      fault ADDR JSON           set platform faults or an upstream's mode
+     explain ID [FILE]...      one request's story, from several logs
+     top ADDR...               live metrics of instances in one table
+     events                    the events that instances log
      bench [options]           load run: latency over ideal, messages/task  */
 #include "ctl.h"
 
@@ -128,6 +131,12 @@
     }
   if (argc >= 3 && g_str_equal (argv[0], "fault"))
     return cmd_fault (argv[1], argv[2]);
+  if (argc >= 2 && g_str_equal (argv[0], "explain"))
+    return ctl_explain (argc - 1, argv + 1);
+  if (argc >= 2 && g_str_equal (argv[0], "top"))
+    return ctl_top (argc - 1, argv + 1);
+  if (argc >= 1 && g_str_equal (argv[0], "events"))
+    return ctl_events ();
   if (argc >= 1 && g_str_equal (argv[0], "bench"))
     return ctl_bench (argc, argv);
   return ctl_usage ();
--- a/src/config.h
+++ b/src/config.h
@@ -164,4 +164,6 @@
 #define MM_LOG_RATE_KEPT 200u /* lines of one kind a second: failures */
 #define MM_LOG_RATE_USUAL 40u /* and daily business */
 
+#define MM_EXPLAIN_BEFORE_MS 3000 /* context of a job: this long before it */
+
 #endif /* MM_CONFIG_H */
--- a/src/mm_cfg.c
+++ b/src/mm_cfg.c
@@ -161,11 +161,11 @@
   const cJSON *ovs = cJSON_GetObjectItemCaseSensitive (rec, "overlays");
   const cJSON *ov;
   cJSON_ArrayForEach (ov, ovs)
-  {
-    if (!knobs_for (rec, ov->string, &k, error))
-      return false;
-    mm_knobs_clear (&k);
-  }
+    {
+      if (!knobs_for (rec, ov->string, &k, error))
+        return false;
+      mm_knobs_clear (&k);
+    }
   return true;
 }
 
--- a/src/mm_entry_platform.c
+++ b/src/mm_entry_platform.c
@@ -159,13 +159,14 @@
     mm_pool_list_begin (e->pool, mm_clock_now_ms ());
   const cJSON *m;
   cJSON_ArrayForEach (m, cJSON_GetObjectItem (list, "members"))
-  {
-    const char *kind = cJSON_GetStringValue (cJSON_GetObjectItem (m, "kind"));
-    if (kind && g_str_equal (kind, "upstream"))
-      take_upstream (e, m);
-    else if (kind && g_str_equal (kind, "entry"))
-      take_peer (e, m, &view);
-  }
+    {
+      const char *kind
+          = cJSON_GetStringValue (cJSON_GetObjectItem (m, "kind"));
+      if (kind && g_str_equal (kind, "upstream"))
+        take_upstream (e, m);
+      else if (kind && g_str_equal (kind, "entry"))
+        take_peer (e, m, &view);
+    }
   if (unsure)
     keep_peers (e, before, view.names);
   mm_pool_list_end (e->pool);
@@ -245,15 +246,16 @@
 {
   const cJSON *r, *pick = NULL;
   cJSON_ArrayForEach (r, records)
-  {
-    int64_t off
-        = (int64_t)cJSON_GetNumberValue (cJSON_GetObjectItem (r, "offset"));
-    const cJSON *d = cJSON_GetObjectItem (r, "data");
-    const char *kind = cJSON_GetStringValue (cJSON_GetObjectItem (d, "kind"));
-    if (e->peer_config_max >= 0 ? off == e->peer_config_max
-                                : kind && g_str_equal (kind, "snapshot"))
-      pick = r;
-  }
+    {
+      int64_t off
+          = (int64_t)cJSON_GetNumberValue (cJSON_GetObjectItem (r, "offset"));
+      const cJSON *d = cJSON_GetObjectItem (r, "data");
+      const char *kind
+          = cJSON_GetStringValue (cJSON_GetObjectItem (d, "kind"));
+      if (e->peer_config_max >= 0 ? off == e->peer_config_max
+                                  : kind && g_str_equal (kind, "snapshot"))
+        pick = r;
+    }
   if (!pick)
     return -1;
   int64_t off
@@ -319,13 +321,13 @@
     skip_to = adopt_start (e, records);
   const cJSON *r;
   cJSON_ArrayForEach (r, records)
-  {
-    int64_t off
-        = (int64_t)cJSON_GetNumberValue (cJSON_GetObjectItem (r, "offset"));
-    if (off > skip_to)
-      apply_record (e, off, cJSON_GetObjectItem (r, "data"));
-    e->config_cursor = off + 1;
-  }
+    {
+      int64_t off
+          = (int64_t)cJSON_GetNumberValue (cJSON_GetObjectItem (r, "offset"));
+      if (off > skip_to)
+        apply_record (e, off, cJSON_GetObjectItem (r, "data"));
+      e->config_cursor = off + 1;
+    }
   cJSON_Delete (o);
   maybe_snapshot (e);
 }
--- a/src/mm_entry_recover.c
+++ b/src/mm_entry_recover.c
@@ -174,10 +174,10 @@
         r->complete = false;
       const cJSON *row;
       cJSON_ArrayForEach (row, cJSON_GetObjectItem (o, "tasks"))
-      {
-        if (ej->phase < MM_JOB_FAILING)
-          take_row (ej, row, c->upstream);
-      }
+        {
+          if (ej->phase < MM_JOB_FAILING)
+            take_row (ej, row, c->upstream);
+        }
       if (c->poll && !o)
         lose_tasks_on (ej, c->upstream);
       if (ej->phase == MM_JOB_RECOVERING && !r->open)
--- /dev/null
+++ b/src/mm_explain.c
@@ -0,0 +1,373 @@
+/* mm_explain: put a job's log lines in order of time and name its cause.
+
+   Besides the job's own lines, the story holds what the instances logged
+   of the upstreams and instances that its lines name, and of themselves,
+   shortly before and while the job was open.  */
+#include "mm_explain.h"
+
+#include "config.h"
+
+#include <cJSON.h>
+#include <string.h>
+
+typedef struct
+{
+  cJSON *fields;
+  char *source;
+  mm_time_ms ts_ms;
+  size_t order; /* of reading, among equal times */
+  bool own;     /* names the job */
+} line;
+
+struct mm_explain
+{
+  char *job;
+  GPtrArray *lines;      /* own lines, and all that may be context */
+  GHashTable *instances; /* source -> instance name, once it said */
+};
+
+static void
+line_free (gpointer p)
+{
+  line *l = p;
+  cJSON_Delete (l->fields);
+  g_free (l->source);
+  g_free (l);
+}
+
+mm_explain *
+mm_explain_create (const char *job_id)
+{
+  mm_explain *x = g_new0 (mm_explain, 1);
+  x->job = g_strdup (job_id);
+  x->lines = g_ptr_array_new_with_free_func (line_free);
+  x->instances
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return x;
+}
+
+void
+mm_explain_destroy (mm_explain *x)
+{
+  if (!x)
+    return;
+  g_ptr_array_free (x->lines, TRUE);
+  g_hash_table_destroy (x->instances);
+  g_free (x->job);
+  g_free (x);
+}
+
+static const char *
+text_of (const line *l, const char *name)
+{
+  const char *t = cJSON_GetStringValue (
+      cJSON_GetObjectItemCaseSensitive (l->fields, name));
+  return t ? t : "";
+}
+
+static long long
+number_of (const line *l, const char *name)
+{
+  const cJSON *f = cJSON_GetObjectItemCaseSensitive (l->fields, name);
+  return cJSON_IsNumber (f) ? (long long)f->valuedouble : 0;
+}
+
+static bool
+is_event (const line *l, const char *event)
+{
+  return strcmp (text_of (l, "event"), event) == 0;
+}
+
+/* Events that can explain a job without naming it.  */
+static bool
+may_be_context (const line *l)
+{
+  static const char *const events[]
+      = { "stalled",         "stopping",         "stopped",
+          "started",         "peer_lost",        "sender_lost",
+          "upstream_fenced", "upstream_suspect", "upstream_excluded",
+          "upstream_gone",   "store_lost",       "group_changed",
+          "config_applied",  "upstream_listed" };
+  for (size_t i = 0; i < G_N_ELEMENTS (events); i++)
+    if (is_event (l, events[i]))
+      return true;
+  return false;
+}
+
+/**
+ * mm_explain_add() - read a line.
+ * @x: the story.
+ * @source: name of the log it stands in, one an instance.
+ * @text: the line; anything before its first '{' is passed over.
+ */
+void
+mm_explain_add (mm_explain *x, const char *source, const char *text)
+{
+  const char *brace = strchr (text, '{');
+  cJSON *fields = brace ? cJSON_Parse (brace) : NULL;
+  line *l = g_new0 (line, 1);
+  l->fields = fields;
+  l->source = g_strdup (source);
+  l->ts_ms = number_of (l, "ts_ms");
+  l->order = x->lines->len;
+  l->own = strcmp (text_of (l, "job"), x->job) == 0;
+  if (is_event (l, "started"))
+    g_hash_table_replace (x->instances, g_strdup (source),
+                          g_strdup (text_of (l, "instance")));
+  if (fields && (l->own || may_be_context (l)))
+    g_ptr_array_add (x->lines, l);
+  else
+    line_free (l);
+}
+
+static gint
+by_time (gconstpointer a, gconstpointer b)
+{
+  const line *x = *(line *const *)a, *y = *(line *const *)b;
+  if (x->ts_ms != y->ts_ms)
+    return x->ts_ms < y->ts_ms ? -1 : 1;
+  return x->order < y->order ? -1 : x->order > y->order;
+}
+
+typedef struct
+{
+  mm_time_ms from_ms;
+  mm_time_ms to_ms;
+  GHashTable *names;   /* upstreams and instances that its lines name */
+  GHashTable *sources; /* logs that name it */
+} scope;
+
+static scope
+scope_of (const mm_explain *x)
+{
+  scope s = { .from_ms = G_MAXINT64,
+              .names = g_hash_table_new (g_str_hash, g_str_equal),
+              .sources = g_hash_table_new (g_str_hash, g_str_equal) };
+  for (guint i = 0; i < x->lines->len; i++)
+    {
+      line *l = x->lines->pdata[i];
+      if (!l->own)
+        continue;
+      s.from_ms = MIN (s.from_ms, l->ts_ms);
+      s.to_ms = MAX (s.to_ms, l->ts_ms);
+      g_hash_table_add (s.sources, l->source);
+      g_hash_table_add (s.names, (gpointer)text_of (l, "upstream"));
+      g_hash_table_add (s.names, (gpointer)text_of (l, "owner"));
+    }
+  g_hash_table_remove (s.names, "");
+  return s;
+}
+
+static bool
+belongs (const scope *s, const line *l)
+{
+  if (l->own)
+    return true;
+  if (l->ts_ms < s->from_ms - MM_EXPLAIN_BEFORE_MS || l->ts_ms > s->to_ms)
+    return false;
+  const char *upstream = text_of (l, "upstream"), *peer = text_of (l, "peer");
+  if (*upstream || *peer)
+    return g_hash_table_contains (s->names, *upstream ? upstream : peer);
+  return g_hash_table_contains (s->sources, l->source);
+}
+
+static void
+append_fields (GString *out, const line *l)
+{
+  const cJSON *f;
+  cJSON_ArrayForEach (f, l->fields)
+    {
+      if (strcmp (f->string, "ts_ms") == 0 || strcmp (f->string, "event") == 0
+          || (l->own && strcmp (f->string, "job") == 0))
+        continue;
+      if (cJSON_IsString (f))
+        g_string_append_printf (out, " %s=%s", f->string, f->valuestring);
+      else if (cJSON_IsNumber (f))
+        g_string_append_printf (out, " %s=%lld", f->string,
+                                (long long)f->valuedouble);
+    }
+}
+
+static void
+append_line (const mm_explain *x, GString *out, const line *l,
+             mm_time_ms from_ms)
+{
+  const char *instance = g_hash_table_lookup (x->instances, l->source);
+  g_string_append_printf (
+      out, "%+8lld ms  %-20s %-22s", (long long)(l->ts_ms - from_ms),
+      instance ? instance : l->source, text_of (l, "event"));
+  append_fields (out, l);
+  g_string_append_c (out, '\n');
+}
+
+/* The last own line of an event, with a field of that value if asked.  */
+static const line *
+last_own (const mm_explain *x, const char *event, const char *field,
+          const char *value)
+{
+  for (guint i = x->lines->len; i-- > 0;)
+    {
+      const line *l = x->lines->pdata[i];
+      if (l->own && is_event (l, event)
+          && (!field || strcmp (text_of (l, field), value) == 0))
+        return l;
+    }
+  return NULL;
+}
+
+static const line *
+context_of (const mm_explain *x, const scope *s, const char *event,
+            const char *field, const char *value)
+{
+  for (guint i = 0; i < x->lines->len; i++)
+    {
+      const line *l = x->lines->pdata[i];
+      if (!l->own && belongs (s, l) && is_event (l, event)
+          && (!field || strcmp (text_of (l, field), value) == 0))
+        return l;
+    }
+  return NULL;
+}
+
+static void
+cause_of_refusal (GString *out, const line *l)
+{
+  g_string_append_printf (
+      out,
+      "refused: %s. Its %lld tasks found %lld of %lld places free and %lld "
+      "tasks waiting; the last would have waited about %lld ms, and had "
+      "%lld ms to spare. Nothing of it ran.",
+      text_of (l, "why"), number_of (l, "tasks"), number_of (l, "free"),
+      number_of (l, "places"), number_of (l, "waiting"),
+      number_of (l, "wait_ms"), number_of (l, "slack_ms"));
+}
+
+static void
+cause_of_loss (const mm_explain *x, const scope *s, GString *out)
+{
+  const line *t = last_own (x, "task_failed", "how", "unknown");
+  const line *handed
+      = t ? last_own (x, "task_handed", "task", text_of (t, "task")) : NULL;
+  const line *peer = handed ? context_of (x, s, "peer_lost", "peer",
+                                          text_of (handed, "owner"))
+                            : NULL;
+  const line *fenced = context_of (x, s, "upstream_fenced", NULL, NULL);
+  const line *stalled = context_of (x, s, "stalled", NULL, NULL);
+  g_string_append (out, "its outcome was out of sight: ");
+  if (peer)
+    g_string_append_printf (
+        out, "instance %s, which ran task %s, was lost (%s)",
+        text_of (peer, "peer"), text_of (t, "task"), text_of (peer, "why"));
+  else if (stalled)
+    g_string_append_printf (out, "its instance stood still for %lld ms",
+                            number_of (stalled, "gap_ms"));
+  else if (fenced)
+    g_string_append_printf (out, "another instance took over upstream %s",
+                            text_of (fenced, "upstream"));
+  else
+    g_string_append (out, t ? text_of (t, "why") : "no line says why");
+  g_string_append (out, ". Its caller was told to send it again; what ran "
+                        "of it is stopped or lapses within a second.");
+}
+
+static void
+cause_of_failure (const mm_explain *x, const scope *s, GString *out)
+{
+  const line *t = last_own (x, "task_failed", "how", "failed");
+  if (!t)
+    {
+      g_string_append (out, "failed; no line of a failed task was kept.");
+      return;
+    }
+  g_string_append_printf (out,
+                          "task %s failed in every attempt, last on "
+                          "upstream %s",
+                          text_of (t, "task"), text_of (t, "upstream"));
+  const line *excluded = context_of (x, s, "upstream_excluded", NULL, NULL);
+  if (excluded)
+    g_string_append_printf (
+        out, ". Upstream %s failed %lld tasks in a row, with good reports",
+        text_of (excluded, "upstream"), number_of (excluded, "failures"));
+  else
+    g_string_append (out, ". These upstreams ran other tasks well: the task "
+                          "itself fails");
+  g_string_append_c (out, '.');
+}
+
+static void
+cause_of_success (const mm_explain *x, GString *out, const line *answered)
+{
+  g_string_append_printf (out, "completed after %lld ms",
+                          number_of (answered, "took_ms"));
+  guint again = 0;
+  for (guint i = 0; i < x->lines->len; i++)
+    {
+      const line *l = x->lines->pdata[i];
+      again += l->own && is_event (l, "task_failed");
+    }
+  if (again)
+    g_string_append_printf (out,
+                            "; %u runs or waits of its tasks were "
+                            "repeated",
+                            again);
+  g_string_append_c (out, '.');
+}
+
+static void
+append_cause (const mm_explain *x, const scope *s, GString *out)
+{
+  const line *refused = last_own (x, "job_refused", NULL, NULL);
+  const line *answered = last_own (x, "job_answered", NULL, NULL);
+  const line *left = last_own (x, "job_caller_left", NULL, NULL);
+  const char *outcome = answered ? text_of (answered, "outcome") : "";
+  g_string_append (out, "cause: ");
+  if (strcmp (outcome, "completed") == 0)
+    cause_of_success (x, out, answered);
+  else if (strcmp (outcome, "unknown") == 0)
+    cause_of_loss (x, s, out);
+  else if (strcmp (outcome, "failed") == 0)
+    cause_of_failure (x, s, out);
+  else if (answered)
+    g_string_append_printf (out, "%s after %lld ms: %s.", outcome,
+                            number_of (answered, "took_ms"),
+                            text_of (answered, "why"));
+  else if (left)
+    g_string_append_printf (out, "its caller left after %lld ms.",
+                            number_of (left, "took_ms"));
+  else if (refused)
+    cause_of_refusal (out, refused);
+  else
+    g_string_append (out, "no answer was logged: its instance ended before "
+                          "it, or its log is not among these.");
+  g_string_append_c (out, '\n');
+}
+
+/**
+ * mm_explain_story() - the job's story.
+ * @x: with all lines read.
+ *
+ * Return: the lines in order of time, and the cause; NULL when no line
+ * names the job.
+ */
+char *
+mm_explain_story (mm_explain *x)
+{
+  g_ptr_array_sort (x->lines, by_time);
+  scope s = scope_of (x);
+  GString *out = g_string_new (NULL);
+  if (s.from_ms <= s.to_ms)
+    {
+      g_string_append_printf (out, "job %s\n", x->job);
+      for (guint i = 0; i < x->lines->len; i++)
+        if (belongs (&s, x->lines->pdata[i]))
+          append_line (x, out, x->lines->pdata[i], s.from_ms);
+      append_cause (x, &s, out);
+    }
+  g_hash_table_destroy (s.names);
+  g_hash_table_destroy (s.sources);
+  bool found = out->len > 0;
+  char *text = g_string_free (out, FALSE);
+  if (!found)
+    g_clear_pointer (&text, g_free);
+  return text;
+}
--- a/src/mm_shard.c
+++ b/src/mm_shard.c
@@ -210,12 +210,12 @@
       const char *fp = cJSON_GetStringValue (cJSON_GetObjectItem (data, "fp"));
       const cJSON *id;
       cJSON_ArrayForEach (id, cJSON_GetObjectItem (data, "jobs"))
-      {
-        if (!cJSON_IsString (id))
-          continue;
-        mm_shard_remember (s, id->valuestring,
-                           fp ? g_ascii_strtoull (fp, NULL, 16) : 0);
-      }
+        {
+          if (!cJSON_IsString (id))
+            continue;
+          mm_shard_remember (s, id->valuestring,
+                             fp ? g_ascii_strtoull (fp, NULL, 16) : 0);
+        }
     }
 }
 
@@ -252,13 +252,13 @@
   int64_t head = int_field (o, "head");
   const cJSON *r;
   cJSON_ArrayForEach (r, cJSON_GetObjectItem (o, "records"))
-  {
-    int64_t offset = int_field (r, "offset");
-    if (offset < s->cursor)
-      continue;
-    take_record (s, cJSON_GetObjectItem (r, "data"));
-    s->cursor = offset + 1;
-  }
+    {
+      int64_t offset = int_field (r, "offset");
+      if (offset < s->cursor)
+        continue;
+      take_record (s, cJSON_GetObjectItem (r, "data"));
+      s->cursor = offset + 1;
+    }
   if (!cJSON_GetArraySize (cJSON_GetObjectItem (o, "records")))
     s->cursor = MAX (s->cursor, head);
   s->seen_epoch = MAX (s->seen_epoch, int_field (o, "epoch"));
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -133,13 +133,13 @@
   const cJSON *s;
   char *prefix = g_strdup_printf ("%s/", job_id);
   cJSON_ArrayForEach (s, cJSON_GetObjectItem (o, "starts"))
-  {
-    if (!g_str_has_prefix (s->string, prefix))
-      continue;
-    n++;
-    if (max_count && (int)s->valuedouble > *max_count)
-      *max_count = (int)s->valuedouble;
-  }
+    {
+      if (!g_str_has_prefix (s->string, prefix))
+        continue;
+      n++;
+      if (max_count && (int)s->valuedouble > *max_count)
+        *max_count = (int)s->valuedouble;
+    }
   g_free (prefix);
   cJSON_Delete (o);
   return n;
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -20,11 +20,11 @@
   int n = 0;
   const cJSON *t;
   cJSON_ArrayForEach (t, cJSON_GetObjectItem (o, "tasks"))
-  {
-    if (g_str_equal (cJSON_GetStringValue (cJSON_GetObjectItem (t, "state")),
-                     state))
-      n++;
-  }
+    {
+      if (g_str_equal (cJSON_GetStringValue (cJSON_GetObjectItem (t, "state")),
+                       state))
+        n++;
+    }
   return n;
 }
 
@@ -95,14 +95,14 @@
                       id);
         const cJSON *t;
         cJSON_ArrayForEach (t, cJSON_GetObjectItem (o, "tasks"))
-        {
-          const char *tid
-              = cJSON_GetStringValue (cJSON_GetObjectItem (t, "id"));
-          const char *res
-              = cJSON_GetStringValue (cJSON_GetObjectItem (t, "result"));
-          ok = ok && g_str_has_prefix (tid, id) && res
-               && g_str_has_prefix (res + 3, tid);
-        }
+          {
+            const char *tid
+                = cJSON_GetStringValue (cJSON_GetObjectItem (t, "id"));
+            const char *res
+                = cJSON_GetStringValue (cJSON_GetObjectItem (t, "result"));
+            ok = ok && g_str_has_prefix (tid, id) && res
+                 && g_str_has_prefix (res + 3, tid);
+          }
         _exit (ok ? 0 : 1);
       }
   for (int i = 0; i < 12; i++)
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -52,11 +52,11 @@
           const cJSON *j;
           bool here = false;
           cJSON_ArrayForEach (j, cJSON_GetObjectItem (o, "jobs"))
-          {
-            const char *id
-                = cJSON_GetStringValue (cJSON_GetObjectItem (j, "job_id"));
-            here = here || (id && g_str_equal (id, job_id));
-          }
+            {
+              const char *id
+                  = cJSON_GetStringValue (cJSON_GetObjectItem (j, "job_id"));
+              here = here || (id && g_str_equal (id, job_id));
+            }
           cJSON_Delete (o);
           if (here)
             return i;
