--- a/src/config.h
+++ b/src/config.h
@@ -166,4 +166,8 @@
 
 #define MM_EXPLAIN_BEFORE_MS 3000 /* context of a job: this long before it */
 
+/* Stand-ins (mm_run_table).  */
+#define MM_MODEL_STOP_MS 30 /* a stop takes so long */
+#define MM_MODEL_FAIL_MS 5  /* a task that fails runs so long */
+
 #endif /* MM_CONFIG_H */
--- /dev/null
+++ b/src/mm_run_table.c
@@ -0,0 +1,291 @@
+/* mm_run_table: the runs of one upstream.  */
+#include "mm_run_table.h"
+
+#include "config.h"
+
+typedef struct
+{
+  mm_task_id task;
+  uint32_t number;
+  mm_need need;
+  mm_time_ms started_ms;
+  mm_time_ms ends_ms;
+  mm_end how;
+} table_run;
+
+struct mm_run_table
+{
+  mm_need capacity;
+  bool guards;
+  mm_time_ms max_lease_ms;
+  mm_run_mode mode;
+  uint64_t fence;
+  mm_time_ms lease_until_ms;
+  GArray *runs;    /* table_run */
+  GArray *ended;   /* mm_ended, not acknowledged */
+  GArray *running; /* mm_running, made by _list */
+  uint64_t last_seq;
+  GHashTable *highest; /* task -> highest run stopped or ended */
+  mm_run_counts counts;
+};
+
+mm_run_table *
+mm_run_table_create (const mm_need *capacity, bool guards,
+                     mm_time_ms max_lease_ms)
+{
+  mm_run_table *t = g_new0 (mm_run_table, 1);
+  t->capacity = *capacity;
+  t->guards = guards;
+  t->max_lease_ms = max_lease_ms;
+  t->runs = g_array_new (FALSE, TRUE, sizeof (table_run));
+  t->ended = g_array_new (FALSE, TRUE, sizeof (mm_ended));
+  t->running = g_array_new (FALSE, TRUE, sizeof (mm_running));
+  t->highest = g_hash_table_new_full (mm_task_id_hash, mm_task_id_equal,
+                                      g_free, NULL);
+  return t;
+}
+
+void
+mm_run_table_destroy (mm_run_table *t)
+{
+  if (!t)
+    return;
+  g_array_free (t->runs, TRUE);
+  g_array_free (t->ended, TRUE);
+  g_array_free (t->running, TRUE);
+  g_hash_table_destroy (t->highest);
+  g_free (t);
+}
+
+void
+mm_run_table_set_mode (mm_run_table *t, mm_run_mode mode)
+{
+  t->mode = mode;
+}
+
+static table_run *
+run_at (const mm_run_table *t, guint i)
+{
+  return &g_array_index (t->runs, table_run, i);
+}
+
+static table_run *
+find (const mm_run_table *t, const mm_task_id *task)
+{
+  for (guint i = 0; i < t->runs->len; i++)
+    if (mm_task_id_equal (&run_at (t, i)->task, task))
+      return run_at (t, i);
+  return NULL;
+}
+
+bool
+mm_run_table_runs (const mm_run_table *t, const mm_task_id *task)
+{
+  return find (t, task) != NULL;
+}
+
+static uint32_t
+highest_ended (const mm_run_table *t, const mm_task_id *task)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (t->highest, task));
+}
+
+/* From now on a start of this run, or a lower one, is refused.  */
+static void
+bar (mm_run_table *t, const mm_task_id *task, uint32_t number)
+{
+  if (number <= highest_ended (t, task))
+    return;
+  mm_task_id *key = g_new (mm_task_id, 1);
+  *key = *task;
+  g_hash_table_replace (t->highest, key, GUINT_TO_POINTER (number));
+}
+
+static void
+end (mm_run_table *t, guint i, mm_end how)
+{
+  const table_run *r = run_at (t, i);
+  mm_ended e = {
+    .seq = ++t->last_seq, .task = r->task, .run = r->number, .how = how
+  };
+  g_array_append_val (t->ended, e);
+  bar (t, &r->task, r->number);
+  g_array_remove_index (t->runs, i);
+}
+
+static void
+extend_lease (mm_run_table *t, mm_time_ms deadline_ms, mm_time_ms now_ms)
+{
+  mm_time_ms until = MIN (deadline_ms, now_ms + t->max_lease_ms);
+  t->lease_until_ms = MAX (t->lease_until_ms, until);
+}
+
+static mm_need
+room (const mm_run_table *t)
+{
+  mm_need free = t->capacity;
+  for (guint i = 0; i < t->runs->len; i++)
+    mm_need_sub (&free, &run_at (t, i)->need);
+  return free;
+}
+
+static void
+add_run (mm_run_table *t, const mm_order *o, const mm_need *need,
+         mm_time_ms run_ms, mm_time_ms now_ms)
+{
+  int64_t percent = t->mode.slow_percent ? t->mode.slow_percent : 100;
+  table_run r = { .task = *o->task,
+                  .number = o->run,
+                  .need = *need,
+                  .started_ms = now_ms,
+                  .ends_ms = now_ms + run_ms * percent / 100,
+                  .how = MM_END_DONE };
+  if (t->mode.fails)
+    {
+      r.ends_ms = now_ms + MM_MODEL_FAIL_MS;
+      r.how = MM_END_FAILED;
+    }
+  if (t->mode.hangs)
+    r.ends_ms = G_MAXINT64;
+  mm_need free = room (t);
+  t->counts.starts++;
+  t->counts.over_capacity += !mm_need_fits (need, &free);
+  g_array_append_val (t->runs, r);
+}
+
+static bool
+pass_fence (mm_run_table *t, uint64_t fence)
+{
+  if (fence < t->fence)
+    return false;
+  t->fence = fence;
+  return true;
+}
+
+/**
+ * mm_run_table_start() - an order to start.
+ * @t: the table.
+ * @o: the order.
+ * @need: what the task takes up.
+ * @run_ms: how long it will run.
+ * @now_ms: the upstream's clock.
+ */
+mm_call_verdict
+mm_run_table_start (mm_run_table *t, const mm_order *o, const mm_need *need,
+                    mm_time_ms run_ms, mm_time_ms now_ms)
+{
+  mm_run_table_step (t, now_ms);
+  if (!pass_fence (t, o->fence))
+    return MM_CALL_FENCED;
+  const table_run *there = find (t, o->task);
+  if (there && there->number == o->run)
+    return MM_CALL_OK;
+  if (o->deadline_ms <= now_ms)
+    return MM_CALL_LATE;
+  if (there || o->run <= highest_ended (t, o->task))
+    return MM_CALL_OLD_RUN;
+  if (t->mode.refuses)
+    return MM_CALL_REFUSED;
+  mm_need free = room (t);
+  if (t->guards && !mm_need_fits (need, &free))
+    return MM_CALL_NO_ROOM;
+  extend_lease (t, o->deadline_ms, now_ms);
+  add_run (t, o, need, run_ms, now_ms);
+  return MM_CALL_OK;
+}
+
+mm_call_verdict
+mm_run_table_stop (mm_run_table *t, const mm_order *o, mm_time_ms now_ms)
+{
+  mm_run_table_step (t, now_ms);
+  if (!pass_fence (t, o->fence))
+    return MM_CALL_FENCED;
+  bar (t, o->task, o->run);
+  table_run *r = find (t, o->task);
+  if (r && r->number <= o->run)
+    {
+      r->ends_ms = MIN (r->ends_ms, now_ms + MM_MODEL_STOP_MS);
+      r->how = MM_END_STOPPED;
+    }
+  return MM_CALL_OK;
+}
+
+mm_call_verdict
+mm_run_table_hold (mm_run_table *t, const mm_hold *h, mm_time_ms now_ms)
+{
+  mm_run_table_step (t, now_ms);
+  if (!pass_fence (t, h->fence))
+    return MM_CALL_FENCED;
+  while (t->ended->len
+         && g_array_index (t->ended, mm_ended, 0).seq <= h->acked_seq)
+    g_array_remove_index (t->ended, 0);
+  if (h->deadline_ms)
+    extend_lease (t, h->deadline_ms, now_ms);
+  return MM_CALL_OK;
+}
+
+void
+mm_run_table_step (mm_run_table *t, mm_time_ms now_ms)
+{
+  for (guint i = 0; i < t->runs->len;)
+    {
+      if (now_ms >= t->lease_until_ms)
+        end (t, i, MM_END_LOST);
+      else if (now_ms >= run_at (t, i)->ends_ms)
+        end (t, i, run_at (t, i)->how);
+      else
+        i++;
+    }
+}
+
+void
+mm_run_table_clear (mm_run_table *t)
+{
+  g_array_set_size (t->runs, 0);
+  g_array_set_size (t->ended, 0);
+}
+
+size_t
+mm_run_table_running (const mm_run_table *t)
+{
+  return t->runs->len;
+}
+
+size_t
+mm_run_table_ended (const mm_run_table *t)
+{
+  return t->ended->len;
+}
+
+static int32_t
+percent_done (const table_run *r, mm_time_ms now_ms)
+{
+  mm_time_ms all = r->ends_ms - r->started_ms;
+  if (r->ends_ms == G_MAXINT64 || all <= 0)
+    return 0;
+  return (int32_t)CLAMP ((now_ms - r->started_ms) * 100 / all, 0, 99);
+}
+
+void
+mm_run_table_list (mm_run_table *t, mm_hold_result *out, mm_time_ms now_ms)
+{
+  g_array_set_size (t->running, 0);
+  for (guint i = 0; i < t->runs->len; i++)
+    {
+      const table_run *r = run_at (t, i);
+      mm_running row = { .task = r->task,
+                         .run = r->number,
+                         .percent = percent_done (r, now_ms) };
+      g_array_append_val (t->running, row);
+    }
+  out->running = (mm_running *)(void *)t->running->data;
+  out->n_running = t->running->len;
+  out->ended = (mm_ended *)(void *)t->ended->data;
+  out->n_ended = t->ended->len;
+}
+
+mm_run_counts
+mm_run_table_counts (const mm_run_table *t)
+{
+  return t->counts;
+}
--- a/tests/fake_upstreams.c
+++ b/tests/fake_upstreams.c
@@ -1,30 +1,13 @@
 /* fake_upstreams: see the header.  */
 #include "fake_upstreams.h"
 
+#include "mm_run_table.h"
+
 #include <stdio.h>
 #include <string.h>
 
 #define LINK_MS 1 /* one way */
 #define MAX_LEASE_MS 1000
-#define STOP_MS 30 /* a stop takes so long */
-
-typedef struct
-{
-  mm_task_id task;
-  uint32_t number;
-  int64_t cpu_milli;
-  mm_time_ms started_ms;
-  mm_time_ms ends_ms;
-  mm_end how;
-} fake_run;
-
-typedef struct
-{
-  uint64_t seq;
-  mm_task_id task;
-  uint32_t number;
-  mm_end how;
-} fake_end;
 
 struct fake
 {
@@ -32,12 +15,7 @@
   mm_upstream_info info;
   fake_mode mode;
   bool gone; /* this incarnation */
-  uint64_t fence;
-  mm_time_ms lease_until_ms;
-  GArray *runs; /* fake_run */
-  GArray *ends; /* fake_end, not acknowledged */
-  uint64_t next_seq;
-  GHashTable *highest; /* task -> highest run stopped or ended, as uint */
+  mm_run_table *table;
 };
 
 typedef enum
@@ -111,9 +89,7 @@
   g_free (x->info.addr);
   g_free (x->info.service);
   g_free (x->info.datacentre);
-  g_array_free (x->runs, TRUE);
-  g_array_free (x->ends, TRUE);
-  g_hash_table_destroy (x->highest);
+  mm_run_table_destroy (x->table);
   g_free (x);
 }
 
@@ -139,10 +115,7 @@
   x->info.service = g_strdup ("svc");
   x->info.datacentre = g_strdup ("dc1");
   x->info.capacity = (mm_need){ .cpu_milli = cpu_milli, .mem_mb = 100000 };
-  x->runs = g_array_new (FALSE, TRUE, sizeof (fake_run));
-  x->ends = g_array_new (FALSE, TRUE, sizeof (fake_end));
-  x->highest = g_hash_table_new_full (mm_task_id_hash, mm_task_id_equal,
-                                      g_free, NULL);
+  x->table = mm_run_table_create (&x->info.capacity, false, MAX_LEASE_MS);
   f->upstreams = g_list_append (f->upstreams, x);
   return x;
 }
@@ -157,8 +130,7 @@
 fake_restart (fake *x)
 {
   x->gone = true;
-  g_array_set_size (x->runs, 0);
-  g_array_set_size (x->ends, 0);
+  mm_run_table_clear (x->table);
 }
 
 const mm_upstream_info *
@@ -170,7 +142,7 @@
 size_t
 fake_running (const fake *x)
 {
-  return x->runs->len;
+  return mm_run_table_running (x->table);
 }
 
 mm_time_ms
@@ -182,7 +154,14 @@
 fakes_counts
 fakes_count (const fakes *f)
 {
-  return f->counts;
+  fakes_counts c = f->counts;
+  for (GList *l = f->upstreams; l; l = l->next)
+    {
+      mm_run_counts t = mm_run_table_counts (((fake *)l->data)->table);
+      c.starts += t.starts;
+      c.over_capacity += t.over_capacity;
+    }
+  return c;
 }
 
 mm_task_request
@@ -204,119 +183,26 @@
 
 /* ---- what an upstream does -------------------------------------------- */
 
-static fake_run *
-find_run (fake *x, const mm_task_id *task)
-{
-  for (guint i = 0; i < x->runs->len; i++)
-    {
-      fake_run *r = &g_array_index (x->runs, fake_run, i);
-      if (mm_task_id_equal (&r->task, task))
-        return r;
-    }
-  return NULL;
-}
-
-static void
-bar_run (fake *x, const mm_task_id *task, uint32_t number)
-{
-  guint old = GPOINTER_TO_UINT (g_hash_table_lookup (x->highest, task));
-  if (number <= old)
-    return;
-  mm_task_id *key = g_new (mm_task_id, 1);
-  *key = *task;
-  g_hash_table_replace (x->highest, key, GUINT_TO_POINTER (number));
-}
-
-static void
-end_run (fake *x, guint i, mm_end how)
-{
-  fake_run *r = &g_array_index (x->runs, fake_run, i);
-  fake_end e = {
-    .seq = ++x->next_seq, .task = r->task, .number = r->number, .how = how
-  };
-  g_array_append_val (x->ends, e);
-  bar_run (x, &r->task, r->number);
-  g_array_remove_index (x->runs, i);
-}
-
 static void
 check_double (fake *x, const mm_task_id *task)
 {
   for (GList *l = x->all->upstreams; l; l = l->next)
-    if (l->data != x && find_run (l->data, task))
+    if (l->data != x && mm_run_table_runs (((fake *)l->data)->table, task))
       x->all->counts.double_runs++;
 }
 
-static void
-begin_run (fake *x, const mm_task_id *task, uint32_t number,
-           const char *payload)
-{
-  long long cpu = 0, run_ms = 0;
-  sscanf (payload, "%lld %lld", &cpu, &run_ms);
-  fake_run r = { .task = *task,
-                 .number = number,
-                 .cpu_milli = cpu,
-                 .started_ms = x->all->now_ms,
-                 .ends_ms = x->all->now_ms + run_ms,
-                 .how = MM_END_DONE };
-  if (x->mode.fails_tasks)
-    {
-      r.ends_ms = x->all->now_ms + 5;
-      r.how = MM_END_FAILED;
-    }
-  if (x->mode.hangs)
-    r.ends_ms = G_MAXINT64;
-  check_double (x, task);
-  g_array_append_val (x->runs, r);
-  int64_t used = 0;
-  for (guint i = 0; i < x->runs->len; i++)
-    used += g_array_index (x->runs, fake_run, i).cpu_milli;
-  x->all->counts.starts++;
-  if (used > x->info.capacity.cpu_milli)
-    x->all->counts.over_capacity++;
-}
-
-static void
-extend_lease (fake *x, mm_time_ms deadline_ms)
-{
-  mm_time_ms most = x->all->now_ms + MAX_LEASE_MS;
-  x->lease_until_ms = MAX (x->lease_until_ms, MIN (deadline_ms, most));
-}
-
 static mm_call_verdict
-do_start (fake *x, const fake_call *c)
-{
-  fake_run *r = find_run (x, &c->task);
-  if (r && r->number == c->number)
-    return MM_CALL_OK;
-  guint barred = GPOINTER_TO_UINT (g_hash_table_lookup (x->highest, &c->task));
-  if (c->deadline_ms <= x->all->now_ms)
-    return MM_CALL_LATE;
-  if (c->number <= barred || r)
-    return MM_CALL_OLD_RUN;
-  if (x->mode.unhealthy)
-    return MM_CALL_REFUSED;
-  extend_lease (x, c->deadline_ms);
-  begin_run (x, &c->task, c->number, c->payload);
-  return MM_CALL_OK;
-}
-
-static void
-do_stop (fake *x, const fake_call *c)
+do_start (fake *x, const mm_order *o)
 {
-  bar_run (x, &c->task, c->number);
-  fake_run *r = find_run (x, &c->task);
-  if (!r || r->number > c->number)
-    return;
-  r->ends_ms = MIN (r->ends_ms, x->all->now_ms + STOP_MS);
-  r->how = MM_END_STOPPED;
-}
-
-static void
-forget_ends (fake *x, uint64_t acked)
-{
-  while (x->ends->len && g_array_index (x->ends, fake_end, 0).seq <= acked)
-    g_array_remove_index (x->ends, 0);
+  long long cpu = 0, run_ms = 0;
+  sscanf (o->payload, "%lld %lld", &cpu, &run_ms);
+  mm_need need = { .cpu_milli = cpu };
+  bool ran = mm_run_table_runs (x->table, o->task);
+  mm_call_verdict v
+      = mm_run_table_start (x->table, o, &need, run_ms, x->all->now_ms);
+  if (!ran && v == MM_CALL_OK)
+    check_double (x, o->task);
+  return v;
 }
 
 /* Carry a call out.  */
@@ -328,23 +214,25 @@
   c->result.clock_ms = x->all->now_ms;
   if (x->gone)
     c->result.verdict = MM_CALL_GONE;
-  else if (c->fence < x->fence)
-    c->result.verdict = MM_CALL_FENCED;
+  else if (c->kind == CALL_HOLD)
+    {
+      mm_hold h = { .fence = c->fence,
+                    .acked_seq = c->acked,
+                    .deadline_ms = c->deadline_ms };
+      x->all->counts.holds++;
+      c->result.verdict = mm_run_table_hold (x->table, &h, x->all->now_ms);
+    }
   else
     {
-      x->fence = c->fence;
-      c->result.verdict = MM_CALL_OK;
-      if (c->kind == CALL_START)
-        c->result.verdict = do_start (x, c);
-      else if (c->kind == CALL_STOP)
-        do_stop (x, c);
-      else
-        {
-          x->all->counts.holds++;
-          forget_ends (x, c->acked);
-          if (c->deadline_ms)
-            extend_lease (x, c->deadline_ms);
-        }
+      mm_order o = { .task = &c->task,
+                     .run = c->number,
+                     .payload = c->payload,
+                     .fence = c->fence,
+                     .deadline_ms = c->deadline_ms };
+      c->result.verdict
+          = c->kind == CALL_START
+                ? do_start (x, &o)
+                : mm_run_table_stop (x->table, &o, x->all->now_ms);
     }
   if (c->kind != CALL_HOLD || c->result.verdict != MM_CALL_OK)
     c->answer_ms = x->all->now_ms + LINK_MS;
@@ -448,39 +336,20 @@
                     int64_t cpu_milli, mm_time_ms run_ms)
 {
   mm_task_request t = fakes_task (job, 0, cpu_milli, run_ms);
-  x->fence = fence;
-  extend_lease (x, x->all->now_ms + MAX_LEASE_MS);
-  begin_run (x, &t.id, 1, t.payload);
+  mm_order o = { .task = &t.id,
+                 .run = 1,
+                 .payload = t.payload,
+                 .fence = fence,
+                 .deadline_ms = x->all->now_ms + MAX_LEASE_MS };
+  do_start (x, &o);
 }
 
 static void
 answer_hold (fake_call *c)
 {
-  fake *x = c->to;
-  GArray *running = g_array_new (FALSE, TRUE, sizeof (mm_running));
-  GArray *ended = g_array_new (FALSE, TRUE, sizeof (mm_ended));
-  for (guint i = 0; i < x->runs->len; i++)
-    {
-      fake_run *r = &g_array_index (x->runs, fake_run, i);
-      mm_running row = { .task = r->task, .run = r->number };
-      g_array_append_val (running, row);
-    }
-  for (guint i = 0; i < x->ends->len; i++)
-    {
-      fake_end *e = &g_array_index (x->ends, fake_end, i);
-      mm_ended row = {
-        .seq = e->seq, .task = e->task, .run = e->number, .how = e->how
-      };
-      g_array_append_val (ended, row);
-    }
-  mm_hold_result r = { .call = c->result,
-                       .running = (mm_running *)(void *)running->data,
-                       .n_running = running->len,
-                       .ended = (mm_ended *)(void *)ended->data,
-                       .n_ended = ended->len };
+  mm_hold_result r = { .call = c->result };
+  mm_run_table_list (c->to->table, &r, c->to->all->now_ms);
   c->hold_done (&r, c->ctx);
-  g_array_free (running, TRUE);
-  g_array_free (ended, TRUE);
 }
 
 static void
@@ -508,17 +377,11 @@
 static void
 step_upstream (fake *x)
 {
-  mm_time_ms now = x->all->now_ms;
-  for (guint i = 0; i < x->runs->len;)
-    {
-      fake_run *r = &g_array_index (x->runs, fake_run, i);
-      if (now >= x->lease_until_ms)
-        end_run (x, i, MM_END_LOST);
-      else if (now >= r->ends_ms)
-        end_run (x, i, r->how);
-      else
-        i++;
-    }
+  mm_run_mode mode = { .fails = x->mode.fails_tasks,
+                       .hangs = x->mode.hangs,
+                       .refuses = x->mode.unhealthy };
+  mm_run_table_set_mode (x->table, mode);
+  mm_run_table_step (x->table, x->all->now_ms);
 }
 
 /* A hold is answered when an end is there, or its wait is over.  */
@@ -528,7 +391,8 @@
   if (c->kind != CALL_HOLD || c->arrives_ms >= 0 || c->answer_ms >= 0
       || c->lost || c->result.verdict != MM_CALL_OK || c->result.clock_ms == 0)
     return;
-  if (c->to->ends->len || c->to->all->now_ms >= c->wait_until_ms)
+  if (mm_run_table_ended (c->to->table)
+      || c->to->all->now_ms >= c->wait_until_ms)
     c->answer_ms = c->to->all->now_ms + LINK_MS;
 }
 
