--- /dev/null
+++ b/tests/test_logs.c
@@ -0,0 +1,243 @@
+/* Logs, metrics and the way from a request's id to its cause.  */
+#define _GNU_SOURCE
+#include "config.h"
+#include "mm_event.h"
+#include "mm_explain.h"
+#include "mm_log_sink.h"
+#include "mm_metrics.h"
+#include "mm_task.h"
+
+#include <cJSON.h>
+#include <check.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+START_TEST (event_line_names_its_fields_and_escapes_text)
+{
+  mm_task_id id = { .job = "0123456789abcdef", .step = 1, .index = 17 };
+  mm_field f[] = { MM_TASK (&id), MM_TEXT ("up\"1\n"), MM_INT (42) };
+  char *line = mm_event_line (MM_EV_TASK_ENDED, f, 3, 7);
+  cJSON *o = cJSON_Parse (line);
+  ck_assert_ptr_nonnull (o);
+  ck_assert_str_eq (cJSON_GetObjectItem (o, "event")->valuestring,
+                    "task_ended");
+  ck_assert_str_eq (cJSON_GetObjectItem (o, "job")->valuestring, id.job);
+  ck_assert_str_eq (cJSON_GetObjectItem (o, "task")->valuestring, "1.17");
+  ck_assert_str_eq (cJSON_GetObjectItem (o, "upstream")->valuestring,
+                    "up\"1\n");
+  ck_assert_int_eq (cJSON_GetObjectItem (o, "ran_ms")->valueint, 42);
+  ck_assert_int_eq (cJSON_GetObjectItem (o, "left_out")->valueint, 7);
+  cJSON_Delete (o);
+  g_free (line);
+}
+END_TEST
+
+START_TEST (page_of_logs_is_the_table)
+{
+  char *page = NULL;
+  ck_assert (
+      g_file_get_contents (MM_SOURCE_DIR "/docs/LOGS.md", &page, NULL, NULL));
+  char *table = mm_event_table_markdown ();
+  ck_assert_msg (strstr (page, table) != NULL,
+                 "docs/LOGS.md differs from `masticctl events`");
+  g_free (table);
+  g_free (page);
+}
+END_TEST
+
+static GLogWriterOutput
+count_lines (GLogLevelFlags level, const GLogField *fields, gsize n,
+             gpointer data)
+{
+  (*(int *)data)++;
+  return G_LOG_WRITER_HANDLED;
+}
+
+/* Under load one kind of line comes a thousand times a second.  The rest
+   is left out and counted, so that logs cost the callers nothing.  */
+START_TEST (lines_beyond_the_rate_are_left_out_and_counted)
+{
+  int lines = 0;
+  g_log_set_writer_func (count_lines, &lines, NULL);
+  for (int i = 0; i < 1000; i++)
+    mm_log_event (MM_EV_STOPPING, MM_INT (15));
+  /* The second may have changed once in between.  */
+  ck_assert_int_ge (lines, (int)MM_LOG_RATE_KEPT);
+  ck_assert_int_le (lines, 2 * (int)MM_LOG_RATE_KEPT);
+  ck_assert_uint_eq (mm_event_mismatches (), 0);
+}
+END_TEST
+
+START_TEST (call_unlike_the_table_is_counted_as_a_bug)
+{
+  int lines = 0;
+  g_log_set_writer_func (count_lines, &lines, NULL);
+  mm_log_event (MM_EV_STOPPING, MM_INT (15), MM_INT (16));
+  ck_assert_uint_eq (mm_event_mismatches (), 1);
+}
+END_TEST
+
+/* Nobody reads standard output: the pipe fills.  A blocking write would
+   stop the process, and every caller with it.  */
+START_TEST (unread_output_never_blocks)
+{
+  int fds[2];
+  ck_assert_int_eq (pipe (fds), 0);
+  mm_log_sink_open (fds[1]);
+  char line[1000];
+  memset (line, 'x', sizeof line);
+  mm_time_ms from = mm_clock_now_ms ();
+  for (int i = 0; i < 2000; i++)
+    mm_log_sink_put (line, sizeof line);
+  ck_assert_int_lt (mm_clock_now_ms () - from, 1000);
+  ck_assert_uint_gt (mm_log_sink_dropped (), 0);
+  ck_assert_uint_lt (mm_log_sink_dropped (), 2000);
+  close (fds[0]);
+  close (fds[1]);
+}
+END_TEST
+
+START_TEST (metrics_text_has_every_series_with_its_type)
+{
+  mm_metrics_count (MM_CT_JOBS_COMPLETED);
+  mm_metrics_set (MM_GG_PLACES, 12);
+  mm_metrics_time (MM_HG_JOB, 30);
+  mm_metrics_time (MM_HG_JOB, 40);
+  char *text = mm_metrics_text ();
+  ck_assert_ptr_nonnull (strstr (
+      text, "\nmasticmill_jobs_answered_total{outcome=\"completed\"} 1\n"));
+  ck_assert_ptr_nonnull (strstr (text, "\nmasticmill_places 12\n"));
+  ck_assert_ptr_nonnull (
+      strstr (text, "# TYPE masticmill_job_duration_seconds histogram\n"));
+  ck_assert_ptr_nonnull (strstr (
+      text, "masticmill_job_duration_seconds_bucket{le=\"0.035\"} 1\n"));
+  ck_assert_ptr_nonnull (strstr (
+      text, "masticmill_job_duration_seconds_bucket{le=\"+Inf\"} 2\n"));
+  ck_assert_ptr_nonnull (
+      strstr (text, "masticmill_job_duration_seconds_sum 0.07\n"));
+  const char *type = "# TYPE masticmill_jobs_answered_total ";
+  const char *first = strstr (text, type);
+  ck_assert_ptr_nonnull (first);
+  ck_assert_ptr_null (strstr (first + 1, type));
+  g_free (text);
+}
+END_TEST
+
+static char *
+story_of (const char *job, const char *const *lines)
+{
+  mm_explain *x = mm_explain_create (job);
+  for (; *lines; lines += 2)
+    mm_explain_add (x, lines[0], lines[1]);
+  char *story = mm_explain_story (x);
+  mm_explain_destroy (x);
+  return story;
+}
+
+/* A caller was refused in a burst and complains: its id alone must lead to
+   the room that was free then.  */
+START_TEST (refused_request_is_explained_by_the_room)
+{
+  const char *lines[]
+      = { "a.log",
+          "{\"ts_ms\":1000,\"event\":\"started\",\"instance\":\"n1\"}",
+          "a.log",
+          "{\"ts_ms\":5000,\"event\":\"job_refused\",\"job\":\"j1\","
+          "\"queue\":\"q\",\"tasks\":10,\"places\":100,\"free\":2,"
+          "\"waiting\":14,\"wait_ms\":70,\"slack_ms\":63,"
+          "\"why\":\"would come too late\"}",
+          NULL };
+  char *story = story_of ("j1", lines);
+  ck_assert_ptr_nonnull (strstr (story, "n1"));
+  ck_assert_ptr_nonnull (strstr (
+      story, "cause: refused: would come too late. Its 10 tasks found 2 of "
+             "100 places free and 14 tasks waiting"));
+  g_free (story);
+  ck_assert_ptr_null (story_of ("j2", lines));
+}
+END_TEST
+
+/* An instance dies with a request's task.  The lines of two instances,
+   read in any order, must tell which one it was.  */
+START_TEST (lost_request_is_explained_by_the_instance_that_died)
+{
+  const char *lines[]
+      = { "b.log",
+          "{\"ts_ms\":5200,\"event\":\"job_answered\",\"job\":\"j1\","
+          "\"queue\":\"q\",\"outcome\":\"unknown\",\"took_ms\":200,"
+          "\"why\":\"owner out of contact\"}",
+          "b.log",
+          "{\"ts_ms\":5200,\"event\":\"task_failed\",\"job\":\"j1\","
+          "\"task\":\"0.1\",\"upstream\":null,\"how\":\"unknown\","
+          "\"ran_ms\":200,\"why\":\"owner out of contact\"}",
+          "b.log",
+          "{\"ts_ms\":5199,\"event\":\"peer_lost\",\"peer\":\"n9\","
+          "\"why\":\"silent\",\"tasks\":3}",
+          "b.log",
+          "{\"ts_ms\":5001,\"event\":\"task_handed\",\"job\":\"j1\","
+          "\"task\":\"0.1\",\"owner\":\"n9\",\"free\":4,\"waiting\":0,"
+          "\"attempt\":0}",
+          "a.log",
+          "{\"ts_ms\":5002,\"event\":\"task_started\",\"job\":\"j1\","
+          "\"task\":\"0.1\",\"upstream\":\"u7\",\"run\":1,\"fence\":3,"
+          "\"waited_ms\":1}",
+          NULL };
+  char *story = story_of ("j1", lines);
+  const char *handed = strstr (story, "task_handed");
+  const char *started = strstr (story, "task_started");
+  const char *lost = strstr (story, "peer_lost");
+  ck_assert_ptr_nonnull (handed);
+  ck_assert (handed < started && started < lost);
+  ck_assert_ptr_nonnull (
+      strstr (story, "instance n9, which ran task 0.1, was lost (silent)"));
+  g_free (story);
+}
+END_TEST
+
+/* An upstream fails every task with good reports.  */
+START_TEST (failed_request_is_explained_by_the_upstream)
+{
+  const char *lines[]
+      = { "a.log",
+          "{\"ts_ms\":5000,\"event\":\"task_failed\",\"job\":\"j1\","
+          "\"task\":\"0.0\",\"upstream\":\"u3\",\"how\":\"failed\","
+          "\"ran_ms\":5,\"why\":\"listed\"}",
+          "a.log",
+          "{\"ts_ms\":5000,\"event\":\"upstream_excluded\","
+          "\"upstream\":\"u3\",\"failures\":3,\"for_ms\":1000}",
+          "a.log",
+          "{\"ts_ms\":5001,\"event\":\"job_answered\",\"job\":\"j1\","
+          "\"queue\":\"q\",\"outcome\":\"failed\",\"took_ms\":20,"
+          "\"why\":\"a task failed in every attempt\"}",
+          NULL };
+  char *story = story_of ("j1", lines);
+  ck_assert_ptr_nonnull (strstr (
+      story, "Upstream u3 failed 3 tasks in a row, with good reports"));
+  g_free (story);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("logs");
+  TCase *c = tcase_create ("logs");
+  tcase_add_test (c, event_line_names_its_fields_and_escapes_text);
+  tcase_add_test (c, page_of_logs_is_the_table);
+  tcase_add_test (c, lines_beyond_the_rate_are_left_out_and_counted);
+  tcase_add_test (c, call_unlike_the_table_is_counted_as_a_bug);
+  tcase_add_test (c, unread_output_never_blocks);
+  tcase_add_test (c, metrics_text_has_every_series_with_its_type);
+  tcase_add_test (c, refused_request_is_explained_by_the_room);
+  tcase_add_test (c, lost_request_is_explained_by_the_instance_that_died);
+  tcase_add_test (c, failed_request_is_explained_by_the_upstream);
+  suite_add_tcase (s, c);
+  SRunner *r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,164 @@
+/* The platform folder's decoders: what they make of good and of bad
+   bodies.  */
+#include "platform.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+static mm_submission *
+job (const char *body)
+{
+  return pf_submission_decode ("5c0e7a21d94b36f8", body, strlen (body), NULL);
+}
+
+START_TEST (job_body_is_decoded)
+{
+  mm_submission *s = job (
+      "{\"spec\":\"text\",\"bestEffort\":true,\"steps\":[{\"count\":4,"
+      "\"cpu\":500,\"memMb\":256,\"estimateMs\":900,\"affinity\":\"r1-3\"},"
+      "{\"count\":20,\"cpu\":2000,\"after\":[0],\"constraints\":\"a\"}]}");
+  ck_assert_ptr_nonnull (s);
+  ck_assert_str_eq (s->payload, "text");
+  ck_assert (s->best_effort);
+  ck_assert_uint_eq (s->n_steps, 2);
+  ck_assert_int_eq (s->steps[0].need.cpu_milli, 500);
+  ck_assert_int_eq (s->steps[0].need.mem_mb, 256);
+  ck_assert_int_eq (s->steps[0].estimate_ms, 900);
+  ck_assert_uint_eq (s->steps[1].n_after, 1);
+  ck_assert_str_eq (s->steps[1].label, "a");
+  mm_submission_free (s);
+}
+END_TEST
+
+START_TEST (bad_job_bodies_are_refused_with_a_typed_error)
+{
+  static const char *const bad[] = {
+    "",
+    "{",
+    "null",
+    "[]",
+    "{}",
+    "{\"steps\":[]}",
+    "{\"steps\":{}}",
+    "{\"steps\":[1]}",
+    "{\"steps\":[{\"count\":-1}]}",
+    "{\"steps\":[{\"count\":1.5}]}",
+    "{\"steps\":[{\"count\":1e300}]}",
+    "{\"steps\":[{\"count\":\"4\"}]}",
+    "{\"steps\":[{\"count\":1,\"after\":[0]}]}",
+    "{\"steps\":[{\"count\":1,\"after\":[-1]}]}",
+    "{\"steps\":[{\"count\":1,\"after\":7}]}",
+    "{\"spec\":7,\"steps\":[{\"count\":1}]}",
+    "{\"bestEffort\":\"yes\",\"steps\":[{\"count\":1}]}",
+    "{\"steps\":[{\"count\":1,\"gang\":1}]}",
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      GError *error = NULL;
+      mm_submission *s
+          = pf_submission_decode ("id", bad[i], strlen (bad[i]), &error);
+      ck_assert_msg (!s, "taken: %s", bad[i]);
+      ck_assert (g_error_matches (error, MM_ERROR, MM_ERROR_BAD_REQUEST));
+      g_error_free (error);
+    }
+  char id[100];
+  memset (id, 'x', sizeof id);
+  id[99] = '\0';
+  const char *good = "{\"steps\":[{\"count\":1}]}";
+  ck_assert_ptr_null (pf_submission_decode (id, good, strlen (good), NULL));
+}
+END_TEST
+
+START_TEST (configuration_is_decoded)
+{
+  const char *body
+      = "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"host\":\"a.example\","
+        "\"pathPrefix\":\"/p/\",\"kind\":\"non_idempotent\","
+        "\"timeoutMs\":1500,\"sloMs\":60,\"priority\":2,\"service\":\"s\","
+        "\"attempts\":4,\"stretch\":1.6,\"new\":[]}],\"services\":[]}";
+  mm_routes *r = pf_routes_decode (body, strlen (body), NULL);
+  ck_assert_ptr_nonnull (r);
+  ck_assert_uint_eq (r->version, 7);
+  ck_assert_uint_eq (r->n, 1);
+  ck_assert_uint_eq (r->routes[0].priority, 2);
+  ck_assert_uint_eq (r->routes[0].attempts, 4);
+  ck_assert_uint_eq (r->routes[0].config_version, 7);
+  ck_assert_int_eq (r->routes[0].slo_ms, 60);
+  ck_assert (r->routes[0].stretch > 1.59 && r->routes[0].stretch < 1.61);
+  ck_assert (!r->routes[0].needs_advice);
+  mm_routes_unref (r);
+  static const char *const bad[]
+      = { "{\"version\":7}", "{\"version\":\"7\",\"routes\":[]}",
+          "{\"version\":7,\"routes\":[{\"host\":\"a\"}]}",
+          "{\"version\":7,\"routes\":[3]}", "[" };
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    ck_assert_ptr_null (pf_routes_decode (bad[i], strlen (bad[i]), NULL));
+}
+END_TEST
+
+START_TEST (upstream_entry_is_decoded)
+{
+  const char *body
+      = "{\"service\":\"s\",\"addr\":\"10.0.0.9:8080\",\"zone\":\"z\","
+        "\"version\":\"v1\",\"slots\":8,\"state\":\"draining\","
+        "\"coldLeftMs\":0,\"capacity\":{\"cpu\":16000,\"memMb\":32768,"
+        "\"gpu\":1},\"labels\":[\"a\",\"r1-3\"],\"clockMs\":1,\"seq\":4}";
+  mm_upstream_info *u = pf_upstream_decode ("i-1", body, strlen (body), NULL);
+  ck_assert_ptr_nonnull (u);
+  ck_assert_str_eq (u->name, "i-1");
+  ck_assert_str_eq (u->datacentre, "z");
+  ck_assert (u->draining);
+  ck_assert_int_eq (u->capacity.cpu_milli, 16000);
+  ck_assert_int_eq (u->capacity.gpus, 1);
+  ck_assert_str_eq (u->labels[1], "r1-3");
+  mm_upstream_info_free (u);
+  static const char *const bad[]
+      = { "{}", "7", "{\"service\":\"s\",\"addr\":7,\"zone\":\"z\"}",
+          "{\"service\":\"s\",\"addr\":\"a\",\"zone\":\"z\","
+          "\"capacity\":{\"cpu\":\"many\"}}" };
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    ck_assert_ptr_null (
+        pf_upstream_decode ("i-1", bad[i], strlen (bad[i]), NULL));
+}
+END_TEST
+
+START_TEST (task_names_go_there_and_back)
+{
+  mm_task_id id = { .job = "5c0e7a21d94b36f8", .step = 1, .index = 17 };
+  char *name = pf_task_encode (&id);
+  ck_assert_str_eq (name, "5c0e7a21d94b36f8.0.1.17");
+  mm_task_id back;
+  ck_assert (pf_task_decode (name, &back));
+  ck_assert (mm_task_id_equal (&id, &back));
+  g_free (name);
+  static const char *const bad[]
+      = { "",
+          "a",
+          "a.0.1",
+          "a.0.1.x",
+          "a.0.1.2.3",
+          "a.0.-1.2",
+          "0123456789012345678901234567890123456789012345.0.1.2" };
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    ck_assert_msg (!pf_task_decode (bad[i], &back), "taken: %s", bad[i]);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("platform");
+  TCase *c = tcase_create ("decoders");
+  tcase_add_test (c, job_body_is_decoded);
+  tcase_add_test (c, bad_job_bodies_are_refused_with_a_typed_error);
+  tcase_add_test (c, configuration_is_decoded);
+  tcase_add_test (c, upstream_entry_is_decoded);
+  tcase_add_test (c, task_names_go_there_and_back);
+  suite_add_tcase (s, c);
+  SRunner *r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
