--- a/daemons/ctl.c
+++ b/daemons/ctl.c
@@ -25,6 +25,7 @@
            "  config show\n"
            "  status [--json]\n"
            "  dump HOST:PORT\n"
+           "  queues set FILE        what instances serve (JSON)\n"
            "  explain ID [FILE]...   one request's story, from the logs of\n"
            "                         several instances (or standard input)\n"
            "  top HOST:PORT...       live metrics of instances\n"
--- a/daemons/ctl.h
+++ b/daemons/ctl.h
@@ -17,6 +17,7 @@
 int ctl_config_publish (int argc, char **argv, int64_t wait_ms);
 int ctl_config_show (void);
 int ctl_status (bool json);
+int ctl_queues_set (const char *file);   /* JSON */
 int ctl_explain (int argc, char **argv); /* ID [FILE...] */
 int ctl_top (int argc, char **argv);     /* HOST:PORT... */
 int ctl_events (void);                   /* docs/LOGS.md's table */
--- a/daemons/masticctl.c
+++ b/daemons/masticctl.c
@@ -8,6 +8,7 @@
      status [--json]           the member list
      dump ADDR                 a process's state (host:port)
      fault ADDR JSON           set platform faults or an upstream's mode
+     queues set FILE           what instances serve
      explain ID [FILE]...      one request's story, from several logs
      top ADDR...               live metrics of instances in one table
      events                    the events that instances log
@@ -131,6 +132,9 @@
     }
   if (argc >= 3 && g_str_equal (argv[0], "fault"))
     return cmd_fault (argv[1], argv[2]);
+  if (argc >= 3 && g_str_equal (argv[0], "queues")
+      && g_str_equal (argv[1], "set"))
+    return ctl_queues_set (argv[2]);
   if (argc >= 2 && g_str_equal (argv[0], "explain"))
     return ctl_explain (argc - 1, argv + 1);
   if (argc >= 2 && g_str_equal (argv[0], "top"))
--- a/daemons/masticmill_node.c
+++ b/daemons/masticmill_node.c
@@ -1,5 +1,7 @@
-/* masticmill-node: an instance on the prepared platform.  SIGTERM is a
-   graceful shutdown; SIGHUP says that the settings may have changed.  */
+/* masticmill-node: an instance of the dispatcher, on the prepared platform
+   or on our own stand-ins.  SIGTERM is a graceful shutdown; SIGHUP says
+   that the settings may have changed.  */
+#include "mm_own.h"
 #include "platform.h"
 
 #include "config.h"
@@ -9,22 +11,113 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Callers' side of one interface.  */
+typedef struct
+{
+  void *(*create) (struct ev_loop *loop, const mm_node_settings *s,
+                   mm_node *node, GError **error);
+  void (*destroy) (void *front);
+  void (*set_leaving) (void *front);
+  uint32_t (*connections) (const void *front);
+} front_port;
+
 typedef struct
 {
   struct ev_loop *loop;
   mm_node *node;
-  pf_front *front;
+  front_port front_port;
+  void *front;
+  mm_http_client *to_upstreams;
+  mm_http_client *to_store;
+  mm_exec_port exec;
+  mm_store_port store;
   ev_timer leave_timer;
   mm_time_ms leave_ms;
 } process;
 
+static void *
+platform_front (struct ev_loop *loop, const mm_node_settings *s, mm_node *node,
+                GError **error)
+{
+  return pf_front_create (loop, s, node, error);
+}
+
+static void
+platform_front_destroy (void *front)
+{
+  pf_front_destroy (front);
+}
+
+static void
+platform_front_leaving (void *front)
+{
+  pf_front_set_leaving (front);
+}
+
+static uint32_t
+platform_front_connections (const void *front)
+{
+  return pf_front_connections (front);
+}
+
+static void *
+own_front (struct ev_loop *loop, const mm_node_settings *s, mm_node *node,
+           GError **error)
+{
+  return mm_own_front_create (loop, s, node, error);
+}
+
+static void
+own_front_destroy (void *front)
+{
+  mm_own_front_destroy (front);
+}
+
+static void
+own_front_leaving (void *front)
+{
+  mm_own_front_set_leaving (front);
+}
+
+static uint32_t
+own_front_connections (const void *front)
+{
+  return mm_own_front_connections (front);
+}
+
+static bool
+choose_interface (process *p, const mm_node_settings *s, GError **error)
+{
+  if (strcmp (s->interface, "platform") == 0)
+    {
+      p->exec = pf_exec_port (p->to_upstreams);
+      p->store = pf_store_port (pf_store_create (p->to_store, s->store));
+      p->front_port
+          = (front_port){ platform_front, platform_front_destroy,
+                          platform_front_leaving, platform_front_connections };
+      return true;
+    }
+  if (strcmp (s->interface, "own") == 0)
+    {
+      p->exec = mm_own_exec_port (p->to_upstreams);
+      p->store
+          = mm_own_store_port (mm_own_store_create (p->to_store, s->store));
+      p->front_port = (front_port){ own_front, own_front_destroy,
+                                    own_front_leaving, own_front_connections };
+      return true;
+    }
+  g_set_error (error, MM_ERROR, MM_ERROR_CONFIG_RANGE,
+               "node.interface is %s, not own or platform", s->interface);
+  return false;
+}
+
 static void
 leave_cb (struct ev_loop *loop, ev_timer *w, int revents)
 {
   process *p = w->data;
   if (mm_clock_now_ms () - p->leave_ms >= MM_LEAVE_DRAIN_MS)
-    pf_front_set_leaving (p->front);
-  if (mm_node_left (p->node, pf_front_connections (p->front)))
+    p->front_port.set_leaving (p->front);
+  if (mm_node_left (p->node, p->front_port.connections (p->front)))
     ev_break (loop, EVBREAK_ALL);
 }
 
@@ -77,6 +170,24 @@
   signal (SIGPIPE, SIG_IGN);
 }
 
+static bool
+start (process *p, const mm_node_settings *s, GError **error)
+{
+  p->to_upstreams
+      = mm_http_client_create (p->loop, MM_DEFAULT_UPSTREAM_CONNECTIONS);
+  p->to_store = mm_http_client_create (p->loop, MM_PLATFORM_CONNECTIONS);
+  mm_http_client_set_member (p->to_store, s->name);
+  if (!choose_interface (p, s, error))
+    return false;
+  p->node = mm_node_create (p->loop, s, &p->exec, &p->store, error);
+  if (p->node)
+    p->front = p->front_port.create (p->loop, s, p->node, error);
+  return p->front
+         && mm_http_server_create (
+             p->loop, s->address, (uint16_t)s->state_port,
+             MM_STATE_MAX_BODY_BYTES, on_state, p, error);
+}
+
 static int
 run (const mm_node_settings *s)
 {
@@ -84,32 +195,18 @@
   GError *error = NULL;
   ev_signal watchers[3];
   watch_signals (&p, watchers);
-  mm_http_client *to_upstreams
-      = mm_http_client_create (p.loop, MM_DEFAULT_UPSTREAM_CONNECTIONS);
-  mm_http_client *to_store
-      = mm_http_client_create (p.loop, MM_PLATFORM_CONNECTIONS);
-  pf_store *store = pf_store_create (to_store, s->store);
-  mm_exec_port exec_port = pf_exec_port (to_upstreams);
-  mm_store_port store_port = pf_store_port (store);
-  p.node = mm_node_create (p.loop, s, &exec_port, &store_port, &error);
-  if (p.node)
-    p.front = pf_front_create (p.loop, s, p.node, &error);
-  mm_http_server *state = p.front ? mm_http_server_create (
-                              p.loop, s->address, (uint16_t)s->state_port,
-                              MM_STATE_MAX_BODY_BYTES, on_state, &p, &error)
-                                  : NULL;
-  if (!state)
+  if (!start (&p, s, &error))
     {
       g_critical ("cannot start: %s", error->message);
+      mm_log_close ();
       return 1;
     }
   mm_log_event (MM_EV_STARTED, MM_TEXT (s->name), MM_TEXT (s->datacentre),
                 MM_TEXT (s->front));
   ev_run (p.loop, 0);
   mm_log_event (MM_EV_STOPPED, MM_INT (mm_jobs_count (mm_node_jobs (p.node))),
-                MM_INT (pf_front_connections (p.front)));
-  mm_http_server_destroy (state);
-  pf_front_destroy (p.front);
+                MM_INT (p.front_port.connections (p.front)));
+  p.front_port.destroy (p.front);
   mm_log_close ();
   return 0;
 }
@@ -123,8 +220,8 @@
   mm_node_settings_defaults (&s);
   GError *error = NULL;
   switch (mm_daemon_args (argc, argv,
-                          "Instance on the prepared platform: takes jobs, "
-                          "runs their tasks on upstreams.",
+                          "Instance of the dispatcher: takes jobs, runs "
+                          "their tasks on upstreams.",
                           mm_node_setting_specs, &s, &error))
     {
     case MM_DAEMON_EXIT:
--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -140,6 +140,11 @@
                                          size_t max_body_bytes,
                                          mm_http_handler handler, void *ctx,
                                          GError **error); /* listen */
+  mm_http_server *mm_http_server_listen (struct ev_loop *loop,
+                                         const char *addr,
+                                         size_t max_body_bytes,
+                                         mm_http_handler handler, void *ctx,
+                                         GError **error); /* "ip:port" */
   void mm_http_server_destroy (mm_http_server *s);        /* close all */
   void mm_http_server_quiesce (mm_http_server *s);        /* stop accepting */
   uint32_t
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,29 +1,34 @@
 #!/usr/bin/env bash
-# The main job on embedded defaults: a platform stand-in, three upstream
-# stand-ins and two entry instances on loopback; publish a config, submit
-# one job of 200 tasks, print the answer summary and the latency against
-# the ideal, then stop what was started, by pid.
+# The main job on stand-ins: a platform stand-in, three upstream stand-ins
+# of 24 slots and three instances on loopback; publish the queues, submit
+# one job of 200 tasks, print the answer's summary and its time against the
+# ideal, then stop what was started, by pid.
 set -euo pipefail
 here=$(cd "$(dirname "$0")/.." && pwd)
 bin=${MM_BIN:-$here/build}
 base=${MM_PORT_BASE:-17000}
-plat=http://127.0.0.1:$base
+plat=127.0.0.1:$base
 pids=()
 stop () { for p in "${pids[@]}"; do kill "$p" 2>/dev/null || true; done; wait 2>/dev/null || true; }
 trap stop EXIT
-log=$(mktemp -d)
-"$bin/masticmill-platform" --set platform.port=$base --set platform.member_lag_ms=200 2>"$log/platform.log" & pids+=($!)
+log=${MM_LOG_DIR:-$(mktemp -d)}
+"$bin/masticmill-platform" --set platform.port=$base >"$log/platform.log" 2>&1 & pids+=($!)
 for i in 1 2 3; do
   "$bin/masticmill-upstream" --set upstream.port=$((base + 200 + i)) --set "upstream.name=\"up$i\"" \
-    --set "upstream.platform_url=\"$plat\"" 2>"$log/up$i.log" & pids+=($!)
+    --set upstream.slots=24 --set "upstream.platform_url=\"http://$plat\"" >"$log/up$i.log" 2>&1 & pids+=($!)
+  "$bin/masticmill-node" --set "node.name=\"node$i\"" --set "node.front=\"127.0.0.1:$((base + 100 + i))\"" \
+    --set "node.ready=\"127.0.0.1:$((base + 110 + i))\"" --set node.mesh_port=$((base + 120 + i)) \
+    --set node.state_port=$((base + 130 + i)) --set "store.address=\"$plat\"" >"$log/node$i.log" 2>&1 & pids+=($!)
 done
-for i in 1 2; do
-  "$bin/masticmill-entry" --set entry.port=$((base + 100 + i)) --set "entry.name=\"entry$i\"" \
-    --set "entry.platform_url=\"$plat\"" --set 'entry.site="lima"' 2>"$log/entry$i.log" & pids+=($!)
+sleep 0.5
+"$bin/masticctl" --platform "http://$plat" queues set "$here/examples/config/queues.json" >/dev/null
+for i in 1 2 3; do
+  for _ in $(seq 50); do
+    curl -sf -o /dev/null "http://127.0.0.1:$((base + 110 + i))/v1/ready" && break
+    sleep 0.1
+  done
 done
-sleep 1.5
-"$bin/masticctl" --platform "$plat" config publish "$here/examples/config/base.toml" \
-  lima="$here/examples/config/lima.toml" buenos-aires="$here/examples/config/buenos-aires.toml"
+sleep 0.5 # until the instances know each other
 python3 - "$log/job.json" <<'PY'
 import json, random, sys
 random.seed(1)
@@ -40,12 +45,13 @@
 states = {}
 for t in ans["tasks"]:
     states[t["state"]] = states.get(t["state"], 0) + 1
-# 200 tasks on 3 upstreams x 8 slots: the ideal is the critical path of
+# 200 tasks on 3 upstreams x 24 slots: the ideal is the critical path of
 # a perfect packing, at least the longest task and total work / slots.
 longest = max(t["run_ms"] for t in job["tasks"])
-work = sum(t["run_ms"] for t in job["tasks"]) / 24
+work = sum(t["run_ms"] for t in job["tasks"]) / 72
 ideal = max(longest, work) + 1
 print(f"job {ans['job_id']}: {ans['status']}, tasks {states}")
 print(f"response {took} ms, ideal {ideal:.0f} ms, ratio {took / ideal:.2f}")
 PY
-"$bin/masticctl" dump 127.0.0.1:$((base + 101)) | python3 -c 'import json,sys; d=json.load(sys.stdin); print("entry1 config offset", d["config_offset"], "counters", d["counters"])'
+"$bin/masticctl" top 127.0.0.1:$((base + 131)) 127.0.0.1:$((base + 132)) 127.0.0.1:$((base + 133))
+"$bin/masticctl" explain demo-1 "$log"/node*.log | tail -1
--- a/src/config.h
+++ b/src/config.h
@@ -89,8 +89,7 @@
 #define MM_PLACE_SPEED_STEP 0.25 /* estimates are off by up to 40 % */
 
 /* Queue of an owner (mm_owner).  */
-#define MM_OWNER_PUMP_MISSES 16u       /* tasks tried that do not fit */
-#define MM_OWNER_GUESS_CPU_MILLI 16000 /* a task's size, until one is seen */
+#define MM_OWNER_PUMP_MISSES 16u /* tasks tried that do not fit */
 
 /* Links between instances (mm_link, mm_mesh).  */
 #define MM_LINK_MAX_BYTES                                                     \
@@ -170,4 +169,16 @@
 #define MM_MODEL_STOP_MS 30 /* a stop takes so long */
 #define MM_MODEL_FAIL_MS 5  /* a task that fails runs so long */
 
+/* Upstream stand-in's runs under leases (mm_run_server).  */
+#define MM_RUN_SERVER_TICK_MS 2        /* ends and leases, this exactly */
+#define MM_RUN_SERVER_MAX_WAIT_MS 2000 /* a hold waits at most so long */
+#define MM_SLOT_CPU_MILLI 1000         /* a slot, as room under leases */
+
+#define MM_STANDIN_MEM_MB 131072   /* of an upstream stand-in */
+#define MM_STANDIN_SERVICE "tasks" /* whose tasks it runs */
+
+/* Platform stand-in's streams (mm_stream_server).  */
+#define MM_STREAM_SERVER_TICK_MS 5
+#define MM_STREAM_PAGE 100 /* newest records in one answer */
+
 #endif /* MM_CONFIG_H */
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -100,6 +100,9 @@
       "an earlier owner's run was found there; it is stopped" },
   [MM_EV_TASK_STOPPED] = { "task_stopped", KEEP_ALL, "job task upstream why",
                            "a stop was ordered" },
+  [MM_EV_TASK_RETURNED]
+  = { "task_returned", KEEP_SOME, "job task waited_ms why next",
+      "an owner gave it back unstarted, and what follows" },
   [MM_EV_TASK_ENDED] = { "task_ended", KEEP_SOME, "job task upstream ran_ms",
                          "it ran to its end" },
   [MM_EV_TASK_FAILED]
--- a/src/mm_explain.c
+++ b/src/mm_explain.c
@@ -306,9 +306,7 @@
       again += l->own && is_event (l, "task_failed");
     }
   if (again)
-    g_string_append_printf (out,
-                            "; %u runs or waits of its tasks were "
-                            "repeated",
+    g_string_append_printf (out, "; %u runs of its tasks were repeated",
                             again);
   g_string_append_c (out, '.');
 }
--- a/src/mm_http_server.c
+++ b/src/mm_http_server.c
@@ -28,6 +28,7 @@
   size_t max_body_bytes;
   uint32_t in_flight;
   GHashTable *connections; /* set of struct MHD_Connection */
+  GHashTable *suspended;   /* set of mm_http_request */
   bool leaving;
   uint16_t port;
 };
@@ -155,6 +156,7 @@
     return queue_answer (r);
   /* Not answered yet (first time, or a spurious resume): wait.  */
   r->suspended = true;
+  g_hash_table_add (s->suspended, r);
   MHD_suspend_connection (conn);
   return MHD_YES;
 }
@@ -233,6 +235,7 @@
   s->ctx = ctx;
   s->max_body_bytes = max_body_bytes;
   s->connections = g_hash_table_new (NULL, NULL);
+  s->suspended = g_hash_table_new (NULL, NULL);
   s->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, port, NULL, NULL, access_cb, s,
       MHD_OPTION_SOCK_ADDR, &addr, MHD_OPTION_NOTIFY_COMPLETED, completed_cb,
@@ -243,6 +246,8 @@
     {
       g_set_error (error, MM_ERROR, MM_ERROR_IO,
                    "cannot listen on %s:%u (port in use?)", host, port);
+      g_hash_table_destroy (s->connections);
+      g_hash_table_destroy (s->suspended);
       g_free (s);
       return NULL;
     }
@@ -261,6 +266,36 @@
   return s;
 }
 
+/**
+ * mm_http_server_listen() - as mm_http_server_create(), at "ip:port".
+ * @loop: the loop that drives it.
+ * @addr: "ip:port".
+ * @max_body_bytes: larger bodies are answered 413.
+ * @handler: called once per request with @ctx.
+ * @ctx: context pointer for @handler.
+ * @error: MM_ERROR_IO.
+ */
+mm_http_server *
+mm_http_server_listen (struct ev_loop *loop, const char *addr,
+                       size_t max_body_bytes, mm_http_handler handler,
+                       void *ctx, GError **error)
+{
+  const char *colon = strrchr (addr, ':');
+  guint64 port = 0;
+  if (!colon
+      || !g_ascii_string_to_unsigned (colon + 1, 10, 1, G_MAXUINT16, &port,
+                                      NULL))
+    {
+      g_set_error (error, MM_ERROR, MM_ERROR_IO, "bad address %s", addr);
+      return NULL;
+    }
+  char *host = g_strndup (addr, (gsize)(colon - addr));
+  mm_http_server *s = mm_http_server_create (
+      loop, host, (uint16_t)port, max_body_bytes, handler, ctx, error);
+  g_free (host);
+  return s;
+}
+
 /**
  * mm_http_server_quiesce() - stop accepting connections.
  * @s: the server; open requests go on until answered.
@@ -285,6 +320,23 @@
   return s->port;
 }
 
+/* libmicrohttpd aborts the process when it is stopped with suspended
+   connections: whoever still waits is told that we go.  */
+static void
+answer_suspended (mm_http_server *s)
+{
+  GHashTableIter it;
+  gpointer r;
+  while (g_hash_table_iter_init (&it, s->suspended),
+         g_hash_table_iter_next (&it, &r, NULL))
+    {
+      char *body = mm_json_error_body (MM_ERROR_IO, "server is stopping", 1);
+      mm_http_reply (r, 503, body, 1);
+      free (body);
+    }
+  MHD_run (s->daemon);
+}
+
 void
 mm_http_server_destroy (mm_http_server *s)
 {
@@ -293,7 +345,9 @@
   ev_io_stop (s->loop, &s->io);
   ev_timer_stop (s->loop, &s->timer);
   ev_idle_stop (s->loop, &s->kick);
+  answer_suspended (s);
   MHD_stop_daemon (s->daemon);
+  g_hash_table_destroy (s->suspended);
   g_hash_table_destroy (s->connections);
   g_free (s);
 }
@@ -421,6 +475,7 @@
   if (r->in_handler || !r->suspended)
     return;
   r->suspended = false;
+  g_hash_table_remove (r->server->suspended, r);
   MHD_resume_connection (r->conn);
   ev_idle_start (r->server->loop, &r->server->kick);
 }
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -114,7 +114,12 @@
     [MM_ANSWER_GIVEN_UP] = { "given_up", MM_CT_JOBS_GIVEN_UP },
     [MM_ANSWER_UNKNOWN] = { "unknown", MM_CT_JOBS_UNKNOWN },
   };
-  mm_answer a = { .kind = kind, .why = why, .retry_after_s = retry_after_s };
+  bool *done = g_new0 (bool, b->n_tasks);
+  for (uint32_t i = 0; i < b->n_tasks; i++)
+    done[i] = b->tasks[i].done;
+  mm_answer a = {
+    .kind = kind, .why = why, .retry_after_s = retry_after_s, .done = done
+  };
   mm_time_ms took_ms = mm_clock_now_ms () - b->submitted_ms;
   mm_metrics_count (kinds[kind].counter);
   if (kind == MM_ANSWER_COMPLETED)
@@ -129,6 +134,7 @@
       c->on_answer (c->ctx, &a);
       g_free (c);
     }
+  g_free (done);
   job_free (b);
 }
 
@@ -163,16 +169,17 @@
   job *b = t->job;
   const mm_step *step = &b->s->steps[t->id.step];
   mm_time_ms now = mm_clock_now_ms ();
-  mm_task_request r = { .id = t->id,
-                        .service = b->service,
-                        .payload = b->s->payload,
-                        .label = step->label,
-                        .avoid = t->avoid,
-                        .need = step->need,
-                        .attempt = t->failures,
-                        .priority = b->priority,
-                        .estimate_ms = step->estimate_ms,
-                        .due_within = MAX (b->due_ms - now, 0) };
+  mm_task_request r
+      = { .id = t->id,
+          .service = b->service,
+          .payload = step->payload ? step->payload : b->s->payload,
+          .label = step->label,
+          .avoid = t->avoid,
+          .need = step->need,
+          .attempt = t->failures,
+          .priority = b->priority,
+          .estimate_ms = step->estimate_ms,
+          .due_within = MAX (b->due_ms - now, 0) };
   /* A short wait, then it is spread anew: room may have come free at
      another owner meanwhile.  */
   r.start_within = CLAMP (b->start_by_ms - now, 1, MM_SPREAD_WAIT_MS);
@@ -225,6 +232,12 @@
     begin_ready_steps (b);
 }
 
+static bool
+runs_once (const task *t)
+{
+  return t->job->s->steps[t->id.step].once;
+}
+
 static void
 on_failed (task *t, const char *upstream)
 {
@@ -232,7 +245,7 @@
   g_free (t->avoid);
   t->avoid = g_strdup (upstream);
   t->failures++;
-  if (t->failures >= b->attempts)
+  if (t->failures >= b->attempts || runs_once (t))
     answer (b, MM_ANSWER_FAILED, "a task failed in every attempt", 0);
   else
     hand_out (t);
@@ -249,6 +262,8 @@
 what_next (const task *t, mm_end how, mm_time_ms now)
 {
   const job *b = t->job;
+  if (runs_once (t) && how != MM_END_NOT_RUN)
+    return "job fails: a task runs only once";
   if (how == MM_END_UNKNOWN)
     return "caller is told to send the job again";
   if (how == MM_END_FAILED)
@@ -267,6 +282,20 @@
   [MM_END_UNKNOWN] = MM_CT_TASKS_UNKNOWN,
 };
 
+static void
+log_end (const task *t, mm_end how, const char *upstream, const char *why,
+         mm_time_ms now)
+{
+  if (how == MM_END_NOT_RUN)
+    mm_log_event (MM_EV_TASK_RETURNED, MM_TASK (&t->id),
+                  MM_INT (now - t->handed_ms), MM_TEXT (why),
+                  MM_TEXT (what_next (t, how, now)));
+  else if (how != MM_END_DONE)
+    mm_log_event (MM_EV_TASK_FAILED, MM_TASK (&t->id), MM_TEXT (upstream),
+                  MM_TEXT (mm_end_name (how)), MM_INT (now - t->handed_ms),
+                  MM_TEXT (why), MM_TEXT (what_next (t, how, now)));
+}
+
 static void
 on_task_done (void *ctx, mm_end how, const char *upstream, const char *why)
 {
@@ -275,10 +304,7 @@
   t->ticket = NULL;
   mm_time_ms now = mm_clock_now_ms ();
   mm_metrics_count (end_counters[how]);
-  if (how != MM_END_DONE)
-    mm_log_event (MM_EV_TASK_FAILED, MM_TASK (&t->id), MM_TEXT (upstream),
-                  MM_TEXT (mm_end_name (how)), MM_INT (now - t->handed_ms),
-                  MM_TEXT (why), MM_TEXT (what_next (t, how, now)));
+  log_end (t, how, upstream, why, now);
   switch (how)
     {
     case MM_END_DONE:
@@ -287,17 +313,22 @@
     case MM_END_FAILED:
       on_failed (t, upstream);
       break;
-    case MM_END_NOT_RUN:
     case MM_END_STOPPED:
     case MM_END_LOST:
-      if (now < give_up_time (b, how))
+    case MM_END_NOT_RUN:
+      if (how != MM_END_NOT_RUN && runs_once (t))
+        answer (b, MM_ANSWER_FAILED, "a task was lost and runs only once", 0);
+      else if (now < give_up_time (b, how))
         hand_out (t);
       else
         give_up (b, how == MM_END_NOT_RUN ? "no room in time"
                                           : "a task was lost too late");
       break;
     case MM_END_UNKNOWN:
-      answer (b, MM_ANSWER_UNKNOWN, why, MM_RETRY_AFTER_NO_ROOM_S);
+      if (runs_once (t))
+        answer (b, MM_ANSWER_FAILED, "a task is out of sight", 0);
+      else
+        answer (b, MM_ANSWER_UNKNOWN, why, MM_RETRY_AFTER_NO_ROOM_S);
       break;
     }
 }
--- a/src/mm_jobs.h
+++ b/src/mm_jobs.h
@@ -24,6 +24,7 @@
   mm_answer_kind kind;
   const char *why;
   uint32_t retry_after_s; /* 0: not said */
+  const bool *done;       /* of each task, in order; NULL: none */
 } mm_answer;
 
 typedef void (*mm_answer_cb) (void *ctx, const mm_answer *a);
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -54,6 +54,8 @@
           "port for the other instances" },
         { "node.state_port", MM_SETTING_INT, F (state_port), 1, 65535,
           "port of the state dump" },
+        { "node.interface", MM_SETTING_STRING, F (interface), 0, 0,
+          "whom it talks to: own (our stand-ins) or platform" },
         { "node.grace_ms", MM_SETTING_INT, F (grace_ms), 1000, 600000,
           "ms from SIGTERM to the kill" },
         { "store.address", MM_SETTING_STRING, F (store), 0, 0,
@@ -74,6 +76,7 @@
   s->front = g_strdup ("127.0.0.1:7400");
   s->ready = g_strdup ("127.0.0.1:7401");
   s->store = g_strdup ("127.0.0.1:7000");
+  s->interface = g_strdup ("own");
   s->mesh_port = MM_DEFAULT_MESH_PORT;
   s->state_port = MM_DEFAULT_STATE_PORT;
   s->partitions = MM_DEFAULT_PARTITIONS;
--- a/src/mm_node.h
+++ b/src/mm_node.h
@@ -20,6 +20,7 @@
   int64_t mesh_port;  /* for the other instances */
   int64_t state_port; /* state dump for operators */
   int64_t partitions; /* of a topic of the store */
+  char *interface;    /* "own" or "platform" */
   int64_t grace_ms;   /* from SIGTERM to the kill */
 } mm_node_settings;
 
--- /dev/null
+++ b/src/mm_own_front.c
@@ -0,0 +1,281 @@
+/* mm_own_front: callers' jobs at POST /v1/jobs, readiness at GET /v1/ready.
+
+   The job is answered when it has ended; its queue is "queue" in the body
+   or the first one of the configuration.  */
+#include "mm_own.h"
+
+#include "config.h"
+
+#include <cJSON.h>
+#include <string.h>
+
+struct mm_own_front
+{
+  mm_node *node;
+  mm_http_server *front;
+  mm_http_server *ready;
+};
+
+typedef struct
+{
+  mm_own_front *front;
+  mm_http_request *req;
+  mm_caller *caller;
+  mm_job *job; /* as it was sent: names of tasks */
+} waiting;
+
+static void
+waiting_free (waiting *w)
+{
+  mm_job_destroy (w->job);
+  g_free (w);
+}
+
+static void
+reply_error (mm_http_request *req, unsigned status, mm_error_code code,
+             const char *why, uint32_t retry_after_s)
+{
+  char *body = mm_json_error_body (code, why, retry_after_s);
+  mm_http_reply (req, status, body, retry_after_s);
+  free (body);
+}
+
+static const char *
+task_state (const mm_answer *a, uint32_t i)
+{
+  if (a->kind == MM_ANSWER_REFUSED)
+    return "not_run";
+  return a->done && a->done[i] ? "done" : "unknown";
+}
+
+static unsigned
+status_of (mm_answer_kind kind)
+{
+  switch (kind)
+    {
+    case MM_ANSWER_COMPLETED:
+    case MM_ANSWER_FAILED:
+    case MM_ANSWER_CANCELLED:
+      return 200;
+    case MM_ANSWER_REFUSED:
+      return 503;
+    case MM_ANSWER_GIVEN_UP:
+      return 504;
+    case MM_ANSWER_UNKNOWN:
+      return 502;
+    }
+  return 500;
+}
+
+static void
+on_answer (void *ctx, const mm_answer *a)
+{
+  waiting *w = ctx;
+  bool complete = a->kind == MM_ANSWER_COMPLETED;
+  cJSON *o = cJSON_CreateObject ();
+  cJSON_AddStringToObject (o, "job_id", w->job->id);
+  cJSON_AddStringToObject (o, "status", complete ? "complete" : "failed");
+  if (!complete)
+    cJSON_AddStringToObject (o, "why", a->why);
+  cJSON *tasks = cJSON_AddArrayToObject (o, "tasks");
+  for (uint32_t i = 0; i < w->job->n_tasks; i++)
+    {
+      cJSON *t = cJSON_CreateObject ();
+      cJSON_AddStringToObject (t, "id", w->job->tasks[i].id);
+      cJSON_AddStringToObject (t, "state", task_state (a, i));
+      cJSON_AddItemToArray (tasks, t);
+    }
+  char *text = cJSON_PrintUnformatted (o);
+  mm_http_reply (w->req, status_of (a->kind), text, a->retry_after_s);
+  free (text);
+  cJSON_Delete (o);
+  waiting_free (w);
+}
+
+static void
+on_left (void *ctx)
+{
+  waiting *w = ctx;
+  mm_jobs_caller_left (mm_node_jobs (w->front->node), w->caller);
+  reply_error (w->req, 502, MM_ERROR_IO, "caller left", 0);
+  waiting_free (w);
+}
+
+/* What a stand-in upstream reads: a slot each, and the run time.  */
+static char *
+payload_of (const mm_task *t)
+{
+  cJSON *o = cJSON_CreateObject ();
+  cJSON_AddNumberToObject (o, "cpu_milli", MM_SLOT_CPU_MILLI);
+  cJSON_AddNumberToObject (o, "run_ms", (double)t->run_ms);
+  cJSON_AddStringToObject (o, "payload", t->payload);
+  char *text = cJSON_PrintUnformatted (o);
+  cJSON_Delete (o);
+  char *copy = g_strdup (text);
+  free (text);
+  return copy;
+}
+
+static mm_submission *
+submission_of (const mm_job *job, GError **error)
+{
+  mm_submission *s = g_new0 (mm_submission, 1);
+  if (g_strlcpy (s->id, job->id, sizeof s->id) >= sizeof s->id)
+    {
+      g_set_error (error, MM_ERROR, MM_ERROR_BAD_REQUEST,
+                   "job_id: longer than %d bytes", MM_JOB_ID_MAX);
+      mm_submission_free (s);
+      return NULL;
+    }
+  s->best_effort = true;
+  s->payload = g_strdup ("");
+  s->n_steps = job->n_tasks;
+  s->steps = g_new0 (mm_step, job->n_tasks);
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    {
+      mm_step *step = &s->steps[i];
+      step->count = 1;
+      step->need.cpu_milli = MM_SLOT_CPU_MILLI;
+      step->estimate_ms = job->tasks[i].run_ms;
+      step->payload = payload_of (&job->tasks[i]);
+      step->once = !job->tasks[i].idempotent;
+    }
+  return s;
+}
+
+static mm_time_ms
+patience_of (const mm_job *job)
+{
+  mm_time_ms first = MM_MAX_PATIENCE_MS;
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    first = MIN (first, job->tasks[i].deadline_ms);
+  return first;
+}
+
+/**
+ * mm_own_submission() - a job in our own JSON, as the core takes it.
+ * @body: JSON text.
+ * @len: bytes of it.
+ * @patience_ms: set to its first deadline.
+ * @error: MM_ERROR_BAD_REQUEST or MM_ERROR_JOB_SIZE.
+ */
+mm_submission *
+mm_own_submission (const char *body, size_t len, mm_time_ms *patience_ms,
+                   GError **error)
+{
+  mm_job *job
+      = mm_job_parse_json (body, len, MM_DEFAULT_MAX_TASKS_PER_JOB, error);
+  mm_submission *s = job ? submission_of (job, error) : NULL;
+  if (s)
+    *patience_ms = patience_of (job);
+  mm_job_destroy (job);
+  return s;
+}
+
+static const mm_route *
+queue_of (const mm_routes *routes, const char *body, size_t len)
+{
+  cJSON *o = cJSON_ParseWithLength (body, len);
+  const char *want
+      = cJSON_GetStringValue (cJSON_GetObjectItemCaseSensitive (o, "queue"));
+  const mm_route *found = !want && routes->n ? &routes->routes[0] : NULL;
+  for (size_t i = 0; want && i < routes->n; i++)
+    if (strcmp (routes->routes[i].name, want) == 0)
+      found = &routes->routes[i];
+  cJSON_Delete (o);
+  return found;
+}
+
+static void
+post_job (mm_own_front *f, mm_http_request *req)
+{
+  size_t len;
+  const char *body = mm_http_request_body (req, &len);
+  const mm_routes *routes = mm_node_routes (f->node);
+  const mm_route *queue = routes ? queue_of (routes, body, len) : NULL;
+  GError *error = NULL;
+  mm_time_ms patience_ms = 0;
+  mm_submission *s = mm_own_submission (body, len, &patience_ms, &error);
+  if (!s)
+    reply_error (req, 400, (mm_error_code)error->code, error->message, 0);
+  else if (!routes || !mm_node_takes_jobs (f->node))
+    reply_error (req, 503, MM_ERROR_OVERLOADED,
+                 routes ? "instance is stopping" : "no configuration yet", 1);
+  else if (!queue)
+    reply_error (req, 404, MM_ERROR_BAD_REQUEST, "no such queue", 0);
+  else
+    {
+      waiting *w = g_new0 (waiting, 1);
+      w->front = f;
+      w->req = req;
+      w->job
+          = mm_job_parse_json (body, len, MM_DEFAULT_MAX_TASKS_PER_JOB, NULL);
+      mm_caller *c
+          = mm_jobs_submit (mm_node_jobs (f->node), g_steal_pointer (&s),
+                            queue, patience_ms, on_answer, w);
+      if (c)
+        {
+          w->caller = c;
+          mm_http_request_on_left (req, on_left, w);
+        }
+    }
+  mm_submission_free (s);
+  g_clear_error (&error);
+}
+
+static void
+on_request (mm_http_request *req, void *ctx)
+{
+  if (strcmp (mm_http_request_method (req), "POST") == 0
+      && strcmp (mm_http_request_path (req), "/v1/jobs") == 0)
+    post_job (ctx, req);
+  else
+    reply_error (req, 404, MM_ERROR_BAD_REQUEST, "no such path", 0);
+}
+
+static void
+on_ready (mm_http_request *req, void *ctx)
+{
+  bool ready = mm_node_ready (((mm_own_front *)ctx)->node);
+  mm_http_reply (req, ready ? 200 : 503,
+                 ready ? "{\"ready\":true}" : "{\"ready\":false}", 0);
+}
+
+mm_own_front *
+mm_own_front_create (struct ev_loop *loop, const mm_node_settings *s,
+                     mm_node *node, GError **error)
+{
+  mm_own_front *f = g_new0 (mm_own_front, 1);
+  f->node = node;
+  f->front = mm_http_server_listen (loop, s->front, MM_DEFAULT_MAX_BODY_BYTES,
+                                    on_request, f, error);
+  if (f->front)
+    f->ready = mm_http_server_listen (loop, s->ready, MM_STATE_MAX_BODY_BYTES,
+                                      on_ready, f, error);
+  if (f->ready)
+    return f;
+  mm_own_front_destroy (f);
+  return NULL;
+}
+
+void
+mm_own_front_destroy (mm_own_front *f)
+{
+  if (!f)
+    return;
+  mm_http_server_destroy (f->front);
+  mm_http_server_destroy (f->ready);
+  g_free (f);
+}
+
+void
+mm_own_front_set_leaving (mm_own_front *f)
+{
+  mm_http_server_set_leaving (f->front);
+}
+
+uint32_t
+mm_own_front_connections (const mm_own_front *f)
+{
+  return mm_http_server_connections (f->front);
+}
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -486,6 +486,16 @@
     pump (o);
 }
 
+/* Until a task was seen, an upstream's slots are the best guess.  */
+static int64_t
+usual_cpu_milli (const mm_owner *o, const mm_upstream_info *u)
+{
+  int64_t cpu = o->usual_cpu_milli > 0
+                    ? (int64_t)o->usual_cpu_milli
+                    : u->capacity.cpu_milli / MAX (u->slots, 1);
+  return MAX (cpu, 1);
+}
+
 /**
  * mm_owner_report() - room of a service, for those who place work.
  * @o: the owner.
@@ -497,8 +507,6 @@
 mm_owner_report (const mm_owner *o, const char *service)
 {
   mm_room_report r = { 0 };
-  int64_t cpu = o->usual_cpu_milli > 0 ? (int64_t)o->usual_cpu_milli
-                                       : MM_OWNER_GUESS_CPU_MILLI;
   mm_time_ms now = mm_clock_now_ms ();
   GHashTableIter it;
   gpointer v;
@@ -510,6 +518,7 @@
       if (strcmp (u->service, service) != 0 || s->frozen
           || !mm_exec_usable (s->exec) || !mm_trust_allows (&s->trust, 0, now))
         continue;
+      int64_t cpu = usual_cpu_milli (o, u);
       r.places += (uint32_t)(u->capacity.cpu_milli / cpu);
       int64_t room = mm_exec_room (s->exec).cpu_milli;
       if (room > 0)
--- a/src/mm_platform.c
+++ b/src/mm_platform.c
@@ -20,6 +20,7 @@
      X-Masticmill-Member.  */
 #include "config.h"
 #include "masticmill.h"
+#include "mm_stream_server.h"
 
 #include <cJSON.h>
 #include <stddef.h>
@@ -64,7 +65,8 @@
   bool down;
   int64_t slow_ms;
   int64_t lose_answers;
-  char *cut; /* member turned away, "" for none */
+  mm_stream_server *streams_server; /* keyed streams and groups */
+  char *cut;                        /* member turned away, "" for none */
 };
 
 typedef struct
@@ -441,6 +443,8 @@
                      "{\"code\":\"platform\",\"message\":\"down\"}}",
                      1);
     }
+  else if (mm_stream_server_handle (p->streams_server, req))
+    return;
   else if (g_str_has_prefix (path, "/v1/log/") && path[8])
     {
       if (g_str_equal (m, "POST"))
@@ -457,6 +461,28 @@
     answer_error (p, req, 404, MM_ERROR_BAD_REQUEST, "no such path");
 }
 
+/* A waiting read may end in an outage: then it is answered as one.  */
+static void
+stream_answer (void *ctx, mm_http_request *req, unsigned status, char *body)
+{
+  mm_platform *p = ctx;
+  if (turned_away (p, req))
+    {
+      free (body);
+      answer_error (p, req, 503, MM_ERROR_PLATFORM, "down");
+      return;
+    }
+  bool write = strcmp (mm_http_request_method (req), "GET") != 0;
+  if (write && p->lose_answers > 0)
+    {
+      p->lose_answers--;
+      free (body);
+      answer_error (p, req, 504, MM_ERROR_PLATFORM, "answer lost");
+      return;
+    }
+  answer (p, req, status, body);
+}
+
 /**
  * mm_platform_create() - start the platform stand-in.
  * @loop: its loop.
@@ -475,6 +501,7 @@
   p->settings.listen_host = g_strdup (s->listen_host);
   p->counters = mm_counters_create ();
   p->cut = g_strdup ("");
+  p->streams_server = mm_stream_server_create (loop, stream_answer, p);
   p->streams
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_stream);
   p->members
@@ -496,6 +523,7 @@
     return;
   mm_http_server_destroy (p->http);
   mm_counters_destroy (p->counters);
+  mm_stream_server_destroy (p->streams_server);
   g_hash_table_destroy (p->streams);
   g_hash_table_destroy (p->members);
   g_free (p->settings.listen_host);
--- /dev/null
+++ b/src/mm_run_json.h
@@ -0,0 +1,28 @@
+/* mm_run_json: orders, holds and lists of runs in our own JSON, as the
+   dispatcher and the upstream stand-in exchange them.  */
+#ifndef MM_RUN_JSON_H
+#define MM_RUN_JSON_H
+
+#include "mm_exec.h"
+
+#include <cJSON.h>
+
+/* What a task needs and how long it runs, as the stand-in reads it from
+   a payload; the dispatcher only passes payloads on.  */
+typedef struct
+{
+  mm_need need;
+  mm_time_ms run_ms;
+} mm_run_work;
+
+cJSON *mm_run_json_order (const mm_order *o);
+cJSON *mm_run_json_hold (const mm_hold *h);
+/* Strings of @out point into @in.  */
+bool mm_run_json_read_order (const cJSON *in, mm_order *out, mm_task_id *task);
+bool mm_run_json_read_hold (const cJSON *in, mm_hold *out);
+void mm_run_json_read_work (const char *payload, mm_run_work *out);
+cJSON *mm_run_json_lists (const mm_hold_result *r);
+/* Allocates the lists of @r; free both with g_free().  */
+bool mm_run_json_read_lists (const cJSON *in, mm_hold_result *r);
+
+#endif /* MM_RUN_JSON_H */
--- /dev/null
+++ b/src/mm_run_server.c
@@ -0,0 +1,371 @@
+/* mm_run_server: runs under leases, with faults on request.
+
+   Faults (POST /v1/run-faults, each kept until it is used up or changed):
+   lose_starts / lose_stops / lose_holds: so many calls get no answer;
+   late_ms: a lost start is carried out so late, 0 for never;
+   fails, hangs, refuses: what becomes of tasks; slow_percent: run time;
+   silent: nothing is carried out nor answered; mute: nothing answered.  */
+#include "mm_run_server.h"
+
+#include "config.h"
+#include "mm_run_json.h"
+
+#include <string.h>
+
+#define UPSTREAM_HEADER "X-Masticmill-Upstream"
+
+typedef struct
+{
+  int64_t lose_starts;
+  int64_t lose_stops;
+  int64_t lose_holds;
+  int64_t late_ms;
+  bool silent;
+  bool mute;
+} call_faults;
+
+/* A hold that waits for an end.  */
+typedef struct
+{
+  mm_http_request *req;
+  mm_time_ms until_ms;
+} waiting_hold;
+
+/* A start that is carried out late.  */
+typedef struct
+{
+  cJSON *order;
+  mm_time_ms at_ms;
+} late_start;
+
+struct mm_run_server
+{
+  struct ev_loop *loop;
+  ev_timer tick;
+  char *name;
+  mm_need capacity;
+  mm_run_table *table;
+  mm_run_mode mode;
+  call_faults faults;
+  GList *holds; /* waiting_hold */
+  GList *late;  /* late_start */
+};
+
+static void tick_cb (struct ev_loop *loop, ev_timer *w, int revents);
+
+/**
+ * mm_run_server_create() - an upstream's runs.
+ * @loop: the loop.
+ * @name: the upstream; its incarnation's name adds the time of start.
+ * @capacity: all it has.
+ */
+mm_run_server *
+mm_run_server_create (struct ev_loop *loop, const char *name,
+                      const mm_need *capacity)
+{
+  mm_run_server *s = g_new0 (mm_run_server, 1);
+  s->loop = loop;
+  s->name = g_strdup_printf ("%s.%" G_GINT64_MODIFIER "x", name,
+                             mm_clock_wall_ms ());
+  s->capacity = *capacity;
+  s->table = mm_run_table_create (capacity, false, MM_LEASE_MS);
+  ev_timer_init (&s->tick, tick_cb, MM_RUN_SERVER_TICK_MS / 1000.,
+                 MM_RUN_SERVER_TICK_MS / 1000.);
+  s->tick.data = s;
+  ev_timer_start (loop, &s->tick);
+  return s;
+}
+
+static void
+late_free (gpointer p)
+{
+  cJSON_Delete (((late_start *)p)->order);
+  g_free (p);
+}
+
+void
+mm_run_server_destroy (mm_run_server *s)
+{
+  if (!s)
+    return;
+  ev_timer_stop (s->loop, &s->tick);
+  g_list_free_full (s->holds, g_free);
+  g_list_free_full (s->late, late_free);
+  mm_run_table_destroy (s->table);
+  g_free (s->name);
+  g_free (s);
+}
+
+static void
+reply (mm_http_request *req, unsigned status, cJSON *body)
+{
+  cJSON_AddNumberToObject (body, "clock_ms", (double)mm_clock_now_ms ());
+  char *text = cJSON_PrintUnformatted (body);
+  mm_http_reply (req, status, text, 0);
+  free (text);
+  cJSON_Delete (body);
+}
+
+static void
+reply_verdict (mm_run_server *s, mm_http_request *req, mm_call_verdict v)
+{
+  cJSON *b = cJSON_CreateObject ();
+  cJSON_AddStringToObject (b, "verdict", mm_call_verdict_name (v));
+  reply (req, v == MM_CALL_OK ? 200 : 409, b);
+}
+
+static void
+on_caller_left (void *ctx)
+{
+  mm_http_reply (ctx, 503, "{}", 0);
+}
+
+/* The caller sees a connection that stays silent, until it gives up.  */
+static void
+swallow (mm_http_request *req)
+{
+  mm_http_request_on_left (req, on_caller_left, req);
+}
+
+static mm_call_verdict
+start (mm_run_server *s, const cJSON *in)
+{
+  mm_order o;
+  mm_task_id task;
+  mm_run_work work;
+  if (!mm_run_json_read_order (in, &o, &task))
+    return MM_CALL_BAD;
+  mm_run_json_read_work (o.payload, &work);
+  return mm_run_table_start (s->table, &o, &work.need, work.run_ms,
+                             mm_clock_now_ms ());
+}
+
+static bool
+take_loss (int64_t *left)
+{
+  if (*left <= 0)
+    return false;
+  (*left)--;
+  return true;
+}
+
+static void
+on_start (mm_run_server *s, mm_http_request *req, cJSON *in)
+{
+  if (take_loss (&s->faults.lose_starts))
+    {
+      if (s->faults.late_ms)
+        {
+          late_start *l = g_new0 (late_start, 1);
+          l->order = cJSON_Duplicate (in, true);
+          l->at_ms = mm_clock_now_ms () + s->faults.late_ms;
+          s->late = g_list_prepend (s->late, l);
+        }
+      swallow (req);
+      return;
+    }
+  mm_call_verdict v = start (s, in);
+  if (s->faults.mute)
+    swallow (req);
+  else
+    reply_verdict (s, req, v);
+}
+
+static void
+on_stop (mm_run_server *s, mm_http_request *req, const cJSON *in)
+{
+  mm_order o;
+  mm_task_id task;
+  if (take_loss (&s->faults.lose_stops))
+    {
+      swallow (req);
+      return;
+    }
+  mm_call_verdict v
+      = mm_run_json_read_order (in, &o, &task)
+            ? mm_run_table_stop (s->table, &o, mm_clock_now_ms ())
+            : MM_CALL_BAD;
+  if (s->faults.mute)
+    swallow (req);
+  else
+    reply_verdict (s, req, v);
+}
+
+static void
+reply_lists (mm_run_server *s, mm_http_request *req)
+{
+  mm_hold_result r = { 0 };
+  mm_run_table_list (s->table, &r, mm_clock_now_ms ());
+  reply (req, 200, mm_run_json_lists (&r));
+}
+
+static void
+on_hold (mm_run_server *s, mm_http_request *req, const cJSON *in)
+{
+  mm_hold h;
+  if (take_loss (&s->faults.lose_holds))
+    {
+      swallow (req);
+      return;
+    }
+  mm_time_ms now = mm_clock_now_ms ();
+  mm_call_verdict v = mm_run_json_read_hold (in, &h)
+                          ? mm_run_table_hold (s->table, &h, now)
+                          : MM_CALL_BAD;
+  if (s->faults.mute)
+    swallow (req);
+  else if (v != MM_CALL_OK)
+    reply_verdict (s, req, v);
+  else if (mm_run_table_ended (s->table) || h.wait_ms == 0)
+    reply_lists (s, req);
+  else
+    {
+      waiting_hold *w = g_new0 (waiting_hold, 1);
+      w->req = req;
+      w->until_ms = now + MIN (h.wait_ms, MM_RUN_SERVER_MAX_WAIT_MS);
+      s->holds = g_list_prepend (s->holds, w);
+    }
+}
+
+static void
+read_bool (const cJSON *in, const char *name, bool *out)
+{
+  const cJSON *f = cJSON_GetObjectItemCaseSensitive (in, name);
+  if (cJSON_IsBool (f))
+    *out = cJSON_IsTrue (f);
+}
+
+static void
+read_number (const cJSON *in, const char *name, int64_t *out)
+{
+  const cJSON *f = cJSON_GetObjectItemCaseSensitive (in, name);
+  if (cJSON_IsNumber (f))
+    *out = (int64_t)f->valuedouble;
+}
+
+static void
+on_faults (mm_run_server *s, mm_http_request *req, const cJSON *in)
+{
+  call_faults *f = &s->faults;
+  read_number (in, "lose_starts", &f->lose_starts);
+  read_number (in, "lose_stops", &f->lose_stops);
+  read_number (in, "lose_holds", &f->lose_holds);
+  read_number (in, "late_ms", &f->late_ms);
+  read_number (in, "slow_percent", &s->mode.slow_percent);
+  read_bool (in, "silent", &f->silent);
+  read_bool (in, "mute", &f->mute);
+  read_bool (in, "fails", &s->mode.fails);
+  read_bool (in, "hangs", &s->mode.hangs);
+  read_bool (in, "refuses", &s->mode.refuses);
+  mm_run_table_set_mode (s->table, s->mode);
+  reply (req, 200, cJSON_CreateObject ());
+}
+
+/* The caller means an incarnation that is no more.  */
+static bool
+meant_another (const mm_run_server *s, const mm_http_request *req)
+{
+  const char *want = mm_http_request_header (req, UPSTREAM_HEADER);
+  return want && strcmp (want, s->name) != 0;
+}
+
+bool
+mm_run_server_handle (mm_run_server *s, mm_http_request *req)
+{
+  static const char *const paths[]
+      = { "/v1/runs", "/v1/runs/stop", "/v1/hold", "/v1/run-faults", NULL };
+  const char *path = mm_http_request_path (req);
+  if (!g_strv_contains (paths, path))
+    return false;
+  size_t len;
+  const char *body = mm_http_request_body (req, &len);
+  cJSON *in = cJSON_ParseWithLength (body, len);
+  if (strcmp (path, "/v1/run-faults") == 0)
+    on_faults (s, req, in);
+  else if (s->faults.silent)
+    swallow (req);
+  else if (meant_another (s, req))
+    {
+      cJSON *b = cJSON_CreateObject ();
+      cJSON_AddStringToObject (b, "verdict",
+                               mm_call_verdict_name (MM_CALL_GONE));
+      reply (req, 421, b);
+    }
+  else if (strcmp (path, "/v1/runs") == 0)
+    on_start (s, req, in);
+  else if (strcmp (path, "/v1/runs/stop") == 0)
+    on_stop (s, req, in);
+  else
+    on_hold (s, req, in);
+  cJSON_Delete (in);
+  return true;
+}
+
+static void
+run_late_starts (mm_run_server *s, mm_time_ms now)
+{
+  GList *next;
+  for (GList *l = s->late; l; l = next)
+    {
+      next = l->next;
+      late_start *late = l->data;
+      if (now < late->at_ms)
+        continue;
+      s->late = g_list_delete_link (s->late, l);
+      start (s, late->order);
+      late_free (late);
+    }
+}
+
+static void
+tick_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  mm_run_server *s = w->data;
+  mm_time_ms now = mm_clock_now_ms ();
+  run_late_starts (s, now);
+  mm_run_table_step (s->table, now);
+  bool ended = mm_run_table_ended (s->table) > 0;
+  GList *next;
+  for (GList *l = s->holds; l; l = next)
+    {
+      next = l->next;
+      waiting_hold *h = l->data;
+      if (!ended && now < h->until_ms)
+        continue;
+      s->holds = g_list_delete_link (s->holds, l);
+      if (s->faults.silent || s->faults.mute)
+        swallow (h->req);
+      else
+        reply_lists (s, h->req);
+      g_free (h);
+    }
+}
+
+size_t
+mm_run_server_running (const mm_run_server *s)
+{
+  return mm_run_table_running (s->table);
+}
+
+const char *
+mm_run_server_name (const mm_run_server *s)
+{
+  return s->name;
+}
+
+mm_need
+mm_run_server_capacity (const mm_run_server *s)
+{
+  return s->capacity;
+}
+
+void
+mm_run_server_dump (const mm_run_server *s, cJSON *out)
+{
+  mm_run_counts c = mm_run_table_counts (s->table);
+  cJSON_AddStringToObject (out, "incarnation", s->name);
+  cJSON_AddNumberToObject (out, "runs",
+                           (double)mm_run_table_running (s->table));
+  cJSON_AddNumberToObject (out, "run_starts", c.starts);
+  cJSON_AddNumberToObject (out, "over_capacity", c.over_capacity);
+}
--- a/src/mm_run_table.h
+++ b/src/mm_run_table.h
@@ -19,6 +19,16 @@
   int64_t slow_percent; /* of the usual run time; 0 is 100 */
 } mm_run_mode;
 
+/* A run that is over.  */
+typedef struct
+{
+  mm_task_id task;
+  uint32_t number;
+  mm_time_ms started_ms;
+  mm_time_ms ended_ms;
+  mm_end how;
+} mm_run_past;
+
 /* What must not happen, counted.  */
 typedef struct
 {
@@ -45,6 +55,8 @@
 /* Both lists; the arrays are the table's, valid until its next call.  */
 void mm_run_table_list (mm_run_table *t, mm_hold_result *out,
                         mm_time_ms now_ms);
+/* All runs that are over, the oldest first.  */
+const mm_run_past *mm_run_table_past (const mm_run_table *t, size_t *n);
 mm_run_counts mm_run_table_counts (const mm_run_table *t);
 
 #endif /* MM_RUN_TABLE_H */
--- /dev/null
+++ b/src/mm_stream_server.c
@@ -0,0 +1,426 @@
+/* mm_stream_server: keyed streams and groups of the platform stand-in.  */
+#include "mm_stream_server.h"
+
+#include "config.h"
+#include "mm_group_table.h"
+#include "mm_keyed_log.h"
+
+#include <cJSON.h>
+#include <string.h>
+
+#define STREAMS "/v1/streams/"
+#define GROUPS "/v1/groups/"
+
+typedef struct
+{
+  mm_keyed_log *log;
+  GHashTable *lapse; /* key -> mm_time_ms, of values with a ttl */
+} stream;
+
+/* A read that waits for a record.  */
+typedef struct
+{
+  mm_http_request *req;
+  char *stream;
+  uint64_t from;
+  mm_time_ms until_ms;
+} waiting_read;
+
+struct mm_stream_server
+{
+  struct ev_loop *loop;
+  ev_timer tick;
+  mm_stream_answer answer;
+  void *ctx;
+  GHashTable *streams; /* name -> stream */
+  GHashTable *groups;  /* name -> mm_group_table */
+  GList *reads;
+};
+
+static void
+stream_free (gpointer p)
+{
+  stream *t = p;
+  mm_keyed_log_destroy (t->log);
+  g_hash_table_destroy (t->lapse);
+  g_free (t);
+}
+
+static stream *
+stream_of (mm_stream_server *s, const char *name)
+{
+  stream *t = g_hash_table_lookup (s->streams, name);
+  if (t)
+    return t;
+  t = g_new0 (stream, 1);
+  t->log = mm_keyed_log_create ();
+  t->lapse = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_hash_table_insert (s->streams, g_strdup (name), t);
+  return t;
+}
+
+static mm_group_table *
+group_of (mm_stream_server *s, const char *name)
+{
+  mm_group_table *g = g_hash_table_lookup (s->groups, name);
+  if (g)
+    return g;
+  g = mm_group_table_create (MM_DEFAULT_PARTITIONS);
+  g_hash_table_insert (s->groups, g_strdup (name), g);
+  return g;
+}
+
+static void
+answer_json (mm_stream_server *s, mm_http_request *req, unsigned status,
+             cJSON *body)
+{
+  char *text = cJSON_PrintUnformatted (body);
+  cJSON_Delete (body);
+  s->answer (s->ctx, req, status, text);
+}
+
+static void
+answer_error (mm_stream_server *s, mm_http_request *req, unsigned status,
+              const char *why)
+{
+  s->answer (s->ctx, req, status,
+             mm_json_error_body (MM_ERROR_BAD_REQUEST, why, 0));
+}
+
+/* ---- streams ---------------------------------------------------------- */
+
+static void
+add_record (cJSON *list, const mm_keyed_record *r)
+{
+  cJSON *row = cJSON_CreateObject ();
+  cJSON_AddStringToObject (row, "key", r->key);
+  if (r->value)
+    cJSON_AddItemToObject (row, "value", cJSON_CreateRaw (r->value));
+  cJSON_AddItemToArray (list, row);
+}
+
+static void
+answer_records (mm_stream_server *s, mm_http_request *req, const stream *t,
+                uint64_t from)
+{
+  if (from < mm_keyed_log_first (t->log))
+    {
+      answer_error (s, req, 410, "these records are gone");
+      return;
+    }
+  size_t n;
+  const mm_keyed_record *r = mm_keyed_log_from (t->log, from, &n);
+  n = MIN (n, MM_DEFAULT_LOG_READ_MAX);
+  cJSON *o = cJSON_CreateObject ();
+  cJSON *list = cJSON_AddArrayToObject (o, "items");
+  for (size_t i = 0; i < n; i++)
+    add_record (list, &r[i]);
+  cJSON_AddNumberToObject (o, "next", (double)(from + n));
+  answer_json (s, req, 200, o);
+}
+
+static uint64_t
+query_number (mm_http_request *req, const char *name)
+{
+  const char *text = mm_http_request_query (req, name);
+  return text ? g_ascii_strtoull (text, NULL, 10) : 0;
+}
+
+static void
+get_records (mm_stream_server *s, mm_http_request *req, const char *name)
+{
+  stream *t = stream_of (s, name);
+  uint64_t from = query_number (req, "from");
+  uint64_t wait_ms = query_number (req, "wait_ms");
+  if (from != mm_keyed_log_end (t->log) || wait_ms == 0)
+    {
+      answer_records (s, req, t, from);
+      return;
+    }
+  waiting_read *r = g_new0 (waiting_read, 1);
+  r->req = req;
+  r->stream = g_strdup (name);
+  r->from = from;
+  r->until_ms = mm_clock_now_ms () + (mm_time_ms)MIN (wait_ms, 30000);
+  s->reads = g_list_prepend (s->reads, r);
+}
+
+static void
+get_newest (mm_stream_server *s, mm_http_request *req, const char *name)
+{
+  stream *t = stream_of (s, name);
+  const char *after = mm_http_request_query (req, "after");
+  cJSON *o = cJSON_CreateObject ();
+  cJSON *list = cJSON_AddArrayToObject (o, "items");
+  const mm_keyed_record *r = NULL;
+  for (int i = 0; i < MM_STREAM_PAGE; i++)
+    {
+      const mm_keyed_record *next = mm_keyed_log_next_key (t->log, after);
+      if (!next)
+        break;
+      add_record (list, next);
+      after = next->key;
+      r = next;
+    }
+  if (r && mm_keyed_log_next_key (t->log, r->key))
+    cJSON_AddStringToObject (o, "after", r->key);
+  cJSON_AddNumberToObject (o, "next", (double)mm_keyed_log_end (t->log));
+  answer_json (s, req, 200, o);
+}
+
+static void
+put_value (mm_stream_server *s, mm_http_request *req, const char *name,
+           const char *key)
+{
+  size_t len;
+  const char *body = mm_http_request_body (req, &len);
+  cJSON *value = cJSON_ParseWithLength (body, len);
+  if (!value)
+    {
+      answer_error (s, req, 400, "the value is no JSON");
+      return;
+    }
+  stream *t = stream_of (s, name);
+  const cJSON *ttl = cJSON_GetObjectItemCaseSensitive (value, "ttl_ms");
+  g_hash_table_remove (t->lapse, key);
+  if (cJSON_IsNumber (ttl))
+    {
+      mm_time_ms *at = g_new (mm_time_ms, 1);
+      *at = mm_clock_now_ms () + (mm_time_ms)ttl->valuedouble;
+      g_hash_table_insert (t->lapse, g_strdup (key), at);
+    }
+  char *text = cJSON_PrintUnformatted (value);
+  cJSON_Delete (value);
+  cJSON *o = cJSON_CreateObject ();
+  cJSON_AddNumberToObject (o, "offset",
+                           (double)mm_keyed_log_put (t->log, key, text));
+  free (text);
+  answer_json (s, req, 200, o);
+}
+
+static void
+handle_stream (mm_stream_server *s, mm_http_request *req, const char *rest)
+{
+  const char *method = mm_http_request_method (req);
+  char **part = g_strsplit (rest, "/", 2);
+  if (!part[0] || !*part[0])
+    answer_error (s, req, 404, "no stream named");
+  else if (strcmp (method, "GET") == 0 && !part[1])
+    get_records (s, req, part[0]);
+  else if (strcmp (method, "GET") == 0 && strcmp (part[1], "newest") == 0)
+    get_newest (s, req, part[0]);
+  else if (strcmp (method, "PUT") == 0 && part[1] && *part[1])
+    put_value (s, req, part[0], part[1]);
+  else if (strcmp (method, "DELETE") == 0 && part[1] && *part[1])
+    {
+      mm_keyed_log_put (stream_of (s, part[0])->log, part[1], NULL);
+      answer_json (s, req, 200, cJSON_CreateObject ());
+    }
+  else
+    answer_error (s, req, 404, "no such path");
+  g_strfreev (part);
+}
+
+/* ---- groups ----------------------------------------------------------- */
+
+static void
+answer_parts (mm_stream_server *s, mm_http_request *req, mm_group_table *g,
+              const char *member)
+{
+  cJSON *o = cJSON_CreateObject ();
+  cJSON_AddNumberToObject (o, "generation",
+                           (double)mm_group_table_generation (g));
+  cJSON *list = cJSON_AddArrayToObject (o, "parts");
+  for (uint32_t i = 0; i < mm_group_table_parts (g); i++)
+    {
+      const char *holder = mm_group_table_holder (g, i);
+      if (holder && strcmp (holder, member) == 0)
+        cJSON_AddItemToArray (list, cJSON_CreateNumber (i));
+    }
+  answer_json (s, req, 200, o);
+}
+
+static void
+answer_holders (mm_stream_server *s, mm_http_request *req, mm_group_table *g)
+{
+  GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
+  cJSON *o = cJSON_CreateObject ();
+  cJSON *list = cJSON_AddArrayToObject (o, "members");
+  for (uint32_t i = 0; i < mm_group_table_parts (g); i++)
+    {
+      const char *holder = mm_group_table_holder (g, i);
+      if (holder && g_hash_table_add (seen, (gpointer)holder))
+        cJSON_AddItemToArray (list, cJSON_CreateString (holder));
+    }
+  g_hash_table_destroy (seen);
+  answer_json (s, req, 200, o);
+}
+
+static void
+change_group (mm_stream_server *s, mm_http_request *req, const char *name,
+              const char *verb)
+{
+  size_t len;
+  const char *body = mm_http_request_body (req, &len);
+  cJSON *in = cJSON_ParseWithLength (body, len);
+  const char *member
+      = cJSON_GetStringValue (cJSON_GetObjectItemCaseSensitive (in, "member"));
+  const cJSON *generation
+      = cJSON_GetObjectItemCaseSensitive (in, "generation");
+  const cJSON *ttl = cJSON_GetObjectItemCaseSensitive (in, "ttl_ms");
+  mm_group_table *g = group_of (s, name);
+  if (!member)
+    answer_error (s, req, 400, "a member is needed");
+  else if (strcmp (verb, "leave") == 0)
+    {
+      mm_group_table_leave (g, member);
+      answer_parts (s, req, g, member);
+    }
+  else if (strcmp (verb, "join") != 0 || !cJSON_IsNumber (ttl))
+    answer_error (s, req, 400, "join with a ttl_ms, or leave");
+  else
+    {
+      uint64_t confirmed = cJSON_IsNumber (generation)
+                               ? (uint64_t)generation->valuedouble
+                               : 0;
+      mm_group_table_join (g, member, confirmed, (mm_time_ms)ttl->valuedouble,
+                           mm_clock_now_ms ());
+      answer_parts (s, req, g, member);
+    }
+  cJSON_Delete (in);
+}
+
+static void
+handle_group (mm_stream_server *s, mm_http_request *req, const char *rest)
+{
+  char **part = g_strsplit (rest, "/", 2);
+  if (!part[0] || !*part[0])
+    answer_error (s, req, 404, "no group named");
+  else if (part[1])
+    change_group (s, req, part[0], part[1]);
+  else
+    answer_holders (s, req, group_of (s, part[0]));
+  g_strfreev (part);
+}
+
+/* ---- both ------------------------------------------------------------- */
+
+static void
+set_faults (mm_stream_server *s, mm_http_request *req)
+{
+  size_t len;
+  const char *body = mm_http_request_body (req, &len);
+  cJSON *in = cJSON_ParseWithLength (body, len);
+  GHashTableIter it;
+  gpointer v;
+  if (cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (in, "drop_history")))
+    {
+      g_hash_table_iter_init (&it, s->streams);
+      while (g_hash_table_iter_next (&it, NULL, &v))
+        mm_keyed_log_drop_history (((stream *)v)->log);
+    }
+  if (cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (in, "deal_anew")))
+    {
+      g_hash_table_iter_init (&it, s->groups);
+      while (g_hash_table_iter_next (&it, NULL, &v))
+        mm_group_table_deal_anew (v);
+    }
+  cJSON_Delete (in);
+  mm_http_reply (req, 200, "{\"status\":\"ok\"}", 0);
+}
+
+bool
+mm_stream_server_handle (mm_stream_server *s, mm_http_request *req)
+{
+  const char *path = mm_http_request_path (req);
+  if (strcmp (path, "/v1/store-faults") == 0)
+    set_faults (s, req);
+  else if (g_str_has_prefix (path, STREAMS))
+    handle_stream (s, req, path + strlen (STREAMS));
+  else if (g_str_has_prefix (path, GROUPS))
+    handle_group (s, req, path + strlen (GROUPS));
+  else
+    return false;
+  return true;
+}
+
+static void
+lapse_values (stream *t, mm_time_ms now)
+{
+  GHashTableIter it;
+  gpointer k, v;
+  g_hash_table_iter_init (&it, t->lapse);
+  while (g_hash_table_iter_next (&it, &k, &v))
+    if (now > *(mm_time_ms *)v)
+      {
+        mm_keyed_log_put (t->log, k, NULL);
+        g_hash_table_iter_remove (&it);
+      }
+}
+
+static void
+answer_reads (mm_stream_server *s, mm_time_ms now)
+{
+  GList *next;
+  for (GList *l = s->reads; l; l = next)
+    {
+      next = l->next;
+      waiting_read *r = l->data;
+      stream *t = stream_of (s, r->stream);
+      if (mm_keyed_log_end (t->log) == r->from && now < r->until_ms)
+        continue;
+      s->reads = g_list_delete_link (s->reads, l);
+      answer_records (s, r->req, t, r->from);
+      g_free (r->stream);
+      g_free (r);
+    }
+}
+
+static void
+tick_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  mm_stream_server *s = w->data;
+  mm_time_ms now = mm_clock_now_ms ();
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, s->streams);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    lapse_values (v, now);
+  g_hash_table_iter_init (&it, s->groups);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    mm_group_table_step (v, now);
+  answer_reads (s, now);
+}
+
+mm_stream_server *
+mm_stream_server_create (struct ev_loop *loop, mm_stream_answer answer,
+                         void *ctx)
+{
+  mm_stream_server *s = g_new0 (mm_stream_server, 1);
+  s->loop = loop;
+  s->answer = answer;
+  s->ctx = ctx;
+  s->streams
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, stream_free);
+  s->groups = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                     (GDestroyNotify)mm_group_table_destroy);
+  ev_timer_init (&s->tick, tick_cb, MM_STREAM_SERVER_TICK_MS / 1000.,
+                 MM_STREAM_SERVER_TICK_MS / 1000.);
+  s->tick.data = s;
+  ev_timer_start (loop, &s->tick);
+  return s;
+}
+
+void
+mm_stream_server_destroy (mm_stream_server *s)
+{
+  if (!s)
+    return;
+  ev_timer_stop (s->loop, &s->tick);
+  for (GList *l = s->reads; l; l = l->next)
+    g_free (((waiting_read *)l->data)->stream);
+  g_list_free_full (s->reads, g_free);
+  g_hash_table_destroy (s->streams);
+  g_hash_table_destroy (s->groups);
+  g_free (s);
+}
--- a/src/mm_submission.h
+++ b/src/mm_submission.h
@@ -11,6 +11,8 @@
   mm_time_ms estimate_ms;
   uint32_t *after; /* earlier steps that must be done first */
   uint32_t n_after;
+  char *payload;             /* instead of the job's, or NULL */
+  bool once;                 /* no second run of a task that may have run */
   char *label;               /* upstreams must carry it, or NULL */
   bool gang;                 /* all tasks at once, or none */
   bool lasting;              /* runs until cancelled */
--- a/src/mm_upstream.c
+++ b/src/mm_upstream.c
@@ -15,6 +15,7 @@
    never start here under an older epoch.  */
 #include "config.h"
 #include "masticmill.h"
+#include "mm_run_server.h"
 
 #include <cJSON.h>
 #include <stddef.h>
@@ -46,6 +47,7 @@
   int64_t boot_ms;   /* wall clock at start: names this incarnation */
   GQueue frozen;     /* runs finished while frozen */
   uint32_t running;
+  mm_run_server *runs; /* tasks under leases */
   ev_timer heartbeat;
   ev_timer drain_check; /* while draining for good */
   void (*drained) (void *);
@@ -347,6 +349,8 @@
   mm_upstream *u = ctx;
   const char *m = mm_http_request_method (req);
   const char *p = mm_http_request_path (req);
+  if (mm_run_server_handle (u->runs, req))
+    return;
   if (g_str_equal (m, "POST") && g_str_equal (p, "/v1/tasks"))
     {
       if (u->mode == MODE_DRAIN)
@@ -392,6 +396,28 @@
                    1);
 }
 
+/* The same in the list that dispatchers with leases read.  */
+static void
+report_to_stream (mm_upstream *u)
+{
+  mm_need c = mm_run_server_capacity (u->runs);
+  char *url = g_strdup_printf ("%s/v1/streams/upstreams/%s",
+                               u->settings.platform_url,
+                               mm_run_server_name (u->runs));
+  char *body = g_strdup_printf (
+      "{\"address\":\"%s:%u\",\"service\":\"%s\",\"datacentre\":\"%s\","
+      "\"draining\":%s,\"slots\":%" G_GINT64_FORMAT
+      ",\"cpu_milli\":%" G_GINT64_FORMAT ",\"mem_mb\":%" G_GINT64_FORMAT
+      ",\"ttl_ms\":%" G_GINT64_FORMAT "}",
+      u->settings.listen_host, mm_http_server_port (u->http),
+      MM_STANDIN_SERVICE, u->settings.datacentre,
+      u->mode == MODE_DRAIN ? "true" : "false", u->settings.slots, c.cpu_milli,
+      c.mem_mb, 3 * u->settings.heartbeat_ms);
+  mm_http_client_call (u->client, "PUT", url, body, 1000, heartbeat_done, u);
+  g_free (url);
+  g_free (body);
+}
+
 static void
 heartbeat_cb (struct ev_loop *loop, ev_timer *w, int revents)
 {
@@ -410,6 +436,7 @@
   mm_http_client_call (u->client, "PUT", url, body, 1000, heartbeat_done, u);
   g_free (url);
   g_free (body);
+  report_to_stream (u);
 }
 
 static void
@@ -442,6 +469,9 @@
                                    free_job_record);
   u->boot_ms = mm_clock_wall_ms ();
   g_queue_init (&u->frozen);
+  mm_need capacity = { .cpu_milli = s->slots * MM_SLOT_CPU_MILLI,
+                       .mem_mb = MM_STANDIN_MEM_MB };
+  u->runs = mm_run_server_create (loop, s->name, &capacity);
   u->http = mm_http_server_create (loop, s->listen_host, (uint16_t)s->port,
                                    1 << 20, handle, u, error);
   if (!u->http)
@@ -466,6 +496,7 @@
   ev_timer_stop (u->loop, &u->drain_check);
   mm_http_server_destroy (u->http);
   mm_http_client_destroy (u->client);
+  mm_run_server_destroy (u->runs);
   mm_counters_destroy (u->counters);
   g_hash_table_destroy (u->jobs);
   g_free (u->settings.listen_host);
@@ -482,7 +513,8 @@
 drain_check_cb (struct ev_loop *loop, ev_timer *w, int revents)
 {
   mm_upstream *u = w->data;
-  if (u->running || mm_http_server_in_flight (u->http))
+  if (u->running || mm_run_server_running (u->runs)
+      || mm_http_server_in_flight (u->http))
     return;
   ev_timer_stop (loop, w);
   u->drained (u->drained_ctx);
@@ -524,6 +556,7 @@
   cJSON_AddStringToObject (o, "mode", mode_names[u->mode]);
   cJSON_AddNumberToObject (o, "slots", (double)u->settings.slots);
   cJSON_AddNumberToObject (o, "running", u->running);
+  mm_run_server_dump (u->runs, o);
   cJSON_AddNumberToObject (o, "http_in_flight",
                            mm_http_server_in_flight (u->http));
   char *c = mm_counters_to_json (u->counters);
