--- a/src/mm_run_server.c
+++ b/src/mm_run_server.c
@@ -261,6 +261,36 @@
   reply (req, 200, cJSON_CreateObject ());
 }
 
+static void
+add_run (cJSON *list, const mm_run_past *p)
+{
+  cJSON *row = cJSON_CreateObject ();
+  char *name
+      = g_strdup_printf ("%s/%u.%u", p->task.job, p->task.step, p->task.index);
+  cJSON_AddStringToObject (row, "task", name);
+  cJSON_AddNumberToObject (row, "from_ms", (double)p->started_ms);
+  cJSON_AddNumberToObject (row, "to_ms", (double)p->ended_ms);
+  cJSON_AddStringToObject (row, "how", mm_end_name (p->how));
+  cJSON_AddItemToArray (list, row);
+  g_free (name);
+}
+
+/* Runs that are over; one that goes on is not among them.  */
+static void
+on_run_log (mm_run_server *s, mm_http_request *req)
+{
+  cJSON *o = cJSON_CreateObject ();
+  cJSON *list = cJSON_AddArrayToObject (o, "runs");
+  size_t n;
+  const mm_run_past *p = mm_run_table_past (s->table, &n);
+  for (size_t i = 0; i < n; i++)
+    add_run (list, &p[i]);
+  mm_run_counts c = mm_run_table_counts (s->table);
+  cJSON_AddNumberToObject (o, "starts", c.starts);
+  cJSON_AddNumberToObject (o, "over_capacity", c.over_capacity);
+  reply (req, 200, o);
+}
+
 /* The caller means an incarnation that is no more.  */
 static bool
 meant_another (const mm_run_server *s, const mm_http_request *req)
@@ -273,7 +303,8 @@
 mm_run_server_handle (mm_run_server *s, mm_http_request *req)
 {
   static const char *const paths[]
-      = { "/v1/runs", "/v1/runs/stop", "/v1/hold", "/v1/run-faults", NULL };
+      = { "/v1/runs",       "/v1/runs/stop", "/v1/hold",
+          "/v1/run-faults", "/v1/run-log",   NULL };
   const char *path = mm_http_request_path (req);
   if (!g_strv_contains (paths, path))
     return false;
@@ -282,6 +313,8 @@
   cJSON *in = cJSON_ParseWithLength (body, len);
   if (strcmp (path, "/v1/run-faults") == 0)
     on_faults (s, req, in);
+  else if (strcmp (path, "/v1/run-log") == 0)
+    on_run_log (s, req);
   else if (s->faults.silent)
     swallow (req);
   else if (meant_another (s, req))
--- a/src/mm_run_server.h
+++ b/src/mm_run_server.h
@@ -4,7 +4,8 @@
      POST /v1/runs       start a run
      POST /v1/runs/stop  stop a run
      POST /v1/hold       renew the lease; lists of what runs and has ended
-     POST /v1/run-faults what goes wrong from now on  */
+     POST /v1/run-faults what goes wrong from now on
+     GET  /v1/run-log    all runs: task, start and end in ms since boot  */
 #ifndef MM_RUN_SERVER_H
 #define MM_RUN_SERVER_H
 
--- a/src/mm_run_table.c
+++ b/src/mm_run_table.c
@@ -21,9 +21,11 @@
   mm_run_mode mode;
   uint64_t fence;
   mm_time_ms lease_until_ms;
-  GArray *runs;    /* table_run */
-  GArray *ended;   /* mm_ended, not acknowledged */
-  GArray *running; /* mm_running, made by _list */
+  GArray *runs;       /* table_run */
+  GArray *ended;      /* mm_ended, not acknowledged */
+  GArray *running;    /* mm_running, made by _list */
+  GArray *past;       /* mm_run_past */
+  mm_time_ms step_ms; /* the time last told */
   uint64_t last_seq;
   GHashTable *highest; /* task -> highest run stopped or ended */
   mm_run_counts counts;
@@ -39,6 +41,7 @@
   t->max_lease_ms = max_lease_ms;
   t->runs = g_array_new (FALSE, TRUE, sizeof (table_run));
   t->ended = g_array_new (FALSE, TRUE, sizeof (mm_ended));
+  t->past = g_array_new (FALSE, TRUE, sizeof (mm_run_past));
   t->running = g_array_new (FALSE, TRUE, sizeof (mm_running));
   t->highest = g_hash_table_new_full (mm_task_id_hash, mm_task_id_equal,
                                       g_free, NULL);
@@ -53,6 +56,7 @@
   g_array_free (t->runs, TRUE);
   g_array_free (t->ended, TRUE);
   g_array_free (t->running, TRUE);
+  g_array_free (t->past, TRUE);
   g_hash_table_destroy (t->highest);
   g_free (t);
 }
@@ -109,6 +113,12 @@
     .seq = ++t->last_seq, .task = r->task, .run = r->number, .how = how
   };
   g_array_append_val (t->ended, e);
+  mm_run_past p = { .task = r->task,
+                    .number = r->number,
+                    .started_ms = r->started_ms,
+                    .ended_ms = t->step_ms,
+                    .how = how };
+  g_array_append_val (t->past, p);
   bar (t, &r->task, r->number);
   g_array_remove_index (t->runs, i);
 }
@@ -227,6 +237,7 @@
 void
 mm_run_table_step (mm_run_table *t, mm_time_ms now_ms)
 {
+  t->step_ms = now_ms;
   for (guint i = 0; i < t->runs->len;)
     {
       if (now_ms >= t->lease_until_ms)
@@ -284,6 +295,13 @@
   out->n_ended = t->ended->len;
 }
 
+const mm_run_past *
+mm_run_table_past (const mm_run_table *t, size_t *n)
+{
+  *n = t->past->len;
+  return (const mm_run_past *)(void *)t->past->data;
+}
+
 mm_run_counts
 mm_run_table_counts (const mm_run_table *t)
 {
