Instances as real processes under kills, freezes, late orders and outages: tests; four faults they found

- A restarted instance answered under its dead incarnation's name as well, and its room counted twice: reports name their sender.
- Unanswered orders excluded upstreams like failures: three at once on all upstreams left none.
They no longer count; refusals and failures do.
- A job was given up while no owner was in reach for an instant: tried again each tick until it is too late.
- A suspect upstream's places count for admission.

--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -347,9 +347,13 @@
     case MM_CALL_BAD:
       release (r, MM_END_FAILED, "start not understood");
       break;
+    case MM_CALL_REFUSED:
+      x->ev.refused (x->ev.ctx, x);
+      become_suspect (x, "start", v);
+      release (r, MM_END_NOT_RUN, mm_call_verdict_name (v));
+      break;
     case MM_CALL_LATE:
     case MM_CALL_NO_ROOM:
-    case MM_CALL_REFUSED:
       become_suspect (x, "start", v);
       release (r, MM_END_NOT_RUN, mm_call_verdict_name (v));
       break;
@@ -763,11 +767,19 @@
   mm_upstream_info_free (old);
 }
 
+/* An order without an answer makes an upstream suspect for some 100 ms:
+   its places still count then, or a job would be refused for it.  */
+bool
+mm_exec_in_sight (const mm_exec *x)
+{
+  return x->seen && !x->fenced && !x->gone && !x->closed && !x->info->draining
+         && x->clock_known;
+}
+
 bool
 mm_exec_usable (const mm_exec *x)
 {
-  return x->seen && !x->suspect && !x->hold_failed_ms && !x->fenced && !x->gone
-         && !x->closed && !x->info->draining && x->clock_known
+  return mm_exec_in_sight (x) && !x->suspect && !x->hold_failed_ms
          && x->n_foreign == 0;
 }
 
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -102,6 +102,8 @@
                  mm_time_ms ran_ms, const char *why);
   /* Room came free, or the session can be used (again).  */
   void (*room) (void *ctx, mm_exec *x);
+  /* It refused a start: it says itself that it is unwell.  */
+  void (*refused) (void *ctx, mm_exec *x);
   /* Another owner's token was seen: this session is over.  */
   void (*fenced) (void *ctx, mm_exec *x);
   void *ctx;
@@ -114,6 +116,7 @@
 void mm_exec_update (mm_exec *x, const mm_upstream_info *u); /* list news */
 void mm_exec_tick (mm_exec *x);           /* call each MM_EXEC_TICK_MS */
 bool mm_exec_usable (const mm_exec *x);   /* may take a start */
+bool mm_exec_in_sight (const mm_exec *x); /* or soon usable again */
 bool mm_exec_fenced (const mm_exec *x);   /* another owns it */
 bool mm_exec_quiet (const mm_exec *x);    /* nothing runs */
 mm_need mm_exec_room (const mm_exec *x);  /* what is free */
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -12,7 +12,6 @@
 #include <string.h>
 
 typedef struct job job;
-typedef char mm_job_name[MM_JOB_ID_MAX + 1];
 
 typedef struct
 {
@@ -21,7 +20,8 @@
   mm_ticket *ticket; /* at an owner, or NULL */
   uint32_t failures;
   mm_time_ms handed_ms;
-  char *avoid; /* upstream of the last failure */
+  char *avoid;   /* upstream of the last failure */
+  bool stranded; /* no owner was in reach */
   bool done;
 } task;
 
@@ -49,6 +49,7 @@
   uint32_t done;
   step_state *steps;
   bool handed_out; /* a task may have started */
+  uint32_t n_stranded;
   GList *callers;
 };
 
@@ -162,8 +163,9 @@
 static void on_task_done (void *ctx, mm_end how, const char *upstream,
                           const char *why);
 
-/* Return: whether the job still lives.  */
-static bool
+/* Hand a task to an owner; with none in reach it is tried again at each
+   tick, as owners come back within a second or two.  */
+static void
 hand_out (task *t)
 {
   job *b = t->job;
@@ -179,20 +181,16 @@
           .attempt = t->failures,
           .priority = b->priority,
           .estimate_ms = step->estimate_ms,
+          .waited_ms = now - b->submitted_ms,
           .due_within = MAX (b->due_ms - now, 0) };
   /* A short wait, then it is spread anew: room may have come free at
      another owner meanwhile.  */
   r.start_within = CLAMP (b->start_by_ms - now, 1, MM_SPREAD_WAIT_MS);
-  r.waited_ms = now - b->submitted_ms;
   t->handed_ms = now;
   t->ticket = mm_fleet_submit (b->jobs->fleet, &r, on_task_done, t);
-  if (!t->ticket)
-    {
-      give_up (b, "no owner has a place");
-      return false;
-    }
-  b->handed_out = true;
-  return true;
+  t->stranded = !t->ticket;
+  b->n_stranded += t->stranded;
+  b->handed_out = b->handed_out || t->ticket;
 }
 
 static bool
@@ -214,8 +212,7 @@
         continue;
       b->steps[i].begun = true;
       for (uint32_t k = 0; k < b->s->steps[i].count; k++)
-        if (!hand_out (&b->tasks[b->steps[i].first_task + k]))
-          return;
+        hand_out (&b->tasks[b->steps[i].first_task + k]);
     }
 }
 
@@ -452,11 +449,8 @@
       answer (b, MM_ANSWER_COMPLETED, "", 0);
       return NULL;
     }
-  mm_job_name name;
-  g_strlcpy (name, s->id, sizeof name);
   begin_ready_steps (b);
-  /* With no owner in reach the job is answered, and gone, by now.  */
-  return g_hash_table_lookup (j->by_id, name) == b ? c : NULL;
+  return c;
 }
 
 void
@@ -512,9 +506,29 @@
   answer_all (j, MM_ANSWER_UNKNOWN, "this instance stood still", G_MAXINT64);
 }
 
+static void
+retry_stranded (job *b, mm_time_ms now)
+{
+  if (now >= b->start_by_ms)
+    {
+      give_up (b, "no owner in reach");
+      return;
+    }
+  b->n_stranded = 0;
+  for (uint32_t i = 0; i < b->n_tasks; i++)
+    if (b->tasks[i].stranded)
+      hand_out (&b->tasks[i]);
+}
+
 void
 mm_jobs_tick (mm_jobs *j)
 {
+  mm_time_ms now = mm_clock_now_ms ();
+  GList *jobs = g_hash_table_get_values (j->by_id);
+  for (GList *l = jobs; l; l = l->next)
+    if (((job *)l->data)->n_stranded)
+      retry_stranded (l->data, now);
+  g_list_free (jobs);
   answer_all (j, MM_ANSWER_GIVEN_UP, "the caller's time is over",
               mm_clock_now_ms ());
 }
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -62,6 +62,7 @@
 {
   struct ev_loop *loop;
   mm_owner *owner;
+  char *self;
   int listen_fd;
   ev_io accept_io;
   GHashTable *peers; /* name -> peer */
@@ -183,7 +184,7 @@
     return;
   msgpack_sbuffer b;
   msgpack_sbuffer_init (&b);
-  mm_mesh_pack_report (&b, in->seen_no, rooms, n);
+  mm_mesh_pack_report (&b, in->seen_no, in->mesh->self, rooms, n);
   bool same = b.size == in->last_report->len
               && memcmp (b.data, in->last_report->data, b.size) == 0;
   if (!same || now - in->report_ms >= MM_MESH_BEAT_MS)
@@ -210,9 +211,14 @@
   g_free (r);
 }
 
-static void
+/* After a restart the list names the dead incarnation for a while, and the
+   new one answers at its address: under both names its room would count
+   twice.  Return: false for another instance than the one meant.  */
+static bool
 take_report (peer *p, mm_mesh_msg *m)
 {
+  if (strcmp (m->name, p->info.name) != 0)
+    return false;
   if (!p->connected)
     mm_log_event (MM_EV_PEER_REACHED, MM_TEXT (p->info.name),
                   MM_TEXT (p->info.addr));
@@ -221,6 +227,7 @@
   g_free (p->rooms);
   p->rooms = g_steal_pointer (&m->rooms);
   p->n_rooms = m->n_rooms;
+  return true;
 }
 
 static bool
@@ -232,7 +239,7 @@
   if (ok && m.kind == MM_MESH_ENDED)
     take_ended (p, &m);
   else if (ok && m.kind == MM_MESH_REPORT)
-    take_report (p, &m);
+    ok = take_report (p, &m);
   else
     ok = false;
   mm_mesh_msg_clear (&m);
@@ -320,6 +327,7 @@
 /**
  * mm_mesh_create() - listen for other instances.
  * @loop: the loop.
+ * @self: our name as a peer.
  * @host: our address.
  * @port: our port for them.
  * @owner: runs what they hand in.
@@ -328,8 +336,8 @@
  * Return: the mesh, or NULL; free with mm_mesh_destroy().
  */
 mm_mesh *
-mm_mesh_create (struct ev_loop *loop, const char *host, uint16_t port,
-                mm_owner *owner, GError **error)
+mm_mesh_create (struct ev_loop *loop, const char *self, const char *host,
+                uint16_t port, mm_owner *owner, GError **error)
 {
   int fd = mm_link_listen (host, port, error);
   if (fd < 0)
@@ -337,6 +345,7 @@
   mm_mesh *m = g_new0 (mm_mesh, 1);
   m->loop = loop;
   m->owner = owner;
+  m->self = g_strdup (self);
   m->listen_fd = fd;
   m->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
   ev_io_init (&m->accept_io, accept_cb, fd, EV_READ);
@@ -355,6 +364,7 @@
   while (m->inbound)
     mm_link_close (((inbound *)m->inbound->data)->link, "shutdown");
   g_hash_table_destroy (m->peers);
+  g_free (m->self);
   g_free (m);
 }
 
@@ -481,6 +491,18 @@
   g_free (r);
 }
 
+uint32_t
+mm_mesh_connected (const mm_mesh *m)
+{
+  uint32_t n = 0;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    n += ((peer *)v)->connected;
+  return n;
+}
+
 void
 mm_mesh_woke (mm_mesh *m)
 {
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -22,8 +22,9 @@
   mm_room_report room; /* less what was sent there since */
 } mm_mesh_place;
 
-mm_mesh *mm_mesh_create (struct ev_loop *loop, const char *host, uint16_t port,
-                         mm_owner *owner, GError **error); /* listen */
+mm_mesh *mm_mesh_create (struct ev_loop *loop, const char *self,
+                         const char *host, uint16_t port, mm_owner *owner,
+                         GError **error); /* listen */
 void mm_mesh_destroy (mm_mesh *m);
 void mm_mesh_set_peers (mm_mesh *m, const mm_peer_info *peers, size_t n);
 size_t mm_mesh_places (const mm_mesh *m, const char *service,
@@ -32,6 +33,7 @@
                            const mm_task_request *t, mm_work_done done,
                            void *ctx);          /* NULL: not connected */
 void mm_mesh_cancel (mm_mesh *m, mm_remote *r); /* @done is not called */
+uint32_t mm_mesh_connected (const mm_mesh *m);  /* peers in touch */
 void mm_mesh_woke (mm_mesh *m); /* we stood still: every link is cut */
 void mm_mesh_tick (mm_mesh *m); /* each MM_EXEC_TICK_MS */
 
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -7,7 +7,7 @@
 {
   RUN_FIELDS = 16,
   ENDED_FIELDS = 5,
-  REPORT_FIELDS = 3,
+  REPORT_FIELDS = 4,
   ROOM_FIELDS = 4
 };
 
@@ -83,12 +83,13 @@
 }
 
 void
-mm_mesh_pack_report (msgpack_sbuffer *b, uint64_t seen_no,
+mm_mesh_pack_report (msgpack_sbuffer *b, uint64_t seen_no, const char *name,
                      const mm_mesh_room *rooms, size_t n)
 {
   msgpack_packer pk;
   begin (&pk, b, REPORT_FIELDS, MM_MESH_REPORT);
   msgpack_pack_uint64 (&pk, seen_no);
+  pack_text (&pk, name);
   msgpack_pack_array (&pk, n);
   for (size_t i = 0; i < n; i++)
     {
@@ -193,13 +194,15 @@
 static bool
 read_report (const msgpack_object *f, mm_mesh_msg *m)
 {
-  if (!read_u64 (&f[1], &m->no) || f[2].type != MSGPACK_OBJECT_ARRAY
-      || f[2].via.array.size > MM_MESH_MAX_SERVICES)
+  if (!read_u64 (&f[1], &m->no)
+      || !read_text (&f[2], false, (const char **)&m->name)
+      || f[3].type != MSGPACK_OBJECT_ARRAY
+      || f[3].via.array.size > MM_MESH_MAX_SERVICES)
     return false;
-  m->rooms = g_new0 (mm_mesh_room, f[2].via.array.size + 1);
-  for (uint32_t i = 0; i < f[2].via.array.size; i++)
+  m->rooms = g_new0 (mm_mesh_room, f[3].via.array.size + 1);
+  for (uint32_t i = 0; i < f[3].via.array.size; i++)
     {
-      const msgpack_object *row = &f[2].via.array.ptr[i];
+      const msgpack_object *row = &f[3].via.array.ptr[i];
       if (row->type != MSGPACK_OBJECT_ARRAY
           || row->via.array.size != ROOM_FIELDS)
         return false;
@@ -259,5 +262,6 @@
   g_free ((char *)m->request.avoid);
   g_free (m->upstream);
   g_free (m->why);
+  g_free (m->name);
   g_free (m->rooms);
 }
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -7,7 +7,7 @@
      [BEAT]
    Back:
      [ENDED, no, how, upstream, why]
-     [REPORT, seen_no, [[service, places, free, waiting], ...]]  */
+     [REPORT, seen_no, name, [[service, places, free, waiting], ...]]  */
 #ifndef MM_MESH_MSG_H
 #define MM_MESH_MSG_H
 
@@ -40,6 +40,7 @@
   mm_end how;              /* ENDED */
   char *upstream;          /* ENDED, or NULL */
   char *why;               /* ENDED */
+  char *name;              /* REPORT: of the instance that sends it */
   mm_mesh_room *rooms;     /* REPORT */
   size_t n_rooms;
 } mm_mesh_msg;
@@ -53,6 +54,7 @@
 void mm_mesh_pack_ended (msgpack_sbuffer *b, uint64_t no, mm_end how,
                          const char *upstream, const char *why);
 void mm_mesh_pack_report (msgpack_sbuffer *b, uint64_t seen_no,
-                          const mm_mesh_room *rooms, size_t n);
+                          const char *name, const mm_mesh_room *rooms,
+                          size_t n);
 
 #endif /* MM_MESH_MSG_H */
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -257,8 +257,22 @@
   ev_check_start (n->loop, &n->stall_check);
 }
 
+/* A restart is a new member: the old one's partitions wait for its
+   silence, so two lives never hold one token.  */
+static char *
+new_member_name (const mm_node_settings *s)
+{
+  char *instance = g_strdup_printf ("%s.%" G_GINT64_MODIFIER "x", s->name,
+                                    mm_clock_wall_ms ());
+  char *addr = g_strdup_printf ("%s:%d", s->address, (int)s->mesh_port);
+  char *member = mm_members_name (instance, addr);
+  g_free (instance);
+  g_free (addr);
+  return member;
+}
+
 static void
-create_parts (mm_node *n, const mm_store_port *store)
+create_parts (mm_node *n, const mm_store_port *store, const char *member)
 {
   const mm_node_settings *s = &n->s;
   n->catalog = mm_catalog_create ();
@@ -272,18 +286,9 @@
                                 &config);
   n->upstreams = mm_stream_create (store, MM_STREAM_UPSTREAMS, 0,
                                    MM_LIST_POLL_MS, &list);
-  /* A restart is a new member: the old one's partitions wait for its
-     silence, so two lives never hold one token.  */
-  char *instance = g_strdup_printf ("%s.%" G_GINT64_MODIFIER "x", s->name,
-                                    mm_clock_wall_ms ());
-  char *addr = g_strdup_printf ("%s:%d", s->address, (int)s->mesh_port);
-  char *member = mm_members_name (instance, addr);
   char *group = mm_members_group (s->datacentre);
   n->shares = mm_shares_create (store, group, member, (uint32_t)s->partitions);
   n->members = mm_members_create (store, n->mesh, s->datacentres, member);
-  g_free (instance);
-  g_free (addr);
-  g_free (member);
   g_free (group);
 }
 
@@ -306,15 +311,18 @@
   n->loop = loop;
   n->s = *s;
   n->owner = mm_owner_create (exec);
-  n->mesh = mm_mesh_create (loop, s->address, (uint16_t)s->mesh_port, n->owner,
-                            error);
+  char *member = new_member_name (s);
+  n->mesh = mm_mesh_create (loop, member, s->address, (uint16_t)s->mesh_port,
+                            n->owner, error);
   if (!n->mesh)
     {
       mm_owner_destroy (n->owner);
+      g_free (member);
       g_free (n);
       return NULL;
     }
-  create_parts (n, store);
+  create_parts (n, store, member);
+  g_free (member);
   start_timers (n);
   return n;
 }
@@ -435,6 +443,7 @@
                            n->routes ? (double)n->routes->version : 0);
   cJSON_AddNumberToObject (d, "generation",
                            (double)mm_shares_generation (n->shares));
+  cJSON_AddNumberToObject (d, "peers", mm_mesh_connected (n->mesh));
   cJSON_AddNumberToObject (d, "jobs", mm_jobs_count (n->jobs));
   char *owner = mm_owner_dump (n->owner);
   cJSON_AddItemToObject (d, "owner", cJSON_Parse (owner));
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -127,7 +127,10 @@
   mm_owner *o = s->owner;
   const char *name = mm_exec_info (x)->name;
   mm_time_ms now = mm_clock_now_ms ();
-  if (how != MM_END_STOPPED && how != MM_END_UNKNOWN)
+  /* An order without an answer is no failure of a task: it is stopped and
+     placed again after 100 ms, and with many of them on all upstreams at
+     once, exclusions would leave none.  */
+  if (how == MM_END_DONE || how == MM_END_FAILED || how == MM_END_LOST)
     note_trust (s, name, how == MM_END_DONE, now);
   if (how == MM_END_DONE)
     {
@@ -174,6 +177,12 @@
   g_list_free (works);
 }
 
+static void
+on_refused (void *ctx, mm_exec *x)
+{
+  note_trust (ctx, mm_exec_info (x)->name, false, mm_clock_now_ms ());
+}
+
 static void
 on_fenced (void *ctx, mm_exec *x)
 {
@@ -238,8 +247,11 @@
     mm_owner_disown (o, u->name);
   s = g_new0 (slot, 1);
   s->owner = o;
-  mm_exec_events ev
-      = { .ended = on_ended, .room = on_room, .fenced = on_fenced, .ctx = s };
+  mm_exec_events ev = { .ended = on_ended,
+                        .room = on_room,
+                        .refused = on_refused,
+                        .fenced = on_fenced,
+                        .ctx = s };
   s->exec = mm_exec_create (u, fence, &o->port, &ev);
   g_hash_table_insert (o->slots, g_strdup (u->name), s);
 }
@@ -516,12 +528,13 @@
       slot *s = v;
       const mm_upstream_info *u = mm_exec_info (s->exec);
       if (strcmp (u->service, service) != 0 || s->frozen
-          || !mm_exec_usable (s->exec) || !mm_trust_allows (&s->trust, 0, now))
+          || !mm_exec_in_sight (s->exec)
+          || !mm_trust_allows (&s->trust, 0, now))
         continue;
       int64_t cpu = usual_cpu_milli (o, u);
       r.places += (uint32_t)(u->capacity.cpu_milli / cpu);
       int64_t room = mm_exec_room (s->exec).cpu_milli;
-      if (room > 0)
+      if (room > 0 && mm_exec_usable (s->exec))
         r.free += (uint32_t)(room / cpu);
     }
   for (GList *l = o->waiting->head; l; l = l->next)
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -46,7 +46,10 @@
          it early.  */
       prctl (PR_SET_PDEATHSIG, SIGKILL);
       if (!g_getenv ("MM_TEST_LOGS"))
-        freopen ("/dev/null", "w", stderr);
+        {
+          freopen ("/dev/null", "w", stderr);
+          freopen ("/dev/null", "w", stdout);
+        }
       execv (path, (char **)args->pdata);
       _exit (127);
     }
@@ -248,6 +251,105 @@
   n_en = MAX (n_en, i + 1);
 }
 
+/* Instance i of the dispatcher, on its own ports.  */
+void
+h_start_node (int i)
+{
+  int base = h_port_base ();
+  char set[6][80];
+  h_entry_ports[i] = base + 20 + i;
+  g_snprintf (set[0], 80, "node.name=\"node%d\"", i);
+  g_snprintf (set[1], 80, "node.front=\"127.0.0.1:%d\"", base + 20 + i);
+  g_snprintf (set[2], 80, "node.ready=\"127.0.0.1:%d\"", base + 24 + i);
+  g_snprintf (set[3], 80, "node.mesh_port=%d", base + 28 + i);
+  g_snprintf (set[4], 80, "node.state_port=%d", base + 32 + i);
+  g_snprintf (set[5], 80, "store.address=\"127.0.0.1:%d\"", base);
+  h_entries[i] = h_start ("masticmill-node", set[0], set[1], set[2], set[3],
+                          set[4], set[5], NULL);
+  n_en = MAX (n_en, i + 1);
+}
+
+int
+h_node_state_port (int i)
+{
+  return h_port_base () + 32 + i;
+}
+
+/* Upstreams that all instances own together; each instance's peers.  */
+static int
+owned_together (int n_nodes, bool *all_linked)
+{
+  int owned = 0;
+  *all_linked = true;
+  for (int i = 0; i < n_nodes; i++)
+    {
+      cJSON *o = h_call ("GET", h_node_state_port (i), "/", NULL, NULL);
+      double peers = cJSON_GetNumberValue (cJSON_GetObjectItem (o, "peers"));
+      const cJSON *u = cJSON_GetObjectItem (cJSON_GetObjectItem (o, "owner"),
+                                            "upstreams");
+      const cJSON *row;
+      cJSON_ArrayForEach (row, u)
+        owned += cJSON_IsTrue (cJSON_GetObjectItem (row, "usable"));
+      *all_linked = *all_linked && peers == n_nodes - 1;
+      cJSON_Delete (o);
+    }
+  return owned;
+}
+
+bool
+h_wait_nodes (int n_nodes, int n_upstreams, mm_time_ms timeout_ms)
+{
+  mm_time_ms until = mm_clock_now_ms () + timeout_ms;
+  bool linked = false;
+  while (mm_clock_now_ms () < until)
+    {
+      if (owned_together (n_nodes, &linked) == n_upstreams && linked)
+        return true;
+      g_usleep (50000);
+    }
+  return false;
+}
+
+static void
+start_upstream (int i, int slots)
+{
+  int base = h_port_base ();
+  char set[4][64];
+  h_upstream_ports[i] = base + 10 + i;
+  g_snprintf (set[0], 64, "upstream.port=%d", h_upstream_ports[i]);
+  g_snprintf (set[1], 64, "upstream.name=\"up%d\"", i);
+  g_snprintf (set[2], 64, "upstream.platform_url=\"http://127.0.0.1:%d\"",
+              base);
+  g_snprintf (set[3], 64, "upstream.slots=%d", slots);
+  h_upstreams[i] = h_start ("masticmill-upstream", set[0], set[1], set[2],
+                            set[3], "upstream.heartbeat_ms=200", NULL);
+  n_up = MAX (n_up, i + 1);
+}
+
+void
+h_nodes (int n_upstreams, int slots, int n_nodes)
+{
+  signal (SIGPIPE, SIG_IGN);
+  char set[64];
+  h_platform_port = h_port_base ();
+  g_snprintf (set, 64, "platform.port=%d", h_platform_port);
+  h_platform = h_start ("masticmill-platform", set, NULL);
+  ck_assert (h_wait_port (h_platform_port, 5000));
+  long status = 0;
+  cJSON_Delete (h_call (
+      "PUT", h_platform_port, "/v1/streams/config/config",
+      "{\"version\":1,\"queues\":[{\"name\":\"q\",\"service\":\"tasks\","
+      "\"attempts\":3,\"stretch\":3,\"slo_ms\":500}]}",
+      &status));
+  ck_assert_int_eq (status, 200);
+  n_en = n_up = 0;
+  for (int i = 0; i < n_upstreams; i++)
+    start_upstream (i, slots);
+  for (int i = 0; i < n_nodes; i++)
+    h_start_node (i);
+  ck_assert (h_wait_nodes (n_nodes, n_upstreams, 10000));
+}
+
 /* A platform, n upstreams and n entry instances on ports from the base. */
 void
 h_cluster (int n_upstreams, int n_entries, int member_lag_ms)
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -32,6 +32,12 @@
 void h_cluster (int n_upstreams, int n_entries, int member_lag_ms);
 void h_cluster_stop (void);
 void h_start_entry (int i); /* one more entry instance */
+/* A platform, upstreams and instances of masticmill-node; h_entries and
+   h_entry_ports are the instances'.  */
+void h_nodes (int n_upstreams, int slots, int n_nodes);
+void h_start_node (int i);
+int h_node_state_port (int i);
+bool h_wait_nodes (int n_nodes, int n_upstreams, mm_time_ms timeout_ms);
 extern const char *h_platform_extra, *h_entry_extra; /* one more --set */
 extern pid_t h_platform, h_upstreams[8], h_entries[8];
 extern int h_platform_port, h_upstream_ports[8], h_entry_ports[8];
--- /dev/null
+++ b/tests/test_node.c
@@ -0,0 +1,459 @@
+/* Instances of masticmill-node as real processes on stand-ins, with kills,
+   freezes, lost orders and outages from outside.  */
+#include "harness.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define RESEND_MS 1300 /* callers send a job again so long after a break */
+
+static void
+sleep_ms (int ms)
+{
+  g_usleep ((gulong)ms * 1000);
+}
+
+static void
+upstream_fault (int i, const char *json)
+{
+  cJSON_Delete (
+      h_call ("POST", h_upstream_ports[i], "/v1/run-faults", json, NULL));
+}
+
+/* ---- what upstreams saw ----------------------------------------------- */
+
+typedef struct
+{
+  char task[64];
+  double from_ms;
+  double to_ms;
+  int upstream;
+  bool done;
+} seen_run;
+
+typedef struct
+{
+  GArray *runs; /* seen_run */
+  int over_capacity;
+} sightings;
+
+static sightings
+look (int n_upstreams)
+{
+  sightings s = { .runs = g_array_new (FALSE, TRUE, sizeof (seen_run)) };
+  for (int i = 0; i < n_upstreams; i++)
+    {
+      cJSON *o
+          = h_call ("GET", h_upstream_ports[i], "/v1/run-log", NULL, NULL);
+      s.over_capacity += (int)cJSON_GetNumberValue (
+          cJSON_GetObjectItem (o, "over_capacity"));
+      const cJSON *row;
+      cJSON_ArrayForEach (row, cJSON_GetObjectItem (o, "runs"))
+        {
+          seen_run r = { .upstream = i };
+          g_strlcpy (r.task,
+                     cJSON_GetStringValue (cJSON_GetObjectItem (row, "task")),
+                     sizeof r.task);
+          r.from_ms
+              = cJSON_GetNumberValue (cJSON_GetObjectItem (row, "from_ms"));
+          r.to_ms = cJSON_GetNumberValue (cJSON_GetObjectItem (row, "to_ms"));
+          r.done = g_strcmp0 (
+                       cJSON_GetStringValue (cJSON_GetObjectItem (row, "how")),
+                       "done")
+                   == 0;
+          g_array_append_val (s.runs, r);
+        }
+      cJSON_Delete (o);
+    }
+  return s;
+}
+
+/* No upstream over its room, no task twice at once.  */
+static void
+assert_kept_promises (int n_upstreams)
+{
+  sightings s = look (n_upstreams);
+  ck_assert_int_eq (s.over_capacity, 0);
+  for (guint i = 0; i < s.runs->len; i++)
+    for (guint k = i + 1; k < s.runs->len; k++)
+      {
+        seen_run *a = &g_array_index (s.runs, seen_run, i);
+        seen_run *b = &g_array_index (s.runs, seen_run, k);
+        bool apart = a->to_ms <= b->from_ms || b->to_ms <= a->from_ms;
+        ck_assert_msg (strcmp (a->task, b->task) != 0 || apart,
+                       "%s ran twice at once, at %d and %d", a->task,
+                       a->upstream, b->upstream);
+      }
+  g_array_free (s.runs, TRUE);
+}
+
+static int
+runs_of (int n_upstreams, const char *job)
+{
+  sightings s = look (n_upstreams);
+  int n = 0;
+  for (guint i = 0; i < s.runs->len; i++)
+    n += g_str_has_prefix (g_array_index (s.runs, seen_run, i).task, job);
+  g_array_free (s.runs, TRUE);
+  return n;
+}
+
+static pid_t
+submit (int node, const char *id, int tasks, int run_ms, bool idempotent)
+{
+  char *job = h_job_json (id, tasks, run_ms, 20000, idempotent);
+  pid_t p = h_submit (node, job);
+  g_free (job);
+  return p;
+}
+
+/* ---- stories ---------------------------------------------------------- */
+
+START_TEST (jobs_at_all_instances_are_answered_whole)
+{
+  h_nodes (4, 4, 3);
+  pid_t p[9];
+  for (int i = 0; i < 9; i++)
+    {
+      char id[16];
+      snprintf (id, sizeof id, "job-%d", i);
+      p[i] = submit (i % 3, id, 5, 100, true);
+    }
+  for (int i = 0; i < 9; i++)
+    ck_assert (h_answered (p[i]));
+  assert_kept_promises (4);
+  ck_assert_int_eq (runs_of (4, "job-"), 45);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* An instance dies with tasks of its own callers and of its peers' on its
+   upstreams.  A caller at the other one is told at once that its job's
+   outcome is out of sight, sends it again 1.3 s later, and gets it whole:
+   by then the first runs have lapsed, so none runs twice at once.  */
+START_TEST (killed_instance_leaves_no_task_running_twice)
+{
+  h_nodes (4, 4, 2);
+  pid_t p[2] = { submit (0, "keep", 12, 900, true),
+                 submit (1, "lose", 4, 900, true) };
+  sleep_ms (300);
+  h_stop (h_entries[1], SIGKILL);
+  bool first = h_answered (p[0]);
+  ck_assert (!h_answered (p[1]));
+  sleep_ms (RESEND_MS);
+  pid_t again = submit (0, "lose", 4, 300, true);
+  pid_t again2 = first ? 0 : submit (0, "keep", 12, 300, true);
+  ck_assert (h_answered (again));
+  ck_assert (first || h_answered (again2));
+  sleep_ms (1200);
+  assert_kept_promises (4);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* An instance stands still for two seconds; its caller's connection times
+   out and the job goes to another instance.  Awake again, it must not
+   start what it had queued.  */
+START_TEST (frozen_instance_starts_nothing_of_what_it_had)
+{
+  h_nodes (2, 2, 2);
+  pid_t p[3];
+  for (int i = 0; i < 3; i++)
+    {
+      char id[16];
+      snprintf (id, sizeof id, "froz-%d", i);
+      p[i] = submit (1, id, 2, 800, true);
+    }
+  sleep_ms (100);
+  kill (h_entries[1], SIGSTOP);
+  sleep_ms (RESEND_MS);
+  pid_t again[3];
+  for (int i = 0; i < 3; i++)
+    {
+      char id[16];
+      snprintf (id, sizeof id, "froz-%d", i);
+      again[i] = submit (0, id, 2, 800, true);
+    }
+  sleep_ms (700);
+  kill (h_entries[1], SIGCONT);
+  for (int i = 0; i < 3; i++)
+    {
+      h_answered (p[i]);
+      h_answered (again[i]);
+    }
+  sleep_ms (1500);
+  assert_kept_promises (2);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* Orders get no answer and are carried out two seconds late, while more
+   work comes than there is room.  No upstream may be over its room.  */
+START_TEST (orders_carried_out_late_find_room)
+{
+  h_nodes (3, 2, 2);
+  for (int i = 0; i < 3; i++)
+    upstream_fault (i, "{\"lose_starts\":4,\"late_ms\":2000}");
+  pid_t p[12];
+  for (int i = 0; i < 12; i++)
+    {
+      char id[16];
+      snprintf (id, sizeof id, "late-%d", i);
+      p[i] = submit (i % 2, id, 2, 250, true);
+      sleep_ms (150);
+    }
+  int answered = 0;
+  for (int i = 0; i < 12; i++)
+    answered += h_answered (p[i]);
+  ck_assert_int_ge (answered, 10);
+  sleep_ms (2500);
+  assert_kept_promises (3);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* SIGTERM at an instance with jobs open: each is answered whole, and the
+   other instances take its upstreams over.  */
+START_TEST (graceful_stop_cuts_off_nothing)
+{
+  h_nodes (4, 4, 2);
+  pid_t p[4];
+  for (int i = 0; i < 4; i++)
+    {
+      char id[16];
+      snprintf (id, sizeof id, "term-%d", i);
+      p[i] = submit (1, id, 4, 600, false);
+    }
+  sleep_ms (200);
+  kill (h_entries[1], SIGTERM);
+  for (int i = 0; i < 4; i++)
+    ck_assert (h_answered (p[i]));
+  h_stop (h_entries[1], SIGTERM);
+  ck_assert (h_wait_nodes (1, 4, 5000));
+  pid_t after = submit (0, "after", 16, 100, true);
+  ck_assert (h_answered (after));
+  assert_kept_promises (4);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* The store is down: what is known goes on being served, by instances
+   that keep their upstreams.  Its return takes nothing away.  */
+START_TEST (outage_of_the_store_stops_no_caller)
+{
+  h_nodes (4, 4, 2);
+  h_platform_fault ("{\"down\":true}");
+  for (int i = 0; i < 8; i++)
+    {
+      char id[16];
+      snprintf (id, sizeof id, "out-%d", i);
+      ck_assert (h_answered (submit (i % 2, id, 4, 50, true)));
+      sleep_ms (400);
+    }
+  h_platform_fault ("{\"down\":false}");
+  sleep_ms (2500);
+  ck_assert (h_answered (submit (0, "back", 8, 50, true)));
+  assert_kept_promises (4);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* The store drops its history and deals all partitions anew.  */
+START_TEST (dropped_history_and_new_deal_are_survived)
+{
+  h_nodes (4, 4, 2);
+  cJSON_Delete (h_call ("POST", h_platform_port, "/v1/store-faults",
+                        "{\"drop_history\":true,\"deal_anew\":true}", NULL));
+  sleep_ms (1500);
+  ck_assert (h_wait_nodes (2, 4, 5000));
+  ck_assert (h_answered (submit (0, "anew", 8, 100, true)));
+  assert_kept_promises (4);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* An upstream fails every task and reports itself well.  Idempotent tasks
+   are run again elsewhere; each job is complete.  */
+START_TEST (upstream_that_fails_everything_fails_no_job)
+{
+  h_nodes (4, 4, 2);
+  upstream_fault (0, "{\"fails\":true}");
+  int answered = 0;
+  for (int i = 0; i < 10; i++)
+    {
+      char id[16];
+      snprintf (id, sizeof id, "grey-%d", i);
+      answered += h_answered (submit (i % 2, id, 4, 50, true));
+    }
+  ck_assert_int_eq (answered, 10);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* A task that must not be repeated fails on such an upstream: it runs
+   once, and its job is failed, not completed by a second run.  */
+START_TEST (task_that_must_run_once_is_not_repeated)
+{
+  h_nodes (1, 4, 1);
+  upstream_fault (0, "{\"fails\":true}");
+  ck_assert (!h_answered (submit (0, "once", 1, 50, false)));
+  sleep_ms (500);
+  ck_assert_int_eq (runs_of (1, "once"), 1);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* A caller leaves: its tasks are stopped soon, and their room is used.  */
+START_TEST (tasks_of_a_caller_that_left_are_stopped)
+{
+  h_nodes (2, 2, 2);
+  pid_t p = submit (0, "left", 4, 10000, true);
+  sleep_ms (300);
+  kill (p, SIGKILL);
+  h_answered (p);
+  sleep_ms (500);
+  ck_assert (h_answered (submit (1, "next", 4, 100, true)));
+  ck_assert_int_eq (runs_of (2, "left"), 4);
+  assert_kept_promises (2);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* An upstream says that it leaves: two seconds later nothing starts there
+   any more, and what runs there ends.  */
+START_TEST (leaving_upstream_gets_no_new_task)
+{
+  h_nodes (2, 4, 2);
+  pid_t before = submit (0, "stay", 4, 800, true);
+  sleep_ms (100);
+  cJSON_Delete (h_call ("POST", h_upstream_ports[0], "/v1/mode",
+                        "{\"mode\":\"drain\"}", NULL));
+  sleep_ms (1500);
+  ck_assert (h_answered (before));
+  for (int i = 0; i < 4; i++)
+    {
+      char id[16];
+      snprintf (id, sizeof id, "late-%d", i);
+      ck_assert (h_answered (submit (i % 2, id, 2, 50, true)));
+    }
+  sightings s = look (2);
+  for (guint i = 0; i < s.runs->len; i++)
+    {
+      seen_run *r = &g_array_index (s.runs, seen_run, i);
+      ck_assert (r->upstream != 0 || !g_str_has_prefix (r->task, "late"));
+    }
+  g_array_free (s.runs, TRUE);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* Every instance is killed at once, right after it took work.  Started
+   again they serve within seconds, and what ran before is gone.  */
+START_TEST (all_instances_killed_serve_again_within_seconds)
+{
+  h_nodes (4, 4, 2);
+  pid_t p[2] = { submit (0, "herd-0", 4, 1000, true),
+                 submit (1, "herd-1", 4, 1000, true) };
+  sleep_ms (100);
+  h_stop (h_entries[0], SIGKILL);
+  h_stop (h_entries[1], SIGKILL);
+  h_answered (p[0]);
+  h_answered (p[1]);
+  h_start_node (0);
+  h_start_node (1);
+  ck_assert (h_wait_nodes (2, 4, 6000));
+  ck_assert (h_answered (submit (0, "herd-0", 4, 200, true)));
+  ck_assert (h_answered (submit (1, "herd-1", 4, 200, true)));
+  assert_kept_promises (4);
+  h_cluster_stop ();
+}
+END_TEST
+
+/* Dump, metrics and log of one instance tell the same of its jobs.  */
+START_TEST (dump_and_metrics_agree)
+{
+  h_nodes (1, 4, 1);
+  for (int i = 0; i < 3; i++)
+    {
+      char id[16];
+      snprintf (id, sizeof id, "same-%d", i);
+      ck_assert (h_answered (submit (0, id, 2, 20, true)));
+    }
+  char *url
+      = g_strdup_printf ("http://127.0.0.1:%d/metrics", h_node_state_port (0));
+  long status = 0;
+  char *text = mm_http_call_sync ("GET", url, NULL, 5000, &status, NULL);
+  ck_assert_ptr_nonnull (text);
+  ck_assert_ptr_nonnull (strstr (
+      text, "masticmill_jobs_answered_total{outcome=\"completed\"} 3\n"));
+  ck_assert_ptr_nonnull (
+      strstr (text, "masticmill_tasks_ended_total{how=\"done\"} 6\n"));
+  ck_assert_ptr_nonnull (strstr (text, "masticmill_upstreams_owned 1\n"));
+  cJSON *o = h_call ("GET", h_node_state_port (0), "/", NULL, NULL);
+  ck_assert_int_eq (cJSON_GetObjectItem (o, "jobs")->valueint, 0);
+  const cJSON *up
+      = cJSON_GetObjectItem (cJSON_GetObjectItem (o, "owner"), "upstreams");
+  ck_assert_int_eq (cJSON_GetArraySize (up), 1);
+  cJSON_Delete (o);
+  g_free (text);
+  g_free (url);
+  h_cluster_stop ();
+}
+END_TEST
+
+START_TEST (bad_requests_get_typed_errors)
+{
+  h_nodes (1, 4, 1);
+  static const char *const bad[]
+      = { "",
+          "{",
+          "[]",
+          "{\"job_id\":\"x\"}",
+          "{\"job_id\":\"x\",\"tasks\":[]}",
+          "{\"job_id\":\"0123456789012345678901234567890123456789x\","
+          "\"tasks\":[{\"id\":\"a\"}]}" };
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      long status = 0;
+      cJSON *o
+          = h_call ("POST", h_entry_ports[0], "/v1/jobs", bad[i], &status);
+      ck_assert_int_eq (status, 400);
+      ck_assert_ptr_nonnull (cJSON_GetObjectItem (o, "error"));
+      cJSON_Delete (o);
+    }
+  long status = 0;
+  cJSON_Delete (h_call (
+      "POST", h_entry_ports[0], "/v1/jobs",
+      "{\"job_id\":\"x\",\"queue\":\"none\",\"tasks\":[{\"id\":\"a\"}]}",
+      &status));
+  ck_assert_int_eq (status, 404);
+  h_cluster_stop ();
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("node");
+  TCase *c = tcase_create ("faults");
+  tcase_set_timeout (c, 60);
+  tcase_add_test (c, jobs_at_all_instances_are_answered_whole);
+  tcase_add_test (c, killed_instance_leaves_no_task_running_twice);
+  tcase_add_test (c, frozen_instance_starts_nothing_of_what_it_had);
+  tcase_add_test (c, orders_carried_out_late_find_room);
+  tcase_add_test (c, graceful_stop_cuts_off_nothing);
+  tcase_add_test (c, outage_of_the_store_stops_no_caller);
+  tcase_add_test (c, dropped_history_and_new_deal_are_survived);
+  tcase_add_test (c, upstream_that_fails_everything_fails_no_job);
+  tcase_add_test (c, task_that_must_run_once_is_not_repeated);
+  tcase_add_test (c, tasks_of_a_caller_that_left_are_stopped);
+  tcase_add_test (c, leaving_upstream_gets_no_new_task);
+  tcase_add_test (c, all_instances_killed_serve_again_within_seconds);
+  tcase_add_test (c, dump_and_metrics_agree);
+  tcase_add_test (c, bad_requests_get_typed_errors);
+  suite_add_tcase (s, c);
+  return h_run_suite (s);
+}
