A job that is open when its instance exits is not called unrun; the mean run time leaves out the wait

The test failed before (503). Also: admission's mean task time held the wait in queues, so that a queue looked longer the longer it was.

--- a/daemons/masticmill_node.c
+++ b/daemons/masticmill_node.c
@@ -206,6 +206,7 @@
   ev_run (p.loop, 0);
   mm_log_event (MM_EV_STOPPED, MM_INT (mm_jobs_count (mm_node_jobs (p.node))),
                 MM_INT (p.front_port.connections (p.front)));
+  mm_jobs_abandon (mm_node_jobs (p.node), "this instance has stopped");
   p.front_port.destroy (p.front);
   mm_log_close ();
   return 0;
--- a/src/config.h
+++ b/src/config.h
@@ -109,10 +109,11 @@
 /* Caller to instance to upstream and back, with the orders' handling.  */
 #define MM_OVERHEAD_MS 15
 #define MM_RETRY_AFTER_NO_ROOM_S 1
-#define MM_LATE_FACTOR 3.0   /* answers up to 3 objectives are of use */
-#define MM_SPREAD_WAIT_MS 40 /* in one owner's queue, then spread anew */
-#define MM_GUESS_TASK_MS 250 /* a task's run time, until some have ended */
-#define MM_FLEET_MAX 128     /* instances that a task is spread over */
+#define MM_LATE_FACTOR 3.0     /* answers up to 3 objectives are of use */
+#define MM_SPREAD_WAIT_MS 40   /* in one owner's queue, then spread anew */
+#define MM_GUESS_TASK_MS 250   /* a task's run time, until some have ended */
+#define MM_MEAN_TASK_GAIN 0.02 /* weight of one run in the mean */
+#define MM_FLEET_MAX 128       /* instances that a task is spread over */
 
 /* The platform's store (mm_stream, mm_shares, mm_members, mm_node).  */
 #define MM_STORE_TIMEOUT_MS 1500 /* a call; a slow store takes 0.4 s */
--- a/src/mm_fleet.c
+++ b/src/mm_fleet.c
@@ -21,7 +21,6 @@
   mm_fleet *fleet;
   mm_work *work;     /* here, or */
   mm_remote *remote; /* at a peer */
-  mm_time_ms handed_ms;
   mm_work_done done;
   void *ctx;
 };
@@ -71,15 +70,15 @@
 }
 
 static void
-on_done (void *ctx, mm_end how, const char *upstream, const char *why)
+on_done (void *ctx, const mm_work_result *r)
 {
   mm_ticket *t = ctx;
-  if (how == MM_END_DONE)
-    {
-      double ran = (double)(mm_clock_now_ms () - t->handed_ms);
-      t->fleet->mean_task_ms += 0.02 * (ran - t->fleet->mean_task_ms);
-    }
-  t->done (t->ctx, how, upstream, why);
+  /* The run alone: with the wait in it, a queue would look longer the
+     longer it was, and jobs that fit would be refused.  */
+  if (r->how == MM_END_DONE)
+    t->fleet->mean_task_ms
+        += MM_MEAN_TASK_GAIN * ((double)r->ran_ms - t->fleet->mean_task_ms);
+  t->done (t->ctx, r);
   g_free (t);
 }
 
@@ -112,7 +111,6 @@
     return NULL;
   mm_ticket *k = g_new0 (mm_ticket, 1);
   k->fleet = f;
-  k->handed_ms = mm_clock_now_ms ();
   k->done = done;
   k->ctx = ctx;
   mm_metrics_count (MM_CT_TASKS_HANDED);
--- a/src/mm_http_server.c
+++ b/src/mm_http_server.c
@@ -321,7 +321,8 @@
 }
 
 /* libmicrohttpd aborts the process when it is stopped with suspended
-   connections: whoever still waits is told that we go.  */
+   connections: whoever still waits is told that we go.  Not by a 503,
+   which would claim that nothing was done.  */
 static void
 answer_suspended (mm_http_server *s)
 {
@@ -331,7 +332,7 @@
          g_hash_table_iter_next (&it, &r, NULL))
     {
       char *body = mm_json_error_body (MM_ERROR_IO, "server is stopping", 1);
-      mm_http_reply (r, 503, body, 1);
+      mm_http_reply (r, 500, body, 1);
       free (body);
     }
   MHD_run (s->daemon);
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -160,8 +160,7 @@
     answer (b, MM_ANSWER_REFUSED, why, MM_RETRY_AFTER_NO_ROOM_S);
 }
 
-static void on_task_done (void *ctx, mm_end how, const char *upstream,
-                          const char *why);
+static void on_task_done (void *ctx, const mm_work_result *r);
 
 /* Hand a task to an owner; with none in reach it is tried again at each
    tick, as owners come back within a second or two.  */
@@ -280,35 +279,35 @@
 };
 
 static void
-log_end (const task *t, mm_end how, const char *upstream, const char *why,
-         mm_time_ms now)
+log_end (const task *t, const mm_work_result *r, mm_time_ms now)
 {
-  if (how == MM_END_NOT_RUN)
+  if (r->how == MM_END_NOT_RUN)
     mm_log_event (MM_EV_TASK_RETURNED, MM_TASK (&t->id),
-                  MM_INT (now - t->handed_ms), MM_TEXT (why),
-                  MM_TEXT (what_next (t, how, now)));
-  else if (how != MM_END_DONE)
-    mm_log_event (MM_EV_TASK_FAILED, MM_TASK (&t->id), MM_TEXT (upstream),
-                  MM_TEXT (mm_end_name (how)), MM_INT (now - t->handed_ms),
-                  MM_TEXT (why), MM_TEXT (what_next (t, how, now)));
+                  MM_INT (now - t->handed_ms), MM_TEXT (r->why),
+                  MM_TEXT (what_next (t, r->how, now)));
+  else if (r->how != MM_END_DONE)
+    mm_log_event (MM_EV_TASK_FAILED, MM_TASK (&t->id), MM_TEXT (r->upstream),
+                  MM_TEXT (mm_end_name (r->how)), MM_INT (now - t->handed_ms),
+                  MM_TEXT (r->why), MM_TEXT (what_next (t, r->how, now)));
 }
 
 static void
-on_task_done (void *ctx, mm_end how, const char *upstream, const char *why)
+on_task_done (void *ctx, const mm_work_result *r)
 {
   task *t = ctx;
   job *b = t->job;
-  t->ticket = NULL;
+  mm_end how = r->how;
   mm_time_ms now = mm_clock_now_ms ();
+  t->ticket = NULL;
   mm_metrics_count (end_counters[how]);
-  log_end (t, how, upstream, why, now);
+  log_end (t, r, now);
   switch (how)
     {
     case MM_END_DONE:
       on_done (t);
       break;
     case MM_END_FAILED:
-      on_failed (t, upstream);
+      on_failed (t, r->upstream);
       break;
     case MM_END_STOPPED:
     case MM_END_LOST:
@@ -325,7 +324,7 @@
       if (runs_once (t))
         answer (b, MM_ANSWER_FAILED, "a task is out of sight", 0);
       else
-        answer (b, MM_ANSWER_UNKNOWN, why, MM_RETRY_AFTER_NO_ROOM_S);
+        answer (b, MM_ANSWER_UNKNOWN, r->why, MM_RETRY_AFTER_NO_ROOM_S);
       break;
     }
 }
@@ -494,16 +493,19 @@
 }
 
 /**
- * mm_jobs_woke() - the process stood still, longer than leases last.
+ * mm_jobs_abandon() - give all jobs up at once.
  * @j: the jobs.
+ * @why: told to their callers.
  *
- * Callers may have sent their jobs to another instance meanwhile, and
- * what ran here has lapsed: start nothing of them any more.
+ * For a process that stood still longer than leases last, and one about to
+ * exit: callers may have sent, or will send, their jobs to another
+ * instance, so nothing of them may start here any more.  Tasks may have
+ * run: no caller is told that its job did not.
  */
 void
-mm_jobs_woke (mm_jobs *j)
+mm_jobs_abandon (mm_jobs *j, const char *why)
 {
-  answer_all (j, MM_ANSWER_UNKNOWN, "this instance stood still", G_MAXINT64);
+  answer_all (j, MM_ANSWER_UNKNOWN, why, G_MAXINT64);
 }
 
 static void
--- a/src/mm_jobs.h
+++ b/src/mm_jobs.h
@@ -38,7 +38,8 @@
 void mm_jobs_caller_left (mm_jobs *j, mm_caller *c); /* not answered */
 bool mm_jobs_running (const mm_jobs *j, const char *job_id);
 bool mm_jobs_cancel (mm_jobs *j, const char *job_id); /* false: unknown */
-void mm_jobs_woke (mm_jobs *j); /* the process stood still for a while */
+/* Tell every caller that its job is out of sight.  */
+void mm_jobs_abandon (mm_jobs *j, const char *why);
 void mm_jobs_tick (mm_jobs *j); /* each MM_EXEC_TICK_MS */
 uint32_t mm_jobs_count (const mm_jobs *j);
 
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -72,13 +72,13 @@
 /* ---- the owner's side ------------------------------------------------- */
 
 static void
-on_taken_done (void *ctx, mm_end how, const char *upstream, const char *why)
+on_taken_done (void *ctx, const mm_work_result *r)
 {
   taken *t = ctx;
   inbound *in = t->from;
   msgpack_sbuffer b;
   msgpack_sbuffer_init (&b);
-  mm_mesh_pack_ended (&b, t->no, how, upstream, why);
+  mm_mesh_pack_ended (&b, t->no, r);
   mm_link_send (in->link, &b);
   msgpack_sbuffer_destroy (&b);
   g_hash_table_remove (in->works, &t->no);
@@ -207,7 +207,7 @@
   if (!r)
     return; /* cancelled meanwhile */
   g_hash_table_steal (p->remote, &m->no);
-  r->done (r->ctx, m->how, m->upstream, m->why);
+  r->done (r->ctx, &m->result);
   g_free (r);
 }
 
@@ -246,6 +246,9 @@
   return ok;
 }
 
+static const mm_work_result out_of_contact
+    = { .how = MM_END_UNKNOWN, .why = "owner out of contact" };
+
 static void
 on_peer_closed (void *ctx, const char *why)
 {
@@ -267,7 +270,7 @@
     {
       mm_remote *r = v;
       g_hash_table_iter_steal (&it);
-      r->done (r->ctx, MM_END_UNKNOWN, NULL, "owner out of contact");
+      r->done (r->ctx, &out_of_contact);
       g_free (r);
     }
 }
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -6,7 +6,7 @@
 enum
 {
   RUN_FIELDS = 16,
-  ENDED_FIELDS = 5,
+  ENDED_FIELDS = 6,
   REPORT_FIELDS = 4,
   ROOM_FIELDS = 4
 };
@@ -71,15 +71,15 @@
 }
 
 void
-mm_mesh_pack_ended (msgpack_sbuffer *b, uint64_t no, mm_end how,
-                    const char *upstream, const char *why)
+mm_mesh_pack_ended (msgpack_sbuffer *b, uint64_t no, const mm_work_result *r)
 {
   msgpack_packer pk;
   begin (&pk, b, ENDED_FIELDS, MM_MESH_ENDED);
   msgpack_pack_uint64 (&pk, no);
-  msgpack_pack_int (&pk, how);
-  pack_text (&pk, upstream);
-  pack_text (&pk, why);
+  msgpack_pack_int (&pk, r->how);
+  pack_text (&pk, r->upstream);
+  msgpack_pack_int64 (&pk, r->ran_ms);
+  pack_text (&pk, r->why);
 }
 
 void
@@ -182,12 +182,12 @@
 read_ended (const msgpack_object *f, mm_mesh_msg *m)
 {
   uint32_t how;
+  mm_work_result *r = &m->result;
   if (!read_u64 (&f[1], &m->no) || !read_u32 (&f[2], &how)
-      || how >= MM_END_COUNT
-      || !read_text (&f[3], true, (const char **)&m->upstream)
-      || !read_text (&f[4], true, (const char **)&m->why))
+      || how >= MM_END_COUNT || !read_text (&f[3], true, &r->upstream)
+      || !read_i64 (&f[4], &r->ran_ms) || !read_text (&f[5], true, &r->why))
     return false;
-  m->how = (mm_end)how;
+  r->how = (mm_end)how;
   return true;
 }
 
@@ -260,8 +260,8 @@
   g_free ((char *)m->request.payload);
   g_free ((char *)m->request.label);
   g_free ((char *)m->request.avoid);
-  g_free (m->upstream);
-  g_free (m->why);
+  g_free ((char *)m->result.upstream);
+  g_free ((char *)m->result.why);
   g_free (m->name);
   g_free (m->rooms);
 }
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -6,7 +6,7 @@
      [CANCEL, no]
      [BEAT]
    Back:
-     [ENDED, no, how, upstream, why]
+     [ENDED, no, how, upstream, ran_ms, why]
      [REPORT, seen_no, name, [[service, places, free, waiting], ...]]  */
 #ifndef MM_MESH_MSG_H
 #define MM_MESH_MSG_H
@@ -37,9 +37,7 @@
   mm_mesh_kind kind;
   uint64_t no;             /* RUN, CANCEL, ENDED; REPORT: highest RUN seen */
   mm_task_request request; /* RUN; strings are copies, see _clear */
-  mm_end how;              /* ENDED */
-  char *upstream;          /* ENDED, or NULL */
-  char *why;               /* ENDED */
+  mm_work_result result;   /* ENDED; strings are copies, see _clear */
   char *name;              /* REPORT: of the instance that sends it */
   mm_mesh_room *rooms;     /* REPORT */
   size_t n_rooms;
@@ -51,8 +49,8 @@
                        const mm_task_request *t);
 void mm_mesh_pack_cancel (msgpack_sbuffer *b, uint64_t no);
 void mm_mesh_pack_beat (msgpack_sbuffer *b);
-void mm_mesh_pack_ended (msgpack_sbuffer *b, uint64_t no, mm_end how,
-                         const char *upstream, const char *why);
+void mm_mesh_pack_ended (msgpack_sbuffer *b, uint64_t no,
+                         const mm_work_result *r);
 void mm_mesh_pack_report (msgpack_sbuffer *b, uint64_t seen_no,
                           const char *name, const mm_mesh_room *rooms,
                           size_t n);
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -241,7 +241,7 @@
   mm_metrics_count (MM_CT_STALLS);
   mm_log_event (MM_EV_STALLED, MM_INT (gap), MM_INT (mm_jobs_count (n->jobs)));
   mm_mesh_woke (n->mesh);
-  mm_jobs_woke (n->jobs);
+  mm_jobs_abandon (n->jobs, "this instance stood still");
 }
 
 static void
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -63,10 +63,13 @@
 }
 
 static void
-finish (mm_work *w, mm_end how, const char *upstream, const char *why)
+finish (mm_work *w, mm_end how, const char *upstream, mm_time_ms ran_ms,
+        const char *why)
 {
+  mm_work_result r
+      = { .how = how, .upstream = upstream, .ran_ms = ran_ms, .why = why };
   if (!w->cancelled)
-    w->done (w->ctx, how, upstream, why);
+    w->done (w->ctx, &r);
   work_free (w);
 }
 
@@ -97,7 +100,7 @@
   mm_owner *o = w->owner;
   bool late = mm_clock_now_ms () > w->start_by_ms;
   if (w->cancelled || late || o->closed || o->destroyed)
-    finish (w, MM_END_NOT_RUN, upstream, why);
+    finish (w, MM_END_NOT_RUN, upstream, 0, why);
   else
     enqueue (o, w);
 }
@@ -142,7 +145,7 @@
   if (how == MM_END_NOT_RUN)
     give_back (w, name, why);
   else
-    finish (w, how, name, why);
+    finish (w, how, name, ran_ms, why);
 }
 
 static void
@@ -172,7 +175,7 @@
       if (w->at != s)
         continue;
       g_hash_table_remove (o->active, &w->t.id);
-      finish (w, MM_END_UNKNOWN, mm_exec_info (s->exec)->name, why);
+      finish (w, MM_END_UNKNOWN, mm_exec_info (s->exec)->name, 0, why);
     }
   g_list_free (works);
 }
@@ -375,7 +378,7 @@
   while ((w = first_expired (o, now)))
     {
       g_queue_remove (o->waiting, w);
-      finish (w, MM_END_NOT_RUN, NULL,
+      finish (w, MM_END_NOT_RUN, NULL, 0,
               o->closed ? "owner is leaving" : "waited too long");
     }
 }
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -8,9 +8,16 @@
 typedef struct mm_owner mm_owner;
 typedef struct mm_work mm_work; /* a task taken in */
 
-/* The task is over; @upstream names where it ran last, or NULL.  */
-typedef void (*mm_work_done) (void *ctx, mm_end how, const char *upstream,
-                              const char *why);
+/* What became of a task.  */
+typedef struct
+{
+  mm_end how;
+  const char *upstream; /* where it ran last, or NULL */
+  mm_time_ms ran_ms;    /* from the order to start to the end, 0: not run */
+  const char *why;
+} mm_work_result;
+
+typedef void (*mm_work_done) (void *ctx, const mm_work_result *r);
 
 /* Room of one service on the upstreams of one owner.  */
 typedef struct
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #define RESEND_MS 1300 /* callers send a job again so long after a break */
@@ -240,6 +241,42 @@
 }
 END_TEST
 
+static bool
+owns_nothing (int node)
+{
+  cJSON *o = h_call ("GET", h_node_state_port (node), "/", NULL, NULL);
+  const cJSON *up
+      = cJSON_GetObjectItem (cJSON_GetObjectItem (o, "owner"), "upstreams");
+  bool none = cJSON_GetArraySize (up) == 0;
+  cJSON_Delete (o);
+  return none;
+}
+
+/* A job outlasts the grace of a shutdown.  Its task has run, so its caller
+   must not be told that it did not (503), but to send it again (502).  */
+START_TEST (job_longer_than_the_grace_is_not_called_unrun)
+{
+  h_nodes (1, 4, 2);
+  int node = owns_nothing (0) ? 0 : 1;
+  pid_t p = fork ();
+  if (p == 0)
+    {
+      char *job = h_job_json ("long", 1, 9000, 20000, true);
+      long status = 0;
+      cJSON_Delete (
+          h_call ("POST", h_entry_ports[node], "/v1/jobs", job, &status));
+      _exit (status == 502 ? 0 : 1);
+    }
+  sleep_ms (300);
+  kill (h_entries[node], SIGTERM);
+  int st = 0;
+  waitpid (p, &st, 0);
+  ck_assert (WIFEXITED (st));
+  ck_assert_int_eq (WEXITSTATUS (st), 0);
+  h_cluster_stop ();
+}
+END_TEST
+
 /* The store is down: what is known goes on being served, by instances
    that keep their upstreams.  Its return takes nothing away.  */
 START_TEST (outage_of_the_store_stops_no_caller)
@@ -445,6 +482,7 @@
   tcase_add_test (c, frozen_instance_starts_nothing_of_what_it_had);
   tcase_add_test (c, orders_carried_out_late_find_room);
   tcase_add_test (c, graceful_stop_cuts_off_nothing);
+  tcase_add_test (c, job_longer_than_the_grace_is_not_called_unrun);
   tcase_add_test (c, outage_of_the_store_stops_no_caller);
   tcase_add_test (c, dropped_history_and_new_deal_are_survived);
   tcase_add_test (c, upstream_that_fails_everything_fails_no_job);
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -27,14 +27,15 @@
 } world;
 
 static void
-on_done (void *ctx, mm_end how, const char *upstream, const char *why)
+on_done (void *ctx, const mm_work_result *res)
 {
   outcome *r = ctx;
   r->answers++;
-  r->how = how;
+  r->how = res->how;
   r->at_ms = mm_clock_now_ms ();
   r->work = NULL;
-  g_strlcpy (r->upstream, upstream ? upstream : "", sizeof r->upstream);
+  g_strlcpy (r->upstream, res->upstream ? res->upstream : "",
+             sizeof r->upstream);
 }
 
 static world
