--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -48,10 +48,10 @@
 
   /* ---- mm_log: GLib structured logging as JSON lines ---------------------
    */
-  void mm_log_init (const char *program); /* JSON lines to stdout */
+  void mm_log_init (const char *program);        /* JSON lines to stdout */
   void mm_log_init_stderr (const char *program); /* for commands */
-  void mm_log_close (void);               /* before the exit */
-  void mm_log_flush (void);               /* never blocks */
+  void mm_log_close (void);                      /* before the exit */
+  void mm_log_flush (void);                      /* never blocks */
   char *mm_log_format_json (const GLogField *fields,
                             size_t n_fields); /* one line */
 
@@ -318,7 +318,7 @@
                                     const mm_setting_spec *specs,
                                     void *settings,
                                     GError **error); /* parse */
-  void mm_daemon_catch_crashes (void); /* stack on stderr */
+  void mm_daemon_catch_crashes (void);               /* stack on stderr */
   void mm_daemon_print_settings_help (const mm_setting_spec *specs); /* keys */
 
   /* ---- mm_bench: load and experiment runs against entry instances ------- */
@@ -399,6 +399,8 @@
     char *datacentre;     /* data centre it belongs to */
     char *platform_url;   /* where to heartbeat, "" for none */
     int64_t heartbeat_ms; /* heartbeat period */
+    char *advertise;      /* "host:port" told to others, "" for our own */
+    char *run_log;        /* file that takes a line a start and end, "" */
   } mm_upstream_settings;
   extern const mm_setting_spec mm_upstream_setting_specs[];
   void mm_upstream_settings_defaults (mm_upstream_settings *s);
--- /dev/null
+++ b/scripts/soak.py
@@ -0,0 +1,435 @@
+#!/usr/bin/env python3
+"""Randomized fault soak of real processes on loopback.
+
+Starts a platform stand-in, upstream stand-ins and instances of
+masticmill-node as processes, each link through a proxy of its own, and
+injects faults from outside: processes killed, stopped, paused, restarted,
+told to reload; connections delayed, reset, cut one way, silenced; the store
+down, slow, losing answers, forgetting; orders lost or carried out late.
+
+Callers and the upstreams' run logs tell whether the promises held:
+  room       no upstream was over its capacity
+  twice      no task of a job ran twice at one time
+  once       a task that must not be repeated started at most once
+  whole      a job answered as complete had every task done
+  unrun      a job whose every answer said "not run" started nothing
+  leaving    an upstream that said so started nothing two seconds later
+  config     no instance went back to an older configuration
+  back       after the faults each instance serves again
+  exits      no process ended by itself
+
+  soak.py [--seed N] [--seeds N] [--seconds S] [--jobs N] [--bin DIR] [--keep DIR]
+"""
+import argparse, asyncio, json, os, random, shutil, signal, subprocess, sys, tempfile, time, urllib.request
+
+RESEND_S = 1.3      # callers send a job again so long after a break
+SETTLE_S = 7        # calm at the end, longer than every lease and ttl
+DRAIN_S = 2.0       # then a leaving upstream gets no start
+NODES, UPSTREAMS, SLOTS = 3, 5, 3
+
+
+def now_ms():
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / 1e6
+
+
+class Proxy:
+    """A TCP relay whose way can be delayed, cut or silenced."""
+
+    def __init__(self, port, target):
+        self.port, self.target = port, target
+        self.delay, self.silent, self.mute = 0.0, False, False
+        self.writers = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.relay, "127.0.0.1", self.port)
+
+    async def relay(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            back_reader, back_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            writer.transport.abort()
+            self.writers.discard(writer)
+            return
+        self.writers.add(back_writer)
+        try:
+            await asyncio.gather(self.pump(reader, back_writer, False), self.pump(back_reader, writer, True))
+        except asyncio.CancelledError:
+            pass  # the seed is over
+        for w in (writer, back_writer):
+            self.writers.discard(w)
+            w.close()
+
+    async def pump(self, reader, writer, answers):
+        try:
+            while data := await reader.read(65536):
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                while self.silent or (self.mute and answers):
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+        except (OSError, RuntimeError):
+            writer.transport.abort()
+
+    def reset(self):
+        for w in list(self.writers):
+            w.transport.abort()
+
+    def heal(self):
+        if self.silent or self.mute:
+            self.reset()
+        self.delay, self.silent, self.mute = 0.0, False, False
+
+
+def call(method, port, path, body=None, timeout=4):
+    req = urllib.request.Request(f"http://127.0.0.1:{port}{path}", method=method,
+                                 data=json.dumps(body).encode() if body is not None else None)
+    try:
+        with urllib.request.urlopen(req, timeout=timeout) as r:
+            return r.status, json.load(r)
+    except urllib.error.HTTPError as e:
+        try:
+            return e.code, json.load(e)
+        except ValueError:
+            return e.code, {}
+    except (OSError, ValueError):
+        return 0, {}
+
+
+class World:
+    def __init__(self, seed, args, folder, base):
+        self.rnd, self.args, self.dir, self.base = random.Random(seed), args, folder, base
+        self.procs, self.meant, self.paused = {}, set(), set()
+        self.proxies, self.findings, self.jobs = {}, [], {}
+        self.left = {}          # upstream -> ms when it said that it leaves
+        self.left_at = {}       # upstream -> [(that, ms when it was gone)]
+        self.kills = {}         # upstream -> [ms]
+        self.version, self.seen_version, self.boot = 1, {}, {}
+        self.end = False
+        self.held = set()       # processes that a fault has in hand
+
+    # ---- processes
+    def spawn(self, name, program, *sets):
+        log = open(f"{self.dir}/{name}.log", "ab")
+        argv = [f"{self.args.bin}/{program}"] + [x for s in sets for x in ("--set", s)]
+        self.procs[name] = subprocess.Popen(argv, stdout=log, stderr=log)
+        self.meant.discard(name)
+
+    def port(self, kind, i):
+        return self.base + {"platform": 0, "up": 10, "front": 20, "ready": 25, "mesh": 30, "state": 35,
+                            "px-store": 40, "px-up": 50, "px-mesh": 60}[kind] + i
+
+    def start_platform(self):
+        self.spawn("platform", "masticmill-platform", f"platform.port={self.port('platform', 0)}")
+
+    def start_upstream(self, i):
+        self.spawn(f"up{i}", "masticmill-upstream", f"upstream.port={self.port('up', i)}", f'upstream.name="up{i}"',
+                   f"upstream.slots={SLOTS}", f'upstream.platform_url="http://127.0.0.1:{self.port("platform", 0)}"',
+                   f'upstream.advertise="127.0.0.1:{self.port("px-up", i)}"', "upstream.heartbeat_ms=300",
+                   f'upstream.run_log="{self.dir}/up{i}.runs"')
+        if i in self.left:
+            self.left_at.setdefault(i, []).append((self.left.pop(i), now_ms()))
+
+    def start_node(self, i):
+        self.boot[i] = self.boot.get(i, 0) + 1
+        self.spawn(f"node{i}", "masticmill-node", f'node.name="node{i}"',
+                   f'node.front="127.0.0.1:{self.port("front", i)}"', f'node.ready="127.0.0.1:{self.port("ready", i)}"',
+                   f"node.mesh_port={self.port('mesh', i)}", f"node.state_port={self.port('state', i)}",
+                   f'node.mesh_advertise="127.0.0.1:{self.port("px-mesh", i)}"',
+                   f'store.address="127.0.0.1:{self.port("px-store", i)}"')
+
+    def kill(self, name, sig=signal.SIGKILL):
+        p = self.procs[name]
+        self.meant.add(name)
+        if name in self.paused:
+            p.send_signal(signal.SIGCONT)
+            self.paused.discard(name)
+        if p.poll() is None:
+            p.send_signal(sig)
+        if sig == signal.SIGKILL:
+            p.wait()
+            if name.startswith("up"):
+                self.kills.setdefault(int(name[2:]), []).append(now_ms())
+
+    def check_exits(self):
+        for name, p in self.procs.items():
+            if p.poll() is not None and name not in self.meant:
+                self.findings.append(f"exits: {name} ended by itself with {p.returncode}")
+                self.meant.add(name)
+
+    # ---- callers
+    async def caller(self, no):
+        n = 0
+        while not self.end:
+            n += 1
+            job = f"c{no}-{n}"
+            once = self.rnd.random() < 0.3
+            tasks = [{"id": f"t{k}", "payload": "x", "run_ms": self.rnd.choice([20, 60, 150, 400, 900]),
+                      "deadline_ms": 6000, "idempotent": not once} for k in range(self.rnd.randint(1, 5))]
+            self.jobs[job] = {"tasks": len(tasks), "once": once, "answers": []}
+            await self.send(job, {"job_id": job, "tasks": tasks}, once)
+            await asyncio.sleep(self.rnd.uniform(0.05, 0.4))
+
+    async def send(self, job, body, once):
+        for _ in range(1 if once else 3):
+            node = self.rnd.randrange(NODES)
+            patience = self.rnd.choice([0.5, 6, 6, 6])
+            status, answer = await asyncio.to_thread(call, "POST", self.port("front", node), "/v1/jobs", body, patience)
+            self.jobs[job]["answers"].append((status, answer.get("status")))
+            if status in (200, 400, 404, 429, 503):
+                return
+            await asyncio.sleep(RESEND_S)
+
+    async def watch_config(self):
+        while not self.end:
+            for i in range(NODES):
+                boot = self.boot[i]
+                _, state = await asyncio.to_thread(call, "GET", self.port("state", i), "/", None, 1)
+                v = state.get("config_version", 0)
+                last = self.seen_version.get((i, boot), 0)
+                if v and boot == self.boot[i] and v < last:
+                    self.findings.append(f"config: node{i} went back from {last} to {v}")
+                if v and boot == self.boot[i]:
+                    self.seen_version[(i, boot)] = v
+            await asyncio.sleep(0.3)
+
+    # ---- faults
+    async def publish(self):
+        self.version += self.rnd.randint(1, 3)
+        body = {"version": self.version,
+                "queues": [{"name": "q", "service": "tasks", "attempts": 3, "stretch": 3, "slo_ms": 400}]}
+        return await asyncio.to_thread(call, "PUT", self.port("platform", 0), "/v1/streams/config/config", body, 2)
+
+    async def fault(self):
+        r = self.rnd
+        for_s = r.uniform(0.2, 3.0)
+        node, up = r.randrange(NODES), r.randrange(UPSTREAMS)
+        proxy = r.choice(list(self.proxies.values()))
+        kind = r.choice(["kill", "kill", "term", "freeze", "hup", "killup", "reset", "delay", "silent", "mute",
+                         "late", "lost", "fails", "hangs", "slowup", "drain", "down", "slow", "lose", "forget",
+                         "deal", "config", "herd"])
+        takes = {"kill": {f"node{node}"}, "term": {f"node{node}"}, "freeze": {f"node{node}"}, "hup": {f"node{node}"},
+                 "killup": {f"up{up}"}, "drain": {f"up{up}"},
+                 "herd": {f"node{i}" for i in range(NODES)}}.get(kind, set())
+        if takes & self.held:
+            return
+        self.held |= takes
+        try:
+            await self.inject(kind, node, up, proxy, for_s)
+        finally:
+            self.held -= takes
+
+    async def inject(self, kind, node, up, proxy, for_s):
+        r = self.rnd
+        post = lambda port, path, body: asyncio.to_thread(call, "POST", port, path, body, 1)
+        self.log(f"{kind} node{node} up{up} {proxy.port} {for_s:.1f}s")
+        if kind in ("kill", "term"):
+            self.kill(f"node{node}", signal.SIGKILL if kind == "kill" else signal.SIGTERM)
+            if kind == "term":
+                await asyncio.to_thread(self.procs[f"node{node}"].wait)
+            await asyncio.sleep(for_s if kind == "kill" else 0)
+            self.start_node(node)
+        elif kind == "freeze" and f"node{node}" not in self.meant:
+            p = self.procs[f"node{node}"]
+            p.send_signal(signal.SIGSTOP)
+            self.paused.add(f"node{node}")
+            await asyncio.sleep(for_s)
+            if f"node{node}" in self.paused:
+                p.send_signal(signal.SIGCONT)
+                self.paused.discard(f"node{node}")
+        elif kind == "hup" and f"node{node}" not in self.meant:
+            self.procs[f"node{node}"].send_signal(signal.SIGHUP)
+        elif kind == "killup":
+            self.kill(f"up{up}")
+            await asyncio.sleep(for_s)
+            self.start_upstream(up)
+        elif kind == "reset":
+            proxy.reset()
+        elif kind in ("delay", "silent", "mute"):
+            proxy.delay = 0.03 if kind == "delay" else 0
+            proxy.silent, proxy.mute = kind == "silent", kind == "mute"
+            await asyncio.sleep(for_s)
+            proxy.heal()
+        elif kind in ("late", "lost"):
+            await post(self.port("up", up), "/v1/run-faults",
+                       {"lose_starts": r.randint(1, 4), "lose_stops": r.randint(0, 2), "lose_holds": r.randint(0, 2),
+                        "late_ms": r.randint(500, 5000) if kind == "late" else 0})
+        elif kind in ("fails", "hangs"):
+            await post(self.port("up", up), "/v1/run-faults", {kind: True})
+            await asyncio.sleep(for_s)
+            await post(self.port("up", up), "/v1/run-faults", {kind: False})
+        elif kind == "slowup":
+            await post(self.port("up", up), "/v1/run-faults", {"slow_percent": 400})
+            await asyncio.sleep(for_s)
+            await post(self.port("up", up), "/v1/run-faults", {"slow_percent": 100})
+        elif kind == "drain" and up not in self.left:
+            status, _ = await post(self.port("up", up), "/v1/mode", {"mode": "drain"})
+            if status == 200:
+                self.left[up] = now_ms()
+                await asyncio.sleep(4)
+                self.kill(f"up{up}")
+                self.start_upstream(up)
+        elif kind in ("down", "slow", "lose"):
+            on = {"down": {"down": True}, "slow": {"slow_ms": 250}, "lose": {"lose_answers": 5}}[kind]
+            await post(self.port("platform", 0), "/v1/faults", on)
+            await asyncio.sleep(for_s)
+            await post(self.port("platform", 0), "/v1/faults", {"down": False, "slow_ms": 0, "lose_answers": 0})
+        elif kind in ("forget", "deal"):
+            await post(self.port("platform", 0), "/v1/store-faults",
+                       {"drop_history": kind == "forget", "deal_anew": kind == "deal"})
+        elif kind == "config":
+            await self.publish()
+        elif kind == "herd":
+            for i in range(NODES):
+                self.kill(f"node{i}")
+            await asyncio.sleep(for_s / 3)
+            for i in range(NODES):
+                self.start_node(i)
+
+    def log(self, text):
+        with open(f"{self.dir}/faults.log", "a") as f:
+            f.write(f"{now_ms():.0f} {text}\n")
+
+    # ---- verdicts
+    def runs(self):
+        """Rows of task, upstream, start and end in ms, how it ended."""
+        rows = []
+        for i in range(UPSTREAMS):
+            open_runs, path = {}, f"{self.dir}/up{i}.runs"
+            lines = [json.loads(x) for x in open(path)] if os.path.exists(path) else []
+            for x in lines:
+                key = (x["task"], x["run"])
+                if x["event"] == "start":
+                    died = [k for k in self.kills.get(i, []) if k >= x["ms"]]
+                    open_runs[key] = [x["task"], i, x["ms"], min(died, default=float("inf")), "killed"]
+                    if x["how"] == "over_capacity":
+                        self.findings.append(f"room: up{i} over its capacity at {x['ms']} by {x['task']}")
+                elif key in open_runs:
+                    row = open_runs.pop(key)
+                    rows.append(row[:3] + [x["ms"], x["how"]])
+            rows += open_runs.values()
+        return rows
+
+    def judge(self):
+        by_task, starts, done = {}, {}, set()
+        for task, up, start, end, how in sorted(self.runs(), key=lambda r: r[2]):
+            job = task.split("/")[0]
+            starts[job] = starts.get(job, 0) + 1
+            if how == "done":
+                done.add(task)
+            for up2, start2, end2 in by_task.get(task, []):
+                if start < end2 and start2 < end:
+                    self.findings.append(f"twice: {task} on up{up2} {start2:.0f}-{end2:.0f} and up{up} {start:.0f}-{end:.0f}")
+            by_task.setdefault(task, []).append((up, start, end))
+            if up in self.left_at and any(l + DRAIN_S * 1000 < start < k for l, k in self.left_at[up]):
+                self.findings.append(f"leaving: {task} started on up{up} at {start:.0f}")
+        for job, j in self.jobs.items():
+            said = [a for a in j["answers"]]
+            if any(s == 200 and t == "complete" for s, t in said):
+                missing = [k for k in range(j["tasks"]) if f"{job}/{k}.0" not in done]
+                if missing:
+                    self.findings.append(f"whole: {job} was complete without tasks {missing}")
+            if said and all(s in (429, 503) for s, _ in said) and job in starts:
+                self.findings.append(f"unrun: {job} was refused and started {starts[job]} tasks")
+            if j["once"]:
+                again = [t for t, r in by_task.items() if t.split("/")[0] == job and len(r) > 1]
+                if again:
+                    self.findings.append(f"once: {again} started more than once")
+
+    async def run(self):
+        for i in range(NODES):
+            self.proxies[f"store{i}"] = Proxy(self.port("px-store", i), self.port("platform", 0))
+            self.proxies[f"mesh{i}"] = Proxy(self.port("px-mesh", i), self.port("mesh", i))
+        for i in range(UPSTREAMS):
+            self.proxies[f"up{i}"] = Proxy(self.port("px-up", i), self.port("up", i))
+        for p in self.proxies.values():
+            await p.start()
+        self.start_platform()
+        await asyncio.sleep(0.3)
+        await self.publish()
+        for i in range(UPSTREAMS):
+            self.start_upstream(i)
+        for i in range(NODES):
+            self.start_node(i)
+        await asyncio.sleep(2)
+        callers = [asyncio.create_task(self.caller(k)) for k in range(8)]
+        watch = asyncio.create_task(self.watch_config())
+        until, busy = time.monotonic() + self.args.seconds, []
+        while time.monotonic() < until:
+            self.check_exits()
+            busy = [b for b in busy if not b.done()]
+            if len(busy) < 3:
+                busy.append(asyncio.create_task(self.fault()))
+            await asyncio.sleep(self.rnd.uniform(0.1, 0.8))
+        await asyncio.gather(*busy)
+        for p in self.proxies.values():
+            p.heal()
+        self.end = True
+        await asyncio.gather(*callers, watch)
+        await asyncio.sleep(SETTLE_S)
+        self.check_exits()
+        for i in range(NODES):
+            body = {"job_id": f"back-{i}", "tasks": [{"id": "t", "run_ms": 50, "deadline_ms": 3000, "idempotent": True}]}
+            status, answer = await asyncio.to_thread(call, "POST", self.port("front", i), "/v1/jobs", body, 5)
+            if answer.get("status") != "complete":
+                self.findings.append(f"back: node{i} answers {status} {answer.get('why')}")
+            _, state = await asyncio.to_thread(call, "GET", self.port("state", i), "/", None, 2)
+            if state.get("config_version") != self.version:
+                self.findings.append(f"config: node{i} has {state.get('config_version')}, {self.version} was published")
+        await asyncio.sleep(1)
+        self.judge()
+
+
+async def soak(seed, args, slot):
+    folder = f"{args.keep}/seed-{seed}" if args.keep else tempfile.mkdtemp(prefix="soak-")
+    shutil.rmtree(folder, ignore_errors=True)
+    os.makedirs(folder)
+    w = World(seed, args, folder, args.port + slot * 100)
+    try:
+        await w.run()
+    finally:
+        for name in list(w.procs):
+            w.kill(name)
+        for p in w.proxies.values():
+            p.server.close()
+            p.reset()
+    complete = sum(any(t == "complete" for _, t in j["answers"]) for j in w.jobs.values())
+    print(f"seed {seed}: {len(w.jobs)} jobs, {complete} complete, {len(w.findings)} findings", flush=True)
+    for f in w.findings[:10]:
+        print(f"  seed {seed}: {f}", flush=True)
+    if not w.findings and not args.keep:
+        shutil.rmtree(folder)
+    return len(w.findings)
+
+
+async def main():
+    here = os.path.dirname(os.path.abspath(__file__))
+    ap = argparse.ArgumentParser(description="randomized fault soak of real processes")
+    ap.add_argument("--seed", type=int, help="first seed (default: drawn)")
+    ap.add_argument("--seeds", type=int, default=1)
+    ap.add_argument("--seconds", type=float, default=15, help="of faults a seed")
+    ap.add_argument("--jobs", type=int, default=3, help="seeds at a time")
+    ap.add_argument("--bin", default=f"{here}/../build")
+    ap.add_argument("--keep", help="folder for logs; kept on findings anyway")
+    ap.add_argument("--port", type=int, default=24000)
+    args = ap.parse_args()
+    first = args.seed if args.seed is not None else random.SystemRandom().randrange(10**6)
+    slots = asyncio.Queue()
+    for s in range(args.jobs):
+        slots.put_nowait(s)
+
+    async def one(seed):
+        slot = await slots.get()
+        try:
+            return await soak(seed, args, slot)
+        finally:
+            slots.put_nowait(slot)
+    found = await asyncio.gather(*(one(first + k) for k in range(args.seeds)))
+    failed = sum(f > 0 for f in found)
+    print(f"{len(found) - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+sys.exit(asyncio.run(main()))
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -52,6 +52,8 @@
           "ip:port where the balancer asks for readiness" },
         { "node.mesh_port", MM_SETTING_INT, F (mesh_port), 1, 65535,
           "port for the other instances" },
+        { "node.mesh_advertise", MM_SETTING_STRING, F (mesh_advertise), 0, 0,
+          "ip:port told to the other instances, empty for our own" },
         { "node.state_port", MM_SETTING_INT, F (state_port), 1, 65535,
           "port of the state dump" },
         { "node.interface", MM_SETTING_STRING, F (interface), 0, 0,
@@ -77,6 +79,7 @@
   s->ready = g_strdup ("127.0.0.1:7401");
   s->store = g_strdup ("127.0.0.1:7000");
   s->interface = g_strdup ("own");
+  s->mesh_advertise = g_strdup ("");
   s->mesh_port = MM_DEFAULT_MESH_PORT;
   s->state_port = MM_DEFAULT_STATE_PORT;
   s->partitions = MM_DEFAULT_PARTITIONS;
@@ -265,7 +268,8 @@
   char *instance = g_strdup_printf ("%s.%" G_GINT64_MODIFIER "x", s->name,
                                     mm_clock_wall_ms ());
   char *addr = g_strdup_printf ("%s:%d", s->address, (int)s->mesh_port);
-  char *member = mm_members_name (instance, addr);
+  char *member = mm_members_name (
+      instance, *s->mesh_advertise ? s->mesh_advertise : addr);
   g_free (instance);
   g_free (addr);
   return member;
--- a/src/mm_node.h
+++ b/src/mm_node.h
@@ -10,18 +10,19 @@
 
 typedef struct
 {
-  char *name;         /* of the machine */
-  char *address;      /* IP address to listen on */
-  char *datacentre;   /* where it stands */
-  char **datacentres; /* all of them */
-  char *front;        /* "ip:port" for callers */
-  char *ready;        /* "ip:port" for the balancer */
-  char *store;        /* "ip:port" of the platform's store */
-  int64_t mesh_port;  /* for the other instances */
-  int64_t state_port; /* state dump for operators */
-  int64_t partitions; /* of a topic of the store */
-  char *interface;    /* "own" or "platform" */
-  int64_t grace_ms;   /* from SIGTERM to the kill */
+  char *name;           /* of the machine */
+  char *address;        /* IP address to listen on */
+  char *datacentre;     /* where it stands */
+  char **datacentres;   /* all of them */
+  char *front;          /* "ip:port" for callers */
+  char *ready;          /* "ip:port" for the balancer */
+  char *store;          /* "ip:port" of the platform's store */
+  char *mesh_advertise; /* "ip:port" told to the others, "" for our own */
+  int64_t mesh_port;    /* for the other instances */
+  int64_t state_port;   /* state dump for operators */
+  int64_t partitions;   /* of a topic of the store */
+  char *interface;      /* "own" or "platform" */
+  int64_t grace_ms;     /* from SIGTERM to the kill */
 } mm_node_settings;
 
 extern const mm_setting_spec mm_node_setting_specs[];
--- a/src/mm_run_server.c
+++ b/src/mm_run_server.c
@@ -10,7 +10,10 @@
 #include "config.h"
 #include "mm_run_json.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <string.h>
+#include <unistd.h>
 
 #define UPSTREAM_HEADER "X-Masticmill-Upstream"
 
@@ -45,6 +48,8 @@
   char *name;
   mm_need capacity;
   mm_run_table *table;
+  int log_fd;    /* -1 for none */
+  size_t logged; /* runs that are over and written */
   mm_run_mode mode;
   call_faults faults;
   GList *holds; /* waiting_hold */
@@ -58,10 +63,12 @@
  * @loop: the loop.
  * @name: the upstream; its incarnation's name adds the time of start.
  * @capacity: all it has.
+ * @log_file: takes a JSON line for each start and end as it happens, so
+ *            that a killed stand-in leaves its part; "" for none.
  */
 mm_run_server *
 mm_run_server_create (struct ev_loop *loop, const char *name,
-                      const mm_need *capacity)
+                      const mm_need *capacity, const char *log_file)
 {
   mm_run_server *s = g_new0 (mm_run_server, 1);
   s->loop = loop;
@@ -69,6 +76,10 @@
                              mm_clock_wall_ms ());
   s->capacity = *capacity;
   s->table = mm_run_table_create (capacity, false, MM_LEASE_MS);
+  s->log_fd = -1;
+  if (*log_file)
+    s->log_fd
+        = open (log_file, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644);
   ev_timer_init (&s->tick, tick_cb, MM_RUN_SERVER_TICK_MS / 1000.,
                  MM_RUN_SERVER_TICK_MS / 1000.);
   s->tick.data = s;
@@ -92,6 +103,8 @@
   g_list_free_full (s->holds, g_free);
   g_list_free_full (s->late, late_free);
   mm_run_table_destroy (s->table);
+  if (s->log_fd >= 0)
+    close (s->log_fd);
   g_free (s->name);
   g_free (s);
 }
@@ -127,6 +140,32 @@
   mm_http_request_on_left (req, on_caller_left, req);
 }
 
+static void
+log_line (mm_run_server *s, const char *event, const mm_task_id *task,
+          uint32_t number, const char *how)
+{
+  if (s->log_fd < 0)
+    return;
+  char line[256];
+  int n = g_snprintf (line, sizeof line,
+                      "{\"ms\":%" G_GINT64_FORMAT ",\"event\":\"%s\","
+                      "\"task\":\"%s/%u.%u\",\"run\":%u,\"how\":\"%s\"}\n",
+                      mm_clock_now_ms (), event, task->job, task->step,
+                      task->index, number, how);
+  if (write (s->log_fd, line, (size_t)n) != n)
+    g_warning ("run log: %s", strerror (errno));
+}
+
+static void
+log_ends (mm_run_server *s)
+{
+  size_t n;
+  const mm_run_past *p = mm_run_table_past (s->table, &n);
+  for (; s->logged < n; s->logged++)
+    log_line (s, "end", &p[s->logged].task, p[s->logged].number,
+              mm_end_name (p[s->logged].how));
+}
+
 static mm_call_verdict
 start (mm_run_server *s, const cJSON *in)
 {
@@ -136,8 +175,17 @@
   if (!mm_run_json_read_order (in, &o, &task))
     return MM_CALL_BAD;
   mm_run_json_read_work (o.payload, &work);
-  return mm_run_table_start (s->table, &o, &work.need, work.run_ms,
-                             mm_clock_now_ms ());
+  uint32_t starts = mm_run_table_counts (s->table).starts;
+  uint32_t over = mm_run_table_counts (s->table).over_capacity;
+  mm_call_verdict v = mm_run_table_start (s->table, &o, &work.need,
+                                          work.run_ms, mm_clock_now_ms ());
+  log_ends (s);
+  if (mm_run_table_counts (s->table).starts > starts)
+    log_line (s, "start", &task, o.run,
+              mm_run_table_counts (s->table).over_capacity > over
+                  ? "over_capacity"
+                  : "fits");
+  return v;
 }
 
 static bool
@@ -357,6 +405,7 @@
   mm_time_ms now = mm_clock_now_ms ();
   run_late_starts (s, now);
   mm_run_table_step (s->table, now);
+  log_ends (s);
   bool ended = mm_run_table_ended (s->table) > 0;
   GList *next;
   for (GList *l = s->holds; l; l = next)
--- a/src/mm_run_server.h
+++ b/src/mm_run_server.h
@@ -16,7 +16,8 @@
 typedef struct mm_run_server mm_run_server;
 
 mm_run_server *mm_run_server_create (struct ev_loop *loop, const char *name,
-                                     const mm_need *capacity);
+                                     const mm_need *capacity,
+                                     const char *log_file /* or "" */);
 void mm_run_server_destroy (mm_run_server *s);
 /* Take a request if its path is one of the above.  */
 bool mm_run_server_handle (mm_run_server *s, mm_http_request *req);
--- a/src/mm_upstream.c
+++ b/src/mm_upstream.c
@@ -127,6 +127,12 @@
   { "upstream.heartbeat_ms", MM_SETTING_INT,
     offsetof (mm_upstream_settings, heartbeat_ms), 50, 60000,
     "heartbeat period" },
+  { "upstream.advertise", MM_SETTING_STRING,
+    offsetof (mm_upstream_settings, advertise), 0, 0,
+    "host:port told to dispatchers, empty for our own" },
+  { "upstream.run_log", MM_SETTING_STRING,
+    offsetof (mm_upstream_settings, run_log), 0, 0,
+    "file that takes a line for each start and end, empty for none" },
   { NULL },
 };
 
@@ -142,6 +148,8 @@
   s->datacentre = g_strdup ("dc1");
   s->platform_url = g_strdup ("");
   s->heartbeat_ms = MM_DEFAULT_HEARTBEAT_MS;
+  s->advertise = g_strdup ("");
+  s->run_log = g_strdup ("");
 }
 
 static void
@@ -401,19 +409,21 @@
 report_to_stream (mm_upstream *u)
 {
   mm_need c = mm_run_server_capacity (u->runs);
+  char *own = g_strdup_printf ("%s:%u", u->settings.listen_host,
+                               mm_http_server_port (u->http));
   char *url = g_strdup_printf ("%s/v1/streams/upstreams/%s",
                                u->settings.platform_url,
                                mm_run_server_name (u->runs));
   char *body = g_strdup_printf (
-      "{\"address\":\"%s:%u\",\"service\":\"%s\",\"datacentre\":\"%s\","
+      "{\"address\":\"%s\",\"service\":\"%s\",\"datacentre\":\"%s\","
       "\"draining\":%s,\"slots\":%" G_GINT64_FORMAT
       ",\"cpu_milli\":%" G_GINT64_FORMAT ",\"mem_mb\":%" G_GINT64_FORMAT
       ",\"ttl_ms\":%" G_GINT64_FORMAT "}",
-      u->settings.listen_host, mm_http_server_port (u->http),
-      MM_STANDIN_SERVICE, u->settings.datacentre,
-      u->mode == MODE_DRAIN ? "true" : "false", u->settings.slots, c.cpu_milli,
-      c.mem_mb, 3 * u->settings.heartbeat_ms);
+      *u->settings.advertise ? u->settings.advertise : own, MM_STANDIN_SERVICE,
+      u->settings.datacentre, u->mode == MODE_DRAIN ? "true" : "false",
+      u->settings.slots, c.cpu_milli, c.mem_mb, 3 * u->settings.heartbeat_ms);
   mm_http_client_call (u->client, "PUT", url, body, 1000, heartbeat_done, u);
+  g_free (own);
   g_free (url);
   g_free (body);
 }
@@ -447,6 +457,8 @@
   dst->name = g_strdup (src->name);
   dst->datacentre = g_strdup (src->datacentre);
   dst->platform_url = g_strdup (src->platform_url);
+  dst->advertise = g_strdup (src->advertise);
+  dst->run_log = g_strdup (src->run_log);
 }
 
 /**
@@ -471,7 +483,7 @@
   g_queue_init (&u->frozen);
   mm_need capacity = { .cpu_milli = s->slots * MM_SLOT_CPU_MILLI,
                        .mem_mb = MM_STANDIN_MEM_MB };
-  u->runs = mm_run_server_create (loop, s->name, &capacity);
+  u->runs = mm_run_server_create (loop, s->name, &capacity, s->run_log);
   u->http = mm_http_server_create (loop, s->listen_host, (uint16_t)s->port,
                                    1 << 20, handle, u, error);
   if (!u->http)
@@ -503,6 +515,8 @@
   g_free (u->settings.name);
   g_free (u->settings.datacentre);
   g_free (u->settings.platform_url);
+  g_free (u->settings.advertise);
+  g_free (u->settings.run_log);
   g_free (u);
 }
 
