--- a/src/mm_explain.c
+++ b/src/mm_explain.c
@@ -126,6 +126,11 @@
   const line *x = *(line *const *)a, *y = *(line *const *)b;
   if (x->ts_ms != y->ts_ms)
     return x->ts_ms < y->ts_ms ? -1 : 1;
+  /* An answer comes after what led to it.  */
+  bool x_answers = is_event (x, "job_answered");
+  bool y_answers = is_event (y, "job_answered");
+  if (x_answers != y_answers)
+    return x_answers ? 1 : -1;
   return x->order < y->order ? -1 : x->order > y->order;
 }
 
@@ -200,12 +205,13 @@
   g_string_append_c (out, '\n');
 }
 
-/* The last own line of an event, with a field of that value if asked.  */
+/* The last own line of an event before line @upto, with a field of that
+   value if asked.  */
 static const line *
-last_own (const mm_explain *x, const char *event, const char *field,
-          const char *value)
+last_own (const mm_explain *x, guint upto, const char *event,
+          const char *field, const char *value)
 {
-  for (guint i = x->lines->len; i-- > 0;)
+  for (guint i = upto; i-- > 0;)
     {
       const line *l = x->lines->pdata[i];
       if (l->own && is_event (l, event)
@@ -243,11 +249,12 @@
 }
 
 static void
-cause_of_loss (const mm_explain *x, const scope *s, GString *out)
+cause_of_loss (const mm_explain *x, const scope *s, guint upto, GString *out)
 {
-  const line *t = last_own (x, "task_failed", "how", "unknown");
+  const line *t = last_own (x, upto, "task_failed", "how", "unknown");
   const line *handed
-      = t ? last_own (x, "task_handed", "task", text_of (t, "task")) : NULL;
+      = t ? last_own (x, upto, "task_handed", "task", text_of (t, "task"))
+          : NULL;
   const line *peer = handed ? context_of (x, s, "peer_lost", "peer",
                                           text_of (handed, "owner"))
                             : NULL;
@@ -271,9 +278,10 @@
 }
 
 static void
-cause_of_failure (const mm_explain *x, const scope *s, GString *out)
+cause_of_failure (const mm_explain *x, const scope *s, guint upto,
+                  GString *out)
 {
-  const line *t = last_own (x, "task_failed", "how", "failed");
+  const line *t = last_own (x, upto, "task_failed", "how", "failed");
   if (!t)
     {
       g_string_append (out, "failed; no line of a failed task was kept.");
@@ -289,18 +297,19 @@
         out, ". Upstream %s failed %lld tasks in a row, with good reports",
         text_of (excluded, "upstream"), number_of (excluded, "failures"));
   else
-    g_string_append (out, ". These upstreams ran other tasks well: the task "
-                          "itself fails");
+    g_string_append (out, ". No upstream was excluded for failures then: the "
+                          "task itself is likely at fault");
   g_string_append_c (out, '.');
 }
 
 static void
-cause_of_success (const mm_explain *x, GString *out, const line *answered)
+cause_of_success (const mm_explain *x, guint upto, GString *out)
 {
+  const line *answered = x->lines->pdata[upto];
   g_string_append_printf (out, "completed after %lld ms",
                           number_of (answered, "took_ms"));
   guint again = 0;
-  for (guint i = 0; i < x->lines->len; i++)
+  for (guint i = 0; i < upto; i++)
     {
       const line *l = x->lines->pdata[i];
       again += l->own && is_event (l, "task_failed");
@@ -312,32 +321,48 @@
 }
 
 static void
-append_cause (const mm_explain *x, const scope *s, GString *out)
+cause_of_answer (const mm_explain *x, const scope *s, guint at, GString *out)
 {
-  const line *refused = last_own (x, "job_refused", NULL, NULL);
-  const line *answered = last_own (x, "job_answered", NULL, NULL);
-  const line *left = last_own (x, "job_caller_left", NULL, NULL);
-  const char *outcome = answered ? text_of (answered, "outcome") : "";
-  g_string_append (out, "cause: ");
+  const line *l = x->lines->pdata[at];
+  const char *outcome = text_of (l, "outcome");
   if (strcmp (outcome, "completed") == 0)
-    cause_of_success (x, out, answered);
+    cause_of_success (x, at, out);
   else if (strcmp (outcome, "unknown") == 0)
-    cause_of_loss (x, s, out);
+    cause_of_loss (x, s, at, out);
   else if (strcmp (outcome, "failed") == 0)
-    cause_of_failure (x, s, out);
-  else if (answered)
-    g_string_append_printf (out, "%s after %lld ms: %s.", outcome,
-                            number_of (answered, "took_ms"),
-                            text_of (answered, "why"));
-  else if (left)
-    g_string_append_printf (out, "its caller left after %lld ms.",
-                            number_of (left, "took_ms"));
-  else if (refused)
-    cause_of_refusal (out, refused);
+    cause_of_failure (x, s, at, out);
   else
-    g_string_append (out, "no answer was logged: its instance ended before "
-                          "it, or its log is not among these.");
-  g_string_append_c (out, '\n');
+    g_string_append_printf (out, "%s after %lld ms: %s.", outcome,
+                            number_of (l, "took_ms"), text_of (l, "why"));
+}
+
+/* One cause for each answer: a job may have been sent more than once.  */
+static void
+append_causes (const mm_explain *x, const scope *s, GString *out)
+{
+  bool any = false;
+  for (guint i = 0; i < x->lines->len; i++)
+    {
+      const line *l = x->lines->pdata[i];
+      bool answered = l->own && is_event (l, "job_answered");
+      bool refused = l->own && is_event (l, "job_refused");
+      bool left = l->own && is_event (l, "job_caller_left");
+      if (!answered && !refused && !left)
+        continue;
+      any = true;
+      g_string_append (out, "cause: ");
+      if (answered)
+        cause_of_answer (x, s, i, out);
+      else if (refused)
+        cause_of_refusal (out, l);
+      else
+        g_string_append_printf (out, "its caller left after %lld ms.",
+                                number_of (l, "took_ms"));
+      g_string_append_c (out, '\n');
+    }
+  if (!any)
+    g_string_append (out, "cause: no answer was logged: its instance ended "
+                          "before it, or its log is not among these.\n");
 }
 
 /**
@@ -359,7 +384,7 @@
       for (guint i = 0; i < x->lines->len; i++)
         if (belongs (&s, x->lines->pdata[i]))
           append_line (x, out, x->lines->pdata[i], s.from_ms);
-      append_cause (x, &s, out);
+      append_causes (x, &s, out);
     }
   g_hash_table_destroy (s.names);
   g_hash_table_destroy (s.sources);
