--- a/src/config.h
+++ b/src/config.h
@@ -121,14 +121,14 @@
 /* A configuration is in force 2 s after it is published: a read that
    waits at the store learns of it at once, and a silent connection is
    noticed in time.  */
-#define MM_CONFIG_WAIT_MS 1200
+#define MM_CONFIG_WAIT_MS 1800
 /* Upstreams write to their list some 30 times a second, so no read waits
    there.  A leaving one must get no start 2 s after it said so.  */
-#define MM_LIST_POLL_MS 600
+#define MM_LIST_POLL_MS 900
 #define MM_LIST_DROP_MS 2500 /* missing entries come back within 2 s */
 #define MM_GROUP_TTL_MS 1500 /* a silent owner's upstreams go to others */
 #define MM_GROUP_BEAT_MS 300
-#define MM_MEMBERS_POLL_MS 2000 /* who the other instances are */
+#define MM_MEMBERS_POLL_MS 3000 /* who the other instances are */
 /* Upstreams to be handed over may finish what they run for so long.  */
 #define MM_HANDOVER_MS 1200
 /* Standing still for longer than this, an instance starts nothing of what
