--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -107,7 +107,7 @@
         self.left = {}          # upstream -> ms when it said that it leaves
         self.left_at = {}       # upstream -> [(that, ms when it was gone)]
         self.kills = {}         # upstream -> [ms]
-        self.version, self.seen_version, self.boot = 1, {}, {}
+        self.version, self.accepted, self.seen_version, self.boot = 1, 0, {}, {}
         self.end = False
         self.dim = []           # (from, to) ms in which an instance may not have read the store
         self.held = set()       # processes that a fault has in hand
@@ -202,7 +202,11 @@
         self.version += self.rnd.randint(1, 3)
         body = {"version": self.version,
                 "queues": [{"name": "q", "service": "tasks", "attempts": 3, "stretch": 3, "slo_ms": 400}]}
-        return await asyncio.to_thread(call, "PUT", self.port("platform", 0), "/v1/streams/config/config", body, 2)
+        version = self.version
+        status, _ = await asyncio.to_thread(call, "PUT", self.port("platform", 0), "/v1/streams/config/config", body, 2)
+        # Seed 213: one that the store refused (down) is in force nowhere.
+        if status == 200:
+            self.accepted = max(self.accepted, version)
 
     async def fault(self):
         r = self.rnd
@@ -383,8 +387,8 @@
             if answer.get("status") != "complete":
                 self.findings.append(f"back: node{i} answers {status} {answer.get('why')}")
             _, state = await asyncio.to_thread(call, "GET", self.port("state", i), "/", None, 2)
-            if state.get("config_version") != self.version:
-                self.findings.append(f"config: node{i} has {state.get('config_version')}, {self.version} was published")
+            if not self.accepted <= (state.get("config_version") or -1) <= self.version:
+                self.findings.append(f"config: node{i} has {state.get('config_version')}, {self.accepted} was accepted")
         await asyncio.sleep(1)
         self.judge()
 
--- a/src/config.h
+++ b/src/config.h
@@ -182,4 +182,9 @@
 #define MM_STREAM_SERVER_TICK_MS 5
 #define MM_STREAM_PAGE 100 /* newest records in one answer */
 
+/* Standing in for a data centre without instances (mm_holdings).  */
+#define MM_STANDBY_COUNT 2u        /* instances that do, the others do not */
+#define MM_STANDBY_AFTER_MS 100    /* a link that was only reset is back */
+#define MM_STANDBY_FORGET_MS 20000 /* restarted or replaced by then */
+
 #endif /* MM_CONFIG_H */
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -51,6 +51,9 @@
   [MM_EV_GROUP_CHANGED]
   = { "group_changed", KEEP_ALL, "group generation ours leaving",
       "the store shared the data centre's partitions out anew" },
+  [MM_EV_STANDBY]
+  = { "standby", KEEP_ALL, "datacentre closed_ms",
+      "its instances are gone; this one shares in its upstreams" },
   [MM_EV_PEER_REACHED] = { "peer_reached", KEEP_ALL, "peer address",
                            "tasks can be handed to this instance" },
   [MM_EV_PEER_LOST] = { "peer_lost", KEEP_ALL, "peer why tasks",
--- /dev/null
+++ b/src/mm_holdings.h
@@ -0,0 +1,34 @@
+/* mm_holdings: the data centres whose upstreams this instance shares in.
+
+   Its own, always.  Another one while none of that one's own instances is
+   left: killed, stopped or being replaced, they would leave a quarter of
+   all upstreams idle.  */
+#ifndef MM_HOLDINGS_H
+#define MM_HOLDINGS_H
+
+#include "mm_mesh.h"
+#include "mm_shares.h"
+
+typedef struct mm_holdings mm_holdings;
+
+typedef struct
+{
+  /* Does nothing run any more on what is leaving in a data centre?  */
+  bool (*quiet) (void *ctx, const char *datacentre);
+  void *ctx;
+} mm_holdings_events;
+
+mm_holdings *mm_holdings_create (const mm_store_port *port, mm_mesh *mesh,
+                                 char *const *datacentres, const char *own,
+                                 const char *member, uint32_t parts,
+                                 const mm_holdings_events *ev);
+void mm_holdings_destroy (mm_holdings *h);
+void mm_holdings_tick (mm_holdings *h);
+mm_share_state mm_holdings_of (const mm_holdings *h, const mm_upstream_info *u,
+                               uint64_t *fence);
+void mm_holdings_retake (mm_holdings *h, const mm_upstream_info *u);
+void mm_holdings_leave (mm_holdings *h); /* give up all, once quiet */
+bool mm_holdings_left (const mm_holdings *h);
+uint64_t mm_holdings_generation (const mm_holdings *h); /* of all, summed */
+
+#endif /* MM_HOLDINGS_H */
--- a/src/mm_members.c
+++ b/src/mm_members.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #define NAME_SEPARATOR '@'
+#define DATACENTRE_SEPARATOR '/'
 
 typedef struct
 {
@@ -30,9 +31,10 @@
 };
 
 char *
-mm_members_name (const char *instance, const char *mesh_addr)
+mm_members_name (const char *instance, const char *mesh_addr, const char *dc)
 {
-  return g_strdup_printf ("%s%c%s", instance, NAME_SEPARATOR, mesh_addr);
+  return g_strdup_printf ("%s%c%s%c%s", instance, NAME_SEPARATOR, mesh_addr,
+                          DATACENTRE_SEPARATOR, dc);
 }
 
 char *
@@ -86,19 +88,43 @@
   members_unref (m);
 }
 
+/* INSTANCE@ADDRESS/DATACENTRE; the parts are freed by _clear.  */
+static bool
+read_name (const char *name, mm_peer_info *out)
+{
+  const char *at = strchr (name, NAME_SEPARATOR);
+  const char *slash = at ? strchr (at, DATACENTRE_SEPARATOR) : NULL;
+  if (!slash)
+    {
+      g_warning ("store: member %s passed over: not a name of ours", name);
+      return false;
+    }
+  out->name = g_strdup (name);
+  out->addr = g_strndup (at + 1, (gsize)(slash - at - 1));
+  out->datacentre = g_strdup (slash + 1);
+  return true;
+}
+
+static void
+peer_info_clear (gpointer p)
+{
+  mm_peer_info *i = p;
+  g_free (i->name);
+  g_free (i->addr);
+  g_free (i->datacentre);
+}
+
 static void
 publish (mm_members *m)
 {
   GArray *peers = g_array_new (FALSE, FALSE, sizeof (mm_peer_info));
+  g_array_set_clear_func (peers, peer_info_clear);
   for (size_t i = 0; i < m->n; i++)
     for (char **w = m->dcs[i].who; w && *w; w++)
       {
-        char *addr = strrchr (*w, NAME_SEPARATOR);
-        if (!addr || strcmp (*w, m->self) == 0)
-          continue;
-        mm_peer_info p
-            = { .name = *w, .addr = addr + 1, .datacentre = m->dcs[i].name };
-        g_array_append_val (peers, p);
+        mm_peer_info p;
+        if (strcmp (*w, m->self) != 0 && read_name (*w, &p))
+          g_array_append_val (peers, p);
       }
   mm_mesh_set_peers (m->mesh, (mm_peer_info *)(void *)peers->data, peers->len);
   g_array_free (peers, TRUE);
--- a/src/mm_members.h
+++ b/src/mm_members.h
@@ -7,8 +7,10 @@
 
 typedef struct mm_members mm_members;
 
-/* A member's name carries its mesh address.  */
-char *mm_members_name (const char *instance, const char *mesh_addr);
+/* A member's name carries its mesh address and its data centre, as it may
+   be a member of another data centre's group too.  */
+char *mm_members_name (const char *instance, const char *mesh_addr,
+                       const char *datacentre);
 char *mm_members_group (const char *datacentre); /* its group's name */
 
 mm_members *mm_members_create (const mm_store_port *port, mm_mesh *mesh,
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -67,8 +67,11 @@
   ev_io accept_io;
   GHashTable *peers; /* name -> peer */
   GList *inbound;
+  GHashTable *closed_ms; /* data centre -> when a link was closed */
 };
 
+static const char silent[] = "silent"; /* why a link was given up */
+
 /* ---- the owner's side ------------------------------------------------- */
 
 static void
@@ -249,12 +252,26 @@
 static const mm_work_result out_of_contact
     = { .how = MM_END_UNKNOWN, .why = "owner out of contact" };
 
+/* A process that ends closes its links; one that is cut off, frozen or
+   without power leaves them silent.  */
+static void
+note_closed (peer *p, const char *why)
+{
+  if (why == silent)
+    return;
+  mm_time_ms *now = g_new (mm_time_ms, 1);
+  *now = mm_clock_now_ms ();
+  g_hash_table_replace (p->mesh->closed_ms, g_strdup (p->info.datacentre),
+                        now);
+}
+
 static void
 on_peer_closed (void *ctx, const char *why)
 {
   peer *p = ctx;
   if (p->connected)
     {
+      note_closed (p, why);
       mm_metrics_count (MM_CT_PEERS_LOST);
       mm_log_event (MM_EV_PEER_LOST, MM_TEXT (p->info.name), MM_TEXT (why),
                     MM_INT (g_hash_table_size (p->remote)));
@@ -309,7 +326,7 @@
 peer_tick (peer *p, mm_time_ms now)
 {
   if (p->link && now - mm_link_heard_ms (p->link) > MM_MESH_SILENT_MS)
-    mm_link_close (p->link, "silent");
+    mm_link_close (p->link, silent);
   if (!p->link)
     {
       peer_connect (p, now);
@@ -349,6 +366,8 @@
   m->loop = loop;
   m->owner = owner;
   m->self = g_strdup (self);
+  m->closed_ms
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   m->listen_fd = fd;
   m->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
   ev_io_init (&m->accept_io, accept_cb, fd, EV_READ);
@@ -367,6 +386,7 @@
   while (m->inbound)
     mm_link_close (((inbound *)m->inbound->data)->link, "shutdown");
   g_hash_table_destroy (m->peers);
+  g_hash_table_destroy (m->closed_ms);
   g_free (m->self);
   g_free (m);
 }
@@ -494,6 +514,24 @@
   g_free (r);
 }
 
+mm_mesh_presence
+mm_mesh_presence_in (const mm_mesh *m, const char *datacentre)
+{
+  mm_mesh_presence r = { 0 };
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      const peer *p = v;
+      r.connected
+          += p->connected && strcmp (p->info.datacentre, datacentre) == 0;
+    }
+  const mm_time_ms *closed = g_hash_table_lookup (m->closed_ms, datacentre);
+  r.closed_ms = closed ? *closed : 0;
+  return r;
+}
+
 uint32_t
 mm_mesh_connected (const mm_mesh *m)
 {
@@ -535,7 +573,7 @@
       next = l->next;
       inbound *in = l->data;
       if (now - mm_link_heard_ms (in->link) > MM_MESH_SILENT_MS)
-        mm_link_close (in->link, "silent");
+        mm_link_close (in->link, silent);
       else
         send_report (in, rooms, n, now);
     }
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -33,7 +33,16 @@
                            const mm_task_request *t, mm_work_done done,
                            void *ctx);          /* NULL: not connected */
 void mm_mesh_cancel (mm_mesh *m, mm_remote *r); /* @done is not called */
-uint32_t mm_mesh_connected (const mm_mesh *m);  /* peers in touch */
+/* Instances of a data centre, as seen over the links to them.  */
+typedef struct
+{
+  uint32_t connected;
+  mm_time_ms closed_ms; /* when one last closed its link, 0: never */
+} mm_mesh_presence;
+
+mm_mesh_presence mm_mesh_presence_in (const mm_mesh *m,
+                                      const char *datacentre);
+uint32_t mm_mesh_connected (const mm_mesh *m); /* peers in touch */
 void mm_mesh_woke (mm_mesh *m); /* we stood still: every link is cut */
 void mm_mesh_tick (mm_mesh *m); /* each MM_EXEC_TICK_MS */
 
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -4,10 +4,10 @@
 #include "config.h"
 #include "mm_catalog.h"
 #include "mm_event.h"
+#include "mm_holdings.h"
 #include "mm_metrics.h"
 #include "mm_log_sink.h"
 #include "mm_members.h"
-#include "mm_shares.h"
 #include "mm_stream.h"
 
 #include <cJSON.h>
@@ -24,7 +24,7 @@
   mm_routes *routes;
   mm_stream *config;
   mm_stream *upstreams;
-  mm_shares *shares;
+  mm_holdings *holdings;
   mm_members *members;
   mm_owner *owner;
   mm_mesh *mesh;
@@ -130,9 +130,7 @@
 reconcile_one (mm_node *n, const mm_upstream_info *u)
 {
   uint64_t fence = 0;
-  bool here = strcmp (u->datacentre, n->s.datacentre) == 0;
-  mm_share_state state
-      = here ? mm_shares_of (n->shares, u->name, &fence) : MM_SHARE_OTHERS;
+  mm_share_state state = mm_holdings_of (n->holdings, u, &fence);
   switch (state)
     {
     case MM_SHARE_OTHERS:
@@ -144,8 +142,8 @@
     case MM_SHARE_OURS:
       if (mm_owner_fenced (n->owner, u->name))
         {
-          mm_shares_retake (n->shares, u->name);
-          mm_shares_of (n->shares, u->name, &fence);
+          mm_holdings_retake (n->holdings, u);
+          mm_holdings_of (n->holdings, u, &fence);
         }
       mm_owner_own (n->owner, u, fence);
       break;
@@ -168,26 +166,20 @@
 }
 
 static bool
-handover_quiet (mm_node *n)
-{
-  bool quiet = true;
-  uint64_t fence;
-  GList *owned = mm_owner_names (n->owner);
-  for (GList *l = owned; l; l = l->next)
-    if (mm_shares_of (n->shares, l->data, &fence) == MM_SHARE_LEAVING
-        && !mm_owner_quiet (n->owner, l->data))
-      quiet = false;
-  g_list_free (owned);
-  return quiet;
-}
-
-static bool
-all_quiet (mm_node *n)
+handover_quiet (void *ctx, const char *datacentre)
 {
+  mm_node *n = ctx;
   bool quiet = true;
   GList *owned = mm_owner_names (n->owner);
   for (GList *l = owned; l; l = l->next)
-    quiet = quiet && mm_owner_quiet (n->owner, l->data);
+    {
+      uint64_t fence;
+      const mm_upstream_info *u = mm_catalog_find (n->catalog, l->data);
+      if (u && strcmp (u->datacentre, datacentre) == 0
+          && mm_holdings_of (n->holdings, u, &fence) == MM_SHARE_LEAVING
+          && !mm_owner_quiet (n->owner, l->data))
+        quiet = false;
+    }
   g_list_free (owned);
   return quiet;
 }
@@ -196,7 +188,7 @@
 tick_ownership (mm_node *n, mm_time_ms now)
 {
   uint64_t changes = mm_catalog_changes (n->catalog);
-  uint64_t generation = mm_shares_generation (n->shares);
+  uint64_t generation = mm_holdings_generation (n->holdings);
   bool changed = changes != n->reconciled_changes
                  || generation != n->reconciled_generation;
   if (changed || now - n->reconciled_ms >= MM_RECONCILE_MS)
@@ -206,10 +198,6 @@
       n->reconciled_ms = now;
       reconcile (n);
     }
-  if (mm_shares_releasing (n->shares) && handover_quiet (n))
-    mm_shares_release (n->shares);
-  if (n->leaving_ms && (all_quiet (n) || now - n->leaving_ms > MM_HANDOVER_MS))
-    mm_shares_leave (n->shares);
 }
 
 static void
@@ -220,7 +208,7 @@
   mm_stream_tick (n->config);
   mm_stream_tick (n->upstreams);
   mm_catalog_tick (n->catalog, mm_stream_in_touch (n->upstreams));
-  mm_shares_tick (n->shares);
+  mm_holdings_tick (n->holdings);
   mm_members_tick (n->members);
   tick_ownership (n, now);
   mm_mesh_tick (n->mesh);
@@ -269,7 +257,7 @@
                                     mm_clock_wall_ms ());
   char *addr = g_strdup_printf ("%s:%d", s->address, (int)s->mesh_port);
   char *member = mm_members_name (
-      instance, *s->mesh_advertise ? s->mesh_advertise : addr);
+      instance, *s->mesh_advertise ? s->mesh_advertise : addr, s->datacentre);
   g_free (instance);
   g_free (addr);
   return member;
@@ -290,10 +278,11 @@
                                 &config);
   n->upstreams = mm_stream_create (store, MM_STREAM_UPSTREAMS, 0,
                                    MM_LIST_POLL_MS, &list);
-  char *group = mm_members_group (s->datacentre);
-  n->shares = mm_shares_create (store, group, member, (uint32_t)s->partitions);
+  mm_holdings_events ev = { .quiet = handover_quiet, .ctx = n };
+  n->holdings
+      = mm_holdings_create (store, n->mesh, s->datacentres, s->datacentre,
+                            member, (uint32_t)s->partitions, &ev);
   n->members = mm_members_create (store, n->mesh, s->datacentres, member);
-  g_free (group);
 }
 
 /**
@@ -343,7 +332,7 @@
   mm_members_destroy (n->members);
   mm_mesh_destroy (n->mesh);
   mm_owner_destroy (n->owner);
-  mm_shares_destroy (n->shares);
+  mm_holdings_destroy (n->holdings);
   mm_stream_destroy (n->config);
   mm_stream_destroy (n->upstreams);
   mm_catalog_destroy (n->catalog);
@@ -399,6 +388,7 @@
     return;
   n->leaving_ms = mm_clock_now_ms ();
   mm_owner_set_closed (n->owner, true);
+  mm_holdings_leave (n->holdings);
 }
 
 bool
@@ -409,7 +399,7 @@
   mm_time_ms since = mm_clock_now_ms () - n->leaving_ms;
   if (since >= n->s.grace_ms - MM_LEAVE_MARGIN_MS)
     return true;
-  return since >= MM_LEAVE_DRAIN_MS && mm_shares_left (n->shares)
+  return since >= MM_LEAVE_DRAIN_MS && mm_holdings_left (n->holdings)
          && mm_jobs_count (n->jobs) == 0 && open_connections == 0;
 }
 
@@ -430,7 +420,8 @@
   mm_metrics_set (MM_GG_RUNS_UNSURE, g.unsure);
   mm_metrics_set (MM_GG_CONFIG_VERSION,
                   n->routes ? (int64_t)n->routes->version : 0);
-  mm_metrics_set (MM_GG_GENERATION, (int64_t)mm_shares_generation (n->shares));
+  mm_metrics_set (MM_GG_GENERATION,
+                  (int64_t)mm_holdings_generation (n->holdings));
   mm_metrics_set (MM_GG_LOG_DROPPED, (int64_t)mm_log_sink_dropped ());
   return mm_metrics_text ();
 }
@@ -446,7 +437,7 @@
   cJSON_AddNumberToObject (d, "config_version",
                            n->routes ? (double)n->routes->version : 0);
   cJSON_AddNumberToObject (d, "generation",
-                           (double)mm_shares_generation (n->shares));
+                           (double)mm_holdings_generation (n->holdings));
   cJSON_AddNumberToObject (d, "peers", mm_mesh_connected (n->mesh));
   cJSON_AddNumberToObject (d, "jobs", mm_jobs_count (n->jobs));
   char *owner = mm_owner_dump (n->owner);
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -13,6 +13,7 @@
 
 pid_t h_platform, h_upstreams[8], h_entries[8];
 const char *h_platform_extra, *h_entry_extra;
+const char *h_datacentres[8];
 int h_platform_port, h_upstream_ports[8], h_entry_ports[8];
 static int n_up, n_en;
 
@@ -256,7 +257,9 @@
 h_start_node (int i)
 {
   int base = h_port_base ();
-  char set[6][80];
+  char set[7][80];
+  const char *dc = h_datacentres[i] ? h_datacentres[i] : "dc1";
+  g_snprintf (set[6], 80, "node.datacentre=\"%s\"", dc);
   h_entry_ports[i] = base + 20 + i;
   g_snprintf (set[0], 80, "node.name=\"node%d\"", i);
   g_snprintf (set[1], 80, "node.front=\"127.0.0.1:%d\"", base + 20 + i);
@@ -264,8 +267,9 @@
   g_snprintf (set[3], 80, "node.mesh_port=%d", base + 28 + i);
   g_snprintf (set[4], 80, "node.state_port=%d", base + 32 + i);
   g_snprintf (set[5], 80, "store.address=\"127.0.0.1:%d\"", base);
-  h_entries[i] = h_start ("masticmill-node", set[0], set[1], set[2], set[3],
-                          set[4], set[5], NULL);
+  h_entries[i]
+      = h_start ("masticmill-node", set[0], set[1], set[2], set[3], set[4],
+                 set[5], set[6], "node.datacentres=[\"dc1\",\"dc2\"]", NULL);
   n_en = MAX (n_en, i + 1);
 }
 
@@ -314,7 +318,9 @@
 start_upstream (int i, int slots)
 {
   int base = h_port_base ();
-  char set[4][64];
+  char set[5][64];
+  const char *dc = h_datacentres[i] ? h_datacentres[i] : "dc1";
+  g_snprintf (set[4], 64, "upstream.datacentre=\"%s\"", dc);
   h_upstream_ports[i] = base + 10 + i;
   g_snprintf (set[0], 64, "upstream.port=%d", h_upstream_ports[i]);
   g_snprintf (set[1], 64, "upstream.name=\"up%d\"", i);
@@ -322,7 +328,7 @@
               base);
   g_snprintf (set[3], 64, "upstream.slots=%d", slots);
   h_upstreams[i] = h_start ("masticmill-upstream", set[0], set[1], set[2],
-                            set[3], "upstream.heartbeat_ms=200", NULL);
+                            set[3], set[4], "upstream.heartbeat_ms=200", NULL);
   n_up = MAX (n_up, i + 1);
 }
 
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -36,6 +36,7 @@
    h_entry_ports are the instances'.  */
 void h_nodes (int n_upstreams, int slots, int n_nodes);
 void h_start_node (int i);
+extern const char *h_datacentres[8]; /* of instance and upstream i, or NULL */
 int h_node_state_port (int i);
 bool h_wait_nodes (int n_nodes, int n_upstreams, mm_time_ms timeout_ms);
 extern const char *h_platform_extra, *h_entry_extra; /* one more --set */
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -277,6 +277,31 @@
 }
 END_TEST
 
+/* The only instance of a data centre dies, is stopped, comes back.  Its
+   upstreams would stand idle meanwhile, a half of all: the other data
+   centre's instance stands in, and hands them back.  */
+START_TEST (data_centre_without_instances_is_stood_in_for)
+{
+  static const int signals[] = { SIGKILL, SIGTERM };
+  h_datacentres[1] = h_datacentres[3] = "dc2";
+  h_nodes (4, 2, 2);
+  for (int i = 0; i < 2; i++)
+    {
+      h_stop (h_entries[1], signals[i]);
+      ck_assert (h_wait_nodes (1, 4, 5000));
+      ck_assert (h_answered (submit (0, "all-four", 8, 100, true)));
+      h_start_node (1);
+      ck_assert (h_wait_nodes (2, 4, 8000));
+      sleep_ms (3000);
+      ck_assert (h_wait_nodes (2, 4, 100));
+      ck_assert (!owns_nothing (1));
+      ck_assert (h_answered (submit (1, "again", 8, 100, true)));
+    }
+  assert_kept_promises (4);
+  h_cluster_stop ();
+}
+END_TEST
+
 /* The store is down: what is known goes on being served, by instances
    that keep their upstreams.  Its return takes nothing away.  */
 START_TEST (outage_of_the_store_stops_no_caller)
@@ -483,6 +508,7 @@
   tcase_add_test (c, orders_carried_out_late_find_room);
   tcase_add_test (c, graceful_stop_cuts_off_nothing);
   tcase_add_test (c, job_longer_than_the_grace_is_not_called_unrun);
+  tcase_add_test (c, data_centre_without_instances_is_stood_in_for);
   tcase_add_test (c, outage_of_the_store_stops_no_caller);
   tcase_add_test (c, dropped_history_and_new_deal_are_survived);
   tcase_add_test (c, upstream_that_fails_everything_fails_no_job);
