--- a/fuzz/fuzz_wire.c
+++ b/fuzz/fuzz_wire.c
@@ -93,6 +93,7 @@
   mm_mesh_pack_report (&b, 7, "node", &room, 1);
   mm_mesh_pack_cancel (&b, 7);
   mm_mesh_pack_beat (&b);
+  mm_mesh_pack_hello (&b, "node");
   return b;
 }
 
--- a/src/mm_members.c
+++ b/src/mm_members.c
@@ -59,6 +59,45 @@
   g_free (m);
 }
 
+/* INSTANCE@ADDRESS/DATACENTRE; the parts are freed by _clear.  */
+static bool
+read_name (const char *name, mm_peer_info *out)
+{
+  const char *at = strchr (name, NAME_SEPARATOR);
+  const char *slash = at ? strchr (at, DATACENTRE_SEPARATOR) : NULL;
+  if (!slash)
+    {
+      g_warning ("store: member %s passed over: not a name of ours", name);
+      return false;
+    }
+  out->name = g_strdup (name);
+  out->addr = g_strndup (at + 1, (gsize)(slash - at - 1));
+  out->datacentre = g_strdup (slash + 1);
+  return true;
+}
+
+static void
+peer_info_clear (gpointer p)
+{
+  mm_peer_info *i = p;
+  g_free (i->name);
+  g_free (i->addr);
+  g_free (i->datacentre);
+}
+
+/* A restarted instance reads the list and links to all: they need not wait
+   for their next reading of the list to use its upstreams.  */
+static void
+on_hello (void *ctx, const char *name)
+{
+  mm_members *m = ctx;
+  mm_peer_info p;
+  if (strcmp (name, m->self) == 0 || !read_name (name, &p))
+    return;
+  mm_mesh_add_peer (m->mesh, &p);
+  peer_info_clear (&p);
+}
+
 mm_members *
 mm_members_create (const mm_store_port *port, mm_mesh *mesh,
                    char *const *datacentres, const char *self)
@@ -68,6 +107,7 @@
   m->port = *port;
   m->mesh = mesh;
   m->self = g_strdup (self);
+  mm_mesh_on_hello (mesh, on_hello, m);
   m->n = g_strv_length ((char **)datacentres);
   m->dcs = g_new0 (datacentre, m->n + 1);
   for (size_t i = 0; i < m->n; i++)
@@ -85,35 +125,10 @@
   if (!m)
     return;
   m->closed = true;
+  mm_mesh_on_hello (m->mesh, NULL, NULL);
   members_unref (m);
 }
 
-/* INSTANCE@ADDRESS/DATACENTRE; the parts are freed by _clear.  */
-static bool
-read_name (const char *name, mm_peer_info *out)
-{
-  const char *at = strchr (name, NAME_SEPARATOR);
-  const char *slash = at ? strchr (at, DATACENTRE_SEPARATOR) : NULL;
-  if (!slash)
-    {
-      g_warning ("store: member %s passed over: not a name of ours", name);
-      return false;
-    }
-  out->name = g_strdup (name);
-  out->addr = g_strndup (at + 1, (gsize)(slash - at - 1));
-  out->datacentre = g_strdup (slash + 1);
-  return true;
-}
-
-static void
-peer_info_clear (gpointer p)
-{
-  mm_peer_info *i = p;
-  g_free (i->name);
-  g_free (i->addr);
-  g_free (i->datacentre);
-}
-
 static void
 publish (mm_members *m)
 {
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -67,6 +67,8 @@
   ev_io accept_io;
   GHashTable *peers; /* name -> peer */
   GList *inbound;
+  mm_mesh_hello hello;
+  void *hello_ctx;
   GHashTable *closed_ms; /* data centre -> when a link was closed */
 };
 
@@ -120,8 +122,10 @@
     take_run (in, &m);
   else if (ok && m.kind == MM_MESH_CANCEL)
     take_cancel (in, m.no);
+  else if (ok && m.kind == MM_MESH_HELLO && in->mesh->hello)
+    in->mesh->hello (in->mesh->hello_ctx, m.name);
   else
-    ok = ok && m.kind == MM_MESH_BEAT;
+    ok = ok && (m.kind == MM_MESH_BEAT || m.kind == MM_MESH_HELLO);
   mm_mesh_msg_clear (&m);
   return ok;
 }
@@ -304,8 +308,16 @@
   p->next_no = p->seen_no = 0;
   p->link = mm_link_connect (p->mesh->loop, p->info.addr, &ev, &error);
   if (!p->link)
-    g_warning ("mesh: %s", error->message);
-  g_clear_error (&error);
+    {
+      g_warning ("mesh: %s", error->message);
+      g_error_free (error);
+      return;
+    }
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init (&b);
+  mm_mesh_pack_hello (&b, p->mesh->self);
+  mm_link_send (p->link, &b);
+  msgpack_sbuffer_destroy (&b);
 }
 
 static void
@@ -419,17 +431,34 @@
     if (!((peer *)v)->connected && !is_listed (k, peers, n))
       g_hash_table_iter_remove (&it);
   for (size_t i = 0; i < n; i++)
-    {
-      if (g_hash_table_contains (m->peers, peers[i].name))
-        continue;
-      peer *p = g_new0 (peer, 1);
-      p->mesh = m;
-      p->info.name = g_strdup (peers[i].name);
-      p->info.addr = g_strdup (peers[i].addr);
-      p->info.datacentre = g_strdup (peers[i].datacentre);
-      p->remote = g_hash_table_new (g_int64_hash, g_int64_equal);
-      g_hash_table_insert (m->peers, p->info.name, p);
-    }
+    mm_mesh_add_peer (m, &peers[i]);
+}
+
+/**
+ * mm_mesh_on_hello() - learn of instances that link to us.
+ * @m: the mesh.
+ * @hello: called with the name of each.
+ * @ctx: for @hello.
+ */
+void
+mm_mesh_on_hello (mm_mesh *m, mm_mesh_hello hello, void *ctx)
+{
+  m->hello = hello;
+  m->hello_ctx = ctx;
+}
+
+void
+mm_mesh_add_peer (mm_mesh *m, const mm_peer_info *info)
+{
+  if (g_hash_table_contains (m->peers, info->name))
+    return;
+  peer *p = g_new0 (peer, 1);
+  p->mesh = m;
+  p->info.name = g_strdup (info->name);
+  p->info.addr = g_strdup (info->addr);
+  p->info.datacentre = g_strdup (info->datacentre);
+  p->remote = g_hash_table_new (g_int64_hash, g_int64_equal);
+  g_hash_table_insert (m->peers, p->info.name, p);
 }
 
 static mm_room_report
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -26,6 +26,10 @@
                          const char *host, uint16_t port, mm_owner *owner,
                          GError **error); /* listen */
 void mm_mesh_destroy (mm_mesh *m);
+typedef void (*mm_mesh_hello) (void *ctx, const char *name);
+void mm_mesh_on_hello (mm_mesh *m, mm_mesh_hello hello,
+                       void *ctx); /* an instance has linked to us */
+void mm_mesh_add_peer (mm_mesh *m, const mm_peer_info *p); /* copied */
 void mm_mesh_set_peers (mm_mesh *m, const mm_peer_info *peers, size_t n);
 size_t mm_mesh_places (const mm_mesh *m, const char *service,
                        mm_mesh_place *out, size_t cap); /* connected ones */
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -63,6 +63,14 @@
   msgpack_pack_uint64 (&pk, no);
 }
 
+void
+mm_mesh_pack_hello (msgpack_sbuffer *b, const char *name)
+{
+  msgpack_packer pk;
+  begin (&pk, b, 2, MM_MESH_HELLO);
+  pack_text (&pk, name);
+}
+
 void
 mm_mesh_pack_beat (msgpack_sbuffer *b)
 {
@@ -247,6 +255,8 @@
       return n == 1;
     case MM_MESH_ENDED:
       return n == ENDED_FIELDS && read_ended (f, out);
+    case MM_MESH_HELLO:
+      return n == 2 && read_text (&f[1], false, (const char **)&out->name);
     case MM_MESH_REPORT:
       return n == REPORT_FIELDS && read_report (f, out);
     }
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -5,6 +5,7 @@
       mem_mb, gpus, priority, estimate_ms, due_within_ms, start_within_ms]
      [CANCEL, no]
      [BEAT]
+     [HELLO, name]                 first of all
    Back:
      [ENDED, no, how, upstream, ran_ms, why]
      [REPORT, seen_no, name, [[service, places, free, waiting], ...]]  */
@@ -21,7 +22,8 @@
   MM_MESH_CANCEL = 2,
   MM_MESH_BEAT = 3,
   MM_MESH_ENDED = 4,
-  MM_MESH_REPORT = 5
+  MM_MESH_REPORT = 5,
+  MM_MESH_HELLO = 6
 } mm_mesh_kind;
 
 #define MM_MESH_MAX_SERVICES 64 /* rows of a report that are read */
@@ -38,7 +40,7 @@
   uint64_t no;             /* RUN, CANCEL, ENDED; REPORT: highest RUN seen */
   mm_task_request request; /* RUN; strings are copies, see _clear */
   mm_work_result result;   /* ENDED; strings are copies, see _clear */
-  char *name;              /* REPORT: of the instance that sends it */
+  char *name;              /* REPORT, HELLO: of the sender */
   mm_mesh_room *rooms;     /* REPORT */
   size_t n_rooms;
 } mm_mesh_msg;
@@ -48,6 +50,7 @@
 void mm_mesh_pack_run (msgpack_sbuffer *b, uint64_t no,
                        const mm_task_request *t);
 void mm_mesh_pack_cancel (msgpack_sbuffer *b, uint64_t no);
+void mm_mesh_pack_hello (msgpack_sbuffer *b, const char *name);
 void mm_mesh_pack_beat (msgpack_sbuffer *b);
 void mm_mesh_pack_ended (msgpack_sbuffer *b, uint64_t no,
                          const mm_work_result *r);
