--- a/daemons/masticmill_node.c
+++ b/daemons/masticmill_node.c
@@ -11,99 +11,36 @@
 #include <stdio.h>
 #include <string.h>
 
-/* Callers' side of one interface.  */
-typedef struct
-{
-  void *(*create) (struct ev_loop *loop, const mm_node_settings *s,
-                   mm_node *node, GError **error);
-  void (*destroy) (void *front);
-  void (*set_leaving) (void *front);
-  uint32_t (*connections) (const void *front);
-} front_port;
-
 typedef struct
 {
   struct ev_loop *loop;
   mm_node *node;
-  front_port front_port;
-  void *front;
+  mm_front *front;
+  mm_http_handler on_request; /* of callers */
   mm_http_client *to_upstreams;
   mm_http_client *to_store;
-  mm_exec_port exec;
+  mm_exec_http *exec;
   mm_store_port store;
   ev_timer leave_timer;
   mm_time_ms leave_ms;
 } process;
 
-static void *
-platform_front (struct ev_loop *loop, const mm_node_settings *s, mm_node *node,
-                GError **error)
-{
-  return pf_front_create (loop, s, node, error);
-}
-
-static void
-platform_front_destroy (void *front)
-{
-  pf_front_destroy (front);
-}
-
-static void
-platform_front_leaving (void *front)
-{
-  pf_front_set_leaving (front);
-}
-
-static uint32_t
-platform_front_connections (const void *front)
-{
-  return pf_front_connections (front);
-}
-
-static void *
-own_front (struct ev_loop *loop, const mm_node_settings *s, mm_node *node,
-           GError **error)
-{
-  return mm_own_front_create (loop, s, node, error);
-}
-
-static void
-own_front_destroy (void *front)
-{
-  mm_own_front_destroy (front);
-}
-
-static void
-own_front_leaving (void *front)
-{
-  mm_own_front_set_leaving (front);
-}
-
-static uint32_t
-own_front_connections (const void *front)
-{
-  return mm_own_front_connections (front);
-}
-
 static bool
 choose_interface (process *p, const mm_node_settings *s, GError **error)
 {
   if (strcmp (s->interface, "platform") == 0)
     {
-      p->exec = pf_exec_port (p->to_upstreams);
+      p->exec = mm_exec_http_create (p->to_upstreams, &pf_exec_wire);
       p->store = pf_store_port (pf_store_create (p->to_store, s->store));
-      p->front_port
-          = (front_port){ platform_front, platform_front_destroy,
-                          platform_front_leaving, platform_front_connections };
+      p->on_request = pf_front_request;
       return true;
     }
   if (strcmp (s->interface, "own") == 0)
     {
-      p->exec = mm_own_exec_port (p->to_upstreams);
+      p->exec = mm_exec_http_create (p->to_upstreams, &mm_own_exec_wire);
       p->store
           = mm_own_store_port (mm_own_store_create (p->to_store, s->store));
-      p->front_port = (front_port){ own_front, own_front_destroy,
-                                    own_front_leaving, own_front_connections };
+      p->on_request = mm_own_front_request;
       return true;
     }
   g_set_error (error, MM_ERROR, MM_ERROR_CONFIG_RANGE,
@@ -116,8 +53,8 @@
 {
   process *p = w->data;
   if (mm_clock_now_ms () - p->leave_ms >= MM_LEAVE_DRAIN_MS)
-    p->front_port.set_leaving (p->front);
-  if (mm_node_left (p->node, p->front_port.connections (p->front)))
+    mm_front_set_leaving (p->front);
+  if (mm_node_left (p->node, mm_front_connections (p->front)))
     ev_break (loop, EVBREAK_ALL);
 }
 
@@ -179,9 +116,10 @@
   mm_http_client_set_member (p->to_store, s->name);
   if (!choose_interface (p, s, error))
     return false;
-  p->node = mm_node_create (p->loop, s, &p->exec, &p->store, error);
+  mm_exec_port exec = mm_exec_http_port (p->exec);
+  p->node = mm_node_create (p->loop, s, &exec, &p->store, error);
   if (p->node)
-    p->front = p->front_port.create (p->loop, s, p->node, error);
+    p->front = mm_front_create (p->loop, s, p->node, p->on_request, error);
   return p->front
          && mm_http_server_create (
              p->loop, s->address, (uint16_t)s->state_port,
@@ -205,9 +143,9 @@
                 MM_TEXT (s->front));
   ev_run (p.loop, 0);
   mm_log_event (MM_EV_STOPPED, MM_INT (mm_jobs_count (mm_node_jobs (p.node))),
-                MM_INT (p.front_port.connections (p.front)));
+                MM_INT (mm_front_connections (p.front)));
   mm_jobs_abandon (mm_node_jobs (p.node), "this instance has stopped");
-  p.front_port.destroy (p.front);
+  mm_front_destroy (p.front);
   mm_log_close ();
   return 0;
 }
--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -199,6 +199,7 @@
                             void *ctx); /* async call */
   void mm_http_client_send (mm_http_client *c, const mm_http_call *call,
                             mm_http_done done, void *ctx);     /* async call */
+  char *mm_http_failure_text (const mm_http_result *res);      /* for logs */
   uint32_t mm_http_client_in_flight (const mm_http_client *c); /* open calls */
   char *mm_http_call_sync (const char *method, const char *url,
                            const char *body, mm_time_ms timeout_ms,
--- a/src/config.h
+++ b/src/config.h
@@ -86,6 +86,8 @@
 #define MM_TRUST_FAILURES 3u
 #define MM_TRUST_EXCLUDE_MS 1000 /* the first exclusion's length */
 #define MM_TRUST_MAX_DOUBLINGS 3u
+#define MM_SPEED_GAIN 0.2  /* weight of one run in an upstream's slowness */
+#define MM_USUAL_GAIN 0.05 /* weight of one task in the usual size */
 #define MM_PLACE_SPEED_STEP 0.25 /* estimates are off by up to 40 % */
 
 /* Queue of an owner (mm_owner).  */
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -7,7 +7,7 @@
    - a stop of that run was answered and a later hold shows no trace of
      it (a run stopped ahead of its start is rejected), or
    - the order's deadline has passed on the upstream's clock.  */
-#include "mm_exec.h"
+#include "mm_exec_priv.h"
 
 #include "config.h"
 #include "mm_event.h"
@@ -15,73 +15,6 @@
 
 #include <string.h>
 
-typedef enum
-{
-  RUN_ORDERED, /* start sent, no answer yet */
-  RUN_UNSURE,  /* no answer came */
-  RUN_RUNNING  /* the upstream has said so */
-} run_phase;
-
-typedef struct
-{
-  mm_exec *exec;
-  mm_task_id id;
-  uint32_t number; /* of this start of the task */
-  mm_need need;
-  void *work; /* the owner's handle, NULL once given up */
-  run_phase phase;
-  bool foreign;       /* found there, an earlier owner's */
-  bool stop_wanted;   /* by the owner, or as the start was unanswered */
-  bool stop_by_owner; /* reported as stopped, not as not run */
-  bool start_in_flight;
-  bool stop_in_flight;
-  uint64_t running_event;       /* when RUN_RUNNING was learned, 0: not yet */
-  uint64_t stop_answered_event; /* 0: not yet */
-  mm_time_ms ordered_ms;
-  mm_time_ms sent_ms; /* the last start order */
-  mm_time_ms estimate_ms;
-  int32_t percent;
-  char *payload; /* for a start under another number */
-  bool gone;     /* removed from the table, call still open */
-} run;
-
-struct mm_exec
-{
-  int refs; /* the owner's, and one a call in flight */
-  bool closed;
-  mm_upstream_info *info;
-  uint64_t fence;
-  mm_exec_port port;
-  mm_exec_events ev;
-  GHashTable *runs; /* mm_task_id -> run */
-  mm_need used;
-  uint32_t n_foreign;
-  bool seen;    /* a hold was answered: we know what runs there */
-  bool suspect; /* the last call got no answer */
-  bool fenced;
-  bool gone; /* that incarnation is no more */
-  int holds_in_flight;
-  uint64_t events;           /* orders calls and answers of this session */
-  mm_time_ms hold_sent_ms;   /* the last one */
-  uint64_t hold_taken_event; /* sending of the newest one answered */
-  mm_time_ms hold_failed_ms; /* when the last one failed, 0: it did not */
-  mm_time_ms lease_until_ms; /* our clock: nothing runs past it */
-  mm_time_ms unacked_since_ms;
-  uint64_t seen_seq;  /* ends seen */
-  uint64_t acked_seq; /* ends a hold was answered for */
-  bool clock_known;
-  mm_time_ms clock_offset_ms; /* upstream's clock minus ours, at most */
-  double slowness;
-};
-
-typedef struct
-{
-  mm_exec *exec;
-  run *run; /* NULL for a hold */
-  uint64_t sent_event;
-  uint64_t acked_seq;
-} call;
-
 const char *
 mm_call_verdict_name (mm_call_verdict v)
 {
@@ -92,7 +25,6 @@
 }
 
 static void send_hold (mm_exec *x, mm_time_ms wait_ms, bool renew);
-static void send_stop (run *r, bool fresh);
 
 static void
 exec_unref (mm_exec *x)
@@ -107,14 +39,14 @@
 static void
 run_free (gpointer p)
 {
-  run *r = p;
+  mm_exec_run *r = p;
   g_free (r->payload);
   g_free (r);
 }
 
 /* Tell the owner, once.  */
 static void
-report (run *r, mm_end how, const char *why)
+report (mm_exec_run *r, mm_end how, const char *why)
 {
   void *work = r->work;
   mm_exec *x = r->exec;
@@ -125,7 +57,7 @@
 }
 
 static void
-free_if_over (run *r)
+free_if_over (mm_exec_run *r)
 {
   if (r->gone && !r->start_in_flight && !r->stop_in_flight)
     run_free (r);
@@ -133,8 +65,8 @@
 
 /* The run is over: its room is free.  The struct lives on while a call
    about it is open (see call_close).  */
-static void
-release (run *r, mm_end how, const char *why)
+void
+mm_exec_release (mm_exec_run *r, mm_end how, const char *why)
 {
   mm_exec *x = r->exec;
   if (r->gone)
@@ -150,8 +82,8 @@
     x->ev.room (x->ev.ctx, x);
 }
 
-static void
-learn_clock (mm_exec *x, const mm_call_result *res)
+void
+mm_exec_learn_clock (mm_exec *x, const mm_call_result *res)
 {
   if (res->clock_ms < 0)
     return;
@@ -170,8 +102,8 @@
   x->suspect = true;
 }
 
-static void
-become_usable (mm_exec *x)
+void
+mm_exec_become_usable (mm_exec *x)
 {
   if (x->suspect)
     mm_log_event (MM_EV_UPSTREAM_BACK, MM_TEXT (x->info->name));
@@ -179,7 +111,7 @@
 }
 
 static void
-note_unanswered (const run *r, const char *what)
+note_unanswered (const mm_exec_run *r, const char *what)
 {
   mm_metrics_count (MM_CT_ORDERS_UNANSWERED);
   mm_log_event (MM_EV_TASK_ORDER_UNANSWERED, MM_TASK (&r->id),
@@ -187,10 +119,10 @@
                 MM_TEXT (what));
 }
 
-static call *
-call_open (mm_exec *x, run *r)
+static mm_exec_call *
+call_open (mm_exec *x, mm_exec_run *r)
 {
-  call *c = g_new0 (call, 1);
+  mm_exec_call *c = g_new0 (mm_exec_call, 1);
   c->exec = x;
   c->run = r;
   c->sent_event = ++x->events;
@@ -200,7 +132,7 @@
 
 /* Return: whether the session still lives.  */
 static bool
-call_close (call *c)
+call_close (mm_exec_call *c)
 {
   mm_exec *x = c->exec;
   bool live = !x->closed;
@@ -212,12 +144,12 @@
 /* Another owner has taken over: what runs is its to stop, and out of our
    sight, but for @refused (or NULL), whose start was what told us.  */
 static void
-become_fenced (mm_exec *x, run *refused)
+become_fenced (mm_exec *x, mm_exec_run *refused)
 {
   bool known = x->fenced;
   x->fenced = true;
   if (refused)
-    release (refused, MM_END_NOT_RUN, "fenced");
+    mm_exec_release (refused, MM_END_NOT_RUN, "fenced");
   if (known || x->closed)
     return;
   GList *runs = g_hash_table_get_values (x->runs);
@@ -233,7 +165,7 @@
 {
   GList *runs = g_hash_table_get_values (x->runs);
   for (GList *l = runs; l && !x->closed; l = l->next)
-    release (l->data, MM_END_LOST, why);
+    mm_exec_release (l->data, MM_END_LOST, why);
   g_list_free (runs);
 }
 
@@ -247,9 +179,9 @@
 static void
 on_stop_answer (const mm_call_result *res, void *ctx)
 {
-  call *c = ctx;
+  mm_exec_call *c = ctx;
   mm_exec *x = c->exec;
-  run *r = c->run;
+  mm_exec_run *r = c->run;
   r->stop_in_flight = false;
   if (x->closed || r->gone)
     {
@@ -257,12 +189,12 @@
       call_close (c);
       return;
     }
-  learn_clock (x, res);
+  mm_exec_learn_clock (x, res);
   switch (res->verdict)
     {
     case MM_CALL_OK:
       r->stop_answered_event = ++x->events;
-      become_usable (x);
+      mm_exec_become_usable (x);
       /* Never seen to run: only a hold after this can show that it is not
          there; a waiting hold would show it up to its wait later.  */
       if (r->phase != RUN_RUNNING)
@@ -277,14 +209,14 @@
     default:
       note_unanswered (r, "stop");
       become_suspect (x, "stop", res->verdict);
-      send_stop (r, true);
+      mm_exec_send_stop (r, true);
       break;
     }
   call_close (c);
 }
 
-static void
-send_stop (run *r, bool fresh)
+void
+mm_exec_send_stop (mm_exec_run *r, bool fresh)
 {
   mm_exec *x = r->exec;
   if (r->stop_in_flight || r->stop_answered_event || x->fenced || x->gone)
@@ -298,10 +230,10 @@
   x->port.stop (x->port.ctx, x->info, &o, on_stop_answer, call_open (x, r));
 }
 
-static void send_start (run *r);
+static void send_start (mm_exec_run *r);
 
-static void
-set_running (run *r)
+void
+mm_exec_set_running (mm_exec_run *r)
 {
   r->phase = RUN_RUNNING;
   if (!r->running_event)
@@ -309,21 +241,22 @@
 }
 
 static void
-on_start_verdict (run *r, mm_call_verdict v)
+on_start_verdict (mm_exec_run *r, mm_call_verdict v)
 {
   mm_exec *x = r->exec;
   switch (v)
     {
     case MM_CALL_OK:
-      set_running (r);
+      mm_exec_set_running (r);
       if (r->stop_wanted)
-        send_stop (r, false);
+        mm_exec_send_stop (r, false);
       break;
     case MM_CALL_OLD_RUN:
       if (r->stop_wanted)
         {
-          release (r, r->stop_by_owner ? MM_END_STOPPED : MM_END_NOT_RUN,
-                   "stopped before its start");
+          mm_exec_release (r,
+                           r->stop_by_owner ? MM_END_STOPPED : MM_END_NOT_RUN,
+                           "stopped before its start");
           break;
         }
       r->number *= 2;
@@ -334,28 +267,28 @@
       note_unanswered (r, "start");
       become_suspect (x, "start", v);
       r->stop_wanted = true;
-      send_stop (r, true);
+      mm_exec_send_stop (r, true);
       break;
     case MM_CALL_FENCED:
       become_fenced (x, r);
       break;
     case MM_CALL_GONE:
-      release (r, MM_END_NOT_RUN, "upstream restarted");
+      mm_exec_release (r, MM_END_NOT_RUN, "upstream restarted");
       if (!x->closed)
         on_gone (x);
       break;
     case MM_CALL_BAD:
-      release (r, MM_END_FAILED, "start not understood");
+      mm_exec_release (r, MM_END_FAILED, "start not understood");
       break;
     case MM_CALL_REFUSED:
       x->ev.refused (x->ev.ctx, x);
       become_suspect (x, "start", v);
-      release (r, MM_END_NOT_RUN, mm_call_verdict_name (v));
+      mm_exec_release (r, MM_END_NOT_RUN, mm_call_verdict_name (v));
       break;
     case MM_CALL_LATE:
     case MM_CALL_NO_ROOM:
       become_suspect (x, "start", v);
-      release (r, MM_END_NOT_RUN, mm_call_verdict_name (v));
+      mm_exec_release (r, MM_END_NOT_RUN, mm_call_verdict_name (v));
       break;
     }
 }
@@ -363,9 +296,9 @@
 static void
 on_start_answer (const mm_call_result *res, void *ctx)
 {
-  call *c = ctx;
+  mm_exec_call *c = ctx;
   mm_exec *x = c->exec;
-  run *r = c->run;
+  mm_exec_run *r = c->run;
   r->start_in_flight = false;
   if (x->closed || r->gone)
     {
@@ -373,7 +306,7 @@
       call_close (c);
       return;
     }
-  learn_clock (x, res);
+  mm_exec_learn_clock (x, res);
   mm_metrics_time (MM_HG_START_CALL, mm_clock_now_ms () - r->sent_ms);
   /* A hold may have shown it running before this answer came.  */
   if (r->phase == RUN_ORDERED)
@@ -393,7 +326,7 @@
 }
 
 static void
-send_start (run *r)
+send_start (mm_exec_run *r)
 {
   mm_exec *x = r->exec;
   r->phase = RUN_ORDERED;
@@ -417,7 +350,7 @@
 void
 mm_exec_start (mm_exec *x, const mm_task_request *t, void *work)
 {
-  run *r = g_new0 (run, 1);
+  mm_exec_run *r = g_new0 (mm_exec_run, 1);
   r->exec = x;
   r->id = t->id;
   r->number = 1;
@@ -446,146 +379,21 @@
   g_hash_table_iter_init (&it, x->runs);
   while (g_hash_table_iter_next (&it, NULL, &v))
     {
-      run *r = v;
+      mm_exec_run *r = v;
       if (r->work != work)
         continue;
       r->stop_wanted = r->stop_by_owner = true;
       mm_log_event (MM_EV_TASK_STOPPED, MM_TASK (&r->id),
                     MM_TEXT (x->info->name), MM_TEXT ("nobody waits for it"));
-      send_stop (r, false);
+      mm_exec_send_stop (r, false);
       return;
     }
 }
 
-static void
-learn_speed (mm_exec *x, const run *r)
-{
-  if (r->estimate_ms <= 0 || r->phase != RUN_RUNNING)
-    return;
-  double ratio
-      = (double)(mm_clock_now_ms () - r->ordered_ms) / (double)r->estimate_ms;
-  x->slowness += 0.2 * (ratio - x->slowness);
-}
-
-static void
-take_ends (mm_exec *x, const mm_hold_result *res)
-{
-  for (size_t i = 0; i < res->n_ended && !x->closed; i++)
-    {
-      const mm_ended *e = &res->ended[i];
-      if (e->seq <= x->seen_seq)
-        continue;
-      x->seen_seq = e->seq;
-      run *r = g_hash_table_lookup (x->runs, &e->task);
-      if (!r || r->number != e->run)
-        continue;
-      if (e->how == MM_END_DONE)
-        learn_speed (x, r);
-      /* One that was stopped as its start had no answer is reported as
-         stopped too: it ran for a while, which "not run" would deny.  */
-      release (r, e->how, "listed");
-    }
-  if (x->seen_seq > x->acked_seq && !x->unacked_since_ms)
-    x->unacked_since_ms = mm_clock_now_ms ();
-}
-
-/* A run of an earlier owner, whom nobody asks about any more: stop it.
-   Its size is unknown, so nothing starts here until it is gone.  */
-static void
-take_foreign (mm_exec *x, const mm_running *seen)
-{
-  run *r = g_new0 (run, 1);
-  r->exec = x;
-  r->id = seen->task;
-  r->number = seen->run;
-  r->foreign = true;
-  r->ordered_ms = mm_clock_now_ms ();
-  set_running (r);
-  r->stop_wanted = r->stop_by_owner = true;
-  x->n_foreign++;
-  mm_metrics_count (MM_CT_FOREIGN_RUNS);
-  mm_log_event (MM_EV_TASK_FOREIGN, MM_TASK (&r->id), MM_TEXT (x->info->name),
-                MM_INT (r->number));
-  g_hash_table_insert (x->runs, &r->id, r);
-  send_stop (r, false);
-}
-
-static void
-take_running (mm_exec *x, const mm_hold_result *res, GHashTable *present)
-{
-  for (size_t i = 0; i < res->n_running; i++)
-    {
-      const mm_running *seen = &res->running[i];
-      run *r = g_hash_table_lookup (x->runs, &seen->task);
-      if (!r)
-        {
-          take_foreign (x, seen);
-          r = g_hash_table_lookup (x->runs, &seen->task);
-        }
-      else if (r->number == seen->run)
-        {
-          set_running (r);
-          r->percent = seen->percent;
-          if (r->stop_wanted)
-            send_stop (r, false);
-        }
-      g_hash_table_add (present, r);
-    }
-}
-
-/* Runs that the upstream should know and does not name.  */
-static void
-take_absent (mm_exec *x, GHashTable *present, uint64_t sent_event)
-{
-  GList *runs = g_hash_table_get_values (x->runs);
-  for (GList *l = runs; l && !x->closed; l = l->next)
-    {
-      run *r = l->data;
-      if (g_hash_table_contains (present, r) || r->phase == RUN_ORDERED)
-        continue;
-      bool stopped
-          = r->stop_answered_event && r->stop_answered_event < sent_event;
-      bool ran = r->running_event && r->running_event < sent_event;
-      if (r->phase == RUN_UNSURE && stopped)
-        release (r, r->stop_by_owner ? MM_END_STOPPED : MM_END_NOT_RUN,
-                 "start unanswered, stopped ahead of it");
-      else if (ran)
-        release (r, MM_END_LOST, "not listed any more");
-    }
-  g_list_free (runs);
-}
-
-static void
-on_hold_ok (mm_exec *x, const call *c, const mm_hold_result *res)
-{
-  learn_clock (x, &res->call);
-  become_usable (x);
-  x->hold_failed_ms = 0;
-  x->acked_seq = MAX (x->acked_seq, c->acked_seq);
-  if (x->acked_seq >= x->seen_seq)
-    x->unacked_since_ms = 0;
-  /* Answers on two connections may overtake each other: an older picture
-     would show ended runs as running.  */
-  if (c->sent_event < x->hold_taken_event)
-    return;
-  x->hold_taken_event = c->sent_event;
-  GHashTable *present = g_hash_table_new (NULL, NULL);
-  bool first = !x->seen;
-  x->seen = true;
-  take_ends (x, res);
-  if (!x->closed)
-    take_running (x, res, present);
-  if (!x->closed)
-    take_absent (x, present, c->sent_event);
-  g_hash_table_destroy (present);
-  if (first && !x->closed)
-    x->ev.room (x->ev.ctx, x);
-}
-
 static void
 on_hold_answer (const mm_hold_result *res, void *ctx)
 {
-  call *c = ctx;
+  mm_exec_call *c = ctx;
   mm_exec *x = c->exec;
   x->holds_in_flight--;
   if (x->closed)
@@ -598,7 +406,7 @@
     case MM_CALL_OK:
       {
         bool was_suspect = x->suspect;
-        on_hold_ok (x, c, res);
+        mm_exec_take_lists (x, c, res);
         if (was_suspect && !x->closed)
           x->ev.room (x->ev.ctx, x);
         if (!x->closed)
@@ -634,7 +442,7 @@
     h.deadline_ms = lease_deadline (x);
   x->holds_in_flight++;
   mm_metrics_count (MM_CT_HOLDS);
-  call *c = call_open (x, NULL);
+  mm_exec_call *c = call_open (x, NULL);
   c->acked_seq = x->seen_seq;
   x->hold_sent_ms = mm_clock_now_ms ();
   x->port.hold (x->port.ctx, x->info, &h, on_hold_answer, c);
@@ -649,12 +457,13 @@
   GList *runs = g_hash_table_get_values (x->runs);
   for (GList *l = runs; l && !x->closed; l = l->next)
     {
-      run *r = l->data;
+      mm_exec_run *r = l->data;
       if (r->phase == RUN_ORDERED)
         continue;
       if (lease_over)
-        release (r, r->phase == RUN_RUNNING ? MM_END_LOST : MM_END_NOT_RUN,
-                 "lease expired out of contact");
+        mm_exec_release (
+            r, r->phase == RUN_RUNNING ? MM_END_LOST : MM_END_NOT_RUN,
+            "lease expired out of contact");
     }
   g_list_free (runs);
   if (lease_over)
@@ -669,7 +478,7 @@
   gpointer v;
   g_hash_table_iter_init (&it, x->runs);
   while (g_hash_table_iter_next (&it, NULL, &v))
-    if (((run *)v)->work && !((run *)v)->stop_wanted)
+    if (((mm_exec_run *)v)->work && !((mm_exec_run *)v)->stop_wanted)
       return true;
   return false;
 }
@@ -744,7 +553,7 @@
   g_hash_table_iter_init (&it, x->runs);
   while (g_hash_table_iter_next (&it, NULL, &v))
     {
-      run *r = v;
+      mm_exec_run *r = v;
       if (!r->stop_in_flight && !r->start_in_flight)
         continue;
       r->gone = true;
@@ -816,7 +625,7 @@
   gpointer v;
   g_hash_table_iter_init (&it, x->runs);
   while (g_hash_table_iter_next (&it, NULL, &v))
-    n += ((run *)v)->phase == RUN_UNSURE;
+    n += ((mm_exec_run *)v)->phase == RUN_UNSURE;
   return n;
 }
 
--- /dev/null
+++ b/src/mm_exec_lists.c
@@ -0,0 +1,132 @@
+/* mm_exec_lists: compare what an upstream lists with what we believe.  */
+#include "mm_exec_priv.h"
+
+#include "config.h"
+#include "mm_event.h"
+#include "mm_metrics.h"
+
+static void
+learn_speed (mm_exec *x, const mm_exec_run *r)
+{
+  if (r->estimate_ms <= 0 || r->phase != RUN_RUNNING)
+    return;
+  double ratio
+      = (double)(mm_clock_now_ms () - r->ordered_ms) / (double)r->estimate_ms;
+  x->slowness += MM_SPEED_GAIN * (ratio - x->slowness);
+}
+
+static void
+take_ends (mm_exec *x, const mm_hold_result *res)
+{
+  for (size_t i = 0; i < res->n_ended && !x->closed; i++)
+    {
+      const mm_ended *e = &res->ended[i];
+      if (e->seq <= x->seen_seq)
+        continue;
+      x->seen_seq = e->seq;
+      mm_exec_run *r = g_hash_table_lookup (x->runs, &e->task);
+      if (!r || r->number != e->run)
+        continue;
+      if (e->how == MM_END_DONE)
+        learn_speed (x, r);
+      /* One that was stopped as its start had no answer is reported as
+         stopped too: it ran for a while, which "not run" would deny.  */
+      mm_exec_release (r, e->how, "listed");
+    }
+  if (x->seen_seq > x->acked_seq && !x->unacked_since_ms)
+    x->unacked_since_ms = mm_clock_now_ms ();
+}
+
+/* A run of an earlier owner, whom nobody asks about any more: stop it.
+   Its size is unknown, so nothing starts here until it is gone.  */
+static void
+take_foreign (mm_exec *x, const mm_running *seen)
+{
+  mm_exec_run *r = g_new0 (mm_exec_run, 1);
+  r->exec = x;
+  r->id = seen->task;
+  r->number = seen->run;
+  r->foreign = true;
+  r->ordered_ms = mm_clock_now_ms ();
+  mm_exec_set_running (r);
+  r->stop_wanted = r->stop_by_owner = true;
+  x->n_foreign++;
+  mm_metrics_count (MM_CT_FOREIGN_RUNS);
+  mm_log_event (MM_EV_TASK_FOREIGN, MM_TASK (&r->id), MM_TEXT (x->info->name),
+                MM_INT (r->number));
+  g_hash_table_insert (x->runs, &r->id, r);
+  mm_exec_send_stop (r, false);
+}
+
+static void
+take_running (mm_exec *x, const mm_hold_result *res, GHashTable *present)
+{
+  for (size_t i = 0; i < res->n_running; i++)
+    {
+      const mm_running *seen = &res->running[i];
+      mm_exec_run *r = g_hash_table_lookup (x->runs, &seen->task);
+      if (!r)
+        {
+          take_foreign (x, seen);
+          r = g_hash_table_lookup (x->runs, &seen->task);
+        }
+      else if (r->number == seen->run)
+        {
+          mm_exec_set_running (r);
+          r->percent = seen->percent;
+          if (r->stop_wanted)
+            mm_exec_send_stop (r, false);
+        }
+      g_hash_table_add (present, r);
+    }
+}
+
+/* Runs that the upstream should know and does not name.  */
+static void
+take_absent (mm_exec *x, GHashTable *present, uint64_t sent_event)
+{
+  GList *runs = g_hash_table_get_values (x->runs);
+  for (GList *l = runs; l && !x->closed; l = l->next)
+    {
+      mm_exec_run *r = l->data;
+      if (g_hash_table_contains (present, r) || r->phase == RUN_ORDERED)
+        continue;
+      bool stopped
+          = r->stop_answered_event && r->stop_answered_event < sent_event;
+      bool ran = r->running_event && r->running_event < sent_event;
+      if (r->phase == RUN_UNSURE && stopped)
+        mm_exec_release (r, r->stop_by_owner ? MM_END_STOPPED : MM_END_NOT_RUN,
+                         "start unanswered, stopped ahead of it");
+      else if (ran)
+        mm_exec_release (r, MM_END_LOST, "not listed any more");
+    }
+  g_list_free (runs);
+}
+
+void
+mm_exec_take_lists (mm_exec *x, const mm_exec_call *c,
+                    const mm_hold_result *res)
+{
+  mm_exec_learn_clock (x, &res->call);
+  mm_exec_become_usable (x);
+  x->hold_failed_ms = 0;
+  x->acked_seq = MAX (x->acked_seq, c->acked_seq);
+  if (x->acked_seq >= x->seen_seq)
+    x->unacked_since_ms = 0;
+  /* Answers on two connections may overtake each other: an older picture
+     would show ended runs as running.  */
+  if (c->sent_event < x->hold_taken_event)
+    return;
+  x->hold_taken_event = c->sent_event;
+  GHashTable *present = g_hash_table_new (NULL, NULL);
+  bool first = !x->seen;
+  x->seen = true;
+  take_ends (x, res);
+  if (!x->closed)
+    take_running (x, res, present);
+  if (!x->closed)
+    take_absent (x, present, c->sent_event);
+  g_hash_table_destroy (present);
+  if (first && !x->closed)
+    x->ev.room (x->ev.ctx, x);
+}
--- /dev/null
+++ b/src/mm_exec_priv.h
@@ -0,0 +1,85 @@
+/* mm_exec_priv: what the parts of a session share.  Internal to mm_exec.  */
+#ifndef MM_EXEC_PRIV_H
+#define MM_EXEC_PRIV_H
+
+#include "mm_exec.h"
+
+typedef enum
+{
+  RUN_ORDERED, /* start sent, no answer yet */
+  RUN_UNSURE,  /* no answer came */
+  RUN_RUNNING  /* the upstream has said so */
+} mm_exec_phase;
+
+typedef struct
+{
+  mm_exec *exec;
+  mm_task_id id;
+  uint32_t number; /* of this start of the task */
+  mm_need need;
+  void *work; /* the owner's handle, NULL once given up */
+  mm_exec_phase phase;
+  bool foreign;       /* found there, an earlier owner's */
+  bool stop_wanted;   /* by the owner, or as the start was unanswered */
+  bool stop_by_owner; /* reported as stopped, not as not run */
+  bool start_in_flight;
+  bool stop_in_flight;
+  uint64_t running_event;       /* when RUN_RUNNING was learned, 0: not yet */
+  uint64_t stop_answered_event; /* 0: not yet */
+  mm_time_ms ordered_ms;
+  mm_time_ms sent_ms; /* the last start order */
+  mm_time_ms estimate_ms;
+  int32_t percent;
+  char *payload; /* for a start under another number */
+  bool gone;     /* removed from the table, call still open */
+} mm_exec_run;
+
+struct mm_exec
+{
+  int refs; /* the owner's, and one a call in flight */
+  bool closed;
+  mm_upstream_info *info;
+  uint64_t fence;
+  mm_exec_port port;
+  mm_exec_events ev;
+  GHashTable *runs; /* mm_task_id -> run */
+  mm_need used;
+  uint32_t n_foreign;
+  bool seen;    /* a hold was answered: we know what runs there */
+  bool suspect; /* the last call got no answer */
+  bool fenced;
+  bool gone; /* that incarnation is no more */
+  int holds_in_flight;
+  uint64_t events;           /* orders calls and answers of this session */
+  mm_time_ms hold_sent_ms;   /* the last one */
+  uint64_t hold_taken_event; /* sending of the newest one answered */
+  mm_time_ms hold_failed_ms; /* when the last one failed, 0: it did not */
+  mm_time_ms lease_until_ms; /* our clock: nothing runs past it */
+  mm_time_ms unacked_since_ms;
+  uint64_t seen_seq;  /* ends seen */
+  uint64_t acked_seq; /* ends a hold was answered for */
+  bool clock_known;
+  mm_time_ms clock_offset_ms; /* upstream's clock minus ours, at most */
+  double slowness;
+};
+
+typedef struct
+{
+  mm_exec *exec;
+  mm_exec_run *run; /* NULL for a hold */
+  uint64_t sent_event;
+  uint64_t acked_seq;
+} mm_exec_call;
+
+/* The run is over: its room is free, and the owner is told.  */
+void mm_exec_release (mm_exec_run *r, mm_end how, const char *why);
+void mm_exec_send_stop (mm_exec_run *r, bool fresh); /* unless one is out */
+void mm_exec_set_running (mm_exec_run *r); /* the upstream has said so */
+void mm_exec_learn_clock (mm_exec *x, const mm_call_result *res);
+void mm_exec_become_usable (mm_exec *x); /* it answers again */
+
+/* mm_exec_lists.c: what a hold shows */
+void mm_exec_take_lists (mm_exec *x, const mm_exec_call *c,
+                         const mm_hold_result *res);
+
+#endif /* MM_EXEC_PRIV_H */
--- a/src/mm_http_client.c
+++ b/src/mm_http_client.c
@@ -330,6 +330,20 @@
   mm_http_client_send (c, &spec, done, ctx);
 }
 
+/**
+ * mm_http_failure_text() - why a call was not answered well.
+ * @res: its result.
+ *
+ * Return: for logs, g_free().
+ */
+char *
+mm_http_failure_text (const mm_http_result *res)
+{
+  if (res->error)
+    return g_strdup (res->error->message);
+  return g_strdup_printf ("status %ld", res->status);
+}
+
 /**
  * mm_http_call_sync() - a blocking HTTP call, for the command line.
  * @method: "GET", "POST", ...
--- a/src/mm_own_front.c
+++ b/src/mm_own_front.c
@@ -1,4 +1,4 @@
-/* mm_own_front: callers' jobs at POST /v1/jobs, readiness at GET /v1/ready.
+/* mm_own_front: callers' jobs at POST /v1/jobs.
 
    The job is answered when it has ended; its queue is "queue" in the body
    or the first one of the configuration.  */
@@ -9,16 +9,9 @@
 #include <cJSON.h>
 #include <string.h>
 
-struct mm_own_front
-{
-  mm_node *node;
-  mm_http_server *front;
-  mm_http_server *ready;
-};
-
 typedef struct
 {
-  mm_own_front *front;
+  mm_front *front;
   mm_http_request *req;
   mm_caller *caller;
   mm_job *job; /* as it was sent: names of tasks */
@@ -31,15 +24,6 @@
   g_free (w);
 }
 
-static void
-reply_error (mm_http_request *req, unsigned status, mm_error_code code,
-             const char *why, uint32_t retry_after_s)
-{
-  char *body = mm_json_error_body (code, why, retry_after_s);
-  mm_http_reply (req, status, body, retry_after_s);
-  free (body);
-}
-
 static const char *
 task_state (const mm_answer *a, uint32_t i)
 {
@@ -96,8 +80,8 @@
 on_left (void *ctx)
 {
   waiting *w = ctx;
-  mm_jobs_caller_left (mm_node_jobs (w->front->node), w->caller);
-  reply_error (w->req, 502, MM_ERROR_IO, "caller left", 0);
+  mm_jobs_caller_left (mm_node_jobs (mm_front_node (w->front)), w->caller);
+  mm_front_error (w->req, 502, MM_ERROR_IO, "caller left", 0);
   waiting_free (w);
 }
 
@@ -187,22 +171,23 @@
 }
 
 static void
-post_job (mm_own_front *f, mm_http_request *req)
+post_job (mm_front *f, mm_http_request *req)
 {
   size_t len;
   const char *body = mm_http_request_body (req, &len);
-  const mm_routes *routes = mm_node_routes (f->node);
+  const mm_routes *routes = mm_node_routes (mm_front_node (f));
   const mm_route *queue = routes ? queue_of (routes, body, len) : NULL;
   GError *error = NULL;
   mm_time_ms patience_ms = 0;
   mm_submission *s = mm_own_submission (body, len, &patience_ms, &error);
   if (!s)
-    reply_error (req, 400, (mm_error_code)error->code, error->message, 0);
-  else if (!routes || !mm_node_takes_jobs (f->node))
-    reply_error (req, 503, MM_ERROR_OVERLOADED,
-                 routes ? "instance is stopping" : "no configuration yet", 1);
+    mm_front_error (req, 400, (mm_error_code)error->code, error->message, 0);
+  else if (!routes || !mm_node_takes_jobs (mm_front_node (f)))
+    mm_front_error (req, 503, MM_ERROR_OVERLOADED,
+                    routes ? "instance is stopping" : "no configuration yet",
+                    1);
   else if (!queue)
-    reply_error (req, 404, MM_ERROR_BAD_REQUEST, "no such queue", 0);
+    mm_front_error (req, 404, MM_ERROR_BAD_REQUEST, "no such queue", 0);
   else
     {
       waiting *w = g_new0 (waiting, 1);
@@ -210,9 +195,9 @@
       w->req = req;
       w->job
           = mm_job_parse_json (body, len, MM_DEFAULT_MAX_TASKS_PER_JOB, NULL);
-      mm_caller *c
-          = mm_jobs_submit (mm_node_jobs (f->node), g_steal_pointer (&s),
-                            queue, patience_ms, on_answer, w);
+      mm_caller *c = mm_jobs_submit (mm_node_jobs (mm_front_node (f)),
+                                     g_steal_pointer (&s), queue, patience_ms,
+                                     on_answer, w);
       if (c)
         {
           w->caller = c;
@@ -223,59 +208,17 @@
   g_clear_error (&error);
 }
 
-static void
-on_request (mm_http_request *req, void *ctx)
+/**
+ * mm_own_front_request() - a request of a caller.
+ * @req: the request.
+ * @ctx: the mm_front it came to.
+ */
+void
+mm_own_front_request (mm_http_request *req, void *ctx)
 {
   if (strcmp (mm_http_request_method (req), "POST") == 0
       && strcmp (mm_http_request_path (req), "/v1/jobs") == 0)
     post_job (ctx, req);
   else
-    reply_error (req, 404, MM_ERROR_BAD_REQUEST, "no such path", 0);
-}
-
-static void
-on_ready (mm_http_request *req, void *ctx)
-{
-  bool ready = mm_node_ready (((mm_own_front *)ctx)->node);
-  mm_http_reply (req, ready ? 200 : 503,
-                 ready ? "{\"ready\":true}" : "{\"ready\":false}", 0);
-}
-
-mm_own_front *
-mm_own_front_create (struct ev_loop *loop, const mm_node_settings *s,
-                     mm_node *node, GError **error)
-{
-  mm_own_front *f = g_new0 (mm_own_front, 1);
-  f->node = node;
-  f->front = mm_http_server_listen (loop, s->front, MM_DEFAULT_MAX_BODY_BYTES,
-                                    on_request, f, error);
-  if (f->front)
-    f->ready = mm_http_server_listen (loop, s->ready, MM_STATE_MAX_BODY_BYTES,
-                                      on_ready, f, error);
-  if (f->ready)
-    return f;
-  mm_own_front_destroy (f);
-  return NULL;
-}
-
-void
-mm_own_front_destroy (mm_own_front *f)
-{
-  if (!f)
-    return;
-  mm_http_server_destroy (f->front);
-  mm_http_server_destroy (f->ready);
-  g_free (f);
-}
-
-void
-mm_own_front_set_leaving (mm_own_front *f)
-{
-  mm_http_server_set_leaving (f->front);
-}
-
-uint32_t
-mm_own_front_connections (const mm_own_front *f)
-{
-  return mm_http_server_connections (f->front);
+    mm_front_error (req, 404, MM_ERROR_BAD_REQUEST, "no such path", 0);
 }
--- a/src/mm_own_store.c
+++ b/src/mm_own_store.c
@@ -107,15 +107,6 @@
   return r;
 }
 
-static void
-item_clear (gpointer p)
-{
-  mm_stream_item *i = p;
-  g_free (i->key);
-  mm_routes_unref (i->routes);
-  mm_upstream_info_free (i->upstream);
-}
-
 static void
 read_items (const cJSON *list, mm_stream_kind kind, GArray *items)
 {
@@ -132,7 +123,7 @@
       if (readable)
         g_array_append_val (items, i);
       else
-        item_clear (&i);
+        mm_stream_item_clear (&i);
     }
 }
 
@@ -156,14 +147,6 @@
   g_free (path);
 }
 
-static char *
-failure_text (const mm_http_result *res)
-{
-  if (res->error)
-    return g_strdup (res->error->message);
-  return g_strdup_printf ("status %ld", res->status);
-}
-
 static void
 on_stream (const mm_http_result *res, void *ctx)
 {
@@ -171,8 +154,8 @@
   cJSON *body = cJSON_ParseWithLength (res->body, res->body_bytes);
   const cJSON *list = cJSON_GetObjectItemCaseSensitive (body, "items");
   GArray *items = g_array_new (FALSE, FALSE, sizeof (mm_stream_item));
-  g_array_set_clear_func (items, item_clear);
-  char *why = failure_text (res);
+  g_array_set_clear_func (items, mm_stream_item_clear);
+  char *why = mm_http_failure_text (res);
   mm_stream_result r
       = { .why = why,
           .ok = !res->error && res->status == 200 && cJSON_IsArray (list),
@@ -225,7 +208,7 @@
   cJSON *body = cJSON_ParseWithLength (res->body, res->body_bytes);
   const cJSON *list = cJSON_GetObjectItemCaseSensitive (body, "parts");
   uint32_t *parts = g_new0 (uint32_t, (size_t)cJSON_GetArraySize (list) + 1);
-  char *why = failure_text (res);
+  char *why = mm_http_failure_text (res);
   mm_join_result r
       = { .why = why,
           .ok = !res->error && res->status == 200 && cJSON_IsArray (list),
@@ -277,7 +260,7 @@
   cJSON_ArrayForEach (m, list)
     if (cJSON_IsString (m))
       g_ptr_array_add (names, m->valuestring);
-  char *why = failure_text (res);
+  char *why = mm_http_failure_text (res);
   mm_members_result r
       = { .why = why,
           .ok = !res->error && res->status == 200 && cJSON_IsArray (list),
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -465,7 +465,9 @@
   w->ctx = ctx;
   double cpu = (double)t->need.cpu_milli;
   o->usual_cpu_milli
-      = o->usual_cpu_milli > 0 ? 0.95 * o->usual_cpu_milli + 0.05 * cpu : cpu;
+      = o->usual_cpu_milli > 0
+            ? o->usual_cpu_milli + MM_USUAL_GAIN * (cpu - o->usual_cpu_milli)
+            : cpu;
   enqueue (o, w);
   pump (o);
   return w;
--- a/src/mm_store.h
+++ b/src/mm_store.h
@@ -23,6 +23,8 @@
   mm_upstream_info *upstream; /* MM_STREAM_UPSTREAMS */
 } mm_stream_item;
 
+void mm_stream_item_clear (gpointer item); /* frees what it holds */
+
 typedef struct
 {
   bool ok;
--- a/src/mm_stream.c
+++ b/src/mm_stream.c
@@ -27,6 +27,15 @@
   mm_time_ms due_ms;
 };
 
+void
+mm_stream_item_clear (gpointer item)
+{
+  mm_stream_item *i = item;
+  g_free (i->key);
+  mm_routes_unref (i->routes);
+  mm_upstream_info_free (i->upstream);
+}
+
 static void
 stream_unref (mm_stream *s)
 {
