One lost hold costs no lease; a task that stands still is stopped and run elsewhere

Cause: leases were made from the upstream's clock as the last answer told it, up to a hold's wait too early, and a hold that got no answer was asked again only 450 ms later: tasks lapsed for one lost call. Now the largest clock offset counts, holds wait 250 ms, and a failed one is asked again at once. A task on an upstream that hangs held its caller to the end: it is stopped when its percent has not moved for 0.5 s. Both tests failed before.

--- a/src/config.h
+++ b/src/config.h
@@ -68,10 +68,12 @@
    caller whose connection broke sends its job again 1,300 ms later.  The
    remainder covers a clock 2 % slow and the way to the caller.  */
 #define MM_LEASE_MS 1000
-#define MM_HOLD_WAIT_MS 400    /* a hold waits for an end: renews in time */
-#define MM_HOLD_TIMEOUT_MS 250 /* past the wait: then on a new connection */
-#define MM_HOLD_RETRY_MS 200   /* between holds that get no answer */
-#define MM_ACK_DELAY_MS 300    /* ends of an idle upstream, taken note of */
+/* A hold waits for an end, and fails this long past its wait.  Twice the
+   wait and the timeout stay under a lease: one lost hold costs none.  */
+#define MM_HOLD_WAIT_MS 250
+#define MM_HOLD_TIMEOUT_MS 250
+#define MM_HOLD_RETRY_MS 200 /* between holds that get no answer */
+#define MM_ACK_DELAY_MS 300  /* ends of an idle upstream, taken note of */
 /* An answer takes about 2 ms; a start that is slower is stopped and its
    task placed elsewhere, while that still helps its caller.  */
 #define MM_START_TIMEOUT_MS 100
@@ -79,6 +81,12 @@
 /* Past a lease's end by our estimate of the upstream's clock: 2 % of a
    lease for a slow clock, the rest for the estimate's error.  */
 #define MM_LEASE_SLACK_MS 60
+#define MM_CLOCK_SLOW_PERCENT 2 /* an upstream's steady clock, at most */
+/* A task's percent moves a hundred times while it runs.  Unchanged for
+   this long, and for so many steps of its declared time, it stands still:
+   an upstream 6 times slow still moves every 0.25 s on a task of 4 s.  */
+#define MM_STUCK_MS 500
+#define MM_STUCK_STEPS 20
 
 /* Which upstreams get work (mm_trust, mm_place).  */
 /* One task in 500 fails by its own fault: three in a row on one upstream
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -87,9 +87,19 @@
 {
   if (res->clock_ms < 0)
     return;
-  /* The answer was under way a while: the true offset is a little more,
-     so a deadline made from this one errs to the early side.  */
-  x->clock_offset_ms = res->clock_ms - mm_clock_now_ms ();
+  /* An answer that was long under way, or whose clock was read before a
+     hold's wait, makes the upstream's clock look behind, and a lease made
+     from it up to 250 ms too short: one lost hold then costs the lease.
+     The largest offset seen is the nearest; it may sink, as the upstream's
+     clock may be slow.  */
+  mm_time_ms now = mm_clock_now_ms ();
+  mm_time_ms offset_ms = res->clock_ms - now;
+  mm_time_ms sunk_ms = (now - x->clock_ms) * MM_CLOCK_SLOW_PERCENT / 100;
+  if (!x->clock_known || offset_ms >= x->clock_offset_ms - sunk_ms)
+    {
+      x->clock_offset_ms = offset_ms;
+      x->clock_ms = now;
+    }
   x->clock_known = true;
 }
 
@@ -130,15 +140,12 @@
   return c;
 }
 
-/* Return: whether the session still lives.  */
-static bool
+static void
 call_close (mm_exec_call *c)
 {
   mm_exec *x = c->exec;
-  bool live = !x->closed;
   g_free (c);
   exec_unref (x);
-  return live;
 }
 
 /* Another owner has taken over: what runs is its to stop, and out of our
@@ -281,7 +288,7 @@
       mm_exec_release (r, MM_END_FAILED, "start not understood");
       break;
     case MM_CALL_REFUSED:
-      x->ev.refused (x->ev.ctx, x);
+      x->ev.unwell (x->ev.ctx, x);
       become_suspect (x, "start", v);
       mm_exec_release (r, MM_END_NOT_RUN, mm_call_verdict_name (v));
       break;
@@ -358,7 +365,7 @@
   r->work = work;
   r->payload = g_strdup (t->payload);
   r->estimate_ms = t->estimate_ms;
-  r->ordered_ms = mm_clock_now_ms ();
+  r->ordered_ms = r->progress_ms = mm_clock_now_ms ();
   mm_need_add (&x->used, &r->need);
   g_hash_table_insert (x->runs, &r->id, r);
   mm_log_event (MM_EV_TASK_STARTED, MM_TASK (&r->id), MM_TEXT (x->info->name),
@@ -390,6 +397,18 @@
     }
 }
 
+/* A single lost hold must not cost a lease: it is asked again at once, on
+   a new connection, and the lease renewed as soon as that is answered.  */
+static void
+on_hold_failed (mm_exec *x, mm_call_verdict v)
+{
+  bool first = !x->hold_failed_ms;
+  become_suspect (x, "hold", v);
+  x->hold_failed_ms = mm_clock_now_ms ();
+  if (first)
+    send_hold (x, 0, false);
+}
+
 static void
 on_hold_answer (const mm_hold_result *res, void *ctx)
 {
@@ -421,8 +440,7 @@
       break;
     default:
       mm_metrics_count (MM_CT_HOLDS_FAILED);
-      become_suspect (x, "hold", res->call.verdict);
-      x->hold_failed_ms = mm_clock_now_ms ();
+      on_hold_failed (x, res->call.verdict);
       break;
     }
   call_close (c);
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -102,8 +102,8 @@
                  mm_time_ms ran_ms, const char *why);
   /* Room came free, or the session can be used (again).  */
   void (*room) (void *ctx, mm_exec *x);
-  /* It refused a start: it says itself that it is unwell.  */
-  void (*refused) (void *ctx, mm_exec *x);
+  /* It refused a start, or a task stands still there.  */
+  void (*unwell) (void *ctx, mm_exec *x);
   /* Another owner's token was seen: this session is over.  */
   void (*fenced) (void *ctx, mm_exec *x);
   void *ctx;
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -58,6 +58,29 @@
   mm_exec_send_stop (r, false);
 }
 
+/* Some upstreams keep a task for ever and report themselves well: its
+   caller would wait until its time is over.  Stopped, it runs elsewhere.  */
+static void
+watch_progress (mm_exec_run *r, int32_t percent)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  mm_time_ms limit_ms
+      = MAX (MM_STUCK_MS, r->estimate_ms * MM_STUCK_STEPS / 100);
+  if (percent < 0 || percent != r->percent)
+    {
+      r->percent = percent;
+      r->progress_ms = now;
+      return;
+    }
+  if (r->stop_wanted || now - r->progress_ms < limit_ms)
+    return;
+  mm_exec *x = r->exec;
+  r->stop_wanted = true;
+  mm_log_event (MM_EV_TASK_STOPPED, MM_TASK (&r->id), MM_TEXT (x->info->name),
+                MM_TEXT ("it stands still"));
+  x->ev.unwell (x->ev.ctx, x);
+}
+
 static void
 take_running (mm_exec *x, const mm_hold_result *res, GHashTable *present)
 {
@@ -73,7 +96,7 @@
       else if (r->number == seen->run)
         {
           mm_exec_set_running (r);
-          r->percent = seen->percent;
+          watch_progress (r, seen->percent);
           if (r->stop_wanted)
             mm_exec_send_stop (r, false);
         }
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -30,8 +30,9 @@
   mm_time_ms sent_ms; /* the last start order */
   mm_time_ms estimate_ms;
   int32_t percent;
-  char *payload; /* for a start under another number */
-  bool gone;     /* removed from the table, call still open */
+  mm_time_ms progress_ms; /* when the percent last moved */
+  char *payload;          /* for a start under another number */
+  bool gone;              /* removed from the table, call still open */
 } mm_exec_run;
 
 struct mm_exec
@@ -60,6 +61,7 @@
   uint64_t acked_seq; /* ends a hold was answered for */
   bool clock_known;
   mm_time_ms clock_offset_ms; /* upstream's clock minus ours, at most */
+  mm_time_ms clock_ms;        /* when it was seen */
   double slowness;
 };
 
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -235,11 +235,17 @@
 }
 
 static void
-on_failed (task *t, const char *upstream)
+avoid (task *t, const char *upstream)
 {
-  job *b = t->job;
   g_free (t->avoid);
   t->avoid = g_strdup (upstream);
+}
+
+static void
+on_failed (task *t, const char *upstream)
+{
+  job *b = t->job;
+  avoid (t, upstream);
   t->failures++;
   if (t->failures >= b->attempts || runs_once (t))
     answer (b, MM_ANSWER_FAILED, "a task failed in every attempt", 0);
@@ -311,14 +317,19 @@
       break;
     case MM_END_STOPPED:
     case MM_END_LOST:
-    case MM_END_NOT_RUN:
-      if (how != MM_END_NOT_RUN && runs_once (t))
+      avoid (t, r->upstream);
+      if (runs_once (t))
         answer (b, MM_ANSWER_FAILED, "a task was lost and runs only once", 0);
-      else if (now < give_up_time (b, how))
+      else if (now < b->deadline_ms)
+        hand_out (t);
+      else
+        give_up (b, "a task was lost too late");
+      break;
+    case MM_END_NOT_RUN:
+      if (now < b->start_by_ms)
         hand_out (t);
       else
-        give_up (b, how == MM_END_NOT_RUN ? "no room in time"
-                                          : "a task was lost too late");
+        give_up (b, "no room in time");
       break;
     case MM_END_UNKNOWN:
       if (runs_once (t))
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -181,7 +181,7 @@
 }
 
 static void
-on_refused (void *ctx, mm_exec *x)
+on_unwell (void *ctx, mm_exec *x)
 {
   note_trust (ctx, mm_exec_info (x)->name, false, mm_clock_now_ms ());
 }
@@ -252,7 +252,7 @@
   s->owner = o;
   mm_exec_events ev = { .ended = on_ended,
                         .room = on_room,
-                        .refused = on_refused,
+                        .unwell = on_unwell,
                         .fenced = on_fenced,
                         .ctx = s };
   s->exec = mm_exec_create (u, fence, &o->port, &ev);
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -367,6 +367,50 @@
 }
 END_TEST
 
+/* A task stands still on an upstream that reports itself well.  Its caller
+   would wait in vain until its time is over: it is stopped within a second,
+   so that it can run elsewhere.  A slow one is left alone.  */
+START_TEST (task_that_stands_still_is_stopped_a_slow_one_is_not)
+{
+  world w = world_create ();
+  fake *a = world_add (&w, "a");
+  world_run (&w, 10);
+  fake_mode_of (a)->hangs = true;
+  outcome stuck, slow;
+  submit (&w, &stuck, "stuck", 0, 200);
+  world_run (&w, 20);
+  fake_mode_of (a)->hangs = false;
+  submit (&w, &slow, "slow", 0, 3000);
+  slow.how = MM_END_LOST;
+  world_run (&w, 1200);
+  ck_assert_uint_eq (stuck.answers, 1);
+  ck_assert_int_eq (stuck.how, MM_END_STOPPED);
+  ck_assert_uint_eq (slow.answers, 0);
+  world_run (&w, 2500);
+  ck_assert_int_eq (slow.how, MM_END_DONE);
+  assert_kept_promises (&w);
+  world_destroy (&w);
+}
+END_TEST
+
+/* One hold is lost on the way.  Its lease would end before the next one is
+   sent: every task on that upstream lapsed for one lost call.  */
+START_TEST (one_lost_hold_loses_no_task)
+{
+  world w = world_create ();
+  fake *a = world_add (&w, "a");
+  world_run (&w, 10);
+  outcome r;
+  submit (&w, &r, "lost-hold", 0, 4000);
+  world_run (&w, 600);
+  fake_mode_of (a)->lose_holds = 1;
+  world_run (&w, 3600);
+  ck_assert_uint_eq (r.answers, 1);
+  ck_assert_int_eq (r.how, MM_END_DONE);
+  world_destroy (&w);
+}
+END_TEST
+
 /* A task that finds no room in the time it may wait is given back then,
    so that its caller is told at once.  */
 START_TEST (task_without_room_is_given_back_in_time)
@@ -494,6 +538,8 @@
   tcase_add_test (c, task_that_ended_there_gets_a_higher_run_number);
   tcase_add_test (c, upstream_that_fails_everything_draws_few_tasks);
   tcase_add_test (c, restarted_upstream_loses_its_tasks_at_once);
+  tcase_add_test (c, task_that_stands_still_is_stopped_a_slow_one_is_not);
+  tcase_add_test (c, one_lost_hold_loses_no_task);
   tcase_add_test (c, task_without_room_is_given_back_in_time);
   tcase_add_test (c, draining_upstream_gets_nothing_new);
   tcase_add_loop_test (c, random_faults_break_no_promise, 0, 100);
