--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -18,7 +18,7 @@
   back       after the faults each instance serves again
   exits      no process ended by itself
 
-  soak.py [--seed N] [--seeds N] [--seconds S] [--jobs N] [--bin DIR] [--keep DIR]
+  soak.py [--seed N] [--seeds N] [--file F] [--seconds S] [--jobs N] [--bin DIR] [--keep DIR]
 """
 import argparse, asyncio, json, os, random, shutil, signal, subprocess, sys, tempfile, time, urllib.request
 
@@ -420,12 +420,16 @@
     ap = argparse.ArgumentParser(description="randomized fault soak of real processes")
     ap.add_argument("--seed", type=int, help="first seed (default: drawn)")
     ap.add_argument("--seeds", type=int, default=1)
+    ap.add_argument("--file", help="play the seeds at the starts of its lines")
     ap.add_argument("--seconds", type=float, default=15, help="of faults a seed")
     ap.add_argument("--jobs", type=int, default=3, help="seeds at a time")
     ap.add_argument("--bin", default=f"{here}/../build")
     ap.add_argument("--keep", help="folder for logs; kept on findings anyway")
     ap.add_argument("--port", type=int, default=24000)
     args = ap.parse_args()
+    seeds = []
+    if args.file:
+        seeds = [int(x.split()[0]) for x in open(args.file) if x[:1].isdigit()]
     first = args.seed if args.seed is not None else random.SystemRandom().randrange(10**6)
     slots = asyncio.Queue()
     for s in range(args.jobs):
@@ -437,7 +441,7 @@
             return await soak(seed, args, slot)
         finally:
             slots.put_nowait(slot)
-    found = await asyncio.gather(*(one(first + k) for k in range(args.seeds)))
+    found = await asyncio.gather(*(one(k) for k in seeds or range(first, first + args.seeds)))
     failed = sum(f > 0 for f in found)
     print(f"{len(found) - failed} passed, {failed} failed")
     return 1 if failed else 0
