--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -20,7 +20,7 @@
 
   soak.py [--seed N] [--seeds N] [--file F] [--seconds S] [--jobs N] [--bin DIR] [--keep DIR]
 """
-import argparse, asyncio, json, os, random, shutil, signal, subprocess, sys, tempfile, time, urllib.request
+import argparse, asyncio, json, os, random, shutil, signal, socket, subprocess, sys, tempfile, time, urllib.request
 
 RESEND_S = 1.3      # callers send a job again so long after a break
 SETTLE_S = 7        # calm at the end, longer than every lease and ttl
@@ -38,7 +38,7 @@
     def __init__(self, port, target):
         self.port, self.target = port, target
         self.delay, self.silent, self.mute = 0.0, False, False
-        self.writers = set()
+        self.writers, self.server = set(), None
 
     async def start(self):
         self.server = await asyncio.start_server(self.relay, "127.0.0.1", self.port)
@@ -404,6 +404,8 @@
         for name in list(w.procs):
             w.kill(name)
         for p in w.proxies.values():
+            if not p.server:
+                continue
             p.server.close()
             p.reset()
     complete = sum(any(t == "complete" for _, t in j["answers"]) for j in w.jobs.values())
@@ -415,6 +417,19 @@
     return len(w.findings)
 
 
+def free_block(n):
+    """Ports above the tests' and below the ephemeral ones, free at the moment."""
+    for base in range(30100, 32700 - n, 300):
+        try:
+            for port in (base, base + 20, base + 100):
+                with socket.socket() as s:
+                    s.bind(("127.0.0.1", port))
+            return base
+        except OSError:
+            continue
+    sys.exit("no free ports")
+
+
 async def main():
     here = os.path.dirname(os.path.abspath(__file__))
     ap = argparse.ArgumentParser(description="randomized fault soak of real processes")
@@ -425,8 +440,10 @@
     ap.add_argument("--jobs", type=int, default=3, help="seeds at a time")
     ap.add_argument("--bin", default=f"{here}/../build")
     ap.add_argument("--keep", help="folder for logs; kept on findings anyway")
-    ap.add_argument("--port", type=int, default=24000)
+    ap.add_argument("--port", type=int, help="first of 100 ports a seed at a time (default: a free block)")
     args = ap.parse_args()
+    if args.port is None:
+        args.port = free_block(args.jobs * 100)
     seeds = []
     if args.file:
         seeds = [int(x.split()[0]) for x in open(args.file) if x[:1].isdigit()]
--- a/src/config.h
+++ b/src/config.h
@@ -118,6 +118,9 @@
 #define MM_MAX_JOB_TASKS 1024u /* the design asks for 290 */
 /* Caller to instance to upstream and back, with the orders' handling.  */
 #define MM_OVERHEAD_MS 15
+/* A hand-over without a word takes so long at most; after the death of an
+   owner it is 1.5 s, which few jobs can wait.  */
+#define MM_OWNER_GAP_MS 500
 #define MM_RETRY_AFTER_NO_ROOM_S 1
 #define MM_LATE_FACTOR 3.0     /* answers up to 3 objectives are of use */
 #define MM_SPREAD_WAIT_MS 40   /* in one owner's queue, then spread anew */
--- a/src/mm_admission.c
+++ b/src/mm_admission.c
@@ -62,7 +62,9 @@
     return a;
   if (load->places == 0)
     {
-      a.take = false;
+      /* Upstreams that change hands are in nobody's sight for a moment.  */
+      a.wait_ms = MM_OWNER_GAP_MS;
+      a.take = a.wait_ms <= slack_ms;
       a.retry_after_s = MM_RETRY_AFTER_NO_ROOM_S;
       return a;
     }
--- a/src/mm_run_server.c
+++ b/src/mm_run_server.c
@@ -141,8 +141,8 @@
 }
 
 static void
-log_line (mm_run_server *s, const char *event, const mm_task_id *task,
-          uint32_t number, const char *how)
+log_line (mm_run_server *s, mm_time_ms at_ms, const char *event,
+          const mm_task_id *task, uint32_t number, const char *how)
 {
   if (s->log_fd < 0)
     return;
@@ -150,8 +150,8 @@
   int n = g_snprintf (line, sizeof line,
                       "{\"ms\":%" G_GINT64_FORMAT ",\"event\":\"%s\","
                       "\"task\":\"%s/%u.%u\",\"run\":%u,\"how\":\"%s\"}\n",
-                      mm_clock_now_ms (), event, task->job, task->step,
-                      task->index, number, how);
+                      at_ms, event, task->job, task->step, task->index, number,
+                      how);
   if (write (s->log_fd, line, (size_t)n) != n)
     g_warning ("run log: %s", strerror (errno));
 }
@@ -162,8 +162,9 @@
   size_t n;
   const mm_run_past *p = mm_run_table_past (s->table, &n);
   for (; s->logged < n; s->logged++)
-    log_line (s, "end", &p[s->logged].task, p[s->logged].number,
-              mm_end_name (p[s->logged].how));
+    /* The table's time: a later one would show it overlap its successor. */
+    log_line (s, p[s->logged].ended_ms, "end", &p[s->logged].task,
+              p[s->logged].number, mm_end_name (p[s->logged].how));
 }
 
 static mm_call_verdict
@@ -177,11 +178,12 @@
   mm_run_json_read_work (o.payload, &work);
   uint32_t starts = mm_run_table_counts (s->table).starts;
   uint32_t over = mm_run_table_counts (s->table).over_capacity;
-  mm_call_verdict v = mm_run_table_start (s->table, &o, &work.need,
-                                          work.run_ms, mm_clock_now_ms ());
+  mm_time_ms now = mm_clock_now_ms ();
+  mm_call_verdict v
+      = mm_run_table_start (s->table, &o, &work.need, work.run_ms, now);
   log_ends (s);
   if (mm_run_table_counts (s->table).starts > starts)
-    log_line (s, "start", &task, o.run,
+    log_line (s, now, "start", &task, o.run,
               mm_run_table_counts (s->table).over_capacity > over
                   ? "over_capacity"
                   : "fits");
