--- a/src/mm_admission.h
+++ b/src/mm_admission.h
@@ -11,6 +11,7 @@
   uint32_t free;           /* that fit now */
   uint32_t waiting;        /* tasks that wait already */
   mm_time_ms mean_task_ms; /* observed run time */
+  mm_time_ms age_ms;       /* of the oldest report in it */
 } mm_load;
 
 typedef struct
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -76,12 +76,13 @@
   = { "upstream_trusted", KEEP_ALL, "upstream", "a task ended well on trial" },
   [MM_EV_JOB_ACCEPTED]
   = { "job_accepted", KEEP_SOME,
-      "job queue config_version tasks places free waiting wait_ms slack_ms",
-      "taken, with the room known then" },
+      "job queue config_version tasks places free waiting age_ms wait_ms "
+      "slack_ms",
+      "taken, with the room known then; age_ms is the oldest report's" },
   [MM_EV_JOB_REFUSED]
   = { "job_refused", KEEP_ALL,
-      "job queue config_version tasks places free waiting wait_ms slack_ms "
-      "why",
+      "job queue config_version tasks places free waiting age_ms wait_ms "
+      "slack_ms why",
       "not taken, with the room known then; nothing of it ran" },
   [MM_EV_JOB_ANSWERED]
   = { "job_answered", KEEP_ALL, "job queue outcome took_ms why",
@@ -90,7 +91,7 @@
                               "the last caller closed its connection; the "
                               "tasks are stopped" },
   [MM_EV_TASK_HANDED]
-  = { "task_handed", KEEP_SOME, "job task owner free waiting attempt",
+  = { "task_handed", KEEP_SOME, "job task owner free waiting age_ms attempt",
       "an owner of upstreams was chosen" },
   [MM_EV_TASK_STARTED]
   = { "task_started", KEEP_SOME, "job task upstream run fence waited_ms",
--- a/src/mm_fleet.c
+++ b/src/mm_fleet.c
@@ -49,6 +49,7 @@
 places (const mm_fleet *f, const char *service, mm_mesh_place *out)
 {
   out[0].name = NULL;
+  out[0].age_ms = 0;
   out[0].datacentre = f->datacentre;
   out[0].room = mm_owner_report (f->owner, service);
   return 1 + mm_mesh_places (f->mesh, service, out + 1, MM_FLEET_MAX - 1);
@@ -65,6 +66,7 @@
       load.places += p[i].room.places;
       load.free += p[i].room.free;
       load.waiting += p[i].room.waiting;
+      load.age_ms = MAX (load.age_ms, p[i].age_ms);
     }
   return load;
 }
@@ -117,7 +119,7 @@
   mm_log_event (MM_EV_TASK_HANDED, MM_TASK (&t->id),
                 MM_TEXT (best ? p[best].name : "self"),
                 MM_INT (p[best].room.free), MM_INT (p[best].room.waiting),
-                MM_INT (t->attempt));
+                MM_INT (p[best].age_ms), MM_INT (t->attempt));
   if (best == 0)
     k->work = mm_owner_submit (f->owner, t, on_done, k);
   else
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -442,8 +442,8 @@
       mm_log_event (MM_EV_JOB_REFUSED, MM_TEXT (s->id), MM_TEXT (route->name),
                     MM_INT (route->config_version), MM_INT (first_tasks (s)),
                     MM_INT (load.places), MM_INT (load.free),
-                    MM_INT (load.waiting), MM_INT (a.wait_ms), MM_INT (slack),
-                    MM_TEXT (no.why));
+                    MM_INT (load.waiting), MM_INT (load.age_ms),
+                    MM_INT (a.wait_ms), MM_INT (slack), MM_TEXT (no.why));
       on_answer (ctx, &no);
       mm_submission_free (s);
       return NULL;
@@ -451,7 +451,8 @@
   mm_log_event (MM_EV_JOB_ACCEPTED, MM_TEXT (s->id), MM_TEXT (route->name),
                 MM_INT (route->config_version), MM_INT (first_tasks (s)),
                 MM_INT (load.places), MM_INT (load.free),
-                MM_INT (load.waiting), MM_INT (a.wait_ms), MM_INT (slack));
+                MM_INT (load.waiting), MM_INT (load.age_ms),
+                MM_INT (a.wait_ms), MM_INT (slack));
   b = job_create (j, s, route, patience_ms);
   mm_caller *c = add_caller (b, on_answer, ctx);
   if (b->n_tasks == 0)
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -30,6 +30,7 @@
   GHashTable *remote; /* no -> mm_remote */
   mm_mesh_room *rooms;
   size_t n_rooms;
+  mm_time_ms report_ms; /* when they came */
 } peer;
 
 struct mm_remote
@@ -234,6 +235,7 @@
   g_free (p->rooms);
   p->rooms = g_steal_pointer (&m->rooms);
   p->n_rooms = m->n_rooms;
+  p->report_ms = mm_clock_now_ms ();
   return true;
 }
 
@@ -480,6 +482,7 @@
                 size_t cap)
 {
   size_t n = 0;
+  mm_time_ms now = mm_clock_now_ms ();
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init (&it, m->peers);
@@ -491,6 +494,7 @@
       out[n].name = p->info.name;
       out[n].datacentre = p->info.datacentre;
       out[n].room = room_at (p, service);
+      out[n].age_ms = now - p->report_ms;
       n++;
     }
   return n;
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -20,6 +20,7 @@
   const char *name;
   const char *datacentre;
   mm_room_report room; /* less what was sent there since */
+  mm_time_ms age_ms;   /* of the report */
 } mm_mesh_place;
 
 mm_mesh *mm_mesh_create (struct ev_loop *loop, const char *self,
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -326,6 +326,22 @@
   return false;
 }
 
+/* Lines in the log of an instance; written by its exit at the latest.  */
+int
+h_log_lines (pid_t pid, const char *text)
+{
+  char *path = g_strdup_printf ("%s/test-logs/%d-masticmill-node-%d.log",
+                                MM_BIN_DIR, h_port_base (), (int)pid);
+  char *log = NULL;
+  int n = 0;
+  if (g_file_get_contents (path, &log, NULL, NULL))
+    for (const char *p = log; (p = strstr (p, text)); p++)
+      n++;
+  g_free (log);
+  g_free (path);
+  return n;
+}
+
 static void
 start_upstream (int i, int slots)
 {
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -38,6 +38,7 @@
 void h_start_node (int i);
 extern const char *h_datacentres[8]; /* of instance and upstream i, or NULL */
 int h_node_state_port (int i);
+int h_log_lines (pid_t pid, const char *text); /* that hold it */
 bool h_wait_nodes (int n_nodes, int n_upstreams, mm_time_ms timeout_ms);
 extern const char *h_platform_extra, *h_entry_extra; /* one more --set */
 extern pid_t h_platform, h_upstreams[8], h_entries[8];
--- a/tests/test_decisions.c
+++ b/tests/test_decisions.c
@@ -7,6 +7,7 @@
 #include "mm_spread.h"
 #include "mm_submission.h"
 #include "mm_trust.h"
+#include "harness.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -262,9 +263,5 @@
   tcase_add_test (c, chain_is_the_longest_path_through_the_steps);
   tcase_add_test (c, jobs_that_are_not_served_are_told_so);
   suite_add_tcase (s, c);
-  SRunner *r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  int failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return h_run_suite (s);
 }
--- a/tests/test_logs.c
+++ b/tests/test_logs.c
@@ -6,6 +6,7 @@
 #include "mm_log_sink.h"
 #include "mm_metrics.h"
 #include "mm_task.h"
+#include "harness.h"
 
 #include <cJSON.h>
 #include <check.h>
@@ -235,9 +236,5 @@
   tcase_add_test (c, lost_request_is_explained_by_the_instance_that_died);
   tcase_add_test (c, failed_request_is_explained_by_the_upstream);
   suite_add_tcase (s, c);
-  SRunner *r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  int failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return h_run_suite (s);
 }
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -5,6 +5,7 @@
 #include "mm_group_table.h"
 #include "mm_shares.h"
 #include "mm_stream.h"
+#include "harness.h"
 
 #include <check.h>
 #include <stdio.h>
@@ -587,9 +588,5 @@
   tcase_add_test (c, missing_upstream_is_kept_for_a_while_of_contact);
   tcase_add_test (c, dropped_history_is_read_again_from_the_newest);
   suite_add_tcase (s, c);
-  SRunner *r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  int failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return h_run_suite (s);
 }
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -447,7 +447,7 @@
 END_TEST
 
 /* Dump, metrics and log of one instance tell the same of its jobs.  */
-START_TEST (dump_and_metrics_agree)
+START_TEST (dump_metrics_and_log_agree)
 {
   h_nodes (1, 4, 1);
   for (int i = 0; i < 3; i++)
@@ -474,6 +474,10 @@
   cJSON_Delete (o);
   g_free (text);
   g_free (url);
+  h_stop (h_entries[0], SIGTERM);
+  ck_assert_int_eq (h_log_lines (h_entries[0], "\"event\":\"job_answered\""),
+                    3);
+  ck_assert_int_eq (h_log_lines (h_entries[0], "\"event\":\"task_ended\""), 6);
   h_cluster_stop ();
 }
 END_TEST
@@ -528,7 +532,7 @@
   tcase_add_test (c, tasks_of_a_caller_that_left_are_stopped);
   tcase_add_test (c, leaving_upstream_gets_no_new_task);
   tcase_add_test (c, all_instances_killed_serve_again_within_seconds);
-  tcase_add_test (c, dump_and_metrics_agree);
+  tcase_add_test (c, dump_metrics_and_log_agree);
   tcase_add_test (c, bad_requests_get_typed_errors);
   suite_add_tcase (s, c);
   return h_run_suite (s);
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -2,6 +2,7 @@
    the test moves and upstreams in memory.  */
 #include "config.h"
 #include "fake_upstreams.h"
+#include "harness.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -544,9 +545,5 @@
   tcase_add_test (c, draining_upstream_gets_nothing_new);
   tcase_add_loop_test (c, random_faults_break_no_promise, 0, 100);
   suite_add_tcase (s, c);
-  SRunner *r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  int failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return h_run_suite (s);
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,6 +1,7 @@
 /* The platform folder's decoders: what they make of good and of bad
    bodies.  */
 #include "platform.h"
+#include "harness.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -198,9 +199,5 @@
   tcase_add_test (c, decoders_survive_fuzzing);
   tcase_set_timeout (c, 60);
   suite_add_tcase (s, c);
-  SRunner *r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  int failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return h_run_suite (s);
 }
