One way to call a store over HTTP for both interfaces

Cause: platform/pf_store.c and src/mm_own_store.c each had the same open call, connection, sending, and telling of the caller; mm_stream and mm_shares the same note of a store reached or lost; mm_stream_item_clear, declared in mm_store.h, stood in mm_stream.c. Change: mm_store_http sends and tells, for both; the two interfaces keep their paths and bodies. mm_store_note_touch serves both readers. The failed call's reason is now made only for a failed call, which is where it is read. Ruled out: sharing the bodies' decoding too; the two forms differ.

--- a/daemons/masticmill_node.c
+++ b/daemons/masticmill_node.c
@@ -20,6 +20,7 @@
   mm_http_client *to_upstreams;
   mm_http_client *to_store;
   mm_exec_http *exec;
+  mm_store_http *store_calls;
   mm_store_port store;
   ev_timer leave_timer;
   mm_time_ms leave_ms;
@@ -31,15 +32,14 @@
   if (strcmp (s->interface, "platform") == 0)
     {
       p->exec = mm_exec_http_create (p->to_upstreams, &pf_exec_wire);
-      p->store = pf_store_port (pf_store_create (p->to_store, s->store));
+      p->store = pf_store_port (p->store_calls);
       p->on_request = pf_front_request;
       return true;
     }
   if (strcmp (s->interface, "own") == 0)
     {
       p->exec = mm_exec_http_create (p->to_upstreams, &mm_own_exec_wire);
-      p->store
-          = mm_own_store_port (mm_own_store_create (p->to_store, s->store));
+      p->store = mm_own_store_port (p->store_calls);
       p->on_request = mm_own_front_request;
       return true;
     }
@@ -114,6 +114,7 @@
       = mm_http_client_create (p->loop, MM_DEFAULT_UPSTREAM_CONNECTIONS);
   p->to_store = mm_http_client_create (p->loop, MM_PLATFORM_CONNECTIONS);
   mm_http_client_set_member (p->to_store, s->name);
+  p->store_calls = mm_store_http_create (p->to_store, s->store);
   if (!choose_interface (p, s, error))
     return false;
   mm_exec_port exec = mm_exec_http_port (p->exec);
--- a/src/mm_own.h
+++ b/src/mm_own.h
@@ -8,15 +8,13 @@
 
 #include "mm_exec_http.h"
 #include "mm_front.h"
+#include "mm_store_http.h"
 
 /* ---- mm_own_exec: calls to upstreams ---- */
 extern const mm_exec_wire mm_own_exec_wire;
 
 /* ---- mm_own_store: calls to the store ---- */
-typedef struct mm_own_store mm_own_store;
-mm_own_store *mm_own_store_create (mm_http_client *client, const char *addr);
-void mm_own_store_destroy (mm_own_store *s);
-mm_store_port mm_own_store_port (mm_own_store *s);
+mm_store_port mm_own_store_port (mm_store_http *s);
 
 /* ---- mm_own_front: callers' jobs ---- */
 void mm_own_front_request (mm_http_request *req, void *ctx /* mm_front */);
--- a/src/mm_own_store.c
+++ b/src/mm_own_store.c
@@ -1,46 +1,11 @@
 /* mm_own_store: calls to the store in our own interface.  */
 #include "mm_own.h"
 
-#include <cJSON.h>
 #include <string.h>
 
-struct mm_own_store
-{
-  mm_http_client *client;
-  char *base; /* "http://ip:port" */
-};
-
-typedef struct
-{
-  mm_stream_kind kind;
-  uint64_t from;
-  mm_stream_done stream_done;
-  mm_join_done join_done;
-  mm_members_done members_done;
-  void *ctx;
-} pending;
-
 static const char *const stream_names[]
     = { [MM_STREAM_CONFIG] = "config", [MM_STREAM_UPSTREAMS] = "upstreams" };
 
-mm_own_store *
-mm_own_store_create (mm_http_client *client, const char *addr)
-{
-  mm_own_store *s = g_new0 (mm_own_store, 1);
-  s->client = client;
-  s->base = g_strdup_printf ("http://%s/v1", addr);
-  return s;
-}
-
-void
-mm_own_store_destroy (mm_own_store *s)
-{
-  if (!s)
-    return;
-  g_free (s->base);
-  g_free (s);
-}
-
 /* ---- values ----------------------------------------------------------- */
 
 static char *
@@ -129,63 +94,37 @@
 
 /* ---- calls ------------------------------------------------------------ */
 
-static void
-send_call (mm_own_store *s, const char *method, char *path, cJSON *body,
-           mm_time_ms timeout_ms, mm_http_done done, const pending *p)
-{
-  pending *copy = g_new (pending, 1);
-  *copy = *p;
-  char *url = g_strconcat (s->base, path, NULL);
-  char *text = body ? cJSON_PrintUnformatted (body) : NULL;
-  mm_http_call call = {
-    .method = method, .url = url, .body = text, .timeout_ms = timeout_ms
-  };
-  mm_http_client_send (s->client, &call, done, copy);
-  free (text);
-  cJSON_Delete (body);
-  g_free (url);
-  g_free (path);
-}
-
 static void
 on_stream (const mm_http_result *res, void *ctx)
 {
-  pending *p = ctx;
+  mm_store_call *c = ctx;
   cJSON *body = cJSON_ParseWithLength (res->body, res->body_bytes);
   const cJSON *list = cJSON_GetObjectItemCaseSensitive (body, "items");
-  GArray *items = g_array_new (FALSE, FALSE, sizeof (mm_stream_item));
-  g_array_set_clear_func (items, mm_stream_item_clear);
-  char *why = mm_http_failure_text (res);
-  mm_stream_result r
-      = { .why = why,
-          .ok = !res->error && res->status == 200 && cJSON_IsArray (list),
-          .history_lost = !res->error && res->status == 410,
-          .next = p->from };
+  GArray *items = mm_store_items_new ();
+  mm_stream_result r = { .ok = mm_store_http_ok (res) && cJSON_IsArray (list),
+                         .history_lost = !res->error && res->status == 410,
+                         .next = c->from };
   if (r.ok)
     {
-      read_items (list, p->kind, items);
+      read_items (list, c->kind, items);
       r.next = (uint64_t)number_of (body, "next", 0);
       r.after = cJSON_GetStringValue (
           cJSON_GetObjectItemCaseSensitive (body, "after"));
     }
-  r.items = (mm_stream_item *)(void *)items->data;
-  r.n_items = items->len;
-  p->stream_done (&r, p->ctx);
-  g_array_free (items, TRUE);
-  g_free (why);
+  mm_store_tell_stream (c, res, &r, items);
   cJSON_Delete (body);
-  g_free (p);
 }
 
 static void
 own_newest (void *ctx, mm_stream_kind kind, const char *after,
             mm_time_ms timeout_ms, mm_stream_done done, void *done_ctx)
 {
-  pending p = { .kind = kind, .stream_done = done, .ctx = done_ctx };
+  mm_store_call p = { .kind = kind, .stream_done = done, .ctx = done_ctx };
   char *key = after ? g_uri_escape_string (after, NULL, FALSE) : NULL;
-  char *path = g_strdup_printf ("/streams/%s/newest%s%s", stream_names[kind],
-                                key ? "?after=" : "", key ? key : "");
-  send_call (ctx, "GET", path, NULL, timeout_ms, on_stream, &p);
+  char *path
+      = g_strdup_printf ("/v1/streams/%s/newest%s%s", stream_names[kind],
+                         key ? "?after=" : "", key ? key : "");
+  mm_store_http_send (ctx, "GET", path, NULL, timeout_ms, on_stream, &p);
   g_free (key);
 }
 
@@ -193,35 +132,31 @@
 own_tail (void *ctx, mm_stream_kind kind, uint64_t from, mm_time_ms wait_ms,
           mm_time_ms timeout_ms, mm_stream_done done, void *done_ctx)
 {
-  pending p
+  mm_store_call p
       = { .kind = kind, .from = from, .stream_done = done, .ctx = done_ctx };
-  char *path = g_strdup_printf ("/streams/%s?from=%" G_GUINT64_FORMAT
+  char *path = g_strdup_printf ("/v1/streams/%s?from=%" G_GUINT64_FORMAT
                                 "&wait_ms=%" G_GINT64_FORMAT,
                                 stream_names[kind], from, wait_ms);
-  send_call (ctx, "GET", path, NULL, timeout_ms, on_stream, &p);
+  mm_store_http_send (ctx, "GET", path, NULL, timeout_ms, on_stream, &p);
 }
 
 static void
 on_join (const mm_http_result *res, void *ctx)
 {
-  pending *p = ctx;
   cJSON *body = cJSON_ParseWithLength (res->body, res->body_bytes);
   const cJSON *list = cJSON_GetObjectItemCaseSensitive (body, "parts");
-  uint32_t *parts = g_new0 (uint32_t, (size_t)cJSON_GetArraySize (list) + 1);
-  char *why = mm_http_failure_text (res);
+  GArray *parts = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   mm_join_result r
-      = { .why = why,
-          .ok = !res->error && res->status == 200 && cJSON_IsArray (list),
-          .parts = parts };
-  r.generation = (uint64_t)number_of (body, "generation", 0);
+      = { .ok = mm_store_http_ok (res) && cJSON_IsArray (list),
+          .generation = (uint64_t)number_of (body, "generation", 0) };
   const cJSON *part;
   cJSON_ArrayForEach (part, list)
-    parts[r.n_parts++] = (uint32_t)part->valuedouble;
-  p->join_done (&r, p->ctx);
-  g_free (parts);
-  g_free (why);
+    {
+      uint32_t no = (uint32_t)part->valuedouble;
+      g_array_append_val (parts, no);
+    }
+  mm_store_tell_join (ctx, res, &r, parts);
   cJSON_Delete (body);
-  g_free (p);
 }
 
 static void
@@ -229,30 +164,31 @@
           uint64_t generation, mm_time_ms ttl_ms, mm_time_ms timeout_ms,
           mm_join_done done, void *done_ctx)
 {
-  pending p = { .join_done = done, .ctx = done_ctx };
+  mm_store_call p = { .join_done = done, .ctx = done_ctx };
   cJSON *b = cJSON_CreateObject ();
   cJSON_AddStringToObject (b, "member", member);
   cJSON_AddNumberToObject (b, "generation", (double)generation);
   cJSON_AddNumberToObject (b, "ttl_ms", (double)ttl_ms);
-  send_call (ctx, "POST", g_strdup_printf ("/groups/%s/join", group), b,
-             timeout_ms, on_join, &p);
+  mm_store_http_send (ctx, "POST",
+                      g_strdup_printf ("/v1/groups/%s/join", group), b,
+                      timeout_ms, on_join, &p);
 }
 
 static void
 own_leave (void *ctx, const char *group, const char *member,
            mm_time_ms timeout_ms, mm_join_done done, void *done_ctx)
 {
-  pending p = { .join_done = done, .ctx = done_ctx };
+  mm_store_call p = { .join_done = done, .ctx = done_ctx };
   cJSON *b = cJSON_CreateObject ();
   cJSON_AddStringToObject (b, "member", member);
-  send_call (ctx, "POST", g_strdup_printf ("/groups/%s/leave", group), b,
-             timeout_ms, on_join, &p);
+  mm_store_http_send (ctx, "POST",
+                      g_strdup_printf ("/v1/groups/%s/leave", group), b,
+                      timeout_ms, on_join, &p);
 }
 
 static void
 on_members (const mm_http_result *res, void *ctx)
 {
-  pending *p = ctx;
   cJSON *body = cJSON_ParseWithLength (res->body, res->body_bytes);
   const cJSON *list = cJSON_GetObjectItemCaseSensitive (body, "members");
   GPtrArray *names = g_ptr_array_new ();
@@ -260,26 +196,21 @@
   cJSON_ArrayForEach (m, list)
     if (cJSON_IsString (m))
       g_ptr_array_add (names, m->valuestring);
-  char *why = mm_http_failure_text (res);
-  mm_members_result r
-      = { .why = why,
-          .ok = !res->error && res->status == 200 && cJSON_IsArray (list),
-          .members = (const char *const *)names->pdata,
-          .n_members = names->len };
-  p->members_done (&r, p->ctx);
+  mm_members_result r = { .ok = mm_store_http_ok (res) && cJSON_IsArray (list),
+                          .members = (const char *const *)names->pdata,
+                          .n_members = names->len };
+  mm_store_tell_members (ctx, res, &r);
   g_ptr_array_free (names, TRUE);
-  g_free (why);
   cJSON_Delete (body);
-  g_free (p);
 }
 
 static void
 own_members (void *ctx, const char *group, mm_time_ms timeout_ms,
              mm_members_done done, void *done_ctx)
 {
-  pending p = { .members_done = done, .ctx = done_ctx };
-  send_call (ctx, "GET", g_strdup_printf ("/groups/%s", group), NULL,
-             timeout_ms, on_members, &p);
+  mm_store_call p = { .members_done = done, .ctx = done_ctx };
+  mm_store_http_send (ctx, "GET", g_strdup_printf ("/v1/groups/%s", group),
+                      NULL, timeout_ms, on_members, &p);
 }
 
 /**
@@ -287,7 +218,7 @@
  * @s: must outlive the port.
  */
 mm_store_port
-mm_own_store_port (mm_own_store *s)
+mm_own_store_port (mm_store_http *s)
 {
   return (mm_store_port){ .newest = own_newest,
                           .tail = own_tail,
--- a/src/mm_shares.c
+++ b/src/mm_shares.c
@@ -110,18 +110,6 @@
     s->leaving_since_ms = mm_clock_now_ms ();
 }
 
-static void
-note_touch (mm_shares *s, const mm_join_result *res)
-{
-  if (s->closed || s->in_touch == res->ok)
-    return;
-  s->in_touch = res->ok;
-  if (res->ok)
-    mm_log_event (MM_EV_STORE_REACHED, MM_TEXT (s->group));
-  else
-    mm_log_event (MM_EV_STORE_LOST, MM_TEXT (s->group), MM_TEXT (res->why));
-}
-
 static void
 on_joined (const mm_join_result *res, void *ctx)
 {
@@ -129,7 +117,8 @@
   s->in_flight = false;
   mm_metrics_count (res->ok ? MM_CT_JOIN_OK : MM_CT_JOIN_FAILED);
   mm_metrics_time (MM_HG_JOIN_CALL, mm_clock_now_ms () - s->sent_ms);
-  note_touch (s, res);
+  if (!s->closed)
+    mm_store_note_touch (&s->in_touch, res->ok, s->group, res->why);
   if (!s->closed && res->ok && !s->quitting && res->generation != s->listed)
     {
       s->listed = res->generation;
--- /dev/null
+++ b/src/mm_store.c
@@ -0,0 +1,26 @@
+/* mm_store: what all who use the store share.  */
+#include "mm_store.h"
+
+#include "mm_event.h"
+
+void
+mm_stream_item_clear (gpointer item)
+{
+  mm_stream_item *i = item;
+  g_free (i->key);
+  mm_routes_unref (i->routes);
+  mm_upstream_info_free (i->upstream);
+}
+
+void
+mm_store_note_touch (bool *in_touch, bool ok, const char *what,
+                     const char *why)
+{
+  if (*in_touch == ok)
+    return;
+  *in_touch = ok;
+  if (ok)
+    mm_log_event (MM_EV_STORE_REACHED, MM_TEXT (what));
+  else
+    mm_log_event (MM_EV_STORE_LOST, MM_TEXT (what), MM_TEXT (why));
+}
--- a/src/mm_store.h
+++ b/src/mm_store.h
@@ -74,4 +74,8 @@
   void *ctx;
 } mm_store_port;
 
+/* A call ended: log that @what is in reach again, or no longer and @why. */
+void mm_store_note_touch (bool *in_touch, bool ok, const char *what,
+                          const char *why);
+
 #endif /* MM_STORE_H */
--- /dev/null
+++ b/src/mm_store_http.h
@@ -0,0 +1,42 @@
+/* mm_store_http: calls to a store over HTTP; paths and bodies are an
+   interface's own.  */
+#ifndef MM_STORE_HTTP_H
+#define MM_STORE_HTTP_H
+
+#include "mm_store.h"
+
+#include <cJSON.h>
+
+typedef struct mm_store_http mm_store_http;
+
+/* A call that is open; one of the three callbacks is set.  */
+typedef struct
+{
+  mm_stream_kind kind;
+  uint64_t from; /* offset asked for */
+  mm_stream_done stream_done;
+  mm_join_done join_done;
+  mm_members_done members_done;
+  void *ctx; /* of the callback */
+} mm_store_call;
+
+mm_store_http *mm_store_http_create (mm_http_client *client, const char *addr);
+void mm_store_http_destroy (mm_store_http *s);
+/* Takes @path and @body (NULL: none); @done gets a copy of @call.  */
+void mm_store_http_send (mm_store_http *s, const char *method, char *path,
+                         cJSON *body, mm_time_ms timeout_ms, mm_http_done done,
+                         const mm_store_call *call);
+
+/* ---- what @done does with the copy ---- */
+bool mm_store_http_ok (const mm_http_result *res); /* answered with 200 */
+GArray *mm_store_items_new (void);                 /* of mm_stream_item */
+/* Tell the caller, with the reason if @r is not ok, and free @call.  The
+   first two take @items and @parts (uint32_t).  */
+void mm_store_tell_stream (mm_store_call *call, const mm_http_result *res,
+                           mm_stream_result *r, GArray *items);
+void mm_store_tell_join (mm_store_call *call, const mm_http_result *res,
+                         mm_join_result *r, GArray *parts);
+void mm_store_tell_members (mm_store_call *call, const mm_http_result *res,
+                            mm_members_result *r);
+
+#endif /* MM_STORE_HTTP_H */
--- a/src/mm_stream.c
+++ b/src/mm_stream.c
@@ -5,7 +5,6 @@
 #include "mm_stream.h"
 
 #include "config.h"
-#include "mm_event.h"
 #include "mm_metrics.h"
 
 struct mm_stream
@@ -27,15 +26,6 @@
   mm_time_ms due_ms;
 };
 
-void
-mm_stream_item_clear (gpointer item)
-{
-  mm_stream_item *i = item;
-  g_free (i->key);
-  mm_routes_unref (i->routes);
-  mm_upstream_info_free (i->upstream);
-}
-
 static void
 stream_unref (mm_stream *s)
 {
@@ -84,14 +74,7 @@
 {
   static const char *const names[] = { "configuration", "upstream list" };
   mm_metrics_count (res->ok ? MM_CT_STREAM_OK : MM_CT_STREAM_FAILED);
-  if (s->in_touch == res->ok)
-    return;
-  s->in_touch = res->ok;
-  if (res->ok)
-    mm_log_event (MM_EV_STORE_REACHED, MM_TEXT (names[s->kind]));
-  else
-    mm_log_event (MM_EV_STORE_LOST, MM_TEXT (names[s->kind]),
-                  MM_TEXT (res->why));
+  mm_store_note_touch (&s->in_touch, res->ok, names[s->kind], res->why);
 }
 
 static void
