Lists of runs are read in one place

Cause: pf_exec.c and mm_run_json.c walked a hold's two lists in the same loop, one checking that they are arrays, the other not. Change: mm_exec_wire_read_lists walks them for both; an interface names its two fields and reads a row. Our own interface now also refuses lists that are no arrays, as the platform's did; no sender of ours makes such.

--- a/fuzz/fuzz_wire.c
+++ b/fuzz/fuzz_wire.c
@@ -45,7 +45,7 @@
   mm_run_json_read_order (o, &order, &id);
   mm_run_json_read_hold (o, &hold);
   mm_hold_result lists = { 0 };
-  mm_run_json_read_lists (o, &lists);
+  mm_exec_wire_read_lists (&mm_own_exec_wire, o, &lists);
   g_free ((void *)lists.running);
   g_free ((void *)lists.ended);
   cJSON_Delete (o);
--- a/src/mm_exec_http.c
+++ b/src/mm_exec_http.c
@@ -44,6 +44,31 @@
   return r;
 }
 
+bool
+mm_exec_wire_read_lists (const mm_exec_wire *wire, const cJSON *body,
+                         mm_hold_result *out)
+{
+  const cJSON *running
+      = cJSON_GetObjectItemCaseSensitive (body, wire->running_field);
+  const cJSON *ended
+      = cJSON_GetObjectItemCaseSensitive (body, wire->ended_field);
+  if ((running && !cJSON_IsArray (running))
+      || (ended && !cJSON_IsArray (ended)))
+    return false;
+  mm_running *up = g_new0 (mm_running, cJSON_GetArraySize (running) + 1);
+  mm_ended *over = g_new0 (mm_ended, cJSON_GetArraySize (ended) + 1);
+  out->running = up;
+  out->ended = over;
+  const cJSON *row;
+  cJSON_ArrayForEach (row, running)
+    if (!wire->read_running (row, &up[out->n_running++]))
+      return false;
+  cJSON_ArrayForEach (row, ended)
+    if (!wire->read_ended (row, &over[out->n_ended++]))
+      return false;
+  return true;
+}
+
 static void
 on_call (const mm_http_result *res, void *ctx)
 {
@@ -61,7 +86,8 @@
   pending *p = ctx;
   cJSON *body = cJSON_ParseWithLength (res->body, res->body_bytes);
   mm_hold_result r = { .call = result_of (p->wire, res, body) };
-  if (r.call.verdict == MM_CALL_OK && !p->wire->read_lists (body, &r))
+  if (r.call.verdict == MM_CALL_OK
+      && !mm_exec_wire_read_lists (p->wire, body, &r))
     {
       g_warning ("upstream's lists of runs not understood: %.200s", res->body);
       r.call.verdict = MM_CALL_NO_ANSWER;
--- a/src/mm_exec_http.h
+++ b/src/mm_exec_http.h
@@ -20,10 +20,17 @@
   /* Of an answer whose status is not 200; MM_CALL_NO_ANSWER when it is
      none of the interface's.  */
   mm_call_verdict (*verdict) (long status, const cJSON *body);
-  /* Allocates both lists, freed with g_free() in any case.  */
-  bool (*read_lists) (const cJSON *body, mm_hold_result *out);
+  const char *running_field; /* of a hold's answer: lists of rows */
+  const char *ended_field;
+  bool (*read_running) (const cJSON *row, mm_running *out);
+  bool (*read_ended) (const cJSON *row, mm_ended *out);
 } mm_exec_wire;
 
+/* A hold's answer.  Allocates both lists of @out, freed with g_free() in
+   any case.  */
+bool mm_exec_wire_read_lists (const mm_exec_wire *wire, const cJSON *body,
+                              mm_hold_result *out);
+
 typedef struct mm_exec_http mm_exec_http;
 
 mm_exec_http *mm_exec_http_create (mm_http_client *client,
--- a/src/mm_own_exec.c
+++ b/src/mm_own_exec.c
@@ -24,5 +24,8 @@
   .order_body = mm_run_json_order,
   .hold_body = mm_run_json_hold,
   .verdict = verdict_of,
-  .read_lists = mm_run_json_read_lists,
+  .running_field = MM_RUN_JSON_RUNNING,
+  .ended_field = MM_RUN_JSON_ENDED,
+  .read_running = mm_run_json_read_running,
+  .read_ended = mm_run_json_read_ended,
 };
--- a/src/mm_run_json.c
+++ b/src/mm_run_json.c
@@ -113,7 +113,7 @@
 mm_run_json_lists (const mm_hold_result *r)
 {
   cJSON *o = cJSON_CreateObject ();
-  cJSON *running = cJSON_AddArrayToObject (o, "running");
+  cJSON *running = cJSON_AddArrayToObject (o, MM_RUN_JSON_RUNNING);
   for (size_t i = 0; i < r->n_running; i++)
     {
       cJSON *row = cJSON_CreateObject ();
@@ -121,7 +121,7 @@
       cJSON_AddNumberToObject (row, "percent", r->running[i].percent);
       cJSON_AddItemToArray (running, row);
     }
-  cJSON *ended = cJSON_AddArrayToObject (o, "ended");
+  cJSON *ended = cJSON_AddArrayToObject (o, MM_RUN_JSON_ENDED);
   for (size_t i = 0; i < r->n_ended; i++)
     {
       cJSON *row = cJSON_CreateObject ();
@@ -133,8 +133,8 @@
   return o;
 }
 
-static bool
-read_running (const cJSON *row, mm_running *out)
+bool
+mm_run_json_read_running (const cJSON *row, mm_running *out)
 {
   int64_t percent;
   if (!read_task (row, &out->task, &out->run)
@@ -144,8 +144,8 @@
   return true;
 }
 
-static bool
-read_ended (const cJSON *row, mm_ended *out)
+bool
+mm_run_json_read_ended (const cJSON *row, mm_ended *out)
 {
   int64_t seq, how;
   if (!read_task (row, &out->task, &out->run) || !read_i64 (row, "seq", &seq)
@@ -155,22 +155,3 @@
   out->how = (mm_end)how;
   return true;
 }
-
-bool
-mm_run_json_read_lists (const cJSON *in, mm_hold_result *r)
-{
-  const cJSON *running = cJSON_GetObjectItemCaseSensitive (in, "running");
-  const cJSON *ended = cJSON_GetObjectItemCaseSensitive (in, "ended");
-  mm_running *up = g_new0 (mm_running, cJSON_GetArraySize (running) + 1);
-  mm_ended *over = g_new0 (mm_ended, cJSON_GetArraySize (ended) + 1);
-  r->running = up;
-  r->ended = over;
-  const cJSON *row;
-  cJSON_ArrayForEach (row, running)
-    if (!read_running (row, &up[r->n_running++]))
-      return false;
-  cJSON_ArrayForEach (row, ended)
-    if (!read_ended (row, &over[r->n_ended++]))
-      return false;
-  return true;
-}
--- a/src/mm_run_json.h
+++ b/src/mm_run_json.h
@@ -21,8 +21,11 @@
 bool mm_run_json_read_order (const cJSON *in, mm_order *out, mm_task_id *task);
 bool mm_run_json_read_hold (const cJSON *in, mm_hold *out);
 void mm_run_json_read_work (const char *payload, mm_run_work *out);
+/* A hold's answer: lists of rows under these names.  */
+#define MM_RUN_JSON_RUNNING "running"
+#define MM_RUN_JSON_ENDED "ended"
 cJSON *mm_run_json_lists (const mm_hold_result *r);
-/* Allocates the lists of @r; free both with g_free().  */
-bool mm_run_json_read_lists (const cJSON *in, mm_hold_result *r);
+bool mm_run_json_read_running (const cJSON *row, mm_running *out);
+bool mm_run_json_read_ended (const cJSON *row, mm_ended *out);
 
 #endif /* MM_RUN_JSON_H */
