Timers look only when there is something to see

Cause: each tick (25 ms) of a session copied its list of runs even while it was in contact, when nothing could expire; each tick of a holding asked whether all its upstreams were quiet, also when none was handed over. Both answers to an order began with the same check of a run that is over. Change: both return at once; the check stands once (still_matters). Ruled out: making room reports only when due; a tick and a report's pause are the same 25 ms, so nothing is saved. Processor time was not measured.

--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -183,6 +183,21 @@
   drop_all_runs (x, "upstream restarted");
 }
 
+/* An order was answered.  Return: false when its run is over already; the
+   call is closed then.  */
+static bool
+still_matters (mm_exec_call *c, const mm_call_result *res)
+{
+  if (c->exec->closed || c->run->gone)
+    {
+      free_if_over (c->run);
+      call_close (c);
+      return false;
+    }
+  mm_exec_learn_clock (c->exec, res);
+  return true;
+}
+
 static void
 on_stop_answer (const mm_call_result *res, void *ctx)
 {
@@ -190,13 +205,8 @@
   mm_exec *x = c->exec;
   mm_exec_run *r = c->run;
   r->stop_in_flight = false;
-  if (x->closed || r->gone)
-    {
-      free_if_over (r);
-      call_close (c);
-      return;
-    }
-  mm_exec_learn_clock (x, res);
+  if (!still_matters (c, res))
+    return;
   switch (res->verdict)
     {
     case MM_CALL_OK:
@@ -304,16 +314,10 @@
 on_start_answer (const mm_call_result *res, void *ctx)
 {
   mm_exec_call *c = ctx;
-  mm_exec *x = c->exec;
   mm_exec_run *r = c->run;
   r->start_in_flight = false;
-  if (x->closed || r->gone)
-    {
-      free_if_over (r);
-      call_close (c);
-      return;
-    }
-  mm_exec_learn_clock (x, res);
+  if (!still_matters (c, res))
+    return;
   mm_metrics_time (MM_HG_START_CALL, mm_clock_now_ms () - r->sent_ms);
   /* A hold may have shown it running before this answer came.  */
   if (r->phase == RUN_ORDERED)
@@ -466,26 +470,25 @@
   x->port.hold (x->port.ctx, x->info, &h, on_hold_answer, c);
 }
 
-/* Runs that ended with their lease, or orders that are void by now.  */
+/* Out of contact for longer than any lease: runs have ended with theirs,
+   and orders are void.  */
 static void
 expire_runs (mm_exec *x, mm_time_ms now)
 {
-  bool lease_over
-      = x->hold_failed_ms && now > x->lease_until_ms + MM_LEASE_SLACK_MS;
+  if (!x->hold_failed_ms || now <= x->lease_until_ms + MM_LEASE_SLACK_MS)
+    return;
   GList *runs = g_hash_table_get_values (x->runs);
   for (GList *l = runs; l && !x->closed; l = l->next)
     {
       mm_exec_run *r = l->data;
       if (r->phase == RUN_ORDERED)
         continue;
-      if (lease_over)
-        mm_exec_release (
-            r, r->phase == RUN_RUNNING ? MM_END_LOST : MM_END_NOT_RUN,
-            "lease expired out of contact");
+      mm_exec_release (r,
+                       r->phase == RUN_RUNNING ? MM_END_LOST : MM_END_NOT_RUN,
+                       "lease expired out of contact");
     }
   g_list_free (runs);
-  if (lease_over)
-    x->seen = false;
+  x->seen = false;
 }
 
 /* Only a run that somebody waits for has its lease renewed.  */
--- a/src/mm_holdings.c
+++ b/src/mm_holdings.c
@@ -142,8 +142,10 @@
 tick_shares (mm_holdings *h, holding *d, mm_time_ms now)
 {
   mm_shares_tick (d->shares);
-  bool quiet = h->ev.quiet (h->ev.ctx, d->datacentre);
-  if (mm_shares_releasing (d->shares) && quiet)
+  bool releasing = mm_shares_releasing (d->shares);
+  bool quiet
+      = (releasing || d->retiring) && h->ev.quiet (h->ev.ctx, d->datacentre);
+  if (releasing && quiet)
     mm_shares_release (d->shares);
   if (d->retiring && (quiet || now - d->retiring_ms > MM_HANDOVER_MS))
     mm_shares_leave (d->shares);
