A job's slack and first tasks are worked out once

Cause: mm_jobs_submit and job_create each worked out the slack, and the first tasks were counted up to twice. Change: once, and handed on.

--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -342,7 +342,7 @@
 
 static job *
 job_create (mm_jobs *j, mm_submission *s, const mm_route *route,
-            mm_time_ms patience_ms)
+            mm_time_ms patience_ms, mm_time_ms slack_ms)
 {
   job *b = g_new0 (job, 1);
   mm_time_ms now = mm_clock_now_ms ();
@@ -354,11 +354,10 @@
   b->attempts = MAX (route->attempts, 1);
   b->submitted_ms = now;
   b->deadline_ms = now + patience_ms;
-  mm_time_ms chain_ms = mm_submission_chain_ms (s);
-  b->due_ms
-      = now + mm_admission_slack_ms (route->stretch, route->slo_ms, chain_ms);
-  b->start_by_ms
-      = now + mm_admission_limit_ms (route->stretch, route->slo_ms, chain_ms);
+  b->due_ms = now + slack_ms;
+  b->start_by_ms = now
+                   + mm_admission_limit_ms (route->stretch, route->slo_ms,
+                                            mm_submission_chain_ms (s));
   b->start_by_ms = MIN (b->start_by_ms, b->deadline_ms);
   b->n_tasks = mm_submission_tasks (s);
   b->tasks = g_new0 (task, b->n_tasks);
@@ -429,7 +428,8 @@
   mm_load load = mm_fleet_load (j->fleet, route->service);
   mm_time_ms slack = mm_admission_slack_ms (route->stretch, route->slo_ms,
                                             mm_submission_chain_ms (s));
-  mm_admission a = mm_admission_decide (&load, first_tasks (s), slack);
+  uint32_t tasks = first_tasks (s);
+  mm_admission a = mm_admission_decide (&load, tasks, slack);
   if (!no.why && !a.take)
     {
       no.why = "would come too late";
@@ -440,7 +440,7 @@
       mm_metrics_count (a.take ? MM_CT_JOBS_REFUSED_KIND
                                : MM_CT_JOBS_REFUSED_LATE);
       mm_log_event (MM_EV_JOB_REFUSED, MM_TEXT (s->id), MM_TEXT (route->name),
-                    MM_INT (route->config_version), MM_INT (first_tasks (s)),
+                    MM_INT (route->config_version), MM_INT (tasks),
                     MM_INT (load.places), MM_INT (load.free),
                     MM_INT (load.waiting), MM_INT (load.age_ms),
                     MM_INT (a.wait_ms), MM_INT (slack), MM_TEXT (no.why));
@@ -449,11 +449,11 @@
       return NULL;
     }
   mm_log_event (MM_EV_JOB_ACCEPTED, MM_TEXT (s->id), MM_TEXT (route->name),
-                MM_INT (route->config_version), MM_INT (first_tasks (s)),
+                MM_INT (route->config_version), MM_INT (tasks),
                 MM_INT (load.places), MM_INT (load.free),
                 MM_INT (load.waiting), MM_INT (load.age_ms),
                 MM_INT (a.wait_ms), MM_INT (slack));
-  b = job_create (j, s, route, patience_ms);
+  b = job_create (j, s, route, patience_ms, slack);
   mm_caller *c = add_caller (b, on_answer, ctx);
   if (b->n_tasks == 0)
     {
