Nobody's functions go; a peer's address is freed in one place

Cause: mm_stream_whole, mm_owner_owns and a data centre's name in mm_members had no reader; an empty callback was there to fill a field; two files freed a mm_peer_info in the same three lines. mm_node's look for a busy upstream went on after it had found one.

--- a/src/mm_members.c
+++ b/src/mm_members.c
@@ -12,7 +12,6 @@
 typedef struct
 {
   mm_members *members;
-  char *name; /* of the data centre */
   char *group;
   char **who; /* member names last told */
   bool in_flight;
@@ -50,7 +49,6 @@
     return;
   for (size_t i = 0; i < m->n; i++)
     {
-      g_free (m->dcs[i].name);
       g_free (m->dcs[i].group);
       g_strfreev (m->dcs[i].who);
     }
@@ -59,7 +57,7 @@
   g_free (m);
 }
 
-/* INSTANCE@ADDRESS/DATACENTRE; the parts are freed by _clear.  */
+/* INSTANCE@ADDRESS/DATACENTRE; the parts are freed by mm_peer_info_clear(). */
 static bool
 read_name (const char *name, mm_peer_info *out)
 {
@@ -76,15 +74,6 @@
   return true;
 }
 
-static void
-peer_info_clear (gpointer p)
-{
-  mm_peer_info *i = p;
-  g_free (i->name);
-  g_free (i->addr);
-  g_free (i->datacentre);
-}
-
 /* A restarted instance reads the list and links to all: they need not wait
    for their next reading of the list to use its upstreams.  */
 static void
@@ -95,7 +84,7 @@
   if (strcmp (name, m->self) == 0 || !read_name (name, &p))
     return;
   mm_mesh_add_peer (m->mesh, &p);
-  peer_info_clear (&p);
+  mm_peer_info_clear (&p);
 }
 
 mm_members *
@@ -113,7 +102,6 @@
   for (size_t i = 0; i < m->n; i++)
     {
       m->dcs[i].members = m;
-      m->dcs[i].name = g_strdup (datacentres[i]);
       m->dcs[i].group = mm_members_group (datacentres[i]);
     }
   return m;
@@ -133,7 +121,7 @@
 publish (mm_members *m)
 {
   GArray *peers = g_array_new (FALSE, FALSE, sizeof (mm_peer_info));
-  g_array_set_clear_func (peers, peer_info_clear);
+  g_array_set_clear_func (peers, mm_peer_info_clear);
   for (size_t i = 0; i < m->n; i++)
     for (char **w = m->dcs[i].who; w && *w; w++)
       {
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -322,6 +322,15 @@
   msgpack_sbuffer_destroy (&b);
 }
 
+void
+mm_peer_info_clear (gpointer info)
+{
+  mm_peer_info *i = info;
+  g_free (i->name);
+  g_free (i->addr);
+  g_free (i->datacentre);
+}
+
 static void
 peer_free (gpointer v)
 {
@@ -330,9 +339,7 @@
     mm_link_close (p->link, "peer not listed any more");
   g_hash_table_destroy (p->remote);
   g_free (p->rooms);
-  g_free (p->info.name);
-  g_free (p->info.addr);
-  g_free (p->info.datacentre);
+  mm_peer_info_clear (&p->info);
   g_free (p);
 }
 
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -14,6 +14,8 @@
   char *datacentre; /* where it stands */
 } mm_peer_info;
 
+void mm_peer_info_clear (gpointer info); /* frees what it holds */
+
 /* Another instance, and the room it last told of.  */
 typedef struct
 {
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -105,11 +105,6 @@
                 MM_INT (n->routes->n));
 }
 
-static void
-on_config_whole (void *ctx, GHashTable *keys)
-{
-}
-
 static void
 on_upstream (void *ctx, const mm_stream_item *item)
 {
@@ -171,7 +166,7 @@
   mm_node *n = ctx;
   bool quiet = true;
   GList *owned = mm_owner_names (n->owner);
-  for (GList *l = owned; l; l = l->next)
+  for (GList *l = owned; l && quiet; l = l->next)
     {
       uint64_t fence;
       const mm_upstream_info *u = mm_catalog_find (n->catalog, l->data);
@@ -270,8 +265,7 @@
   n->catalog = mm_catalog_create ();
   n->fleet = mm_fleet_create (n->owner, n->mesh, s->datacentre);
   n->jobs = mm_jobs_create (n->fleet);
-  mm_stream_events config
-      = { .item = on_config, .whole = on_config_whole, .ctx = n };
+  mm_stream_events config = { .item = on_config, .ctx = n };
   mm_stream_events list
       = { .item = on_upstream, .whole = on_upstreams_whole, .ctx = n };
   n->config = mm_stream_create (store, MM_STREAM_CONFIG, MM_CONFIG_WAIT_MS, 0,
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -277,12 +277,6 @@
     s->frozen = true;
 }
 
-bool
-mm_owner_owns (const mm_owner *o, const char *upstream)
-{
-  return g_hash_table_contains (o->slots, upstream);
-}
-
 /* Another owner's token was seen at this upstream.  */
 bool
 mm_owner_fenced (const mm_owner *o, const char *upstream)
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -42,7 +42,6 @@
                    uint64_t fence); /* own it, or take list news of it */
 void mm_owner_disown (mm_owner *o, const char *upstream); /* at once */
 void mm_owner_freeze (mm_owner *o, const char *upstream); /* no new starts */
-bool mm_owner_owns (const mm_owner *o, const char *upstream);
 bool mm_owner_fenced (const mm_owner *o, const char *upstream);
 GList *mm_owner_names (const mm_owner *o); /* owned; free list, not names */
 bool mm_owner_quiet (const mm_owner *o, const char *upstream); /* no runs */
--- a/src/mm_stream.c
+++ b/src/mm_stream.c
@@ -18,7 +18,6 @@
   mm_time_ms pause_ms; /* between reads that do not wait */
   bool in_flight;
   bool tailing;
-  bool ever_whole;
   bool in_touch;
   uint64_t next;
   GHashTable *keys; /* seen in the reading of the newest records */
@@ -115,8 +114,9 @@
       s->after = g_strdup (res->after);
       if (!s->after)
         {
-          s->tailing = s->ever_whole = true;
-          s->ev.whole (s->ev.ctx, s->keys);
+          s->tailing = true;
+          if (s->ev.whole)
+            s->ev.whole (s->ev.ctx, s->keys);
         }
     }
   stream_unref (s);
@@ -137,12 +137,6 @@
                     on_result, s);
 }
 
-bool
-mm_stream_whole (const mm_stream *s)
-{
-  return s->ever_whole;
-}
-
 bool
 mm_stream_in_touch (const mm_stream *s)
 {
--- a/src/mm_stream.h
+++ b/src/mm_stream.h
@@ -9,7 +9,8 @@
 typedef struct
 {
   void (*item) (void *ctx, const mm_stream_item *item);
-  /* All newest records were read; keys not among them are gone.  */
+  /* All newest records were read; keys not among them are gone.  NULL
+     where that does not matter.  */
   void (*whole) (void *ctx, GHashTable *keys);
   void *ctx;
 } mm_stream_events;
@@ -19,7 +20,6 @@
                              const mm_stream_events *ev);
 void mm_stream_destroy (mm_stream *s); /* open calls are ignored */
 void mm_stream_tick (mm_stream *s);
-bool mm_stream_whole (const mm_stream *s);    /* read once in full */
 bool mm_stream_in_touch (const mm_stream *s); /* the last call worked */
 
 #endif /* MM_STREAM_H */
