masticctl reads files and sends bodies in one place

Cause: job submit, queues set and fault each had the same call, print and exit status; three commands the same reading of a file. A bad queues file left its text unfreed; a comment named a command (queues show) that does not exist.

--- a/daemons/ctl.c
+++ b/daemons/ctl.c
@@ -54,6 +54,34 @@
   return body;
 }
 
+char *
+ctl_read (const char *file, GError **error)
+{
+  char *text = NULL;
+  GError *err = NULL;
+  if (!g_file_get_contents (file, &text, NULL, &err))
+    {
+      g_set_error (error, MM_ERROR, MM_ERROR_IO, "%s", err->message);
+      g_error_free (err);
+    }
+  return text;
+}
+
+int
+ctl_send (const char *method, const char *url, const char *text,
+          int64_t timeout_ms)
+{
+  GError *err = NULL;
+  long status = 0;
+  char *answer
+      = mm_http_call_sync (method, url, text, timeout_ms, &status, &err);
+  if (!answer)
+    return ctl_fail (err);
+  printf ("%s\n", answer);
+  g_free (answer);
+  return status == 200 ? 0 : 1;
+}
+
 cJSON *
 ctl_members (GError **error)
 {
--- a/daemons/ctl.h
+++ b/daemons/ctl.h
@@ -10,7 +10,11 @@
 
 int ctl_usage (void);       /* print it; exit status 2 */
 int ctl_fail (GError *err); /* print and free it; exit status 1 */
-char *ctl_get (const char *url, GError **error);        /* body of a 200 */
+char *ctl_get (const char *url, GError **error);   /* body of a 200 */
+char *ctl_read (const char *file, GError **error); /* g_free */
+/* Send @text and print the answer; exit status.  */
+int ctl_send (const char *method, const char *url, const char *text,
+              int64_t timeout_ms);
 cJSON *ctl_members (GError **error);                    /* the member list */
 const char *ctl_text (const cJSON *o, const char *key); /* or "-" */
 
--- a/daemons/ctl_config.c
+++ b/daemons/ctl_config.c
@@ -71,14 +71,10 @@
 static char *
 read_record (int argc, char **argv, int64_t parent, GError **error)
 {
-  char *base = NULL, *rec = NULL;
-  GError *err = NULL;
-  if (!g_file_get_contents (argv[0], &base, NULL, &err))
-    {
-      g_set_error (error, MM_ERROR, MM_ERROR_IO, "%s", err->message);
-      g_error_free (err);
-      return NULL;
-    }
+  char *rec = NULL;
+  char *base = ctl_read (argv[0], error);
+  if (!base)
+    return NULL;
   GPtrArray *sites = g_ptr_array_new_with_free_func (g_free);
   GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
   bool ok = true;
--- a/daemons/ctl_queues.c
+++ b/daemons/ctl_queues.c
@@ -1,9 +1,6 @@
-/* masticctl queues set FILE | show: the queues that instances serve.  */
+/* masticctl queues set FILE: the queues that instances serve.  */
 #include "ctl.h"
 
-#include <stdio.h>
-#include <string.h>
-
 #define QUEUES_URL "%s/v1/streams/config/config"
 
 /* The store takes only whole queues, with a version above the last one's;
@@ -30,20 +27,18 @@
 int
 ctl_queues_set (const char *file)
 {
-  char *text = NULL;
   GError *err = NULL;
-  if (!g_file_get_contents (file, &text, NULL, &err))
-    return ctl_fail (g_error_new (MM_ERROR, MM_ERROR_IO, "%s", err->message));
-  if (!check (text, &err))
+  char *text = ctl_read (file, &err);
+  if (!text)
     return ctl_fail (err);
-  long status = 0;
+  if (!check (text, &err))
+    {
+      g_free (text);
+      return ctl_fail (err);
+    }
   char *url = g_strdup_printf (QUEUES_URL, ctl_platform_url);
-  char *answer = mm_http_call_sync ("PUT", url, text, 5000, &status, &err);
+  int rc = ctl_send ("PUT", url, text, 5000);
   g_free (url);
   g_free (text);
-  if (!answer)
-    return ctl_fail (err);
-  printf ("%s\n", answer);
-  g_free (answer);
-  return status == 200 ? 0 : 1;
+  return rc;
 }
--- a/daemons/masticctl.c
+++ b/daemons/masticctl.c
@@ -23,20 +23,15 @@
 static int
 cmd_job_submit (const char *file)
 {
-  char *text = NULL;
   GError *err = NULL;
-  if (!g_file_get_contents (file, &text, NULL, &err))
-    return ctl_fail (g_error_new (MM_ERROR, MM_ERROR_IO, "%s", err->message));
+  char *text = ctl_read (file, &err);
+  if (!text)
+    return ctl_fail (err);
   char *url = g_strdup_printf ("%s/v1/jobs", ctl_entry_url);
-  long status = 0;
-  char *answer = mm_http_call_sync ("POST", url, text, 60000, &status, &err);
+  int rc = ctl_send ("POST", url, text, 60000);
   g_free (url);
   g_free (text);
-  if (!answer)
-    return ctl_fail (err);
-  printf ("%s\n", answer);
-  g_free (answer);
-  return status == 200 ? 0 : 1;
+  return rc;
 }
 
 static int
@@ -65,14 +60,9 @@
   g_free (state);
   url = g_strdup_printf ("http://%s%s", addr,
                          platform ? "/v1/faults" : "/v1/mode");
-  long status = 0;
-  char *answer = mm_http_call_sync ("POST", url, json, 5000, &status, &err);
+  int rc = ctl_send ("POST", url, json, 5000);
   g_free (url);
-  if (!answer)
-    return ctl_fail (err);
-  printf ("%s\n", answer);
-  g_free (answer);
-  return status == 200 ? 0 : 1;
+  return rc;
 }
 
 int
