--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -100,6 +100,16 @@
   return p;
 }
 
+/* Job NAME-NO.  */
+static pid_t
+submit_no (int node, const char *name, int no, int tasks, int run_ms,
+           bool idempotent)
+{
+  char id[32];
+  g_snprintf (id, sizeof id, "%s-%d", name, no);
+  return submit (node, id, tasks, run_ms, idempotent);
+}
+
 /* A caller that comes back when it was told to: up to five times, a second
    apart, until it has its whole answer.  */
 static bool
@@ -132,11 +142,7 @@
   h_nodes (4, 4, 3);
   pid_t p[9];
   for (int i = 0; i < 9; i++)
-    {
-      char id[16];
-      snprintf (id, sizeof id, "job-%d", i);
-      p[i] = submit (i % 3, id, 5, 100, true);
-    }
+    p[i] = submit_no (i % 3, "job", i, 5, 100, true);
   for (int i = 0; i < 9; i++)
     ck_assert (h_answered (p[i]));
   assert_kept_promises (4);
@@ -175,21 +181,13 @@
   h_nodes (2, 2, 2);
   pid_t p[3];
   for (int i = 0; i < 3; i++)
-    {
-      char id[16];
-      snprintf (id, sizeof id, "froz-%d", i);
-      p[i] = submit (1, id, 2, 800, true);
-    }
+    p[i] = submit_no (1, "froz", i, 2, 800, true);
   sleep_ms (100);
   kill (h_entries[1], SIGSTOP);
   sleep_ms (RESEND_MS);
   pid_t again[3];
   for (int i = 0; i < 3; i++)
-    {
-      char id[16];
-      snprintf (id, sizeof id, "froz-%d", i);
-      again[i] = submit (0, id, 2, 800, true);
-    }
+    again[i] = submit_no (0, "froz", i, 2, 800, true);
   sleep_ms (700);
   kill (h_entries[1], SIGCONT);
   for (int i = 0; i < 3; i++)
@@ -213,9 +211,7 @@
   pid_t p[12];
   for (int i = 0; i < 12; i++)
     {
-      char id[16];
-      snprintf (id, sizeof id, "late-%d", i);
-      p[i] = submit (i % 2, id, 2, 250, true);
+      p[i] = submit_no (i % 2, "late", i, 2, 250, true);
       sleep_ms (150);
     }
   int answered = 0;
@@ -235,11 +231,7 @@
   h_nodes (4, 4, 2);
   pid_t p[4];
   for (int i = 0; i < 4; i++)
-    {
-      char id[16];
-      snprintf (id, sizeof id, "term-%d", i);
-      p[i] = submit (1, id, 4, 600, false);
-    }
+    p[i] = submit_no (1, "term", i, 4, 600, false);
   sleep_ms (200);
   kill (h_entries[1], SIGTERM);
   for (int i = 0; i < 4; i++)
@@ -322,9 +314,7 @@
   h_platform_fault ("{\"down\":true}");
   for (int i = 0; i < 8; i++)
     {
-      char id[16];
-      snprintf (id, sizeof id, "out-%d", i);
-      ck_assert (h_answered (submit (i % 2, id, 4, 50, true)));
+      ck_assert (h_answered (submit_no (i % 2, "out", i, 4, 50, true)));
       sleep_ms (400);
     }
   h_platform_fault ("{\"down\":false}");
@@ -357,11 +347,7 @@
   upstream_fault (0, "{\"fails\":true}");
   int answered = 0;
   for (int i = 0; i < 10; i++)
-    {
-      char id[16];
-      snprintf (id, sizeof id, "grey-%d", i);
-      answered += h_answered (submit (i % 2, id, 4, 50, true));
-    }
+    answered += h_answered (submit_no (i % 2, "grey", i, 4, 50, true));
   ck_assert_int_eq (answered, 10);
   h_cluster_stop ();
 }
@@ -408,11 +394,7 @@
   sleep_ms (1500);
   ck_assert (h_answered (before));
   for (int i = 0; i < 4; i++)
-    {
-      char id[16];
-      snprintf (id, sizeof id, "late-%d", i);
-      ck_assert (h_answered (submit (i % 2, id, 2, 50, true)));
-    }
+    ck_assert (h_answered (submit_no (i % 2, "late", i, 2, 50, true)));
   sightings s = look (2);
   for (guint i = 0; i < s.runs->len; i++)
     {
@@ -451,11 +433,7 @@
 {
   h_nodes (1, 4, 1);
   for (int i = 0; i < 3; i++)
-    {
-      char id[16];
-      snprintf (id, sizeof id, "same-%d", i);
-      ck_assert (h_answered (submit (0, id, 2, 20, true)));
-    }
+    ck_assert (h_answered (submit_no (0, "same", i, 2, 20, true)));
   char *url
       = g_strdup_printf ("http://127.0.0.1:%d/metrics", h_node_state_port (0));
   long status = 0;
