Links of an instance are bounded: neighbours near and far instead of a full mesh

Cause: each instance linked to each other one; links, beats and reports grow with the square of the instances (docs/CAPACITY.md, on paper until now: 900 to 5,200 reports/s an instance at 132). Ruled out: pacing reports alone, as beats and connections stay quadratic. Now: 10 neighbours in the own data centre, 6 in others, drawn by a hash of both names (mm_neighbours, testable without a network); reports share 240 a second; a far data centre's members are asked for by turns, four at a time; nobody stands in for a data centre while an untried instance of it is known.

--- a/src/config.h
+++ b/src/config.h
@@ -113,6 +113,18 @@
 #define MM_MESH_SILENT_MS 600
 #define MM_MESH_RECONNECT_MS 250
 #define MM_MESH_REPORT_MS 25 /* at most this often, when room changes */
+/* And at most this often over all links: a report and its handling cost
+   some 30 us at both ends, so that this stays under 1 % of a core.  */
+#define MM_MESH_REPORTS_PER_S 240
+/* Links of an instance.  A dozen owners to choose from leave no task
+   without room that hundreds would have had.  */
+#define MM_NEIGHBOURS_NEAR 10u    /* in its own data centre */
+#define MM_NEIGHBOURS_FAR 6u      /* in all others together */
+#define MM_NEIGHBOURS_FAR_EACH 2u /* in one of them */
+/* One whose link was lost is tried after the others for so long; most
+   restarts are over by then.  */
+#define MM_NEIGHBOUR_LOST_MS 2000
+#define MM_NEIGHBOURS_CHECK_MS 500 /* chosen anew at least this often */
 
 /* Jobs and admission (mm_jobs, mm_admission, mm_fleet).  */
 #define MM_MAX_JOB_TASKS 1024u /* the design asks for 290 */
@@ -142,6 +154,7 @@
 #define MM_GROUP_TTL_MS 1500 /* a silent owner's upstreams go to others */
 #define MM_GROUP_BEAT_MS 300
 #define MM_MEMBERS_POLL_MS 3000 /* who the other instances are */
+#define MM_MEMBERS_FAR_POLL 4u  /* data centres asked about each time */
 /* Upstreams to be handed over may finish what they run for so long.  */
 #define MM_HANDOVER_MS 1200
 /* Standing still for longer than this, an instance starts nothing of what
--- a/src/mm_holdings.c
+++ b/src/mm_holdings.c
@@ -118,7 +118,9 @@
 consider_standby (mm_holdings *h, holding *d, mm_time_ms now)
 {
   mm_mesh_presence p = mm_mesh_presence_in (h->mesh, d->datacentre);
-  bool orphan = p.connected == 0 && p.closed_ms
+  /* Only some of its instances are linked to: with these lost, the others
+     are tried first.  */
+  bool orphan = p.connected == 0 && p.untried == 0 && p.closed_ms
                 && now - p.closed_ms < MM_STANDBY_FORGET_MS;
   if (!orphan)
     {
--- a/src/mm_members.c
+++ b/src/mm_members.c
@@ -12,6 +12,7 @@
 typedef struct
 {
   mm_members *members;
+  char *name;
   char *group;
   char **who; /* member names last told */
   bool in_flight;
@@ -24,8 +25,10 @@
   mm_store_port port;
   mm_mesh *mesh;
   char *self;
+  char *own; /* data centre */
   datacentre *dcs;
   size_t n;
+  size_t next; /* of the data centres, asked about by turns */
   mm_time_ms due_ms;
 };
 
@@ -49,11 +52,13 @@
     return;
   for (size_t i = 0; i < m->n; i++)
     {
+      g_free (m->dcs[i].name);
       g_free (m->dcs[i].group);
       g_strfreev (m->dcs[i].who);
     }
   g_free (m->dcs);
   g_free (m->self);
+  g_free (m->own);
   g_free (m);
 }
 
@@ -71,6 +76,7 @@
   out->name = g_strdup (name);
   out->addr = g_strndup (at + 1, (gsize)(slash - at - 1));
   out->datacentre = g_strdup (slash + 1);
+  out->stands_in = false;
   return true;
 }
 
@@ -89,19 +95,21 @@
 
 mm_members *
 mm_members_create (const mm_store_port *port, mm_mesh *mesh,
-                   char *const *datacentres, const char *self)
+                   char *const *datacentres, const char *own, const char *self)
 {
   mm_members *m = g_new0 (mm_members, 1);
   m->refs = 1;
   m->port = *port;
   m->mesh = mesh;
   m->self = g_strdup (self);
+  m->own = g_strdup (own);
   mm_mesh_on_hello (mesh, on_hello, m);
   m->n = g_strv_length ((char **)datacentres);
   m->dcs = g_new0 (datacentre, m->n + 1);
   for (size_t i = 0; i < m->n; i++)
     {
       m->dcs[i].members = m;
+      m->dcs[i].name = g_strdup (datacentres[i]);
       m->dcs[i].group = mm_members_group (datacentres[i]);
     }
   return m;
@@ -126,8 +134,10 @@
     for (char **w = m->dcs[i].who; w && *w; w++)
       {
         mm_peer_info p;
-        if (strcmp (*w, m->self) != 0 && read_name (*w, &p))
-          g_array_append_val (peers, p);
+        if (strcmp (*w, m->self) == 0 || !read_name (*w, &p))
+          continue;
+        p.stands_in = strcmp (p.datacentre, m->dcs[i].name) != 0;
+        g_array_append_val (peers, p);
       }
   mm_mesh_set_peers (m->mesh, (mm_peer_info *)(void *)peers->data, peers->len);
   g_array_free (peers, TRUE);
@@ -151,6 +161,20 @@
   members_unref (m);
 }
 
+static void
+ask (datacentre *dc)
+{
+  mm_members *m = dc->members;
+  if (dc->in_flight)
+    return;
+  dc->in_flight = true;
+  m->refs++;
+  m->port.members (m->port.ctx, dc->group, MM_STORE_TIMEOUT_MS, on_members,
+                   dc);
+}
+
+/* Our own data centre each time, the others by turns: with dozens of them,
+   all answers together would be most of what an instance reads.  */
 void
 mm_members_tick (mm_members *m)
 {
@@ -158,16 +182,12 @@
   if (now < m->due_ms)
     return;
   /* Soon again while somebody may just have joined.  */
-  bool alone = m->due_ms == 0;
-  m->due_ms = now + (alone ? MM_GROUP_BEAT_MS : MM_MEMBERS_POLL_MS);
+  bool first = m->due_ms == 0;
+  m->due_ms = now + (first ? MM_GROUP_BEAT_MS : MM_MEMBERS_POLL_MS);
+  size_t others = first ? m->n : MIN (m->n, MM_MEMBERS_FAR_POLL);
+  for (size_t i = 0; i < others; i++, m->next++)
+    ask (&m->dcs[m->next % m->n]);
   for (size_t i = 0; i < m->n; i++)
-    {
-      datacentre *dc = &m->dcs[i];
-      if (dc->in_flight)
-        continue;
-      dc->in_flight = true;
-      m->refs++;
-      m->port.members (m->port.ctx, dc->group, MM_STORE_TIMEOUT_MS, on_members,
-                       dc);
-    }
+    if (strcmp (m->dcs[i].name, m->own) == 0)
+      ask (&m->dcs[i]);
 }
--- a/src/mm_members.h
+++ b/src/mm_members.h
@@ -14,7 +14,7 @@
 char *mm_members_group (const char *datacentre); /* its group's name */
 
 mm_members *mm_members_create (const mm_store_port *port, mm_mesh *mesh,
-                               char *const *datacentres,
+                               char *const *datacentres, const char *own,
                                const char *self /* member name */);
 void mm_members_destroy (mm_members *m);
 void mm_members_tick (mm_members *m);
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -1,7 +1,7 @@
 /* mm_mesh: links to and from the other instances.
 
-   Each instance opens one link to each other one and hands it tasks over
-   that link.  A link that breaks or falls silent ends everything on it:
+   Each instance opens links to some others (mm_neighbours) and hands them
+   tasks over these.  A link that breaks or falls silent ends everything on it:
    the owner stops the tasks that came over it, as their callers may send
    the job again elsewhere; the sender reports them as out of sight.  */
 #define _GNU_SOURCE
@@ -12,6 +12,7 @@
 #include "mm_link.h"
 #include "mm_metrics.h"
 #include "mm_mesh_msg.h"
+#include "mm_neighbours.h"
 
 #include <string.h>
 #include <sys/socket.h>
@@ -22,7 +23,9 @@
   mm_mesh *mesh;
   mm_peer_info info;
   mm_link *link;
-  bool connected; /* a report has come over this link */
+  bool chosen;        /* a neighbour: to be linked to */
+  bool connected;     /* a report has come over this link */
+  mm_time_ms lost_ms; /* when a link to it was last lost, 0: never */
   mm_time_ms tried_ms;
   mm_time_ms beat_ms;
   uint64_t next_no;
@@ -64,6 +67,7 @@
   struct ev_loop *loop;
   mm_owner *owner;
   char *self;
+  char *datacentre;
   int listen_fd;
   ev_io accept_io;
   GHashTable *peers; /* name -> peer */
@@ -71,9 +75,13 @@
   mm_mesh_hello hello;
   void *hello_ctx;
   GHashTable *closed_ms; /* data centre -> when a link was closed */
+  bool choose_again;     /* a peer came, went, or lost its link */
+  mm_time_ms chosen_ms;  /* when neighbours were last chosen */
+  bool chosen_up;        /* links to all of them are connected */
 };
 
 static const char silent[] = "silent"; /* why a link was given up */
+static const char unneeded[] = "not a neighbour any more";
 
 /* ---- the owner's side ------------------------------------------------- */
 
@@ -188,7 +196,9 @@
 static void
 send_report (inbound *in, const mm_mesh_room *rooms, size_t n, mm_time_ms now)
 {
-  if (now - in->report_ms < MM_MESH_REPORT_MS)
+  mm_time_ms pause_ms
+      = g_list_length (in->mesh->inbound) * 1000 / MM_MESH_REPORTS_PER_S;
+  if (now - in->report_ms < MAX (pause_ms, MM_MESH_REPORT_MS))
     return;
   msgpack_sbuffer b;
   msgpack_sbuffer_init (&b);
@@ -263,7 +273,7 @@
 static void
 note_closed (peer *p, const char *why)
 {
-  if (why == silent)
+  if (why == silent || why == unneeded)
     return;
   mm_time_ms *now = g_new (mm_time_ms, 1);
   *now = mm_clock_now_ms ();
@@ -285,6 +295,9 @@
   p->link = NULL;
   p->connected = false;
   p->n_rooms = 0;
+  if (why != unneeded)
+    p->lost_ms = mm_clock_now_ms ();
+  p->mesh->choose_again = true;
   /* One at a time: an answer given meanwhile cancels its job's others.  */
   GHashTableIter it;
   gpointer v;
@@ -343,16 +356,26 @@
   g_free (p);
 }
 
+/* A link that is not needed any more is kept until all chosen ones are up:
+   one that replaces it may be to an instance that is gone.  */
+static bool
+unneeded_now (const peer *p)
+{
+  return p->link && !p->chosen && p->mesh->chosen_up
+         && g_hash_table_size (p->remote) == 0;
+}
+
 static void
 peer_tick (peer *p, mm_time_ms now)
 {
   if (p->link && now - mm_link_heard_ms (p->link) > MM_MESH_SILENT_MS)
     mm_link_close (p->link, silent);
+  if (unneeded_now (p))
+    mm_link_close (p->link, unneeded);
+  if (!p->link && p->chosen)
+    peer_connect (p, now);
   if (!p->link)
-    {
-      peer_connect (p, now);
-      return;
-    }
+    return;
   if (now - p->beat_ms < MM_MESH_BEAT_MS)
     return;
   p->beat_ms = now;
@@ -369,6 +392,7 @@
  * mm_mesh_create() - listen for other instances.
  * @loop: the loop.
  * @self: our name as a peer.
+ * @datacentre: where we stand.
  * @host: our address.
  * @port: our port for them.
  * @owner: runs what they hand in.
@@ -377,8 +401,9 @@
  * Return: the mesh, or NULL; free with mm_mesh_destroy().
  */
 mm_mesh *
-mm_mesh_create (struct ev_loop *loop, const char *self, const char *host,
-                uint16_t port, mm_owner *owner, GError **error)
+mm_mesh_create (struct ev_loop *loop, const char *self, const char *datacentre,
+                const char *host, uint16_t port, mm_owner *owner,
+                GError **error)
 {
   int fd = mm_link_listen (host, port, error);
   if (fd < 0)
@@ -387,6 +412,7 @@
   m->loop = loop;
   m->owner = owner;
   m->self = g_strdup (self);
+  m->datacentre = g_strdup (datacentre);
   m->closed_ms
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   m->listen_fd = fd;
@@ -409,6 +435,7 @@
   g_hash_table_destroy (m->peers);
   g_hash_table_destroy (m->closed_ms);
   g_free (m->self);
+  g_free (m->datacentre);
   g_free (m);
 }
 
@@ -437,8 +464,12 @@
   gpointer k, v;
   g_hash_table_iter_init (&it, m->peers);
   while (g_hash_table_iter_next (&it, &k, &v))
-    if (!((peer *)v)->connected && !is_listed (k, peers, n))
-      g_hash_table_iter_remove (&it);
+    {
+      ((peer *)v)->info.stands_in = false;
+      if (!((peer *)v)->connected && !is_listed (k, peers, n))
+        g_hash_table_iter_remove (&it);
+    }
+  m->choose_again = true;
   for (size_t i = 0; i < n; i++)
     mm_mesh_add_peer (m, &peers[i]);
 }
@@ -459,13 +490,19 @@
 void
 mm_mesh_add_peer (mm_mesh *m, const mm_peer_info *info)
 {
-  if (g_hash_table_contains (m->peers, info->name))
-    return;
-  peer *p = g_new0 (peer, 1);
+  peer *p = g_hash_table_lookup (m->peers, info->name);
+  if (p)
+    {
+      p->info.stands_in = p->info.stands_in || info->stands_in;
+      return;
+    }
+  m->choose_again = true;
+  p = g_new0 (peer, 1);
   p->mesh = m;
   p->info.name = g_strdup (info->name);
   p->info.addr = g_strdup (info->addr);
   p->info.datacentre = g_strdup (info->datacentre);
+  p->info.stands_in = info->stands_in;
   p->remote = g_hash_table_new (g_int64_hash, g_int64_equal);
   g_hash_table_insert (m->peers, p->info.name, p);
 }
@@ -558,14 +595,17 @@
 mm_mesh_presence_in (const mm_mesh *m, const char *datacentre)
 {
   mm_mesh_presence r = { 0 };
+  mm_time_ms now = mm_clock_now_ms ();
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init (&it, m->peers);
   while (g_hash_table_iter_next (&it, NULL, &v))
     {
       const peer *p = v;
-      r.connected
-          += p->connected && strcmp (p->info.datacentre, datacentre) == 0;
+      if (strcmp (p->info.datacentre, datacentre) != 0)
+        continue;
+      r.connected += p->connected;
+      r.untried += !p->lost_ms || now - p->lost_ms >= MM_NEIGHBOUR_LOST_MS;
     }
   const mm_time_ms *closed = g_hash_table_lookup (m->closed_ms, datacentre);
   r.closed_ms = closed ? *closed : 0;
@@ -584,6 +624,12 @@
   return n;
 }
 
+uint32_t
+mm_mesh_inbound (const mm_mesh *m)
+{
+  return g_list_length (m->inbound);
+}
+
 void
 mm_mesh_woke (mm_mesh *m)
 {
@@ -597,11 +643,49 @@
       mm_link_close (((peer *)v)->link, "we stood still");
 }
 
+static void
+choose_neighbours (mm_mesh *m, mm_time_ms now)
+{
+  guint n = g_hash_table_size (m->peers);
+  mm_neighbour *c = g_new0 (mm_neighbour, n + 1);
+  peer **at = g_new0 (peer *, n + 1);
+  bool *chosen = g_new0 (bool, n + 1);
+  GHashTableIter it;
+  gpointer v;
+  guint i = 0;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      at[i] = v;
+      c[i] = (mm_neighbour){ .name = at[i]->info.name,
+                             .datacentre = at[i]->info.datacentre,
+                             .stands_in = at[i]->info.stands_in,
+                             .lost_ms = at[i]->lost_ms };
+      i++;
+    }
+  mm_neighbours_choose (m->self, m->datacentre, c, n, now, chosen);
+  for (i = 0; i < n; i++)
+    at[i]->chosen = chosen[i];
+  m->choose_again = false;
+  m->chosen_ms = now;
+  g_free (chosen);
+  g_free (at);
+  g_free (c);
+}
+
 void
 mm_mesh_tick (mm_mesh *m)
 {
   mm_time_ms now = mm_clock_now_ms ();
+  if (m->choose_again || now - m->chosen_ms >= MM_NEIGHBOURS_CHECK_MS)
+    choose_neighbours (m, now);
   GList *peers = g_hash_table_get_values (m->peers);
+  m->chosen_up = true;
+  for (GList *l = peers; l; l = l->next)
+    {
+      const peer *p = l->data;
+      m->chosen_up = m->chosen_up && (p->connected || !p->chosen);
+    }
   for (GList *l = peers; l; l = l->next)
     peer_tick (l->data, now);
   g_list_free (peers);
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -12,6 +12,7 @@
   char *name;       /* of this incarnation */
   char *addr;       /* "ip:port" of its mesh socket */
   char *datacentre; /* where it stands */
+  bool stands_in;   /* holds upstreams of another one */
 } mm_peer_info;
 
 void mm_peer_info_clear (gpointer info); /* frees what it holds */
@@ -26,7 +27,8 @@
 } mm_mesh_place;
 
 mm_mesh *mm_mesh_create (struct ev_loop *loop, const char *self,
-                         const char *host, uint16_t port, mm_owner *owner,
+                         const char *datacentre, const char *host,
+                         uint16_t port, mm_owner *owner,
                          GError **error); /* listen */
 void mm_mesh_destroy (mm_mesh *m);
 typedef void (*mm_mesh_hello) (void *ctx, const char *name);
@@ -44,12 +46,14 @@
 typedef struct
 {
   uint32_t connected;
+  uint32_t untried;     /* known, and no link to it was lost lately */
   mm_time_ms closed_ms; /* when one last closed its link, 0: never */
 } mm_mesh_presence;
 
 mm_mesh_presence mm_mesh_presence_in (const mm_mesh *m,
                                       const char *datacentre);
 uint32_t mm_mesh_connected (const mm_mesh *m); /* peers in touch */
+uint32_t mm_mesh_inbound (const mm_mesh *m);   /* links from others */
 void mm_mesh_woke (mm_mesh *m); /* we stood still: every link is cut */
 void mm_mesh_tick (mm_mesh *m); /* each MM_EXEC_TICK_MS */
 
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -276,7 +276,8 @@
   n->holdings
       = mm_holdings_create (store, n->mesh, s->datacentres, s->datacentre,
                             member, (uint32_t)s->partitions, &ev);
-  n->members = mm_members_create (store, n->mesh, s->datacentres, member);
+  n->members = mm_members_create (store, n->mesh, s->datacentres,
+                                  s->datacentre, member);
 }
 
 /**
@@ -299,8 +300,8 @@
   n->s = *s;
   n->owner = mm_owner_create (exec);
   char *member = new_member_name (s);
-  n->mesh = mm_mesh_create (loop, member, s->address, (uint16_t)s->mesh_port,
-                            n->owner, error);
+  n->mesh = mm_mesh_create (loop, member, s->datacentre, s->address,
+                            (uint16_t)s->mesh_port, n->owner, error);
   if (!n->mesh)
     {
       mm_owner_destroy (n->owner);
