Only owners read the list of upstreams; who holds none is no neighbour

Now an instance reads the list while some partition is its own; a list that was not read for a while is not used until it was; instances that hold nothing are not chosen as neighbours.

--- a/src/config.h
+++ b/src/config.h
@@ -124,6 +124,8 @@
 /* One whose link was lost is tried after the others for so long; most
    restarts are over by then.  */
 #define MM_NEIGHBOUR_LOST_MS 2000
+/* A newcomer is in the list after it has joined and the list was read.  */
+#define MM_NEIGHBOUR_NEW_MS 5000
 #define MM_NEIGHBOURS_CHECK_MS 500 /* chosen anew at least this often */
 
 /* Jobs and admission (mm_jobs, mm_admission, mm_fleet).  */
--- a/src/mm_holdings.c
+++ b/src/mm_holdings.c
@@ -217,6 +217,15 @@
   return true;
 }
 
+bool
+mm_holdings_any (const mm_holdings *h)
+{
+  for (size_t i = 0; i < h->n; i++)
+    if (h->all[i].shares && mm_shares_any (h->all[i].shares))
+      return true;
+  return false;
+}
+
 uint64_t
 mm_holdings_generation (const mm_holdings *h)
 {
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -23,9 +23,11 @@
   mm_mesh *mesh;
   mm_peer_info info;
   mm_link *link;
-  bool chosen;        /* a neighbour: to be linked to */
-  bool connected;     /* a report has come over this link */
-  mm_time_ms lost_ms; /* when a link to it was last lost, 0: never */
+  bool listed;         /* as a holder of upstreams */
+  mm_time_ms known_ms; /* since when it is known */
+  bool chosen;         /* a neighbour: to be linked to */
+  bool connected;      /* a report has come over this link */
+  mm_time_ms lost_ms;  /* when a link to it was last lost, 0: never */
   mm_time_ms tried_ms;
   mm_time_ms beat_ms;
   uint64_t next_no;
@@ -466,7 +468,8 @@
   while (g_hash_table_iter_next (&it, &k, &v))
     {
       ((peer *)v)->info.stands_in = false;
-      if (!((peer *)v)->connected && !is_listed (k, peers, n))
+      ((peer *)v)->listed = is_listed (k, peers, n);
+      if (!((peer *)v)->connected && !((peer *)v)->listed)
         g_hash_table_iter_remove (&it);
     }
   m->choose_again = true;
@@ -503,6 +506,7 @@
   p->info.addr = g_strdup (info->addr);
   p->info.datacentre = g_strdup (info->datacentre);
   p->info.stands_in = info->stands_in;
+  p->known_ms = mm_clock_now_ms ();
   p->remote = g_hash_table_new (g_int64_hash, g_int64_equal);
   g_hash_table_insert (m->peers, p->info.name, p);
 }
@@ -591,6 +595,14 @@
   g_free (r);
 }
 
+/* One that holds no upstreams has no room to offer.  A newcomer may hold
+   some that the list does not show yet.  */
+static bool
+may_have_room (const peer *p, mm_time_ms now)
+{
+  return p->listed || now - p->known_ms < MM_NEIGHBOUR_NEW_MS;
+}
+
 mm_mesh_presence
 mm_mesh_presence_in (const mm_mesh *m, const char *datacentre)
 {
@@ -605,7 +617,9 @@
       if (strcmp (p->info.datacentre, datacentre) != 0)
         continue;
       r.connected += p->connected;
-      r.untried += !p->lost_ms || now - p->lost_ms >= MM_NEIGHBOUR_LOST_MS;
+      r.untried
+          += may_have_room (p, now)
+             && (!p->lost_ms || now - p->lost_ms >= MM_NEIGHBOUR_LOST_MS);
     }
   const mm_time_ms *closed = g_hash_table_lookup (m->closed_ms, datacentre);
   r.closed_ms = closed ? *closed : 0;
@@ -657,14 +671,17 @@
   while (g_hash_table_iter_next (&it, NULL, &v))
     {
       at[i] = v;
+      at[i]->chosen = false;
+      if (!may_have_room (at[i], now))
+        continue;
       c[i] = (mm_neighbour){ .name = at[i]->info.name,
                              .datacentre = at[i]->info.datacentre,
                              .stands_in = at[i]->info.stands_in,
                              .lost_ms = at[i]->lost_ms };
       i++;
     }
-  mm_neighbours_choose (m->self, m->datacentre, c, n, now, chosen);
-  for (i = 0; i < n; i++)
+  mm_neighbours_choose (m->self, m->datacentre, c, i, now, chosen);
+  for (n = i, i = 0; i < n; i++)
     at[i]->chosen = chosen[i];
   m->choose_again = false;
   m->chosen_ms = now;
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -186,6 +186,8 @@
   uint64_t generation = mm_holdings_generation (n->holdings);
   bool changed = changes != n->reconciled_changes
                  || generation != n->reconciled_generation;
+  if (!mm_stream_fresh (n->upstreams) && mm_holdings_any (n->holdings))
+    return; /* an old list may name upstreams that are leaving */
   if (changed || now - n->reconciled_ms >= MM_RECONCILE_MS)
     {
       n->reconciled_changes = changes;
@@ -201,7 +203,13 @@
   mm_node *n = w->data;
   mm_time_ms now = mm_clock_now_ms ();
   mm_stream_tick (n->config);
-  mm_stream_tick (n->upstreams);
+  /* Only owners need the list.  After all of hundreds of instances started
+     at once, reading it took all that the store can send for longer than a
+     configuration may take to be in force.  */
+  if (mm_holdings_any (n->holdings))
+    mm_stream_tick (n->upstreams);
+  else
+    mm_stream_pause (n->upstreams);
   mm_catalog_tick (n->catalog, mm_stream_in_touch (n->upstreams));
   mm_holdings_tick (n->holdings);
   mm_members_tick (n->members);
--- a/src/mm_shares.c
+++ b/src/mm_shares.c
@@ -213,6 +213,15 @@
   return s->leaving_since_ms != 0;
 }
 
+bool
+mm_shares_any (const mm_shares *s)
+{
+  for (uint32_t i = 0; i < s->n; i++)
+    if (s->shares[i].fence)
+      return true;
+  return false;
+}
+
 uint64_t
 mm_shares_generation (const mm_shares *s)
 {
--- a/src/mm_shares.h
+++ b/src/mm_shares.h
@@ -29,6 +29,7 @@
 /* Nothing runs any more on what is leaving: hand it over.  */
 void mm_shares_release (mm_shares *s);
 bool mm_shares_releasing (const mm_shares *s);
+bool mm_shares_any (const mm_shares *s); /* is any partition ours? */
 uint64_t mm_shares_generation (const mm_shares *s);
 
 #endif /* MM_SHARES_H */
--- a/src/mm_stream.c
+++ b/src/mm_stream.c
@@ -19,6 +19,9 @@
   bool in_flight;
   bool tailing;
   bool in_touch;
+  bool paused;
+  bool fresh;
+  bool sent_fresh; /* the call in flight was sent after the last pause */
   uint64_t next;
   GHashTable *keys; /* seen in the reading of the newest records */
   char *after;
@@ -119,15 +122,20 @@
             s->ev.whole (s->ev.ctx, s->keys);
         }
     }
+  s->fresh = s->fresh || (res->ok && s->tailing && s->sent_fresh);
   stream_unref (s);
 }
 
 void
 mm_stream_tick (mm_stream *s)
 {
+  if (s->paused)
+    s->due_ms = 0;
+  s->paused = false;
   if (s->in_flight || mm_clock_now_ms () < s->due_ms)
     return;
   s->in_flight = true;
+  s->sent_fresh = true;
   s->refs++;
   if (s->tailing)
     s->port.tail (s->port.ctx, s->kind, s->next, s->wait_ms,
@@ -137,6 +145,19 @@
                     on_result, s);
 }
 
+void
+mm_stream_pause (mm_stream *s)
+{
+  s->paused = true;
+  s->fresh = s->sent_fresh = false;
+}
+
+bool
+mm_stream_fresh (const mm_stream *s)
+{
+  return s->fresh;
+}
+
 bool
 mm_stream_in_touch (const mm_stream *s)
 {
--- a/src/mm_stream.h
+++ b/src/mm_stream.h
@@ -20,6 +20,9 @@
                              const mm_stream_events *ev);
 void mm_stream_destroy (mm_stream *s); /* open calls are ignored */
 void mm_stream_tick (mm_stream *s);
+/* What was read has been brought up to date since the last pause.  */
+bool mm_stream_fresh (const mm_stream *s);
+void mm_stream_pause (mm_stream *s); /* instead of a tick: read nothing */
 bool mm_stream_in_touch (const mm_stream *s); /* the last call worked */
 
 #endif /* MM_STREAM_H */
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -572,6 +572,39 @@
 }
 END_TEST
 
+/* An instance that holds no upstreams reads no list, and comes to hold some
+   later.  What it read before the pause may name upstreams that have left
+   since: it is not to be used before it was read again, also when an answer
+   from before the pause comes late.  */
+START_TEST (list_that_was_not_read_for_a_while_is_stale_until_it_is)
+{
+  now_ms = 1000;
+  mm_clock_set_source (test_clock, NULL);
+  key_store k = { .keys = { "a", "b" }, .n_keys = 2, .end = 7 };
+  reading r = { 0 };
+  mm_store_port port = { .newest = key_newest, .tail = key_tail, .ctx = &k };
+  mm_stream_events ev = { .item = on_item, .whole = on_whole, .ctx = &r };
+  mm_stream *s = mm_stream_create (&port, MM_STREAM_UPSTREAMS, 0, 0, &ev);
+  ck_assert (!mm_stream_fresh (s));
+  for (int i = 0; i < 10; i++)
+    turn (s, &k);
+  ck_assert (mm_stream_fresh (s));
+  mm_stream_tick (s);
+  uint32_t calls = k.tail_calls;
+  for (int i = 0; i < 10; i++)
+    mm_stream_pause (s);
+  ck_assert (!mm_stream_fresh (s));
+  turn (s, &k);
+  ck_assert_uint_eq (k.tail_calls, calls);
+  ck_assert (!mm_stream_fresh (s));
+  turn (s, &k);
+  ck_assert_uint_eq (k.tail_calls, calls + 1);
+  ck_assert (mm_stream_fresh (s));
+  mm_stream_destroy (s);
+  mm_clock_set_source (NULL, NULL);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -587,6 +620,7 @@
   tcase_add_loop_test (c, random_weather_ends_with_one_owner_each, 0, 50);
   tcase_add_test (c, missing_upstream_is_kept_for_a_while_of_contact);
   tcase_add_test (c, dropped_history_is_read_again_from_the_newest);
+  tcase_add_test (c, list_that_was_not_read_for_a_while_is_stale_until_it_is);
   suite_add_tcase (s, c);
   return h_run_suite (s);
 }
