--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -183,7 +183,8 @@
   {
     const char *method; /* "GET", "POST", ... */
     const char *url;    /* full URL */
-    const char *body;   /* text, or NULL; copied */
+    const char *body;   /* text or bytes, or NULL; copied */
+    size_t body_bytes;  /* its length, 0: it is text that ends with NUL */
     const char *header; /* one more header line, or NULL */
     bool fresh;         /* on a new connection */
     mm_time_ms timeout_ms;
--- a/src/config.h
+++ b/src/config.h
@@ -126,6 +126,7 @@
 #define MM_NEIGHBOUR_LOST_MS 2000
 /* A newcomer is in the list after it has joined and the list was read.  */
 #define MM_NEIGHBOUR_NEW_MS 5000
+#define MM_MESH_NEEDED_MS 10000 /* a link that was asked for is kept */
 #define MM_NEIGHBOURS_CHECK_MS 500 /* chosen anew at least this often */
 
 /* Jobs and admission (mm_jobs, mm_admission, mm_fleet).  */
@@ -174,6 +175,37 @@
 /* Kept connections of an HTTP client: four to each of 100 upstreams.  */
 #define MM_HTTP_KEPT_CONNECTIONS 400
 
+/* Kept jobs (mm_job_log, mm_kept, mm_kept_run).  */
+#define MM_JOBS_GROUP "jobs" /* shares out the partitions of kept jobs */
+/* An append takes some 3 ms at the store, and records that come meanwhile
+   share the next one; the pause bounds the calls a partition makes.  */
+#define MM_JOB_LOG_PAUSE_MS 10
+#define MM_JOB_LOG_RETRY_MS 100
+#define MM_JOB_LOG_MAX_RECORDS 200u
+#define MM_JOB_LOG_MAX_BYTES (1u << 20) /* the store takes 2 MB a call */
+/* A caller is told to send its job again when its record is not stored by
+   then: the store takes some 7 ms, and 0.4 s when it is slow.  */
+#define MM_KEPT_ACCEPT_MS 1500
+/* Answers of other instances about kept jobs; a link is silent for 0.6 s
+   before it is given up.  */
+#define MM_KEPT_ASK_MS 700
+/* Ends of tasks are taken note of once they are stored: at the latest so
+   long after, for a job that goes on.  */
+#define MM_KEPT_PROGRESS_MS 500
+/* Membership was confirmed this recently: nobody else can be the home yet.
+   The rest of MM_GROUP_TTL_MS covers a task's wait at an owner.  */
+#define MM_KEPT_LEASE_MS 1000
+#define MM_KEPT_START_WITHIN_MS 200
+#define MM_KEPT_CENSUS_MS 250     /* between questions for lost tasks */
+#define MM_KEPT_ENDED_MS 150000   /* outcomes are kept; 120 s are asked for */
+#define MM_KEPT_USED_MS 30000     /* last seen: then homes are not looked up */
+#define MM_KEPT_HOMES_POLL_MS 1000
+#define MM_KEPT_MAX_OPEN 20000u /* jobs at one home, some 50 MB */
+/* Ends that nobody has taken note of: an earlier owner's may belong to a
+   kept job whose home is changing too.  */
+#define MM_FOREIGN_END_MS 2000
+#define MM_KEPT_END_MS 15000
+
 /* An instance (mm_node).  */
 #define MM_DEFAULT_MESH_PORT 7402
 #define MM_DEFAULT_STATE_PORT 7403
--- /dev/null
+++ b/src/mm_census.c
@@ -0,0 +1,33 @@
+/* mm_census: what owners say of tasks that their home lost sight of.  */
+#include "mm_owner.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+uint32_t
+mm_run_mark (const char *upstream, uint32_t run)
+{
+  return XXH32 (upstream, strlen (upstream), run);
+}
+
+uint64_t
+mm_upstream_mark (const char *upstream)
+{
+  return XXH3_64bits (upstream, strlen (upstream));
+}
+
+mm_census
+mm_census_new (void)
+{
+  return (mm_census){
+    .clear = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
+    .ends = g_array_new (FALSE, FALSE, sizeof (mm_found_end))
+  };
+}
+
+void
+mm_census_clear (mm_census *c)
+{
+  g_array_free (c->clear, TRUE);
+  g_array_free (c->ends, TRUE);
+}
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -90,6 +90,28 @@
   [MM_EV_JOB_CALLER_LEFT] = { "job_caller_left", KEEP_ALL, "job queue took_ms",
                               "the last caller closed its connection; the "
                               "tasks are stopped" },
+  [MM_EV_JOBS_FENCED]
+  = { "jobs_fenced", KEEP_ALL, "partition epoch",
+      "another instance is the home of these kept jobs; ours is over" },
+  [MM_EV_JOBS_LOADED]
+  = { "jobs_loaded", KEEP_ALL, "partition epoch jobs open",
+      "this instance is the home of these kept jobs, as stored" },
+  [MM_EV_JOBS_HANDED_OVER]
+  = { "jobs_handed_over", KEEP_ALL, "partition open",
+      "this instance is no more the home of these kept jobs" },
+  [MM_EV_KEPT_ACCEPTED]
+  = { "kept_accepted", KEEP_SOME, "job queue tasks partition took_ms",
+      "a kept job is stored; its caller was told so" },
+  [MM_EV_KEPT_REFUSED] = { "kept_refused", KEEP_ALL, "job queue partition why",
+                           "a kept job was not accepted, as told" },
+  [MM_EV_KEPT_OVER] = { "kept_over", KEEP_ALL, "job queue outcome took_ms",
+                        "a kept job's outcome is stored and shown" },
+  [MM_EV_KEPT_LOST_SIGHT]
+  = { "kept_lost_sight", KEEP_ALL, "job tasks why",
+      "its tasks are looked for at all upstreams before any starts anew" },
+  [MM_EV_KEPT_FOUND]
+  = { "kept_found", KEEP_ALL, "job tasks done failed took_ms",
+      "every upstream has told; the tasks not done are handed out again" },
   [MM_EV_TASK_HANDED]
   = { "task_handed", KEEP_SOME, "job task owner free waiting age_ms attempt",
       "an owner of upstreams was chosen" },
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -32,6 +32,7 @@
   if (--x->refs > 0)
     return;
   g_hash_table_destroy (x->runs);
+  g_array_free (x->held, TRUE);
   mm_upstream_info_free (x->info);
   g_free (x);
 }
@@ -52,8 +53,8 @@
   mm_exec *x = r->exec;
   r->work = NULL;
   if (work && !x->closed)
-    x->ev.ended (x->ev.ctx, x, work, how, mm_clock_now_ms () - r->ordered_ms,
-                 why);
+    x->ev.ended (x->ev.ctx, x, work, r->number, how,
+                 mm_clock_now_ms () - r->ordered_ms, why);
 }
 
 static void
@@ -366,6 +367,7 @@
   r->id = t->id;
   r->number = 1;
   r->need = t->need;
+  r->kept = t->kept;
   r->work = work;
   r->payload = g_strdup (t->payload);
   r->estimate_ms = t->estimate_ms;
@@ -381,9 +383,10 @@
  * mm_exec_stop() - stop the run of a handle.
  * @x: the session.
  * @work: as given to mm_exec_start(); its end is reported.
+ * @keep_end: hold the end if it is a kept job's.
  */
 void
-mm_exec_stop (mm_exec *x, void *work)
+mm_exec_stop (mm_exec *x, void *work, bool keep_end)
 {
   GHashTableIter it;
   gpointer v;
@@ -394,6 +397,7 @@
       if (r->work != work)
         continue;
       r->stop_wanted = r->stop_by_owner = true;
+      r->kept = r->kept && keep_end;
       mm_log_event (MM_EV_TASK_STOPPED, MM_TASK (&r->id),
                     MM_TEXT (x->info->name), MM_TEXT ("nobody waits for it"));
       mm_exec_send_stop (r, false);
@@ -450,13 +454,23 @@
   call_close (c);
 }
 
+/* Ends up to the first one that is held.  */
+static uint64_t
+ack_upto (const mm_exec *x)
+{
+  uint64_t upto = x->seen_seq;
+  for (guint i = 0; i < x->held->len; i++)
+    upto = MIN (upto, g_array_index (x->held, mm_held_end, i).seq - 1);
+  return upto;
+}
+
 static void
 send_hold (mm_exec *x, mm_time_ms wait_ms, bool renew)
 {
   if (x->fenced || x->gone)
     return;
   mm_hold h = { .fence = x->fence,
-                .acked_seq = x->seen_seq,
+                .acked_seq = ack_upto (x),
                 .wait_ms = wait_ms,
                 .fresh = x->suspect,
                 .timeout_ms = wait_ms + MM_HOLD_TIMEOUT_MS };
@@ -465,7 +479,7 @@
   x->holds_in_flight++;
   mm_metrics_count (MM_CT_HOLDS);
   mm_exec_call *c = call_open (x, NULL);
-  c->acked_seq = x->seen_seq;
+  c->acked_seq = h.acked_seq;
   x->hold_sent_ms = mm_clock_now_ms ();
   x->port.hold (x->port.ctx, x->info, &h, on_hold_answer, c);
 }
@@ -529,7 +543,8 @@
     }
   else if (g_hash_table_size (x->runs) > 0)
     send_hold (x, MM_HOLD_WAIT_MS, has_wanted_run (x));
-  else if (x->unacked_since_ms && now - x->unacked_since_ms >= MM_ACK_DELAY_MS)
+  else if (x->unacked_since_ms && ack_upto (x) > x->acked_seq
+           && now - x->unacked_since_ms >= MM_ACK_DELAY_MS)
     send_hold (x, 0, false);
 }
 
@@ -556,6 +571,7 @@
   x->port = *port;
   x->ev = *events;
   x->slowness = 1.0;
+  x->held = g_array_new (FALSE, FALSE, sizeof (mm_held_end));
   x->runs = g_hash_table_new_full (mm_task_id_hash, mm_task_id_equal, NULL,
                                    run_free);
   send_hold (x, 0, false);
@@ -667,3 +683,46 @@
 {
   return x->slowness;
 }
+
+const mm_held_end *
+mm_exec_held (const mm_exec *x, size_t *n)
+{
+  *n = x->held->len;
+  return (const mm_held_end *)(void *)x->held->data;
+}
+
+void
+mm_exec_drop_held (mm_exec *x, size_t i)
+{
+  g_array_remove_index_fast (x->held, (guint)i);
+}
+
+/**
+ * mm_exec_sure() - is what runs there known?
+ * @x: the session.
+ *
+ * Certain once a hold has shown what runs, and again when the upstream was
+ * out of contact for longer than any lease: with our token known there,
+ * nobody else can have prolonged one.
+ */
+bool
+mm_exec_sure (const mm_exec *x)
+{
+  if (x->gone)
+    return true;
+  bool lapsed = x->once_seen && x->hold_failed_ms
+                && mm_clock_now_ms () > x->lease_until_ms + MM_LEASE_SLACK_MS;
+  return !x->fenced && !x->closed && (x->seen || lapsed);
+}
+
+uint32_t
+mm_exec_count_of (const mm_exec *x, GHashTable *tasks)
+{
+  uint32_t n = 0;
+  GHashTableIter it;
+  gpointer id;
+  g_hash_table_iter_init (&it, x->runs);
+  while (g_hash_table_iter_next (&it, &id, NULL))
+    n += g_hash_table_contains (tasks, id);
+  return n;
+}
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -76,6 +76,17 @@
   mm_time_ms timeout_ms;
 } mm_hold;
 
+/* An end that the upstream goes on listing until it is taken note of.  */
+typedef struct
+{
+  mm_task_id task;
+  uint32_t run;
+  mm_end how;
+  uint64_t seq;
+  mm_time_ms since_ms;
+  bool foreign; /* of an earlier owner's run */
+} mm_held_end;
+
 typedef void (*mm_call_done) (const mm_call_result *res, void *ctx);
 typedef void (*mm_hold_done) (const mm_hold_result *res, void *ctx);
 
@@ -97,8 +108,8 @@
 /* What a session tells its owner.  */
 typedef struct
 {
-  /* A run is over; @why says what was seen.  */
-  void (*ended) (void *ctx, mm_exec *x, void *work, mm_end how,
+  /* The run @run of a task is over; @why says what was seen.  */
+  void (*ended) (void *ctx, mm_exec *x, void *work, uint32_t run, mm_end how,
                  mm_time_ms ran_ms, const char *why);
   /* Room came free, or the session can be used (again).  */
   void (*room) (void *ctx, mm_exec *x);
@@ -126,7 +137,14 @@
 uint64_t mm_exec_fence (const mm_exec *x);
 void mm_exec_start (mm_exec *x, const mm_task_request *t,
                     void *work);            /* must fit */
-void mm_exec_stop (mm_exec *x, void *work); /* ends as stopped */
+/* Ends as stopped; @keep_end: a kept job's end is held all the same.  */
+void mm_exec_stop (mm_exec *x, void *work, bool keep_end);
 double mm_exec_slowness (const mm_exec *x); /* run time over estimate */
+/* Ends that are not taken note of yet.  */
+const mm_held_end *mm_exec_held (const mm_exec *x, size_t *n);
+void mm_exec_drop_held (mm_exec *x, size_t i); /* it is taken note of */
+bool mm_exec_sure (const mm_exec *x); /* what runs there is known */
+/* How many runs of these tasks (a set of mm_task_id) are there?  */
+uint32_t mm_exec_count_of (const mm_exec *x, GHashTable *tasks);
 
 #endif /* MM_EXEC_H */
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -15,6 +15,21 @@
   x->slowness += MM_SPEED_GAIN * (ratio - x->slowness);
 }
 
+/* Until its job's home has stored the end, the upstream must go on listing
+   it: should this instance die meanwhile, the next owner finds it there, and
+   the task is not started a second time.  */
+static void
+hold_end (mm_exec *x, const mm_ended *e, bool foreign)
+{
+  mm_held_end h = { .task = e->task,
+                    .run = e->run,
+                    .how = e->how,
+                    .seq = e->seq,
+                    .since_ms = mm_clock_now_ms (),
+                    .foreign = foreign };
+  g_array_append_val (x->held, h);
+}
+
 static void
 take_ends (mm_exec *x, const mm_hold_result *res)
 {
@@ -25,6 +40,9 @@
         continue;
       x->seen_seq = e->seq;
       mm_exec_run *r = g_hash_table_lookup (x->runs, &e->task);
+      bool ours = r && r->number == e->run && !r->foreign;
+      if (!ours || r->kept)
+        hold_end (x, e, !ours);
       if (!r || r->number != e->run)
         continue;
       if (e->how == MM_END_DONE)
@@ -143,7 +161,7 @@
   x->hold_taken_event = c->sent_event;
   GHashTable *present = g_hash_table_new (NULL, NULL);
   bool first = !x->seen;
-  x->seen = true;
+  x->seen = x->once_seen = true;
   take_ends (x, res);
   if (!x->closed)
     take_running (x, res, present);
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -20,6 +20,7 @@
   void *work; /* the owner's handle, NULL once given up */
   mm_exec_phase phase;
   bool foreign;       /* found there, an earlier owner's */
+  bool kept;          /* its end is held until it is taken note of */
   bool stop_wanted;   /* by the owner, or as the start was unanswered */
   bool stop_by_owner; /* reported as stopped, not as not run */
   bool start_in_flight;
@@ -47,6 +48,7 @@
   mm_need used;
   uint32_t n_foreign;
   bool seen;    /* a hold was answered: we know what runs there */
+  bool once_seen; /* our token is known there */
   bool suspect; /* the last call got no answer */
   bool fenced;
   bool gone; /* that incarnation is no more */
@@ -59,6 +61,7 @@
   mm_time_ms unacked_since_ms;
   uint64_t seen_seq;  /* ends seen */
   uint64_t acked_seq; /* ends a hold was answered for */
+  GArray *held;       /* mm_held_end */
   bool clock_known;
   mm_time_ms clock_offset_ms; /* upstream's clock minus ours, at most */
   mm_time_ms clock_ms;        /* when it was seen */
--- a/src/mm_http_client.c
+++ b/src/mm_http_client.c
@@ -246,9 +246,9 @@
 }
 
 static body_cursor
-body_of (const char *text)
+body_of (const char *data, size_t len_bytes)
 {
-  body_cursor b = { .data = text, .len_bytes = text ? strlen (text) : 0 };
+  body_cursor b = { .data = data, .len_bytes = len_bytes };
   return b;
 }
 
@@ -267,7 +267,7 @@
   curl_easy_setopt (e, CURLOPT_WRITEDATA, out);
   *headers = curl_slist_append (NULL, "Content-Type: application/json");
   *headers = curl_slist_append (*headers, "Expect:");
-  if (body->len_bytes)
+  if (body->len_bytes || strcmp (method, "POST") == 0)
     {
       curl_easy_setopt (e, CURLOPT_POST, 1L);
       curl_easy_setopt (e, CURLOPT_READFUNCTION, read_body_once);
@@ -291,10 +291,13 @@
   call *k = g_new0 (call, 1);
   k->client = c;
   k->answer = g_string_new (NULL);
-  k->body = g_strdup (spec->body);
+  size_t len_bytes = spec->body_bytes;
+  if (!len_bytes && spec->body)
+    len_bytes = strlen (spec->body);
+  k->body = g_memdup2 (spec->body, len_bytes);
   k->done = done;
   k->ctx = ctx;
-  k->cursor = body_of (k->body);
+  k->cursor = body_of (k->body, len_bytes);
   k->easy = make_easy (spec->method, spec->url, &k->cursor, spec->timeout_ms,
                        &k->headers, k->answer);
   if (c->member_header)
@@ -361,7 +364,7 @@
 {
   GString *out = g_string_new (NULL);
   struct curl_slist *headers = NULL;
-  body_cursor cursor = body_of (body);
+  body_cursor cursor = body_of (body, body ? strlen (body) : 0);
   CURL *e = make_easy (method, url, &cursor, timeout_ms, &headers, out);
   curl_easy_setopt (e, CURLOPT_HTTPHEADER, headers);
   CURLcode code = curl_easy_perform (e);
--- /dev/null
+++ b/src/mm_job_record.c
@@ -0,0 +1,193 @@
+/* mm_job_record: [phase, queue, service, priority, attempts, objective_ms,
+   submission or nil, [[done, [mark of a failed run, ...]], ...]].  */
+#include "mm_job_record.h"
+
+#include "config.h"
+#include "mm_msgpack.h"
+#include "mm_submission_codec.h"
+
+enum
+{
+  RECORD_FIELDS = 8,
+  PROGRESS_FIELDS = 2
+};
+
+const char *
+mm_job_phase_name (mm_job_phase p)
+{
+  static const char *const names[MM_JOB_PHASE_COUNT]
+      = { "queued", "running", "completed", "failed", "cancelled" };
+  return (size_t)p < MM_JOB_PHASE_COUNT ? names[p] : "unknown";
+}
+
+bool
+mm_job_phase_over (mm_job_phase p)
+{
+  return p != MM_JOB_QUEUED && p != MM_JOB_RUNNING;
+}
+
+mm_job_record *
+mm_job_record_new (mm_submission *s, const mm_route *route)
+{
+  mm_job_record *r = g_new0 (mm_job_record, 1);
+  r->queue = g_strdup (route->name);
+  r->service = g_strdup (route->service);
+  r->priority = route->priority;
+  r->attempts = MAX (route->attempts, 1);
+  r->objective_ms
+      = (mm_time_ms)(route->stretch * (double)mm_submission_chain_ms (s))
+        + route->slo_ms;
+  r->s = s;
+  r->progress = g_new0 (mm_task_progress, mm_submission_tasks (s) + 1);
+  return r;
+}
+
+void
+mm_job_record_free (mm_job_record *r)
+{
+  if (!r)
+    return;
+  g_free (r->queue);
+  g_free (r->service);
+  mm_submission_free (r->s);
+  g_free (r->progress);
+  g_free (r);
+}
+
+/* What is kept of a job that is over is its outcome.  */
+void
+mm_job_record_close (mm_job_record *r, mm_job_phase p)
+{
+  r->phase = p;
+  g_clear_pointer (&r->s, mm_submission_free);
+  g_clear_pointer (&r->progress, g_free);
+}
+
+static void
+pack_progress (msgpack_packer *pk, const mm_job_record *r)
+{
+  uint32_t n = r->s ? mm_submission_tasks (r->s) : 0;
+  msgpack_pack_array (pk, n);
+  for (uint32_t i = 0; i < n; i++)
+    {
+      const mm_task_progress *p = &r->progress[i];
+      msgpack_pack_array (pk, PROGRESS_FIELDS);
+      mm_mp_pack_bool (pk, p->done);
+      msgpack_pack_array (pk, p->n_failures);
+      for (uint32_t k = 0; k < p->n_failures; k++)
+        msgpack_pack_uint32 (pk, p->failures[k]);
+    }
+}
+
+GBytes *
+mm_job_record_pack (const mm_job_record *r)
+{
+  msgpack_sbuffer b;
+  msgpack_packer pk;
+  msgpack_sbuffer_init (&b);
+  msgpack_packer_init (&pk, &b, msgpack_sbuffer_write);
+  msgpack_pack_array (&pk, RECORD_FIELDS);
+  msgpack_pack_int (&pk, r->phase);
+  mm_mp_pack_text (&pk, r->queue);
+  mm_mp_pack_text (&pk, r->service);
+  msgpack_pack_uint32 (&pk, r->priority);
+  msgpack_pack_uint32 (&pk, r->attempts);
+  msgpack_pack_int64 (&pk, r->objective_ms);
+  if (r->s)
+    mm_submission_pack (&pk, r->s);
+  else
+    msgpack_pack_nil (&pk);
+  pack_progress (&pk, r);
+  GBytes *bytes = g_bytes_new (b.data, b.size);
+  msgpack_sbuffer_destroy (&b);
+  return bytes;
+}
+
+static bool
+unpack_task (const msgpack_object *o, mm_task_progress *p)
+{
+  if (!mm_mp_is_array (o, PROGRESS_FIELDS))
+    return false;
+  const msgpack_object *f = o->via.array.ptr;
+  if (!mm_mp_read_bool (&f[0], &p->done) || !mm_mp_is_array (&f[1], 0)
+      || f[1].via.array.size > MM_JOB_MAX_FAILURES)
+    return false;
+  for (uint32_t k = 0; k < f[1].via.array.size; k++)
+    if (!mm_mp_read_u32 (&f[1].via.array.ptr[k], &p->failures[k]))
+      return false;
+  p->n_failures = f[1].via.array.size;
+  return true;
+}
+
+static bool
+unpack_job (const msgpack_object *f, mm_job_record *r)
+{
+  if (mm_job_phase_over (r->phase))
+    return f[6].type == MSGPACK_OBJECT_NIL;
+  r->s = mm_submission_unpack (&f[6]);
+  if (!r->s)
+    return false;
+  uint32_t n = mm_submission_tasks (r->s);
+  if (!mm_mp_is_array (&f[7], 0) || f[7].via.array.size != n)
+    return false;
+  r->progress = g_new0 (mm_task_progress, (size_t)n + 1);
+  for (uint32_t i = 0; i < n; i++)
+    if (!unpack_task (&f[7].via.array.ptr[i], &r->progress[i]))
+      return false;
+  return true;
+}
+
+static bool
+unpack_record (const msgpack_object *o, mm_job_record *r)
+{
+  if (!mm_mp_is_array (o, RECORD_FIELDS))
+    return false;
+  const msgpack_object *f = o->via.array.ptr;
+  uint32_t phase;
+  if (!mm_mp_read_u32 (&f[0], &phase) || phase >= MM_JOB_PHASE_COUNT)
+    return false;
+  r->phase = (mm_job_phase)phase;
+  return mm_mp_read_text (&f[1], false, &r->queue)
+         && mm_mp_read_text (&f[2], false, &r->service)
+         && mm_mp_read_u32 (&f[3], &r->priority)
+         && mm_mp_read_u32 (&f[4], &r->attempts)
+         && mm_mp_read_i64 (&f[5], &r->objective_ms) && unpack_job (f, r);
+}
+
+/**
+ * mm_job_record_unpack() - read a kept job.
+ * @data: what mm_job_record_pack() wrote.
+ * @len: bytes of it.
+ * @error: MM_ERROR_DECODE.
+ *
+ * Return: the record, or NULL; free with mm_job_record_free().
+ */
+mm_job_record *
+mm_job_record_unpack (const void *data, size_t len, GError **error)
+{
+  msgpack_unpacked msg;
+  msgpack_unpacked_init (&msg);
+  mm_job_record *r = g_new0 (mm_job_record, 1);
+  size_t off = 0;
+  bool ok = msgpack_unpack_next (&msg, data, len, &off)
+                == MSGPACK_UNPACK_SUCCESS
+            && unpack_record (&msg.data, r);
+  msgpack_unpacked_destroy (&msg);
+  if (ok)
+    return r;
+  g_set_error (error, MM_ERROR, MM_ERROR_DECODE,
+               "kept job: %zu bytes that are no record of one", len);
+  mm_job_record_free (r);
+  return NULL;
+}
+
+bool
+mm_task_progress_fail (mm_task_progress *p, uint32_t mark)
+{
+  for (uint32_t i = 0; i < p->n_failures; i++)
+    if (p->failures[i] == mark)
+      return false;
+  if (p->n_failures < MM_JOB_MAX_FAILURES)
+    p->failures[p->n_failures++] = mark;
+  return true;
+}
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -8,6 +8,7 @@
 #include "config.h"
 #include "mm_event.h"
 #include "mm_metrics.h"
+#include "mm_steps.h"
 
 #include <string.h>
 
@@ -25,13 +26,6 @@
   bool done;
 } task;
 
-typedef struct
-{
-  uint32_t first_task;
-  uint32_t done;
-  bool begun;
-} step_state;
-
 struct job
 {
   mm_jobs *jobs;
@@ -46,8 +40,7 @@
   mm_time_ms start_by_ms; /* one not begun by then comes too late */
   task *tasks;
   uint32_t n_tasks;
-  uint32_t done;
-  step_state *steps;
+  mm_steps *steps;
   bool handed_out; /* a task may have started */
   uint32_t n_stranded;
   GList *callers;
@@ -80,7 +73,8 @@
 {
   for (uint32_t i = 0; i < b->n_tasks; i++)
     if (b->tasks[i].ticket)
-      mm_fleet_cancel (b->jobs->fleet, g_steal_pointer (&b->tasks[i].ticket));
+      mm_fleet_cancel (b->jobs->fleet, g_steal_pointer (&b->tasks[i].ticket),
+                       false);
 }
 
 static void
@@ -91,7 +85,7 @@
   for (uint32_t i = 0; i < b->n_tasks; i++)
     g_free (b->tasks[i].avoid);
   g_free (b->tasks);
-  g_free (b->steps);
+  mm_steps_destroy (b->steps);
   g_free (b->service);
   g_free (b->queue);
   mm_submission_free (b->s);
@@ -192,27 +186,10 @@
   b->handed_out = b->handed_out || t->ticket;
 }
 
-static bool
-step_ready (const job *b, uint32_t i)
-{
-  const mm_step *s = &b->s->steps[i];
-  for (uint32_t k = 0; k < s->n_after; k++)
-    if (b->steps[s->after[k]].done < b->s->steps[s->after[k]].count)
-      return false;
-  return true;
-}
-
 static void
-begin_ready_steps (job *b)
+begin_task (void *ctx, uint32_t number)
 {
-  for (uint32_t i = 0; i < b->s->n_steps; i++)
-    {
-      if (b->steps[i].begun || !step_ready (b, i))
-        continue;
-      b->steps[i].begun = true;
-      for (uint32_t k = 0; k < b->s->steps[i].count; k++)
-        hand_out (&b->tasks[b->steps[i].first_task + k]);
-    }
+  hand_out (&((job *)ctx)->tasks[number]);
 }
 
 static void
@@ -220,12 +197,11 @@
 {
   job *b = t->job;
   t->done = true;
-  b->done++;
-  b->steps[t->id.step].done++;
-  if (b->done == b->n_tasks)
+  mm_steps_note_done (b->steps, (uint32_t)(t - b->tasks));
+  if (mm_steps_all_done (b->steps))
     answer (b, MM_ANSWER_COMPLETED, "", 0);
-  else if (b->steps[t->id.step].done == b->s->steps[t->id.step].count)
-    begin_ready_steps (b);
+  else
+    mm_steps_begin_ready (b->steps, begin_task, b);
 }
 
 static bool
@@ -361,18 +337,11 @@
   b->start_by_ms = MIN (b->start_by_ms, b->deadline_ms);
   b->n_tasks = mm_submission_tasks (s);
   b->tasks = g_new0 (task, b->n_tasks);
-  b->steps = g_new0 (step_state, s->n_steps);
-  uint32_t n = 0;
-  for (uint32_t i = 0; i < s->n_steps; i++)
+  b->steps = mm_steps_create (s);
+  for (uint32_t i = 0; i < b->n_tasks; i++)
     {
-      b->steps[i].first_task = n;
-      for (uint32_t k = 0; k < s->steps[i].count; k++, n++)
-        {
-          b->tasks[n].job = b;
-          g_strlcpy (b->tasks[n].id.job, s->id, sizeof b->tasks[n].id.job);
-          b->tasks[n].id.step = i;
-          b->tasks[n].id.index = k;
-        }
+      b->tasks[i].job = b;
+      b->tasks[i].id = mm_steps_task (b->steps, i);
     }
   g_hash_table_insert (j->by_id, s->id, b);
   return b;
@@ -460,7 +429,7 @@
       answer (b, MM_ANSWER_COMPLETED, "", 0);
       return NULL;
     }
-  begin_ready_steps (b);
+  mm_steps_begin_ready (b->steps, begin_task, b);
   return c;
 }
 
--- a/src/mm_members.c
+++ b/src/mm_members.c
@@ -63,8 +63,8 @@
 }
 
 /* INSTANCE@ADDRESS/DATACENTRE; the parts are freed by mm_peer_info_clear(). */
-static bool
-read_name (const char *name, mm_peer_info *out)
+bool
+mm_members_read_name (const char *name, mm_peer_info *out)
 {
   const char *at = strchr (name, NAME_SEPARATOR);
   const char *slash = at ? strchr (at, DATACENTRE_SEPARATOR) : NULL;
@@ -87,7 +87,7 @@
 {
   mm_members *m = ctx;
   mm_peer_info p;
-  if (strcmp (name, m->self) == 0 || !read_name (name, &p))
+  if (strcmp (name, m->self) == 0 || !mm_members_read_name (name, &p))
     return;
   mm_mesh_add_peer (m->mesh, &p);
   mm_peer_info_clear (&p);
@@ -134,7 +134,7 @@
     for (char **w = m->dcs[i].who; w && *w; w++)
       {
         mm_peer_info p;
-        if (strcmp (*w, m->self) == 0 || !read_name (*w, &p))
+        if (strcmp (*w, m->self) == 0 || !mm_members_read_name (*w, &p))
           continue;
         p.stands_in = strcmp (p.datacentre, m->dcs[i].name) != 0;
         g_array_append_val (peers, p);
--- a/src/mm_members.h
+++ b/src/mm_members.h
@@ -11,6 +11,8 @@
    be a member of another data centre's group too.  */
 char *mm_members_name (const char *instance, const char *mesh_addr,
                        const char *datacentre);
+/* Its parts, freed by mm_peer_info_clear(); false: no name of ours.  */
+bool mm_members_read_name (const char *name, mm_peer_info *out);
 char *mm_members_group (const char *datacentre); /* its group's name */
 
 mm_members *mm_members_create (const mm_store_port *port, mm_mesh *mesh,
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -28,6 +28,8 @@
   bool chosen;         /* a neighbour: to be linked to */
   bool connected;      /* a report has come over this link */
   mm_time_ms lost_ms;  /* when a link to it was last lost, 0: never */
+  mm_time_ms needed_ms; /* until then it is linked to in any case */
+  mm_questions *questions;
   mm_time_ms tried_ms;
   mm_time_ms beat_ms;
   uint64_t next_no;
@@ -51,11 +53,18 @@
   mm_mesh *mesh;
   mm_link *link;
   GHashTable *works; /* no -> taken */
+  GList *replies;    /* mm_mesh_reply that are owed */
   uint64_t seen_no;
   mm_time_ms report_ms;
   GByteArray *last_report;
 } inbound;
 
+struct mm_mesh_reply
+{
+  inbound *to; /* NULL once its link is closed */
+  uint64_t no;
+};
+
 /* A task taken in over a link.  */
 typedef struct
 {
@@ -76,6 +85,8 @@
   GList *inbound;
   mm_mesh_hello hello;
   void *hello_ctx;
+  mm_mesh_asked asked;
+  void *asked_ctx;
   GHashTable *closed_ms; /* data centre -> when a link was closed */
   bool choose_again;     /* a peer came, went, or lost its link */
   mm_time_ms chosen_ms;  /* when neighbours were last chosen */
@@ -114,15 +125,55 @@
 }
 
 static void
-take_cancel (inbound *in, uint64_t no)
+take_cancel (inbound *in, const mm_mesh_msg *m)
 {
+  uint64_t no = m->no;
   taken *t = g_hash_table_lookup (in->works, &no);
   if (!t)
     return;
-  mm_owner_cancel (in->mesh->owner, t->work);
+  mm_owner_cancel (in->mesh->owner, t->work, m->keep_end);
   g_hash_table_remove (in->works, &no);
 }
 
+static void
+take_ask (inbound *in, const mm_mesh_msg *m)
+{
+  mm_mesh *mesh = in->mesh;
+  mm_mesh_reply *r = NULL;
+  if (!mesh->asked)
+    return;
+  if (m->no)
+    {
+      r = g_new (mm_mesh_reply, 1);
+      *r = (mm_mesh_reply){ .to = in, .no = m->no };
+      in->replies = g_list_prepend (in->replies, r);
+    }
+  mesh->asked (mesh->asked_ctx, m->verb, m->data, m->len, r);
+}
+
+void
+mm_mesh_on_asked (mm_mesh *m, mm_mesh_asked asked, void *ctx)
+{
+  m->asked = asked;
+  m->asked_ctx = ctx;
+}
+
+void
+mm_mesh_answer (mm_mesh_reply *reply, const void *data, size_t len)
+{
+  inbound *in = reply->to;
+  if (in)
+    {
+      in->replies = g_list_remove (in->replies, reply);
+      msgpack_sbuffer b;
+      msgpack_sbuffer_init (&b);
+      mm_mesh_pack_told (&b, reply->no, data, len);
+      mm_link_send (in->link, &b);
+      msgpack_sbuffer_destroy (&b);
+    }
+  g_free (reply);
+}
+
 static bool
 on_inbound_object (void *ctx, const msgpack_object *o)
 {
@@ -132,7 +183,9 @@
   if (ok && m.kind == MM_MESH_RUN)
     take_run (in, &m);
   else if (ok && m.kind == MM_MESH_CANCEL)
-    take_cancel (in, m.no);
+    take_cancel (in, &m);
+  else if (ok && m.kind == MM_MESH_ASK)
+    take_ask (in, &m);
   else if (ok && m.kind == MM_MESH_HELLO && in->mesh->hello)
     in->mesh->hello (in->mesh->hello_ctx, m.name);
   else
@@ -153,8 +206,11 @@
   gpointer v;
   g_hash_table_iter_init (&it, in->works);
   while (g_hash_table_iter_next (&it, NULL, &v))
-    mm_owner_cancel (m->owner, ((taken *)v)->work);
+    mm_owner_cancel (m->owner, ((taken *)v)->work, true);
   g_hash_table_destroy (in->works);
+  for (GList *l = in->replies; l; l = l->next)
+    ((mm_mesh_reply *)l->data)->to = NULL;
+  g_list_free (in->replies);
   g_byte_array_free (in->last_report, TRUE);
   m->inbound = g_list_remove (m->inbound, in);
   g_free (in);
@@ -227,7 +283,9 @@
   if (!r)
     return; /* cancelled meanwhile */
   g_hash_table_steal (p->remote, &m->no);
-  r->done (r->ctx, &m->result);
+  mm_work_result result = m->result;
+  result.owner = p->info.name;
+  r->done (r->ctx, &result);
   g_free (r);
 }
 
@@ -259,6 +317,8 @@
   bool ok = mm_mesh_msg_read (o, &m);
   if (ok && m.kind == MM_MESH_ENDED)
     take_ended (p, &m);
+  else if (ok && m.kind == MM_MESH_TOLD)
+    mm_questions_answer (p->questions, m.no, m.data, m.len);
   else if (ok && m.kind == MM_MESH_REPORT)
     ok = take_report (p, &m);
   else
@@ -311,6 +371,7 @@
       r->done (r->ctx, &out_of_contact);
       g_free (r);
     }
+  mm_questions_fail_all (p->questions);
 }
 
 static void
@@ -353,6 +414,7 @@
   if (p->link)
     mm_link_close (p->link, "peer not listed any more");
   g_hash_table_destroy (p->remote);
+  mm_questions_destroy (p->questions);
   g_free (p->rooms);
   mm_peer_info_clear (&p->info);
   g_free (p);
@@ -378,6 +440,7 @@
     peer_connect (p, now);
   if (!p->link)
     return;
+  mm_questions_expire (p->questions, now);
   if (now - p->beat_ms < MM_MESH_BEAT_MS)
     return;
   p->beat_ms = now;
@@ -508,6 +571,7 @@
   p->info.stands_in = info->stands_in;
   p->known_ms = mm_clock_now_ms ();
   p->remote = g_hash_table_new (g_int64_hash, g_int64_equal);
+  p->questions = mm_questions_create ();
   g_hash_table_insert (m->peers, p->info.name, p);
 }
 
@@ -580,7 +644,7 @@
 }
 
 void
-mm_mesh_cancel (mm_mesh *m, mm_remote *r)
+mm_mesh_cancel (mm_mesh *m, mm_remote *r, bool keep_end)
 {
   peer *p = r->peer;
   g_hash_table_remove (p->remote, &r->no);
@@ -588,13 +652,65 @@
     {
       msgpack_sbuffer b;
       msgpack_sbuffer_init (&b);
-      mm_mesh_pack_cancel (&b, r->no);
+      mm_mesh_pack_cancel (&b, r->no, keep_end);
       mm_link_send (p->link, &b);
       msgpack_sbuffer_destroy (&b);
     }
   g_free (r);
 }
 
+void
+mm_mesh_ask (mm_mesh *m, const char *peer_name, uint32_t verb,
+             const void *data, size_t len, mm_time_ms timeout_ms,
+             mm_told told, void *ctx)
+{
+  peer *p = g_hash_table_lookup (m->peers, peer_name);
+  if (!p || !p->connected)
+    {
+      if (told)
+        told (ctx, false, NULL, 0);
+      return;
+    }
+  mm_time_ms until_ms = mm_clock_now_ms () + timeout_ms;
+  uint64_t no
+      = told ? mm_questions_add (p->questions, until_ms, told, ctx) : 0;
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init (&b);
+  mm_mesh_pack_ask (&b, no, verb, data, len);
+  mm_link_send (p->link, &b);
+  msgpack_sbuffer_destroy (&b);
+}
+
+void
+mm_mesh_need (mm_mesh *m, const char *peer_name)
+{
+  mm_time_ms until_ms = mm_clock_now_ms () + MM_MESH_NEEDED_MS;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      peer *p = v;
+      if (peer_name && strcmp (p->info.name, peer_name) != 0)
+        continue;
+      m->choose_again = m->choose_again || !p->chosen;
+      p->needed_ms = until_ms;
+    }
+}
+
+GList *
+mm_mesh_peers (const mm_mesh *m)
+{
+  GList *names = NULL;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    if (((peer *)v)->connected)
+      names = g_list_prepend (names, ((peer *)v)->info.name);
+  return names;
+}
+
 /* One that holds no upstreams has no room to offer.  A newcomer may hold
    some that the list does not show yet.  */
 static bool
@@ -671,7 +787,7 @@
   while (g_hash_table_iter_next (&it, NULL, &v))
     {
       at[i] = v;
-      at[i]->chosen = false;
+      at[i]->chosen = at[i]->needed_ms > now;
       if (!may_have_room (at[i], now))
         continue;
       c[i] = (mm_neighbour){ .name = at[i]->info.name,
@@ -682,7 +798,7 @@
     }
   mm_neighbours_choose (m->self, m->datacentre, c, i, now, chosen);
   for (n = i, i = 0; i < n; i++)
-    at[i]->chosen = chosen[i];
+    at[i]->chosen = at[i]->chosen || chosen[i];
   m->choose_again = false;
   m->chosen_ms = now;
   g_free (chosen);
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -3,6 +3,7 @@
 #define MM_MESH_H
 
 #include "mm_owner.h"
+#include "mm_questions.h"
 
 typedef struct mm_mesh mm_mesh;
 typedef struct mm_remote mm_remote; /* a task handed to a peer */
@@ -41,7 +42,25 @@
 mm_remote *mm_mesh_submit (mm_mesh *m, const char *peer,
                            const mm_task_request *t, mm_work_done done,
                            void *ctx);          /* NULL: not connected */
-void mm_mesh_cancel (mm_mesh *m, mm_remote *r); /* @done is not called */
+void mm_mesh_cancel (mm_mesh *m, mm_remote *r,
+                     bool keep_end); /* see mm_owner_cancel() */
+/* Ask a peer, or tell it something when @told is NULL.  @told is called
+   once; at once when there is no link.  */
+void mm_mesh_ask (mm_mesh *m, const char *peer, uint32_t verb,
+                  const void *data, size_t len, mm_time_ms timeout_ms,
+                  mm_told told, void *ctx);
+/* A question of a peer, or what it tells (@reply NULL).  The reply is
+   answered once, now or later.  */
+typedef struct mm_mesh_reply mm_mesh_reply;
+typedef void (*mm_mesh_asked) (void *ctx, uint32_t verb, const void *data,
+                               size_t len, mm_mesh_reply *reply);
+void mm_mesh_on_asked (mm_mesh *m, mm_mesh_asked asked, void *ctx);
+void mm_mesh_answer (mm_mesh_reply *reply, const void *data, size_t len);
+/* Keep a link to this instance for a while, neighbour or not; every known
+   one with NULL.  */
+void mm_mesh_need (mm_mesh *m, const char *peer);
+/* Names of the peers in touch; free the list, not the names.  */
+GList *mm_mesh_peers (const mm_mesh *m);
 /* Instances of a data centre, as seen over the links to them.  */
 typedef struct
 {
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -2,12 +2,15 @@
 
    From the instance that took a job to the owner of upstreams:
      [RUN, no, job, step, index, service, payload, label, avoid, cpu_milli,
-      mem_mb, gpus, priority, estimate_ms, due_within_ms, start_within_ms]
-     [CANCEL, no]
+      mem_mb, gpus, priority, estimate_ms, due_within_ms, start_within_ms,
+      kept]
+     [CANCEL, no, keep_end]
      [BEAT]
      [HELLO, name]                 first of all
+     [ASK, no, verb, bytes]        about kept jobs; no 0: without an answer
    Back:
-     [ENDED, no, how, upstream, ran_ms, why]
+     [ENDED, no, how, upstream, ran_ms, why, run]
+     [TOLD, no, bytes]             answers an ASK
      [REPORT, seen_no, name, [[service, places, free, waiting], ...]]  */
 #ifndef MM_MESH_MSG_H
 #define MM_MESH_MSG_H
@@ -23,7 +26,9 @@
   MM_MESH_BEAT = 3,
   MM_MESH_ENDED = 4,
   MM_MESH_REPORT = 5,
-  MM_MESH_HELLO = 6
+  MM_MESH_HELLO = 6,
+  MM_MESH_ASK = 7,
+  MM_MESH_TOLD = 8
 } mm_mesh_kind;
 
 #define MM_MESH_MAX_SERVICES 64 /* rows of a report that are read */
@@ -37,19 +42,23 @@
 typedef struct
 {
   mm_mesh_kind kind;
-  uint64_t no;             /* RUN, CANCEL, ENDED; REPORT: highest RUN seen */
+  uint64_t no; /* RUN, CANCEL, ENDED, ASK, TOLD; REPORT: highest RUN seen */
   mm_task_request request; /* RUN; strings are copies, see _clear */
   mm_work_result result;   /* ENDED; strings are copies, see _clear */
   char *name;              /* REPORT, HELLO: of the sender */
   mm_mesh_room *rooms;     /* REPORT */
   size_t n_rooms;
+  bool keep_end;    /* CANCEL */
+  uint32_t verb;    /* ASK */
+  const void *data; /* ASK, TOLD: valid while the message is */
+  size_t len;
 } mm_mesh_msg;
 
 bool mm_mesh_msg_read (const msgpack_object *o, mm_mesh_msg *out);
 void mm_mesh_msg_clear (mm_mesh_msg *m); /* free what _read copied */
 void mm_mesh_pack_run (msgpack_sbuffer *b, uint64_t no,
                        const mm_task_request *t);
-void mm_mesh_pack_cancel (msgpack_sbuffer *b, uint64_t no);
+void mm_mesh_pack_cancel (msgpack_sbuffer *b, uint64_t no, bool keep_end);
 void mm_mesh_pack_hello (msgpack_sbuffer *b, const char *name);
 void mm_mesh_pack_beat (msgpack_sbuffer *b);
 void mm_mesh_pack_ended (msgpack_sbuffer *b, uint64_t no,
@@ -57,5 +66,9 @@
 void mm_mesh_pack_report (msgpack_sbuffer *b, uint64_t seen_no,
                           const char *name, const mm_mesh_room *rooms,
                           size_t n);
+void mm_mesh_pack_ask (msgpack_sbuffer *b, uint64_t no, uint32_t verb,
+                       const void *data, size_t len);
+void mm_mesh_pack_told (msgpack_sbuffer *b, uint64_t no, const void *data,
+                        size_t len);
 
 #endif /* MM_MESH_MSG_H */
--- a/src/mm_metrics.c
+++ b/src/mm_metrics.c
@@ -72,6 +72,19 @@
   = { STORE, "call=\"members\",outcome=\"ok\"", STORE_HELP },
   [MM_CT_MEMBERS_FAILED]
   = { STORE, "call=\"members\",outcome=\"failed\"", STORE_HELP },
+  [MM_CT_APPENDS_OK] = { STORE, "call=\"append\",outcome=\"ok\"", STORE_HELP },
+  [MM_CT_APPENDS_FAILED]
+  = { STORE, "call=\"append\",outcome=\"failed\"", STORE_HELP },
+  [MM_CT_KEPT_ACCEPTED] = { "masticmill_kept_jobs_accepted_total", NULL,
+                            "Kept jobs that were stored here." },
+  [MM_CT_KEPT_REFUSED]
+  = { "masticmill_kept_jobs_refused_total", NULL,
+      "Kept jobs that were not accepted, or of unsure outcome." },
+  [MM_CT_KEPT_OVER] = { "masticmill_kept_jobs_over_total", NULL,
+                        "Kept jobs whose outcome was stored here." },
+  [MM_CT_KEPT_LOST_SIGHT]
+  = { "masticmill_kept_jobs_lost_sight_total", NULL,
+      "Times that tasks of a kept job had to be looked for." },
 };
 
 static const series gauge_table[MM_GG_COUNT] = {
@@ -94,6 +107,8 @@
   = { "masticmill_config_version", NULL, "Configuration in force." },
   [MM_GG_GENERATION] = { "masticmill_group_generation", NULL,
                          "Generation of the data centre's group." },
+  [MM_GG_KEPT_OPEN] = { "masticmill_kept_jobs_open", NULL,
+                        "Kept jobs at this home that are not over." },
   [MM_GG_LOG_DROPPED]
   = { "masticmill_log_lines_dropped", NULL,
       "Log lines dropped, as nobody read standard output." },
--- a/src/mm_own_store.c
+++ b/src/mm_own_store.c
@@ -186,21 +186,32 @@
                       timeout_ms, on_join, &p);
 }
 
+/* Rows [partition, member].  */
+static GArray *
+read_holders (const cJSON *list)
+{
+  GArray *holders = mm_store_holders_new ();
+  const cJSON *row;
+  cJSON_ArrayForEach (row, list)
+    {
+      const cJSON *part = cJSON_GetArrayItem (row, 0);
+      const char *member = cJSON_GetStringValue (cJSON_GetArrayItem (row, 1));
+      if (!cJSON_IsNumber (part) || !member)
+        continue;
+      mm_part_holder h = { .part = (uint32_t)part->valuedouble,
+                           .member = g_strdup (member) };
+      g_array_append_val (holders, h);
+    }
+  return holders;
+}
+
 static void
 on_members (const mm_http_result *res, void *ctx)
 {
   cJSON *body = cJSON_ParseWithLength (res->body, res->body_bytes);
-  const cJSON *list = cJSON_GetObjectItemCaseSensitive (body, "members");
-  GPtrArray *names = g_ptr_array_new ();
-  const cJSON *m;
-  cJSON_ArrayForEach (m, list)
-    if (cJSON_IsString (m))
-      g_ptr_array_add (names, m->valuestring);
-  mm_members_result r = { .ok = mm_store_http_ok (res) && cJSON_IsArray (list),
-                          .members = (const char *const *)names->pdata,
-                          .n_members = names->len };
-  mm_store_tell_members (ctx, res, &r);
-  g_ptr_array_free (names, TRUE);
+  const cJSON *list = cJSON_GetObjectItemCaseSensitive (body, "holders");
+  bool ok = mm_store_http_ok (res) && cJSON_IsArray (list);
+  mm_store_tell_members (ctx, res, ok ? read_holders (list) : NULL);
   cJSON_Delete (body);
 }
 
@@ -213,6 +224,97 @@
                       NULL, timeout_ms, on_members, &p);
 }
 
+/* ---- kept jobs -------------------------------------------------------- */
+
+static void
+on_append (const mm_http_result *res, void *ctx)
+{
+  mm_append_result r = { .verdict = MM_APPEND_NO_ANSWER };
+  cJSON *body = cJSON_ParseWithLength (res->body, res->body_bytes);
+  const cJSON *expected = cJSON_GetObjectItemCaseSensitive (body, "expected");
+  if (mm_store_http_ok (res))
+    r.verdict = MM_APPEND_OK;
+  else if (!res->error && res->status == 409)
+    r.verdict = cJSON_IsNumber (expected) ? MM_APPEND_OUT_OF_SEQ
+                                          : MM_APPEND_FENCED;
+  else if (!res->error && res->status == 503)
+    r.verdict = MM_APPEND_REFUSED;
+  r.expected_seq = (uint64_t)number_of (body, "expected", 0);
+  cJSON_Delete (body);
+  mm_store_tell_append (ctx, res, &r);
+}
+
+static void
+own_append (void *ctx, const mm_append *a, mm_append_done done, void *done_ctx)
+{
+  mm_store_call p = { .append_done = done, .ctx = done_ctx };
+  cJSON *b = cJSON_CreateObject ();
+  cJSON_AddNumberToObject (b, "epoch", (double)a->epoch);
+  cJSON_AddNumberToObject (b, "seq", (double)a->seq);
+  cJSON *list = cJSON_AddArrayToObject (b, "records");
+  for (size_t i = 0; i < a->n_records; i++)
+    {
+      const mm_record *rec = &a->records[i];
+      cJSON *row = cJSON_CreateObject ();
+      cJSON_AddStringToObject (row, "key", rec->key);
+      if (rec->value)
+        {
+          gsize len;
+          const guchar *data = g_bytes_get_data (rec->value, &len);
+          char *text = g_base64_encode (data, len);
+          cJSON_AddStringToObject (row, "value", text);
+          g_free (text);
+        }
+      cJSON_AddItemToArray (list, row);
+    }
+  mm_store_http_send (ctx, "POST",
+                      g_strdup_printf ("/v1/streams/jobs-%u/append", a->part),
+                      b, a->timeout_ms, on_append, &p);
+}
+
+static void
+on_job_records (const mm_http_result *res, void *ctx)
+{
+  cJSON *body = cJSON_ParseWithLength (res->body, res->body_bytes);
+  const cJSON *list = cJSON_GetObjectItemCaseSensitive (body, "items");
+  GArray *records = mm_store_records_new ();
+  mm_records_result r = { .ok = mm_store_http_ok (res)
+                                && cJSON_IsArray (list) };
+  const cJSON *row;
+  cJSON_ArrayForEach (row, list)
+    {
+      const char *text = cJSON_GetStringValue (
+          cJSON_GetObjectItemCaseSensitive (row, "value"));
+      mm_record rec = { .key = text_of (row, "key") };
+      if (!rec.key || !text)
+        {
+          mm_record_clear (&rec);
+          continue;
+        }
+      gsize len = 0;
+      guchar *raw = g_base64_decode (text, &len);
+      rec.value = g_bytes_new_take (raw, len);
+      g_array_append_val (records, rec);
+    }
+  r.after = cJSON_GetStringValue (
+      cJSON_GetObjectItemCaseSensitive (body, "after"));
+  mm_store_tell_records (ctx, res, &r, records);
+  cJSON_Delete (body);
+}
+
+static void
+own_records (void *ctx, uint32_t part, const char *after,
+             mm_time_ms timeout_ms, mm_records_done done, void *done_ctx)
+{
+  mm_store_call p = { .records_done = done, .ctx = done_ctx };
+  char *key = after ? g_uri_escape_string (after, NULL, FALSE) : NULL;
+  char *path
+      = g_strdup_printf ("/v1/streams/jobs-%u/newest%s%s", part,
+                         key ? "?after=" : "", key ? key : "");
+  mm_store_http_send (ctx, "GET", path, NULL, timeout_ms, on_job_records, &p);
+  g_free (key);
+}
+
 /**
  * mm_own_store_port() - the stand-in's store as the core sees it.
  * @s: must outlive the port.
@@ -225,5 +327,7 @@
                           .join = own_join,
                           .leave = own_leave,
                           .members = own_members,
+                          .append = own_append,
+                          .records = own_records,
                           .ctx = s };
 }
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -44,6 +44,7 @@
   GHashTable *active; /* mm_task_id -> mm_work that has a run */
   uint64_t next_order;
   double usual_cpu_milli; /* of a task, for reports */
+  mm_time_ms kept_ms; /* when a kept job was last heard of */
   bool closed;
   bool pumping;
   bool pump_again;
@@ -63,11 +64,14 @@
 }
 
 static void
-finish (mm_work *w, mm_end how, const char *upstream, mm_time_ms ran_ms,
-        const char *why)
-{
-  mm_work_result r
-      = { .how = how, .upstream = upstream, .ran_ms = ran_ms, .why = why };
+finish (mm_work *w, mm_end how, const char *upstream, uint32_t run,
+        mm_time_ms ran_ms, const char *why)
+{
+  mm_work_result r = { .how = how,
+                       .upstream = upstream,
+                       .run = run,
+                       .ran_ms = ran_ms,
+                       .why = why };
   if (!w->cancelled)
     w->done (w->ctx, &r);
   work_free (w);
@@ -100,7 +104,7 @@
   mm_owner *o = w->owner;
   bool late = mm_clock_now_ms () > w->start_by_ms;
   if (w->cancelled || late || o->closed || o->destroyed)
-    finish (w, MM_END_NOT_RUN, upstream, 0, why);
+    finish (w, MM_END_NOT_RUN, upstream, 0, 0, why);
   else
     enqueue (o, w);
 }
@@ -122,8 +126,8 @@
 }
 
 static void
-on_ended (void *ctx, mm_exec *x, void *work, mm_end how, mm_time_ms ran_ms,
-          const char *why)
+on_ended (void *ctx, mm_exec *x, void *work, uint32_t run, mm_end how,
+          mm_time_ms ran_ms, const char *why)
 {
   slot *s = ctx;
   mm_work *w = work;
@@ -145,7 +149,7 @@
   if (how == MM_END_NOT_RUN)
     give_back (w, name, why);
   else
-    finish (w, how, name, ran_ms, why);
+    finish (w, how, name, run, ran_ms, why);
 }
 
 static void
@@ -175,7 +179,7 @@
       if (w->at != s)
         continue;
       g_hash_table_remove (o->active, &w->t.id);
-      finish (w, MM_END_UNKNOWN, mm_exec_info (s->exec)->name, 0, why);
+      finish (w, MM_END_UNKNOWN, mm_exec_info (s->exec)->name, 0, 0, why);
     }
   g_list_free (works);
 }
@@ -372,7 +376,7 @@
   while ((w = first_expired (o, now)))
     {
       g_queue_remove (o->waiting, w);
-      finish (w, MM_END_NOT_RUN, NULL, 0,
+      finish (w, MM_END_NOT_RUN, NULL, 0, 0,
               o->closed ? "owner is leaving" : "waited too long");
     }
 }
@@ -455,6 +459,8 @@
   w->start_by_ms = w->taken_ms + t->start_within;
   w->due_ms = w->taken_ms + t->due_within;
   w->order = ++o->next_order;
+  if (t->kept)
+    mm_owner_expect_kept (o);
   w->done = done;
   w->ctx = ctx;
   double cpu = (double)t->need.cpu_milli;
@@ -471,27 +477,122 @@
  * mm_owner_cancel() - nobody waits for this task any more.
  * @o: the owner.
  * @w: its handle; not valid after this.
+ * @keep_end: hold the end of a kept job's task until it is taken note of.
  */
 void
-mm_owner_cancel (mm_owner *o, mm_work *w)
+mm_owner_cancel (mm_owner *o, mm_work *w, bool keep_end)
 {
   w->cancelled = true;
   if (w->at)
     {
-      mm_exec_stop (w->at->exec, w);
+      mm_exec_stop (w->at->exec, w, keep_end);
       return;
     }
   g_queue_remove (o->waiting, w);
   work_free (w);
 }
 
+void
+mm_owner_expect_kept (mm_owner *o)
+{
+  o->kept_ms = mm_clock_now_ms ();
+}
+
+void
+mm_owner_note_end (mm_owner *o, const mm_task_id *task, uint32_t mark)
+{
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, o->slots);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      mm_exec *x = ((slot *)v)->exec;
+      size_t n;
+      const mm_held_end *h = mm_exec_held (x, &n);
+      for (size_t i = n; i-- > 0;)
+        if (mm_task_id_equal (&h[i].task, task)
+            && mm_run_mark (mm_exec_info (x)->name, h[i].run) == mark)
+          mm_exec_drop_held (x, i);
+    }
+}
+
+/* How many of the tasks wait here for room?  */
+static uint32_t
+count_waiting (const mm_owner *o, GHashTable *tasks)
+{
+  uint32_t n = 0;
+  for (GList *l = o->waiting->head; l; l = l->next)
+    n += g_hash_table_contains (tasks, &((mm_work *)l->data)->t.id);
+  return n;
+}
+
+static void
+add_held (const mm_exec *x, GHashTable *tasks, GArray *ends)
+{
+  size_t n;
+  const mm_held_end *h = mm_exec_held (x, &n);
+  for (size_t i = 0; i < n; i++)
+    {
+      mm_found_end e
+          = { .task = h[i].task,
+              .how = h[i].how,
+              .mark = mm_run_mark (mm_exec_info (x)->name, h[i].run) };
+      if (g_hash_table_contains (tasks, &e.task))
+        g_array_append_val (ends, e);
+    }
+}
+
+/**
+ * mm_owner_census() - look for tasks whose fate their home lost sight of.
+ * @o: the owner.
+ * @tasks: a set of mm_task_id.
+ * @out: upstreams on which none of them runs, or will by this owner's
+ *   doing, and ends of theirs that are not taken note of, are added.
+ */
+void
+mm_owner_census (const mm_owner *o, GHashTable *tasks, mm_census *out)
+{
+  out->present += count_waiting (o, tasks);
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, o->slots);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      const mm_exec *x = ((slot *)v)->exec;
+      out->present += mm_exec_count_of (x, tasks);
+      if (!mm_exec_sure (x))
+        continue;
+      uint64_t mark = mm_upstream_mark (mm_exec_info (x)->name);
+      g_array_append_val (out->clear, mark);
+      add_held (x, tasks, out->ends);
+    }
+}
+
+/* Ends that nobody takes note of must not pile up at the upstreams.  */
+static void
+expire_held (const mm_owner *o, mm_exec *x, mm_time_ms now)
+{
+  bool kept_jobs = o->kept_ms && now - o->kept_ms < MM_KEPT_USED_MS;
+  mm_time_ms foreign_ms = kept_jobs ? MM_KEPT_END_MS : MM_FOREIGN_END_MS;
+  size_t n;
+  const mm_held_end *h = mm_exec_held (x, &n);
+  for (size_t i = n; i-- > 0;)
+    if (now - h[i].since_ms >= (h[i].foreign ? foreign_ms : MM_KEPT_END_MS))
+      mm_exec_drop_held (x, i);
+}
+
 void
 mm_owner_tick (mm_owner *o)
 {
-  expire_waiting (o, mm_clock_now_ms ());
+  mm_time_ms now = mm_clock_now_ms ();
+  expire_waiting (o, now);
   GList *slots = g_hash_table_get_values (o->slots);
   for (GList *l = slots; l; l = l->next)
-    mm_exec_tick (((slot *)l->data)->exec);
+    {
+      mm_exec *x = ((slot *)l->data)->exec;
+      expire_held (o, x, now);
+      mm_exec_tick (x);
+    }
   g_list_free (slots);
   if (o->waiting->length)
     pump (o);
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -13,10 +13,35 @@
 {
   mm_end how;
   const char *upstream; /* where it ran last, or NULL */
+  uint32_t run;         /* its number there */
   mm_time_ms ran_ms;    /* from the order to start to the end, 0: not run */
   const char *why;
+  const char *owner; /* the peer that ran it, NULL: this instance */
 } mm_work_result;
 
+/* The end of a run that a search for lost tasks has found.  */
+typedef struct
+{
+  mm_task_id task;
+  mm_end how;
+  uint32_t mark; /* mm_run_mark() of the run */
+} mm_found_end;
+
+/* Tells runs of one task apart.  */
+uint32_t mm_run_mark (const char *upstream, uint32_t run);
+
+/* What an owner can say of lost tasks.  */
+typedef struct
+{
+  GArray *clear; /* uint64_t mm_upstream_mark(): none of them runs there */
+  GArray *ends;  /* mm_found_end */
+  uint32_t present; /* of them: waiting for room, or running */
+} mm_census;
+
+uint64_t mm_upstream_mark (const char *upstream);
+mm_census mm_census_new (void);
+void mm_census_clear (mm_census *c); /* frees what it holds */
+
 typedef void (*mm_work_done) (void *ctx, const mm_work_result *r);
 
 /* Room of one service on the upstreams of one owner.  */
@@ -48,7 +73,15 @@
 void mm_owner_set_closed (mm_owner *o, bool closed); /* takes no work */
 mm_work *mm_owner_submit (mm_owner *o, const mm_task_request *t,
                           mm_work_done done, void *ctx); /* may wait */
-void mm_owner_cancel (mm_owner *o, mm_work *w); /* @done is not called */
+/* @done is not called.  @keep_end: a kept job's task, whose end another
+   home will ask for.  */
+void mm_owner_cancel (mm_owner *o, mm_work *w, bool keep_end);
+/* The end of a run of a kept job is stored; @mark: mm_run_mark().  */
+void mm_owner_note_end (mm_owner *o, const mm_task_id *task, uint32_t mark);
+/* Look for tasks (a set of mm_task_id) here; @out is added to.  */
+void mm_owner_census (const mm_owner *o, GHashTable *tasks, mm_census *out);
+/* Kept jobs were seen: ends of earlier owners' runs are kept for longer.  */
+void mm_owner_expect_kept (mm_owner *o);
 void mm_owner_tick (mm_owner *o);               /* each MM_EXEC_TICK_MS */
 mm_room_report mm_owner_report (const mm_owner *o, const char *service);
 mm_owner_gauges mm_owner_measure (const mm_owner *o);
--- a/src/mm_shares.c
+++ b/src/mm_shares.c
@@ -39,6 +39,7 @@
   bool in_flight;
   bool in_touch;
   mm_time_ms sent_ms; /* the call in flight */
+  mm_time_ms sure_ms; /* sending of the last one that was answered well */
   bool quitting;
   bool left;
   mm_time_ms due_ms;
@@ -119,6 +120,8 @@
   mm_metrics_time (MM_HG_JOIN_CALL, mm_clock_now_ms () - s->sent_ms);
   if (!s->closed)
     mm_store_note_touch (&s->in_touch, res->ok, s->group, res->why);
+  if (res->ok)
+    s->sure_ms = s->sent_ms;
   if (!s->closed && res->ok && !s->quitting && res->generation != s->listed)
     {
       s->listed = res->generation;
@@ -178,16 +181,33 @@
   return &s->shares[XXH3_64bits (upstream, strlen (upstream)) % s->n];
 }
 
-mm_share_state
-mm_shares_of (const mm_shares *s, const char *upstream, uint64_t *fence)
+static mm_share_state
+state_of (const share *p, uint64_t *fence)
 {
-  const share *p = share_of (s, upstream);
   *fence = p->fence;
   if (!p->fence)
     return MM_SHARE_OTHERS;
   return p->leaving ? MM_SHARE_LEAVING : MM_SHARE_OURS;
 }
 
+mm_share_state
+mm_shares_of (const mm_shares *s, const char *upstream, uint64_t *fence)
+{
+  return state_of (share_of (s, upstream), fence);
+}
+
+mm_share_state
+mm_shares_of_part (const mm_shares *s, uint32_t part, uint64_t *fence)
+{
+  return state_of (&s->shares[part], fence);
+}
+
+mm_time_ms
+mm_shares_sure_ms (const mm_shares *s)
+{
+  return s->sure_ms;
+}
+
 void
 mm_shares_retake (mm_shares *s, const char *upstream)
 {
--- a/src/mm_shares.h
+++ b/src/mm_shares.h
@@ -24,6 +24,11 @@
 bool mm_shares_left (const mm_shares *s);
 mm_share_state mm_shares_of (const mm_shares *s, const char *upstream,
                              uint64_t *fence); /* whose is it? */
+mm_share_state mm_shares_of_part (const mm_shares *s, uint32_t part,
+                                  uint64_t *fence);
+/* When the last join that the store has confirmed was sent: until
+   MM_GROUP_TTL_MS after that nobody else gets what is ours.  0: never.  */
+mm_time_ms mm_shares_sure_ms (const mm_shares *s);
 /* A higher token than ours was seen: use the newest generation.  */
 void mm_shares_retake (mm_shares *s, const char *upstream);
 /* Nothing runs any more on what is leaving: hand it over.  */
--- a/src/mm_store.c
+++ b/src/mm_store.c
@@ -24,3 +24,11 @@
   else
     mm_log_event (MM_EV_STORE_LOST, MM_TEXT (what), MM_TEXT (why));
 }
+
+void
+mm_record_clear (gpointer record)
+{
+  mm_record *r = record;
+  g_clear_pointer (&r->key, g_free);
+  g_clear_pointer (&r->value, g_bytes_unref);
+}
--- a/src/mm_store.h
+++ b/src/mm_store.h
@@ -45,17 +45,76 @@
   size_t n_parts;
 } mm_join_result;
 
+/* A partition of a group, and who holds it.  */
+typedef struct
+{
+  uint32_t part;
+  const char *member;
+} mm_part_holder;
+
 typedef struct
 {
   bool ok;
   const char *why;
   const char *const *members; /* those that hold a partition */
   size_t n_members;
+  const mm_part_holder *holders; /* of each partition that has one */
+  size_t n_holders;
 } mm_members_result;
 
+/* A record of a kept job; without a value its key is dropped.  */
+typedef struct
+{
+  char *key;
+  GBytes *value;
+} mm_record;
+
+void mm_record_clear (gpointer record); /* frees what it holds */
+
+typedef struct
+{
+  bool ok;
+  const char *why;
+  const mm_record *records;
+  size_t n_records;
+  const char *after; /* go on after this key, NULL at the end */
+} mm_records_result;
+
+/* Records for one partition of the kept jobs, all or none.  An epoch lower
+   than one that the partition has seen is refused; within an epoch, appends
+   are numbered, so that one sent again is done once.  Without records it
+   makes the epoch known.  */
+typedef struct
+{
+  uint32_t part;
+  uint64_t epoch;
+  uint64_t seq;
+  const mm_record *records;
+  size_t n_records;
+  mm_time_ms timeout_ms;
+} mm_append;
+
+typedef enum
+{
+  MM_APPEND_OK,
+  MM_APPEND_FENCED,    /* a higher epoch was seen */
+  MM_APPEND_OUT_OF_SEQ, /* another number is expected next */
+  MM_APPEND_REFUSED,   /* nothing was done: overloaded or out of order */
+  MM_APPEND_NO_ANSWER  /* may have been done, or may be yet */
+} mm_append_verdict;
+
+typedef struct
+{
+  mm_append_verdict verdict;
+  uint64_t expected_seq; /* MM_APPEND_OUT_OF_SEQ */
+  const char *why;       /* when not MM_APPEND_OK */
+} mm_append_result;
+
 typedef void (*mm_stream_done) (const mm_stream_result *res, void *ctx);
 typedef void (*mm_join_done) (const mm_join_result *res, void *ctx);
 typedef void (*mm_members_done) (const mm_members_result *res, void *ctx);
+typedef void (*mm_append_done) (const mm_append_result *res, void *ctx);
+typedef void (*mm_records_done) (const mm_records_result *res, void *ctx);
 
 typedef struct
 {
@@ -71,6 +130,12 @@
                  mm_time_ms timeout_ms, mm_join_done done, void *done_ctx);
   void (*members) (void *ctx, const char *group, mm_time_ms timeout_ms,
                    mm_members_done done, void *done_ctx);
+  /* Kept jobs: @a is read during the call only.  */
+  void (*append) (void *ctx, const mm_append *a, mm_append_done done,
+                  void *done_ctx);
+  void (*records) (void *ctx, uint32_t part, const char *after,
+                   mm_time_ms timeout_ms, mm_records_done done,
+                   void *done_ctx);
   void *ctx;
 } mm_store_port;
 
--- a/src/mm_store_http.c
+++ b/src/mm_store_http.c
@@ -32,23 +32,43 @@
   g_free (s);
 }
 
+static void
+send_call (mm_store_http *s, const char *method, char *path,
+           const mm_http_call *body, mm_time_ms timeout_ms, mm_http_done done,
+           const mm_store_call *call)
+{
+  mm_store_call *copy = g_new (mm_store_call, 1);
+  *copy = *call;
+  char *url = g_strconcat (s->base, path, NULL);
+  mm_http_call http = *body;
+  http.method = method;
+  http.url = url;
+  http.timeout_ms = timeout_ms;
+  mm_http_client_send (s->client, &http, done, copy);
+  g_free (url);
+  g_free (path);
+}
+
 void
 mm_store_http_send (mm_store_http *s, const char *method, char *path,
                     cJSON *body, mm_time_ms timeout_ms, mm_http_done done,
                     const mm_store_call *call)
 {
-  mm_store_call *copy = g_new (mm_store_call, 1);
-  *copy = *call;
-  char *url = g_strconcat (s->base, path, NULL);
   char *text = body ? cJSON_PrintUnformatted (body) : NULL;
-  mm_http_call http = {
-    .method = method, .url = url, .body = text, .timeout_ms = timeout_ms
-  };
-  mm_http_client_send (s->client, &http, done, copy);
+  mm_http_call http = { .body = text };
+  send_call (s, method, path, &http, timeout_ms, done, call);
   cJSON_free (text);
   cJSON_Delete (body);
-  g_free (url);
-  g_free (path);
+}
+
+void
+mm_store_http_send_bytes (mm_store_http *s, const char *method, char *path,
+                          const GByteArray *body, mm_time_ms timeout_ms,
+                          mm_http_done done, const mm_store_call *call)
+{
+  mm_http_call http
+      = { .body = (const char *)body->data, .body_bytes = body->len };
+  send_call (s, method, path, &http, timeout_ms, done, call);
 }
 
 bool
@@ -65,6 +85,28 @@
   return items;
 }
 
+GArray *
+mm_store_records_new (void)
+{
+  GArray *records = g_array_new (FALSE, TRUE, sizeof (mm_record));
+  g_array_set_clear_func (records, mm_record_clear);
+  return records;
+}
+
+static void
+holder_clear (gpointer row)
+{
+  g_free ((char *)((mm_part_holder *)row)->member);
+}
+
+GArray *
+mm_store_holders_new (void)
+{
+  GArray *holders = g_array_new (FALSE, FALSE, sizeof (mm_part_holder));
+  g_array_set_clear_func (holders, holder_clear);
+  return holders;
+}
+
 static char *
 reason (bool ok, const mm_http_result *res)
 {
@@ -99,13 +141,62 @@
   g_free (call);
 }
 
+/* The names among @holders, each once.  */
+static char **
+distinct_members (const GArray *holders, size_t *n)
+{
+  GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; i < holders->len; i++)
+    g_hash_table_add (
+        seen,
+        (gpointer)g_array_index (holders, mm_part_holder, i).member);
+  guint count = 0;
+  char **names = (char **)g_hash_table_get_keys_as_array (seen, &count);
+  g_hash_table_destroy (seen);
+  *n = count;
+  return names;
+}
+
 void
 mm_store_tell_members (mm_store_call *call, const mm_http_result *res,
-                       mm_members_result *r)
+                       GArray *holders)
+{
+  mm_members_result r = { .ok = holders != NULL };
+  char *why = reason (r.ok, res);
+  r.why = why;
+  GArray *rows = holders ? holders : mm_store_holders_new ();
+  char **names = distinct_members (rows, &r.n_members);
+  r.members = (const char *const *)names;
+  r.holders = (const mm_part_holder *)(void *)rows->data;
+  r.n_holders = rows->len;
+  call->members_done (&r, call->ctx);
+  g_free (names);
+  g_array_free (rows, TRUE);
+  g_free (why);
+  g_free (call);
+}
+
+void
+mm_store_tell_append (mm_store_call *call, const mm_http_result *res,
+                      mm_append_result *r)
+{
+  char *why = reason (r->verdict == MM_APPEND_OK, res);
+  r->why = why;
+  call->append_done (r, call->ctx);
+  g_free (why);
+  g_free (call);
+}
+
+void
+mm_store_tell_records (mm_store_call *call, const mm_http_result *res,
+                       mm_records_result *r, GArray *records)
 {
   char *why = reason (r->ok, res);
   r->why = why;
-  call->members_done (r, call->ctx);
+  r->records = (const mm_record *)(void *)records->data;
+  r->n_records = records->len;
+  call->records_done (r, call->ctx);
+  g_array_free (records, TRUE);
   g_free (why);
   g_free (call);
 }
--- a/src/mm_store_http.h
+++ b/src/mm_store_http.h
@@ -9,7 +9,7 @@
 
 typedef struct mm_store_http mm_store_http;
 
-/* A call that is open; one of the three callbacks is set.  */
+/* A call that is open; one of the callbacks is set.  */
 typedef struct
 {
   mm_stream_kind kind;
@@ -17,6 +17,8 @@
   mm_stream_done stream_done;
   mm_join_done join_done;
   mm_members_done members_done;
+  mm_append_done append_done;
+  mm_records_done records_done;
   void *ctx; /* of the callback */
 } mm_store_call;
 
@@ -26,17 +28,28 @@
 void mm_store_http_send (mm_store_http *s, const char *method, char *path,
                          cJSON *body, mm_time_ms timeout_ms, mm_http_done done,
                          const mm_store_call *call);
+/* The same with a body that is no JSON.  */
+void mm_store_http_send_bytes (mm_store_http *s, const char *method,
+                               char *path, const GByteArray *body,
+                               mm_time_ms timeout_ms, mm_http_done done,
+                               const mm_store_call *call);
 
 /* ---- what @done does with the copy ---- */
 bool mm_store_http_ok (const mm_http_result *res); /* answered with 200 */
 GArray *mm_store_items_new (void);                 /* of mm_stream_item */
-/* Tell the caller, with the reason if @r is not ok, and free @call.  The
-   first two take @items and @parts (uint32_t).  */
+GArray *mm_store_records_new (void);               /* of mm_record */
+GArray *mm_store_holders_new (void);               /* of mm_part_holder */
+/* Tell the caller, with the reason if @r is not ok, and free @call.  All
+   take their arrays: @items, @parts (uint32_t), @holders, @records.  */
 void mm_store_tell_stream (mm_store_call *call, const mm_http_result *res,
                            mm_stream_result *r, GArray *items);
 void mm_store_tell_join (mm_store_call *call, const mm_http_result *res,
                          mm_join_result *r, GArray *parts);
 void mm_store_tell_members (mm_store_call *call, const mm_http_result *res,
-                            mm_members_result *r);
+                            GArray *holders);
+void mm_store_tell_append (mm_store_call *call, const mm_http_result *res,
+                           mm_append_result *r);
+void mm_store_tell_records (mm_store_call *call, const mm_http_result *res,
+                            mm_records_result *r, GArray *records);
 
 #endif /* MM_STORE_HTTP_H */
--- a/src/mm_stream_server.c
+++ b/src/mm_stream_server.c
@@ -15,6 +15,8 @@
 {
   mm_keyed_log *log;
   GHashTable *lapse; /* key -> mm_time_ms, of values with a ttl */
+  uint64_t epoch;    /* of its writers, the highest seen */
+  uint64_t next_seq; /* of that epoch's appends */
 } stream;
 
 /* A read that waits for a record.  */
@@ -198,6 +200,72 @@
   answer_json (s, req, 200, o);
 }
 
+/* How many of the last appends are remembered: one that is sent again as
+   its answer was lost is not done twice.  */
+#define REMEMBERED_APPENDS 5
+
+static void
+refuse_append (mm_stream_server *s, mm_http_request *req, const stream *t,
+               bool fenced)
+{
+  cJSON *o = cJSON_CreateObject ();
+  if (!fenced)
+    cJSON_AddNumberToObject (o, "expected", (double)t->next_seq);
+  answer_json (s, req, 409, o);
+}
+
+static void
+put_records (stream *t, const cJSON *list)
+{
+  const cJSON *row;
+  cJSON_ArrayForEach (row, list)
+    {
+      const char *key = cJSON_GetStringValue (
+          cJSON_GetObjectItemCaseSensitive (row, "key"));
+      const cJSON *value = cJSON_GetObjectItemCaseSensitive (row, "value");
+      char *text = value ? cJSON_PrintUnformatted (value) : NULL;
+      if (key)
+        mm_keyed_log_put (t->log, key, text);
+      cJSON_free (text);
+    }
+}
+
+/* An append of records by the holder of an epoch, in order.  */
+static void
+append_records (mm_stream_server *s, mm_http_request *req, const char *name)
+{
+  size_t len;
+  const char *body = mm_http_request_body (req, &len);
+  cJSON *in = cJSON_ParseWithLength (body, len);
+  const cJSON *epoch = cJSON_GetObjectItemCaseSensitive (in, "epoch");
+  const cJSON *seq = cJSON_GetObjectItemCaseSensitive (in, "seq");
+  const cJSON *list = cJSON_GetObjectItemCaseSensitive (in, "records");
+  stream *t = stream_of (s, name);
+  uint64_t e = cJSON_IsNumber (epoch) ? (uint64_t)epoch->valuedouble : 0;
+  uint64_t n = cJSON_IsNumber (seq) ? (uint64_t)seq->valuedouble : 0;
+  bool newer = e > t->epoch;
+  bool any = cJSON_GetArraySize (list) > 0;
+  bool repeated = !newer && n < t->next_seq
+                  && t->next_seq - n <= REMEMBERED_APPENDS;
+  if (e < t->epoch)
+    refuse_append (s, req, t, true);
+  else if (!newer && any && n != t->next_seq && !repeated)
+    refuse_append (s, req, t, false);
+  else
+    {
+      t->epoch = e;
+      if (newer)
+        t->next_seq = n;
+      if (any && !repeated)
+        {
+          put_records (t, list);
+          t->next_seq = n + 1;
+        }
+      answer_json (s, req, 200, cJSON_CreateObject ());
+    }
+  cJSON_Delete (in);
+}
+
 static void
 handle_stream (mm_stream_server *s, mm_http_request *req, const char *rest)
 {
@@ -209,6 +277,9 @@
     get_records (s, req, part[0]);
   else if (strcmp (method, "GET") == 0 && strcmp (part[1], "newest") == 0)
     get_newest (s, req, part[0]);
+  else if (strcmp (method, "POST") == 0 && part[1]
+           && strcmp (part[1], "append") == 0)
+    append_records (s, req, part[0]);
   else if (strcmp (method, "PUT") == 0 && part[1] && *part[1])
     put_value (s, req, part[0], part[1]);
   else if (strcmp (method, "DELETE") == 0 && part[1] && *part[1])
@@ -243,16 +314,18 @@
 static void
 answer_holders (mm_stream_server *s, mm_http_request *req, mm_group_table *g)
 {
-  GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
   cJSON *o = cJSON_CreateObject ();
-  cJSON *list = cJSON_AddArrayToObject (o, "members");
+  cJSON *list = cJSON_AddArrayToObject (o, "holders");
   for (uint32_t i = 0; i < mm_group_table_parts (g); i++)
     {
       const char *holder = mm_group_table_holder (g, i);
-      if (holder && g_hash_table_add (seen, (gpointer)holder))
-        cJSON_AddItemToArray (list, cJSON_CreateString (holder));
+      if (!holder)
+        continue;
+      cJSON *row = cJSON_CreateArray ();
+      cJSON_AddItemToArray (row, cJSON_CreateNumber (i));
+      cJSON_AddItemToArray (row, cJSON_CreateString (holder));
+      cJSON_AddItemToArray (list, row);
     }
-  g_hash_table_destroy (seen);
   answer_json (s, req, 200, o);
 }
 
