--- a/fuzz/fuzz_wire.c
+++ b/fuzz/fuzz_wire.c
@@ -91,7 +91,7 @@
   mm_mesh_pack_run (&b, 7, &t);
   mm_mesh_pack_ended (&b, 7, &r);
   mm_mesh_pack_report (&b, 7, "node", &room, 1);
-  mm_mesh_pack_cancel (&b, 7);
+  mm_mesh_pack_cancel (&b, 7, true);
   mm_mesh_pack_beat (&b);
   mm_mesh_pack_hello (&b, "node");
   return b;
--- a/src/config.h
+++ b/src/config.h
@@ -156,6 +156,9 @@
 #define MM_LIST_DROP_MS 2500 /* missing entries come back within 2 s */
 #define MM_GROUP_TTL_MS 1500 /* a silent owner's upstreams go to others */
 #define MM_GROUP_BEAT_MS 300
+/* A join confirmed this recently: nobody else has our partitions yet.  The
+   rest of the TTL is for what is under way.  */
+#define MM_GROUP_SURE_MS 1000
 #define MM_MEMBERS_POLL_MS 3000 /* who the other instances are */
 #define MM_MEMBERS_FAR_POLL 4u  /* data centres asked about each time */
 /* Upstreams to be handed over may finish what they run for so long.  */
@@ -192,9 +195,7 @@
 /* Ends of tasks are taken note of once they are stored: at the latest so
    long after, for a job that goes on.  */
 #define MM_KEPT_PROGRESS_MS 500
-/* Membership was confirmed this recently: nobody else can be the home yet.
-   The rest of MM_GROUP_TTL_MS covers a task's wait at an owner.  */
-#define MM_KEPT_LEASE_MS 1000
+/* A task's wait at an owner, less than what MM_GROUP_SURE_MS leaves.  */
 #define MM_KEPT_START_WITHIN_MS 200
 #define MM_KEPT_CENSUS_MS 250     /* between questions for lost tasks */
 #define MM_KEPT_ENDED_MS 150000   /* outcomes are kept; 120 s are asked for */
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -110,7 +110,7 @@
   = { "kept_lost_sight", KEEP_ALL, "job tasks why",
       "its tasks are looked for at all upstreams before any starts anew" },
   [MM_EV_KEPT_FOUND]
-  = { "kept_found", KEEP_ALL, "job tasks done failed took_ms",
+  = { "kept_found", KEEP_ALL, "job tasks",
       "every upstream has told; the tasks not done are handed out again" },
   [MM_EV_TASK_HANDED]
   = { "task_handed", KEEP_SOME, "job task owner free waiting age_ms attempt",
--- a/src/mm_holdings.c
+++ b/src/mm_holdings.c
@@ -226,6 +226,16 @@
   return false;
 }
 
+bool
+mm_holdings_sure (const mm_holdings *h)
+{
+  mm_time_ms since = mm_clock_now_ms () - MM_GROUP_SURE_MS;
+  for (size_t i = 0; i < h->n; i++)
+    if (h->all[i].shares && mm_shares_sure_ms (h->all[i].shares) < since)
+      return false;
+  return true;
+}
+
 uint64_t
 mm_holdings_generation (const mm_holdings *h)
 {
--- a/src/mm_holdings.h
+++ b/src/mm_holdings.h
@@ -30,6 +30,8 @@
 void mm_holdings_leave (mm_holdings *h); /* give up all, once quiet */
 bool mm_holdings_left (const mm_holdings *h);
 bool mm_holdings_any (const mm_holdings *h); /* is any partition ours? */
+/* Membership in all of them is confirmed, so that nobody else owns any.  */
+bool mm_holdings_sure (const mm_holdings *h);
 uint64_t mm_holdings_generation (const mm_holdings *h); /* of all, summed */
 
 #endif /* MM_HOLDINGS_H */
--- a/src/mm_kept_run.c
+++ b/src/mm_kept_run.c
@@ -284,7 +284,8 @@
 {
   for (uint32_t i = 0; i < r->n; i++)
     if (r->tasks[i].state == TASK_LOST)
-      g_hash_table_add (tasks, &r->tasks[i].id);
+      g_hash_table_add (tasks, g_memdup2 (&r->tasks[i].id,
+                                          sizeof r->tasks[i].id));
 }
 
 void
--- a/src/mm_kept_run.h
+++ b/src/mm_kept_run.h
@@ -38,7 +38,7 @@
 void mm_kept_run_tick (mm_kept_run *r, bool may_start);
 bool mm_kept_run_begun (const mm_kept_run *r); /* has any task been started? */
 uint32_t mm_kept_run_handed (const mm_kept_run *r); /* tasks at owners */
-/* Adds the tasks that are out of sight (mm_task_id, as long as @r).  */
+/* Adds copies of the tasks that are out of sight to a mm_task_set.  */
 void mm_kept_run_lost (const mm_kept_run *r, GHashTable *tasks);
 uint32_t mm_kept_run_n_lost (const mm_kept_run *r);
 /* An end that was found of a task out of sight.  */
--- /dev/null
+++ b/src/mm_kept_wire.c
@@ -0,0 +1,243 @@
+/* mm_kept_wire: pack and read what is asked about kept jobs.  */
+#include "mm_kept_wire.h"
+
+#include "mm_msgpack.h"
+
+enum
+{
+  ANSWER_FIELDS = 3,
+  TASK_FIELDS = 3,
+  CENSUS_FIELDS = 3,
+  END_FIELDS = 5,
+  NOTE_FIELDS = 4
+};
+
+/* One whole msgpack value; undo with msgpack_unpacked_destroy().  */
+static bool
+parse (const void *data, size_t len, msgpack_unpacked *msg)
+{
+  size_t off = 0;
+  msgpack_unpacked_init (msg);
+  return data
+         && msgpack_unpack_next (msg, data, len, &off)
+                == MSGPACK_UNPACK_SUCCESS;
+}
+
+static void
+pack_task (msgpack_packer *pk, const mm_task_id *id)
+{
+  mm_mp_pack_text (pk, id->job);
+  msgpack_pack_uint32 (pk, id->step);
+  msgpack_pack_uint32 (pk, id->index);
+}
+
+static bool
+read_task (const msgpack_object *f, mm_task_id *id)
+{
+  return mm_mp_read_fixed (&f[0], id->job, sizeof id->job)
+         && mm_mp_read_u32 (&f[1], &id->step)
+         && mm_mp_read_u32 (&f[2], &id->index);
+}
+
+void
+mm_kept_answer_pack (msgpack_sbuffer *b, const mm_kept_answer *a)
+{
+  msgpack_packer pk;
+  msgpack_packer_init (&pk, b, msgpack_sbuffer_write);
+  msgpack_pack_array (&pk, ANSWER_FIELDS);
+  msgpack_pack_int (&pk, a->status);
+  msgpack_pack_int (&pk, a->phase);
+  msgpack_pack_uint32 (&pk, a->pending);
+}
+
+static bool
+read_answer (const msgpack_object *o, mm_kept_answer *out)
+{
+  uint32_t status, phase;
+  if (!mm_mp_is_array (o, ANSWER_FIELDS)
+      || !mm_mp_read_u32 (&o->via.array.ptr[0], &status)
+      || !mm_mp_read_u32 (&o->via.array.ptr[1], &phase)
+      || !mm_mp_read_u32 (&o->via.array.ptr[2], &out->pending)
+      || status >= MM_KEPT_STATUS_COUNT || phase >= MM_JOB_PHASE_COUNT)
+    return false;
+  out->status = (mm_kept_status)status;
+  out->phase = (mm_job_phase)phase;
+  return true;
+}
+
+bool
+mm_kept_answer_read (const void *data, size_t len, mm_kept_answer *out)
+{
+  msgpack_unpacked msg;
+  bool ok = parse (data, len, &msg) && read_answer (&msg.data, out);
+  msgpack_unpacked_destroy (&msg);
+  return ok;
+}
+
+GHashTable *
+mm_task_set_new (void)
+{
+  return g_hash_table_new_full (mm_task_id_hash, mm_task_id_equal, g_free,
+                                NULL);
+}
+
+void
+mm_task_set_pack (msgpack_sbuffer *b, GHashTable *tasks)
+{
+  msgpack_packer pk;
+  msgpack_packer_init (&pk, b, msgpack_sbuffer_write);
+  msgpack_pack_array (&pk, g_hash_table_size (tasks));
+  GHashTableIter it;
+  gpointer id;
+  g_hash_table_iter_init (&it, tasks);
+  while (g_hash_table_iter_next (&it, &id, NULL))
+    {
+      msgpack_pack_array (&pk, TASK_FIELDS);
+      pack_task (&pk, id);
+    }
+}
+
+static bool
+read_set (const msgpack_object *o, GHashTable *tasks)
+{
+  if (!mm_mp_is_array (o, 0))
+    return false;
+  for (uint32_t i = 0; i < o->via.array.size; i++)
+    {
+      const msgpack_object *row = &o->via.array.ptr[i];
+      mm_task_id id = { 0 };
+      if (!mm_mp_is_array (row, TASK_FIELDS)
+          || !read_task (row->via.array.ptr, &id))
+        return false;
+      g_hash_table_add (tasks, g_memdup2 (&id, sizeof id));
+    }
+  return true;
+}
+
+GHashTable *
+mm_task_set_read (const void *data, size_t len)
+{
+  msgpack_unpacked msg;
+  GHashTable *tasks = mm_task_set_new ();
+  bool ok = parse (data, len, &msg) && read_set (&msg.data, tasks);
+  msgpack_unpacked_destroy (&msg);
+  if (ok)
+    return tasks;
+  g_hash_table_destroy (tasks);
+  return NULL;
+}
+
+void
+mm_census_pack (msgpack_sbuffer *b, const mm_census *c)
+{
+  msgpack_packer pk;
+  msgpack_packer_init (&pk, b, msgpack_sbuffer_write);
+  msgpack_pack_array (&pk, CENSUS_FIELDS);
+  msgpack_pack_uint32 (&pk, c->present);
+  msgpack_pack_array (&pk, c->clear->len);
+  for (guint i = 0; i < c->clear->len; i++)
+    msgpack_pack_uint64 (&pk, g_array_index (c->clear, uint64_t, i));
+  msgpack_pack_array (&pk, c->ends->len);
+  for (guint i = 0; i < c->ends->len; i++)
+    {
+      const mm_found_end *e = &g_array_index (c->ends, mm_found_end, i);
+      msgpack_pack_array (&pk, END_FIELDS);
+      pack_task (&pk, &e->task);
+      msgpack_pack_int (&pk, e->how);
+      msgpack_pack_uint32 (&pk, e->mark);
+    }
+}
+
+static bool
+read_marks (const msgpack_object *o, GArray *out)
+{
+  if (!mm_mp_is_array (o, 0))
+    return false;
+  for (uint32_t i = 0; i < o->via.array.size; i++)
+    {
+      uint64_t mark;
+      if (!mm_mp_read_u64 (&o->via.array.ptr[i], &mark))
+        return false;
+      g_array_append_val (out, mark);
+    }
+  return true;
+}
+
+static bool
+read_ends (const msgpack_object *o, GArray *out)
+{
+  if (!mm_mp_is_array (o, 0))
+    return false;
+  for (uint32_t i = 0; i < o->via.array.size; i++)
+    {
+      const msgpack_object *row = &o->via.array.ptr[i];
+      mm_found_end e = { 0 };
+      uint32_t how;
+      if (!mm_mp_is_array (row, END_FIELDS)
+          || !read_task (row->via.array.ptr, &e.task)
+          || !mm_mp_read_u32 (&row->via.array.ptr[3], &how)
+          || how >= MM_END_COUNT
+          || !mm_mp_read_u32 (&row->via.array.ptr[4], &e.mark))
+        return false;
+      e.how = (mm_end)how;
+      g_array_append_val (out, e);
+    }
+  return true;
+}
+
+static bool
+read_census (const msgpack_object *o, mm_census *out)
+{
+  uint32_t present;
+  if (!mm_mp_is_array (o, CENSUS_FIELDS)
+      || !mm_mp_read_u32 (&o->via.array.ptr[0], &present))
+    return false;
+  out->present += present;
+  return read_marks (&o->via.array.ptr[1], out->clear)
+         && read_ends (&o->via.array.ptr[2], out->ends);
+}
+
+bool
+mm_census_read (const void *data, size_t len, mm_census *out)
+{
+  msgpack_unpacked msg;
+  bool ok = parse (data, len, &msg) && read_census (&msg.data, out);
+  msgpack_unpacked_destroy (&msg);
+  return ok;
+}
+
+void
+mm_notes_pack (msgpack_sbuffer *b, const mm_end_note *n, size_t count)
+{
+  msgpack_packer pk;
+  msgpack_packer_init (&pk, b, msgpack_sbuffer_write);
+  msgpack_pack_array (&pk, count);
+  for (size_t i = 0; i < count; i++)
+    {
+      msgpack_pack_array (&pk, NOTE_FIELDS);
+      pack_task (&pk, &n[i].task);
+      msgpack_pack_uint32 (&pk, n[i].mark);
+    }
+}
+
+bool
+mm_notes_read (const void *data, size_t len,
+               void (*note) (void *ctx, const mm_task_id *task, uint32_t mark),
+               void *ctx)
+{
+  msgpack_unpacked msg;
+  bool ok = parse (data, len, &msg) && mm_mp_is_array (&msg.data, 0);
+  for (uint32_t i = 0; ok && i < msg.data.via.array.size; i++)
+    {
+      const msgpack_object *row = &msg.data.via.array.ptr[i];
+      mm_task_id id = { 0 };
+      uint32_t mark;
+      ok = mm_mp_is_array (row, NOTE_FIELDS)
+           && read_task (row->via.array.ptr, &id)
+           && mm_mp_read_u32 (&row->via.array.ptr[3], &mark);
+      if (ok)
+        note (ctx, &id, mark);
+    }
+  msgpack_unpacked_destroy (&msg);
+  return ok;
+}
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -698,6 +698,13 @@
     }
 }
 
+bool
+mm_mesh_is_connected (const mm_mesh *m, const char *peer_name)
+{
+  const peer *p = g_hash_table_lookup (m->peers, peer_name);
+  return p && p->connected;
+}
+
 GList *
 mm_mesh_peers (const mm_mesh *m)
 {
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -59,6 +59,7 @@
 /* Keep a link to this instance for a while, neighbour or not; every known
    one with NULL.  */
 void mm_mesh_need (mm_mesh *m, const char *peer);
+bool mm_mesh_is_connected (const mm_mesh *m, const char *peer);
 /* Names of the peers in touch; free the list, not the names.  */
 GList *mm_mesh_peers (const mm_mesh *m);
 /* Instances of a data centre, as seen over the links to them.  */
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -7,6 +7,7 @@
 #include "mm_holdings.h"
 #include "mm_metrics.h"
 #include "mm_log_sink.h"
+#include "mm_kept.h"
 #include "mm_members.h"
 #include "mm_stream.h"
 
@@ -30,6 +31,7 @@
   mm_mesh *mesh;
   mm_fleet *fleet;
   mm_jobs *jobs;
+  mm_kept *kept;
   uint64_t reconciled_changes;
   uint64_t reconciled_generation;
   mm_time_ms reconciled_ms;
@@ -206,7 +208,7 @@
   /* Only owners need the list.  After all of hundreds of instances started
      at once, reading it took all that the store can send for longer than a
      configuration may take to be in force.  */
-  if (mm_holdings_any (n->holdings))
+  if (mm_holdings_any (n->holdings) || mm_kept_needs_list (n->kept))
     mm_stream_tick (n->upstreams);
   else
     mm_stream_pause (n->upstreams);
@@ -215,8 +217,10 @@
   mm_members_tick (n->members);
   tick_ownership (n, now);
   mm_mesh_tick (n->mesh);
+  mm_owner_set_sure (n->owner, mm_holdings_sure (n->holdings));
   mm_owner_tick (n->owner);
   mm_jobs_tick (n->jobs);
+  mm_kept_tick (n->kept, mm_stream_fresh (n->upstreams));
   mm_log_flush ();
 }
 
@@ -284,6 +288,14 @@
   n->holdings
       = mm_holdings_create (store, n->mesh, s->datacentres, s->datacentre,
                             member, (uint32_t)s->partitions, &ev);
+  mm_kept_parts kept = { .store = *store,
+                         .mesh = n->mesh,
+                         .fleet = n->fleet,
+                         .owner = n->owner,
+                         .catalog = n->catalog,
+                         .member = member,
+                         .parts = (uint32_t)s->partitions };
+  n->kept = mm_kept_create (&kept);
   n->members = mm_members_create (store, n->mesh, s->datacentres,
                                   s->datacentre, member);
 }
@@ -331,6 +343,7 @@
   ev_timer_stop (n->loop, &n->tick);
   ev_check_stop (n->loop, &n->stall_check);
   mm_jobs_destroy (n->jobs);
+  mm_kept_destroy (n->kept);
   mm_fleet_destroy (n->fleet);
   mm_members_destroy (n->members);
   mm_mesh_destroy (n->mesh);
@@ -376,6 +389,12 @@
   return n->jobs;
 }
 
+mm_kept *
+mm_node_kept (mm_node *n)
+{
+  return n->kept;
+}
+
 /**
  * mm_node_leave() - begin a graceful shutdown.
  * @n: the node.
@@ -392,6 +411,7 @@
   n->leaving_ms = mm_clock_now_ms ();
   mm_owner_set_closed (n->owner, true);
   mm_holdings_leave (n->holdings);
+  mm_kept_leave (n->kept);
 }
 
 bool
@@ -403,6 +423,7 @@
   if (since >= n->s.grace_ms - MM_LEAVE_MARGIN_MS)
     return true;
   return since >= MM_LEAVE_DRAIN_MS && mm_holdings_left (n->holdings)
+         && mm_kept_left (n->kept)
          && mm_jobs_count (n->jobs) == 0 && open_connections == 0;
 }
 
@@ -415,6 +436,7 @@
 {
   mm_owner_gauges g = mm_owner_measure (n->owner);
   mm_metrics_set (MM_GG_JOBS_OPEN, mm_jobs_count (n->jobs));
+  mm_metrics_set (MM_GG_KEPT_OPEN, mm_kept_open (n->kept));
   mm_metrics_set (MM_GG_UPSTREAMS_OWNED, g.upstreams);
   mm_metrics_set (MM_GG_PLACES, g.room.places);
   mm_metrics_set (MM_GG_PLACES_FREE, g.room.free);
--- a/src/mm_node.h
+++ b/src/mm_node.h
@@ -4,6 +4,7 @@
 #define MM_NODE_H
 
 #include "mm_jobs.h"
+#include "mm_kept.h"
 #include "mm_store.h"
 
 typedef struct mm_node mm_node;
@@ -36,6 +37,7 @@
 bool mm_node_takes_jobs (const mm_node *n); /* not about to exit */
 const mm_routes *mm_node_routes (const mm_node *n); /* NULL: none yet */
 mm_jobs *mm_node_jobs (mm_node *n);
+mm_kept *mm_node_kept (mm_node *n);
 void mm_node_leave (mm_node *n); /* begin a graceful shutdown */
 bool mm_node_left (const mm_node *n, uint32_t open_connections); /* may exit */
 char *mm_node_metrics (const mm_node *n); /* text, g_free */
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -45,6 +45,7 @@
   uint64_t next_order;
   double usual_cpu_milli; /* of a task, for reports */
   mm_time_ms kept_ms; /* when a kept job was last heard of */
+  bool sure;          /* nobody else can own what is owned here */
   bool closed;
   bool pumping;
   bool pump_again;
@@ -492,6 +493,12 @@
   work_free (w);
 }
 
+void
+mm_owner_set_sure (mm_owner *o, bool sure)
+{
+  o->sure = sure;
+}
+
 void
 mm_owner_expect_kept (mm_owner *o)
 {
@@ -560,7 +567,9 @@
     {
       const mm_exec *x = ((slot *)v)->exec;
       out->present += mm_exec_count_of (x, tasks);
-      if (!mm_exec_sure (x))
+      /* An owner that was outranked meanwhile cannot vouch for its idle
+         upstreams: it would not know.  */
+      if (!o->sure || !mm_exec_sure (x))
         continue;
       uint64_t mark = mm_upstream_mark (mm_exec_info (x)->name);
       g_array_append_val (out->clear, mark);
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -78,6 +78,8 @@
 void mm_owner_cancel (mm_owner *o, mm_work *w, bool keep_end);
 /* The end of a run of a kept job is stored; @mark: mm_run_mark().  */
 void mm_owner_note_end (mm_owner *o, const mm_task_id *task, uint32_t mark);
+/* Membership is confirmed: nobody else can own what is owned here.  */
+void mm_owner_set_sure (mm_owner *o, bool sure);
 /* Look for tasks (a set of mm_task_id) here; @out is added to.  */
 void mm_owner_census (const mm_owner *o, GHashTable *tasks, mm_census *out);
 /* Kept jobs were seen: ends of earlier owners' runs are kept for longer.  */
--- a/src/mm_shares.c
+++ b/src/mm_shares.c
@@ -208,14 +208,25 @@
   return s->sure_ms;
 }
 
-void
-mm_shares_retake (mm_shares *s, const char *upstream)
+static void
+retake (mm_shares *s, share *p)
 {
-  share *p = share_of (s, upstream);
   if (p->fence && !p->leaving && p->fence < s->listed)
     p->fence = s->listed;
 }
 
+void
+mm_shares_retake (mm_shares *s, const char *upstream)
+{
+  retake (s, share_of (s, upstream));
+}
+
+void
+mm_shares_retake_part (mm_shares *s, uint32_t part)
+{
+  retake (s, &s->shares[part]);
+}
+
 void
 mm_shares_release (mm_shares *s)
 {
--- a/src/mm_shares.h
+++ b/src/mm_shares.h
@@ -31,6 +31,7 @@
 mm_time_ms mm_shares_sure_ms (const mm_shares *s);
 /* A higher token than ours was seen: use the newest generation.  */
 void mm_shares_retake (mm_shares *s, const char *upstream);
+void mm_shares_retake_part (mm_shares *s, uint32_t part);
 /* Nothing runs any more on what is leaving: hand it over.  */
 void mm_shares_release (mm_shares *s);
 bool mm_shares_releasing (const mm_shares *s);
--- a/src/mm_submission.c
+++ b/src/mm_submission.c
@@ -31,8 +31,6 @@
 const char *
 mm_submission_unsupported (const mm_submission *s)
 {
-  if (!s->best_effort)
-    return "jobs that must be kept are not served";
   if (s->repeats)
     return "repeated jobs are not served";
   if (mm_submission_tasks (s) > MM_MAX_JOB_TASKS)
