--- a/src/config.h
+++ b/src/config.h
@@ -72,6 +72,9 @@
    wait and the timeout stay under a lease: one lost hold costs none.  */
 #define MM_HOLD_WAIT_MS 250
 #define MM_HOLD_TIMEOUT_MS 250
+/* Between holds while ends are listed that are not noted yet: an end is
+   seen up to this late then.  */
+#define MM_HELD_POLL_MS 40
 #define MM_HOLD_RETRY_MS 200 /* between holds that get no answer */
 #define MM_ACK_DELAY_MS 300  /* ends of an idle upstream, taken note of */
 /* An answer takes about 2 ms; a start that is slower is stopped and its
@@ -126,7 +129,7 @@
 #define MM_NEIGHBOUR_LOST_MS 2000
 /* A newcomer is in the list after it has joined and the list was read.  */
 #define MM_NEIGHBOUR_NEW_MS 5000
-#define MM_MESH_NEEDED_MS 10000 /* a link that was asked for is kept */
+#define MM_MESH_NEEDED_MS 10000    /* a link that was asked for is kept */
 #define MM_NEIGHBOURS_CHECK_MS 500 /* chosen anew at least this often */
 
 /* Jobs and admission (mm_jobs, mm_admission, mm_fleet).  */
@@ -180,10 +183,13 @@
 
 /* Kept jobs (mm_job_log, mm_kept, mm_kept_run).  */
 #define MM_JOBS_GROUP "jobs" /* shares out the partitions of kept jobs */
-/* An append takes some 3 ms at the store, and records that come meanwhile
-   share the next one; the pause bounds the calls a partition makes.  */
-#define MM_JOB_LOG_PAUSE_MS 10
-#define MM_JOB_LOG_RETRY_MS 100
+/* Records that come while an append is under way share the next one, which
+   follows at once: some 5 ms.  A store that refuses calls gets fewer: the
+   pause between them doubles, and shrinks with each that is taken.  */
+#define MM_JOB_LOG_PAUSE_MIN_MS 20
+#define MM_JOB_LOG_PAUSE_MAX_MS 200
+#define MM_JOB_LOG_RETRY_MS 100 /* after a call without an answer */
+#define MM_JOB_LOG_TOUCH_MS 300 /* failing for longer: it does not answer */
 #define MM_JOB_LOG_MAX_RECORDS 200u
 #define MM_JOB_LOG_MAX_BYTES (1u << 20) /* the store takes 2 MB a call */
 /* A caller is told to send its job again when its record is not stored by
@@ -192,14 +198,14 @@
 /* Answers of other instances about kept jobs; a link is silent for 0.6 s
    before it is given up.  */
 #define MM_KEPT_ASK_MS 700
-/* Ends of tasks are taken note of once they are stored: at the latest so
-   long after, for a job that goes on.  */
-#define MM_KEPT_PROGRESS_MS 500
+/* Ends of tasks are taken note of once they are stored: so long after the
+   first, for a job that goes on.  Most jobs end before, with one record.  */
+#define MM_KEPT_PROGRESS_MS 100
 /* A task's wait at an owner, less than what MM_GROUP_SURE_MS leaves.  */
 #define MM_KEPT_START_WITHIN_MS 200
-#define MM_KEPT_CENSUS_MS 250     /* between questions for lost tasks */
-#define MM_KEPT_ENDED_MS 150000   /* outcomes are kept; 120 s are asked for */
-#define MM_KEPT_USED_MS 30000     /* last seen: then homes are not looked up */
+#define MM_KEPT_CENSUS_MS 250   /* between questions for lost tasks */
+#define MM_KEPT_ENDED_MS 150000 /* outcomes are kept; 120 s are asked for */
+#define MM_KEPT_USED_MS 30000   /* last seen: then homes are not looked up */
 #define MM_KEPT_HOMES_POLL_MS 1000
 #define MM_KEPT_MAX_OPEN 20000u /* jobs at one home, some 50 MB */
 /* Ends that nobody has taken note of: an earlier owner's may belong to a
--- a/src/mm_census.c
+++ b/src/mm_census.c
@@ -19,10 +19,9 @@
 mm_census
 mm_census_new (void)
 {
-  return (mm_census){
-    .clear = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
-    .ends = g_array_new (FALSE, FALSE, sizeof (mm_found_end))
-  };
+  return (mm_census){ .clear = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
+                      .ends
+                      = g_array_new (FALSE, FALSE, sizeof (mm_found_end)) };
 }
 
 void
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -541,6 +541,13 @@
           || x->hold_sent_ms == 0)
         send_hold (x, 0, false);
     }
+  else if (g_hash_table_size (x->runs) > 0 && ack_upto (x) < x->seen_seq)
+    {
+      /* Ends that are listed already are answered at once, however long the
+         hold would wait: it is asked now and then until they are noted.  */
+      if (now - x->hold_sent_ms >= MM_HELD_POLL_MS)
+        send_hold (x, 0, has_wanted_run (x));
+    }
   else if (g_hash_table_size (x->runs) > 0)
     send_hold (x, MM_HOLD_WAIT_MS, has_wanted_run (x));
   else if (x->unacked_since_ms && ack_upto (x) > x->acked_seq
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -47,9 +47,9 @@
   GHashTable *runs; /* mm_task_id -> run */
   mm_need used;
   uint32_t n_foreign;
-  bool seen;    /* a hold was answered: we know what runs there */
+  bool seen;      /* a hold was answered: we know what runs there */
   bool once_seen; /* our token is known there */
-  bool suspect; /* the last call got no answer */
+  bool suspect;   /* the last call got no answer */
   bool fenced;
   bool gone; /* that incarnation is no more */
   int holds_in_flight;
--- a/src/mm_home.c
+++ b/src/mm_home.c
@@ -28,10 +28,10 @@
   mm_job_record *rec;
   mm_kept_run *run; /* while it is open */
   GList *waiters;
-  bool stored;         /* its record is */
-  mm_job_phase shown;  /* what its callers are told */
-  mm_time_ms taken_ms; /* when it came here */
-  mm_time_ms over_ms;  /* when its outcome was stored, 0: not yet */
+  bool stored;            /* its record is */
+  mm_job_phase shown;     /* what its callers are told */
+  mm_time_ms taken_ms;    /* when it came here */
+  mm_time_ms over_ms;     /* when its outcome was stored, 0: not yet */
   mm_time_ms progress_ms; /* news to be stored then, 0: none */
 } job;
 
@@ -42,7 +42,8 @@
   mm_fleet *fleet;
   mm_home_events ev;
   mm_job_log *log;
-  bool open; /* all that is stored was read */
+  bool open;      /* all that is stored was read */
+  bool may_start; /* as of the last tick */
   bool fenced;
   GHashTable *jobs; /* id -> job */
   GHashTable *live; /* those whose outcome is not stored yet */
@@ -207,6 +208,7 @@
   mm_kept_run_events ev
       = { .progress = on_progress, .over = on_over, .ctx = j };
   j->run = mm_kept_run_create (j->home->fleet, j->rec, taken_over, &ev);
+  mm_kept_run_tick (j->run, j->home->may_start);
 }
 
 /* ---- opening ---------------------------------------------------------- */
@@ -218,8 +220,7 @@
   GError *error = NULL;
   gsize len = 0;
   const void *data = r->value ? g_bytes_get_data (r->value, &len) : NULL;
-  mm_job_record *rec
-      = data ? mm_job_record_unpack (data, len, &error) : NULL;
+  mm_job_record *rec = data ? mm_job_record_unpack (data, len, &error) : NULL;
   if (!rec || strlen (r->key) > MM_JOB_ID_MAX
       || g_hash_table_contains (h->jobs, r->key))
     {
@@ -268,10 +269,9 @@
   h->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, job_free);
   h->live = g_hash_table_new (NULL, NULL);
   h->ended = g_queue_new ();
-  mm_job_log_events log = { .record = on_record,
-                            .opened = on_opened,
-                            .fenced = on_fenced,
-                            .ctx = h };
+  mm_job_log_events log = {
+    .record = on_record, .opened = on_opened, .fenced = on_fenced, .ctx = h
+  };
   h->log = mm_job_log_open (store, part, epoch, &log);
   return h;
 }
@@ -324,8 +324,8 @@
 {
   mm_kept_answer a = { .status = MM_KEPT_BUSY };
   mm_metrics_count (MM_CT_KEPT_REFUSED);
-  mm_log_event (MM_EV_KEPT_REFUSED, MM_TEXT (rec->s->id),
-                MM_TEXT (rec->queue), MM_INT (h->part), MM_TEXT (why));
+  mm_log_event (MM_EV_KEPT_REFUSED, MM_TEXT (rec->s->id), MM_TEXT (rec->queue),
+                MM_INT (h->part), MM_TEXT (why));
   told (ctx, &a);
 }
 
@@ -452,6 +452,7 @@
 void
 mm_home_tick (mm_home *h, bool may_start)
 {
+  h->may_start = may_start;
   mm_job_log_tick (h->log);
   if (!h->open)
     return;
--- a/src/mm_homes.h
+++ b/src/mm_homes.h
@@ -8,8 +8,7 @@
 typedef struct mm_homes mm_homes;
 
 mm_homes *mm_homes_create (const mm_store_port *port, mm_mesh *mesh,
-                           const char *self /* member name */,
-                           uint32_t parts);
+                           const char *self /* member name */, uint32_t parts);
 void mm_homes_destroy (mm_homes *h);
 uint32_t mm_homes_part_of (const mm_homes *h, const char *job_id);
 /* Its home's member name, NULL when that is not known; ours too.  */
--- a/src/mm_job_log.c
+++ b/src/mm_job_log.c
@@ -41,6 +41,8 @@
   guint sending;   /* of these, in the append that is not answered yet */
   bool in_flight;
   bool in_touch;
+  mm_time_ms failing_ms; /* since when calls fail, 0: they do not */
+  mm_time_ms pause_ms;   /* between appends, 0 while the store takes all */
   mm_time_ms due_ms;
 };
 
@@ -98,27 +100,46 @@
     l->stage = STAGE_READING;
 }
 
-static void
-on_append (const mm_append_result *res, void *ctx)
+/* How long until the next append.  */
+static mm_time_ms
+wait_after (mm_job_log *l, mm_append_verdict v)
 {
-  mm_job_log *l = ctx;
-  l->in_flight = false;
-  mm_metrics_count (res->verdict == MM_APPEND_OK ? MM_CT_APPENDS_OK
-                                                 : MM_CT_APPENDS_FAILED);
-  if (!l->closed)
-    mm_store_note_touch (&l->in_touch, res->verdict == MM_APPEND_OK,
-                         "kept jobs", res->why);
-  mm_time_ms pause_ms = MM_JOB_LOG_RETRY_MS;
-  if (l->closed)
+  switch (v)
     {
-      log_unref (l);
-      return;
+    case MM_APPEND_OK:
+      l->pause_ms = l->pause_ms * 7 / 8;
+      return l->pause_ms;
+    case MM_APPEND_REFUSED:
+      l->pause_ms = CLAMP (l->pause_ms * 2, MM_JOB_LOG_PAUSE_MIN_MS,
+                           MM_JOB_LOG_PAUSE_MAX_MS);
+      return l->pause_ms;
+    case MM_APPEND_NO_ANSWER:
+      return MM_JOB_LOG_RETRY_MS;
+    case MM_APPEND_OUT_OF_SEQ:
+    case MM_APPEND_FENCED:
+      break;
     }
+  return 0;
+}
+
+static void
+note_touch (mm_job_log *l, bool ok, const char *why)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  if (ok)
+    l->failing_ms = 0;
+  else if (!l->failing_ms)
+    l->failing_ms = now;
+  mm_store_note_touch (&l->in_touch, ok, "kept jobs", why);
+}
+
+static void
+take_verdict (mm_job_log *l, const mm_append_result *res)
+{
+  note_touch (l, res->verdict == MM_APPEND_OK, res->why);
+  l->due_ms = mm_clock_now_ms () + wait_after (l, res->verdict);
   if (res->verdict == MM_APPEND_OK)
-    {
-      pause_ms = MM_JOB_LOG_PAUSE_MS;
-      on_appended (l);
-    }
+    on_appended (l);
   else if (res->verdict == MM_APPEND_FENCED)
     become_fenced (l);
   else if (res->verdict == MM_APPEND_OUT_OF_SEQ)
@@ -128,9 +149,20 @@
         on_appended (l);
       else
         l->seq = res->expected_seq;
-      pause_ms = 0;
     }
-  l->due_ms = mm_clock_now_ms () + pause_ms;
+}
+
+static void
+on_append (const mm_append_result *res, void *ctx)
+{
+  mm_job_log *l = ctx;
+  l->in_flight = false;
+  mm_metrics_count (res->verdict == MM_APPEND_OK ? MM_CT_APPENDS_OK
+                                                 : MM_CT_APPENDS_FAILED);
+  if (!l->closed)
+    take_verdict (l, res);
+  if (!l->closed)
+    mm_job_log_tick (l);
   log_unref (l);
 }
 
@@ -144,7 +176,7 @@
       log_unref (l);
       return;
     }
-  mm_store_note_touch (&l->in_touch, res->ok, "kept jobs", res->why);
+  note_touch (l, res->ok, res->why);
   l->due_ms = mm_clock_now_ms () + (res->ok ? 0 : MM_JOB_LOG_RETRY_MS);
   for (size_t i = 0; res->ok && i < res->n_records; i++)
     l->ev.record (l->ev.ctx, &res->records[i]);
@@ -265,7 +297,9 @@
 bool
 mm_job_log_in_touch (const mm_job_log *l)
 {
-  return l->in_touch;
+  return l->in_touch
+         || (l->failing_ms
+             && mm_clock_now_ms () - l->failing_ms < MM_JOB_LOG_TOUCH_MS);
 }
 
 bool
--- a/src/mm_job_log.h
+++ b/src/mm_job_log.h
@@ -26,8 +26,8 @@
 /* Takes @value; NULL drops the key.  @done may be NULL.  */
 void mm_job_log_put (mm_job_log *l, const char *key, GBytes *value,
                      mm_job_log_done done, void *ctx);
-void mm_job_log_tick (mm_job_log *l);            /* each MM_EXEC_TICK_MS */
-bool mm_job_log_in_touch (const mm_job_log *l);  /* the last call was done */
-bool mm_job_log_idle (const mm_job_log *l);      /* nothing left to write */
+void mm_job_log_tick (mm_job_log *l);           /* each MM_EXEC_TICK_MS */
+bool mm_job_log_in_touch (const mm_job_log *l); /* the store answers */
+bool mm_job_log_idle (const mm_job_log *l);     /* nothing left to write */
 
 #endif /* MM_JOB_LOG_H */
--- a/src/mm_job_record.c
+++ b/src/mm_job_record.c
@@ -169,9 +169,9 @@
   msgpack_unpacked_init (&msg);
   mm_job_record *r = g_new0 (mm_job_record, 1);
   size_t off = 0;
-  bool ok = msgpack_unpack_next (&msg, data, len, &off)
-                == MSGPACK_UNPACK_SUCCESS
-            && unpack_record (&msg.data, r);
+  bool ok
+      = msgpack_unpack_next (&msg, data, len, &off) == MSGPACK_UNPACK_SUCCESS
+        && unpack_record (&msg.data, r);
   msgpack_unpacked_destroy (&msg);
   if (ok)
     return r;
--- a/src/mm_job_record.h
+++ b/src/mm_job_record.h
@@ -18,7 +18,8 @@
 const char *mm_job_phase_name (mm_job_phase p); /* "queued", ... */
 bool mm_job_phase_over (mm_job_phase p);        /* nothing of it runs */
 
-#define MM_JOB_MAX_FAILURES 8u /* failed runs of a task that are told apart */
+#define MM_JOB_MAX_FAILURES 8u /* failed runs of a task that are told apart   \
+                                */
 
 /* What is known of one task.  */
 typedef struct
--- a/src/mm_kept.c
+++ b/src/mm_kept.c
@@ -62,8 +62,7 @@
   mm_home_events ev
       = { .stored = on_stored, .fenced = on_home_fenced, .ctx = k };
   k->outranked[part] = false;
-  k->home[part]
-      = mm_home_create (&k->p.store, k->p.fleet, part, epoch, &ev);
+  k->home[part] = mm_home_create (&k->p.store, k->p.fleet, part, epoch, &ev);
 }
 
 static void
@@ -245,8 +244,7 @@
                     .ctx = ctx,
                     .unsure = verb == MM_ASK_SUBMIT || verb == MM_ASK_CANCEL };
   k->refs++;
-  mm_time_ms timeout_ms
-      = MM_KEPT_ASK_MS + (r->unsure ? MM_KEPT_ACCEPT_MS : 0);
+  mm_time_ms timeout_ms = MM_KEPT_ASK_MS + (r->unsure ? MM_KEPT_ACCEPT_MS : 0);
   mm_mesh_ask (k->p.mesh, home, verb, data, len, timeout_ms, on_home_told, r);
 }
 
--- a/src/mm_kept.h
+++ b/src/mm_kept.h
@@ -40,7 +40,7 @@
 void mm_kept_pending (mm_kept *k, const char *queue, mm_kept_told told,
                       void *ctx);
 void mm_kept_tick (mm_kept *k, bool list_fresh); /* each MM_EXEC_TICK_MS */
-bool mm_kept_needs_list (const mm_kept *k); /* of all upstreams */
+bool mm_kept_needs_list (const mm_kept *k);      /* of all upstreams */
 void mm_kept_leave (mm_kept *k); /* hand all over, once nothing runs */
 bool mm_kept_left (const mm_kept *k);
 uint32_t mm_kept_open (const mm_kept *k); /* jobs here that are not over */
--- a/src/mm_kept_run.c
+++ b/src/mm_kept_run.c
@@ -37,6 +37,7 @@
   uint32_t n;
   uint32_t n_lost;
   uint32_t n_handed;
+  bool may_start; /* as of the last tick */
   bool begun;
   bool over;
   mm_time_ms due_ms; /* a task begun by then is in time */
@@ -51,6 +52,8 @@
     t->state = TASK_WAITING;
 }
 
+static void hand_out_waiting (mm_kept_run *r);
+
 static void
 lose (task *t)
 {
@@ -139,6 +142,7 @@
       return;
     }
   mm_steps_begin_ready (r->steps, begin_task, r);
+  hand_out_waiting (r);
   r->ev.progress (r->ev.ctx);
 }
 
@@ -250,10 +254,10 @@
   r->n_handed++;
 }
 
-void
-mm_kept_run_tick (mm_kept_run *r, bool may_start)
+static void
+hand_out_waiting (mm_kept_run *r)
 {
-  if (!may_start || r->over || r->n_lost)
+  if (!r->may_start || r->over || r->n_lost)
     return;
   mm_time_ms now = mm_clock_now_ms ();
   for (uint32_t i = 0; i < r->n; i++)
@@ -261,6 +265,13 @@
       hand_out (&r->tasks[i], now);
 }
 
+void
+mm_kept_run_tick (mm_kept_run *r, bool may_start)
+{
+  r->may_start = may_start;
+  hand_out_waiting (r);
+}
+
 bool
 mm_kept_run_begun (const mm_kept_run *r)
 {
@@ -284,8 +295,8 @@
 {
   for (uint32_t i = 0; i < r->n; i++)
     if (r->tasks[i].state == TASK_LOST)
-      g_hash_table_add (tasks, g_memdup2 (&r->tasks[i].id,
-                                          sizeof r->tasks[i].id));
+      g_hash_table_add (tasks,
+                        g_memdup2 (&r->tasks[i].id, sizeof r->tasks[i].id));
 }
 
 void
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -23,11 +23,11 @@
   mm_mesh *mesh;
   mm_peer_info info;
   mm_link *link;
-  bool listed;         /* as a holder of upstreams */
-  mm_time_ms known_ms; /* since when it is known */
-  bool chosen;         /* a neighbour: to be linked to */
-  bool connected;      /* a report has come over this link */
-  mm_time_ms lost_ms;  /* when a link to it was last lost, 0: never */
+  bool listed;          /* as a holder of upstreams */
+  mm_time_ms known_ms;  /* since when it is known */
+  bool chosen;          /* a neighbour: to be linked to */
+  bool connected;       /* a report has come over this link */
+  mm_time_ms lost_ms;   /* when a link to it was last lost, 0: never */
   mm_time_ms needed_ms; /* until then it is linked to in any case */
   mm_questions *questions;
   mm_time_ms tried_ms;
@@ -661,8 +661,8 @@
 
 void
 mm_mesh_ask (mm_mesh *m, const char *peer_name, uint32_t verb,
-             const void *data, size_t len, mm_time_ms timeout_ms,
-             mm_told told, void *ctx)
+             const void *data, size_t len, mm_time_ms timeout_ms, mm_told told,
+             void *ctx)
 {
   peer *p = g_hash_table_lookup (m->peers, peer_name);
   if (!p || !p->connected)
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -423,8 +423,8 @@
   if (since >= n->s.grace_ms - MM_LEAVE_MARGIN_MS)
     return true;
   return since >= MM_LEAVE_DRAIN_MS && mm_holdings_left (n->holdings)
-         && mm_kept_left (n->kept)
-         && mm_jobs_count (n->jobs) == 0 && open_connections == 0;
+         && mm_kept_left (n->kept) && mm_jobs_count (n->jobs) == 0
+         && open_connections == 0;
 }
 
 /**
--- a/src/mm_own_store.c
+++ b/src/mm_own_store.c
@@ -235,8 +235,8 @@
   if (mm_store_http_ok (res))
     r.verdict = MM_APPEND_OK;
   else if (!res->error && res->status == 409)
-    r.verdict = cJSON_IsNumber (expected) ? MM_APPEND_OUT_OF_SEQ
-                                          : MM_APPEND_FENCED;
+    r.verdict
+        = cJSON_IsNumber (expected) ? MM_APPEND_OUT_OF_SEQ : MM_APPEND_FENCED;
   else if (!res->error && res->status == 503)
     r.verdict = MM_APPEND_REFUSED;
   r.expected_seq = (uint64_t)number_of (body, "expected", 0);
@@ -278,8 +278,8 @@
   cJSON *body = cJSON_ParseWithLength (res->body, res->body_bytes);
   const cJSON *list = cJSON_GetObjectItemCaseSensitive (body, "items");
   GArray *records = mm_store_records_new ();
-  mm_records_result r = { .ok = mm_store_http_ok (res)
-                                && cJSON_IsArray (list) };
+  mm_records_result r
+      = { .ok = mm_store_http_ok (res) && cJSON_IsArray (list) };
   const cJSON *row;
   cJSON_ArrayForEach (row, list)
     {
@@ -308,9 +308,8 @@
 {
   mm_store_call p = { .records_done = done, .ctx = done_ctx };
   char *key = after ? g_uri_escape_string (after, NULL, FALSE) : NULL;
-  char *path
-      = g_strdup_printf ("/v1/streams/jobs-%u/newest%s%s", part,
-                         key ? "?after=" : "", key ? key : "");
+  char *path = g_strdup_printf ("/v1/streams/jobs-%u/newest%s%s", part,
+                                key ? "?after=" : "", key ? key : "");
   mm_store_http_send (ctx, "GET", path, NULL, timeout_ms, on_job_records, &p);
   g_free (key);
 }
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -44,8 +44,8 @@
   GHashTable *active; /* mm_task_id -> mm_work that has a run */
   uint64_t next_order;
   double usual_cpu_milli; /* of a task, for reports */
-  mm_time_ms kept_ms; /* when a kept job was last heard of */
-  bool sure;          /* nobody else can own what is owned here */
+  mm_time_ms kept_ms;     /* when a kept job was last heard of */
+  bool sure;              /* nobody else can own what is owned here */
   bool closed;
   bool pumping;
   bool pump_again;
@@ -68,11 +68,9 @@
 finish (mm_work *w, mm_end how, const char *upstream, uint32_t run,
         mm_time_ms ran_ms, const char *why)
 {
-  mm_work_result r = { .how = how,
-                       .upstream = upstream,
-                       .run = run,
-                       .ran_ms = ran_ms,
-                       .why = why };
+  mm_work_result r = {
+    .how = how, .upstream = upstream, .run = run, .ran_ms = ran_ms, .why = why
+  };
   if (!w->cancelled)
     w->done (w->ctx, &r);
   work_free (w);
@@ -519,7 +517,10 @@
       for (size_t i = n; i-- > 0;)
         if (mm_task_id_equal (&h[i].task, task)
             && mm_run_mark (mm_exec_info (x)->name, h[i].run) == mark)
-          mm_exec_drop_held (x, i);
+          {
+            mm_exec_drop_held (x, i);
+            mm_exec_tick (x);
+          }
     }
 }
 
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -33,8 +33,8 @@
 /* What an owner can say of lost tasks.  */
 typedef struct
 {
-  GArray *clear; /* uint64_t mm_upstream_mark(): none of them runs there */
-  GArray *ends;  /* mm_found_end */
+  GArray *clear;    /* uint64_t mm_upstream_mark(): none of them runs there */
+  GArray *ends;     /* mm_found_end */
   uint32_t present; /* of them: waiting for room, or running */
 } mm_census;
 
@@ -84,7 +84,7 @@
 void mm_owner_census (const mm_owner *o, GHashTable *tasks, mm_census *out);
 /* Kept jobs were seen: ends of earlier owners' runs are kept for longer.  */
 void mm_owner_expect_kept (mm_owner *o);
-void mm_owner_tick (mm_owner *o);               /* each MM_EXEC_TICK_MS */
+void mm_owner_tick (mm_owner *o); /* each MM_EXEC_TICK_MS */
 mm_room_report mm_owner_report (const mm_owner *o, const char *service);
 mm_owner_gauges mm_owner_measure (const mm_owner *o);
 GList *mm_owner_services (const mm_owner *o); /* names; free list only */
--- a/src/mm_search.c
+++ b/src/mm_search.c
@@ -35,8 +35,7 @@
   s->owner = owner;
   s->catalog = catalog;
   s->ev = *ev;
-  s->clear
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  s->clear = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   return s;
 }
 
@@ -72,8 +71,8 @@
   s->present += c->present;
   for (guint i = 0; i < c->clear->len; i++)
     g_hash_table_add (
-        s->clear, g_memdup2 (&g_array_index (c->clear, uint64_t, i),
-                             sizeof (uint64_t)));
+        s->clear,
+        g_memdup2 (&g_array_index (c->clear, uint64_t, i), sizeof (uint64_t)));
   for (guint i = 0; i < c->ends->len; i++)
     s->ev.end (s->ev.ctx, &g_array_index (c->ends, mm_found_end, i), owner);
 }
--- a/src/mm_store.h
+++ b/src/mm_store.h
@@ -97,10 +97,10 @@
 typedef enum
 {
   MM_APPEND_OK,
-  MM_APPEND_FENCED,    /* a higher epoch was seen */
+  MM_APPEND_FENCED,     /* a higher epoch was seen */
   MM_APPEND_OUT_OF_SEQ, /* another number is expected next */
-  MM_APPEND_REFUSED,   /* nothing was done: overloaded or out of order */
-  MM_APPEND_NO_ANSWER  /* may have been done, or may be yet */
+  MM_APPEND_REFUSED,    /* nothing was done: overloaded or out of order */
+  MM_APPEND_NO_ANSWER   /* may have been done, or may be yet */
 } mm_append_verdict;
 
 typedef struct
--- a/src/mm_store_http.c
+++ b/src/mm_store_http.c
@@ -148,8 +148,7 @@
   GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
   for (guint i = 0; i < holders->len; i++)
     g_hash_table_add (
-        seen,
-        (gpointer)g_array_index (holders, mm_part_holder, i).member);
+        seen, (gpointer)g_array_index (holders, mm_part_holder, i).member);
   guint count = 0;
   char **names = (char **)g_hash_table_get_keys_as_array (seen, &count);
   g_hash_table_destroy (seen);
--- a/src/mm_stream_server.c
+++ b/src/mm_stream_server.c
@@ -245,8 +245,8 @@
   uint64_t n = cJSON_IsNumber (seq) ? (uint64_t)seq->valuedouble : 0;
   bool newer = e > t->epoch;
   bool any = cJSON_GetArraySize (list) > 0;
-  bool repeated = !newer && n < t->next_seq
-                  && t->next_seq - n <= REMEMBERED_APPENDS;
+  bool repeated
+      = !newer && n < t->next_seq && t->next_seq - n <= REMEMBERED_APPENDS;
   if (e < t->epoch)
     refuse_append (s, req, t, true);
   else if (!newer && any && n != t->next_seq && !repeated)
