--- a/src/config.h
+++ b/src/config.h
@@ -203,6 +203,8 @@
 #define MM_KEPT_PROGRESS_MS 100
 /* A task's wait at an owner, less than what MM_GROUP_SURE_MS leaves.  */
 #define MM_KEPT_START_WITHIN_MS 200
+/* The longest lease, on a clock 2 % slow, and what is under way.  */
+#define MM_KEPT_LAPSE_MS 1100
 #define MM_KEPT_CENSUS_MS 250   /* between questions for lost tasks */
 #define MM_KEPT_ENDED_MS 150000 /* outcomes are kept; 120 s are asked for */
 #define MM_KEPT_USED_MS 30000   /* last seen: then homes are not looked up */
--- a/src/mm_kept_run.c
+++ b/src/mm_kept_run.c
@@ -24,6 +24,7 @@
   task_state state;
   mm_ticket *ticket;
   mm_time_ms handed_ms;
+  mm_time_ms lost_ms; /* since when it is out of sight */
   char *avoid; /* upstream of the last failure */
 } task;
 
@@ -58,6 +59,7 @@
 lose (task *t)
 {
   t->state = TASK_LOST;
+  t->lost_ms = mm_clock_now_ms ();
   t->run->n_lost++;
 }
 
@@ -290,11 +292,15 @@
   return r->n_lost;
 }
 
+/* An upstream that the list does not name any more is asked by nobody, and
+   may run on under its last lease: a task lost with it is looked for when
+   that must have lapsed.  */
 void
 mm_kept_run_lost (const mm_kept_run *r, GHashTable *tasks)
 {
+  mm_time_ms before = mm_clock_now_ms () - MM_KEPT_LAPSE_MS;
   for (uint32_t i = 0; i < r->n; i++)
-    if (r->tasks[i].state == TASK_LOST)
+    if (r->tasks[i].state == TASK_LOST && r->tasks[i].lost_ms <= before)
       g_hash_table_add (tasks,
                         g_memdup2 (&r->tasks[i].id, sizeof r->tasks[i].id));
 }
