--- a/src/mm_kept.c
+++ b/src/mm_kept.c
@@ -19,6 +19,7 @@
   mm_home **home;  /* of each partition, NULL: not here */
   bool *outranked; /* fenced by another home */
   mm_search *search;
+  mm_time_ms searched_ms; /* when a search last began */
   bool leaving;
   mm_time_ms leaving_ms;
 };
@@ -166,13 +167,16 @@
 }
 
 static void
-look_for_lost (mm_kept *k, bool list_fresh)
+look_for_lost (mm_kept *k, bool list_fresh, mm_time_ms now)
 {
-  if (mm_search_busy (k->search))
+  if (mm_search_busy (k->search) || now - k->searched_ms < MM_KEPT_CENSUS_MS)
     return;
   GHashTable *tasks = lost_tasks (k);
   if (g_hash_table_size (tasks))
-    mm_search_begin (k->search, tasks, list_fresh);
+    {
+      k->searched_ms = now;
+      mm_search_begin (k->search, tasks, list_fresh);
+    }
   else
     g_hash_table_destroy (tasks);
 }
@@ -548,7 +552,7 @@
     if (k->home[i])
       mm_home_tick (k->home[i], may_start (k, i, now));
   hand_over (k, now);
-  look_for_lost (k, list_fresh);
+  look_for_lost (k, list_fresh, now);
 }
 
 void
