--- a/src/mm_home.c
+++ b/src/mm_home.c
@@ -396,14 +396,17 @@
     a.status = MM_KEPT_BUSY;
   else if (!j)
     a.status = MM_KEPT_NO_JOB;
-  else if (!mm_job_phase_over (j->rec->phase))
+  else if (!j->over_ms)
     {
+      /* Told once it is stored, also when it was asked for before: the next
+         home would go on with the job.  */
       add_waiter (j, told, ctx);
-      end_job (j, MM_JOB_CANCELLED);
+      if (!mm_job_phase_over (j->rec->phase))
+        end_job (j, MM_JOB_CANCELLED);
       return;
     }
   else
-    a.phase = j->rec->phase;
+    a.phase = j->shown;
   told (ctx, &a);
 }
 
