--- a/src/mm_kept_run.c
+++ b/src/mm_kept_run.c
@@ -22,6 +22,7 @@
   mm_kept_run *run;
   mm_task_id id;
   task_state state;
+  bool ready; /* its step may begin */
   mm_ticket *ticket;
   mm_time_ms handed_ms;
   mm_time_ms lost_ms; /* since when it is out of sight */
@@ -49,6 +50,7 @@
 begin_task (void *ctx, uint32_t number)
 {
   task *t = &((mm_kept_run *)ctx)->tasks[number];
+  t->ready = true;
   if (t->state == TASK_IDLE)
     t->state = TASK_WAITING;
 }
@@ -89,8 +91,10 @@
       mm_steps_note_done (r->steps, i);
     }
   mm_steps_begin_ready (r->steps, begin_task, r);
+  /* Later steps too: the earlier home may have begun them on ends that it
+     did not come to store.  */
   for (uint32_t i = 0; taken_over && i < r->n; i++)
-    if (r->tasks[i].state == TASK_WAITING)
+    if (r->tasks[i].state != TASK_DONE)
       lose (&r->tasks[i]);
   return r;
 }
@@ -331,7 +335,7 @@
       task *t = &r->tasks[i];
       if (t->state != TASK_LOST || !g_hash_table_contains (tasks, &t->id))
         continue;
-      t->state = TASK_WAITING;
+      t->state = t->ready ? TASK_WAITING : TASK_IDLE;
       r->n_lost--;
       /* It may have run and been stopped: nobody can tell.  */
       if (runs_once (t))
