--- a/fuzz/fuzz_wire.c
+++ b/fuzz/fuzz_wire.c
@@ -5,6 +5,7 @@
    exits 0 if no decoder crashed; run under valgrind or ASan to see
    memory errors.  Built with clang -fsanitize=fuzzer -DMM_LIBFUZZER, it
    is a libFuzzer target.  */
+#include "mm_kept_wire.h"
 #include "mm_mesh_msg.h"
 #include "mm_own.h"
 #include "mm_run_json.h"
@@ -67,9 +68,30 @@
   msgpack_unpacked_destroy (&msg);
 }
 
+static void
+pass_over_note (void *ctx, const mm_task_id *task, uint32_t mark)
+{
+}
+
+static void
+try_kept (const uint8_t *data, size_t size)
+{
+  mm_kept_answer a;
+  mm_kept_answer_read (data, size, &a);
+  mm_job_record_free (mm_job_record_unpack (data, size, NULL));
+  GHashTable *tasks = mm_task_set_read (data, size);
+  if (tasks)
+    g_hash_table_destroy (tasks);
+  mm_census c = mm_census_new ();
+  mm_census_read (data, size, &c);
+  mm_census_clear (&c);
+  mm_notes_read (data, size, pass_over_note, NULL);
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
+  try_kept (data, size);
   try_platform ((const char *)data, size);
   try_own ((const char *)data, size);
   try_mesh (data, size);
@@ -91,12 +113,59 @@
   mm_mesh_pack_run (&b, 7, &t);
   mm_mesh_pack_ended (&b, 7, &r);
   mm_mesh_pack_report (&b, 7, "node", &room, 1);
-  mm_mesh_pack_cancel (&b, 7, true);
+  mm_mesh_pack_cancel (&b, 7, true, &t.id);
+  mm_mesh_pack_ask (&b, 7, 1, "x", 1);
+  mm_mesh_pack_told (&b, 7, "x", 1);
   mm_mesh_pack_beat (&b);
   mm_mesh_pack_hello (&b, "node");
   return b;
 }
 
+/* What instances tell each other about kept jobs, one kind of it.  */
+static msgpack_sbuffer
+kept_seed (int kind)
+{
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init (&b);
+  mm_task_id id = { .job = "job", .step = 1, .index = 2 };
+  mm_end_note note = { .task = id, .mark = 7 };
+  mm_found_end end = { .task = id, .how = MM_END_DONE, .mark = 7 };
+  mm_kept_answer answer = { .status = MM_KEPT_OK, .pending = 3 };
+  mm_census c = mm_census_new ();
+  uint64_t mark = 9;
+  g_array_append_val (c.clear, mark);
+  g_array_append_val (c.ends, end);
+  if (kind == 0)
+    mm_notes_pack (&b, &note, 1);
+  else if (kind == 1)
+    mm_census_pack (&b, &c);
+  else
+    mm_kept_answer_pack (&b, &answer);
+  mm_census_clear (&c);
+  return b;
+}
+
+static msgpack_sbuffer
+record_seed (void)
+{
+  static const char job[]
+      = "{\"spec\":\"t\",\"steps\":[{\"count\":2,\"cpu\":5,\"memMb\":2,"
+        "\"estimateMs\":9},{\"count\":1,\"after\":[0]}]}";
+  mm_route route = { .name = "q", .service = "s", .attempts = 2 };
+  mm_submission *s
+      = pf_submission_decode ("0123456789abcdef", job, strlen (job), NULL);
+  mm_job_record *r = mm_job_record_new (s, &route);
+  GBytes *bytes = mm_job_record_pack (r);
+  gsize len;
+  const void *data = g_bytes_get_data (bytes, &len);
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init (&b);
+  msgpack_sbuffer_write (&b, data, len);
+  g_bytes_unref (bytes);
+  mm_job_record_free (r);
+  return b;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -121,16 +190,20 @@
     "\"deadline_ms\":50,\"idempotent\":true}]}",
     "5c0e7a21d94b36f8.0.1.17",
   };
-  msgpack_sbuffer mesh = mesh_seed ();
+  msgpack_sbuffer packed[] = { mesh_seed (), record_seed (), kept_seed (0),
+                               kept_seed (1), kept_seed (2) };
   g_log_set_writer_func (g_log_writer_default, NULL, NULL);
   GRand *r = g_rand_new_with_seed (7);
   uint8_t buf[512];
   for (long i = 0; i < rounds; i++)
     {
-      int s = g_rand_int_range (r, 0, (gint32)G_N_ELEMENTS (texts) + 1);
-      bool is_mesh = s == (int)G_N_ELEMENTS (texts);
-      const void *seed = is_mesh ? (const void *)mesh.data : texts[s];
-      size_t n = MIN (is_mesh ? mesh.size : strlen (texts[s]), sizeof buf);
+      const int n_texts = (int)G_N_ELEMENTS (texts);
+      int s = g_rand_int_range (r, 0, n_texts + (gint32)G_N_ELEMENTS (packed));
+      bool is_text = s < n_texts;
+      const void *seed
+          = is_text ? texts[s] : (const void *)packed[s - n_texts].data;
+      size_t n = MIN (is_text ? strlen (texts[s]) : packed[s - n_texts].size,
+                      sizeof buf);
       memcpy (buf, seed, n);
       for (int f = g_rand_int_range (r, 1, 6); f > 0; f--)
         buf[g_rand_int_range (r, 0, (gint32)n)] = (uint8_t)g_rand_int (r);
@@ -138,7 +211,8 @@
                               (size_t)g_rand_int_range (r, 0, (gint32)n + 1));
     }
   g_rand_free (r);
-  msgpack_sbuffer_destroy (&mesh);
+  for (size_t i = 0; i < G_N_ELEMENTS (packed); i++)
+    msgpack_sbuffer_destroy (&packed[i]);
   printf ("fuzz_wire: %ld rounds, no crash\n", rounds);
   return 0;
 }
--- a/src/config.h
+++ b/src/config.h
@@ -209,7 +209,6 @@
 #define MM_KEPT_ENDED_MS 150000 /* outcomes are kept; 120 s are asked for */
 #define MM_KEPT_USED_MS 30000   /* last seen: then homes are not looked up */
 #define MM_KEPT_HOMES_POLL_MS 1000
-#define MM_KEPT_MAX_OPEN 20000u /* jobs at one home, some 50 MB */
 /* Ends that nobody has taken note of: an earlier owner's may belong to a
    kept job whose home is changing too.  */
 #define MM_FOREIGN_END_MS 2000
--- a/src/mm_admission.h
+++ b/src/mm_admission.h
@@ -27,6 +27,9 @@
 /* The same, until it is too late even for a late answer.  */
 mm_time_ms mm_admission_limit_ms (double stretch, mm_time_ms slo_ms,
                                   mm_time_ms chain_ms);
+/* The same, of an objective that is worked out.  */
+mm_time_ms mm_admission_limit_of (mm_time_ms objective_ms,
+                                  mm_time_ms chain_ms);
 mm_admission mm_admission_decide (const mm_load *load, uint32_t tasks,
                                   mm_time_ms slack_ms);
 
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -53,6 +53,7 @@
   size_t n_running;
   const mm_ended *ended;
   size_t n_ended;
+  bool more_ended; /* there are more ends than one answer holds */
 } mm_hold_result;
 
 typedef struct
--- a/src/mm_exec_http.c
+++ b/src/mm_exec_http.c
@@ -66,6 +66,7 @@
   cJSON_ArrayForEach (row, ended)
     if (!wire->read_ended (row, &over[out->n_ended++]))
       return false;
+  out->more_ended = wire->max_ended && out->n_ended >= wire->max_ended;
   return true;
 }
 
--- a/src/mm_exec_http.h
+++ b/src/mm_exec_http.h
@@ -22,6 +22,7 @@
   mm_call_verdict (*verdict) (long status, const cJSON *body);
   const char *running_field; /* of a hold's answer: lists of rows */
   const char *ended_field;
+  size_t max_ended; /* rows of ends in one answer, 0: all of them */
   bool (*read_running) (const cJSON *row, mm_running *out);
   bool (*read_ended) (const cJSON *row, mm_ended *out);
 } mm_exec_wire;
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -165,7 +165,8 @@
   take_ends (x, res);
   if (!x->closed)
     take_running (x, res, present);
-  if (!x->closed)
+  /* What is neither running nor listed may have its end on a later page.  */
+  if (!x->closed && !res->more_ended)
     take_absent (x, present, c->sent_event);
   g_hash_table_destroy (present);
   if (first && !x->closed)
--- a/src/mm_home.c
+++ b/src/mm_home.c
@@ -320,15 +320,29 @@
 
 static void
 refuse (mm_home *h, const mm_job_record *rec, const char *why,
-        mm_kept_told told, void *ctx)
+        uint32_t retry_after_s, mm_kept_told told, void *ctx)
 {
-  mm_kept_answer a = { .status = MM_KEPT_BUSY };
+  mm_kept_answer a
+      = { .status = MM_KEPT_BUSY, .retry_after_s = retry_after_s };
   mm_metrics_count (MM_CT_KEPT_REFUSED);
   mm_log_event (MM_EV_KEPT_REFUSED, MM_TEXT (rec->s->id), MM_TEXT (rec->queue),
                 MM_INT (h->part), MM_TEXT (why));
   told (ctx, &a);
 }
 
+/* Answers the load of callers who hand in more than the upstreams can do: a
+   job that could only be done long after it is of use is refused at once,
+   rather than stored and waited for.  */
+static mm_admission
+admit (const mm_home *h, const mm_job_record *rec)
+{
+  mm_load load = mm_fleet_load (h->fleet, rec->service);
+  mm_time_ms chain_ms = mm_submission_chain_ms (rec->s);
+  return mm_admission_decide (
+      &load, mm_submission_first_tasks (rec->s),
+      mm_admission_limit_of (rec->objective_ms, chain_ms));
+}
+
 /**
  * mm_home_submit() - take a job.
  * @h: its home.
@@ -343,8 +357,9 @@
 mm_home_submit (mm_home *h, mm_job_record *rec, mm_kept_told told, void *ctx)
 {
   job *j = g_hash_table_lookup (h->jobs, rec->s->id);
+  mm_admission room;
   if (!h->open)
-    refuse (h, rec, "its home is not ready", told, ctx);
+    refuse (h, rec, "its home is not ready", 1, told, ctx);
   else if (j && j->stored)
     {
       mm_kept_answer a = { .status = MM_KEPT_OK, .phase = j->shown };
@@ -353,9 +368,9 @@
   else if (j)
     add_waiter (j, told, ctx);
   else if (!mm_job_log_in_touch (h->log))
-    refuse (h, rec, "the store does not answer", told, ctx);
-  else if (h->n_open >= MM_KEPT_MAX_OPEN)
-    refuse (h, rec, "too many jobs are open", told, ctx);
+    refuse (h, rec, "the store does not answer", 1, told, ctx);
+  else if (!(room = admit (h, rec)).take)
+    refuse (h, rec, "would come too late", room.retry_after_s, told, ctx);
   else
     {
       j = job_create (h, rec->s->id, rec);
--- a/src/mm_job_record.c
+++ b/src/mm_job_record.c
@@ -181,13 +181,12 @@
   return NULL;
 }
 
-bool
+void
 mm_task_progress_fail (mm_task_progress *p, uint32_t mark)
 {
   for (uint32_t i = 0; i < p->n_failures; i++)
     if (p->failures[i] == mark)
-      return false;
+      return;
   if (p->n_failures < MM_JOB_MAX_FAILURES)
     p->failures[p->n_failures++] = mark;
-  return true;
 }
--- a/src/mm_job_record.h
+++ b/src/mm_job_record.h
@@ -18,8 +18,9 @@
 const char *mm_job_phase_name (mm_job_phase p); /* "queued", ... */
 bool mm_job_phase_over (mm_job_phase p);        /* nothing of it runs */
 
-#define MM_JOB_MAX_FAILURES 8u /* failed runs of a task that are told apart   \
-                                */
+#define MM_JOB_MAX_FAILURES                                                   \
+  8u /* failed runs of a task that are told apart                             \
+      */
 
 /* What is known of one task.  */
 typedef struct
@@ -48,8 +49,7 @@
 GBytes *mm_job_record_pack (const mm_job_record *r);
 mm_job_record *mm_job_record_unpack (const void *data, size_t len,
                                      GError **error);
-/* An end may be heard of twice: false when that run's failure is counted
-   already.  @mark: mm_run_mark().  */
-bool mm_task_progress_fail (mm_task_progress *p, uint32_t mark);
+/* A run has failed; heard of twice, it counts once.  @mark: mm_run_mark(). */
+void mm_task_progress_fail (mm_task_progress *p, uint32_t mark);
 
 #endif /* MM_JOB_RECORD_H */
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -347,16 +347,6 @@
   return b;
 }
 
-static uint32_t
-first_tasks (const mm_submission *s)
-{
-  uint32_t n = 0;
-  for (uint32_t i = 0; i < s->n_steps; i++)
-    if (s->steps[i].n_after == 0)
-      n += s->steps[i].count;
-  return n;
-}
-
 static mm_caller *
 add_caller (job *b, mm_answer_cb on_answer, void *ctx)
 {
@@ -397,7 +387,7 @@
   mm_load load = mm_fleet_load (j->fleet, route->service);
   mm_time_ms slack = mm_admission_slack_ms (route->stretch, route->slo_ms,
                                             mm_submission_chain_ms (s));
-  uint32_t tasks = first_tasks (s);
+  uint32_t tasks = mm_submission_first_tasks (s);
   mm_admission a = mm_admission_decide (&load, tasks, slack);
   if (!no.why && !a.take)
     {
--- a/src/mm_kept_run.c
+++ b/src/mm_kept_run.c
@@ -26,7 +26,7 @@
   mm_ticket *ticket;
   mm_time_ms handed_ms;
   mm_time_ms lost_ms; /* since when it is out of sight */
-  char *avoid; /* upstream of the last failure */
+  char *avoid;        /* upstream of the last failure */
 } task;
 
 struct mm_kept_run
@@ -164,11 +164,11 @@
 {
   mm_kept_run *r = t->run;
   mm_task_progress *p = &r->rec->progress[t - r->tasks];
-  bool counted = mm_task_progress_fail (p, mark);
+  mm_task_progress_fail (p, mark);
   t->state = otherwise;
   if (p->n_failures >= r->rec->attempts || runs_once (t))
     finish (r, MM_JOB_FAILED);
-  else if (counted)
+  else
     r->ev.progress (r->ev.ctx);
 }
 
@@ -221,6 +221,8 @@
       t->state = TASK_WAITING;
       if (runs_once (t))
         finish (r, MM_JOB_FAILED);
+      else
+        r->ev.progress (r->ev.ctx);
       break;
     case MM_END_NOT_RUN:
       t->state = TASK_WAITING;
@@ -325,6 +327,8 @@
     }
   else if (e->how == MM_END_FAILED)
     on_task_failed (t, e->mark, TASK_LOST);
+  else
+    r->ev.progress (r->ev.ctx);
 }
 
 void
--- a/src/mm_kept_wire.c
+++ b/src/mm_kept_wire.c
@@ -5,7 +5,7 @@
 
 enum
 {
-  ANSWER_FIELDS = 3,
+  ANSWER_FIELDS = 4,
   TASK_FIELDS = 3,
   CENSUS_FIELDS = 3,
   END_FIELDS = 5,
@@ -23,22 +23,6 @@
                 == MSGPACK_UNPACK_SUCCESS;
 }
 
-static void
-pack_task (msgpack_packer *pk, const mm_task_id *id)
-{
-  mm_mp_pack_text (pk, id->job);
-  msgpack_pack_uint32 (pk, id->step);
-  msgpack_pack_uint32 (pk, id->index);
-}
-
-static bool
-read_task (const msgpack_object *f, mm_task_id *id)
-{
-  return mm_mp_read_fixed (&f[0], id->job, sizeof id->job)
-         && mm_mp_read_u32 (&f[1], &id->step)
-         && mm_mp_read_u32 (&f[2], &id->index);
-}
-
 void
 mm_kept_answer_pack (msgpack_sbuffer *b, const mm_kept_answer *a)
 {
@@ -48,6 +32,7 @@
   msgpack_pack_int (&pk, a->status);
   msgpack_pack_int (&pk, a->phase);
   msgpack_pack_uint32 (&pk, a->pending);
+  msgpack_pack_uint32 (&pk, a->retry_after_s);
 }
 
 static bool
@@ -58,6 +43,7 @@
       || !mm_mp_read_u32 (&o->via.array.ptr[0], &status)
       || !mm_mp_read_u32 (&o->via.array.ptr[1], &phase)
       || !mm_mp_read_u32 (&o->via.array.ptr[2], &out->pending)
+      || !mm_mp_read_u32 (&o->via.array.ptr[3], &out->retry_after_s)
       || status >= MM_KEPT_STATUS_COUNT || phase >= MM_JOB_PHASE_COUNT)
     return false;
   out->status = (mm_kept_status)status;
@@ -93,7 +79,7 @@
   while (g_hash_table_iter_next (&it, &id, NULL))
     {
       msgpack_pack_array (&pk, TASK_FIELDS);
-      pack_task (&pk, id);
+      mm_mp_pack_task (&pk, id);
     }
 }
 
@@ -107,7 +93,7 @@
       const msgpack_object *row = &o->via.array.ptr[i];
       mm_task_id id = { 0 };
       if (!mm_mp_is_array (row, TASK_FIELDS)
-          || !read_task (row->via.array.ptr, &id))
+          || !mm_mp_read_task (row->via.array.ptr, &id))
         return false;
       g_hash_table_add (tasks, g_memdup2 (&id, sizeof id));
     }
@@ -142,7 +128,7 @@
     {
       const mm_found_end *e = &g_array_index (c->ends, mm_found_end, i);
       msgpack_pack_array (&pk, END_FIELDS);
-      pack_task (&pk, &e->task);
+      mm_mp_pack_task (&pk, &e->task);
       msgpack_pack_int (&pk, e->how);
       msgpack_pack_uint32 (&pk, e->mark);
     }
@@ -174,7 +160,7 @@
       mm_found_end e = { 0 };
       uint32_t how;
       if (!mm_mp_is_array (row, END_FIELDS)
-          || !read_task (row->via.array.ptr, &e.task)
+          || !mm_mp_read_task (row->via.array.ptr, &e.task)
           || !mm_mp_read_u32 (&row->via.array.ptr[3], &how)
           || how >= MM_END_COUNT
           || !mm_mp_read_u32 (&row->via.array.ptr[4], &e.mark))
@@ -215,7 +201,7 @@
   for (size_t i = 0; i < count; i++)
     {
       msgpack_pack_array (&pk, NOTE_FIELDS);
-      pack_task (&pk, &n[i].task);
+      mm_mp_pack_task (&pk, &n[i].task);
       msgpack_pack_uint32 (&pk, n[i].mark);
     }
 }
@@ -233,7 +219,7 @@
       mm_task_id id = { 0 };
       uint32_t mark;
       ok = mm_mp_is_array (row, NOTE_FIELDS)
-           && read_task (row->via.array.ptr, &id)
+           && mm_mp_read_task (row->via.array.ptr, &id)
            && mm_mp_read_u32 (&row->via.array.ptr[3], &mark);
       if (ok)
         note (ctx, &id, mark);
--- a/src/mm_kept_wire.h
+++ b/src/mm_kept_wire.h
@@ -1,6 +1,7 @@
 /* mm_kept_wire: what instances ask each other about kept jobs, as msgpack.
 
-     ASK_SUBMIT   a record (mm_job_record)  -> [status, phase, pending]
+     ASK_SUBMIT   a record (mm_job_record)
+                  -> [status, phase, pending, retry_after_s]
      ASK_STATE    the job's id              -> the same
      ASK_CANCEL   the job's id              -> the same
      ASK_PENDING  the queue's name          -> the same
@@ -38,8 +39,9 @@
 typedef struct
 {
   mm_kept_status status;
-  mm_job_phase phase; /* MM_KEPT_OK, of one job */
-  uint32_t pending;   /* MM_KEPT_OK, of a queue */
+  mm_job_phase phase;     /* MM_KEPT_OK, of one job */
+  uint32_t pending;       /* MM_KEPT_OK, of a queue */
+  uint32_t retry_after_s; /* MM_KEPT_BUSY: when to come back */
 } mm_kept_answer;
 
 void mm_kept_answer_pack (msgpack_sbuffer *b, const mm_kept_answer *a);
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -44,6 +44,7 @@
 {
   peer *peer;
   uint64_t no;
+  mm_task_id task;
   mm_work_done done;
   void *ctx;
 };
@@ -130,7 +131,12 @@
   uint64_t no = m->no;
   taken *t = g_hash_table_lookup (in->works, &no);
   if (!t)
-    return;
+    {
+      /* Its end crossed this on the way: nobody will take note of it.  */
+      if (!m->keep_end)
+        mm_owner_forget_ends (in->mesh->owner, &m->task);
+      return;
+    }
   mm_owner_cancel (in->mesh->owner, t->work, m->keep_end);
   g_hash_table_remove (in->works, &no);
 }
@@ -632,6 +638,7 @@
   mm_remote *r = g_new0 (mm_remote, 1);
   r->peer = p;
   r->no = ++p->next_no;
+  r->task = t->id;
   r->done = done;
   r->ctx = ctx;
   g_hash_table_insert (p->remote, &r->no, r);
@@ -652,7 +659,7 @@
     {
       msgpack_sbuffer b;
       msgpack_sbuffer_init (&b);
-      mm_mesh_pack_cancel (&b, r->no, keep_end);
+      mm_mesh_pack_cancel (&b, r->no, keep_end, &r->task);
       mm_link_send (p->link, &b);
       msgpack_sbuffer_destroy (&b);
     }
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -9,6 +9,7 @@
 {
   RUN_FIELDS = 17,
   ENDED_FIELDS = 7,
+  CANCEL_FIELDS = 6,
   ASK_FIELDS = 4,
   TOLD_FIELDS = 3,
   REPORT_FIELDS = 4,
@@ -30,9 +31,7 @@
   msgpack_packer pk;
   begin (&pk, b, RUN_FIELDS, MM_MESH_RUN);
   msgpack_pack_uint64 (&pk, no);
-  mm_mp_pack_text (&pk, t->id.job);
-  msgpack_pack_uint32 (&pk, t->id.step);
-  msgpack_pack_uint32 (&pk, t->id.index);
+  mm_mp_pack_task (&pk, &t->id);
   mm_mp_pack_text (&pk, t->service);
   mm_mp_pack_text (&pk, t->payload);
   mm_mp_pack_text (&pk, t->label);
@@ -48,12 +47,14 @@
 }
 
 void
-mm_mesh_pack_cancel (msgpack_sbuffer *b, uint64_t no, bool keep_end)
+mm_mesh_pack_cancel (msgpack_sbuffer *b, uint64_t no, bool keep_end,
+                     const mm_task_id *task)
 {
   msgpack_packer pk;
-  begin (&pk, b, 3, MM_MESH_CANCEL);
+  begin (&pk, b, CANCEL_FIELDS, MM_MESH_CANCEL);
   msgpack_pack_uint64 (&pk, no);
   mm_mp_pack_bool (&pk, keep_end);
+  mm_mp_pack_task (&pk, task);
 }
 
 void
@@ -128,10 +129,7 @@
 read_run (const msgpack_object *f, mm_mesh_msg *m)
 {
   mm_task_request *t = &m->request;
-  return mm_mp_read_u64 (&f[1], &m->no)
-         && mm_mp_read_fixed (&f[2], t->id.job, sizeof t->id.job)
-         && mm_mp_read_u32 (&f[3], &t->id.step)
-         && mm_mp_read_u32 (&f[4], &t->id.index)
+  return mm_mp_read_u64 (&f[1], &m->no) && mm_mp_read_task (&f[2], &t->id)
          && mm_mp_read_text (&f[5], false, (char **)&t->service)
          && mm_mp_read_text (&f[6], false, (char **)&t->payload)
          && mm_mp_read_text (&f[7], true, (char **)&t->label)
@@ -224,8 +222,9 @@
     case MM_MESH_RUN:
       return n == RUN_FIELDS && read_run (f, out);
     case MM_MESH_CANCEL:
-      return n == 3 && mm_mp_read_u64 (&f[1], &out->no)
-             && mm_mp_read_bool (&f[2], &out->keep_end);
+      return n == CANCEL_FIELDS && mm_mp_read_u64 (&f[1], &out->no)
+             && mm_mp_read_bool (&f[2], &out->keep_end)
+             && mm_mp_read_task (&f[3], &out->task);
     case MM_MESH_BEAT:
       return n == 1;
     case MM_MESH_ENDED:
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -4,7 +4,7 @@
      [RUN, no, job, step, index, service, payload, label, avoid, cpu_milli,
       mem_mb, gpus, priority, estimate_ms, due_within_ms, start_within_ms,
       kept]
-     [CANCEL, no, keep_end]
+     [CANCEL, no, keep_end, job, step, index]
      [BEAT]
      [HELLO, name]                 first of all
      [ASK, no, verb, bytes]        about kept jobs; no 0: without an answer
@@ -49,6 +49,7 @@
   mm_mesh_room *rooms;     /* REPORT */
   size_t n_rooms;
   bool keep_end;    /* CANCEL */
+  mm_task_id task;  /* CANCEL */
   uint32_t verb;    /* ASK */
   const void *data; /* ASK, TOLD: valid while the message is */
   size_t len;
@@ -58,7 +59,8 @@
 void mm_mesh_msg_clear (mm_mesh_msg *m); /* free what _read copied */
 void mm_mesh_pack_run (msgpack_sbuffer *b, uint64_t no,
                        const mm_task_request *t);
-void mm_mesh_pack_cancel (msgpack_sbuffer *b, uint64_t no, bool keep_end);
+void mm_mesh_pack_cancel (msgpack_sbuffer *b, uint64_t no, bool keep_end,
+                          const mm_task_id *task);
 void mm_mesh_pack_hello (msgpack_sbuffer *b, const char *name);
 void mm_mesh_pack_beat (msgpack_sbuffer *b);
 void mm_mesh_pack_ended (msgpack_sbuffer *b, uint64_t no,
--- a/src/mm_msgpack.c
+++ b/src/mm_msgpack.c
@@ -111,3 +111,19 @@
 {
   return o->type == MSGPACK_OBJECT_ARRAY && (n == 0 || o->via.array.size == n);
 }
+
+void
+mm_mp_pack_task (msgpack_packer *pk, const mm_task_id *id)
+{
+  mm_mp_pack_text (pk, id->job);
+  msgpack_pack_uint32 (pk, id->step);
+  msgpack_pack_uint32 (pk, id->index);
+}
+
+bool
+mm_mp_read_task (const msgpack_object *three, mm_task_id *id)
+{
+  return mm_mp_read_fixed (&three[0], id->job, sizeof id->job)
+         && mm_mp_read_u32 (&three[1], &id->step)
+         && mm_mp_read_u32 (&three[2], &id->index);
+}
--- a/src/mm_msgpack.h
+++ b/src/mm_msgpack.h
@@ -5,13 +5,15 @@
 #ifndef MM_MSGPACK_H
 #define MM_MSGPACK_H
 
-#include "masticmill.h"
+#include "mm_task.h"
 
 #include <msgpack.h>
 
 void mm_mp_pack_text (msgpack_packer *pk, const char *text); /* NULL: nil */
 void mm_mp_pack_bytes (msgpack_packer *pk, const void *data, size_t len);
 void mm_mp_pack_bool (msgpack_packer *pk, bool v);
+/* Three values: job, step, index.  */
+void mm_mp_pack_task (msgpack_packer *pk, const mm_task_id *id);
 
 bool mm_mp_read_u64 (const msgpack_object *o, uint64_t *v);
 bool mm_mp_read_u32 (const msgpack_object *o, uint32_t *v);
@@ -22,6 +24,7 @@
 bool mm_mp_read_text (const msgpack_object *o, bool nil_ok, char **v);
 /* A string into a buffer that must hold it and its NUL.  */
 bool mm_mp_read_fixed (const msgpack_object *o, char *out, size_t cap);
+bool mm_mp_read_task (const msgpack_object *three, mm_task_id *id);
 /* An array of exactly @n values (@n 0: of any number).  */
 bool mm_mp_is_array (const msgpack_object *o, uint32_t n);
 
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -503,8 +503,9 @@
   o->kept_ms = mm_clock_now_ms ();
 }
 
-void
-mm_owner_note_end (mm_owner *o, const mm_task_id *task, uint32_t mark)
+/* Ends of @task that are held; with @mark, only that run's.  */
+static void
+drop_held (mm_owner *o, const mm_task_id *task, const uint32_t *mark)
 {
   GHashTableIter it;
   gpointer v;
@@ -516,14 +517,24 @@
       const mm_held_end *h = mm_exec_held (x, &n);
       for (size_t i = n; i-- > 0;)
         if (mm_task_id_equal (&h[i].task, task)
-            && mm_run_mark (mm_exec_info (x)->name, h[i].run) == mark)
-          {
-            mm_exec_drop_held (x, i);
-            mm_exec_tick (x);
-          }
+            && (!mark
+                || mm_run_mark (mm_exec_info (x)->name, h[i].run) == *mark))
+          mm_exec_drop_held (x, i);
     }
 }
 
+void
+mm_owner_note_end (mm_owner *o, const mm_task_id *task, uint32_t mark)
+{
+  drop_held (o, task, &mark);
+}
+
+void
+mm_owner_forget_ends (mm_owner *o, const mm_task_id *task)
+{
+  drop_held (o, task, NULL);
+}
+
 /* How many of the tasks wait here for room?  */
 static uint32_t
 count_waiting (const mm_owner *o, GHashTable *tasks)
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -78,6 +78,7 @@
 void mm_owner_cancel (mm_owner *o, mm_work *w, bool keep_end);
 /* The end of a run of a kept job is stored; @mark: mm_run_mark().  */
 void mm_owner_note_end (mm_owner *o, const mm_task_id *task, uint32_t mark);
+void mm_owner_forget_ends (mm_owner *o, const mm_task_id *task); /* all */
 /* Membership is confirmed: nobody else can own what is owned here.  */
 void mm_owner_set_sure (mm_owner *o, bool sure);
 /* Look for tasks (a set of mm_task_id) here; @out is added to.  */
--- a/src/mm_submission.c
+++ b/src/mm_submission.c
@@ -28,6 +28,16 @@
   return n;
 }
 
+uint32_t
+mm_submission_first_tasks (const mm_submission *s)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < s->n_steps; i++)
+    if (s->steps[i].n_after == 0)
+      n += s->steps[i].count;
+  return n;
+}
+
 const char *
 mm_submission_unsupported (const mm_submission *s)
 {
--- a/src/mm_submission.h
+++ b/src/mm_submission.h
@@ -31,7 +31,8 @@
 } mm_submission;
 
 void mm_submission_free (mm_submission *s);
-uint32_t mm_submission_tasks (const mm_submission *s); /* in all steps */
+uint32_t mm_submission_tasks (const mm_submission *s);       /* in all steps */
+uint32_t mm_submission_first_tasks (const mm_submission *s); /* at once */
 /* Why this kind of job is not served, or NULL when it is.  */
 const char *mm_submission_unsupported (const mm_submission *s);
 /* The longest chain of declared run times.  */
