--- a/src/mm_own_front.c
+++ b/src/mm_own_front.c
@@ -1,7 +1,9 @@
 /* mm_own_front: callers' jobs at POST /v1/jobs.
 
-   The job is answered when it has ended; its queue is "queue" in the body
-   or the first one of the configuration.  */
+   The job is answered when it has ended, or with "kept": true as soon as it
+   is stored; then GET and DELETE /v1/jobs/ID show and cancel it at any
+   instance, and GET /v1/queues/NAME counts those that have not begun.  Its
+   queue is "queue" in the body or the first one of the configuration.  */
 #include "mm_own.h"
 
 #include "config.h"
@@ -156,6 +158,106 @@
   return s;
 }
 
+/* ---- kept jobs -------------------------------------------------------- */
+
+#define JOBS_PATH "/v1/jobs"
+#define QUEUES_PATH "/v1/queues/"
+
+/* A caller that waits for a word of a job's home.  */
+typedef struct
+{
+  mm_http_request *req;
+  unsigned status; /* when all is well */
+  char *name;      /* of the job, or the queue */
+  bool counts;     /* asks for a queue's count, not for a job */
+} asking;
+
+static asking *
+asking_new (mm_http_request *req, unsigned status, const char *name)
+{
+  asking *a = g_new0 (asking, 1);
+  a->req = req;
+  a->status = status;
+  a->name = g_strdup (name);
+  return a;
+}
+
+static char *
+told_body (const asking *a, const mm_kept_answer *k)
+{
+  cJSON *o = cJSON_CreateObject ();
+  cJSON_AddStringToObject (o, a->counts ? "queue" : "job_id", a->name);
+  if (a->counts)
+    cJSON_AddNumberToObject (o, "pending", k->pending);
+  else
+    cJSON_AddStringToObject (o, "state", mm_job_phase_name (k->phase));
+  char *text = cJSON_PrintUnformatted (o);
+  cJSON_Delete (o);
+  return text;
+}
+
+static void
+on_told (void *ctx, const mm_kept_answer *k)
+{
+  asking *a = ctx;
+  char *text;
+  switch (k->status)
+    {
+    case MM_KEPT_OK:
+      text = told_body (a, k);
+      mm_http_reply (a->req, a->status, text, 0);
+      free (text);
+      break;
+    case MM_KEPT_NO_JOB:
+      mm_front_error (a->req, 410, MM_ERROR_BAD_REQUEST, "no such job", 0);
+      break;
+    case MM_KEPT_BUSY:
+      mm_front_error (a->req, 503, MM_ERROR_OVERLOADED,
+                      "not taken, come back later",
+                      MAX (k->retry_after_s, MM_RETRY_AFTER_NO_ROOM_S));
+      break;
+    case MM_KEPT_UNSURE:
+      mm_front_error (a->req, 502, MM_ERROR_PLATFORM,
+                      "whether it is stored is not known: send it again",
+                      MM_RETRY_AFTER_NO_ROOM_S);
+      break;
+    }
+  g_free (a->name);
+  g_free (a);
+}
+
+static void
+ask_about_job (mm_front *f, mm_http_request *req, const char *id)
+{
+  mm_kept *kept = mm_node_kept (mm_front_node (f));
+  const char *method = mm_http_request_method (req);
+  if (strcmp (method, "GET") == 0)
+    mm_kept_state (kept, id, on_told, asking_new (req, 200, id));
+  else if (strcmp (method, "DELETE") == 0)
+    mm_kept_cancel (kept, id, on_told, asking_new (req, 200, id));
+  else
+    mm_front_error (req, 405, MM_ERROR_BAD_REQUEST, "GET or DELETE", 0);
+}
+
+static void
+ask_about_queue (mm_front *f, mm_http_request *req, const char *queue)
+{
+  asking *a = asking_new (req, 200, queue);
+  a->counts = true;
+  mm_kept_pending (mm_node_kept (mm_front_node (f)), queue, on_told, a);
+}
+
+static bool
+wants_keeping (const char *body, size_t len)
+{
+  cJSON *o = cJSON_ParseWithLength (body, len);
+  bool kept = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (o, "kept"));
+  cJSON_Delete (o);
+  return kept;
+}
+
+/* ---- jobs whose callers wait ------------------------------------------ */
+
 static const mm_route *
 queue_of (const mm_routes *routes, const char *body, size_t len)
 {
@@ -189,6 +291,13 @@
                     1);
   else if (!queue)
     mm_front_error (req, 404, MM_ERROR_BAD_REQUEST, "no such queue", 0);
+  else if (wants_keeping (body, len))
+    {
+      asking *a = asking_new (req, 202, s->id);
+      s->best_effort = false;
+      mm_kept_submit (mm_node_kept (mm_front_node (f)), g_steal_pointer (&s),
+                      queue, on_told, a);
+    }
   else
     {
       waiting *w = g_new0 (waiting, 1);
@@ -218,9 +327,14 @@
 void
 mm_own_front_request (mm_http_request *req, void *ctx)
 {
+  const char *path = mm_http_request_path (req);
   if (strcmp (mm_http_request_method (req), "POST") == 0
-      && strcmp (mm_http_request_path (req), "/v1/jobs") == 0)
+      && strcmp (path, JOBS_PATH) == 0)
     post_job (ctx, req);
+  else if (g_str_has_prefix (path, JOBS_PATH "/"))
+    ask_about_job (ctx, req, path + strlen (JOBS_PATH "/"));
+  else if (g_str_has_prefix (path, QUEUES_PATH))
+    ask_about_queue (ctx, req, path + strlen (QUEUES_PATH));
   else
     mm_front_error (req, 404, MM_ERROR_BAD_REQUEST, "no such path", 0);
 }
