--- a/tests/fake_upstreams.c
+++ b/tests/fake_upstreams.c
@@ -139,6 +139,12 @@
   return &x->info;
 }
 
+size_t
+fake_listed (const fake *x)
+{
+  return mm_run_table_ended (x->table);
+}
+
 size_t
 fake_running (const fake *x)
 {
@@ -349,6 +355,12 @@
 {
   mm_hold_result r = { .call = c->result };
   mm_run_table_list (c->to->table, &r, c->to->all->now_ms);
+  size_t page = c->to->mode.page;
+  if (page && r.n_ended >= page)
+    {
+      r.n_ended = page;
+      r.more_ended = true;
+    }
   c->hold_done (&r, c->ctx);
 }
 
--- a/tests/fake_upstreams.h
+++ b/tests/fake_upstreams.h
@@ -24,6 +24,7 @@
   bool fails_tasks;   /* each task fails after 5 ms */
   bool unhealthy;     /* refuses starts */
   bool hangs;         /* tasks never end */
+  size_t page;        /* ends in one answer at most, 0: all */
 } fake_mode;
 
 fakes *fakes_create (void); /* takes over the clock */
@@ -34,6 +35,7 @@
 void fake_restart (fake *x); /* another incarnation at that address */
 const mm_upstream_info *fake_info (const fake *x);
 size_t fake_running (const fake *x);
+size_t fake_listed (const fake *x); /* ends that are not acknowledged */
 /* A start by some other owner, before any of ours.  */
 void fake_start_foreign (fake *x, const char *job, uint64_t fence,
                          int64_t cpu_milli, mm_time_ms run_ms);
--- a/tests/test_kept.c
+++ b/tests/test_kept.c
@@ -382,10 +382,9 @@
 open_log (slow_store *s, log_story *story)
 {
   mm_store_port port = slow_port (s);
-  mm_job_log_events ev = { .record = on_record,
-                           .opened = on_opened,
-                           .fenced = on_fenced,
-                           .ctx = story };
+  mm_job_log_events ev = {
+    .record = on_record, .opened = on_opened, .fenced = on_fenced, .ctx = story
+  };
   mm_job_log *l = mm_job_log_open (&port, 3, 7, &ev);
   mm_job_log_tick (l);
   ck_assert_uint_eq (s->records, 0); /* makes the epoch known */
@@ -471,11 +470,9 @@
 
 /* ---- a home, with upstreams in memory ---------------------------------- */
 
-static const mm_route queue = { .name = "q",
-                                .service = "svc",
-                                .attempts = 3,
-                                .stretch = 3,
-                                .slo_ms = 500 };
+static const mm_route queue = {
+  .name = "q", .service = "svc", .attempts = 3, .stretch = 3, .slo_ms = 500
+};
 
 static mm_submission *
 two_steps (const char *id)
@@ -656,8 +653,7 @@
   tcase_set_timeout (c, 60);
   tcase_add_test (c, kept_job_is_shown_at_every_instance_until_it_is_done);
   tcase_add_test (c, job_sent_again_elsewhere_starts_nothing_twice);
-  tcase_add_test (c,
-                  killed_instances_lose_no_accepted_job_and_repeat_no_task);
+  tcase_add_test (c, killed_instances_lose_no_accepted_job_and_repeat_no_task);
   tcase_add_test (c, all_instances_killed_at_once_finish_what_was_accepted);
   tcase_add_test (c, store_away_refuses_at_once_and_loses_nothing);
   tcase_add_test (c, cancelled_job_stays_cancelled_when_its_home_dies);
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -520,6 +520,136 @@
 }
 END_TEST
 
+static void
+submit_kept (world *w, outcome *r, const char *job, uint32_t index,
+             mm_time_ms run_ms)
+{
+  mm_task_request t = fakes_task (job, index, USUAL, run_ms);
+  t.kept = true;
+  *r = (outcome){ 0 };
+  r->work = mm_owner_submit (w->o, &t, on_done, r);
+}
+
+/* What the owner says of task @index of @job.  */
+static mm_census
+ask_for (const world *w, const char *job, uint32_t index)
+{
+  mm_task_id id = { .index = index };
+  g_strlcpy (id.job, job, sizeof id.job);
+  GHashTable *tasks = g_hash_table_new (mm_task_id_hash, mm_task_id_equal);
+  g_hash_table_add (tasks, &id);
+  mm_census c = mm_census_new ();
+  mm_owner_census (w->o, tasks, &c);
+  g_hash_table_destroy (tasks);
+  return c;
+}
+
+/* A kept job's task has ended, and its home has not stored that yet.  Were
+   the upstream told to forget the end now, and all instances to die, the next
+   ones would start the task again.  */
+START_TEST (end_of_a_kept_task_stays_listed_until_it_is_noted)
+{
+  world w = world_create ();
+  fake *a = world_add (&w, "a");
+  outcome r, other;
+  world_run (&w, 10);
+  submit_kept (&w, &r, "kept", 0, 100);
+  submit (&w, &other, "other", 0, 100);
+  world_run (&w, 1500);
+  ck_assert_int_eq (r.how, MM_END_DONE);
+  ck_assert_uint_ge (fake_listed (a), 1);
+  mm_task_id id = { .job = "kept" };
+  mm_owner_note_end (w.o, &id, mm_run_mark ("a", 1));
+  world_run (&w, 1000);
+  ck_assert_uint_eq (fake_listed (a), 0);
+  /* One that is never noted is not kept for ever.  */
+  submit_kept (&w, &r, "kept", 1, 100);
+  world_run (&w, MM_KEPT_END_MS + 2000);
+  ck_assert_uint_eq (fake_listed (a), 0);
+  world_destroy (&w);
+}
+END_TEST
+
+/* An owner dies with an end that nobody stored.  The next one finds it at the
+   upstream and tells the job's home, which would start the task again
+   otherwise.  */
+START_TEST (next_owner_finds_the_ends_of_the_one_before)
+{
+  world w = world_create ();
+  fake *a = world_add (&w, "a");
+  outcome r;
+  world_run (&w, 10);
+  submit_kept (&w, &r, "kept", 0, 100);
+  world_run (&w, 300);
+  ck_assert_int_eq (r.how, MM_END_DONE);
+  mm_owner_own (w.o, fake_info (a), 6); /* a session that knows nothing */
+  mm_owner_set_sure (w.o, true);
+  mm_census c = ask_for (&w, "kept", 0);
+  ck_assert_uint_eq (c.clear->len, 0); /* it has not looked yet */
+  mm_census_clear (&c);
+  world_run (&w, 100);
+  c = ask_for (&w, "kept", 0);
+  ck_assert_uint_eq (c.clear->len, 1);
+  ck_assert_uint_eq (c.ends->len, 1);
+  ck_assert_int_eq (g_array_index (c.ends, mm_found_end, 0).how, MM_END_DONE);
+  mm_census_clear (&c);
+  world_destroy (&w);
+}
+END_TEST
+
+/* A task is looked for while it runs, and by an owner whose membership is in
+   doubt: the one must say so, the other must not vouch for its upstreams, as
+   another may have started the task there.  */
+START_TEST (search_for_a_task_sees_its_run_and_trusts_no_doubtful_owner)
+{
+  world w = world_create ();
+  world_add (&w, "a");
+  outcome r;
+  world_run (&w, 10);
+  submit_kept (&w, &r, "kept", 0, 1000);
+  world_run (&w, 200);
+  mm_owner_set_sure (w.o, true);
+  mm_census c = ask_for (&w, "kept", 0);
+  ck_assert_uint_eq (c.present, 1);
+  mm_census_clear (&c);
+  mm_owner_set_sure (w.o, false);
+  c = ask_for (&w, "kept", 7);
+  ck_assert_uint_eq (c.present, 0);
+  ck_assert_uint_eq (c.clear->len, 0);
+  mm_census_clear (&c);
+  world_destroy (&w);
+}
+END_TEST
+
+/* Ends that wait to be noted fill the page that an upstream answers with.  A
+   task that has just ended is neither running nor on that page: taken for
+   lost, it would run a second time.  */
+START_TEST (task_whose_end_is_on_a_later_page_is_not_lost)
+{
+  world w = world_create ();
+  fake *a = world_add (&w, "a");
+  outcome r[4];
+  fake_mode_of (a)->page = 2;
+  world_run (&w, 10);
+  for (uint32_t i = 0; i < 2; i++)
+    submit_kept (&w, &r[i], "first", i, 100);
+  world_run (&w, 500);
+  for (uint32_t i = 2; i < 4; i++)
+    submit_kept (&w, &r[i], "later", i, 300);
+  world_run (&w, 1500);
+  ck_assert_uint_eq (r[2].answers, 0);
+  ck_assert_uint_eq (r[3].answers, 0);
+  mm_task_id id = { .job = "first" };
+  mm_owner_forget_ends (w.o, &id);
+  id.index = 1;
+  mm_owner_forget_ends (w.o, &id);
+  world_run (&w, 1000);
+  ck_assert_int_eq (r[2].how, MM_END_DONE);
+  ck_assert_int_eq (r[3].how, MM_END_DONE);
+  world_destroy (&w);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -543,6 +673,11 @@
   tcase_add_test (c, one_lost_hold_loses_no_task);
   tcase_add_test (c, task_without_room_is_given_back_in_time);
   tcase_add_test (c, draining_upstream_gets_nothing_new);
+  tcase_add_test (c, end_of_a_kept_task_stays_listed_until_it_is_noted);
+  tcase_add_test (c, next_owner_finds_the_ends_of_the_one_before);
+  tcase_add_test (c,
+                  search_for_a_task_sees_its_run_and_trusts_no_doubtful_owner);
+  tcase_add_test (c, task_whose_end_is_on_a_later_page_is_not_lost);
   tcase_add_loop_test (c, random_faults_break_no_promise, 0, 100);
   suite_add_tcase (s, c);
   return h_run_suite (s);
