--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -50,7 +50,7 @@
                             "an upstream is taken as gone" },
   [MM_EV_GROUP_CHANGED]
   = { "group_changed", KEEP_ALL, "group generation ours leaving",
-      "the store shared the data centre's partitions out anew" },
+      "the store shared the group's partitions out anew" },
   [MM_EV_STANDBY]
   = { "standby", KEEP_ALL, "datacentre closed_ms",
       "its instances are gone; this one shares in its upstreams" },
@@ -102,8 +102,12 @@
   [MM_EV_KEPT_ACCEPTED]
   = { "kept_accepted", KEEP_SOME, "job queue tasks partition took_ms",
       "a kept job is stored; its caller was told so" },
-  [MM_EV_KEPT_REFUSED] = { "kept_refused", KEEP_ALL, "job queue partition why",
-                           "a kept job was not accepted, as told" },
+  [MM_EV_KEPT_REFUSED]
+  = { "kept_refused", KEEP_ALL, "job partition why",
+      "a request about a kept job was not served; nothing was done" },
+  [MM_EV_KEPT_UNSURE]
+  = { "kept_unsure", KEEP_ALL, "job partition why",
+      "a caller was told to ask again: it may have been stored, or not" },
   [MM_EV_KEPT_OVER] = { "kept_over", KEEP_ALL, "job queue outcome took_ms",
                         "a kept job's outcome is stored and shown" },
   [MM_EV_KEPT_LOST_SIGHT]
--- a/src/mm_explain.c
+++ b/src/mm_explain.c
@@ -87,6 +87,7 @@
           "started",         "peer_lost",        "sender_lost",
           "upstream_fenced", "upstream_suspect", "upstream_excluded",
           "upstream_gone",   "store_lost",       "group_changed",
+          "jobs_fenced",     "jobs_loaded",      "jobs_handed_over",
           "config_applied",  "upstream_listed" };
   for (size_t i = 0; i < G_N_ELEMENTS (events); i++)
     if (is_event (l, events[i]))
@@ -120,6 +121,13 @@
     line_free (l);
 }
 
+/* What became of a job whose caller waits, or of a kept one.  */
+static bool
+is_outcome (const line *l)
+{
+  return is_event (l, "job_answered") || is_event (l, "kept_over");
+}
+
 static gint
 by_time (gconstpointer a, gconstpointer b)
 {
@@ -127,8 +135,8 @@
   if (x->ts_ms != y->ts_ms)
     return x->ts_ms < y->ts_ms ? -1 : 1;
   /* An answer comes after what led to it.  */
-  bool x_answers = is_event (x, "job_answered");
-  bool y_answers = is_event (y, "job_answered");
+  bool x_answers = is_outcome (x);
+  bool y_answers = is_outcome (y);
   if (x_answers != y_answers)
     return x_answers ? 1 : -1;
   return x->order < y->order ? -1 : x->order > y->order;
@@ -344,10 +352,13 @@
   for (guint i = 0; i < x->lines->len; i++)
     {
       const line *l = x->lines->pdata[i];
-      bool answered = l->own && is_event (l, "job_answered");
+      bool answered = l->own && is_outcome (l);
       bool refused = l->own && is_event (l, "job_refused");
       bool left = l->own && is_event (l, "job_caller_left");
-      if (!answered && !refused && !left)
+      bool kept = l->own
+                  && (is_event (l, "kept_refused")
+                      || is_event (l, "kept_unsure"));
+      if (!answered && !refused && !left && !kept)
         continue;
       any = true;
       g_string_append (out, "cause: ");
@@ -355,6 +366,12 @@
         cause_of_answer (x, s, i, out);
       else if (refused)
         cause_of_refusal (out, l);
+      else if (kept)
+        g_string_append_printf (out, "%s: %s.",
+                                is_event (l, "kept_refused")
+                                    ? "not served, nothing was done"
+                                    : "told to ask again, its fate is open",
+                                text_of (l, "why"));
       else
         g_string_append_printf (out, "its caller left after %lld ms.",
                                 number_of (l, "took_ms"));
--- a/src/mm_home.c
+++ b/src/mm_home.c
@@ -71,6 +71,11 @@
       if (w->until_ms > due_before_ms)
         continue;
       j->waiters = g_list_delete_link (j->waiters, l);
+      if (status == MM_KEPT_UNSURE)
+        mm_log_event (MM_EV_KEPT_UNSURE, MM_TEXT (j->id),
+                      MM_INT (j->home->part),
+                      MM_TEXT (j->home->fenced ? "its home has moved"
+                                               : "the store is slow"));
       w->told (w->ctx, &a);
       g_free (w);
     }
@@ -325,8 +330,8 @@
   mm_kept_answer a
       = { .status = MM_KEPT_BUSY, .retry_after_s = retry_after_s };
   mm_metrics_count (MM_CT_KEPT_REFUSED);
-  mm_log_event (MM_EV_KEPT_REFUSED, MM_TEXT (rec->s->id), MM_TEXT (rec->queue),
-                MM_INT (h->part), MM_TEXT (why));
+  mm_log_event (MM_EV_KEPT_REFUSED, MM_TEXT (rec->s->id), MM_INT (h->part),
+                MM_TEXT (why));
   told (ctx, &a);
 }
 
--- a/src/mm_kept.c
+++ b/src/mm_kept.c
@@ -2,6 +2,7 @@
 #include "mm_kept.h"
 
 #include "config.h"
+#include "mm_event.h"
 #include "mm_home.h"
 #include "mm_homes.h"
 #include "mm_search.h"
@@ -196,6 +197,8 @@
 typedef struct
 {
   mm_kept *kept;
+  char *what; /* the job's id */
+  uint32_t part;
   mm_kept_told told;
   void *ctx;
   bool unsure; /* without an answer it may have been done */
@@ -218,24 +221,34 @@
   passed_on *r = ctx;
   mm_kept_answer a = { 0 };
   if (!ok || !mm_kept_answer_read (data, len, &a))
-    a.status = r->unsure ? MM_KEPT_UNSURE : MM_KEPT_BUSY;
+    {
+      a.status = r->unsure ? MM_KEPT_UNSURE : MM_KEPT_BUSY;
+      mm_log_event (r->unsure ? MM_EV_KEPT_UNSURE : MM_EV_KEPT_REFUSED,
+                    MM_TEXT (r->what), MM_INT (r->part),
+                    MM_TEXT ("its home did not answer"));
+    }
   if (!r->kept->closed && (!ok || a.status == MM_KEPT_BUSY))
     mm_homes_stale (r->kept->homes);
   r->told (r->ctx, &a);
   kept_unref (r->kept);
+  g_free (r->what);
   g_free (r);
 }
 
 /* Ask the home of a job, which is not here.  */
 static void
-pass_on (mm_kept *k, uint32_t part, mm_kept_verb verb, const void *data,
+pass_on (mm_kept *k, const char *job_id, mm_kept_verb verb, const void *data,
          size_t len, mm_kept_told told, void *ctx)
 {
+  uint32_t part = mm_homes_part_of (k->homes, job_id);
   const char *home = mm_homes_of (k->homes, part);
   bool linked = home && mm_mesh_is_connected (k->p.mesh, home);
   if (!linked)
     {
       mm_kept_answer busy = { .status = MM_KEPT_BUSY };
+      mm_log_event (MM_EV_KEPT_REFUSED, MM_TEXT (job_id), MM_INT (part),
+                    MM_TEXT (home ? "its home is not linked"
+                                  : "its home is not known"));
       mm_homes_stale (k->homes);
       if (home)
         mm_mesh_need (k->p.mesh, home);
@@ -244,6 +257,8 @@
     }
   passed_on *r = g_new (passed_on, 1);
   *r = (passed_on){ .kept = k,
+                    .what = g_strdup (job_id),
+                    .part = part,
                     .told = told,
                     .ctx = ctx,
                     .unsure = verb == MM_ASK_SUBMIT || verb == MM_ASK_CANCEL };
@@ -258,7 +273,6 @@
 {
   mm_homes_used (k->homes);
   mm_home *h = home_here (k, s->id);
-  uint32_t part = mm_homes_part_of (k->homes, s->id);
   mm_job_record *rec = mm_job_record_new (s, route);
   if (h)
     {
@@ -268,7 +282,7 @@
   GBytes *packed = mm_job_record_pack (rec);
   gsize len;
   const void *data = g_bytes_get_data (packed, &len);
-  pass_on (k, part, MM_ASK_SUBMIT, data, len, told, ctx);
+  pass_on (k, rec->s->id, MM_ASK_SUBMIT, data, len, told, ctx);
   g_bytes_unref (packed);
   mm_job_record_free (rec);
 }
@@ -280,8 +294,7 @@
   mm_home *h = home_here (k, job_id);
   if (!h)
     {
-      pass_on (k, mm_homes_part_of (k->homes, job_id), MM_ASK_STATE, job_id,
-               strlen (job_id), told, ctx);
+      pass_on (k, job_id, MM_ASK_STATE, job_id, strlen (job_id), told, ctx);
       return;
     }
   mm_kept_answer a;
@@ -297,8 +310,7 @@
   if (h)
     mm_home_cancel (h, job_id, told, ctx);
   else
-    pass_on (k, mm_homes_part_of (k->homes, job_id), MM_ASK_CANCEL, job_id,
-             strlen (job_id), told, ctx);
+    pass_on (k, job_id, MM_ASK_CANCEL, job_id, strlen (job_id), told, ctx);
 }
 
 static uint32_t
--- a/tests/test_logs.c
+++ b/tests/test_logs.c
@@ -221,6 +221,31 @@
 }
 END_TEST
 
+/* A kept job's home dies.  Its caller was told to ask again, and the job is
+   done at the next home: the id leads to both, and to why the home moved.  */
+START_TEST (kept_job_is_explained_from_home_to_home)
+{
+  const char *lines[]
+      = { "a.log",
+          "{\"ts_ms\":5000,\"event\":\"kept_unsure\",\"job\":\"j1\","
+          "\"partition\":3,\"why\":\"its home did not answer\"}",
+          "b.log",
+          "{\"ts_ms\":6700,\"event\":\"jobs_loaded\",\"partition\":3,"
+          "\"epoch\":9,\"jobs\":4,\"open\":2}",
+          "b.log",
+          "{\"ts_ms\":8000,\"event\":\"kept_over\",\"job\":\"j1\","
+          "\"queue\":\"q\",\"outcome\":\"completed\",\"took_ms\":1300}",
+          NULL };
+  char *story = story_of ("j1", lines);
+  ck_assert_ptr_nonnull (strstr (story, "jobs_loaded"));
+  ck_assert_ptr_nonnull (
+      strstr (story, "cause: told to ask again, its fate is open: its home "
+                     "did not answer."));
+  ck_assert_ptr_nonnull (strstr (story, "cause: completed after 1300 ms."));
+  g_free (story);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -235,6 +260,7 @@
   tcase_add_test (c, refused_request_is_explained_by_the_room);
   tcase_add_test (c, lost_request_is_explained_by_the_instance_that_died);
   tcase_add_test (c, failed_request_is_explained_by_the_upstream);
+  tcase_add_test (c, kept_job_is_explained_from_home_to_home);
   suite_add_tcase (s, c);
   return h_run_suite (s);
 }
