Soak: kept jobs among the others; formatting

Two more callers a seed hand in jobs to be kept, send some again, cancel some. Checked: each accepted one ends, none starts a task again after it was done, none starts anything a second after its cancel was told. Faults of old seeds are drawn as before.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -15,6 +15,10 @@
   unrun      a job whose every answer said "not run" started nothing
   leaving    an upstream that said so started nothing two seconds later
   config     no instance went back to an older configuration
+  kept       an accepted kept job ended, as completed or with a failed task
+  again      no task of a kept job started after it was done, unless its
+             upstream died or was cut off around then
+  cancelled  a kept job started nothing a second after its cancel was told
   back       after the faults each instance serves again
   exits      no process ended by itself
 
@@ -24,6 +28,7 @@
 
 RESEND_S = 1.3      # callers send a job again so long after a break
 SETTLE_S = 7        # calm at the end, longer than every lease and ttl
+KEPT_S = 20         # then every accepted kept job is over
 DRAIN_S = 2.0       # then a leaving upstream gets no start
 NODES, UPSTREAMS, SLOTS = 3, 5, 3
 
@@ -104,6 +109,9 @@
         self.rnd, self.args, self.dir, self.base = random.Random(seed), args, folder, base
         self.procs, self.meant, self.paused = {}, set(), set()
         self.proxies, self.findings, self.jobs = {}, [], {}
+        self.kept = {}          # job -> what its caller knows
+        self.kept_rnd = random.Random(f"kept-{seed}")  # seeds play the same faults as without kept jobs
+        self.cuts = {}          # upstream -> [(from, to)] ms of its link's faults
         self.left = {}          # upstream -> ms when it said that it leaves
         self.left_at = {}       # upstream -> [(that, ms when it was gone)]
         self.kills = {}         # upstream -> [ms]
@@ -184,6 +192,43 @@
                 return
             await asyncio.sleep(RESEND_S)
 
+    async def kept_caller(self, no):
+        n, r = 0, self.kept_rnd
+        while not self.end:
+            n += 1
+            job = f"k{no}-{n}"
+            tasks = [{"id": f"t{k}", "payload": "x", "run_ms": r.choice([20, 60, 150, 400, 900]),
+                      "deadline_ms": 6000, "idempotent": True} for k in range(r.randint(1, 4))]
+            k = self.kept[job] = {"accepted": False, "cancelled_ms": None, "asked": False, "tasks": len(tasks)}
+            for _ in range(3):
+                status, _ = await asyncio.to_thread(call, "POST", self.port("front", r.randrange(NODES)), "/v1/jobs",
+                                                    {"job_id": job, "kept": True, "tasks": tasks}, 4)
+                k["accepted"] = k["accepted"] or status == 202
+                if status in (202, 429, 503) and r.random() > 0.1:  # some are sent again all the same
+                    break
+                await asyncio.sleep(RESEND_S)
+            if k["accepted"] and r.random() < 0.15:
+                await asyncio.sleep(r.uniform(0, 0.5))
+                k["asked"] = True
+                status, answer = await asyncio.to_thread(call, "DELETE", self.port("front", r.randrange(NODES)),
+                                                         f"/v1/jobs/{job}", None, 4)
+                if status == 200 and answer.get("state") == "cancelled":
+                    k["cancelled_ms"] = now_ms()
+            await asyncio.sleep(r.uniform(0.1, 0.6))
+
+    async def await_kept(self):
+        """Ask at any instance until each accepted job is over."""
+        until = time.monotonic() + KEPT_S
+        for job, k in self.kept.items():
+            state = None
+            while k["accepted"] and state not in ("completed", "failed", "cancelled") and time.monotonic() < until:
+                node = self.kept_rnd.randrange(NODES)
+                status, answer = await asyncio.to_thread(call, "GET", self.port("front", node), f"/v1/jobs/{job}", None, 2)
+                state = answer.get("state") or status
+                if state not in ("completed", "failed", "cancelled"):
+                    await asyncio.sleep(0.2)
+            k["state"] = state
+
     async def watch_config(self):
         while not self.end:
             for i in range(NODES):
@@ -259,8 +304,10 @@
         elif kind in ("delay", "silent", "mute"):
             proxy.delay = 0.03 if kind == "delay" else 0
             proxy.silent, proxy.mute = kind == "silent", kind == "mute"
+            from_ms = now_ms()
             await asyncio.sleep(for_s)
             proxy.heal()
+            self.cuts.setdefault(proxy.port, []).append((from_ms, now_ms()))
         elif kind in ("late", "lost"):
             await post(self.port("up", up), "/v1/run-faults",
                        {"lose_starts": r.randint(1, 4), "lose_stops": r.randint(0, 2), "lose_holds": r.randint(0, 2),
@@ -336,6 +383,7 @@
             if any(l + DRAIN_S * 1000 < start < k and not any(f < start and t > l for f, t in self.dim)
                    for l, k in self.left_at.get(up, [])):
                 self.findings.append(f"leaving: {task} started on up{up} at {start:.0f}")
+        self.judge_kept()
         for job, j in self.jobs.items():
             said = [a for a in j["answers"]]
             if any(s == 200 and t == "complete" for s, t in said):
@@ -349,6 +397,30 @@
                 if again:
                     self.findings.append(f"once: {again} started more than once")
 
+    def judge_kept(self):
+        rows = {}
+        for task, up, start, end, how in self.runs():
+            rows.setdefault(task, []).append((start, end, how, up))
+        for job, k in self.kept.items():
+            mine = {t: sorted(r) for t, r in rows.items() if t.split("/")[0] == job}
+            failed = any(how not in ("done", "stopped") for r in mine.values() for _, _, how, _ in r)
+            if k["accepted"] and not (k["state"] == "completed" or (k["state"] == "cancelled" and k["asked"])
+                                      or (k["state"] == "failed" and failed)):
+                self.findings.append(f"kept: {job} was accepted and is {k['state']}")
+            if k["accepted"] and k["state"] == "completed":
+                missing = [i for i in range(k["tasks"]) if not any(h == "done" for _, _, h, _ in mine.get(f"{job}/{i}.0", []))]
+                if missing:
+                    self.findings.append(f"kept: {job} is completed without tasks {missing}")
+            for task, r in mine.items():
+                for start, end, how, up in r:
+                    later = [s for s, _, _, _ in r if s > end]
+                    upset = self.kills.get(up, []) + [x for c in self.cuts.get(self.port("px-up", up), []) for x in c]
+                    upset += [x for c in self.cuts.get(self.port("px-up", up), []) if c[0] < end < c[1] for x in (end,)]
+                    if how == "done" and later and not any(end - 1500 < u < later[0] + 1500 for u in upset):
+                        self.findings.append(f"again: {task} done on up{up} at {end:.0f}, started at {later[0]:.0f}")
+                    if k["cancelled_ms"] and start > k["cancelled_ms"] + 1000:
+                        self.findings.append(f"cancelled: {task} started at {start:.0f}, cancelled at {k['cancelled_ms']:.0f}")
+
     async def run(self):
         for i in range(NODES):
             self.proxies[f"store{i}"] = Proxy(self.port("px-store", i), self.port("platform", 0))
@@ -366,6 +438,7 @@
             self.start_node(i)
         await asyncio.sleep(2)
         callers = [asyncio.create_task(self.caller(k)) for k in range(8)]
+        callers += [asyncio.create_task(self.kept_caller(k)) for k in range(2)]
         watch = asyncio.create_task(self.watch_config())
         until, busy = time.monotonic() + self.args.seconds, []
         while time.monotonic() < until:
@@ -389,6 +462,7 @@
             _, state = await asyncio.to_thread(call, "GET", self.port("state", i), "/", None, 2)
             if not self.accepted <= (state.get("config_version") or -1) <= self.version:
                 self.findings.append(f"config: node{i} has {state.get('config_version')}, {self.accepted} was accepted")
+        await self.await_kept()
         await asyncio.sleep(1)
         self.judge()
 
@@ -409,7 +483,10 @@
             p.server.close()
             p.reset()
     complete = sum(any(t == "complete" for _, t in j["answers"]) for j in w.jobs.values())
-    print(f"seed {seed}: {len(w.jobs)} jobs, {complete} complete, {len(w.findings)} findings", flush=True)
+    kept = sum(k["accepted"] for k in w.kept.values())
+    over = sum(k.get("state") == "completed" for k in w.kept.values())
+    print(f"seed {seed}: {len(w.jobs)} jobs, {complete} complete, {kept} kept, {over} completed, "
+          f"{len(w.findings)} findings", flush=True)
     for f in w.findings[:10]:
         print(f"  seed {seed}: {f}", flush=True)
     if not w.findings and not args.keep:
--- a/src/mm_explain.c
+++ b/src/mm_explain.c
@@ -355,9 +355,9 @@
       bool answered = l->own && is_outcome (l);
       bool refused = l->own && is_event (l, "job_refused");
       bool left = l->own && is_event (l, "job_caller_left");
-      bool kept = l->own
-                  && (is_event (l, "kept_refused")
-                      || is_event (l, "kept_unsure"));
+      bool kept
+          = l->own
+            && (is_event (l, "kept_refused") || is_event (l, "kept_unsure"));
       if (!answered && !refused && !left && !kept)
         continue;
       any = true;
--- a/src/mm_kept.c
+++ b/src/mm_kept.c
@@ -246,9 +246,9 @@
   if (!linked)
     {
       mm_kept_answer busy = { .status = MM_KEPT_BUSY };
-      mm_log_event (MM_EV_KEPT_REFUSED, MM_TEXT (job_id), MM_INT (part),
-                    MM_TEXT (home ? "its home is not linked"
-                                  : "its home is not known"));
+      mm_log_event (
+          MM_EV_KEPT_REFUSED, MM_TEXT (job_id), MM_INT (part),
+          MM_TEXT (home ? "its home is not linked" : "its home is not known"));
       mm_homes_stale (k->homes);
       if (home)
         mm_mesh_need (k->p.mesh, home);
