A task goes to the rack of its data, where its owner has one

Cause: the job's wish was not read, and placing's preference for near data was never set: a task away from its rack takes 2 to 3 times as long. Test: test_owner task_goes_to_the_rack_of_its_data (failed before).

--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -169,6 +169,7 @@
           .service = b->service,
           .payload = step->payload ? step->payload : b->s->payload,
           .label = step->label,
+          .data_label = step->data_label,
           .avoid = t->avoid,
           .need = step->need,
           .attempt = t->failures,
--- a/src/mm_kept_run.c
+++ b/src/mm_kept_run.c
@@ -246,6 +246,7 @@
           .service = r->rec->service,
           .payload = step->payload ? step->payload : r->rec->s->payload,
           .label = step->label,
+          .data_label = step->data_label,
           .avoid = t->avoid,
           .need = step->need,
           .kept = true,
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -7,7 +7,7 @@
 
 enum
 {
-  RUN_FIELDS = 17,
+  RUN_FIELDS = 18,
   ENDED_FIELDS = 7,
   CANCEL_FIELDS = 6,
   ASK_FIELDS = 4,
@@ -35,6 +35,7 @@
   mm_mp_pack_text (&pk, t->service);
   mm_mp_pack_text (&pk, t->payload);
   mm_mp_pack_text (&pk, t->label);
+  mm_mp_pack_text (&pk, t->data_label);
   mm_mp_pack_text (&pk, t->avoid);
   msgpack_pack_int64 (&pk, t->need.cpu_milli);
   msgpack_pack_int64 (&pk, t->need.mem_mb);
@@ -133,15 +134,16 @@
          && mm_mp_read_text (&f[5], false, (char **)&t->service)
          && mm_mp_read_text (&f[6], false, (char **)&t->payload)
          && mm_mp_read_text (&f[7], true, (char **)&t->label)
-         && mm_mp_read_text (&f[8], true, (char **)&t->avoid)
-         && mm_mp_read_i64 (&f[9], &t->need.cpu_milli)
-         && mm_mp_read_i64 (&f[10], &t->need.mem_mb)
-         && mm_mp_read_i64 (&f[11], &t->need.gpus)
-         && mm_mp_read_u32 (&f[12], &t->priority)
-         && mm_mp_read_i64 (&f[13], &t->estimate_ms)
-         && mm_mp_read_i64 (&f[14], &t->due_within)
-         && mm_mp_read_i64 (&f[15], &t->start_within)
-         && mm_mp_read_bool (&f[16], &t->kept) && t->need.cpu_milli >= 0
+         && mm_mp_read_text (&f[8], true, (char **)&t->data_label)
+         && mm_mp_read_text (&f[9], true, (char **)&t->avoid)
+         && mm_mp_read_i64 (&f[10], &t->need.cpu_milli)
+         && mm_mp_read_i64 (&f[11], &t->need.mem_mb)
+         && mm_mp_read_i64 (&f[12], &t->need.gpus)
+         && mm_mp_read_u32 (&f[13], &t->priority)
+         && mm_mp_read_i64 (&f[14], &t->estimate_ms)
+         && mm_mp_read_i64 (&f[15], &t->due_within)
+         && mm_mp_read_i64 (&f[16], &t->start_within)
+         && mm_mp_read_bool (&f[17], &t->kept) && t->need.cpu_milli >= 0
          && t->need.mem_mb >= 0 && t->need.gpus >= 0;
 }
 
@@ -249,6 +251,7 @@
   g_free ((char *)m->request.service);
   g_free ((char *)m->request.payload);
   g_free ((char *)m->request.label);
+  g_free ((char *)m->request.data_label);
   g_free ((char *)m->request.avoid);
   g_free ((char *)m->result.upstream);
   g_free ((char *)m->result.why);
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -1,11 +1,9 @@
 /* mm_mesh_msg: the messages between instances, as msgpack arrays.
 
    From the instance that took a job to the owner of upstreams:
-     [RUN, no, job, step, index, service, payload, label, avoid, cpu_milli,
-      mem_mb, gpus, priority, estimate_ms, due_within_ms, start_within_ms,
-      kept]
-     [CANCEL, no, keep_end, job, step, index]
-     [BEAT]
+     [RUN, no, job, step, index, service, payload, label, data_label, avoid,
+      cpu_milli, mem_mb, gpus, priority, estimate_ms, due_within_ms,
+   start_within_ms, kept] [CANCEL, no, keep_end, job, step, index] [BEAT]
      [HELLO, name]                 first of all
      [ASK, no, verb, bytes]        about kept jobs; no 0: without an answer
    Back:
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -60,6 +60,7 @@
   g_free ((char *)w->t.service);
   g_free ((char *)w->t.payload);
   g_free ((char *)w->t.label);
+  g_free ((char *)w->t.data_label);
   g_free ((char *)w->t.avoid);
   g_free (w);
 }
@@ -316,6 +317,7 @@
   mm_place_candidate c = { .room = mm_exec_room (s->exec),
                            .slowness = mm_exec_slowness (s->exec) };
   size_t runs = mm_exec_runs (s->exec);
+  c.near_data = w->t.data_label && has_label (u, w->t.data_label);
   c.allowed = !s->frozen && mm_exec_usable (s->exec)
               && strcmp (u->service, w->t.service) == 0
               && has_label (u, w->t.label)
@@ -453,6 +455,7 @@
   w->t.service = g_strdup (t->service);
   w->t.payload = g_strdup (t->payload);
   w->t.label = g_strdup (t->label);
+  w->t.data_label = g_strdup (t->data_label);
   w->t.avoid = g_strdup (t->avoid);
   w->taken_ms = mm_clock_now_ms ();
   w->start_by_ms = w->taken_ms + t->start_within;
--- a/src/mm_submission.c
+++ b/src/mm_submission.c
@@ -12,6 +12,7 @@
     {
       g_free (s->steps[i].after);
       g_free (s->steps[i].label);
+      g_free (s->steps[i].data_label);
       g_free (s->steps[i].payload);
     }
   g_free (s->steps);
--- a/src/mm_submission.h
+++ b/src/mm_submission.h
@@ -14,6 +14,7 @@
   char *payload;             /* instead of the job's, or NULL */
   bool once;                 /* no second run of a task that may have run */
   char *label;               /* upstreams must carry it, or NULL */
+  char *data_label;          /* of upstreams near its data, or NULL */
   bool gang;                 /* all tasks at once, or none */
   bool lasting;              /* runs until cancelled */
   bool fills;                /* takes only what others leave */
--- a/src/mm_submission_codec.c
+++ b/src/mm_submission_codec.c
@@ -1,5 +1,6 @@
 /* mm_submission_codec: [id, payload, [step, ...]] with a step as [count,
-   cpu_milli, mem_mb, gpus, estimate_ms, payload, once, label, [after, ...]].
+   cpu_milli, mem_mb, gpus, estimate_ms, payload, once, label, data_label,
+   [after, ...]].
 
    Only kinds of jobs that are served are packed (mm_submission_unsupported).
  */
@@ -11,7 +12,7 @@
 enum
 {
   JOB_FIELDS = 3,
-  STEP_FIELDS = 9
+  STEP_FIELDS = 10
 };
 
 static void
@@ -26,6 +27,7 @@
   mm_mp_pack_text (pk, s->payload);
   mm_mp_pack_bool (pk, s->once);
   mm_mp_pack_text (pk, s->label);
+  mm_mp_pack_text (pk, s->data_label);
   msgpack_pack_array (pk, s->n_after);
   for (uint32_t i = 0; i < s->n_after; i++)
     msgpack_pack_uint32 (pk, s->after[i]);
@@ -72,7 +74,8 @@
          && mm_mp_read_text (&f[5], true, &s->payload)
          && mm_mp_read_bool (&f[6], &s->once)
          && mm_mp_read_text (&f[7], true, &s->label)
-         && unpack_after (&f[8], step_no, s);
+         && mm_mp_read_text (&f[8], true, &s->data_label)
+         && unpack_after (&f[9], step_no, s);
 }
 
 /**
--- a/src/mm_task.h
+++ b/src/mm_task.h
@@ -47,10 +47,11 @@
 typedef struct
 {
   mm_task_id id;
-  const char *service; /* which upstreams may run it */
-  const char *payload; /* opaque to the dispatcher */
-  const char *label;   /* an upstream must carry it, or NULL */
-  const char *avoid;   /* name of an upstream to pass over, or NULL */
+  const char *service;    /* which upstreams may run it */
+  const char *payload;    /* opaque to the dispatcher */
+  const char *label;      /* an upstream must carry it, or NULL */
+  const char *data_label; /* those that carry it are near its data, or NULL */
+  const char *avoid;      /* name of an upstream to pass over, or NULL */
   mm_need need;
   bool kept;               /* of a kept job: its end waits for its home */
   uint32_t attempt;        /* 0: has not failed yet */
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -544,6 +544,33 @@
   return c;
 }
 
+/* A task's data lies in another rack than the upstream that would be picked
+   otherwise: away from it, it takes several times as long.  */
+START_TEST (task_goes_to_the_rack_of_its_data)
+{
+  world w = world_create ();
+  char *rack_1[] = { "r1", NULL }, *rack_2[] = { "r2", NULL };
+  fake *a = fakes_add (w.f, "a", WIDE), *b = fakes_add (w.f, "b", 2 * WIDE);
+  mm_upstream_info near = *fake_info (b), far = *fake_info (a);
+  near.labels = rack_2;
+  far.labels = rack_1;
+  mm_owner_own (w.o, &far, 5);
+  mm_owner_own (w.o, &near, 5);
+  world_run (&w, 10);
+  outcome r[2] = { 0 };
+  mm_task_request t = fakes_task ("racks", 0, USUAL, 100);
+  t.data_label = "r2";
+  r[0].work = mm_owner_submit (w.o, &t, on_done, &r[0]);
+  t = fakes_task ("racks", 1, USUAL, 100);
+  t.data_label = "r9"; /* nobody's: anywhere will do */
+  r[1].work = mm_owner_submit (w.o, &t, on_done, &r[1]);
+  world_run (&w, 500);
+  ck_assert_str_eq (r[0].upstream, "b");
+  ck_assert_int_eq (r[1].how, MM_END_DONE);
+  world_destroy (&w);
+}
+END_TEST
+
 /* A kept job's task has ended, and its home has not stored that yet.  Were
    the upstream told to forget the end now, and all instances to die, the next
    ones would start the task again.  */
@@ -673,6 +700,7 @@
   tcase_add_test (c, one_lost_hold_loses_no_task);
   tcase_add_test (c, task_without_room_is_given_back_in_time);
   tcase_add_test (c, draining_upstream_gets_nothing_new);
+  tcase_add_test (c, task_goes_to_the_rack_of_its_data);
   tcase_add_test (c, end_of_a_kept_task_stays_listed_until_it_is_noted);
   tcase_add_test (c, next_owner_finds_the_ends_of_the_one_before);
   tcase_add_test (c,
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -28,6 +28,8 @@
   ck_assert_int_eq (s->steps[0].estimate_ms, 900);
   ck_assert_uint_eq (s->steps[1].n_after, 1);
   ck_assert_str_eq (s->steps[1].label, "a");
+  ck_assert_str_eq (s->steps[0].data_label, "r1-3");
+  ck_assert_ptr_null (s->steps[1].data_label);
   mm_submission_free (s);
 }
 END_TEST
