--- a/tests/harness.c
+++ b/tests/harness.c
@@ -442,3 +442,33 @@
   h_stop (h_platform, SIGKILL);
   n_en = n_up = 0;
 }
+
+GArray *
+h_runs (int n_upstreams, int *over_capacity)
+{
+  GArray *runs = g_array_new (FALSE, TRUE, sizeof (h_run));
+  for (int i = 0; i < n_upstreams; i++)
+    {
+      cJSON *o
+          = h_call ("GET", h_upstream_ports[i], "/v1/run-log", NULL, NULL);
+      if (over_capacity)
+        *over_capacity += (int)cJSON_GetNumberValue (
+            cJSON_GetObjectItem (o, "over_capacity"));
+      const cJSON *row;
+      cJSON_ArrayForEach (row, cJSON_GetObjectItem (o, "runs"))
+        {
+          const char *how
+              = cJSON_GetStringValue (cJSON_GetObjectItem (row, "how"));
+          h_run r = { .upstream = i, .done = g_strcmp0 (how, "done") == 0 };
+          g_strlcpy (r.task,
+                     cJSON_GetStringValue (cJSON_GetObjectItem (row, "task")),
+                     sizeof r.task);
+          r.from_ms
+              = cJSON_GetNumberValue (cJSON_GetObjectItem (row, "from_ms"));
+          r.to_ms = cJSON_GetNumberValue (cJSON_GetObjectItem (row, "to_ms"));
+          g_array_append_val (runs, r);
+        }
+      cJSON_Delete (o);
+    }
+  return runs;
+}
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -26,6 +26,18 @@
 int h_starts (const char *job_id, int *max_count); /* at all upstreams */
 void h_platform_fault (const char *json);
 int h_run_suite (Suite *s); /* exit status for main */
+/* A run that an upstream stand-in saw.  */
+typedef struct
+{
+  char task[64];
+  double from_ms;
+  double to_ms;
+  int upstream;
+  bool done;
+} h_run;
+/* Runs of the first upstreams; @over_capacity (or NULL) counts starts that
+   brought one over its room.  */
+GArray *h_runs (int n_upstreams, int *over_capacity);
 int h_starts_of (int upstream_port, const char *job_id, int *max_count);
 bool h_wait_json (int port, const char *path, const char *key, double want,
                   mm_time_ms timeout_ms); /* top-level number */
--- a/tests/test_kept.c
+++ b/tests/test_kept.c
@@ -73,40 +73,14 @@
   return false;
 }
 
-typedef struct
-{
-  char task[64];
-  double from_ms;
-  double to_ms;
-  bool done;
-} seen_run;
-
+/* Runs of one job's tasks.  */
 static GArray *
 look (int n_upstreams, const char *job)
 {
-  GArray *runs = g_array_new (FALSE, TRUE, sizeof (seen_run));
-  for (int i = 0; i < n_upstreams; i++)
-    {
-      cJSON *o
-          = h_call ("GET", h_upstream_ports[i], "/v1/run-log", NULL, NULL);
-      const cJSON *row;
-      cJSON_ArrayForEach (row, cJSON_GetObjectItem (o, "runs"))
-        {
-          const char *task
-              = cJSON_GetStringValue (cJSON_GetObjectItem (row, "task"));
-          const char *how
-              = cJSON_GetStringValue (cJSON_GetObjectItem (row, "how"));
-          if (!g_str_has_prefix (task, job))
-            continue;
-          seen_run r = { .done = g_strcmp0 (how, "done") == 0 };
-          g_strlcpy (r.task, task, sizeof r.task);
-          r.from_ms
-              = cJSON_GetNumberValue (cJSON_GetObjectItem (row, "from_ms"));
-          r.to_ms = cJSON_GetNumberValue (cJSON_GetObjectItem (row, "to_ms"));
-          g_array_append_val (runs, r);
-        }
-      cJSON_Delete (o);
-    }
+  GArray *runs = h_runs (n_upstreams, NULL);
+  for (guint i = runs->len; i-- > 0;)
+    if (!g_str_has_prefix (g_array_index (runs, h_run, i).task, job))
+      g_array_remove_index (runs, i);
   return runs;
 }
 
@@ -119,11 +93,11 @@
   guint done = 0;
   for (guint i = 0; i < runs->len; i++)
     {
-      const seen_run *a = &g_array_index (runs, seen_run, i);
+      const h_run *a = &g_array_index (runs, h_run, i);
       done += a->done;
       for (guint k = 0; k < runs->len; k++)
         {
-          const seen_run *b = &g_array_index (runs, seen_run, k);
+          const h_run *b = &g_array_index (runs, h_run, k);
           if (i == k || strcmp (a->task, b->task) != 0)
             continue;
           ck_assert_msg (a->to_ms <= b->from_ms || b->to_ms <= a->from_ms,
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -26,69 +26,24 @@
 
 /* ---- what upstreams saw ----------------------------------------------- */
 
-typedef struct
-{
-  char task[64];
-  double from_ms;
-  double to_ms;
-  int upstream;
-  bool done;
-} seen_run;
-
-typedef struct
-{
-  GArray *runs; /* seen_run */
-  int over_capacity;
-} sightings;
-
-static sightings
-look (int n_upstreams)
-{
-  sightings s = { .runs = g_array_new (FALSE, TRUE, sizeof (seen_run)) };
-  for (int i = 0; i < n_upstreams; i++)
-    {
-      cJSON *o
-          = h_call ("GET", h_upstream_ports[i], "/v1/run-log", NULL, NULL);
-      s.over_capacity += (int)cJSON_GetNumberValue (
-          cJSON_GetObjectItem (o, "over_capacity"));
-      const cJSON *row;
-      cJSON_ArrayForEach (row, cJSON_GetObjectItem (o, "runs"))
-        {
-          seen_run r = { .upstream = i };
-          g_strlcpy (r.task,
-                     cJSON_GetStringValue (cJSON_GetObjectItem (row, "task")),
-                     sizeof r.task);
-          r.from_ms
-              = cJSON_GetNumberValue (cJSON_GetObjectItem (row, "from_ms"));
-          r.to_ms = cJSON_GetNumberValue (cJSON_GetObjectItem (row, "to_ms"));
-          r.done = g_strcmp0 (
-                       cJSON_GetStringValue (cJSON_GetObjectItem (row, "how")),
-                       "done")
-                   == 0;
-          g_array_append_val (s.runs, r);
-        }
-      cJSON_Delete (o);
-    }
-  return s;
-}
-
 /* No upstream over its room, no task twice at once.  */
 static void
 assert_kept_promises (int n_upstreams)
 {
-  sightings s = look (n_upstreams);
-  ck_assert_int_eq (s.over_capacity, 0);
-  for (guint i = 0; i < s.runs->len; i++)
-    for (guint k = i + 1; k < s.runs->len; k++)
+  int over_capacity = 0;
+  GArray *runs = h_runs (n_upstreams, &over_capacity);
+  ck_assert_int_eq (over_capacity, 0);
+  for (guint i = 0; i < runs->len; i++)
+    for (guint k = i + 1; k < runs->len; k++)
       {
-        seen_run *a = &g_array_index (s.runs, seen_run, i);
-        seen_run *b = &g_array_index (s.runs, seen_run, k);
+        h_run *a = &g_array_index (runs, h_run, i);
+        h_run *b = &g_array_index (runs, h_run, k);
         bool apart = a->to_ms <= b->from_ms || b->to_ms <= a->from_ms;
         ck_assert_msg (strcmp (a->task, b->task) != 0 || apart,
                        "%s ran twice at once, at %d and %d", a->task,
                        a->upstream, b->upstream);
       }
-  g_array_free (s.runs, TRUE);
+  g_array_free (runs, TRUE);
 }
 
 static pid_t
@@ -127,11 +82,11 @@
 static int
 runs_of (int n_upstreams, const char *job)
 {
-  sightings s = look (n_upstreams);
+  GArray *runs = h_runs (n_upstreams, NULL);
   int n = 0;
-  for (guint i = 0; i < s.runs->len; i++)
-    n += g_str_has_prefix (g_array_index (s.runs, seen_run, i).task, job);
-  g_array_free (s.runs, TRUE);
+  for (guint i = 0; i < runs->len; i++)
+    n += g_str_has_prefix (g_array_index (runs, h_run, i).task, job);
+  g_array_free (runs, TRUE);
   return n;
 }
 
@@ -395,13 +350,13 @@
   ck_assert (h_answered (before));
   for (int i = 0; i < 4; i++)
     ck_assert (h_answered (submit_no (i % 2, "late", i, 2, 50, true)));
-  sightings s = look (2);
-  for (guint i = 0; i < s.runs->len; i++)
+  GArray *runs = h_runs (2, NULL);
+  for (guint i = 0; i < runs->len; i++)
     {
-      seen_run *r = &g_array_index (s.runs, seen_run, i);
+      h_run *r = &g_array_index (runs, h_run, i);
       ck_assert (r->upstream != 0 || !g_str_has_prefix (r->task, "late"));
     }
-  g_array_free (s.runs, TRUE);
+  g_array_free (runs, TRUE);
   h_cluster_stop ();
 }
 END_TEST
