--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -5,95 +5,24 @@
    the owner stops the tasks that came over it, as their callers may send
    the job again elsewhere; the sender reports them as out of sight.  */
 #define _GNU_SOURCE
-#include "mm_mesh.h"
+#include "mm_mesh_priv.h"
 
 #include "config.h"
 #include "mm_event.h"
-#include "mm_link.h"
 #include "mm_metrics.h"
-#include "mm_mesh_msg.h"
-#include "mm_neighbours.h"
 
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-typedef struct
-{
-  mm_mesh *mesh;
-  mm_peer_info info;
-  mm_link *link;
-  bool listed;          /* as a holder of upstreams */
-  mm_time_ms known_ms;  /* since when it is known */
-  bool chosen;          /* a neighbour: to be linked to */
-  bool connected;       /* a report has come over this link */
-  mm_time_ms lost_ms;   /* when a link to it was last lost, 0: never */
-  mm_time_ms needed_ms; /* until then it is linked to in any case */
-  mm_questions *questions;
-  mm_time_ms tried_ms;
-  mm_time_ms beat_ms;
-  uint64_t next_no;
-  uint64_t seen_no;   /* highest task that its report counts */
-  GHashTable *remote; /* no -> mm_remote */
-  mm_mesh_room *rooms;
-  size_t n_rooms;
-  mm_time_ms report_ms; /* when they came */
-} peer;
-
-struct mm_remote
-{
-  peer *peer;
-  uint64_t no;
-  mm_task_id task;
-  mm_work_done done;
-  void *ctx;
-};
-
-typedef struct
-{
-  mm_mesh *mesh;
-  mm_link *link;
-  GHashTable *works; /* no -> taken */
-  GList *replies;    /* mm_mesh_reply that are owed */
-  uint64_t seen_no;
-  mm_time_ms report_ms;
-  GByteArray *last_report;
-} inbound;
-
-struct mm_mesh_reply
-{
-  inbound *to; /* NULL once its link is closed */
-  uint64_t no;
-};
-
 /* A task taken in over a link.  */
 typedef struct
 {
-  inbound *from;
+  mm_mesh_inbound_link *from;
   uint64_t no;
   mm_work *work;
 } taken;
 
-struct mm_mesh
-{
-  struct ev_loop *loop;
-  mm_owner *owner;
-  char *self;
-  char *datacentre;
-  int listen_fd;
-  ev_io accept_io;
-  GHashTable *peers; /* name -> peer */
-  GList *inbound;
-  mm_mesh_hello hello;
-  void *hello_ctx;
-  mm_mesh_asked asked;
-  void *asked_ctx;
-  GHashTable *closed_ms; /* data centre -> when a link was closed */
-  bool choose_again;     /* a peer came, went, or lost its link */
-  mm_time_ms chosen_ms;  /* when neighbours were last chosen */
-  bool chosen_up;        /* links to all of them are connected */
-};
-
 static const char silent[] = "silent"; /* why a link was given up */
 static const char unneeded[] = "not a neighbour any more";
 
@@ -103,7 +32,7 @@
 on_taken_done (void *ctx, const mm_work_result *r)
 {
   taken *t = ctx;
-  inbound *in = t->from;
+  mm_mesh_inbound_link *in = t->from;
   msgpack_sbuffer b;
   msgpack_sbuffer_init (&b);
   mm_mesh_pack_ended (&b, t->no, r);
@@ -113,7 +42,7 @@
 }
 
 static void
-take_run (inbound *in, const mm_mesh_msg *m)
+take_run (mm_mesh_inbound_link *in, const mm_mesh_msg *m)
 {
   if (g_hash_table_contains (in->works, &m->no))
     return;
@@ -126,7 +55,7 @@
 }
 
 static void
-take_cancel (inbound *in, const mm_mesh_msg *m)
+take_cancel (mm_mesh_inbound_link *in, const mm_mesh_msg *m)
 {
   uint64_t no = m->no;
   taken *t = g_hash_table_lookup (in->works, &no);
@@ -141,49 +70,10 @@
   g_hash_table_remove (in->works, &no);
 }
 
-static void
-take_ask (inbound *in, const mm_mesh_msg *m)
-{
-  mm_mesh *mesh = in->mesh;
-  mm_mesh_reply *r = NULL;
-  if (!mesh->asked)
-    return;
-  if (m->no)
-    {
-      r = g_new (mm_mesh_reply, 1);
-      *r = (mm_mesh_reply){ .to = in, .no = m->no };
-      in->replies = g_list_prepend (in->replies, r);
-    }
-  mesh->asked (mesh->asked_ctx, m->verb, m->data, m->len, r);
-}
-
-void
-mm_mesh_on_asked (mm_mesh *m, mm_mesh_asked asked, void *ctx)
-{
-  m->asked = asked;
-  m->asked_ctx = ctx;
-}
-
-void
-mm_mesh_answer (mm_mesh_reply *reply, const void *data, size_t len)
-{
-  inbound *in = reply->to;
-  if (in)
-    {
-      in->replies = g_list_remove (in->replies, reply);
-      msgpack_sbuffer b;
-      msgpack_sbuffer_init (&b);
-      mm_mesh_pack_told (&b, reply->no, data, len);
-      mm_link_send (in->link, &b);
-      msgpack_sbuffer_destroy (&b);
-    }
-  g_free (reply);
-}
-
 static bool
 on_inbound_object (void *ctx, const msgpack_object *o)
 {
-  inbound *in = ctx;
+  mm_mesh_inbound_link *in = ctx;
   mm_mesh_msg m;
   bool ok = mm_mesh_msg_read (o, &m);
   if (ok && m.kind == MM_MESH_RUN)
@@ -191,7 +81,7 @@
   else if (ok && m.kind == MM_MESH_CANCEL)
     take_cancel (in, &m);
   else if (ok && m.kind == MM_MESH_ASK)
-    take_ask (in, &m);
+    mm_mesh_take_ask (in, &m);
   else if (ok && m.kind == MM_MESH_HELLO && in->mesh->hello)
     in->mesh->hello (in->mesh->hello_ctx, m.name);
   else
@@ -203,7 +93,7 @@
 static void
 on_inbound_closed (void *ctx, const char *why)
 {
-  inbound *in = ctx;
+  mm_mesh_inbound_link *in = ctx;
   mm_mesh *m = in->mesh;
   guint n = g_hash_table_size (in->works);
   if (n)
@@ -229,7 +119,7 @@
   int fd = accept4 (m->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
   if (fd < 0)
     return;
-  inbound *in = g_new0 (inbound, 1);
+  mm_mesh_inbound_link *in = g_new0 (mm_mesh_inbound_link, 1);
   in->mesh = m;
   in->works
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -258,7 +148,8 @@
 
 /* Tell of our room when it changed, and now and then as a sign of life. */
 static void
-send_report (inbound *in, const mm_mesh_room *rooms, size_t n, mm_time_ms now)
+send_report (mm_mesh_inbound_link *in, const mm_mesh_room *rooms, size_t n,
+             mm_time_ms now)
 {
   mm_time_ms pause_ms
       = g_list_length (in->mesh->inbound) * 1000 / MM_MESH_REPORTS_PER_S;
@@ -283,7 +174,7 @@
 /* ---- the sender's side ------------------------------------------------ */
 
 static void
-take_ended (peer *p, const mm_mesh_msg *m)
+take_ended (mm_mesh_peer *p, const mm_mesh_msg *m)
 {
   mm_remote *r = g_hash_table_lookup (p->remote, &m->no);
   if (!r)
@@ -299,7 +190,7 @@
    new one answers at its address: under both names its room would count
    twice.  Return: false for another instance than the one meant.  */
 static bool
-take_report (peer *p, mm_mesh_msg *m)
+take_report (mm_mesh_peer *p, mm_mesh_msg *m)
 {
   if (strcmp (m->name, p->info.name) != 0)
     return false;
@@ -318,7 +209,7 @@
 static bool
 on_peer_object (void *ctx, const msgpack_object *o)
 {
-  peer *p = ctx;
+  mm_mesh_peer *p = ctx;
   mm_mesh_msg m;
   bool ok = mm_mesh_msg_read (o, &m);
   if (ok && m.kind == MM_MESH_ENDED)
@@ -339,7 +230,7 @@
 /* A process that ends closes its links; one that is cut off, frozen or
    without power leaves them silent.  */
 static void
-note_closed (peer *p, const char *why)
+note_closed (mm_mesh_peer *p, const char *why)
 {
   if (why == silent || why == unneeded)
     return;
@@ -352,7 +243,7 @@
 static void
 on_peer_closed (void *ctx, const char *why)
 {
-  peer *p = ctx;
+  mm_mesh_peer *p = ctx;
   if (p->connected)
     {
       note_closed (p, why);
@@ -381,7 +272,7 @@
 }
 
 static void
-peer_connect (peer *p, mm_time_ms now)
+peer_connect (mm_mesh_peer *p, mm_time_ms now)
 {
   if (now - p->tried_ms < MM_MESH_RECONNECT_MS)
     return;
@@ -416,7 +307,7 @@
 static void
 peer_free (gpointer v)
 {
-  peer *p = v;
+  mm_mesh_peer *p = v;
   if (p->link)
     mm_link_close (p->link, "peer not listed any more");
   g_hash_table_destroy (p->remote);
@@ -429,14 +320,14 @@
 /* A link that is not needed any more is kept until all chosen ones are up:
    one that replaces it may be to an instance that is gone.  */
 static bool
-unneeded_now (const peer *p)
+unneeded_now (const mm_mesh_peer *p)
 {
   return p->link && !p->chosen && p->mesh->chosen_up
          && g_hash_table_size (p->remote) == 0;
 }
 
 static void
-peer_tick (peer *p, mm_time_ms now)
+peer_tick (mm_mesh_peer *p, mm_time_ms now)
 {
   if (p->link && now - mm_link_heard_ms (p->link) > MM_MESH_SILENT_MS)
     mm_link_close (p->link, silent);
@@ -502,7 +393,8 @@
   ev_io_stop (m->loop, &m->accept_io);
   close (m->listen_fd);
   while (m->inbound)
-    mm_link_close (((inbound *)m->inbound->data)->link, "shutdown");
+    mm_link_close (((mm_mesh_inbound_link *)m->inbound->data)->link,
+                   "shutdown");
   g_hash_table_destroy (m->peers);
   g_hash_table_destroy (m->closed_ms);
   g_free (m->self);
@@ -510,42 +402,6 @@
   g_free (m);
 }
 
-static bool
-is_listed (const char *name, const mm_peer_info *peers, size_t n)
-{
-  for (size_t i = 0; i < n; i++)
-    if (strcmp (peers[i].name, name) == 0)
-      return true;
-  return false;
-}
-
-/**
- * mm_mesh_set_peers() - who the other instances are.
- * @m: the mesh.
- * @peers: without ourselves; copied.
- * @n: their number.
- *
- * A peer not listed any more is kept while its link lives: the list lags,
- * and what runs there goes on.
- */
-void
-mm_mesh_set_peers (mm_mesh *m, const mm_peer_info *peers, size_t n)
-{
-  GHashTableIter it;
-  gpointer k, v;
-  g_hash_table_iter_init (&it, m->peers);
-  while (g_hash_table_iter_next (&it, &k, &v))
-    {
-      ((peer *)v)->info.stands_in = false;
-      ((peer *)v)->listed = is_listed (k, peers, n);
-      if (!((peer *)v)->connected && !((peer *)v)->listed)
-        g_hash_table_iter_remove (&it);
-    }
-  m->choose_again = true;
-  for (size_t i = 0; i < n; i++)
-    mm_mesh_add_peer (m, &peers[i]);
-}
-
 /**
  * mm_mesh_on_hello() - learn of instances that link to us.
  * @m: the mesh.
@@ -559,30 +415,8 @@
   m->hello_ctx = ctx;
 }
 
-void
-mm_mesh_add_peer (mm_mesh *m, const mm_peer_info *info)
-{
-  peer *p = g_hash_table_lookup (m->peers, info->name);
-  if (p)
-    {
-      p->info.stands_in = p->info.stands_in || info->stands_in;
-      return;
-    }
-  m->choose_again = true;
-  p = g_new0 (peer, 1);
-  p->mesh = m;
-  p->info.name = g_strdup (info->name);
-  p->info.addr = g_strdup (info->addr);
-  p->info.datacentre = g_strdup (info->datacentre);
-  p->info.stands_in = info->stands_in;
-  p->known_ms = mm_clock_now_ms ();
-  p->remote = g_hash_table_new (g_int64_hash, g_int64_equal);
-  p->questions = mm_questions_create ();
-  g_hash_table_insert (m->peers, p->info.name, p);
-}
-
 static mm_room_report
-room_at (const peer *p, const char *service)
+room_at (const mm_mesh_peer *p, const char *service)
 {
   mm_room_report r = { 0 };
   for (size_t i = 0; i < p->n_rooms; i++)
@@ -606,7 +440,7 @@
   g_hash_table_iter_init (&it, m->peers);
   while (n < cap && g_hash_table_iter_next (&it, NULL, &v))
     {
-      peer *p = v;
+      mm_mesh_peer *p = v;
       if (!p->connected)
         continue;
       out[n].name = p->info.name;
@@ -632,7 +466,7 @@
 mm_mesh_submit (mm_mesh *m, const char *peer_name, const mm_task_request *t,
                 mm_work_done done, void *ctx)
 {
-  peer *p = g_hash_table_lookup (m->peers, peer_name);
+  mm_mesh_peer *p = g_hash_table_lookup (m->peers, peer_name);
   if (!p || !p->connected)
     return NULL;
   mm_remote *r = g_new0 (mm_remote, 1);
@@ -653,7 +487,7 @@
 void
 mm_mesh_cancel (mm_mesh *m, mm_remote *r, bool keep_end)
 {
-  peer *p = r->peer;
+  mm_mesh_peer *p = r->peer;
   g_hash_table_remove (p->remote, &r->no);
   if (p->link)
     {
@@ -666,158 +500,18 @@
   g_free (r);
 }
 
-void
-mm_mesh_ask (mm_mesh *m, const char *peer_name, uint32_t verb,
-             const void *data, size_t len, mm_time_ms timeout_ms, mm_told told,
-             void *ctx)
-{
-  peer *p = g_hash_table_lookup (m->peers, peer_name);
-  if (!p || !p->connected)
-    {
-      if (told)
-        told (ctx, false, NULL, 0);
-      return;
-    }
-  mm_time_ms until_ms = mm_clock_now_ms () + timeout_ms;
-  uint64_t no
-      = told ? mm_questions_add (p->questions, until_ms, told, ctx) : 0;
-  msgpack_sbuffer b;
-  msgpack_sbuffer_init (&b);
-  mm_mesh_pack_ask (&b, no, verb, data, len);
-  mm_link_send (p->link, &b);
-  msgpack_sbuffer_destroy (&b);
-}
-
-void
-mm_mesh_need (mm_mesh *m, const char *peer_name)
-{
-  mm_time_ms until_ms = mm_clock_now_ms () + MM_MESH_NEEDED_MS;
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init (&it, m->peers);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    {
-      peer *p = v;
-      if (peer_name && strcmp (p->info.name, peer_name) != 0)
-        continue;
-      m->choose_again = m->choose_again || !p->chosen;
-      p->needed_ms = until_ms;
-    }
-}
-
-bool
-mm_mesh_is_connected (const mm_mesh *m, const char *peer_name)
-{
-  const peer *p = g_hash_table_lookup (m->peers, peer_name);
-  return p && p->connected;
-}
-
-GList *
-mm_mesh_peers (const mm_mesh *m)
-{
-  GList *names = NULL;
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init (&it, m->peers);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    if (((peer *)v)->connected)
-      names = g_list_prepend (names, ((peer *)v)->info.name);
-  return names;
-}
-
-/* One that holds no upstreams has no room to offer.  A newcomer may hold
-   some that the list does not show yet.  */
-static bool
-may_have_room (const peer *p, mm_time_ms now)
-{
-  return p->listed || now - p->known_ms < MM_NEIGHBOUR_NEW_MS;
-}
-
-mm_mesh_presence
-mm_mesh_presence_in (const mm_mesh *m, const char *datacentre)
-{
-  mm_mesh_presence r = { 0 };
-  mm_time_ms now = mm_clock_now_ms ();
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init (&it, m->peers);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    {
-      const peer *p = v;
-      if (strcmp (p->info.datacentre, datacentre) != 0)
-        continue;
-      r.connected += p->connected;
-      r.untried
-          += may_have_room (p, now)
-             && (!p->lost_ms || now - p->lost_ms >= MM_NEIGHBOUR_LOST_MS);
-    }
-  const mm_time_ms *closed = g_hash_table_lookup (m->closed_ms, datacentre);
-  r.closed_ms = closed ? *closed : 0;
-  return r;
-}
-
-uint32_t
-mm_mesh_connected (const mm_mesh *m)
-{
-  uint32_t n = 0;
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init (&it, m->peers);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    n += ((peer *)v)->connected;
-  return n;
-}
-
-uint32_t
-mm_mesh_inbound (const mm_mesh *m)
-{
-  return g_list_length (m->inbound);
-}
-
 void
 mm_mesh_woke (mm_mesh *m)
 {
   while (m->inbound)
-    mm_link_close (((inbound *)m->inbound->data)->link, "we stood still");
+    mm_link_close (((mm_mesh_inbound_link *)m->inbound->data)->link,
+                   "we stood still");
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init (&it, m->peers);
   while (g_hash_table_iter_next (&it, NULL, &v))
-    if (((peer *)v)->link)
-      mm_link_close (((peer *)v)->link, "we stood still");
-}
-
-static void
-choose_neighbours (mm_mesh *m, mm_time_ms now)
-{
-  guint n = g_hash_table_size (m->peers);
-  mm_neighbour *c = g_new0 (mm_neighbour, n + 1);
-  peer **at = g_new0 (peer *, n + 1);
-  bool *chosen = g_new0 (bool, n + 1);
-  GHashTableIter it;
-  gpointer v;
-  guint i = 0;
-  g_hash_table_iter_init (&it, m->peers);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    {
-      at[i] = v;
-      at[i]->chosen = at[i]->needed_ms > now;
-      if (!may_have_room (at[i], now))
-        continue;
-      c[i] = (mm_neighbour){ .name = at[i]->info.name,
-                             .datacentre = at[i]->info.datacentre,
-                             .stands_in = at[i]->info.stands_in,
-                             .lost_ms = at[i]->lost_ms };
-      i++;
-    }
-  mm_neighbours_choose (m->self, m->datacentre, c, i, now, chosen);
-  for (n = i, i = 0; i < n; i++)
-    at[i]->chosen = at[i]->chosen || chosen[i];
-  m->choose_again = false;
-  m->chosen_ms = now;
-  g_free (chosen);
-  g_free (at);
-  g_free (c);
+    if (((mm_mesh_peer *)v)->link)
+      mm_link_close (((mm_mesh_peer *)v)->link, "we stood still");
 }
 
 void
@@ -825,12 +519,12 @@
 {
   mm_time_ms now = mm_clock_now_ms ();
   if (m->choose_again || now - m->chosen_ms >= MM_NEIGHBOURS_CHECK_MS)
-    choose_neighbours (m, now);
+    mm_mesh_choose_neighbours (m, now);
   GList *peers = g_hash_table_get_values (m->peers);
   m->chosen_up = true;
   for (GList *l = peers; l; l = l->next)
     {
-      const peer *p = l->data;
+      const mm_mesh_peer *p = l->data;
       m->chosen_up = m->chosen_up && (p->connected || !p->chosen);
     }
   for (GList *l = peers; l; l = l->next)
@@ -842,7 +536,7 @@
   for (GList *l = m->inbound; l; l = next)
     {
       next = l->next;
-      inbound *in = l->data;
+      mm_mesh_inbound_link *in = l->data;
       if (now - mm_link_heard_ms (in->link) > MM_MESH_SILENT_MS)
         mm_link_close (in->link, silent);
       else
--- /dev/null
+++ b/src/mm_mesh_peers.c
@@ -0,0 +1,184 @@
+/* mm_mesh_peers: who the other instances are, and which are linked to.  */
+#include "mm_mesh_priv.h"
+
+#include "config.h"
+#include "mm_neighbours.h"
+
+#include <string.h>
+
+static bool
+is_listed (const char *name, const mm_peer_info *peers, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    if (strcmp (peers[i].name, name) == 0)
+      return true;
+  return false;
+}
+
+/**
+ * mm_mesh_set_peers() - who the other instances are.
+ * @m: the mesh.
+ * @peers: without ourselves; copied.
+ * @n: their number.
+ *
+ * A peer not listed any more is kept while its link lives: the list lags,
+ * and what runs there goes on.
+ */
+void
+mm_mesh_set_peers (mm_mesh *m, const mm_peer_info *peers, size_t n)
+{
+  GHashTableIter it;
+  gpointer k, v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, &k, &v))
+    {
+      ((mm_mesh_peer *)v)->info.stands_in = false;
+      ((mm_mesh_peer *)v)->listed = is_listed (k, peers, n);
+      if (!((mm_mesh_peer *)v)->connected && !((mm_mesh_peer *)v)->listed)
+        g_hash_table_iter_remove (&it);
+    }
+  m->choose_again = true;
+  for (size_t i = 0; i < n; i++)
+    mm_mesh_add_peer (m, &peers[i]);
+}
+
+void
+mm_mesh_add_peer (mm_mesh *m, const mm_peer_info *info)
+{
+  mm_mesh_peer *p = g_hash_table_lookup (m->peers, info->name);
+  if (p)
+    {
+      p->info.stands_in = p->info.stands_in || info->stands_in;
+      return;
+    }
+  m->choose_again = true;
+  p = g_new0 (mm_mesh_peer, 1);
+  p->mesh = m;
+  p->info.name = g_strdup (info->name);
+  p->info.addr = g_strdup (info->addr);
+  p->info.datacentre = g_strdup (info->datacentre);
+  p->info.stands_in = info->stands_in;
+  p->known_ms = mm_clock_now_ms ();
+  p->remote = g_hash_table_new (g_int64_hash, g_int64_equal);
+  p->questions = mm_questions_create ();
+  g_hash_table_insert (m->peers, p->info.name, p);
+}
+
+/* One that holds no upstreams has no room to offer.  A newcomer may hold
+   some that the list does not show yet.  */
+static bool
+may_have_room (const mm_mesh_peer *p, mm_time_ms now)
+{
+  return p->listed || now - p->known_ms < MM_NEIGHBOUR_NEW_MS;
+}
+
+mm_mesh_presence
+mm_mesh_presence_in (const mm_mesh *m, const char *datacentre)
+{
+  mm_mesh_presence r = { 0 };
+  mm_time_ms now = mm_clock_now_ms ();
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      const mm_mesh_peer *p = v;
+      if (strcmp (p->info.datacentre, datacentre) != 0)
+        continue;
+      r.connected += p->connected;
+      r.untried
+          += may_have_room (p, now)
+             && (!p->lost_ms || now - p->lost_ms >= MM_NEIGHBOUR_LOST_MS);
+    }
+  const mm_time_ms *closed = g_hash_table_lookup (m->closed_ms, datacentre);
+  r.closed_ms = closed ? *closed : 0;
+  return r;
+}
+
+void
+mm_mesh_need (mm_mesh *m, const char *peer_name)
+{
+  mm_time_ms until_ms = mm_clock_now_ms () + MM_MESH_NEEDED_MS;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      mm_mesh_peer *p = v;
+      if (peer_name && strcmp (p->info.name, peer_name) != 0)
+        continue;
+      m->choose_again = m->choose_again || !p->chosen;
+      p->needed_ms = until_ms;
+    }
+}
+
+bool
+mm_mesh_is_connected (const mm_mesh *m, const char *peer_name)
+{
+  const mm_mesh_peer *p = g_hash_table_lookup (m->peers, peer_name);
+  return p && p->connected;
+}
+
+GList *
+mm_mesh_peers (const mm_mesh *m)
+{
+  GList *names = NULL;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    if (((mm_mesh_peer *)v)->connected)
+      names = g_list_prepend (names, ((mm_mesh_peer *)v)->info.name);
+  return names;
+}
+
+uint32_t
+mm_mesh_connected (const mm_mesh *m)
+{
+  uint32_t n = 0;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    n += ((mm_mesh_peer *)v)->connected;
+  return n;
+}
+
+uint32_t
+mm_mesh_inbound (const mm_mesh *m)
+{
+  return g_list_length (m->inbound);
+}
+
+void
+mm_mesh_choose_neighbours (mm_mesh *m, mm_time_ms now)
+{
+  guint n = g_hash_table_size (m->peers);
+  mm_neighbour *c = g_new0 (mm_neighbour, n + 1);
+  mm_mesh_peer **at = g_new0 (mm_mesh_peer *, n + 1);
+  bool *chosen = g_new0 (bool, n + 1);
+  GHashTableIter it;
+  gpointer v;
+  guint i = 0;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      at[i] = v;
+      at[i]->chosen = at[i]->needed_ms > now;
+      if (!may_have_room (at[i], now))
+        continue;
+      c[i] = (mm_neighbour){ .name = at[i]->info.name,
+                             .datacentre = at[i]->info.datacentre,
+                             .stands_in = at[i]->info.stands_in,
+                             .lost_ms = at[i]->lost_ms };
+      i++;
+    }
+  mm_neighbours_choose (m->self, m->datacentre, c, i, now, chosen);
+  for (n = i, i = 0; i < n; i++)
+    at[i]->chosen = at[i]->chosen || chosen[i];
+  m->choose_again = false;
+  m->chosen_ms = now;
+  g_free (chosen);
+  g_free (at);
+  g_free (c);
+}
