A start that was never answered is not called unrun when its lease is over

Cause: soak: a link cut one way; the start arrived and was stopped, no answer came; past the lease the run was given back as not run, and a task that must run once was started again. Ruled out: the search for lost tasks (the job was no kept one), the stop (it was carried out). Now such a run is lost: it may have run. Homes of kept jobs are looked up every 0.3 s until all are known (a cancel was refused with 503 for 3 s before).

--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -495,11 +495,9 @@
   for (GList *l = runs; l && !x->closed; l = l->next)
     {
       mm_exec_run *r = l->data;
-      if (r->phase == RUN_ORDERED)
-        continue;
-      mm_exec_release (r,
-                       r->phase == RUN_RUNNING ? MM_END_LOST : MM_END_NOT_RUN,
-                       "lease expired out of contact");
+      /* Also one whose start was never answered: it may have run.  */
+      if (r->phase != RUN_ORDERED)
+        mm_exec_release (r, MM_END_LOST, "lease expired out of contact");
     }
   g_list_free (runs);
   x->seen = false;
--- a/src/mm_homes.c
+++ b/src/mm_homes.c
@@ -20,6 +20,7 @@
   bool in_flight;
   mm_time_ms due_ms;
   mm_time_ms used_ms;
+  bool whole; /* every partition has a home */
 };
 
 static void
@@ -99,6 +100,7 @@
             g_free (*home);
             *home = g_strdup (res->holders[i].member);
           }
+      h->whole = res->n_holders >= h->parts;
       for (size_t i = 0; i < res->n_members; i++)
         know_peer (h, res->members[i]);
     }
@@ -127,7 +129,12 @@
     h->used_ms = 0;
   if (h->in_flight || now < h->due_ms)
     return;
-  h->due_ms = now + (h->used_ms ? MM_KEPT_HOMES_POLL_MS : MM_MEMBERS_POLL_MS);
+  /* Soon again while homes are being dealt out: until they are known, every
+     request about a kept job is refused.  */
+  mm_time_ms pause_ms = !h->whole    ? MM_GROUP_BEAT_MS
+                        : h->used_ms ? MM_KEPT_HOMES_POLL_MS
+                                     : MM_MEMBERS_POLL_MS;
+  h->due_ms = now + pause_ms;
   h->in_flight = true;
   h->refs++;
   h->port.members (h->port.ctx, MM_JOBS_GROUP, MM_STORE_TIMEOUT_MS, on_holders,
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -180,6 +180,25 @@
 }
 END_TEST
 
+/* A cut one way: the order to start arrives, and so does its stop; no answer
+   comes back.  The task ran for a while: told as not run, it would be started
+   again, though it must run at most once.  */
+START_TEST (task_whose_start_was_never_answered_is_not_called_unrun)
+{
+  world w = world_create ();
+  fake *a = world_add (&w, "a");
+  world_run (&w, 10);
+  outcome r;
+  fake_mode_of (a)->mute = true;
+  submit (&w, &r, "mute", 0, 8000);
+  world_run (&w, 2500);
+  ck_assert_uint_eq (r.answers, 1);
+  ck_assert_int_eq (r.how, MM_END_LOST);
+  ck_assert_uint_eq (fakes_count (w.f).starts, 1);
+  world_destroy (&w);
+}
+END_TEST
+
 /* An upstream is cut off with a task on it.  The caller's task must not
    be started elsewhere while its lease can still run there, and must be
    reported lost once the lease is over, not only when contact returns.  */
@@ -687,6 +706,7 @@
   tcase_add_test (c, order_carried_out_late_finds_its_room_free);
   tcase_add_test (c, task_that_ran_before_its_stop_is_not_called_unrun);
   tcase_add_test (c, order_without_any_answer_is_waited_out);
+  tcase_add_test (c, task_whose_start_was_never_answered_is_not_called_unrun);
   tcase_add_test (c, cut_off_upstream_loses_its_task_with_the_lease);
   tcase_add_test (c, answers_lost_one_way_do_not_prolong_leases);
   tcase_add_test (c, new_owner_stops_what_it_finds_before_it_starts);
