Test cases hold their block of ports: two started on each other's stand-ins

Ruled out: load (the stand-in failed at once, 'port in use'). Now a case listens on the last port of its block while it runs, and test_mesh uses 36 ports.

--- a/tests/harness.c
+++ b/tests/harness.c
@@ -17,11 +17,47 @@
 int h_platform_port, h_upstream_ports[8], h_entry_ports[8];
 static int n_up, n_en;
 
+/* Test cases run side by side, each in a block of ports of its own, below the
+   ephemeral range (32768 up), so that no client socket holds one.  The last
+   port of a block is listened on for as long as the case runs: two cases
+   whose process ids fell on one block started on each other's stand-ins.  */
+#define FIRST_PORT 10000
+#define PORT_BLOCKS 500
+#define PORTS_PER_BLOCK 40
+
+static bool
+take_port (int port)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET,
+                           .sin_port = htons ((uint16_t)port),
+                           .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (fd >= 0 && bind (fd, (struct sockaddr *)&a, sizeof a) == 0
+      && listen (fd, 1) == 0)
+    return true;
+  if (fd >= 0)
+    close (fd);
+  return false;
+}
+
 int
 h_port_base (void)
 {
-  /* Below the ephemeral range (32768 up), so no client socket holds it. */
-  return 10000 + (int)(getpid () % 500) * 40;
+  static int base;
+  static pid_t owner; /* each test case is a process of its own */
+  if (owner == getpid ())
+    return base;
+  owner = getpid ();
+  int block = owner % PORT_BLOCKS;
+  for (int tried = 0; tried < PORT_BLOCKS; tried++)
+    {
+      base = FIRST_PORT + block * PORTS_PER_BLOCK;
+      if (take_port (base + PORTS_PER_BLOCK - 1))
+        return base;
+      block = (block + 1) % PORT_BLOCKS;
+    }
+  ck_abort_msg ("no free block of ports");
+  return 0;
 }
 
 /* A test that fails once is traced by what its processes logged.  */
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -9,7 +9,7 @@
 #include <check.h>
 #include <string.h>
 
-#define INSTANCES 42
+#define INSTANCES 36 /* as many ports as a test case has, less a few */
 #define DATACENTRES 3
 
 static const char *const dc_names[DATACENTRES] = { "north", "east", "south" };
