Ends of an earlier owner are held longer as soon as kept jobs are heard of

Cause: an owner that has just started forgets its predecessor's ends after 2 s unless it was handed a kept task; a home that is cut off for longer then finds no trace of a task that is done, and starts it again.

--- a/src/mm_kept.c
+++ b/src/mm_kept.c
@@ -234,6 +234,10 @@
   for (uint32_t i = 0; i < k->p.parts; i++)
     if (k->home[i])
       mm_home_tick (k->home[i], may_start (k, i, now));
+  /* A newly started owner hears of kept jobs here first: the ends of the
+     owner before it must not be forgotten after MM_FOREIGN_END_MS.  */
+  if (mm_kept_open (k))
+    mm_owner_expect_kept (k->p.owner);
   hand_over (k, now);
   look_for_lost (k, list_fresh, now);
 }
--- a/src/mm_kept_ask.c
+++ b/src/mm_kept_ask.c
@@ -76,6 +76,7 @@
                 mm_kept_told told, void *ctx)
 {
   mm_homes_used (k->homes);
+  mm_owner_expect_kept (k->p.owner);
   mm_home *h = mm_kept_home_of (k, s->id);
   mm_job_record *rec = mm_job_record_new (s, route);
   if (h)
@@ -257,7 +258,6 @@
 {
   mm_census c = mm_census_new ();
   GHashTable *tasks = mm_task_set_read (data, len);
-  mm_owner_expect_kept (k->p.owner);
   if (tasks)
     mm_owner_census (k->p.owner, tasks, &c);
   msgpack_sbuffer b;
@@ -281,6 +281,7 @@
                   mm_mesh_reply *reply)
 {
   mm_kept *k = ctx;
+  mm_owner_expect_kept (k->p.owner);
   if (verb == MM_TELL_NOTES)
     {
       mm_notes_read (data, len, note_end, k->p.owner);
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -643,6 +643,30 @@
 }
 END_TEST
 
+/* A restarted instance owns an upstream with ends of the owner before it.  As
+   long as no kept job was heard of they are soon forgotten, as nobody will
+   ask; otherwise their home may be cut off just now, and asks later.  */
+START_TEST (ends_of_the_owner_before_are_held_longer_once_jobs_are_kept)
+{
+  for (int kept = 0; kept < 2; kept++)
+    {
+      world w = world_create ();
+      fake *a = fakes_add (w.f, "a", WIDE);
+      fake_start_foreign (a, "orphan", 4, USUAL, 100);
+      fakes_run (w.f, NULL, 300);
+      ck_assert_uint_eq (fake_listed (a), 1);
+      if (kept)
+        mm_owner_expect_kept (w.o);
+      mm_owner_own (w.o, fake_info (a), 5);
+      world_run (&w, MM_FOREIGN_END_MS + 4000);
+      ck_assert_uint_eq (fake_listed (a), kept ? 1 : 0);
+      world_run (&w, MM_KEPT_END_MS);
+      ck_assert_uint_eq (fake_listed (a), 0);
+      world_destroy (&w);
+    }
+}
+END_TEST
+
 /* A task is looked for while it runs, and by an owner whose membership is in
    doubt: the one must say so, the other must not vouch for its upstreams, as
    another may have started the task there.  */
@@ -723,6 +747,8 @@
   tcase_add_test (c, task_goes_to_the_rack_of_its_data);
   tcase_add_test (c, end_of_a_kept_task_stays_listed_until_it_is_noted);
   tcase_add_test (c, next_owner_finds_the_ends_of_the_one_before);
+  tcase_add_test (c,
+                  ends_of_the_owner_before_are_held_longer_once_jobs_are_kept);
   tcase_add_test (c,
                   search_for_a_task_sees_its_run_and_trusts_no_doubtful_owner);
   tcase_add_test (c, task_whose_end_is_on_a_later_page_is_not_lost);
