Kept jobs at their next home: no read after free, empty jobs end

Cause, found by reading the change: a job whose lost task must run once was ended inside the loop over its tasks, which read on in what was freed; a job without tasks that was stored and not ended waited for ever, and ending it while the partition was read began the reading anew.

--- a/src/mm_home.c
+++ b/src/mm_home.c
@@ -213,7 +213,11 @@
   mm_kept_run_events ev
       = { .progress = on_progress, .over = on_over, .ctx = j };
   j->run = mm_kept_run_create (j->home->fleet, j->rec, taken_over, &ev);
-  mm_kept_run_tick (j->run, j->home->may_start);
+  /* A job without tasks: no end will come.  */
+  if (mm_kept_run_all_done (j->run))
+    end_job (j, MM_JOB_COMPLETED);
+  else
+    mm_kept_run_tick (j->run, j->home->may_start);
 }
 
 /* ---- opening ---------------------------------------------------------- */
@@ -319,8 +323,6 @@
   if (mm_job_phase_over (j->rec->phase))
     return; /* cancelled meanwhile */
   start_run (j, false);
-  if (mm_submission_tasks (j->rec->s) == 0)
-    end_job (j, MM_JOB_COMPLETED);
 }
 
 static void
--- a/src/mm_job_log.c
+++ b/src/mm_job_log.c
@@ -291,7 +291,8 @@
   e->done = done;
   e->ctx = ctx;
   g_queue_push_tail (l->entries, e);
-  mm_job_log_tick (l);
+  if (l->stage == STAGE_OPEN) /* not while a page is being taken */
+    mm_job_log_tick (l);
 }
 
 bool
--- a/src/mm_kept_run.c
+++ b/src/mm_kept_run.c
@@ -293,6 +293,12 @@
   hand_out_waiting (r);
 }
 
+bool
+mm_kept_run_all_done (const mm_kept_run *r)
+{
+  return mm_steps_all_done (r->steps);
+}
+
 bool
 mm_kept_run_begun (const mm_kept_run *r)
 {
@@ -347,7 +353,7 @@
 void
 mm_kept_run_found_all (mm_kept_run *r, GHashTable *tasks)
 {
-  for (uint32_t i = 0; i < r->n && !r->over; i++)
+  for (uint32_t i = 0; i < r->n; i++)
     {
       task *t = &r->tasks[i];
       if (t->state != TASK_LOST || !g_hash_table_contains (tasks, &t->id))
@@ -356,7 +362,10 @@
       r->n_lost--;
       /* It may have run and been stopped: nobody can tell.  */
       if (runs_once (t))
-        finish (r, MM_JOB_FAILED);
+        {
+          finish (r, MM_JOB_FAILED); /* and @r is gone */
+          return;
+        }
     }
 }
 
--- a/src/mm_kept_run.h
+++ b/src/mm_kept_run.h
@@ -36,6 +36,7 @@
 void mm_kept_run_destroy (mm_kept_run *r, bool job_over);
 /* Hand out what waits, if this instance may.  */
 void mm_kept_run_tick (mm_kept_run *r, bool may_start);
+bool mm_kept_run_all_done (const mm_kept_run *r); /* as far as stored */
 bool mm_kept_run_begun (const mm_kept_run *r); /* has any task been started? */
 uint32_t mm_kept_run_handed (const mm_kept_run *r); /* tasks at owners */
 /* Adds copies of the tasks that are out of sight to a mm_task_set.  */
--- a/tests/test_kept.c
+++ b/tests/test_kept.c
@@ -616,6 +616,59 @@
 }
 END_TEST
 
+/* Tasks that must run once were at an instance that died.  Nobody has them,
+   and nobody can tell whether they ran: the job fails, and is over once.  */
+START_TEST (task_that_must_run_once_is_not_started_again_by_the_next_home)
+{
+  lonely l = lonely_create ();
+  mm_submission *once = two_steps ("j");
+  once->steps[0].once = once->steps[1].once = true;
+  mm_job_record *rec = mm_job_record_new (once, &queue);
+  GBytes *bytes = mm_job_record_pack (rec);
+  mm_job_record_free (rec);
+  mm_record stored = { .key = (char *)"j", .value = bytes };
+  slow_store s = { .stored = &stored, .n_stored = 1 };
+  mm_home *h = open_home (&s, l.fleet);
+  now_ms += MM_KEPT_LAPSE_MS;
+  GHashTable *lost = mm_task_set_new ();
+  mm_home_lost (h, lost);
+  mm_home_found_all (h, lost);
+  g_hash_table_destroy (lost);
+  mm_home_tick (h, true);
+  answer_append (&s, MM_APPEND_OK, 0);
+  mm_kept_answer a;
+  mm_home_state (h, "j", &a);
+  ck_assert_int_eq (a.phase, MM_JOB_FAILED);
+  mm_home_destroy (h);
+  g_bytes_unref (bytes);
+  lonely_destroy (&l);
+}
+END_TEST
+
+/* A job without tasks was stored, and its home died at once.  No end of a
+   task will ever come: its next home must end it.  */
+START_TEST (job_without_tasks_is_ended_by_the_next_home)
+{
+  lonely l = lonely_create ();
+  mm_submission *empty = two_steps ("j");
+  empty->steps[0].count = empty->steps[1].count = 0;
+  mm_job_record *rec = mm_job_record_new (empty, &queue);
+  GBytes *bytes = mm_job_record_pack (rec);
+  mm_job_record_free (rec);
+  mm_record stored = { .key = (char *)"j", .value = bytes };
+  slow_store s = { .stored = &stored, .n_stored = 1 };
+  mm_home *h = open_home (&s, l.fleet);
+  mm_home_tick (h, true);
+  answer_append (&s, MM_APPEND_OK, 0);
+  mm_kept_answer a;
+  mm_home_state (h, "j", &a);
+  ck_assert_int_eq (a.phase, MM_JOB_COMPLETED);
+  mm_home_destroy (h);
+  g_bytes_unref (bytes);
+  lonely_destroy (&l);
+}
+END_TEST
+
 /* An upstream that left the list is asked by nobody, and may run on under
    its last lease: its tasks are not taken as lost before that has lapsed.  */
 START_TEST (lost_task_is_not_looked_for_before_its_lease_has_lapsed)
@@ -658,6 +711,9 @@
   tcase_add_test (c, cancel_is_told_only_once_it_is_stored);
   tcase_add_test (c, later_steps_are_looked_for_too_after_a_takeover);
   tcase_add_test (c, lost_task_is_not_looked_for_before_its_lease_has_lapsed);
+  tcase_add_test (
+      c, task_that_must_run_once_is_not_started_again_by_the_next_home);
+  tcase_add_test (c, job_without_tasks_is_ended_by_the_next_home);
   suite_add_tcase (s, c);
   return h_run_suite (s);
 }
