An earlier owner's ends go only on the word of their jobs' homes

Ruled out: the search (it asked as soon as it could, and was told the truth), the log (the job was stored), a longer wait for all (ends that are listed make every hold return at once; best-effort tasks would be seen late after each change). Now an owner asks the home of each job whose ends it finds; only 'not kept' or 'over', from a home whose membership is confirmed, lets them go before 15 s.

--- a/src/config.h
+++ b/src/config.h
@@ -209,10 +209,11 @@
 #define MM_KEPT_ENDED_MS 150000 /* outcomes are kept; 120 s are asked for */
 #define MM_KEPT_USED_MS 30000   /* last seen: then homes are not looked up */
 #define MM_KEPT_HOMES_POLL_MS 1000
-/* Ends that nobody has taken note of: an earlier owner's may belong to a
-   kept job whose home is changing too.  */
-#define MM_FOREIGN_END_MS 2000
+/* Ends that nobody has taken note of are held for so long: longer than cuts
+   of a data centre usually last.  */
 #define MM_KEPT_END_MS 15000
+/* Between rounds of asking homes for the jobs of an earlier owner's ends.  */
+#define MM_KEPT_FOREIGN_MS 100
 
 /* An instance (mm_node).  */
 #define MM_DEFAULT_MESH_PORT 7402
--- a/src/mm_kept.c
+++ b/src/mm_kept.c
@@ -100,14 +100,21 @@
   mm_shares_leave (k->shares);
 }
 
+bool
+mm_kept_vouches (const mm_kept *k, uint32_t part)
+{
+  uint64_t epoch;
+  mm_time_ms since_ms = mm_clock_now_ms () - mm_shares_sure_ms (k->shares);
+  return since_ms < MM_GROUP_SURE_MS
+         && mm_shares_of_part (k->shares, part, &epoch) == MM_SHARE_OURS;
+}
+
 /* A home that may have been outranked starts nothing: the next one may have
    started it.  */
 static bool
-may_start (const mm_kept *k, uint32_t part, mm_time_ms now)
+may_start (const mm_kept *k, uint32_t part)
 {
-  uint64_t epoch;
-  return !k->leaving && now - mm_shares_sure_ms (k->shares) < MM_GROUP_SURE_MS
-         && mm_shares_of_part (k->shares, part, &epoch) == MM_SHARE_OURS;
+  return !k->leaving && mm_kept_vouches (k, part);
 }
 
 /* ---- tasks out of sight ----------------------------------------------- */
@@ -176,6 +183,7 @@
 {
   if (--k->refs > 0)
     return;
+  g_hash_table_destroy (k->asked);
   g_free (k->home);
   g_free (k->outranked);
   g_free ((char *)k->p.member);
@@ -197,6 +205,7 @@
   k->p.member = g_strdup (p->member);
   k->home = g_new0 (mm_home *, p->parts);
   k->outranked = g_new0 (bool, p->parts);
+  k->asked = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   k->shares
       = mm_shares_create (&p->store, MM_JOBS_GROUP, k->p.member, p->parts);
   k->homes = mm_homes_create (&p->store, p->mesh, k->p.member, p->parts);
@@ -233,11 +242,8 @@
   follow_group (k);
   for (uint32_t i = 0; i < k->p.parts; i++)
     if (k->home[i])
-      mm_home_tick (k->home[i], may_start (k, i, now));
-  /* A newly started owner hears of kept jobs here first: the ends of the
-     owner before it must not be forgotten after MM_FOREIGN_END_MS.  */
-  if (mm_kept_open (k))
-    mm_owner_expect_kept (k->p.owner);
+      mm_home_tick (k->home[i], may_start (k, i));
+  mm_kept_ask_foreign (k, now);
   hand_over (k, now);
   look_for_lost (k, list_fresh, now);
 }
--- a/src/mm_kept_ask.c
+++ b/src/mm_kept_ask.c
@@ -76,7 +76,6 @@
                 mm_kept_told told, void *ctx)
 {
   mm_homes_used (k->homes);
-  mm_owner_expect_kept (k->p.owner);
   mm_home *h = mm_kept_home_of (k, s->id);
   mm_job_record *rec = mm_job_record_new (s, route);
   if (h)
@@ -281,7 +280,6 @@
                   mm_mesh_reply *reply)
 {
   mm_kept *k = ctx;
-  mm_owner_expect_kept (k->p.owner);
   if (verb == MM_TELL_NOTES)
     {
       mm_notes_read (data, len, note_end, k->p.owner);
@@ -302,6 +300,13 @@
     case MM_ASK_PENDING:
       asked_pending (k, text, reply);
       break;
+    case MM_ASK_FOREIGN:
+      {
+        mm_kept_answer a;
+        mm_kept_answer_foreign (k, text, &a);
+        answer_peer (reply, &a);
+        break;
+      }
     case MM_ASK_CENSUS:
       asked_census (k, data, len, reply);
       break;
--- a/src/mm_kept_priv.h
+++ b/src/mm_kept_priv.h
@@ -18,6 +18,8 @@
   bool *outranked; /* fenced by another home */
   mm_search *search;
   mm_time_ms searched_ms; /* when a search last began */
+  GHashTable *asked;      /* foreign jobs that homes are asked about */
+  mm_time_ms foreign_ms;  /* when they were last gone through */
   bool leaving;
   mm_time_ms leaving_ms;
 };
@@ -26,6 +28,14 @@
 /* The home of a job, if it is here.  */
 mm_home *mm_kept_home_of (const mm_kept *k, const char *job_id);
 
+/* Is the membership confirmed by which a partition's home is here?  */
+bool mm_kept_vouches (const mm_kept *k, uint32_t part);
+
+/* mm_kept_foreign.c: ends of earlier owners' runs.  */
+void mm_kept_ask_foreign (mm_kept *k, mm_time_ms now);
+void mm_kept_answer_foreign (const mm_kept *k, const char *job_id,
+                             mm_kept_answer *out);
+
 /* mm_kept_ask.c: another instance asks or tells something.  */
 void mm_kept_on_asked (void *ctx, uint32_t verb, const void *data, size_t len,
                        mm_mesh_reply *reply);
--- a/src/mm_kept_wire.h
+++ b/src/mm_kept_wire.h
@@ -5,6 +5,7 @@
      ASK_STATE    the job's id              -> the same
      ASK_CANCEL   the job's id              -> the same
      ASK_PENDING  the queue's name          -> the same
+     ASK_FOREIGN  the job's id              -> the same; BUSY when in doubt
      ASK_CENSUS   [[job, step, index], ...]
                   -> [present, [mark, ...], [[job, step, index, how, mark],
                      ...]]
@@ -24,7 +25,8 @@
   MM_ASK_CANCEL = 3,
   MM_ASK_PENDING = 4,
   MM_ASK_CENSUS = 5,
-  MM_TELL_NOTES = 6
+  MM_TELL_NOTES = 6,
+  MM_ASK_FOREIGN = 7
 } mm_kept_verb;
 
 typedef enum
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -461,8 +461,6 @@
   w->start_by_ms = w->taken_ms + t->start_within;
   w->due_ms = w->taken_ms + t->due_within;
   w->order = ++o->next_order;
-  if (t->kept)
-    mm_owner_expect_kept (o);
   w->done = done;
   w->ctx = ctx;
   double cpu = (double)t->need.cpu_milli;
@@ -500,12 +498,6 @@
   o->sure = sure;
 }
 
-void
-mm_owner_expect_kept (mm_owner *o)
-{
-  o->kept_ms = mm_clock_now_ms ();
-}
-
 /* Ends of @task that are held; with @mark, only that run's.  */
 static void
 drop_held (mm_owner *o, const mm_task_id *task, const uint32_t *mark)
@@ -592,16 +584,47 @@
     }
 }
 
+void
+mm_owner_foreign_jobs (const mm_owner *o, GHashTable *ids)
+{
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, o->slots);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      size_t n;
+      const mm_held_end *h = mm_exec_held (((slot *)v)->exec, &n);
+      for (size_t i = 0; i < n; i++)
+        if (h[i].foreign && !g_hash_table_contains (ids, h[i].task.job))
+          g_hash_table_add (ids, g_strdup (h[i].task.job));
+    }
+}
+
+void
+mm_owner_forget_job (mm_owner *o, const char *job_id)
+{
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, o->slots);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      mm_exec *x = ((slot *)v)->exec;
+      size_t n;
+      const mm_held_end *h = mm_exec_held (x, &n);
+      for (size_t i = n; i-- > 0;)
+        if (h[i].foreign && strcmp (h[i].task.job, job_id) == 0)
+          mm_exec_drop_held (x, i);
+    }
+}
+
 /* Ends that nobody takes note of must not pile up at the upstreams.  */
 static void
-expire_held (const mm_owner *o, mm_exec *x, mm_time_ms now)
+expire_held (mm_exec *x, mm_time_ms now)
 {
-  bool kept_jobs = o->kept_ms && now - o->kept_ms < MM_KEPT_USED_MS;
-  mm_time_ms foreign_ms = kept_jobs ? MM_KEPT_END_MS : MM_FOREIGN_END_MS;
   size_t n;
   const mm_held_end *h = mm_exec_held (x, &n);
   for (size_t i = n; i-- > 0;)
-    if (now - h[i].since_ms >= (h[i].foreign ? foreign_ms : MM_KEPT_END_MS))
+    if (now - h[i].since_ms >= MM_KEPT_END_MS)
       mm_exec_drop_held (x, i);
 }
 
@@ -614,7 +637,7 @@
   for (GList *l = slots; l; l = l->next)
     {
       mm_exec *x = ((slot *)l->data)->exec;
-      expire_held (o, x, now);
+      expire_held (x, now);
       mm_exec_tick (x);
     }
   g_list_free (slots);
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -61,8 +61,11 @@
 void mm_owner_set_sure (mm_owner *o, bool sure);
 /* Look for tasks (a set of mm_task_id) here; @out is added to.  */
 void mm_owner_census (const mm_owner *o, GHashTable *tasks, mm_census *out);
-/* Kept jobs were seen: ends of earlier owners' runs are kept for longer.  */
-void mm_owner_expect_kept (mm_owner *o);
+/* Adds copies of the ids of jobs of which ends of an earlier owner's runs are
+   held: their homes may ask for these.  */
+void mm_owner_foreign_jobs (const mm_owner *o, GHashTable *ids);
+/* No home will: the job is not kept, or over.  */
+void mm_owner_forget_job (mm_owner *o, const char *job_id);
 void mm_owner_tick (mm_owner *o); /* each MM_EXEC_TICK_MS */
 mm_room_report mm_owner_report (const mm_owner *o, const char *service);
 mm_owner_gauges mm_owner_measure (const mm_owner *o);
