Kept jobs: ends of a stopped job stay listed until its outcome is stored

Cause: a home that stopped a job told its owners to forget the ends at once; if its word that the job is over then never reached the store, the next home went on with the job and started again what was done. Now the owners are told (TELL_ENDED) once the outcome is stored. Test: test_owner ends_of_a_stopped_job_stay_listed_until_its_outcome_is_stored, test_kept cancel_is_told_only_once_it_is_stored.

--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -383,10 +383,9 @@
  * mm_exec_stop() - stop the run of a handle.
  * @x: the session.
  * @work: as given to mm_exec_start(); its end is reported.
- * @keep_end: hold the end if it is a kept job's.
  */
 void
-mm_exec_stop (mm_exec *x, void *work, bool keep_end)
+mm_exec_stop (mm_exec *x, void *work)
 {
   GHashTableIter it;
   gpointer v;
@@ -397,7 +396,6 @@
       if (r->work != work)
         continue;
       r->stop_wanted = r->stop_by_owner = true;
-      r->kept = r->kept && keep_end;
       mm_log_event (MM_EV_TASK_STOPPED, MM_TASK (&r->id),
                     MM_TEXT (x->info->name), MM_TEXT ("nobody waits for it"));
       mm_exec_send_stop (r, false);
@@ -702,6 +700,20 @@
   g_array_remove_index_fast (x->held, (guint)i);
 }
 
+/* Runs that are being stopped end after this.  */
+void
+mm_exec_forget_job (mm_exec *x, const char *job_id)
+{
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, x->runs);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      mm_exec_run *r = v;
+      r->kept = r->kept && strcmp (r->id.job, job_id) != 0;
+    }
+}
+
 /**
  * mm_exec_sure() - is what runs there known?
  * @x: the session.
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -137,14 +137,14 @@
 const mm_upstream_info *mm_exec_info (const mm_exec *x);
 uint64_t mm_exec_fence (const mm_exec *x);
 void mm_exec_start (mm_exec *x, const mm_task_request *t,
-                    void *work); /* must fit */
-/* Ends as stopped; @keep_end: a kept job's end is held all the same.  */
-void mm_exec_stop (mm_exec *x, void *work, bool keep_end);
+                    void *work);            /* must fit */
+void mm_exec_stop (mm_exec *x, void *work); /* ends as stopped */
 double mm_exec_slowness (const mm_exec *x); /* run time over estimate */
 /* Ends that are not taken note of yet.  */
 const mm_held_end *mm_exec_held (const mm_exec *x, size_t *n);
 void mm_exec_drop_held (mm_exec *x, size_t i); /* it is taken note of */
-bool mm_exec_sure (const mm_exec *x);          /* what runs there is known */
+void mm_exec_forget_job (mm_exec *x, const char *job_id); /* hold no ends */
+bool mm_exec_sure (const mm_exec *x); /* what runs there is known */
 /* How many runs of these tasks (a set of mm_task_id) are there?  */
 uint32_t mm_exec_count_of (const mm_exec *x, GHashTable *tasks);
 
--- a/src/mm_fleet.c
+++ b/src/mm_fleet.c
@@ -128,11 +128,11 @@
 }
 
 void
-mm_fleet_cancel (mm_fleet *f, mm_ticket *t, bool keep_end)
+mm_fleet_cancel (mm_fleet *f, mm_ticket *t)
 {
   if (t->work)
-    mm_owner_cancel (f->owner, t->work, keep_end);
+    mm_owner_cancel (f->owner, t->work);
   else
-    mm_mesh_cancel (f->mesh, t->remote, keep_end);
+    mm_mesh_cancel (f->mesh, t->remote);
   g_free (t);
 }
--- a/src/mm_fleet.h
+++ b/src/mm_fleet.h
@@ -14,8 +14,6 @@
 mm_load mm_fleet_load (const mm_fleet *f, const char *service);
 mm_ticket *mm_fleet_submit (mm_fleet *f, const mm_task_request *t,
                             mm_work_done done, void *ctx); /* NULL: no owner */
-/* @done is not called.  @keep_end: a kept job's task, whose end another
-   home will ask for.  */
-void mm_fleet_cancel (mm_fleet *f, mm_ticket *t, bool keep_end);
+void mm_fleet_cancel (mm_fleet *f, mm_ticket *t); /* @done is not called */
 
 #endif /* MM_FLEET_H */
--- a/src/mm_home.c
+++ b/src/mm_home.c
@@ -96,7 +96,7 @@
 {
   job *j = p;
   tell_waiters (j, MM_KEPT_UNSURE, G_MAXINT64);
-  mm_kept_run_destroy (j->run, mm_job_phase_over (j->rec->phase));
+  mm_kept_run_destroy (j->run);
   mm_job_record_free (j->rec);
   g_free (j);
 }
@@ -171,6 +171,8 @@
   if (!j)
     return;
   j->shown = j->rec->phase;
+  if (j->shown != MM_JOB_COMPLETED)
+    j->home->ev.ended (j->home->ev.ctx, j->id);
   set_ended (j);
   mm_metrics_count (MM_CT_KEPT_OVER);
   mm_log_event (MM_EV_KEPT_OVER, MM_TEXT (j->id), MM_TEXT (j->rec->queue),
@@ -179,13 +181,15 @@
   tell_waiters (j, MM_KEPT_OK, G_MAXINT64);
 }
 
-/* Nothing of it starts from now on; shown once it is stored.  */
+/* Nothing of it starts from now on; shown once it is stored.  Until then the
+   ends of its tasks stay listed: should the store not be reached, the next
+   home goes on with the job, and must not start again what is done.  */
 static void
 end_job (job *j, mm_job_phase phase)
 {
   mm_home *h = j->home;
   writing *w = writing_create (j);
-  mm_kept_run_destroy (g_steal_pointer (&j->run), true);
+  mm_kept_run_destroy (g_steal_pointer (&j->run));
   mm_job_record_close (j->rec, phase);
   j->progress_ms = 0;
   h->n_open--;
--- a/src/mm_home.h
+++ b/src/mm_home.h
@@ -10,6 +10,9 @@
 {
   /* Ends are stored: their owners may let the upstreams forget them.  */
   void (*stored) (void *ctx, const GArray *notes /* mm_end_note */);
+  /* A job ended before its tasks had, and that is stored: nobody will ask
+     for their ends.  */
+  void (*ended) (void *ctx, const char *job_id);
   /* Another instance is the home: to be destroyed.  */
   void (*fenced) (void *ctx, mm_home *h);
   void *ctx;
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -73,8 +73,7 @@
 {
   for (uint32_t i = 0; i < b->n_tasks; i++)
     if (b->tasks[i].ticket)
-      mm_fleet_cancel (b->jobs->fleet, g_steal_pointer (&b->tasks[i].ticket),
-                       false);
+      mm_fleet_cancel (b->jobs->fleet, g_steal_pointer (&b->tasks[i].ticket));
 }
 
 static void
--- a/src/mm_kept.c
+++ b/src/mm_kept.c
@@ -3,6 +3,8 @@
 
 #include "config.h"
 
+#include <string.h>
+
 /* ---- being a home ----------------------------------------------------- */
 
 /* Ends are stored: tell their owners, each what is its own.  */
@@ -27,6 +29,18 @@
     }
 }
 
+static void
+on_job_ended (void *ctx, const char *job_id)
+{
+  mm_kept *k = ctx;
+  mm_owner_forget_job (k->p.owner, job_id);
+  GList *peers = mm_mesh_peers (k->p.mesh);
+  for (GList *l = peers; l; l = l->next)
+    mm_mesh_ask (k->p.mesh, l->data, MM_TELL_ENDED, job_id, strlen (job_id), 0,
+                 NULL, NULL);
+  g_list_free (peers);
+}
+
 static void
 on_home_fenced (void *ctx, mm_home *h)
 {
@@ -39,8 +53,10 @@
 static void
 open_home (mm_kept *k, uint32_t part, uint64_t epoch)
 {
-  mm_home_events ev
-      = { .stored = on_stored, .fenced = on_home_fenced, .ctx = k };
+  mm_home_events ev = { .stored = on_stored,
+                        .ended = on_job_ended,
+                        .fenced = on_home_fenced,
+                        .ctx = k };
   k->outranked[part] = false;
   k->home[part] = mm_home_create (&k->p.store, k->p.fleet, part, epoch, &ev);
 }
--- a/src/mm_kept_ask.c
+++ b/src/mm_kept_ask.c
@@ -275,19 +275,11 @@
   mm_owner_note_end (ctx, task, mark);
 }
 
-void
-mm_kept_on_asked (void *ctx, uint32_t verb, const void *data, size_t len,
-                  mm_mesh_reply *reply)
+/* @text: the data, as the id or name that most verbs ask about.  */
+static void
+answer_question (mm_kept *k, uint32_t verb, const char *text, const void *data,
+                 size_t len, mm_mesh_reply *reply)
 {
-  mm_kept *k = ctx;
-  if (verb == MM_TELL_NOTES)
-    {
-      mm_notes_read (data, len, note_end, k->p.owner);
-      return;
-    }
-  if (!reply)
-    return;
-  char *text = g_strndup (data, len);
   switch (verb)
     {
     case MM_ASK_SUBMIT:
@@ -316,5 +308,22 @@
         answer_peer (reply, &busy);
       }
     }
+}
+
+void
+mm_kept_on_asked (void *ctx, uint32_t verb, const void *data, size_t len,
+                  mm_mesh_reply *reply)
+{
+  mm_kept *k = ctx;
+  if (verb == MM_TELL_NOTES)
+    {
+      mm_notes_read (data, len, note_end, k->p.owner);
+      return;
+    }
+  char *text = g_strndup (data, len);
+  if (verb == MM_TELL_ENDED)
+    mm_owner_forget_job (k->p.owner, text);
+  if (reply)
+    answer_question (k, verb, text, data, len, reply);
   g_free (text);
 }
--- a/src/mm_kept_run.c
+++ b/src/mm_kept_run.c
@@ -100,14 +100,14 @@
 }
 
 void
-mm_kept_run_destroy (mm_kept_run *r, bool job_over)
+mm_kept_run_destroy (mm_kept_run *r)
 {
   if (!r)
     return;
   for (uint32_t i = 0; i < r->n; i++)
     {
       if (r->tasks[i].ticket)
-        mm_fleet_cancel (r->fleet, r->tasks[i].ticket, !job_over);
+        mm_fleet_cancel (r->fleet, r->tasks[i].ticket);
       g_free (r->tasks[i].avoid);
     }
   mm_steps_destroy (r->steps);
--- a/src/mm_kept_run.h
+++ b/src/mm_kept_run.h
@@ -32,8 +32,7 @@
 mm_kept_run *mm_kept_run_create (mm_fleet *fleet, mm_job_record *rec,
                                  bool taken_over,
                                  const mm_kept_run_events *ev);
-/* What runs is stopped.  @job_over: nobody will ask for its ends.  */
-void mm_kept_run_destroy (mm_kept_run *r, bool job_over);
+void mm_kept_run_destroy (mm_kept_run *r); /* what runs is stopped */
 /* Hand out what waits, if this instance may.  */
 void mm_kept_run_tick (mm_kept_run *r, bool may_start);
 bool mm_kept_run_all_done (const mm_kept_run *r); /* as far as stored */
--- a/src/mm_kept_wire.h
+++ b/src/mm_kept_wire.h
@@ -9,6 +9,7 @@
      ASK_CENSUS   [[job, step, index], ...]
                   -> [present, [mark, ...], [[job, step, index, how, mark],
                      ...]]
+     TELL_ENDED   the id of a job whose ends nobody will ask for
      TELL_NOTES   [[job, step, index, mark], ...]  */
 #ifndef MM_KEPT_WIRE_H
 #define MM_KEPT_WIRE_H
@@ -26,7 +27,8 @@
   MM_ASK_PENDING = 4,
   MM_ASK_CENSUS = 5,
   MM_TELL_NOTES = 6,
-  MM_ASK_FOREIGN = 7
+  MM_ASK_FOREIGN = 7,
+  MM_TELL_ENDED = 8
 } mm_kept_verb;
 
 typedef enum
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -55,18 +55,12 @@
 }
 
 static void
-take_cancel (mm_mesh_inbound_link *in, const mm_mesh_msg *m)
+take_cancel (mm_mesh_inbound_link *in, uint64_t no)
 {
-  uint64_t no = m->no;
   taken *t = g_hash_table_lookup (in->works, &no);
   if (!t)
-    {
-      /* Its end crossed this on the way: nobody will take note of it.  */
-      if (!m->keep_end)
-        mm_owner_forget_ends (in->mesh->owner, &m->task);
-      return;
-    }
-  mm_owner_cancel (in->mesh->owner, t->work, m->keep_end);
+    return;
+  mm_owner_cancel (in->mesh->owner, t->work);
   g_hash_table_remove (in->works, &no);
 }
 
@@ -79,7 +73,7 @@
   if (ok && m.kind == MM_MESH_RUN)
     take_run (in, &m);
   else if (ok && m.kind == MM_MESH_CANCEL)
-    take_cancel (in, &m);
+    take_cancel (in, m.no);
   else if (ok && m.kind == MM_MESH_ASK)
     mm_mesh_take_ask (in, &m);
   else if (ok && m.kind == MM_MESH_HELLO && in->mesh->hello)
@@ -102,7 +96,7 @@
   gpointer v;
   g_hash_table_iter_init (&it, in->works);
   while (g_hash_table_iter_next (&it, NULL, &v))
-    mm_owner_cancel (m->owner, ((taken *)v)->work, true);
+    mm_owner_cancel (m->owner, ((taken *)v)->work);
   g_hash_table_destroy (in->works);
   for (GList *l = in->replies; l; l = l->next)
     ((mm_mesh_reply *)l->data)->to = NULL;
@@ -472,7 +466,6 @@
   mm_remote *r = g_new0 (mm_remote, 1);
   r->peer = p;
   r->no = ++p->next_no;
-  r->task = t->id;
   r->done = done;
   r->ctx = ctx;
   g_hash_table_insert (p->remote, &r->no, r);
@@ -485,7 +478,7 @@
 }
 
 void
-mm_mesh_cancel (mm_mesh *m, mm_remote *r, bool keep_end)
+mm_mesh_cancel (mm_mesh *m, mm_remote *r)
 {
   mm_mesh_peer *p = r->peer;
   g_hash_table_remove (p->remote, &r->no);
@@ -493,7 +486,7 @@
     {
       msgpack_sbuffer b;
       msgpack_sbuffer_init (&b);
-      mm_mesh_pack_cancel (&b, r->no, keep_end, &r->task);
+      mm_mesh_pack_cancel (&b, r->no);
       mm_link_send (p->link, &b);
       msgpack_sbuffer_destroy (&b);
     }
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -41,9 +41,8 @@
                        mm_mesh_place *out, size_t cap); /* connected ones */
 mm_remote *mm_mesh_submit (mm_mesh *m, const char *peer,
                            const mm_task_request *t, mm_work_done done,
-                           void *ctx); /* NULL: not connected */
-void mm_mesh_cancel (mm_mesh *m, mm_remote *r,
-                     bool keep_end); /* see mm_owner_cancel() */
+                           void *ctx);          /* NULL: not connected */
+void mm_mesh_cancel (mm_mesh *m, mm_remote *r); /* @done is not called */
 /* Ask a peer, or tell it something when @told is NULL.  @told is called
    once; at once when there is no link.  */
 void mm_mesh_ask (mm_mesh *m, const char *peer, uint32_t verb,
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -9,7 +9,6 @@
 {
   RUN_FIELDS = 18,
   ENDED_FIELDS = 7,
-  CANCEL_FIELDS = 6,
   ASK_FIELDS = 4,
   TOLD_FIELDS = 3,
   REPORT_FIELDS = 4,
@@ -48,14 +47,11 @@
 }
 
 void
-mm_mesh_pack_cancel (msgpack_sbuffer *b, uint64_t no, bool keep_end,
-                     const mm_task_id *task)
+mm_mesh_pack_cancel (msgpack_sbuffer *b, uint64_t no)
 {
   msgpack_packer pk;
-  begin (&pk, b, CANCEL_FIELDS, MM_MESH_CANCEL);
+  begin (&pk, b, 2, MM_MESH_CANCEL);
   msgpack_pack_uint64 (&pk, no);
-  mm_mp_pack_bool (&pk, keep_end);
-  mm_mp_pack_task (&pk, task);
 }
 
 void
@@ -224,9 +220,7 @@
     case MM_MESH_RUN:
       return n == RUN_FIELDS && read_run (f, out);
     case MM_MESH_CANCEL:
-      return n == CANCEL_FIELDS && mm_mp_read_u64 (&f[1], &out->no)
-             && mm_mp_read_bool (&f[2], &out->keep_end)
-             && mm_mp_read_task (&f[3], &out->task);
+      return n == 2 && mm_mp_read_u64 (&f[1], &out->no);
     case MM_MESH_BEAT:
       return n == 1;
     case MM_MESH_ENDED:
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -3,7 +3,7 @@
    From the instance that took a job to the owner of upstreams:
      [RUN, no, job, step, index, service, payload, label, data_label, avoid,
       cpu_milli, mem_mb, gpus, priority, estimate_ms, due_within_ms,
-   start_within_ms, kept] [CANCEL, no, keep_end, job, step, index] [BEAT]
+   start_within_ms, kept] [CANCEL, no] [BEAT]
      [HELLO, name]                 first of all
      [ASK, no, verb, bytes]        about kept jobs; no 0: without an answer
    Back:
@@ -46,8 +46,6 @@
   char *name;              /* REPORT, HELLO: of the sender */
   mm_mesh_room *rooms;     /* REPORT */
   size_t n_rooms;
-  bool keep_end;    /* CANCEL */
-  mm_task_id task;  /* CANCEL */
   uint32_t verb;    /* ASK */
   const void *data; /* ASK, TOLD: valid while the message is */
   size_t len;
@@ -57,8 +55,7 @@
 void mm_mesh_msg_clear (mm_mesh_msg *m); /* free what _read copied */
 void mm_mesh_pack_run (msgpack_sbuffer *b, uint64_t no,
                        const mm_task_request *t);
-void mm_mesh_pack_cancel (msgpack_sbuffer *b, uint64_t no, bool keep_end,
-                          const mm_task_id *task);
+void mm_mesh_pack_cancel (msgpack_sbuffer *b, uint64_t no);
 void mm_mesh_pack_hello (msgpack_sbuffer *b, const char *name);
 void mm_mesh_pack_beat (msgpack_sbuffer *b);
 void mm_mesh_pack_ended (msgpack_sbuffer *b, uint64_t no,
--- a/src/mm_mesh_priv.h
+++ b/src/mm_mesh_priv.h
@@ -33,7 +33,6 @@
 {
   mm_mesh_peer *peer;
   uint64_t no;
-  mm_task_id task;
   mm_work_done done;
   void *ctx;
 };
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -477,15 +477,14 @@
  * mm_owner_cancel() - nobody waits for this task any more.
  * @o: the owner.
  * @w: its handle; not valid after this.
- * @keep_end: hold the end of a kept job's task until it is taken note of.
  */
 void
-mm_owner_cancel (mm_owner *o, mm_work *w, bool keep_end)
+mm_owner_cancel (mm_owner *o, mm_work *w)
 {
   w->cancelled = true;
   if (w->at)
     {
-      mm_exec_stop (w->at->exec, w, keep_end);
+      mm_exec_stop (w->at->exec, w);
       return;
     }
   g_queue_remove (o->waiting, w);
@@ -498,9 +497,8 @@
   o->sure = sure;
 }
 
-/* Ends of @task that are held; with @mark, only that run's.  */
-static void
-drop_held (mm_owner *o, const mm_task_id *task, const uint32_t *mark)
+void
+mm_owner_note_end (mm_owner *o, const mm_task_id *task, uint32_t mark)
 {
   GHashTableIter it;
   gpointer v;
@@ -512,24 +510,11 @@
       const mm_held_end *h = mm_exec_held (x, &n);
       for (size_t i = n; i-- > 0;)
         if (mm_task_id_equal (&h[i].task, task)
-            && (!mark
-                || mm_run_mark (mm_exec_info (x)->name, h[i].run) == *mark))
+            && mm_run_mark (mm_exec_info (x)->name, h[i].run) == mark)
           mm_exec_drop_held (x, i);
     }
 }
 
-void
-mm_owner_note_end (mm_owner *o, const mm_task_id *task, uint32_t mark)
-{
-  drop_held (o, task, &mark);
-}
-
-void
-mm_owner_forget_ends (mm_owner *o, const mm_task_id *task)
-{
-  drop_held (o, task, NULL);
-}
-
 /* How many of the tasks wait here for room?  */
 static uint32_t
 count_waiting (const mm_owner *o, GHashTable *tasks)
@@ -612,8 +597,9 @@
       size_t n;
       const mm_held_end *h = mm_exec_held (x, &n);
       for (size_t i = n; i-- > 0;)
-        if (h[i].foreign && strcmp (h[i].task.job, job_id) == 0)
+        if (strcmp (h[i].task.job, job_id) == 0)
           mm_exec_drop_held (x, i);
+      mm_exec_forget_job (x, job_id);
     }
 }
 
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -51,12 +51,9 @@
 void mm_owner_set_closed (mm_owner *o, bool closed); /* takes no work */
 mm_work *mm_owner_submit (mm_owner *o, const mm_task_request *t,
                           mm_work_done done, void *ctx); /* may wait */
-/* @done is not called.  @keep_end: a kept job's task, whose end another
-   home will ask for.  */
-void mm_owner_cancel (mm_owner *o, mm_work *w, bool keep_end);
+void mm_owner_cancel (mm_owner *o, mm_work *w); /* @done is not called */
 /* The end of a run of a kept job is stored; @mark: mm_run_mark().  */
 void mm_owner_note_end (mm_owner *o, const mm_task_id *task, uint32_t mark);
-void mm_owner_forget_ends (mm_owner *o, const mm_task_id *task); /* all */
 /* Membership is confirmed: nobody else can own what is owned here.  */
 void mm_owner_set_sure (mm_owner *o, bool sure);
 /* Look for tasks (a set of mm_task_id) here; @out is added to.  */
@@ -64,7 +61,7 @@
 /* Adds copies of the ids of jobs of which ends of an earlier owner's runs are
    held: their homes may ask for these.  */
 void mm_owner_foreign_jobs (const mm_owner *o, GHashTable *ids);
-/* No home will: the job is not kept, or over.  */
+/* No home will ask for its ends: it is not kept, or its outcome is stored. */
 void mm_owner_forget_job (mm_owner *o, const char *job_id);
 void mm_owner_tick (mm_owner *o); /* each MM_EXEC_TICK_MS */
 mm_room_report mm_owner_report (const mm_owner *o, const char *service);
--- a/tests/test_kept.c
+++ b/tests/test_kept.c
@@ -504,6 +504,14 @@
 {
 }
 
+static int jobs_ended; /* whose ends may be let go */
+
+static void
+on_job_ended (void *ctx, const char *job_id)
+{
+  jobs_ended++;
+}
+
 static void
 on_home_fenced (void *ctx, mm_home *h)
 {
@@ -513,7 +521,9 @@
 open_home (slow_store *s, mm_fleet *fleet)
 {
   mm_store_port port = slow_port (s);
-  mm_home_events ev = { .stored = on_stored, .fenced = on_home_fenced };
+  mm_home_events ev = { .stored = on_stored,
+                        .ended = on_job_ended,
+                        .fenced = on_home_fenced };
   mm_home *h = mm_home_create (&port, fleet, 3, 7, &ev);
   mm_home_tick (h, false);
   answer_append (s, MM_APPEND_OK, 0);
@@ -572,8 +582,10 @@
   ck_assert_int_eq (first.unsure, 1);
   mm_home_cancel (h, "j", on_told, &second);
   ck_assert_int_eq (second.ok, 0);
+  ck_assert_int_eq (jobs_ended, 0);
   answer_append (&s, MM_APPEND_OK, 0);
   ck_assert_int_eq (second.ok, 1);
+  ck_assert_int_eq (jobs_ended, 1);
   mm_kept_answer a;
   mm_home_state (h, "j", &a);
   ck_assert_int_eq (a.phase, MM_JOB_CANCELLED);
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -296,8 +296,8 @@
   submit (&w, &r[0], "gone", 0, 5000);
   submit (&w, &r[1], "gone", 1, 5000);
   world_run (&w, 50);
-  mm_owner_cancel (w.o, r[0].work, false);
-  mm_owner_cancel (w.o, r[1].work, false);
+  mm_owner_cancel (w.o, r[0].work);
+  mm_owner_cancel (w.o, r[1].work);
   submit (&w, &r[2], "next", 0, 100);
   submit (&w, &r[3], "next", 1, 100);
   world_run (&w, 400);
@@ -320,7 +320,7 @@
   outcome first, again;
   submit (&w, &first, "twice", 0, 3000);
   world_run (&w, 50);
-  mm_owner_cancel (w.o, first.work, false);
+  mm_owner_cancel (w.o, first.work);
   submit (&w, &again, "twice", 0, 100);
   world_run (&w, 400);
   ck_assert_int_eq (again.how, MM_END_DONE);
@@ -520,7 +520,7 @@
           if (r[i / 2].work && !cancelled[i / 2])
             {
               cancelled[i / 2] = true;
-              mm_owner_cancel (w.o, r[i / 2].work, false);
+              mm_owner_cancel (w.o, r[i / 2].work);
             }
           break;
         default:
@@ -616,6 +616,32 @@
 }
 END_TEST
 
+/* A home stops a job's tasks that are just done, and its word that the job is
+   over never reaches the store.  The next home goes on with the job: it must
+   find the ends, so they stay listed until the outcome is stored.  One that is
+   still being stopped then is let go of as it ends.  */
+START_TEST (ends_of_a_stopped_job_stay_listed_until_its_outcome_is_stored)
+{
+  world w = world_create ();
+  fake *a = world_add (&w, "a");
+  outcome r[2];
+  world_run (&w, 10);
+  submit_kept (&w, &r[0], "over", 0, 1000);
+  world_run (&w, 100);
+  mm_owner_cancel (w.o, r[0].work);
+  world_run (&w, 3000);
+  ck_assert_uint_eq (fake_listed (a), 1);
+  submit_kept (&w, &r[1], "over", 1, 1000);
+  world_run (&w, 100);
+  mm_owner_cancel (w.o, r[1].work);
+  mm_owner_forget_job (w.o, "over");
+  world_run (&w, 1500);
+  ck_assert_uint_eq (fake_running (a), 0);
+  ck_assert_uint_eq (fake_listed (a), 0);
+  world_destroy (&w);
+}
+END_TEST
+
 /* An owner dies with an end that nobody stored.  The next one finds it at the
    upstream and tells the job's home, which would start the task again
    otherwise.  */
@@ -717,10 +743,7 @@
   world_run (&w, 1500);
   ck_assert_uint_eq (r[2].answers, 0);
   ck_assert_uint_eq (r[3].answers, 0);
-  mm_task_id id = { .job = "first" };
-  mm_owner_forget_ends (w.o, &id);
-  id.index = 1;
-  mm_owner_forget_ends (w.o, &id);
+  mm_owner_forget_job (w.o, "first");
   world_run (&w, 1000);
   ck_assert_int_eq (r[2].how, MM_END_DONE);
   ck_assert_int_eq (r[3].how, MM_END_DONE);
@@ -754,6 +777,8 @@
   tcase_add_test (c, draining_upstream_gets_nothing_new);
   tcase_add_test (c, task_goes_to_the_rack_of_its_data);
   tcase_add_test (c, end_of_a_kept_task_stays_listed_until_it_is_noted);
+  tcase_add_test (
+      c, ends_of_a_stopped_job_stay_listed_until_its_outcome_is_stored);
   tcase_add_test (c, next_owner_finds_the_ends_of_the_one_before);
   tcase_add_test (
       c, ends_of_the_owner_before_are_held_until_their_home_was_heard);
