--- a/src/config.h
+++ b/src/config.h
@@ -176,7 +176,7 @@
 #define MM_MEMBERS_FIRST_POLL_MS 100 /* so far apart */
 #define MM_MEMBERS_FAR_POLL 4u       /* data centres asked about each time */
 /* Upstreams to be handed over may finish what they run for so long.  */
-#define MM_HANDOVER_MS 1200
+#define MM_HANDOVER_MS 2500
 #define MM_HANDOVER_MARGIN_MS 200 /* the last task may be so late */
 #define MM_ESTIMATE_ERROR 1.4     /* declared run times are off by 40 % */
 /* Standing still for longer than this, an instance starts nothing of what
