A task out of sight runs again once it has ended

Now such a task is handed out again 1.3 s later, when its lease and its owner's notice of the broken link are over, if a late answer would still be of use. Test: test_node job_is_answered_whole_though_an_owner_of_its_tasks_dies.

--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -23,6 +23,7 @@
   mm_time_ms handed_ms;
   char *avoid;   /* upstream of the last failure */
   bool stranded; /* no owner was in reach */
+  mm_time_ms again_ms; /* out of sight: handed out again then, 0: it is not */
   bool done;
 } task;
 
@@ -43,6 +44,7 @@
   mm_steps *steps;
   bool handed_out; /* a task may have started */
   uint32_t n_stranded;
+  uint32_t n_lost; /* tasks out of sight */
   GList *callers;
 };
 
@@ -273,6 +275,22 @@
                   MM_TEXT (r->why), MM_TEXT (what_next (t, r->how, now)));
 }
 
+/* Out of sight a task may run on: under its lease, and before that until its
+   owner has noticed that the link to us is gone.  Then it is certain to have
+   ended, and runs again if its caller still waits by then: a whole answer late
+   is worth more to it than none.  Return: false when it would not.  */
+static bool
+run_again_later (task *t, mm_time_ms now)
+{
+  job *b = t->job;
+  mm_time_ms again_ms = now + MM_OUT_OF_SIGHT_MS;
+  if (again_ms >= b->start_by_ms)
+    return false;
+  t->again_ms = again_ms;
+  b->n_lost++;
+  return true;
+}
+
 static void
 on_task_done (void *ctx, const mm_work_result *r)
 {
@@ -310,7 +328,7 @@
     case MM_END_UNKNOWN:
       if (runs_once (t))
         answer (b, MM_ANSWER_FAILED, "a task is out of sight", 0);
-      else
+      else if (!run_again_later (t, now))
         answer (b, MM_ANSWER_UNKNOWN, r->why, MM_RETRY_AFTER_NO_ROOM_S);
       break;
     }
@@ -493,14 +511,33 @@
       hand_out (&b->tasks[i]);
 }
 
+static void
+retry_lost (job *b, mm_time_ms now)
+{
+  for (uint32_t i = 0; i < b->n_tasks; i++)
+    {
+      task *t = &b->tasks[i];
+      if (!t->again_ms || now < t->again_ms)
+        continue;
+      t->again_ms = 0;
+      b->n_lost--;
+      hand_out (t);
+    }
+}
+
 void
 mm_jobs_tick (mm_jobs *j)
 {
   mm_time_ms now = mm_clock_now_ms ();
   GList *jobs = g_hash_table_get_values (j->by_id);
   for (GList *l = jobs; l; l = l->next)
-    if (((job *)l->data)->n_stranded)
-      retry_stranded (l->data, now);
+    {
+      job *b = l->data;
+      if (b->n_lost)
+        retry_lost (b, now);
+      if (b->n_stranded)
+        retry_stranded (b, now);
+    }
   g_list_free (jobs);
   answer_all (j, MM_ANSWER_GIVEN_UP, "the caller's time is over",
               mm_clock_now_ms ());
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -128,6 +128,23 @@
 }
 END_TEST
 
+/* An instance dies with tasks of a job that another one took.  Its caller was
+   told that the job is out of sight, and waited for nothing if it did not ask
+   again.  What ran there has lapsed 1.3 s later; run again, the caller gets
+   its whole answer late, and no task ran twice at one time.  */
+START_TEST (job_is_answered_whole_though_an_owner_of_its_tasks_dies)
+{
+  h_nodes (4, 4, 2);
+  pid_t p = submit (0, "whole", 12, 900, true);
+  sleep_ms (300);
+  h_stop (h_entries[1], SIGKILL);
+  ck_assert (h_answered (p));
+  ck_assert_int_gt (runs_of (4, "whole"), 12);
+  assert_kept_promises (4);
+  h_cluster_stop ();
+}
+END_TEST
+
 /* An instance stands still for two seconds; its caller's connection times
    out and the job goes to another instance.  Awake again, it must not
    start what it had queued.  */
@@ -593,6 +610,7 @@
   TCase *c = tcase_create ("faults");
   tcase_set_timeout (c, 60);
   tcase_add_test (c, killed_instance_leaves_no_task_running_twice);
+  tcase_add_test (c, job_is_answered_whole_though_an_owner_of_its_tasks_dies);
   tcase_add_test (c, frozen_instance_starts_nothing_of_what_it_had);
   tcase_add_test (c, orders_carried_out_late_find_room);
   tcase_add_test (c, graceful_stop_cuts_off_nothing);
