Orders wait for an answer as long as answers take

Now the timeout follows the answer times (mm_rto, as TCP's: 30 to 100 ms, doubled after each call without an answer), a hold waits 60 ms instead of 250 while answers were lost lately, and the first three failed holds are sent again at once.

--- a/src/config.h
+++ b/src/config.h
@@ -68,19 +68,24 @@
    caller whose connection broke sends its job again 1,300 ms later.  The
    remainder covers a clock 2 % slow and the way to the caller.  */
 #define MM_LEASE_MS 1000
-/* A hold waits for an end, and fails this long past its wait.  Twice the
-   wait and the timeout stay under a lease: one lost hold costs none.  */
+/* A hold waits for an end, and fails MM_RTO_MAX_MS past its wait at most.
+   Twice both stay under a lease: one lost hold costs none.  */
 #define MM_HOLD_WAIT_MS 250
-#define MM_HOLD_TIMEOUT_MS 250
+/* An end is not seen while the answer of a hold is waited for that was lost:
+   with orders unanswered lately, for 100 ms more at most.  */
+#define MM_HOLD_WAIT_LOSSY_MS 60
+#define MM_LOSSY_MS 1000 /* after an order without an answer */
 /* Between holds while ends are listed that are not noted yet: an end is
    seen up to this late then.  */
 #define MM_HELD_POLL_MS 40
-#define MM_HOLD_RETRY_MS 200 /* between holds that get no answer */
-#define MM_ACK_DELAY_MS 300  /* ends of an idle upstream, taken note of */
-/* An answer takes about 2 ms; a start that is slower is stopped and its
-   task placed elsewhere, while that still helps its caller.  */
-#define MM_START_TIMEOUT_MS 100
-#define MM_STOP_TIMEOUT_MS 100
+#define MM_HOLD_RETRY_MS 200     /* between holds that get no answer ... */
+#define MM_HOLD_RETRY_AT_ONCE 3u /* but for the first ones in a row */
+#define MM_ACK_DELAY_MS 300      /* ends of an idle upstream, taken note of */
+/* An answer takes about 2 ms; an order that is slower is stopped and its task
+   placed elsewhere, while that still helps its caller.  The least leaves room
+   for what holds this process up, some 20 ms.  */
+#define MM_RTO_MIN_MS 30
+#define MM_RTO_MAX_MS 100
 /* Past a lease's end by our estimate of the upstream's clock: 2 % of a
    lease for a slow clock, the rest for the estimate's error.  */
 #define MM_LEASE_SLACK_MS 60
@@ -140,7 +145,7 @@
    owner it is 1.5 s, which few jobs can wait.  */
 #define MM_OWNER_GAP_MS 500
 #define MM_RETRY_AFTER_NO_ROOM_S 1
-#define MM_LATE_FACTOR 3.0     /* answers up to 3 objectives are of use */
+#define MM_LATE_FACTOR 3.0 /* answers up to 3 objectives are of use */
 /* A task out of sight has ended by then: it is the time after which callers
    send a job again whose connection broke.  Its lease takes 1,000 ms of it, on
    a clock 2 % slow, the rest is for its owner to notice that we are gone.  */
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -137,6 +137,7 @@
   c->exec = x;
   c->run = r;
   c->sent_event = ++x->events;
+  c->sent_ms = mm_clock_now_ms ();
   x->refs++;
   return c;
 }
@@ -149,6 +150,21 @@
   exec_unref (x);
 }
 
+/* Learn from how long a call took, or that it got no answer.  A hold that
+   waited at the upstream tells nothing of its way.  */
+static void
+note_answer_time (mm_exec *x, const mm_exec_call *c, mm_call_verdict v)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  if (v == MM_CALL_NO_ANSWER)
+    {
+      mm_rto_unanswered (&x->rto);
+      x->lossy_ms = now;
+    }
+  else if (c->wait_ms == 0)
+    mm_rto_answered (&x->rto, now - c->sent_ms);
+}
+
 /* Another owner has taken over: what runs is its to stop, and out of our
    sight, but for @refused (or NULL), whose start was what told us.  */
 static void
@@ -196,6 +212,7 @@
       return false;
     }
   mm_exec_learn_clock (c->exec, res);
+  note_answer_time (c->exec, c, res->verdict);
   return true;
 }
 
@@ -244,7 +261,7 @@
                  .run = r->number,
                  .fence = x->fence,
                  .fresh = fresh,
-                 .timeout_ms = MM_STOP_TIMEOUT_MS };
+                 .timeout_ms = mm_rto_ms (&x->rto) };
   x->port.stop (x->port.ctx, x->info, &o, on_stop_answer, call_open (x, r));
 }
 
@@ -347,7 +364,7 @@
                  .payload = r->payload,
                  .fence = x->fence,
                  .deadline_ms = lease_deadline (x),
-                 .timeout_ms = MM_START_TIMEOUT_MS };
+                 .timeout_ms = mm_rto_ms (&x->rto) };
   r->start_in_flight = true;
   r->sent_ms = mm_clock_now_ms ();
   x->port.start (x->port.ctx, x->info, &o, on_start_answer, call_open (x, r));
@@ -411,6 +428,7 @@
   bool first = !x->hold_failed_ms;
   become_suspect (x, "hold", v);
   x->hold_failed_ms = mm_clock_now_ms ();
+  x->holds_failed++;
   if (first)
     send_hold (x, 0, false);
 }
@@ -426,6 +444,7 @@
       call_close (c);
       return;
     }
+  note_answer_time (x, c, res->call.verdict);
   switch (res->call.verdict)
     {
     case MM_CALL_OK:
@@ -471,13 +490,14 @@
                 .acked_seq = ack_upto (x),
                 .wait_ms = wait_ms,
                 .fresh = x->suspect,
-                .timeout_ms = wait_ms + MM_HOLD_TIMEOUT_MS };
+                .timeout_ms = wait_ms + mm_rto_ms (&x->rto) };
   if (renew && x->clock_known)
     h.deadline_ms = lease_deadline (x);
   x->holds_in_flight++;
   mm_metrics_count (MM_CT_HOLDS);
   mm_exec_call *c = call_open (x, NULL);
   c->acked_seq = h.acked_seq;
+  c->wait_ms = wait_ms;
   x->hold_sent_ms = mm_clock_now_ms ();
   x->port.hold (x->port.ctx, x->info, &h, on_hold_answer, c);
 }
@@ -514,6 +534,13 @@
   return false;
 }
 
+static mm_time_ms
+hold_wait_ms (const mm_exec *x, mm_time_ms now)
+{
+  bool lossy = x->lossy_ms && now - x->lossy_ms < MM_LOSSY_MS;
+  return lossy ? MM_HOLD_WAIT_LOSSY_MS : MM_HOLD_WAIT_MS;
+}
+
 /**
  * mm_exec_tick() - the session's timers.
  * @x: the session.
@@ -533,7 +560,9 @@
     return;
   if (x->hold_failed_ms || !x->seen || x->suspect)
     {
-      if (now - MAX (x->hold_failed_ms, x->hold_sent_ms) >= MM_HOLD_RETRY_MS
+      mm_time_ms pause_ms
+          = x->holds_failed < MM_HOLD_RETRY_AT_ONCE ? 0 : MM_HOLD_RETRY_MS;
+      if (now - MAX (x->hold_failed_ms, x->hold_sent_ms) >= pause_ms
           || x->hold_sent_ms == 0)
         send_hold (x, 0, false);
     }
@@ -545,7 +574,7 @@
         send_hold (x, 0, has_wanted_run (x));
     }
   else if (g_hash_table_size (x->runs) > 0)
-    send_hold (x, MM_HOLD_WAIT_MS, has_wanted_run (x));
+    send_hold (x, hold_wait_ms (x, now), has_wanted_run (x));
   else if (x->unacked_since_ms && ack_upto (x) > x->acked_seq
            && now - x->unacked_since_ms >= MM_ACK_DELAY_MS)
     send_hold (x, 0, false);
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -151,6 +151,7 @@
   mm_exec_learn_clock (x, &res->call);
   mm_exec_become_usable (x);
   x->hold_failed_ms = 0;
+  x->holds_failed = 0;
   x->acked_seq = MAX (x->acked_seq, c->acked_seq);
   if (x->acked_seq >= x->seen_seq)
     x->unacked_since_ms = 0;
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -3,6 +3,7 @@
 #define MM_EXEC_PRIV_H
 
 #include "mm_exec.h"
+#include "mm_rto.h"
 
 typedef enum
 {
@@ -59,9 +60,12 @@
   mm_time_ms hold_failed_ms; /* when the last one failed, 0: it did not */
   mm_time_ms lease_until_ms; /* our clock: nothing runs past it */
   mm_time_ms unacked_since_ms;
-  uint64_t seen_seq;  /* ends seen */
-  uint64_t acked_seq; /* ends a hold was answered for */
-  GArray *held;       /* mm_held_end */
+  uint64_t seen_seq;     /* ends seen */
+  uint64_t acked_seq;    /* ends a hold was answered for */
+  GArray *held;          /* mm_held_end */
+  uint32_t holds_failed; /* in a row */
+  mm_rto rto;
+  mm_time_ms lossy_ms; /* when a call last got no answer, 0: never */
   bool clock_known;
   mm_time_ms clock_offset_ms; /* upstream's clock minus ours, at most */
   mm_time_ms clock_ms;        /* when it was seen */
@@ -74,6 +78,8 @@
   mm_exec_run *run; /* NULL for a hold */
   uint64_t sent_event;
   uint64_t acked_seq;
+  mm_time_ms sent_ms;
+  mm_time_ms wait_ms; /* of a hold */
 } mm_exec_call;
 
 /* The run is over: its room is free, and the owner is told.  */
