Callers for whom an answer is too late don't push out those who ask first

Now such a caller, told by what is left of its patience against what is usual in its queue (mm_patience), gets what room is free and no place in the queue.

--- a/src/config.h
+++ b/src/config.h
@@ -146,10 +146,12 @@
 #define MM_OWNER_GAP_MS 500
 #define MM_RETRY_AFTER_NO_ROOM_S 1
 #define MM_LATE_FACTOR 3.0 /* answers up to 3 objectives are of use */
-/* A task out of sight has ended by then: it is the time after which callers
-   send a job again whose connection broke.  Its lease takes 1,000 ms of it, on
-   a clock 2 % slow, the rest is for its owner to notice that we are gone.  */
-#define MM_OUT_OF_SIGHT_MS 1300
+/* Callers send a job again so long after their connection broke.  */
+#define MM_RESEND_MS 1300
+#define MM_PATIENCE_GAIN 0.02 /* weight of one caller in what is usual */
+/* A task out of sight has ended by then: its lease takes 1,000 ms, on a clock
+   2 % slow, the rest is for its owner to notice that we are gone.  */
+#define MM_OUT_OF_SIGHT_MS MM_RESEND_MS
 #define MM_SPREAD_WAIT_MS 40   /* in one owner's queue, then spread anew */
 #define MM_GUESS_TASK_MS 250   /* a task's run time, until some have ended */
 #define MM_MEAN_TASK_GAIN 0.02 /* weight of one run in the mean */
--- a/src/mm_admission.c
+++ b/src/mm_admission.c
@@ -26,6 +26,13 @@
   return MAX ((mm_time_ms)slack - MM_OVERHEAD_MS, 0);
 }
 
+mm_time_ms
+mm_admission_useful_ms (double stretch, mm_time_ms slo_ms, mm_time_ms chain_ms)
+{
+  return (mm_time_ms)(MM_LATE_FACTOR
+                      * (stretch * (double)chain_ms + (double)slo_ms));
+}
+
 /**
  * mm_admission_limit_ms() - how long a job that was taken may wait.
  * @stretch: objective over the longest chain of work.
--- a/src/mm_admission.h
+++ b/src/mm_admission.h
@@ -24,7 +24,10 @@
 /* Time a job can wait and still meet its objective.  */
 mm_time_ms mm_admission_slack_ms (double stretch, mm_time_ms slo_ms,
                                   mm_time_ms chain_ms);
-/* The same, until it is too late even for a late answer.  */
+/* How long after it was handed in an answer is of use.  */
+mm_time_ms mm_admission_useful_ms (double stretch, mm_time_ms slo_ms,
+                                   mm_time_ms chain_ms);
+/* Time a job can wait, until it is too late even for a late answer.  */
 mm_time_ms mm_admission_limit_ms (double stretch, mm_time_ms slo_ms,
                                   mm_time_ms chain_ms);
 /* The same, of an objective that is worked out.  */
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -8,6 +8,7 @@
 #include "config.h"
 #include "mm_event.h"
 #include "mm_metrics.h"
+#include "mm_patience.h"
 #include "mm_steps.h"
 
 #include <string.h>
@@ -21,8 +22,8 @@
   mm_ticket *ticket; /* at an owner, or NULL */
   uint32_t failures;
   mm_time_ms handed_ms;
-  char *avoid;   /* upstream of the last failure */
-  bool stranded; /* no owner was in reach */
+  char *avoid;         /* upstream of the last failure */
+  bool stranded;       /* no owner was in reach */
   mm_time_ms again_ms; /* out of sight: handed out again then, 0: it is not */
   bool done;
 } task;
@@ -58,7 +59,8 @@
 struct mm_jobs
 {
   mm_fleet *fleet;
-  GHashTable *by_id; /* job id -> job */
+  GHashTable *by_id;    /* job id -> job */
+  GHashTable *patience; /* queue -> mm_patience */
 };
 
 mm_jobs *
@@ -67,6 +69,8 @@
   mm_jobs *j = g_new0 (mm_jobs, 1);
   j->fleet = fleet;
   j->by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  j->patience
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return j;
 }
 
@@ -142,6 +146,7 @@
   GList *jobs = g_hash_table_get_values (j->by_id);
   g_list_free_full (jobs, (GDestroyNotify)job_free);
   g_hash_table_destroy (j->by_id);
+  g_hash_table_destroy (j->patience);
   g_free (j);
 }
 
@@ -365,6 +370,22 @@
   return b;
 }
 
+/* Has the caller asked before, too long ago for an answer to be of use?  */
+static bool
+comes_too_late (mm_jobs *j, const mm_route *route, mm_time_ms patience_ms,
+                mm_time_ms chain_ms)
+{
+  mm_patience *p = g_hash_table_lookup (j->patience, route->name);
+  if (!p)
+    {
+      p = g_new0 (mm_patience, 1);
+      g_hash_table_insert (j->patience, g_strdup (route->name), p);
+    }
+  return mm_patience_is_over (
+      p, patience_ms,
+      mm_admission_useful_ms (route->stretch, route->slo_ms, chain_ms));
+}
+
 static mm_caller *
 add_caller (job *b, mm_answer_cb on_answer, void *ctx)
 {
@@ -403,8 +424,12 @@
   no.why = route->needs_advice ? "queues with advice are not served"
                                : mm_submission_unsupported (s);
   mm_load load = mm_fleet_load (j->fleet, route->service);
-  mm_time_ms slack = mm_admission_slack_ms (route->stretch, route->slo_ms,
-                                            mm_submission_chain_ms (s));
+  mm_time_ms chain_ms = mm_submission_chain_ms (s);
+  mm_time_ms slack
+      = mm_admission_slack_ms (route->stretch, route->slo_ms, chain_ms);
+  /* It gets what room is free, and queues up before nobody.  */
+  if (comes_too_late (j, route, patience_ms, chain_ms))
+    slack = 0;
   uint32_t tasks = mm_submission_first_tasks (s);
   mm_admission a = mm_admission_decide (&load, tasks, slack);
   if (!no.why && !a.take)
--- a/tests/test_decisions.c
+++ b/tests/test_decisions.c
@@ -2,6 +2,7 @@
    kinds of jobs; no network, no clock.  */
 #include "config.h"
 #include "mm_admission.h"
+#include "mm_patience.h"
 #include "mm_place.h"
 #include "mm_routes.h"
 #include "mm_spread.h"
@@ -96,6 +97,91 @@
 }
 END_TEST
 
+/* All instances are away for 1.1 s.  Who asked meanwhile comes again 1.3 s
+   after, when others ask for the first time.  100 places, 200 ms a task; 400
+   tasks a second are asked for, 500 can be run.
+   Return: the share of first-timers of the next two seconds who are in time.
+ */
+static double
+served_in_time_beside_a_herd (bool judge_patience)
+{
+  enum
+  {
+    PLACES = 100,
+    TASK_MS = 200,
+    SLACK_MS = 165,
+    USEFUL_MS = 1140,
+    WHOLE_MS = 2640, /* of patience */
+    HERD_FROM_MS = 200,
+    HERD_TO_MS = 1300,
+    END_MS = 2000
+  };
+  mm_patience p = { 0 };
+  double busy = 0, waiting = 0, asked = 0, in_time = 0;
+  for (int ms = 0; ms < END_MS; ms++)
+    {
+      double served = busy / TASK_MS;
+      busy -= served;
+      bool herd = ms >= HERD_FROM_MS && ms < HERD_TO_MS;
+      for (int again = 0; again <= herd; again++)
+        {
+          if (ms % 5 >= 2)
+            continue; /* two tasks each 5 ms */
+          mm_time_ms slack = SLACK_MS;
+          bool over = mm_patience_is_over (
+              &p, again ? WHOLE_MS - MM_RESEND_MS : WHOLE_MS, USEFUL_MS);
+          if (over && judge_patience)
+            slack = 0;
+          mm_load load = { .places = PLACES,
+                           .free = (uint32_t)MAX (PLACES - busy - waiting, 0),
+                           .waiting = (uint32_t)waiting,
+                           .mean_task_ms = TASK_MS };
+          mm_admission a = mm_admission_decide (&load, 1, slack);
+          if (!again)
+            {
+              asked++;
+              in_time += a.take && waiting * TASK_MS / PLACES <= SLACK_MS;
+            }
+          waiting += a.take;
+        }
+      double start = MIN (waiting, PLACES - busy);
+      waiting -= start;
+      busy += start;
+    }
+  return in_time / asked;
+}
+
+/* Callers who lost their connections in an outage take the room of those who
+   could still be in time, though an answer is of no use to them any more: 0.91
+   of these were in time, now all are.  */
+START_TEST (herd_after_an_outage_does_not_push_out_first_timers)
+{
+  double before = served_in_time_beside_a_herd (false);
+  double now = served_in_time_beside_a_herd (true);
+  ck_assert_msg (now >= 0.97 && now > before, "%.2f, %.2f before", now,
+                 before);
+}
+END_TEST
+
+/* Callers of a queue have 1.5 s to spare, one has 0.2 s left: it has asked
+   before.  Where all have little to spare nobody has, and where an answer is
+   of use for longer than it takes to come again, it still is.  */
+START_TEST (patience_tells_who_has_asked_before)
+{
+  mm_patience p = { 0 };
+  for (int i = 0; i < 20; i++)
+    ck_assert (!mm_patience_is_over (&p, 1500 + 470 + i, 470));
+  ck_assert (mm_patience_is_over (&p, 200 + 470, 470));
+  ck_assert (!mm_patience_is_over (&p, 1500 + 470, 470));
+  mm_patience hurried = { 0 };
+  for (int i = 0; i < 20; i++)
+    ck_assert (!mm_patience_is_over (&hurried, 300 + 470 - i, 470));
+  mm_patience patient = { 0 };
+  ck_assert (!mm_patience_is_over (&patient, 6000, 4500));
+  ck_assert (!mm_patience_is_over (&patient, 4600, 4500));
+}
+END_TEST
+
 static mm_spread_choice
 owner (mm_nearness near, uint32_t places, uint32_t free, uint32_t waiting)
 {
@@ -253,6 +339,8 @@
   tcase_add_test (c, job_without_any_owner_in_reach_waits_only_if_it_can);
   tcase_add_test (c, slack_and_limit_follow_the_objective);
   tcase_add_test (c, overload_is_refused_rather_than_served_late);
+  tcase_add_test (c, herd_after_an_outage_does_not_push_out_first_timers);
+  tcase_add_test (c, patience_tells_who_has_asked_before);
   tcase_add_test (c, task_goes_to_the_nearest_owner_with_room);
   tcase_add_test (c, task_goes_to_the_shortest_queue_when_all_is_full);
   tcase_add_test (c, task_is_placed_on_a_fast_upstream_and_fits_tightly);
