--- a/src/mm_admission.c
+++ b/src/mm_admission.c
@@ -71,7 +71,7 @@
 {
   mm_admission a = { .take = true };
   uint64_t ahead = (uint64_t)load->waiting + tasks;
-  if (ahead <= load->free)
+  if (ahead <= load->free || !MM_WITH_ADMISSION)
     return a;
   if (load->places == 0)
     {
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -537,7 +537,8 @@
 static mm_time_ms
 hold_wait_ms (const mm_exec *x, mm_time_ms now)
 {
-  bool lossy = x->lossy_ms && now - x->lossy_ms < MM_LOSSY_MS;
+  bool lossy
+      = MM_WITH_LOSSY_HOLDS && x->lossy_ms && now - x->lossy_ms < MM_LOSSY_MS;
   return lossy ? MM_HOLD_WAIT_LOSSY_MS : MM_HOLD_WAIT_MS;
 }
 
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -90,7 +90,7 @@
       r->progress_ms = now;
       return;
     }
-  if (r->stop_wanted || now - r->progress_ms < limit_ms)
+  if (!MM_WITH_PROGRESS || r->stop_wanted || now - r->progress_ms < limit_ms)
     return;
   mm_exec *x = r->exec;
   r->stop_wanted = true;
--- a/src/mm_holdings.c
+++ b/src/mm_holdings.c
@@ -190,7 +190,7 @@
     return;
   mm_mesh_presence p = mm_mesh_presence_in (h->mesh, d->datacentre);
   bool alone = mm_mesh_connected (h->mesh) == 0 && now >= h->alone_ms;
-  if (p.staying || alone || now >= h->give_up_ms)
+  if (p.staying || alone || now >= h->give_up_ms || !MM_WITH_SERVE_ON)
     retire (h, d);
 }
 
@@ -203,7 +203,7 @@
       holding *d = &h->all[i];
       if (h->leaving)
         consider_leaving (h, d, now);
-      else if (!d->own)
+      else if (!d->own && MM_WITH_STANDBY)
         consider_standby (h, d, now);
       if (d->shares)
         tick_shares (h, d, now);
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -185,7 +185,9 @@
           .due_within = MAX (b->due_ms - now, 0) };
   /* A short wait, then it is spread anew: room may have come free at
      another owner meanwhile.  */
-  r.start_within = CLAMP (b->start_by_ms - now, 1, MM_SPREAD_WAIT_MS);
+  r.start_within
+      = CLAMP (b->start_by_ms - now, 1,
+               MM_WITH_SPREAD_ANEW ? MM_SPREAD_WAIT_MS : MM_MAX_PATIENCE_MS);
   t->handed_ms = now;
   t->ticket = mm_fleet_submit (b->jobs->fleet, &r, on_task_done, t);
   t->stranded = !t->ticket;
@@ -289,7 +291,7 @@
 {
   job *b = t->job;
   mm_time_ms again_ms = now + MM_OUT_OF_SIGHT_MS;
-  if (again_ms >= b->start_by_ms)
+  if (!MM_WITH_RUN_AGAIN || again_ms >= b->start_by_ms)
     return false;
   t->again_ms = again_ms;
   b->n_lost++;
@@ -428,7 +430,7 @@
   mm_time_ms slack
       = mm_admission_slack_ms (route->stretch, route->slo_ms, chain_ms);
   /* It gets what room is free, and queues up before nobody.  */
-  if (comes_too_late (j, route, patience_ms, chain_ms))
+  if (MM_WITH_PATIENCE && comes_too_late (j, route, patience_ms, chain_ms))
     slack = 0;
   uint32_t tasks = mm_submission_first_tasks (s);
   mm_admission a = mm_admission_decide (&load, tasks, slack);
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -433,6 +433,8 @@
 void
 mm_mesh_tell_handed (mm_mesh *m, const char *group)
 {
+  if (!MM_WITH_TELL_HANDED)
+    return;
   msgpack_sbuffer b;
   msgpack_sbuffer_init (&b);
   mm_mesh_pack_handed (&b, group);
--- a/src/mm_neighbours.c
+++ b/src/mm_neighbours.c
@@ -101,7 +101,8 @@
     {
       bool own = strcmp (sorted[i].c->datacentre, own_datacentre) == 0;
       chosen[sorted[i].at] = (own && sorted[i].place < MM_NEIGHBOURS_NEAR)
-                             || sorted[i].c->stands_in;
+                             || sorted[i].c->stands_in
+                             || !MM_WITH_BOUNDED_LINKS;
     }
   uint32_t far = MM_NEIGHBOURS_FAR;
   for (uint32_t place = 0; place < MM_NEIGHBOURS_FAR_EACH; place++)
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -299,7 +299,8 @@
       = (double)now
         + run_ms * MM_ESTIMATE_ERROR * MAX (mm_exec_slowness (s->exec), 1.0);
   return !s->frozen
-         || (run_ms > 0 && end_ms <= (double)s->owner->handover_end_ms);
+         || (MM_WITH_HANDOVER_RUNS && run_ms > 0
+             && end_ms <= (double)s->owner->handover_end_ms);
 }
 
 /* Another owner's token was seen at this upstream.  */
@@ -700,6 +701,8 @@
 mm_room_ahead (const mm_room_report *r, uint32_t priority)
 {
   uint32_t n = 0;
+  if (!MM_WITH_PRIORITY)
+    return r->waiting;
   for (uint32_t i = 0; i < MM_PRIORITY_LEVELS && i <= priority; i++)
     n += r->waiting_at[i];
   return n;
--- a/src/mm_place.c
+++ b/src/mm_place.c
@@ -13,13 +13,13 @@
 static bool
 better (const mm_place_candidate *a, const mm_place_candidate *b)
 {
-  if (a->near_data != b->near_data)
+  if (MM_WITH_NEAR_DATA && a->near_data != b->near_data)
     return a->near_data;
   double step_a = floor (a->slowness / MM_PLACE_SPEED_STEP);
   double step_b = floor (b->slowness / MM_PLACE_SPEED_STEP);
-  if (step_a != step_b)
+  if (MM_WITH_SPEED && step_a != step_b)
     return step_a < step_b;
-  return a->room.cpu_milli < b->room.cpu_milli;
+  return MM_WITH_TIGHT_FIT && a->room.cpu_milli < b->room.cpu_milli;
 }
 
 int
--- a/src/mm_predecessors.c
+++ b/src/mm_predecessors.c
@@ -106,6 +106,8 @@
 mm_predecessors_note (mm_predecessors *p, const char *group,
                       const mm_members_result *res)
 {
+  if (!MM_WITH_PREDECESSORS)
+    return;
   for (size_t i = 0; res->ok && i < res->n_members; i++)
     if (is_earlier_life (p, res->members[i]))
       take_out (p, group, res->members[i]);
--- a/src/mm_rto.c
+++ b/src/mm_rto.c
@@ -48,7 +48,7 @@
 mm_time_ms
 mm_rto_ms (const mm_rto *r)
 {
-  if (r->mean_ms <= 0)
+  if (r->mean_ms <= 0 || !MM_WITH_RTO)
     return MM_RTO_MAX_MS;
   double rto_ms = r->mean_ms + DEVIATIONS * r->deviation_ms;
   rto_ms = ldexp (MAX (rto_ms, MM_RTO_MIN_MS), (int)MIN (r->doublings, 8));
--- a/src/mm_trust.c
+++ b/src/mm_trust.c
@@ -33,6 +33,8 @@
 bool
 mm_trust_allows (mm_trust *t, size_t running, mm_time_ms now_ms)
 {
+  if (!MM_WITH_TRUST)
+    return true;
   if (now_ms < t->excluded_until)
     return false;
   return !t->on_trial || running == 0;
