--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -3,56 +3,15 @@
    Room has one owner, so what is seen as free is free.  The queue is
    short by design: a task says how long it may wait (start_within), and
    is given back as not run after that, so that its caller learns soon.  */
-#include "mm_owner.h"
+#include "mm_owner_priv.h"
 
 #include "config.h"
 #include "mm_event.h"
 #include "mm_metrics.h"
 #include "mm_place.h"
-#include "mm_trust.h"
 
-#include <cJSON.h>
 #include <string.h>
 
-typedef struct
-{
-  mm_owner *owner;
-  mm_exec *exec;
-  mm_trust trust;
-  bool frozen; /* being handed over */
-} slot;
-
-struct mm_work
-{
-  mm_owner *owner;
-  mm_task_request t; /* its strings are ours */
-  mm_time_ms start_by_ms;
-  mm_time_ms due_ms;
-  mm_time_ms taken_ms;
-  uint64_t order; /* of arrival */
-  slot *at;       /* where it runs or is being stopped, NULL: waiting */
-  bool cancelled;
-  mm_work_done done;
-  void *ctx;
-};
-
-struct mm_owner
-{
-  mm_exec_port port;
-  GHashTable *slots;  /* upstream name -> slot */
-  GQueue *waiting;    /* mm_work, by priority and arrival */
-  GHashTable *active; /* mm_task_id -> mm_work that has a run */
-  uint64_t next_order;
-  mm_time_ms handover_end_ms; /* all that is handed over is idle then */
-  double usual_run_ms;        /* of a task, for reports */
-  double usual_cpu_milli;     /* of a task, for reports */
-  mm_time_ms kept_ms;         /* when a kept job was last heard of */
-  bool sure;                  /* nobody else can own what is owned here */
-  bool pumping;
-  bool pump_again;
-  bool destroyed;
-};
-
 static void pump (mm_owner *o);
 
 static void
@@ -66,9 +25,9 @@
   g_free (w);
 }
 
-static void
-finish (mm_work *w, mm_end how, const char *upstream, uint32_t run,
-        mm_time_ms ran_ms, const char *why)
+void
+mm_owner_finish (mm_work *w, mm_end how, const char *upstream, uint32_t run,
+                 mm_time_ms ran_ms, const char *why)
 {
   mm_work_result r = {
     .how = how, .upstream = upstream, .run = run, .ran_ms = ran_ms, .why = why
@@ -105,13 +64,13 @@
   mm_owner *o = w->owner;
   bool late = mm_clock_now_ms () > w->start_by_ms;
   if (w->cancelled || late || o->destroyed)
-    finish (w, MM_END_NOT_RUN, upstream, 0, 0, why);
+    mm_owner_finish (w, MM_END_NOT_RUN, upstream, 0, 0, why);
   else
     enqueue (o, w);
 }
 
 static void
-note_trust (slot *s, const char *name, bool ok, mm_time_ms now)
+note_trust (mm_slot *s, const char *name, bool ok, mm_time_ms now)
 {
   bool was_on_trial = s->trust.on_trial;
   mm_time_ms excluded_until = s->trust.excluded_until;
@@ -130,7 +89,7 @@
 on_ended (void *ctx, mm_exec *x, void *work, uint32_t run, mm_end how,
           mm_time_ms ran_ms, const char *why)
 {
-  slot *s = ctx;
+  mm_slot *s = ctx;
   mm_work *w = work;
   mm_owner *o = s->owner;
   const char *name = mm_exec_info (x)->name;
@@ -150,20 +109,20 @@
   if (how == MM_END_NOT_RUN)
     give_back (w, name, why);
   else
-    finish (w, how, name, run, ran_ms, why);
+    mm_owner_finish (w, how, name, run, ran_ms, why);
 }
 
 static void
 on_room (void *ctx, mm_exec *x)
 {
-  slot *s = ctx;
+  mm_slot *s = ctx;
   pump (s->owner);
 }
 
 static void
 slot_free (gpointer p)
 {
-  slot *s = p;
+  mm_slot *s = p;
   mm_exec_destroy (s->exec);
   g_free (s);
 }
@@ -171,7 +130,7 @@
 /* Work at an upstream that is not ours any more: its outcome is lost, and
    it may still run for the rest of its lease.  */
 static void
-lose_work_at (mm_owner *o, slot *s, const char *why)
+lose_work_at (mm_owner *o, mm_slot *s, const char *why)
 {
   GList *works = g_hash_table_get_values (o->active);
   for (GList *l = works; l; l = l->next)
@@ -180,7 +139,8 @@
       if (w->at != s)
         continue;
       g_hash_table_remove (o->active, &w->t.id);
-      finish (w, MM_END_UNKNOWN, mm_exec_info (s->exec)->name, 0, 0, why);
+      mm_owner_finish (w, MM_END_UNKNOWN, mm_exec_info (s->exec)->name, 0, 0,
+                       why);
     }
   g_list_free (works);
 }
@@ -243,7 +203,7 @@
 void
 mm_owner_own (mm_owner *o, const mm_upstream_info *u, uint64_t fence)
 {
-  slot *s = g_hash_table_lookup (o->slots, u->name);
+  mm_slot *s = g_hash_table_lookup (o->slots, u->name);
   if (s && mm_exec_fence (s->exec) >= fence)
     {
       s->frozen = false;
@@ -253,7 +213,7 @@
     }
   if (s)
     mm_owner_disown (o, u->name);
-  s = g_new0 (slot, 1);
+  s = g_new0 (mm_slot, 1);
   s->owner = o;
   mm_exec_events ev = { .ended = on_ended,
                         .room = on_room,
@@ -267,7 +227,7 @@
 void
 mm_owner_disown (mm_owner *o, const char *upstream)
 {
-  slot *s = g_hash_table_lookup (o->slots, upstream);
+  mm_slot *s = g_hash_table_lookup (o->slots, upstream);
   if (!s)
     return;
   lose_work_at (o, s, "upstream handed over or gone");
@@ -280,7 +240,7 @@
 void
 mm_owner_freeze (mm_owner *o, const char *upstream)
 {
-  slot *s = g_hash_table_lookup (o->slots, upstream);
+  mm_slot *s = g_hash_table_lookup (o->slots, upstream);
   if (!s || s->frozen)
     return;
   mm_time_ms now = mm_clock_now_ms ();
@@ -292,8 +252,8 @@
 }
 
 /* May a task that usually runs so long start at @s?  */
-static bool
-ends_in_time (const slot *s, double run_ms, mm_time_ms now)
+bool
+mm_owner_ends_in_time (const mm_slot *s, double run_ms, mm_time_ms now)
 {
   double end_ms
       = (double)now
@@ -307,7 +267,7 @@
 bool
 mm_owner_fenced (const mm_owner *o, const char *upstream)
 {
-  slot *s = g_hash_table_lookup (o->slots, upstream);
+  mm_slot *s = g_hash_table_lookup (o->slots, upstream);
   return s && mm_exec_fenced (s->exec);
 }
 
@@ -320,7 +280,7 @@
 bool
 mm_owner_quiet (const mm_owner *o, const char *upstream)
 {
-  slot *s = g_hash_table_lookup (o->slots, upstream);
+  mm_slot *s = g_hash_table_lookup (o->slots, upstream);
   return !s || (s->frozen && mm_exec_quiet (s->exec));
 }
 
@@ -333,14 +293,14 @@
 }
 
 static mm_place_candidate
-candidate (slot *s, const mm_work *w, mm_time_ms now)
+candidate (mm_slot *s, const mm_work *w, mm_time_ms now)
 {
   const mm_upstream_info *u = mm_exec_info (s->exec);
   mm_place_candidate c = { .room = mm_exec_room (s->exec),
                            .slowness = mm_exec_slowness (s->exec) };
   size_t runs = mm_exec_runs (s->exec);
   c.near_data = w->t.data_label && has_label (u, w->t.data_label);
-  c.allowed = ends_in_time (s, (double)w->t.estimate_ms, now)
+  c.allowed = mm_owner_ends_in_time (s, (double)w->t.estimate_ms, now)
               && mm_exec_usable (s->exec)
               && strcmp (u->service, w->t.service) == 0
               && has_label (u, w->t.label)
@@ -358,7 +318,7 @@
   if (n == 0 || g_hash_table_contains (o->active, &w->t.id))
     return false; /* an earlier run of it is not over */
   mm_place_candidate *c = g_new (mm_place_candidate, n);
-  slot **at = g_new (slot *, n);
+  mm_slot **at = g_new (mm_slot *, n);
   GHashTableIter it;
   gpointer v;
   size_t i = 0;
@@ -400,7 +360,7 @@
   while ((w = first_expired (o, now)))
     {
       g_queue_remove (o->waiting, w);
-      finish (w, MM_END_NOT_RUN, NULL, 0, 0, "waited too long");
+      mm_owner_finish (w, MM_END_NOT_RUN, NULL, 0, 0, "waited too long");
     }
 }
 
@@ -512,112 +472,6 @@
   o->sure = sure;
 }
 
-void
-mm_owner_note_end (mm_owner *o, const mm_task_id *task, uint32_t mark)
-{
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init (&it, o->slots);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    {
-      mm_exec *x = ((slot *)v)->exec;
-      size_t n;
-      const mm_held_end *h = mm_exec_held (x, &n);
-      for (size_t i = n; i-- > 0;)
-        if (mm_task_id_equal (&h[i].task, task)
-            && mm_run_mark (mm_exec_info (x)->name, h[i].run) == mark)
-          mm_exec_drop_held (x, i);
-    }
-}
-
-/* How many of the tasks wait here for room?  */
-static uint32_t
-count_waiting (const mm_owner *o, GHashTable *tasks)
-{
-  uint32_t n = 0;
-  for (GList *l = o->waiting->head; l; l = l->next)
-    n += g_hash_table_contains (tasks, &((mm_work *)l->data)->t.id);
-  return n;
-}
-
-static void
-add_held (const mm_exec *x, GHashTable *tasks, GArray *ends)
-{
-  size_t n;
-  const mm_held_end *h = mm_exec_held (x, &n);
-  for (size_t i = 0; i < n; i++)
-    {
-      mm_found_end e
-          = { .task = h[i].task,
-              .how = h[i].how,
-              .mark = mm_run_mark (mm_exec_info (x)->name, h[i].run) };
-      if (g_hash_table_contains (tasks, &e.task))
-        g_array_append_val (ends, e);
-    }
-}
-
-/**
- * mm_owner_census() - look for tasks whose fate their home lost sight of.
- * @o: the owner.
- * @tasks: a set of mm_task_id.
- * @out: upstreams on which none of them runs, or will by this owner's
- *   doing, and ends of theirs that are not taken note of, are added.
- */
-void
-mm_owner_census (const mm_owner *o, GHashTable *tasks, mm_census *out)
-{
-  out->present += count_waiting (o, tasks);
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init (&it, o->slots);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    {
-      const mm_exec *x = ((slot *)v)->exec;
-      out->present += mm_exec_count_of (x, tasks);
-      /* An owner that was outranked meanwhile cannot vouch for its idle
-         upstreams: it would not know.  */
-      if (!o->sure || !mm_exec_sure (x))
-        continue;
-      uint64_t mark = mm_upstream_mark (mm_exec_info (x)->name);
-      g_array_append_val (out->clear, mark);
-      add_held (x, tasks, out->ends);
-    }
-}
-
-void
-mm_owner_foreign_jobs (const mm_owner *o, GHashTable *ids)
-{
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init (&it, o->slots);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    {
-      size_t n;
-      const mm_held_end *h = mm_exec_held (((slot *)v)->exec, &n);
-      for (size_t i = 0; i < n; i++)
-        if (h[i].foreign && !g_hash_table_contains (ids, h[i].task.job))
-          g_hash_table_add (ids, g_strdup (h[i].task.job));
-    }
-}
-
-void
-mm_owner_forget_job (mm_owner *o, const char *job_id)
-{
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init (&it, o->slots);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    {
-      mm_exec *x = ((slot *)v)->exec;
-      size_t n;
-      const mm_held_end *h = mm_exec_held (x, &n);
-      for (size_t i = n; i-- > 0;)
-        if (strcmp (h[i].task.job, job_id) == 0)
-          mm_exec_drop_held (x, i);
-      mm_exec_forget_job (x, job_id);
-    }
-}
-
 /* Ends that nobody takes note of must not pile up at the upstreams.  */
 static void
 expire_held (mm_exec *x, mm_time_ms now)
@@ -637,7 +491,7 @@
   GList *slots = g_hash_table_get_values (o->slots);
   for (GList *l = slots; l; l = l->next)
     {
-      mm_exec *x = ((slot *)l->data)->exec;
+      mm_exec *x = ((mm_slot *)l->data)->exec;
       expire_held (x, now);
       mm_exec_tick (x);
     }
@@ -645,139 +499,3 @@
   if (o->waiting->length)
     pump (o);
 }
-
-/* Until a task was seen, an upstream's slots are the best guess.  */
-static int64_t
-usual_cpu_milli (const mm_owner *o, const mm_upstream_info *u)
-{
-  int64_t cpu = o->usual_cpu_milli > 0
-                    ? (int64_t)o->usual_cpu_milli
-                    : u->capacity.cpu_milli / MAX (u->slots, 1);
-  return MAX (cpu, 1);
-}
-
-/**
- * mm_owner_report() - room of a service, for those who place work.
- * @o: the owner.
- * @service: the service.
- *
- * Return: counted in tasks of the size seen lately.
- */
-mm_room_report
-mm_owner_report (const mm_owner *o, const char *service)
-{
-  mm_room_report r = { 0 };
-  mm_time_ms now = mm_clock_now_ms ();
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init (&it, o->slots);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    {
-      slot *s = v;
-      const mm_upstream_info *u = mm_exec_info (s->exec);
-      if (strcmp (u->service, service) != 0
-          || !ends_in_time (s, o->usual_run_ms, now)
-          || !mm_exec_in_sight (s->exec)
-          || !mm_trust_allows (&s->trust, 0, now))
-        continue;
-      int64_t cpu = usual_cpu_milli (o, u);
-      r.places += (uint32_t)(u->capacity.cpu_milli / cpu);
-      int64_t room = mm_exec_room (s->exec).cpu_milli;
-      if (room > 0 && mm_exec_usable (s->exec))
-        r.free += (uint32_t)(room / cpu);
-    }
-  for (GList *l = o->waiting->head; l; l = l->next)
-    {
-      const mm_work *w = l->data;
-      if (strcmp (w->t.service, service) != 0)
-        continue;
-      r.waiting++;
-      r.waiting_at[MIN (w->t.priority, MM_PRIORITY_LEVELS - 1)]++;
-    }
-  return r;
-}
-
-uint32_t
-mm_room_ahead (const mm_room_report *r, uint32_t priority)
-{
-  uint32_t n = 0;
-  if (!MM_WITH_PRIORITY)
-    return r->waiting;
-  for (uint32_t i = 0; i < MM_PRIORITY_LEVELS && i <= priority; i++)
-    n += r->waiting_at[i];
-  return n;
-}
-
-mm_owner_gauges
-mm_owner_measure (const mm_owner *o)
-{
-  mm_owner_gauges g = { .upstreams = g_hash_table_size (o->slots) };
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init (&it, o->slots);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    {
-      g.runs += (uint32_t)mm_exec_runs (((slot *)v)->exec);
-      g.unsure += (uint32_t)mm_exec_unsure (((slot *)v)->exec);
-    }
-  GList *services = mm_owner_services (o);
-  for (GList *l = services; l; l = l->next)
-    {
-      mm_room_report r = mm_owner_report (o, l->data);
-      g.room.places += r.places;
-      g.room.free += r.free;
-      g.room.waiting += r.waiting;
-    }
-  g_list_free (services);
-  return g;
-}
-
-/* Distinct services of the upstreams owned here.  */
-GList *
-mm_owner_services (const mm_owner *o)
-{
-  GList *names = NULL;
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init (&it, o->slots);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    {
-      char *service = mm_exec_info (((slot *)v)->exec)->service;
-      if (!g_list_find_custom (names, service, (GCompareFunc)strcmp))
-        names = g_list_prepend (names, service);
-    }
-  return names;
-}
-
-/**
- * mm_owner_dump() - state as JSON, for operators.
- * @o: the owner.
- *
- * Return: newly allocated text, free with free().
- */
-char *
-mm_owner_dump (const mm_owner *o)
-{
-  cJSON *d = cJSON_CreateObject ();
-  cJSON_AddNumberToObject (d, "waiting", o->waiting->length);
-  cJSON *a = cJSON_AddArrayToObject (d, "upstreams");
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init (&it, o->slots);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    {
-      slot *s = v;
-      cJSON *u = cJSON_CreateObject ();
-      cJSON_AddStringToObject (u, "name", mm_exec_info (s->exec)->name);
-      cJSON_AddNumberToObject (u, "fence", (double)mm_exec_fence (s->exec));
-      cJSON_AddBoolToObject (u, "usable", mm_exec_usable (s->exec));
-      cJSON_AddNumberToObject (u, "runs", (double)mm_exec_runs (s->exec));
-      cJSON_AddNumberToObject (u, "free_cpu_milli",
-                               (double)mm_exec_room (s->exec).cpu_milli);
-      cJSON_AddNumberToObject (u, "slowness", mm_exec_slowness (s->exec));
-      cJSON_AddItemToArray (a, u);
-    }
-  char *text = cJSON_PrintUnformatted (d);
-  cJSON_Delete (d);
-  return text;
-}
--- /dev/null
+++ b/src/mm_owner_priv.h
@@ -0,0 +1,54 @@
+/* mm_owner_priv: what the parts of mm_owner share.  Internal to it.  */
+#ifndef MM_OWNER_PRIV_H
+#define MM_OWNER_PRIV_H
+
+#include "mm_owner.h"
+#include "mm_trust.h"
+
+/* An upstream owned here.  */
+typedef struct
+{
+  mm_owner *owner;
+  mm_exec *exec;
+  mm_trust trust;
+  bool frozen; /* being handed over */
+} mm_slot;
+
+struct mm_work
+{
+  mm_owner *owner;
+  mm_task_request t; /* its strings are ours */
+  mm_time_ms start_by_ms;
+  mm_time_ms due_ms;
+  mm_time_ms taken_ms;
+  uint64_t order; /* of arrival */
+  mm_slot *at;    /* where it runs or is being stopped, NULL: waiting */
+  bool cancelled;
+  mm_work_done done;
+  void *ctx;
+};
+
+struct mm_owner
+{
+  mm_exec_port port;
+  GHashTable *slots;  /* upstream name -> mm_slot */
+  GQueue *waiting;    /* mm_work, by priority and arrival */
+  GHashTable *active; /* mm_task_id -> mm_work that has a run */
+  uint64_t next_order;
+  mm_time_ms handover_end_ms; /* all that is handed over is idle then */
+  double usual_run_ms;        /* of a task, for reports */
+  double usual_cpu_milli;     /* of a task, for reports */
+  mm_time_ms kept_ms;         /* when a kept job was last heard of */
+  bool sure;                  /* nobody else can own what is owned here */
+  bool pumping;
+  bool pump_again;
+  bool destroyed;
+};
+
+/* The work is over: tell who handed it in, and free it.  */
+void mm_owner_finish (mm_work *w, mm_end how, const char *upstream,
+                      uint32_t run, mm_time_ms ran_ms, const char *why);
+/* May a task that usually runs so long start there now?  */
+bool mm_owner_ends_in_time (const mm_slot *s, double run_ms, mm_time_ms now);
+
+#endif /* MM_OWNER_PRIV_H */
