Runs go on under their upstream's next owner

Now the next owner asks the linked instances whose runs it found (FOUND); the one whose task it is hands it in there as running already, and gets its end. Asked by nobody within 60 ms, it is stopped as before. Tests: test_owner runs_go_on_under_the_next_owner, runs_that_nobody_asks_for_...; test_mesh messages_are_read_as_they_were_packed; test_node no_job_with_time_to_spare_...

--- a/src/config.h
+++ b/src/config.h
@@ -18,6 +18,7 @@
 #define MM_WITH_RTO 1           /* time-outs that follow the answer times */
 #define MM_WITH_LOSSY_HOLDS 1   /* short holds while answers are lost */
 #define MM_WITH_RUN_AGAIN 1     /* tasks out of sight, once they have ended */
+#define MM_WITH_ADOPTION 1 /* runs go on under their upstream's next owner */
 #define MM_WITH_STANDBY 1       /* for a data centre without instances */
 #define MM_WITH_PREDECESSORS 1  /* taken out of their groups */
 #define MM_WITH_SERVE_ON 1      /* while leaving, until somebody takes over */
@@ -210,6 +211,13 @@
 #define MM_MEMBERS_FAR_POLL 4u       /* data centres asked about each time */
 /* Upstreams to be handed over may finish what they run for so long.  */
 #define MM_HANDOVER_MS 2500
+/* The next owner of an upstream asks the others whose runs it found there, and
+   stops those that nobody has asked for by then: an answer takes 2 ms, two
+   ticks pass at most.  */
+#define MM_ADOPT_MS 60
+/* Who lost an upstream waits so long to be asked: the next owner learns of it
+   with its next call to the store at the latest.  */
+#define MM_ORPHAN_MS 400
 #define MM_HANDOVER_MARGIN_MS 200 /* the last task may be so late */
 #define MM_ESTIMATE_ERROR 1.4     /* declared run times are off by 40 % */
 /* Standing still for longer than this, an instance starts nothing of what
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -132,7 +132,10 @@
       "the order may have been carried out, or may be yet" },
   [MM_EV_TASK_FOREIGN]
   = { "task_foreign", KEEP_ALL, "job task upstream run",
-      "an earlier owner's run was found there; it is stopped" },
+      "an earlier owner's run was found there; stopped unless it is adopted" },
+  [MM_EV_TASK_ADOPTED]
+  = { "task_adopted", KEEP_ALL, "job task upstream run ran_ms",
+      "an earlier owner's run goes on here for who handed it in" },
   [MM_EV_TASK_STOPPED] = { "task_stopped", KEEP_ALL, "job task upstream why",
                            "a stop was ordered" },
   [MM_EV_TASK_RETURNED]
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -176,12 +176,11 @@
     mm_exec_release (refused, MM_END_NOT_RUN, "fenced");
   if (known || x->closed)
     return;
+  x->ev.fenced (x->ev.ctx, x);
   GList *runs = g_hash_table_get_values (x->runs);
   for (GList *l = runs; l && !x->closed; l = l->next)
     report (l->data, MM_END_UNKNOWN, "fenced");
   g_list_free (runs);
-  if (!x->closed)
-    x->ev.fenced (x->ev.ctx, x);
 }
 
 static void
@@ -396,6 +395,18 @@
   send_start (r);
 }
 
+static mm_exec_run *
+run_of_work (const mm_exec *x, const void *work)
+{
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, x->runs);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    if (((mm_exec_run *)v)->work == work)
+      return v;
+  return NULL;
+}
+
 /**
  * mm_exec_stop() - stop the run of a handle.
  * @x: the session.
@@ -404,19 +415,64 @@
 void
 mm_exec_stop (mm_exec *x, void *work)
 {
+  mm_exec_run *r = run_of_work (x, work);
+  if (!r)
+    return;
+  r->stop_wanted = r->stop_by_owner = true;
+  mm_log_event (MM_EV_TASK_STOPPED, MM_TASK (&r->id), MM_TEXT (x->info->name),
+                MM_TEXT ("nobody waits for it"));
+  mm_exec_send_stop (r, false);
+}
+
+uint32_t
+mm_exec_give_up (mm_exec *x, void *work, mm_time_ms *ran_ms)
+{
+  mm_exec_run *r = run_of_work (x, work);
+  *ran_ms = 0;
+  if (!r)
+    return 0;
+  r->work = NULL;
+  *ran_ms = mm_clock_now_ms () - r->ordered_ms;
+  return r->number;
+}
+
+bool
+mm_exec_adopt (mm_exec *x, const mm_task_request *t, void *work)
+{
+  mm_exec_run *r = g_hash_table_lookup (x->runs, &t->id);
+  if (!r || !r->foreign || r->number != t->run || r->stop_wanted)
+    return false;
+  r->foreign = false;
+  r->adopted = true;
+  x->n_foreign--;
+  r->work = work;
+  r->need = t->need;
+  r->estimate_ms = t->estimate_ms;
+  r->ordered_ms = mm_clock_now_ms () - t->ran_ms;
+  mm_need_add (&x->used, &r->need);
+  mm_log_event (MM_EV_TASK_ADOPTED, MM_TASK (&r->id), MM_TEXT (x->info->name),
+                MM_INT (r->number), MM_INT (t->ran_ms));
+  if (x->n_foreign == 0)
+    x->ev.room (x->ev.ctx, x);
+  return true;
+}
+
+/* Nobody has asked for them: stopped, so that their room can be used.  */
+static void
+stop_unclaimed (mm_exec *x, mm_time_ms now)
+{
+  if (x->n_foreign == 0)
+    return;
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init (&it, x->runs);
   while (g_hash_table_iter_next (&it, NULL, &v))
     {
       mm_exec_run *r = v;
-      if (r->work != work)
+      if (!r->foreign || r->stop_wanted || now - r->ordered_ms < MM_ADOPT_MS)
         continue;
       r->stop_wanted = r->stop_by_owner = true;
-      mm_log_event (MM_EV_TASK_STOPPED, MM_TASK (&r->id),
-                    MM_TEXT (x->info->name), MM_TEXT ("nobody waits for it"));
       mm_exec_send_stop (r, false);
-      return;
     }
 }
 
@@ -557,6 +613,8 @@
     return;
   mm_time_ms now = mm_clock_now_ms ();
   expire_runs (x, now);
+  if (!x->closed)
+    stop_unclaimed (x, now);
   if (x->closed || x->holds_in_flight > 0)
     return;
   if (x->hold_failed_ms || !x->seen || x->suspect)
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -116,6 +116,8 @@
   void (*room) (void *ctx, mm_exec *x);
   /* It refused a start, or a task stands still there.  */
   void (*unwell) (void *ctx, mm_exec *x);
+  /* An earlier owner's run was found; see mm_exec_adopt().  */
+  void (*found) (void *ctx, mm_exec *x, const mm_task_id *task, uint32_t run);
   /* Another owner's token was seen: this session is over.  */
   void (*fenced) (void *ctx, mm_exec *x);
   void *ctx;
@@ -141,6 +143,12 @@
 void mm_exec_start (mm_exec *x, const mm_task_request *t,
                     void *work);            /* must fit */
 void mm_exec_stop (mm_exec *x, void *work); /* ends as stopped */
+/* The run that an earlier owner started is this task's, and goes on.  False:
+   it is not there any more, or being stopped.  */
+bool mm_exec_adopt (mm_exec *x, const mm_task_request *t, void *work);
+/* Nobody here waits for the run of @work any more; it is not stopped.
+   Return: its number there, and in @ran_ms for how long it ran.  */
+uint32_t mm_exec_give_up (mm_exec *x, void *work, mm_time_ms *ran_ms);
 double mm_exec_slowness (const mm_exec *x); /* run time over estimate */
 /* Ends that are not taken note of yet.  */
 const mm_held_end *mm_exec_held (const mm_exec *x, size_t *n);
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -8,7 +8,7 @@
 static void
 learn_speed (mm_exec *x, const mm_exec_run *r)
 {
-  if (r->estimate_ms <= 0 || r->phase != RUN_RUNNING)
+  if (r->estimate_ms <= 0 || r->phase != RUN_RUNNING || r->adopted)
     return;
   double ratio
       = (double)(mm_clock_now_ms () - r->ordered_ms) / (double)r->estimate_ms;
@@ -55,8 +55,9 @@
     x->unacked_since_ms = mm_clock_now_ms ();
 }
 
-/* A run of an earlier owner, whom nobody asks about any more: stop it.
-   Its size is unknown, so nothing starts here until it is gone.  */
+/* A run of an earlier owner.  Who handed it in may still wait for it, and asks
+   us to go on with it (mm_exec_adopt); else it is stopped after a moment.  Its
+   size is unknown, so nothing starts here until then.  */
 static void
 take_foreign (mm_exec *x, const mm_running *seen)
 {
@@ -67,13 +68,12 @@
   r->foreign = true;
   r->ordered_ms = mm_clock_now_ms ();
   mm_exec_set_running (r);
-  r->stop_wanted = r->stop_by_owner = true;
   x->n_foreign++;
   mm_metrics_count (MM_CT_FOREIGN_RUNS);
   mm_log_event (MM_EV_TASK_FOREIGN, MM_TASK (&r->id), MM_TEXT (x->info->name),
                 MM_INT (r->number));
   g_hash_table_insert (x->runs, &r->id, r);
-  mm_exec_send_stop (r, false);
+  x->ev.found (x->ev.ctx, x, &r->id, r->number);
 }
 
 /* Some upstreams keep a task for ever and report themselves well: its
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -21,6 +21,7 @@
   void *work; /* the owner's handle, NULL once given up */
   mm_exec_phase phase;
   bool foreign;       /* found there, an earlier owner's */
+  bool adopted;       /* was foreign: when it began is not known exactly */
   bool kept;          /* its end is held until it is taken note of */
   bool stop_wanted;   /* by the owner, or as the start was unanswered */
   bool stop_by_owner; /* reported as stopped, not as not run */
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -64,6 +64,15 @@
   g_hash_table_remove (in->works, &no);
 }
 
+static void
+take_hello (mm_mesh_inbound_link *in, const mm_mesh_msg *m)
+{
+  g_free (in->name);
+  in->name = g_strdup (m->name);
+  if (in->mesh->hello)
+    in->mesh->hello (in->mesh->hello_ctx, m->name);
+}
+
 static bool
 on_inbound_object (void *ctx, const msgpack_object *o)
 {
@@ -78,12 +87,12 @@
     mm_mesh_take_ask (in, &m);
   else if (ok && m.kind == MM_MESH_HANDED && in->mesh->handed)
     in->mesh->handed (in->mesh->handed_ctx, m.name);
-  else if (ok && m.kind == MM_MESH_HELLO && in->mesh->hello)
-    in->mesh->hello (in->mesh->hello_ctx, m.name);
+  else if (ok && m.kind == MM_MESH_FOUND)
+    mm_mesh_take_found (in, &m);
+  else if (ok && m.kind == MM_MESH_HELLO)
+    take_hello (in, &m);
   else
-    ok = ok
-         && (m.kind == MM_MESH_BEAT || m.kind == MM_MESH_HELLO
-             || m.kind == MM_MESH_HANDED);
+    ok = ok && (m.kind == MM_MESH_BEAT || m.kind == MM_MESH_HANDED);
   mm_mesh_msg_clear (&m);
   return ok;
 }
@@ -106,6 +115,7 @@
     ((mm_mesh_reply *)l->data)->to = NULL;
   g_list_free (in->replies);
   g_byte_array_free (in->last_report, TRUE);
+  g_free (in->name);
   m->inbound = g_list_remove (m->inbound, in);
   g_free (in);
 }
@@ -382,6 +392,7 @@
   ev_io_init (&m->accept_io, accept_cb, fd, EV_READ);
   m->accept_io.data = m;
   ev_io_start (loop, &m->accept_io);
+  mm_mesh_link_owner (m);
   return m;
 }
 
@@ -422,6 +433,17 @@
   m->handed_ctx = ctx;
 }
 
+void
+mm_mesh_send_all (mm_mesh *m, const msgpack_sbuffer *b)
+{
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    if (((mm_mesh_peer *)v)->connected)
+      mm_link_send (((mm_mesh_peer *)v)->link, b);
+}
+
 /**
  * mm_mesh_tell_handed() - tell the peers that partitions can be taken.
  * @m: the mesh.
@@ -438,12 +460,7 @@
   msgpack_sbuffer b;
   msgpack_sbuffer_init (&b);
   mm_mesh_pack_handed (&b, group);
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init (&it, m->peers);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    if (((mm_mesh_peer *)v)->connected)
-      mm_link_send (((mm_mesh_peer *)v)->link, &b);
+  mm_mesh_send_all (m, &b);
   msgpack_sbuffer_destroy (&b);
 }
 
--- /dev/null
+++ b/src/mm_mesh_adopt.c
@@ -0,0 +1,42 @@
+/* mm_mesh_adopt: ask the other instances whose runs were found, and answer.
+
+   The question goes out to all that are linked; the one whose task it is hands
+   that task to the sender, as running already.  */
+#include "mm_mesh_priv.h"
+
+static void
+on_found (void *ctx, const char *upstream, const mm_task_id *task,
+          uint32_t run)
+{
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init (&b);
+  mm_mesh_pack_found (&b, upstream, run, task);
+  mm_mesh_send_all (ctx, &b);
+  msgpack_sbuffer_destroy (&b);
+}
+
+static void
+on_cancel (void *ctx, void *passed_on)
+{
+  mm_mesh_cancel (ctx, passed_on);
+}
+
+void
+mm_mesh_link_owner (mm_mesh *m)
+{
+  mm_owner_links l = { .found = on_found, .cancel = on_cancel, .ctx = m };
+  mm_owner_set_links (m->owner, &l);
+}
+
+void
+mm_mesh_take_found (mm_mesh_inbound_link *in, const mm_mesh_msg *q)
+{
+  mm_mesh *m = in->mesh;
+  mm_task_request t;
+  if (!in->name || !mm_mesh_is_connected (m, in->name))
+    return;
+  mm_work *w = mm_owner_claim (m->owner, q->name, &q->task, q->run, &t);
+  if (w)
+    mm_owner_pass_on (
+        m->owner, w, mm_mesh_submit (m, in->name, &t, mm_owner_passed_end, w));
+}
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -7,12 +7,13 @@
 
 enum
 {
-  RUN_FIELDS = 18,
+  RUN_FIELDS = 21,
   ENDED_FIELDS = 7,
   ASK_FIELDS = 4,
   TOLD_FIELDS = 3,
   REPORT_FIELDS = 5,
   HANDED_FIELDS = 2,
+  FOUND_FIELDS = 6,
   ROOM_FIELDS = 5
 };
 
@@ -45,6 +46,9 @@
   msgpack_pack_int64 (&pk, t->due_within);
   msgpack_pack_int64 (&pk, t->start_within);
   mm_mp_pack_bool (&pk, t->kept);
+  mm_mp_pack_text (&pk, t->running_at);
+  msgpack_pack_uint32 (&pk, t->run);
+  msgpack_pack_int64 (&pk, t->ran_ms);
 }
 
 void
@@ -135,6 +139,17 @@
   mm_mp_pack_text (&pk, group);
 }
 
+void
+mm_mesh_pack_found (msgpack_sbuffer *b, const char *upstream, uint32_t run,
+                    const mm_task_id *task)
+{
+  msgpack_packer pk;
+  begin (&pk, b, FOUND_FIELDS, MM_MESH_FOUND);
+  mm_mp_pack_text (&pk, upstream);
+  msgpack_pack_uint32 (&pk, run);
+  mm_mp_pack_task (&pk, task);
+}
+
 static bool
 read_run (const msgpack_object *f, mm_mesh_msg *m)
 {
@@ -152,7 +167,10 @@
          && mm_mp_read_i64 (&f[14], &t->estimate_ms)
          && mm_mp_read_i64 (&f[15], &t->due_within)
          && mm_mp_read_i64 (&f[16], &t->start_within)
-         && mm_mp_read_bool (&f[17], &t->kept) && t->need.cpu_milli >= 0
+         && mm_mp_read_bool (&f[17], &t->kept)
+         && mm_mp_read_text (&f[18], true, (char **)&t->running_at)
+         && mm_mp_read_u32 (&f[19], &t->run)
+         && mm_mp_read_i64 (&f[20], &t->ran_ms) && t->need.cpu_milli >= 0
          && t->need.mem_mb >= 0 && t->need.gpus >= 0;
 }
 
@@ -262,6 +280,11 @@
              && read_bytes (&f[2], out);
     case MM_MESH_REPORT:
       return n == REPORT_FIELDS && read_report (f, out);
+    case MM_MESH_FOUND:
+      return n == FOUND_FIELDS
+             && mm_mp_read_text (&f[1], false, (char **)&out->name)
+             && mm_mp_read_u32 (&f[2], &out->run)
+             && mm_mp_read_task (&f[3], &out->task);
     case MM_MESH_HANDED:
       return n == HANDED_FIELDS
              && mm_mp_read_text (&f[1], false, (char **)&out->name);
@@ -277,6 +300,7 @@
   g_free ((char *)m->request.label);
   g_free ((char *)m->request.data_label);
   g_free ((char *)m->request.avoid);
+  g_free ((char *)m->request.running_at);
   g_free ((char *)m->result.upstream);
   g_free ((char *)m->result.why);
   g_free (m->name);
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -3,7 +3,7 @@
    From the instance that took a job to the owner of upstreams:
      [RUN, no, job, step, index, service, payload, label, data_label, avoid,
       cpu_milli, mem_mb, gpus, priority, estimate_ms, due_within_ms,
-   start_within_ms, kept] [CANCEL, no] [BEAT]
+   start_within_ms, kept, running_at, run, ran_ms] [CANCEL, no] [BEAT]
      [HELLO, name]                 first of all
      [ASK, no, verb, bytes]        about kept jobs; no 0: without an answer
    Back:
@@ -11,7 +11,8 @@
      [TOLD, no, bytes]             answers an ASK
      [REPORT, seen_no, name, leaving,
       [[service, places, free, waiting, [waiting of each priority]], ...]]
-     [HANDED, group]               partitions of it have a new holder  */
+     [HANDED, group]               partitions of it have a new holder
+     [FOUND, upstream, run, job, step, index]  it runs there: whose is it?  */
 #ifndef MM_MESH_MSG_H
 #define MM_MESH_MSG_H
 
@@ -29,7 +30,8 @@
   MM_MESH_HELLO = 6,
   MM_MESH_ASK = 7,
   MM_MESH_TOLD = 8,
-  MM_MESH_HANDED = 9
+  MM_MESH_HANDED = 9,
+  MM_MESH_FOUND = 10
 } mm_mesh_kind;
 
 #define MM_MESH_MAX_SERVICES 64 /* rows of a report that are read */
@@ -46,10 +48,13 @@
   uint64_t no; /* RUN, CANCEL, ENDED, ASK, TOLD; REPORT: highest RUN seen */
   mm_task_request request; /* RUN; strings are copies, see _clear */
   mm_work_result result;   /* ENDED; strings are copies, see _clear */
-  char *name;              /* REPORT, HELLO: of the sender; HANDED: group */
-  bool leaving;            /* REPORT: it is shutting down */
-  mm_mesh_room *rooms;     /* REPORT */
+  char
+      *name; /* REPORT, HELLO: of the sender; HANDED: group; FOUND: upstream */
+  bool leaving;        /* REPORT: it is shutting down */
+  mm_mesh_room *rooms; /* REPORT */
   size_t n_rooms;
+  mm_task_id task;  /* FOUND */
+  uint32_t run;     /* FOUND */
   uint32_t verb;    /* ASK */
   const void *data; /* ASK, TOLD: valid while the message is */
   size_t len;
@@ -68,6 +73,8 @@
                           const char *name, bool leaving,
                           const mm_mesh_room *rooms, size_t n);
 void mm_mesh_pack_handed (msgpack_sbuffer *b, const char *group);
+void mm_mesh_pack_found (msgpack_sbuffer *b, const char *upstream,
+                         uint32_t run, const mm_task_id *task);
 void mm_mesh_pack_ask (msgpack_sbuffer *b, uint64_t no, uint32_t verb,
                        const void *data, size_t len);
 void mm_mesh_pack_told (msgpack_sbuffer *b, uint64_t no, const void *data,
--- a/src/mm_mesh_priv.h
+++ b/src/mm_mesh_priv.h
@@ -45,6 +45,7 @@
   mm_link *link;
   GHashTable *works; /* no -> taken */
   GList *replies;    /* mm_mesh_reply that are owed */
+  char *name;        /* of the sender, NULL: not told yet */
   uint64_t seen_no;
   mm_time_ms report_ms;
   GByteArray *last_report;
@@ -79,6 +80,13 @@
   bool chosen_up;        /* links to all of them are connected */
 };
 
+/* mm_mesh.c */
+void mm_mesh_send_all (mm_mesh *m, const msgpack_sbuffer *b);
+
+/* mm_mesh_adopt.c */
+void mm_mesh_link_owner (mm_mesh *m);
+void mm_mesh_take_found (mm_mesh_inbound_link *in, const mm_mesh_msg *q);
+
 /* mm_mesh_ask.c */
 void mm_mesh_take_ask (mm_mesh_inbound_link *in, const mm_mesh_msg *m);
 
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -14,14 +14,16 @@
 
 static void pump (mm_owner *o);
 
-static void
-work_free (mm_work *w)
+void
+mm_owner_free_work (mm_work *w)
 {
   g_free ((char *)w->t.service);
   g_free ((char *)w->t.payload);
   g_free ((char *)w->t.label);
   g_free ((char *)w->t.data_label);
   g_free ((char *)w->t.avoid);
+  g_free ((char *)w->t.running_at);
+  g_free (w->ran_at);
   g_free (w);
 }
 
@@ -34,7 +36,7 @@
   };
   if (!w->cancelled)
     w->done (w->ctx, &r);
-  work_free (w);
+  mm_owner_free_work (w);
 }
 
 /* By priority, then by due time, then by arrival.  A task that comes from
@@ -127,36 +129,28 @@
   g_free (s);
 }
 
-/* Work at an upstream that is not ours any more: its outcome is lost, and
-   it may still run for the rest of its lease.  */
 static void
-lose_work_at (mm_owner *o, mm_slot *s, const char *why)
+on_unwell (void *ctx, mm_exec *x)
 {
-  GList *works = g_hash_table_get_values (o->active);
-  for (GList *l = works; l; l = l->next)
-    {
-      mm_work *w = l->data;
-      if (w->at != s)
-        continue;
-      g_hash_table_remove (o->active, &w->t.id);
-      mm_owner_finish (w, MM_END_UNKNOWN, mm_exec_info (s->exec)->name, 0, 0,
-                       why);
-    }
-  g_list_free (works);
+  note_trust (ctx, mm_exec_info (x)->name, false, mm_clock_now_ms ());
 }
 
 static void
-on_unwell (void *ctx, mm_exec *x)
+on_found (void *ctx, mm_exec *x, const mm_task_id *task, uint32_t run)
 {
-  note_trust (ctx, mm_exec_info (x)->name, false, mm_clock_now_ms ());
+  mm_owner *o = ((mm_slot *)ctx)->owner;
+  if (MM_WITH_ADOPTION && o->links.found)
+    o->links.found (o->links.ctx, mm_exec_info (x)->name, task, run);
 }
 
 static void
 on_fenced (void *ctx, mm_exec *x)
 {
+  mm_slot *s = ctx;
   mm_metrics_count (MM_CT_FENCED);
   mm_log_event (MM_EV_UPSTREAM_FENCED, MM_TEXT (mm_exec_info (x)->name),
                 MM_INT (mm_exec_fence (x)));
+  mm_owner_orphan_all (s->owner, s, "fenced");
 }
 
 /**
@@ -174,6 +168,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, slot_free);
   o->waiting = g_queue_new ();
   o->active = g_hash_table_new (mm_task_id_hash, mm_task_id_equal);
+  o->orphans = g_hash_table_new (mm_task_id_hash, mm_task_id_equal);
+  o->passed_on = g_hash_table_new (NULL, NULL);
   return o;
 }
 
@@ -187,8 +183,9 @@
   gpointer v;
   g_hash_table_iter_init (&it, o->active);
   while (g_hash_table_iter_next (&it, NULL, &v))
-    work_free (v);
-  g_queue_free_full (o->waiting, (GDestroyNotify)work_free);
+    mm_owner_free_work (v);
+  g_queue_free_full (o->waiting, (GDestroyNotify)mm_owner_free_work);
+  mm_owner_destroy_lost (o);
   g_hash_table_destroy (o->slots);
   g_hash_table_destroy (o->active);
   g_free (o);
@@ -218,6 +215,7 @@
   mm_exec_events ev = { .ended = on_ended,
                         .room = on_room,
                         .unwell = on_unwell,
+                        .found = on_found,
                         .fenced = on_fenced,
                         .ctx = s };
   s->exec = mm_exec_create (u, fence, &o->port, &ev);
@@ -230,7 +228,7 @@
   mm_slot *s = g_hash_table_lookup (o->slots, upstream);
   if (!s)
     return;
-  lose_work_at (o, s, "upstream handed over or gone");
+  mm_owner_orphan_all (o, s, "upstream handed over or gone");
   g_hash_table_remove (o->slots, upstream);
 }
 
@@ -435,6 +433,7 @@
   w->t.label = g_strdup (t->label);
   w->t.data_label = g_strdup (t->data_label);
   w->t.avoid = g_strdup (t->avoid);
+  w->t.running_at = g_strdup (t->running_at);
   w->taken_ms = mm_clock_now_ms ();
   w->start_by_ms = w->taken_ms + t->start_within;
   w->due_ms = w->taken_ms + t->due_within;
@@ -443,6 +442,11 @@
   w->ctx = ctx;
   note_usual (&o->usual_cpu_milli, (double)t->need.cpu_milli);
   note_usual (&o->usual_run_ms, (double)t->estimate_ms);
+  if (t->running_at)
+    {
+      mm_owner_adopt (o, w);
+      return w;
+    }
   enqueue (o, w);
   pump (o);
   return w;
@@ -456,6 +460,8 @@
 void
 mm_owner_cancel (mm_owner *o, mm_work *w)
 {
+  if (mm_owner_cancel_lost (o, w))
+    return;
   w->cancelled = true;
   if (w->at)
     {
@@ -463,7 +469,7 @@
       return;
     }
   g_queue_remove (o->waiting, w);
-  work_free (w);
+  mm_owner_free_work (w);
 }
 
 void
@@ -488,6 +494,7 @@
 {
   mm_time_ms now = mm_clock_now_ms ();
   expire_waiting (o, now);
+  mm_owner_tick_adoption (o, now);
   GList *slots = g_hash_table_get_values (o->slots);
   for (GList *l = slots; l; l = l->next)
     {
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -45,6 +45,16 @@
   mm_room_report room;
 } mm_owner_gauges;
 
+/* How owners pass runs on to each other, whose upstreams change hands.  */
+typedef struct
+{
+  /* An earlier owner's run was found: whose is it?  */
+  void (*found) (void *ctx, const char *upstream, const mm_task_id *task,
+                 uint32_t run);
+  void (*cancel) (void *ctx, void *passed_on); /* nobody waits for it */
+  void *ctx;
+} mm_owner_links;
+
 mm_owner *mm_owner_create (const mm_exec_port *port);
 void mm_owner_destroy (mm_owner *o);
 void mm_owner_own (mm_owner *o, const mm_upstream_info *u,
@@ -70,6 +80,16 @@
 void mm_owner_foreign_jobs (const mm_owner *o, GHashTable *ids);
 /* No home will ask for its ends: it is not kept, or its outcome is stored. */
 void mm_owner_forget_job (mm_owner *o, const char *job_id);
+void mm_owner_set_links (mm_owner *o, const mm_owner_links *l); /* copied */
+/* A run that another owner has found, if its task is ours: @t asks that one to
+   take it over.  Pass it to mm_owner_pass_on().  NULL: it is not.  */
+mm_work *mm_owner_claim (mm_owner *o, const char *upstream,
+                         const mm_task_id *task, uint32_t run,
+                         mm_task_request *t);
+/* It was handed on as @passed_on, NULL: it could not be.  Its end is told to
+   mm_owner_passed_end().  */
+void mm_owner_pass_on (mm_owner *o, mm_work *w, void *passed_on);
+void mm_owner_passed_end (void *work, const mm_work_result *r);
 void mm_owner_tick (mm_owner *o); /* each MM_EXEC_TICK_MS */
 mm_room_report mm_owner_report (const mm_owner *o, const char *service);
 mm_owner_gauges mm_owner_measure (const mm_owner *o);
--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -23,6 +23,11 @@
   mm_time_ms taken_ms;
   uint64_t order; /* of arrival */
   mm_slot *at;    /* where it runs or is being stopped, NULL: waiting */
+  char *ran_at;   /* an orphan: the upstream that was lost */
+  uint32_t run;   /* an orphan: its number there */
+  mm_time_ms ran_ms;
+  mm_time_ms orphaned_ms;
+  void *passed_on; /* the upstream's next owner's handle of it, or NULL */
   bool cancelled;
   mm_work_done done;
   void *ctx;
@@ -31,9 +36,13 @@
 struct mm_owner
 {
   mm_exec_port port;
-  GHashTable *slots;  /* upstream name -> mm_slot */
-  GQueue *waiting;    /* mm_work, by priority and arrival */
-  GHashTable *active; /* mm_task_id -> mm_work that has a run */
+  GHashTable *slots;     /* upstream name -> mm_slot */
+  GQueue *waiting;       /* mm_work, by priority and arrival */
+  GHashTable *active;    /* mm_task_id -> mm_work that has a run */
+  GHashTable *orphans;   /* mm_task_id -> mm_work whose upstream was lost */
+  GHashTable *passed_on; /* set of mm_work that run under another owner */
+  GList *unadopted;      /* mm_work that could not be taken over */
+  mm_owner_links links;
   uint64_t next_order;
   mm_time_ms handover_end_ms; /* all that is handed over is idle then */
   double usual_run_ms;        /* of a task, for reports */
@@ -45,6 +54,14 @@
   bool destroyed;
 };
 
+/* mm_owner_adopt.c */
+void mm_owner_orphan_all (mm_owner *o, mm_slot *s, const char *why);
+void mm_owner_adopt (mm_owner *o, mm_work *w); /* what runs already */
+void mm_owner_tick_adoption (mm_owner *o, mm_time_ms now);
+bool mm_owner_cancel_lost (mm_owner *o, mm_work *w); /* false: it is not */
+void mm_owner_destroy_lost (mm_owner *o);
+void mm_owner_free_work (mm_work *w);
+
 /* The work is over: tell who handed it in, and free it.  */
 void mm_owner_finish (mm_work *w, mm_end how, const char *upstream,
                       uint32_t run, mm_time_ms ran_ms, const char *why);
--- a/src/mm_task.h
+++ b/src/mm_task.h
@@ -60,6 +60,9 @@
   mm_time_ms waited_ms;    /* in queues so far */
   mm_time_ms due_within;   /* ms from now; among equals, sooner goes first */
   mm_time_ms start_within; /* ms from now; then given back as not run */
+  const char *running_at;  /* runs there already: take it over; or NULL */
+  uint32_t run;            /* with running_at: its number there */
+  mm_time_ms ran_ms;       /* with running_at: so far */
 } mm_task_request;
 
 #endif /* MM_TASK_H */
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -3,6 +3,7 @@
    on loopback; the choice itself is tested without a network.  */
 #include "config.h"
 #include "harness.h"
+#include "mm_mesh_msg.h"
 #include "mm_mesh.h"
 #include "mm_neighbours.h"
 
@@ -262,12 +263,66 @@
 }
 END_TEST
 
+/* What is packed is read back as it was: a message that its receiver can't
+   read costs the link, and all tasks on it.  */
+START_TEST (messages_are_read_as_they_were_packed)
+{
+  mm_task_request t = { .id = { .job = "job", .step = 1, .index = 2 },
+                        .service = "s",
+                        .payload = "p",
+                        .running_at = "up",
+                        .run = 3,
+                        .ran_ms = 40 };
+  mm_mesh_room room
+      = { .service = "s",
+          .room = { .places = 9, .waiting = 3, .waiting_at = { 1, 0, 2 } } };
+  mm_work_result result = { .how = MM_END_DONE, .run = 3 };
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init (&b);
+  mm_mesh_pack_run (&b, 7, &t);
+  mm_mesh_pack_cancel (&b, 7);
+  mm_mesh_pack_beat (&b);
+  mm_mesh_pack_ended (&b, 7, &result);
+  mm_mesh_pack_report (&b, 7, "node", true, &room, 1);
+  mm_mesh_pack_hello (&b, "node");
+  mm_mesh_pack_ask (&b, 7, 1, "x", 1);
+  mm_mesh_pack_told (&b, 7, "x", 1);
+  mm_mesh_pack_handed (&b, "room-dc1");
+  mm_mesh_pack_found (&b, "up", 3, &t.id);
+  msgpack_unpacked o;
+  msgpack_unpacked_init (&o);
+  size_t at = 0;
+  for (int kind = MM_MESH_RUN; kind <= MM_MESH_FOUND; kind++)
+    {
+      mm_mesh_msg m;
+      ck_assert_int_eq (msgpack_unpack_next (&o, b.data, b.size, &at),
+                        MSGPACK_UNPACK_SUCCESS);
+      ck_assert_msg (mm_mesh_msg_read (&o.data, &m), "kind %d", kind);
+      ck_assert_int_eq (m.kind, kind);
+      if (kind == MM_MESH_RUN)
+        ck_assert (mm_task_id_equal (&m.request.id, &t.id)
+                   && strcmp (m.request.running_at, "up") == 0
+                   && m.request.run == 3 && m.request.ran_ms == 40);
+      if (kind == MM_MESH_FOUND)
+        ck_assert (mm_task_id_equal (&m.task, &t.id) && m.run == 3
+                   && strcmp (m.name, "up") == 0);
+      if (kind == MM_MESH_REPORT)
+        ck_assert (m.leaving && mm_room_ahead (&m.rooms[0].room, 1) == 1
+                   && mm_room_ahead (&m.rooms[0].room, 2) == 3);
+      mm_mesh_msg_clear (&m);
+    }
+  msgpack_unpacked_destroy (&o);
+  msgpack_sbuffer_destroy (&b);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *s = suite_create ("mesh");
   TCase *c = tcase_create ("links");
   tcase_set_timeout (c, 60);
+  tcase_add_test (c, messages_are_read_as_they_were_packed);
   tcase_add_test (c, few_instances_are_all_linked_to);
   tcase_add_test (c, neighbours_are_bounded_near_and_far);
   tcase_add_test (
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -175,10 +175,11 @@
 END_TEST
 
 /* For six seconds three of ten orders to each upstream get no answer, and are
-   carried out 2.5 s late or never.  Eight upstreams are a quarter full with tasks
-   of 60 ms whose callers have 80 ms to spare: how many are in time?  Waiting
-   100 ms for an answer, and 500 ms for the ends that a lost hold would have
-   shown, 0.01 of them were, now 0.61; no upstream may be over its room.  */
+   carried out 2.5 s late or never.  Eight upstreams are a quarter full with
+   tasks of 60 ms whose callers have 80 ms to spare: how many are in time?
+   Waiting 100 ms for an answer, and 500 ms for the ends that a lost hold would
+   have shown, 0.01 of them were, now 0.61; no upstream may be over its room.
+ */
 START_TEST (tasks_are_in_time_though_orders_get_no_answer)
 {
   enum
@@ -767,6 +768,117 @@
 }
 END_TEST
 
+/* Two owners of the same upstreams, one after the other, that can talk.  */
+typedef struct
+{
+  world w;        /* with the first owner */
+  mm_owner *next; /* the second */
+  bool cut;       /* they can't */
+} succession;
+
+static void
+on_found (void *ctx, const char *upstream, const mm_task_id *task,
+          uint32_t run)
+{
+  succession *s = ctx;
+  mm_task_request t;
+  mm_work *w
+      = s->cut ? NULL : mm_owner_claim (s->w.o, upstream, task, run, &t);
+  if (w)
+    mm_owner_pass_on (s->w.o, w,
+                      mm_owner_submit (s->next, &t, mm_owner_passed_end, w));
+}
+
+static void
+on_cancel_passed (void *ctx, void *passed_on)
+{
+  mm_owner_cancel (((succession *)ctx)->next, passed_on);
+}
+
+static void
+succession_begin (succession *s, bool cut)
+{
+  memset (s, 0, sizeof *s);
+  s->w = world_create ();
+  s->cut = cut;
+  mm_exec_port port = fakes_port (s->w.f);
+  s->next = mm_owner_create (&port);
+  mm_owner_links l
+      = { .found = on_found, .cancel = on_cancel_passed, .ctx = s };
+  mm_owner_set_links (s->w.o, &l);
+  mm_owner_set_links (s->next, &l);
+}
+
+static void
+succession_run (succession *s, mm_time_ms ms)
+{
+  for (mm_time_ms t = 0; t < ms; t++)
+    {
+      fakes_run (s->w.f, s->w.o, 1);
+      mm_owner_tick (s->next);
+    }
+}
+
+static void
+succession_end (succession *s)
+{
+  mm_owner_destroy (s->next);
+  world_destroy (&s->w);
+}
+
+/* The store gives an upstream to another instance while tasks run there, as
+   when a membership is revoked.  Its next owner stopped them, and the callers
+   of their jobs were told to send these again.  Now it asks whose they are and
+   goes on with them: each runs once, to its end.  A caller who leaves
+   meanwhile has its task stopped there.  */
+START_TEST (runs_go_on_under_the_next_owner)
+{
+  succession s;
+  succession_begin (&s, false);
+  fake *a = world_add (&s.w, "a");
+  succession_run (&s, 10);
+  outcome r[2];
+  submit (&s.w, &r[0], "stays", 0, 600);
+  submit (&s.w, &r[1], "leaves", 0, 3000);
+  succession_run (&s, 100);
+  mm_owner_own (s.next, fake_info (a), 6);
+  succession_run (&s, 100);
+  ck_assert_uint_eq (fake_running (a), 2);
+  mm_owner_cancel (s.w.o, r[1].work);
+  succession_run (&s, 200);
+  ck_assert_uint_eq (fake_running (a), 1);
+  succession_run (&s, 400);
+  ck_assert_uint_eq (r[0].answers, 1);
+  ck_assert_int_eq (r[0].how, MM_END_DONE);
+  ck_assert_uint_eq (r[1].answers, 0);
+  ck_assert_uint_eq (fakes_count (s.w.f).starts, 2);
+  assert_kept_promises (&s.w);
+  succession_end (&s);
+}
+END_TEST
+
+/* The same, and the two can't talk: the next owner stops what nobody asks for,
+   which the first one sees, or gives it up, well before its job is sent again. */
+START_TEST (runs_that_nobody_asks_for_are_stopped)
+{
+  succession s;
+  succession_begin (&s, true);
+  fake *a = world_add (&s.w, "a");
+  succession_run (&s, 10);
+  outcome r;
+  submit (&s.w, &r, "lost", 0, 3000);
+  succession_run (&s, 100);
+  mm_owner_own (s.next, fake_info (a), 6);
+  succession_run (&s, MM_ADOPT_MS + 100);
+  ck_assert_uint_eq (fake_running (a), 0);
+  succession_run (&s, MM_HOLD_WAIT_MS + MM_ORPHAN_MS + 50);
+  ck_assert_uint_eq (r.answers, 1);
+  ck_assert_int_eq (r.how, MM_END_STOPPED);
+  assert_kept_promises (&s.w);
+  succession_end (&s);
+}
+END_TEST
+
 /* An owner dies with an end that nobody stored.  The next one finds it at the
    upstream and tells the job's home, which would start the task again
    otherwise.  */
@@ -907,6 +1019,8 @@
   tcase_add_test (
       c, ends_of_a_stopped_job_stay_listed_until_its_outcome_is_stored);
   tcase_add_test (c, upstreams_that_are_handed_over_run_short_tasks_meanwhile);
+  tcase_add_test (c, runs_go_on_under_the_next_owner);
+  tcase_add_test (c, runs_that_nobody_asks_for_are_stopped);
   tcase_add_test (c, next_owner_finds_the_ends_of_the_one_before);
   tcase_add_test (
       c, ends_of_the_owner_before_are_held_until_their_home_was_heard);
