--- a/src/config.h
+++ b/src/config.h
@@ -6,20 +6,20 @@
 
 /* Mechanisms of a node, each of which 0 switches off: scripts/ablate.py builds
    and measures it so (docs/DECISIONS.md says what each is worth).  */
-#define MM_WITH_ADMISSION 1     /* refuse what would come too late */
-#define MM_WITH_PRIORITY 1      /* what stands behind a job refuses it not */
-#define MM_WITH_PATIENCE 1      /* who asked before takes nobody's turn */
-#define MM_WITH_SPREAD_ANEW 1   /* tasks that wait try another owner */
-#define MM_WITH_TRUST 1         /* exclude upstreams that fail in a row */
-#define MM_WITH_SPEED 1         /* fast upstreams first */
-#define MM_WITH_TIGHT_FIT 1     /* then those with the least room */
-#define MM_WITH_NEAR_DATA 1     /* those in the rack of the data before all */
-#define MM_WITH_PROGRESS 1      /* stop tasks that stand still */
-#define MM_WITH_RTO 1           /* time-outs that follow the answer times */
-#define MM_WITH_LOSSY_HOLDS 1   /* short holds while answers are lost */
-#define MM_WITH_RUN_AGAIN 1     /* tasks out of sight, once they have ended */
+#define MM_WITH_ADMISSION 1   /* refuse what would come too late */
+#define MM_WITH_PRIORITY 1    /* what stands behind a job refuses it not */
+#define MM_WITH_PATIENCE 1    /* who asked before takes nobody's turn */
+#define MM_WITH_SPREAD_ANEW 1 /* tasks that wait try another owner */
+#define MM_WITH_TRUST 1       /* exclude upstreams that fail in a row */
+#define MM_WITH_SPEED 1       /* fast upstreams first */
+#define MM_WITH_TIGHT_FIT 1   /* then those with the least room */
+#define MM_WITH_NEAR_DATA 1   /* those in the rack of the data before all */
+#define MM_WITH_PROGRESS 1    /* stop tasks that stand still */
+#define MM_WITH_RTO 1         /* time-outs that follow the answer times */
+#define MM_WITH_LOSSY_HOLDS 1 /* short holds while answers are lost */
+#define MM_WITH_RUN_AGAIN 1   /* tasks out of sight, once they have ended */
 #define MM_WITH_ADOPTION 1 /* runs go on under their upstream's next owner */
-#define MM_WITH_STANDBY 1       /* for a data centre without instances */
+#define MM_WITH_STANDBY 1  /* for a data centre without instances */
 #define MM_WITH_PREDECESSORS 1  /* taken out of their groups */
 #define MM_WITH_SERVE_ON 1      /* while leaving, until somebody takes over */
 #define MM_WITH_HANDOVER_RUNS 1 /* short tasks on what is handed over */
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -858,7 +858,8 @@
 END_TEST
 
 /* The same, and the two can't talk: the next owner stops what nobody asks for,
-   which the first one sees, or gives it up, well before its job is sent again. */
+   which the first one sees, or gives it up, well before its job is sent again.
+ */
 START_TEST (runs_that_nobody_asks_for_are_stopped)
 {
   succession s;
