A run that was taken over has not lapsed while its first lease lasts

Cause: a new owner's second hold waits without prolonging a lease, as nobody has asked for what it found yet; adopted a moment later, the run had no lease on our books, and when that hold got no answer 250 ms + its time-out later it was taken for lapsed and its task started elsewhere. Now what is found counts as leased for as long as the earlier owner may have prolonged it.

--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -68,6 +68,9 @@
   r->foreign = true;
   r->ordered_ms = mm_clock_now_ms ();
   mm_exec_set_running (r);
+  /* Its lease is the earlier owner's: without an answer from here on, the run
+     has not ended before that has.  */
+  x->lease_until_ms = MAX (x->lease_until_ms, r->ordered_ms + MM_LEASE_MS);
   x->n_foreign++;
   mm_metrics_count (MM_CT_FOREIGN_RUNS);
   mm_log_event (MM_EV_TASK_FOREIGN, MM_TASK (&r->id), MM_TEXT (x->info->name),
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -890,6 +890,31 @@
 }
 END_TEST
 
+/* The next owner has taken a run over, and its first holds get no answer.  It
+   had prolonged no lease yet, so it took the run for lapsed at once; its task
+   was started again elsewhere while the run went on under the lease that the
+   first owner had given it.  */
+START_TEST (run_taken_over_has_not_lapsed_while_its_first_lease_lasts)
+{
+  succession s;
+  succession_begin (&s, false);
+  fake *a = world_add (&s.w, "a");
+  succession_run (&s, 10);
+  outcome r;
+  submit (&s.w, &r, "leased", 0, 700);
+  succession_run (&s, 100);
+  mm_owner_own (s.next, fake_info (a), 6);
+  fake_mode_of (a)->lose_holds = 2; /* not the one that finds it */
+  succession_run (&s, 400);
+  ck_assert_uint_eq (r.answers, 0);
+  succession_run (&s, 600);
+  ck_assert_uint_eq (r.answers, 1);
+  ck_assert_int_eq (r.how, MM_END_DONE);
+  assert_kept_promises (&s.w);
+  succession_end (&s);
+}
+END_TEST
+
 /* The same, and the two can't talk: the next owner stops what nobody asks for,
    which the first one sees, or gives it up, well before its job is sent again.
  */
@@ -1055,6 +1080,8 @@
       c, ends_of_a_stopped_job_stay_listed_until_its_outcome_is_stored);
   tcase_add_test (c, upstreams_that_are_handed_over_run_short_tasks_meanwhile);
   tcase_add_test (c, runs_go_on_under_the_next_owner);
+  tcase_add_test (c,
+                  run_taken_over_has_not_lapsed_while_its_first_lease_lasts);
   tcase_add_test (c, runs_that_nobody_asks_for_are_stopped);
   tcase_add_test (c, next_owner_finds_the_ends_of_the_one_before);
   tcase_add_test (
