The test of a taken-over run's lease shows the fault

The question is under way for 5 ms now; on the code before the fix the run is reported lost (failed), on the fix it is not.

--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -804,11 +804,17 @@
 /* Two owners of the same upstreams, one after the other, that can talk.  */
 typedef struct
 {
-  world w;        /* with the first owner */
-  mm_owner *next; /* the second */
-  bool cut;       /* they can't */
+  world w;             /* with the first owner */
+  mm_owner *next;      /* the second */
+  bool cut;            /* they can't */
+  mm_time_ms asked_ms; /* a question is under way since then, 0: none is */
+  char upstream[32];
+  mm_task_id task;
+  uint32_t run;
 } succession;
 
+#define QUESTION_MS 5 /* on its way */
+
 static void
 on_found (void *ctx, const char *upstream, const mm_task_id *task,
           uint32_t run)
@@ -822,6 +828,17 @@
                       mm_owner_submit (s->next, &t, mm_owner_passed_end, w));
 }
 
+static void
+on_found_later (void *ctx, const char *upstream, const mm_task_id *task,
+                uint32_t run)
+{
+  succession *s = ctx;
+  s->asked_ms = fakes_now (s->w.f);
+  g_strlcpy (s->upstream, upstream, sizeof s->upstream);
+  s->task = *task;
+  s->run = run;
+}
+
 static void
 on_cancel_passed (void *ctx, void *passed_on)
 {
@@ -849,6 +866,10 @@
     {
       fakes_run (s->w.f, s->w.o, 1);
       mm_owner_tick (s->next);
+      if (!s->asked_ms || fakes_now (s->w.f) - s->asked_ms < QUESTION_MS)
+        continue;
+      s->asked_ms = 0;
+      on_found (s, s->upstream, &s->task, s->run);
     }
 }
 
@@ -904,7 +925,10 @@
   submit (&s.w, &r, "leased", 0, 700);
   succession_run (&s, 100);
   mm_owner_own (s.next, fake_info (a), 6);
-  fake_mode_of (a)->lose_holds = 2; /* not the one that finds it */
+  mm_owner_links l
+      = { .found = on_found_later, .cancel = on_cancel_passed, .ctx = &s };
+  mm_owner_set_links (s.next, &l);
+  fake_mode_of (a)->lose_holds = 1; /* the one after that which finds it */
   succession_run (&s, 400);
   ck_assert_uint_eq (r.answers, 0);
   succession_run (&s, 600);
