Starts refused together are both known not to have run

Cause, from its logs: two tasks were started in one moment on an upstream that had a new owner; the first refusal ended the session and made an orphan of the second task, whose own refusal was then dropped: 400 ms later it was given up, though it had not run. Now a start without an answer stays with its session, and its answer says what became of it.

--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -179,7 +179,12 @@
   x->ev.fenced (x->ev.ctx, x);
   GList *runs = g_hash_table_get_values (x->runs);
   for (GList *l = runs; l && !x->closed; l = l->next)
-    report (l->data, MM_END_UNKNOWN, "fenced");
+    {
+      mm_exec_run *r = l->data;
+      /* The answer to its start will tell: refused too, it did not run.  */
+      if (r->phase != RUN_ORDERED)
+        report (r, MM_END_UNKNOWN, "fenced");
+    }
   g_list_free (runs);
 }
 
@@ -274,6 +279,15 @@
     r->running_event = ++r->exec->events;
 }
 
+/* A start was under way when another owner took over, and runs, or may: that
+   owner will say.  */
+static void
+tell_if_fenced (mm_exec *x)
+{
+  if (x->fenced && !x->closed)
+    x->ev.fenced (x->ev.ctx, x);
+}
+
 static void
 on_start_verdict (mm_exec_run *r, mm_call_verdict v)
 {
@@ -284,6 +298,7 @@
       mm_exec_set_running (r);
       if (r->stop_wanted)
         mm_exec_send_stop (r, false);
+      tell_if_fenced (x);
       break;
     case MM_CALL_OLD_RUN:
       if (r->stop_wanted)
@@ -302,6 +317,7 @@
       become_suspect (x, "start", v);
       r->stop_wanted = true;
       mm_exec_send_stop (r, true);
+      tell_if_fenced (x);
       break;
     case MM_CALL_FENCED:
       become_fenced (x, r);
@@ -429,7 +445,7 @@
 {
   mm_exec_run *r = run_of_work (x, work);
   *ran_ms = 0;
-  if (!r)
+  if (!r || r->phase == RUN_ORDERED)
     return 0;
   r->work = NULL;
   *ran_ms = mm_clock_now_ms () - r->ordered_ms;
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -147,7 +147,8 @@
    it is not there any more, or being stopped.  */
 bool mm_exec_adopt (mm_exec *x, const mm_task_request *t, void *work);
 /* Nobody here waits for the run of @work any more; it is not stopped.
-   Return: its number there, and in @ran_ms for how long it ran.  */
+   Return: its number there, and in @ran_ms for how long it ran; 0, and nothing
+   is done, while its start has no answer yet.  */
 uint32_t mm_exec_give_up (mm_exec *x, void *work, mm_time_ms *ran_ms);
 double mm_exec_slowness (const mm_exec *x); /* run time over estimate */
 /* Ends that are not taken note of yet.  */
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -248,6 +248,7 @@
   mm_slot *s = g_hash_table_lookup (o->slots, upstream);
   if (!s)
     return;
+  s->gone = true;
   mm_owner_orphan_all (o, s, "upstream handed over or gone");
   g_hash_table_remove (o->slots, upstream);
 }
--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -12,6 +12,7 @@
   mm_exec *exec;
   mm_trust trust;
   bool frozen; /* being handed over */
+  bool gone;   /* not owned any more: its session is closed */
 } mm_slot;
 
 struct mm_work
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -939,6 +939,34 @@
 }
 END_TEST
 
+/* Two tasks are started in the same moment on an upstream that has a new
+   owner: both starts are refused.  The first refusal ended the session, and
+   what the second said was lost: a task that had not run was taken for lost.
+   Both run elsewhere at once.  */
+START_TEST (starts_refused_together_both_run_elsewhere)
+{
+  succession s;
+  succession_begin (&s, false);
+  fake *a = world_add (&s.w, "a");
+  succession_run (&s, 10);
+  mm_owner_own (s.next, fake_info (a), 6);
+  succession_run (&s, 10);
+  outcome r[2];
+  submit (&s.w, &r[0], "both", 0, 100);
+  submit (&s.w, &r[1], "both", 1, 100);
+  world_add (&s.w, "b");
+  succession_run (&s, 250);
+  for (int i = 0; i < 2; i++)
+    {
+      ck_assert_uint_eq (r[i].answers, 1);
+      ck_assert_int_eq (r[i].how, MM_END_DONE);
+      ck_assert_str_eq (r[i].upstream, "b");
+    }
+  assert_kept_promises (&s.w);
+  succession_end (&s);
+}
+END_TEST
+
 /* The same, and the two can't talk: the next owner stops what nobody asks for,
    which the first one sees, or gives it up, well before its job is sent again.
  */
@@ -1106,6 +1134,7 @@
   tcase_add_test (c, runs_go_on_under_the_next_owner);
   tcase_add_test (c,
                   run_taken_over_has_not_lapsed_while_its_first_lease_lasts);
+  tcase_add_test (c, starts_refused_together_both_run_elsewhere);
   tcase_add_test (c, runs_that_nobody_asks_for_are_stopped);
   tcase_add_test (c, next_owner_finds_the_ends_of_the_one_before);
   tcase_add_test (
