A kept job's task out of contact is looked for before it starts again

Cause, from its logs: its owner stood still for 2.8 s; awake, the hold's time-out came before the list of ends, the lease had lapsed on its books, and the run was reported lost, which its home takes as word that it is not done. Now it is reported as out of sight, as is usual for kept jobs; the home looks for it and finds its end. Test: test_owner kept_task_out_of_contact_is_looked_for_not_lost.

--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -586,8 +586,13 @@
     {
       mm_exec_run *r = l->data;
       /* Also one whose start was never answered: it may have run.  */
-      if (r->phase != RUN_ORDERED)
-        mm_exec_release (r, MM_END_LOST, "lease expired out of contact");
+      if (r->phase == RUN_ORDERED)
+        continue;
+      /* It may have ended well before its lease did, and the upstream lists
+         that still: a kept job's home looks for it before it starts it again.
+       */
+      mm_exec_release (r, r->kept ? MM_END_UNKNOWN : MM_END_LOST,
+                       "lease expired out of contact");
     }
   g_list_free (runs);
   x->seen = false;
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -967,6 +967,26 @@
 }
 END_TEST
 
+/* An instance stands still for three seconds.  A kept job's task has ended
+   meanwhile, its lease has lapsed on the instance's books, and a call that is
+   over its time comes before the list of ends: reported as lost, the task was
+   started again 2.5 s after it was done.  Its home must look for it.  */
+START_TEST (kept_task_out_of_contact_is_looked_for_not_lost)
+{
+  world w = world_create ();
+  fake *a = world_add (&w, "a");
+  outcome r;
+  world_run (&w, 10);
+  submit_kept (&w, &r, "frozen", 0, 300);
+  world_run (&w, 100);
+  fake_mode_of (a)->silent = true;
+  world_run (&w, 2000);
+  ck_assert_uint_eq (r.answers, 1);
+  ck_assert_int_eq (r.how, MM_END_UNKNOWN);
+  world_destroy (&w);
+}
+END_TEST
+
 /* The same, and the two can't talk: the next owner stops what nobody asks for,
    which the first one sees, or gives it up, well before its job is sent again.
  */
@@ -1135,6 +1155,7 @@
   tcase_add_test (c,
                   run_taken_over_has_not_lapsed_while_its_first_lease_lasts);
   tcase_add_test (c, starts_refused_together_both_run_elsewhere);
+  tcase_add_test (c, kept_task_out_of_contact_is_looked_for_not_lost);
   tcase_add_test (c, runs_that_nobody_asks_for_are_stopped);
   tcase_add_test (c, next_owner_finds_the_ends_of_the_one_before);
   tcase_add_test (
