Adoption of runs is off: a task ran twice with it

The code and its tests stay, behind MM_WITH_ADOPTION; what a new owner finds is stopped at once again. Known red therefore: test_node new_deal_loses_no_job, split off its neighbour unchanged.

--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -116,8 +116,9 @@
   void (*room) (void *ctx, mm_exec *x);
   /* It refused a start, or a task stands still there.  */
   void (*unwell) (void *ctx, mm_exec *x);
-  /* An earlier owner's run was found; see mm_exec_adopt().  */
-  void (*found) (void *ctx, mm_exec *x, const mm_task_id *task, uint32_t run);
+  /* An earlier owner's run was found.  Return: whether somebody was asked to
+     go on with it (mm_exec_adopt); false, it is stopped at once.  */
+  bool (*found) (void *ctx, mm_exec *x, const mm_task_id *task, uint32_t run);
   /* Another owner's token was seen: this session is over.  */
   void (*fenced) (void *ctx, mm_exec *x);
   void *ctx;
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -76,7 +76,10 @@
   mm_log_event (MM_EV_TASK_FOREIGN, MM_TASK (&r->id), MM_TEXT (x->info->name),
                 MM_INT (r->number));
   g_hash_table_insert (x->runs, &r->id, r);
-  x->ev.found (x->ev.ctx, x, &r->id, r->number);
+  if (x->ev.found (x->ev.ctx, x, &r->id, r->number))
+    return;
+  r->stop_wanted = r->stop_by_owner = true;
+  mm_exec_send_stop (r, false);
 }
 
 /* Some upstreams keep a task for ever and report themselves well: its
--- a/src/mm_mesh_adopt.c
+++ b/src/mm_mesh_adopt.c
@@ -4,6 +4,8 @@
    that task to the sender, as running already.  */
 #include "mm_mesh_priv.h"
 
+#include "config.h"
+
 static void
 on_found (void *ctx, const char *upstream, const mm_task_id *task,
           uint32_t run)
@@ -24,6 +26,8 @@
 void
 mm_mesh_link_owner (mm_mesh *m)
 {
+  if (!MM_WITH_ADOPTION)
+    return;
   mm_owner_links l = { .found = on_found, .cancel = on_cancel, .ctx = m };
   mm_owner_set_links (m->owner, &l);
 }
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -155,12 +155,14 @@
   note_trust (ctx, mm_exec_info (x)->name, false, mm_clock_now_ms ());
 }
 
-static void
+static bool
 on_found (void *ctx, mm_exec *x, const mm_task_id *task, uint32_t run)
 {
   mm_owner *o = ((mm_slot *)ctx)->owner;
-  if (MM_WITH_ADOPTION && o->links.found)
-    o->links.found (o->links.ctx, mm_exec_info (x)->name, task, run);
+  if (!o->links.found)
+    return false;
+  o->links.found (o->links.ctx, mm_exec_info (x)->name, task, run);
+  return true;
 }
 
 static void
--- a/src/mm_owner_adopt.c
+++ b/src/mm_owner_adopt.c
@@ -31,8 +31,7 @@
   if (!w->run && mm_exec_fenced (s->exec) && !s->gone)
     return; /* ordered just now: its answer says whether it runs */
   g_hash_table_remove (o->active, &w->t.id);
-  if (!MM_WITH_ADOPTION || w->cancelled || w->t.kept || !w->run
-      || !o->links.found)
+  if (w->cancelled || w->t.kept || !w->run || !o->links.found)
     {
       mm_owner_finish (w, MM_END_UNKNOWN, upstream, 0, 0, why);
       return;
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -594,7 +594,7 @@
   ck_assert_int_eq (unserved_meanwhile (0, "join", 2000), 0);
   cJSON_Delete (h_call ("POST", h_platform_port, "/v1/store-faults",
                         "{\"deal_anew\":true}", NULL));
-  ck_assert_int_eq (unserved_meanwhile (0, "deal", 2000), 0);
+  unserved_meanwhile (0, "deal", 2000); /* what ran is stopped, see below */
   h_stop (h_entries[2], SIGKILL);
   unserved_meanwhile (0, "kill", 2500); /* what it ran is lost */
   sleep_ms (50);
@@ -605,6 +605,20 @@
 }
 END_TEST
 
+/* The store deals the upstreams out anew, and their next owners stop what runs
+   there: its jobs are lost.  */
+START_TEST (new_deal_loses_no_job)
+{
+  h_nodes (8, 4, 3);
+  spare_300_ms ();
+  cJSON_Delete (h_call ("POST", h_platform_port, "/v1/store-faults",
+                        "{\"deal_anew\":true}", NULL));
+  ck_assert_int_eq (unserved_meanwhile (0, "deal", 2000), 0);
+  assert_kept_promises (8);
+  h_cluster_stop ();
+}
+END_TEST
+
 /* Dump, metrics and log of one instance tell the same of its jobs.  */
 START_TEST (dump_metrics_and_log_agree)
 {
@@ -699,6 +713,10 @@
   tcase_add_test (c, restart_of_all_instances_one_by_one_is_not_noticed);
   tcase_add_test (c, restart_of_all_instances_in_pairs_is_not_noticed);
   suite_add_tcase (s, c);
+  c = tcase_create ("deal");
+  tcase_set_timeout (c, 60);
+  tcase_add_test (c, new_deal_loses_no_job);
+  suite_add_tcase (s, c);
   c = tcase_create ("start");
   tcase_set_timeout (c, 60);
   tcase_add_test (c, jobs_at_all_instances_are_answered_whole);
