mm_owner: a field that nothing reads goes

No behaviour changes; test_owner, test_mesh, test_decisions and test_membership pass, formatting too.

--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -50,7 +50,6 @@
   double usual_cpu_milli;     /* of a task, for reports */
   double run_ms;              /* place-time of a run, whatever its end */
   double run_done;            /* share of the runs that were done */
-  mm_time_ms kept_ms;         /* when a kept job was last heard of */
   bool sure;                  /* nobody else can own what is owned here */
   bool pumping;
   bool pump_again;
