Reads of the store's streams get on, however far behind

Cause: an instance that the store turned away for some seconds had more changes of the upstream list to read than its link carries within a call's 750 ms; each read failed, and the next had more to read. It came back to its group, owned partitions and started nothing any more. The same held for any record larger than the link carries in that time, such as a configuration with 1,400 queues more.

Ruled out: the membership (group_changed shows the partitions back), the store (other instances read it), the catalogue (it keeps its entries).

Change: the changes are read in pieces that hold the link for 30 ms, the next one at once while there is more; the newest records again where that is less to read; timeouts that follow what was asked for and the link's rate (setting node.link_mbps), and that double after a failure. list_behind, list_known and masticmill_upstream_list_age_ms tell of it. The stand-in store gets a link of its own for each member.

--- a/daemons/masticmill_node.c
+++ b/daemons/masticmill_node.c
@@ -117,6 +117,7 @@
   p->store_calls = mm_store_http_create (p->to_store, s->store);
   if (!choose_interface (p, s, error))
     return false;
+  p->store.link_mbps = s->link_mbps;
   mm_exec_port exec = mm_exec_http_port (p->exec);
   p->node = mm_node_create (p->loop, s, &exec, &p->store, error);
   if (p->node)
--- a/src/config.h
+++ b/src/config.h
@@ -187,6 +187,15 @@
 /* The platform's store (mm_stream, mm_shares, mm_members, mm_node).  */
 #define MM_STORE_TIMEOUT_MS 1500 /* a call; a slow store takes 0.4 s */
 #define MM_STORE_RETRY_MS 250    /* after a call that failed */
+/* Reads of a stream are cut into answers that hold up our link for so long,
+   as orders to upstreams come over it too.  */
+#define MM_STREAM_PIECE_MS 30
+#define MM_STREAM_PIECE_MIN_BYTES (8u << 10)
+#define MM_STORE_ANSWER_MAX_BYTES (1u << 20) /* the store sends no more */
+#define MM_STORE_ANSWER_USUAL_BYTES (128u << 10)
+/* The newest records come with some text around each: further behind than so
+   many times their number, they are less to read than what was missed.  */
+#define MM_STREAM_BEHIND_FACTOR 2u
 /* A configuration is in force 2 s after it is published: a read that
    waits at the store learns of it at once, and a silent connection is
    noticed in time.  */
@@ -194,6 +203,7 @@
 /* Upstreams write to their list some 30 times a second, so no read waits
    there.  A leaving one must get no start 2 s after it said so.  */
 #define MM_LIST_POLL_MS 900
+#define MM_LIST_BEHIND_MS 3000 /* without reading it to its end: logged */
 #define MM_LIST_DROP_MS 2500 /* missing entries come back within 2 s */
 #define MM_GROUP_TTL_MS 1500 /* a silent owner's upstreams go to others */
 #define MM_GROUP_BEAT_MS 300
@@ -281,6 +291,7 @@
 #define MM_DEFAULT_STATE_PORT 7403
 #define MM_DEFAULT_PARTITIONS 16
 #define MM_DEFAULT_GRACE_MS 6000
+#define MM_DEFAULT_LINK_MBPS 1000.0
 #define MM_RECONCILE_MS 500 /* check ownership at least this often */
 
 #define MM_MAX_PATIENCE_MS 3600000 /* longest deadline of a caller taken */
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -43,6 +43,11 @@
   [MM_EV_CONFIG_REFUSED]
   = { "config_refused", KEEP_ALL, "version in_force",
       "a configuration no newer than the one in force was read" },
+  [MM_EV_LIST_BEHIND] = { "list_behind", KEEP_ALL, "age_ms",
+                          "upstreams are owned here, and their list was last "
+                          "read to its end so long ago" },
+  [MM_EV_LIST_KNOWN]
+  = { "list_known", KEEP_ALL, "behind_ms", "it was read to its end again" },
   [MM_EV_UPSTREAM_LISTED]
   = { "upstream_listed", KEEP_ALL, "upstream service address draining",
       "an upstream appeared in the list or changed" },
--- a/src/mm_job_log.c
+++ b/src/mm_job_log.c
@@ -239,7 +239,9 @@
     {
       l->in_flight = true;
       l->refs++;
-      l->port.records (l->port.ctx, l->part, l->after, MM_STORE_TIMEOUT_MS,
+      l->port.records (l->port.ctx, l->part, l->after,
+                       mm_store_timeout_ms (&l->port, MM_STORE_TIMEOUT_MS,
+                                            MM_STORE_ANSWER_MAX_BYTES),
                        on_records, l);
     }
   else if (l->stage == STAGE_FENCING
--- a/src/mm_metrics.c
+++ b/src/mm_metrics.c
@@ -107,6 +107,10 @@
   = { "masticmill_config_version", NULL, "Configuration in force." },
   [MM_GG_GENERATION] = { "masticmill_group_generation", NULL,
                          "Generation of the data centre's group." },
+  [MM_GG_LIST_AGE]
+  = { "masticmill_upstream_list_age_ms", NULL,
+      "Since the upstream list was last read to its end; 0: it is not read, "
+      "as no upstreams are owned here." },
   [MM_GG_KEPT_OPEN] = { "masticmill_kept_jobs_open", NULL,
                         "Kept jobs at this home that are not over." },
   [MM_GG_LOG_DROPPED]
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -37,7 +37,9 @@
   uint64_t reconciled_changes;
   uint64_t reconciled_holdings;
   mm_time_ms reconciled_ms;
-  mm_time_ms leaving_ms; /* 0: not */
+  mm_time_ms leaving_ms;     /* 0: not */
+  mm_time_ms list_since_ms;  /* when the list began to matter, 0: it doesn't */
+  mm_time_ms list_behind_ms; /* since when it is behind, 0: it is not */
 };
 
 #define F(field) offsetof (mm_node_settings, field)
@@ -64,6 +66,8 @@
           "whom it talks to: own (our stand-ins) or platform" },
         { "node.grace_ms", MM_SETTING_INT, F (grace_ms), 1000, 600000,
           "ms from SIGTERM to the kill" },
+        { "node.link_mbps", MM_SETTING_FLOAT, F (link_mbps), 0, 1000000,
+          "Mbit/s of this machine's link, 0 for no limit" },
         { "store.address", MM_SETTING_STRING, F (store), 0, 0,
           "ip:port of the platform's store" },
         { "store.partitions", MM_SETTING_INT, F (partitions), 1, 4096,
@@ -88,6 +92,7 @@
   s->state_port = MM_DEFAULT_STATE_PORT;
   s->partitions = MM_DEFAULT_PARTITIONS;
   s->grace_ms = MM_DEFAULT_GRACE_MS;
+  s->link_mbps = MM_DEFAULT_LINK_MBPS;
 }
 
 /* What follows from news of the store must not wait for the next tick: with
@@ -220,6 +225,36 @@
     }
 }
 
+/* How old our view of the upstreams is, counted only while we own some.  */
+static mm_time_ms
+list_age_ms (const mm_node *n, mm_time_ms now)
+{
+  mm_time_ms known_ms = mm_stream_known_ms (n->upstreams);
+  return n->list_since_ms ? now - MAX (known_ms, n->list_since_ms) : 0;
+}
+
+/* An instance that owns partitions and cannot read which upstreams are in
+   them starts nothing there: the operators learn of it.  */
+static void
+watch_list (mm_node *n, mm_time_ms now)
+{
+  if (!mm_holdings_any (n->holdings))
+    n->list_since_ms = 0;
+  else if (!n->list_since_ms)
+    n->list_since_ms = now;
+  mm_time_ms age_ms = list_age_ms (n, now);
+  if (!n->list_behind_ms && age_ms > MM_LIST_BEHIND_MS)
+    {
+      n->list_behind_ms = now - age_ms;
+      mm_log_event (MM_EV_LIST_BEHIND, MM_INT (age_ms));
+    }
+  else if (n->list_behind_ms && age_ms <= MM_LIST_BEHIND_MS)
+    {
+      mm_log_event (MM_EV_LIST_KNOWN, MM_INT (now - n->list_behind_ms));
+      n->list_behind_ms = 0;
+    }
+}
+
 static void
 tick_cb (struct ev_loop *loop, ev_timer *w, int revents)
 {
@@ -233,6 +268,7 @@
     mm_stream_tick (n->upstreams);
   else
     mm_stream_pause (n->upstreams);
+  watch_list (n, now);
   mm_catalog_tick (n->catalog, mm_stream_in_touch (n->upstreams));
   mm_members_tick (n->members);
   if (mm_members_heard (n->members)
@@ -488,6 +524,7 @@
                   n->routes ? (int64_t)n->routes->version : 0);
   mm_metrics_set (MM_GG_GENERATION,
                   (int64_t)mm_holdings_generation (n->holdings));
+  mm_metrics_set (MM_GG_LIST_AGE, list_age_ms (n, mm_clock_now_ms ()));
   mm_metrics_set (MM_GG_LOG_DROPPED, (int64_t)mm_log_sink_dropped ());
   return mm_metrics_text ();
 }
@@ -504,6 +541,8 @@
                            n->routes ? (double)n->routes->version : 0);
   cJSON_AddNumberToObject (d, "generation",
                            (double)mm_holdings_generation (n->holdings));
+  cJSON_AddNumberToObject (d, "list_age_ms",
+                           (double)list_age_ms (n, mm_clock_now_ms ()));
   cJSON_AddNumberToObject (d, "peers", mm_mesh_connected (n->mesh));
   cJSON_AddNumberToObject (d, "jobs", mm_jobs_count (n->jobs));
   char *owner = mm_owner_dump (n->owner);
--- a/src/mm_node.h
+++ b/src/mm_node.h
@@ -24,6 +24,7 @@
   int64_t partitions;   /* of a topic of the store */
   char *interface;      /* "own" or "platform" */
   int64_t grace_ms;     /* from SIGTERM to the kill */
+  double link_mbps;     /* of this instance's link */
 } mm_node_settings;
 
 extern const mm_setting_spec mm_node_setting_specs[];
--- a/src/mm_own_store.c
+++ b/src/mm_own_store.c
@@ -108,6 +108,7 @@
     {
       read_items (list, c->kind, items);
       r.next = (uint64_t)number_of (body, "next", 0);
+      r.end = (uint64_t)number_of (body, "end", 0);
       r.after = cJSON_GetStringValue (
           cJSON_GetObjectItemCaseSensitive (body, "after"));
     }
@@ -129,15 +130,16 @@
 }
 
 static void
-own_tail (void *ctx, mm_stream_kind kind, uint64_t from, mm_time_ms wait_ms,
-          mm_time_ms timeout_ms, mm_stream_done done, void *done_ctx)
+own_tail (void *ctx, const mm_tail *t, mm_stream_done done, void *done_ctx)
 {
-  mm_store_call p
-      = { .kind = kind, .from = from, .stream_done = done, .ctx = done_ctx };
-  char *path = g_strdup_printf ("/v1/streams/%s?from=%" G_GUINT64_FORMAT
-                                "&wait_ms=%" G_GINT64_FORMAT,
-                                stream_names[kind], from, wait_ms);
-  mm_store_http_send (ctx, "GET", path, NULL, timeout_ms, on_stream, &p);
+  mm_store_call p = {
+    .kind = t->kind, .from = t->from, .stream_done = done, .ctx = done_ctx
+  };
+  char *path = g_strdup_printf (
+      "/v1/streams/%s?from=%" G_GUINT64_FORMAT "&wait_ms=%" G_GINT64_FORMAT
+      "&max_bytes=%" G_GSIZE_FORMAT,
+      stream_names[t->kind], t->from, t->wait_ms, t->max_bytes);
+  mm_store_http_send (ctx, "GET", path, NULL, t->timeout_ms, on_stream, &p);
 }
 
 static void
--- a/src/mm_platform.c
+++ b/src/mm_platform.c
@@ -16,7 +16,9 @@
      {"lose_answers":N} applies the next N appends but loses their
      answers (the caller sees 504 although the record is in the log);
      {"cut":"NAME"} answers 503 to everything the member NAME asks, and
-     serves the others ("" ends it).  Callers name themselves in
+     serves the others ("" ends it); {"link_kbps":N,"link_delay_ms":M}
+     puts each member behind a link of its own, on which its answers follow
+     one another (0 ends it).  Callers name themselves in
      X-Masticmill-Member.  */
 #include "config.h"
 #include "masticmill.h"
@@ -67,6 +69,9 @@
   int64_t lose_answers;
   mm_stream_server *streams_server; /* keyed streams and groups */
   char *cut;                        /* member turned away, "" for none */
+  int64_t link_kbps;                /* of each member's link, 0: no limit */
+  int64_t link_delay_ms;
+  GHashTable *link_busy; /* member -> mm_time_ms, until when */
 };
 
 typedef struct
@@ -114,11 +119,30 @@
   g_free (d);
 }
 
-/* Every answer goes through here so that "slow" delays them all.  */
+/* How long an answer takes over its member's link, behind those that were
+   sent there before, whether anybody still waits for them or not.  */
+static mm_time_ms
+link_time_ms (mm_platform *p, const mm_http_request *req, size_t bytes)
+{
+  const char *member = mm_http_request_header (req, "X-Masticmill-Member");
+  if (p->link_kbps <= 0 || !member)
+    return 0;
+  mm_time_ms now = mm_clock_now_ms ();
+  const mm_time_ms *busy = g_hash_table_lookup (p->link_busy, member);
+  mm_time_ms *until = g_new (mm_time_ms, 1);
+  *until = MAX (now, busy ? *busy : 0)
+           + (mm_time_ms)bytes * 8 / (mm_time_ms)p->link_kbps;
+  mm_time_ms took_ms = *until - now;
+  g_hash_table_replace (p->link_busy, g_strdup (member), until);
+  return took_ms + p->link_delay_ms;
+}
+
+/* Every answer goes through here so that "slow" and links delay them all.  */
 static void
 answer (mm_platform *p, mm_http_request *req, unsigned status, char *body)
 {
-  if (p->slow_ms <= 0)
+  mm_time_ms delay_ms = p->slow_ms + link_time_ms (p, req, strlen (body));
+  if (delay_ms <= 0)
     {
       mm_http_reply (req, status, body, 0);
       free (body);
@@ -129,7 +153,7 @@
   d->status = status;
   d->body = g_strdup (body);
   free (body);
-  ev_timer_init (&d->timer, delayed_cb, (double)p->slow_ms / 1000.0, 0.);
+  ev_timer_init (&d->timer, delayed_cb, (double)delay_ms / 1000.0, 0.);
   ev_timer_start (p->loop, &d->timer);
 }
 
@@ -401,6 +425,12 @@
     p->slow_ms = (int64_t)slow->valuedouble;
   if (cJSON_IsNumber (lose))
     p->lose_answers = (int64_t)lose->valuedouble;
+  const cJSON *kbps = cJSON_GetObjectItemCaseSensitive (o, "link_kbps");
+  const cJSON *delay = cJSON_GetObjectItemCaseSensitive (o, "link_delay_ms");
+  if (cJSON_IsNumber (kbps))
+    p->link_kbps = (int64_t)kbps->valuedouble;
+  if (cJSON_IsNumber (delay))
+    p->link_delay_ms = (int64_t)delay->valuedouble;
   const cJSON *cut = cJSON_GetObjectItemCaseSensitive (o, "cut");
   if (cJSON_IsString (cut))
     {
@@ -409,8 +439,10 @@
     }
   cJSON_Delete (o);
   g_message ("faults: down=%d slow_ms=%" G_GINT64_FORMAT
-             " lose_answers=%" G_GINT64_FORMAT " cut=%s",
-             p->down, p->slow_ms, p->lose_answers, p->cut);
+             " lose_answers=%" G_GINT64_FORMAT " cut=%s link_kbps="
+             "%" G_GINT64_FORMAT " link_delay_ms=%" G_GINT64_FORMAT,
+             p->down, p->slow_ms, p->lose_answers, p->cut, p->link_kbps,
+             p->link_delay_ms);
   mm_http_reply (req, 200, "{\"status\":\"ok\"}", 0);
 }
 
@@ -501,6 +533,8 @@
   p->settings.listen_host = g_strdup (s->listen_host);
   p->counters = mm_counters_create ();
   p->cut = g_strdup ("");
+  p->link_busy
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   p->streams_server = mm_stream_server_create (loop, stream_answer, p);
   p->streams
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_stream);
@@ -527,6 +561,7 @@
   g_hash_table_destroy (p->streams);
   g_hash_table_destroy (p->members);
   g_free (p->settings.listen_host);
+  g_hash_table_destroy (p->link_busy);
   g_free (p->cut);
   g_free (p);
 }
--- a/src/mm_store.c
+++ b/src/mm_store.c
@@ -12,6 +12,16 @@
   mm_upstream_info_free (i->upstream);
 }
 
+mm_time_ms
+mm_store_timeout_ms (const mm_store_port *port, mm_time_ms base_ms,
+                     size_t answer_bytes)
+{
+  if (port->link_mbps <= 0)
+    return base_ms;
+  double bits_per_ms = port->link_mbps * 1000;
+  return base_ms + (mm_time_ms)(2 * 8 * (double)answer_bytes / bits_per_ms);
+}
+
 void
 mm_store_note_touch (bool *in_touch, bool ok, const char *what,
                      const char *why)
--- a/src/mm_store.h
+++ b/src/mm_store.h
@@ -33,6 +33,7 @@
   mm_stream_item *items;
   size_t n_items;
   uint64_t next;     /* offset to go on from */
+  uint64_t end;      /* tail: offset past the newest record */
   const char *after; /* newest: go on after this key, NULL at the end */
 } mm_stream_result;
 
@@ -116,12 +117,21 @@
 typedef void (*mm_append_done) (const mm_append_result *res, void *ctx);
 typedef void (*mm_records_done) (const mm_records_result *res, void *ctx);
 
+/* A read of the records from an offset on, in the order they came.  */
+typedef struct
+{
+  mm_stream_kind kind;
+  uint64_t from;
+  size_t max_bytes;   /* of the answer */
+  mm_time_ms wait_ms; /* for a record, when there is none yet */
+  mm_time_ms timeout_ms;
+} mm_tail;
+
 typedef struct
 {
   void (*newest) (void *ctx, mm_stream_kind kind, const char *after,
                   mm_time_ms timeout_ms, mm_stream_done done, void *done_ctx);
-  void (*tail) (void *ctx, mm_stream_kind kind, uint64_t from,
-                mm_time_ms wait_ms, mm_time_ms timeout_ms, mm_stream_done done,
+  void (*tail) (void *ctx, const mm_tail *t, mm_stream_done done,
                 void *done_ctx);
   void (*join) (void *ctx, const char *group, const char *member,
                 uint64_t generation, mm_time_ms ttl_ms, mm_time_ms timeout_ms,
@@ -137,8 +147,14 @@
                    mm_time_ms timeout_ms, mm_records_done done,
                    void *done_ctx);
   void *ctx;
+  double link_mbps; /* of this instance's link, 0: no limit that matters */
 } mm_store_port;
 
+/* How long to wait for an answer of so many bytes: @base_ms, and what it
+   takes over our link while half of that is busy with other answers.  */
+mm_time_ms mm_store_timeout_ms (const mm_store_port *port, mm_time_ms base_ms,
+                                size_t answer_bytes);
+
 /* A call ended: log that @what is in reach again, or no longer and @why. */
 void mm_store_note_touch (bool *in_touch, bool ok, const char *what,
                           const char *why);
--- a/src/mm_stream.c
+++ b/src/mm_stream.c
@@ -1,7 +1,13 @@
 /* mm_stream: read the newest record of each key, then what is appended.
 
    The history may be dropped at any time; the newest records stay.  Then
-   they are read again, and keys not among them are gone.  */
+   they are read again, and keys not among them are gone.
+
+   What has gathered while the store was out of reach can be more than our
+   link carries within a call's timeout; each call would fail then, and the
+   next have more to read.  So it is read in pieces, one after the other
+   without a pause, or skipped by reading the newest records again where that
+   is less; and what cannot be cut is waited for longer after each failure.  */
 #include "mm_stream.h"
 
 #include "config.h"
@@ -21,9 +27,14 @@
   bool in_touch;
   bool paused;
   bool fresh;
-  bool sent_fresh; /* the call in flight was sent after the last pause */
+  bool sent_fresh;    /* the call in flight was sent after the last pause */
+  mm_time_ms sent_ms; /* the call in flight */
+  mm_time_ms first_page_ms; /* sending of the first page of the newest */
+  mm_time_ms known_ms;      /* sending of the last one that came to the end */
   uint64_t next;
-  GHashTable *keys; /* seen in the reading of the newest records */
+  size_t piece_bytes; /* of the changes, in one answer */
+  uint32_t failures;  /* calls in a row */
+  GHashTable *keys;   /* seen in the reading of the newest records */
   char *after;
   mm_time_ms due_ms;
 };
@@ -38,6 +49,17 @@
   g_free (s);
 }
 
+/* A configuration is one record, which cannot be cut.  */
+static size_t
+piece_of (const mm_store_port *port, mm_stream_kind kind)
+{
+  if (port->link_mbps <= 0 || kind == MM_STREAM_CONFIG)
+    return MM_STORE_ANSWER_MAX_BYTES;
+  double bytes = port->link_mbps * 1000 / 8 * MM_STREAM_PIECE_MS;
+  return (size_t)CLAMP (bytes, MM_STREAM_PIECE_MIN_BYTES,
+                        MM_STORE_ANSWER_MAX_BYTES);
+}
+
 mm_stream *
 mm_stream_create (const mm_store_port *port, mm_stream_kind kind,
                   mm_time_ms wait_ms, mm_time_ms pause_ms,
@@ -50,6 +72,7 @@
   s->ev = *ev;
   s->wait_ms = wait_ms;
   s->pause_ms = pause_ms;
+  s->piece_bytes = piece_of (port, kind);
   s->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return s;
 }
@@ -79,6 +102,52 @@
   mm_store_note_touch (&s->in_touch, res->ok, names[s->kind], res->why);
 }
 
+/* All that was in the stream at @as_of_ms has been read.  */
+static void
+came_to_end (mm_stream *s, mm_time_ms as_of_ms)
+{
+  s->known_ms = MAX (s->known_ms, as_of_ms);
+  s->fresh = s->fresh || s->sent_fresh;
+}
+
+/* Changes were read; there may be more.  */
+static void
+take_changes (mm_stream *s, const mm_stream_result *res, mm_time_ms now)
+{
+  bool stuck = res->next == s->next && res->end > res->next;
+  s->next = res->next;
+  uint64_t behind = res->end > s->next ? res->end - s->next : 0;
+  s->due_ms = behind ? now : now + s->pause_ms;
+  if (!behind)
+    came_to_end (s, s->sent_ms);
+  if (stuck)
+    s->piece_bytes = MIN (s->piece_bytes * 2, MM_STORE_ANSWER_MAX_BYTES);
+  else if (behind
+           > (uint64_t)g_hash_table_size (s->keys) * MM_STREAM_BEHIND_FACTOR)
+    read_again (s);
+}
+
+/* A page of the newest records was read.  Pages are not a snapshot: changes
+   are read from the end that the first one told, so that none between pages
+   is missed.  */
+static void
+take_page (mm_stream *s, const mm_stream_result *res)
+{
+  if (!s->after)
+    {
+      s->next = res->next;
+      s->first_page_ms = s->sent_ms;
+    }
+  g_free (s->after);
+  s->after = g_strdup (res->after);
+  if (s->after)
+    return;
+  s->tailing = true;
+  came_to_end (s, s->first_page_ms);
+  if (s->ev.whole)
+    s->ev.whole (s->ev.ctx, s->keys);
+}
+
 static void
 on_result (const mm_stream_result *res, void *ctx)
 {
@@ -91,6 +160,7 @@
     }
   mm_time_ms now = mm_clock_now_ms ();
   s->due_ms = now + (res->ok ? 0 : MM_STORE_RETRY_MS);
+  s->failures = res->ok || res->history_lost ? 0 : s->failures + 1;
   bool lost = s->tailing && res->history_lost;
   if (lost)
     read_again (s);
@@ -103,29 +173,26 @@
       s->ev.item (s->ev.ctx, &res->items[i]);
     }
   if (res->ok && s->tailing)
-    {
-      s->next = res->next;
-      s->due_ms = now + s->pause_ms;
-    }
+    take_changes (s, res, now);
   else if (res->ok)
-    {
-      /* Pages are not a snapshot: go on from the end that the first one
-         told, so that no change between pages is missed.  */
-      if (!s->after)
-        s->next = res->next;
-      g_free (s->after);
-      s->after = g_strdup (res->after);
-      if (!s->after)
-        {
-          s->tailing = true;
-          if (s->ev.whole)
-            s->ev.whole (s->ev.ctx, s->keys);
-        }
-    }
-  s->fresh = s->fresh || (res->ok && s->tailing && s->sent_fresh);
+    take_page (s, res);
   stream_unref (s);
 }
 
+/* A record is as long as its writer made it: what it takes is found by
+   waiting twice as long after each failure.  */
+static mm_time_ms
+timeout_ms (const mm_stream *s)
+{
+  size_t usual = s->tailing ? MIN (s->piece_bytes, MM_STORE_ANSWER_USUAL_BYTES)
+                            : MM_STORE_ANSWER_USUAL_BYTES;
+  size_t bytes
+      = MIN (usual << MIN (s->failures, 8u), MM_STORE_ANSWER_MAX_BYTES);
+  mm_time_ms base_ms = s->tailing ? s->wait_ms + MM_STORE_TIMEOUT_MS / 2
+                                  : MM_STORE_TIMEOUT_MS;
+  return mm_store_timeout_ms (&s->port, base_ms, bytes);
+}
+
 void
 mm_stream_tick (mm_stream *s)
 {
@@ -136,13 +203,20 @@
     return;
   s->in_flight = true;
   s->sent_fresh = true;
+  s->sent_ms = mm_clock_now_ms ();
   s->refs++;
-  if (s->tailing)
-    s->port.tail (s->port.ctx, s->kind, s->next, s->wait_ms,
-                  s->wait_ms + MM_STORE_TIMEOUT_MS / 2, on_result, s);
-  else
-    s->port.newest (s->port.ctx, s->kind, s->after, MM_STORE_TIMEOUT_MS,
-                    on_result, s);
+  if (!s->tailing)
+    {
+      s->port.newest (s->port.ctx, s->kind, s->after, timeout_ms (s),
+                      on_result, s);
+      return;
+    }
+  mm_tail t = { .kind = s->kind,
+                .from = s->next,
+                .max_bytes = s->piece_bytes,
+                .wait_ms = s->wait_ms,
+                .timeout_ms = timeout_ms (s) };
+  s->port.tail (s->port.ctx, &t, on_result, s);
 }
 
 void
@@ -163,3 +237,9 @@
 {
   return s->in_touch;
 }
+
+mm_time_ms
+mm_stream_known_ms (const mm_stream *s)
+{
+  return s->known_ms;
+}
--- a/src/mm_stream.h
+++ b/src/mm_stream.h
@@ -22,6 +22,8 @@
 void mm_stream_tick (mm_stream *s);
 /* What was read has been brought up to date since the last pause.  */
 bool mm_stream_fresh (const mm_stream *s);
+/* When the last read was sent that came up to the stream's end, 0: none.  */
+mm_time_ms mm_stream_known_ms (const mm_stream *s);
 void mm_stream_pause (mm_stream *s); /* instead of a tick: read nothing */
 bool mm_stream_in_touch (const mm_stream *s); /* the last call worked */
 
--- a/src/mm_stream_server.c
+++ b/src/mm_stream_server.c
@@ -101,6 +101,31 @@
   cJSON_AddItemToArray (list, row);
 }
 
+static uint64_t
+query_number (mm_http_request *req, const char *name)
+{
+  const char *text = mm_http_request_query (req, name);
+  return text ? g_ascii_strtoull (text, NULL, 10) : 0;
+}
+
+#define ROW_BYTES 24 /* of a row besides its key and value */
+
+/* How many of these records an answer of @max_bytes holds (0: no limit); one
+   at least, so that a large one does not stand in the way for ever.  */
+static size_t
+records_within (const mm_keyed_record *r, size_t n, uint64_t max_bytes)
+{
+  uint64_t bytes = 0;
+  for (size_t i = 0; max_bytes && i < n; i++)
+    {
+      bytes += ROW_BYTES + strlen (r[i].key)
+               + (r[i].value ? strlen (r[i].value) : 0);
+      if (bytes > max_bytes)
+        return MAX (i, 1);
+    }
+  return n;
+}
+
 static void
 answer_records (mm_stream_server *s, mm_http_request *req, const stream *t,
                 uint64_t from)
@@ -112,22 +137,17 @@
     }
   size_t n;
   const mm_keyed_record *r = mm_keyed_log_from (t->log, from, &n);
-  n = MIN (n, MM_DEFAULT_LOG_READ_MAX);
+  n = records_within (r, MIN (n, MM_DEFAULT_LOG_READ_MAX),
+                      query_number (req, "max_bytes"));
   cJSON *o = cJSON_CreateObject ();
   cJSON *list = cJSON_AddArrayToObject (o, "items");
   for (size_t i = 0; i < n; i++)
     add_record (list, &r[i]);
   cJSON_AddNumberToObject (o, "next", (double)(from + n));
+  cJSON_AddNumberToObject (o, "end", (double)mm_keyed_log_end (t->log));
   answer_json (s, req, 200, o);
 }
 
-static uint64_t
-query_number (mm_http_request *req, const char *name)
-{
-  const char *text = mm_http_request_query (req, name);
-  return text ? g_ascii_strtoull (text, NULL, 10) : 0;
-}
-
 static void
 get_records (mm_stream_server *s, mm_http_request *req, const char *name)
 {
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -551,17 +551,17 @@
 }
 
 static void
-key_tail (void *ctx, mm_stream_kind kind, uint64_t from, mm_time_ms wait_ms,
-          mm_time_ms timeout_ms, mm_stream_done done, void *done_ctx)
+key_tail (void *ctx, const mm_tail *t, mm_stream_done done, void *done_ctx)
 {
   key_store *k = ctx;
   k->tail_calls++;
   k->done = done;
   k->ctx = done_ctx;
-  k->result = (mm_stream_result){ .ok = from >= k->first,
+  k->result = (mm_stream_result){ .ok = t->from >= k->first,
                                   .why = "status 410",
-                                  .history_lost = from < k->first,
-                                  .next = k->end };
+                                  .history_lost = t->from < k->first,
+                                  .next = k->end,
+                                  .end = k->end };
 }
 
 typedef struct
@@ -657,6 +657,156 @@
 }
 END_TEST
 
+/* A stream whose changes are all of one size, read over a thin link.  */
+typedef struct
+{
+  uint64_t end;
+  uint64_t answered; /* records that an answer holds */
+  bool down;
+  uint32_t newest_calls;
+  uint32_t tail_calls;
+  mm_time_ms timeout_ms; /* of the last call */
+  mm_time_ms at_ms;      /* and when it was made */
+  size_t max_bytes;
+  mm_stream_done done;
+  void *ctx;
+  mm_stream_result result;
+  mm_stream_item items[10];
+} thin_store;
+
+#define THIN_RECORD_BYTES 300
+
+static void
+thin_newest (void *ctx, mm_stream_kind kind, const char *after,
+             mm_time_ms timeout_ms, mm_stream_done done, void *done_ctx)
+{
+  static char *const keys[]
+      = { "a", "b", "c", "d", "e", "f", "g", "h", "i", "j" };
+  thin_store *k = ctx;
+  k->newest_calls++;
+  k->timeout_ms = timeout_ms;
+  k->at_ms = now_ms;
+  k->done = done;
+  k->ctx = done_ctx;
+  k->result = (mm_stream_result){ .ok = !k->down,
+                                  .why = "no answer",
+                                  .items = k->items,
+                                  .n_items = k->down ? 0 : 10,
+                                  .next = k->end };
+  for (size_t i = 0; i < G_N_ELEMENTS (keys); i++)
+    k->items[i].key = keys[i];
+}
+
+static void
+thin_tail (void *ctx, const mm_tail *t, mm_stream_done done, void *done_ctx)
+{
+  thin_store *k = ctx;
+  k->tail_calls++;
+  k->timeout_ms = t->timeout_ms;
+  k->max_bytes = t->max_bytes;
+  k->at_ms = now_ms;
+  k->done = done;
+  k->ctx = done_ctx;
+  uint64_t n = MIN (k->end - t->from, t->max_bytes / THIN_RECORD_BYTES);
+  k->result = (mm_stream_result){
+    .ok = !k->down, .why = "no answer", .next = t->from + n, .end = k->end
+  };
+}
+
+static void
+thin_turn (mm_stream *s, thin_store *k)
+{
+  now_ms += 25;
+  mm_stream_tick (s);
+  if (!k->done)
+    return;
+  mm_stream_done done = k->done;
+  k->done = NULL;
+  done (&k->result, k->ctx);
+}
+
+static mm_stream *
+thin_stream (thin_store *k, reading *r, mm_time_ms pause_ms)
+{
+  now_ms = 1000;
+  mm_clock_set_source (test_clock, NULL);
+  mm_store_port port
+      = { .newest = thin_newest, .tail = thin_tail, .ctx = k, .link_mbps = 2 };
+  mm_stream_events ev = { .item = on_item, .whole = on_whole, .ctx = r };
+  mm_stream *s
+      = mm_stream_create (&port, MM_STREAM_UPSTREAMS, 0, pause_ms, &ev);
+  for (int i = 0; i < 3; i++)
+    thin_turn (s, k);
+  ck_assert (mm_stream_fresh (s));
+  return s;
+}
+
+/* More changes have gathered than one answer may hold.  Read one answer a
+   pause, the list would fall behind further and further; the pieces that are
+   left are read at once, and until the last one nothing counts as fresh.  */
+START_TEST (changes_beyond_one_answer_are_read_without_a_pause)
+{
+  thin_store k = { .end = 5 };
+  reading r = { 0 };
+  mm_stream *s = thin_stream (&k, &r, 900);
+  ck_assert_uint_le (k.max_bytes * 8 / 2000, 2 * MM_STREAM_PIECE_MS);
+  mm_stream_pause (s);
+  uint32_t calls = k.tail_calls;
+  k.end += k.max_bytes / THIN_RECORD_BYTES + 10;
+  thin_turn (s, &k);
+  ck_assert_uint_eq (k.tail_calls, calls + 1);
+  ck_assert (!mm_stream_fresh (s));
+  thin_turn (s, &k);
+  ck_assert_uint_eq (k.tail_calls, calls + 2);
+  ck_assert (mm_stream_fresh (s));
+  thin_turn (s, &k);
+  ck_assert_uint_eq (k.tail_calls, calls + 2);
+  ck_assert_uint_eq (k.newest_calls, 1);
+  mm_stream_destroy (s);
+  mm_clock_set_source (NULL, NULL);
+}
+END_TEST
+
+/* After an outage thousands of changes of ten upstreams wait to be read.  The
+   newest record of each is all that counts, and far less to read.  */
+START_TEST (newest_records_are_read_when_that_is_less)
+{
+  thin_store k = { .end = 5 };
+  reading r = { 0 };
+  mm_stream *s = thin_stream (&k, &r, 0);
+  k.end += 5000;
+  for (int i = 0; i < 4; i++)
+    thin_turn (s, &k);
+  ck_assert_uint_eq (k.newest_calls, 2);
+  ck_assert_uint_eq (r.wholes, 2);
+  ck_assert (k.result.next == k.end);
+  mm_stream_destroy (s);
+  mm_clock_set_source (NULL, NULL);
+}
+END_TEST
+
+/* A record of 1 MB takes 4 s over a link of 2 Mbit/s, and nobody knows its
+   size before it is read: with the same timeout at each try it would never
+   arrive.  */
+START_TEST (read_that_fails_is_waited_for_longer_each_time)
+{
+  thin_store k = { .end = 5 };
+  reading r = { 0 };
+  mm_stream *s = thin_stream (&k, &r, 0);
+  k.down = true;
+  mm_time_ms before_ms = k.timeout_ms;
+  for (int i = 0; i < 200; i++)
+    thin_turn (s, &k);
+  ck_assert_int_ge (k.timeout_ms, 8 * MM_STORE_ANSWER_MAX_BYTES / 2000);
+  k.down = false;
+  for (int i = 0; i < 20; i++)
+    thin_turn (s, &k);
+  ck_assert_int_eq (k.timeout_ms, before_ms);
+  mm_stream_destroy (s);
+  mm_clock_set_source (NULL, NULL);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -674,6 +824,9 @@
   tcase_add_test (c, missing_upstream_is_kept_for_a_while_of_contact);
   tcase_add_test (c, dropped_history_is_read_again_from_the_newest);
   tcase_add_test (c, list_that_was_not_read_for_a_while_is_stale_until_it_is);
+  tcase_add_test (c, changes_beyond_one_answer_are_read_without_a_pause);
+  tcase_add_test (c, newest_records_are_read_when_that_is_less);
+  tcase_add_test (c, read_that_fails_is_waited_for_longer_each_time);
   suite_add_tcase (s, c);
   return h_run_suite (s);
 }
