Instances read the upstream list for one another

Cause: each instance read every record of the list, 80 a second here and 730 on the full site, nearly all of which repeat what is known.

Change: one instance at a time reads and passes on what changed, over the links there are (mm_list_share); whose turn it is goes round. Who hears nothing reads for himself 800 to 1,100 ms after what he knows, whatever the cause, so that a leaving upstream gets no start later than before. After a reading of all of the list an instance counts on its own reads only, until each upstream has written again. Store calls and bytes are counted by kind (masticmill_store_calls_total, ..._bytes_total).

Tests: test_list_share, a dozen meshes of one process and a store that counts: a quarter of the reads at most, all know of a leaving upstream within 2 s, also when the reader is killed at that moment or the store gives it no answer; turns, log, codec with random bytes.

--- a/src/mm_catalog.c
+++ b/src/mm_catalog.c
@@ -59,14 +59,15 @@
          && strcmp (a->service, b->service) == 0;
 }
 
-void
+bool
 mm_catalog_put (mm_catalog *c, const mm_upstream_info *u)
 {
   entry *e = g_hash_table_lookup (c->by_name, u->name);
   if (e && same (e->info, u))
     {
+      bool back = e->missing_since_ms != 0;
       e->missing_since_ms = 0;
-      return;
+      return back;
     }
   if (!e || e->info->draining != u->draining)
     mm_log_event (MM_EV_UPSTREAM_LISTED, MM_TEXT (u->name),
@@ -78,14 +79,17 @@
      records of a key come in order.  */
   g_hash_table_replace (c->by_name, g_strdup (u->name), fresh);
   c->changes++;
+  return true;
 }
 
-void
+bool
 mm_catalog_missing (mm_catalog *c, const char *name)
 {
   entry *e = g_hash_table_lookup (c->by_name, name);
-  if (e && !e->missing_since_ms)
-    e->missing_since_ms = mm_clock_now_ms ();
+  if (!e || e->missing_since_ms)
+    return false;
+  e->missing_since_ms = mm_clock_now_ms ();
+  return true;
 }
 
 void
--- a/src/mm_catalog.h
+++ b/src/mm_catalog.h
@@ -8,8 +8,9 @@
 
 mm_catalog *mm_catalog_create (void);
 void mm_catalog_destroy (mm_catalog *c);
-void mm_catalog_put (mm_catalog *c, const mm_upstream_info *u); /* listed */
-void mm_catalog_missing (mm_catalog *c, const char *name); /* not listed */
+/* It is listed, or not any more.  Return: whether that is news.  */
+bool mm_catalog_put (mm_catalog *c, const mm_upstream_info *u);
+bool mm_catalog_missing (mm_catalog *c, const char *name);
 /* All listed names are known: the others are missing.  */
 void mm_catalog_keep_only (mm_catalog *c, GHashTable *names);
 void mm_catalog_tick (mm_catalog *c, bool in_touch); /* drop the missing */
--- /dev/null
+++ b/src/mm_list_news.c
@@ -0,0 +1,150 @@
+/* mm_list_news: pack and read it.  */
+#include "mm_list_news.h"
+
+#include "mm_msgpack.h"
+
+#include <string.h>
+
+enum
+{
+  NEWS_FIELDS = 5,
+  GONE_FIELDS = 1,
+  LISTED_FIELDS = 10
+};
+
+#define MAX_LABELS 64u
+
+static void
+pack_labels (msgpack_packer *pk, char **labels)
+{
+  guint n = labels ? g_strv_length (labels) : 0;
+  msgpack_pack_array (pk, n);
+  for (guint i = 0; i < n; i++)
+    mm_mp_pack_text (pk, labels[i]);
+}
+
+static void
+pack_change (msgpack_packer *pk, const mm_list_change *c)
+{
+  const mm_upstream_info *u = c->info;
+  msgpack_pack_array (pk, u ? LISTED_FIELDS : GONE_FIELDS);
+  mm_mp_pack_text (pk, c->name);
+  if (!u)
+    return;
+  mm_mp_pack_text (pk, u->addr);
+  mm_mp_pack_text (pk, u->service);
+  mm_mp_pack_text (pk, u->datacentre);
+  pack_labels (pk, u->labels);
+  msgpack_pack_int64 (pk, u->capacity.cpu_milli);
+  msgpack_pack_int64 (pk, u->capacity.mem_mb);
+  msgpack_pack_int64 (pk, u->capacity.gpus);
+  msgpack_pack_int64 (pk, u->slots);
+  mm_mp_pack_bool (pk, u->draining);
+}
+
+void
+mm_list_news_pack (const mm_list_news *n, msgpack_sbuffer *out)
+{
+  msgpack_packer pk;
+  msgpack_packer_init (&pk, out, msgpack_sbuffer_write);
+  msgpack_pack_array (&pk, NEWS_FIELDS);
+  msgpack_pack_uint64 (&pk, n->turn);
+  msgpack_pack_uint64 (&pk, n->from);
+  msgpack_pack_uint64 (&pk, n->to);
+  msgpack_pack_int64 (&pk, n->age_ms);
+  msgpack_pack_array (&pk, n->n_changes);
+  for (size_t i = 0; i < n->n_changes; i++)
+    pack_change (&pk, &n->changes[i]);
+}
+
+static char **
+read_labels (const msgpack_object *o)
+{
+  if (!mm_mp_is_array (o, 0) || o->via.array.size > MAX_LABELS)
+    return NULL;
+  char **labels = g_new0 (char *, o->via.array.size + 1);
+  for (uint32_t i = 0; i < o->via.array.size; i++)
+    if (!mm_mp_read_text (&o->via.array.ptr[i], false, &labels[i]))
+      {
+        g_strfreev (labels);
+        return NULL;
+      }
+  return labels;
+}
+
+static bool
+read_listed (const msgpack_object *f, mm_upstream_info *u)
+{
+  u->labels = read_labels (&f[4]);
+  return u->labels && mm_mp_read_text (&f[0], false, &u->name)
+         && mm_mp_read_text (&f[1], false, &u->addr)
+         && mm_mp_read_text (&f[2], false, &u->service)
+         && mm_mp_read_text (&f[3], false, &u->datacentre)
+         && mm_mp_read_i64 (&f[5], &u->capacity.cpu_milli)
+         && mm_mp_read_i64 (&f[6], &u->capacity.mem_mb)
+         && mm_mp_read_i64 (&f[7], &u->capacity.gpus)
+         && mm_mp_read_i64 (&f[8], &u->slots)
+         && mm_mp_read_bool (&f[9], &u->draining);
+}
+
+static bool
+read_change (const msgpack_object *o, mm_list_change *c)
+{
+  if (mm_mp_is_array (o, GONE_FIELDS))
+    return mm_mp_read_text (&o->via.array.ptr[0], false, &c->name);
+  if (!mm_mp_is_array (o, LISTED_FIELDS))
+    return false;
+  c->info = g_new0 (mm_upstream_info, 1);
+  if (!read_listed (o->via.array.ptr, c->info))
+    return false;
+  c->name = g_strdup (c->info->name);
+  return true;
+}
+
+static bool
+read_news (const msgpack_object *o, mm_list_news *out)
+{
+  if (!mm_mp_is_array (o, NEWS_FIELDS))
+    return false;
+  const msgpack_object *f = o->via.array.ptr;
+  if (!mm_mp_read_u64 (&f[0], &out->turn)
+      || !mm_mp_read_u64 (&f[1], &out->from)
+      || !mm_mp_read_u64 (&f[2], &out->to)
+      || !mm_mp_read_i64 (&f[3], &out->age_ms) || out->age_ms < 0
+      || !mm_mp_is_array (&f[4], 0))
+    return false;
+  for (uint32_t i = 0; i < f[4].via.array.size; i++)
+    {
+      mm_list_change c = { .upto = out->to };
+      bool ok = read_change (&f[4].via.array.ptr[i], &c);
+      g_array_append_val (out->owned, c);
+      if (!ok)
+        return false;
+    }
+  out->changes = (const mm_list_change *)(void *)out->owned->data;
+  out->n_changes = out->owned->len;
+  return true;
+}
+
+bool
+mm_list_news_read (const void *data, size_t len, mm_list_news *out)
+{
+  memset (out, 0, sizeof *out);
+  out->owned = g_array_new (FALSE, FALSE, sizeof (mm_list_change));
+  g_array_set_clear_func (out->owned, mm_list_change_clear);
+  msgpack_unpacked u;
+  msgpack_unpacked_init (&u);
+  size_t at = 0;
+  bool ok = msgpack_unpack_next (&u, data, len, &at) == MSGPACK_UNPACK_SUCCESS
+            && read_news (&u.data, out);
+  msgpack_unpacked_destroy (&u);
+  return ok;
+}
+
+void
+mm_list_news_clear (mm_list_news *n)
+{
+  if (n->owned)
+    g_array_free (n->owned, TRUE);
+  n->owned = NULL;
+}
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -5,6 +5,8 @@
 #include "mm_owner.h"
 #include "mm_questions.h"
 
+#include <msgpack.h>
+
 typedef struct mm_mesh mm_mesh;
 typedef struct mm_remote mm_remote; /* a task handed to a peer */
 
@@ -60,6 +62,19 @@
                                size_t len, mm_mesh_reply *reply);
 void mm_mesh_on_asked (mm_mesh *m, mm_mesh_asked asked, void *ctx);
 void mm_mesh_answer (mm_mesh_reply *reply, const void *data, size_t len);
+/* News for all instances in touch.  @make writes what one of them is to be
+   told that knows all up to an offset (0: nothing), and returns up to where
+   it then knows it.  */
+typedef uint64_t (*mm_mesh_news_for) (void *ctx, uint64_t told_upto,
+                                      msgpack_sbuffer *out);
+void mm_mesh_tell_news (mm_mesh *m, mm_mesh_news_for make, void *ctx,
+                        const char *but_not); /* to all but one, or NULL */
+typedef void (*mm_mesh_news) (void *ctx, const char *peer, const void *data,
+                              size_t len);
+void mm_mesh_on_news (mm_mesh *m, mm_mesh_news heard, void *ctx);
+/* Names of the instances in touch over links of either direction; free the
+   list, not the names.  */
+GList *mm_mesh_linked (const mm_mesh *m);
 /* Keep a link to this instance for a while, neighbour or not; every known
    one with NULL.  */
 void mm_mesh_need (mm_mesh *m, const char *peer);
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -14,6 +14,7 @@
   REPORT_FIELDS = 5,
   HANDED_FIELDS = 2,
   FOUND_FIELDS = 6,
+  NEWS_FIELDS = 2,
   ROOM_FIELDS = 6
 };
 
@@ -108,6 +109,14 @@
   mm_mp_pack_bytes (&pk, data, len);
 }
 
+void
+mm_mesh_pack_news (msgpack_sbuffer *b, const void *data, size_t len)
+{
+  msgpack_packer pk;
+  begin (&pk, b, NEWS_FIELDS, MM_MESH_NEWS);
+  mm_mp_pack_bytes (&pk, data, len);
+}
+
 void
 mm_mesh_pack_report (msgpack_sbuffer *b, uint64_t seen_no, const char *name,
                      bool leaving, const mm_mesh_room *rooms, size_t n)
@@ -287,6 +296,8 @@
              && mm_mp_read_text (&f[1], false, (char **)&out->name)
              && mm_mp_read_u32 (&f[2], &out->run)
              && mm_mp_read_task (&f[3], &out->task);
+    case MM_MESH_NEWS:
+      return n == NEWS_FIELDS && read_bytes (&f[1], out);
     case MM_MESH_HANDED:
       return n == HANDED_FIELDS
              && mm_mp_read_text (&f[1], false, (char **)&out->name);
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -13,7 +13,9 @@
       [[service, places, free, waiting, task_ms, [waiting of each priority]],
        ...]]
      [HANDED, group]               partitions of it have a new holder
-     [FOUND, upstream, run, job, step, index]  it runs there: whose is it?  */
+     [FOUND, upstream, run, job, step, index]  it runs there: whose is it?
+   Both ways:
+     [NEWS, bytes]  */
 #ifndef MM_MESH_MSG_H
 #define MM_MESH_MSG_H
 
@@ -32,7 +34,8 @@
   MM_MESH_ASK = 7,
   MM_MESH_TOLD = 8,
   MM_MESH_HANDED = 9,
-  MM_MESH_FOUND = 10
+  MM_MESH_FOUND = 10,
+  MM_MESH_NEWS = 11
 } mm_mesh_kind;
 
 #define MM_MESH_MAX_SERVICES 64 /* rows of a report that are read */
@@ -57,7 +60,7 @@
   mm_task_id task;  /* FOUND */
   uint32_t run;     /* FOUND */
   uint32_t verb;    /* ASK */
-  const void *data; /* ASK, TOLD: valid while the message is */
+  const void *data; /* ASK, TOLD, NEWS: valid while the message is */
   size_t len;
 } mm_mesh_msg;
 
@@ -78,6 +81,7 @@
                          uint32_t run, const mm_task_id *task);
 void mm_mesh_pack_ask (msgpack_sbuffer *b, uint64_t no, uint32_t verb,
                        const void *data, size_t len);
+void mm_mesh_pack_news (msgpack_sbuffer *b, const void *data, size_t len);
 void mm_mesh_pack_told (msgpack_sbuffer *b, uint64_t no, const void *data,
                         size_t len);
 
--- a/src/mm_metrics.c
+++ b/src/mm_metrics.c
@@ -20,6 +20,8 @@
 #define TASKS_HELP "Tasks of this instance's jobs that ended, by how."
 #define STORE "masticmill_store_calls_total"
 #define STORE_HELP "Calls to the platform's store, by kind and outcome."
+#define BYTES "masticmill_store_bytes_total"
+#define BYTES_HELP "Bytes of the store's answers, by kind of call."
 
 static const series counter_table[MM_CT_COUNT] = {
   [MM_CT_JOBS_SUBMITTED]
@@ -62,9 +64,16 @@
                          "Links to other instances that ended." },
   [MM_CT_STALLS]
   = { "masticmill_stalls_total", NULL, "Times that the process stood still." },
-  [MM_CT_STREAM_OK] = { STORE, "call=\"read\",outcome=\"ok\"", STORE_HELP },
-  [MM_CT_STREAM_FAILED]
-  = { STORE, "call=\"read\",outcome=\"failed\"", STORE_HELP },
+  [MM_CT_CONFIG_OK] = { STORE, "call=\"config\",outcome=\"ok\"", STORE_HELP },
+  [MM_CT_CONFIG_FAILED]
+  = { STORE, "call=\"config\",outcome=\"failed\"", STORE_HELP },
+  [MM_CT_LIST_OK] = { STORE, "call=\"list\",outcome=\"ok\"", STORE_HELP },
+  [MM_CT_LIST_FAILED]
+  = { STORE, "call=\"list\",outcome=\"failed\"", STORE_HELP },
+  [MM_CT_LIST_HEARD]
+  = { "masticmill_list_heard_total", NULL,
+      "Times that another instance told what it had read of the upstream "
+      "list." },
   [MM_CT_JOIN_OK] = { STORE, "call=\"join\",outcome=\"ok\"", STORE_HELP },
   [MM_CT_JOIN_FAILED]
   = { STORE, "call=\"join\",outcome=\"failed\"", STORE_HELP },
@@ -85,6 +94,11 @@
   [MM_CT_KEPT_LOST_SIGHT]
   = { "masticmill_kept_jobs_lost_sight_total", NULL,
       "Times that tasks of a kept job had to be looked for." },
+  [MM_CT_BYTES_CONFIG] = { BYTES, "call=\"config\"", BYTES_HELP },
+  [MM_CT_BYTES_LIST] = { BYTES, "call=\"list\"", BYTES_HELP },
+  [MM_CT_BYTES_JOIN] = { BYTES, "call=\"join\"", BYTES_HELP },
+  [MM_CT_BYTES_MEMBERS] = { BYTES, "call=\"members\"", BYTES_HELP },
+  [MM_CT_BYTES_RECORDS] = { BYTES, "call=\"records\"", BYTES_HELP },
 };
 
 static const series gauge_table[MM_GG_COUNT] = {
@@ -154,6 +168,12 @@
   counters[id]++;
 }
 
+void
+mm_metrics_add (mm_counter_id id, uint64_t n)
+{
+  counters[id] += n;
+}
+
 uint64_t
 mm_metrics_counter (mm_counter_id id)
 {
--- a/src/mm_metrics.h
+++ b/src/mm_metrics.h
@@ -37,8 +37,11 @@
   MM_CT_OWNERSHIP_CHANGES,
   MM_CT_PEERS_LOST,
   MM_CT_STALLS,
-  MM_CT_STREAM_OK,
-  MM_CT_STREAM_FAILED,
+  MM_CT_CONFIG_OK,
+  MM_CT_CONFIG_FAILED,
+  MM_CT_LIST_OK,
+  MM_CT_LIST_FAILED,
+  MM_CT_LIST_HEARD,
   MM_CT_JOIN_OK,
   MM_CT_JOIN_FAILED,
   MM_CT_MEMBERS_OK,
@@ -49,6 +52,11 @@
   MM_CT_KEPT_REFUSED,
   MM_CT_KEPT_OVER,
   MM_CT_KEPT_LOST_SIGHT,
+  MM_CT_BYTES_CONFIG,
+  MM_CT_BYTES_LIST,
+  MM_CT_BYTES_JOIN,
+  MM_CT_BYTES_MEMBERS,
+  MM_CT_BYTES_RECORDS,
   MM_CT_COUNT
 } mm_counter_id;
 
@@ -80,6 +88,7 @@
 } mm_histogram_id;
 
 void mm_metrics_count (mm_counter_id id);                 /* add one */
+void mm_metrics_add (mm_counter_id id, uint64_t n);
 uint64_t mm_metrics_counter (mm_counter_id id);           /* its value */
 void mm_metrics_set (mm_gauge_id id, int64_t value);      /* a gauge */
 void mm_metrics_time (mm_histogram_id id, mm_time_ms ms); /* observe */
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -8,6 +8,7 @@
 #include "mm_metrics.h"
 #include "mm_log_sink.h"
 #include "mm_kept.h"
+#include "mm_list_share.h"
 #include "mm_members.h"
 #include "mm_stream.h"
 
@@ -25,7 +26,8 @@
   mm_catalog *catalog;
   mm_routes *routes;
   mm_stream *config;
-  mm_stream *upstreams;
+  mm_list_share *list;
+  mm_stream *upstreams; /* the list's */
   mm_holdings *holdings;
   mm_predecessors *predecessors;
   mm_members *members;
@@ -124,24 +126,6 @@
                 MM_INT (n->routes->n));
 }
 
-static void
-on_upstream (void *ctx, const mm_stream_item *item)
-{
-  mm_node *n = ctx;
-  if (item->upstream)
-    mm_catalog_put (n->catalog, item->upstream);
-  else
-    mm_catalog_missing (n->catalog, item->key);
-}
-
-static void
-on_upstreams_whole (void *ctx, GHashTable *keys)
-{
-  mm_node *n = ctx;
-  mm_catalog_keep_only (n->catalog, keys);
-  tick_soon (n);
-}
-
 /* Start nothing more on what is not ours, or not for long.  This does not
    wait for a fresh list: the next owner may be there already.  */
 static void
@@ -298,6 +282,7 @@
   mm_metrics_count (MM_CT_STALLS);
   mm_log_event (MM_EV_STALLED, MM_INT (gap), MM_INT (mm_jobs_count (n->jobs)));
   mm_mesh_woke (n->mesh);
+  mm_stream_hurry (n->upstreams);
   mm_jobs_abandon (n->jobs, "this instance stood still");
 }
 
@@ -347,12 +332,11 @@
   n->fleet = mm_fleet_create (n->owner, n->mesh, s->datacentre);
   n->jobs = mm_jobs_create (n->fleet);
   mm_stream_events config = { .item = on_config, .ctx = n };
-  mm_stream_events list
-      = { .item = on_upstream, .whole = on_upstreams_whole, .ctx = n };
-  n->config = mm_stream_create (store, MM_STREAM_CONFIG, MM_CONFIG_WAIT_MS, 0,
-                                &config);
-  n->upstreams = mm_stream_create (store, MM_STREAM_UPSTREAMS, 0,
-                                   MM_LIST_POLL_MS, &list);
+  n->config
+      = mm_stream_create (store, MM_STREAM_CONFIG, MM_CONFIG_WAIT_MS, &config);
+  n->list = mm_list_share_create (store, n->catalog, n->mesh, member,
+                                  tick_soon, n);
+  n->upstreams = mm_list_share_stream (n->list);
   mm_holdings_events ev
       = { .quiet = handover_quiet, .changed = tick_soon, .ctx = n };
   n->holdings
@@ -419,13 +403,13 @@
   mm_jobs_destroy (n->jobs);
   mm_kept_destroy (n->kept);
   mm_fleet_destroy (n->fleet);
+  mm_list_share_destroy (n->list);
   mm_members_destroy (n->members);
   mm_predecessors_destroy (n->predecessors);
   mm_mesh_destroy (n->mesh);
   mm_owner_destroy (n->owner);
   mm_holdings_destroy (n->holdings);
   mm_stream_destroy (n->config);
-  mm_stream_destroy (n->upstreams);
   mm_catalog_destroy (n->catalog);
   mm_routes_unref (n->routes);
   g_free (n);
--- a/src/mm_store_http.c
+++ b/src/mm_store_http.c
@@ -1,6 +1,8 @@
 /* mm_store_http: one HTTP call a question to the store.  */
 #include "mm_store_http.h"
 
+#include "mm_metrics.h"
+
 struct mm_store_http
 {
   mm_http_client *client;
@@ -117,6 +119,9 @@
 mm_store_tell_stream (mm_store_call *call, const mm_http_result *res,
                       mm_stream_result *r, GArray *items)
 {
+  static const mm_counter_id bytes[]
+      = { MM_CT_BYTES_CONFIG, MM_CT_BYTES_LIST };
+  mm_metrics_add (bytes[call->kind], res->body_bytes);
   char *why = reason (r->ok, res);
   r->why = why;
   r->items = (mm_stream_item *)(void *)items->data;
@@ -131,6 +136,7 @@
 mm_store_tell_join (mm_store_call *call, const mm_http_result *res,
                     mm_join_result *r, GArray *parts)
 {
+  mm_metrics_add (MM_CT_BYTES_JOIN, res->body_bytes);
   char *why = reason (r->ok, res);
   r->why = why;
   r->parts = (const uint32_t *)(void *)parts->data;
@@ -161,6 +167,7 @@
                        GArray *holders)
 {
   mm_members_result r = { .ok = holders != NULL };
+  mm_metrics_add (MM_CT_BYTES_MEMBERS, res->body_bytes);
   char *why = reason (r.ok, res);
   r.why = why;
   GArray *rows = holders ? holders : mm_store_holders_new ();
@@ -190,6 +197,7 @@
 mm_store_tell_records (mm_store_call *call, const mm_http_result *res,
                        mm_records_result *r, GArray *records)
 {
+  mm_metrics_add (MM_CT_BYTES_RECORDS, res->body_bytes);
   char *why = reason (r->ok, res);
   r->why = why;
   r->records = (const mm_record *)(void *)records->data;
--- a/src/mm_stream.c
+++ b/src/mm_stream.c
@@ -21,14 +21,13 @@
   mm_stream_kind kind;
   mm_stream_events ev;
   mm_time_ms wait_ms;
-  mm_time_ms pause_ms; /* between reads that do not wait */
   bool in_flight;
   bool tailing;
   bool in_touch;
   bool paused;
-  bool fresh;
-  bool sent_fresh;    /* the call in flight was sent after the last pause */
-  mm_time_ms sent_ms; /* the call in flight */
+  mm_time_ms paused_ms; /* when it last was, 0: never */
+  mm_time_ms sent_ms;   /* the call in flight */
+  uint64_t sent_from;
   mm_time_ms first_page_ms; /* sending of the first page of the newest */
   mm_time_ms known_ms;      /* sending of the last one that came to the end */
   uint64_t next;
@@ -62,8 +61,7 @@
 
 mm_stream *
 mm_stream_create (const mm_store_port *port, mm_stream_kind kind,
-                  mm_time_ms wait_ms, mm_time_ms pause_ms,
-                  const mm_stream_events *ev)
+                  mm_time_ms wait_ms, const mm_stream_events *ev)
 {
   mm_stream *s = g_new0 (mm_stream, 1);
   s->refs = 1;
@@ -71,7 +69,6 @@
   s->kind = kind;
   s->ev = *ev;
   s->wait_ms = wait_ms;
-  s->pause_ms = pause_ms;
   s->piece_bytes = piece_of (port, kind);
   s->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return s;
@@ -98,28 +95,35 @@
 note_touch (mm_stream *s, const mm_stream_result *res)
 {
   static const char *const names[] = { "configuration", "upstream list" };
-  mm_metrics_count (res->ok ? MM_CT_STREAM_OK : MM_CT_STREAM_FAILED);
+  static const mm_counter_id ok[] = { MM_CT_CONFIG_OK, MM_CT_LIST_OK };
+  static const mm_counter_id failed[]
+      = { MM_CT_CONFIG_FAILED, MM_CT_LIST_FAILED };
+  mm_metrics_count (res->ok ? ok[s->kind] : failed[s->kind]);
   mm_store_note_touch (&s->in_touch, res->ok, names[s->kind], res->why);
 }
 
-/* All that was in the stream at @as_of_ms has been read.  */
+/* The end was reached: the next read is due after the pause.  */
 static void
-came_to_end (mm_stream *s, mm_time_ms as_of_ms)
+read_later (mm_stream *s)
 {
-  s->known_ms = MAX (s->known_ms, as_of_ms);
-  s->fresh = s->fresh || s->sent_fresh;
+  s->due_ms = s->known_ms;
+  if (s->ev.pause_ms)
+    s->due_ms += s->ev.pause_ms (s->ev.ctx);
 }
 
 /* Changes were read; there may be more.  */
 static void
-take_changes (mm_stream *s, const mm_stream_result *res, mm_time_ms now)
+take_changes (mm_stream *s, const mm_stream_result *res)
 {
-  bool stuck = res->next == s->next && res->end > res->next;
+  bool stuck = res->next == s->sent_from && res->end > res->next;
   s->next = res->next;
   uint64_t behind = res->end > s->next ? res->end - s->next : 0;
-  s->due_ms = behind ? now : now + s->pause_ms;
   if (!behind)
-    came_to_end (s, s->sent_ms);
+    s->known_ms = MAX (s->known_ms, s->sent_ms);
+  if (s->ev.changes)
+    s->ev.changes (s->ev.ctx, !behind);
+  if (!behind)
+    read_later (s);
   if (stuck)
     s->piece_bytes = MIN (s->piece_bytes * 2, MM_STORE_ANSWER_MAX_BYTES);
   else if (behind
@@ -143,9 +147,10 @@
   if (s->after)
     return;
   s->tailing = true;
-  came_to_end (s, s->first_page_ms);
+  s->known_ms = MAX (s->known_ms, s->first_page_ms);
   if (s->ev.whole)
     s->ev.whole (s->ev.ctx, s->keys);
+  read_later (s);
 }
 
 static void
@@ -166,14 +171,18 @@
     read_again (s);
   else
     note_touch (s, res);
-  for (size_t i = 0; res->ok && i < res->n_items; i++)
+  /* Somebody else's word came meanwhile and went further.  */
+  bool old = res->ok && s->tailing && res->next < s->next;
+  for (size_t i = 0; res->ok && !old && i < res->n_items; i++)
     {
       if (!s->tailing)
         g_hash_table_add (s->keys, g_strdup (res->items[i].key));
       s->ev.item (s->ev.ctx, &res->items[i]);
     }
-  if (res->ok && s->tailing)
-    take_changes (s, res, now);
+  if (old)
+    s->due_ms = now;
+  else if (res->ok && s->tailing)
+    take_changes (s, res);
   else if (res->ok)
     take_page (s, res);
   stream_unref (s);
@@ -202,8 +211,8 @@
   if (s->in_flight || mm_clock_now_ms () < s->due_ms)
     return;
   s->in_flight = true;
-  s->sent_fresh = true;
   s->sent_ms = mm_clock_now_ms ();
+  s->sent_from = s->next;
   s->refs++;
   if (!s->tailing)
     {
@@ -223,19 +232,26 @@
 mm_stream_pause (mm_stream *s)
 {
   s->paused = true;
-  s->fresh = s->sent_fresh = false;
+  s->paused_ms = mm_clock_now_ms ();
+}
+
+void
+mm_stream_hurry (mm_stream *s)
+{
+  s->due_ms = 0;
 }
 
 bool
 mm_stream_fresh (const mm_stream *s)
 {
-  return s->fresh;
+  return s->known_ms > s->paused_ms;
 }
 
+/* Own calls may fail while others are served, and tell what they read.  */
 bool
 mm_stream_in_touch (const mm_stream *s)
 {
-  return s->in_touch;
+  return s->in_touch || mm_clock_now_ms () - s->known_ms < MM_STREAM_TOUCH_MS;
 }
 
 mm_time_ms
@@ -243,3 +259,20 @@
 {
   return s->known_ms;
 }
+
+uint64_t
+mm_stream_next (const mm_stream *s)
+{
+  return s->next;
+}
+
+bool
+mm_stream_hear (mm_stream *s, uint64_t from, uint64_t to, mm_time_ms as_of_ms)
+{
+  if (!s->tailing || s->next < from || s->next > to)
+    return false;
+  s->next = to;
+  s->known_ms = MAX (s->known_ms, as_of_ms);
+  read_later (s);
+  return true;
+}
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -569,6 +569,7 @@
   uint32_t items;
   uint32_t wholes;
   guint keys;
+  mm_time_ms pause_ms;
 } reading;
 
 static void
@@ -585,6 +586,12 @@
   r->keys = g_hash_table_size (keys);
 }
 
+static mm_time_ms
+reading_pause_ms (void *ctx)
+{
+  return ((reading *)ctx)->pause_ms;
+}
+
 static void
 turn (mm_stream *s, key_store *k)
 {
@@ -606,8 +613,11 @@
   key_store k = { .keys = { "a", "b", "c" }, .n_keys = 3, .end = 7 };
   reading r = { 0 };
   mm_store_port port = { .newest = key_newest, .tail = key_tail, .ctx = &k };
-  mm_stream_events ev = { .item = on_item, .whole = on_whole, .ctx = &r };
-  mm_stream *s = mm_stream_create (&port, MM_STREAM_UPSTREAMS, 0, 100, &ev);
+  r.pause_ms = 100;
+  mm_stream_events ev = {
+    .item = on_item, .whole = on_whole, .pause_ms = reading_pause_ms, .ctx = &r
+  };
+  mm_stream *s = mm_stream_create (&port, MM_STREAM_UPSTREAMS, 0, &ev);
   for (int i = 0; i < 10; i++)
     turn (s, &k);
   ck_assert_uint_eq (r.wholes, 1);
@@ -636,7 +646,7 @@
   reading r = { 0 };
   mm_store_port port = { .newest = key_newest, .tail = key_tail, .ctx = &k };
   mm_stream_events ev = { .item = on_item, .whole = on_whole, .ctx = &r };
-  mm_stream *s = mm_stream_create (&port, MM_STREAM_UPSTREAMS, 0, 0, &ev);
+  mm_stream *s = mm_stream_create (&port, MM_STREAM_UPSTREAMS, 0, &ev);
   ck_assert (!mm_stream_fresh (s));
   for (int i = 0; i < 10; i++)
     turn (s, &k);
@@ -732,10 +742,12 @@
   mm_clock_set_source (test_clock, NULL);
   mm_store_port port
       = { .newest = thin_newest, .tail = thin_tail, .ctx = k, .link_mbps = 2 };
-  mm_stream_events ev = { .item = on_item, .whole = on_whole, .ctx = r };
-  mm_stream *s
-      = mm_stream_create (&port, MM_STREAM_UPSTREAMS, 0, pause_ms, &ev);
-  for (int i = 0; i < 3; i++)
+  r->pause_ms = pause_ms;
+  mm_stream_events ev = {
+    .item = on_item, .whole = on_whole, .pause_ms = reading_pause_ms, .ctx = r
+  };
+  mm_stream *s = mm_stream_create (&port, MM_STREAM_UPSTREAMS, 0, &ev);
+  for (int i = 0; i < 100 && !k->tail_calls; i++)
     thin_turn (s, k);
   ck_assert (mm_stream_fresh (s));
   return s;
