--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -177,6 +177,8 @@
     size_t body_bytes; /* its length */
     bool sent;         /* the request left this process */
     GError *error;     /* transport failure, or NULL */
+    bool open;         /* overdue: it is told once more, when it has ended */
+    bool late;         /* told before as overdue */
   } mm_http_result;
   typedef void (*mm_http_done) (const mm_http_result *res, void *ctx);
   typedef struct
@@ -188,6 +190,7 @@
     const char *header; /* one more header line, or NULL */
     bool fresh;         /* on a new connection */
     mm_time_ms timeout_ms;
+    mm_time_ms late_ms; /* after that it stays open for so long, 0: closed */
   } mm_http_call;
   mm_http_client *mm_http_client_create (struct ev_loop *loop,
                                          uint32_t max_host_connections); /* */
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -26,8 +26,8 @@
 
 static void send_hold (mm_exec *x, mm_time_ms wait_ms, bool renew);
 
-static void
-exec_unref (mm_exec *x)
+void
+mm_exec_unref (mm_exec *x)
 {
   if (--x->refs > 0)
     return;
@@ -65,7 +65,7 @@
 }
 
 /* The run is over: its room is free.  The struct lives on while a call
-   about it is open (see call_close).  */
+   about it is open (see mm_exec_call_close).  */
 void
 mm_exec_release (mm_exec_run *r, mm_end how, const char *why)
 {
@@ -83,27 +83,6 @@
     x->ev.room (x->ev.ctx, x);
 }
 
-void
-mm_exec_learn_clock (mm_exec *x, const mm_call_result *res)
-{
-  if (res->clock_ms < 0)
-    return;
-  /* An answer that was long under way, or whose clock was read before a
-     hold's wait, makes the upstream's clock look behind, and a lease made
-     from it up to 250 ms too short: one lost hold then costs the lease.
-     The largest offset seen is the nearest; it may sink, as the upstream's
-     clock may be slow.  */
-  mm_time_ms now = mm_clock_now_ms ();
-  mm_time_ms offset_ms = res->clock_ms - now;
-  mm_time_ms sunk_ms = (now - x->clock_ms) * MM_CLOCK_SLOW_PERCENT / 100;
-  if (!x->clock_known || offset_ms >= x->clock_offset_ms - sunk_ms)
-    {
-      x->clock_offset_ms = offset_ms;
-      x->clock_ms = now;
-    }
-  x->clock_known = true;
-}
-
 static void
 become_suspect (mm_exec *x, const char *what, mm_call_verdict v)
 {
@@ -130,41 +109,6 @@
                 MM_TEXT (what));
 }
 
-static mm_exec_call *
-call_open (mm_exec *x, mm_exec_run *r)
-{
-  mm_exec_call *c = g_new0 (mm_exec_call, 1);
-  c->exec = x;
-  c->run = r;
-  c->sent_event = ++x->events;
-  c->sent_ms = mm_clock_now_ms ();
-  x->refs++;
-  return c;
-}
-
-static void
-call_close (mm_exec_call *c)
-{
-  mm_exec *x = c->exec;
-  g_free (c);
-  exec_unref (x);
-}
-
-/* Learn from how long a call took, or that it got no answer.  A hold that
-   waited at the upstream tells nothing of its way.  */
-static void
-note_answer_time (mm_exec *x, const mm_exec_call *c, mm_call_verdict v)
-{
-  mm_time_ms now = mm_clock_now_ms ();
-  if (v == MM_CALL_NO_ANSWER)
-    {
-      mm_rto_unanswered (&x->rto);
-      x->lossy_ms = now;
-    }
-  else if (c->wait_ms == 0)
-    mm_rto_answered (&x->rto, now - c->sent_ms);
-}
-
 /* Another owner has taken over: what runs is its to stop, and out of our
    sight, but for @refused (or NULL), whose start was what told us.  */
 static void
@@ -212,11 +156,11 @@
   if (c->exec->closed || c->run->gone)
     {
       free_if_over (c->run);
-      call_close (c);
+      mm_exec_call_close (c, res->open);
       return false;
     }
   mm_exec_learn_clock (c->exec, res);
-  note_answer_time (c->exec, c, res->verdict);
+  mm_exec_note_time (c->exec, c, res->verdict);
   return true;
 }
 
@@ -224,6 +168,11 @@
 on_stop_answer (const mm_call_result *res, void *ctx)
 {
   mm_exec_call *c = ctx;
+  if (res->late)
+    {
+      mm_exec_call_late (c, res);
+      return;
+    }
   mm_exec *x = c->exec;
   mm_exec_run *r = c->run;
   r->stop_in_flight = false;
@@ -251,7 +200,7 @@
       mm_exec_send_stop (r, true);
       break;
     }
-  call_close (c);
+  mm_exec_call_close (c, res->open);
 }
 
 void
@@ -265,8 +214,9 @@
                  .run = r->number,
                  .fence = x->fence,
                  .fresh = fresh,
-                 .timeout_ms = mm_rto_ms (&x->rto) };
-  x->port.stop (x->port.ctx, x->info, &o, on_stop_answer, call_open (x, r));
+                 .timeout_ms = mm_exec_timeout_ms (x) };
+  x->port.stop (x->port.ctx, x->info, &o, on_stop_answer,
+                mm_exec_call_open (x, r));
 }
 
 static void send_start (mm_exec_run *r);
@@ -347,6 +297,11 @@
 on_start_answer (const mm_call_result *res, void *ctx)
 {
   mm_exec_call *c = ctx;
+  if (res->late)
+    {
+      mm_exec_call_late (c, res);
+      return;
+    }
   mm_exec_run *r = c->run;
   r->start_in_flight = false;
   if (!still_matters (c, res))
@@ -358,7 +313,7 @@
       r->phase = RUN_UNSURE;
       on_start_verdict (r, res->verdict);
     }
-  call_close (c);
+  mm_exec_call_close (c, res->open);
 }
 
 static mm_time_ms
@@ -374,15 +329,19 @@
 {
   mm_exec *x = r->exec;
   r->phase = RUN_ORDERED;
+  if (r->payload)
+    mm_uplink_sent (&x->common->uplink, strlen (r->payload),
+                    mm_clock_now_ms ());
   mm_order o = { .task = &r->id,
                  .run = r->number,
                  .payload = r->payload,
                  .fence = x->fence,
                  .deadline_ms = lease_deadline (x),
-                 .timeout_ms = mm_rto_ms (&x->rto) };
+                 .timeout_ms = mm_exec_timeout_ms (x) };
   r->start_in_flight = true;
   r->sent_ms = mm_clock_now_ms ();
-  x->port.start (x->port.ctx, x->info, &o, on_start_answer, call_open (x, r));
+  x->port.start (x->port.ctx, x->info, &o, on_start_answer,
+                 mm_exec_call_open (x, r));
 }
 
 /**
@@ -505,18 +464,34 @@
     send_hold (x, 0, false);
 }
 
+/* Its lists are as good as any, unless a later hold's were taken.  */
+static void
+on_late_hold (mm_exec_call *c, const mm_hold_result *res)
+{
+  mm_exec *x = c->exec;
+  if (!x->closed && !x->fenced && !x->gone && res->call.verdict == MM_CALL_OK
+      && c->sent_event > x->hold_taken_event)
+    mm_exec_take_lists (x, c, res);
+  mm_exec_call_late (c, &res->call);
+}
+
 static void
 on_hold_answer (const mm_hold_result *res, void *ctx)
 {
   mm_exec_call *c = ctx;
+  if (res->call.late)
+    {
+      on_late_hold (c, res);
+      return;
+    }
   mm_exec *x = c->exec;
   x->holds_in_flight--;
   if (x->closed)
     {
-      call_close (c);
+      mm_exec_call_close (c, res->call.open);
       return;
     }
-  note_answer_time (x, c, res->call.verdict);
+  mm_exec_note_time (x, c, res->call.verdict);
   switch (res->call.verdict)
     {
     case MM_CALL_OK:
@@ -540,7 +515,7 @@
       on_hold_failed (x, res->call.verdict);
       break;
     }
-  call_close (c);
+  mm_exec_call_close (c, res->call.open);
 }
 
 /* Ends up to the first one that is held.  */
@@ -562,12 +537,12 @@
                 .acked_seq = ack_upto (x),
                 .wait_ms = wait_ms,
                 .fresh = x->suspect,
-                .timeout_ms = wait_ms + mm_rto_ms (&x->rto) };
+                .timeout_ms = wait_ms + mm_exec_timeout_ms (x) };
   if (renew && x->clock_known)
     h.deadline_ms = lease_deadline (x);
   x->holds_in_flight++;
   mm_metrics_count (MM_CT_HOLDS);
-  mm_exec_call *c = call_open (x, NULL);
+  mm_exec_call *c = mm_exec_call_open (x, NULL);
   c->acked_seq = h.acked_seq;
   c->wait_ms = wait_ms;
   x->hold_sent_ms = mm_clock_now_ms ();
@@ -665,6 +640,7 @@
  * @u: the upstream; copied.
  * @fence: our token, higher than any earlier owner's.
  * @port: how it is reached.
+ * @common: shared with the other sessions; must outlive this one.
  * @events: what the owner is told.
  *
  * The first hold makes the token known there and shows what an earlier
@@ -674,13 +650,15 @@
  */
 mm_exec *
 mm_exec_create (const mm_upstream_info *u, uint64_t fence,
-                const mm_exec_port *port, const mm_exec_events *events)
+                const mm_exec_port *port, mm_exec_common *common,
+                const mm_exec_events *events)
 {
   mm_exec *x = g_new0 (mm_exec, 1);
   x->refs = 1;
   x->info = mm_upstream_info_copy (u);
   x->fence = fence;
   x->port = *port;
+  x->common = common;
   x->ev = *events;
   x->slowness = 1.0;
   x->held = g_array_new (FALSE, FALSE, sizeof (mm_held_end));
@@ -708,7 +686,7 @@
       r->gone = true;
       g_hash_table_iter_steal (&it);
     }
-  exec_unref (x);
+  mm_exec_unref (x);
 }
 
 /**
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -7,6 +7,8 @@
 #ifndef MM_EXEC_H
 #define MM_EXEC_H
 
+#include "mm_rto.h"
+#include "mm_uplink.h"
 #include "mm_upstream_info.h"
 
 /* What came of a call to an upstream.  */
@@ -29,6 +31,8 @@
 {
   mm_call_verdict verdict;
   mm_time_ms clock_ms; /* the upstream's clock, -1 when not told */
+  bool open; /* without an answer so far: told again when it has ended */
+  bool late; /* told so before */
 } mm_call_result;
 
 typedef struct
@@ -124,8 +128,15 @@
   void *ctx;
 } mm_exec_events;
 
+/* What the sessions of an owner share.  */
+typedef struct
+{
+  mm_rto_floor floor; /* of their timeouts */
+  mm_uplink uplink;   /* that their orders go out on */
+} mm_exec_common;
+
 mm_exec *mm_exec_create (const mm_upstream_info *u, uint64_t fence,
-                         const mm_exec_port *port,
+                         const mm_exec_port *port, mm_exec_common *common,
                          const mm_exec_events *events); /* first: a hold */
 void mm_exec_destroy (mm_exec *x); /* no events from now on */
 void mm_exec_update (mm_exec *x, const mm_upstream_info *u); /* list news */
--- a/src/mm_exec_http.c
+++ b/src/mm_exec_http.c
@@ -1,6 +1,8 @@
 /* mm_exec_http: one HTTP call an order or hold.  */
 #include "mm_exec_http.h"
 
+#include "config.h"
+
 struct mm_exec_http
 {
   mm_http_client *client;
@@ -37,8 +39,10 @@
 {
   const cJSON *clock
       = cJSON_GetObjectItemCaseSensitive (body, wire->clock_field);
-  mm_call_result r
-      = { .verdict = verdict_of (wire, res, body), .clock_ms = -1 };
+  mm_call_result r = { .verdict = verdict_of (wire, res, body),
+                       .clock_ms = -1,
+                       .open = res->open,
+                       .late = res->late };
   if (cJSON_IsNumber (clock))
     r.clock_ms = (mm_time_ms)clock->valuedouble;
   return r;
@@ -78,7 +82,8 @@
   mm_call_result r = result_of (p->wire, res, body);
   p->call_done (&r, p->ctx);
   cJSON_Delete (body);
-  g_free (p);
+  if (!r.open)
+    g_free (p);
 }
 
 static void
@@ -97,7 +102,8 @@
   g_free ((void *)r.running);
   g_free ((void *)r.ended);
   cJSON_Delete (body);
-  g_free (p);
+  if (!r.call.open)
+    g_free (p);
 }
 
 static void
@@ -117,7 +123,8 @@
                         .body = text,
                         .header = target,
                         .fresh = fresh,
-                        .timeout_ms = timeout_ms };
+                        .timeout_ms = timeout_ms,
+                        .late_ms = MM_CALL_LATE_MS };
   mm_http_client_send (x->client, &call, done, copy);
   g_free (target);
   g_free (url);
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -66,6 +66,7 @@
   GArray *held;          /* mm_held_end */
   uint32_t holds_failed; /* in a row */
   mm_rto rto;
+  mm_exec_common *common;
   mm_time_ms lossy_ms; /* when a call last got no answer, 0: never */
   bool clock_known;
   mm_time_ms clock_offset_ms; /* upstream's clock minus ours, at most */
@@ -81,14 +82,25 @@
   uint64_t acked_seq;
   mm_time_ms sent_ms;
   mm_time_ms wait_ms; /* of a hold */
+  bool overdue;       /* it has no answer yet, and we went on without */
 } mm_exec_call;
 
 /* The run is over: its room is free, and the owner is told.  */
 void mm_exec_release (mm_exec_run *r, mm_end how, const char *why);
 void mm_exec_send_stop (mm_exec_run *r, bool fresh); /* unless one is out */
 void mm_exec_set_running (mm_exec_run *r); /* the upstream has said so */
+void mm_exec_become_usable (mm_exec *x);   /* it answers again */
+
+void mm_exec_unref (mm_exec *x);
+
+/* mm_exec_call.c */
+mm_exec_call *mm_exec_call_open (mm_exec *x, mm_exec_run *r);
+/* It has ended, or @open: it has no answer yet, and will be told again.  */
+void mm_exec_call_close (mm_exec_call *c, bool open);
+void mm_exec_call_late (mm_exec_call *c, const mm_call_result *res);
+mm_time_ms mm_exec_timeout_ms (const mm_exec *x); /* of the next call */
+void mm_exec_note_time (mm_exec *x, const mm_exec_call *c, mm_call_verdict v);
 void mm_exec_learn_clock (mm_exec *x, const mm_call_result *res);
-void mm_exec_become_usable (mm_exec *x); /* it answers again */
 
 /* mm_exec_lists.c: what a hold shows */
 void mm_exec_take_lists (mm_exec *x, const mm_exec_call *c,
--- a/src/mm_http_client.c
+++ b/src/mm_http_client.c
@@ -32,6 +32,8 @@
   GString *answer;
   char *body;
   body_cursor cursor;
+  ev_timer overdue_timer;
+  bool overdue; /* told so */
   mm_http_done done;
   void *ctx;
 } call;
@@ -42,10 +44,25 @@
   mm_http_client *client;
 } sock_watch;
 
+/* Its answer may come yet, and then tells how long answers take: the caller
+   goes on without it meanwhile.  */
+static void
+overdue_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  call *c = w->data;
+  c->overdue = true;
+  mm_http_result res = { .open = true, .sent = true, .body = "" };
+  res.error
+      = g_error_new_literal (MM_ERROR, MM_ERROR_TIMEOUT, "no answer in time");
+  c->done (&res, c->ctx);
+  g_error_free (res.error);
+}
+
 static void
 finish_call (call *c, CURLcode code)
 {
-  mm_http_result res = { 0 };
+  mm_http_result res = { .late = c->overdue };
+  ev_timer_stop (c->client->loop, &c->overdue_timer);
   curl_easy_getinfo (c->easy, CURLINFO_RESPONSE_CODE, &res.status);
   long connect_code = 0;
   curl_easy_getinfo (c->easy, CURLINFO_HTTP_CONNECTCODE, &connect_code);
@@ -281,7 +298,8 @@
  * mm_http_client_send() - start an HTTP call.
  * @c: the client.
  * @spec: what to send; copied.
- * @done: called once from the loop with the result and @ctx.
+ * @done: called once from the loop with the result and @ctx; twice when the
+ *        answer is overdue and the call stays open (@late_ms of @spec).
  * @ctx: context pointer for @done.
  */
 void
@@ -298,8 +316,9 @@
   k->done = done;
   k->ctx = ctx;
   k->cursor = body_of (k->body, len_bytes);
-  k->easy = make_easy (spec->method, spec->url, &k->cursor, spec->timeout_ms,
-                       &k->headers, k->answer);
+  k->easy
+      = make_easy (spec->method, spec->url, &k->cursor,
+                   spec->timeout_ms + spec->late_ms, &k->headers, k->answer);
   if (c->member_header)
     k->headers = curl_slist_append (k->headers, c->member_header);
   if (spec->header)
@@ -308,6 +327,11 @@
     curl_easy_setopt (k->easy, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt (k->easy, CURLOPT_HTTPHEADER, k->headers);
   curl_easy_setopt (k->easy, CURLOPT_PRIVATE, k);
+  ev_timer_init (&k->overdue_timer, overdue_cb,
+                 (double)spec->timeout_ms / 1000., 0.);
+  k->overdue_timer.data = k;
+  if (spec->late_ms > 0)
+    ev_timer_start (c->loop, &k->overdue_timer);
   c->in_flight++;
   curl_multi_add_handle (c->multi, k->easy);
 }
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -539,6 +539,7 @@
   msgpack_sbuffer b;
   msgpack_sbuffer_init (&b);
   mm_mesh_pack_run (&b, r->no, t);
+  mm_owner_note_sent (m->owner, b.size);
   mm_link_send (p->link, &b);
   msgpack_sbuffer_destroy (&b);
   return r;
--- a/src/mm_metrics.c
+++ b/src/mm_metrics.c
@@ -48,6 +48,9 @@
   [MM_CT_TASKS_UNKNOWN] = { TASKS, "how=\"unknown\"", TASKS_HELP },
   [MM_CT_ORDERS_UNANSWERED] = { "masticmill_orders_unanswered_total", NULL,
                                 "Starts and stops without an answer." },
+  [MM_CT_ANSWERS_LATE]
+  = { "masticmill_answers_late_total", NULL,
+      "Answers of upstreams that came after their timeout." },
   [MM_CT_HOLDS]
   = { "masticmill_holds_total", NULL, "Lease renewals and looks." },
   [MM_CT_HOLDS_FAILED] = { "masticmill_holds_failed_total", NULL,
--- a/src/mm_metrics.h
+++ b/src/mm_metrics.h
@@ -29,6 +29,7 @@
   MM_CT_TASKS_NOT_RUN,
   MM_CT_TASKS_UNKNOWN,
   MM_CT_ORDERS_UNANSWERED,
+  MM_CT_ANSWERS_LATE,
   MM_CT_HOLDS,
   MM_CT_HOLDS_FAILED,
   MM_CT_FENCED,
@@ -87,7 +88,7 @@
   MM_HG_COUNT
 } mm_histogram_id;
 
-void mm_metrics_count (mm_counter_id id);                 /* add one */
+void mm_metrics_count (mm_counter_id id); /* add one */
 void mm_metrics_add (mm_counter_id id, uint64_t n);
 uint64_t mm_metrics_counter (mm_counter_id id);           /* its value */
 void mm_metrics_set (mm_gauge_id id, int64_t value);      /* a gauge */
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -377,6 +377,7 @@
   n->loop = loop;
   n->s = *s;
   n->owner = mm_owner_create (exec);
+  mm_owner_set_link (n->owner, s->link_mbps);
   char *member = new_member_name (s);
   n->mesh = mm_mesh_create (loop, member, s->datacentre, s->address,
                             (uint16_t)s->mesh_port, n->owner, error);
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -195,6 +195,18 @@
   return o;
 }
 
+void
+mm_owner_set_link (mm_owner *o, double mbps)
+{
+  o->common.uplink.bits_per_ms = mbps * 1000;
+}
+
+void
+mm_owner_note_sent (mm_owner *o, size_t bytes)
+{
+  mm_uplink_sent (&o->common.uplink, bytes, mm_clock_now_ms ());
+}
+
 void
 mm_owner_destroy (mm_owner *o)
 {
@@ -240,7 +252,7 @@
                         .found = on_found,
                         .fenced = on_fenced,
                         .ctx = s };
-  s->exec = mm_exec_create (u, fence, &o->port, &ev);
+  s->exec = mm_exec_create (u, fence, &o->port, &o->common, &ev);
   g_hash_table_insert (o->slots, g_strdup (u->name), s);
 }
 
--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -37,6 +37,7 @@
 struct mm_owner
 {
   mm_exec_port port;
+  mm_exec_common common;
   GHashTable *slots;     /* upstream name -> mm_slot */
   GQueue *waiting;       /* mm_work, by priority and arrival */
   GHashTable *active;    /* mm_task_id -> mm_work that has a run */
--- a/src/mm_rto.c
+++ b/src/mm_rto.c
@@ -15,12 +15,14 @@
 #define MEAN_GAIN 0.125
 #define DEVIATION_GAIN 0.25
 #define DEVIATIONS 4.0
+#define LATE_MARGIN 1.25
 
 void
 mm_rto_answered (mm_rto *r, mm_time_ms took_ms)
 {
   double took = (double)MAX (took_ms, 1);
   r->doublings = 0;
+  r->most_ms -= DEVIATION_GAIN * MAX (r->most_ms - took, 0);
   if (r->mean_ms <= 0)
     {
       r->mean_ms = took;
@@ -38,12 +40,19 @@
   r->doublings++;
 }
 
+void
+mm_rto_late (mm_rto *r, mm_time_ms took_ms)
+{
+  mm_rto_answered (r, took_ms);
+  r->most_ms = MAX (r->most_ms, LATE_MARGIN * (double)took_ms);
+}
+
 /**
  * mm_rto_ms() - the timeout of the next call.
  * @r: what was seen.
  *
  * Return: between MM_RTO_MIN_MS and MM_RTO_MAX_MS, the latter until an
- * answer was seen.
+ * answer was seen; up to MM_RTO_LATE_MAX_MS after late answers.
  */
 mm_time_ms
 mm_rto_ms (const mm_rto *r)
@@ -52,5 +61,39 @@
     return MM_RTO_MAX_MS;
   double rto_ms = r->mean_ms + DEVIATIONS * r->deviation_ms;
   rto_ms = ldexp (MAX (rto_ms, MM_RTO_MIN_MS), (int)MIN (r->doublings, 8));
-  return (mm_time_ms)MIN (ceil (rto_ms), MM_RTO_MAX_MS);
+  double most_ms = CLAMP (r->most_ms, MM_RTO_MAX_MS, MM_RTO_LATE_MAX_MS);
+  return (mm_time_ms)MIN (ceil (rto_ms), most_ms);
+}
+
+/**
+ * mm_rto_floor_late() - an answer came after its timeout.
+ * @f: what was seen of all upstreams.
+ * @upstream: whose.
+ * @took_ms: its time.
+ * @now_ms: the clock.
+ *
+ * One upstream may be slow.  Two of them at about the same time tell of what
+ * they share, our link or our processor: then no timeout is shorter than what
+ * answers took, for some seconds.
+ */
+void
+mm_rto_floor_late (mm_rto_floor *f, const void *upstream, mm_time_ms took_ms,
+                   mm_time_ms now_ms)
+{
+  bool shared = f->last && f->last != upstream
+                && now_ms - f->last_ms < MM_RTO_SHARED_MS;
+  f->last = upstream;
+  f->last_ms = now_ms;
+  double least_ms = MIN (LATE_MARGIN * (double)took_ms, MM_RTO_LATE_MAX_MS);
+  if (!shared || least_ms < (double)mm_rto_floor_ms (f, now_ms))
+    return;
+  f->least_ms = (mm_time_ms)least_ms;
+  f->raised_ms = now_ms;
+}
+
+mm_time_ms
+mm_rto_floor_ms (const mm_rto_floor *f, mm_time_ms now_ms)
+{
+  bool holds = f->least_ms && now_ms - f->raised_ms < MM_RTO_FLOOR_MS;
+  return holds && MM_WITH_RTO ? f->least_ms : 0;
 }
--- a/src/mm_stream.c
+++ b/src/mm_stream.c
@@ -26,7 +26,9 @@
   bool in_touch;
   bool paused;
   mm_time_ms paused_ms; /* when it last was, 0: never */
-  mm_time_ms sent_ms;   /* the call in flight */
+  bool fresh;
+  bool sent_fresh;    /* the call in flight was sent after the last pause */
+  mm_time_ms sent_ms; /* the call in flight */
   uint64_t sent_from;
   mm_time_ms first_page_ms; /* sending of the first page of the newest */
   mm_time_ms known_ms;      /* sending of the last one that came to the end */
@@ -102,7 +104,15 @@
   mm_store_note_touch (&s->in_touch, res->ok, names[s->kind], res->why);
 }
 
-/* The end was reached: the next read is due after the pause.  */
+/* All that was there at @as_of_ms is known.  */
+static void
+come_to_end (mm_stream *s, mm_time_ms as_of_ms, bool after_pause)
+{
+  s->known_ms = MAX (s->known_ms, as_of_ms);
+  s->fresh = s->fresh || after_pause;
+}
+
+/* The next read is due after the pause.  */
 static void
 read_later (mm_stream *s)
 {
@@ -119,7 +129,7 @@
   s->next = res->next;
   uint64_t behind = res->end > s->next ? res->end - s->next : 0;
   if (!behind)
-    s->known_ms = MAX (s->known_ms, s->sent_ms);
+    come_to_end (s, s->sent_ms, s->sent_fresh);
   if (s->ev.changes)
     s->ev.changes (s->ev.ctx, !behind);
   if (!behind)
@@ -147,7 +157,7 @@
   if (s->after)
     return;
   s->tailing = true;
-  s->known_ms = MAX (s->known_ms, s->first_page_ms);
+  come_to_end (s, s->first_page_ms, s->sent_fresh);
   if (s->ev.whole)
     s->ev.whole (s->ev.ctx, s->keys);
   read_later (s);
@@ -213,6 +223,7 @@
   s->in_flight = true;
   s->sent_ms = mm_clock_now_ms ();
   s->sent_from = s->next;
+  s->sent_fresh = true;
   s->refs++;
   if (!s->tailing)
     {
@@ -233,6 +244,7 @@
 {
   s->paused = true;
   s->paused_ms = mm_clock_now_ms ();
+  s->fresh = s->sent_fresh = false;
 }
 
 void
@@ -244,7 +256,7 @@
 bool
 mm_stream_fresh (const mm_stream *s)
 {
-  return s->known_ms > s->paused_ms;
+  return s->fresh;
 }
 
 /* Own calls may fail while others are served, and tell what they read.  */
@@ -272,7 +284,7 @@
   if (!s->tailing || s->next < from || s->next > to)
     return false;
   s->next = to;
-  s->known_ms = MAX (s->known_ms, as_of_ms);
+  come_to_end (s, as_of_ms, as_of_ms > s->paused_ms);
   read_later (s);
   return true;
 }
--- a/tests/fake_upstreams.c
+++ b/tests/fake_upstreams.c
@@ -1,6 +1,7 @@
 /* fake_upstreams: see the header.  */
 #include "fake_upstreams.h"
 
+#include "config.h"
 #include "mm_run_table.h"
 
 #include <stdio.h>
@@ -44,6 +45,7 @@
   mm_call_done done;
   mm_hold_done hold_done;
   void *ctx;
+  bool overdue; /* the caller was told so, and still listens */
   bool answered;
   bool lost;
 } fake_call;
@@ -271,7 +273,7 @@
   fake_call *c = g_new0 (fake_call, 1);
   c->to = find_fake (f, u);
   c->kind = kind;
-  c->arrives_ms = f->now_ms + LINK_MS;
+  c->arrives_ms = f->now_ms + LINK_MS + c->to->mode.way_ms;
   c->answer_ms = -1;
   c->timeout_ms = f->now_ms + timeout_ms;
   c->ctx = ctx;
@@ -325,7 +327,7 @@
   c->fence = h->fence;
   c->acked = h->acked_seq;
   c->deadline_ms = h->deadline_ms;
-  c->wait_until_ms = f->now_ms + LINK_MS + h->wait_ms;
+  c->wait_until_ms = c->arrives_ms + h->wait_ms;
   c->hold_done = done;
 }
 
@@ -382,8 +384,20 @@
 static void
 give_timeout (fake_call *c)
 {
-  c->result = (mm_call_result){ .verdict = MM_CALL_NO_ANSWER, .clock_ms = -1 };
+  mm_call_result kept = c->result;
+  bool first = !c->overdue;
+  c->result = (mm_call_result){
+    .verdict = MM_CALL_NO_ANSWER, .clock_ms = -1, .open = first, .late = !first
+  };
   give_answer (c);
+  if (!first)
+    return;
+  /* The caller goes on without it, and listens for a while.  */
+  c->result = kept;
+  c->result.late = true;
+  c->overdue = true;
+  c->answered = false;
+  c->timeout_ms += MM_CALL_LATE_MS;
 }
 
 static void
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -667,6 +667,30 @@
 }
 END_TEST
 
+/* An instance comes to hold upstreams in the same millisecond in which it held
+   none.  Its list was read after that, and must count: else it starts nothing
+   before it is read again, 0.8 s later.  */
+START_TEST (list_read_in_the_millisecond_of_a_pause_is_fresh)
+{
+  now_ms = 1000;
+  mm_clock_set_source (test_clock, NULL);
+  key_store k = { .keys = { "a", "b" }, .n_keys = 2, .end = 7 };
+  reading r = { .pause_ms = 800 };
+  mm_store_port port = { .newest = key_newest, .tail = key_tail, .ctx = &k };
+  mm_stream_events ev = {
+    .item = on_item, .whole = on_whole, .pause_ms = reading_pause_ms, .ctx = &r
+  };
+  mm_stream *s = mm_stream_create (&port, MM_STREAM_UPSTREAMS, 0, &ev);
+  mm_stream_pause (s);
+  mm_stream_tick (s);
+  now_ms += CALL_MS;
+  k.done (&k.result, k.ctx);
+  ck_assert (mm_stream_fresh (s));
+  mm_stream_destroy (s);
+  mm_clock_set_source (NULL, NULL);
+}
+END_TEST
+
 /* A stream whose changes are all of one size, read over a thin link.  */
 typedef struct
 {
@@ -836,6 +860,7 @@
   tcase_add_test (c, missing_upstream_is_kept_for_a_while_of_contact);
   tcase_add_test (c, dropped_history_is_read_again_from_the_newest);
   tcase_add_test (c, list_that_was_not_read_for_a_while_is_stale_until_it_is);
+  tcase_add_test (c, list_read_in_the_millisecond_of_a_pause_is_fresh);
   tcase_add_test (c, changes_beyond_one_answer_are_read_without_a_pause);
   tcase_add_test (c, newest_records_are_read_when_that_is_less);
   tcase_add_test (c, read_that_fails_is_waited_for_longer_each_time);
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -3,8 +3,10 @@
 #include "config.h"
 #include "fake_upstreams.h"
 #include "harness.h"
+#include "mm_metrics.h"
 
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -1119,6 +1121,107 @@
 }
 END_TEST
 
+/* ---- answers that come late ------------------------------------------- */
+
+#define FLEET 8
+#define JOBS 50
+
+/* Jobs of eight tasks one after the other, each on an upstream of its own;
+   orders take @way_ms to get there from time to time.  Return: jobs whose
+   tasks had all ended within 100 ms of their run time.  */
+static uint32_t
+jobs_in_time (world *w, fake **x, mm_time_ms way_ms)
+{
+  uint32_t in_time = 0;
+  for (int j = 0; j < JOBS; j++)
+    {
+      for (int i = 0; i < FLEET; i++)
+        fake_mode_of (x[i])->way_ms = j % 2 ? way_ms : 0;
+      outcome r[FLEET];
+      char job[16];
+      snprintf (job, sizeof job, "job%d", j);
+      for (uint32_t i = 0; i < FLEET; i++)
+        submit (w, &r[i], job, i, 60);
+      mm_time_ms from_ms = fakes_now (w->f);
+      world_run (w, 500);
+      bool ok = true;
+      for (int i = 0; i < FLEET; i++)
+        ok = ok && r[i].how == MM_END_DONE && r[i].at_ms - from_ms <= 260;
+      in_time += ok;
+    }
+  return in_time;
+}
+
+/* On a thin link something else, a list or a caller's job, holds up every
+   second job's orders for 80 ms.  All of them arrive and are answered.  Taken
+   as lost they were stopped and placed anew, their upstreams got nothing for
+   a while, and a third of the callers waited for it.  */
+START_TEST (orders_that_are_only_held_up_are_not_taken_as_lost)
+{
+  world w = world_create ();
+  fake *x[FLEET];
+  char name[16];
+  for (int i = 0; i < FLEET; i++)
+    {
+      snprintf (name, sizeof name, "u%d", i);
+      x[i] = world_add (&w, name);
+    }
+  world_run (&w, 50);
+  uint64_t before = mm_metrics_counter (MM_CT_ORDERS_UNANSWERED);
+  uint32_t in_time = jobs_in_time (&w, x, 80);
+  uint64_t unanswered = mm_metrics_counter (MM_CT_ORDERS_UNANSWERED) - before;
+  ck_assert_uint_ge (mm_metrics_counter (MM_CT_ANSWERS_LATE), 2);
+  ck_assert_msg (unanswered <= (uint64_t)JOBS * FLEET / 20, "%d of %d orders",
+                 (int)unanswered, JOBS * FLEET);
+  ck_assert_uint_ge (in_time, JOBS * 9 / 10);
+  assert_kept_promises (&w);
+  world_destroy (&w);
+}
+END_TEST
+
+/* The last of the orders of one job goes out 50 ms after the first on a link
+   of 2 Mbit/s, and stands in our own queue until then.  */
+START_TEST (orders_in_our_own_queue_are_waited_for)
+{
+  world w = world_create ();
+  mm_owner_set_link (w.o, 2);
+  fake *x = world_add (&w, "a");
+  world_run (&w, 50);
+  for (int i = 0; i < 20; i++)
+    {
+      outcome r;
+      char job[16];
+      snprintf (job, sizeof job, "job%d", i);
+      submit (&w, &r, job, 0, 60);
+      world_run (&w, 200);
+    }
+  uint64_t before = mm_metrics_counter (MM_CT_ORDERS_UNANSWERED);
+  mm_owner_note_sent (w.o, 50 * 2000 / 8);
+  fake_mode_of (x)->way_ms = 50;
+  outcome r;
+  submit (&w, &r, "behind", 0, 60);
+  world_run (&w, 300);
+  ck_assert_int_eq (r.how, MM_END_DONE);
+  ck_assert_uint_eq (mm_metrics_counter (MM_CT_ORDERS_UNANSWERED), before);
+  world_destroy (&w);
+}
+END_TEST
+
+/* An order that is lost is noticed as soon as before, whatever another
+   upstream's answers take.  */
+START_TEST (slow_answers_of_one_upstream_delay_no_other)
+{
+  mm_rto_floor f = { 0 };
+  int a, b;
+  for (mm_time_ms t = 1000; t < 3000; t += 100)
+    mm_rto_floor_late (&f, &a, 200, t);
+  ck_assert_int_eq (mm_rto_floor_ms (&f, 3000), 0);
+  mm_rto_floor_late (&f, &b, 200, 3000);
+  ck_assert_int_ge (mm_rto_floor_ms (&f, 3000), 200);
+  ck_assert_int_eq (mm_rto_floor_ms (&f, 3000 + MM_RTO_FLOOR_MS), 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -1164,6 +1267,9 @@
                   search_for_a_task_sees_its_run_and_trusts_no_doubtful_owner);
   tcase_add_test (c, task_whose_end_is_on_a_later_page_is_not_lost);
   tcase_add_loop_test (c, random_faults_break_no_promise, 0, 100);
+  tcase_add_test (c, orders_that_are_only_held_up_are_not_taken_as_lost);
+  tcase_add_test (c, orders_in_our_own_queue_are_waited_for);
+  tcase_add_test (c, slow_answers_of_one_upstream_delay_no_other);
   suite_add_tcase (s, c);
   return h_run_suite (s);
 }
