--- a/src/mm_fleet.c
+++ b/src/mm_fleet.c
@@ -87,9 +87,9 @@
   f->mean_task_ms += MM_MEAN_TASK_GAIN * ((double)run_ms - f->mean_task_ms);
 }
 
-/* A newcomer has seen no task end.  With a fixed guess it expected a queue of
-   short tasks to last 2.5 times as long as it did, and refused jobs that had
-   0.7 s to spare; what the tasks declare is off by 40 % at most.  */
+/* A newcomer has seen no task end.  A fixed guess would be far too long for a
+   queue of short tasks, and jobs with time to spare would be refused; what the
+   tasks declare is nearer.  */
 static void
 note_declared (mm_fleet *f, mm_time_ms run_ms)
 {
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -97,9 +97,9 @@
   s->link_mbps = MM_DEFAULT_LINK_MBPS;
 }
 
-/* What follows from news of the store must not wait for the next tick: with
-   25 ms at each of four steps, an instance that came back owned upstreams
-   after 200 ms.  */
+/* What follows from news of the store must not wait for the next tick: an
+   instance that comes back takes several such steps until it owns upstreams.
+ */
 static void
 tick_soon (void *ctx)
 {
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -95,8 +95,8 @@
 
 /* What a task costs in place-time, with runs that came to nothing: an order
    without an answer takes its place up until its fate is certain, and an end
-   that is seen late does.  Counted without, 30 % of lost orders let admission
-   take jobs that were all late.  */
+   that is seen late does.  Counted without, admission would take jobs that
+   are all late while many orders are lost.  */
 static void
 note_cost (mm_owner *o, mm_end how, mm_time_ms ran_ms)
 {
--- a/src/mm_shares.c
+++ b/src/mm_shares.c
@@ -163,9 +163,8 @@
 }
 
 /* A newcomer without a partition asks often: those of an instance that is
-   known to be dead come within one call of its being taken out.  With 300 ms
-   between the joins, an instance that came back after a loss of power owned
-   upstreams 340 ms after its start, with 40 ms after some 100 ms.  */
+   known to be dead come within one call of its being taken out, and until
+   then nobody can start anything on their upstreams.  */
 static mm_time_ms
 beat_ms (const mm_shares *s, mm_time_ms now)
 {
