Links stay alive however many there are

Cause: an instance spreads its reports of room over its links, 240 a second in all; with 144 links or more each gets one after 600 ms or later, and is given up as silent at its other end, which links again at once. Whoever stands in for a data centre is linked to by all 146 other instances.

Change: the pause is bounded by the beat that each side promises, 150 ms. Test: test_mesh links_stay_alive_however_many_there_are, for up to 2,000 links (the pause was 608 ms at 146).

--- a/src/config.h
+++ b/src/config.h
@@ -155,8 +155,8 @@
 #define MM_MESH_SILENT_MS 600
 #define MM_MESH_RECONNECT_MS 250
 #define MM_MESH_REPORT_MS 25 /* at most this often, when room changes */
-/* And at most this often over all links: writing reports costs more than
-   anything else that grows with the number of links.  */
+/* And about this often over all links: writing reports costs more than
+   anything else that grows with their number.  */
 #define MM_MESH_REPORTS_PER_S 240
 /* Links of an instance: enough to find room, however many others there are.
  */
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -156,14 +156,25 @@
   return n;
 }
 
+/* Between reports over one of so many links.  The more there are, the fewer go
+   over each; but one that tells of no life for MM_MESH_SILENT_MS is given up
+   at its other end.  Whoever stands in for a data centre has a link from every
+   instance: with the pause unbounded it would lose all of them over and over,
+   and with each the tasks of their callers.  */
+mm_time_ms
+mm_mesh_report_pause_ms (uint32_t links)
+{
+  mm_time_ms pause_ms = (mm_time_ms)links * 1000 / MM_MESH_REPORTS_PER_S;
+  return CLAMP (pause_ms, MM_MESH_REPORT_MS, MM_MESH_BEAT_MS);
+}
+
 /* Tell of our room when it changed, and now and then as a sign of life. */
 static void
 send_report (mm_mesh_inbound_link *in, const mm_mesh_room *rooms, size_t n,
              mm_time_ms now)
 {
-  mm_time_ms pause_ms
-      = g_list_length (in->mesh->inbound) * 1000 / MM_MESH_REPORTS_PER_S;
-  if (now - in->report_ms < MAX (pause_ms, MM_MESH_REPORT_MS))
+  uint32_t links = mm_mesh_inbound (in->mesh);
+  if (now - in->report_ms < mm_mesh_report_pause_ms (links))
     return;
   msgpack_sbuffer b;
   msgpack_sbuffer_init (&b);
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -92,8 +92,9 @@
 
 mm_mesh_presence mm_mesh_presence_in (const mm_mesh *m,
                                       const char *datacentre);
-uint32_t mm_mesh_connected (const mm_mesh *m); /* peers in touch */
-uint32_t mm_mesh_inbound (const mm_mesh *m);   /* links from others */
+uint32_t mm_mesh_connected (const mm_mesh *m);       /* peers in touch */
+uint32_t mm_mesh_inbound (const mm_mesh *m);         /* links from others */
+mm_time_ms mm_mesh_report_pause_ms (uint32_t links); /* on each of these */
 void mm_mesh_woke (mm_mesh *m); /* we stood still: every link is cut */
 void mm_mesh_tick (mm_mesh *m); /* each MM_EXEC_TICK_MS */
 
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -316,6 +316,19 @@
 }
 END_TEST
 
+/* An instance that stands in for a data centre is linked to by all 146 others.
+   Its reports went out each 608 ms on each link; the others gave the link up
+   as silent after 600, linked to it again at once, and so on for seconds.
+   Whatever they had handed to it was out of sight each time.  */
+START_TEST (links_stay_alive_however_many_there_are)
+{
+  for (uint32_t links = 0; links < 2000; links++)
+    ck_assert_int_le (mm_mesh_report_pause_ms (links) + MM_EXEC_TICK_MS,
+                      MM_MESH_SILENT_MS / 2);
+  ck_assert_int_eq (mm_mesh_report_pause_ms (1), MM_MESH_REPORT_MS);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -330,6 +343,7 @@
   tcase_add_test (c, links_of_an_instance_stay_bounded_as_instances_are_added);
   tcase_add_test (c,
                   last_instance_of_a_data_centre_is_found_when_the_others_die);
+  tcase_add_test (c, links_stay_alive_however_many_there_are);
   suite_add_tcase (s, c);
   return h_run_suite (s);
 }
