--- a/scripts/explain.sh
+++ b/scripts/explain.sh
@@ -64,7 +64,10 @@
 other=$((3 - victim))
 # Of a queue whose answers are of no use by the time its tasks could run again.
 submit $other lost-1 8 400 quick >"$log/lost-1.status" & waiting=$!
-sleep 0.3
+for _ in $(seq 100); do
+  grep -q '"job_accepted","job":"lost-1"' "$log/node$other.log" && break
+  sleep 0.05
+done
 kill -9 "${node_pid[$victim]}"
 wait $waiting || true
 echo "lost: status $(cat "$log/lost-1.status")"
