--- a/src/config.h
+++ b/src/config.h
@@ -212,20 +212,16 @@
    MM_LIST_POLL_MS, and MM_LIST_TURNS_MAX turns later if those fail whose turn
    comes first.  */
 #define MM_LIST_POLL_MS 800
-#define MM_LIST_TURN_MS                                                       \
-  60 /* to pass on what was read, with a tick to spare                        \
-      */
+#define MM_LIST_TURN_MS 60 /* passing on takes less */
 #define MM_LIST_TURNS_MAX 5u
 #define MM_LIST_LOG_MAX 64u /* changes that are passed on */
 #define MM_LIST_TELL_MS 200 /* between views that bring no change */
 /* After all of the list was read: upstreams write to it more often.  */
 #define MM_LIST_OWN_MS 5000
-#define MM_STREAM_TOUCH_MS                                                    \
-  1500                         /* known so lately: in touch with the store    \
-                                */
-#define MM_LIST_BEHIND_MS 3000 /* without reading it to its end: logged */
-#define MM_LIST_DROP_MS 2500   /* missing entries come back within 2 s */
-#define MM_GROUP_TTL_MS 1500   /* a silent owner's upstreams go to others */
+#define MM_STREAM_TOUCH_MS 1500 /* known so lately: in touch */
+#define MM_LIST_BEHIND_MS 3000  /* without reading it to its end: logged */
+#define MM_LIST_DROP_MS 2500    /* missing entries come back within 2 s */
+#define MM_GROUP_TTL_MS 1500    /* a silent owner's upstreams go to others */
 #define MM_GROUP_BEAT_MS 300
 /* Between the joins of a newcomer that has no partition yet: ten store calls
    of 4 ms, and some ticks.  Past a TTL there is none that it could wait for.
--- a/src/mm_exec_call.c
+++ b/src/mm_exec_call.c
@@ -44,7 +44,6 @@
 void
 mm_exec_call_close (mm_exec_call *c, bool open)
 {
-  c->overdue = open;
   if (open)
     return;
   mm_exec *x = c->exec;
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -82,7 +82,6 @@
   uint64_t acked_seq;
   mm_time_ms sent_ms;
   mm_time_ms wait_ms; /* of a hold */
-  bool overdue;       /* it has no answer yet, and we went on without */
 } mm_exec_call;
 
 /* The run is over: its room is free, and the owner is told.  */
