--- a/scripts/losses.py
+++ b/scripts/losses.py
@@ -6,7 +6,9 @@
 way, or over for less than two seconds; "none" without any).  A late job counts
 0.8, as it keeps a fifth of its worth.  Runs are trials.
 
-  losses.py --bench FLEETBENCH [--days A,B] [--seeds N] [--first SEED] [--jobs N] SITE.toml
+  losses.py --bench FLEETBENCH [--days A,B] [--seeds N] [--first SEED] [--jobs N] [--small] SITE.toml
+
+--small plays the small twins of a large site's days.
 """
 import argparse, collections, concurrent.futures as cf, json, os, subprocess, tempfile, tomllib
 
@@ -15,9 +17,10 @@
 LATE_LOSS = 0.8     # of a job's worth
 
 
-def play(bench, site, day, seed, folder):
+def play(bench, site, day, seed, folder, small):
     report = os.path.join(folder, f"{day}-{seed}.json")
-    subprocess.run([bench, "run", site, day, "--seed", str(seed), "--no-cpu", "--jobs", "1", "--report", report],
+    subprocess.run([bench, "run", site, day, "--seed", str(seed), "--no-cpu", "--jobs", "1", "--report", report]
+                   + (["--small"] if small else []),
                    capture_output=True, check=True)
     with open(report) as f:
         return json.load(f)
@@ -42,13 +45,14 @@
     ap.add_argument("--seeds", type=int, default=3)
     ap.add_argument("--first", type=int, default=1)
     ap.add_argument("--jobs", type=int, default=4)
+    ap.add_argument("--small", action="store_true")
     a = ap.parse_args()
     with open(a.site, "rb") as f:
         names = [d["name"] for d in tomllib.load(f)["day"]]
     days = a.days.split(",") if a.days else [n for n in names if not n.startswith("quiet")]
     lost, asked = collections.defaultdict(collections.Counter), [0]
     with tempfile.TemporaryDirectory() as folder, cf.ThreadPoolExecutor(a.jobs) as pool:
-        runs = [pool.submit(play, os.path.abspath(a.bench), a.site, d, a.first + i, folder)
+        runs = [pool.submit(play, os.path.abspath(a.bench), a.site, d, a.first + i, folder, a.small)
                 for d in days for i in range(a.seeds)]
         for run in runs:
             add_losses(run.result(), lost, asked)
