Logs tell how old the view of an upstream was, and when its session heard

What callers saw: a start on an upstream that had said it leaves. The log could not tell whether the instance did not know, had known and its session did not, believed an old view to be new, or had sent the order in time.

- upstream_listed has who passed the change on (null: read) and how old it was;
- upstream_draining is written by the owner's session when it hears of it, with the time since its last order to start: listed without draining after it is a session that was not renewed.
Both lines are never left out as daily business;
- task_started has the age of the view it was decided on, and a histogram of these ages (masticmill_start_view_age_seconds) misses none;
- task_started_draining: the upstream was listed as draining between an order and its answer, with the times of the decision and of the last sending.

No decision changes. Tests: all of the suites that touch these modules pass.

--- a/src/mm_catalog.c
+++ b/src/mm_catalog.c
@@ -61,7 +61,8 @@
 }
 
 bool
-mm_catalog_put (mm_catalog *c, const mm_upstream_info *u)
+mm_catalog_put (mm_catalog *c, const mm_upstream_info *u,
+                const mm_catalog_origin *from)
 {
   entry *e = g_hash_table_lookup (c->by_name, u->name);
   if (e && same (e->info, u))
@@ -74,7 +75,8 @@
   if (!e || e->info->draining != u->draining)
     mm_log_event (MM_EV_UPSTREAM_LISTED, MM_TEXT (u->name),
                   MM_TEXT (u->service), MM_TEXT (u->addr),
-                  MM_INT (u->draining));
+                  MM_INT (u->draining), MM_TEXT (from->peer),
+                  MM_INT (mm_clock_now_ms () - from->as_of_ms));
   c->n_missing -= e && e->missing_since_ms;
   entry *fresh = g_new0 (entry, 1);
   fresh->info = mm_upstream_info_copy (u);
--- a/src/mm_catalog.h
+++ b/src/mm_catalog.h
@@ -6,10 +6,18 @@
 
 typedef struct mm_catalog mm_catalog;
 
+/* Where a change of the list comes from, for the log.  */
+typedef struct
+{
+  const char *peer;    /* who passed it on, NULL: we read it */
+  mm_time_ms as_of_ms; /* when it was read */
+} mm_catalog_origin;
+
 mm_catalog *mm_catalog_create (void);
 void mm_catalog_destroy (mm_catalog *c);
 /* It is listed, or not any more.  Return: whether that is news.  */
-bool mm_catalog_put (mm_catalog *c, const mm_upstream_info *u);
+bool mm_catalog_put (mm_catalog *c, const mm_upstream_info *u,
+                     const mm_catalog_origin *from);
 bool mm_catalog_missing (mm_catalog *c, const char *name);
 /* All listed names are known: the others are missing.  */
 void mm_catalog_keep_only (mm_catalog *c, GHashTable *names);
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -49,8 +49,14 @@
   [MM_EV_LIST_KNOWN]
   = { "list_known", KEEP_ALL, "behind_ms", "it was read to its end again" },
   [MM_EV_UPSTREAM_LISTED]
-  = { "upstream_listed", KEEP_ALL, "upstream service address draining",
-      "an upstream appeared in the list or changed" },
+  = { "upstream_listed", KEEP_ALL,
+      "upstream service address draining peer view_ms",
+      "an upstream appeared in the list or changed; read so long ago, by this "
+      "instance (peer null) or by a peer" },
+  [MM_EV_UPSTREAM_DRAINING]
+  = { "upstream_draining", KEEP_ALL, "upstream runs last_start_ms",
+      "its owner starts nothing more there; the last order to start was sent "
+      "so long ago, -1: none" },
   [MM_EV_UPSTREAM_GONE] = { "upstream_gone", KEEP_ALL, "upstream missing_ms",
                             "an upstream is taken as gone" },
   [MM_EV_GROUP_CHANGED]
@@ -130,11 +136,18 @@
   = { "task_handed", KEEP_SOME, "job task owner free waiting age_ms attempt",
       "an owner of upstreams was chosen" },
   [MM_EV_TASK_STARTED]
-  = { "task_started", KEEP_SOME, "job task upstream run fence waited_ms",
-      "an upstream was told to start it" },
+  = { "task_started", KEEP_SOME,
+      "job task upstream run fence waited_ms view_ms",
+      "an upstream was told to start it; the upstreams were last known to be "
+      "as listed so long ago" },
   [MM_EV_TASK_ORDER_UNANSWERED]
   = { "task_order_unanswered", KEEP_ALL, "job task upstream run call",
       "the order may have been carried out, or may be yet" },
+  [MM_EV_TASK_STARTED_DRAINING]
+  = { "task_started_draining", KEEP_ALL,
+      "job task upstream run verdict ordered_ms sent_ms",
+      "its upstream was listed as draining before the order was answered; "
+      "ordered and last sent so long ago" },
   [MM_EV_TASK_FOREIGN]
   = { "task_foreign", KEEP_ALL, "job task upstream run",
       "an earlier owner's run was found there; stopped unless it is adopted" },
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -293,6 +293,18 @@
     }
 }
 
+static void
+log_if_draining (const mm_exec_run *r, mm_call_verdict v)
+{
+  const mm_upstream_info *u = r->exec->info;
+  mm_time_ms now = mm_clock_now_ms ();
+  if (u->draining)
+    mm_log_event (MM_EV_TASK_STARTED_DRAINING, MM_TASK (&r->id),
+                  MM_TEXT (u->name), MM_INT (r->number),
+                  MM_TEXT (mm_call_verdict_name (v)),
+                  MM_INT (now - r->ordered_ms), MM_INT (now - r->sent_ms));
+}
+
 static void
 on_start_answer (const mm_call_result *res, void *ctx)
 {
@@ -307,6 +319,7 @@
   if (!still_matters (c, res))
     return;
   mm_metrics_time (MM_HG_START_CALL, mm_clock_now_ms () - r->sent_ms);
+  log_if_draining (r, res->verdict);
   /* A hold may have shown it running before this answer came.  */
   if (r->phase == RUN_ORDERED)
     {
@@ -339,11 +352,21 @@
                  .deadline_ms = lease_deadline (x),
                  .timeout_ms = mm_exec_timeout_ms (x) };
   r->start_in_flight = true;
-  r->sent_ms = mm_clock_now_ms ();
+  r->sent_ms = x->start_sent_ms = mm_clock_now_ms ();
   x->port.start (x->port.ctx, x->info, &o, on_start_answer,
                  mm_exec_call_open (x, r));
 }
 
+/* Return: how long ago the view was true that a start is decided on now, -1:
+   not known.  */
+static mm_time_ms
+view_age_ms (const mm_exec *x)
+{
+  const mm_exec_view *v = &x->common->view;
+  mm_time_ms known_ms = v->known_ms ? v->known_ms (v->ctx) : 0;
+  return known_ms ? mm_clock_now_ms () - known_ms : -1;
+}
+
 /**
  * mm_exec_start() - order a task to start.
  * @x: the session; mm_exec_usable(), and the task fits mm_exec_room().
@@ -365,8 +388,12 @@
   r->ordered_ms = r->progress_ms = mm_clock_now_ms ();
   mm_need_add (&x->used, &r->need);
   g_hash_table_insert (x->runs, &r->id, r);
+  mm_time_ms view_ms = view_age_ms (x);
+  if (view_ms >= 0)
+    mm_metrics_time (MM_HG_START_VIEW, view_ms);
   mm_log_event (MM_EV_TASK_STARTED, MM_TASK (&r->id), MM_TEXT (x->info->name),
-                MM_INT (r->number), MM_INT (x->fence), MM_INT (t->waited_ms));
+                MM_INT (r->number), MM_INT (x->fence), MM_INT (t->waited_ms),
+                MM_INT (view_ms));
   send_start (r);
 }
 
@@ -689,6 +716,15 @@
   mm_exec_unref (x);
 }
 
+static void
+log_draining (const mm_exec *x)
+{
+  mm_time_ms since_ms
+      = x->start_sent_ms ? mm_clock_now_ms () - x->start_sent_ms : -1;
+  mm_log_event (MM_EV_UPSTREAM_DRAINING, MM_TEXT (x->info->name),
+                MM_INT (g_hash_table_size (x->runs)), MM_INT (since_ms));
+}
+
 /**
  * mm_exec_update() - take the list's newer word on the upstream.
  * @x: the session.
@@ -699,6 +735,8 @@
 {
   mm_upstream_info *old = x->info;
   x->info = mm_upstream_info_copy (u);
+  if (u->draining && !old->draining)
+    log_draining (x);
   mm_upstream_info_free (old);
 }
 
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -128,11 +128,19 @@
   void *ctx;
 } mm_exec_events;
 
+/* When the upstreams were last known to be as listed, 0: never.  */
+typedef struct
+{
+  mm_time_ms (*known_ms) (void *ctx); /* NULL: not followed */
+  void *ctx;
+} mm_exec_view;
+
 /* What the sessions of an owner share.  */
 typedef struct
 {
   mm_rto_floor floor; /* of their timeouts */
   mm_uplink uplink;   /* that their orders go out on */
+  mm_exec_view view;
 } mm_exec_common;
 
 mm_exec *mm_exec_create (const mm_upstream_info *u, uint64_t fence,
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -56,6 +56,7 @@
   bool gone; /* that incarnation is no more */
   int holds_in_flight;
   uint64_t events;           /* orders calls and answers of this session */
+  mm_time_ms start_sent_ms;  /* the last one, 0: none */
   mm_time_ms hold_sent_ms;   /* the last one */
   uint64_t hold_taken_event; /* sending of the newest one answered */
   mm_time_ms hold_failed_ms; /* when the last one failed, 0: it did not */
--- a/src/mm_list_share.c
+++ b/src/mm_list_share.c
@@ -79,9 +79,10 @@
 /* ---- own reads -------------------------------------------------------- */
 
 static bool
-apply (mm_list_share *l, const char *name, const mm_upstream_info *u)
+apply (mm_list_share *l, const char *name, const mm_upstream_info *u,
+       const mm_catalog_origin *from)
 {
-  return u ? mm_catalog_put (l->catalog, u)
+  return u ? mm_catalog_put (l->catalog, u, from)
            : mm_catalog_missing (l->catalog, name);
 }
 
@@ -89,7 +90,8 @@
 on_item (void *ctx, const mm_stream_item *item)
 {
   mm_list_share *l = ctx;
-  if (!apply (l, item->key, item->upstream))
+  mm_catalog_origin read = { .as_of_ms = mm_stream_sent_ms (l->stream) };
+  if (!apply (l, item->key, item->upstream, &read))
     return;
   const mm_upstream_info *u = item->upstream;
   mm_list_change c = { .name = g_strdup (item->key),
@@ -143,11 +145,12 @@
       || !mm_stream_hear (l->stream, n->from, n->to, as_of_ms))
     return;
   mm_metrics_count (MM_CT_LIST_HEARD);
+  mm_catalog_origin heard = { .peer = peer, .as_of_ms = as_of_ms };
   bool any = false;
   for (size_t i = 0; i < n->n_changes; i++)
     {
       const mm_list_change *c = &n->changes[i];
-      if (!apply (l, c->name, c->info))
+      if (!apply (l, c->name, c->info, &heard))
         continue;
       mm_list_log_add (l->log, n->to, c->name, c->info);
       any = true;
--- a/src/mm_metrics.c
+++ b/src/mm_metrics.c
@@ -146,6 +146,8 @@
                        "Order to start until the end, done tasks." },
   [MM_HG_JOIN_CALL] = { "masticmill_join_call_seconds", NULL,
                         "Calls that keep the group membership." },
+  [MM_HG_START_VIEW] = { "masticmill_start_view_age_seconds", NULL,
+                         "Age of the view of the upstreams at a start." },
 };
 
 /* From a call on the local network to the longest job.  */
--- a/src/mm_metrics.h
+++ b/src/mm_metrics.h
@@ -85,6 +85,7 @@
   MM_HG_START_CALL, /* start order to its answer */
   MM_HG_TASK_RUN,   /* start order to the end, done tasks */
   MM_HG_JOIN_CALL,  /* a join of the group at the store */
+  MM_HG_START_VIEW, /* age of the view of the upstreams at a start */
   MM_HG_COUNT
 } mm_histogram_id;
 
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -326,6 +326,12 @@
   tick_soon (n);
 }
 
+static mm_time_ms
+list_known_ms (void *ctx)
+{
+  return mm_stream_known_ms (((mm_node *)ctx)->upstreams);
+}
+
 static void
 create_parts (mm_node *n, const mm_store_port *store, const char *member)
 {
@@ -339,6 +345,8 @@
   n->list = mm_list_share_create (store, n->catalog, n->mesh, member,
                                   tick_soon, n);
   n->upstreams = mm_list_share_stream (n->list);
+  mm_exec_view view = { .known_ms = list_known_ms, .ctx = n };
+  mm_owner_set_view (n->owner, &view);
   mm_holdings_events ev
       = { .quiet = handover_quiet, .changed = tick_soon, .ctx = n };
   n->holdings
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -207,6 +207,12 @@
   mm_uplink_sent (&o->common.uplink, bytes, mm_clock_now_ms ());
 }
 
+void
+mm_owner_set_view (mm_owner *o, const mm_exec_view *v)
+{
+  o->common.view = *v;
+}
+
 void
 mm_owner_destroy (mm_owner *o)
 {
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -60,6 +60,7 @@
 /* The link that orders go out on, 0 for no limit; and what else goes out.  */
 void mm_owner_set_link (mm_owner *o, double mbps);
 void mm_owner_note_sent (mm_owner *o, size_t bytes);
+void mm_owner_set_view (mm_owner *o, const mm_exec_view *v); /* copied */
 void mm_owner_destroy (mm_owner *o);
 void mm_owner_own (mm_owner *o, const mm_upstream_info *u,
                    uint64_t fence); /* own it, or take list news of it */
--- a/src/mm_stream.c
+++ b/src/mm_stream.c
@@ -272,6 +272,12 @@
   return s->known_ms;
 }
 
+mm_time_ms
+mm_stream_sent_ms (const mm_stream *s)
+{
+  return s->sent_ms;
+}
+
 uint64_t
 mm_stream_next (const mm_stream *s)
 {
--- a/src/mm_stream.h
+++ b/src/mm_stream.h
@@ -29,7 +29,8 @@
 bool mm_stream_fresh (const mm_stream *s);
 /* When the last read was sent that came up to the stream's end, 0: none.  */
 mm_time_ms mm_stream_known_ms (const mm_stream *s);
-uint64_t mm_stream_next (const mm_stream *s); /* offset known up to */
+mm_time_ms mm_stream_sent_ms (const mm_stream *s); /* of the last read */
+uint64_t mm_stream_next (const mm_stream *s);      /* offset known up to */
 /* Somebody tells what changed in [@from, @to), as of a time.  Return: whether
    that follows on what is known here; the changes are the caller's to apply.
  */
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -483,7 +483,7 @@
   now_ms = 1000;
   mm_clock_set_source (test_clock, NULL);
   mm_catalog *c = mm_catalog_create ();
-  mm_catalog_put (c, some_upstream ("a"));
+  mm_catalog_put (c, some_upstream ("a"), &(mm_catalog_origin){ 0 });
   mm_catalog_missing (c, "a");
   for (int i = 0; i < 8000; i += 25)
     {
