mm_ownership: which sessions an instance has, out of mm_node

mm_node.c brought the owner's sessions in line with the list and the shares in static functions that no test without a network could reach. Moved as they were; whose an upstream is comes through callbacks. No behaviour changes.

--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -10,6 +10,7 @@
 #include "mm_kept.h"
 #include "mm_list_share.h"
 #include "mm_members.h"
+#include "mm_ownership.h"
 #include "mm_stream.h"
 
 #include <cJSON.h>
@@ -36,9 +37,7 @@
   mm_fleet *fleet;
   mm_jobs *jobs;
   mm_kept *kept;
-  uint64_t reconciled_changes;
-  uint64_t reconciled_holdings;
-  mm_time_ms reconciled_ms;
+  mm_ownership *ownership;
   mm_time_ms leaving_ms;     /* 0: not */
   mm_time_ms list_since_ms;  /* when the list began to matter, 0: it doesn't */
   mm_time_ms list_behind_ms; /* since when it is behind, 0: it is not */
@@ -126,87 +125,35 @@
                 MM_INT (n->routes->n));
 }
 
-/* Start nothing more on what is not ours, or not for long.  This does not
-   wait for a fresh list: the next owner may be there already.  */
-static void
-let_go (mm_node *n)
+static bool
+handover_quiet (void *ctx, const char *datacentre)
 {
-  GList *owned = mm_owner_names (n->owner);
-  for (GList *l = owned; l; l = l->next)
-    {
-      uint64_t fence;
-      const mm_upstream_info *u = mm_catalog_find (n->catalog, l->data);
-      mm_share_state state
-          = u ? mm_holdings_of (n->holdings, u, &fence) : MM_SHARE_OTHERS;
-      if (state == MM_SHARE_OTHERS)
-        mm_owner_disown (n->owner, l->data);
-      else if (state == MM_SHARE_LEAVING)
-        mm_owner_freeze (n->owner, l->data);
-    }
-  g_list_free (owned);
+  mm_node *n = ctx;
+  return mm_ownership_quiet (n->ownership, datacentre);
 }
 
-static void
-take_one (mm_node *n, const mm_upstream_info *u)
+static mm_share_state
+holdings_of (void *ctx, const mm_upstream_info *u, uint64_t *fence)
 {
-  uint64_t fence = 0;
-  if (mm_holdings_of (n->holdings, u, &fence) != MM_SHARE_OURS)
-    return;
-  if (mm_owner_fenced (n->owner, u->name))
-    {
-      mm_holdings_retake (n->holdings, u);
-      mm_holdings_of (n->holdings, u, &fence);
-    }
-  mm_owner_own (n->owner, u, fence);
+  return mm_holdings_of (((mm_node *)ctx)->holdings, u, fence);
 }
 
 static void
-take_ours (mm_node *n)
+holdings_retake (void *ctx, const mm_upstream_info *u)
 {
-  GList *all = mm_catalog_all (n->catalog);
-  for (GList *l = all; l; l = l->next)
-    take_one (n, l->data);
-  g_list_free (all);
+  mm_holdings_retake (((mm_node *)ctx)->holdings, u);
 }
 
-static bool
-handover_quiet (void *ctx, const char *datacentre)
+static uint64_t
+holdings_changes (void *ctx)
 {
-  mm_node *n = ctx;
-  bool quiet = true;
-  GList *owned = mm_owner_names (n->owner);
-  for (GList *l = owned; l && quiet; l = l->next)
-    {
-      uint64_t fence;
-      const mm_upstream_info *u = mm_catalog_find (n->catalog, l->data);
-      if (u && strcmp (u->datacentre, datacentre) == 0
-          && mm_holdings_of (n->holdings, u, &fence) == MM_SHARE_LEAVING
-          && !mm_owner_quiet (n->owner, l->data))
-        quiet = false;
-    }
-  g_list_free (owned);
-  return quiet;
+  return mm_holdings_changes (((mm_node *)ctx)->holdings);
 }
 
-static void
-tick_ownership (mm_node *n, mm_time_ms now)
+static bool
+holdings_any (void *ctx)
 {
-  uint64_t changes = mm_catalog_changes (n->catalog);
-  uint64_t holdings = mm_holdings_changes (n->holdings);
-  bool changed
-      = changes != n->reconciled_changes || holdings != n->reconciled_holdings;
-  if (holdings != n->reconciled_holdings)
-    let_go (n);
-  if (!mm_stream_fresh (n->upstreams) && mm_holdings_any (n->holdings))
-    return; /* an old list may name upstreams that are leaving */
-  if (changed || now - n->reconciled_ms >= MM_RECONCILE_MS)
-    {
-      n->reconciled_changes = changes;
-      n->reconciled_holdings = holdings;
-      n->reconciled_ms = now;
-      let_go (n);
-      take_ours (n);
-    }
+  return mm_holdings_any (((mm_node *)ctx)->holdings);
 }
 
 /* How old our view of the upstreams is, counted only while we own some.  */
@@ -258,7 +205,7 @@
   if (mm_members_heard (n->members)
       || now - n->started_ms >= MM_PREDECESSORS_WAIT_MS)
     mm_holdings_tick (n->holdings);
-  tick_ownership (n, now);
+  mm_ownership_tick (n->ownership, mm_stream_fresh (n->upstreams));
   mm_mesh_tick (n->mesh);
   mm_owner_set_sure (n->owner, mm_holdings_sure (n->holdings));
   mm_owner_tick (n->owner);
@@ -352,6 +299,12 @@
   n->holdings
       = mm_holdings_create (store, n->mesh, s->datacentres, s->datacentre,
                             member, (uint32_t)s->partitions, &ev);
+  mm_ownership_shares shares = { .of = holdings_of,
+                                 .retake = holdings_retake,
+                                 .changes = holdings_changes,
+                                 .any = holdings_any,
+                                 .ctx = n };
+  n->ownership = mm_ownership_create (n->catalog, n->owner, &shares);
   n->predecessors = mm_predecessors_create (store, member);
   mm_mesh_on_handed (n->mesh, on_group_news, n);
   mm_kept_parts kept = { .store = *store,
@@ -418,6 +371,7 @@
   mm_members_destroy (n->members);
   mm_predecessors_destroy (n->predecessors);
   mm_mesh_destroy (n->mesh);
+  mm_ownership_destroy (n->ownership);
   mm_owner_destroy (n->owner);
   mm_holdings_destroy (n->holdings);
   mm_stream_destroy (n->config);
