What the list says of an upstream is in force in its session at once

What callers saw: a start on an upstream that had said it leaves, 0.119 s past the bound (DRAIN; the users' record has no more).

Cause shown: one fact in two copies, the second renewed only on some paths. The instance's catalog had the upstream as draining; its session kept a copy of the entry that was renewed by mm_ownership's take_one, and that only for a partition that is ours (not while it changes hands, when tasks that end in time still start), only while the list is fresh, and only at the next tick. The same copy holds capacity, slots and address. Whether the users' case was this one is not proved: its 2.1 s fit a hand-over of up to 2.5 s.

The change: the catalog notifies mm_ownership within mm_catalog_put(), which updates the session whatever its share is; that is the only path on which a session's copy is renewed, so there is none on which it is not. What is gone from the list loses its session also while the list is not fresh; only taking upstreams over waits for a fresh list.

--- a/src/mm_catalog.c
+++ b/src/mm_catalog.c
@@ -22,6 +22,8 @@
   GHashTable *by_name; /* name -> entry */
   size_t n_missing;    /* entries */
   uint64_t changes;
+  mm_catalog_listed listed;
+  void *ctx;
 };
 
 static void
@@ -41,6 +43,13 @@
   return c;
 }
 
+void
+mm_catalog_on_listed (mm_catalog *c, mm_catalog_listed listed, void *ctx)
+{
+  c->listed = listed;
+  c->ctx = ctx;
+}
+
 void
 mm_catalog_destroy (mm_catalog *c)
 {
@@ -84,6 +93,8 @@
      records of a key come in order.  */
   g_hash_table_replace (c->by_name, g_strdup (u->name), fresh);
   c->changes++;
+  if (c->listed)
+    c->listed (c->ctx, fresh->info);
   return true;
 }
 
--- a/src/mm_catalog.h
+++ b/src/mm_catalog.h
@@ -13,8 +13,13 @@
   mm_time_ms as_of_ms; /* when it was read */
 } mm_catalog_origin;
 
+/* An upstream is listed, or listed with other words, from now on.  */
+typedef void (*mm_catalog_listed) (void *ctx, const mm_upstream_info *u);
+
 mm_catalog *mm_catalog_create (void);
 void mm_catalog_destroy (mm_catalog *c);
+/* Called within mm_catalog_put(), NULL: nobody is.  */
+void mm_catalog_on_listed (mm_catalog *c, mm_catalog_listed listed, void *ctx);
 /* It is listed, or not any more.  Return: whether that is news.  */
 bool mm_catalog_put (mm_catalog *c, const mm_upstream_info *u,
                      const mm_catalog_origin *from);
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -726,7 +726,7 @@
 }
 
 /**
- * mm_exec_update() - take the list's newer word on the upstream.
+ * mm_exec_update() - the upstream is listed with other words now.
  * @x: the session.
  * @u: same name, maybe draining now.
  */
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -147,7 +147,7 @@
                          const mm_exec_port *port, mm_exec_common *common,
                          const mm_exec_events *events); /* first: a hold */
 void mm_exec_destroy (mm_exec *x); /* no events from now on */
-void mm_exec_update (mm_exec *x, const mm_upstream_info *u); /* list news */
+void mm_exec_update (mm_exec *x, const mm_upstream_info *u);
 void mm_exec_tick (mm_exec *x);           /* call each MM_EXEC_TICK_MS */
 bool mm_exec_usable (const mm_exec *x);   /* may take a start */
 bool mm_exec_in_sight (const mm_exec *x); /* or soon usable again */
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -232,7 +232,7 @@
 }
 
 /**
- * mm_owner_own() - own an upstream, or take the list's news of it.
+ * mm_owner_own() - own an upstream.
  * @o: the owner.
  * @u: the upstream; copied.
  * @fence: our token there; a higher one than before begins a new session.
@@ -244,7 +244,6 @@
   if (s && mm_exec_fence (s->exec) >= fence)
     {
       s->frozen = false;
-      mm_exec_update (s->exec, u);
       pump (o);
       return;
     }
@@ -262,6 +261,16 @@
   g_hash_table_insert (o->slots, g_strdup (u->name), s);
 }
 
+void
+mm_owner_update (mm_owner *o, const mm_upstream_info *u)
+{
+  mm_slot *s = g_hash_table_lookup (o->slots, u->name);
+  if (!s)
+    return;
+  mm_exec_update (s->exec, u);
+  pump (o);
+}
+
 void
 mm_owner_disown (mm_owner *o, const char *upstream)
 {
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -63,7 +63,9 @@
 void mm_owner_set_view (mm_owner *o, const mm_exec_view *v); /* copied */
 void mm_owner_destroy (mm_owner *o);
 void mm_owner_own (mm_owner *o, const mm_upstream_info *u,
-                   uint64_t fence); /* own it, or take list news of it */
+                   uint64_t fence); /* it is ours, and stays for now */
+/* It is listed like this now, whoever owns it.  */
+void mm_owner_update (mm_owner *o, const mm_upstream_info *u);
 void mm_owner_disown (mm_owner *o, const char *upstream); /* at once */
 /* It is handed over: only tasks that end before what runs there now start. */
 void mm_owner_freeze (mm_owner *o, const char *upstream);
--- a/src/mm_ownership.c
+++ b/src/mm_ownership.c
@@ -15,6 +15,12 @@
   mm_time_ms in_line_ms;
 };
 
+static void
+on_listed (void *ctx, const mm_upstream_info *u)
+{
+  mm_owner_update (((mm_ownership *)ctx)->owner, u);
+}
+
 /**
  * mm_ownership_create() - own what is ours, as the list says.
  * @catalog: the list; must outlive this.
@@ -31,12 +37,16 @@
   w->catalog = catalog;
   w->owner = owner;
   w->shares = *shares;
+  mm_catalog_on_listed (catalog, on_listed, w);
   return w;
 }
 
 void
 mm_ownership_destroy (mm_ownership *w)
 {
+  if (!w)
+    return;
+  mm_catalog_on_listed (w->catalog, NULL, NULL);
   g_free (w);
 }
 
@@ -96,16 +106,14 @@
   uint64_t listed = mm_catalog_changes (w->catalog);
   uint64_t shared = w->shares.changes (w->shares.ctx);
   bool changed = listed != w->catalog_changes || shared != w->share_changes;
-  if (shared != w->share_changes)
-    let_go (w);
-  if (!list_fresh && w->shares.any (w->shares.ctx))
-    return; /* an old list may name upstreams that are leaving */
   if (!changed && now - w->in_line_ms < MM_RECONCILE_MS)
     return;
+  let_go (w);
+  if (!list_fresh && w->shares.any (w->shares.ctx))
+    return; /* an old list may name upstreams that are leaving */
   w->catalog_changes = listed;
   w->share_changes = shared;
   w->in_line_ms = now;
-  let_go (w);
   take_ours (w);
 }
 
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -581,7 +581,7 @@
   world_run (&w, 10);
   mm_upstream_info *u = mm_upstream_info_copy (fake_info (a));
   u->draining = true;
-  mm_owner_own (w.o, u, 5);
+  mm_owner_update (w.o, u);
   submit (&w, &r[1], "drain", 1, 100);
   world_run (&w, 600);
   ck_assert_int_eq (r[0].how, MM_END_DONE);
