A start rejected for its number is decided anew before it is sent again

Cause: an upstream that has ended or stopped a run of the task rejects the start for its number; the session sent it again with a higher one without looking whether the upstream drains meanwhile, or has a smaller capacity.

The change: such a start is sent again only while the upstream is not draining and what is booked there still fits; else the task goes back to the queue, which is true: the rejected order did not run.

--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -238,6 +238,15 @@
     x->ev.fenced (x->ev.ctx, x);
 }
 
+/* May an order be sent again?  The upstream may be listed with other words
+   since it was decided on; its room is counted as used.  */
+static bool
+still_fits (const mm_exec *x)
+{
+  mm_need room = mm_exec_room (x);
+  return !x->info->draining && mm_need_fits (&(mm_need){ 0 }, &room);
+}
+
 static void
 on_start_verdict (mm_exec_run *r, mm_call_verdict v)
 {
@@ -258,6 +267,11 @@
                            "stopped before its start");
           break;
         }
+      if (!still_fits (x))
+        {
+          mm_exec_release (r, MM_END_NOT_RUN, "upstream changed");
+          break;
+        }
       r->number *= 2;
       send_start (r);
       break;
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -463,6 +463,45 @@
 }
 END_TEST
 
+/* The upstream is listed with other words while the order to start is under
+   way that it rejects for its number.  Return: how many starts came of it.  */
+static uint32_t
+starts_after_a_rejected_number (bool draining, int64_t cpu_milli)
+{
+  world w = world_create ();
+  fake *a = world_add (&w, "a");
+  world_run (&w, 10);
+  outcome r;
+  submit (&w, &r, "again", 0, 50);
+  world_run (&w, 200);
+  ck_assert_int_eq (r.how, MM_END_DONE);
+  uint32_t starts = fake_starts (a);
+  submit (&w, &r, "again", 0, 50);
+  mm_upstream_info *u = mm_upstream_info_copy (fake_info (a));
+  u->draining = draining;
+  u->capacity.cpu_milli = cpu_milli;
+  mm_owner_update (w.o, u);
+  world_run (&w, 200);
+  starts = fake_starts (a) - starts;
+  mm_upstream_info_free (u);
+  world_destroy (&w);
+  return starts;
+}
+
+START_TEST (start_with_a_higher_number_is_not_sent_to_a_draining_upstream)
+{
+  ck_assert_uint_eq (starts_after_a_rejected_number (false, WIDE), 1);
+  ck_assert_uint_eq (starts_after_a_rejected_number (true, WIDE), 0);
+}
+END_TEST
+
+START_TEST (start_with_a_higher_number_is_not_sent_beyond_a_smaller_capacity)
+{
+  ck_assert_uint_eq (starts_after_a_rejected_number (false, USUAL), 1);
+  ck_assert_uint_eq (starts_after_a_rejected_number (false, USUAL / 2), 0);
+}
+END_TEST
+
 /* An upstream fails whatever it starts, at once, with good reports: it is
    always free and drew every task.  After three it is left alone.  */
 START_TEST (upstream_that_fails_everything_draws_few_tasks)
@@ -1243,6 +1282,10 @@
   tcase_add_test (c, cancelled_task_keeps_its_room_until_it_has_ended);
   tcase_add_test (c, same_task_again_waits_for_the_end_of_its_first_run);
   tcase_add_test (c, task_that_ended_there_gets_a_higher_run_number);
+  tcase_add_test (
+      c, start_with_a_higher_number_is_not_sent_to_a_draining_upstream);
+  tcase_add_test (
+      c, start_with_a_higher_number_is_not_sent_beyond_a_smaller_capacity);
   tcase_add_test (c, upstream_that_fails_everything_draws_few_tasks);
   tcase_add_test (c, restarted_upstream_loses_its_tasks_at_once);
   tcase_add_test (c, task_that_stands_still_is_stopped_a_slow_one_is_not);
