A change of the list starts nothing by itself

Cause: whoever passes changes on repeats those from before the receiver's own last read, here "ready" and then "draining" of one upstream. The session was updated at each, and mm_owner_update() started what waited in between.

The change: an update starts nothing.

--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -261,14 +261,14 @@
   g_hash_table_insert (o->slots, g_strdup (u->name), s);
 }
 
+/* Starts nothing: more changes of the same answer may follow, and room that
+   was gained is used at the next tick.  */
 void
 mm_owner_update (mm_owner *o, const mm_upstream_info *u)
 {
   mm_slot *s = g_hash_table_lookup (o->slots, u->name);
-  if (!s)
-    return;
-  mm_exec_update (s->exec, u);
-  pump (o);
+  if (s)
+    mm_exec_update (s->exec, u);
 }
 
 void
--- a/tests/test_ownership_changes.c
+++ b/tests/test_ownership_changes.c
@@ -230,6 +230,33 @@
 }
 END_TEST
 
+/* Who passes changes on repeats those from before the receiver's own read.  */
+START_TEST (change_that_a_later_one_undoes_starts_nothing)
+{
+  world *w = world_create ();
+  fill (w);
+  for (int i = 0; i < UPSTREAMS; i++)
+    {
+      fake_set_draining (w->up[i], true);
+      list (w, i);
+    }
+  fakes_run (w->f, w->owner, UNDER_WAY_MS);
+  uint32_t starts = starts_at_all (w);
+  for (int i = 0; i < UPSTREAMS; i++)
+    submit (w, SHORT_MS, LONG_MS);
+  for (int i = 0; i < UPSTREAMS; i++)
+    {
+      fake_set_draining (w->up[i], false);
+      list (w, i);
+      fake_set_draining (w->up[i], true);
+      list (w, i);
+    }
+  run (w, 2 * SHORT_MS);
+  ck_assert_uint_eq (starts_at_all (w), starts);
+  world_destroy (w);
+}
+END_TEST
+
 START_TEST (smaller_capacity_is_in_force_during_a_hand_over)
 {
   world *w = world_create ();
@@ -327,6 +354,7 @@
   tcase_add_test (tc, draining_is_in_force_while_partitions_are_ours);
   tcase_add_test (tc, draining_is_in_force_during_a_hand_over);
   tcase_add_test (tc, draining_is_in_force_while_the_list_is_not_fresh);
+  tcase_add_test (tc, change_that_a_later_one_undoes_starts_nothing);
   tcase_add_test (tc, smaller_capacity_is_in_force_during_a_hand_over);
   tcase_add_test (
       tc, upstream_that_is_gone_loses_its_session_while_the_list_is_not_fresh);
