Updates of the list count as old as they are after their way

An instance could believe its view newer than it was and put its own read off.

Cause (read, shown by the test only): an update's age is taken as it is packed. The time it spends in the sender's queue and on a thin link was not in it, and a link whose queue moves is never silent.

The change: an update has the sender's time. The clocks of two instances are apart by an unknown offset, so mm_transit takes the least difference seen on the link in the last 30 to 60 s as the empty way; what is beyond it adds to the age. A peer that stood still looks held up until that is forgotten, which costs reads and no freshness. A queue that never empties for a minute is taken as usual.

--- a/src/config.h
+++ b/src/config.h
@@ -171,6 +171,8 @@
 #define MM_MESH_NEEDED_MS 10000    /* a link that was asked for is kept */
 #define MM_NEIGHBOURS_CHECK_MS 500 /* chosen anew at least this often */
 
+#define MM_TRANSIT_WINDOW_MS 30000 /* what is usual on a link */
+
 /* Jobs and admission (mm_jobs, mm_admission, mm_fleet).  */
 #define MM_MAX_JOB_TASKS 1024u /* the design asks for 290 */
 /* Caller to instance to upstream and back, with the orders' handling.  */
--- a/src/mm_list_share.c
+++ b/src/mm_list_share.c
@@ -176,11 +176,15 @@
 }
 
 static void
-on_news (void *ctx, const char *peer, const void *data, size_t len)
+on_news (void *ctx, const char *peer, const void *data, size_t len,
+         mm_time_ms held_up_ms)
 {
   mm_list_news n;
   if (mm_list_news_read (data, len, &n))
-    hear (ctx, peer, &n);
+    {
+      n.age_ms += held_up_ms;
+      hear (ctx, peer, &n);
+    }
   else
     g_warning ("mesh: news of the upstream list from %s not understood", peer);
   mm_list_news_clear (&n);
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -73,8 +73,9 @@
                            void *ctx);
 /* What this instance knows is not what it was told last.  */
 void mm_mesh_set_told (mm_mesh *m, const char *peer, uint64_t upto);
+/* @held_up_ms: how long it was on its way beyond what is usual.  */
 typedef void (*mm_mesh_news) (void *ctx, const char *peer, const void *data,
-                              size_t len);
+                              size_t len, mm_time_ms held_up_ms);
 void mm_mesh_on_news (mm_mesh *m, mm_mesh_news heard, void *ctx);
 /* Names of the instances in touch over links of either direction; free the
    list, not the names.  */
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -15,7 +15,7 @@
      [HANDED, group]               partitions of it have a new holder
      [FOUND, upstream, run, job, step, index]  it runs there: whose is it?
    Both ways:
-     [NEWS, bytes]  */
+     [NEWS, sent_ms, bytes]        sent_ms by the sender's clock  */
 #ifndef MM_MESH_MSG_H
 #define MM_MESH_MSG_H
 
@@ -57,10 +57,11 @@
   bool leaving;        /* REPORT: it is shutting down */
   mm_mesh_room *rooms; /* REPORT */
   size_t n_rooms;
-  mm_task_id task;  /* FOUND */
-  uint32_t run;     /* FOUND */
-  uint32_t verb;    /* ASK */
-  const void *data; /* ASK, TOLD, NEWS: valid while the message is */
+  mm_task_id task;    /* FOUND */
+  uint32_t run;       /* FOUND */
+  uint32_t verb;      /* ASK */
+  mm_time_ms sent_ms; /* NEWS */
+  const void *data;   /* ASK, TOLD, NEWS: valid while the message is */
   size_t len;
 } mm_mesh_msg;
 
@@ -81,7 +82,8 @@
                          uint32_t run, const mm_task_id *task);
 void mm_mesh_pack_ask (msgpack_sbuffer *b, uint64_t no, uint32_t verb,
                        const void *data, size_t len);
-void mm_mesh_pack_news (msgpack_sbuffer *b, const void *data, size_t len);
+void mm_mesh_pack_news (msgpack_sbuffer *b, mm_time_ms sent_ms,
+                        const void *data, size_t len);
 void mm_mesh_pack_told (msgpack_sbuffer *b, uint64_t no, const void *data,
                         size_t len);
 
--- a/src/mm_mesh_news.c
+++ b/src/mm_mesh_news.c
@@ -28,7 +28,7 @@
   msgpack_sbuffer_init (&news);
   msgpack_sbuffer_init (&b);
   *told_upto = make (ctx, *told_upto, &news);
-  mm_mesh_pack_news (&b, news.data, news.size);
+  mm_mesh_pack_news (&b, mm_clock_now_ms (), news.data, news.size);
   mm_link_send (link, &b);
   msgpack_sbuffer_destroy (&b);
   msgpack_sbuffer_destroy (&news);
@@ -121,8 +121,11 @@
 }
 
 void
-mm_mesh_take_news (mm_mesh *m, const char *peer, const mm_mesh_msg *msg)
+mm_mesh_take_news (mm_mesh *m, const char *peer, mm_transit *transit,
+                   const mm_mesh_msg *msg)
 {
+  mm_time_ms held_up_ms
+      = mm_transit_held_up_ms (transit, msg->sent_ms, mm_clock_now_ms ());
   if (m->news && peer)
-    m->news (m->news_ctx, peer, msg->data, msg->len);
+    m->news (m->news_ctx, peer, msg->data, msg->len, held_up_ms);
 }
--- a/src/mm_mesh_priv.h
+++ b/src/mm_mesh_priv.h
@@ -5,6 +5,7 @@
 #include "mm_link.h"
 #include "mm_mesh.h"
 #include "mm_mesh_msg.h"
+#include "mm_transit.h"
 
 /* Another instance that is known, and the link to it.  */
 typedef struct
@@ -29,6 +30,7 @@
   size_t n_rooms;
   mm_time_ms report_ms; /* when they came */
   uint64_t told_upto;   /* news sent over this link */
+  mm_transit transit;   /* of news that come over it */
 } mm_mesh_peer;
 
 struct mm_remote
@@ -51,6 +53,7 @@
   mm_time_ms report_ms;
   GByteArray *last_report;
   uint64_t told_upto; /* news sent over this link */
+  mm_transit transit; /* of news that come over it */
 } mm_mesh_inbound_link;
 
 struct mm_mesh_reply
@@ -95,7 +98,8 @@
 void mm_mesh_take_ask (mm_mesh_inbound_link *in, const mm_mesh_msg *m);
 
 /* mm_mesh_news.c */
-void mm_mesh_take_news (mm_mesh *m, const char *peer, const mm_mesh_msg *msg);
+void mm_mesh_take_news (mm_mesh *m, const char *peer, mm_transit *transit,
+                        const mm_mesh_msg *msg);
 
 /* mm_mesh_peers.c */
 void mm_mesh_choose_neighbours (mm_mesh *m, mm_time_ms now);
--- a/tests/test_decisions.c
+++ b/tests/test_decisions.c
@@ -7,6 +7,7 @@
 #include "mm_routes.h"
 #include "mm_spread.h"
 #include "mm_submission.h"
+#include "mm_transit.h"
 #include "mm_trust.h"
 #include "harness.h"
 
@@ -346,6 +347,47 @@
 }
 END_TEST
 
+/* Updates pass through a queue that grows and empties, between clocks that are
+   apart and drift.  */
+START_TEST (time_in_queues_is_found_between_clocks_that_differ)
+{
+  GRand *rnd = g_rand_new_with_seed ((guint32)_i);
+  mm_transit t = { 0 };
+  mm_time_ms apart_ms = g_rand_int_range (rnd, -1000000, 1000000);
+  mm_time_ms queue_ms = 0;
+  for (mm_time_ms now = 10000000; now < 10600000; now += 200)
+    {
+      queue_ms += g_rand_int_range (rnd, -600, 500);
+      queue_ms = MAX (queue_ms, 0);
+      if (queue_ms > 5000)
+        queue_ms = 0;
+      mm_time_ms drift_ms = (now - 10000000) / 10000;
+      mm_time_ms sent_ms = now - queue_ms - 2 + apart_ms - drift_ms;
+      mm_time_ms found_ms = mm_transit_held_up_ms (&t, sent_ms, now);
+      if (now < 10000000 + MM_TRANSIT_WINDOW_MS)
+        continue;
+      ck_assert_int_ge (found_ms, queue_ms - 10);
+      ck_assert_int_le (found_ms, queue_ms + 10);
+    }
+  g_rand_free (rnd);
+}
+END_TEST
+
+START_TEST (peer_that_stood_still_looks_held_up_for_a_while_only)
+{
+  mm_transit t = { 0 };
+  mm_time_ms now = 1000;
+  ck_assert_int_eq (mm_transit_held_up_ms (&t, now, now), 0);
+  ck_assert_int_eq (mm_transit_held_up_ms (&t, now - 3000, now), 3000);
+  for (int i = 0; i < 3; i++)
+    {
+      now += MM_TRANSIT_WINDOW_MS;
+      mm_transit_held_up_ms (&t, now - 3000, now);
+    }
+  ck_assert_int_eq (mm_transit_held_up_ms (&t, now - 3000, now), 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -368,6 +410,9 @@
   tcase_add_test (c, longest_prefix_of_a_host_selects_the_queue);
   tcase_add_test (c, chain_is_the_longest_path_through_the_steps);
   tcase_add_test (c, jobs_that_are_not_served_are_told_so);
+  tcase_add_loop_test (c, time_in_queues_is_found_between_clocks_that_differ,
+                       0, 20);
+  tcase_add_test (c, peer_that_stood_still_looks_held_up_for_a_while_only);
   suite_add_tcase (s, c);
   return h_run_suite (s);
 }
--- a/tests/test_list_share.c
+++ b/tests/test_list_share.c
@@ -4,6 +4,7 @@
 #include "harness.h"
 #include "mm_list_news.h"
 #include "mm_list_share.h"
+#include "mm_mesh_priv.h"
 
 #include <check.h>
 #include <stdio.h>
@@ -342,6 +343,42 @@
 }
 END_TEST
 
+/* One without changes, from a peer, that was sent so long ago.  */
+static void
+give_update (world *w, mm_transit *way, mm_time_ms ago_ms)
+{
+  uint64_t next = mm_stream_next (mm_list_share_stream (w->share[0]));
+  mm_list_news n = { .from = next, .to = next, .age_ms = 5 };
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init (&b);
+  mm_list_news_pack (&n, &b);
+  mm_mesh_msg m = { .kind = MM_MESH_NEWS,
+                    .sent_ms = mm_clock_now_ms () - ago_ms,
+                    .data = b.data,
+                    .len = b.size };
+  mm_mesh_take_news (w->mesh[0], w->info[1].name, way, &m);
+  msgpack_sbuffer_destroy (&b);
+}
+
+START_TEST (update_that_was_held_up_is_not_taken_for_a_new_one)
+{
+  world *w = world_create ();
+  mm_stream *list = mm_list_share_stream (w->share[0]);
+  for (int i = 1; i < INSTANCES; i++)
+    stop_instance (w, i);
+  w->lost = 0;
+  mm_transit way = { 0 };
+  give_update (w, &way, 0);
+  pass_time (w, DRAIN_BOUND_MS);
+  give_update (w, &way, DRAIN_BOUND_MS);
+  ck_assert_int_ge (mm_clock_now_ms () - mm_stream_known_ms (list),
+                    DRAIN_BOUND_MS);
+  give_update (w, &way, 0);
+  ck_assert_int_le (mm_clock_now_ms () - mm_stream_known_ms (list),
+                    MM_EXEC_TICK_MS);
+}
+END_TEST
+
 /* The history is dropped at one instance, which reads all of the list again;
    then the store turns it away for good.  */
 static void
@@ -506,6 +543,7 @@
   tcase_add_test (c, reader_without_the_store_is_told_by_the_others);
   tcase_add_test (c,
                   instance_turned_away_after_a_new_read_is_told_by_the_others);
+  tcase_add_test (c, update_that_was_held_up_is_not_taken_for_a_new_one);
   tcase_add_test (c, list_read_for_the_first_time_is_not_complete_at_once);
   tcase_add_test (c, turns_go_round);
   tcase_add_test (c, log_holds_what_follows_an_offset);
