A kept task is not handed for ever to an owner that cannot start it

What callers saw: an accepted kept job that never ends.

Cause: a task that stood still on an upstream, or failed there, avoids that upstream from then on. Its home hands it to the nearest owner with room, its own; the only upstream owned there is the one to avoid, so the task is given back after 0.2 s and handed to the same owner again, for ever (logs: task_handed owner=self free=3 waiting=0 each 0.22 s for 30 s, no start; node1 owned up2 alone after a new deal, and up2 is where it stood still).

The change: mm_spread ranks the owner that has just given a task back behind all others with room. A kept task that one owner gives back twice in a row, as nobody else has room, forgets which upstream to avoid: a run there may fail, waiting for ever does not end. A job whose caller waits keeps avoiding it, as its time bounds the wait.

Tests: test_kept task_that_hung_on_the_only_upstream_ends_once_that_is_well failed before (8 s), passes; task_to_be_avoided_here_is_handed_to_an_owner_that_can_start_it passes on both (it depends on who owns what); test_decisions task_goes_last_to_the_owner_that_gave_it_back.

--- a/src/mm_fleet.c
+++ b/src/mm_fleet.c
@@ -120,14 +120,16 @@
  * mm_fleet_submit() - hand a task to an owner.
  * @f: the fleet.
  * @t: the task.
+ * @gave_back: the owner that has just given it back, "": this instance; or
+ *             NULL.
  * @done: called once, later, unless it is cancelled before.
  * @ctx: for @done.
  *
  * Return: a ticket valid until @done, or NULL when no owner has a place.
  */
 mm_ticket *
-mm_fleet_submit (mm_fleet *f, const mm_task_request *t, mm_work_done done,
-                 void *ctx)
+mm_fleet_submit (mm_fleet *f, const mm_task_request *t, const char *gave_back,
+                 mm_work_done done, void *ctx)
 {
   note_declared (f, t->estimate_ms);
   mm_mesh_place p[MM_FLEET_MAX];
@@ -139,6 +141,8 @@
       c[i].near = i == 0 ? MM_NEAR_SELF
                   : here ? MM_NEAR_DATACENTRE
                          : MM_NEAR_FAR;
+      c[i].gave_back
+          = gave_back && strcmp (p[i].name ? p[i].name : "", gave_back) == 0;
       c[i].room = p[i].room;
       c[i].room.waiting = mm_room_ahead (&p[i].room, t->priority);
     }
--- a/src/mm_fleet.h
+++ b/src/mm_fleet.h
@@ -15,7 +15,8 @@
 mm_load mm_fleet_load (const mm_fleet *f, const char *service,
                        uint32_t priority);
 mm_ticket *mm_fleet_submit (mm_fleet *f, const mm_task_request *t,
-                            mm_work_done done, void *ctx); /* NULL: no owner */
+                            const char *gave_back, mm_work_done done,
+                            void *ctx);           /* NULL: no owner */
 void mm_fleet_cancel (mm_fleet *f, mm_ticket *t); /* @done is not called */
 
 #endif /* MM_FLEET_H */
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -23,6 +23,7 @@
   uint32_t failures;
   mm_time_ms handed_ms;
   char *avoid;         /* upstream of the last failure */
+  char *gave_back;     /* owner that did not start it, "": this instance */
   bool stranded;       /* no owner was in reach */
   mm_time_ms again_ms; /* out of sight: handed out again then, 0: it is not */
   bool done;
@@ -88,7 +89,10 @@
   stop_tasks (b);
   g_hash_table_remove (b->jobs->by_id, b->s->id);
   for (uint32_t i = 0; i < b->n_tasks; i++)
-    g_free (b->tasks[i].avoid);
+    {
+      g_free (b->tasks[i].avoid);
+      g_free (b->tasks[i].gave_back);
+    }
   g_free (b->tasks);
   mm_steps_destroy (b->steps);
   g_free (b->service);
@@ -189,7 +193,8 @@
       = CLAMP (b->start_by_ms - now, 1,
                MM_WITH_SPREAD_ANEW ? MM_SPREAD_WAIT_MS : MM_MAX_PATIENCE_MS);
   t->handed_ms = now;
-  t->ticket = mm_fleet_submit (b->jobs->fleet, &r, on_task_done, t);
+  t->ticket
+      = mm_fleet_submit (b->jobs->fleet, &r, t->gave_back, on_task_done, t);
   t->stranded = !t->ticket;
   b->n_stranded += t->stranded;
   b->handed_out = b->handed_out || t->ticket;
@@ -306,6 +311,9 @@
   mm_end how = r->how;
   mm_time_ms now = mm_clock_now_ms ();
   t->ticket = NULL;
+  g_clear_pointer (&t->gave_back, g_free);
+  if (how == MM_END_NOT_RUN)
+    t->gave_back = g_strdup (r->owner ? r->owner : "");
   mm_metrics_count (end_counters[how]);
   log_end (t, r, now);
   switch (how)
--- a/src/mm_kept_run.c
+++ b/src/mm_kept_run.c
@@ -27,6 +27,7 @@
   mm_time_ms handed_ms;
   mm_time_ms lost_ms; /* since when it is out of sight */
   char *avoid;        /* upstream of the last failure */
+  char *gave_back;    /* owner that did not start it, "": this instance */
 } task;
 
 struct mm_kept_run
@@ -109,6 +110,7 @@
       if (r->tasks[i].ticket)
         mm_fleet_cancel (r->fleet, r->tasks[i].ticket);
       g_free (r->tasks[i].avoid);
+      g_free (r->tasks[i].gave_back);
     }
   mm_steps_destroy (r->steps);
   g_array_free (r->notes, TRUE);
@@ -179,6 +181,18 @@
   t->avoid = g_strdup (upstream);
 }
 
+/* Twice by one owner: nobody else has room, and there the upstream to avoid
+   is all that has.  */
+static void
+on_given_back (task *t, const char *owner)
+{
+  if (g_strcmp0 (t->gave_back, owner) == 0)
+    g_clear_pointer (&t->avoid, g_free);
+  g_free (t->gave_back);
+  t->gave_back = g_strdup (owner);
+  t->state = TASK_WAITING;
+}
+
 static const char *
 what_next (const task *t, mm_end how)
 {
@@ -213,6 +227,8 @@
   t->ticket = NULL;
   r->n_handed--;
   log_end (t, w);
+  if (w->how != MM_END_NOT_RUN)
+    g_clear_pointer (&t->gave_back, g_free);
   if (w->how != MM_END_NOT_RUN && w->how != MM_END_UNKNOWN)
     {
       r->begun = true;
@@ -237,7 +253,7 @@
         r->ev.progress (r->ev.ctx);
       break;
     case MM_END_NOT_RUN:
-      t->state = TASK_WAITING;
+      on_given_back (t, w->owner ? w->owner : "");
       break;
     case MM_END_UNKNOWN:
       lose (t);
@@ -268,7 +284,7 @@
           .due_within = MAX (r->due_ms - now, 0),
           .start_within = MM_KEPT_START_WITHIN_MS };
   t->handed_ms = now;
-  t->ticket = mm_fleet_submit (r->fleet, &q, on_task_done, t);
+  t->ticket = mm_fleet_submit (r->fleet, &q, t->gave_back, on_task_done, t);
   if (!t->ticket)
     return; /* no owner in reach: at the next tick */
   t->state = TASK_HANDED;
--- a/src/mm_spread.c
+++ b/src/mm_spread.c
@@ -18,6 +18,9 @@
     return a_free;
   if (!a_free)
     return queue_length (&a->room) < queue_length (&b->room);
+  /* Its room is not for this task: on an upstream to avoid, or too small.  */
+  if (a->gave_back != b->gave_back)
+    return b->gave_back;
   if (a->near != b->near)
     return a->near < b->near;
   return a->room.free > b->room.free;
--- a/src/mm_spread.h
+++ b/src/mm_spread.h
@@ -14,6 +14,7 @@
 typedef struct
 {
   mm_nearness near;
+  bool gave_back; /* it has just given this task back, not run */
   mm_room_report room;
 } mm_spread_choice;
 
--- a/tests/test_decisions.c
+++ b/tests/test_decisions.c
@@ -218,6 +218,18 @@
 }
 END_TEST
 
+START_TEST (task_goes_last_to_the_owner_that_gave_it_back)
+{
+  mm_spread_choice c[]
+      = { owner (MM_NEAR_SELF, 10, 3, 0), owner (MM_NEAR_FAR, 10, 1, 0),
+          owner (MM_NEAR_DATACENTRE, 10, 0, 0) };
+  ck_assert_int_eq (mm_spread_choose (c, 3), 0);
+  c[0].gave_back = true;
+  ck_assert_int_eq (mm_spread_choose (c, 3), 1);
+  ck_assert_int_eq (mm_spread_choose (c, 1), 0);
+}
+END_TEST
+
 START_TEST (task_goes_to_the_shortest_queue_when_all_is_full)
 {
   mm_spread_choice c[]
@@ -402,6 +414,7 @@
   tcase_add_test (c, patience_tells_who_has_asked_before);
   tcase_add_test (c, nobody_is_refused_for_tasks_that_stand_behind);
   tcase_add_test (c, task_goes_to_the_nearest_owner_with_room);
+  tcase_add_test (c, task_goes_last_to_the_owner_that_gave_it_back);
   tcase_add_test (c, task_goes_to_the_shortest_queue_when_all_is_full);
   tcase_add_test (c, task_is_placed_on_a_fast_upstream_and_fits_tightly);
   tcase_add_test (c, memory_and_accelerators_bound_a_place_too);
--- a/tests/test_kept.c
+++ b/tests/test_kept.c
@@ -143,6 +143,48 @@
 }
 END_TEST
 
+static void
+hang (int upstream, bool on)
+{
+  cJSON_Delete (h_call ("POST", h_upstream_ports[upstream], "/v1/run-faults",
+                        on ? "{\"hangs\":true}" : "{\"hangs\":false}", NULL));
+}
+
+START_TEST (task_that_hung_on_the_only_upstream_ends_once_that_is_well)
+{
+  h_nodes (1, 4, 1);
+  hang (0, true);
+  ck_assert (kept_in_the_end (0, "hung", 2, 300));
+  sleep_ms (1500);
+  hang (0, false);
+  ck_assert (wait_state (0, "hung", "completed", 8000));
+  h_cluster_stop ();
+}
+END_TEST
+
+START_TEST (task_to_be_avoided_here_is_handed_to_an_owner_that_can_start_it)
+{
+  enum
+  {
+    JOBS = 6
+  };
+  h_nodes (4, 4, 3);
+  hang (0, true);
+  char id[16];
+  for (int i = 0; i < JOBS; i++)
+    {
+      g_snprintf (id, sizeof id, "passed-%d", i);
+      ck_assert (kept_in_the_end (i % 3, id, 4, 300));
+    }
+  for (int i = 0; i < JOBS; i++)
+    {
+      g_snprintf (id, sizeof id, "passed-%d", i);
+      ck_assert_msg (wait_state (0, id, "completed", 10000), "%s", id);
+    }
+  h_cluster_stop ();
+}
+END_TEST
+
 /* A caller does not hear that its job was accepted, and sends it again to
    another instance: while it runs, and after it is done.  Each task runs
    once all the same, also those that must.  */
@@ -714,6 +756,10 @@
   tcase_add_test (c, all_instances_killed_at_once_finish_what_was_accepted);
   tcase_add_test (c, store_away_refuses_at_once_and_loses_nothing);
   tcase_add_test (c, cancelled_job_stays_cancelled_when_its_home_dies);
+  tcase_add_test (c,
+                  task_that_hung_on_the_only_upstream_ends_once_that_is_well);
+  tcase_add_test (
+      c, task_to_be_avoided_here_is_handed_to_an_owner_that_can_start_it);
   suite_add_tcase (s, c);
   /* Run by itself: it is listed in KNOWN-RED.txt.  */
   c = tcase_create ("resubmit");
