Stand-in upstreams crash under a task, and change their capacity

- masticmill-upstream: upstream.poison_jobs names jobs whose tasks crash it upstream.poison_ms after their start; its connections are reset, nothing listens for upstream.back_ms, and it is back as another incarnation that knows nothing.
- POST /v1/capacity changes cpu_milli and mem_mb while it runs; its entry in the list says so.
A start counts as over the capacity beyond every one that was listed in the last grace_ms.

--- a/daemons/masticmill_upstream.c
+++ b/daemons/masticmill_upstream.c
@@ -1,10 +1,27 @@
 /* masticmill-upstream: the upstream executor stand-in, as a daemon.  */
+#define _GNU_SOURCE
 #include <masticmill.h>
 
 #include <signal.h>
 #include <stdio.h>
+#include <unistd.h>
 
 static struct ev_loop *loop;
+static char **arguments;
+
+/* Its connections are reset, and nothing listens until it is back: the same
+   process, which nobody has to start again, without anything it knew.  */
+static void
+crash (void *ctx)
+{
+  const mm_upstream_settings *s = ctx;
+  signal (SIGTERM, SIG_DFL);
+  signal (SIGINT, SIG_DFL);
+  close_range (STDERR_FILENO + 1, ~0U, 0);
+  g_usleep ((gulong)s->back_ms * 1000);
+  execv ("/proc/self/exe", arguments);
+  _exit (1);
+}
 
 static void
 drained (void *ctx)
@@ -22,6 +39,7 @@
 int
 main (int argc, char **argv)
 {
+  arguments = argv;
   mm_log_init ("masticmill-upstream");
   mm_upstream_settings s;
   mm_upstream_settings_defaults (&s);
@@ -46,6 +64,7 @@
       g_critical ("%s", err->message);
       return 1;
     }
+  mm_upstream_on_crash (u, crash, &s);
   ev_signal term, intr;
   ev_signal_init (&term, on_signal, SIGTERM);
   ev_signal_init (&intr, on_signal, SIGINT);
--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -406,6 +406,9 @@
     int64_t heartbeat_ms; /* heartbeat period */
     char *advertise;      /* "host:port" told to others, "" for our own */
     char *run_log;        /* file that takes a line a start and end, "" */
+    char *poison_jobs;    /* tasks of jobs so named crash it, "" for none */
+    int64_t poison_ms;    /* from such a start to the crash */
+    int64_t back_ms;      /* from a crash to the next incarnation */
   } mm_upstream_settings;
   extern const mm_setting_spec mm_upstream_setting_specs[];
   void mm_upstream_settings_defaults (mm_upstream_settings *s);
@@ -415,6 +418,8 @@
   void mm_upstream_destroy (mm_upstream *u);
   void mm_upstream_drain (mm_upstream *u, void (*drained) (void *),
                           void *ctx); /* graceful */
+  void mm_upstream_on_crash (mm_upstream *u, void (*crash) (void *),
+                             void *ctx); /* a task crashes it */
   char *mm_upstream_dump (const mm_upstream *u);
 
   typedef struct
--- a/src/config.h
+++ b/src/config.h
@@ -86,6 +86,8 @@
 /* Upstream stand-in.  */
 #define MM_DEFAULT_UPSTREAM_PORT 7200
 #define MM_DRAIN_CHECK_MS 20 /* draining: are all answers out? */
+#define MM_DEFAULT_POISON_MS 20
+#define MM_DEFAULT_BACK_MS 3000
 
 /* Sessions with upstreams (mm_exec).  */
 #define MM_EXEC_TICK_MS 25 /* timers of sessions, queues and jobs */
--- a/src/mm_run_server.c
+++ b/src/mm_run_server.c
@@ -4,7 +4,11 @@
    lose_starts / lose_stops / lose_holds: so many calls get no answer;
    late_ms: a lost start is carried out so late, 0 for never;
    fails, hangs, refuses: what becomes of tasks; slow_percent: run time;
-   silent: nothing is carried out nor answered; mute: nothing answered.  */
+   silent: nothing is carried out nor answered; mute: nothing answered.
+
+   Capacity (POST /v1/capacity): cpu_milli and mem_mb, in the list from the
+   next heartbeat on.  Starts count as over it only beyond every capacity that
+   was listed in the last grace_ms.  */
 #include "mm_run_server.h"
 
 #include "config.h"
@@ -41,6 +45,13 @@
   mm_time_ms at_ms;
 } late_start;
 
+/* A capacity that dispatchers may still believe in.  */
+typedef struct
+{
+  mm_need capacity;
+  mm_time_ms until_ms;
+} past_capacity;
+
 struct mm_run_server
 {
   struct ev_loop *loop;
@@ -54,6 +65,9 @@
   call_faults faults;
   GList *holds; /* waiting_hold */
   GList *late;  /* late_start */
+  mm_run_server_poison poison;
+  mm_time_ms crash_at_ms; /* 0: not */
+  GArray *past;           /* past_capacity */
 };
 
 static void tick_cb (struct ev_loop *loop, ev_timer *w, int revents);
@@ -76,6 +90,7 @@
                              mm_clock_wall_ms ());
   s->capacity = *capacity;
   s->table = mm_run_table_create (capacity, false, MM_LEASE_MS);
+  s->past = g_array_new (FALSE, FALSE, sizeof (past_capacity));
   s->log_fd = -1;
   if (*log_file)
     s->log_fd
@@ -87,6 +102,12 @@
   return s;
 }
 
+void
+mm_run_server_set_poison (mm_run_server *s, const mm_run_server_poison *p)
+{
+  s->poison = *p;
+}
+
 static void
 late_free (gpointer p)
 {
@@ -103,6 +124,7 @@
   g_list_free_full (s->holds, g_free);
   g_list_free_full (s->late, late_free);
   mm_run_table_destroy (s->table);
+  g_array_free (s->past, TRUE);
   if (s->log_fd >= 0)
     close (s->log_fd);
   g_free (s->name);
@@ -167,6 +189,16 @@
               p[s->logged].number, mm_end_name (p[s->logged].how));
 }
 
+static void
+crash_soon (mm_run_server *s, const mm_task_id *task, mm_time_ms now)
+{
+  if (!s->poison.crash || !*s->poison.jobs || s->crash_at_ms
+      || !g_str_has_prefix (task->job, s->poison.jobs))
+    return;
+  s->crash_at_ms = now + s->poison.after_ms;
+  g_message ("crashed by %s/%u.%u", task->job, task->step, task->index);
+}
+
 static mm_call_verdict
 start (mm_run_server *s, const cJSON *in)
 {
@@ -182,6 +214,8 @@
   mm_call_verdict v
       = mm_run_table_start (s->table, &o, &work.need, work.run_ms, now);
   log_ends (s);
+  if (mm_run_table_counts (s->table).starts > starts)
+    crash_soon (s, &task, now);
   if (mm_run_table_counts (s->table).starts > starts)
     log_line (s, now, "start", &task, o.run,
               mm_run_table_counts (s->table).over_capacity > over
@@ -311,6 +345,36 @@
   reply (req, 200, cJSON_CreateObject ());
 }
 
+static void
+count_against_capacity (mm_run_server *s, mm_time_ms now)
+{
+  mm_need most = s->capacity;
+  for (guint i = s->past->len; i-- > 0;)
+    {
+      const past_capacity *p = &g_array_index (s->past, past_capacity, i);
+      if (now >= p->until_ms)
+        {
+          g_array_remove_index (s->past, i);
+          continue;
+        }
+      most.cpu_milli = MAX (most.cpu_milli, p->capacity.cpu_milli);
+      most.mem_mb = MAX (most.mem_mb, p->capacity.mem_mb);
+    }
+  mm_run_table_set_capacity (s->table, &most);
+}
+
+static void
+on_capacity (mm_run_server *s, mm_http_request *req, const cJSON *in)
+{
+  past_capacity p = { .capacity = s->capacity };
+  read_number (in, "grace_ms", &p.until_ms);
+  p.until_ms += mm_clock_now_ms ();
+  g_array_append_val (s->past, p);
+  read_number (in, "cpu_milli", &s->capacity.cpu_milli);
+  read_number (in, "mem_mb", &s->capacity.mem_mb);
+  reply (req, 200, cJSON_CreateObject ());
+}
+
 static void
 add_run (cJSON *list, const mm_run_past *p)
 {
@@ -353,8 +417,8 @@
 mm_run_server_handle (mm_run_server *s, mm_http_request *req)
 {
   static const char *const paths[]
-      = { "/v1/runs",       "/v1/runs/stop", "/v1/hold",
-          "/v1/run-faults", "/v1/run-log",   NULL };
+      = { "/v1/runs",    "/v1/runs/stop", "/v1/hold", "/v1/run-faults",
+          "/v1/run-log", "/v1/capacity",  NULL };
   const char *path = mm_http_request_path (req);
   if (!g_strv_contains (paths, path))
     return false;
@@ -365,6 +429,8 @@
     on_faults (s, req, in);
   else if (strcmp (path, "/v1/run-log") == 0)
     on_run_log (s, req);
+  else if (strcmp (path, "/v1/capacity") == 0)
+    on_capacity (s, req, in);
   else if (s->faults.silent)
     swallow (req);
   else if (meant_another (s, req))
@@ -405,9 +471,15 @@
 {
   mm_run_server *s = w->data;
   mm_time_ms now = mm_clock_now_ms ();
+  count_against_capacity (s, now);
   run_late_starts (s, now);
   mm_run_table_step (s->table, now);
   log_ends (s);
+  if (s->crash_at_ms && now >= s->crash_at_ms)
+    {
+      s->poison.crash (s->poison.ctx);
+      return;
+    }
   bool ended = mm_run_table_ended (s->table) > 0;
   GList *next;
   for (GList *l = s->holds; l; l = next)
--- a/src/mm_upstream.c
+++ b/src/mm_upstream.c
@@ -133,6 +133,15 @@
   { "upstream.run_log", MM_SETTING_STRING,
     offsetof (mm_upstream_settings, run_log), 0, 0,
     "file that takes a line for each start and end, empty for none" },
+  { "upstream.poison_jobs", MM_SETTING_STRING,
+    offsetof (mm_upstream_settings, poison_jobs), 0, 0,
+    "tasks of jobs whose ids begin with this crash it, empty for none" },
+  { "upstream.poison_ms", MM_SETTING_INT,
+    offsetof (mm_upstream_settings, poison_ms), 0, 60000,
+    "ms from the start of such a task to the crash" },
+  { "upstream.back_ms", MM_SETTING_INT,
+    offsetof (mm_upstream_settings, back_ms), 0, 60000,
+    "ms from a crash until it is back as another incarnation" },
   { NULL },
 };
 
@@ -150,6 +159,9 @@
   s->heartbeat_ms = MM_DEFAULT_HEARTBEAT_MS;
   s->advertise = g_strdup ("");
   s->run_log = g_strdup ("");
+  s->poison_jobs = g_strdup ("");
+  s->poison_ms = MM_DEFAULT_POISON_MS;
+  s->back_ms = MM_DEFAULT_BACK_MS;
 }
 
 static void
@@ -459,6 +471,7 @@
   dst->platform_url = g_strdup (src->platform_url);
   dst->advertise = g_strdup (src->advertise);
   dst->run_log = g_strdup (src->run_log);
+  dst->poison_jobs = g_strdup (src->poison_jobs);
 }
 
 /**
@@ -517,9 +530,26 @@
   g_free (u->settings.platform_url);
   g_free (u->settings.advertise);
   g_free (u->settings.run_log);
+  g_free (u->settings.poison_jobs);
   g_free (u);
 }
 
+/**
+ * mm_upstream_on_crash() - what a task that crashes it does.
+ * @u: the stand-in.
+ * @crash: called in place of an answer; not expected to return.
+ * @ctx: context pointer for @crash.
+ */
+void
+mm_upstream_on_crash (mm_upstream *u, void (*crash) (void *), void *ctx)
+{
+  mm_run_server_poison p = { .jobs = u->settings.poison_jobs,
+                             .after_ms = u->settings.poison_ms,
+                             .crash = crash,
+                             .ctx = ctx };
+  mm_run_server_set_poison (u->runs, &p);
+}
+
 /* Guards against a stop that cuts off the last answer: a task has ended
    when its run is over, but its answer is out only when the HTTP server
    has written it (the caller saw an empty reply).  */
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -12,7 +12,7 @@
 #include <unistd.h>
 
 pid_t h_platform, h_upstreams[8], h_entries[8];
-const char *h_platform_extra, *h_entry_extra;
+const char *h_platform_extra, *h_entry_extra, *h_upstream_extra;
 const char *h_datacentres[8];
 int h_platform_port, h_upstream_ports[8], h_entry_ports[8];
 static int n_up, n_en;
@@ -362,12 +362,12 @@
   return false;
 }
 
-/* An instance's log so far, whole at its exit at the latest.  */
+/* A process's log so far, whole at its exit at the latest.  */
 static char *
-node_log (pid_t pid)
+log_of (const char *program, pid_t pid)
 {
-  char *path = g_strdup_printf ("%s/test-logs/%d-masticmill-node-%d.log",
-                                MM_BIN_DIR, h_port_base (), (int)pid);
+  char *path = g_strdup_printf ("%s/test-logs/%d-%s-%d.log", MM_BIN_DIR,
+                                h_port_base (), program, (int)pid);
   char *log = NULL;
   if (!g_file_get_contents (path, &log, NULL, NULL))
     log = g_strdup ("");
@@ -375,10 +375,10 @@
   return log;
 }
 
-int
-h_log_lines (pid_t pid, const char *text)
+static int
+lines_of (const char *program, pid_t pid, const char *text)
 {
-  char *log = node_log (pid);
+  char *log = log_of (program, pid);
   int n = 0;
   for (const char *p = log; (p = strstr (p, text)); p++)
     n++;
@@ -386,10 +386,22 @@
   return n;
 }
 
+int
+h_log_lines (pid_t pid, const char *text)
+{
+  return lines_of ("masticmill-node", pid, text);
+}
+
+int
+h_upstream_log_lines (int i, const char *text)
+{
+  return lines_of ("masticmill-upstream", h_upstreams[i], text);
+}
+
 mm_time_ms
 h_log_time_ms (pid_t pid, const char *text, const char *also)
 {
-  char *log = node_log (pid);
+  char *log = log_of ("masticmill-node", pid);
   char **lines = g_strsplit (log, "\n", 0);
   double at_ms = -1;
   for (char **l = lines; *l && at_ms < 0; l++)
@@ -417,8 +429,9 @@
   g_snprintf (set[2], 64, "upstream.platform_url=\"http://127.0.0.1:%d\"",
               base);
   g_snprintf (set[3], 64, "upstream.slots=%d", slots);
-  h_upstreams[i] = h_start ("masticmill-upstream", set[0], set[1], set[2],
-                            set[3], set[4], "upstream.heartbeat_ms=200", NULL);
+  h_upstreams[i]
+      = h_start ("masticmill-upstream", set[0], set[1], set[2], set[3], set[4],
+                 "upstream.heartbeat_ms=200", h_upstream_extra, NULL);
   n_up = MAX (n_up, i + 1);
 }
 
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -55,7 +55,9 @@
  */
 mm_time_ms h_log_time_ms (pid_t pid, const char *text, const char *also);
 bool h_wait_nodes (int n_nodes, int n_upstreams, mm_time_ms timeout_ms);
-extern const char *h_platform_extra, *h_entry_extra; /* one more --set */
+/* One more --set each.  */
+extern const char *h_platform_extra, *h_entry_extra, *h_upstream_extra;
+int h_upstream_log_lines (int i, const char *text); /* that hold it */
 extern pid_t h_platform, h_upstreams[8], h_entries[8];
 extern int h_platform_port, h_upstream_ports[8], h_entry_ports[8];
 
--- /dev/null
+++ b/tests/test_capacity.c
@@ -0,0 +1,126 @@
+/* Upstreams whose capacity changes while they run.  */
+#include "harness.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  UPSTREAMS = 4,
+  SLOTS = 4,
+  SLOT_CPU_MILLI = 1000,
+  BOUND_MS = 2000, /* from a smaller capacity to the last start over it */
+  HEARTBEAT_MS = 200,
+  CHANGES = 40
+};
+
+static void
+sleep_ms (int ms)
+{
+  g_usleep ((gulong)ms * 1000);
+}
+
+static void
+set_slots (int upstream, int slots)
+{
+  char body[96];
+  g_snprintf (body, sizeof body, "{\"cpu_milli\":%d,\"grace_ms\":%d}",
+              slots * SLOT_CPU_MILLI, BOUND_MS + HEARTBEAT_MS);
+  cJSON_Delete (
+      h_call ("POST", h_upstream_ports[upstream], "/v1/capacity", body, NULL));
+}
+
+static pid_t
+submit (const char *name, int no, int tasks, int run_ms)
+{
+  char id[32];
+  g_snprintf (id, sizeof id, "%s-%d", name, no);
+  char *job = h_job_json (id, tasks, run_ms, 4000, true);
+  pid_t p = h_submit (no % 2, job);
+  g_free (job);
+  return p;
+}
+
+static int
+over_capacity (void)
+{
+  int over = 0;
+  GArray *runs = h_runs (UPSTREAMS, &over);
+  g_array_free (runs, TRUE);
+  return over;
+}
+
+START_TEST (capacity_that_flaps_is_kept_and_used_again)
+{
+  h_nodes (UPSTREAMS, SLOTS, 2);
+  GRand *rnd = g_rand_new_with_seed (23);
+  pid_t p[CHANGES];
+  for (int i = 0; i < CHANGES; i++)
+    {
+      set_slots (g_rand_int_range (rnd, 0, UPSTREAMS),
+                 g_rand_int_range (rnd, 0, SLOTS + 1));
+      p[i] = submit ("load", i, 6, 300);
+      sleep_ms (g_rand_int_range (rnd, 50, 400));
+    }
+  for (int i = 0; i < CHANGES; i++)
+    h_answered (p[i]);
+  ck_assert_int_eq (over_capacity (), 0);
+  for (int i = 0; i < UPSTREAMS; i++)
+    set_slots (i, SLOTS);
+  sleep_ms (BOUND_MS);
+  pid_t all = submit ("all", 0, UPSTREAMS * SLOTS, 700);
+  mm_time_ms from_ms = mm_clock_now_ms ();
+  ck_assert (h_answered (all));
+  ck_assert_int_lt (mm_clock_now_ms () - from_ms, 2 * 700);
+  g_rand_free (rnd);
+  h_cluster_stop ();
+}
+END_TEST
+
+START_TEST (smaller_capacity_stops_nothing_that_runs)
+{
+  h_nodes (UPSTREAMS, SLOTS, 2);
+  pid_t p = submit ("long", 0, UPSTREAMS * SLOTS, 2500);
+  sleep_ms (300);
+  for (int i = 0; i < UPSTREAMS; i++)
+    set_slots (i, 0);
+  ck_assert (h_answered (p));
+  GArray *runs = h_runs (UPSTREAMS, NULL);
+  for (guint i = 0; i < runs->len; i++)
+    ck_assert (g_array_index (runs, h_run, i).done);
+  ck_assert_uint_eq (runs->len, UPSTREAMS * SLOTS);
+  g_array_free (runs, TRUE);
+  h_cluster_stop ();
+}
+END_TEST
+
+START_TEST (capacity_without_bounds_and_none_at_all_get_an_answer)
+{
+  h_nodes (UPSTREAMS, SLOTS, 1);
+  set_slots (0, 1000000);
+  for (int i = 1; i < UPSTREAMS; i++)
+    set_slots (i, 0);
+  sleep_ms (BOUND_MS);
+  ck_assert (h_answered (submit ("huge", 0, SLOTS, 200)));
+  set_slots (0, 0);
+  sleep_ms (BOUND_MS);
+  ck_assert_int_eq (h_status_class (submit ("none", 0, 1, 200)), 5);
+  ck_assert_int_eq (over_capacity (), 0);
+  h_cluster_stop ();
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("capacity");
+  TCase *tc = tcase_create ("capacity");
+  tcase_set_timeout (tc, 60);
+  tcase_add_test (tc, capacity_that_flaps_is_kept_and_used_again);
+  tcase_add_test (tc, smaller_capacity_stops_nothing_that_runs);
+  tcase_add_test (tc, capacity_without_bounds_and_none_at_all_get_an_answer);
+  suite_add_tcase (s, tc);
+  return h_run_suite (s);
+}
