Names of updates of the upstream list in the field's words

mm_list_news, mm_mesh_tell_news, mm_stream_hear, turns and the like are mm_list_update, mm_mesh_notify, mm_stream_advance, places in a round: an update is sent, a peer is notified. The metric masticmill_list_heard_total is masticmill_list_updates_total.

--- a/src/config.h
+++ b/src/config.h
@@ -213,13 +213,13 @@
 #define MM_CONFIG_WAIT_MS 1800
 /* Upstreams write to their list all the time, so no read waits there.  A
    leaving one must get no start 2 s after it said so: the list is read each
-   MM_LIST_POLL_MS, and MM_LIST_TURNS_MAX turns later if those fail whose turn
-   comes first.  */
+   MM_LIST_POLL_MS, and MM_LIST_PLACES_MAX places later if the instances
+   before fail.  */
 #define MM_LIST_POLL_MS 800
-#define MM_LIST_TURN_MS 60 /* passing on takes less */
-#define MM_LIST_TURNS_MAX 5u
-#define MM_LIST_LOG_MAX 64u /* changes that are passed on */
-#define MM_LIST_TELL_MS 200 /* between views that bring no change */
+#define MM_LIST_PLACE_MS 60 /* an update takes less */
+#define MM_LIST_PLACES_MAX 5u
+#define MM_LIST_LOG_MAX 64u   /* changes that are passed on */
+#define MM_LIST_NOTIFY_MS 200 /* between views that bring no change */
 /* After all of the list was read: upstreams write to it more often.  */
 #define MM_LIST_OWN_MS 5000
 #define MM_STREAM_TOUCH_MS 1500 /* known so lately: in touch */
--- a/src/mm_catalog.h
+++ b/src/mm_catalog.h
@@ -20,7 +20,7 @@
 void mm_catalog_destroy (mm_catalog *c);
 /* Called within mm_catalog_put(), NULL: nobody is.  */
 void mm_catalog_on_listed (mm_catalog *c, mm_catalog_listed listed, void *ctx);
-/* It is listed, or not any more.  Return: whether that is news.  */
+/* It is listed, or not any more.  Return: whether that is a change.  */
 bool mm_catalog_put (mm_catalog *c, const mm_upstream_info *u,
                      const mm_catalog_origin *from);
 bool mm_catalog_missing (mm_catalog *c, const char *name);
--- a/src/mm_list_log.h
+++ b/src/mm_list_log.h
@@ -1,8 +1,8 @@
 /* mm_list_log: the last changes of the upstream list.
 
    The list is a stream in which most records only repeat what is known.  Of
-   an instance that knows it up to some offset, and is told the changes since,
-   all else is news that it need not read.  */
+   an instance that knows it up to some offset, and gets the changes since,
+   nothing else need be read.  */
 #ifndef MM_LIST_LOG_H
 #define MM_LIST_LOG_H
 
@@ -27,7 +27,7 @@
                       const mm_upstream_info *info);
 /* From which offset on all changes are here.  */
 uint64_t mm_list_log_first (const mm_list_log *l);
-/* What whoever knows the list up to @from has to be told.  */
+/* The changes for an instance that knows the list up to @from.  */
 const mm_list_change *mm_list_log_since (const mm_list_log *l, uint64_t from,
                                          size_t *n);
 
--- a/src/mm_list_share.c
+++ b/src/mm_list_share.c
@@ -1,8 +1,8 @@
-/* mm_list_share: whose turn it is to read, and what is passed on.  */
+/* mm_list_share: who reads next, and what is passed on.  */
 #include "mm_list_share.h"
 
 #include "config.h"
-#include "mm_list_news.h"
+#include "mm_list_update.h"
 #include "mm_metrics.h"
 
 #include <string.h>
@@ -18,29 +18,29 @@
   void *ctx;
   mm_list_log *log;
   GArray *seen; /* mm_list_change of the answer being read */
-  uint64_t turn;
+  uint64_t round;
   mm_time_ms own_until_ms; /* until then only our own reads count */
-  mm_time_ms told_ms;      /* as of when the others were last told */
+  mm_time_ms notified_ms;  /* as of when the others were last notified */
   mm_time_ms contact_ms;   /* since when it is followed, 0: not read yet */
   bool complete;
 };
 
-/* ---- whose turn ------------------------------------------------------- */
+/* ---- who reads next --------------------------------------------------- */
 
 static uint64_t
-rank_of (const char *name, uint64_t turn)
+rank_of (const char *name, uint64_t round)
 {
-  return XXH3_64bits_withSeed (name, strlen (name), turn);
+  return XXH3_64bits_withSeed (name, strlen (name), round);
 }
 
 uint32_t
-mm_list_place (const char *self, GList *linked, uint64_t turn)
+mm_list_place (const char *self, GList *linked, uint64_t round)
 {
-  uint64_t own = rank_of (self, turn);
+  uint64_t own = rank_of (self, round);
   uint32_t before = 0;
   for (GList *i = linked; i; i = i->next)
-    before += rank_of (i->data, turn) < own;
-  return MIN (before, MM_LIST_TURNS_MAX);
+    before += rank_of (i->data, round) < own;
+  return MIN (before, MM_LIST_PLACES_MAX);
 }
 
 static mm_time_ms
@@ -48,32 +48,32 @@
 {
   const mm_list_share *l = ctx;
   GList *linked = mm_mesh_linked (l->mesh);
-  uint32_t place = mm_list_place (l->self, linked, l->turn);
+  uint32_t place = mm_list_place (l->self, linked, l->round);
   g_list_free (linked);
-  return MM_LIST_POLL_MS + place * MM_LIST_TURN_MS;
+  return MM_LIST_POLL_MS + place * MM_LIST_PLACE_MS;
 }
 
-/* ---- telling ---------------------------------------------------------- */
+/* ---- updates sent ----------------------------------------------------- */
 
 static uint64_t
-news_for (void *ctx, uint64_t told_upto, msgpack_sbuffer *out)
+update_for (void *ctx, uint64_t known_upto, msgpack_sbuffer *out)
 {
   const mm_list_share *l = ctx;
-  mm_list_news n
-      = { .turn = l->turn,
-          .from = MAX (told_upto, mm_list_log_first (l->log)),
+  mm_list_update n
+      = { .round = l->round,
+          .from = MAX (known_upto, mm_list_log_first (l->log)),
           .to = mm_stream_next (l->stream),
           .age_ms = mm_clock_now_ms () - mm_stream_known_ms (l->stream) };
   n.changes = mm_list_log_since (l->log, n.from, &n.n_changes);
-  mm_list_news_pack (&n, out);
+  mm_list_update_pack (&n, out);
   return n.to;
 }
 
 static void
-tell (mm_list_share *l, const char *but_not)
+notify (mm_list_share *l, const char *but_not)
 {
-  l->told_ms = mm_stream_known_ms (l->stream);
-  mm_mesh_tell_news (l->mesh, news_for, l, but_not);
+  l->notified_ms = mm_stream_known_ms (l->stream);
+  mm_mesh_notify (l->mesh, update_for, l, but_not);
 }
 
 /* ---- own reads -------------------------------------------------------- */
@@ -129,71 +129,72 @@
   g_array_set_size (l->seen, 0);
   if (!all)
     return;
-  l->turn++;
-  tell (l, NULL);
+  l->round++;
+  notify (l, NULL);
 }
 
-/* ---- hearing ---------------------------------------------------------- */
+/* ---- updates received ------------------------------------------------- */
 
 /* The peer took for known what it sent before own_until_ms.  It learns from
    our update what we know, and its next one begins there.  */
 static void
-close_gap (mm_list_share *l, const char *peer, const mm_list_news *n)
+close_gap (mm_list_share *l, const char *peer, const mm_list_update *n)
 {
   if (l->contact_ms && n->from > mm_stream_next (l->stream))
-    mm_mesh_tell_news_to (l->mesh, peer, news_for, l);
+    mm_mesh_notify_peer (l->mesh, peer, update_for, l);
 }
 
 static void
-hear (mm_list_share *l, const char *peer, const mm_list_news *n)
+take_update (mm_list_share *l, const char *peer, const mm_list_update *n)
 {
   mm_time_ms now = mm_clock_now_ms ();
   mm_time_ms as_of_ms = now - n->age_ms;
-  l->turn = MAX (l->turn, n->turn);
-  mm_mesh_set_told (l->mesh, peer, n->to);
+  l->round = MAX (l->round, n->round);
+  mm_mesh_set_known (l->mesh, peer, n->to);
   if (now < l->own_until_ms)
     return;
-  if (!mm_stream_hear (l->stream, n->from, n->to, as_of_ms))
+  if (!mm_stream_advance (l->stream, n->from, n->to, as_of_ms))
     {
       close_gap (l, peer, n);
       return;
     }
-  mm_metrics_count (MM_CT_LIST_HEARD);
-  mm_catalog_origin heard = { .peer = peer, .as_of_ms = as_of_ms };
+  mm_metrics_count (MM_CT_LIST_UPDATES);
+  mm_catalog_origin passed_on = { .peer = peer, .as_of_ms = as_of_ms };
   bool any = false;
   for (size_t i = 0; i < n->n_changes; i++)
     {
       const mm_list_change *c = &n->changes[i];
-      if (!apply (l, c->name, c->info, &heard))
+      if (!apply (l, c->name, c->info, &passed_on))
         continue;
       mm_list_log_add (l->log, n->to, c->name, c->info);
       any = true;
     }
-  if (any || as_of_ms - l->told_ms >= MM_LIST_TELL_MS)
-    tell (l, peer);
+  if (any || as_of_ms - l->notified_ms >= MM_LIST_NOTIFY_MS)
+    notify (l, peer);
   if (any)
     l->changed (l->ctx);
 }
 
 static void
-on_news (void *ctx, const char *peer, const void *data, size_t len,
-         mm_time_ms held_up_ms)
+on_update (void *ctx, const char *peer, const void *data, size_t len,
+           mm_time_ms held_up_ms)
 {
-  mm_list_news n;
-  if (mm_list_news_read (data, len, &n))
+  mm_list_update n;
+  if (mm_list_update_read (data, len, &n))
     {
       n.age_ms += held_up_ms;
-      hear (ctx, peer, &n);
+      take_update (ctx, peer, &n);
     }
   else
-    g_warning ("mesh: news of the upstream list from %s not understood", peer);
-  mm_list_news_clear (&n);
+    g_warning ("mesh: update of the upstream list from %s not understood",
+               peer);
+  mm_list_update_clear (&n);
 }
 
 /**
  * mm_list_share_create() - follow the upstream list together.
  * @port: the store.
- * @catalog: takes what is read and heard; must outlive this.
+ * @catalog: takes what is read and passed on; must outlive this.
  * @mesh: the other instances; must outlive this.
  * @self: our name among them.
  * @changed: called when the catalog has changed but for our own reads of
@@ -222,7 +223,7 @@
                           .pause_ms = pause_ms,
                           .ctx = l };
   l->stream = mm_stream_create (port, MM_STREAM_UPSTREAMS, 0, &ev);
-  mm_mesh_on_news (mesh, on_news, l);
+  mm_mesh_on_update (mesh, on_update, l);
   return l;
 }
 
@@ -231,7 +232,7 @@
 {
   if (!l)
     return;
-  mm_mesh_on_news (l->mesh, NULL, NULL);
+  mm_mesh_on_update (l->mesh, NULL, NULL);
   mm_stream_destroy (l->stream);
   mm_list_log_destroy (l->log);
   g_array_free (l->seen, TRUE);
--- a/src/mm_list_share.h
+++ b/src/mm_list_share.h
@@ -6,11 +6,11 @@
    link the answers hold up orders to upstreams.  So one instance reads at a
    time and passes on what changed, over the links there are.
 
-   Whose turn it is follows from the names of those that are linked and the
-   number of the turn; the others wait a little longer each.  If that instance
-   is gone, cut off, or turned away by the store, the next one reads as its
-   time comes.  So nobody's view is older than MM_LIST_POLL_MS and
-   MM_LIST_TURNS_MAX turns, whoever dies: an upstream that leaves gets no
+   The order in which linked instances read follows from their names and the
+   number of the round; each waits MM_LIST_PLACE_MS longer than the one before.
+   If the first is gone, cut off, or turned away by the store, the next one
+   reads.  So nobody's view is older than MM_LIST_POLL_MS and
+   MM_LIST_PLACES_MAX such waits, whoever dies: an upstream that leaves gets no
    start later than that.  */
 #ifndef MM_LIST_SHARE_H
 #define MM_LIST_SHARE_H
@@ -37,7 +37,7 @@
    the list for the first time just then knows nothing of those.  */
 bool mm_list_share_complete (const mm_list_share *l);
 
-/* How many of the linked instances read before us at this turn?  */
-uint32_t mm_list_place (const char *self, GList *linked, uint64_t turn);
+/* How many of the linked instances read before us in this round?  */
+uint32_t mm_list_place (const char *self, GList *linked, uint64_t round);
 
 #endif /* MM_LIST_SHARE_H */
--- a/src/mm_list_news.c
+++ b/src/mm_list_update.c
@@ -1,5 +1,5 @@
-/* mm_list_news: pack and read it.  */
-#include "mm_list_news.h"
+/* mm_list_update: pack and read it.  */
+#include "mm_list_update.h"
 
 #include "mm_msgpack.h"
 
@@ -7,7 +7,7 @@
 
 enum
 {
-  NEWS_FIELDS = 5,
+  UPDATE_FIELDS = 5,
   GONE_FIELDS = 1,
   LISTED_FIELDS = 10
 };
@@ -43,12 +43,12 @@
 }
 
 void
-mm_list_news_pack (const mm_list_news *n, msgpack_sbuffer *out)
+mm_list_update_pack (const mm_list_update *n, msgpack_sbuffer *out)
 {
   msgpack_packer pk;
   msgpack_packer_init (&pk, out, msgpack_sbuffer_write);
-  msgpack_pack_array (&pk, NEWS_FIELDS);
-  msgpack_pack_uint64 (&pk, n->turn);
+  msgpack_pack_array (&pk, UPDATE_FIELDS);
+  msgpack_pack_uint64 (&pk, n->round);
   msgpack_pack_uint64 (&pk, n->from);
   msgpack_pack_uint64 (&pk, n->to);
   msgpack_pack_int64 (&pk, n->age_ms);
@@ -102,12 +102,12 @@
 }
 
 static bool
-read_news (const msgpack_object *o, mm_list_news *out)
+read_update (const msgpack_object *o, mm_list_update *out)
 {
-  if (!mm_mp_is_array (o, NEWS_FIELDS))
+  if (!mm_mp_is_array (o, UPDATE_FIELDS))
     return false;
   const msgpack_object *f = o->via.array.ptr;
-  if (!mm_mp_read_u64 (&f[0], &out->turn)
+  if (!mm_mp_read_u64 (&f[0], &out->round)
       || !mm_mp_read_u64 (&f[1], &out->from)
       || !mm_mp_read_u64 (&f[2], &out->to)
       || !mm_mp_read_i64 (&f[3], &out->age_ms) || out->age_ms < 0
@@ -127,7 +127,7 @@
 }
 
 bool
-mm_list_news_read (const void *data, size_t len, mm_list_news *out)
+mm_list_update_read (const void *data, size_t len, mm_list_update *out)
 {
   memset (out, 0, sizeof *out);
   out->owned = g_array_new (FALSE, FALSE, sizeof (mm_list_change));
@@ -136,13 +136,13 @@
   msgpack_unpacked_init (&u);
   size_t at = 0;
   bool ok = msgpack_unpack_next (&u, data, len, &at) == MSGPACK_UNPACK_SUCCESS
-            && read_news (&u.data, out);
+            && read_update (&u.data, out);
   msgpack_unpacked_destroy (&u);
   return ok;
 }
 
 void
-mm_list_news_clear (mm_list_news *n)
+mm_list_update_clear (mm_list_update *n)
 {
   if (n->owned)
     g_array_free (n->owned, TRUE);
--- a/src/mm_members.c
+++ b/src/mm_members.c
@@ -31,8 +31,8 @@
   size_t n;
   size_t next; /* of the data centres, asked about by turns */
   mm_time_ms due_ms;
-  mm_members_news news;
-  void *news_ctx;
+  mm_members_changed changed;
+  void *changed_ctx;
   uint32_t asked; /* how often, while few */
 };
 
@@ -94,10 +94,10 @@
   if (strcmp (name, m->self) == 0 || !mm_members_read_name (name, &p))
     return;
   mm_mesh_add_peer (m->mesh, &p);
-  if (m->news)
+  if (m->changed)
     {
       char *group = mm_members_group (p.datacentre);
-      m->news (m->news_ctx, group);
+      m->changed (m->changed_ctx, group);
       g_free (group);
     }
   mm_peer_info_clear (&p);
@@ -170,8 +170,8 @@
       for (size_t i = 0; i < res->n_members; i++)
         dc->who[i] = g_strdup (res->members[i]);
       publish (m);
-      if (m->news)
-        m->news (m->news_ctx, NULL);
+      if (m->changed)
+        m->changed (m->changed_ctx, NULL);
     }
   members_unref (m);
 }
@@ -189,10 +189,10 @@
 }
 
 void
-mm_members_on_news (mm_members *m, mm_members_news news, void *ctx)
+mm_members_on_changed (mm_members *m, mm_members_changed changed, void *ctx)
 {
-  m->news = news;
-  m->news_ctx = ctx;
+  m->changed = changed;
+  m->changed_ctx = ctx;
 }
 
 bool
--- a/src/mm_members.h
+++ b/src/mm_members.h
@@ -22,8 +22,9 @@
 void mm_members_destroy (mm_members *m);
 /* The store has told of members; or an instance has linked to us that may
    have joined @group just now, NULL otherwise.  */
-typedef void (*mm_members_news) (void *ctx, const char *group);
-void mm_members_on_news (mm_members *m, mm_members_news news, void *ctx);
+typedef void (*mm_members_changed) (void *ctx, const char *group);
+void mm_members_on_changed (mm_members *m, mm_members_changed changed,
+                            void *ctx);
 bool mm_members_heard (const mm_members *m); /* of our own data centre */
 void mm_members_tick (mm_members *m);
 
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -89,8 +89,8 @@
     in->mesh->handed (in->mesh->handed_ctx, m.name);
   else if (ok && m.kind == MM_MESH_FOUND)
     mm_mesh_take_found (in, &m);
-  else if (ok && m.kind == MM_MESH_NEWS)
-    mm_mesh_take_news (in->mesh, in->name, &in->transit, &m);
+  else if (ok && m.kind == MM_MESH_UPDATE)
+    mm_mesh_take_update (in->mesh, in->name, &in->transit, &m);
   else if (ok && m.kind == MM_MESH_HELLO)
     take_hello (in, &m);
   else
@@ -241,8 +241,8 @@
     mm_questions_answer (p->questions, m.no, m.data, m.len);
   else if (ok && m.kind == MM_MESH_REPORT)
     ok = take_report (p, &m);
-  else if (ok && m.kind == MM_MESH_NEWS)
-    mm_mesh_take_news (p->mesh, p->info.name, &p->transit, &m);
+  else if (ok && m.kind == MM_MESH_UPDATE)
+    mm_mesh_take_update (p->mesh, p->info.name, &p->transit, &m);
   else
     ok = false;
   mm_mesh_msg_clear (&m);
@@ -305,7 +305,7 @@
   mm_link_events ev
       = { .object = on_peer_object, .closed = on_peer_closed, .ctx = p };
   GError *error = NULL;
-  p->next_no = p->seen_no = p->told_upto = 0;
+  p->next_no = p->seen_no = p->known_upto = 0;
   p->transit = (mm_transit){ 0 };
   p->link = mm_link_connect (p->mesh->loop, p->info.addr, &ev, &error);
   if (!p->link)
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -62,21 +62,21 @@
                                size_t len, mm_mesh_reply *reply);
 void mm_mesh_on_asked (mm_mesh *m, mm_mesh_asked asked, void *ctx);
 void mm_mesh_answer (mm_mesh_reply *reply, const void *data, size_t len);
-/* News for all instances in touch.  @make writes what one of them is to be
-   told that knows all up to an offset (0: nothing), and returns up to where
-   it then knows it.  */
-typedef uint64_t (*mm_mesh_news_for) (void *ctx, uint64_t told_upto,
-                                      msgpack_sbuffer *out);
-void mm_mesh_tell_news (mm_mesh *m, mm_mesh_news_for make, void *ctx,
-                        const char *but_not); /* to all but one, or NULL */
-void mm_mesh_tell_news_to (mm_mesh *m, const char *peer, mm_mesh_news_for make,
-                           void *ctx);
-/* What this instance knows is not what it was told last.  */
-void mm_mesh_set_told (mm_mesh *m, const char *peer, uint64_t upto);
+/* An update for all instances in touch.  @make writes the one for an instance
+   that knows all up to an offset (0: nothing), and returns up to where it then
+   knows it.  */
+typedef uint64_t (*mm_mesh_update_for) (void *ctx, uint64_t known_upto,
+                                        msgpack_sbuffer *out);
+void mm_mesh_notify (mm_mesh *m, mm_mesh_update_for make, void *ctx,
+                     const char *but_not); /* to all but one, or NULL */
+void mm_mesh_notify_peer (mm_mesh *m, const char *peer,
+                          mm_mesh_update_for make, void *ctx);
+/* It knows the list up to @upto, whatever was sent to it.  */
+void mm_mesh_set_known (mm_mesh *m, const char *peer, uint64_t upto);
 /* @held_up_ms: how long it was on its way beyond what is usual.  */
-typedef void (*mm_mesh_news) (void *ctx, const char *peer, const void *data,
-                              size_t len, mm_time_ms held_up_ms);
-void mm_mesh_on_news (mm_mesh *m, mm_mesh_news heard, void *ctx);
+typedef void (*mm_mesh_updated) (void *ctx, const char *peer, const void *data,
+                                 size_t len, mm_time_ms held_up_ms);
+void mm_mesh_on_update (mm_mesh *m, mm_mesh_updated updated, void *ctx);
 /* Names of the instances in touch over links of either direction; free the
    list, not the names.  */
 GList *mm_mesh_linked (const mm_mesh *m);
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -14,7 +14,7 @@
   REPORT_FIELDS = 5,
   HANDED_FIELDS = 2,
   FOUND_FIELDS = 6,
-  NEWS_FIELDS = 3,
+  UPDATE_FIELDS = 3,
   ROOM_FIELDS = 6
 };
 
@@ -110,11 +110,11 @@
 }
 
 void
-mm_mesh_pack_news (msgpack_sbuffer *b, mm_time_ms sent_ms, const void *data,
-                   size_t len)
+mm_mesh_pack_update (msgpack_sbuffer *b, mm_time_ms sent_ms, const void *data,
+                     size_t len)
 {
   msgpack_packer pk;
-  begin (&pk, b, NEWS_FIELDS, MM_MESH_NEWS);
+  begin (&pk, b, UPDATE_FIELDS, MM_MESH_UPDATE);
   msgpack_pack_int64 (&pk, sent_ms);
   mm_mp_pack_bytes (&pk, data, len);
 }
@@ -298,8 +298,8 @@
              && mm_mp_read_text (&f[1], false, (char **)&out->name)
              && mm_mp_read_u32 (&f[2], &out->run)
              && mm_mp_read_task (&f[3], &out->task);
-    case MM_MESH_NEWS:
-      return n == NEWS_FIELDS && mm_mp_read_i64 (&f[1], &out->sent_ms)
+    case MM_MESH_UPDATE:
+      return n == UPDATE_FIELDS && mm_mp_read_i64 (&f[1], &out->sent_ms)
              && read_bytes (&f[2], out);
     case MM_MESH_HANDED:
       return n == HANDED_FIELDS
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -35,7 +35,7 @@
   MM_MESH_TOLD = 8,
   MM_MESH_HANDED = 9,
   MM_MESH_FOUND = 10,
-  MM_MESH_NEWS = 11
+  MM_MESH_UPDATE = 11
 } mm_mesh_kind;
 
 #define MM_MESH_MAX_SERVICES 64 /* rows of a report that are read */
@@ -82,8 +82,8 @@
                          uint32_t run, const mm_task_id *task);
 void mm_mesh_pack_ask (msgpack_sbuffer *b, uint64_t no, uint32_t verb,
                        const void *data, size_t len);
-void mm_mesh_pack_news (msgpack_sbuffer *b, mm_time_ms sent_ms,
-                        const void *data, size_t len);
+void mm_mesh_pack_update (msgpack_sbuffer *b, mm_time_ms sent_ms,
+                          const void *data, size_t len);
 void mm_mesh_pack_told (msgpack_sbuffer *b, uint64_t no, const void *data,
                         size_t len);
 
--- /dev/null
+++ b/src/mm_mesh_update.c
@@ -0,0 +1,132 @@
+/* mm_mesh_update: updates for all instances in touch, over links of either
+   direction.  */
+#include "mm_mesh_priv.h"
+
+#include <string.h>
+
+/* Notified once, over our own link to it.  */
+static bool
+linked_both_ways (const mm_mesh_inbound_link *in)
+{
+  return !in->name || mm_mesh_is_connected (in->mesh, in->name);
+}
+
+GList *
+mm_mesh_linked (const mm_mesh *m)
+{
+  GList *names = mm_mesh_peers (m);
+  for (GList *l = m->inbound; l; l = l->next)
+    if (!linked_both_ways (l->data))
+      names = g_list_prepend (names, ((mm_mesh_inbound_link *)l->data)->name);
+  return names;
+}
+
+static void
+send_update (mm_link *link, uint64_t *known_upto, mm_mesh_update_for make,
+             void *ctx)
+{
+  msgpack_sbuffer update, b;
+  msgpack_sbuffer_init (&update);
+  msgpack_sbuffer_init (&b);
+  *known_upto = make (ctx, *known_upto, &update);
+  mm_mesh_pack_update (&b, mm_clock_now_ms (), update.data, update.size);
+  mm_link_send (link, &b);
+  msgpack_sbuffer_destroy (&b);
+  msgpack_sbuffer_destroy (&update);
+}
+
+/* Called for each link, with up to where its peer knows the list.  */
+typedef void (*update_link) (mm_link *link, const char *name,
+                             uint64_t *known_upto, void *ctx);
+
+static void
+for_each_link (mm_mesh *m, update_link fn, void *ctx)
+{
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      mm_mesh_peer *p = v;
+      if (p->connected)
+        fn (p->link, p->info.name, &p->known_upto, ctx);
+    }
+  for (GList *l = m->inbound; l; l = l->next)
+    {
+      mm_mesh_inbound_link *in = l->data;
+      if (!linked_both_ways (in))
+        fn (in->link, in->name, &in->known_upto, ctx);
+    }
+}
+
+typedef struct
+{
+  mm_mesh_update_for make;
+  void *ctx;
+  const char *only;    /* NULL: all ... */
+  const char *but_not; /* ... but this one */
+} recipients;
+
+static void
+notify_link (mm_link *link, const char *name, uint64_t *known_upto, void *ctx)
+{
+  const recipients *to = ctx;
+  bool wanted = to->only ? strcmp (name, to->only) == 0
+                         : g_strcmp0 (name, to->but_not) != 0;
+  if (wanted)
+    send_update (link, known_upto, to->make, to->ctx);
+}
+
+void
+mm_mesh_notify (mm_mesh *m, mm_mesh_update_for make, void *ctx,
+                const char *but_not)
+{
+  recipients to = { .make = make, .ctx = ctx, .but_not = but_not };
+  for_each_link (m, notify_link, &to);
+}
+
+void
+mm_mesh_notify_peer (mm_mesh *m, const char *peer, mm_mesh_update_for make,
+                     void *ctx)
+{
+  recipients to = { .make = make, .ctx = ctx, .only = peer };
+  for_each_link (m, notify_link, &to);
+}
+
+typedef struct
+{
+  const char *peer;
+  uint64_t upto;
+} peer_offset;
+
+static void
+set_known (mm_link *link, const char *name, uint64_t *known_upto, void *ctx)
+{
+  const peer_offset *o = ctx;
+  if (strcmp (name, o->peer) == 0)
+    *known_upto = o->upto;
+}
+
+void
+mm_mesh_set_known (mm_mesh *m, const char *peer, uint64_t upto)
+{
+  peer_offset o = { .peer = peer, .upto = upto };
+  for_each_link (m, set_known, &o);
+}
+
+void
+mm_mesh_on_update (mm_mesh *m, mm_mesh_updated updated, void *ctx)
+{
+  m->updated = updated;
+  m->update_ctx = ctx;
+}
+
+void
+mm_mesh_take_update (mm_mesh *m, const char *peer, mm_transit *transit,
+                     const mm_mesh_msg *msg)
+{
+  mm_time_ms held_up_ms
+      = mm_transit_held_up_ms (transit, msg->sent_ms, mm_clock_now_ms ());
+  if (m->updated && peer)
+    m->updated (m->update_ctx, peer, msg->data, msg->len, held_up_ms);
+}
--- a/src/mm_metrics.c
+++ b/src/mm_metrics.c
@@ -73,8 +73,8 @@
   [MM_CT_LIST_OK] = { STORE, "call=\"list\",outcome=\"ok\"", STORE_HELP },
   [MM_CT_LIST_FAILED]
   = { STORE, "call=\"list\",outcome=\"failed\"", STORE_HELP },
-  [MM_CT_LIST_HEARD]
-  = { "masticmill_list_heard_total", NULL,
+  [MM_CT_LIST_UPDATES]
+  = { "masticmill_list_updates_total", NULL,
       "Times that another instance told what it had read of the upstream "
       "list." },
   [MM_CT_JOIN_OK] = { STORE, "call=\"join\",outcome=\"ok\"", STORE_HELP },
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -96,7 +96,7 @@
   s->link_mbps = MM_DEFAULT_LINK_MBPS;
 }
 
-/* What follows from news of the store must not wait for the next tick: an
+/* What follows from a change in the store must not wait for the next tick: an
    instance that comes back takes several such steps until it owns upstreams.
  */
 static void
@@ -265,7 +265,7 @@
 
 /* Partitions of a group can be taken, or are to be given to a newcomer.  */
 static void
-on_group_news (void *ctx, const char *group)
+on_group_changed (void *ctx, const char *group)
 {
   mm_node *n = ctx;
   if (group)
@@ -306,7 +306,7 @@
                                  .ctx = n };
   n->ownership = mm_ownership_create (n->catalog, n->owner, &shares);
   n->predecessors = mm_predecessors_create (store, member);
-  mm_mesh_on_handed (n->mesh, on_group_news, n);
+  mm_mesh_on_handed (n->mesh, on_group_changed, n);
   mm_kept_parts kept = { .store = *store,
                          .mesh = n->mesh,
                          .fleet = n->fleet,
@@ -318,7 +318,7 @@
   n->kept = mm_kept_create (&kept);
   n->members = mm_members_create (store, n->mesh, s->datacentres,
                                   s->datacentre, member, n->predecessors);
-  mm_members_on_news (n->members, on_group_news, n);
+  mm_members_on_changed (n->members, on_group_changed, n);
 }
 
 /**
--- a/src/mm_ownership.h
+++ b/src/mm_ownership.h
@@ -1,9 +1,9 @@
 /* mm_ownership: the sessions that an instance should have.
 
    Brings the owner's sessions in line with the upstream list and with the
-   partitions that are ours.  A session is told at once what the list says of
-   its upstream, whatever its partition is doing: a hand-over takes seconds, in
-   which short tasks go on being started.  No network of its own.  */
+   partitions that are ours.  A session gets each change of its upstream's
+   entry at once, whatever its partition is doing: a hand-over takes seconds,
+   in which short tasks go on being started.  No network of its own.  */
 #ifndef MM_OWNERSHIP_H
 #define MM_OWNERSHIP_H
 
--- a/src/mm_stream.c
+++ b/src/mm_stream.c
@@ -259,7 +259,7 @@
   return s->fresh;
 }
 
-/* Own calls may fail while others are served, and tell what they read.  */
+/* Own calls may fail while others are served, and pass on what they read.  */
 bool
 mm_stream_in_touch (const mm_stream *s)
 {
@@ -285,7 +285,8 @@
 }
 
 bool
-mm_stream_hear (mm_stream *s, uint64_t from, uint64_t to, mm_time_ms as_of_ms)
+mm_stream_advance (mm_stream *s, uint64_t from, uint64_t to,
+                   mm_time_ms as_of_ms)
 {
   if (!s->tailing || s->next < from || s->next > to)
     return false;
--- a/src/mm_stream.h
+++ b/src/mm_stream.h
@@ -31,11 +31,12 @@
 mm_time_ms mm_stream_known_ms (const mm_stream *s);
 mm_time_ms mm_stream_sent_ms (const mm_stream *s); /* of the last read */
 uint64_t mm_stream_next (const mm_stream *s);      /* offset known up to */
-/* Somebody tells what changed in [@from, @to), as of a time.  Return: whether
-   that follows on what is known here; the changes are the caller's to apply.
+/* Another instance passes on what changed in [@from, @to), as of a time.
+   Return: whether that follows on what is known here; the changes are the
+   caller's to apply.
  */
-bool mm_stream_hear (mm_stream *s, uint64_t from, uint64_t to,
-                     mm_time_ms as_of_ms);
+bool mm_stream_advance (mm_stream *s, uint64_t from, uint64_t to,
+                        mm_time_ms as_of_ms);
 void mm_stream_hurry (mm_stream *s); /* read at the next tick */
 void mm_stream_pause (mm_stream *s); /* instead of a tick: read nothing */
 bool mm_stream_in_touch (const mm_stream *s); /* the last call worked */
--- a/tests/test_list_share.c
+++ b/tests/test_list_share.c
@@ -2,7 +2,7 @@
    process on loopback, with a store of one stream that counts the reads.  */
 #include "config.h"
 #include "harness.h"
-#include "mm_list_news.h"
+#include "mm_list_update.h"
 #include "mm_list_share.h"
 #include "mm_mesh_priv.h"
 
@@ -305,7 +305,7 @@
   for (int i = 0; i < INSTANCES; i++)
     ck_assert_int_le (
         now - mm_stream_known_ms (mm_list_share_stream (w->share[i])),
-        MM_LIST_POLL_MS + MM_LIST_TURN_MS * MM_LIST_TURNS_MAX);
+        MM_LIST_POLL_MS + MM_LIST_PLACE_MS * MM_LIST_PLACES_MAX);
   append (w, 7, true);
   ck_assert_int_le (known_to_all_ms (w, 7), DRAIN_BOUND_MS);
 }
@@ -329,7 +329,7 @@
 }
 END_TEST
 
-/* The store gives the instance whose turn it is no answer, and serves the
+/* The store gives the instance whose round it is no answer, and serves the
    others: they go on, and it hears of the list from them.  */
 START_TEST (reader_without_the_store_is_told_by_the_others)
 {
@@ -348,15 +348,15 @@
 give_update (world *w, mm_transit *way, mm_time_ms ago_ms)
 {
   uint64_t next = mm_stream_next (mm_list_share_stream (w->share[0]));
-  mm_list_news n = { .from = next, .to = next, .age_ms = 5 };
+  mm_list_update n = { .from = next, .to = next, .age_ms = 5 };
   msgpack_sbuffer b;
   msgpack_sbuffer_init (&b);
-  mm_list_news_pack (&n, &b);
-  mm_mesh_msg m = { .kind = MM_MESH_NEWS,
+  mm_list_update_pack (&n, &b);
+  mm_mesh_msg m = { .kind = MM_MESH_UPDATE,
                     .sent_ms = mm_clock_now_ms () - ago_ms,
                     .data = b.data,
                     .len = b.size };
-  mm_mesh_take_news (w->mesh[0], w->info[1].name, way, &m);
+  mm_mesh_take_update (w->mesh[0], w->info[1].name, way, &m);
   msgpack_sbuffer_destroy (&b);
 }
 
@@ -389,7 +389,7 @@
     pass_time (w, MM_EXEC_TICK_MS);
   pass_time (w, after_ms);
   w->lost = i;
-  pass_time (w, MM_LIST_POLL_MS + MM_LIST_TURNS_MAX * MM_LIST_TURN_MS);
+  pass_time (w, MM_LIST_POLL_MS + MM_LIST_PLACES_MAX * MM_LIST_PLACE_MS);
 }
 
 START_TEST (instance_turned_away_after_a_new_read_is_told_by_the_others)
@@ -424,14 +424,14 @@
 }
 END_TEST
 
-/* Whoever reads the list has its answers on its link: the turn goes round.  */
-START_TEST (turns_go_round)
+/* Whoever reads the list has its answers on its link: the round goes round. */
+START_TEST (readers_alternate)
 {
   char *names[INSTANCES];
   bool first[INSTANCES] = { false };
   for (int i = 0; i < INSTANCES; i++)
     names[i] = g_strdup_printf ("n%d", i);
-  for (uint64_t turn = 0; turn < 200; turn++)
+  for (uint64_t round = 0; round < 200; round++)
     {
       int firsts = 0;
       for (int i = 0; i < INSTANCES; i++)
@@ -440,7 +440,7 @@
           for (int k = 0; k < INSTANCES; k++)
             if (k != i)
               others = g_list_prepend (others, names[k]);
-          if (mm_list_place (names[i], others, turn) == 0)
+          if (mm_list_place (names[i], others, round) == 0)
             {
               firsts++;
               first[i] = true;
@@ -490,31 +490,31 @@
 }
 END_TEST
 
-START_TEST (news_go_there_and_back)
+START_TEST (update_is_read_as_it_was_written)
 {
   mm_upstream_info u = listed ("a");
   mm_list_change changes[] = { { .name = "a", .info = &u }, { .name = "b" } };
-  mm_list_news n = { .turn = 3,
-                     .from = 10,
-                     .to = 30,
-                     .age_ms = 7,
-                     .changes = changes,
-                     .n_changes = 2 };
+  mm_list_update n = { .round = 3,
+                       .from = 10,
+                       .to = 30,
+                       .age_ms = 7,
+                       .changes = changes,
+                       .n_changes = 2 };
   msgpack_sbuffer b;
   msgpack_sbuffer_init (&b);
-  mm_list_news_pack (&n, &b);
-  mm_list_news out;
-  ck_assert (mm_list_news_read (b.data, b.size, &out));
+  mm_list_update_pack (&n, &b);
+  mm_list_update out;
+  ck_assert (mm_list_update_read (b.data, b.size, &out));
   ck_assert_uint_eq (out.to, 30);
   ck_assert_uint_eq (out.n_changes, 2);
   ck_assert (out.changes[0].info->draining);
   ck_assert_str_eq (out.changes[0].info->labels[0], "r1-3");
   ck_assert_ptr_null (out.changes[1].info);
-  mm_list_news_clear (&out);
+  mm_list_update_clear (&out);
   for (size_t len = 0; len < b.size; len++)
     {
-      ck_assert (!mm_list_news_read (b.data, len, &out));
-      mm_list_news_clear (&out);
+      ck_assert (!mm_list_update_read (b.data, len, &out));
+      mm_list_update_clear (&out);
     }
   GRand *rand = g_rand_new_with_seed (7);
   for (int i = 0; i < 20000; i++)
@@ -523,8 +523,8 @@
       for (int k = 0; k < 3; k++)
         bytes[g_rand_int_range (rand, 0, (gint32)b.size)]
             = (char)g_rand_int_range (rand, 0, 256);
-      mm_list_news_read (bytes, b.size, &out);
-      mm_list_news_clear (&out);
+      mm_list_update_read (bytes, b.size, &out);
+      mm_list_update_clear (&out);
       g_free (bytes);
     }
   g_rand_free (rand);
@@ -545,9 +545,9 @@
                   instance_turned_away_after_a_new_read_is_told_by_the_others);
   tcase_add_test (c, update_that_was_held_up_is_not_taken_for_a_new_one);
   tcase_add_test (c, list_read_for_the_first_time_is_not_complete_at_once);
-  tcase_add_test (c, turns_go_round);
+  tcase_add_test (c, readers_alternate);
   tcase_add_test (c, log_holds_what_follows_an_offset);
-  tcase_add_test (c, news_go_there_and_back);
+  tcase_add_test (c, update_is_read_as_it_was_written);
   suite_add_tcase (s, c);
   return h_run_suite (s);
 }
