--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -15,7 +15,7 @@
      [HANDED, group]               partitions of it have a new holder
      [FOUND, upstream, run, job, step, index]  it runs there: whose is it?
    Both ways:
-     [NEWS, sent_ms, bytes]        sent_ms by the sender's clock  */
+     [UPDATE, sent_ms, bytes]      sent_ms by the sender's clock  */
 #ifndef MM_MESH_MSG_H
 #define MM_MESH_MSG_H
 
@@ -60,8 +60,8 @@
   mm_task_id task;    /* FOUND */
   uint32_t run;       /* FOUND */
   uint32_t verb;      /* ASK */
-  mm_time_ms sent_ms; /* NEWS */
-  const void *data;   /* ASK, TOLD, NEWS: valid while the message is */
+  mm_time_ms sent_ms; /* UPDATE */
+  const void *data;   /* ASK, TOLD, UPDATE: valid while the message is */
   size_t len;
 } mm_mesh_msg;
 
--- a/src/mm_mesh_priv.h
+++ b/src/mm_mesh_priv.h
@@ -29,8 +29,8 @@
   mm_mesh_room *rooms;
   size_t n_rooms;
   mm_time_ms report_ms; /* when they came */
-  uint64_t known_upto;  /* updated sent over this link */
-  mm_transit transit;   /* of updated that come over it */
+  uint64_t known_upto;  /* updates sent over this link */
+  mm_transit transit;   /* of updates that come over it */
 } mm_mesh_peer;
 
 struct mm_remote
@@ -52,8 +52,8 @@
   uint64_t seen_no;
   mm_time_ms report_ms;
   GByteArray *last_report;
-  uint64_t known_upto; /* updated sent over this link */
-  mm_transit transit;  /* of updated that come over it */
+  uint64_t known_upto; /* updates sent over this link */
+  mm_transit transit;  /* of updates that come over it */
 } mm_mesh_inbound_link;
 
 struct mm_mesh_reply
@@ -97,7 +97,7 @@
 /* mm_mesh_ask.c */
 void mm_mesh_take_ask (mm_mesh_inbound_link *in, const mm_mesh_msg *m);
 
-/* mm_mesh_updated.c */
+/* mm_mesh_update.c */
 void mm_mesh_take_update (mm_mesh *m, const char *peer, mm_transit *transit,
                           const mm_mesh_msg *msg);
 
