Upstream stand-in: one look at whether a start was taken

Cause: crash_soon() was added with the same condition as the line of the run log right after it. One early return serves both; the line is written first, as a crash comes later in any case. Behaviour is the same.

--- a/src/mm_run_server.c
+++ b/src/mm_run_server.c
@@ -214,13 +214,13 @@
   mm_call_verdict v
       = mm_run_table_start (s->table, &o, &work.need, work.run_ms, now);
   log_ends (s);
-  if (mm_run_table_counts (s->table).starts > starts)
-    crash_soon (s, &task, now);
-  if (mm_run_table_counts (s->table).starts > starts)
-    log_line (s, now, "start", &task, o.run,
-              mm_run_table_counts (s->table).over_capacity > over
-                  ? "over_capacity"
-                  : "fits");
+  if (mm_run_table_counts (s->table).starts == starts)
+    return v;
+  log_line (s, now, "start", &task, o.run,
+            mm_run_table_counts (s->table).over_capacity > over
+                ? "over_capacity"
+                : "fits");
+  crash_soon (s, &task, now);
   return v;
 }
 
