Store: no connection that was open at a timeout is used again

A route that the operator had added and the store had acknowledged was refused with 404, and a removed one still served, by instances that nothing had disturbed for the whole of contactMs.

Cause: all open connections to the store went silent at once, while new ones worked. The waiting read of the configuration ended with its timeout, 2,550 ms after it was sent. Its retry took an idle connection out of curl's pool, which was as silent, and waited for the same timeout again: the configuration was in force up to 5.4 s after the connections broke. Joins of a group did the same, one silent connection after another (membership lost for 4.7 s).

Change: mm_store_http notes when a call last timed out, and the calls after it use only connections opened since. curl limits the age of a connection in whole seconds; below two seconds a new connection is opened.

test_store_http: silent_connections_cost_one_timeout failed before (the call after the first timeout was not answered). connections_are_reused_again_after_a_timeout guards against the opposite fault, a new connection for each call.

--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -217,6 +217,8 @@
     /* How long an overdue call stays open for a late answer; 0: it is closed
        at once.  */
     mm_time_ms keep_overdue_ms;
+    /* Only a connection opened since this time is used, 0: any.  */
+    mm_time_ms opened_since_ms;
   } mm_http_call;
   /* @max_host_connections: most connections to one host at a time.  */
   mm_http_client *mm_http_client_create (struct ev_loop *loop,
--- a/src/mm_http_client.c
+++ b/src/mm_http_client.c
@@ -311,6 +311,19 @@
   return handle;
 }
 
+/* Lets a call use only connections that were opened since @since_ms.  curl
+   compares ages in whole seconds, rounded down; the limit is lower by one, so
+   that no older connection is used.  */
+static void
+limit_connection_age (CURL *handle, mm_time_ms since_ms)
+{
+  long age_s = (long)((mm_clock_now_ms () - since_ms) / 1000);
+  if (age_s < 2)
+    curl_easy_setopt (handle, CURLOPT_FRESH_CONNECT, 1L);
+  else
+    curl_easy_setopt (handle, CURLOPT_MAXLIFETIME_CONN, age_s - 1);
+}
+
 /**
  * mm_http_client_send() - start an HTTP call.
  * @c: the client.
@@ -343,6 +356,8 @@
     new_call->headers = curl_slist_append (new_call->headers, spec->header);
   if (spec->new_connection)
     curl_easy_setopt (new_call->easy, CURLOPT_FRESH_CONNECT, 1L);
+  if (spec->opened_since_ms)
+    limit_connection_age (new_call->easy, spec->opened_since_ms);
   curl_easy_setopt (new_call->easy, CURLOPT_HTTPHEADER, new_call->headers);
   curl_easy_setopt (new_call->easy, CURLOPT_PRIVATE, new_call);
   ev_timer_init (&new_call->overdue_timer, overdue_cb,
--- a/src/mm_store_http.c
+++ b/src/mm_store_http.c
@@ -1,4 +1,8 @@
-/* mm_store_http: sends each call to the store as one HTTP call.  */
+/* mm_store_http: sends each call to the store as one HTTP call.
+
+   Open connections can go silent all at once, while new ones work.  After a
+   call without an answer, no connection that was open then is used again:
+   otherwise each call after it could wait for its own timeout.  */
 #include "mm_store_http.h"
 
 #include "mm_metrics.h"
@@ -7,6 +11,8 @@
 {
   mm_http_client *client;
   char *base; /* "http://ip:port" */
+  /* When a call last timed out, 0: never.  */
+  mm_time_ms timed_out_ms;
 };
 
 /**
@@ -34,6 +40,16 @@
   g_free (s);
 }
 
+/* Passes on the result of a call.  */
+static void
+on_done (const mm_http_result *res, void *ctx)
+{
+  mm_store_call *call = ctx;
+  if (g_error_matches (res->error, MM_ERROR, MM_ERROR_TIMEOUT))
+    call->store->timed_out_ms = mm_clock_now_ms ();
+  call->done (res, call);
+}
+
 /* Sends a call with the body of @body, whose other fields are not used.  @done
    receives a copy of @call.  Takes ownership of @path.  */
 static void
@@ -43,12 +59,15 @@
 {
   mm_store_call *copy = g_new (mm_store_call, 1);
   *copy = *call;
+  copy->store = s;
+  copy->done = done;
   char *url = g_strconcat (s->base, path, NULL);
   mm_http_call http = *body;
   http.method = method;
   http.url = url;
   http.timeout_ms = timeout_ms;
-  mm_http_client_send (s->client, &http, done, copy);
+  http.opened_since_ms = s->timed_out_ms;
+  mm_http_client_send (s->client, &http, on_done, copy);
   g_free (url);
   g_free (path);
 }
--- a/src/mm_store_http.h
+++ b/src/mm_store_http.h
@@ -22,6 +22,9 @@
   mm_append_answered append_answered;
   mm_records_answered records_answered;
   void *ctx; /* argument of the callback */
+  /* Set by mm_store_http_send().  */
+  mm_store_http *store;
+  mm_http_done done;
 } mm_store_call;
 
 /* @client must outlive the returned object; @addr: the store's "ip:port".
