Configuration: a module of its own, tested against random faults

mm_node had the configuration's stream and the version in force among its own fields, where no test could reach them without a network. They are a module now (mm_configuration); nothing else changes.

test_configuration plays it against a store in memory, with the clock set by the test: silent, refusing, slow, lossy or stale answers, dropped history while waiting reads hear nothing, records that cannot be decoded or are older, several versions at once, connections that go silent, an instance that stalls, restarts or runs for 25 ms of each 100. It asks that an instance never goes back, that its first version is not older than the newest at its start, and that the newest is in force in time: 2,000 ms after it was stored (3,000 ms on links of 200 and 25 Mbit/s) once the instance was undisturbed for 3,000 ms (4,000 ms).

The worst case, with connections that break right after a read was sent, is the timeout of that read (2,550 ms), the pause (250 ms), a tick and a call, some 2,835 ms, and 2,908 ms for an instance that runs for a part of the time: below 3,000 ms.

Not held on a link of 2 Mbit/s (not among the bounds of the test): the timeout doubles with each failure, and after two calls without an answer a read waits for 4.9 s and more.

--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -3,6 +3,7 @@
 
 #include "config.h"
 #include "mm_catalog.h"
+#include "mm_configuration.h"
 #include "mm_event.h"
 #include "mm_datacentres.h"
 #include "mm_metrics.h"
@@ -26,8 +27,7 @@
   mm_time_ms started_ms;
   mm_time_ms last_loop_ms; /* when the event loop last iterated */
   mm_catalog *catalog;
-  mm_routes *routes;
-  mm_stream *config; /* stream of the configuration */
+  mm_configuration *config;
   mm_list_share *list;
   mm_stream *upstreams; /* stream of the upstream list, owned by list */
   mm_datacentres *owned_datacentres;
@@ -111,27 +111,6 @@
   ev_feed_event (n->loop, &n->tick, EV_TIMER);
 }
 
-/* Applies a configuration that is newer than the one in force.  An older one
-   is refused with a log line; the same version again is ignored.  */
-static void
-on_config (void *ctx, const mm_stream_item *item)
-{
-  mm_node *n = ctx;
-  if (!item->routes)
-    return; /* a deleted configuration stays in force */
-  if (n->routes && item->routes->version <= n->routes->version)
-    {
-      if (item->routes->version < n->routes->version)
-        mm_log_event (MM_EV_CONFIG_REFUSED, MM_INT (item->routes->version),
-                      MM_INT (n->routes->version));
-      return;
-    }
-  mm_routes_unref (n->routes);
-  n->routes = mm_routes_ref (item->routes);
-  mm_log_event (MM_EV_CONFIG_APPLIED, MM_INT (n->routes->version),
-                MM_INT (n->routes->n_routes));
-}
-
 static bool
 handover_idle (void *ctx, const char *datacentre)
 {
@@ -203,7 +182,7 @@
 {
   mm_node *n = w->data;
   mm_time_ms now = mm_clock_now_ms ();
-  mm_stream_tick (n->config);
+  mm_configuration_tick (n->config);
   /* Only owners of partitions and instances with kept jobs read the list.
      When hundreds of instances started at once and all read the list, that
      used the store's whole bandwidth for longer than a configuration may take
@@ -328,9 +307,7 @@
   mm_mesh_set_suspects (n->mesh, n->suspects);
   mm_fleet_set_suspects (n->fleet, n->suspects);
   n->jobs = mm_jobs_create (n->fleet);
-  mm_stream_events config = { .item = on_config, .ctx = n };
-  n->config
-      = mm_stream_create (store, MM_STREAM_CONFIG, MM_CONFIG_WAIT_MS, &config);
+  n->config = mm_configuration_create (store);
   n->list
       = mm_list_share_create (store, n->catalog, n->mesh, member, tick_now, n);
   n->upstreams = mm_list_share_stream (n->list);
@@ -418,19 +395,19 @@
   mm_owner_destroy (n->owner);
   mm_suspects_destroy (n->suspects);
   mm_datacentres_destroy (n->owned_datacentres);
-  mm_stream_destroy (n->config);
+  mm_configuration_destroy (n->config);
   mm_catalog_destroy (n->catalog);
-  mm_routes_unref (n->routes);
   g_free (n);
 }
 
 bool
 mm_node_ready (const mm_node *n)
 {
-  if (n->leaving_ms || !n->routes)
+  const mm_routes *routes = mm_node_routes (n);
+  if (n->leaving_ms || !routes)
     return false;
-  for (size_t i = 0; i < n->routes->n_routes; i++)
-    if (mm_fleet_load (n->fleet, n->routes->routes[i].service, 0).places > 0)
+  for (size_t i = 0; i < routes->n_routes; i++)
+    if (mm_fleet_load (n->fleet, routes->routes[i].service, 0).places > 0)
       return true;
   return false;
 }
@@ -446,7 +423,7 @@
 const mm_routes *
 mm_node_routes (const mm_node *n)
 {
-  return n->routes;
+  return mm_configuration_routes (n->config);
 }
 
 mm_jobs *
@@ -500,6 +477,14 @@
          && open_connections == 0;
 }
 
+/* Returns the version of the configuration in force, 0: none.  */
+static int64_t
+config_version (const mm_node *n)
+{
+  const mm_routes *routes = mm_node_routes (n);
+  return routes ? (int64_t)routes->version : 0;
+}
+
 /**
  * mm_node_metrics() - write counters, gauges and histograms as text.
  * @n: the node.
@@ -518,8 +503,7 @@
   mm_metrics_set (MM_GG_TASKS_WAITING, g.capacity.waiting);
   mm_metrics_set (MM_GG_RUNS, g.runs);
   mm_metrics_set (MM_GG_RUNS_UNSURE, g.in_doubt);
-  mm_metrics_set (MM_GG_CONFIG_VERSION,
-                  n->routes ? (int64_t)n->routes->version : 0);
+  mm_metrics_set (MM_GG_CONFIG_VERSION, config_version (n));
   mm_metrics_set (MM_GG_GENERATION,
                   (int64_t)mm_datacentres_generation (n->owned_datacentres));
   mm_metrics_set (MM_GG_LIST_AGE, list_age_ms (n, mm_clock_now_ms ()));
@@ -537,8 +521,7 @@
   cJSON_AddStringToObject (d, "datacentre", n->settings.datacentre);
   cJSON_AddBoolToObject (d, "ready", mm_node_ready (n));
   cJSON_AddBoolToObject (d, "leaving", n->leaving_ms != 0);
-  cJSON_AddNumberToObject (d, "config_version",
-                           n->routes ? (double)n->routes->version : 0);
+  cJSON_AddNumberToObject (d, "config_version", (double)config_version (n));
   cJSON_AddNumberToObject (
       d, "generation",
       (double)mm_datacentres_generation (n->owned_datacentres));
