exec: an unanswered start frees its capacity after its deadline

Callers saw an upstream's capacity unused for as long as the stops of one unanswered start got no answer, although the upstream answered all holds.

Cause: a run in doubt ended only when its stop was answered, or when the upstream was out of contact for longer than any lease. The second condition that mm_exec.c names, the deadline of the start has passed, was checked in the latter case only.

A hold that was sent after the deadline (with the slack for a slow clock) and that does not list the run shows that the run does not exist, and no start with a passed deadline is carried out.

test_owner unanswered_start_frees_its_capacity_after_its_deadline failed before (the next task had not started after 1,600 ms) and passes now.

--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -139,11 +139,11 @@
 }
 
 /* Ends runs that the upstream should list and does not.  A hold lists a run
-   that was confirmed as running before the hold was sent (@sent_event).  A run
-   in doubt does not exist if its stop was answered before the hold was sent,
-   and the hold does not list it.  */
+   that was confirmed as running before the hold @c was sent.  A run in doubt
+   does not exist if its stop was answered, or the deadline of its start had
+   passed, before the hold was sent, and the hold does not list it.  */
 static void
-process_absent (mm_exec *x, GHashTable *present, uint64_t sent_event)
+process_absent (mm_exec *x, GHashTable *present, const mm_exec_call *c)
 {
   GList *runs = g_hash_table_get_values (x->runs);
   for (GList *l = runs; l && !x->closed; l = l->next)
@@ -152,12 +152,14 @@
       if (g_hash_table_contains (present, r) || r->phase == RUN_ORDERED)
         continue;
       bool stopped
-          = r->stop_answered_event && r->stop_answered_event < sent_event;
-      bool ran = r->running_event && r->running_event < sent_event;
-      if (r->phase == RUN_IN_DOUBT && stopped)
-        mm_exec_finish_run (r,
-                            r->stop_by_owner ? MM_END_STOPPED : MM_END_NOT_RUN,
-                            "start unanswered, stopped ahead of it");
+          = r->stop_answered_event && r->stop_answered_event < c->sent_event;
+      bool late = c->sent_ms > r->sent_ms + MM_LEASE_MS + MM_LEASE_SLACK_MS;
+      bool ran = r->running_event && r->running_event < c->sent_event;
+      if (r->phase == RUN_IN_DOUBT && (stopped || late))
+        mm_exec_finish_run (
+            r, r->stop_by_owner ? MM_END_STOPPED : MM_END_NOT_RUN,
+            stopped ? "start unanswered, stopped ahead of it"
+                    : "start unanswered, its deadline has passed");
       else if (ran)
         mm_exec_finish_run (r, MM_END_LOST, "not listed any more");
     }
@@ -193,7 +195,7 @@
     process_running (x, res, present);
   /* A run that is in neither list may have its end on a later page.  */
   if (!x->closed && !res->more_ended)
-    process_absent (x, present, c->sent_event);
+    process_absent (x, present, c);
   g_hash_table_destroy (present);
   if (first && !x->closed)
     x->ev.capacity_freed (x->ev.ctx, x);
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -227,6 +227,30 @@
 }
 END_TEST
 
+/* Guards against a start that is never carried out and that uses its capacity
+   for as long as its stops get no answer.  */
+START_TEST (unanswered_start_frees_its_capacity_after_its_deadline)
+{
+  fixture fx = fixture_create ();
+  fake *a = fixture_add (&fx, "a");
+  fixture_run (&fx, 10);
+  fake_mode_of (a)->lose_starts = 1;
+  fake_mode_of (a)->lose_stops = G_MAXUINT32;
+  mm_task_request t = fakes_task ("never", 0, UPSTREAM_CPU_MILLI, 300);
+  outcome r[2] = { 0 };
+  r[0].work = mm_owner_submit (fx.owner, &t, on_done, &r[0]);
+  fixture_run (&fx, 100);
+  mm_owner_cancel (fx.owner, r[0].work);
+  t = fakes_task ("next", 0, UPSTREAM_CPU_MILLI, 300);
+  r[1].work = mm_owner_submit (fx.owner, &t, on_done, &r[1]);
+  fixture_run (&fx, MM_LEASE_MS + 600);
+  ck_assert_int_eq (r[1].how, MM_END_DONE);
+  ck_assert_uint_eq (r[1].answers, 1);
+  assert_invariants (&fx);
+  fixture_destroy (&fx);
+}
+END_TEST
+
 /* Orders arrive at an upstream, but its answers are lost.  The task runs until
    its stop arrives.  A task that may run at most once would be started again
    if it were reported as not run.  */
@@ -1072,6 +1096,7 @@
   tcase_add_test (c, tasks_are_in_time_though_orders_get_no_answer);
   tcase_add_test (c, average_place_time_counts_runs_that_were_not_done);
   tcase_add_test (c, order_without_any_answer_is_waited_out);
+  tcase_add_test (c, unanswered_start_frees_its_capacity_after_its_deadline);
   tcase_add_test (
       c, task_whose_start_was_never_answered_is_not_reported_as_not_run);
   tcase_add_test (c, disconnected_upstream_loses_its_task_with_the_lease);
