--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -48,10 +48,13 @@
 /* Submits a task that a peer dispatched to this instance.  A number that is in
    use for another task on the link is ignored.  */
 static void
-handle_run (mm_mesh_inbound_link *in, const mm_mesh_msg *msg)
+handle_run (mm_mesh_inbound_link *in, mm_mesh_msg *msg)
 {
   if (g_hash_table_contains (in->tasks, &msg->number))
     return;
+  in->awaited_ms
+      = MIN (in->awaited_ms, mm_clock_now_ms () - msg->request.silent_ms);
+  msg->request.awaited_ms = &in->awaited_ms;
   inbound_task *t = g_new0 (inbound_task, 1);
   t->inbound = in;
   t->number = msg->number;
@@ -71,6 +74,18 @@
   g_hash_table_remove (in->tasks, &number);
 }
 
+/* Records until when the callers of the tasks on the link waited for them.  A
+   heartbeat may have waited in queues, or in the socket while this instance
+   had no processor time; it says nothing about that time.  */
+static void
+handle_heartbeat (mm_mesh_inbound_link *in, const mm_mesh_msg *msg)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  mm_time_ms queue_delay_ms
+      = mm_queue_delay_record_ms (&in->queue_delay, msg->sent_ms, now);
+  in->awaited_ms = now - queue_delay_ms - msg->silent_ms;
+}
+
 static void
 handle_hello (mm_mesh_inbound_link *in, const mm_mesh_msg *msg)
 {
@@ -105,8 +120,10 @@
     mm_mesh_handle_loss (in->mesh, &msg);
   else if (ok && msg.kind == MM_MESH_HELLO)
     handle_hello (in, &msg);
+  else if (ok && msg.kind == MM_MESH_HEARTBEAT)
+    handle_heartbeat (in, &msg);
   else /* a RELEASED message is ignored when no callback is set */
-    ok = ok && (msg.kind == MM_MESH_HEARTBEAT || msg.kind == MM_MESH_RELEASED);
+    ok = ok && msg.kind == MM_MESH_RELEASED;
   mm_mesh_msg_clear (&msg);
   return ok;
 }
@@ -149,6 +166,7 @@
   in->tasks
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   in->last_report = g_byte_array_new ();
+  in->awaited_ms = mm_clock_now_ms ();
   mm_link_events ev = { .object = on_inbound_object,
                         .closed = on_inbound_closed,
                         .ctx = in };
@@ -387,6 +405,18 @@
          && g_hash_table_size (p->remote_tasks) == 0;
 }
 
+static void
+send_heartbeat (mm_mesh_peer *p, mm_time_ms now)
+{
+  p->heartbeat_sent_ms = now;
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init (&b);
+  mm_mesh_pack_heartbeat (&b, mm_clock_now_ms (),
+                          mm_owner_silent_ms (p->mesh->owner));
+  mm_link_send (p->link, &b);
+  msgpack_sbuffer_destroy (&b);
+}
+
 /* Closes or opens the link to a peer as needed, and sends the heartbeat over
    it.  */
 static void
@@ -401,14 +431,8 @@
   if (!p->link)
     return;
   mm_requests_expire (p->requests, now);
-  if (now - p->heartbeat_sent_ms < MM_MESH_HEARTBEAT_MS)
-    return;
-  p->heartbeat_sent_ms = now;
-  msgpack_sbuffer b;
-  msgpack_sbuffer_init (&b);
-  mm_mesh_pack_heartbeat (&b);
-  mm_link_send (p->link, &b);
-  msgpack_sbuffer_destroy (&b);
+  if (now - p->heartbeat_sent_ms >= MM_MESH_HEARTBEAT_MS)
+    send_heartbeat (p, now);
 }
 
 /* ---- both directions -------------------------------------------------- */
