Jobs: a task waits for one thing at a time, and is dispatched once

What callers would see: a task of their job starts twice, at two owners at the same time.

Cause: a task for which no owner was known and a suspect task that may not run yet were two flags, and dispatch() cleared only that which it had checked last. A task that no owner could take and that then became suspect had both. When owners returned in the moment in which the suspicion was lifted, as they do when a cut ends, one tick dispatched it from both lists; the second handle replaced the first, and nobody waited for the first run any more.

Evidence: test_dispatch_once task_cleared_of_suspicion_as_owners_return_starts_once failed before (4 starts in place of 3).

Change: what a task waits for is one value, and the job counts its tasks by it. A task is dispatched from the list in which it stands.

Conclusion: the test passes; test_suspects, test_poison and test_poison_limit pass.

--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -16,6 +16,16 @@
 
 typedef struct job job;
 
+/* What a task that is not dispatched waits for.  */
+typedef enum
+{
+  WAIT_NONE,    /* it does not wait to be dispatched */
+  WAIT_OWNER,   /* at the last dispatch, neither this instance nor a connected
+                   peer reported any capacity for the service, free or in use */
+  WAIT_VERDICT, /* it is suspect, and may not run for now */
+  WAIT_COUNT
+} task_wait;
+
 /* A task of a job.  */
 typedef struct
 {
@@ -28,11 +38,8 @@
   char *avoid_upstream;     /* where the last unsuccessful run was; or NULL */
   char *returned_by;        /* owner that returned the task unstarted, "": this
                                instance; or NULL */
-  bool undispatched; /* at the last dispatch, neither this instance nor a
-                        connected peer reported any capacity for the service,
-                        free or in use */
-  bool deferred;     /* a suspect task that is not dispatched for now */
-  bool isolated;     /* dispatched as a suspect task that runs isolated */
+  task_wait wait;
+  bool isolated; /* dispatched as a suspect task that runs isolated */
   mm_time_ms redispatch_ms; /* next dispatch of a task in doubt, else 0 */
   bool done;                /* a run has ended successfully */
 } task;
@@ -53,12 +60,11 @@
   task *tasks;
   uint32_t n_tasks;
   mm_steps *steps;
-  bool dispatched;         /* a task was dispatched and may have started */
-  uint32_t n_undispatched; /* tasks with @undispatched set */
-  uint32_t n_in_doubt;     /* tasks with @redispatch_ms set */
-  uint32_t n_deferred;     /* tasks with @deferred set */
-  uint32_t n_isolated;     /* tasks with @isolated set */
-  GList *callers;          /* mm_caller: all get the answer */
+  bool dispatched; /* a task was dispatched and may have started */
+  uint32_t n_waiting[WAIT_COUNT]; /* tasks by their @wait */
+  uint32_t n_in_doubt;            /* tasks with @redispatch_ms set */
+  uint32_t n_isolated;            /* tasks with @isolated set */
+  GList *callers;                 /* mm_caller: all get the answer */
 };
 
 struct mm_caller
@@ -179,16 +185,16 @@
 
 static void on_task_ended (void *ctx, const mm_work_result *r);
 
-/* Leaves a suspect task undispatched until retry_deferred().  */
 static void
-defer (task *t)
+set_wait (task *t, task_wait wait)
 {
-  t->deferred = true;
-  t->job->n_deferred++;
+  t->job->n_waiting[t->wait]--;
+  t->wait = wait;
+  t->job->n_waiting[t->wait]++;
 }
 
-/* Dispatches a task to an owner, or defers it while it is suspect and may not
-   run yet.  When neither this instance nor a connected peer reports any
+/* Dispatches a task to an owner, or lets it wait while it is suspect and may
+   not run yet.  When neither this instance nor a connected peer reports any
    capacity for the service, the dispatch is repeated at each tick, since
    owners are back within a second or two.  */
 static void
@@ -198,7 +204,7 @@
   mm_suspect_action action = mm_fleet_suspect_action (b->jobs->fleet, &t->id);
   if (!mm_suspect_may_run (action, b->n_isolated))
     {
-      defer (t);
+      set_wait (t, WAIT_VERDICT);
       return;
     }
   const mm_step *step = &b->submission->steps[t->id.step];
@@ -225,8 +231,7 @@
   t->dispatched_ms = now;
   t->handle
       = mm_fleet_submit (b->jobs->fleet, &r, t->returned_by, on_task_ended, t);
-  t->undispatched = !t->handle;
-  b->n_undispatched += t->undispatched;
+  set_wait (t, t->handle ? WAIT_NONE : WAIT_OWNER);
   t->isolated = t->handle && r.isolated;
   b->n_isolated += t->isolated;
   b->dispatched = b->dispatched || t->handle;
@@ -444,7 +449,7 @@
                        + mm_admission_limit_ms (route->stretch, route->slo_ms,
                                                 mm_submission_chain_ms (s));
   b->latest_start_ms = MIN (b->latest_start_ms, b->deadline_ms);
-  b->n_tasks = mm_submission_tasks (s);
+  b->n_tasks = b->n_waiting[WAIT_NONE] = mm_submission_tasks (s);
   b->tasks = g_new0 (task, b->n_tasks);
   b->steps = mm_steps_create (s);
   for (uint32_t i = 0; i < b->n_tasks; i++)
@@ -625,6 +630,15 @@
   answer_all (j, MM_ANSWER_UNKNOWN, why, G_MAXINT64);
 }
 
+/* Dispatches again the tasks of a job that wait for the same.  */
+static void
+dispatch_waiting (job *b, task_wait wait)
+{
+  for (uint32_t i = 0; i < b->n_tasks; i++)
+    if (b->tasks[i].wait == wait)
+      dispatch (&b->tasks[i]);
+}
+
 /* Dispatches again the tasks for whose service no capacity was reported, or
    gives up the job when it is too late for them to start.  */
 static void
@@ -635,10 +649,7 @@
       give_up (b, "no owner in reach");
       return;
     }
-  b->n_undispatched = 0;
-  for (uint32_t i = 0; i < b->n_tasks; i++)
-    if (b->tasks[i].undispatched)
-      dispatch (&b->tasks[i]);
+  dispatch_waiting (b, WAIT_OWNER);
 }
 
 /* Dispatches the tasks in doubt whose earlier runs have ended by now.  */
@@ -656,11 +667,11 @@
     }
 }
 
-/* Dispatches the job's deferred tasks again, if they may run: more may be
+/* Dispatches the job's waiting suspects again, if they may run: more may be
    known by now of the upstreams that were lost while running them.  Fails the
    job when one is a poison task, and gives the job up after its deadline.  */
 static void
-retry_deferred (job *b, mm_time_ms now)
+retry_suspects (job *b, mm_time_ms now)
 {
   if (fail_on_poison_task (b))
     return;
@@ -669,23 +680,16 @@
       give_up (b, "upstreams were lost under a task");
       return;
     }
-  b->n_deferred = 0;
-  for (uint32_t i = 0; i < b->n_tasks; i++)
-    {
-      bool deferred = b->tasks[i].deferred;
-      b->tasks[i].deferred = false;
-      if (deferred)
-        dispatch (&b->tasks[i]);
-    }
+  dispatch_waiting (b, WAIT_VERDICT);
 }
 
 static void
-retry_all_deferred (mm_jobs *j, mm_time_ms now)
+retry_all_suspects (mm_jobs *j, mm_time_ms now)
 {
   GList *jobs = g_hash_table_get_values (j->by_id);
   for (GList *l = jobs; l; l = l->next)
-    if (((job *)l->data)->n_deferred)
-      retry_deferred (l->data, now);
+    if (((job *)l->data)->n_waiting[WAIT_VERDICT])
+      retry_suspects (l->data, now);
   g_list_free (jobs);
 }
 
@@ -699,11 +703,11 @@
       job *b = l->data;
       if (b->n_in_doubt)
         redispatch_in_doubt (b, now);
-      if (b->n_undispatched)
+      if (b->n_waiting[WAIT_OWNER])
         retry_undispatched (b, now);
     }
   g_list_free (jobs);
-  retry_all_deferred (j, now);
+  retry_all_suspects (j, now);
   answer_all (j, MM_ANSWER_GIVEN_UP, "the caller's time is over",
               mm_clock_now_ms ());
 }
