--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -105,6 +105,43 @@
 }
 END_TEST
 
+/* Guards against a configuration of which one field is wrong or missing and
+   that is in force all the same, wholly or in part.  */
+START_TEST (configuration_with_a_wrong_field_is_refused)
+{
+  static const char *const good[]
+      = { "\"version\":7",        "\"name\":\"r\"",    "\"host\":\"a\"",
+          "\"pathPrefix\":\"/\"", "\"service\":\"s\"", "\"priority\":2",
+          "\"attempts\":4",       "\"sloMs\":60",      "\"stretch\":1.6" };
+  static const char *const bad[] = {
+    "\"version\":\"7\"",   "\"version\":-1",        "\"other\":7",
+    "\"name\":1",          "\"host\":[\"a\"]",      "\"other\":\"a\"",
+    "\"pathPrefix\":null", "\"service\":{\"s\":1}", "\"priority\":\"high\"",
+    "\"priority\":0.5",    "\"attempts\":-4",       "\"sloMs\":true",
+    "\"stretch\":\"1.6\""
+  };
+  static const size_t replaced[] = { 0, 0, 0, 1, 2, 2, 3, 4, 5, 5, 6, 7, 8 };
+  for (size_t i = 0; i <= G_N_ELEMENTS (bad); i++)
+    {
+      const char *f[G_N_ELEMENTS (good)];
+      memcpy (f, good, sizeof f);
+      if (i < G_N_ELEMENTS (bad))
+        f[replaced[i]] = bad[i];
+      char *body = g_strdup_printf (
+          "{%s,\"routes\":[{\"host\":\"b\",\"pathPrefix\":\"/\","
+          "\"service\":\"s\"},{%s,%s,%s,%s,%s,%s,%s,%s}]}",
+          f[0], f[1], f[2], f[3], f[4], f[5], f[6], f[7], f[8]);
+      GError *error = NULL;
+      mm_routes *r = pf_routes_decode (body, strlen (body), &error);
+      ck_assert_msg ((r != NULL) == (i == G_N_ELEMENTS (bad)), "%s", body);
+      ck_assert (r || g_error_matches (error, MM_ERROR, MM_ERROR_DECODE));
+      g_clear_error (&error);
+      mm_routes_unref (r);
+      g_free (body);
+    }
+}
+END_TEST
+
 /* Guards against an entry of the upstream list that loses a field, and a
    malformed entry that is used as an upstream.  */
 START_TEST (upstream_entry_is_decoded)
@@ -207,6 +244,7 @@
   tcase_add_test (c, job_body_is_decoded);
   tcase_add_test (c, bad_job_bodies_are_refused_with_a_typed_error);
   tcase_add_test (c, configuration_is_decoded);
+  tcase_add_test (c, configuration_with_a_wrong_field_is_refused);
   tcase_add_test (c, upstream_entry_is_decoded);
   tcase_add_test (c, task_names_round_trip);
   tcase_add_test (c, lists_of_runs_are_decoded);
