exec: a run that has to end and does not is logged and counted

In the incident the log could not tell why a run went on: that a stop got no answer was there, that the lease was renewed meanwhile was not.

leases_limited names the run that limits the leases at an upstream, the time left, and since when it is stopped; masticmill_leases_limited_total counts these. masticmill_run_stop_seconds is the time from the first stop of a run until it has ended. What leases depend on is a file of its own, mm_exec_lease.c; the time at which a stop was first wanted is set in one place.

test_owner stop_that_is_never_answered_is_logged_and_counted is new.

--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -116,6 +116,13 @@
       "there until a call succeeds." },
   [MM_EV_UPSTREAM_BACK]
   = { "upstream_back", RATE_HIGH, "upstream", "The upstream answers again." },
+  [MM_EV_LEASES_LIMITED]
+  = { "leases_limited", RATE_HIGH,
+      "job task upstream run left_ms stopping_ms runs",
+      "This run must have ended in left_ms, and leases at the upstream are "
+      "not renewed beyond that. Its stop was first ordered stopping_ms ago "
+      "(-1: it is not stopped, but the instance of its caller is silent). "
+      "Nothing starts there until it has ended." },
   [MM_EV_UPSTREAM_EXCLUDED]
   = { "upstream_excluded", RATE_HIGH, "upstream failures for_ms",
       "Consecutive tasks failed at the upstream; its circuit breaker is "
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -64,6 +64,15 @@
     run_free (r);
 }
 
+void
+mm_exec_want_stop (mm_exec_run *r, bool by_owner)
+{
+  if (!r->stop_wanted)
+    r->stop_wanted_ms = mm_clock_now_ms ();
+  r->stop_wanted = true;
+  r->stop_by_owner = r->stop_by_owner || by_owner;
+}
+
 void
 mm_exec_finish_run (mm_exec_run *r, mm_end how, const char *why)
 {
@@ -71,6 +80,8 @@
   if (r->ended)
     return;
   r->ended = true;
+  if (r->stop_wanted)
+    mm_metrics_time (MM_HG_RUN_STOP, mm_clock_now_ms () - r->stop_wanted_ms);
   mm_resources_sub (&x->used, &r->resources);
   if (r->foreign)
     x->n_foreign--;
@@ -298,7 +309,7 @@
       r->phase = RUN_IN_DOUBT;
       record_unanswered (r, "start");
       mm_exec_become_suspect (x, "start", v);
-      r->stop_wanted = true;
+      mm_exec_want_stop (r, false);
       mm_exec_send_stop (r, true);
       notify_if_fenced (x);
       break;
@@ -367,50 +378,6 @@
   mm_exec_call_close (c, res->overdue);
 }
 
-/* Returns until when the lease of a run may be renewed.  */
-static mm_time_ms
-run_lease_limit_ms (const mm_exec_run *r)
-{
-  if (r->end_by_ms)
-    return r->end_by_ms;
-  return r->awaited_ms ? *r->awaited_ms + MM_RUN_LIMIT_MS : G_MAXINT64;
-}
-
-/* Fixes until when the lease of a run may be renewed, as its submitter waits
-   no longer.  */
-static void
-fix_lease_limit (mm_exec_run *r)
-{
-  /* A task of a kept job is started again only after it was searched for.  */
-  if (!r->kept)
-    r->end_by_ms
-        = MIN (run_lease_limit_ms (r), mm_clock_now_ms () + MM_RUN_LIMIT_MS);
-  r->awaited_ms = NULL;
-}
-
-void
-mm_exec_update_lease_limit (mm_exec *x)
-{
-  x->lease_limit_ms = G_MAXINT64;
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init (&it, x->runs);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    x->lease_limit_ms = MIN (x->lease_limit_ms, run_lease_limit_ms (v));
-}
-
-mm_time_ms
-mm_exec_lease_deadline (mm_exec *x)
-{
-  mm_time_ms now = mm_clock_now_ms ();
-  mm_exec_update_lease_limit (x);
-  mm_time_ms expires_ms = MIN (now + MM_LEASE_MS, x->lease_limit_ms);
-  if (expires_ms <= now)
-    return 0;
-  x->leases_expire_ms = MAX (x->leases_expire_ms, expires_ms);
-  return expires_ms + mm_exec_clock_offset_ms (x, now);
-}
-
 /* Sends the start order of a run.  The upstream does not carry the order out
    after the time at which leases that are renewed now end.  */
 static void
@@ -502,8 +469,8 @@
   mm_exec_run *r = run_of_work (x, work);
   if (!r)
     return;
-  r->stop_wanted = r->stop_by_owner = true;
-  fix_lease_limit (r);
+  mm_exec_want_stop (r, true);
+  mm_exec_fix_lease_limit (r);
   mm_log_event (MM_EV_TASK_STOPPED, MM_TASK (&r->id), MM_TEXT (x->info->name),
                 MM_TEXT ("its caller no longer waits"));
   mm_exec_send_stop (r, false);
@@ -517,7 +484,7 @@
   if (!r || r->phase == RUN_ORDERED)
     return 0;
   r->work = NULL;
-  fix_lease_limit (r);
+  mm_exec_fix_lease_limit (r);
   *ran_ms = mm_clock_now_ms () - r->ordered_ms;
   return r->number;
 }
--- a/src/mm_exec_hold.c
+++ b/src/mm_exec_hold.c
@@ -21,7 +21,7 @@
       if (!r->foreign || r->stop_wanted
           || now - r->ordered_ms < MM_ADOPT_TIMEOUT_MS)
         continue;
-      r->stop_wanted = r->stop_by_owner = true;
+      mm_exec_want_stop (r, true);
       mm_exec_send_stop (r, false);
     }
 }
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -88,7 +88,7 @@
   g_hash_table_insert (x->runs, &r->id, r);
   if (x->ev.foreign_run_found (x->ev.ctx, x, &r->id, r->number))
     return;
-  r->stop_wanted = r->stop_by_owner = true;
+  mm_exec_want_stop (r, true);
   mm_exec_send_stop (r, false);
 }
 
@@ -110,7 +110,7 @@
   if (!MM_WITH_PROGRESS || r->stop_wanted || now - r->progress_ms < limit_ms)
     return;
   mm_exec *x = r->exec;
-  r->stop_wanted = true;
+  mm_exec_want_stop (r, false);
   mm_log_event (MM_EV_TASK_STOPPED, MM_TASK (&r->id), MM_TEXT (x->info->name),
                 MM_TEXT ("it is stalled"));
   x->ev.upstream_unhealthy (x->ev.ctx, x);
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -28,7 +28,8 @@
   /* Set by the owner, or because the start had no answer, the task is stalled
      or the run was not adopted.  */
   bool stop_wanted;
-  bool stop_by_owner;   /* ends as MM_END_STOPPED, not MM_END_NOT_RUN */
+  mm_time_ms stop_wanted_ms; /* when stop_wanted was set */
+  bool stop_by_owner;        /* ends as MM_END_STOPPED, not MM_END_NOT_RUN */
   mm_time_ms end_by_ms; /* leases are not renewed beyond this time, 0: that
                            follows from awaited_ms */
   const mm_time_ms *awaited_ms; /* mm_task_request.awaited_ms, or NULL */
@@ -74,6 +75,7 @@
   mm_time_ms hold_failed_ms;   /* the last hold failed then, 0: it did not */
   mm_time_ms leases_expire_ms; /* all leases end by then on our clock */
   mm_time_ms lease_limit_ms;   /* mm_exec_update_lease_limit() */
+  bool lease_limited;          /* logged: leases are too short for new runs */
   mm_time_ms unacked_since_ms; /* when the first unacknowledged end was seen,
                                   0: none */
   uint64_t seen_seq;           /* sequence number of the newest end seen */
@@ -117,19 +119,26 @@
    run whose start was refused did not run.  */
 void mm_exec_become_fenced (mm_exec *x, mm_exec_run *refused);
 void mm_exec_on_replaced (mm_exec *x); /* another incarnation answered */
+/* Drops a reference; the last one frees the session.  */
+void mm_exec_unref (mm_exec *x);
+
+/* Records that a run is to end.  @by_owner: its owner waits for it no more. */
+void mm_exec_want_stop (mm_exec_run *r, bool by_owner);
+
+/* mm_exec_lease.c */
 /* Renews the leases; returns their end on the upstream's clock, 0: a run there
    has to end, and they are not renewed any more.  */
 mm_time_ms mm_exec_lease_deadline (mm_exec *x);
 /* Computes until when leases may be renewed.  A lease covers all runs on the
    upstream, so the run that has to end first decides.  */
 void mm_exec_update_lease_limit (mm_exec *x);
+/* Fixes until when the lease of a run may be renewed, as its submitter waits
+   no longer.  */
+void mm_exec_fix_lease_limit (mm_exec_run *r);
 /* Returns whether a run that is started now can have a lease that is long
    enough.  */
 bool mm_exec_can_lease (const mm_exec *x);
 
-/* Drops a reference; the last one frees the session.  */
-void mm_exec_unref (mm_exec *x);
-
 /* mm_exec_hold.c */
 /* Sends a hold that waits at the upstream for an end, for @wait_ms at most.
    The leases are renewed if @renew is set and the upstream's clock is known.
--- a/src/mm_metrics.c
+++ b/src/mm_metrics.c
@@ -50,6 +50,9 @@
   [MM_CT_TASKS_UNKNOWN] = { TASKS, "how=\"unknown\"", TASKS_HELP },
   [MM_CT_ORDERS_UNANSWERED] = { "masticmill_orders_unanswered_total", NULL,
                                 "Starts and stops without an answer." },
+  [MM_CT_LEASES_LIMITED]
+  = { "masticmill_leases_limited_total", NULL,
+      "Upstreams whose leases were not renewed, as a run had to end." },
   [MM_CT_ANSWERS_LATE]
   = { "masticmill_answers_late_total", NULL,
       "Answers of upstreams that came after their timeout." },
@@ -162,6 +165,8 @@
                          "Order to start until its answer." },
   [MM_HG_TASK_RUN] = { "masticmill_task_run_seconds", NULL,
                        "Order to start until the end, done tasks." },
+  [MM_HG_RUN_STOP] = { "masticmill_run_stop_seconds", NULL,
+                       "First order to stop a run until it has ended." },
   [MM_HG_JOIN_CALL] = { "masticmill_join_call_seconds", NULL,
                         "Calls that keep the group membership." },
   [MM_HG_START_VIEW] = { "masticmill_start_view_age_seconds", NULL,
--- a/src/mm_metrics.h
+++ b/src/mm_metrics.h
@@ -32,6 +32,7 @@
   MM_CT_TASKS_UNKNOWN,
   MM_CT_ORDERS_UNANSWERED,
   MM_CT_ANSWERS_LATE,
+  MM_CT_LEASES_LIMITED,
   MM_CT_HOLDS,
   MM_CT_HOLDS_FAILED,
   MM_CT_FENCED,
@@ -94,6 +95,7 @@
   MM_HG_QUEUE_WAIT, /* from dispatch to an owner until the start is sent */
   MM_HG_START_CALL, /* from a start until its answer */
   MM_HG_TASK_RUN,   /* from a start until the end, of tasks that are done */
+  MM_HG_RUN_STOP,   /* from the first stop of a run until its end */
   MM_HG_JOIN_CALL,  /* a call to the store that joins a group */
   MM_HG_START_VIEW, /* age of the list of upstreams at a start */
   MM_HG_COUNT
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -274,6 +274,29 @@
    be started elsewhere before its lease expires.  The task must be reported as
    lost when the lease expires, not only when the upstream is reachable
    again.  */
+START_TEST (stop_that_is_never_answered_is_logged_and_counted)
+{
+  fixture fx = fixture_create ();
+  fake *a = fixture_add (&fx, "a");
+  fixture_run (&fx, 10);
+  outcome stays, leaves;
+  submit (&fx, &stays, "stays", 0, 8000);
+  submit (&fx, &leaves, "leaves", 0, 8000);
+  fixture_run (&fx, 100);
+  fake_mode_of (a)->lose_stops = 1000;
+  mm_owner_cancel (fx.owner, leaves.work);
+  fixture_run (&fx, MM_RESEND_MS);
+  ck_assert_uint_eq (fake_running (a), 0);
+  char *metrics = mm_metrics_text ();
+  ck_assert_ptr_nonnull (
+      strstr (metrics, "masticmill_leases_limited_total 1\n"));
+  ck_assert_ptr_nonnull (
+      strstr (metrics, "masticmill_run_stop_seconds_count 1\n"));
+  free (metrics);
+  fixture_destroy (&fx);
+}
+END_TEST
+
 /* Guards against a start that is carried out after its owner took it for void:
    the upstream was idle, and its clock fell behind what the owner knew.  */
 START_TEST (late_start_on_a_slow_clock_after_an_idle_time_does_not_run)
@@ -1136,6 +1159,7 @@
   tcase_add_test (c, average_place_time_counts_runs_that_were_not_done);
   tcase_add_test (c, order_without_any_answer_is_waited_out);
   tcase_add_test (c, unanswered_start_frees_its_capacity_after_its_deadline);
+  tcase_add_test (c, stop_that_is_never_answered_is_logged_and_counted);
   tcase_add_test (c,
                   late_start_on_a_slow_clock_after_an_idle_time_does_not_run);
   tcase_add_test (c,
