Store: the configuration is read on a connection of its own

A route that the store had acknowledged 2.1 s before was refused with 404 by an instance that nothing had disturbed for contactMs.

Cause: open connections had gone silent 1.3 s before the instance began its next read of the configuration, which took one of them out of the pool: it had been idle, and no call had shown yet that it was silent. The read waited for its timeout of 2,550 ms from then on; the configuration was in force 4.2 s after the connections broke.

Change: the reads of the configuration are the only calls of their connection. One of them waits there nearly always, so that its timeout counts from the moment in which the connection becomes silent.

--- a/daemons/masticmill_node.c
+++ b/daemons/masticmill_node.c
@@ -20,11 +20,12 @@
   mm_http_handler on_request;      /* handles callers' requests */
   mm_http_client *upstream_client; /* connections to upstreams */
   mm_http_client *store_client;    /* connections to the store */
-  mm_exec_http *exec;              /* calls to upstreams */
-  mm_store_http *store_http;       /* calls to the store */
-  mm_store_port store;             /* uses store_http */
-  ev_timer leave_timer;            /* runs during a graceful shutdown */
-  mm_time_ms leave_started_ms;     /* when the shutdown started, 0: not yet */
+  mm_http_client *config_client; /* connection that reads the configuration */
+  mm_exec_http *exec;            /* calls to upstreams */
+  mm_store_http *store_http;     /* calls to the store */
+  mm_store_port store;           /* uses store_http */
+  ev_timer leave_timer;          /* runs during a graceful shutdown */
+  mm_time_ms leave_started_ms;   /* when the shutdown started, 0: not yet */
 } process;
 
 /* Sets up the protocols spoken with upstreams, store and callers, by the
@@ -130,8 +131,11 @@
   p->upstream_client
       = mm_http_client_create (p->loop, MM_DEFAULT_UPSTREAM_CONNECTIONS);
   p->store_client = mm_http_client_create (p->loop, MM_PLATFORM_CONNECTIONS);
+  p->config_client = mm_http_client_create (p->loop, 1);
   mm_http_client_set_member (p->store_client, settings->name);
-  p->store_http = mm_store_http_create (p->store_client, settings->store);
+  mm_http_client_set_member (p->config_client, settings->name);
+  p->store_http = mm_store_http_create (p->store_client, p->config_client,
+                                        settings->store);
   if (!choose_interface (p, settings, error))
     return false;
   p->store.link_mbps = settings->link_mbps;
--- a/src/mm_store_http.c
+++ b/src/mm_store_http.c
@@ -2,7 +2,11 @@
 
    Open connections can go silent all at once, while new ones work.  After a
    call without an answer, no connection that was open then is used again:
-   otherwise each call after it could wait for its own timeout.  */
+   otherwise each call after it could wait for its own timeout.  The reads of
+   the configuration have a connection of their own, which is in use nearly all
+   the time: that it is silent shows within the timeout of one read.  A
+   connection that was idle meanwhile would show it only when a read uses it,
+   long after.  */
 #include "mm_store_http.h"
 
 #include "mm_metrics.h"
@@ -10,7 +14,8 @@
 struct mm_store_http
 {
   mm_http_client *client;
-  char *base; /* "http://ip:port" */
+  mm_http_client *config_client; /* for the reads of the configuration */
+  char *base;                    /* "http://ip:port" */
   /* When a call last timed out, 0: never.  */
   mm_time_ms timed_out_ms;
 };
@@ -18,15 +23,19 @@
 /**
  * mm_store_http_create() - create a client for the calls to a store.
  * @client: makes the calls; must outlive the returned object.
+ * @config_client: makes the reads of the configuration, and no other calls;
+ *                 must outlive the returned object.
  * @addr: the store's "ip:port"; copied.
  *
  * Return: the client; free with mm_store_http_destroy().
  */
 mm_store_http *
-mm_store_http_create (mm_http_client *client, const char *addr)
+mm_store_http_create (mm_http_client *client, mm_http_client *config_client,
+                      const char *addr)
 {
   mm_store_http *s = g_new0 (mm_store_http, 1);
   s->client = client;
+  s->config_client = config_client;
   s->base = g_strdup_printf ("http://%s", addr);
   return s;
 }
@@ -67,7 +76,9 @@
   http.url = url;
   http.timeout_ms = timeout_ms;
   http.opened_since_ms = s->timed_out_ms;
-  mm_http_client_send (s->client, &http, on_done, copy);
+  bool reads_config = call->stream_answered && call->kind == MM_STREAM_CONFIG;
+  mm_http_client_send (reads_config ? s->config_client : s->client, &http,
+                       on_done, copy);
   g_free (url);
   g_free (path);
 }
--- a/src/mm_store_http.h
+++ b/src/mm_store_http.h
@@ -27,9 +27,12 @@
   mm_http_done done;
 } mm_store_call;
 
-/* @client must outlive the returned object; @addr: the store's "ip:port".
-   Free with mm_store_http_destroy().  */
-mm_store_http *mm_store_http_create (mm_http_client *client, const char *addr);
+/* @client and @config_client, which is used for the reads of the configuration
+   alone, must outlive the returned object; @addr: the store's "ip:port".  Free
+   with mm_store_http_destroy().  */
+mm_store_http *mm_store_http_create (mm_http_client *client,
+                                     mm_http_client *config_client,
+                                     const char *addr);
 void mm_store_http_destroy (mm_store_http *s);
 /* Sends a call.  Takes ownership of @path and @body (NULL: none).  @done is
    called with a copy of @call, which an mm_store_answer_*() function frees. */
--- a/tests/test_store_http.c
+++ b/tests/test_store_http.c
@@ -97,7 +97,7 @@
 {
   silent_server server;
   struct ev_loop *loop;
-  mm_http_client *client;
+  mm_http_client *client, *config_client;
   mm_store_http *store;
   int in_flight; /* calls not answered yet */
   int answered;  /* calls with an answer */
@@ -111,7 +111,8 @@
   f->loop = ev_loop_new (0);
   f->client = mm_http_client_create (f->loop, 32);
   char *addr = g_strdup_printf ("127.0.0.1:%u", f->server.port);
-  f->store = mm_store_http_create (f->client, addr);
+  f->config_client = mm_http_client_create (f->loop, 1);
+  f->store = mm_store_http_create (f->client, f->config_client, addr);
   g_free (addr);
 }
 
@@ -120,6 +121,7 @@
 {
   mm_store_http_destroy (f->store);
   mm_http_client_destroy (f->client);
+  mm_http_client_destroy (f->config_client);
   ev_loop_destroy (f->loop);
 }
 
@@ -148,11 +150,38 @@
   return f->answered;
 }
 
+static void
+ignore_answer (const mm_stream_result *res, void *ctx)
+{
+}
+
+/* Reads the configuration.  Returns whether the read was answered.  */
+static bool
+read_config (fixture *f)
+{
+  f->in_flight = 1;
+  f->answered = 0;
+  mm_store_call call = { .kind = MM_STREAM_CONFIG,
+                         .stream_answered = ignore_answer,
+                         .ctx = f };
+  mm_store_http_send (f->store, "GET", g_strdup ("/log-read"), NULL,
+                      TIMEOUT_MS, call_done, &call);
+  ev_run (f->loop, 0);
+  return f->answered == 1;
+}
+
+/* Makes the first @n connections silent; new ones are answered.  */
+static void
+silence_first (fixture *f, int n)
+{
+  g_atomic_int_set (&f->server.silent, n);
+}
+
 /* Makes all open connections silent; new ones are answered.  */
 static void
 silence (fixture *f)
 {
-  g_atomic_int_set (&f->server.silent, g_atomic_int_get (&f->server.accepted));
+  silence_first (f, g_atomic_int_get (&f->server.accepted));
 }
 
 /* All open connections to the store go silent.  Guards against calls that
@@ -190,6 +219,22 @@
 }
 END_TEST
 
+/* Guards against a configuration that is late because its read took a
+   connection which had gone silent long before, while it was idle.  */
+START_TEST (configuration_is_read_on_a_connection_of_its_own)
+{
+  fixture f;
+  fixture_init (&f);
+  ck_assert_int_eq (call_store (&f, CONNECTIONS), CONNECTIONS);
+  ck_assert (read_config (&f));
+  ck_assert_int_eq (g_atomic_int_get (&f.server.accepted), CONNECTIONS + 1);
+  silence_first (&f, CONNECTIONS);
+  ck_assert (read_config (&f));
+  ck_assert_int_eq (g_atomic_int_get (&f.server.accepted), CONNECTIONS + 1);
+  fixture_clear (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -198,6 +243,7 @@
   tcase_set_timeout (tc, 30);
   tcase_add_test (tc, silent_connections_cost_one_timeout);
   tcase_add_test (tc, connections_are_reused_again_after_a_timeout);
+  tcase_add_test (tc, configuration_is_read_on_a_connection_of_its_own);
   suite_add_tcase (s, tc);
   return h_run_suite (s);
 }
