owner: a found run with a higher token ends the session at once

An instance could crash, or count the capacity of an upstream twice.

Cause: when the next owner of an upstream claimed a run, the previous owner gave the task up but kept its session until a call was refused. A task that came back within that time was started in the session that still listed its first run; the table of runs then held the key of a freed run (use after free, seen with the address sanitizer).

The owner that found the run holds a higher token, so the session has ended: it is treated as fenced when the run is claimed.

test_resend claimed_task_is_not_started_again_by_its_previous_owner failed before (2 starts) and passes now.

--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -130,6 +130,12 @@
   g_list_free (runs);
 }
 
+void
+mm_exec_set_fenced (mm_exec *x)
+{
+  mm_exec_become_fenced (x, NULL);
+}
+
 static void
 end_all_runs (mm_exec *x, const char *why)
 {
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -198,6 +198,9 @@
 size_t mm_exec_count_in_doubt (const mm_exec *x);
 const mm_upstream_info *mm_exec_info (const mm_exec *x); /* list entry */
 uint64_t mm_exec_fence (const mm_exec *x); /* our fencing token there */
+/* Ends the session because another owner's higher fencing token is known to
+   have been seen at the upstream.  */
+void mm_exec_set_fenced (mm_exec *x);
 /* Orders the start of a task, which must fit the free capacity; the session
    must be usable.  @work is passed to run_ended().  */
 void mm_exec_start (mm_exec *x, const mm_task_request *t, void *work);
--- a/src/mm_owner_adopt.c
+++ b/src/mm_owner_adopt.c
@@ -76,31 +76,26 @@
   g_list_free (works);
 }
 
-/* Returns the task here that started the run @r, if the owner that found the
-   run holds a higher fencing token at the upstream; NULL otherwise.  A
+/* Ends the session with the upstream of a found run, if the owner that found
+   the run holds a higher fencing token there: its tasks become orphans.  This
+   instance may not have noticed yet that the upstream has another owner.  A
    previous owner with a lower token may also find runs that were started here:
    a hold that it sent before the change of owner is still answered.  */
-static mm_work *
-running_work (mm_owner *o, const mm_found_run *r)
+static void
+fence_if_outranked (mm_owner *o, const mm_found_run *r)
 {
-  mm_work *w = g_hash_table_lookup (o->active, &r->task);
-  if (!w || w->request.kept || w->cancelled)
-    return NULL;
-  const mm_exec *x = w->running_on->exec;
-  bool outranked = r->fence > mm_exec_fence (x)
-                   && strcmp (mm_exec_info (x)->name, r->upstream) == 0;
-  return outranked ? w : NULL;
+  mm_owned_upstream *owned
+      = g_hash_table_lookup (o->owned_upstreams, r->upstream);
+  if (owned && !mm_exec_fenced (owned->exec)
+      && r->fence > mm_exec_fence (owned->exec))
+    mm_exec_set_fenced (owned->exec);
 }
 
 mm_work *
 mm_owner_claim (mm_owner *o, const mm_found_run *r, mm_task_request *t)
 {
-  /* This instance may not have noticed yet that the upstream has another
-     owner.  */
-  mm_work *w = running_work (o, r);
-  if (w)
-    orphan (o, w, "upstream taken over");
-  w = g_hash_table_lookup (o->orphans, &r->task);
+  fence_if_outranked (o, r);
+  mm_work *w = g_hash_table_lookup (o->orphans, &r->task);
   if (!w || w->run != r->run || w->orphaned_fence >= r->fence
       || strcmp (w->orphaned_on, r->upstream) != 0)
     return NULL;
--- a/tests/fake_upstreams.c
+++ b/tests/fake_upstreams.c
@@ -192,6 +192,12 @@
   return mm_run_table_run_count (x->table);
 }
 
+bool
+fake_is_running (const fake *x, const mm_task_id *task)
+{
+  return mm_run_table_is_running (x->table, task);
+}
+
 mm_time_ms
 fakes_now (const fakes *f)
 {
--- a/tests/resend_fixture.c
+++ b/tests/resend_fixture.c
@@ -918,6 +918,13 @@
   leave (s, before);
 }
 
+void
+sim_submit_anywhere (sim *s, int n, mm_time_ms run_ms)
+{
+  s->jobs[n].run_ms = run_ms;
+  s->jobs[n].resend_ms = sim_now (s);
+}
+
 void
 sim_break_caller (sim *s, int n)
 {
@@ -941,6 +948,23 @@
   return s->jobs[n].done;
 }
 
+int
+sim_instance_of (const sim *s, int n)
+{
+  return s->jobs[n].current ? s->jobs[n].current->at->index : -1;
+}
+
+int
+sim_upstream_of (const sim *s, int n)
+{
+  mm_task_id id = { 0 };
+  g_snprintf (id.job, sizeof id.job, "job-%d", n);
+  for (int u = 0; u < s->n_upstreams; u++)
+    if (!s->gone[u] && fake_is_running (s->upstreams[u], &id))
+      return u;
+  return -1;
+}
+
 uint32_t
 sim_double_runs (const sim *s)
 {
--- a/tests/resend_fixture.h
+++ b/tests/resend_fixture.h
@@ -75,6 +75,8 @@
 /* Submits job @job, which runs for @run_ms, at an instance.  @owner: the
    instance that its task is dispatched to, -1: any.  */
 void sim_submit (sim *s, int job, mm_time_ms run_ms, int instance, int owner);
+/* Submits it at an instance that runs, or else when one does.  */
+void sim_submit_anywhere (sim *s, int job, mm_time_ms run_ms);
 /* Breaks the caller's connection.  The job is sent again MM_RESEND_MS later,
    at another instance.  */
 void sim_break_caller (sim *s, int job);
@@ -82,6 +84,10 @@
    owner.  */
 void sim_resend_at (sim *s, int job, int instance, int owner);
 bool sim_job_done (const sim *s, int job);
+/* Returns the instance whose answer the caller waits for, -1: none.  */
+int sim_instance_of (const sim *s, int job);
+/* Returns an upstream that runs the job's task, -1: none.  */
+int sim_upstream_of (const sim *s, int job);
 /* Number of starts of a task that ran on another upstream.  */
 uint32_t sim_double_runs (const sim *s);
 
--- a/tests/test_resend.c
+++ b/tests/test_resend.c
@@ -3,6 +3,7 @@
    ended before the next one starts, wherever that is.  */
 #include "config.h"
 #include "harness.h"
+#include "mm_metrics.h"
 #include "resend_fixture.h"
 
 #include <check.h>
@@ -345,6 +346,26 @@
 }
 END_TEST
 
+/* Guards against an owner that starts a task again in the session in which its
+   first run was claimed by the next owner: its calls have not been refused
+   yet, and the session would hold two runs of the task.  */
+START_TEST (claimed_task_is_not_started_again_by_its_previous_owner)
+{
+  scene c = scene_create ();
+  cut (c.s, OWNER, sim_add_upstream (c.s, OWNER)); /* owned, not usable */
+  sim_run (c.s, 170);
+  sim_path_to (c.s, OWNER, c.a)->answers_cut = true;
+  sim_move (c.s, c.a, NEXT, -1);
+  sim_run (c.s, 15);
+  uint64_t started = mm_metrics_counter (MM_CT_TASKS_STARTED);
+  sim_restart (c.s, c.a);
+  sim_run (c.s, 200);
+  ck_assert_uint_eq (mm_metrics_counter (MM_CT_TASKS_STARTED), started);
+  sim_run (c.s, 1000);
+  sim_destroy (c.s);
+}
+END_TEST
+
 /* Guards against a next owner that prolongs, beside a run that it adopted, one
    that it found and that no instance claims.  */
 START_TEST (unclaimed_run_is_not_prolonged_beside_an_adopted_one)
@@ -362,6 +383,237 @@
 }
 END_TEST
 
+/* ---- overlapping faults ----------------------------------------------- */
+
+enum
+{
+  SEEDS = 300,
+  FAULTS_MS = 7000, /* faults begin for this long */
+  HEAL_MS = 9000,   /* all paths are sound from then on */
+  END_MS = 25000,   /* each job must be done by then */
+  SUBMIT_EVERY_MS = 100,
+  RUN_MIN_MS = 300,
+  RUN_MAX_MS = 4000,
+  FAULT_EVERY_MS = 150, /* mean time between two faults */
+  FOLLOWS_MS = 900,     /* a fault of the owner follows within this */
+  SURVIVORS = 2,        /* instances that keep power */
+  UPSTREAMS = 4
+};
+
+static double
+any_share (sim *s)
+{
+  return sim_random (s, 91) / 100.0;
+}
+
+/* Cuts the path of an instance to an upstream in one or both directions, loses
+   a share of the calls, or heals the path.  */
+static void
+harm_path (sim *s, int instance, int upstream)
+{
+  sim_path *p = sim_path_to (s, instance, upstream);
+  int kind = sim_random (s, 6);
+  *p = (sim_path){ 0 };
+  p->requests_cut = kind == 0 || kind == 1;
+  p->answers_cut = kind == 0 || kind == 2;
+  if (kind != 3 && kind != 4)
+    return;
+  p->lost_starts = any_share (s);
+  p->lost_stops = any_share (s);
+  p->lost_holds = kind == 3 ? any_share (s) : 0;
+  p->lost_answers = kind == 3 ? any_share (s) : 0;
+  p->late_ms = sim_random (s, 3) * sim_random (s, 1500);
+}
+
+static void
+kill_any (sim *s, int instance)
+{
+  if (instance >= SURVIVORS)
+    sim_kill (s, instance);
+}
+
+static void
+freeze_any (sim *s, int instance)
+{
+  sim_freeze (s, instance, 50 + sim_random (s, 1500), true);
+}
+
+static void
+harm_link (sim *s, int from, int to)
+{
+  sim_link_path *p = sim_link_path_to (s, from, to);
+  p->cut = sim_random (s, 2) == 0;
+  p->delay_ms = sim_random (s, 3) ? 1 : sim_random (s, 500);
+}
+
+/* Moves an upstream to another owner.  The previous one learns of it within
+   300 ms, or only when it is refused.  */
+static void
+move_any (sim *s, int upstream)
+{
+  if (upstream >= 0)
+    sim_move (s, upstream, sim_random (s, SIM_INSTANCES),
+              sim_random (s, 400) - 100);
+}
+
+/* The owner of an upstream dies, stands still, is cut off, or the upstream
+   moves on.  */
+static void
+hit_owner (sim *s, int upstream)
+{
+  int owner = upstream >= 0 ? sim_owner_of (s, upstream) : -1;
+  if (owner < 0)
+    return;
+  switch (sim_random (s, 5))
+    {
+    case 0:
+      kill_any (s, owner);
+      break;
+    case 1:
+      freeze_any (s, owner);
+      break;
+    case 2:
+      move_any (s, upstream);
+      break;
+    default:
+      harm_path (s, owner, upstream);
+      break;
+    }
+}
+
+/* The instance that has a job dies or stands still, or the caller leaves.  */
+static void
+hit_origin (sim *s, int job)
+{
+  int origin = sim_instance_of (s, job);
+  if (origin < 0)
+    return;
+  int kind = sim_random (s, 4);
+  if (kind == 0)
+    kill_any (s, origin);
+  if (kind == 1)
+    freeze_any (s, origin);
+  if (kind > 0)
+    sim_break_caller (s, job);
+}
+
+static void
+hit_anything (sim *s)
+{
+  int instance = sim_random (s, SIM_INSTANCES);
+  int upstream = sim_random (s, sim_upstreams (s));
+  switch (sim_random (s, 6))
+    {
+    case 0:
+      freeze_any (s, instance);
+      break;
+    case 1:
+      harm_path (s, instance, upstream);
+      break;
+    case 2:
+      harm_link (s, instance, sim_random (s, SIM_INSTANCES));
+      break;
+    case 3:
+      sim_restart (s, upstream);
+      break;
+    case 4:
+      sim_read_links_every (s, instance, sim_random (s, 2) * 200);
+      break;
+    default:
+      move_any (s, upstream);
+      break;
+    }
+}
+
+/* Faults around a job, of which some follow later.  */
+typedef struct
+{
+  int job;
+  mm_time_ms move_ms, owner_ms; /* 0: it does not follow */
+} trouble;
+
+/* Half of the faults hit a job: the upstream of its task may move, its owner
+   may lose the path to the upstream, then its origin or caller is hit, and up
+   to 900 ms later its owner.  */
+static void
+cause_fault (sim *s, trouble *t)
+{
+  if (sim_random (s, 2))
+    {
+      hit_anything (s);
+      return;
+    }
+  t->job = sim_random (s, SIM_JOBS);
+  int u = sim_upstream_of (s, t->job);
+  if (u < 0)
+    return;
+  if (sim_random (s, 2))
+    move_any (s, u);
+  else if (sim_random (s, 2))
+    harm_path (s, sim_owner_of (s, u), u);
+  hit_origin (s, t->job);
+  t->move_ms = sim_random (s, 2) * (sim_now (s) + sim_random (s, FOLLOWS_MS));
+  t->owner_ms = sim_now (s) + 1 + sim_random (s, FOLLOWS_MS);
+}
+
+static void
+continue_fault (sim *s, trouble *t)
+{
+  if (t->move_ms && sim_now (s) >= t->move_ms)
+    {
+      t->move_ms = 0;
+      move_any (s, sim_upstream_of (s, t->job));
+    }
+  if (t->owner_ms && sim_now (s) >= t->owner_ms)
+    {
+      t->owner_ms = 0;
+      hit_owner (s, sim_upstream_of (s, t->job));
+    }
+}
+
+static void
+heal_all (sim *s)
+{
+  for (int i = 0; i < SIM_INSTANCES; i++)
+    {
+      sim_read_links_every (s, i, 0);
+      for (int k = 0; k < SIM_INSTANCES; k++)
+        *sim_link_path_to (s, i, k) = (sim_link_path){ .delay_ms = 1 };
+      for (int u = 0; u < SIM_UPSTREAMS; u++)
+        *sim_path_to (s, i, u) = (sim_path){ 0 };
+    }
+}
+
+/* Guards against any combination of faults that lets a task run twice at a
+   time after its job was sent again, or that leaves a job unanswered.  */
+START_TEST (no_task_runs_twice_while_faults_overlap)
+{
+  sim *s = sim_create ((uint32_t)_i);
+  trouble now = { 0 };
+  for (int u = 0; u < UPSTREAMS; u++)
+    sim_add_upstream (s, sim_random (s, SIM_INSTANCES));
+  sim_run (s, 50);
+  for (int t = 0; t < END_MS; t++)
+    {
+      if (t < SIM_JOBS * SUBMIT_EVERY_MS && t % SUBMIT_EVERY_MS == 0)
+        sim_submit_anywhere (s, t / SUBMIT_EVERY_MS,
+                             RUN_MIN_MS
+                                 + sim_random (s, RUN_MAX_MS - RUN_MIN_MS));
+      if (t < FAULTS_MS && sim_random (s, FAULT_EVERY_MS) == 0)
+        cause_fault (s, &now);
+      continue_fault (s, &now);
+      if (t == HEAL_MS)
+        heal_all (s);
+      sim_run (s, 1);
+      ck_assert_msg (sim_double_runs (s) == 0, "seed %d, at %d: ran twice", _i,
+                     t);
+    }
+  for (int n = 0; n < SIM_JOBS; n++)
+    ck_assert_msg (sim_job_done (s, n), "seed %d: job %d has no end", _i, n);
+  sim_destroy (s);
+}
+END_TEST
+
 static void
 add_case (Suite *s, const char *tag, const TTest *const tests[], int n)
 {
@@ -397,12 +649,18 @@
   const TTest *const passed[]
       = { second_submission_waits_for_a_run_that_was_passed_on,
           second_submission_waits_for_a_run_that_is_not_claimed,
-          submission_waits_for_a_run_that_was_found };
+          submission_waits_for_a_run_that_was_found,
+          claimed_task_is_not_started_again_by_its_previous_owner };
   add_case (s, "alone", alone, G_N_ELEMENTS (alone));
   add_case (s, "stop", stops, G_N_ELEMENTS (stops));
   add_case (s, "origin", origins, G_N_ELEMENTS (origins));
   add_case (s, "chain", chains, G_N_ELEMENTS (chains));
   add_case (s, "late", late, G_N_ELEMENTS (late));
   add_case (s, "second", passed, G_N_ELEMENTS (passed));
+  TCase *random = tcase_create ("random");
+  tcase_set_timeout (random, 60);
+  tcase_add_loop_test (random, no_task_runs_twice_while_faults_overlap, 0,
+                       SEEDS);
+  suite_add_tcase (s, random);
   return h_run_suite (s);
 }
