test_mesh: the run of a silent instance ends before its job is sent again

Two meshes on loopback with simulated time and upstreams: one instance falls silent, its run at the other one cannot be stopped, and another run there needs its lease.

--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -3,6 +3,7 @@
    in this process, on loopback; the choice of neighbours is tested without a
    network.  */
 #include "config.h"
+#include "fake_upstreams.h"
 #include "harness.h"
 #include "mm_mesh_msg.h"
 #include "mm_mesh.h"
@@ -371,6 +372,91 @@
 }
 END_TEST
 
+/* Two instances on simulated time; the second one owns an upstream.  */
+typedef struct
+{
+  struct ev_loop *loop;
+  fakes *upstreams;
+  mm_owner *owner[2];
+  mm_mesh *mesh[2];
+} pair;
+
+static void
+pair_create (pair *p, struct ev_loop *loop)
+{
+  p->loop = loop;
+  p->upstreams = fakes_create ();
+  mm_exec_port port = fakes_port (p->upstreams);
+  for (int i = 0; i < 2; i++)
+    {
+      char name[4] = { 'n', (char)('0' + i) };
+      p->owner[i] = mm_owner_create (&port);
+      p->mesh[i]
+          = mm_mesh_create (loop, name, "north", "127.0.0.1",
+                            (uint16_t)(h_port_base () + i), p->owner[i], NULL);
+      ck_assert (p->mesh[i] != NULL);
+    }
+  char *addr = g_strdup_printf ("127.0.0.1:%d", h_port_base () + 1);
+  mm_mesh_peer_info peer
+      = { .name = "n1", .addr = addr, .datacentre = "north" };
+  mm_mesh_set_peers (p->mesh[0], &peer, 1);
+  g_free (addr);
+}
+
+/* Advances the simulated time.  The first instance stands still if @silent. */
+static void
+pair_run (pair *p, mm_time_ms ms, bool silent)
+{
+  for (mm_time_ms t = 0; t < ms; t++)
+    {
+      fakes_run (p->upstreams, p->owner[1], 1);
+      if (fakes_now (p->upstreams) % MM_EXEC_TICK_MS == 0)
+        for (int i = silent; i < 2; i++)
+          {
+            mm_owner_set_read_ms (p->owner[i], fakes_now (p->upstreams));
+            mm_mesh_tick (p->mesh[i]);
+          }
+      for (int i = 0; i < 3; i++)
+        ev_run (p->loop, EVRUN_NOWAIT);
+    }
+}
+
+static void
+ignore_end (void *ctx, const mm_work_result *r)
+{
+}
+
+/* Guards against an owner that keeps a run alive for an instance that is
+   silent.  The run cannot be stopped, and another run there needs its lease.
+ */
+START_TEST (run_of_a_silent_instance_ends_before_its_job_is_sent_again)
+{
+  pair p;
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  pair_create (&p, loop);
+  fake *a = fakes_add (p.upstreams, "a", 32000);
+  mm_owner_add_upstream (p.owner[1], fake_info (a), 5);
+  pair_run (&p, 1000, false);
+  mm_task_request t = fakes_task ("remote", 0, 1000, 9000);
+  ck_assert (mm_mesh_submit (p.mesh[0], "n1", &t, ignore_end, NULL) != NULL);
+  t = fakes_task ("local", 0, 1000, 9000);
+  mm_owner_submit (p.owner[1], &t, ignore_end, NULL);
+  pair_run (&p, 3000, false);
+  ck_assert_uint_eq (fake_running (a), 2);
+  ck_assert_uint_eq (fake_starts (a), 2);
+  fake_mode_of (a)->lose_stops = G_MAXUINT32;
+  pair_run (&p, MM_RESEND_MS, true);
+  ck_assert_uint_eq (fake_running (a), 0);
+  for (int i = 0; i < 2; i++)
+    {
+      mm_mesh_destroy (p.mesh[i]);
+      mm_owner_destroy (p.owner[i]);
+    }
+  fakes_destroy (p.upstreams);
+  ev_loop_destroy (loop);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -386,6 +472,8 @@
   tcase_add_test (c,
                   last_instance_of_a_data_centre_is_found_when_the_others_die);
   tcase_add_test (c, links_stay_alive_however_many_there_are);
+  tcase_add_test (c,
+                  run_of_a_silent_instance_ends_before_its_job_is_sent_again);
   suite_add_tcase (s, c);
   return h_run_suite (s);
 }
