Kept jobs: no task starts between ticks at an unconfirmed home

A home of kept jobs that was late with its timers (a stall, a full processor) could start the next task of a job although its membership had not been confirmed for longer than the TTL, so that another home may have started that task already.

Cause: whether tasks may start was a flag that each tick set. An end that arrives before the next tick started the next step with the flag of the tick before, however old it was.

Change: the tick passes the time until which the home may start tasks, which is the time of the last confirmed join plus MM_GROUP_CONFIRMED_MS, and each dispatch compares it with the clock.

--- a/src/mm_home.c
+++ b/src/mm_home.c
@@ -47,8 +47,8 @@
   mm_fleet *fleet;
   mm_home_events ev;
   mm_job_log *log;
-  bool loaded;      /* all stored jobs have been read */
-  bool may_start;   /* whether tasks may be started, as of the last tick */
+  bool loaded;               /* all stored jobs have been read */
+  mm_time_ms start_until_ms; /* tasks may be started until then */
   bool fenced;      /* superseded, or being destroyed: writes that end find no
                        job */
   GHashTable *jobs; /* id -> job */
@@ -249,7 +249,7 @@
   if (mm_kept_tasks_all_done (j->kept_tasks))
     end_job (j, MM_JOB_COMPLETED);
   else
-    mm_kept_tasks_tick (j->kept_tasks, j->home->may_start);
+    mm_kept_tasks_tick (j->kept_tasks, j->home->start_until_ms);
 }
 
 /* ---- opening ---------------------------------------------------------- */
@@ -544,28 +544,28 @@
 }
 
 /* Answers expired waiters, stores progress that is due, and dispatches the
-   waiting tasks if @may_start.  */
+   waiting tasks if they may start.  */
 static void
-tick_job (job *j, mm_time_ms now, bool may_start)
+tick_job (job *j, mm_time_ms now)
 {
   answer_waiters (j, MM_KEPT_IN_DOUBT, now);
   if (j->progress_due_ms && now >= j->progress_due_ms)
     store_progress (j);
   if (j->kept_tasks)
-    mm_kept_tasks_tick (j->kept_tasks, may_start);
+    mm_kept_tasks_tick (j->kept_tasks, j->home->start_until_ms);
 }
 
 void
-mm_home_tick (mm_home *h, bool may_start)
+mm_home_tick (mm_home *h, mm_time_ms start_until_ms)
 {
-  h->may_start = may_start;
+  h->start_until_ms = start_until_ms;
   mm_job_log_tick (h->log);
   if (!h->loaded)
     return;
   mm_time_ms now = mm_clock_now_ms ();
   GList *jobs = g_hash_table_get_keys (h->unfinished);
   for (GList *l = jobs; l && !h->fenced; l = l->next)
-    tick_job (l->data, now, may_start);
+    tick_job (l->data, now);
   g_list_free (jobs);
   if (!h->fenced)
     drop_expired_outcomes (h, now);
--- a/src/mm_home.h
+++ b/src/mm_home.h
@@ -53,8 +53,9 @@
 
 /* Number of accepted jobs of a queue that have not started.  */
 uint32_t mm_home_pending (const mm_home *h, const char *queue);
-/* Call each MM_EXEC_TICK_MS.  @may_start: tasks may be dispatched.  */
-void mm_home_tick (mm_home *h, bool may_start);
+/* Call each MM_EXEC_TICK_MS.  Tasks may be dispatched until @start_until_ms;
+   0: not at all.  */
+void mm_home_tick (mm_home *h, mm_time_ms start_until_ms);
 /* Whether no task is at an owner and no record waits to be stored.  */
 bool mm_home_idle (const mm_home *h);
 /* Number of jobs that have not ended.  */
--- a/src/mm_kept.c
+++ b/src/mm_kept.c
@@ -135,23 +135,31 @@
   mm_partitions_leave (k->partitions);
 }
 
+/* Returns until when the partition certainly has its home here, as far as the
+   group is concerned; 0: it may have another one.  */
+static mm_time_ms
+home_until_ms (const mm_kept *k, uint32_t partition)
+{
+  uint64_t epoch;
+  return mm_partitions_state (k->partitions, partition, &epoch)
+                 == MM_PARTITION_OWNED
+             ? mm_partitions_confirmed_ms (k->partitions)
+                   + MM_GROUP_CONFIRMED_MS
+             : 0;
+}
+
 bool
 mm_kept_home_confirmed (const mm_kept *k, uint32_t partition)
 {
-  uint64_t epoch;
-  mm_time_ms age_ms
-      = mm_clock_now_ms () - mm_partitions_confirmed_ms (k->partitions);
-  return age_ms < MM_GROUP_CONFIRMED_MS
-         && mm_partitions_state (k->partitions, partition, &epoch)
-                == MM_PARTITION_OWNED;
+  return mm_clock_now_ms () < home_until_ms (k, partition);
 }
 
-/* Whether a home may start tasks.  A home that may have been superseded must
-   not: the next home may have started the same task.  */
-static bool
-may_start (const mm_kept *k, uint32_t partition)
+/* Returns until when a home may start tasks.  A home that may have been
+   superseded must not: the next home may have started the same task.  */
+static mm_time_ms
+start_until_ms (const mm_kept *k, uint32_t partition)
 {
-  return !k->leaving && mm_kept_home_confirmed (k, partition);
+  return k->leaving ? 0 : home_until_ms (k, partition);
 }
 
 /* ---- tasks in doubt --------------------------------------------------- */
@@ -297,7 +305,7 @@
   sync_homes (k);
   for (uint32_t i = 0; i < k->deps.n_partitions; i++)
     if (k->home[i])
-      mm_home_tick (k->home[i], may_start (k, i));
+      mm_home_tick (k->home[i], start_until_ms (k, i));
   mm_kept_resolve_foreign (k, now);
   release_partitions (k, now);
   search_in_doubt (k, list_fresh, now);
--- a/src/mm_kept_tasks.c
+++ b/src/mm_kept_tasks.c
@@ -40,13 +40,13 @@
   mm_kept_tasks_events ev;
   mm_steps *steps;
   task *tasks;
-  uint32_t n_tasks;      /* number of all tasks of the job */
-  uint32_t n_in_doubt;   /* number of tasks that are TASK_IN_DOUBT */
-  uint32_t n_dispatched; /* number of tasks that are TASK_DISPATCHED */
-  uint32_t n_isolated;   /* number of dispatched tasks that are isolated */
-  bool may_start; /* whether tasks may be started, as of the last tick */
-  bool started;   /* a task is known to have been started */
-  bool finished;  /* the end of the job was reported */
+  uint32_t n_tasks;          /* number of all tasks of the job */
+  uint32_t n_in_doubt;       /* number of tasks that are TASK_IN_DOUBT */
+  uint32_t n_dispatched;     /* number of tasks that are TASK_DISPATCHED */
+  uint32_t n_isolated;       /* number of dispatched tasks that are isolated */
+  mm_time_ms start_until_ms; /* tasks may be started until then */
+  bool started;              /* a task is known to have been started */
+  bool finished;             /* the end of the job was reported */
   mm_time_ms latest_start_ms; /* latest start with which the job can end within
                                  its objective */
   GArray *acks;               /* mm_end_ack, until mm_kept_tasks_take_acks() */
@@ -326,9 +326,9 @@
 static bool
 dispatch_waiting (mm_kept_tasks *k)
 {
-  if (!k->may_start || k->finished || k->n_in_doubt)
-    return true;
   mm_time_ms now = mm_clock_now_ms ();
+  if (now >= k->start_until_ms || k->finished || k->n_in_doubt)
+    return true;
   for (uint32_t i = 0; i < k->n_tasks; i++)
     {
       task *t = &k->tasks[i];
@@ -348,9 +348,9 @@
 }
 
 void
-mm_kept_tasks_tick (mm_kept_tasks *k, bool may_start)
+mm_kept_tasks_tick (mm_kept_tasks *k, mm_time_ms start_until_ms)
 {
-  k->may_start = may_start;
+  k->start_until_ms = start_until_ms;
   dispatch_waiting (k);
 }
 
--- a/src/mm_kept_tasks.h
+++ b/src/mm_kept_tasks.h
@@ -44,8 +44,9 @@
                                      const mm_kept_tasks_events *ev);
 /* Stops the tasks that run, and frees the object.  */
 void mm_kept_tasks_destroy (mm_kept_tasks *k);
-/* Dispatches the waiting tasks if @may_start.  Call each MM_EXEC_TICK_MS.  */
-void mm_kept_tasks_tick (mm_kept_tasks *k, bool may_start);
+/* Dispatches the waiting tasks.  Call each MM_EXEC_TICK_MS.  No task is
+   dispatched from @start_until_ms on, also between ticks.  */
+void mm_kept_tasks_tick (mm_kept_tasks *k, mm_time_ms start_until_ms);
 /* Whether every task is done according to the record.  */
 bool mm_kept_tasks_all_done (const mm_kept_tasks *k);
 /* Whether any task is known to have been started.  */
--- /dev/null
+++ b/tests/test_home_return.c
@@ -0,0 +1,461 @@
+/* Tests what the home of kept jobs does when its membership of the group of
+   homes was interrupted and the same partition is assigned to it again.  Store
+   and upstream are simulated in memory, on a clock that the test advances.  */
+#include "config.h"
+#include "fake_upstreams.h"
+#include "harness.h"
+#include "mm_group_table.h"
+#include "mm_kept_priv.h"
+
+#include <check.h>
+#include <ev.h>
+#include <string.h>
+
+enum
+{
+  STORE_CALL_MS = 4, /* round trip of a call to the store */
+  /* Run time of a task that ends after the membership has expired.  */
+  LONG_TASK_MS = MM_GROUP_TTL_MS + 100
+};
+
+static const mm_route queue = {
+  .name = "q", .service = "svc", .attempts = 3, .stretch = 3, .slo_ms = 500
+};
+
+/* ---- the store -------------------------------------------------------- */
+
+/* One group with one partition, and the log of its kept jobs.  */
+typedef struct
+{
+  mm_group_table *group;
+  uint64_t epoch;      /* highest that was announced */
+  uint64_t next_seq;   /* sequence number of the next append */
+  GHashTable *records; /* job id -> GBytes */
+  GList *calls;        /* call *, not answered */
+  bool down;           /* calls of the instance under test get no answer */
+  bool log_down;       /* only its appends get none */
+} store;
+
+typedef enum
+{
+  CALL_JOIN,
+  CALL_MEMBERS,
+  CALL_APPEND,
+  CALL_RECORDS
+} call_kind;
+
+/* A call of the instance under test that is not answered yet.  */
+typedef struct
+{
+  call_kind kind;
+  mm_time_ms execute_ms; /* when the store carries it out, if it is up */
+  mm_time_ms timeout_ms; /* when the caller gives up */
+  char *member;          /* of a join */
+  uint64_t generation;   /* of a join */
+  uint64_t epoch;        /* of an append */
+  uint64_t seq;          /* of an append */
+  GArray *records;       /* of an append: mm_record */
+  union
+  {
+    mm_join_answered join;
+    mm_members_answered members;
+    mm_append_answered append;
+    mm_records_answered records;
+  } done;
+  void *ctx;
+} call;
+
+static call *
+send_call (store *s, call_kind kind, mm_time_ms timeout_ms, void *ctx)
+{
+  call *c = g_new0 (call, 1);
+  c->kind = kind;
+  c->execute_ms = mm_clock_now_ms () + STORE_CALL_MS;
+  c->timeout_ms = mm_clock_now_ms () + timeout_ms;
+  c->ctx = ctx;
+  s->calls = g_list_append (s->calls, c);
+  return c;
+}
+
+static void
+call_free (call *c)
+{
+  g_free (c->member);
+  if (c->records)
+    g_array_free (c->records, TRUE);
+  g_free (c);
+}
+
+static void
+store_join (void *ctx, const char *group, const char *member,
+            uint64_t generation, mm_time_ms ttl_ms, mm_time_ms timeout_ms,
+            mm_join_answered answered, void *answered_ctx)
+{
+  call *c = send_call (ctx, CALL_JOIN, timeout_ms, answered_ctx);
+  c->member = g_strdup (member);
+  c->generation = generation;
+  c->done.join = answered;
+}
+
+static void
+store_members (void *ctx, const char *group, mm_time_ms timeout_ms,
+               mm_members_answered answered, void *answered_ctx)
+{
+  call *c = send_call (ctx, CALL_MEMBERS, timeout_ms, answered_ctx);
+  c->done.members = answered;
+}
+
+static void
+store_append (void *ctx, const mm_append_request *a,
+              mm_append_answered answered, void *answered_ctx)
+{
+  call *c = send_call (ctx, CALL_APPEND, a->timeout_ms, answered_ctx);
+  c->epoch = a->epoch;
+  c->seq = a->seq;
+  c->records = g_array_new (FALSE, FALSE, sizeof (mm_record));
+  g_array_set_clear_func (c->records, mm_record_clear);
+  for (size_t i = 0; i < a->n_records; i++)
+    {
+      mm_record r = { .key = g_strdup (a->records[i].key) };
+      if (a->records[i].value)
+        r.value = g_bytes_ref (a->records[i].value);
+      g_array_append_val (c->records, r);
+    }
+  c->done.append = answered;
+}
+
+static void
+store_records (void *ctx, uint32_t partition, const char *after,
+               mm_time_ms timeout_ms, mm_records_answered answered,
+               void *answered_ctx)
+{
+  call *c = send_call (ctx, CALL_RECORDS, timeout_ms, answered_ctx);
+  c->done.records = answered;
+}
+
+/* Stores a record; @value: NULL drops the key.  */
+static void
+put (store *s, const char *key, GBytes *value)
+{
+  if (value)
+    g_hash_table_replace (s->records, g_strdup (key), g_bytes_ref (value));
+  else
+    g_hash_table_remove (s->records, key);
+}
+
+/* Carries an append out, or refuses it.  */
+static mm_append_verdict
+append (store *s, const call *c)
+{
+  if (c->epoch < s->epoch)
+    return MM_APPEND_FENCED;
+  if (c->epoch == s->epoch && c->seq != s->next_seq)
+    return MM_APPEND_OUT_OF_SEQ;
+  s->epoch = c->epoch;
+  s->next_seq = c->seq + (c->records->len > 0);
+  for (guint i = 0; i < c->records->len; i++)
+    {
+      const mm_record *r = &g_array_index (c->records, mm_record, i);
+      put (s, r->key, r->value);
+    }
+  return MM_APPEND_OK;
+}
+
+static void
+answer_join (store *s, const call *c, bool ok)
+{
+  mm_join_result res = { .ok = ok, .why = "no answer" };
+  uint32_t partition = 0;
+  if (ok)
+    {
+      res.generation
+          = mm_group_table_join (s->group, c->member, c->generation,
+                                 MM_GROUP_TTL_MS, mm_clock_now_ms ());
+      const char *holder = mm_group_table_holder (s->group, 0);
+      res.n_partitions = holder && strcmp (holder, c->member) == 0;
+      res.partitions = &partition;
+    }
+  c->done.join (&res, c->ctx);
+}
+
+static void
+answer_records (const store *s, const call *c, bool ok)
+{
+  GArray *found = g_array_new (FALSE, FALSE, sizeof (mm_record));
+  GHashTableIter it;
+  gpointer key, value;
+  g_hash_table_iter_init (&it, s->records);
+  while (ok && g_hash_table_iter_next (&it, &key, &value))
+    {
+      mm_record r = { .key = key, .value = value };
+      g_array_append_val (found, r);
+    }
+  mm_records_result res = { .ok = ok,
+                            .why = "no answer",
+                            .records = (mm_record *)(void *)found->data,
+                            .n_records = found->len };
+  c->done.records (&res, c->ctx);
+  g_array_free (found, TRUE);
+}
+
+/* Answers a call; @ok false: it was not carried out and has timed out.  */
+static void
+answer (store *s, const call *c, bool ok)
+{
+  mm_members_result members = { .ok = ok, .why = "no answer" };
+  mm_append_result appended
+      = { .verdict = MM_APPEND_NO_ANSWER, .why = "no answer" };
+  switch (c->kind)
+    {
+    case CALL_JOIN:
+      answer_join (s, c, ok);
+      break;
+    case CALL_MEMBERS:
+      c->done.members (&members, c->ctx);
+      break;
+    case CALL_APPEND:
+      if (ok)
+        appended.verdict = append (s, c);
+      appended.expected_seq = s->next_seq;
+      c->done.append (&appended, c->ctx);
+      break;
+    case CALL_RECORDS:
+      answer_records (s, c, ok);
+      break;
+    }
+}
+
+/* Carries out and answers the calls that are due.  */
+static void
+store_step (store *s)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  mm_group_table_step (s->group, now);
+  GList *next;
+  for (GList *l = s->calls; l; l = next)
+    {
+      call *c = l->data;
+      bool up = !s->down && (c->kind != CALL_APPEND || !s->log_down);
+      bool executed = up && now >= c->execute_ms;
+      next = l->next;
+      if (!executed && now < c->timeout_ms)
+        continue;
+      s->calls = g_list_delete_link (s->calls, l);
+      answer (s, c, executed);
+      call_free (c);
+    }
+}
+
+/* ---- the instance under test ------------------------------------------ */
+
+typedef struct
+{
+  struct ev_loop *loop;
+  store store;
+  fakes *fakes;
+  fake *upstream; /* NULL: there is none */
+  mm_owner *owner;
+  mm_mesh *mesh;
+  mm_fleet *fleet;
+  mm_catalog *catalog;
+  mm_predecessors *predecessors;
+  mm_kept *kept;
+} fixture;
+
+static void
+fixture_run (fixture *fx, mm_time_ms ms)
+{
+  for (mm_time_ms t = 0; t < ms; t++)
+    {
+      store_step (&fx->store);
+      fakes_run (fx->fakes, fx->owner, 1);
+      if (mm_clock_now_ms () % MM_EXEC_TICK_MS == 0)
+        mm_kept_tick (fx->kept, true);
+    }
+}
+
+/* Returns an instance that is the home of the only partition.  */
+static fixture *
+fixture_create (void)
+{
+  fixture *fx = g_new0 (fixture, 1);
+  store *s = &fx->store;
+  s->group = mm_group_table_create (1);
+  s->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                      (GDestroyNotify)g_bytes_unref);
+  fx->loop = ev_loop_new (EVFLAG_AUTO);
+  fx->fakes = fakes_create ();
+  mm_exec_port upstreams = fakes_port (fx->fakes);
+  fx->owner = mm_owner_create (&upstreams);
+  mm_owner_set_confirmed (fx->owner, true);
+  const char *self = "a@127.0.0.1:1/dc1";
+  fx->mesh = mm_mesh_create (fx->loop, self, "dc1", "127.0.0.1",
+                             (uint16_t)h_port_base (), fx->owner, NULL);
+  ck_assert_ptr_nonnull (fx->mesh);
+  fx->fleet = mm_fleet_create (fx->owner, fx->mesh, "dc1");
+  fx->catalog = mm_catalog_create ();
+  mm_store_port port = { .join = store_join,
+                         .members = store_members,
+                         .append = store_append,
+                         .records = store_records,
+                         .ctx = s };
+  fx->predecessors = mm_predecessors_create (&port, self);
+  mm_kept_deps deps = { .store = port,
+                        .mesh = fx->mesh,
+                        .fleet = fx->fleet,
+                        .owner = fx->owner,
+                        .catalog = fx->catalog,
+                        .predecessors = fx->predecessors,
+                        .member = self,
+                        .n_partitions = 1 };
+  fx->kept = mm_kept_create (&deps);
+  fixture_run (fx, 500);
+  ck_assert_uint_eq (s->epoch, mm_group_table_generation (s->group));
+  return fx;
+}
+
+static void
+fixture_destroy (fixture *fx)
+{
+  store *s = &fx->store;
+  mm_kept_destroy (fx->kept);
+  for (GList *l = s->calls; l; l = l->next)
+    {
+      answer (s, l->data, false);
+      call_free (l->data);
+    }
+  g_list_free (s->calls);
+  mm_predecessors_destroy (fx->predecessors);
+  mm_fleet_destroy (fx->fleet);
+  mm_mesh_destroy (fx->mesh);
+  mm_owner_destroy (fx->owner);
+  mm_catalog_destroy (fx->catalog);
+  fakes_destroy (fx->fakes);
+  g_hash_table_destroy (s->records);
+  mm_group_table_destroy (s->group);
+  ev_loop_destroy (fx->loop);
+  g_free (fx);
+}
+
+/* Adds an upstream that the instance owns, and on which a task can run.  */
+static void
+add_upstream (fixture *fx)
+{
+  fx->upstream = fakes_add (fx->fakes, "u", 32000);
+  mm_catalog_origin read = { .as_of_ms = mm_clock_now_ms () };
+  mm_catalog_put (fx->catalog, fake_info (fx->upstream), &read);
+  mm_owner_add_upstream (fx->owner, fake_info (fx->upstream), 5);
+}
+
+static uint32_t
+starts (const fixture *fx)
+{
+  return fake_starts (fx->upstream);
+}
+
+/* Returns a job whose @n_steps steps run one after the other, one task
+   each.  */
+static mm_submission *
+job (const char *id, uint32_t n_steps, mm_time_ms run_ms)
+{
+  mm_submission *s = g_new0 (mm_submission, 1);
+  g_strlcpy (s->id, id, sizeof s->id);
+  s->payload = g_strdup_printf ("%d %d", 1000, (int)run_ms);
+  s->n_steps = n_steps;
+  s->steps = g_new0 (mm_step, n_steps);
+  for (uint32_t i = 0; i < n_steps; i++)
+    {
+      s->steps[i].count = 1;
+      s->steps[i].estimate_ms = run_ms;
+      s->steps[i].resources = (mm_resources){ .cpu_milli = 1000, .mem_mb = 1 };
+      if (i == 0)
+        continue;
+      s->steps[i].depends_on = g_new0 (uint32_t, 1);
+      s->steps[i].depends_on[0] = i - 1;
+      s->steps[i].n_dependencies = 1;
+    }
+  return s;
+}
+
+static void
+on_answered (void *ctx, const mm_kept_answer *a)
+{
+  *(mm_kept_answer *)ctx = *a;
+}
+
+/* Submits a job, which must be accepted.  */
+static void
+submit (fixture *fx, const char *id, uint32_t n_steps, mm_time_ms run_ms)
+{
+  mm_kept_answer a = { .status = MM_KEPT_BUSY };
+  mm_kept_submit (fx->kept, job (id, n_steps, run_ms), &queue, on_answered,
+                  &a);
+  fixture_run (fx, 50);
+  ck_assert_int_eq (a.status, MM_KEPT_OK);
+}
+
+static void
+assert_phase (fixture *fx, const char *id, mm_job_phase phase)
+{
+  mm_kept_answer a = { .status = MM_KEPT_BUSY };
+  mm_kept_state (fx->kept, id, on_answered, &a);
+  fixture_run (fx, 100);
+  ck_assert_int_eq (a.status, MM_KEPT_OK);
+  ck_assert_int_eq (a.phase, phase);
+}
+
+/* ---- tests ------------------------------------------------------------ */
+
+/* Guards against an outage of the store that stops every running task of kept
+   jobs: a home that no other has replaced goes on where it was.  */
+START_TEST (home_that_nobody_replaced_goes_on_after_an_outage)
+{
+  fixture *fx = fixture_create ();
+  store *s = &fx->store;
+  add_upstream (fx);
+  fixture_run (fx, 100);
+  submit (fx, "j", 2, LONG_TASK_MS);
+  ck_assert_uint_eq (fake_running (fx->upstream), 1);
+  s->down = true;
+  fixture_run (fx, LONG_TASK_MS + 100);
+  ck_assert_uint_eq (fake_running (fx->upstream), 0);
+  ck_assert_uint_eq (starts (fx), 1);
+  s->down = false;
+  /* The call that waits for an answer fails first.  */
+  fixture_run (fx, MM_STORE_TIMEOUT_MS);
+  ck_assert_uint_eq (starts (fx), 2);
+  fixture_run (fx, LONG_TASK_MS + 100);
+  assert_phase (fx, "j", MM_JOB_COMPLETED);
+  ck_assert_uint_eq (starts (fx), 2);
+  fixture_destroy (fx);
+}
+END_TEST
+
+/* Guards against a home whose timers are late, as after a stall: the end of a
+   run must not start the next task when the confirmation of the membership has
+   become too old since the last tick.  */
+START_TEST (end_of_a_run_starts_nothing_at_an_unconfirmed_home)
+{
+  fixture *fx = fixture_create ();
+  add_upstream (fx);
+  fixture_run (fx, 100);
+  submit (fx, "j", 2, LONG_TASK_MS);
+  ck_assert_uint_eq (fake_running (fx->upstream), 1);
+  fakes_run (fx->fakes, NULL, LONG_TASK_MS + 100);
+  ck_assert_uint_eq (starts (fx), 1);
+  ck_assert_uint_eq (fake_running (fx->upstream), 0);
+  fixture_destroy (fx);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("home_return");
+  TCase *tc = tcase_create ("home_return");
+  tcase_set_timeout (tc, 60);
+  tcase_add_test (tc, home_that_nobody_replaced_goes_on_after_an_outage);
+  tcase_add_test (tc, end_of_a_run_starts_nothing_at_an_unconfirmed_home);
+  suite_add_tcase (s, tc);
+  return h_run_suite (s);
+}
--- a/tests/test_kept.c
+++ b/tests/test_kept.c
@@ -638,7 +638,7 @@
                         .ended = on_job_ended,
                         .fenced = on_home_fenced };
   mm_home *h = mm_home_create (&port, fleet, 3, 7, &ev);
-  mm_home_tick (h, false);
+  mm_home_tick (h, 0);
   answer_append (s, MM_APPEND_OK, 0);
   answer_records (s);
   return h;
@@ -700,7 +700,7 @@
   /* Only the first request came before the record was sent.  */
   ck_assert_int_eq (c.no_job, 1);
   now_ms += MM_READ_BARRIER_PAUSE_MS;
-  mm_home_tick (h, true);
+  mm_home_tick (h, G_MAXINT64);
   answer_append (&s, MM_APPEND_OK, 0);
   ck_assert_int_eq (c.no_job, REQUESTS);
   ck_assert_uint_eq (s.appends - before, 2);
@@ -730,7 +730,7 @@
   ck_assert_int_eq (c.ok, 1);
   mm_home_cancel (h, "j", on_answered, &first);
   now_ms += MM_KEPT_STORE_TIMEOUT_MS;
-  mm_home_tick (h, true);
+  mm_home_tick (h, G_MAXINT64);
   ck_assert_int_eq (first.in_doubt, 1);
   mm_home_cancel (h, "j", on_answered, &second);
   ck_assert_int_eq (second.ok, 0);
@@ -802,7 +802,7 @@
   mm_home_in_doubt (h, in_doubt);
   mm_home_clear_in_doubt (h, in_doubt);
   g_hash_table_destroy (in_doubt);
-  mm_home_tick (h, true);
+  mm_home_tick (h, G_MAXINT64);
   answer_append (&s, MM_APPEND_OK, 0);
   mm_kept_answer a;
   mm_home_state (h, "j", &a);
@@ -826,7 +826,7 @@
   mm_record stored = { .key = (char *)"j", .value = bytes };
   slow_store s = { .stored = &stored, .n_stored = 1 };
   mm_home *h = open_home (&s, fx.fleet);
-  mm_home_tick (h, true);
+  mm_home_tick (h, G_MAXINT64);
   answer_append (&s, MM_APPEND_OK, 0);
   mm_kept_answer a;
   mm_home_state (h, "j", &a);
