Kept jobs: a home that got its partition back checks it first

Cause: a home that was frozen and then had no answer of the store for longer than the TTL lost its partition (generation 17). Another home finished the job and left, and the first home was assigned the partition again (generation 22) with its first answer. Both answers listed the partition, so the first home never learned that it had been away: it kept its state and its epoch, its membership counted as confirmed at once, and it started the task 0.4 s before the log refused its next record. In the same state it said of jobs that the other home had accepted that they do not exist, upon which an owner drops the ends of their runs.

Change: each change of an assignment has a generation of its own. So if another member has learned that it holds a partition between two answers to this one, the second answer skips a generation, whether the cause was an expired membership, a stall or a reassignment without notice. mm_partitions reports since which generation a partition is held for certain; when that rises, the home writes a record before it starts a task or answers for its jobs. Every home announces its epoch before it reads or changes a job, so an accepted record shows that no other home did; a refused one closes the home, which opens with a new epoch and reads all jobs. An outage of the store that nobody used costs one append and stops no task; giving the partition up each time would stop all running tasks of kept jobs, and a new epoch alone would hide that another home has written.

Evidence: test_home_return: three new cases (the store's group slower or faster than its log, a reassignment within the TTL, the denial of a job) failed on the unchanged code (1 start, 0 asked, twice; "no such job") and pass, and home_that_nobody_replaced_goes_on_after_an_outage holds the other side. test_membership partition_that_may_have_been_away_is_held_anew is new with the function that it tests. test_kept, test_logs pass.

--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -147,6 +147,11 @@
   = { "job_caller_left", RATE_HIGH, "job queue took_ms",
       "The last caller of the job closed its connection; the tasks are "
       "stopped." },
+  [MM_EV_JOBS_CHECKED]
+  = { "jobs_checked", RATE_HIGH, "partition epoch since open",
+      "Another instance may have been the home of the kept jobs of this "
+      "partition before generation 'since'; this instance starts none of "
+      "their tasks until the store has confirmed that none was." },
   [MM_EV_JOBS_FENCED]
   = { "jobs_fenced", RATE_HIGH, "partition epoch",
       "Another instance is the home of the kept jobs of this partition; "
--- a/src/mm_home.c
+++ b/src/mm_home.c
@@ -4,7 +4,13 @@
    A job is accepted when its record is stored, and reported as ended when its
    outcome is stored.  In between its progress is stored from time to time.
    Ends of tasks that are not stored yet stay listed at the upstreams, where
-   the next home finds them (mm_task_search).  */
+   the next home finds them (mm_task_search).
+
+   Another instance may have been the home for a while without this one's
+   notice.  Every home announces its epoch to the log before it reads or
+   changes a job, and the log then refuses the records of a lower epoch.  So a
+   home whose partition may have been away stores a record first: if the log
+   accepts it, no other home has changed a job.  */
 #include "mm_home.h"
 
 #include "config.h"
@@ -15,6 +21,11 @@
 
 #include <string.h>
 
+/* Key of the records that only check whether this instance is still the home.
+   It is longer than a job's id can be.  */
+static const char check_key[] = "checks whether its home is the current one";
+G_STATIC_ASSERT (sizeof check_key - 1 > MM_JOB_ID_MAX);
+
 /* A request that waits for a job's record to be stored.  */
 typedef struct
 {
@@ -47,6 +58,9 @@
   mm_fleet *fleet;
   mm_home_events ev;
   mm_job_log *log;
+  uint64_t held_since;       /* no other instance was the home since this
+                                generation, once all checks have succeeded */
+  uint32_t n_checks;         /* checks that are not stored, or have failed */
   bool loaded;               /* all stored jobs have been read */
   mm_time_ms start_until_ms; /* tasks may be started until then */
   bool fenced;      /* superseded, or being destroyed: writes that end find no
@@ -309,7 +323,7 @@
 {
   mm_home *h = g_new0 (mm_home, 1);
   h->partition = partition;
-  h->epoch = epoch;
+  h->epoch = h->held_since = epoch;
   h->fleet = fleet;
   h->ev = *ev;
   h->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, job_free);
@@ -345,6 +359,43 @@
   return h->epoch;
 }
 
+/* ---- checks ----------------------------------------------------------- */
+
+static void
+on_check_stored (void *ctx, bool ok)
+{
+  mm_home *h = ctx;
+  h->n_checks -= ok;
+}
+
+/**
+ * mm_home_set_held_since() - check whether this instance is still the home.
+ * @h: the home.
+ * @generation: of the group of homes; since then no other instance can have
+ *              held the partition.
+ *
+ * If @generation is higher than any before, another instance may have been the
+ * home in between.  Until the log has accepted a record that is written now,
+ * no task starts and mm_home_current() is false.
+ */
+void
+mm_home_set_held_since (mm_home *h, uint64_t generation)
+{
+  if (generation <= h->held_since)
+    return;
+  h->held_since = generation;
+  h->n_checks++;
+  mm_log_event (MM_EV_JOBS_CHECKED, MM_INT (h->partition), MM_INT (h->epoch),
+                MM_INT (generation), MM_INT (h->n_open_jobs));
+  mm_job_log_put (h->log, check_key, NULL, on_check_stored, h);
+}
+
+bool
+mm_home_current (const mm_home *h)
+{
+  return h->n_checks == 0 && !h->fenced;
+}
+
 /* ---- callers ---------------------------------------------------------- */
 
 /* The record of a new job is stored: the job is accepted and starts.  */
@@ -558,7 +609,7 @@
 void
 mm_home_tick (mm_home *h, mm_time_ms start_until_ms)
 {
-  h->start_until_ms = start_until_ms;
+  h->start_until_ms = mm_home_current (h) ? start_until_ms : 0;
   mm_job_log_tick (h->log);
   if (!h->loaded)
     return;
--- a/src/mm_home.h
+++ b/src/mm_home.h
@@ -34,6 +34,14 @@
 /* The epoch that the home was created with.  */
 uint64_t mm_home_epoch (const mm_home *h);
 
+/* Sets the generation since which no other instance can have held the
+   partition.  If it rises, another may have been the home in between: no task
+   starts until the store has confirmed that none has changed a job.  */
+void mm_home_set_held_since (mm_home *h, uint64_t generation);
+/* Whether the state of the jobs here is current as far as this instance
+   knows: no check of mm_home_set_held_since() is under way or has failed.  */
+bool mm_home_current (const mm_home *h);
+
 /* Requests about a job of the partition.  The answer is MM_KEPT_MOVING until
    the stored jobs have been read.  */
 
--- a/src/mm_kept.c
+++ b/src/mm_kept.c
@@ -98,6 +98,9 @@
         close_home (k, i);
       if (!k->home[i] && state == MM_PARTITION_OWNED && !k->leaving)
         open_home (k, i, epoch);
+      if (k->home[i])
+        mm_home_set_held_since (k->home[i],
+                                mm_partitions_held_since (k->partitions, i));
     }
 }
 
@@ -151,7 +154,8 @@
 bool
 mm_kept_home_confirmed (const mm_kept *k, uint32_t partition)
 {
-  return mm_clock_now_ms () < home_until_ms (k, partition);
+  return mm_clock_now_ms () < home_until_ms (k, partition)
+         && k->home[partition] && mm_home_current (k->home[partition]);
 }
 
 /* Returns until when a home may start tasks.  A home that may have been
--- a/src/mm_kept_priv.h
+++ b/src/mm_kept_priv.h
@@ -38,8 +38,9 @@
 /* The home of a job, NULL when it is not at this instance.  */
 mm_home *mm_kept_home_of (const mm_kept *k, const char *job_id);
 
-/* Whether this instance owns the partition and the store has confirmed the
-   instance's membership of the group within MM_GROUP_CONFIRMED_MS.  */
+/* Whether this instance owns the partition, the store has confirmed the
+   instance's membership of the group within MM_GROUP_CONFIRMED_MS, and the
+   home's jobs are current.  */
 bool mm_kept_home_confirmed (const mm_kept *k, uint32_t partition);
 
 /* mm_kept_foreign.c: checks the jobs of all foreign runs whose ends are held
--- a/src/mm_partitions.c
+++ b/src/mm_partitions.c
@@ -22,8 +22,10 @@
 
 typedef struct
 {
-  uint64_t fence;    /* fencing token; 0: not owned by this instance */
-  bool is_releasing; /* owned, but no longer listed for this instance */
+  uint64_t fence;      /* fencing token; 0: not owned by this instance */
+  uint64_t held_since; /* generation from which on no other member can have
+                          held it; 0: not owned by this instance */
+  bool is_releasing;   /* owned, but no longer listed for this instance */
 } partition;
 
 struct mm_partitions
@@ -98,18 +100,25 @@
 }
 
 /* Applies the store's list of partitions that are assigned to this instance.
-   An owned partition that is not listed any more is releasing from now on.  */
+   An owned partition that is not listed any more is releasing from now on.
+   If the list skips a generation, another member may have held any partition
+   in between, even one that was listed before and is listed again: this
+   instance's membership may have expired meanwhile, or the store may have
+   reassigned the partitions twice.  */
 static void
 apply_assignment (mm_partitions *set, const mm_join_result *res)
 {
   uint32_t n_owned = 0, n_releasing = 0;
+  bool skipped = res->generation != set->listed_generation + 1;
   set->changes++;
   for (uint32_t i = 0; i < set->n_partitions; i++)
     {
       partition *p = &set->partitions[i];
       bool is_assigned = is_assigned_in (res, i);
       if (is_assigned && !p->fence)
-        p->fence = res->generation;
+        p->fence = p->held_since = res->generation;
+      else if (is_assigned && skipped)
+        p->held_since = res->generation;
       p->is_releasing = p->fence && !is_assigned;
       n_owned += is_assigned;
       n_releasing += p->is_releasing;
@@ -118,6 +127,7 @@
   mm_log_event (MM_EV_GROUP_CHANGED, MM_TEXT (set->group),
                 MM_INT (res->generation), MM_INT (n_owned),
                 MM_INT (n_releasing));
+  set->listed_generation = res->generation;
   /* The next join confirms the new generation, unless partitions have to be
      released first.  */
   if (!n_releasing)
@@ -157,7 +167,6 @@
   if (!set->closed && res->ok && !set->leaving
       && res->generation != set->listed_generation)
     {
-      set->listed_generation = res->generation;
       apply_assignment (set, res);
     }
   partitions_unref (set);
@@ -269,6 +278,12 @@
   return state_of (&set->partitions[index], fence);
 }
 
+uint64_t
+mm_partitions_held_since (const mm_partitions *set, uint32_t index)
+{
+  return set->partitions[index].held_since;
+}
+
 mm_time_ms
 mm_partitions_confirmed_ms (const mm_partitions *set)
 {
--- a/tests/test_home_return.c
+++ b/tests/test_home_return.c
@@ -14,8 +14,12 @@
 enum
 {
   STORE_CALL_MS = 4, /* round trip of a call to the store */
+  TASK_MS = 100,     /* run time of a task */
   /* Run time of a task that ends after the membership has expired.  */
-  LONG_TASK_MS = MM_GROUP_TTL_MS + 100
+  LONG_TASK_MS = MM_GROUP_TTL_MS + 100,
+  /* Time in which a home that takes over searches for tasks in doubt and
+     starts those that do not run: the lease, a search and some ticks.  */
+  TAKEOVER_MS = MM_KEPT_LEASE_EXPIRY_MS + 2 * MM_KEPT_SEARCH_PAUSE_MS
 };
 
 static const mm_route queue = {
@@ -404,8 +408,119 @@
   ck_assert_int_eq (a.phase, phase);
 }
 
+/* ---- another home ----------------------------------------------------- */
+
+/* Another instance, to which the partition is assigned, announces its epoch to
+   the log, and stores a job as completed.  */
+static void
+complete_elsewhere (fixture *fx, const char *job_id)
+{
+  store *s = &fx->store;
+  ck_assert_str_eq (mm_group_table_holder (s->group, 0), "b");
+  s->epoch = mm_group_table_generation (s->group);
+  s->next_seq = 1;
+  mm_job_record *rec = mm_job_record_create (job (job_id, 1, TASK_MS), &queue);
+  mm_job_record_set_outcome (rec, MM_JOB_COMPLETED);
+  GBytes *value = mm_job_record_pack (rec);
+  put (s, job_id, value);
+  g_bytes_unref (value);
+  mm_job_record_destroy (rec);
+}
+
+/* The membership of the instance under test expires, as the store does not
+   answer it, and the other instance gets the partition.  */
+static void
+lose_partition (fixture *fx)
+{
+  store *s = &fx->store;
+  s->down = true;
+  fixture_run (fx, MM_GROUP_TTL_MS + 100);
+  mm_group_table_join (s->group, "b", 0, 10000, mm_clock_now_ms ());
+}
+
+/* The other instance leaves, and the store answers the instance under test
+   again, which gets the partition back with its next call.  */
+static void
+regain_partition (fixture *fx)
+{
+  mm_group_table_leave (fx->store.group, "b");
+  fx->store.down = false;
+}
+
 /* ---- tests ------------------------------------------------------------ */
 
+/* Guards against a home that starts a task again that its successor has
+   finished, because the partition is back before the home noticed the loss. */
+START_TEST (returned_home_starts_no_task_that_another_home_finished)
+{
+  fixture *fx = fixture_create ();
+  submit (fx, "j", 1, TASK_MS);
+  lose_partition (fx);
+  complete_elsewhere (fx, "j");
+  add_upstream (fx);
+  regain_partition (fx);
+  /* The log is slower than the group.  */
+  fx->store.log_down = true;
+  fixture_run (fx, 500);
+  ck_assert_uint_eq (starts (fx), 0);
+  fx->store.log_down = false;
+  fixture_run (fx, 2 * TAKEOVER_MS);
+  ck_assert_uint_eq (starts (fx), 0);
+  assert_phase (fx, "j", MM_JOB_COMPLETED);
+  fixture_destroy (fx);
+}
+END_TEST
+
+/* Guards against the same when no membership expires: the store takes the
+   partition away and gives it back between two joins.  */
+START_TEST (partition_moved_away_and_back_is_read_again)
+{
+  fixture *fx = fixture_create ();
+  store *s = &fx->store;
+  submit (fx, "j", 1, TASK_MS);
+  mm_group_table_join (s->group, "b", 0, 10000, mm_clock_now_ms ());
+  s->down = true;
+  while (strcmp (mm_group_table_holder (s->group, 0), "b") != 0)
+    mm_group_table_reassign_all (s->group);
+  fixture_run (fx, MM_GROUP_TTL_MS - MM_GROUP_HEARTBEAT_MS - 50);
+  complete_elsewhere (fx, "j");
+  mm_group_table_reassign_all (s->group);
+  uint64_t generation = mm_group_table_generation (s->group);
+  s->down = false;
+  add_upstream (fx);
+  fixture_run (fx, 2 * TAKEOVER_MS);
+  ck_assert_uint_eq (starts (fx), 0);
+  ck_assert_uint_eq (mm_group_table_generation (s->group), generation);
+  assert_phase (fx, "j", MM_JOB_COMPLETED);
+  fixture_destroy (fx);
+}
+END_TEST
+
+/* Guards against the loss of unacknowledged ends: an owner drops them when the
+   home answers that their job does not exist, and a home that does not know of
+   its successor's jobs must not answer so.  */
+START_TEST (returned_home_denies_no_job_that_another_home_accepted)
+{
+  fixture *fx = fixture_create ();
+  lose_partition (fx);
+  complete_elsewhere (fx, "k");
+  regain_partition (fx);
+  fx->store.log_down = true;
+  mm_kept_answer a;
+  for (int i = 0; i < 20; i++)
+    {
+      fixture_run (fx, MM_EXEC_TICK_MS);
+      mm_kept_answer_foreign (fx->kept, "k", &a);
+      ck_assert_int_ne (a.status, MM_KEPT_NO_JOB);
+    }
+  fx->store.log_down = false;
+  fixture_run (fx, TAKEOVER_MS);
+  mm_kept_answer_foreign (fx->kept, "k", &a);
+  ck_assert_int_eq (a.status, MM_KEPT_OK);
+  fixture_destroy (fx);
+}
+END_TEST
+
 /* Guards against an outage of the store that stops every running task of kept
    jobs: a home that no other has replaced goes on where it was.  */
 START_TEST (home_that_nobody_replaced_goes_on_after_an_outage)
@@ -454,6 +569,9 @@
   Suite *s = suite_create ("home_return");
   TCase *tc = tcase_create ("home_return");
   tcase_set_timeout (tc, 60);
+  tcase_add_test (tc, returned_home_starts_no_task_that_another_home_finished);
+  tcase_add_test (tc, partition_moved_away_and_back_is_read_again);
+  tcase_add_test (tc, returned_home_denies_no_job_that_another_home_accepted);
   tcase_add_test (tc, home_that_nobody_replaced_goes_on_after_an_outage);
   tcase_add_test (tc, end_of_a_run_starts_nothing_at_an_unconfirmed_home);
   suite_add_tcase (s, tc);
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -443,6 +443,54 @@
 }
 END_TEST
 
+/* Returns the generation since which an instance has held its first partition,
+   and the index of that partition in @index.  */
+static uint64_t
+first_held_since (const fixture *f, int instance, uint32_t *index)
+{
+  uint64_t fence;
+  for (*index = 0; *index < PARTITIONS; (*index)++)
+    if (mm_partitions_state (f->partitions[instance], *index, &fence)
+        == MM_PARTITION_OWNED)
+      return mm_partitions_held_since (f->partitions[instance], *index);
+  ck_abort_msg ("instance %d owns no partition", instance);
+}
+
+/* Guards against state that is kept over a loss of ownership: an instance must
+   see that another one may have held a partition that it still has, after an
+   outage and after a reassignment without notice, and only then.  */
+START_TEST (partition_that_may_have_been_away_is_held_anew)
+{
+  fixture *f = fixture_create ();
+  fixture_join (f, 0);
+  fixture_run (f, 500);
+  uint32_t index;
+  uint64_t fence, since = first_held_since (f, 0, &index);
+  mm_partitions_state (f->partitions[0], index, &fence);
+  ck_assert_uint_eq (since, fence);
+  /* Another member joins: a change that this instance sees at once.  */
+  fixture_join (f, 1);
+  fixture_run (f, CALL_MS);
+  mm_partitions_poll_now (f->partitions[0]);
+  fixture_run (f, MM_EXEC_TICK_MS + CALL_MS);
+  ck_assert_uint_eq (first_held_since (f, 0, &index), since);
+  fixture_run (f, 4000);
+  since = first_held_since (f, 0, &index);
+  f->faults[0].disconnected = true;
+  fixture_run (f, MM_GROUP_TTL_MS + MM_STORE_TIMEOUT_MS);
+  f->faults[0].disconnected = false;
+  fixture_run (f, 8000);
+  uint64_t regained = first_held_since (f, 0, &index);
+  ck_assert_uint_gt (regained, since);
+  uint64_t generation = mm_group_table_generation (f->group);
+  mm_group_table_reassign_all (f->group);
+  mm_group_table_reassign_all (f->group);
+  fixture_run (f, 500);
+  ck_assert_uint_gt (first_held_since (f, 0, &index), generation);
+  fixture_destroy (f);
+}
+END_TEST
+
 /* The joins of an instance are carried out, but their answers are lost, so the
    instance learns of no change.  It must stay a member of the group, and each
    upstream must have an owner in the end.  */
@@ -913,6 +961,7 @@
   tcase_add_test (c, store_outage_takes_no_upstream_away);
   tcase_add_test (c, slow_store_keeps_memberships);
   tcase_add_test (c, reassigned_partitions_get_higher_tokens);
+  tcase_add_test (c, partition_that_may_have_been_away_is_held_anew);
   tcase_add_test (c, lost_answers_keep_the_membership);
   tcase_add_loop_test (c, random_faults_end_with_one_owner_each, 0, 50);
   tcase_add_test (c, missing_upstream_is_dropped_after_grace_time);
