Owners: a raised token does not hide that an upstream is back

A task could stay a suspect, or be given up as a poison task, although its upstream had only been out of reach.

Cause: that an upstream is back was derived from a token that the upstream knows. A token that is raised while the upstream is out of reach is not known there, so that the upstream counted as new and its loss stayed open.

Change: the session keeps whether it has reported the upstream as lost.

Evidence: test_suspects upstream_is_back_though_the_token_was_raised failed before and passes.

--- a/src/mm_exec_hold.c
+++ b/src/mm_exec_hold.c
@@ -159,7 +159,10 @@
     return;
   /* Reported once: runs_known is false until the upstream answers again.  */
   if (x->runs_known)
-    x->ev.upstream_lost (x->ev.ctx, x, false);
+    {
+      x->lost = true;
+      x->ev.upstream_lost (x->ev.ctx, x, false);
+    }
   GList *runs = g_hash_table_get_values (x->runs);
   for (GList *l = runs; l && !x->closed; l = l->next)
     {
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -183,8 +183,11 @@
   GHashTable *present = g_hash_table_new (NULL, NULL);
   bool first = !x->runs_known;
   bool fence_accepted = !x->fence_known && c->fence == x->fence;
-  if (first && x->fence_known)
-    x->ev.upstream_back (x->ev.ctx, x);
+  if (x->lost)
+    {
+      x->lost = false;
+      x->ev.upstream_back (x->ev.ctx, x);
+    }
   if (fence_accepted)
     mm_log_event (MM_EV_UPSTREAM_OWNED, MM_TEXT (x->info->name),
                   MM_INT (x->fence));
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -57,6 +57,7 @@
   bool runs_known;  /* a hold has listed the runs; false again after a loss */
   bool fence_known; /* the upstream knows our fencing token, and a hold with
                        that token has listed the runs */
+  bool lost;        /* reported as lost, and not as back yet */
   bool suspect;     /* the last call got no answer or a bad one */
   bool stops_due;   /* stops are sent again at the next tick */
   bool fenced;      /* another instance owns the upstream */
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -303,8 +303,10 @@
 
 /* Upstreams are unresponsive for a while and then answer as the same
    incarnation.  A task that is lost with one such upstream after another must
-   not be given up.  */
-START_TEST (task_on_disconnected_upstreams_is_never_given_up)
+   not be given up.  @raises_token: the owner raises its fencing token before
+   the upstream answers again.  */
+static void
+lose_task_with_disconnected_upstreams (bool raises_token)
 {
   fixture fx = fixture_create ();
   char name[16];
@@ -323,6 +325,8 @@
       ck_assert_int_eq (how, MM_END_LOST);
       ck_assert_int_eq (mm_suspects_decide (fx.suspects, &id),
                         MM_SUSPECT_ISOLATE);
+      if (raises_token)
+        mm_owner_raise_fence (fx.owner, name, 6);
       fake_mode_of (x)->unresponsive = false;
       fakes_run (fx.upstreams, fx.owner, 1000);
       ck_assert_int_eq (mm_suspects_decide (fx.suspects, &id), MM_SUSPECT_RUN);
@@ -330,6 +334,19 @@
     }
   fixture_destroy (&fx);
 }
+
+/* Guards against a task that is given up although no upstream crashed.  */
+START_TEST (task_on_disconnected_upstreams_is_never_given_up)
+{
+  lose_task_with_disconnected_upstreams (false);
+}
+END_TEST
+
+/* Guards against a raised token that hides that an upstream is back.  */
+START_TEST (upstream_is_back_though_the_token_was_raised)
+{
+  lose_task_with_disconnected_upstreams (true);
+}
 END_TEST
 
 /* The restart of an upstream counts as a crash unless the upstream was listed
@@ -411,6 +428,7 @@
   suite_add_tcase (s, c);
   c = tcase_create ("owner");
   tcase_add_test (c, task_on_disconnected_upstreams_is_never_given_up);
+  tcase_add_test (c, upstream_is_back_though_the_token_was_raised);
   tcase_add_test (c, restarted_upstream_has_crashed_unless_it_was_draining);
   tcase_add_test (c, suspect_runs_isolated);
   suite_add_tcase (s, c);
