--- a/src/mm_exec_hold.c
+++ b/src/mm_exec_hold.c
@@ -100,7 +100,10 @@
         break;
       }
     case MM_CALL_FENCED:
-      mm_exec_become_fenced (x, NULL);
+      if (mm_exec_call_outdated (c, res->call.verdict))
+        mm_exec_tick (x);
+      else
+        mm_exec_become_fenced (x, NULL);
       break;
     case MM_CALL_GONE:
       mm_exec_on_replaced (x);
@@ -156,7 +159,10 @@
     return;
   /* Reported once: runs_known is false until the upstream answers again.  */
   if (x->runs_known)
-    x->ev.upstream_lost (x->ev.ctx, x, false);
+    {
+      x->lost = true;
+      x->ev.upstream_lost (x->ev.ctx, x, false);
+    }
   GList *runs = g_hash_table_get_values (x->runs);
   for (GList *l = runs; l && !x->closed; l = l->next)
     {
@@ -243,7 +249,7 @@
     }
   if (x->closed || x->holds_in_flight > 0)
     return;
-  if (x->hold_failed_ms || !x->runs_known || x->suspect)
+  if (x->hold_failed_ms || !x->runs_known || !x->fence_known || x->suspect)
     {
       mm_time_ms pause_ms
           = x->holds_failed < MM_HOLD_IMMEDIATE_RETRIES ? 0 : MM_HOLD_RETRY_MS;
--- a/src/mm_home.c
+++ b/src/mm_home.c
@@ -4,7 +4,13 @@
    A job is accepted when its record is stored, and reported as ended when its
    outcome is stored.  In between its progress is stored from time to time.
    Ends of tasks that are not stored yet stay listed at the upstreams, where
-   the next home finds them (mm_task_search).  */
+   the next home finds them (mm_task_search).
+
+   Another instance may have been the home for a while without this one's
+   notice.  Every home announces its epoch to the log before it reads or
+   changes a job, and the log then refuses the records of a lower epoch.  So a
+   home whose partition may have been away stores a record first: if the log
+   accepts it, no other home has changed a job.  */
 #include "mm_home.h"
 
 #include "config.h"
@@ -15,6 +21,11 @@
 
 #include <string.h>
 
+/* Key of the records that only check whether this instance is still the home.
+   It is longer than a job's id can be.  */
+static const char check_key[] = "checks whether its home is the current one";
+G_STATIC_ASSERT (sizeof check_key - 1 > MM_JOB_ID_MAX);
+
 /* A request that waits for a job's record to be stored.  */
 typedef struct
 {
@@ -47,8 +58,11 @@
   mm_fleet *fleet;
   mm_home_events ev;
   mm_job_log *log;
-  bool loaded;      /* all stored jobs have been read */
-  bool may_start;   /* whether tasks may be started, as of the last tick */
+  uint64_t held_since;       /* no other instance was the home since this
+                                generation, once all checks have succeeded */
+  uint32_t n_checks;         /* checks that are not stored, or have failed */
+  bool loaded;               /* all stored jobs have been read */
+  mm_time_ms start_until_ms; /* tasks may be started until then */
   bool fenced;      /* superseded, or being destroyed: writes that end find no
                        job */
   GHashTable *jobs; /* id -> job */
@@ -249,7 +263,7 @@
   if (mm_kept_tasks_all_done (j->kept_tasks))
     end_job (j, MM_JOB_COMPLETED);
   else
-    mm_kept_tasks_tick (j->kept_tasks, j->home->may_start);
+    mm_kept_tasks_tick (j->kept_tasks, j->home->start_until_ms);
 }
 
 /* ---- opening ---------------------------------------------------------- */
@@ -309,7 +323,7 @@
 {
   mm_home *h = g_new0 (mm_home, 1);
   h->partition = partition;
-  h->epoch = epoch;
+  h->epoch = h->held_since = epoch;
   h->fleet = fleet;
   h->ev = *ev;
   h->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, job_free);
@@ -339,10 +353,41 @@
   g_free (h);
 }
 
-uint64_t
-mm_home_epoch (const mm_home *h)
+/* ---- checks ----------------------------------------------------------- */
+
+static void
+on_check_stored (void *ctx, bool ok)
+{
+  mm_home *h = ctx;
+  h->n_checks -= ok;
+}
+
+/**
+ * mm_home_set_held_since() - check whether this instance is still the home.
+ * @h: the home.
+ * @generation: of the group of homes; since then no other instance can have
+ *              held the partition.
+ *
+ * If @generation is higher than any before, another instance may have been the
+ * home in between.  Until the log has accepted a record that is written now,
+ * no task starts and mm_home_current() is false.
+ */
+void
+mm_home_set_held_since (mm_home *h, uint64_t generation)
+{
+  if (generation <= h->held_since)
+    return;
+  h->held_since = generation;
+  h->n_checks++;
+  mm_log_event (MM_EV_JOBS_CHECKED, MM_INT (h->partition), MM_INT (h->epoch),
+                MM_INT (generation), MM_INT (h->n_open_jobs));
+  mm_job_log_put (h->log, check_key, NULL, on_check_stored, h);
+}
+
+bool
+mm_home_current (const mm_home *h)
 {
-  return h->epoch;
+  return h->n_checks == 0 && !h->fenced;
 }
 
 /* ---- callers ---------------------------------------------------------- */
@@ -544,28 +589,28 @@
 }
 
 /* Answers expired waiters, stores progress that is due, and dispatches the
-   waiting tasks if @may_start.  */
+   waiting tasks if they may start.  */
 static void
-tick_job (job *j, mm_time_ms now, bool may_start)
+tick_job (job *j, mm_time_ms now)
 {
   answer_waiters (j, MM_KEPT_IN_DOUBT, now);
   if (j->progress_due_ms && now >= j->progress_due_ms)
     store_progress (j);
   if (j->kept_tasks)
-    mm_kept_tasks_tick (j->kept_tasks, may_start);
+    mm_kept_tasks_tick (j->kept_tasks, j->home->start_until_ms);
 }
 
 void
-mm_home_tick (mm_home *h, bool may_start)
+mm_home_tick (mm_home *h, mm_time_ms start_until_ms)
 {
-  h->may_start = may_start;
+  h->start_until_ms = mm_home_current (h) ? start_until_ms : 0;
   mm_job_log_tick (h->log);
   if (!h->loaded)
     return;
   mm_time_ms now = mm_clock_now_ms ();
   GList *jobs = g_hash_table_get_keys (h->unfinished);
   for (GList *l = jobs; l && !h->fenced; l = l->next)
-    tick_job (l->data, now, may_start);
+    tick_job (l->data, now);
   g_list_free (jobs);
   if (!h->fenced)
     drop_expired_outcomes (h, now);
--- a/src/mm_home.h
+++ b/src/mm_home.h
@@ -31,8 +31,14 @@
 /* Stops the tasks that run, and answers the waiting requests.  Ends that are
    not stored yet stay listed at the upstreams.  */
 void mm_home_destroy (mm_home *h);
-/* The epoch that the home was created with.  */
-uint64_t mm_home_epoch (const mm_home *h);
+
+/* Sets the generation since which no other instance can have held the
+   partition.  If it rises, another may have been the home in between: no task
+   starts until the store has confirmed that none has changed a job.  */
+void mm_home_set_held_since (mm_home *h, uint64_t generation);
+/* Whether the state of the jobs here is current as far as this instance
+   knows: no check of mm_home_set_held_since() is under way or has failed.  */
+bool mm_home_current (const mm_home *h);
 
 /* Requests about a job of the partition.  The answer is MM_KEPT_MOVING until
    the stored jobs have been read.  */
@@ -53,8 +59,9 @@
 
 /* Number of accepted jobs of a queue that have not started.  */
 uint32_t mm_home_pending (const mm_home *h, const char *queue);
-/* Call each MM_EXEC_TICK_MS.  @may_start: tasks may be dispatched.  */
-void mm_home_tick (mm_home *h, bool may_start);
+/* Call each MM_EXEC_TICK_MS.  Tasks may be dispatched until @start_until_ms;
+   0: not at all.  */
+void mm_home_tick (mm_home *h, mm_time_ms start_until_ms);
 /* Whether no task is at an owner and no record waits to be stored.  */
 bool mm_home_idle (const mm_home *h);
 /* Number of jobs that have not ended.  */
--- a/src/mm_partitions.c
+++ b/src/mm_partitions.c
@@ -5,8 +5,8 @@
    generation of that list, the store assigns the partition to another member.
    In between, this instance lets the running tasks end, and starts none that
    would end after them.  The fencing token of a partition at the upstreams is
-   the generation at which the partition was assigned to this instance: higher
-   than the token of any earlier owner.
+   the generation since which this instance has certainly held the partition:
+   higher than the token of any earlier owner.
 
    While the store is unreachable, this instance keeps its partitions.  If the
    store has assigned them to another member meanwhile, the new owner's higher
@@ -98,17 +98,23 @@
 }
 
 /* Applies the store's list of partitions that are assigned to this instance.
-   An owned partition that is not listed any more is releasing from now on.  */
+   An owned partition that is not listed any more is releasing from now on.
+   If the list skips a generation, another member may have held any partition
+   in between, even one that was listed before and is listed again: this
+   instance's membership may have expired meanwhile, or the store may have
+   reassigned the partitions twice.  Such a partition gets a new fencing
+   token.  */
 static void
 apply_assignment (mm_partitions *set, const mm_join_result *res)
 {
   uint32_t n_owned = 0, n_releasing = 0;
+  bool skipped = res->generation != set->listed_generation + 1;
   set->changes++;
   for (uint32_t i = 0; i < set->n_partitions; i++)
     {
       partition *p = &set->partitions[i];
       bool is_assigned = is_assigned_in (res, i);
-      if (is_assigned && !p->fence)
+      if (is_assigned && (!p->fence || skipped))
         p->fence = res->generation;
       p->is_releasing = p->fence && !is_assigned;
       n_owned += is_assigned;
@@ -118,6 +124,7 @@
   mm_log_event (MM_EV_GROUP_CHANGED, MM_TEXT (set->group),
                 MM_INT (res->generation), MM_INT (n_owned),
                 MM_INT (n_releasing));
+  set->listed_generation = res->generation;
   /* The next join confirms the new generation, unless partitions have to be
      released first.  */
   if (!n_releasing)
@@ -157,7 +164,6 @@
   if (!set->closed && res->ok && !set->leaving
       && res->generation != set->listed_generation)
     {
-      set->listed_generation = res->generation;
       apply_assignment (set, res);
     }
   partitions_unref (set);
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -443,6 +443,49 @@
 }
 END_TEST
 
+/* Returns the fencing token of the first partition that an instance owns.  */
+static uint64_t
+first_fence (const fixture *f, int instance)
+{
+  uint64_t fence;
+  for (uint32_t i = 0; i < PARTITIONS; i++)
+    if (mm_partitions_state (f->partitions[instance], i, &fence)
+        == MM_PARTITION_OWNED)
+      return fence;
+  ck_abort_msg ("instance %d owns no partition", instance);
+}
+
+/* Guards against state that is kept over a loss of ownership: a partition that
+   another member may have held in between, after an outage or a reassignment
+   without notice, must get a new fencing token, and no other partition.  */
+START_TEST (partition_that_may_have_been_away_has_a_new_token)
+{
+  fixture *f = fixture_create ();
+  fixture_join (f, 0);
+  fixture_run (f, 500);
+  uint64_t fence = first_fence (f, 0);
+  /* Another member joins: a change that this instance sees at once.  */
+  fixture_join (f, 1);
+  fixture_run (f, CALL_MS);
+  mm_partitions_poll_now (f->partitions[0]);
+  fixture_run (f, MM_EXEC_TICK_MS + CALL_MS);
+  ck_assert_uint_eq (first_fence (f, 0), fence);
+  fixture_run (f, 4000);
+  uint64_t generation = mm_group_table_generation (f->group);
+  f->faults[0].disconnected = true;
+  fixture_run (f, MM_GROUP_TTL_MS + MM_STORE_TIMEOUT_MS);
+  f->faults[0].disconnected = false;
+  fixture_run (f, 8000);
+  ck_assert_uint_gt (first_fence (f, 0), generation);
+  generation = mm_group_table_generation (f->group);
+  mm_group_table_reassign_all (f->group);
+  mm_group_table_reassign_all (f->group);
+  fixture_run (f, 500);
+  ck_assert_uint_gt (first_fence (f, 0), generation);
+  fixture_destroy (f);
+}
+END_TEST
+
 /* The joins of an instance are carried out, but their answers are lost, so the
    instance learns of no change.  It must stay a member of the group, and each
    upstream must have an owner in the end.  */
@@ -913,6 +956,7 @@
   tcase_add_test (c, store_outage_takes_no_upstream_away);
   tcase_add_test (c, slow_store_keeps_memberships);
   tcase_add_test (c, reassigned_partitions_get_higher_tokens);
+  tcase_add_test (c, partition_that_may_have_been_away_has_a_new_token);
   tcase_add_test (c, lost_answers_keep_the_membership);
   tcase_add_loop_test (c, random_faults_end_with_one_owner_each, 0, 50);
   tcase_add_test (c, missing_upstream_is_dropped_after_grace_time);
