Suspects: reports of a loss cease

Cause: instances report lost upstreams to each other, and pass on what changes their record. Whether a report of "unresponsive" was a second loss of an upstream that had answered again was decided by its time, which was sent as an age: the time under way was not counted. A report that was under way for longer than the loss had lasted therefore seemed to be a second loss, was passed on, met the report of the answer, which was passed on as well, and so on without an end. The more reports, the longer the queues, and the longer the loop lasted.

Change: a loss has a number, counted by the instance that saw it. A record changes to a later loss, to a later verdict of the same loss, or by further tasks, and never back, so each report is passed on a bounded number of times. The message has one field more.

--- a/fuzz/fuzz_wire.c
+++ b/fuzz/fuzz_wire.c
@@ -131,9 +131,11 @@
   mm_found_run found = { .upstream = "up", .task = request.id, .run = 1 };
   mm_mesh_pack_found (&b, &found);
   uint64_t task_hash = 7;
-  mm_loss loss = {
-    .upstream = "up", .addr = "127.0.0.1:1", .tasks = &task_hash, .n_tasks = 1
-  };
+  mm_loss loss = { .upstream = "up",
+                   .addr = "127.0.0.1:1",
+                   .occurrence = 1,
+                   .tasks = &task_hash,
+                   .n_tasks = 1 };
   mm_mesh_pack_loss (&b, &loss);
   mm_mesh_pack_heartbeat (&b);
   mm_mesh_pack_hello (&b, "node");
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -18,7 +18,7 @@
   RELEASED_FIELDS = 2,
   FOUND_FIELDS = 7,
   UPDATE_FIELDS = 3,
-  LOSS_FIELDS = 6,
+  LOSS_FIELDS = 7,
   CAPACITY_FIELDS = 6
 };
 
@@ -181,6 +181,7 @@
   mm_mp_pack_text (&pk, l->addr);
   msgpack_pack_int (&pk, l->verdict);
   msgpack_pack_int64 (&pk, mm_clock_now_ms () - l->unresponsive_since_ms);
+  msgpack_pack_uint32 (&pk, l->occurrence);
   msgpack_pack_array (&pk, l->n_tasks);
   for (size_t i = 0; i < l->n_tasks; i++)
     msgpack_pack_uint64 (&pk, l->tasks[i]);
@@ -268,7 +269,8 @@
       || !mm_mp_read_text (&f[2], false, (char **)&l->addr)
       || !mm_mp_read_u32 (&f[3], &verdict) || verdict >= MM_LOSS_VERDICT_COUNT
       || !mm_mp_read_i64 (&f[4], &unresponsive_for_ms)
-      || !read_task_hashes (&f[5], l))
+      || !mm_mp_read_u32 (&f[5], &l->occurrence) || l->occurrence == 0
+      || !read_task_hashes (&f[6], l))
     return false;
   l->verdict = (mm_loss_verdict)verdict;
   l->unresponsive_since_ms = mm_clock_now_ms () - unresponsive_for_ms;
--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -8,7 +8,12 @@
    Several tasks may run on an upstream when it crashes, and usually only one
    of them is a poison task.  A task counts as a poison task after two crashes
    of upstreams that ran it if it was the only task on one of them, and after
-   three crashes in any case.  */
+   three crashes in any case.
+
+   Reports of a loss pass over many links, arrive in any order and are passed
+   on if they change the record.  They cease because the record of an upstream
+   changes in one direction only: to a later loss, counted by the instance that
+   saw it, or to a later verdict of the same loss, or by further tasks.  */
 #include "mm_suspects.h"
 
 #include "config.h"
@@ -26,6 +31,7 @@
   mm_loss_verdict verdict;
   mm_time_ms unresponsive_since_ms; /* when it stopped answering */
   mm_time_ms verdict_ms;            /* when the verdict was set */
+  uint32_t occurrence;              /* as in mm_loss, from 1 */
   GArray *tasks;                    /* mm_task_hash() of the tasks, uint64_t */
 } loss;
 
@@ -94,6 +100,7 @@
                     .addr = l->addr,
                     .verdict = l->verdict,
                     .unresponsive_since_ms = l->unresponsive_since_ms,
+                    .occurrence = l->occurrence,
                     .tasks = (const uint64_t *)(const void *)l->tasks->data,
                     .n_tasks = l->tasks->len };
 }
@@ -178,20 +185,22 @@
   l->upstream = g_strdup (from->upstream);
   l->addr = g_strdup (from->addr);
   l->unresponsive_since_ms = from->unresponsive_since_ms;
+  l->occurrence = MAX (from->occurrence, 1);
   l->tasks = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   g_queue_push_tail (s->losses, l);
   return l;
 }
 
-/* Returns whether the verdict of @from replaces that of @l: a later verdict of
-   the same loss, or a second loss of an upstream that had answered again.  */
-static bool
-is_newer (const loss *l, const mm_loss *from)
+/* Returns which loss of its upstream @from is.  As seen by this instance, it
+   is another one if the upstream had answered again before.  */
+static uint32_t
+occurrence_of (const loss *l, const mm_loss *from)
 {
-  return l->verdict != MM_LOSS_ALIVE
-             ? from->verdict > l->verdict
-             : from->verdict != MM_LOSS_ALIVE
-                   && from->unresponsive_since_ms > l->verdict_ms;
+  if (from->occurrence)
+    return from->occurrence;
+  bool again = l->verdict == MM_LOSS_ALIVE && from->verdict != MM_LOSS_ALIVE
+               && from->unresponsive_since_ms > l->verdict_ms;
+  return l->occurrence + (again ? 1 : 0);
 }
 
 /**
@@ -210,13 +219,18 @@
   bool is_new = !l;
   if (!l)
     l = add_loss (s, from);
-  bool newer = is_new || is_newer (l, from);
-  if (newer && l->verdict == MM_LOSS_ALIVE)
+  uint32_t occurrence = occurrence_of (l, from);
+  if (occurrence < l->occurrence)
+    return; /* a report of an earlier loss */
+  bool is_later = occurrence > l->occurrence;
+  if (is_later)
     {
-      /* A second loss: the tasks of the first one did not cause it.  */
+      /* The tasks of the earlier loss did not cause this one.  */
       g_array_set_size (l->tasks, 0);
+      l->occurrence = occurrence;
       l->unresponsive_since_ms = from->unresponsive_since_ms;
     }
+  bool newer = is_new || is_later || from->verdict > l->verdict;
   /* An upstream that answers again makes no further tasks suspect.  */
   bool tasks_added
       = l->verdict == MM_LOSS_ALIVE && !newer ? false : add_tasks (l, from);
--- a/src/mm_suspects.h
+++ b/src/mm_suspects.h
@@ -26,6 +26,9 @@
   const char *addr;     /* "ip:port" */
   mm_loss_verdict verdict;
   mm_time_ms unresponsive_since_ms; /* when it stopped answering */
+  /* How many times the upstream has been lost, this loss included; 0: as seen
+     by this instance, which counts it.  */
+  uint32_t occurrence;
   const uint64_t *tasks; /* mm_task_hash() of the tasks that ran there */
   size_t n_tasks;
 } mm_loss;
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -312,6 +312,7 @@
                    .addr = "127.0.0.1:1",
                    .verdict = MM_LOSS_CRASHED,
                    .unresponsive_since_ms = mm_clock_now_ms () - 500,
+                   .occurrence = 2,
                    .tasks = &task_hash,
                    .n_tasks = 1 };
   mm_mesh_pack_loss (&buffer, &loss);
@@ -338,7 +339,7 @@
         ck_assert (strcmp (m.loss.upstream, "up") == 0
                    && strcmp (m.loss.addr, "127.0.0.1:1") == 0
                    && m.loss.verdict == MM_LOSS_CRASHED && m.loss.n_tasks == 1
-                   && m.loss.tasks[0] == task_hash
+                   && m.loss.occurrence == 2 && m.loss.tasks[0] == task_hash
                    && m.loss.unresponsive_since_ms
                           >= loss.unresponsive_since_ms);
       if (kind == MM_MESH_REPORT)
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -5,6 +5,7 @@
 #include "fake_upstreams.h"
 #include "harness.h"
 #include "mm_fleet.h"
+#include "mm_mesh_msg.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -231,6 +232,120 @@
 }
 END_TEST
 
+#define PEERS 5              /* instances, each linked to all others */
+#define MAX_CHANGES_EACH 8   /* of the record of one instance */
+#define MAX_DELIVERIES 20000 /* far more than are needed */
+
+/* A message on its way between two instances.  */
+typedef struct
+{
+  msgpack_sbuffer bytes;
+  int to;
+  mm_time_ms due_ms;
+} report;
+
+/* Instances that report losses to each other.  */
+typedef struct
+{
+  mm_suspects *records[PEERS];
+  int changes[PEERS]; /* of each record */
+  GList *reports;     /* report * */
+  GRand *random;
+  mm_time_ms last_due_ms[PEERS][PEERS]; /* a link keeps the order */
+  int from;                             /* whose record changes */
+} loss_network;
+
+/* Sends a loss over all links, each of which takes up to 2 s.  */
+static void
+send_report (void *ctx, const mm_loss *l)
+{
+  loss_network *n = ctx;
+  int from = n->from;
+  n->changes[from]++;
+  for (int to = 0; to < PEERS; to++)
+    {
+      if (to == from)
+        continue;
+      report *r = g_new0 (report, 1);
+      msgpack_sbuffer_init (&r->bytes);
+      mm_mesh_pack_loss (&r->bytes, l);
+      r->to = to;
+      r->due_ms = MAX (n->last_due_ms[from][to],
+                       now_ms + g_rand_int_range (n->random, 1, 2000));
+      n->last_due_ms[from][to] = r->due_ms;
+      n->reports = g_list_append (n->reports, r);
+    }
+}
+
+/* Delivers the reports that are due.  Returns how many.  */
+static int
+deliver_reports (loss_network *n)
+{
+  int delivered = 0;
+  GList *next;
+  for (GList *l = n->reports; l; l = next)
+    {
+      report *r = l->data;
+      next = l->next;
+      if (r->due_ms > now_ms)
+        continue;
+      msgpack_unpacked u;
+      msgpack_unpacked_init (&u);
+      size_t offset = 0;
+      mm_mesh_msg m;
+      ck_assert (
+          msgpack_unpack_next (&u, r->bytes.data, r->bytes.size, &offset)
+              == MSGPACK_UNPACK_SUCCESS
+          && mm_mesh_msg_read (&u.data, &m));
+      n->from = r->to;
+      mm_suspects_record (n->records[r->to], &m.loss);
+      mm_mesh_msg_clear (&m);
+      msgpack_unpacked_destroy (&u);
+      msgpack_sbuffer_destroy (&r->bytes);
+      g_free (r);
+      n->reports = g_list_delete_link (n->reports, l);
+      next = n->reports;
+      delivered++;
+    }
+  return delivered;
+}
+
+/* Guards against reports that never cease.  An upstream answers again 100 ms
+   after it was lost, and the reports of both arrive out of order, over links
+   that are slow.  */
+START_TEST (reports_of_a_loss_that_is_over_cease)
+{
+  loss_network n = { .random = g_rand_new_with_seed ((guint32)_i) };
+  for (int i = 0; i < PEERS; i++)
+    {
+      n.records[i] = suspects_setup ();
+      mm_suspects_on_changed (n.records[i], send_report, &n);
+    }
+  mm_task_id id = task ("innocent", 0);
+  int deliveries = 0;
+  for (int twice = 0; twice < 2; twice++)
+    {
+      n.from = twice;
+      record_loss (n.records[twice], 0, MM_LOSS_OPEN, &id, 1);
+      now_ms += 100;
+      mm_suspects_alive (n.records[twice], "up0");
+      for (int t = 0; t < 5000 && deliveries < MAX_DELIVERIES; t++, now_ms++)
+        deliveries += deliver_reports (&n);
+    }
+  ck_assert_ptr_null (n.reports);
+  for (int i = 0; i < PEERS; i++)
+    {
+      ck_assert_int_le (n.changes[i], MAX_CHANGES_EACH);
+      ck_assert_uint_eq (mm_suspects_count (n.records[i]), 0);
+      ck_assert_int_eq (mm_suspects_decide (n.records[i], &id),
+                        MM_SUSPECT_RUN);
+      mm_suspects_destroy (n.records[i]);
+    }
+  g_rand_free (n.random);
+  mm_clock_set_source (NULL, NULL);
+}
+END_TEST
+
 /* The record of losses must not grow without limit: at most MM_SUSPECTS_MAX
    losses are kept, and each for MM_SUSPECTS_KEEP_MS.  */
 START_TEST (losses_are_bounded_and_expire)
@@ -407,6 +522,7 @@
   tcase_add_test (c, third_crash_decides_between_two_suspects);
   tcase_add_test (c, upstream_that_answered_can_be_lost_again);
   tcase_add_test (c, known_loss_is_not_reported_again);
+  tcase_add_loop_test (c, reports_of_a_loss_that_is_over_cease, 0, 20);
   tcase_add_test (c, losses_are_bounded_and_expire);
   suite_add_tcase (s, c);
   c = tcase_create ("owner");
