Configuration: large ones are read as the newest on thin links

What callers saw, the small twin of grown Buenos Aires (links of 2 Mbit/s), 1,250 routes and twelve changes 0.48 s apart, no disruption: the changes are not in force, at 14 of 17 instances not even the last one, 12 s after it.

Cause: a read got every record since the last one, each of which is a whole configuration of some 260 kB: up to 1 MB and 4 s of the link, for versions that the last one replaces. The timeout of a read allowed for 128 kB and doubled with each failure, so that a read whose connection went silent waited for 4.6 s and more.

Change: a read of appended configurations is cut into answers like one of the upstream list. If the next record does not fit, the newest is read, which is one record whatever has gathered. On links of 1,000 Mbit/s nothing changes.

test_configuration has links of 2 Mbit/s and records of 100 kB now: 16 of 68 cases failed before, all at 2 Mbit/s, none after.

Conclusion: a configuration of 260 kB every 0.48 s is more than 2 Mbit/s carry; what a link can carry is in force, but not within 3 s.

--- a/src/mm_stream.c
+++ b/src/mm_stream.c
@@ -55,12 +55,11 @@
   g_free (s);
 }
 
-/* Returns the chunk size for a stream.  A configuration is one record, which
-   cannot be split.  */
+/* Returns the chunk size for a stream.  */
 static size_t
-chunk_size (const mm_store_port *port, mm_stream_kind kind)
+chunk_size (const mm_store_port *port)
 {
-  if (port->link_mbps <= 0 || kind == MM_STREAM_CONFIG)
+  if (port->link_mbps <= 0)
     return MM_STORE_ANSWER_MAX_BYTES;
   double bytes = port->link_mbps * 1000 / 8 * MM_STREAM_CHUNK_MS;
   return (size_t)CLAMP (bytes, MM_STREAM_CHUNK_MIN_BYTES,
@@ -77,7 +76,7 @@
   s->kind = kind;
   s->ev = *ev;
   s->wait_ms = wait_ms;
-  s->chunk_bytes = chunk_size (port, kind);
+  s->chunk_bytes = chunk_size (port);
   s->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return s;
 }
@@ -147,9 +146,13 @@
     s->ev.changes (s->ev.ctx, !behind);
   if (!behind)
     schedule_next_read (s);
-  /* No progress means that the next record is larger than a chunk.  When many
-     records are unread, reading the newest of each key again is faster.  */
-  if (no_progress)
+  /* No progress means that the next record is larger than a chunk.  Of the
+     configuration only the newest record is needed, and reading each of
+     several large ones could take longer than it may take to be in force. When
+     many records are unread, reading the newest of each key is faster, too. */
+  if (no_progress && s->kind == MM_STREAM_CONFIG)
+    restart_from_newest (s);
+  else if (no_progress)
     s->chunk_bytes = MIN (s->chunk_bytes * 2, MM_STORE_ANSWER_MAX_BYTES);
   else if (behind
            > (uint64_t)g_hash_table_size (s->keys) * MM_STREAM_BEHIND_FACTOR)
--- a/tests/test_configuration.c
+++ b/tests/test_configuration.c
@@ -7,16 +7,16 @@
 
 #include <check.h>
 
-#define CALL_MS 4                /* round trip of a store call */
-#define ANSWER_BYTES (20u << 10) /* of an answer with a configuration */
-#define PLAY_MS 60000            /* length of a play with random faults */
-#define MAX_PUBLISHED_MS 2500    /* between two versions */
-#define MAX_CALM_MS 8000         /* between two faults */
-#define MAX_FAULT_MS 5000        /* length of a fault */
-#define DEAF_MS 1000             /* waiting reads hear nothing for so long */
-#define STALE_MS 3000            /* age of a stale answer */
-#define SLOW_MS 400              /* additional time of a slow answer */
-#define LOSS 0.3                 /* share of lost answers */
+#define CALL_MS 4                 /* round trip of a store call */
+#define RECORD_BYTES (100u << 10) /* of a configuration with 500 routes */
+#define PLAY_MS 60000             /* length of a play with random faults */
+#define MAX_PUBLISHED_MS 2500     /* between two versions */
+#define MAX_CALM_MS 8000          /* between two faults */
+#define MAX_FAULT_MS 5000         /* length of a fault */
+#define DEAF_MS 1000              /* waiting reads hear nothing for so long */
+#define STALE_MS 3000             /* age of a stale answer */
+#define SLOW_MS 400               /* additional time of a slow answer */
+#define LOSS 0.3                  /* share of lost answers */
 /* Some processes run for only a part of each tenth of a second.  */
 #define QUOTA_PERIOD_MS 100
 #define QUOTA_RUN_MS 25
@@ -66,6 +66,7 @@
   bool connecting;       /* not sent before the connection is open */
   mm_time_ms arrives_ms; /* at the store */
   mm_time_ms wait_ms;    /* the store waits so long for a record */
+  uint64_t max_records;  /* that the answer holds */
   mm_time_ms answer_ms;  /* once done: when the answer arrives */
   mm_time_ms timeout_ms; /* when the caller gives up */
   mm_stream_result result;
@@ -142,14 +143,15 @@
     c->result.ok = false;
   c->result.why = c->result.ok ? NULL : "refused";
   uint64_t first = c->newest ? (end ? end - 1 : 0) : c->from_offset;
-  for (uint64_t i = first; c->result.ok && !waits && i < end; i++)
+  uint64_t past = waits ? first : MIN (end, first + c->max_records);
+  for (uint64_t i = first; c->result.ok && i < past; i++)
     add_record (c, record_at (s, i));
-  c->result.end_offset = MAX (end, c->from_offset);
-  c->result.next_offset = waits ? c->from_offset : c->result.end_offset;
+  c->result.end_offset = MAX (end, first);
+  c->result.next_offset = c->newest ? end : MAX (past, first);
   c->result.items = (mm_stream_item *)(void *)c->items->data;
   c->result.n_items = c->items->len;
   c->answer_ms = now_ms + CALL_MS / 2 + (s->fault == FAULT_SLOW ? SLOW_MS : 0)
-                 + (mm_time_ms)(c->items->len * ANSWER_BYTES * 8
+                 + (mm_time_ms)(c->items->len * RECORD_BYTES * 8
                                 / (s->link_mbps * 1000));
 }
 
@@ -174,7 +176,9 @@
               mm_time_ms timeout_ms, mm_stream_answered answered,
               void *answered_ctx)
 {
-  send_call (ctx, timeout_ms, answered, answered_ctx)->newest = true;
+  call *c = send_call (ctx, timeout_ms, answered, answered_ctx);
+  c->newest = true;
+  c->max_records = 1;
 }
 
 static void
@@ -184,6 +188,7 @@
   call *c = send_call (ctx, t->timeout_ms, answered, answered_ctx);
   c->from_offset = t->from_offset;
   c->wait_ms = t->wait_ms;
+  c->max_records = t->max_bytes / RECORD_BYTES;
 }
 
 /* Passes the result of a call on; it has timed out if it is not done.  */
@@ -364,8 +369,10 @@
   mm_time_ms apply_ms;
 } bound;
 
-static const bound bounds[]
-    = { { 1000., 3000, 2000 }, { 200., 4000, 3000 }, { 25., 4000, 3000 } };
+static const bound bounds[] = { { 1000., 3000, 2000 },
+                                { 200., 4000, 3000 },
+                                { 25., 4000, 3000 },
+                                { 2., 4000, 3000 } };
 
 /* Checks that the newest version is in force if that is required by now.  */
 static void
