HTTP client: a request sent before a refused connection counts as sent

An upstream accepts a task on a reused connection and dies. libcurl tries a second connection, which is refused, and the call was reported as not sent, so that the task counted as never started (mm_entry_job.c: unreachable).

Cause: mm_http_result.sent looked at the last connection only.

Now a request with a body counts as sent once libcurl has taken any of its body, on whichever connection; without its body no request is complete.

--- a/src/mm_http_client.c
+++ b/src/mm_http_client.c
@@ -62,6 +62,20 @@
   g_error_free (res.error);
 }
 
+/* Returns whether the server may have received the request.  A request with a
+   body is complete only after its body.  The result of the connection does not
+   decide: after a reused connection was closed, curl tries another one, which
+   may be refused although the request was sent on the first.  */
+static bool
+was_sent (const call *c, CURLcode code)
+{
+  if (c->cursor.len_bytes)
+    return c->cursor.sent_bytes > 0;
+  long uploaded_bytes = 0;
+  curl_easy_getinfo (c->easy, CURLINFO_REQUEST_SIZE, &uploaded_bytes);
+  return uploaded_bytes > 0 && code != CURLE_COULDNT_CONNECT;
+}
+
 /* Reports the result of a call that has ended with @code, and frees it.  */
 static void
 finish_call (call *c, CURLcode code)
@@ -69,14 +83,7 @@
   mm_http_result res = { .was_overdue = c->overdue };
   ev_timer_stop (c->client->loop, &c->overdue_timer);
   curl_easy_getinfo (c->easy, CURLINFO_RESPONSE_CODE, &res.status);
-  long connect_code = 0;
-  curl_easy_getinfo (c->easy, CURLINFO_HTTP_CONNECTCODE, &connect_code);
-  long uploaded = 0;
-  curl_easy_getinfo (c->easy, CURLINFO_REQUEST_SIZE, &uploaded);
-  /* A request counts as sent as soon as curl has written any of it.  After a
-     refused or failed connect the upstream cannot have received it.  */
-  res.sent = uploaded > 0 && code != CURLE_COULDNT_CONNECT
-             && code != CURLE_COULDNT_RESOLVE_HOST;
+  res.sent = was_sent (c, code);
   if (code != CURLE_OK)
     res.error = g_error_new (
         MM_ERROR,
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -17,6 +17,7 @@
   int listen_fd;
   uint16_t port;
   gint requests; /* number of complete requests read (atomic) */
+  bool dies;     /* accepts no connection after the second request */
 } closing_server;
 
 /* Reads one request with a Content-Length.  Returns false when the connection
@@ -54,7 +55,11 @@
       while (read_request (fd))
         {
           if (g_atomic_int_add (&s->requests, 1) > 0)
-            break;
+            {
+              if (s->dies)
+                close (s->listen_fd);
+              break;
+            }
           static const char ok[]
               = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
           if (write (fd, ok, sizeof ok - 1) < 0)
@@ -128,6 +133,38 @@
 }
 END_TEST
 
+/* Guards against a task that starts twice because its first start counts as
+   not sent.  An upstream accepts a task on a reused connection and dies.
+   libcurl then tries another connection, which is refused.  The caller must be
+   told that the request was sent.  */
+START_TEST (request_before_a_refused_connection_counts_as_sent)
+{
+  closing_server s = { .dies = true };
+  closing_server_start (&s);
+  struct ev_loop *loop = ev_loop_new (0);
+  mm_http_client *c = mm_http_client_create (loop, 4);
+  char *url = g_strdup_printf ("http://127.0.0.1:%u/v1/tasks", s.port);
+  call_result result = { .loop = loop };
+  for (int i = 0; i < 2; i++)
+    {
+      mm_http_client_call (c, "POST", url, "{\"task\":1}", 2000, call_done,
+                           &result);
+      ev_run (loop, 0);
+    }
+  ck_assert_int_eq (g_atomic_int_get (&s.requests), 2);
+  ck_assert_int_eq (result.status, 0);
+  ck_assert (result.sent);
+  /* Nothing of a third request can be sent.  */
+  mm_http_client_call (c, "POST", url, "{\"task\":1}", 2000, call_done,
+                       &result);
+  ev_run (loop, 0);
+  ck_assert (!result.sent);
+  mm_http_client_destroy (c);
+  g_free (url);
+  ev_loop_destroy (loop);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -135,6 +172,7 @@
   TCase *tc = tcase_create ("http");
   tcase_set_timeout (tc, 30);
   tcase_add_test (tc, request_on_a_closing_reused_connection_is_sent_once);
+  tcase_add_test (tc, request_before_a_refused_connection_counts_as_sent);
   suite_add_tcase (s, tc);
   return h_run_suite (s);
 }
