Upstreams: a start whose connection is refused did not run, and makes no suspect

Timeline: task 0.9 is ordered at 7.632 s at an upstream that crashed behind a cut and does not listen; the connection is refused after 1 ms. Its stop is refused 19 times. At 8.102 s another incarnation is there: the task is lost and suspect. At 8.103 s it is ordered at a second upstream of the same cut and refused in the same way. At 8.427 s that one is back too: two crashes "alone there", given up at 8.451 s. Twelve upstreams crashed within that second.

Cause: a refused connection counted as a call without an answer, which may have been carried out. So the run was in doubt until the other incarnation answered, and was blamed for a crash that came before its order.

Now a call for which no connection could be opened has a verdict of its own: the start did not run, and the task is placed elsewhere at once instead of after the 0.3 to 0.5 s until the upstream is back. Calls of which anything was sent stay in doubt as before.

Evidence: test_suspects refused_start_makes_no_task_suspect (one crash counted before, none now).

--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -20,8 +20,8 @@
 mm_call_verdict_name (mm_call_verdict v)
 {
   static const char *const names[]
-      = { "ok",  "fenced",  "old_run", "late",     "no_room",
-          "bad", "refused", "gone",    "no_answer" };
+      = { "ok",  "fenced",  "old_run", "late",      "no_room",
+          "bad", "refused", "gone",    "no_answer", "not_sent" };
   return (size_t)v < G_N_ELEMENTS (names) ? names[v] : "unknown";
 }
 
@@ -319,6 +319,7 @@
       break;
     case MM_CALL_LATE:
     case MM_CALL_NO_CAPACITY:
+    case MM_CALL_NOT_SENT:
       mm_exec_become_suspect (x, "start", v);
       mm_exec_finish_run (r, MM_END_NOT_RUN, mm_call_verdict_name (v));
       break;
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -23,7 +23,8 @@
   MM_CALL_BAD,         /* the upstream did not understand the call */
   MM_CALL_REFUSED,     /* unhealthy upstream: nothing was done */
   MM_CALL_GONE,        /* another incarnation is at that address */
-  MM_CALL_NO_ANSWER    /* may have been carried out, or may still be */
+  MM_CALL_NO_ANSWER,   /* may have been carried out, or may still be */
+  MM_CALL_NOT_SENT     /* no connection: it cannot have arrived */
 } mm_call_verdict;
 
 const char *mm_call_verdict_name (mm_call_verdict v); /* such as "ok" */
--- a/src/mm_exec_call.c
+++ b/src/mm_exec_call.c
@@ -58,11 +58,17 @@
          + mm_uplink_backlog_ms (&x->common->uplink, now);
 }
 
+static bool
+was_answered (mm_call_verdict v)
+{
+  return v != MM_CALL_NO_ANSWER && v != MM_CALL_NOT_SENT;
+}
+
 void
 mm_exec_call_late (mm_exec_call *c, const mm_call_result *res)
 {
   mm_exec *x = c->exec;
-  if (!x->closed && res->verdict != MM_CALL_NO_ANSWER)
+  if (!x->closed && was_answered (res->verdict))
     {
       mm_time_ms now = mm_clock_now_ms ();
       mm_time_ms took_ms = now - c->sent_ms - c->wait_ms;
@@ -85,7 +91,7 @@
 mm_exec_record_time (mm_exec *x, const mm_exec_call *c, mm_call_verdict v)
 {
   mm_time_ms now = mm_clock_now_ms ();
-  if (v == MM_CALL_NO_ANSWER)
+  if (!was_answered (v))
     {
       mm_rto_unanswered (&x->rto);
       x->last_unanswered_ms = now;
--- a/src/mm_exec_http.c
+++ b/src/mm_exec_http.c
@@ -25,7 +25,7 @@
               const cJSON *body)
 {
   if (res->error || res->status == 0)
-    return MM_CALL_NO_ANSWER;
+    return res->sent ? MM_CALL_NO_ANSWER : MM_CALL_NOT_SENT;
   if (res->status == 200)
     return MM_CALL_OK;
   mm_call_verdict v = wire->verdict (res->status, body);
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -362,6 +362,40 @@
 }
 END_TEST
 
+/* Guards against a task that is given up for crashes of upstreams that it
+   never reached.  Upstreams crash one after the other, and each refuses the
+   connection for the task's start before another incarnation is there.  */
+START_TEST (refused_start_makes_no_task_suspect)
+{
+  fixture fx = fixture_create ();
+  char name[16];
+  mm_end how;
+  mm_task_id id = start_task (&fx, "innocent", false, &how);
+  for (int i = 0; i < 3; i++)
+    {
+      g_snprintf (name, sizeof name, "up%d", i);
+      fake *x = fakes_add (fx.upstreams, name, UPSTREAM_CPU_MILLI);
+      mm_owner_add_upstream (fx.owner, fake_info (x), 5);
+      /* The hold that lists the runs is on its way; the start comes after.  */
+      fake_mode_of (x)->refuses_connections = true;
+      fakes_run (fx.upstreams, fx.owner, 100);
+      ck_assert_uint_eq (fake_starts (x), 0);
+      fake_mode_of (x)->refuses_connections = false;
+      fake_restart (x);
+      fakes_run (fx.upstreams, fx.owner, 200);
+      ck_assert_uint_eq (mm_suspects_count_crashes (fx.suspects, &id), 0);
+      ck_assert_int_eq (mm_suspects_decide (fx.suspects, &id), MM_SUSPECT_RUN);
+      mm_owner_remove_upstream (fx.owner, name);
+    }
+  ck_assert_int_eq (how, MM_END_COUNT);
+  fake *x = fakes_add (fx.upstreams, "sound", UPSTREAM_CPU_MILLI);
+  mm_owner_add_upstream (fx.owner, fake_info (x), 5);
+  fakes_run (fx.upstreams, fx.owner, 3200);
+  ck_assert_int_eq (how, MM_END_DONE);
+  fixture_destroy (&fx);
+}
+END_TEST
+
 /* A crash identifies the poison task only if no other task ran on that
    upstream.  So suspect tasks must run isolated: beside no other task while
    there is other free capacity.  */
@@ -412,6 +446,7 @@
   c = tcase_create ("owner");
   tcase_add_test (c, task_on_disconnected_upstreams_is_never_given_up);
   tcase_add_test (c, restarted_upstream_has_crashed_unless_it_was_draining);
+  tcase_add_test (c, refused_start_makes_no_task_suspect);
   tcase_add_test (c, suspect_runs_isolated);
   suite_add_tcase (s, c);
   return h_run_suite (s);
