Suspects: a task is not given up for a crash that came before it was suspect

Cause: its task ran alone on an upstream that was killed for another reason, and then as a suspect beside a poison task that was not suspect yet. Two crashes, alone at one of them, made a poison task. But some task runs alone on any upstream that crashes, so the first crash only selects suspects.

Now the crash that decides is one under a task that was suspect already and ran there alone. In any other case a third crash decides, as before.

Evidence: test_suspects task_that_ran_alone_only_before_it_was_suspect_is_not_given_up (given up after two crashes before, isolated for a third run now); the cases in which two crashes decide are unchanged and pass.

--- a/src/config.h
+++ b/src/config.h
@@ -182,8 +182,8 @@
 #define MM_PLACEMENT_SPEED_STEP 0.25
 
 /* Poison tasks, which crash their upstreams (mm_suspects).  */
-/* A task is given up after this many crashes, or after one more if it ran
-   beside other tasks each time.  */
+/* A task is given up after this many crashes if it was suspect and alone at
+   the last one, or after one more.  */
 #define MM_SUSPECTS_CRASHES 2u
 #define MM_SUSPECTS_MAX 512u       /* lost upstreams that are remembered */
 #define MM_SUSPECTS_TASKS_MAX 64u  /* tasks remembered for each of them */
--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -6,9 +6,10 @@
    listed as draining has left as planned.
 
    Several tasks may run on an upstream when it crashes, and usually only one
-   of them is a poison task.  A task counts as a poison task after two crashes
-   of upstreams that ran it if it was the only task on one of them, and after
-   three crashes in any case.  */
+   of them is a poison task.  The first crash makes them suspect, and each then
+   runs isolated.  A task counts as a poison task if an upstream crashes while
+   it runs there as a suspect and alone, and after three crashes in any case.
+   */
 #include "mm_suspects.h"
 
 #include "config.h"
@@ -216,6 +217,8 @@
       /* A second loss: the tasks of the first one did not cause it.  */
       g_array_set_size (l->tasks, 0);
       l->unresponsive_since_ms = from->unresponsive_since_ms;
+      g_queue_remove (s->losses, l);
+      g_queue_push_tail (s->losses, l);
     }
   /* An upstream that answers again makes no further tasks suspect.  */
   bool tasks_added
@@ -272,22 +275,24 @@
   return n;
 }
 
-/* Returns whether a task with @crashes crashes counts as a poison task.  After
-   MM_SUSPECTS_CRASHES crashes, a task that always ran beside others may not be
-   the one that caused them: a further crash decides.  */
+/* Returns whether a task with @crashes crashes counts as a poison task.  The
+   first crash only makes it suspect: whatever runs on an upstream that crashes
+   for another reason has one.  A crash while it ran isolated as a suspect,
+   beside no other task, decides; without one a third crash does.  */
 static bool
 is_poison (const mm_suspects *s, uint64_t hash, uint32_t crashes)
 {
   if (crashes > MM_SUSPECTS_CRASHES)
     return true;
-  if (crashes < MM_SUSPECTS_CRASHES)
-    return false;
+  bool suspect = false;
   for (GList *node = s->losses->head; node; node = node->next)
     {
       const loss *l = node->data;
-      bool alone = l->tasks->len == 1 && has_task (l, hash);
-      if (l->verdict == MM_LOSS_CRASHED && alone)
+      if (l->verdict != MM_LOSS_CRASHED || !has_task (l, hash))
+        continue;
+      if (suspect && l->tasks->len == 1)
         return true;
+      suspect = true;
     }
   return false;
 }
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -182,6 +182,25 @@
 }
 END_TEST
 
+/* Guards against an innocent task that is given up because of a poison task.
+   The task runs alone on an upstream that crashes for another reason, and then
+   beside a poison task that is not suspect yet.  */
+START_TEST (task_that_ran_alone_only_before_it_was_suspect_is_not_given_up)
+{
+  mm_suspects *s = suspects_setup ();
+  mm_task_id ids[2] = { task ("innocent", 0), task ("culprit", 0) };
+  record_loss (s, 0, MM_LOSS_CRASHED, ids, 1);
+  now_ms += 3000;
+  record_loss (s, 1, MM_LOSS_CRASHED, ids, 2);
+  now_ms += 3000;
+  ck_assert_int_eq (mm_suspects_decide (s, &ids[0]), MM_SUSPECT_ISOLATE);
+  record_loss (s, 2, MM_LOSS_CRASHED, &ids[1], 1);
+  ck_assert_int_eq (mm_suspects_decide (s, &ids[0]), MM_SUSPECT_ISOLATE);
+  ck_assert_int_eq (mm_suspects_decide (s, &ids[1]), MM_SUSPECT_GIVE_UP);
+  suspects_teardown (s);
+}
+END_TEST
+
 /* An upstream that was disconnected and has answered again can be lost a
    second time.  A late report of the first loss must not make its tasks
    suspect.  */
@@ -439,6 +458,8 @@
   tcase_add_test (c, tasks_beside_a_poison_task_are_not_given_up);
   tcase_add_test (c, suspect_beside_a_new_poison_task_is_not_given_up);
   tcase_add_test (c, third_crash_decides_between_two_suspects);
+  tcase_add_test (
+      c, task_that_ran_alone_only_before_it_was_suspect_is_not_given_up);
   tcase_add_test (c, upstream_that_answered_can_be_lost_again);
   tcase_add_test (c, known_loss_is_not_reported_again);
   tcase_add_test (c, losses_are_bounded_and_expire);
