Suspects: crashes in a mass loss are no evidence against a task

Cause: a task that is lost with one upstream is placed at another at once, and in a mass loss that one is likely to crash too, whatever it runs. Two crashes were taken for the task's doing, however many upstreams crashed without it.

Now a crash is no evidence if at least two upstreams that did not run the task were lost within a second of it. It still makes the task suspect and counts for the bound: after two crashes the task waits until no upstreams were lost for 2 s and then runs isolated, so that a third crash would be evidence. So a poison task still crashes three upstreams at most. The verdict is held back until a second after the crash, as the losses of others may become known later; the time of a crash is now that of the first call without an answer, not the last.

--- a/src/config.h
+++ b/src/config.h
@@ -183,8 +183,17 @@
 
 /* Poison tasks, which crash their upstreams (mm_suspects).  */
 /* A task is given up after this many crashes if it was suspect and alone at
-   the last one, or after one more.  */
+   one of them, or after one more.  It does not run after one more in any case.
+ */
 #define MM_SUSPECTS_CRASHES 2u
+/* A crash is part of a mass loss if at least this many upstreams without the
+   task were lost at about the same time.  */
+#define MM_SUSPECTS_MASS 2u
+/* "About the same time": long enough for upstreams that one cause makes crash
+   within a second.  A poison task runs again only after about as long.  */
+#define MM_SUSPECTS_COINCIDE_MS 1000
+/* A mass loss is over once no upstream was lost for this long.  */
+#define MM_SUSPECTS_CALM_MS 2000
 #define MM_SUSPECTS_MAX 512u       /* lost upstreams that are remembered */
 #define MM_SUSPECTS_TASKS_MAX 64u  /* tasks remembered for each of them */
 #define MM_SUSPECTS_KEEP_MS 600000 /* a crash counts this long */
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -190,7 +190,7 @@
 mm_resources mm_exec_free_capacity (const mm_exec *x);
 size_t mm_exec_count_runs (const mm_exec *x); /* runs that use its capacity */
 GList *mm_exec_tasks (const mm_exec *x); /* of mm_task_id; g_list_free() */
-/* When a hold last failed, 0: the last one was answered.  */
+/* Since when no hold has been answered, 0: the last one was.  */
 mm_time_ms mm_exec_unresponsive_since_ms (const mm_exec *x);
 /* Time until the last run ends, estimated from declared run times and the
    slowness of the upstream.  */
--- a/src/mm_exec_hold.c
+++ b/src/mm_exec_hold.c
@@ -50,6 +50,8 @@
   bool first = !x->hold_failed_ms;
   mm_exec_become_suspect (x, "hold", v);
   x->hold_failed_ms = mm_clock_now_ms ();
+  if (first)
+    x->unresponsive_since_ms = x->hold_failed_ms;
   x->holds_failed++;
   if (first)
     mm_exec_send_hold (x, 0, false);
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -68,8 +68,10 @@
   mm_time_ms hold_sent_ms;  /* when the last hold was sent, 0: none */
   /* Event number at which the newest hold with processed lists was sent.  */
   uint64_t processed_hold_event;
-  mm_time_ms hold_failed_ms;   /* the last hold failed then, 0: it did not */
-  mm_time_ms leases_expire_ms; /* all leases end by then on our clock */
+  mm_time_ms hold_failed_ms; /* the last hold failed then, 0: it did not */
+  mm_time_ms unresponsive_since_ms; /* first of the holds that failed in a
+                                       row, valid if hold_failed_ms is set */
+  mm_time_ms leases_expire_ms;      /* all leases end by then on our clock */
   mm_time_ms unacked_since_ms; /* when the first unacknowledged end was seen,
                                   0: none */
   uint64_t seen_seq;           /* sequence number of the newest end seen */
--- a/src/mm_exec_state.c
+++ b/src/mm_exec_state.c
@@ -53,7 +53,7 @@
 mm_time_ms
 mm_exec_unresponsive_since_ms (const mm_exec *x)
 {
-  return x->hold_failed_ms;
+  return x->hold_failed_ms ? x->unresponsive_since_ms : 0;
 }
 
 mm_time_ms
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -299,9 +299,11 @@
   if (how == MM_END_FAILED)
     return t->n_failures + 1 < b->attempts ? "another attempt"
                                            : "job fails: no attempt left";
-  if (how == MM_END_LOST
-      && mm_fleet_suspect_action (b->jobs->fleet, &t->id) == MM_SUSPECT_WAIT)
+  mm_suspect_action action = mm_fleet_suspect_action (b->jobs->fleet, &t->id);
+  if (how == MM_END_LOST && action == MM_SUSPECT_WAIT)
     return "waits: upstreams were lost while running it";
+  if (how == MM_END_LOST && action == MM_SUSPECT_POSTPONE)
+    return "job is given up: too many upstreams were lost while running it";
   return now < latest_redispatch_ms (b, how) ? "dispatched again"
                                              : "job is given up: too late";
 }
@@ -656,15 +658,29 @@
     }
 }
 
+/* Returns whether a task of the job does not run before the crashes of
+   upstreams that ran it expire, which is later than any caller waits.  */
+static bool
+has_postponed_task (const job *b)
+{
+  for (uint32_t i = 0; i < b->n_tasks; i++)
+    if (b->tasks[i].deferred
+        && mm_fleet_suspect_action (b->jobs->fleet, &b->tasks[i].id)
+               == MM_SUSPECT_POSTPONE)
+      return true;
+  return false;
+}
+
 /* Dispatches the job's deferred tasks again, if they may run: more may be
    known by now of the upstreams that were lost while running them.  Fails the
-   job when one is a poison task, and gives the job up after its deadline.  */
+   job when one is a poison task.  Gives the job up after its deadline, and
+   when a task cannot run before it.  */
 static void
 retry_deferred (job *b, mm_time_ms now)
 {
   if (fail_on_poison_task (b))
     return;
-  if (now >= b->deadline_ms)
+  if (now >= b->deadline_ms || has_postponed_task (b))
     {
       give_up (b, "upstreams were lost under a task");
       return;
--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -8,8 +8,13 @@
    Several tasks may run on an upstream when it crashes, and usually only one
    of them is a poison task.  The first crash makes them suspect, and each then
    runs isolated.  A task counts as a poison task if an upstream crashes while
-   it runs there as a suspect and alone, and after three crashes in any case.
-   */
+   it runs there as a suspect and alone, and after three crashes otherwise.
+
+   Upstreams that crash for one reason, such as a power failure, crash at about
+   the same time, whatever they run.  A crash in such a mass loss makes a task
+   suspect, but is no evidence that it is a poison task.  A task with two
+   crashes waits until the mass loss is over, so that the next one would be
+   evidence, and does not run again after three.  */
 #include "mm_suspects.h"
 
 #include "config.h"
@@ -265,38 +270,87 @@
     }
 }
 
-/* Number of losses with this verdict whose upstream ran the task.  */
+/* What the losses of upstreams that ran a task say about it.  */
+typedef struct
+{
+  uint32_t open;             /* losses without a verdict */
+  uint32_t crashes;          /* crashes */
+  uint32_t separate_crashes; /* crashes that were not part of a mass loss */
+  /* One of these came while the task ran alone as a suspect.  */
+  bool failed_alone;
+  mm_time_ms last_crash_ms; /* time of the newest crash */
+} task_history;
+
+/* Counts upstreams that did not run the task and were lost between the two
+   times.  */
 static uint32_t
-count_losses (const mm_suspects *s, uint64_t hash, mm_loss_verdict v)
+count_other_losses (const mm_suspects *s, uint64_t hash, mm_time_ms from_ms,
+                    mm_time_ms to_ms)
 {
   uint32_t n = 0;
-  for (GList *l = s->losses->head; l; l = l->next)
-    n += ((loss *)l->data)->verdict == v && has_task (l->data, hash);
+  for (GList *node = s->losses->head; node; node = node->next)
+    {
+      const loss *l = node->data;
+      n += l->verdict != MM_LOSS_ALIVE && l->unresponsive_since_ms >= from_ms
+           && l->unresponsive_since_ms <= to_ms && !has_task (l, hash);
+    }
   return n;
 }
 
-/* Returns whether a task with @crashes crashes counts as a poison task.  The
-   first crash only makes it suspect: whatever runs on an upstream that crashes
-   for another reason has one.  A crash while it ran isolated as a suspect,
-   beside no other task, decides; without one a third crash does.  */
 static bool
-is_poison (const mm_suspects *s, uint64_t hash, uint32_t crashes)
+in_mass_loss (const mm_suspects *s, uint64_t hash, const loss *l)
+{
+  return count_other_losses (
+             s, hash, l->unresponsive_since_ms - MM_SUSPECTS_COINCIDE_MS,
+             l->unresponsive_since_ms + MM_SUSPECTS_COINCIDE_MS)
+         >= MM_SUSPECTS_MASS;
+}
+
+static task_history
+read_history (const mm_suspects *s, uint64_t hash)
 {
-  if (crashes > MM_SUSPECTS_CRASHES)
-    return true;
-  bool suspect = false;
+  task_history h = { 0 };
   for (GList *node = s->losses->head; node; node = node->next)
     {
       const loss *l = node->data;
-      if (l->verdict != MM_LOSS_CRASHED || !has_task (l, hash))
+      if (l->verdict == MM_LOSS_ALIVE || !has_task (l, hash))
+        continue;
+      if (l->verdict == MM_LOSS_OPEN)
+        {
+          h.open++;
+          continue;
+        }
+      bool was_suspect = h.crashes > 0;
+      h.crashes++;
+      h.last_crash_ms = MAX (h.last_crash_ms, l->unresponsive_since_ms);
+      if (in_mass_loss (s, hash, l))
         continue;
-      if (suspect && l->tasks->len == 1)
-        return true;
-      suspect = true;
+      h.separate_crashes++;
+      h.failed_alone = h.failed_alone || (was_suspect && l->tasks->len == 1);
     }
-  return false;
+  return h;
+}
+
+/* Returns whether a task counts as a poison task.  The first crash only makes
+   it suspect: whatever runs on an upstream that crashes for another reason has
+   one.  A crash while it ran isolated as a suspect, beside no other task,
+   decides; without one a third crash does.  */
+static bool
+is_poison (const task_history *h)
+{
+  return h->failed_alone || h->separate_crashes > MM_SUSPECTS_CRASHES;
 }
 
+/**
+ * mm_suspects_decide() - decide how a task may be run.
+ * @s: the record of losses, or NULL.
+ * @task: the task.
+ *
+ * A poison task is given up only after the time in which other losses may
+ * still show that its last crash was part of a mass loss.
+ *
+ * Return: what may be done with the task now.
+ */
 mm_suspect_action
 mm_suspects_decide (const mm_suspects *s, const mm_task_id *task)
 {
@@ -305,13 +359,21 @@
   uint64_t hash = mm_task_hash (task);
   if (!g_hash_table_contains (s->hashes, &hash))
     return MM_SUSPECT_RUN;
-  uint32_t crashes = count_losses (s, hash, MM_LOSS_CRASHED);
-  uint32_t open = count_losses (s, hash, MM_LOSS_OPEN);
-  if (is_poison (s, hash, crashes))
-    return MM_SUSPECT_GIVE_UP;
-  if (open && crashes + open >= MM_SUSPECTS_CRASHES)
+  mm_time_ms now = mm_clock_now_ms ();
+  task_history h = read_history (s, hash);
+  if (is_poison (&h))
+    return now - h.last_crash_ms < MM_SUSPECTS_COINCIDE_MS
+               ? MM_SUSPECT_WAIT
+               : MM_SUSPECT_GIVE_UP;
+  if (h.crashes > MM_SUSPECTS_CRASHES)
+    return MM_SUSPECT_POSTPONE;
+  if (h.open && h.crashes + h.open >= MM_SUSPECTS_CRASHES)
+    return MM_SUSPECT_WAIT;
+  if (h.crashes >= MM_SUSPECTS_CRASHES
+      && count_other_losses (s, hash, now - MM_SUSPECTS_CALM_MS, now)
+             >= MM_SUSPECTS_MASS)
     return MM_SUSPECT_WAIT;
-  return crashes + open ? MM_SUSPECT_ISOLATE : MM_SUSPECT_RUN;
+  return h.crashes + h.open ? MM_SUSPECT_ISOLATE : MM_SUSPECT_RUN;
 }
 
 bool
@@ -323,7 +385,7 @@
 uint32_t
 mm_suspects_count_crashes (const mm_suspects *s, const mm_task_id *task)
 {
-  return count_losses (s, mm_task_hash (task), MM_LOSS_CRASHED);
+  return read_history (s, mm_task_hash (task)).crashes;
 }
 
 char *
--- a/src/mm_suspects.h
+++ b/src/mm_suspects.h
@@ -25,7 +25,8 @@
   const char *upstream; /* name of the incarnation */
   const char *addr;     /* "ip:port" */
   mm_loss_verdict verdict;
-  mm_time_ms unresponsive_since_ms; /* when it stopped answering */
+  /* When it stopped answering, which is about when it crashed.  */
+  mm_time_ms unresponsive_since_ms;
   const uint64_t *tasks; /* mm_task_hash() of the tasks that ran there */
   size_t n_tasks;
 } mm_loss;
@@ -35,8 +36,11 @@
 {
   MM_SUSPECT_RUN,     /* not suspect */
   MM_SUSPECT_ISOLATE, /* run it isolated from other suspects */
-  MM_SUSPECT_WAIT,    /* do not start it until open losses are decided */
-  MM_SUSPECT_GIVE_UP  /* poison task: do not run it again */
+  MM_SUSPECT_WAIT,    /* do not start it until more is known of the losses */
+  /* Do not run it before its crashes expire.  They are as many as a poison
+     task may cause, but do not prove that it is one.  */
+  MM_SUSPECT_POSTPONE,
+  MM_SUSPECT_GIVE_UP /* poison task: do not run it again */
 } mm_suspect_action;
 
 typedef struct mm_suspects mm_suspects;
