Suspects: an unanswered start is no evidence of a crash by its task

Cause: a start that got no answer may never have arrived, or may have run. A crash there counted as one under a task that ran alone.

Now a loss says which of its tasks are not confirmed as running (by the answer to the start or by a hold), also in the message to other instances. For these the crash counts for the bound of three upstreams and is no evidence.

Evidence: test_suspects unanswered_starts_are_no_evidence (given up after two before; not given up and not started a fourth time now); test_mesh messages round trip with the new field. Instances of before and after this change do not understand each other's message of a loss.

--- a/src/mm_exec_state.c
+++ b/src/mm_exec_state.c
@@ -45,9 +45,19 @@
 }
 
 GList *
-mm_exec_tasks (const mm_exec *x)
+mm_exec_tasks (const mm_exec *x, bool confirmed)
 {
-  return g_hash_table_get_keys (x->runs);
+  GList *tasks = NULL;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, x->runs);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      mm_exec_run *r = v;
+      if ((r->running_event != 0) == confirmed)
+        tasks = g_list_prepend (tasks, &r->id);
+    }
+  return tasks;
 }
 
 mm_time_ms
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -18,7 +18,7 @@
   RELEASED_FIELDS = 2,
   FOUND_FIELDS = 7,
   UPDATE_FIELDS = 3,
-  LOSS_FIELDS = 6,
+  LOSS_FIELDS = 7,
   CAPACITY_FIELDS = 6
 };
 
@@ -184,6 +184,7 @@
   msgpack_pack_array (&pk, l->n_tasks);
   for (size_t i = 0; i < l->n_tasks; i++)
     msgpack_pack_uint64 (&pk, l->tasks[i]);
+  msgpack_pack_uint64 (&pk, l->n_unconfirmed);
 }
 
 /* The functions read_run(), read_ended(), read_loss() and read_report() read
@@ -264,12 +265,15 @@
 {
   uint32_t verdict;
   int64_t unresponsive_for_ms;
+  uint32_t n_unconfirmed;
   if (!mm_mp_read_text (&f[1], false, (char **)&l->upstream)
       || !mm_mp_read_text (&f[2], false, (char **)&l->addr)
       || !mm_mp_read_u32 (&f[3], &verdict) || verdict >= MM_LOSS_VERDICT_COUNT
       || !mm_mp_read_i64 (&f[4], &unresponsive_for_ms)
-      || !read_task_hashes (&f[5], l))
+      || !read_task_hashes (&f[5], l)
+      || !mm_mp_read_u32 (&f[6], &n_unconfirmed) || n_unconfirmed > l->n_tasks)
     return false;
+  l->n_unconfirmed = n_unconfirmed;
   l->verdict = (mm_loss_verdict)verdict;
   l->unresponsive_since_ms = mm_clock_now_ms () - unresponsive_for_ms;
   return true;
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -64,9 +64,11 @@
 
      A change of the upstream list; sent_ms is by the sender's clock.
 
-   - [LOSS, upstream, addr, verdict, unresponsive_for_ms, [task hash, ...]]
+   - [LOSS, upstream, addr, verdict, unresponsive_for_ms, [task hash, ...],
+      n_unconfirmed]
 
-     An upstream was lost while it ran these tasks.  The message holds how long
+     An upstream was lost while it ran these tasks.  The last n_unconfirmed of
+     them may not have run.  The message holds how long
      the upstream was unresponsive, and not since when, as the clocks of two
      instances differ.  */
 #ifndef MM_MESH_MSG_H
--- a/src/mm_owner_suspects.c
+++ b/src/mm_owner_suspects.c
@@ -35,6 +35,25 @@
   return owned->n_suspects * G_MAXUINT16 + MIN (others, G_MAXUINT16 - 1);
 }
 
+/* Appends the hashes of the upstream's tasks of one kind, see mm_exec_tasks().
+   Returns their number.  */
+static size_t
+add_suspects (GArray *hashes, mm_exec *x, bool confirmed)
+{
+  GList *tasks = mm_exec_tasks (x, confirmed);
+  size_t n = 0;
+  for (GList *l = tasks; l; l = l->next, n++)
+    {
+      uint64_t hash = mm_task_hash (l->data);
+      g_array_append_val (hashes, hash);
+      mm_metrics_count (MM_CT_TASKS_SUSPECT);
+      mm_log_event (MM_EV_TASK_SUSPECT, MM_TASK ((const mm_task_id *)l->data),
+                    MM_TEXT (mm_exec_info (x)->name));
+    }
+  g_list_free (tasks);
+  return n;
+}
+
 /* Records the tasks that ran on a lost upstream as suspects.  A draining
    upstream leaves as planned, so its loss counts against no task.  */
 void
@@ -46,16 +65,8 @@
   if (!suspects || u->draining)
     return;
   GArray *hashes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  GList *tasks = mm_exec_tasks (x);
-  for (GList *l = tasks; l; l = l->next)
-    {
-      uint64_t hash = mm_task_hash (l->data);
-      g_array_append_val (hashes, hash);
-      mm_metrics_count (MM_CT_TASKS_SUSPECT);
-      mm_log_event (MM_EV_TASK_SUSPECT, MM_TASK ((const mm_task_id *)l->data),
-                    MM_TEXT (u->name));
-    }
-  g_list_free (tasks);
+  add_suspects (hashes, x, true);
+  size_t n_unconfirmed = add_suspects (hashes, x, false);
   mm_time_ms unresponsive_since_ms = mm_exec_unresponsive_since_ms (x);
   mm_loss loss
       = { .upstream = u->name,
@@ -64,7 +75,8 @@
           .unresponsive_since_ms
           = unresponsive_since_ms ? unresponsive_since_ms : mm_clock_now_ms (),
           .tasks = (const uint64_t *)(const void *)hashes->data,
-          .n_tasks = hashes->len };
+          .n_tasks = hashes->len,
+          .n_unconfirmed = n_unconfirmed };
   mm_suspects_record (suspects, &loss);
   g_array_free (hashes, TRUE);
 }
--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -10,11 +10,16 @@
    runs isolated.  A task counts as a poison task if an upstream crashes while
    it runs there as a suspect and alone, and after three crashes otherwise.
 
+   A task whose start got no answer may not have run on the upstream.  A crash
+   there makes it suspect, but is no evidence that it is a poison task.
+
    Upstreams that crash for one reason, such as a power failure, crash at about
-   the same time, whatever they run.  A crash in such a mass loss makes a task
-   suspect, but is no evidence that it is a poison task.  A task with two
-   crashes waits until the mass loss is over, so that the next one would be
-   evidence, and does not run again after three.  */
+   the same time, whatever they run.  A crash in such a mass loss is no
+   evidence either.  A task with two crashes waits until the mass loss is over,
+   so that the next one would be evidence.
+
+   A task with three crashes does not run again, whatever they prove, so that a
+   poison task crashes no more upstreams.  */
 #include "mm_suspects.h"
 
 #include "config.h"
@@ -32,7 +37,10 @@
   mm_loss_verdict verdict;
   mm_time_ms unresponsive_since_ms; /* when it stopped answering */
   mm_time_ms verdict_ms;            /* when the verdict was set */
-  GArray *tasks;                    /* mm_task_hash() of the tasks, uint64_t */
+  /* mm_task_hash() of the tasks, uint64_t.  The last @n_unconfirmed of them
+     may not have run.  */
+  GArray *tasks;
+  guint n_unconfirmed;
 } loss;
 
 struct mm_suspects
@@ -101,7 +109,8 @@
                     .verdict = l->verdict,
                     .unresponsive_since_ms = l->unresponsive_since_ms,
                     .tasks = (const uint64_t *)(const void *)l->tasks->data,
-                    .n_tasks = l->tasks->len };
+                    .n_tasks = l->tasks->len,
+                    .n_unconfirmed = l->n_unconfirmed };
 }
 
 static void
@@ -136,29 +145,65 @@
   return NULL;
 }
 
-static bool
-has_task (const loss *l, uint64_t hash)
+/* Returns the index of a task in the loss, -1 if it is not there.  */
+static int
+find_task (const loss *l, uint64_t hash)
 {
   for (guint i = 0; i < l->tasks->len; i++)
     if (g_array_index (l->tasks, uint64_t, i) == hash)
-      return true;
-  return false;
+      return (int)i;
+  return -1;
+}
+
+static bool
+has_task (const loss *l, uint64_t hash)
+{
+  return find_task (l, hash) >= 0;
+}
+
+/* Returns whether the task ran on the lost upstream for certain.  */
+static bool
+has_confirmed_task (const loss *l, uint64_t hash)
+{
+  int i = find_task (l, hash);
+  return i >= 0 && (guint)i < l->tasks->len - l->n_unconfirmed;
+}
+
+/* Adds a task to a loss, up to MM_SUSPECTS_TASKS_MAX tasks in all, or notes
+   that it ran there for certain.  Returns whether the loss has changed.  */
+static bool
+add_task (loss *l, uint64_t hash, bool confirmed)
+{
+  int i = find_task (l, hash);
+  if (i < 0 && l->tasks->len >= MM_SUSPECTS_TASKS_MAX)
+    return false;
+  if (i >= 0 && (!confirmed || has_confirmed_task (l, hash)))
+    return false;
+  if (i >= 0)
+    {
+      g_array_remove_index (l->tasks, (guint)i);
+      l->n_unconfirmed--;
+    }
+  if (confirmed)
+    g_array_prepend_val (l->tasks, hash);
+  else
+    {
+      g_array_append_val (l->tasks, hash);
+      l->n_unconfirmed++;
+    }
+  return true;
 }
 
-/* Adds the tasks of @from that @l lacks, up to MM_SUSPECTS_TASKS_MAX tasks in
-   all.  Returns whether any was added.  */
+/* Adds the tasks of @from.  Returns whether the loss has changed.  */
 static bool
 add_tasks (loss *l, const mm_loss *from)
 {
-  bool added = false;
-  for (size_t i = 0;
-       i < from->n_tasks && l->tasks->len < MM_SUSPECTS_TASKS_MAX; i++)
-    if (!has_task (l, from->tasks[i]))
-      {
-        g_array_append_val (l->tasks, from->tasks[i]);
-        added = true;
-      }
-  return added;
+  bool changed = false;
+  for (size_t i = 0; i < from->n_tasks; i++)
+    changed
+        = add_task (l, from->tasks[i], i < from->n_tasks - from->n_unconfirmed)
+          || changed;
+  return changed;
 }
 
 static void
@@ -221,16 +266,17 @@
     {
       /* A second loss: the tasks of the first one did not cause it.  */
       g_array_set_size (l->tasks, 0);
+      l->n_unconfirmed = 0;
       l->unresponsive_since_ms = from->unresponsive_since_ms;
       g_queue_remove (s->losses, l);
       g_queue_push_tail (s->losses, l);
     }
   /* An upstream that answers again makes no further tasks suspect.  */
-  bool tasks_added
+  bool tasks_changed
       = l->verdict == MM_LOSS_ALIVE && !newer ? false : add_tasks (l, from);
   if (newer)
     set_verdict (l, from->verdict, "noted");
-  if (!newer && !tasks_added)
+  if (!newer && !tasks_changed)
     return;
   rebuild_hashes (s);
   report_change (s, l);
@@ -273,9 +319,11 @@
 /* What the losses of upstreams that ran a task say about it.  */
 typedef struct
 {
-  uint32_t open;             /* losses without a verdict */
-  uint32_t crashes;          /* crashes */
-  uint32_t separate_crashes; /* crashes that were not part of a mass loss */
+  uint32_t open;    /* losses without a verdict */
+  uint32_t crashes; /* crashes */
+  /* Crashes of upstreams that ran it for certain and were not part of a mass
+     loss.  */
+  uint32_t separate_crashes;
   /* One of these came while the task ran alone as a suspect.  */
   bool failed_alone;
   mm_time_ms last_crash_ms; /* time of the newest crash */
@@ -323,7 +371,7 @@
       bool was_suspect = h.crashes > 0;
       h.crashes++;
       h.last_crash_ms = MAX (h.last_crash_ms, l->unresponsive_since_ms);
-      if (in_mass_loss (s, hash, l))
+      if (!has_confirmed_task (l, hash) || in_mass_loss (s, hash, l))
         continue;
       h.separate_crashes++;
       h.failed_alone = h.failed_alone || (was_suspect && l->tasks->len == 1);
--- a/src/mm_suspects.h
+++ b/src/mm_suspects.h
@@ -29,6 +29,9 @@
   mm_time_ms unresponsive_since_ms;
   const uint64_t *tasks; /* mm_task_hash() of the tasks that ran there */
   size_t n_tasks;
+  /* The last ones of @tasks, whose starts got no answer: they may not have
+     run.  */
+  size_t n_unconfirmed;
 } mm_loss;
 
 /* How a task may be run.  */
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -307,13 +307,14 @@
       = { .upstream = "up", .task = t.id, .run = 3, .fence = 9 };
   mm_mesh_pack_found (&buffer, &found);
   mm_mesh_pack_update (&buffer, 5, "x", 1);
-  uint64_t task_hash = 77;
+  uint64_t task_hashes[2] = { 77, 78 };
   mm_loss loss = { .upstream = "up",
                    .addr = "127.0.0.1:1",
                    .verdict = MM_LOSS_CRASHED,
                    .unresponsive_since_ms = mm_clock_now_ms () - 500,
-                   .tasks = &task_hash,
-                   .n_tasks = 1 };
+                   .tasks = task_hashes,
+                   .n_tasks = 2,
+                   .n_unconfirmed = 1 };
   mm_mesh_pack_loss (&buffer, &loss);
   msgpack_unpacked unpacked;
   msgpack_unpacked_init (&unpacked);
@@ -335,12 +336,13 @@
                    && m.found.fence == 9
                    && strcmp (m.found.upstream, "up") == 0);
       if (kind == MM_MESH_LOSS)
-        ck_assert (strcmp (m.loss.upstream, "up") == 0
-                   && strcmp (m.loss.addr, "127.0.0.1:1") == 0
-                   && m.loss.verdict == MM_LOSS_CRASHED && m.loss.n_tasks == 1
-                   && m.loss.tasks[0] == task_hash
-                   && m.loss.unresponsive_since_ms
-                          >= loss.unresponsive_since_ms);
+        ck_assert (
+            strcmp (m.loss.upstream, "up") == 0
+            && strcmp (m.loss.addr, "127.0.0.1:1") == 0
+            && m.loss.verdict == MM_LOSS_CRASHED && m.loss.n_tasks == 2
+            && m.loss.tasks[0] == task_hashes[0]
+            && m.loss.tasks[1] == task_hashes[1] && m.loss.n_unconfirmed == 1
+            && m.loss.unresponsive_since_ms >= loss.unresponsive_since_ms);
       if (kind == MM_MESH_REPORT)
         ck_assert (
             m.leaving
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -512,6 +512,37 @@
 }
 END_TEST
 
+/* Guards against a task that is given up although it may never have run.  Its
+   starts at three upstreams get no answer, and the upstreams crash.  The task
+   must not be given up, and must not be started a fourth time.  */
+START_TEST (unanswered_starts_are_no_evidence)
+{
+  fixture fx = fixture_create ();
+  char name[16];
+  mm_task_id id;
+  for (int i = 0; i < 3; i++)
+    {
+      g_snprintf (name, sizeof name, "up%d", i);
+      fake *x = fakes_add (fx.upstreams, name, UPSTREAM_CPU_MILLI);
+      mm_owner_add_upstream (fx.owner, fake_info (x), 5);
+      fakes_run (fx.upstreams, fx.owner, 10);
+      fake_mode_of (x)->unresponsive = true;
+      mm_end how;
+      id = start_task (&fx, "unanswered", i > 0, &how);
+      fakes_run (fx.upstreams, fx.owner, 300);
+      fake_mode_of (x)->unresponsive = false;
+      fake_restart (x);
+      fakes_run (fx.upstreams, fx.owner, 3000);
+      ck_assert_int_eq (how, MM_END_LOST);
+      ck_assert_uint_eq (fake_starts (x), 0);
+      ck_assert_int_eq (mm_suspects_decide (fx.suspects, &id),
+                        i < 2 ? MM_SUSPECT_ISOLATE : MM_SUSPECT_POSTPONE);
+      mm_owner_remove_upstream (fx.owner, name);
+    }
+  fixture_destroy (&fx);
+}
+END_TEST
+
 /* A crash identifies the poison task only if no other task ran on that
    upstream.  So suspect tasks must run isolated: beside no other task while
    there is other free capacity.  */
@@ -711,6 +742,7 @@
   tcase_add_test (c, task_on_disconnected_upstreams_is_never_given_up);
   tcase_add_test (c, restarted_upstream_has_crashed_unless_it_was_draining);
   tcase_add_test (c, refused_start_makes_no_task_suspect);
+  tcase_add_test (c, unanswered_starts_are_no_evidence);
   tcase_add_test (c, suspect_runs_isolated);
   suite_add_tcase (s, c);
   c = tcase_create ("jobs");
