Suspects: a crash just after a failed run counts for its task

Cause: the task's run failed within 5 to 7 ms, and its upstream crashed after that. The session had no run of the task any more, so that the crash counted for none.

Now a session remembers failed runs for 400 ms. If contact to the upstream is lost within that time, the task is among those that may have caused the crash: it counts for the bound of three, and is no evidence.

Evidence: test_suspects crash_just_after_a_failed_run_counts (no crash counted before, one now; none for a task that failed there 3 s before, either way).

--- a/src/config.h
+++ b/src/config.h
@@ -194,6 +194,10 @@
 #define MM_SUSPECTS_COINCIDE_MS 1000
 /* A mass loss is over once no upstream was lost for this long.  */
 #define MM_SUSPECTS_CALM_MS 2000
+/* A crash this long after a failed run of a task may be its doing.  The end is
+   acknowledged after MM_ACK_DELAY_MS, which shows whether the upstream lives.
+ */
+#define MM_SUSPECTS_AFTER_END_MS 400
 #define MM_SUSPECTS_MAX 512u       /* lost upstreams that are remembered */
 #define MM_SUSPECTS_TASKS_MAX 64u  /* tasks remembered for each of them */
 #define MM_SUSPECTS_KEEP_MS 600000 /* a crash counts this long */
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -189,9 +189,13 @@
    are being stopped use; negative when they use more than that.  */
 mm_resources mm_exec_free_capacity (const mm_exec *x);
 size_t mm_exec_count_runs (const mm_exec *x); /* runs that use its capacity */
-/* Tasks of the runs that the upstream has confirmed, or of the others: their
-   starts got no answer.  Return: list of mm_task_id; g_list_free().  */
-GList *mm_exec_tasks (const mm_exec *x, bool confirmed);
+/* Tasks whose runs the upstream has confirmed.  Return: list of mm_task_id;
+   g_list_free().  */
+GList *mm_exec_confirmed_tasks (const mm_exec *x);
+/* Tasks that may have caused a crash of the upstream although no run of them
+   is known: their starts got no answer, or their runs failed shortly before.
+   Return: as above.  */
+GList *mm_exec_unconfirmed_tasks (const mm_exec *x);
 /* Since when no hold has been answered, 0: the last one was.  */
 mm_time_ms mm_exec_unresponsive_since_ms (const mm_exec *x);
 /* Time until the last run ends, estimated from declared run times and the
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -33,6 +33,23 @@
   g_array_append_val (x->unacked, end);
 }
 
+/* Remembers a failed run for MM_SUSPECTS_AFTER_END_MS: if the upstream crashes
+   within that time, its task may have caused the crash.  */
+static void
+remember_failed (mm_exec *x, const mm_task_id *task)
+{
+  mm_exec_failed_run f = { .task = *task, .ended_ms = mm_clock_now_ms () };
+  guint n_old = 0;
+  while (n_old < x->failed->len
+         && f.ended_ms
+                    - g_array_index (x->failed, mm_exec_failed_run, n_old)
+                          .ended_ms
+                > MM_SUSPECTS_AFTER_END_MS)
+    n_old++;
+  g_array_remove_range (x->failed, 0, n_old);
+  g_array_append_val (x->failed, f);
+}
+
 /* Processes the list of ends; skips ends that earlier lists had.  */
 static void
 process_ends (mm_exec *x, const mm_hold_result *res)
@@ -53,6 +70,8 @@
         continue;
       if (e->how == MM_END_DONE)
         update_slowness (x, r);
+      if (e->how == MM_END_FAILED)
+        remember_failed (x, &e->task);
       /* A run that was stopped because its start had no answer is reported
          as stopped and not as "not run", because it did run for a while.  */
       mm_exec_finish_run (r, e->how, "listed");
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -77,6 +77,7 @@
   uint64_t seen_seq;           /* sequence number of the newest end seen */
   uint64_t acked_seq;     /* newest end whose acknowledgement was answered */
   GArray *unacked;        /* mm_unacked_end, which homes still need */
+  GArray *failed;         /* mm_exec_failed_run, oldest first */
   uint32_t holds_failed;  /* consecutively */
   mm_rto rto;             /* timeout of the calls to this upstream */
   mm_exec_common *common; /* shared with the owner's other sessions */
@@ -88,6 +89,13 @@
   double slowness;                /* average of run time / estimate */
 };
 
+/* A run that has failed a short time ago.  */
+typedef struct
+{
+  mm_task_id task;
+  mm_time_ms ended_ms; /* when its end was first listed */
+} mm_exec_failed_run;
+
 /* A call to the upstream that is still open.  */
 typedef struct
 {
--- a/src/mm_exec_state.c
+++ b/src/mm_exec_state.c
@@ -44,8 +44,9 @@
   return g_hash_table_size (x->runs);
 }
 
-GList *
-mm_exec_tasks (const mm_exec *x, bool confirmed)
+/* Returns the tasks of the runs that are confirmed, or of the others.  */
+static GList *
+list_tasks (const mm_exec *x, bool confirmed)
 {
   GList *tasks = NULL;
   GHashTableIter it;
@@ -60,6 +61,28 @@
   return tasks;
 }
 
+GList *
+mm_exec_confirmed_tasks (const mm_exec *x)
+{
+  return list_tasks (x, true);
+}
+
+GList *
+mm_exec_unconfirmed_tasks (const mm_exec *x)
+{
+  GList *tasks = list_tasks (x, false);
+  mm_time_ms lost_ms
+      = x->hold_failed_ms ? x->unresponsive_since_ms : mm_clock_now_ms ();
+  for (guint i = 0; i < x->failed->len; i++)
+    {
+      mm_exec_failed_run *f
+          = &g_array_index (x->failed, mm_exec_failed_run, i);
+      if (lost_ms - f->ended_ms <= MM_SUSPECTS_AFTER_END_MS)
+        tasks = g_list_prepend (tasks, &f->task);
+    }
+  return tasks;
+}
+
 mm_time_ms
 mm_exec_unresponsive_since_ms (const mm_exec *x)
 {
--- a/src/mm_owner_suspects.c
+++ b/src/mm_owner_suspects.c
@@ -35,12 +35,11 @@
   return owned->n_suspects * G_MAXUINT16 + MIN (others, G_MAXUINT16 - 1);
 }
 
-/* Appends the hashes of the upstream's tasks of one kind, see mm_exec_tasks().
-   Returns their number.  */
+/* Appends the hashes of @tasks, which is freed, and logs that the tasks are
+   suspect.  Returns their number.  */
 static size_t
-add_suspects (GArray *hashes, mm_exec *x, bool confirmed)
+add_suspects (GArray *hashes, const char *upstream, GList *tasks)
 {
-  GList *tasks = mm_exec_tasks (x, confirmed);
   size_t n = 0;
   for (GList *l = tasks; l; l = l->next, n++)
     {
@@ -48,14 +47,15 @@
       g_array_append_val (hashes, hash);
       mm_metrics_count (MM_CT_TASKS_SUSPECT);
       mm_log_event (MM_EV_TASK_SUSPECT, MM_TASK ((const mm_task_id *)l->data),
-                    MM_TEXT (mm_exec_info (x)->name));
+                    MM_TEXT (upstream));
     }
   g_list_free (tasks);
   return n;
 }
 
-/* Records the tasks that ran on a lost upstream as suspects.  A draining
-   upstream leaves as planned, so its loss counts against no task.  */
+/* Records the tasks that ran on a lost upstream as suspects, and those that
+   failed there shortly before.  A draining upstream leaves as planned, so its
+   loss counts against no task.  */
 void
 mm_owner_on_upstream_lost (void *ctx, mm_exec *x, bool crashed)
 {
@@ -65,8 +65,9 @@
   if (!suspects || u->draining)
     return;
   GArray *hashes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  add_suspects (hashes, x, true);
-  size_t n_unconfirmed = add_suspects (hashes, x, false);
+  add_suspects (hashes, u->name, mm_exec_confirmed_tasks (x));
+  size_t n_unconfirmed
+      = add_suspects (hashes, u->name, mm_exec_unconfirmed_tasks (x));
   mm_time_ms unresponsive_since_ms = mm_exec_unresponsive_since_ms (x);
   mm_loss loss
       = { .upstream = u->name,
--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -10,8 +10,9 @@
    runs isolated.  A task counts as a poison task if an upstream crashes while
    it runs there as a suspect and alone, and after three crashes otherwise.
 
-   A task whose start got no answer may not have run on the upstream.  A crash
-   there makes it suspect, but is no evidence that it is a poison task.
+   A task whose start got no answer may not have run on the upstream, and one
+   whose run failed shortly before the crash did not run any more.  Such a
+   crash makes it suspect, but is no evidence that it is a poison task.
 
    Upstreams that crash for one reason, such as a power failure, crash at about
    the same time, whatever they run.  A crash in such a mass loss is no
--- a/src/mm_suspects.h
+++ b/src/mm_suspects.h
@@ -29,8 +29,8 @@
   mm_time_ms unresponsive_since_ms;
   const uint64_t *tasks; /* mm_task_hash() of the tasks that ran there */
   size_t n_tasks;
-  /* The last ones of @tasks, whose starts got no answer: they may not have
-     run.  */
+  /* The last ones of @tasks, which may not have run when the upstream was
+     lost: their starts got no answer, or they had failed shortly before.  */
   size_t n_unconfirmed;
 } mm_loss;
 
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -543,6 +543,31 @@
 }
 END_TEST
 
+/* Guards against a poison task that is never suspect because its run fails
+   just before its upstream crashes.  The crash must count for it, but not for
+   a task that failed there long before.  */
+START_TEST (crash_just_after_a_failed_run_counts)
+{
+  fixture fx = fixture_create ();
+  fake *x = fakes_add (fx.upstreams, "a", UPSTREAM_CPU_MILLI);
+  mm_owner_add_upstream (fx.owner, fake_info (x), 5);
+  fakes_run (fx.upstreams, fx.owner, 10);
+  fake_mode_of (x)->fails_tasks = true;
+  mm_end how;
+  mm_task_id before = start_task (&fx, "before", false, &how);
+  fakes_run (fx.upstreams, fx.owner, 3000);
+  ck_assert_int_eq (how, MM_END_FAILED);
+  mm_task_id id = start_task (&fx, "poison", false, &how);
+  fakes_run (fx.upstreams, fx.owner, 40);
+  ck_assert_int_eq (how, MM_END_FAILED);
+  fake_restart (x);
+  fakes_run (fx.upstreams, fx.owner, 2000);
+  ck_assert_uint_eq (mm_suspects_count_crashes (fx.suspects, &id), 1);
+  ck_assert_uint_eq (mm_suspects_count_crashes (fx.suspects, &before), 0);
+  fixture_destroy (&fx);
+}
+END_TEST
+
 /* A crash identifies the poison task only if no other task ran on that
    upstream.  So suspect tasks must run isolated: beside no other task while
    there is other free capacity.  */
@@ -743,6 +768,7 @@
   tcase_add_test (c, restarted_upstream_has_crashed_unless_it_was_draining);
   tcase_add_test (c, refused_start_makes_no_task_suspect);
   tcase_add_test (c, unanswered_starts_are_no_evidence);
+  tcase_add_test (c, crash_just_after_a_failed_run_counts);
   tcase_add_test (c, suspect_runs_isolated);
   suite_add_tcase (s, c);
   c = tcase_create ("jobs");
