Suspects: crashes of idle upstreams show a mass loss too

At low load most upstreams of a mass loss run nothing, so that the two crashes under a task looked separate.

Now a session that finds its upstream lost records that also when nothing ran there. Such a loss is not passed on as it happens, as it makes no task suspect.

Evidence: test_suspects crashes_of_idle_upstreams_show_a_mass_loss (given up before, waits and then runs isolated now). What remains: an idle upstream is found lost only when something is sent to it.

--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -118,7 +118,7 @@
 report_change (const mm_suspects *s, const loss *l)
 {
   mm_loss view = view_of (l);
-  if (s->changed)
+  if (s->changed && view.n_tasks)
     s->changed (s->ctx, &view);
 }
 
@@ -247,17 +247,19 @@
 }
 
 /**
- * mm_suspects_record() - record an upstream that was lost with tasks running.
+ * mm_suspects_record() - record a lost upstream.
  * @s: the record of losses.
  * @from: the loss as seen by this or by another instance; copied.
  *
- * Calls the callback of mm_suspects_on_changed() if this changes the record.
+ * Calls the callback of mm_suspects_on_changed() if this changes the record
+ * and tasks ran there.  A loss without tasks only shows how many upstreams
+ * were lost at a time.
  */
 void
 mm_suspects_record (mm_suspects *s, const mm_loss *from)
 {
   loss *l = find_loss (s, from->upstream);
-  if (!l && (from->n_tasks == 0 || from->verdict == MM_LOSS_ALIVE))
+  if (!l && from->verdict == MM_LOSS_ALIVE)
     return; /* no task is suspect */
   bool is_new = !l;
   if (!l)
--- a/src/mm_suspects.h
+++ b/src/mm_suspects.h
@@ -59,8 +59,8 @@
                              void *ctx);
 /* Hash that identifies a task in messages and records of losses.  */
 uint64_t mm_task_hash (const mm_task_id *id);
-/* Records that an upstream was lost with tasks running, as seen by this or by
-   another instance; @l is copied.  */
+/* Records that an upstream was lost, as seen by this or by another instance;
+   @l is copied.  */
 void mm_suspects_record (mm_suspects *s, const mm_loss *l);
 /* Records that this incarnation of an upstream answers.  */
 void mm_suspects_alive (mm_suspects *s, const char *upstream);
