Suspects: only a crash right after the start decides at two

Cause, from its log: the task ran beside a poison task, whose upstream crashed 23 ms after the poison task's start; then as a suspect, alone, on an upstream that the soak killed 400 ms after its start. One crash explained by another task and one by chance made a poison task.

Now the crash that decides must come within 100 ms of the task's start as a suspect, alone: a time that other crashes seldom hit. Later in the run the task runs once more, and a third crash decides. The message of a loss has the time from the last start to the loss.

Evidence: test_suspects crash_long_after_the_start_does_not_decide (given up after two before, after three now); test_mesh messages_are_read_as_they_were_packed with the new field.

--- a/src/config.h
+++ b/src/config.h
@@ -182,10 +182,12 @@
 #define MM_PLACEMENT_SPEED_STEP 0.25
 
 /* Poison tasks, which crash their upstreams (mm_suspects).  */
-/* A task is given up after this many crashes if it was suspect and alone at
-   one of them, or after one more.  It does not run after one more in any case.
- */
+/* A task is given up after this many crashes if one of them came right after
+   its start as a suspect, alone, or after one more.  It does not run after one
+   more in any case.  */
 #define MM_SUSPECTS_CRASHES 2u
+/* "Right after": so short that it is unlikely to be hit by other crashes.  */
+#define MM_SUSPECTS_AFTER_START_MS 100
 /* A crash is part of a mass loss if at least this many upstreams without the
    task were lost at about the same time.  */
 #define MM_SUSPECTS_MASS 2u
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -198,6 +198,8 @@
 GList *mm_exec_unconfirmed_tasks (const mm_exec *x);
 /* Since when no hold has been answered, 0: the last one was.  */
 mm_time_ms mm_exec_unresponsive_since_ms (const mm_exec *x);
+/* When the last start was sent, 0: none.  */
+mm_time_ms mm_exec_last_start_ms (const mm_exec *x);
 /* Time until the last run ends, estimated from declared run times and the
    slowness of the upstream.  */
 mm_time_ms mm_exec_longest_remaining_ms (const mm_exec *x, mm_time_ms now);
--- a/src/mm_exec_state.c
+++ b/src/mm_exec_state.c
@@ -89,6 +89,12 @@
   return x->hold_failed_ms ? x->unresponsive_since_ms : 0;
 }
 
+mm_time_ms
+mm_exec_last_start_ms (const mm_exec *x)
+{
+  return x->start_sent_ms;
+}
+
 mm_time_ms
 mm_exec_longest_remaining_ms (const mm_exec *x, mm_time_ms now)
 {
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -18,7 +18,7 @@
   RELEASED_FIELDS = 2,
   FOUND_FIELDS = 7,
   UPDATE_FIELDS = 3,
-  LOSS_FIELDS = 7,
+  LOSS_FIELDS = 8,
   CAPACITY_FIELDS = 6
 };
 
@@ -185,6 +185,7 @@
   for (size_t i = 0; i < l->n_tasks; i++)
     msgpack_pack_uint64 (&pk, l->tasks[i]);
   msgpack_pack_uint64 (&pk, l->n_unconfirmed);
+  msgpack_pack_int64 (&pk, l->after_start_ms);
 }
 
 /* The functions read_run(), read_ended(), read_loss() and read_report() read
@@ -271,7 +272,8 @@
       || !mm_mp_read_u32 (&f[3], &verdict) || verdict >= MM_LOSS_VERDICT_COUNT
       || !mm_mp_read_i64 (&f[4], &unresponsive_for_ms)
       || !read_task_hashes (&f[5], l)
-      || !mm_mp_read_u32 (&f[6], &n_unconfirmed) || n_unconfirmed > l->n_tasks)
+      || !mm_mp_read_u32 (&f[6], &n_unconfirmed) || n_unconfirmed > l->n_tasks
+      || !mm_mp_read_i64 (&f[7], &l->after_start_ms))
     return false;
   l->n_unconfirmed = n_unconfirmed;
   l->verdict = (mm_loss_verdict)verdict;
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -65,7 +65,7 @@
      A change of the upstream list; sent_ms is by the sender's clock.
 
    - [LOSS, upstream, addr, verdict, unresponsive_for_ms, [task hash, ...],
-      n_unconfirmed]
+      n_unconfirmed, after_start_ms]
 
      An upstream was lost while it ran these tasks.  The last n_unconfirmed of
      them may not have run.  The message holds how long
--- a/src/mm_owner_suspects.c
+++ b/src/mm_owner_suspects.c
@@ -68,13 +68,14 @@
   add_suspects (hashes, u->name, mm_exec_confirmed_tasks (x));
   size_t n_unconfirmed
       = add_suspects (hashes, u->name, mm_exec_unconfirmed_tasks (x));
-  mm_time_ms unresponsive_since_ms = mm_exec_unresponsive_since_ms (x);
+  mm_time_ms since_ms = mm_exec_unresponsive_since_ms (x);
+  since_ms = since_ms ? since_ms : mm_clock_now_ms ();
   mm_loss loss
       = { .upstream = u->name,
           .addr = u->addr,
           .verdict = crashed ? MM_LOSS_CRASHED : MM_LOSS_OPEN,
-          .unresponsive_since_ms
-          = unresponsive_since_ms ? unresponsive_since_ms : mm_clock_now_ms (),
+          .unresponsive_since_ms = since_ms,
+          .after_start_ms = MAX (since_ms - mm_exec_last_start_ms (x), 0),
           .tasks = (const uint64_t *)(const void *)hashes->data,
           .n_tasks = hashes->len,
           .n_unconfirmed = n_unconfirmed };
--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -7,8 +7,9 @@
 
    Several tasks may run on an upstream when it crashes, and usually only one
    of them is a poison task.  The first crash makes them suspect, and each then
-   runs isolated.  A task counts as a poison task if an upstream crashes while
-   it runs there as a suspect and alone, and after three crashes otherwise.
+   runs isolated.  A task counts as a poison task if an upstream crashes right
+   after it has started there as a suspect and alone, and after three crashes
+   otherwise.
 
    A task whose start got no answer may not have run on the upstream, and one
    whose run failed shortly before the crash did not run any more.  Such a
@@ -37,6 +38,7 @@
   char *addr;     /* "ip:port" */
   mm_loss_verdict verdict;
   mm_time_ms unresponsive_since_ms; /* when it stopped answering */
+  mm_time_ms after_start_ms;        /* time from the last start until then */
   mm_time_ms verdict_ms;            /* when the verdict was set */
   /* mm_task_hash() of the tasks, uint64_t.  The last @n_unconfirmed of them
      may not have run.  */
@@ -109,6 +111,7 @@
                     .addr = l->addr,
                     .verdict = l->verdict,
                     .unresponsive_since_ms = l->unresponsive_since_ms,
+                    .after_start_ms = l->after_start_ms,
                     .tasks = (const uint64_t *)(const void *)l->tasks->data,
                     .n_tasks = l->tasks->len,
                     .n_unconfirmed = l->n_unconfirmed };
@@ -230,6 +233,7 @@
   l->upstream = g_strdup (from->upstream);
   l->addr = g_strdup (from->addr);
   l->unresponsive_since_ms = from->unresponsive_since_ms;
+  l->after_start_ms = from->after_start_ms;
   l->tasks = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   g_queue_push_tail (s->losses, l);
   return l;
@@ -271,6 +275,7 @@
       g_array_set_size (l->tasks, 0);
       l->n_unconfirmed = 0;
       l->unresponsive_since_ms = from->unresponsive_since_ms;
+      l->after_start_ms = from->after_start_ms;
       g_queue_remove (s->losses, l);
       g_queue_push_tail (s->losses, l);
     }
@@ -327,7 +332,8 @@
   /* Crashes of upstreams that ran it for certain and were not part of a mass
      loss.  */
   uint32_t separate_crashes;
-  /* One of these came while the task ran alone as a suspect.  */
+  /* One of these came right after the task had started as a suspect, while it
+     ran alone.  */
   bool failed_alone;
   mm_time_ms last_crash_ms; /* time of the newest crash */
 } task_history;
@@ -377,15 +383,18 @@
       if (!has_confirmed_task (l, hash) || in_mass_loss (s, hash, l))
         continue;
       h.separate_crashes++;
-      h.failed_alone = h.failed_alone || (was_suspect && l->tasks->len == 1);
+      h.failed_alone = h.failed_alone
+                       || (was_suspect && l->tasks->len == 1
+                           && l->after_start_ms <= MM_SUSPECTS_AFTER_START_MS);
     }
   return h;
 }
 
 /* Returns whether a task counts as a poison task.  The first crash only makes
    it suspect: whatever runs on an upstream that crashes for another reason has
-   one.  A crash while it ran isolated as a suspect, beside no other task,
-   decides; without one a third crash does.  */
+   one.  A crash right after its start as a suspect, beside no other task,
+   decides.  Later in the run the crash may have another cause, and a third
+   one decides.  */
 static bool
 is_poison (const task_history *h)
 {
--- a/src/mm_suspects.h
+++ b/src/mm_suspects.h
@@ -27,7 +27,8 @@
   mm_loss_verdict verdict;
   /* When it stopped answering, which is about when it crashed.  */
   mm_time_ms unresponsive_since_ms;
-  const uint64_t *tasks; /* mm_task_hash() of the tasks that ran there */
+  mm_time_ms after_start_ms; /* time from the last start there until then */
+  const uint64_t *tasks;     /* mm_task_hash() of the tasks that ran there */
   size_t n_tasks;
   /* The last ones of @tasks, which may not have run when the upstream was
      lost: their starts got no answer, or they had failed shortly before.  */
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -314,7 +314,8 @@
                    .unresponsive_since_ms = mm_clock_now_ms () - 500,
                    .tasks = task_hashes,
                    .n_tasks = 2,
-                   .n_unconfirmed = 1 };
+                   .n_unconfirmed = 1,
+                   .after_start_ms = 5 };
   mm_mesh_pack_loss (&buffer, &loss);
   msgpack_unpacked unpacked;
   msgpack_unpacked_init (&unpacked);
@@ -336,13 +337,14 @@
                    && m.found.fence == 9
                    && strcmp (m.found.upstream, "up") == 0);
       if (kind == MM_MESH_LOSS)
-        ck_assert (
-            strcmp (m.loss.upstream, "up") == 0
-            && strcmp (m.loss.addr, "127.0.0.1:1") == 0
-            && m.loss.verdict == MM_LOSS_CRASHED && m.loss.n_tasks == 2
-            && m.loss.tasks[0] == task_hashes[0]
-            && m.loss.tasks[1] == task_hashes[1] && m.loss.n_unconfirmed == 1
-            && m.loss.unresponsive_since_ms >= loss.unresponsive_since_ms);
+        ck_assert (strcmp (m.loss.upstream, "up") == 0
+                   && strcmp (m.loss.addr, "127.0.0.1:1") == 0
+                   && m.loss.verdict == MM_LOSS_CRASHED && m.loss.n_tasks == 2
+                   && m.loss.tasks[0] == task_hashes[0]
+                   && m.loss.tasks[1] == task_hashes[1]
+                   && m.loss.n_unconfirmed == 1 && m.loss.after_start_ms == 5
+                   && m.loss.unresponsive_since_ms
+                          >= loss.unresponsive_since_ms);
       if (kind == MM_MESH_REPORT)
         ck_assert (
             m.leaving
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -316,6 +316,38 @@
 }
 END_TEST
 
+/* Guards against an innocent task that is given up because of a poison task
+   and a second crash.  The task runs beside a poison task, and later as a
+   suspect and alone on an upstream that crashes for another reason, long after
+   the task's start.  It must run a third time; a crash then must decide.  */
+START_TEST (crash_long_after_the_start_does_not_decide)
+{
+  mm_suspects *s = suspects_setup ();
+  mm_task_id ids[2] = { task ("innocent", 0), task ("culprit", 0) };
+  record_loss (s, 0, MM_LOSS_CRASHED, ids, 2);
+  for (int number = 1; number <= 2; number++)
+    {
+      char name[16], addr[32];
+      g_snprintf (name, sizeof name, "up%d", number);
+      g_snprintf (addr, sizeof addr, "127.0.0.1:%d", 1000 + number);
+      now_ms += 5000;
+      uint64_t hash = mm_task_hash (&ids[0]);
+      mm_loss l = { .upstream = name,
+                    .addr = addr,
+                    .verdict = MM_LOSS_CRASHED,
+                    .unresponsive_since_ms = now_ms,
+                    .after_start_ms = 400,
+                    .tasks = &hash,
+                    .n_tasks = 1 };
+      mm_suspects_record (s, &l);
+      now_ms += 5000;
+      ck_assert_int_eq (mm_suspects_decide (s, &ids[0]),
+                        number == 1 ? MM_SUSPECT_ISOLATE : MM_SUSPECT_GIVE_UP);
+    }
+  suspects_teardown (s);
+}
+END_TEST
+
 /* An upstream that was disconnected and has answered again can be lost a
    second time.  A late report of the first loss must not make its tasks
    suspect.  */
@@ -778,6 +810,7 @@
   tcase_add_test (c, task_does_not_run_after_three_crashes_in_mass_losses);
   tcase_add_test (
       c, task_that_ran_alone_only_before_it_was_suspect_is_not_given_up);
+  tcase_add_test (c, crash_long_after_the_start_does_not_decide);
   tcase_add_test (c, upstream_that_answered_can_be_lost_again);
   tcase_add_test (c, known_loss_is_not_reported_again);
   tcase_add_test (c, losses_are_bounded_and_expire);
