Suspects: a crash while its upstream changes owners counts

Cause, from its log: the first crash came 0.1 s before the upstream was handed over. The session ended with its runs ("upstream handed over, run not taken over") before the leases had expired, so that the loss was never recorded.

Another incarnation at the address makes it a crash; the first answer to the next owner shows that the upstream lives, which it did before only for the session that had reported the loss.

Evidence: test_suspects crash_during_a_handover_counts (no loss recorded before).

--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -143,7 +143,8 @@
      than any lease, or another incarnation answers (@crashed).  The ends of
      the runs are reported after this call.  */
   void (*upstream_lost) (void *ctx, mm_exec *x, bool crashed);
-  /* An upstream that was reported as lost answers again.  */
+  /* An upstream answers for the first time, or again after it was reported as
+     lost by this session.  */
   void (*upstream_back) (void *ctx, mm_exec *x);
   void *ctx;
 } mm_exec_events;
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -201,7 +201,7 @@
   x->processed_hold_event = c->sent_event;
   GHashTable *present = g_hash_table_new (NULL, NULL);
   bool first = !x->runs_known;
-  if (first && x->fence_known)
+  if (first)
     x->ev.upstream_back (x->ev.ctx, x);
   if (!x->fence_known)
     mm_log_event (MM_EV_UPSTREAM_OWNED, MM_TEXT (x->info->name),
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -618,6 +618,46 @@
 }
 END_TEST
 
+/* Guards against a crash that counts for no task because the upstream changes
+   owners before its loss is noticed.  If the next owner reaches the upstream,
+   the task must not be suspect any more.  */
+START_TEST (crash_during_a_handover_counts)
+{
+  for (int crashes = 0; crashes < 2; crashes++)
+    {
+      fixture fx = fixture_create ();
+      fake *x = fakes_add (fx.upstreams, "a", UPSTREAM_CPU_MILLI);
+      mm_owner_add_upstream (fx.owner, fake_info (x), 5);
+      fakes_run (fx.upstreams, fx.owner, 10);
+      mm_end how;
+      mm_task_id id = start_task (&fx, "handed-over", false, &how);
+      fakes_run (fx.upstreams, fx.owner, 100);
+      fake_mode_of (x)->unresponsive = true;
+      fakes_run (fx.upstreams, fx.owner, 500);
+      ck_assert_int_eq (mm_suspects_decide (fx.suspects, &id), MM_SUSPECT_RUN);
+      mm_owner_remove_upstream (fx.owner, "a");
+      ck_assert_int_eq (mm_suspects_decide (fx.suspects, &id),
+                        MM_SUSPECT_ISOLATE);
+      fake_mode_of (x)->unresponsive = false;
+      if (crashes)
+        {
+          mm_upstream_info again = *fake_info (x);
+          again.name = (char *)"a-again";
+          mm_owner_update_upstream (fx.owner, &again);
+        }
+      else
+        {
+          mm_owner_add_upstream (fx.owner, fake_info (x), 6);
+          fakes_run (fx.upstreams, fx.owner, 10);
+          ck_assert_int_eq (mm_suspects_decide (fx.suspects, &id),
+                            MM_SUSPECT_RUN);
+        }
+      ck_assert_int_eq (mm_suspects_count_crashes (fx.suspects, &id), crashes);
+      fixture_destroy (&fx);
+    }
+}
+END_TEST
+
 /* A crash identifies the poison task only if no other task ran on that
    upstream.  So suspect tasks must run isolated: beside no other task while
    there is other free capacity.  */
@@ -821,6 +861,7 @@
   tcase_add_test (c, refused_start_makes_no_task_suspect);
   tcase_add_test (c, unanswered_starts_are_no_evidence);
   tcase_add_test (c, crash_just_after_a_failed_run_counts);
+  tcase_add_test (c, crash_during_a_handover_counts);
   tcase_add_test (c, suspect_runs_isolated);
   suite_add_tcase (s, c);
   c = tcase_create ("jobs");
