Suspects: an idle upstream without an answer is no sign of a mass loss

Cause: an idle upstream has no leases to wait for, so that it counts as lost as soon as one hold gets no answer. Such losses counted like those of upstreams that were silent for a whole lease, and tasks with two crashes would wait while links lost packets.

Now a loss without tasks counts only if it is a crash.

Evidence: test_suspects idle_upstreams_without_an_answer_are_no_mass_loss (failed before).

--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -256,15 +256,18 @@
  * @from: the loss as seen by this or by another instance; copied.
  *
  * Calls the callback of mm_suspects_on_changed() if this changes the record
- * and tasks ran there.  A loss without tasks only shows how many upstreams
+ * and tasks ran there.  A crash without tasks only shows how many upstreams
  * were lost at a time.
  */
 void
 mm_suspects_record (mm_suspects *s, const mm_loss *from)
 {
   loss *l = find_loss (s, from->upstream);
-  if (!l && from->verdict == MM_LOSS_ALIVE)
-    return; /* no task is suspect */
+  /* Without tasks only a crash counts: an idle upstream is lost as soon as one
+     hold gets no answer.  */
+  bool silent = from->n_tasks == 0 && from->verdict == MM_LOSS_OPEN;
+  if (!l && (silent || from->verdict == MM_LOSS_ALIVE))
+    return;
   bool is_new = !l;
   if (!l)
     l = add_loss (s, from);
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -258,6 +258,23 @@
 }
 END_TEST
 
+/* Guards against tasks that wait because idle upstreams did not answer once.
+ */
+START_TEST (idle_upstreams_without_an_answer_are_no_mass_loss)
+{
+  mm_suspects *s = suspects_setup ();
+  mm_task_id id = task ("poison", 0);
+  for (int i = 0; i < 10; i++)
+    record_loss_since (s, i, MM_LOSS_OPEN, now_ms, NULL, 0);
+  record_crash (s, 100, &id);
+  now_ms += 300;
+  record_crash (s, 101, &id);
+  now_ms += MM_SUSPECTS_COINCIDE_MS;
+  ck_assert_int_eq (mm_suspects_decide (s, &id), MM_SUSPECT_GIVE_UP);
+  suspects_teardown (s);
+}
+END_TEST
+
 /* Guards against an innocent task that is given up before the crashes of other
    upstreams at the same time are known.  */
 START_TEST (crash_waits_for_news_of_other_crashes)
@@ -846,6 +863,7 @@
   tcase_add_test (c, third_crash_decides_between_two_suspects);
   tcase_add_test (c, crashes_in_a_mass_loss_are_no_evidence);
   tcase_add_test (c, crashes_of_idle_upstreams_show_a_mass_loss);
+  tcase_add_test (c, idle_upstreams_without_an_answer_are_no_mass_loss);
   tcase_add_test (c, crash_waits_for_news_of_other_crashes);
   tcase_add_test (c, task_does_not_run_after_three_crashes_in_mass_losses);
   tcase_add_test (
