Soak: crash times are converted by the offset of their own time

Cause: the machine's time of day was stepped by 25 s and then slewed by 5 ms each second. No bound or check changes.

Now the offset is sampled every 50 ms during the run, and each time is converted by the sample before it.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -41,7 +41,7 @@
 
   soak.py [--seed N] [--seeds N] [--file F] [--seconds S] [--jobs N] [--bin DIR] [--keep DIR]
 """
-import argparse, asyncio, json, os, random, shutil, signal, socket, subprocess, sys, tempfile, time, urllib.request
+import argparse, asyncio, bisect, json, os, random, shutil, signal, socket, subprocess, sys, tempfile, time, urllib.request
 
 RESEND_DELAY_S = 1.3        # callers wait this long before they send a job again
 SETTLE_S = 7                # fault-free time at the end; longer than every lease and TTL
@@ -162,6 +162,8 @@
         # Newest configuration that was published; newest one that the store accepted;
         # (instance, number of its start) -> configuration in force there; instance -> number of its starts.
         self.published_version, self.accepted_version, self.seen_versions, self.boots = 1, 0, {}, {}
+        # Samples of the machine's time of day: (ms, clock of the run logs minus it).
+        self.clock_samples = []
         self.stopping = False       # callers and watchers end when it is set
         self.store_faults = []      # (from, to) ms in which an instance may have failed to read the store
         self.faulted = set()        # processes that a fault in progress controls
@@ -487,27 +489,39 @@
             rows += open_runs.values()
         return rows
 
+    # The time of day may be set or slewed during a run, so one offset does not fit all its logs.
+    async def sample_clock(self):
+        while True:
+            ms = time.time() * 1000
+            self.clock_samples.append((ms, now_ms() - ms))
+            await asyncio.sleep(0.05)
+
+    def boot_ms(self, ts_ms):
+        """Returns the time of a log line on the clock of the run logs."""
+        i = bisect.bisect(self.clock_samples, (ts_ms, float("inf")))
+        return ts_ms + self.clock_samples[max(i - 1, 0)][1]
+
     def read_crashes(self):
         """Returns the crashes by job: the ms of each crash and its upstream."""
-        by_job, boot_offset_ms = {}, now_ms() - time.time() * 1000
+        by_job = {}
         for i in range(UPSTREAMS):
             for line in open(f"{self.dir}/up{i}.log", errors="replace"):
                 if "crashed by " not in line:
                     continue
                 e = json.loads(line)
-                ms = e["ts_ms"] + boot_offset_ms + POISON_CRASH_MS
+                ms = self.boot_ms(e["ts_ms"]) + POISON_CRASH_MS
                 by_job.setdefault(e["message"].split()[2].split("/")[0], []).append((ms, i))
                 self.upstream_down_ms.setdefault(i, []).append(ms)
         return by_job
 
     def read_poison_starts(self):
         """Returns the starts by poison job: the ms of each start and the instance that started it."""
-        starts, boot_offset_ms = {}, now_ms() - time.time() * 1000
+        starts = {}
         for i in range(NODES):
             for line in open(f"{self.dir}/node{i}.log", errors="replace"):
                 if '"event":"task_started","job":"p-' in line:
                     e = json.loads(line)
-                    starts.setdefault(e["job"], []).append((e["ts_ms"] + boot_offset_ms, i))
+                    starts.setdefault(e["job"], []).append((self.boot_ms(e["ts_ms"]), i))
         return starts
 
     def crash_noticed(self, starts, ms):
@@ -641,6 +655,7 @@
         for i in range(NODES):
             self.start_node(i)
         await asyncio.sleep(2)
+        clock = asyncio.create_task(self.sample_clock())
         callers = [asyncio.create_task(self.run_caller(k)) for k in range(8)]
         callers += [asyncio.create_task(self.run_kept_caller(k)) for k in range(2)]
         callers += [asyncio.create_task(self.run_poison_caller()), asyncio.create_task(self.change_capacities())]
@@ -670,6 +685,7 @@
                                      f"{self.accepted_version} was accepted")
         await self.wait_for_kept_jobs()
         await asyncio.sleep(1)
+        clock.cancel()
         self.check_runs()
         self.check_draining_starts()
 
