--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -20,8 +20,8 @@
 mm_call_verdict_name (mm_call_verdict v)
 {
   static const char *const names[]
-      = { "ok",  "fenced",  "old_run", "late",     "no_room",
-          "bad", "refused", "gone",    "no_answer" };
+      = { "ok",  "fenced",  "old_run", "late",      "no_room",
+          "bad", "refused", "gone",    "no_answer", "not_sent" };
   return (size_t)v < G_N_ELEMENTS (names) ? names[v] : "unknown";
 }
 
@@ -32,6 +32,7 @@
     return;
   g_hash_table_destroy (x->runs);
   g_array_free (x->unacked, TRUE);
+  g_array_free (x->failed, TRUE);
   mm_upstream_info_free (x->info);
   g_free (x);
 }
@@ -340,6 +341,7 @@
       break;
     case MM_CALL_LATE:
     case MM_CALL_NO_CAPACITY:
+    case MM_CALL_NOT_SENT:
       mm_exec_become_suspect (x, "start", v);
       mm_exec_finish_run (r, MM_END_NOT_RUN, mm_call_verdict_name (v));
       break;
@@ -554,6 +556,7 @@
   x->slowness = 1.0;
   x->lease_limit_ms = G_MAXINT64;
   x->unacked = g_array_new (FALSE, FALSE, sizeof (mm_unacked_end));
+  x->failed = g_array_new (FALSE, FALSE, sizeof (mm_exec_failed_run));
   x->runs = g_hash_table_new_full (mm_task_id_hash, mm_task_id_equal, NULL,
                                    run_free);
   mm_exec_send_hold (x, 0, false);
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -23,7 +23,8 @@
   MM_CALL_BAD,         /* the upstream did not understand the call */
   MM_CALL_REFUSED,     /* unhealthy upstream: nothing was done */
   MM_CALL_GONE,        /* another incarnation is at that address */
-  MM_CALL_NO_ANSWER    /* may have been carried out, or may still be */
+  MM_CALL_NO_ANSWER,   /* may have been carried out, or may still be */
+  MM_CALL_NOT_SENT     /* no connection: it cannot have arrived */
 } mm_call_verdict;
 
 const char *mm_call_verdict_name (mm_call_verdict v); /* such as "ok" */
@@ -142,7 +143,8 @@
      than any lease, or another incarnation answers (@crashed).  The ends of
      the runs are reported after this call.  */
   void (*upstream_lost) (void *ctx, mm_exec *x, bool crashed);
-  /* An upstream that was reported as lost answers again.  */
+  /* An upstream answers for the first time, or again after it was reported as
+     lost by this session.  */
   void (*upstream_back) (void *ctx, mm_exec *x);
   void *ctx;
 } mm_exec_events;
@@ -188,9 +190,17 @@
    are being stopped use; negative when they use more than that.  */
 mm_resources mm_exec_free_capacity (const mm_exec *x);
 size_t mm_exec_count_runs (const mm_exec *x); /* runs that use its capacity */
-GList *mm_exec_tasks (const mm_exec *x); /* of mm_task_id; g_list_free() */
-/* When a hold last failed, 0: the last one was answered.  */
+/* Tasks whose runs the upstream has confirmed.  Return: list of mm_task_id;
+   g_list_free().  */
+GList *mm_exec_confirmed_tasks (const mm_exec *x);
+/* Tasks that may have caused a crash of the upstream although no run of them
+   is known: their starts got no answer, or their runs failed shortly before.
+   Return: as above.  */
+GList *mm_exec_unconfirmed_tasks (const mm_exec *x);
+/* Since when no hold has been answered, 0: the last one was.  */
 mm_time_ms mm_exec_unresponsive_since_ms (const mm_exec *x);
+/* When the last start was sent, 0: none.  */
+mm_time_ms mm_exec_last_start_ms (const mm_exec *x);
 /* Time until the last run ends, estimated from declared run times and the
    slowness of the upstream.  */
 mm_time_ms mm_exec_longest_remaining_ms (const mm_exec *x, mm_time_ms now);
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -74,15 +74,18 @@
   mm_time_ms hold_sent_ms;  /* when the last hold was sent, 0: none */
   /* Event number at which the newest hold with processed lists was sent.  */
   uint64_t processed_hold_event;
-  mm_time_ms hold_failed_ms;   /* the last hold failed then, 0: it did not */
-  mm_time_ms leases_expire_ms; /* all leases end by then on our clock */
-  mm_time_ms lease_limit_ms;   /* mm_exec_update_lease_limit() */
+  mm_time_ms hold_failed_ms; /* the last hold failed then, 0: it did not */
+  mm_time_ms unresponsive_since_ms; /* first of the holds that failed in a
+                                       row, valid if hold_failed_ms is set */
+  mm_time_ms leases_expire_ms;      /* all leases end by then on our clock */
+  mm_time_ms lease_limit_ms;        /* mm_exec_update_lease_limit() */
   bool lease_limited;          /* logged: leases are too short for new runs */
   mm_time_ms unacked_since_ms; /* when the first unacknowledged end was seen,
                                   0: none */
   uint64_t seen_seq;           /* sequence number of the newest end seen */
   uint64_t acked_seq;     /* newest end whose acknowledgement was answered */
   GArray *unacked;        /* mm_unacked_end, which homes still need */
+  GArray *failed;         /* mm_exec_failed_run, oldest first */
   uint32_t holds_failed;  /* consecutively */
   mm_rto rto;             /* timeout of the calls to this upstream */
   mm_exec_common *common; /* shared with the owner's other sessions */
@@ -94,6 +97,13 @@
   double slowness;                /* average of run time / estimate */
 };
 
+/* A run that has failed a short time ago.  */
+typedef struct
+{
+  mm_task_id task;
+  mm_time_ms ended_ms; /* when its end was first listed */
+} mm_exec_failed_run;
+
 /* A call to the upstream that is still open.  */
 typedef struct
 {
--- a/src/mm_owner_suspects.c
+++ b/src/mm_owner_suspects.c
@@ -35,8 +35,27 @@
   return owned->n_suspects * G_MAXUINT16 + MIN (others, G_MAXUINT16 - 1);
 }
 
-/* Records the tasks that ran on a lost upstream as suspects.  A draining
-   upstream leaves as planned, so its loss counts against no task.  */
+/* Appends the hashes of @tasks, which is freed, and logs that the tasks are
+   suspect.  Returns their number.  */
+static size_t
+add_suspects (GArray *hashes, const char *upstream, GList *tasks)
+{
+  size_t n = 0;
+  for (GList *l = tasks; l; l = l->next, n++)
+    {
+      uint64_t hash = mm_task_hash (l->data);
+      g_array_append_val (hashes, hash);
+      mm_metrics_count (MM_CT_TASKS_SUSPECT);
+      mm_log_event (MM_EV_TASK_SUSPECT, MM_TASK ((const mm_task_id *)l->data),
+                    MM_TEXT (upstream));
+    }
+  g_list_free (tasks);
+  return n;
+}
+
+/* Records the tasks that ran on a lost upstream as suspects, and those that
+   failed there shortly before.  A draining upstream leaves as planned, so its
+   loss counts against no task.  */
 void
 mm_owner_on_upstream_lost (void *ctx, mm_exec *x, bool crashed)
 {
@@ -46,25 +65,20 @@
   if (!suspects || u->draining)
     return;
   GArray *hashes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  GList *tasks = mm_exec_tasks (x);
-  for (GList *l = tasks; l; l = l->next)
-    {
-      uint64_t hash = mm_task_hash (l->data);
-      g_array_append_val (hashes, hash);
-      mm_metrics_count (MM_CT_TASKS_SUSPECT);
-      mm_log_event (MM_EV_TASK_SUSPECT, MM_TASK ((const mm_task_id *)l->data),
-                    MM_TEXT (u->name));
-    }
-  g_list_free (tasks);
-  mm_time_ms unresponsive_since_ms = mm_exec_unresponsive_since_ms (x);
+  add_suspects (hashes, u->name, mm_exec_confirmed_tasks (x));
+  size_t n_unconfirmed
+      = add_suspects (hashes, u->name, mm_exec_unconfirmed_tasks (x));
+  mm_time_ms since_ms = mm_exec_unresponsive_since_ms (x);
+  since_ms = since_ms ? since_ms : mm_clock_now_ms ();
   mm_loss loss
       = { .upstream = u->name,
           .addr = u->addr,
           .verdict = crashed ? MM_LOSS_CRASHED : MM_LOSS_OPEN,
-          .unresponsive_since_ms
-          = unresponsive_since_ms ? unresponsive_since_ms : mm_clock_now_ms (),
+          .unresponsive_since_ms = since_ms,
+          .after_start_ms = MAX (since_ms - mm_exec_last_start_ms (x), 0),
           .tasks = (const uint64_t *)(const void *)hashes->data,
-          .n_tasks = hashes->len };
+          .n_tasks = hashes->len,
+          .n_unconfirmed = n_unconfirmed };
   mm_suspects_record (suspects, &loss);
   g_array_free (hashes, TRUE);
 }
--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -6,9 +6,22 @@
    listed as draining has left as planned.
 
    Several tasks may run on an upstream when it crashes, and usually only one
-   of them is a poison task.  A task counts as a poison task after two crashes
-   of upstreams that ran it if it was the only task on one of them, and after
-   three crashes in any case.
+   of them is a poison task.  The first crash makes them suspect, and each then
+   runs isolated.  A task counts as a poison task if an upstream crashes right
+   after it has started there as a suspect and alone, and after three crashes
+   otherwise.
+
+   A task whose start got no answer may not have run on the upstream, and one
+   whose run failed shortly before the crash did not run any more.  Such a
+   crash makes it suspect, but is no evidence that it is a poison task.
+
+   Upstreams that crash for one reason, such as a power failure, crash at about
+   the same time, whatever they run.  A crash in such a mass loss is no
+   evidence either.  A task with two crashes waits until the mass loss is over,
+   so that the next one would be evidence.
+
+   A task with three crashes does not run again, whatever they prove, so that a
+   poison task crashes no more upstreams.
 
    Reports of a loss pass over many links, arrive in any order and are passed
    on if they change the record.  They cease because the record of an upstream
@@ -30,9 +43,13 @@
   char *addr;     /* "ip:port" */
   mm_loss_verdict verdict;
   mm_time_ms unresponsive_since_ms; /* when it stopped answering */
+  mm_time_ms after_start_ms;        /* time from the last start until then */
   mm_time_ms verdict_ms;            /* when the verdict was set */
   uint32_t occurrence;              /* as in mm_loss, from 1 */
-  GArray *tasks;                    /* mm_task_hash() of the tasks, uint64_t */
+  /* mm_task_hash() of the tasks, uint64_t.  The last @n_unconfirmed of them
+     may not have run.  */
+  GArray *tasks;
+  guint n_unconfirmed;
 } loss;
 
 struct mm_suspects
@@ -100,16 +117,18 @@
                     .addr = l->addr,
                     .verdict = l->verdict,
                     .unresponsive_since_ms = l->unresponsive_since_ms,
+                    .after_start_ms = l->after_start_ms,
                     .occurrence = l->occurrence,
                     .tasks = (const uint64_t *)(const void *)l->tasks->data,
-                    .n_tasks = l->tasks->len };
+                    .n_tasks = l->tasks->len,
+                    .n_unconfirmed = l->n_unconfirmed };
 }
 
 static void
 report_change (const mm_suspects *s, const loss *l)
 {
   mm_loss view = view_of (l);
-  if (s->changed)
+  if (s->changed && view.n_tasks)
     s->changed (s->ctx, &view);
 }
 
@@ -137,29 +156,65 @@
   return NULL;
 }
 
-static bool
-has_task (const loss *l, uint64_t hash)
+/* Returns the index of a task in the loss, -1 if it is not there.  */
+static int
+find_task (const loss *l, uint64_t hash)
 {
   for (guint i = 0; i < l->tasks->len; i++)
     if (g_array_index (l->tasks, uint64_t, i) == hash)
-      return true;
-  return false;
+      return (int)i;
+  return -1;
+}
+
+static bool
+has_task (const loss *l, uint64_t hash)
+{
+  return find_task (l, hash) >= 0;
+}
+
+/* Returns whether the task ran on the lost upstream for certain.  */
+static bool
+has_confirmed_task (const loss *l, uint64_t hash)
+{
+  int i = find_task (l, hash);
+  return i >= 0 && (guint)i < l->tasks->len - l->n_unconfirmed;
+}
+
+/* Adds a task to a loss, up to MM_SUSPECTS_TASKS_MAX tasks in all, or notes
+   that it ran there for certain.  Returns whether the loss has changed.  */
+static bool
+add_task (loss *l, uint64_t hash, bool confirmed)
+{
+  int i = find_task (l, hash);
+  if (i < 0 && l->tasks->len >= MM_SUSPECTS_TASKS_MAX)
+    return false;
+  if (i >= 0 && (!confirmed || has_confirmed_task (l, hash)))
+    return false;
+  if (i >= 0)
+    {
+      g_array_remove_index (l->tasks, (guint)i);
+      l->n_unconfirmed--;
+    }
+  if (confirmed)
+    g_array_prepend_val (l->tasks, hash);
+  else
+    {
+      g_array_append_val (l->tasks, hash);
+      l->n_unconfirmed++;
+    }
+  return true;
 }
 
-/* Adds the tasks of @from that @l lacks, up to MM_SUSPECTS_TASKS_MAX tasks in
-   all.  Returns whether any was added.  */
+/* Adds the tasks of @from.  Returns whether the loss has changed.  */
 static bool
 add_tasks (loss *l, const mm_loss *from)
 {
-  bool added = false;
-  for (size_t i = 0;
-       i < from->n_tasks && l->tasks->len < MM_SUSPECTS_TASKS_MAX; i++)
-    if (!has_task (l, from->tasks[i]))
-      {
-        g_array_append_val (l->tasks, from->tasks[i]);
-        added = true;
-      }
-  return added;
+  bool changed = false;
+  for (size_t i = 0; i < from->n_tasks; i++)
+    changed
+        = add_task (l, from->tasks[i], i < from->n_tasks - from->n_unconfirmed)
+          || changed;
+  return changed;
 }
 
 static void
@@ -185,6 +240,7 @@
   l->upstream = g_strdup (from->upstream);
   l->addr = g_strdup (from->addr);
   l->unresponsive_since_ms = from->unresponsive_since_ms;
+  l->after_start_ms = from->after_start_ms;
   l->occurrence = MAX (from->occurrence, 1);
   l->tasks = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   g_queue_push_tail (s->losses, l);
@@ -204,18 +260,23 @@
 }
 
 /**
- * mm_suspects_record() - record an upstream that was lost with tasks running.
+ * mm_suspects_record() - record a lost upstream.
  * @s: the record of losses.
  * @from: the loss as seen by this or by another instance; copied.
  *
- * Calls the callback of mm_suspects_on_changed() if this changes the record.
+ * Calls the callback of mm_suspects_on_changed() if this changes the record
+ * and tasks ran there.  A crash without tasks only shows how many upstreams
+ * were lost at a time.
  */
 void
 mm_suspects_record (mm_suspects *s, const mm_loss *from)
 {
   loss *l = find_loss (s, from->upstream);
-  if (!l && (from->n_tasks == 0 || from->verdict == MM_LOSS_ALIVE))
-    return; /* no task is suspect */
+  /* Without tasks only a crash counts: an idle upstream is lost as soon as one
+     hold gets no answer.  */
+  bool silent = from->n_tasks == 0 && from->verdict == MM_LOSS_OPEN;
+  if (!l && (silent || from->verdict == MM_LOSS_ALIVE))
+    return;
   bool is_new = !l;
   if (!l)
     l = add_loss (s, from);
@@ -227,16 +288,20 @@
     {
       /* The tasks of the earlier loss did not cause this one.  */
       g_array_set_size (l->tasks, 0);
+      l->n_unconfirmed = 0;
       l->occurrence = occurrence;
       l->unresponsive_since_ms = from->unresponsive_since_ms;
+      l->after_start_ms = from->after_start_ms;
+      g_queue_remove (s->losses, l);
+      g_queue_push_tail (s->losses, l);
     }
   bool newer = is_new || is_later || from->verdict > l->verdict;
   /* An upstream that answers again makes no further tasks suspect.  */
-  bool tasks_added
+  bool tasks_changed
       = l->verdict == MM_LOSS_ALIVE && !newer ? false : add_tasks (l, from);
   if (newer)
     set_verdict (l, from->verdict, "noted");
-  if (!newer && !tasks_added)
+  if (!newer && !tasks_changed)
     return;
   rebuild_hashes (s);
   report_change (s, l);
@@ -276,36 +341,93 @@
     }
 }
 
-/* Number of losses with this verdict whose upstream ran the task.  */
+/* What the losses of upstreams that ran a task say about it.  */
+typedef struct
+{
+  uint32_t open;    /* losses without a verdict */
+  uint32_t crashes; /* crashes */
+  /* Crashes of upstreams that ran it for certain and were not part of a mass
+     loss.  */
+  uint32_t separate_crashes;
+  /* One of these came right after the task had started as a suspect, while it
+     ran alone.  */
+  bool failed_alone;
+  mm_time_ms last_crash_ms; /* time of the newest crash */
+} task_history;
+
+/* Counts upstreams that did not run the task and were lost between the two
+   times.  */
 static uint32_t
-count_losses (const mm_suspects *s, uint64_t hash, mm_loss_verdict v)
+count_other_losses (const mm_suspects *s, uint64_t hash, mm_time_ms from_ms,
+                    mm_time_ms to_ms)
 {
   uint32_t n = 0;
-  for (GList *l = s->losses->head; l; l = l->next)
-    n += ((loss *)l->data)->verdict == v && has_task (l->data, hash);
+  for (GList *node = s->losses->head; node; node = node->next)
+    {
+      const loss *l = node->data;
+      n += l->verdict != MM_LOSS_ALIVE && l->unresponsive_since_ms >= from_ms
+           && l->unresponsive_since_ms <= to_ms && !has_task (l, hash);
+    }
   return n;
 }
 
-/* Returns whether a task with @crashes crashes counts as a poison task.  After
-   MM_SUSPECTS_CRASHES crashes, a task that always ran beside others may not be
-   the one that caused them: a further crash decides.  */
 static bool
-is_poison (const mm_suspects *s, uint64_t hash, uint32_t crashes)
+in_mass_loss (const mm_suspects *s, uint64_t hash, const loss *l)
 {
-  if (crashes > MM_SUSPECTS_CRASHES)
-    return true;
-  if (crashes < MM_SUSPECTS_CRASHES)
-    return false;
+  return count_other_losses (
+             s, hash, l->unresponsive_since_ms - MM_SUSPECTS_COINCIDE_MS,
+             l->unresponsive_since_ms + MM_SUSPECTS_COINCIDE_MS)
+         >= MM_SUSPECTS_MASS;
+}
+
+static task_history
+read_history (const mm_suspects *s, uint64_t hash)
+{
+  task_history h = { 0 };
   for (GList *node = s->losses->head; node; node = node->next)
     {
       const loss *l = node->data;
-      bool alone = l->tasks->len == 1 && has_task (l, hash);
-      if (l->verdict == MM_LOSS_CRASHED && alone)
-        return true;
+      if (l->verdict == MM_LOSS_ALIVE || !has_task (l, hash))
+        continue;
+      if (l->verdict == MM_LOSS_OPEN)
+        {
+          h.open++;
+          continue;
+        }
+      bool was_suspect = h.crashes > 0;
+      h.crashes++;
+      h.last_crash_ms = MAX (h.last_crash_ms, l->unresponsive_since_ms);
+      if (!has_confirmed_task (l, hash) || in_mass_loss (s, hash, l))
+        continue;
+      h.separate_crashes++;
+      h.failed_alone = h.failed_alone
+                       || (was_suspect && l->tasks->len == 1
+                           && l->after_start_ms <= MM_SUSPECTS_AFTER_START_MS);
     }
-  return false;
+  return h;
+}
+
+/* Returns whether a task counts as a poison task.  The first crash only makes
+   it suspect: whatever runs on an upstream that crashes for another reason has
+   one.  A crash right after its start as a suspect, beside no other task,
+   decides.  Later in the run the crash may have another cause, and a third
+   one decides.  */
+static bool
+is_poison (const task_history *h)
+{
+  return h->failed_alone || h->separate_crashes > MM_SUSPECTS_CRASHES;
 }
 
+/**
+ * mm_suspects_decide() - decide how a task may be run.
+ * @s: the record of losses, or NULL.
+ * @task: the task.
+ *
+ * A poison task is given up only after the time in which other losses may
+ * still show that its last crash was part of a mass loss.
+ *
+ * Return: what may be done with the task now.
+ */
 mm_suspect_action
 mm_suspects_decide (const mm_suspects *s, const mm_task_id *task)
 {
@@ -314,13 +436,21 @@
   uint64_t hash = mm_task_hash (task);
   if (!g_hash_table_contains (s->hashes, &hash))
     return MM_SUSPECT_RUN;
-  uint32_t crashes = count_losses (s, hash, MM_LOSS_CRASHED);
-  uint32_t open = count_losses (s, hash, MM_LOSS_OPEN);
-  if (is_poison (s, hash, crashes))
-    return MM_SUSPECT_GIVE_UP;
-  if (open && crashes + open >= MM_SUSPECTS_CRASHES)
+  mm_time_ms now = mm_clock_now_ms ();
+  task_history h = read_history (s, hash);
+  if (is_poison (&h))
+    return now - h.last_crash_ms < MM_SUSPECTS_COINCIDE_MS
+               ? MM_SUSPECT_WAIT
+               : MM_SUSPECT_GIVE_UP;
+  if (h.crashes > MM_SUSPECTS_CRASHES)
+    return MM_SUSPECT_POSTPONE;
+  if (h.open && h.crashes + h.open >= MM_SUSPECTS_CRASHES)
+    return MM_SUSPECT_WAIT;
+  if (h.crashes >= MM_SUSPECTS_CRASHES
+      && count_other_losses (s, hash, now - MM_SUSPECTS_CALM_MS, now)
+             >= MM_SUSPECTS_MASS)
     return MM_SUSPECT_WAIT;
-  return crashes + open ? MM_SUSPECT_ISOLATE : MM_SUSPECT_RUN;
+  return h.crashes + h.open ? MM_SUSPECT_ISOLATE : MM_SUSPECT_RUN;
 }
 
 bool
@@ -332,7 +462,7 @@
 uint32_t
 mm_suspects_count_crashes (const mm_suspects *s, const mm_task_id *task)
 {
-  return count_losses (s, mm_task_hash (task), MM_LOSS_CRASHED);
+  return read_history (s, mm_task_hash (task)).crashes;
 }
 
 char *
--- a/src/mm_suspects.h
+++ b/src/mm_suspects.h
@@ -25,12 +25,17 @@
   const char *upstream; /* name of the incarnation */
   const char *addr;     /* "ip:port" */
   mm_loss_verdict verdict;
-  mm_time_ms unresponsive_since_ms; /* when it stopped answering */
+  /* When it stopped answering, which is about when it crashed.  */
+  mm_time_ms unresponsive_since_ms;
+  mm_time_ms after_start_ms; /* time from the last start there until then */
   /* How many times the upstream has been lost, this loss included; 0: as seen
      by this instance, which counts it.  */
   uint32_t occurrence;
   const uint64_t *tasks; /* mm_task_hash() of the tasks that ran there */
   size_t n_tasks;
+  /* The last ones of @tasks, which may not have run when the upstream was
+     lost: their starts got no answer, or they had failed shortly before.  */
+  size_t n_unconfirmed;
 } mm_loss;
 
 /* How a task may be run.  */
@@ -38,8 +43,11 @@
 {
   MM_SUSPECT_RUN,     /* not suspect */
   MM_SUSPECT_ISOLATE, /* run it isolated from other suspects */
-  MM_SUSPECT_WAIT,    /* do not start it until open losses are decided */
-  MM_SUSPECT_GIVE_UP  /* poison task: do not run it again */
+  MM_SUSPECT_WAIT,    /* do not start it until more is known of the losses */
+  /* Do not run it before its crashes expire.  They are as many as a poison
+     task may cause, but do not prove that it is one.  */
+  MM_SUSPECT_POSTPONE,
+  MM_SUSPECT_GIVE_UP /* poison task: do not run it again */
 } mm_suspect_action;
 
 typedef struct mm_suspects mm_suspects;
@@ -55,8 +63,8 @@
                              void *ctx);
 /* Hash that identifies a task in messages and records of losses.  */
 uint64_t mm_task_hash (const mm_task_id *id);
-/* Records that an upstream was lost with tasks running, as seen by this or by
-   another instance; @l is copied.  */
+/* Records that an upstream was lost, as seen by this or by another instance;
+   @l is copied.  */
 void mm_suspects_record (mm_suspects *s, const mm_loss *l);
 /* Records that this incarnation of an upstream answers.  */
 void mm_suspects_alive (mm_suspects *s, const char *upstream);
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -1,10 +1,11 @@
 /* Tests that poison tasks, which crash their upstreams, are distinguished from
    tasks that are lost because an upstream was disconnected, draining or
-   restarted.  The tests use no network.  */
+   restarted.  The tests make no calls over the network.  */
 #include "config.h"
 #include "fake_upstreams.h"
 #include "harness.h"
 #include "mm_fleet.h"
+#include "mm_jobs.h"
 #include "mm_mesh_msg.h"
 
 #include <stdlib.h>
@@ -42,10 +43,10 @@
 }
 
 /* Records the loss of upstream @number with the @n tasks @ids.  The upstream
-   has not answered for 1 s.  */
+   has not answered since @since_ms.  */
 static void
-record_loss (mm_suspects *s, int number, mm_loss_verdict v,
-             const mm_task_id *ids, size_t n)
+record_loss_since (mm_suspects *s, int number, mm_loss_verdict v,
+                   mm_time_ms since_ms, const mm_task_id *ids, size_t n)
 {
   char name[16], addr[32];
   g_snprintf (name, sizeof name, "up%d", number);
@@ -56,12 +57,20 @@
   mm_loss l = { .upstream = name,
                 .addr = addr,
                 .verdict = v,
-                .unresponsive_since_ms = now_ms - 1000,
+                .unresponsive_since_ms = since_ms,
                 .tasks = hashes,
                 .n_tasks = n };
   mm_suspects_record (s, &l);
 }
 
+/* The same for an upstream that has not answered for 1 s.  */
+static void
+record_loss (mm_suspects *s, int number, mm_loss_verdict v,
+             const mm_task_id *ids, size_t n)
+{
+  record_loss_since (s, number, v, now_ms - 1000, ids, n);
+}
+
 /* Records a list entry at the address of upstream @number.  @name: of the
    listed upstream, NULL: upstream @number itself.  */
 static void
@@ -183,6 +192,180 @@
 }
 END_TEST
 
+/* Records the crash of upstream @number just now, alone with this task.  */
+static void
+record_crash (mm_suspects *s, int number, const mm_task_id *id)
+{
+  record_loss_since (s, number, MM_LOSS_CRASHED, now_ms, id, 1);
+}
+
+/* Records the crashes of @n upstreams from number @first on, 50 ms apart, each
+   alone with a task of its own.  */
+static void
+record_mass_loss (mm_suspects *s, int first, int n)
+{
+  for (int i = first; i < first + n; i++)
+    {
+      mm_task_id id = task ("mass", (uint32_t)i);
+      record_crash (s, i, &id);
+      now_ms += 50;
+    }
+}
+
+/* Guards against innocent tasks that are given up in a mass loss.  A dozen
+   upstreams crash within a second, and a task runs alone on one of them and
+   then on another.  It must wait until no more upstreams are lost, and is
+   given up only if an upstream then crashes under it alone.  */
+START_TEST (crashes_in_a_mass_loss_are_no_evidence)
+{
+  for (int guilty = 0; guilty < 2; guilty++)
+    {
+      mm_suspects *s = suspects_setup ();
+      mm_task_id id = task ("innocent", 0);
+      record_crash (s, 100, &id);
+      record_mass_loss (s, 0, 5);
+      record_crash (s, 101, &id);
+      record_mass_loss (s, 5, 5);
+      for (int i = 0; i < 30; i++, now_ms += 50)
+        ck_assert_int_eq (mm_suspects_decide (s, &id), MM_SUSPECT_WAIT);
+      now_ms += MM_SUSPECTS_CALM_MS;
+      ck_assert_int_eq (mm_suspects_decide (s, &id), MM_SUSPECT_ISOLATE);
+      if (guilty)
+        {
+          record_crash (s, 102, &id);
+          now_ms += MM_SUSPECTS_COINCIDE_MS;
+          ck_assert_int_eq (mm_suspects_decide (s, &id), MM_SUSPECT_GIVE_UP);
+        }
+      suspects_teardown (s);
+    }
+}
+END_TEST
+
+/* Guards against the same when the other upstreams ran nothing.  */
+START_TEST (crashes_of_idle_upstreams_show_a_mass_loss)
+{
+  mm_suspects *s = suspects_setup ();
+  mm_task_id id = task ("innocent", 0);
+  record_crash (s, 100, &id);
+  now_ms += 300;
+  record_crash (s, 101, &id);
+  for (int i = 0; i < 2; i++)
+    record_loss_since (s, i, MM_LOSS_CRASHED, now_ms, NULL, 0);
+  now_ms += MM_SUSPECTS_COINCIDE_MS;
+  ck_assert_int_eq (mm_suspects_decide (s, &id), MM_SUSPECT_WAIT);
+  now_ms += MM_SUSPECTS_CALM_MS;
+  ck_assert_int_eq (mm_suspects_decide (s, &id), MM_SUSPECT_ISOLATE);
+  suspects_teardown (s);
+}
+END_TEST
+
+/* Guards against tasks that wait because idle upstreams did not answer once.
+ */
+START_TEST (idle_upstreams_without_an_answer_are_no_mass_loss)
+{
+  mm_suspects *s = suspects_setup ();
+  mm_task_id id = task ("poison", 0);
+  for (int i = 0; i < 10; i++)
+    record_loss_since (s, i, MM_LOSS_OPEN, now_ms, NULL, 0);
+  record_crash (s, 100, &id);
+  now_ms += 300;
+  record_crash (s, 101, &id);
+  now_ms += MM_SUSPECTS_COINCIDE_MS;
+  ck_assert_int_eq (mm_suspects_decide (s, &id), MM_SUSPECT_GIVE_UP);
+  suspects_teardown (s);
+}
+END_TEST
+
+/* Guards against an innocent task that is given up before the crashes of other
+   upstreams at the same time are known.  */
+START_TEST (crash_waits_for_news_of_other_crashes)
+{
+  mm_suspects *s = suspects_setup ();
+  mm_task_id id = task ("innocent", 0);
+  record_crash (s, 100, &id);
+  now_ms += 300;
+  record_crash (s, 101, &id);
+  for (int i = 0; i < 12; i++, now_ms += 25)
+    ck_assert_int_eq (mm_suspects_decide (s, &id), MM_SUSPECT_WAIT);
+  record_mass_loss (s, 0, 2);
+  for (int i = 0; i < 40; i++, now_ms += 50)
+    ck_assert_int_ne (mm_suspects_decide (s, &id), MM_SUSPECT_GIVE_UP);
+  suspects_teardown (s);
+}
+END_TEST
+
+/* Guards against a task that crashes upstream after upstream because none of
+   its crashes is evidence.  After three crashes in mass losses it must neither
+   run nor be given up.  */
+START_TEST (task_does_not_run_after_three_crashes_in_mass_losses)
+{
+  mm_suspects *s = suspects_setup ();
+  mm_task_id id = task ("unclear", 0);
+  for (int i = 0; i < 3; i++)
+    {
+      record_crash (s, 100 + i, &id);
+      record_mass_loss (s, 10 * i, 3);
+      now_ms += 5000;
+    }
+  ck_assert_int_eq (mm_suspects_decide (s, &id), MM_SUSPECT_POSTPONE);
+  now_ms += MM_SUSPECTS_KEEP_MS;
+  mm_suspects_tick (s);
+  ck_assert_int_eq (mm_suspects_decide (s, &id), MM_SUSPECT_RUN);
+  suspects_teardown (s);
+}
+END_TEST
+
+/* Guards against an innocent task that is given up because of a poison task.
+   The task runs alone on an upstream that crashes for another reason, and then
+   beside a poison task that is not suspect yet.  */
+START_TEST (task_that_ran_alone_only_before_it_was_suspect_is_not_given_up)
+{
+  mm_suspects *s = suspects_setup ();
+  mm_task_id ids[2] = { task ("innocent", 0), task ("culprit", 0) };
+  record_loss (s, 0, MM_LOSS_CRASHED, ids, 1);
+  now_ms += 3000;
+  record_loss (s, 1, MM_LOSS_CRASHED, ids, 2);
+  now_ms += 3000;
+  ck_assert_int_eq (mm_suspects_decide (s, &ids[0]), MM_SUSPECT_ISOLATE);
+  record_loss (s, 2, MM_LOSS_CRASHED, &ids[1], 1);
+  ck_assert_int_eq (mm_suspects_decide (s, &ids[0]), MM_SUSPECT_ISOLATE);
+  ck_assert_int_eq (mm_suspects_decide (s, &ids[1]), MM_SUSPECT_GIVE_UP);
+  suspects_teardown (s);
+}
+END_TEST
+
+/* Guards against an innocent task that is given up because of a poison task
+   and a second crash.  The task runs beside a poison task, and later as a
+   suspect and alone on an upstream that crashes for another reason, long after
+   the task's start.  It must run a third time; a crash then must decide.  */
+START_TEST (crash_long_after_the_start_does_not_decide)
+{
+  mm_suspects *s = suspects_setup ();
+  mm_task_id ids[2] = { task ("innocent", 0), task ("culprit", 0) };
+  record_loss (s, 0, MM_LOSS_CRASHED, ids, 2);
+  for (int number = 1; number <= 2; number++)
+    {
+      char name[16], addr[32];
+      g_snprintf (name, sizeof name, "up%d", number);
+      g_snprintf (addr, sizeof addr, "127.0.0.1:%d", 1000 + number);
+      now_ms += 5000;
+      uint64_t hash = mm_task_hash (&ids[0]);
+      mm_loss l = { .upstream = name,
+                    .addr = addr,
+                    .verdict = MM_LOSS_CRASHED,
+                    .unresponsive_since_ms = now_ms,
+                    .after_start_ms = 400,
+                    .tasks = &hash,
+                    .n_tasks = 1 };
+      mm_suspects_record (s, &l);
+      now_ms += 5000;
+      ck_assert_int_eq (mm_suspects_decide (s, &ids[0]),
+                        number == 1 ? MM_SUSPECT_ISOLATE : MM_SUSPECT_GIVE_UP);
+    }
+  suspects_teardown (s);
+}
+END_TEST
+
 /* An upstream that was disconnected and has answered again can be lost a
    second time.  A late report of the first loss must not make its tasks
    suspect.  */
@@ -494,6 +677,136 @@
 }
 END_TEST
 
+/* Guards against a task that is given up for crashes of upstreams that it
+   never reached.  Upstreams crash one after the other, and each refuses the
+   connection for the task's start before another incarnation is there.  */
+START_TEST (refused_start_makes_no_task_suspect)
+{
+  fixture fx = fixture_create ();
+  char name[16];
+  mm_end how;
+  mm_task_id id = start_task (&fx, "innocent", false, &how);
+  for (int i = 0; i < 3; i++)
+    {
+      g_snprintf (name, sizeof name, "up%d", i);
+      fake *x = fakes_add (fx.upstreams, name, UPSTREAM_CPU_MILLI);
+      mm_owner_add_upstream (fx.owner, fake_info (x), 5);
+      /* The hold that lists the runs is on its way; the start comes after.  */
+      fake_mode_of (x)->refuses_connections = true;
+      fakes_run (fx.upstreams, fx.owner, 100);
+      ck_assert_uint_eq (fake_starts (x), 0);
+      fake_mode_of (x)->refuses_connections = false;
+      fake_restart (x);
+      fakes_run (fx.upstreams, fx.owner, 200);
+      ck_assert_uint_eq (mm_suspects_count_crashes (fx.suspects, &id), 0);
+      ck_assert_int_eq (mm_suspects_decide (fx.suspects, &id), MM_SUSPECT_RUN);
+      mm_owner_remove_upstream (fx.owner, name);
+    }
+  ck_assert_int_eq (how, MM_END_COUNT);
+  fake *x = fakes_add (fx.upstreams, "sound", UPSTREAM_CPU_MILLI);
+  mm_owner_add_upstream (fx.owner, fake_info (x), 5);
+  fakes_run (fx.upstreams, fx.owner, 3200);
+  ck_assert_int_eq (how, MM_END_DONE);
+  fixture_destroy (&fx);
+}
+END_TEST
+
+/* Guards against a task that is given up although it may never have run.  Its
+   starts at three upstreams get no answer, and the upstreams crash.  The task
+   must not be given up, and must not be started a fourth time.  */
+START_TEST (unanswered_starts_are_no_evidence)
+{
+  fixture fx = fixture_create ();
+  char name[16];
+  mm_task_id id;
+  for (int i = 0; i < 3; i++)
+    {
+      g_snprintf (name, sizeof name, "up%d", i);
+      fake *x = fakes_add (fx.upstreams, name, UPSTREAM_CPU_MILLI);
+      mm_owner_add_upstream (fx.owner, fake_info (x), 5);
+      fakes_run (fx.upstreams, fx.owner, 10);
+      fake_mode_of (x)->unresponsive = true;
+      mm_end how;
+      id = start_task (&fx, "unanswered", i > 0, &how);
+      fakes_run (fx.upstreams, fx.owner, 300);
+      fake_mode_of (x)->unresponsive = false;
+      fake_restart (x);
+      fakes_run (fx.upstreams, fx.owner, 3000);
+      ck_assert_int_eq (how, MM_END_LOST);
+      ck_assert_uint_eq (fake_starts (x), 0);
+      ck_assert_int_eq (mm_suspects_decide (fx.suspects, &id),
+                        i < 2 ? MM_SUSPECT_ISOLATE : MM_SUSPECT_POSTPONE);
+      mm_owner_remove_upstream (fx.owner, name);
+    }
+  fixture_destroy (&fx);
+}
+END_TEST
+
+/* Guards against a poison task that is never suspect because its run fails
+   just before its upstream crashes.  The crash must count for it, but not for
+   a task that failed there long before.  */
+START_TEST (crash_just_after_a_failed_run_counts)
+{
+  fixture fx = fixture_create ();
+  fake *x = fakes_add (fx.upstreams, "a", UPSTREAM_CPU_MILLI);
+  mm_owner_add_upstream (fx.owner, fake_info (x), 5);
+  fakes_run (fx.upstreams, fx.owner, 10);
+  fake_mode_of (x)->fails_tasks = true;
+  mm_end how;
+  mm_task_id before = start_task (&fx, "before", false, &how);
+  fakes_run (fx.upstreams, fx.owner, 3000);
+  ck_assert_int_eq (how, MM_END_FAILED);
+  mm_task_id id = start_task (&fx, "poison", false, &how);
+  fakes_run (fx.upstreams, fx.owner, 40);
+  ck_assert_int_eq (how, MM_END_FAILED);
+  fake_restart (x);
+  fakes_run (fx.upstreams, fx.owner, 2000);
+  ck_assert_uint_eq (mm_suspects_count_crashes (fx.suspects, &id), 1);
+  ck_assert_uint_eq (mm_suspects_count_crashes (fx.suspects, &before), 0);
+  fixture_destroy (&fx);
+}
+END_TEST
+
+/* Guards against a crash that counts for no task because the upstream changes
+   owners before its loss is noticed.  If the next owner reaches the upstream,
+   the task must not be suspect any more.  */
+START_TEST (crash_during_a_handover_counts)
+{
+  for (int crashes = 0; crashes < 2; crashes++)
+    {
+      fixture fx = fixture_create ();
+      fake *x = fakes_add (fx.upstreams, "a", UPSTREAM_CPU_MILLI);
+      mm_owner_add_upstream (fx.owner, fake_info (x), 5);
+      fakes_run (fx.upstreams, fx.owner, 10);
+      mm_end how;
+      mm_task_id id = start_task (&fx, "handed-over", false, &how);
+      fakes_run (fx.upstreams, fx.owner, 100);
+      fake_mode_of (x)->unresponsive = true;
+      fakes_run (fx.upstreams, fx.owner, 500);
+      ck_assert_int_eq (mm_suspects_decide (fx.suspects, &id), MM_SUSPECT_RUN);
+      mm_owner_remove_upstream (fx.owner, "a");
+      ck_assert_int_eq (mm_suspects_decide (fx.suspects, &id),
+                        MM_SUSPECT_ISOLATE);
+      fake_mode_of (x)->unresponsive = false;
+      if (crashes)
+        {
+          mm_upstream_info again = *fake_info (x);
+          again.name = (char *)"a-again";
+          mm_owner_update_upstream (fx.owner, &again);
+        }
+      else
+        {
+          mm_owner_add_upstream (fx.owner, fake_info (x), 6);
+          fakes_run (fx.upstreams, fx.owner, 10);
+          ck_assert_int_eq (mm_suspects_decide (fx.suspects, &id),
+                            MM_SUSPECT_RUN);
+        }
+      ck_assert_int_eq (mm_suspects_count_crashes (fx.suspects, &id), crashes);
+      fixture_destroy (&fx);
+    }
+}
+END_TEST
+
 /* A crash identifies the poison task only if no other task ran on that
    upstream.  So suspect tasks must run isolated: beside no other task while
    there is other free capacity.  */
@@ -527,6 +840,149 @@
 }
 END_TEST
 
+/* ---- with jobs --------------------------------------------------------- */
+
+/* An instance with one upstream that runs jobs.  */
+typedef struct
+{
+  fixture fx;
+  struct ev_loop *loop;
+  mm_mesh *mesh;
+  mm_fleet *fleet;
+  mm_jobs *jobs;
+} jobs_fixture;
+
+static jobs_fixture
+jobs_fixture_create (void)
+{
+  jobs_fixture j
+      = { .fx = fixture_create (), .loop = ev_loop_new (EVFLAG_AUTO) };
+  j.mesh = mm_mesh_create (j.loop, "n@127.0.0.1:1/dc", "dc", "127.0.0.1",
+                           (uint16_t)h_port_base (), j.fx.owner, NULL);
+  ck_assert_ptr_nonnull (j.mesh);
+  j.fleet = mm_fleet_create (j.fx.owner, j.mesh, "dc");
+  mm_fleet_set_suspects (j.fleet, j.fx.suspects);
+  j.jobs = mm_jobs_create (j.fleet);
+  fake *x = fakes_add (j.fx.upstreams, "sound", UPSTREAM_CPU_MILLI);
+  mm_owner_add_upstream (j.fx.owner, fake_info (x), 5);
+  fakes_run (j.fx.upstreams, j.fx.owner, 10);
+  return j;
+}
+
+static void
+jobs_fixture_destroy (jobs_fixture *j)
+{
+  mm_jobs_destroy (j->jobs);
+  mm_fleet_destroy (j->fleet);
+  mm_mesh_destroy (j->mesh);
+  ev_loop_destroy (j->loop);
+  fixture_destroy (&j->fx);
+}
+
+static void
+jobs_fixture_run (jobs_fixture *j, mm_time_ms ms)
+{
+  for (mm_time_ms i = 0; i < ms; i += MM_EXEC_TICK_MS)
+    {
+      fakes_run (j->fx.upstreams, j->fx.owner, MM_EXEC_TICK_MS);
+      mm_jobs_tick (j->jobs);
+    }
+}
+
+/* The answer to a job.  */
+typedef struct
+{
+  bool answered;
+  mm_answer_kind kind;
+  uint32_t retry_after_s;
+} job_answer;
+
+static void
+on_answer (void *ctx, const mm_answer *a)
+{
+  *(job_answer *)ctx = (job_answer){ .answered = true,
+                                     .kind = a->kind,
+                                     .retry_after_s = a->retry_after_s };
+}
+
+/* Submits a job of one task that takes 100 ms.  Its caller waits for 20 s.  */
+static void
+submit_job (jobs_fixture *j, const char *id, job_answer *answer)
+{
+  mm_submission *s = g_new0 (mm_submission, 1);
+  g_strlcpy (s->id, id, sizeof s->id);
+  s->best_effort = true;
+  s->n_steps = 1;
+  s->steps = g_new0 (mm_step, 1);
+  s->steps[0].count = 1;
+  s->steps[0].resources.cpu_milli = TASK_CPU_MILLI;
+  s->steps[0].estimate_ms = 100;
+  s->steps[0].payload = g_strdup_printf ("%d 100", TASK_CPU_MILLI);
+  mm_route route = { .name = (char *)"q",
+                     .service = (char *)"svc",
+                     .attempts = 3,
+                     .stretch = 2,
+                     .slo_ms = 20000 };
+  *answer = (job_answer){ .answered = false };
+  mm_jobs_submit (j->jobs, s, &route, 20000, on_answer, answer);
+}
+
+/* Records that an upstream crashed alone with this task, and two others at the
+   same time with tasks of their own.  @number: of the first of the three.  */
+static void
+record_crash_in_mass_loss (jobs_fixture *j, int number, const mm_task_id *id)
+{
+  mm_time_ms since_ms = fakes_now (j->fx.upstreams);
+  record_loss_since (j->fx.suspects, number, MM_LOSS_CRASHED, since_ms, id, 1);
+  for (int i = number + 1; i <= number + 2; i++)
+    {
+      mm_task_id other = task ("other", (uint32_t)i);
+      record_loss_since (j->fx.suspects, i, MM_LOSS_CRASHED, since_ms, &other,
+                         1);
+    }
+}
+
+/* Guards against a job that is answered as failed because of mass losses.
+   After two of them its task waits until they are over, and is run.  */
+START_TEST (job_after_two_mass_losses_completes)
+{
+  jobs_fixture j = jobs_fixture_create ();
+  mm_task_id id = task ("unlucky", 0);
+  record_crash_in_mass_loss (&j, 0, &id);
+  record_crash_in_mass_loss (&j, 10, &id);
+  job_answer answer;
+  submit_job (&j, "unlucky", &answer);
+  jobs_fixture_run (&j, MM_SUSPECTS_CALM_MS / 2);
+  ck_assert (!answer.answered);
+  jobs_fixture_run (&j, MM_SUSPECTS_CALM_MS);
+  ck_assert (answer.answered);
+  ck_assert_int_eq (answer.kind, MM_ANSWER_COMPLETED);
+  jobs_fixture_destroy (&j);
+}
+END_TEST
+
+/* Guards against the same after three mass losses.  The task does not run
+   again while the caller waits, so the job must be refused at once with a time
+   to come back.  */
+START_TEST (job_after_three_mass_losses_is_refused_not_failed)
+{
+  jobs_fixture j = jobs_fixture_create ();
+  mm_task_id id = task ("unlucky", 0);
+  for (int i = 0; i < 3; i++)
+    {
+      record_crash_in_mass_loss (&j, 10 * i, &id);
+      jobs_fixture_run (&j, 5000);
+    }
+  job_answer answer;
+  submit_job (&j, "unlucky", &answer);
+  jobs_fixture_run (&j, 100);
+  ck_assert (answer.answered);
+  ck_assert_int_eq (answer.kind, MM_ANSWER_REFUSED);
+  ck_assert_uint_gt (answer.retry_after_s, 0);
+  jobs_fixture_destroy (&j);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -537,6 +993,14 @@
   tcase_add_test (c, tasks_beside_a_poison_task_are_not_given_up);
   tcase_add_test (c, suspect_beside_a_new_poison_task_is_not_given_up);
   tcase_add_test (c, third_crash_decides_between_two_suspects);
+  tcase_add_test (c, crashes_in_a_mass_loss_are_no_evidence);
+  tcase_add_test (c, crashes_of_idle_upstreams_show_a_mass_loss);
+  tcase_add_test (c, idle_upstreams_without_an_answer_are_no_mass_loss);
+  tcase_add_test (c, crash_waits_for_news_of_other_crashes);
+  tcase_add_test (c, task_does_not_run_after_three_crashes_in_mass_losses);
+  tcase_add_test (
+      c, task_that_ran_alone_only_before_it_was_suspect_is_not_given_up);
+  tcase_add_test (c, crash_long_after_the_start_does_not_decide);
   tcase_add_test (c, upstream_that_answered_can_be_lost_again);
   tcase_add_test (c, known_loss_is_not_reported_again);
   tcase_add_loop_test (c, reports_of_a_loss_that_is_over_cease, 0, 20);
@@ -546,7 +1010,15 @@
   tcase_add_test (c, task_on_disconnected_upstreams_is_never_given_up);
   tcase_add_test (c, upstream_is_back_though_the_token_was_raised);
   tcase_add_test (c, restarted_upstream_has_crashed_unless_it_was_draining);
+  tcase_add_test (c, refused_start_makes_no_task_suspect);
+  tcase_add_test (c, unanswered_starts_are_no_evidence);
+  tcase_add_test (c, crash_just_after_a_failed_run_counts);
+  tcase_add_test (c, crash_during_a_handover_counts);
   tcase_add_test (c, suspect_runs_isolated);
   suite_add_tcase (s, c);
+  c = tcase_create ("jobs");
+  tcase_add_test (c, job_after_two_mass_losses_completes);
+  tcase_add_test (c, job_after_three_mass_losses_is_refused_not_failed);
+  suite_add_tcase (s, c);
   return h_run_suite (s);
 }
