Soak: crashes are matched although the wall clock is slewed

A run ends with the crash of its upstream, whose time is in a log on the wall clock, and is matched to 10 ms. The offset between the wall clock and the clock of the runs was read once, at the end. The machine's wall clock gained 5 ms a second (measured: 9.99 ms in each of 6 spans of 2 s, and 25 ms in 5 s), so that a crash 2 s before the end missed its run.

Change: both clocks are read each 100 ms, and a time is converted with the reading nearest to it. The bound of 10 ms stays.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -155,6 +155,7 @@
         self.counts_lost_ms = []    # ms when an instance started while no other knew the crash counts
         self.node_start_ms = {}     # instance -> ms of its last start
         self.node_down_ms = {}      # instance -> [ms] when it was killed, stopped or stalled
+        self.clock_readings = []    # (wall clock, clock of the run logs) in ms
         self.link_faults = {}       # proxy port -> [(from, to)] ms of the faults of its link
         self.drain_since_ms = {}    # draining upstream -> ms when its drain mode was set
         self.drain_periods = {}     # upstream -> [(ms when its drain mode was set, ms when it was restarted)]
@@ -487,27 +488,38 @@
             rows += open_runs.values()
         return rows
 
+    # Reads both clocks again and again: the wall clock, on which logs are written, may be slewed during a run.
+    async def watch_clocks(self):
+        while True:
+            self.clock_readings.append((time.time() * 1000, now_ms()))
+            await asyncio.sleep(0.1)
+
+    def boot_ms(self, wall_ms):
+        """Returns the time of the run logs at which the wall clock showed wall_ms."""
+        wall, boot = min(self.clock_readings, key=lambda r: abs(r[0] - wall_ms))
+        return wall_ms - wall + boot
+
     def read_crashes(self):
         """Returns the crashes by job: the ms of each crash and its upstream."""
-        by_job, boot_offset_ms = {}, now_ms() - time.time() * 1000
+        by_job = {}
         for i in range(UPSTREAMS):
             for line in open(f"{self.dir}/up{i}.log", errors="replace"):
                 if "crashed by " not in line:
                     continue
                 e = json.loads(line)
-                ms = e["ts_ms"] + boot_offset_ms + POISON_CRASH_MS
+                ms = self.boot_ms(e["ts_ms"]) + POISON_CRASH_MS
                 by_job.setdefault(e["message"].split()[2].split("/")[0], []).append((ms, i))
                 self.upstream_down_ms.setdefault(i, []).append(ms)
         return by_job
 
     def read_poison_starts(self):
         """Returns the starts by poison job: the ms of each start and the instance that started it."""
-        starts, boot_offset_ms = {}, now_ms() - time.time() * 1000
+        starts = {}
         for i in range(NODES):
             for line in open(f"{self.dir}/node{i}.log", errors="replace"):
                 if '"event":"task_started","job":"p-' in line:
                     e = json.loads(line)
-                    starts.setdefault(e["job"], []).append((e["ts_ms"] + boot_offset_ms, i))
+                    starts.setdefault(e["job"], []).append((self.boot_ms(e["ts_ms"]), i))
         return starts
 
     def crash_noticed(self, starts, ms):
@@ -626,6 +638,7 @@
 
     # Starts the processes, injects faults while callers submit jobs, and checks the guarantees.
     async def run(self):
+        clocks = asyncio.create_task(self.watch_clocks())
         for i in range(NODES):
             self.proxies[f"store{i}"] = Proxy(self.port("px-store", i), self.port("platform", 0))
             self.proxies[f"mesh{i}"] = Proxy(self.port("px-mesh", i), self.port("mesh", i))
@@ -670,6 +683,7 @@
                                      f"{self.accepted_version} was accepted")
         await self.wait_for_kept_jobs()
         await asyncio.sleep(1)
+        clocks.cancel()
         self.check_runs()
         self.check_draining_starts()
 
