--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -41,7 +41,7 @@
 
   soak.py [--seed N] [--seeds N] [--file F] [--seconds S] [--jobs N] [--bin DIR] [--keep DIR]
 """
-import argparse, asyncio, bisect, json, os, random, shutil, signal, socket, subprocess, sys, tempfile, time, urllib.request
+import argparse, asyncio, json, os, random, shutil, signal, socket, subprocess, sys, tempfile, time, urllib.request
 
 RESEND_DELAY_S = 1.3        # callers wait this long before they send a job again
 SETTLE_S = 7                # fault-free time at the end; longer than every lease and TTL
@@ -155,6 +155,7 @@
         self.counts_lost_ms = []    # ms when an instance started while no other knew the crash counts
         self.node_start_ms = {}     # instance -> ms of its last start
         self.node_down_ms = {}      # instance -> [ms] when it was killed, stopped or stalled
+        self.clock_readings = []    # (wall clock, clock of the run logs) in ms
         self.link_faults = {}       # proxy port -> [(from, to)] ms of the faults of its link
         self.drain_since_ms = {}    # draining upstream -> ms when its drain mode was set
         self.drain_periods = {}     # upstream -> [(ms when its drain mode was set, ms when it was restarted)]
@@ -162,8 +163,6 @@
         # Newest configuration that was published; newest one that the store accepted;
         # (instance, number of its start) -> configuration in force there; instance -> number of its starts.
         self.published_version, self.accepted_version, self.seen_versions, self.boots = 1, 0, {}, {}
-        # Samples of the machine's time of day: (ms, clock of the run logs minus it).
-        self.clock_samples = []
         self.stopping = False       # callers and watchers end when it is set
         self.store_faults = []      # (from, to) ms in which an instance may have failed to read the store
         self.faulted = set()        # processes that a fault in progress controls
@@ -489,17 +488,16 @@
             rows += open_runs.values()
         return rows
 
-    # The time of day may be set or slewed during a run, so one offset does not fit all its logs.
-    async def sample_clock(self):
+    # Reads both clocks again and again: the wall clock, on which logs are written, may be slewed during a run.
+    async def watch_clocks(self):
         while True:
-            ms = time.time() * 1000
-            self.clock_samples.append((ms, now_ms() - ms))
+            self.clock_readings.append((time.time() * 1000, now_ms()))
             await asyncio.sleep(0.05)
 
-    def boot_ms(self, ts_ms):
-        """Returns the time of a log line on the clock of the run logs."""
-        i = bisect.bisect(self.clock_samples, (ts_ms, float("inf")))
-        return ts_ms + self.clock_samples[max(i - 1, 0)][1]
+    def boot_ms(self, wall_ms):
+        """Returns the time of the run logs at which the wall clock showed wall_ms."""
+        wall, boot = min(self.clock_readings, key=lambda r: abs(r[0] - wall_ms))
+        return wall_ms - wall + boot
 
     def read_crashes(self):
         """Returns the crashes by job: the ms of each crash and its upstream."""
@@ -640,6 +638,7 @@
 
     # Starts the processes, injects faults while callers submit jobs, and checks the guarantees.
     async def run(self):
+        clocks = asyncio.create_task(self.watch_clocks())
         for i in range(NODES):
             self.proxies[f"store{i}"] = Proxy(self.port("px-store", i), self.port("platform", 0))
             self.proxies[f"mesh{i}"] = Proxy(self.port("px-mesh", i), self.port("mesh", i))
@@ -655,7 +654,6 @@
         for i in range(NODES):
             self.start_node(i)
         await asyncio.sleep(2)
-        clock = asyncio.create_task(self.sample_clock())
         callers = [asyncio.create_task(self.run_caller(k)) for k in range(8)]
         callers += [asyncio.create_task(self.run_kept_caller(k)) for k in range(2)]
         callers += [asyncio.create_task(self.run_poison_caller()), asyncio.create_task(self.change_capacities())]
@@ -685,7 +683,7 @@
                                      f"{self.accepted_version} was accepted")
         await self.wait_for_kept_jobs()
         await asyncio.sleep(1)
-        clock.cancel()
+        clocks.cancel()
         self.check_runs()
         self.check_draining_starts()
 
