exec: a task refused by another incarnation is not placed there again

What callers saw: LOST, a job answered as failed though none of its tasks had failed.

Cause: a start that another incarnation refuses returned its task before the session knew that its upstream was replaced. The task was placed there once more in the same millisecond, and counted as having run at the crash. Two such upstreams gave its job up within 16 ms.

Change: the session is marked as replaced first.

test_owner task_refused_by_another_incarnation_waits_for_another_upstream failed before (reported as lost at once).

--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -327,6 +327,8 @@
       mm_exec_become_fenced (x, r);
       break;
     case MM_CALL_GONE:
+      /* Set before the task is returned, which would be placed here again.  */
+      x->replaced = true;
       mm_exec_finish_run (r, MM_END_NOT_RUN, "upstream restarted");
       if (!x->closed)
         mm_exec_on_replaced (x);
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -274,6 +274,26 @@
    be started elsewhere before its lease expires.  The task must be reported as
    lost when the lease expires, not only when the upstream is reachable
    again.  */
+/* Guards against a task that counts as having run at a crash because it was
+   placed again on the upstream that had just said it was replaced.  */
+START_TEST (task_refused_by_another_incarnation_waits_for_another_upstream)
+{
+  fixture fx = fixture_create ();
+  fake *a = fixture_add (&fx, "a");
+  fixture_run (&fx, 10);
+  fake_restart (a);
+  outcome r;
+  submit (&fx, &r, "waits", 0, 400);
+  fixture_run (&fx, 100);
+  ck_assert_uint_eq (r.answers, 0);
+  fixture_add (&fx, "b");
+  fixture_run (&fx, 600);
+  ck_assert_int_eq (r.how, MM_END_DONE);
+  ck_assert_str_eq (r.upstream, "b");
+  fixture_destroy (&fx);
+}
+END_TEST
+
 START_TEST (stop_that_is_never_answered_is_logged_and_counted)
 {
   fixture fx = fixture_create ();
@@ -1226,6 +1246,8 @@
   tcase_add_test (c, average_place_time_counts_runs_that_were_not_done);
   tcase_add_test (c, order_without_any_answer_is_waited_out);
   tcase_add_test (c, unanswered_start_frees_its_capacity_after_its_deadline);
+  tcase_add_test (
+      c, task_refused_by_another_incarnation_waits_for_another_upstream);
   tcase_add_test (c, stop_that_is_never_answered_is_logged_and_counted);
   tcase_add_test (c,
                   late_start_on_a_slow_clock_after_an_idle_time_does_not_run);
