Jobs: the log says when a task in doubt is dispatched again

task_failed said "caller is asked to send the job again" for every task in doubt, also for those that the job dispatches again 1.3 s later: the line that led away from the cause while the incident was traced. Whether it does is one function now, which the log line and the decision ask.

--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -292,6 +292,17 @@
   return how == MM_END_NOT_RUN ? b->latest_start_ms : b->deadline_ms;
 }
 
+/* Returns whether a task in doubt can run again in time.  Such a task may
+   still run: until its owner notices that the link to this instance is gone,
+   and then for the rest of its lease.  After MM_IN_DOUBT_MS the earlier run
+   has ended for certain, and the task can run again if its caller still waits,
+   since a late complete answer is worth more to the caller than none.  */
+static bool
+may_redispatch (const job *b, mm_time_ms now)
+{
+  return MM_WITH_RUN_AGAIN && now + MM_IN_DOUBT_MS < b->latest_start_ms;
+}
+
 /* Returns a log text: what happens next to a task that ended as @how.  */
 static const char *
 next_action (const task *t, mm_end how, mm_time_ms now)
@@ -300,7 +311,8 @@
   if (runs_once (t) && how != MM_END_NOT_RUN)
     return "job fails: a task runs only once";
   if (how == MM_END_UNKNOWN)
-    return "caller is asked to send the job again";
+    return may_redispatch (b, now) ? "dispatched again once its run has ended"
+                                   : "caller is asked to send the job again";
   if (how == MM_END_FAILED)
     return t->n_failures + 1 < b->attempts ? "another attempt"
                                            : "job fails: no attempt left";
@@ -336,22 +348,12 @@
                   MM_TEXT (next_action (t, r->how, now)));
 }
 
-/* Schedules another dispatch of a task in doubt.  Such a task may still run:
-   until its owner notices that the link to this instance is gone, and then for
-   the rest of its lease.  After MM_IN_DOUBT_MS the earlier run has ended
-   for certain, and the task can run again if its caller still waits, since a
-   late complete answer is worth more to the caller than none.  Returns false,
-   and schedules nothing, when that would be too late for the caller.  */
-static bool
+/* Schedules another dispatch of a task in doubt.  */
+static void
 schedule_redispatch (task *t, mm_time_ms now)
 {
-  job *b = t->job;
-  mm_time_ms redispatch_ms = now + MM_IN_DOUBT_MS;
-  if (!MM_WITH_RUN_AGAIN || redispatch_ms >= b->latest_start_ms)
-    return false;
-  t->redispatch_ms = redispatch_ms;
-  b->n_in_doubt++;
-  return true;
+  t->redispatch_ms = now + MM_IN_DOUBT_MS;
+  t->job->n_in_doubt++;
 }
 
 /* Handles the end of a dispatch: the task is done, is dispatched again, or
@@ -398,7 +400,9 @@
     case MM_END_UNKNOWN:
       if (runs_once (t))
         answer (b, MM_ANSWER_FAILED, "a task is out of sight", 0);
-      else if (!schedule_redispatch (t, now))
+      else if (may_redispatch (b, now))
+        schedule_redispatch (t, now);
+      else
         answer (b, MM_ANSWER_UNKNOWN, r->why, MM_RETRY_AFTER_NO_CAPACITY_S);
       break;
     }
