--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -497,9 +497,13 @@
   tcase_add_test (tc, job_that_cannot_meet_its_deadline_is_refused_at_once);
   tcase_add_test (tc, kept_answers_expire_after_their_ttl);
   tcase_add_test (tc, killed_upstream_leaves_no_partial_answer);
-  tcase_add_test (tc, graceful_stop_of_an_upstream_finishes_its_tasks);
   tcase_add_test (tc, passed_deadline_fails_the_job_and_not_run_is_true);
   tcase_add_test (tc, teams_quota_holds_over_the_data_centre);
   suite_add_tcase (s, tc);
+  tc = tcase_create ("graceful");
+  tcase_set_tags (tc, "graceful");
+  tcase_set_timeout (tc, 60);
+  tcase_add_test (tc, graceful_stop_of_an_upstream_finishes_its_tasks);
+  suite_add_tcase (s, tc);
   return h_run_suite (s);
 }
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -533,12 +533,20 @@
   tcase_add_test (c,
                   lost_neighbours_are_replaced_and_standby_instances_chosen);
   tcase_add_test (c, link_stays_when_a_member_list_lacks_the_peer);
-  tcase_add_test (c, links_of_an_instance_stay_bounded_as_instances_are_added);
-  tcase_add_test (c,
-                  last_instance_of_a_data_centre_is_found_when_the_others_die);
   tcase_add_test (c, links_stay_alive_however_many_there_are);
   tcase_add_test (c,
                   run_of_a_silent_instance_ends_before_its_job_is_sent_again);
   suite_add_tcase (s, c);
+  c = tcase_create ("bounded");
+  tcase_set_tags (c, "bounded");
+  tcase_set_timeout (c, 60);
+  tcase_add_test (c, links_of_an_instance_stay_bounded_as_instances_are_added);
+  suite_add_tcase (s, c);
+  c = tcase_create ("last");
+  tcase_set_tags (c, "last");
+  tcase_set_timeout (c, 60);
+  tcase_add_test (c,
+                  last_instance_of_a_data_centre_is_found_when_the_others_die);
+  suite_add_tcase (s, c);
   return h_run_suite (s);
 }
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -283,6 +283,10 @@
   tcase_add_test (tc, lost_answers_of_the_log_double_nothing);
   tcase_add_test (tc,
                   instance_disconnected_from_the_platform_passes_its_jobs_on);
+  suite_add_tcase (s, tc);
+  tc = tcase_create ("outage");
+  tcase_set_tags (tc, "outage");
+  tcase_set_timeout (tc, 90);
   tcase_add_test (tc, all_instances_killed_in_an_outage_double_nothing);
   suite_add_tcase (s, tc);
   tc = tcase_create ("changes");
