Suspects: a recorded loss makes no room for another one

Cause: the oldest recorded loss made room for a new one. Instances have them in different orders, so the one that was dropped here came back as news from another instance, made room in turn, and was passed on.

Change: when the record is full, a further loss is left out, logged (loss_left_out) and counted. Its tasks are not suspected for that loss.

test_suspects loss_beyond_the_bound_is_not_passed_on failed before.

--- a/src/config.h
+++ b/src/config.h
@@ -215,7 +215,7 @@
    acknowledged after MM_ACK_DELAY_MS, which shows whether the upstream lives.
  */
 #define MM_SUSPECTS_AFTER_END_MS 400
-#define MM_SUSPECTS_MAX 512u       /* lost upstreams that are remembered */
+#define MM_SUSPECTS_MAX 512u       /* lost upstreams recorded at a time */
 #define MM_SUSPECTS_TASKS_MAX 64u  /* tasks remembered for each of them */
 #define MM_SUSPECTS_KEEP_MS 600000 /* a crash counts this long */
 /* A lost upstream whose fate is not known is remembered for this long.
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -135,6 +135,10 @@
   = { "upstream_lost", RATE_HIGH, "upstream verdict tasks why",
       "The upstream does not answer and ran this many tasks. verdict is "
       "open until it is known whether it crashed or is alive." },
+  [MM_EV_LOSS_LEFT_OUT]
+  = { "loss_left_out", RATE_HIGH, "upstream recorded",
+      "The loss of the upstream is not recorded, as this many losses are. "
+      "The tasks that ran there are not suspected for it." },
   [MM_EV_JOB_ACCEPTED]
   = { "job_accepted", RATE_LOW,
       "job queue config_version tasks places free waiting age_ms "
--- a/src/mm_metrics.c
+++ b/src/mm_metrics.c
@@ -66,6 +66,9 @@
                            "Runs of an earlier owner found and stopped." },
   [MM_CT_EXCLUSIONS] = { "masticmill_exclusions_total", NULL,
                          "Upstreams excluded after failures in a row." },
+  [MM_CT_LOSSES_LEFT_OUT]
+  = { "masticmill_losses_left_out_total", NULL,
+      "Lost upstreams that were not recorded, as too many were." },
   [MM_CT_UPSTREAM_CRASHES]
   = { "masticmill_upstream_crashes_total", NULL,
       "Upstreams that crashed while tasks ran there." },
--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -229,13 +229,10 @@
                 MM_INT (l->tasks->len), MM_TEXT (why));
 }
 
-/* Adds a loss of @from's upstream, still without tasks and verdict.  The
-   oldest loss is dropped if there are MM_SUSPECTS_MAX.  */
+/* Adds a loss of @from's upstream, still without tasks and verdict.  */
 static loss *
 add_loss (mm_suspects *s, const mm_loss *from)
 {
-  if (s->losses->length >= MM_SUSPECTS_MAX)
-    loss_free (g_queue_pop_head (s->losses));
   loss *l = g_new0 (loss, 1);
   l->upstream = g_strdup (from->upstream);
   l->addr = g_strdup (from->addr);
@@ -277,6 +274,15 @@
   bool silent = from->n_tasks == 0 && from->verdict == MM_LOSS_OPEN;
   if (!l && (silent || from->verdict == MM_LOSS_ALIVE))
     return;
+  /* No recorded loss makes room: it would be news again when it is reported by
+     an instance that still has it, and the reports would never cease.  */
+  if (!l && s->losses->length >= MM_SUSPECTS_MAX)
+    {
+      mm_metrics_count (MM_CT_LOSSES_LEFT_OUT);
+      mm_log_event (MM_EV_LOSS_LEFT_OUT, MM_TEXT (from->upstream),
+                    MM_INT (s->losses->length));
+      return;
+    }
   bool is_new = !l;
   if (!l)
     l = add_loss (s, from);
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -547,6 +547,33 @@
 }
 END_TEST
 
+static void
+count_change (void *ctx, const mm_loss *l)
+{
+  ++*(int *)ctx;
+}
+
+/* Guards against reports that go round for ever because a loss that made room
+   for another one is news again.  */
+START_TEST (loss_beyond_the_bound_is_not_passed_on)
+{
+  mm_suspects *s = suspects_setup ();
+  for (int i = 0; i < (int)MM_SUSPECTS_MAX; i++)
+    {
+      mm_task_id id = task ("many", (uint32_t)i);
+      record_loss (s, (uint32_t)i, MM_LOSS_OPEN, &id, 1);
+    }
+  int changes = 0;
+  mm_suspects_on_changed (s, count_change, &changes);
+  mm_task_id first = task ("many", 0), extra = task ("extra", 0);
+  record_loss (s, MM_SUSPECTS_MAX, MM_LOSS_OPEN, &extra, 1);
+  record_loss (s, 0, MM_LOSS_OPEN, &first, 1);
+  ck_assert_int_eq (changes, 0);
+  ck_assert_int_eq (mm_suspects_decide (s, &first), MM_SUSPECT_ISOLATE);
+  suspects_teardown (s);
+}
+END_TEST
+
 /* ---- with an owner ---------------------------------------------------- */
 
 /* In thousandths of a core.  Two tasks of TASK_CPU_MILLI fit.  */
@@ -1005,6 +1032,7 @@
   tcase_add_test (c, known_loss_is_not_reported_again);
   tcase_add_loop_test (c, reports_of_a_loss_that_is_over_cease, 0, 20);
   tcase_add_test (c, losses_are_bounded_and_expire);
+  tcase_add_test (c, loss_beyond_the_bound_is_not_passed_on);
   suite_add_tcase (s, c);
   c = tcase_create ("owner");
   tcase_add_test (c, task_on_disconnected_upstreams_is_never_given_up);
