--- a/src/config.h
+++ b/src/config.h
@@ -112,9 +112,8 @@
 /* Sessions with upstreams (mm_exec).  */
 #define MM_EXEC_TICK_MS 25 /* between ticks of sessions, queues and jobs */
 /* Length of a run's lease.  A run goes on for this long after its owner dies,
-   and a caller whose connection broke sends its job again after 1,300 ms.
-   The 300 ms between cover a clock that is 2 % slow and the delay to the
-   caller.  */
+   and a caller whose connection broke sends its job again after 1,300 ms;
+   see MM_RUN_LIMIT_MS.  */
 #define MM_LEASE_MS 1000
 /* Leases are not renewed beyond this time after a run's caller was last known
    to wait for it.  The caller may send the job again MM_RESEND_MS after
@@ -284,9 +283,7 @@
 /* Callers send a job again this long after their connection broke.  */
 #define MM_RESEND_MS 1300
 #define MM_CALLER_WAIT_GAIN 0.02 /* weight of one caller in the average */
-/* A task in doubt has ended after this time.  Its lease takes 1,000 ms on a
-   clock that may be 2 % slow; in the rest of the time its owner notices that
-   the link to this instance is gone.  */
+/* A task in doubt has ended after this time, see MM_RUN_LIMIT_MS.  */
 #define MM_IN_DOUBT_MS MM_RESEND_MS
 /* Wait of a task in the queue of one owner before it tries another.  */
 #define MM_OWNER_WAIT_MS 40
--- a/src/mm_exec_lease.c
+++ b/src/mm_exec_lease.c
@@ -1,9 +1,9 @@
 /* mm_exec_lease: until when the runs of a session may hold a lease.
 
    A lease covers all runs on the upstream, so renewing it for one of them
-   prolongs the others.  A task whose caller waits no longer, or may not wait
-   any more, may start elsewhere after MM_IN_DOUBT_MS; its run here must have
-   ended by then, even if it cannot be stopped.  */
+   prolongs the others.  A run must end before its task may start elsewhere,
+   MM_IN_DOUBT_MS after its caller was last known to wait, even if its stop is
+   never answered.  */
 #include "config.h"
 #include "mm_event.h"
 #include "mm_exec_priv.h"
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -648,7 +648,7 @@
 /* Dispatches again the tasks for whose service no capacity was reported, or
    gives up the job when it is too late for them to start.  */
 static void
-retry_undispatched (job *b, mm_time_ms now)
+retry_without_owner (job *b, mm_time_ms now)
 {
   if (now >= b->latest_start_ms)
     {
@@ -724,7 +724,7 @@
       if (b->n_in_doubt)
         redispatch_in_doubt (b, now);
       if (b->n_waiting[WAIT_OWNER])
-        retry_undispatched (b, now);
+        retry_without_owner (b, now);
     }
   g_list_free (jobs);
   retry_all_suspects (j, now);
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -234,7 +234,7 @@
   mm_time_ms now = mm_clock_now_ms ();
   mm_time_ms stalled_ms = now - n->last_loop_ms;
   /* The events of the previous wait have been handled.  */
-  mm_owner_set_read_ms (n->owner, n->last_loop_ms);
+  mm_owner_set_input_read (n->owner, n->last_loop_ms);
   n->last_loop_ms = now;
   if (stalled_ms <= MM_STALL_MS)
     return;
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -422,7 +422,7 @@
 place_task (mm_owner *o, mm_work *w, mm_time_ms now)
 {
   guint n = g_hash_table_size (o->owned_upstreams);
-  if (n == 0 || mm_owner_may_run (o, &w->request.id))
+  if (n == 0 || mm_owner_has_earlier_run (o, &w->request.id))
     return false;
   mm_placement_candidate *c = g_new (mm_placement_candidate, n);
   mm_owned_upstream **candidates = g_new (mm_owned_upstream *, n);
@@ -550,8 +550,8 @@
   w->arrival = ++o->last_arrival;
   w->done = done;
   w->ctx = ctx;
-  if (!t->awaited_ms && o->read_ms)
-    w->request.awaited_ms = &o->read_ms;
+  if (!t->awaited_ms && o->input_read_ms)
+    w->request.awaited_ms = &o->input_read_ms;
   update_average (&o->average_cpu_milli, (double)t->resources.cpu_milli);
   update_average (&o->average_run_ms, (double)t->estimate_ms);
   if (t->running_at)
@@ -595,9 +595,9 @@
 }
 
 void
-mm_owner_set_read_ms (mm_owner *o, mm_time_ms read_ms)
+mm_owner_set_input_read (mm_owner *o, mm_time_ms until_ms)
 {
-  o->read_ms = read_ms;
+  o->input_read_ms = until_ms;
 }
 
 /* Drops ends that were not acknowledged for MM_UNACKED_END_TTL_MS, so that
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -137,7 +137,7 @@
    a caller's connection.  Its own callers are known to have waited until then.
    If it is never called, they are taken to wait until their tasks are
    cancelled.  */
-void mm_owner_set_read_ms (mm_owner *o, mm_time_ms read_ms);
+void mm_owner_set_input_read (mm_owner *o, mm_time_ms until_ms);
 /* Searches here for @tasks, a set of mm_task_id, which are in doubt at their
    home, and adds the result to @out.  */
 void mm_owner_search (const mm_owner *o, GHashTable *tasks,
--- a/src/mm_owner_adopt.c
+++ b/src/mm_owner_adopt.c
@@ -113,7 +113,7 @@
 mm_owner_silent_ms (const mm_owner *o)
 {
   mm_time_ms now = mm_clock_now_ms ();
-  mm_time_ms oldest_ms = o->read_ms ? o->read_ms : now;
+  mm_time_ms oldest_ms = o->input_read_ms ? o->input_read_ms : now;
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init (&it, o->transferred);
@@ -205,7 +205,7 @@
 }
 
 bool
-mm_owner_may_run (const mm_owner *o, const mm_task_id *task)
+mm_owner_has_earlier_run (const mm_owner *o, const mm_task_id *task)
 {
   return g_hash_table_contains (o->active, task)
          || g_hash_table_contains (o->orphans, task)
--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -57,7 +57,7 @@
   mm_owner_transfer_port transfer_port; /* callbacks that transfer runs */
   mm_suspects *suspects;      /* NULL: suspected tasks are not recorded */
   uint64_t last_arrival;      /* arrival number of the last task */
-  mm_time_ms read_ms;         /* mm_owner_set_read_ms(), 0: not set */
+  mm_time_ms input_read_ms;   /* mm_owner_set_input_read(), 0: not set */
   mm_time_ms handover_end_ms; /* all handovers have ended by then */
   double average_run_ms;      /* average declared run time, for reports */
   double average_cpu_milli;   /* average declared cpu of a task, for reports */
@@ -87,9 +87,9 @@
 /* Records that the task may run for the rest of its lease, at an upstream that
    is not owned here.  */
 void mm_owner_set_in_doubt (mm_owner *o, const mm_task_id *task);
-/* Returns whether an earlier run of the task may go on: here, at an upstream
-   that is no longer owned here, or found here and not adopted yet.  */
-bool mm_owner_may_run (const mm_owner *o, const mm_task_id *task);
+/* Returns whether the task may have an earlier run that goes on: here, at an
+   upstream that is no longer owned here, or found here and not adopted yet. */
+bool mm_owner_has_earlier_run (const mm_owner *o, const mm_task_id *task);
 /* Frees all tasks that are orphaned, transferred or not adopted.  */
 void mm_owner_destroy_transfers (mm_owner *o);
 /* Frees a task without a report to its submitter.  */
--- a/src/mm_store_http.c
+++ b/src/mm_store_http.c
@@ -4,9 +4,7 @@
    call without an answer, no connection that was open then is used again:
    otherwise each call after it could wait for its own timeout.  The reads of
    the configuration have a connection of their own, which is in use nearly all
-   the time: that it is silent shows within the timeout of one read.  A
-   connection that was idle meanwhile would show it only when a read uses it,
-   long after.  */
+   the time, so silence is noticed within the timeout of one read.  */
 #include "mm_store_http.h"
 
 #include "mm_metrics.h"
--- a/src/mm_task.h
+++ b/src/mm_task.h
@@ -77,7 +77,8 @@
      owner's mesh until the task ends or is cancelled; NULL: the caller of this
      instance.  */
   const mm_time_ms *awaited_ms;
-  mm_time_ms silent_ms; /* to be sent: time since then */
+  /* Time since @awaited_ms; set when the request is sent to another owner.  */
+  mm_time_ms silent_ms;
 } mm_task_request;
 
 #endif /* MM_TASK_H */
--- a/tests/resend_fixture.c
+++ b/tests/resend_fixture.c
@@ -1176,7 +1176,7 @@
   mm_time_ms clock_ms = mm_clock_now_ms ();
   bool stalled = clock_ms - i->last_loop_ms > MM_STALL_MS;
   bool woken = clock_ms - i->last_loop_ms > 1;
-  mm_owner_set_read_ms (i->owner, i->last_loop_ms);
+  mm_owner_set_input_read (i->owner, i->last_loop_ms);
   i->last_loop_ms = clock_ms;
   if (stalled)
     {
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -477,7 +477,7 @@
       if (fakes_now (p->upstreams) % MM_EXEC_TICK_MS == 0)
         for (int i = silent; i < 2; i++)
           {
-            mm_owner_set_read_ms (p->owner[i], fakes_now (p->upstreams));
+            mm_owner_set_input_read (p->owner[i], fakes_now (p->upstreams));
             mm_mesh_tick (p->mesh[i]);
           }
       for (int i = 0; i < 3; i++)
