--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -162,7 +162,7 @@
   = { "jobs_checked", RATE_HIGH, "partition epoch since open",
       "Another instance may have been the home of the kept jobs of this "
       "partition before generation 'since'; this instance starts none of "
-      "their tasks until the store has confirmed that none was." },
+      "their tasks until the store has accepted a record of this epoch." },
   [MM_EV_JOBS_FENCED]
   = { "jobs_fenced", RATE_HIGH, "partition epoch",
       "Another instance is the home of the kept jobs of this partition; "
