tests: the resend fixture in smaller files

Its parts are files of their own now: the simulated calls to upstreams, the links between instances and the callers' jobs; resend_priv.h holds what they share. Code was moved, not changed; what is called across files has the prefix sim_.

--- /dev/null
+++ b/tests/resend_jobs.c
@@ -0,0 +1,220 @@
+/* resend_jobs: jobs and their callers, as mm_jobs has them, see
+   resend_fixture.h.  */
+#include "resend_priv.h"
+
+static bool
+owns_any (const sim *s, int instance)
+{
+  for (int u = 0; u < s->n_upstreams; u++)
+    if (s->owner_of[u] == instance && !s->gone[u])
+      return true;
+  return false;
+}
+
+static void
+on_work_done (void *ctx, const mm_work_result *r)
+{
+  submission *b = ctx;
+  b->work = NULL;
+  sim_on_submission_ended (b, r->how);
+}
+
+/* Returns an instance that the task can be dispatched to, -1: none.  */
+static int
+choose_owner (submission *b)
+{
+  sim *s = b->at->s;
+  int first = sim_random (s, SIM_INSTANCES);
+  for (int k = 0; k < SIM_INSTANCES; k++)
+    {
+      int i = (first + k) % SIM_INSTANCES;
+      bool reached
+          = i == b->at->index || sim_find_connected (b->at, &s->instances[i]);
+      if (reached && owns_any (s, i) && (b->owner < 0 || b->owner == i))
+        return i;
+    }
+  return -1;
+}
+
+static void
+dispatch (submission *b)
+{
+  sim *s = b->at->s;
+  int owner = choose_owner (b);
+  b->retry_ms = mm_clock_now_ms () + MM_EXEC_TICK_MS;
+  if (owner < 0)
+    return;
+  b->retry_ms = 0;
+  char name[16];
+  g_snprintf (name, sizeof name, "job-%d", b->job->index);
+  mm_task_request t = fakes_task (name, 0, SIM_CPU_MILLI, b->job->run_ms);
+  t.start_within_ms = MM_OWNER_WAIT_MS;
+  if (owner == b->at->index)
+    b->work = mm_owner_submit (b->at->owner, &t, on_work_done, b);
+  else
+    {
+      b->sent = sim_send_run (sim_find_connected (b->at, &s->instances[owner]),
+                              &t);
+      b->sent->sub = b;
+    }
+}
+
+static void
+submission_free (submission *b)
+{
+  if (b->work)
+    mm_owner_cancel (b->at->owner, b->work);
+  if (b->sent)
+    sim_cancel_sent (b->sent);
+  if (b->job->current == b)
+    b->job->current = NULL;
+  b->at->submissions = g_list_remove (b->at->submissions, b);
+  g_free (b);
+}
+
+/* Handles the end of a dispatch: the job is done, or its task is dispatched
+   again at the next tick, or once no earlier run can go on.  */
+void
+sim_on_submission_ended (submission *b, mm_end how)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  if (how == MM_END_DONE)
+    {
+      b->job->done = b->job->done || b->job->current == b;
+      submission_free (b);
+    }
+  else
+    b->retry_ms = how == MM_END_UNKNOWN ? now + MM_IN_DOUBT_MS : now;
+}
+
+void
+sim_caller_retries (sim *s, job *j)
+{
+  j->current = NULL;
+  j->resend_ms = sim_now (s) + MM_RESEND_MS;
+}
+
+void
+sim_tick_jobs (instance *i)
+{
+  GList *next;
+  for (GList *g = i->submissions; g; g = next)
+    {
+      submission *b = g->data;
+      next = g->next;
+      if (b->retry_ms && mm_clock_now_ms () >= b->retry_ms)
+        dispatch (b);
+    }
+}
+
+/* Frees the submissions whose callers have left.  */
+void
+sim_read_callers (instance *i)
+{
+  GList *next;
+  for (GList *g = i->submissions; g; g = next)
+    {
+      next = g->next;
+      if (((submission *)g->data)->caller_left)
+        submission_free (g->data);
+    }
+}
+
+/* Answers all jobs as unknown.  */
+void
+sim_abandon_jobs (instance *i)
+{
+  while (i->submissions)
+    {
+      submission *b = i->submissions->data;
+      if (b->job->current == b)
+        sim_caller_retries (i->s, b->job);
+      submission_free (b);
+    }
+}
+
+void
+sim_submit (sim *s, int n, mm_time_ms run_ms, int at, int owner)
+{
+  instance *i = &s->instances[at];
+  const instance *before = sim_enter (i);
+  submission *b = g_new0 (submission, 1);
+  s->jobs[n].run_ms = run_ms;
+  s->jobs[n].resend_ms = 0;
+  s->jobs[n].current = b;
+  b->at = i;
+  b->job = &s->jobs[n];
+  b->owner = owner;
+  i->submissions = g_list_append (i->submissions, b);
+  dispatch (b);
+  sim_leave (s, before);
+}
+
+void
+sim_submit_anywhere (sim *s, int n, mm_time_ms run_ms)
+{
+  s->jobs[n].run_ms = run_ms;
+  s->jobs[n].resend_ms = sim_now (s);
+}
+
+void
+sim_break_caller (sim *s, int n)
+{
+  job *j = &s->jobs[n];
+  if (!j->current)
+    return;
+  j->current->caller_left = true;
+  sim_caller_retries (s, j);
+}
+
+void
+sim_resend_at (sim *s, int n, int instance, int owner)
+{
+  s->jobs[n].resend_at = instance;
+  s->jobs[n].owner_at = owner;
+}
+
+bool
+sim_job_done (const sim *s, int n)
+{
+  return s->jobs[n].done;
+}
+
+int
+sim_instance_of (const sim *s, int n)
+{
+  return s->jobs[n].current ? s->jobs[n].current->at->index : -1;
+}
+
+int
+sim_upstream_of (const sim *s, int n)
+{
+  mm_task_id id = { 0 };
+  g_snprintf (id.job, sizeof id.job, "job-%d", n);
+  for (int u = 0; u < s->n_upstreams; u++)
+    if (!s->gone[u] && fake_is_running (s->upstreams[u], &id))
+      return u;
+  return -1;
+}
+
+uint32_t
+sim_double_runs (const sim *s)
+{
+  return fakes_count (s->fakes).double_runs;
+}
+
+/* Sends the jobs again that are due, at the wanted or any other instance.  */
+void
+sim_resend_jobs (sim *s)
+{
+  for (int n = 0; n < SIM_JOBS; n++)
+    {
+      job *j = &s->jobs[n];
+      if (!j->resend_ms || sim_now (s) < j->resend_ms)
+        continue;
+      int at
+          = j->resend_at >= 0 ? j->resend_at : sim_random (s, SIM_INSTANCES);
+      if (sim_is_awake (&s->instances[at]))
+        sim_submit (s, n, j->run_ms, at, j->owner_at);
+    }
+}
