tests: what the new cases guard against, and checks that a task did run

A reader who had not seen the work found two cases of test_resend that would pass if the second submission never ran, one whose last part was unchecked, and comments that name no failure or stand before another case.

--- a/tests/fake_upstreams.c
+++ b/tests/fake_upstreams.c
@@ -432,8 +432,8 @@
 fake_renew_foreign (fake *x, uint64_t fence)
 {
   mm_hold h
-      = { .fence = fence, .deadline_ms = x->fakes->now_ms + MAX_LEASE_MS };
-  mm_run_table_hold (x->table, &h, x->fakes->now_ms);
+      = { .fence = fence, .deadline_ms = local_now_ms (x) + MAX_LEASE_MS };
+  mm_run_table_hold (x->table, &h, local_now_ms (x));
 }
 
 /* Answers a hold with the runs and ends that the upstream lists now.  */
--- a/tests/resend_fixture.h
+++ b/tests/resend_fixture.h
@@ -80,8 +80,8 @@
 /* Breaks the caller's connection.  The job is sent again MM_RESEND_MS later,
    at another instance.  */
 void sim_break_caller (sim *s, int job);
-/* Sets where a job is sent again: -1: at any instance, and dispatched to any
-   owner.  */
+/* Sets the instance at which a job is sent again, and the owner to which its
+   task is dispatched then.  -1: any.  */
 void sim_resend_at (sim *s, int job, int instance, int owner);
 bool sim_job_done (const sim *s, int job);
 /* Returns the instance whose answer the caller waits for, -1: none.  */
--- a/tests/test_configuration.c
+++ b/tests/test_configuration.c
@@ -256,7 +256,9 @@
 } fixture;
 
 /* Returns the newest usable version that was stored @age_ms ago or earlier,
-   0: none.  Returns 0 too when a record that cannot be used is newer.  */
+   0: none.  Returns 0 too when a record that cannot be used is newer: an
+   instance that reads only the newest record cannot know of the one
+   before.  */
 static uint64_t
 usable_version (const store *s, mm_time_ms age_ms)
 {
@@ -448,9 +450,9 @@
 }
 END_TEST
 
-/* All connections go silent in each millisecond of a read in turn, and a
-   version is stored meanwhile.  Guards against a pause after the timeout of
-   the read, by which the version is in force later than it must be.  */
+/* All connections go silent at a moment of a read, every 23 ms of it in turn,
+   and a version is stored meanwhile.  Guards against a pause after the timeout
+   of the read, by which the version is in force later than it must be.  */
 START_TEST (version_stored_while_a_read_is_lost_is_in_force_in_time)
 {
   const bound *b = &bounds[(size_t)_i / 2];
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -270,10 +270,6 @@
 }
 END_TEST
 
-/* An upstream becomes unreachable while a task runs there.  The task must not
-   be started elsewhere before its lease expires.  The task must be reported as
-   lost when the lease expires, not only when the upstream is reachable
-   again.  */
 /* Guards against a task that counts as having run at a crash because it was
    placed again on the upstream that had just said it was replaced.  */
 START_TEST (task_refused_by_another_incarnation_waits_for_another_upstream)
@@ -294,7 +290,10 @@
 }
 END_TEST
 
-START_TEST (stop_that_is_never_answered_is_logged_and_counted)
+/* Guards against a run that keeps new tasks from an upstream without a sign of
+   it in the metrics: its stop is never answered, and leases are not renewed.
+ */
+START_TEST (stop_that_is_never_answered_is_counted)
 {
   fixture fx = fixture_create ();
   fake *a = fixture_add (&fx, "a");
@@ -339,6 +338,9 @@
 }
 END_TEST
 
+/* Guards against a deadline that is too near after an idle time: the
+   upstream's clock may have fallen behind since it was last read, and what is
+   deducted for that grows with the time.  */
 START_TEST (first_start_after_a_long_idle_time_is_not_refused_as_late)
 {
   fixture fx = fixture_create ();
@@ -356,6 +358,10 @@
 }
 END_TEST
 
+/* An upstream becomes unreachable while a task runs there.  The task must not
+   be started elsewhere before its lease expires.  The task must be reported as
+   lost when the lease expires, not only when the upstream is reachable
+   again.  */
 START_TEST (disconnected_upstream_loses_its_task_with_the_lease)
 {
   fixture fx = fixture_create ();
@@ -758,7 +764,9 @@
   g_rand_free (rng);
 }
 
-/* A hundred seeds of random faults.  */
+/* Guards against faults in combination after which an upstream is over its
+   capacity, a task runs twice at a time, or an end is reported twice or not at
+   all.  A hundred seeds.  */
 START_TEST (random_faults_break_no_invariant)
 {
   play_random_faults ((uint32_t)_i, false);
@@ -1248,7 +1256,7 @@
   tcase_add_test (c, unanswered_start_frees_its_capacity_after_its_deadline);
   tcase_add_test (
       c, task_refused_by_another_incarnation_waits_for_another_upstream);
-  tcase_add_test (c, stop_that_is_never_answered_is_logged_and_counted);
+  tcase_add_test (c, stop_that_is_never_answered_is_counted);
   tcase_add_test (c,
                   late_start_on_a_slow_clock_after_an_idle_time_does_not_run);
   tcase_add_test (c,
--- a/tests/test_resend.c
+++ b/tests/test_resend.c
@@ -60,8 +60,8 @@
   sim_destroy (c->s);
 }
 
-/* A job whose caller lost its connection runs again elsewhere, and a job
-   beside it runs on.  */
+/* Guards against a job that does not run again after its caller lost its
+   connection, and against a job beside it that is stopped too.  */
 START_TEST (job_sent_again_runs_once_more_after_its_first_run_was_stopped)
 {
   scene c = scene_create ();
@@ -341,7 +341,7 @@
 START_TEST (second_submission_waits_for_a_run_that_is_not_claimed)
 {
   scene c = scene_create ();
-  sim_add_upstream (c.s, OWNER);
+  int d = sim_add_upstream (c.s, OWNER);
   sim_run (c.s, 50);
   sim_submit (c.s, JOB, RUN_MS, LAST, OWNER);
   sim_link_path_to (c.s, NEXT, OWNER)->cut = true;
@@ -350,6 +350,7 @@
   sim_move (c.s, c.a, NEXT, 0);
   sim_run (c.s, 2000);
   ck_assert_uint_eq (sim_double_runs (c.s), 0);
+  ck_assert_uint_ge (fake_starts (sim_upstream (c.s, d)), 1);
   sim_destroy (c.s);
 }
 END_TEST
@@ -359,7 +360,7 @@
 START_TEST (submission_waits_for_a_run_that_was_found)
 {
   scene c = scene_create ();
-  sim_add_upstream (c.s, NEXT);
+  int d = sim_add_upstream (c.s, NEXT);
   sim_run (c.s, 50);
   sim_link_path_to (c.s, OWNER, NEXT)->cut = true;
   sim_path_to (c.s, NEXT, c.a)->lost_stops = 1;
@@ -368,6 +369,7 @@
   sim_submit (c.s, JOB, RUN_MS, LAST, NEXT);
   sim_run (c.s, 1500);
   ck_assert_uint_eq (sim_double_runs (c.s), 0);
+  ck_assert_uint_ge (fake_starts (sim_upstream (c.s, d)), 1);
   sim_destroy (c.s);
 }
 END_TEST
@@ -388,6 +390,7 @@
   sim_run (c.s, 200);
   ck_assert_uint_eq (mm_metrics_counter (MM_CT_TASKS_STARTED), started);
   sim_run (c.s, 1000);
+  ck_assert_uint_eq (sim_double_runs (c.s), 0);
   sim_destroy (c.s);
 }
 END_TEST
--- a/tests/test_store_http.c
+++ b/tests/test_store_http.c
@@ -185,8 +185,8 @@
 }
 
 /* All open connections to the store go silent.  Guards against calls that
-   wait for a timeout on each of them in turn, by which a configuration was in
-   force more than 5 s late.  */
+   wait for a timeout on each of them in turn, so that a configuration is in
+   force too late.  */
 START_TEST (silent_connections_cost_one_timeout)
 {
   fixture f;
