exec: the limit of leases is renewed when the run that sets it ends

What callers saw: a task waited for the next tick, up to 25 ms, although the run that kept the leases of its upstream short had ended. Cause: the limit was a copy made in ticks; the end of a run, and its adoption, reported free capacity while the old limit still refused starts.

--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -87,6 +87,7 @@
   if (r->foreign)
     x->n_foreign--;
   g_hash_table_steal (x->runs, &r->id);
+  mm_exec_update_lease_limit (x);
   report_end (r, how, why);
   free_if_unused (r);
   if (!x->closed)
@@ -523,6 +524,7 @@
   mm_resources_add (&x->used, &r->resources);
   mm_log_event (MM_EV_TASK_ADOPTED, MM_TASK (&r->id), MM_TEXT (x->info->name),
                 MM_INT (r->number), MM_INT (t->ran_ms));
+  mm_exec_update_lease_limit (x);
   if (x->n_foreign == 0)
     x->ev.capacity_freed (x->ev.ctx, x);
   return true;
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -316,6 +316,29 @@
 }
 END_TEST
 
+/* Guards against a task that waits for the next tick although the run that
+   limited the leases of its upstream has ended.  */
+START_TEST (task_starts_at_once_when_the_run_that_limits_leases_ends)
+{
+  fixture fx = fixture_create ();
+  fake *a = fixture_add (&fx, "a");
+  fixture_run (&fx, 10);
+  outcome stays, leaves, waits;
+  submit (&fx, &stays, "stays", 0, 8000);
+  submit (&fx, &leaves, "leaves", 0, 1100 + _i);
+  fixture_run (&fx, 100);
+  fake_mode_of (a)->lose_stops = 1000;
+  mm_owner_cancel (fx.owner, leaves.work);
+  submit (&fx, &waits, "waits", 0, 400);
+  while (fake_running (a) == 2)
+    fixture_run (&fx, 1);
+  fixture_run (&fx, MM_EXEC_TICK_MS / 2);
+  ck_assert_uint_eq (fake_starts (a), 3);
+  assert_invariants (&fx);
+  fixture_destroy (&fx);
+}
+END_TEST
+
 /* Guards against a start that is carried out after its owner took it for void:
    the upstream was idle, and its clock fell behind what the owner knew.  */
 START_TEST (late_start_on_a_slow_clock_after_an_idle_time_does_not_run)
@@ -1257,6 +1280,9 @@
   tcase_add_test (
       c, task_refused_by_another_incarnation_waits_for_another_upstream);
   tcase_add_test (c, stop_that_is_never_answered_is_counted);
+  tcase_add_loop_test (
+      c, task_starts_at_once_when_the_run_that_limits_leases_ends, 0,
+      MM_EXEC_TICK_MS);
   tcase_add_test (c,
                   late_start_on_a_slow_clock_after_an_idle_time_does_not_run);
   tcase_add_test (c,
