mesh: times out of range in a message are refused

A message with a time near the ends of the range made sums of times overflow; a negative time since a start counted as right after it. Such a message is malformed now, and closes the link as others do. Evidence: test_mesh times_out_of_range_are_refused failed before (its second message was read), and passes.

--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -6,6 +6,9 @@
 
 #include <string.h>
 
+/* Sums of a few such times do not overflow.  */
+#define TIME_MAX_MS ((mm_time_ms)1 << 50)
+
 /* Number of values in the array of a message, its kind included.
    CAPACITY_FIELDS: number of values for one service in a REPORT.  */
 enum
@@ -208,6 +211,13 @@
    f[0] is the kind; the caller has checked the number of values.  They return
    false when a value is not valid.  */
 
+/* Reads a time that is not negative.  */
+static bool
+read_time (const msgpack_object *f, mm_time_ms *out)
+{
+  return mm_mp_read_i64 (f, out) && *out >= 0 && *out <= TIME_MAX_MS;
+}
+
 static bool
 read_run (const msgpack_object *f, mm_mesh_msg *m)
 {
@@ -230,9 +240,8 @@
          && mm_mp_read_u32 (&f[19], &t->run)
          && mm_mp_read_i64 (&f[20], &t->ran_ms)
          && mm_mp_read_bool (&f[21], &t->isolated)
-         && mm_mp_read_i64 (&f[22], &t->silent_ms) && t->silent_ms >= 0
-         && t->resources.cpu_milli >= 0 && t->resources.mem_mb >= 0
-         && t->resources.gpus >= 0;
+         && read_time (&f[22], &t->silent_ms) && t->resources.cpu_milli >= 0
+         && t->resources.mem_mb >= 0 && t->resources.gpus >= 0;
 }
 
 static bool
@@ -286,11 +295,11 @@
   if (!mm_mp_read_text (&f[1], false, (char **)&l->upstream)
       || !mm_mp_read_text (&f[2], false, (char **)&l->addr)
       || !mm_mp_read_u32 (&f[3], &verdict) || verdict >= MM_LOSS_VERDICT_COUNT
-      || !mm_mp_read_i64 (&f[4], &unresponsive_for_ms)
+      || !read_time (&f[4], &unresponsive_for_ms)
       || !mm_mp_read_u32 (&f[5], &l->occurrence) || l->occurrence == 0
       || !read_task_hashes (&f[6], l)
       || !mm_mp_read_u32 (&f[7], &n_unconfirmed) || n_unconfirmed > l->n_tasks
-      || !mm_mp_read_i64 (&f[8], &l->after_start_ms))
+      || !read_time (&f[8], &l->after_start_ms))
     return false;
   l->n_unconfirmed = n_unconfirmed;
   l->verdict = (mm_loss_verdict)verdict;
@@ -368,10 +377,9 @@
     case MM_MESH_CANCEL:
       return n == 2 && mm_mp_read_u64 (&f[1], &out->number);
     case MM_MESH_HEARTBEAT:
-      return n == HEARTBEAT_FIELDS && mm_mp_read_i64 (&f[1], &out->echo_ms)
-             && mm_mp_read_i64 (&f[2], &out->echo_age_ms)
-             && mm_mp_read_i64 (&f[3], &out->silent_ms)
-             && out->echo_age_ms >= 0 && out->silent_ms >= 0;
+      return n == HEARTBEAT_FIELDS && read_time (&f[1], &out->echo_ms)
+             && read_time (&f[2], &out->echo_age_ms)
+             && read_time (&f[3], &out->silent_ms);
     case MM_MESH_ENDED:
       return n == ENDED_FIELDS && read_ended (f, out);
     case MM_MESH_HELLO:
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -422,6 +422,52 @@
 }
 END_TEST
 
+/* Returns whether a message can be read; empties @b.  */
+static bool
+can_read (msgpack_sbuffer *b)
+{
+  msgpack_unpacked u;
+  msgpack_unpacked_init (&u);
+  size_t offset = 0;
+  ck_assert_int_eq (msgpack_unpack_next (&u, b->data, b->size, &offset),
+                    MSGPACK_UNPACK_SUCCESS);
+  mm_mesh_msg m;
+  bool read = mm_mesh_msg_read (&u.data, &m);
+  if (read)
+    mm_mesh_msg_clear (&m);
+  msgpack_unpacked_destroy (&u);
+  msgpack_sbuffer_clear (b);
+  return read;
+}
+
+/* Guards against times in a message with which computations overflow.  */
+START_TEST (times_out_of_range_are_refused)
+{
+  const mm_time_ms wrong[] = { -1, INT64_MIN, INT64_MAX, INT64_MAX / 2 };
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init (&b);
+  mm_mesh_pack_heartbeat (&b, 99, 20, 170);
+  ck_assert (can_read (&b));
+  for (size_t i = 0; i < G_N_ELEMENTS (wrong); i++)
+    {
+      mm_mesh_pack_heartbeat (&b, wrong[i], 0, 0);
+      ck_assert (!can_read (&b));
+      mm_mesh_pack_heartbeat (&b, 0, wrong[i], 0);
+      ck_assert (!can_read (&b));
+      mm_mesh_pack_heartbeat (&b, 0, 0, wrong[i]);
+      ck_assert (!can_read (&b));
+      mm_loss loss = { .upstream = "up",
+                       .addr = "127.0.0.1:1",
+                       .occurrence = 1,
+                       .unresponsive_since_ms = mm_clock_now_ms (),
+                       .after_start_ms = wrong[i] };
+      mm_mesh_pack_loss (&b, &loss);
+      ck_assert (!can_read (&b));
+    }
+  msgpack_sbuffer_destroy (&b);
+}
+END_TEST
+
 /* Guards against links that break because reports are too rare.  A standby
    instance with links from all 146 others sent a report on each link every
    608 ms.  The others close a link as unresponsive after 600 ms, so they close
@@ -533,6 +579,7 @@
   tcase_add_test (c,
                   lost_neighbours_are_replaced_and_standby_instances_chosen);
   tcase_add_test (c, link_stays_when_a_member_list_lacks_the_peer);
+  tcase_add_test (c, times_out_of_range_are_refused);
   tcase_add_test (c, links_stay_alive_however_many_there_are);
   tcase_add_test (c,
                   run_of_a_silent_instance_ends_before_its_job_is_sent_again);
