Comments, event and metric texts: corrected after a reading

A reader who had not seen the work compared them with the code: texts of five events and five metrics said less or other than what happens (leases_limited, task_suspect, upstream_lost, loss_left_out, config_refused), comments of limits and messages were hard to follow, MM_HOLD_WAIT_LOSSY_MS is also the wait while leases are short (now MM_HOLD_WAIT_SHORT_MS), is_back_soon told what is not known (now unlisted_lately). No behaviour changes.

--- a/src/config.h
+++ b/src/config.h
@@ -121,20 +121,22 @@
    The difference covers a slow clock of the upstream and the delay of
    messages.  */
 #define MM_RUN_LIMIT_MS (MM_RESEND_MS - MM_LEASE_SLACK_MS)
-/* A limit that is nearer than this makes holds short.  */
+/* If leases must end within this time, holds wait only MM_HOLD_WAIT_SHORT_MS:
+   a lease this short would expire when one hold of MM_HOLD_WAIT_MS is lost. */
 #define MM_LEASE_SHORT_MS 700
-/* No task is started under a lease that cannot be renewed beyond this time.
-   Twice a short hold and its timeout is less, so no lease expires when one
-   hold is lost.  */
+/* No task is started if its lease could not last this long.  That is more than
+   two short holds with timeouts of MM_RTO_MAX_MS, so that the loss of one hold
+   does not let the lease expire.  */
 #define MM_LEASE_MIN_MS 350
 /* The time that a hold waits for an end.  A hold fails MM_RTO_MAX_MS after
    its wait at the latest.  Twice the sum of both is less than a lease, so no
    lease expires when one hold is lost.  */
 #define MM_HOLD_WAIT_MS 250
-/* The wait of a hold if a call got no answer lately.  When the answer of a
+/* The wait of a hold if a call got no answer lately, or if leases must end
+   soon.  When the answer of a
    hold is lost, no end is seen until that hold has failed, which is up to
    100 ms (MM_RTO_MAX_MS) after its wait.  */
-#define MM_HOLD_WAIT_LOSSY_MS 60
+#define MM_HOLD_WAIT_SHORT_MS 60
 #define MM_LOSSY_PERIOD_MS 1000 /* holds stay short after a lost answer */
 /* Pause between holds while some listed ends are not acknowledged yet.  During
    that time, new ends are seen up to this much later.  */
@@ -196,21 +198,23 @@
 #define MM_PLACEMENT_SPEED_STEP 0.25
 
 /* Poison tasks, which crash their upstreams (mm_suspects).  */
-/* A task is given up after this many crashes if one of them came right after
-   its start as a suspect, alone, or after one more.  It does not run after one
-   more in any case.  */
+/* A task is given up after this many crashes if in one of them it was a
+   suspect, ran alone and had just started; otherwise after one more.  After
+   one more it does not run again, even if the crashes prove nothing.  */
 #define MM_SUSPECTS_CRASHES 2u
 /* "Right after": so short that it is unlikely to be hit by other crashes.  */
 #define MM_SUSPECTS_AFTER_START_MS 100
 /* A crash is part of a mass loss if at least this many upstreams without the
    task were lost at about the same time.  */
 #define MM_SUSPECTS_MASS 2u
-/* "About the same time": long enough for upstreams that one cause makes crash
-   within a second.  A poison task runs again only after about as long.  */
+/* "About the same time": upstreams that crash for one cause do so within this
+   time of each other.  */
 #define MM_SUSPECTS_COINCIDE_MS 1000
-/* A mass loss is over once no upstream was lost for this long.  */
+/* A mass loss is over once fewer than MM_SUSPECTS_MASS other upstreams were
+   lost within this time.  */
 #define MM_SUSPECTS_CALM_MS 2000
-/* A crash this long after a failed run of a task may be its doing.  The end is
+/* A crash within this time after a run failed may have been caused by its
+   task.  The end is
    acknowledged after MM_ACK_DELAY_MS, which shows whether the upstream lives.
  */
 #define MM_SUSPECTS_AFTER_END_MS 400
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -48,8 +48,8 @@
                              "A configuration is in force." },
   [MM_EV_CONFIG_REFUSED]
   = { "config_refused", RATE_HIGH, "version in_force",
-      "The configuration that was read is no newer than the one in "
-      "force, and is ignored." },
+      "The configuration that was read is older than the one in force, and "
+      "is ignored." },
   [MM_EV_LIST_BEHIND]
   = { "list_behind", RATE_HIGH, "age_ms",
       "This instance owns upstreams, and last read their list to its "
@@ -119,10 +119,11 @@
   [MM_EV_LEASES_LIMITED]
   = { "leases_limited", RATE_HIGH,
       "job task upstream run left_ms stopping_ms runs",
-      "This run must have ended in left_ms, and leases at the upstream are "
-      "not renewed beyond that. Its stop was first ordered stopping_ms ago "
-      "(-1: it is not stopped, but the instance of its caller is silent). "
-      "Nothing starts there until it has ended." },
+      "This run must end within left_ms, and leases at the upstream are not "
+      "renewed beyond that. Its stop was first ordered stopping_ms ago (-1: "
+      "it is not being stopped, but the instance of its caller has not been "
+      "heard lately). No task starts there until the run has ended or that "
+      "instance is heard again. runs is the number of runs there." },
   [MM_EV_UPSTREAM_EXCLUDED]
   = { "upstream_excluded", RATE_HIGH, "upstream failures for_ms",
       "Consecutive tasks failed at the upstream; its circuit breaker is "
@@ -133,12 +134,14 @@
       "half-open; the breaker is closed." },
   [MM_EV_UPSTREAM_LOST]
   = { "upstream_lost", RATE_HIGH, "upstream verdict tasks why",
-      "The upstream does not answer and ran this many tasks. verdict is "
-      "open until it is known whether it crashed or is alive." },
+      "An upstream was lost, or more is known of its loss. tasks is how many "
+      "ran there or may have. verdict is open until it is known whether the "
+      "upstream crashed or is alive; why says how that is known." },
   [MM_EV_LOSS_LEFT_OUT]
   = { "loss_left_out", RATE_HIGH, "upstream recorded",
-      "The loss of the upstream is not recorded, as this many losses are. "
-      "The tasks that ran there are not suspected for it." },
+      "The loss of the upstream is not recorded, because the record is "
+      "full: it holds this many losses. The tasks that ran there do not "
+      "become suspects." },
   [MM_EV_JOB_ACCEPTED]
   = { "job_accepted", RATE_LOW,
       "job queue config_version tasks places free waiting age_ms "
@@ -235,8 +238,9 @@
       "The task did not run to its end; next says what follows." },
   [MM_EV_TASK_SUSPECT]
   = { "task_suspect", RATE_HIGH, "job task upstream",
-      "The task ran at this upstream when the upstream was lost. The "
-      "task runs isolated from now on." },
+      "The upstream was lost, and the task ran there or may have: its start "
+      "got no answer, or it had failed there shortly before. From now on "
+      "the task runs isolated, or waits until more is known." },
   [MM_EV_TASK_GIVEN_UP]
   = { "task_given_up", RATE_HIGH, "job task crashes upstreams",
       "These upstreams crashed while they ran the task; its job fails." },
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -176,11 +176,13 @@
 void mm_exec_update (mm_exec *x, const mm_upstream_info *u);
 void mm_exec_tick (mm_exec *x); /* call each MM_EXEC_TICK_MS */
 /* Returns whether starts may be sent: the upstream is in service, it is not
-   suspect, its last hold was answered, it has no foreign runs, whose resources
-   are unknown, and leases there can be renewed.  */
+   suspect, it has accepted our fencing token, its last hold was answered, it
+   has no foreign runs, whose resources are unknown, and leases there can be
+   renewed.  */
 bool mm_exec_usable (const mm_exec *x);
-/* Returns whether a task may be started: starts may be sent, and the leases
-   there end, and can be renewed, in time for its caller.  */
+/* Returns whether a task may be started: starts may be sent, no lease there
+   lasts beyond the time by which the task's run must end, and that time is at
+   least MM_LEASE_MIN_MS away.  */
 bool mm_exec_accepts (const mm_exec *x, const mm_task_request *t);
 /* Returns whether the upstream's capacity counts in reports.  That of a
    suspect upstream, or of one with foreign runs, does: a call without an
@@ -200,7 +202,8 @@
    is known: their starts got no answer, or their runs failed shortly before.
    Return: as above.  */
 GList *mm_exec_unconfirmed_tasks (const mm_exec *x);
-/* Since when no hold has been answered, 0: the last one was.  */
+/* When the first of the holds failed that have failed since the lists were
+   last received, 0: none has.  */
 mm_time_ms mm_exec_unresponsive_since_ms (const mm_exec *x);
 /* When the last start was sent, 0: none.  */
 mm_time_ms mm_exec_last_start_ms (const mm_exec *x);
--- a/src/mm_exec_hold.c
+++ b/src/mm_exec_hold.c
@@ -203,10 +203,10 @@
 hold_wait_ms (const mm_exec *x, mm_time_ms now)
 {
   if (x->lease_limit_ms - now < MM_LEASE_SHORT_MS)
-    return MM_HOLD_WAIT_LOSSY_MS;
+    return MM_HOLD_WAIT_SHORT_MS;
   bool lossy = MM_WITH_LOSSY_HOLDS && x->last_unanswered_ms
                && now - x->last_unanswered_ms < MM_LOSSY_PERIOD_MS;
-  return lossy ? MM_HOLD_WAIT_LOSSY_MS : MM_HOLD_WAIT_MS;
+  return lossy ? MM_HOLD_WAIT_SHORT_MS : MM_HOLD_WAIT_MS;
 }
 
 /* Returns whether ends of an idle upstream are to be acknowledged now.  */
--- a/src/mm_exec_lease.c
+++ b/src/mm_exec_lease.c
@@ -22,8 +22,9 @@
   return r->end_by_ms ? r->end_by_ms : awaited_limit_ms (r->awaited_ms);
 }
 
-/* Leases that last already are never shortened: the new run would go on under
-   them beyond its own limit.  */
+/* A lease covers all runs and cannot be shortened.  If it lasts longer than
+   the task's limit, the task is not started, as its run could outlast the
+   limit.  */
 bool
 mm_exec_accepts (const mm_exec *x, const mm_task_request *t)
 {
@@ -43,7 +44,8 @@
 }
 
 /* Logs the run that limits the leases, when they become too short for new
-   runs.  A run that was just found there does so for a moment, as a rule.  */
+   runs.  A foreign run is not logged: it limits them only until it is adopted
+   or has ended.  */
 static void
 record_limit (mm_exec *x, const mm_exec_run *r)
 {
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -73,10 +73,11 @@
   g_hash_table_remove (in->tasks, &number);
 }
 
-/* Records until when the callers of the tasks on the link waited for them. The
-   heartbeat was sent after a report of this instance had arrived there; how
-   long it waited in queues, or here while this instance had no processor time,
-   does not matter.  */
+/* Records when the callers of the tasks on the link were last known to wait.
+   The time at which the heartbeat was sent is computed from the report that it
+   names, on this instance's clock.  Its time of arrival is not used: it may
+   have been delayed on the way, or while this instance had no processor
+   time.  */
 static void
 handle_heartbeat (mm_mesh_inbound_link *in, const mm_mesh_msg *msg)
 {
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -28,8 +28,8 @@
      Sent each MM_MESH_HEARTBEAT_MS, as the receiver closes a link that
      carries no message for MM_MESH_TIMEOUT_MS.  echo_ms: sent_ms of the last
      report received, 0 for none; echo_age_ms: time since it was received.
-     silent_ms: so long before this message, the callers of all tasks that the
-     sender dispatched or passed on were last known to wait for them.
+     silent_ms: time since all callers of the tasks that the sender dispatched
+     or transferred were last known to wait.
 
    - [REQUEST, number, verb, bytes]
 
--- a/src/mm_mesh_peers.c
+++ b/src/mm_mesh_peers.c
@@ -85,15 +85,16 @@
    upstreams is not in the member list and has no capacity.  A joining instance
    may own upstreams before the member list names it.  After an outage of the
    store the list lacks the instances that have not rejoined yet, although they
-   own upstreams, or will in a moment: a connected peer stays a candidate for a
-   while, and longer if it reports capacity.  */
+   own upstreams, or will own some once they have joined: a connected peer
+   stays a candidate for MM_NEIGHBOUR_NEW_MS, and for as long as it reports
+   capacity.  */
 static bool
 may_have_capacity (const mm_mesh_peer *p, mm_time_ms now)
 {
-  bool is_back_soon
+  bool unlisted_lately
       = p->unlisted_ms && now - p->unlisted_ms < MM_NEIGHBOUR_NEW_MS;
   return p->listed || now - p->known_ms < MM_NEIGHBOUR_NEW_MS
-         || (p->connected && (is_back_soon || reports_capacity (p)));
+         || (p->connected && (unlisted_lately || reports_capacity (p)));
 }
 
 mm_mesh_presence
--- a/src/mm_mesh_priv.h
+++ b/src/mm_mesh_priv.h
@@ -15,7 +15,7 @@
   mm_link *link;          /* to the peer, NULL: none */
   bool listed;            /* the member list names the peer as an owner */
   mm_time_ms known_ms;    /* when the peer was added */
-  mm_time_ms unlisted_ms; /* when the list first lacked it again, 0: never */
+  mm_time_ms unlisted_ms; /* when the list last ceased to name it, 0: never */
   bool wanted;            /* a link to the peer is wanted */
   bool connected;         /* a report was received over the link */
   bool leaving;           /* the peer reported that it is shutting down */
--- a/src/mm_metrics.c
+++ b/src/mm_metrics.c
@@ -52,7 +52,8 @@
                                 "Starts and stops without an answer." },
   [MM_CT_LEASES_LIMITED]
   = { "masticmill_leases_limited_total", NULL,
-      "Upstreams whose leases were not renewed, as a run had to end." },
+      "Times that leases at an upstream became too short for new runs, "
+      "because a run there had to end." },
   [MM_CT_ANSWERS_LATE]
   = { "masticmill_answers_late_total", NULL,
       "Answers of upstreams that came after their timeout." },
@@ -68,17 +69,19 @@
                          "Upstreams excluded after failures in a row." },
   [MM_CT_LOSSES_LEFT_OUT]
   = { "masticmill_losses_left_out_total", NULL,
-      "Lost upstreams that were not recorded, as too many were." },
-  [MM_CT_UPSTREAM_CRASHES]
-  = { "masticmill_upstream_crashes_total", NULL,
-      "Upstreams that crashed while tasks ran there." },
+      "Losses of upstreams that were not recorded, because the record was "
+      "full." },
+  [MM_CT_UPSTREAM_CRASHES] = { "masticmill_upstream_crashes_total", NULL,
+                               "Crashes of upstreams that were recorded, with "
+                               "or without tasks there." },
   [MM_CT_CAPACITY_CHANGES]
   = { "masticmill_capacity_changes_total", NULL,
       "Upstreams owned here that changed their capacity." },
   [MM_CT_CAPACITY_LOST] = { "masticmill_capacity_lost_cpu_milli_total", NULL,
                             "Thousandths of a core by which they shrank." },
-  [MM_CT_TASKS_SUSPECT] = { "masticmill_tasks_suspect_total", NULL,
-                            "Tasks that ran on an upstream that was lost." },
+  [MM_CT_TASKS_SUSPECT]
+  = { "masticmill_tasks_suspect_total", NULL,
+      "Tasks that ran, or may have run, on an upstream when it was lost." },
   [MM_CT_TASKS_GIVEN_UP]
   = { "masticmill_tasks_given_up_total", NULL,
       "Tasks given up, as upstreams crashed under them." },
@@ -156,7 +159,7 @@
       "Log lines dropped, as nobody read standard output." },
   [MM_GG_UPSTREAMS_LOST]
   = { "masticmill_upstreams_lost", NULL,
-      "Upstreams lost with tasks running that make these suspects." },
+      "Lost upstreams that are recorded and not known to be alive." },
 };
 
 static const series histogram_table[MM_HG_COUNT] = {
--- a/src/mm_owner_suspects.c
+++ b/src/mm_owner_suspects.c
@@ -2,7 +2,7 @@
    tasks that ran on an upstream which was lost.
 
    A poison task crashes the upstream that runs it; a suspect is a task that
-   ran on an upstream when it was lost.  */
+   ran, or may have run, on an upstream when it was lost.  */
 #include "mm_event.h"
 #include "mm_metrics.h"
 #include "mm_owner_priv.h"
--- a/src/mm_store_http.c
+++ b/src/mm_store_http.c
@@ -1,7 +1,7 @@
 /* mm_store_http: sends each call to the store as one HTTP call.
 
    Open connections can go silent all at once, while new ones work.  After a
-   call without an answer, no connection that was open then is used again:
+   call that timed out, no connection that was open then is used again:
    otherwise each call after it could wait for its own timeout.  The reads of
    the configuration have a connection of their own, which is in use nearly all
    the time, so silence is noticed within the timeout of one read.  */
--- a/src/mm_stream.c
+++ b/src/mm_stream.c
@@ -147,9 +147,9 @@
   if (!behind)
     schedule_next_read (s);
   /* No progress means that the next record is larger than a chunk.  Of the
-     configuration only the newest record is needed, and reading each of
-     several large ones could take longer than it may take to be in force. When
-     many records are unread, reading the newest of each key is faster, too. */
+     configuration only the newest record is needed, and on a thin link the
+     time to read older large ones would delay it.  When many records of a
+     stream are unread, reading the newest of each key is also faster.  */
   if (no_progress && s->kind == MM_STREAM_CONFIG)
     restart_from_newest (s);
   else if (no_progress)
--- a/src/mm_task.h
+++ b/src/mm_task.h
@@ -73,11 +73,11 @@
   const char *running_at;
   uint32_t run;      /* with running_at: its run number there */
   mm_time_ms ran_ms; /* with running_at: run time so far */
-  /* When its caller was last known to wait for it.  Kept up to date by the
-     owner's mesh until the task ends or is cancelled; NULL: the caller of this
-     instance.  */
+  /* When its caller was last known to wait.  Points to a time that the mesh
+     updates, valid until the task ends or is cancelled.  NULL: the caller is
+     connected to this instance, see mm_owner_set_input_read().  */
   const mm_time_ms *awaited_ms;
-  /* Time since @awaited_ms; set when the request is sent to another owner.  */
+  /* With running_at: time since @awaited_ms when the request was sent.  */
   mm_time_ms silent_ms;
 } mm_task_request;
 
