Owner: an upstream that answers as fenced is not lost

What callers could see: a task that runs alone, and later waits or fails, because it is suspected for the loss of an upstream that is healthy.

Cause: when a session ends while its holds get no answer, the loss is recorded, since the next owner does not know what ran there. The answer "fenced" leaves the time of the failed holds set and the runs in the session, so an upstream that did not answer for a while and then answered that another owner has it was recorded as lost with all its runs, when the session ended or was begun anew.

Evidence: the new case of test_suspects fails without the change: test_suspects.c:862:F:owner:upstream_that_answers_as_fenced_is_not_lost:0: Assertion 'mm_suspects_count (fx.suspects) == 0' failed: mm_suspects_count (fx.suspects) == 1, 0 == 0 With it test_suspects (with crash_during_a_handover_counts, unchanged) and test_owner pass.

Change: no loss is recorded at the end of a fenced session. A session is fenced only when the upstream has seen the next owner's fencing token: by its own answer, or because the next owner has listed a run there. The next owner then knows the runs and records a loss itself.

--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -326,8 +326,10 @@
       = g_hash_table_lookup (o->owned_upstreams, upstream);
   if (!owned)
     return;
-  /* The next owner does not know what ran there if it has crashed.  */
-  if (mm_exec_unresponsive_since_ms (owned->exec))
+  /* The next owner does not know what ran there if it has crashed.  The
+     upstream of a fenced session is in touch with its next owner.  */
+  if (mm_exec_unresponsive_since_ms (owned->exec)
+      && !mm_exec_fenced (owned->exec))
     mm_owner_on_upstream_lost (owned, owned->exec, false);
   owned->removed = true;
   mm_owner_orphan_all (o, owned, "upstream handed over or gone");
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -834,6 +834,38 @@
 }
 END_TEST
 
+/* Guards against tasks that are suspect because a healthy upstream changed
+   owners.  The upstream does not answer for a while, and another owner has it
+   when it answers again.  */
+START_TEST (upstream_that_answers_as_fenced_is_not_lost)
+{
+  for (int renews = 0; renews < 2; renews++)
+    {
+      fixture fx = fixture_create ();
+      fake *x = fakes_add (fx.upstreams, "a", UPSTREAM_CPU_MILLI);
+      mm_owner_add_upstream (fx.owner, fake_info (x), 5);
+      fakes_run (fx.upstreams, fx.owner, 10);
+      mm_end how;
+      mm_task_id id = start_task (&fx, "innocent", false, &how);
+      fakes_run (fx.upstreams, fx.owner, 100);
+      fake_mode_of (x)->unresponsive = true;
+      fakes_run (fx.upstreams, fx.owner, 500);
+      fake_renew_foreign (x, 6);
+      fake_mode_of (x)->unresponsive = false;
+      fakes_run (fx.upstreams, fx.owner, 200);
+      ck_assert (mm_owner_fenced (fx.owner, "a"));
+      ck_assert (fake_is_running (x, &id));
+      if (renews)
+        mm_owner_add_upstream (fx.owner, fake_info (x), 7);
+      else
+        mm_owner_remove_upstream (fx.owner, "a");
+      ck_assert_uint_eq (mm_suspects_count (fx.suspects), 0);
+      ck_assert_int_eq (mm_suspects_decide (fx.suspects, &id), MM_SUSPECT_RUN);
+      fixture_destroy (&fx);
+    }
+}
+END_TEST
+
 /* A crash identifies the poison task only if no other task ran on that
    upstream.  So suspect tasks must run isolated: beside no other task while
    there is other free capacity.  */
@@ -1042,6 +1074,7 @@
   tcase_add_test (c, unanswered_starts_are_no_evidence);
   tcase_add_test (c, crash_just_after_a_failed_run_counts);
   tcase_add_test (c, crash_during_a_handover_counts);
+  tcase_add_test (c, upstream_that_answers_as_fenced_is_not_lost);
   tcase_add_test (c, suspect_runs_isolated);
   suite_add_tcase (s, c);
   c = tcase_create ("jobs");
