Owner: only starts of tasks that may run there date a crash

What callers could see: a job that is failed as a poison task although its task is innocent: it had run as a suspect for seconds when its upstream crashed for another reason.

Cause: a crash right after the start of a suspect that runs alone decides that it is a poison task. The time of the start was that of the last start sent to the upstream, whatever became of it: also of a task that was done already, that the upstream refused, or whose start was answered by the next incarnation.

Evidence: start_of_another_task_does_not_decide of test_suspects fails without the change for a task that is done (0), a refused start (1) and an adopted run (2): test_suspects.c:867:F:owner:start_of_another_task_does_not_decide:0: Assertion 'crash_under_suspect (1500, 1450, adopts, refuses) == MM_SUSPECT_ISOLATE' failed: crash_under_suspect (1500, 1450, adopts, refuses) == 4, MM_SUSPECT_ISOLATE == 1 With it test_suspects and test_owner pass. own_start_decides_unless_it_is_not_known passes before and after: a crash 20 ms after the suspect's own start still decides.

Change: the time is taken from the latest start among the session's runs, which are the tasks that the loss reports. For a run that a previous owner started no start is known exactly; the time on the way between the owners makes it look later. Such a run alone does not count as just started.

--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -202,7 +202,8 @@
 GList *mm_exec_unconfirmed_tasks (const mm_exec *x);
 /* Since when no hold has been answered, 0: the last one was.  */
 mm_time_ms mm_exec_unresponsive_since_ms (const mm_exec *x);
-/* When the last start was sent, 0: none.  */
+/* When the last start of the current runs was sent, 0: this session started
+   none of them.  */
 mm_time_ms mm_exec_last_start_ms (const mm_exec *x);
 /* Time until the last run ends, estimated from declared run times and the
    slowness of the upstream.  */
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -39,7 +39,8 @@
   uint64_t running_event;       /* first confirmed as running, 0: never */
   uint64_t stop_answered_event; /* stop order was answered, 0: not yet */
   mm_time_ms ordered_ms;  /* start ordered; foreign: found; adopted: started */
-  mm_time_ms sent_ms;     /* when the last start order was sent */
+  mm_time_ms sent_ms;     /* when the last start order was sent, 0: not by this
+                             session */
   mm_time_ms estimate_ms; /* declared run time of the task */
   int32_t percent;        /* last reported progress, negative: not reported */
   mm_time_ms progress_ms; /* when the percentage last changed */
--- a/src/mm_exec_state.c
+++ b/src/mm_exec_state.c
@@ -98,7 +98,13 @@
 mm_time_ms
 mm_exec_last_start_ms (const mm_exec *x)
 {
-  return x->start_sent_ms;
+  mm_time_ms last_ms = 0;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, x->runs);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    last_ms = MAX (last_ms, ((mm_exec_run *)v)->sent_ms);
+  return last_ms;
 }
 
 mm_time_ms
--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -43,7 +43,7 @@
   char *addr;     /* "ip:port" */
   mm_loss_verdict verdict;
   mm_time_ms unresponsive_since_ms; /* when it stopped answering */
-  mm_time_ms after_start_ms;        /* time from the last start until then */
+  mm_time_ms after_start_ms;        /* as in mm_loss */
   mm_time_ms verdict_ms;            /* when the verdict was set */
   uint32_t occurrence;              /* as in mm_loss, from 1 */
   /* mm_task_hash() of the tasks, uint64_t.  The last @n_unconfirmed of them
--- a/src/mm_suspects.h
+++ b/src/mm_suspects.h
@@ -27,7 +27,9 @@
   mm_loss_verdict verdict;
   /* When it stopped answering, which is about when it crashed.  */
   mm_time_ms unresponsive_since_ms;
-  mm_time_ms after_start_ms; /* time from the last start there until then */
+  /* Time from the last start of @tasks there until then; far longer than
+     MM_SUSPECTS_AFTER_START_MS if no start is known.  */
+  mm_time_ms after_start_ms;
   /* How many times the upstream has been lost, this loss included; 0: as seen
      by this instance, which counts it.  */
   uint32_t occurrence;
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -794,6 +794,93 @@
 }
 END_TEST
 
+/* Ignores a run of a previous owner; the test adopts it.  */
+static void
+ignore_found (void *ctx, const mm_found_run *r)
+{
+}
+
+/* Starts the suspect task "suspect" at the only upstream, or adopts its run
+   there from a previous owner.  */
+static mm_task_id
+run_suspect (fixture *fx, fake *x, bool adopts, mm_end *how)
+{
+  mm_owner_transfer_port port = { .found = ignore_found };
+  mm_owner_set_transfer_port (fx->owner, &port);
+  if (adopts)
+    fake_start_foreign (x, "suspect", 4, TASK_CPU_MILLI, 3000);
+  mm_owner_add_upstream (fx->owner, fake_info (x), 5);
+  fakes_run (fx->upstreams, fx->owner, 10);
+  if (!adopts)
+    return start_task (fx, "suspect", true, how);
+  mm_task_request t = fakes_task ("suspect", 0, TASK_CPU_MILLI, 3000);
+  t.isolated = true;
+  t.running_at = "a";
+  t.run = 1;
+  t.ran_ms = 10;
+  *how = MM_END_COUNT;
+  mm_owner_submit (fx->owner, &t, on_done, how);
+  return t.id;
+}
+
+/* Lets the upstream crash @ms after a suspect task has started there or was
+   adopted.  @beside_ms: when another task is started, which the upstream
+   refuses if @refuses is set and which is done 20 ms later otherwise; 0: none
+   is.  Returns how the suspect task may be run then.  */
+static mm_suspect_action
+crash_under_suspect (mm_time_ms ms, mm_time_ms beside_ms, bool adopts,
+                     bool refuses)
+{
+  fixture fx = fixture_create ();
+  fake *x = fakes_add (fx.upstreams, "a", UPSTREAM_CPU_MILLI);
+  mm_end how, how_beside = MM_END_COUNT;
+  mm_task_id id = run_suspect (&fx, x, adopts, &how);
+  record_loss_since (fx.suspects, 0, MM_LOSS_CRASHED,
+                     fakes_now (fx.upstreams) - 5000, &id, 1);
+  fakes_run (fx.upstreams, fx.owner, beside_ms ? beside_ms : ms);
+  ck_assert_uint_eq (fake_running (x), 1);
+  if (beside_ms)
+    {
+      fake_mode_of (x)->unhealthy = refuses;
+      mm_task_request t = fakes_task ("beside", 0, TASK_CPU_MILLI, 20);
+      mm_owner_submit (fx.owner, &t, on_done, &how_beside);
+      fakes_run (fx.upstreams, fx.owner, ms - beside_ms);
+      ck_assert_int_eq (how_beside, refuses ? MM_END_COUNT : MM_END_DONE);
+      ck_assert_uint_eq (fake_starts (x), refuses ? 1 : 2);
+    }
+  ck_assert_int_eq (how, MM_END_COUNT);
+  fake_restart (x);
+  fakes_run (fx.upstreams, fx.owner, 50);
+  ck_assert_int_eq (how, MM_END_LOST);
+  ck_assert_uint_eq (mm_suspects_count_crashes (fx.suspects, &id), 2);
+  fakes_run (fx.upstreams, fx.owner, MM_SUSPECTS_COINCIDE_MS);
+  mm_suspect_action action = mm_suspects_decide (fx.suspects, &id);
+  fixture_destroy (&fx);
+  return action;
+}
+
+/* Guards against an innocent task that is given up because another start was
+   sent shortly before a crash, which came long after the task's own start.  */
+START_TEST (start_of_another_task_does_not_decide)
+{
+  bool refuses = _i == 1, adopts = _i == 2;
+  ck_assert_int_eq (crash_under_suspect (1500, 1450, adopts, refuses),
+                    MM_SUSPECT_ISOLATE);
+}
+END_TEST
+
+/* Guards against a poison task that runs a third time although an upstream
+   crashed right after its start, and against an adopted run, whose start is
+   not known, that is taken for one that has just started.  */
+START_TEST (own_start_decides_unless_it_is_not_known)
+{
+  ck_assert_int_eq (crash_under_suspect (20, 0, false, false),
+                    MM_SUSPECT_GIVE_UP);
+  ck_assert_int_eq (crash_under_suspect (20, 0, true, false),
+                    MM_SUSPECT_ISOLATE);
+}
+END_TEST
+
 /* Guards against a crash that counts for no task because the upstream changes
    owners before its loss is noticed.  If the next owner reaches the upstream,
    the task must not be suspect any more.  */
@@ -1073,6 +1160,8 @@
   tcase_add_test (c, refused_start_makes_no_task_suspect);
   tcase_add_test (c, unanswered_starts_are_no_evidence);
   tcase_add_test (c, crash_just_after_a_failed_run_counts);
+  tcase_add_loop_test (c, start_of_another_task_does_not_decide, 0, 3);
+  tcase_add_test (c, own_start_decides_unless_it_is_not_known);
   tcase_add_test (c, crash_during_a_handover_counts);
   tcase_add_test (c, upstream_that_answers_as_fenced_is_not_lost);
   tcase_add_test (c, suspect_runs_isolated);
