Suspects: the silence of an idle upstream is no loss, lost before or not

What callers could see: a job that waits or is refused although its poison task is known, because upstreams that ran nothing did not answer a hold: their silence passed for a mass loss, in which crashes are no evidence.

Cause: a loss without tasks and without a proven crash was left out only if the upstream had no record. If it had been lost before and had answered again, its silence was recorded as a further loss, and counted.

Evidence: the new case of test_suspects fails without the change (wait, not give up): test_suspects.c:309:F:blame:idle_upstreams_that_were_lost_before_are_no_mass_loss:0: Assertion 'mm_suspects_decide (s, &id) == MM_SUSPECT_GIVE_UP' failed: mm_suspects_decide (s, &id) == 2, MM_SUSPECT_GIVE_UP == 4 With it test_suspects and test_owner pass.

Change: such a loss is left out whatever is recorded. If the record is still open or a crash, the same loss without tasks changed nothing before, and a later one would have removed the tasks of a loss that is not over. The numbers of losses still only grow: a loss left out gets none, and the next one with tasks that begins after the upstream had answered gets the next number, which the case checks.

--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -269,10 +269,10 @@
 mm_suspects_record (mm_suspects *s, const mm_loss *from)
 {
   loss *l = find_loss (s, from->upstream);
-  /* Without tasks only a crash counts: an idle upstream is lost as soon as one
-     hold gets no answer.  */
+  /* Without tasks only a crash counts, whatever is recorded: an idle upstream
+     is lost as soon as one hold gets no answer.  */
   bool silent = from->n_tasks == 0 && from->verdict == MM_LOSS_OPEN;
-  if (!l && (silent || from->verdict == MM_LOSS_ALIVE))
+  if (silent || (!l && from->verdict == MM_LOSS_ALIVE))
     return;
   /* No recorded loss makes room: it would be news again when it is reported by
      an instance that still has it, and the reports would never cease.  */
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -276,6 +276,45 @@
 }
 END_TEST
 
+/* Stores the number of times an upstream has been lost.  @ctx: uint32_t.  */
+static void
+store_occurrence (void *ctx, const mm_loss *l)
+{
+  *(uint32_t *)ctx = l->occurrence;
+}
+
+/* Guards against the same for upstreams that were lost before and had answered
+   again.  Their next loss with tasks must count as a later one.  */
+START_TEST (idle_upstreams_that_were_lost_before_are_no_mass_loss)
+{
+  mm_suspects *s = suspects_setup ();
+  mm_task_id id = task ("poison", 0), other = task ("other", 0);
+  uint32_t occurrence = 0;
+  mm_suspects_on_changed (s, store_occurrence, &occurrence);
+  for (int i = 0; i < 10; i++)
+    {
+      char name[16];
+      g_snprintf (name, sizeof name, "up%d", i);
+      record_loss_since (s, i, MM_LOSS_OPEN, now_ms, &other, 1);
+      mm_suspects_alive (s, name);
+    }
+  ck_assert_uint_eq (occurrence, 1);
+  now_ms += 5000;
+  for (int i = 0; i < 10; i++)
+    record_loss_since (s, i, MM_LOSS_OPEN, now_ms, NULL, 0);
+  record_crash (s, 100, &id);
+  now_ms += 300;
+  record_crash (s, 101, &id);
+  now_ms += MM_SUSPECTS_COINCIDE_MS;
+  ck_assert_int_eq (mm_suspects_decide (s, &id), MM_SUSPECT_GIVE_UP);
+  ck_assert_uint_eq (mm_suspects_count (s), 2);
+  record_loss_since (s, 0, MM_LOSS_OPEN, now_ms, &other, 1);
+  ck_assert_uint_eq (occurrence, 2);
+  ck_assert_int_eq (mm_suspects_decide (s, &other), MM_SUSPECT_ISOLATE);
+  suspects_teardown (s);
+}
+END_TEST
+
 /* Guards against an innocent task that is given up before the crashes of other
    upstreams at the same time are known.  */
 START_TEST (crash_waits_for_news_of_other_crashes)
@@ -1142,6 +1181,7 @@
   tcase_add_test (c, crashes_in_a_mass_loss_are_no_evidence);
   tcase_add_test (c, crashes_of_idle_upstreams_show_a_mass_loss);
   tcase_add_test (c, idle_upstreams_without_an_answer_are_no_mass_loss);
+  tcase_add_test (c, idle_upstreams_that_were_lost_before_are_no_mass_loss);
   tcase_add_test (c, crash_waits_for_news_of_other_crashes);
   tcase_add_test (c, task_does_not_run_after_three_crashes_in_mass_losses);
   tcase_add_test (
