Suspects: crashes count in the order in which they happened

What callers could see: a job that is failed as a poison task although its task is innocent, or one that goes on to crash a third upstream, at one instance and not at another.

Cause: a crash under a task alone is evidence if the task was suspect before. Whether it was came from the order in which the losses were recorded, but reports arrive in any order. An innocent task that ran alone on the first upstream and beside a poison task on the second was given up where the reports arrived in the other order; a poison task that ran alone on the second was not.

Evidence: two cases of test_suspects fail without the change, the first for both reversed orders (1, 3), the second for an upstream that is lost a second time: test_suspects.c:392:F:blame:reports_of_crashes_in_any_order_give_the_same_evidence:3: Assertion 'mm_suspects_decide (s, &ids[0]) == first_alone ? MM_SUSPECT_ISOLATE : MM_SUSPECT_GIVE_UP' failed: mm_suspects_decide (s, &ids[0]) == 4, [...] == 1 test_suspects.c:411:F:blame:second_loss_of_an_upstream_counts_at_its_time:0: Assertion 'mm_suspects_decide (s, &ids[0]) == MM_SUSPECT_ISOLATE' failed: mm_suspects_decide (s, &ids[0]) == 4, MM_SUSPECT_ISOLATE == 1 With it test_suspects and test_owner pass.

Change: the losses are kept in the order of the times at which the upstreams stopped answering. Losses of the same millisecond stay in the order of recording, as before. A report carries the age of the loss, so the times are of the clock of the instance that has the record, late by the time that the report took: at other instances two crashes closer than that may still change places. An instance that has recorded a loss before it runs the task again has it in the right order: its time there is not after the report's arrival.

--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -54,7 +54,10 @@
 
 struct mm_suspects
 {
-  GQueue *losses;     /* loss, oldest first */
+  /* loss, in the order in which the upstreams stopped answering.  A report
+     states how long ago that was, so the times are of this instance's clock,
+     and late by the time that the report took.  */
+  GQueue *losses;
   GHashTable *hashes; /* set of the task hashes (uint64_t) in all losses */
   mm_suspects_changed changed; /* called for each change, or NULL */
   void *ctx;                   /* for @changed */
@@ -229,6 +232,15 @@
                 MM_INT (l->tasks->len), MM_TEXT (why));
 }
 
+/* Compares when two upstreams stopped answering; never 0, so that among equal
+   times the later recorded one is last.  */
+static int
+compare_times (gconstpointer a, gconstpointer b, gpointer ctx)
+{
+  const loss *l = a, *added = b;
+  return l->unresponsive_since_ms <= added->unresponsive_since_ms ? -1 : 1;
+}
+
 /* Adds a loss of @from's upstream, still without tasks and verdict.  */
 static loss *
 add_loss (mm_suspects *s, const mm_loss *from)
@@ -240,7 +252,7 @@
   l->after_start_ms = from->after_start_ms;
   l->occurrence = MAX (from->occurrence, 1);
   l->tasks = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  g_queue_push_tail (s->losses, l);
+  g_queue_insert_sorted (s->losses, l, compare_times, NULL);
   return l;
 }
 
@@ -299,7 +311,7 @@
       l->unresponsive_since_ms = from->unresponsive_since_ms;
       l->after_start_ms = from->after_start_ms;
       g_queue_remove (s->losses, l);
-      g_queue_push_tail (s->losses, l);
+      g_queue_insert_sorted (s->losses, l, compare_times, NULL);
     }
   bool newer = is_new || is_later || from->verdict > l->verdict;
   /* An upstream that answers again makes no further tasks suspect.  */
@@ -400,7 +412,7 @@
           h.open++;
           continue;
         }
-      bool was_suspect = h.crashes > 0;
+      bool was_suspect = h.crashes > 0; /* the losses are in order */
       h.crashes++;
       h.last_crash_ms = MAX (h.last_crash_ms, l->unresponsive_since_ms);
       if (!has_confirmed_task (l, hash) || in_mass_loss (s, hash, l))
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -373,6 +373,46 @@
 }
 END_TEST
 
+/* Guards against evidence that depends on the order in which the reports of
+   two crashes arrive.  A task runs alone on an upstream that crashes, and then
+   beside a poison task: it must not be given up.  Another one runs beside a
+   poison task and then alone: it must be given up.  */
+START_TEST (reports_of_crashes_in_any_order_give_the_same_evidence)
+{
+  bool reversed = _i & 1, first_alone = _i & 2;
+  mm_suspects *s = suspects_setup ();
+  mm_task_id ids[2] = { task ("suspect", 0), task ("beside", 0) };
+  for (int i = 0; i < 2; i++)
+    {
+      int number = reversed ? 1 - i : i;
+      bool alone = (number == 0) == first_alone;
+      record_loss_since (s, number, MM_LOSS_CRASHED,
+                         now_ms - 6000 + 3000 * number, ids, alone ? 1 : 2);
+    }
+  ck_assert_int_eq (mm_suspects_decide (s, &ids[0]),
+                    first_alone ? MM_SUSPECT_ISOLATE : MM_SUSPECT_GIVE_UP);
+  ck_assert_int_eq (mm_suspects_decide (s, &ids[1]), MM_SUSPECT_ISOLATE);
+  suspects_teardown (s);
+}
+END_TEST
+
+/* Guards against the same when an upstream is lost a second time, and the
+   report of that loss arrives after that of a later crash.  */
+START_TEST (second_loss_of_an_upstream_counts_at_its_time)
+{
+  mm_suspects *s = suspects_setup ();
+  mm_task_id ids[2] = { task ("innocent", 0), task ("culprit", 0) };
+  record_loss (s, 0, MM_LOSS_OPEN, ids, 1);
+  mm_suspects_alive (s, "up0");
+  now_ms += 9000;
+  record_loss_since (s, 1, MM_LOSS_CRASHED, now_ms - 3000, ids, 2);
+  record_loss_since (s, 0, MM_LOSS_CRASHED, now_ms - 6000, ids, 1);
+  ck_assert_uint_eq (mm_suspects_count_crashes (s, &ids[0]), 2);
+  ck_assert_int_eq (mm_suspects_decide (s, &ids[0]), MM_SUSPECT_ISOLATE);
+  suspects_teardown (s);
+}
+END_TEST
+
 /* Guards against an innocent task that is given up because of a poison task
    and a second crash.  The task runs beside a poison task, and later as a
    suspect and alone on an upstream that crashes for another reason, long after
@@ -1186,6 +1226,9 @@
   tcase_add_test (c, task_does_not_run_after_three_crashes_in_mass_losses);
   tcase_add_test (
       c, task_that_ran_alone_only_before_it_was_suspect_is_not_given_up);
+  tcase_add_loop_test (
+      c, reports_of_crashes_in_any_order_give_the_same_evidence, 0, 4);
+  tcase_add_test (c, second_loss_of_an_upstream_counts_at_its_time);
   tcase_add_test (c, crash_long_after_the_start_does_not_decide);
   tcase_add_test (c, upstream_that_answered_can_be_lost_again);
   tcase_add_test (c, known_loss_is_not_reported_again);
