--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -205,7 +205,8 @@
 /* When the first of the holds failed that have failed since the lists were
    last received, 0: none has.  */
 mm_time_ms mm_exec_unresponsive_since_ms (const mm_exec *x);
-/* When the last start was sent, 0: none.  */
+/* When the last start of the current runs was sent, 0: this session started
+   none of them.  */
 mm_time_ms mm_exec_last_start_ms (const mm_exec *x);
 /* Time until the last run ends, estimated from declared run times and the
    slowness of the upstream.  */
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -276,6 +276,45 @@
 }
 END_TEST
 
+/* Stores the number of times an upstream has been lost.  @ctx: uint32_t.  */
+static void
+store_occurrence (void *ctx, const mm_loss *l)
+{
+  *(uint32_t *)ctx = l->occurrence;
+}
+
+/* Guards against the same for upstreams that were lost before and had answered
+   again.  Their next loss with tasks must count as a later one.  */
+START_TEST (idle_upstreams_that_were_lost_before_are_no_mass_loss)
+{
+  mm_suspects *s = suspects_setup ();
+  mm_task_id id = task ("poison", 0), other = task ("other", 0);
+  uint32_t occurrence = 0;
+  mm_suspects_on_changed (s, store_occurrence, &occurrence);
+  for (int i = 0; i < 10; i++)
+    {
+      char name[16];
+      g_snprintf (name, sizeof name, "up%d", i);
+      record_loss_since (s, i, MM_LOSS_OPEN, now_ms, &other, 1);
+      mm_suspects_alive (s, name);
+    }
+  ck_assert_uint_eq (occurrence, 1);
+  now_ms += 5000;
+  for (int i = 0; i < 10; i++)
+    record_loss_since (s, i, MM_LOSS_OPEN, now_ms, NULL, 0);
+  record_crash (s, 100, &id);
+  now_ms += 300;
+  record_crash (s, 101, &id);
+  now_ms += MM_SUSPECTS_COINCIDE_MS;
+  ck_assert_int_eq (mm_suspects_decide (s, &id), MM_SUSPECT_GIVE_UP);
+  ck_assert_uint_eq (mm_suspects_count (s), 2);
+  record_loss_since (s, 0, MM_LOSS_OPEN, now_ms, &other, 1);
+  ck_assert_uint_eq (occurrence, 2);
+  ck_assert_int_eq (mm_suspects_decide (s, &other), MM_SUSPECT_ISOLATE);
+  suspects_teardown (s);
+}
+END_TEST
+
 /* Guards against an innocent task that is given up before the crashes of other
    upstreams at the same time are known.  */
 START_TEST (crash_waits_for_news_of_other_crashes)
@@ -334,6 +373,46 @@
 }
 END_TEST
 
+/* Guards against evidence that depends on the order in which the reports of
+   two crashes arrive.  A task runs alone on an upstream that crashes, and then
+   beside a poison task: it must not be given up.  Another one runs beside a
+   poison task and then alone: it must be given up.  */
+START_TEST (reports_of_crashes_in_any_order_give_the_same_evidence)
+{
+  bool reversed = _i & 1, first_alone = _i & 2;
+  mm_suspects *s = suspects_setup ();
+  mm_task_id ids[2] = { task ("suspect", 0), task ("beside", 0) };
+  for (int i = 0; i < 2; i++)
+    {
+      int number = reversed ? 1 - i : i;
+      bool alone = (number == 0) == first_alone;
+      record_loss_since (s, number, MM_LOSS_CRASHED,
+                         now_ms - 6000 + 3000 * number, ids, alone ? 1 : 2);
+    }
+  ck_assert_int_eq (mm_suspects_decide (s, &ids[0]),
+                    first_alone ? MM_SUSPECT_ISOLATE : MM_SUSPECT_GIVE_UP);
+  ck_assert_int_eq (mm_suspects_decide (s, &ids[1]), MM_SUSPECT_ISOLATE);
+  suspects_teardown (s);
+}
+END_TEST
+
+/* Guards against the same when an upstream is lost a second time, and the
+   report of that loss arrives after that of a later crash.  */
+START_TEST (second_loss_of_an_upstream_counts_at_its_time)
+{
+  mm_suspects *s = suspects_setup ();
+  mm_task_id ids[2] = { task ("innocent", 0), task ("culprit", 0) };
+  record_loss (s, 0, MM_LOSS_OPEN, ids, 1);
+  mm_suspects_alive (s, "up0");
+  now_ms += 9000;
+  record_loss_since (s, 1, MM_LOSS_CRASHED, now_ms - 3000, ids, 2);
+  record_loss_since (s, 0, MM_LOSS_CRASHED, now_ms - 6000, ids, 1);
+  ck_assert_uint_eq (mm_suspects_count_crashes (s, &ids[0]), 2);
+  ck_assert_int_eq (mm_suspects_decide (s, &ids[0]), MM_SUSPECT_ISOLATE);
+  suspects_teardown (s);
+}
+END_TEST
+
 /* Guards against an innocent task that is given up because of a poison task
    and a second crash.  The task runs beside a poison task, and later as a
    suspect and alone on an upstream that crashes for another reason, long after
@@ -794,6 +873,93 @@
 }
 END_TEST
 
+/* Ignores a run of a previous owner; the test adopts it.  */
+static void
+ignore_found (void *ctx, const mm_found_run *r)
+{
+}
+
+/* Starts the suspect task "suspect" at the only upstream, or adopts its run
+   there from a previous owner.  */
+static mm_task_id
+run_suspect (fixture *fx, fake *x, bool adopts, mm_end *how)
+{
+  mm_owner_transfer_port port = { .found = ignore_found };
+  mm_owner_set_transfer_port (fx->owner, &port);
+  if (adopts)
+    fake_start_foreign (x, "suspect", 4, TASK_CPU_MILLI, 3000);
+  mm_owner_add_upstream (fx->owner, fake_info (x), 5);
+  fakes_run (fx->upstreams, fx->owner, 10);
+  if (!adopts)
+    return start_task (fx, "suspect", true, how);
+  mm_task_request t = fakes_task ("suspect", 0, TASK_CPU_MILLI, 3000);
+  t.isolated = true;
+  t.running_at = "a";
+  t.run = 1;
+  t.ran_ms = 10;
+  *how = MM_END_COUNT;
+  mm_owner_submit (fx->owner, &t, on_done, how);
+  return t.id;
+}
+
+/* Lets the upstream crash @ms after a suspect task has started there or was
+   adopted.  @beside_ms: when another task is started, which the upstream
+   refuses if @refuses is set and which is done 20 ms later otherwise; 0: none
+   is.  Returns how the suspect task may be run then.  */
+static mm_suspect_action
+crash_under_suspect (mm_time_ms ms, mm_time_ms beside_ms, bool adopts,
+                     bool refuses)
+{
+  fixture fx = fixture_create ();
+  fake *x = fakes_add (fx.upstreams, "a", UPSTREAM_CPU_MILLI);
+  mm_end how, how_beside = MM_END_COUNT;
+  mm_task_id id = run_suspect (&fx, x, adopts, &how);
+  record_loss_since (fx.suspects, 0, MM_LOSS_CRASHED,
+                     fakes_now (fx.upstreams) - 5000, &id, 1);
+  fakes_run (fx.upstreams, fx.owner, beside_ms ? beside_ms : ms);
+  ck_assert_uint_eq (fake_running (x), 1);
+  if (beside_ms)
+    {
+      fake_mode_of (x)->unhealthy = refuses;
+      mm_task_request t = fakes_task ("beside", 0, TASK_CPU_MILLI, 20);
+      mm_owner_submit (fx.owner, &t, on_done, &how_beside);
+      fakes_run (fx.upstreams, fx.owner, ms - beside_ms);
+      ck_assert_int_eq (how_beside, refuses ? MM_END_COUNT : MM_END_DONE);
+      ck_assert_uint_eq (fake_starts (x), refuses ? 1 : 2);
+    }
+  ck_assert_int_eq (how, MM_END_COUNT);
+  fake_restart (x);
+  fakes_run (fx.upstreams, fx.owner, 50);
+  ck_assert_int_eq (how, MM_END_LOST);
+  ck_assert_uint_eq (mm_suspects_count_crashes (fx.suspects, &id), 2);
+  fakes_run (fx.upstreams, fx.owner, MM_SUSPECTS_COINCIDE_MS);
+  mm_suspect_action action = mm_suspects_decide (fx.suspects, &id);
+  fixture_destroy (&fx);
+  return action;
+}
+
+/* Guards against an innocent task that is given up because another start was
+   sent shortly before a crash, which came long after the task's own start.  */
+START_TEST (start_of_another_task_does_not_decide)
+{
+  bool refuses = _i == 1, adopts = _i == 2;
+  ck_assert_int_eq (crash_under_suspect (1500, 1450, adopts, refuses),
+                    MM_SUSPECT_ISOLATE);
+}
+END_TEST
+
+/* Guards against a poison task that runs a third time although an upstream
+   crashed right after its start, and against an adopted run, whose start is
+   not known, that is taken for one that has just started.  */
+START_TEST (own_start_decides_unless_it_is_not_known)
+{
+  ck_assert_int_eq (crash_under_suspect (20, 0, false, false),
+                    MM_SUSPECT_GIVE_UP);
+  ck_assert_int_eq (crash_under_suspect (20, 0, true, false),
+                    MM_SUSPECT_ISOLATE);
+}
+END_TEST
+
 /* Guards against a crash that counts for no task because the upstream changes
    owners before its loss is noticed.  If the next owner reaches the upstream,
    the task must not be suspect any more.  */
@@ -834,6 +1000,38 @@
 }
 END_TEST
 
+/* Guards against tasks that are suspect because a healthy upstream changed
+   owners.  The upstream does not answer for a while, and another owner has it
+   when it answers again.  */
+START_TEST (upstream_that_answers_as_fenced_is_not_lost)
+{
+  for (int renews = 0; renews < 2; renews++)
+    {
+      fixture fx = fixture_create ();
+      fake *x = fakes_add (fx.upstreams, "a", UPSTREAM_CPU_MILLI);
+      mm_owner_add_upstream (fx.owner, fake_info (x), 5);
+      fakes_run (fx.upstreams, fx.owner, 10);
+      mm_end how;
+      mm_task_id id = start_task (&fx, "innocent", false, &how);
+      fakes_run (fx.upstreams, fx.owner, 100);
+      fake_mode_of (x)->unresponsive = true;
+      fakes_run (fx.upstreams, fx.owner, 500);
+      fake_renew_foreign (x, 6);
+      fake_mode_of (x)->unresponsive = false;
+      fakes_run (fx.upstreams, fx.owner, 200);
+      ck_assert (mm_owner_fenced (fx.owner, "a"));
+      ck_assert (fake_is_running (x, &id));
+      if (renews)
+        mm_owner_add_upstream (fx.owner, fake_info (x), 7);
+      else
+        mm_owner_remove_upstream (fx.owner, "a");
+      ck_assert_uint_eq (mm_suspects_count (fx.suspects), 0);
+      ck_assert_int_eq (mm_suspects_decide (fx.suspects, &id), MM_SUSPECT_RUN);
+      fixture_destroy (&fx);
+    }
+}
+END_TEST
+
 /* A crash identifies the poison task only if no other task ran on that
    upstream.  So suspect tasks must run isolated: beside no other task while
    there is other free capacity.  */
@@ -1023,10 +1221,14 @@
   tcase_add_test (c, crashes_in_a_mass_loss_are_no_evidence);
   tcase_add_test (c, crashes_of_idle_upstreams_show_a_mass_loss);
   tcase_add_test (c, idle_upstreams_without_an_answer_are_no_mass_loss);
+  tcase_add_test (c, idle_upstreams_that_were_lost_before_are_no_mass_loss);
   tcase_add_test (c, crash_waits_for_news_of_other_crashes);
   tcase_add_test (c, task_does_not_run_after_three_crashes_in_mass_losses);
   tcase_add_test (
       c, task_that_ran_alone_only_before_it_was_suspect_is_not_given_up);
+  tcase_add_loop_test (
+      c, reports_of_crashes_in_any_order_give_the_same_evidence, 0, 4);
+  tcase_add_test (c, second_loss_of_an_upstream_counts_at_its_time);
   tcase_add_test (c, crash_long_after_the_start_does_not_decide);
   tcase_add_test (c, upstream_that_answered_can_be_lost_again);
   tcase_add_test (c, known_loss_is_not_reported_again);
@@ -1041,7 +1243,10 @@
   tcase_add_test (c, refused_start_makes_no_task_suspect);
   tcase_add_test (c, unanswered_starts_are_no_evidence);
   tcase_add_test (c, crash_just_after_a_failed_run_counts);
+  tcase_add_loop_test (c, start_of_another_task_does_not_decide, 0, 3);
+  tcase_add_test (c, own_start_decides_unless_it_is_not_known);
   tcase_add_test (c, crash_during_a_handover_counts);
+  tcase_add_test (c, upstream_that_answers_as_fenced_is_not_lost);
   tcase_add_test (c, suspect_runs_isolated);
   suite_add_tcase (s, c);
   c = tcase_create ("jobs");
