Suspects: the texts say which losses are considered, and who knows of them

Losses of a mass loss that are recorded later than MM_SUSPECTS_COINCIDE_MS after a crash do not excuse its task, and a crash without tasks is sent only to instances that link later: read in the code, not shown by a run.

--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -275,7 +275,7 @@
  *
  * Calls the callback of mm_suspects_on_changed() if this changes the record
  * and tasks ran there.  A crash without tasks only shows how many upstreams
- * were lost at a time.
+ * were lost at a time; other instances learn of it when a link to them opens.
  */
 void
 mm_suspects_record (mm_suspects *s, const mm_loss *from)
@@ -441,8 +441,9 @@
  * @s: the record of losses, or NULL.
  * @task: the task.
  *
- * A poison task is given up only after the time in which other losses may
- * still show that its last crash was part of a mass loss.
+ * A poison task is given up only MM_SUSPECTS_COINCIDE_MS after its last crash:
+ * until then other losses may show that the crash was part of a mass loss.
+ * Losses that are recorded later are not considered.
  *
  * Return: what may be done with the task now.
  */
