--- a/src/config.h
+++ b/src/config.h
@@ -214,9 +214,8 @@
    lost within this time.  */
 #define MM_SUSPECTS_CALM_MS 2000
 /* A crash within this time after a run failed may have been caused by its
-   task.  The end is
-   acknowledged after MM_ACK_DELAY_MS, which shows whether the upstream lives.
- */
+   task.  The end is acknowledged after MM_ACK_DELAY_MS, which shows whether
+   the upstream is alive.  */
 #define MM_SUSPECTS_AFTER_END_MS 400
 #define MM_SUSPECTS_MAX 512u       /* lost upstreams recorded at a time */
 #define MM_SUSPECTS_TASKS_MAX 64u  /* tasks remembered for each of them */
