Suspects: a restarted instance does not count losses anew

Cause, traced from its logs: losses have had numbers since, and a report with a number that is known, of an upstream that answers again, is taken for an old one. A loss that was over was not recorded by an instance that had none of the upstream. Node 0 had restarted, so it numbered its loss of up0 as 1, and the others, with a loss 1 of up0 that was over, ignored its report of the crash. Change: such a loss is recorded, with its number, until it expires where it was seen; for this a report states for how long its verdict has been known (one field more in LOSS). It is not passed on, as the others have it. Evidence: test_suspects crash_reported_after_a_restart_counts failed before; loss_that_is_over_expires_everywhere_at_the_same_time fails if the time of the verdict is not taken over (mutation). 59, 10 and 268 checks of test_suspects, test_mesh and test_owner pass.

--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -22,7 +22,7 @@
   RELEASED_FIELDS = 2,
   FOUND_FIELDS = 7,
   UPDATE_FIELDS = 3,
-  LOSS_FIELDS = 9,
+  LOSS_FIELDS = 10,
   CAPACITY_FIELDS = 6
 };
 
@@ -204,6 +204,8 @@
     msgpack_pack_uint64 (&pk, l->tasks[i]);
   msgpack_pack_uint64 (&pk, l->n_unconfirmed);
   msgpack_pack_int64 (&pk, l->after_start_ms);
+  msgpack_pack_int64 (&pk,
+                      l->verdict_ms ? mm_clock_now_ms () - l->verdict_ms : 0);
 }
 
 /* The functions read_run(), read_ended(), read_loss() and read_report() read
@@ -290,7 +292,7 @@
 read_loss (const msgpack_object *f, mm_loss *l)
 {
   uint32_t verdict;
-  int64_t unresponsive_for_ms;
+  int64_t unresponsive_for_ms, verdict_for_ms;
   uint32_t n_unconfirmed;
   if (!mm_mp_read_text (&f[1], false, (char **)&l->upstream)
       || !mm_mp_read_text (&f[2], false, (char **)&l->addr)
@@ -299,11 +301,13 @@
       || !mm_mp_read_u32 (&f[5], &l->occurrence) || l->occurrence == 0
       || !read_task_hashes (&f[6], l)
       || !mm_mp_read_u32 (&f[7], &n_unconfirmed) || n_unconfirmed > l->n_tasks
-      || !read_time (&f[8], &l->after_start_ms))
+      || !read_time (&f[8], &l->after_start_ms)
+      || !read_time (&f[9], &verdict_for_ms))
     return false;
   l->n_unconfirmed = n_unconfirmed;
   l->verdict = (mm_loss_verdict)verdict;
   l->unresponsive_since_ms = mm_clock_now_ms () - unresponsive_for_ms;
+  l->verdict_ms = mm_clock_now_ms () - verdict_for_ms;
   return true;
 }
 
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -70,12 +70,12 @@
      A change of the upstream list; sent_ms is by the sender's clock.
 
    - [LOSS, upstream, addr, verdict, unresponsive_for_ms, occurrence,
-      [task hash, ...], n_unconfirmed, after_start_ms]
+      [task hash, ...], n_unconfirmed, after_start_ms, verdict_for_ms]
 
      An upstream was lost while it ran these tasks.  The last n_unconfirmed of
-     them may not have run.  The message holds how long
-     the upstream was unresponsive, and not since when, as the clocks of two
-     instances differ.  */
+     them may not have run.  The message holds for how long the upstream was
+     unresponsive and the verdict known, and not since when, as the clocks of
+     two instances differ.  */
 #ifndef MM_MESH_MSG_H
 #define MM_MESH_MSG_H
 
--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -122,6 +122,7 @@
                     .unresponsive_since_ms = l->unresponsive_since_ms,
                     .after_start_ms = l->after_start_ms,
                     .occurrence = l->occurrence,
+                    .verdict_ms = l->verdict_ms,
                     .tasks = (const uint64_t *)(const void *)l->tasks->data,
                     .n_tasks = l->tasks->len,
                     .n_unconfirmed = l->n_unconfirmed };
@@ -220,12 +221,13 @@
   return changed;
 }
 
+/* @since_ms: when the verdict was known first, 0: now.  */
 static void
-set_verdict (loss *l, mm_loss_verdict v, const char *why)
+set_verdict (loss *l, mm_loss_verdict v, mm_time_ms since_ms, const char *why)
 {
   static const char *const names[] = { "open", "crashed", "alive" };
   l->verdict = v;
-  l->verdict_ms = mm_clock_now_ms ();
+  l->verdict_ms = since_ms ? since_ms : mm_clock_now_ms ();
   if (v == MM_LOSS_CRASHED)
     mm_metrics_count (MM_CT_UPSTREAM_CRASHES);
   mm_log_event (MM_EV_UPSTREAM_LOST, MM_TEXT (l->upstream), MM_TEXT (names[v]),
@@ -268,6 +270,25 @@
   return l->occurrence + (again ? 1 : 0);
 }
 
+static bool
+is_expired (mm_loss_verdict v, mm_time_ms verdict_ms)
+{
+  mm_time_ms keep_ms
+      = v == MM_LOSS_CRASHED ? MM_SUSPECTS_KEEP_MS : MM_SUSPECTS_OPEN_KEEP_MS;
+  return mm_clock_now_ms () - verdict_ms >= keep_ms;
+}
+
+/* Returns whether a loss of an upstream without one in the record is left out.
+   One that is over at another instance is recorded until it expires there: the
+   next loss of the upstream must have a higher number.  */
+static bool
+is_left_out (const mm_loss *from)
+{
+  return from->verdict == MM_LOSS_ALIVE
+         && (!from->occurrence || !from->verdict_ms
+             || is_expired (from->verdict, from->verdict_ms));
+}
+
 /**
  * mm_suspects_record() - record a lost upstream.
  * @s: the record of losses.
@@ -284,7 +305,7 @@
   /* Without tasks only a crash counts, whatever is recorded: an idle upstream
      is lost as soon as one hold gets no answer.  */
   bool silent = from->n_tasks == 0 && from->verdict == MM_LOSS_OPEN;
-  if (silent || (!l && from->verdict == MM_LOSS_ALIVE))
+  if (silent || (!l && is_left_out (from)))
     return;
   /* No recorded loss makes room: it would be news again when it is reported by
      an instance that still has it, and the reports would never cease.  */
@@ -318,11 +339,13 @@
   bool tasks_changed
       = l->verdict == MM_LOSS_ALIVE && !newer ? false : add_tasks (l, from);
   if (newer)
-    set_verdict (l, from->verdict, "noted");
+    set_verdict (l, from->verdict, from->verdict_ms, "noted");
   if (!newer && !tasks_changed)
     return;
   rebuild_hashes (s);
-  report_change (s, l);
+  /* A loss that is over everywhere else is news to no instance.  */
+  if (!is_new || l->verdict != MM_LOSS_ALIVE)
+    report_change (s, l);
 }
 
 static void
@@ -330,7 +353,7 @@
 {
   if (l->verdict == v)
     return;
-  set_verdict (l, v, why);
+  set_verdict (l, v, 0, why);
   report_change (s, l);
 }
 
@@ -518,27 +541,18 @@
     }
 }
 
-static bool
-is_expired (const loss *l, mm_time_ms now)
-{
-  mm_time_ms keep_ms = l->verdict == MM_LOSS_CRASHED
-                           ? MM_SUSPECTS_KEEP_MS
-                           : MM_SUSPECTS_OPEN_KEEP_MS;
-  return now - l->verdict_ms >= keep_ms;
-}
-
 void
 mm_suspects_tick (mm_suspects *s)
 {
-  mm_time_ms now = mm_clock_now_ms ();
   bool removed = false;
   GList *next;
   for (GList *node = s->losses->head; node; node = next)
     {
       next = node->next;
-      if (!is_expired (node->data, now))
+      loss *l = node->data;
+      if (!is_expired (l->verdict, l->verdict_ms))
         continue;
-      loss_free (node->data);
+      loss_free (l);
       g_queue_delete_link (s->losses, node);
       removed = true;
     }
--- a/src/mm_suspects.h
+++ b/src/mm_suspects.h
@@ -33,6 +33,7 @@
   /* How many times the upstream has been lost, this loss included; 0: as seen
      by this instance, which counts it.  */
   uint32_t occurrence;
+  mm_time_ms verdict_ms; /* when @verdict was known first; 0: now */
   const uint64_t *tasks; /* mm_task_hash() of the tasks that ran there */
   size_t n_tasks;
   /* The last ones of @tasks, which may not have run when the upstream was
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -373,6 +373,7 @@
                    .verdict = MM_LOSS_CRASHED,
                    .unresponsive_since_ms = mm_clock_now_ms () - 500,
                    .occurrence = 2,
+                   .verdict_ms = mm_clock_now_ms () - 300,
                    .tasks = task_hashes,
                    .n_tasks = 2,
                    .n_unconfirmed = 1,
@@ -409,7 +410,9 @@
             && m.loss.occurrence == 2 && m.loss.tasks[0] == task_hashes[0]
             && m.loss.tasks[1] == task_hashes[1] && m.loss.n_unconfirmed == 1
             && m.loss.after_start_ms == 5
-            && m.loss.unresponsive_since_ms >= loss.unresponsive_since_ms);
+            && m.loss.unresponsive_since_ms >= loss.unresponsive_since_ms
+            && m.loss.verdict_ms >= loss.verdict_ms
+            && m.loss.verdict_ms <= mm_clock_now_ms () - 300);
       if (kind == MM_MESH_REPORT)
         ck_assert (
             m.leaving && m.sent_ms == 77
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -608,6 +608,70 @@
 }
 END_TEST
 
+static void
+record_report (void *ctx, const mm_loss *l)
+{
+  mm_suspects_record (ctx, l);
+}
+
+static void
+count_report (void *ctx, const mm_loss *l)
+{
+  (void)l;
+  ++((loss_network *)ctx)->changes[0];
+}
+
+/* Guards against a crash that other instances take for an old loss, because
+   the instance that reports it has restarted and counts the losses of the
+   upstream anew.  */
+START_TEST (crash_reported_after_a_restart_counts)
+{
+  mm_suspects *stays = suspects_setup (), *restarted = mm_suspects_create ();
+  mm_task_id innocent = task ("innocent", 0), poison = task ("poison", 0);
+  record_loss (stays, 0, MM_LOSS_OPEN, &innocent, 1);
+  mm_suspects_alive (stays, "up0");
+  now_ms += 3000;
+  mm_suspects_foreach (stays, record_report, restarted);
+  now_ms += 3000;
+  record_loss (restarted, 0, MM_LOSS_CRASHED, &poison, 1);
+  mm_suspects_foreach (restarted, record_report, stays);
+  ck_assert_int_eq (mm_suspects_decide (stays, &poison), MM_SUSPECT_ISOLATE);
+  ck_assert_int_eq (mm_suspects_decide (stays, &innocent), MM_SUSPECT_RUN);
+  mm_suspects_destroy (restarted);
+  suspects_teardown (stays);
+}
+END_TEST
+
+/* Guards against losses that are over and are passed on for ever, by links
+   that open after one of two instances has dropped them.  */
+START_TEST (loss_that_is_over_expires_everywhere_at_the_same_time)
+{
+  mm_suspects *s[2] = { suspects_setup (), mm_suspects_create () };
+  mm_task_id id = task ("innocent", 0);
+  record_loss (s[0], 0, MM_LOSS_OPEN, &id, 1);
+  mm_suspects_alive (s[0], "up0");
+  loss_network n = { .random = NULL };
+  const mm_time_ms unlinked_ms = 10000;
+  now_ms += unlinked_ms;
+  for (mm_time_ms t = unlinked_ms; t <= MM_SUSPECTS_OPEN_KEEP_MS;
+       t += 1000, now_ms += 1000)
+    for (int to = 1; to >= 0; to--)
+      {
+        mm_suspects_tick (s[!to]);
+        mm_suspects_foreach (s[!to], record_report, s[to]);
+      }
+  now_ms -= 1000;
+  for (int i = 0; i < 2; i++)
+    {
+      mm_suspects_tick (s[i]);
+      mm_suspects_foreach (s[i], count_report, &n);
+    }
+  ck_assert_int_eq (n.changes[0], 0);
+  mm_suspects_destroy (s[1]);
+  suspects_teardown (s[0]);
+}
+END_TEST
+
 /* The record of losses must not grow without limit: at most MM_SUSPECTS_MAX
    losses are kept, and each for MM_SUSPECTS_KEEP_MS.  */
 START_TEST (losses_are_bounded_and_expire)
@@ -1233,6 +1297,8 @@
   tcase_add_test (c, upstream_that_answered_can_be_lost_again);
   tcase_add_test (c, known_loss_is_not_reported_again);
   tcase_add_loop_test (c, reports_of_a_loss_that_is_over_cease, 0, 20);
+  tcase_add_test (c, crash_reported_after_a_restart_counts);
+  tcase_add_test (c, loss_that_is_over_expires_everywhere_at_the_same_time);
   tcase_add_test (c, losses_are_bounded_and_expire);
   tcase_add_test (c, loss_beyond_the_bound_is_not_passed_on);
   suite_add_tcase (s, c);
