Logs: what tells a late upstream from a late instance

The log said neither when the order had left, nor whether the timeout was noticed in time, nor whether the upstream answered after all, so that its causes could not be told apart.

task_order_unanswered states took_ms, unsent_ms and overrun_ms. The new event task_order_late states when the answer came, and when the upstream gave it by its own clock. The stand-in upstream logs when it handled nothing for 15 ms or more, with the processor time that it used meanwhile: a process that did not run is told from one that was busy, and both from one that was not told of a request.

--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -202,6 +202,12 @@
     GError *error;     /* transport failure, or NULL */
     bool overdue;      /* still open after timeout_ms: done is called again */
     bool was_overdue;  /* ended after it was reported as overdue */
+    /* From the call until its body was passed to the connection, -1: it was
+       not, or there is none.  */
+    mm_time_ms unsent_ms;
+    /* Overdue calls: how long after timeout_ms that was noticed.  The process
+       handled no events for about this long.  */
+    mm_time_ms overrun_ms;
   } mm_http_result;
   /* Called with the result of a call, which is valid during the callback.  */
   typedef void (*mm_http_done) (const mm_http_result *res, void *ctx);
--- a/src/config.h
+++ b/src/config.h
@@ -474,7 +474,8 @@
 #define MM_RUN_TABLE_FAIL_MS 5  /* a task that fails runs this long */
 
 /* Runs under leases of the upstream stand-in (mm_run_server).  */
-#define MM_RUN_SERVER_TICK_MS 2        /* precision of ends and leases */
+#define MM_RUN_SERVER_TICK_MS 2   /* precision of ends and leases */
+#define MM_RUN_SERVER_STALL_MS 15 /* a longer time between ticks is logged */
 #define MM_RUN_SERVER_MAX_WAIT_MS 2000 /* longest wait of a hold */
 #define MM_SLOT_CPU_MILLI 1000         /* thousandths of a core per slot */
 
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -208,9 +208,18 @@
       "The owner sent the start of the task to an upstream. The list of "
       "upstreams was last known to be current view_ms ago." },
   [MM_EV_TASK_ORDER_UNANSWERED]
-  = { "task_order_unanswered", RATE_HIGH, "job task upstream run call",
-      "A start or stop of the task got no answer. The upstream may have "
-      "carried it out or may do so later." },
+  = { "task_order_unanswered", RATE_HIGH,
+      "job task upstream run call took_ms unsent_ms overrun_ms",
+      "A start or stop of the task got no answer within took_ms. The upstream "
+      "may have carried it out or may do so later. The order was sent after "
+      "unsent_ms (-1: it was not); the timeout was noticed overrun_ms late, "
+      "for which time this process handled no events." },
+  [MM_EV_TASK_ORDER_LATE]
+  = { "task_order_late", RATE_LOW,
+      "job task upstream run call took_ms unsent_ms answered_ms",
+      "The answer to a start or stop came after its timeout, took_ms after "
+      "the order, which was sent after unsent_ms. By its clock, the upstream "
+      "answered it answered_ms after the order." },
   [MM_EV_TASK_STARTED_DRAINING]
   = { "task_started_draining", RATE_HIGH,
       "job task upstream run verdict ordered_ms sent_ms",
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -112,12 +112,13 @@
 }
 
 static void
-record_unanswered (const mm_exec_run *r, const char *what)
+record_unanswered (const mm_exec_call *c, const mm_call_result *res)
 {
   mm_metrics_count (MM_CT_ORDERS_UNANSWERED);
-  mm_log_event (MM_EV_TASK_ORDER_UNANSWERED, MM_TASK (&r->id),
-                MM_TEXT (r->exec->info->name), MM_INT (r->number),
-                MM_TEXT (what));
+  mm_log_event (MM_EV_TASK_ORDER_UNANSWERED, MM_TASK (&c->task),
+                MM_TEXT (c->exec->info->name), MM_INT (c->number),
+                MM_TEXT (c->what), MM_INT (mm_clock_now_ms () - c->sent_ms),
+                MM_INT (res->unsent_ms), MM_INT (res->overrun_ms));
 }
 
 void
@@ -219,7 +220,7 @@
       mm_exec_on_replaced (x);
       break;
     default:
-      record_unanswered (r, "stop");
+      record_unanswered (c, res);
       mm_exec_become_suspect (x, "stop", res->verdict);
       /* A machine whose process has died refuses connections at once.
          Sending the stop again at the next tick avoids a busy loop.  */
@@ -245,7 +246,7 @@
                  .new_connection = new_connection,
                  .timeout_ms = mm_exec_timeout_ms (x) };
   x->port.stop (x->port.ctx, x->info, &o, on_stop_answer,
-                mm_exec_call_open (x, r));
+                mm_exec_call_open (x, r, "stop"));
 }
 
 static void send_start (mm_exec_run *r);
@@ -284,9 +285,11 @@
    ordered again with another number, or ends here because it does not exist.
  */
 static void
-on_start_verdict (mm_exec_run *r, mm_call_verdict v)
+on_start_verdict (const mm_exec_call *c, const mm_call_result *res)
 {
-  mm_exec *x = r->exec;
+  mm_exec *x = c->exec;
+  mm_exec_run *r = c->run;
+  mm_call_verdict v = res->verdict;
   switch (v)
     {
     case MM_CALL_OK:
@@ -318,7 +321,7 @@
          is reported once the upstream lists it or the run is certain not to
          exist.  */
       r->phase = RUN_IN_DOUBT;
-      record_unanswered (r, "start");
+      record_unanswered (c, res);
       mm_exec_become_suspect (x, "start", v);
       mm_exec_want_stop (r, false);
       mm_exec_send_stop (r, true);
@@ -390,7 +393,7 @@
       if (mm_exec_call_outdated (c, res->verdict))
         mm_exec_finish_run (r, MM_END_NOT_RUN, "fencing token raised");
       else
-        on_start_verdict (r, res->verdict);
+        on_start_verdict (c, res);
     }
   mm_exec_call_close (c, res->overdue);
 }
@@ -415,7 +418,7 @@
   r->start_in_flight = true;
   r->sent_ms = x->start_sent_ms = mm_clock_now_ms ();
   x->port.start (x->port.ctx, x->info, &o, on_start_answer,
-                 mm_exec_call_open (x, r));
+                 mm_exec_call_open (x, r, "start"));
 }
 
 /* Returns the age of the upstream list on which starts are decided, -1 when
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -36,6 +36,9 @@
   mm_time_ms clock_ms; /* the upstream's clock, -1: not in the answer */
   bool overdue;        /* no answer yet: the callback is called once more */
   bool was_overdue; /* this is the second callback, after one with @overdue */
+  mm_time_ms unsent_ms;  /* from the call until it was sent, -1: it was not */
+  mm_time_ms overrun_ms; /* how late this process noticed that the answer is
+                            overdue */
 } mm_call_result;
 
 /* A running task in the answer to a hold.  */
--- a/src/mm_exec_call.c
+++ b/src/mm_exec_call.c
@@ -3,6 +3,7 @@
 #include "mm_exec_priv.h"
 
 #include "config.h"
+#include "mm_event.h"
 #include "mm_metrics.h"
 
 mm_time_ms
@@ -33,11 +34,17 @@
 }
 
 mm_exec_call *
-mm_exec_call_open (mm_exec *x, mm_exec_run *r)
+mm_exec_call_open (mm_exec *x, mm_exec_run *r, const char *what)
 {
   mm_exec_call *c = g_new0 (mm_exec_call, 1);
   c->exec = x;
+  c->what = what;
   c->run = r;
+  if (r)
+    {
+      c->task = r->id;
+      c->number = r->number;
+    }
   c->sent_event = ++x->last_event;
   c->fence = x->fence;
   c->sent_ms = mm_clock_now_ms ();
@@ -76,6 +83,20 @@
   return v != MM_CALL_NO_ANSWER && v != MM_CALL_NOT_SENT;
 }
 
+/* Logs an order that was answered after its timeout.  The times tell whether
+   the upstream, the link or this process was slow.  */
+static void
+log_late (const mm_exec_call *c, const mm_call_result *res, mm_time_ms now)
+{
+  const mm_exec *x = c->exec;
+  mm_time_ms answered_ms
+      = res->clock_ms - mm_exec_clock_offset_ms (x, now) - c->sent_ms;
+  mm_log_event (MM_EV_TASK_ORDER_LATE, MM_TASK (&c->task),
+                MM_TEXT (x->info->name), MM_INT (c->number), MM_TEXT (c->what),
+                MM_INT (now - c->sent_ms), MM_INT (res->unsent_ms),
+                MM_INT (answered_ms));
+}
+
 void
 mm_exec_call_late (mm_exec_call *c, const mm_call_result *res)
 {
@@ -85,6 +106,8 @@
       mm_time_ms now = mm_clock_now_ms ();
       mm_time_ms took_ms = now - c->sent_ms - c->wait_ms;
       mm_metrics_count (MM_CT_ANSWERS_LATE);
+      if (c->run)
+        log_late (c, res, now);
       mm_rto_late (&x->rto, took_ms);
       mm_rto_floor_late (&x->common->floor, x, took_ms, now);
       mm_exec_update_clock (x, res);
--- a/src/mm_exec_hold.c
+++ b/src/mm_exec_hold.c
@@ -145,7 +145,7 @@
     h.deadline_ms = mm_exec_lease_deadline (x);
   x->holds_in_flight++;
   mm_metrics_count (MM_CT_HOLDS);
-  mm_exec_call *c = mm_exec_call_open (x, NULL);
+  mm_exec_call *c = mm_exec_call_open (x, NULL, "hold");
   c->acked_seq = h.acked_seq;
   c->wait_ms = wait_ms;
   x->hold_sent_ms = mm_clock_now_ms ();
--- a/src/mm_exec_http.c
+++ b/src/mm_exec_http.c
@@ -45,7 +45,9 @@
   mm_call_result r = { .verdict = read_verdict (wire, res, body),
                        .clock_ms = -1,
                        .overdue = res->overdue,
-                       .was_overdue = res->was_overdue };
+                       .was_overdue = res->was_overdue,
+                       .unsent_ms = res->unsent_ms,
+                       .overrun_ms = res->overrun_ms };
   if (cJSON_IsNumber (clock))
     r.clock_ms = (mm_time_ms)clock->valuedouble;
   return r;
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -109,7 +109,11 @@
 typedef struct
 {
   mm_exec *exec;
-  mm_exec_run *run;    /* NULL for a hold */
+  const char *what;    /* name of the call in logs */
+  mm_exec_run *run;    /* NULL for a hold; may be freed once this call is
+                          overdue */
+  mm_task_id task;     /* copied from @run */
+  uint32_t number;     /* copied from @run */
   uint64_t sent_event; /* event number at which it was sent */
   uint64_t fence;      /* fencing token that it carries */
   uint64_t acked_seq;  /* ends that a hold acknowledged: up to this number */
@@ -160,8 +164,9 @@
 void mm_exec_send_hold (mm_exec *x, mm_time_ms wait_ms, bool renew);
 
 /* mm_exec_call.c */
-/* Creates the record of a call that is sent now.  @r: NULL for a hold.  */
-mm_exec_call *mm_exec_call_open (mm_exec *x, mm_exec_run *r);
+/* Creates the record of a call that is sent now.  @r: NULL for a hold.  @what:
+   the call, for the log; not copied.  */
+mm_exec_call *mm_exec_call_open (mm_exec *x, mm_exec_run *r, const char *what);
 /* Frees a call.  A call that timed out (@overdue) stays open for a while
    instead: its callback is called once more, with the late answer or without
    any.  */
--- a/src/mm_http_client.c
+++ b/src/mm_http_client.c
@@ -21,8 +21,9 @@
 typedef struct
 {
   const char *data;
-  size_t len_bytes;  /* length of @data */
-  size_t sent_bytes; /* bytes of @data that were passed to curl */
+  size_t len_bytes;   /* length of @data */
+  size_t sent_bytes;  /* bytes of @data that were passed to curl */
+  mm_time_ms sent_ms; /* when all of them were, valid if so */
 } body_cursor;
 
 /* A call that has not ended.  */
@@ -34,6 +35,8 @@
   GString *answer;        /* body of the answer, as far as received */
   char *body;             /* body of the request */
   body_cursor cursor;     /* reads @body */
+  mm_time_ms created_ms;  /* when the call was made */
+  mm_time_ms timeout_ms;  /* when it becomes overdue, from created_ms on */
   ev_timer overdue_timer; /* started if the call may become overdue */
   bool overdue;           /* @done was called because the answer is overdue */
   mm_http_done done;
@@ -47,6 +50,16 @@
   mm_http_client *client;
 } socket_watch;
 
+/* Returns how long after the call its body was passed to the connection, -1 if
+   it was not, or there is none.  */
+static mm_time_ms
+unsent_ms (const call *c)
+{
+  bool sent
+      = c->cursor.len_bytes && c->cursor.sent_bytes == c->cursor.len_bytes;
+  return sent ? c->cursor.sent_ms - c->created_ms : -1;
+}
+
 /* Reports a call as timed out but leaves it open.  The caller continues
    without the answer; an answer that still comes is reported as late, which
    shows how long answers take.  */
@@ -55,7 +68,12 @@
 {
   call *c = w->data;
   c->overdue = true;
-  mm_http_result res = { .overdue = true, .sent = true, .body = "" };
+  mm_http_result res
+      = { .overdue = true,
+          .sent = true,
+          .body = "",
+          .unsent_ms = unsent_ms (c),
+          .overrun_ms = mm_clock_now_ms () - c->created_ms - c->timeout_ms };
   res.error
       = g_error_new_literal (MM_ERROR, MM_ERROR_TIMEOUT, "no answer in time");
   c->done (&res, c->ctx);
@@ -80,7 +98,8 @@
 static void
 finish_call (call *c, CURLcode code)
 {
-  mm_http_result res = { .was_overdue = c->overdue };
+  mm_http_result res
+      = { .was_overdue = c->overdue, .unsent_ms = unsent_ms (c) };
   ev_timer_stop (c->client->loop, &c->overdue_timer);
   curl_easy_getinfo (c->easy, CURLINFO_RESPONSE_CODE, &res.status);
   res.sent = was_sent (c, code);
@@ -278,6 +297,7 @@
   size_t take = MIN (left, size * n);
   memcpy (buf, position->data + position->sent_bytes, take);
   position->sent_bytes += take;
+  position->sent_ms = mm_clock_now_ms ();
   return take;
 }
 
@@ -345,6 +365,8 @@
 {
   call *new_call = g_new0 (call, 1);
   new_call->client = c;
+  new_call->created_ms = mm_clock_now_ms ();
+  new_call->timeout_ms = spec->timeout_ms;
   new_call->answer = g_string_new (NULL);
   size_t len_bytes = spec->body_bytes;
   if (!len_bytes && spec->body)
--- a/src/mm_run_server.c
+++ b/src/mm_run_server.c
@@ -21,6 +21,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 /* Header with the name of the incarnation that a caller addresses.  */
@@ -75,10 +76,21 @@
   mm_run_server_poison poison;
   mm_time_ms crash_at_ms;  /* 0: no crash is due */
   GArray *past_capacities; /* past_capacity */
+  mm_time_ms last_tick_ms;
+  int64_t last_tick_cpu_us; /* processor time that the process had used */
 };
 
 static void tick_cb (struct ev_loop *loop, ev_timer *w, int revents);
 
+/* Returns the processor time that this process has used.  */
+static int64_t
+cpu_time_us (void)
+{
+  struct timespec ts;
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &ts);
+  return (int64_t)ts.tv_sec * G_USEC_PER_SEC + ts.tv_nsec / 1000;
+}
+
 /**
  * mm_run_server_create() - start the run server of an upstream stand-in.
  * @loop: event loop.
@@ -102,6 +114,8 @@
   s->capacity = *capacity;
   s->table = mm_run_table_create (capacity, false, MM_LEASE_MS);
   s->past_capacities = g_array_new (FALSE, FALSE, sizeof (past_capacity));
+  s->last_tick_ms = mm_clock_now_ms ();
+  s->last_tick_cpu_us = cpu_time_us ();
   s->log_fd = -1;
   if (*log_file)
     s->log_fd
@@ -507,6 +521,21 @@
     }
 }
 
+/* Logs that no call was handled for a while.  The processor time used
+   meanwhile tells a process that did not run from one that was busy.  */
+static void
+log_stall (mm_run_server *s, mm_time_ms now)
+{
+  int64_t cpu_us = cpu_time_us ();
+  mm_time_ms stalled_ms = now - s->last_tick_ms;
+  if (stalled_ms >= MM_RUN_SERVER_STALL_MS)
+    g_message ("stalled for %" G_GINT64_FORMAT " ms until %" G_GINT64_FORMAT
+               ", used %" G_GINT64_FORMAT " us of processor time",
+               stalled_ms, now, cpu_us - s->last_tick_cpu_us);
+  s->last_tick_ms = now;
+  s->last_tick_cpu_us = cpu_us;
+}
+
 /* Carries out what has become due: late starts, ends of runs, a crash, and the
    answers to waiting holds.  No hold is answered after a crash.  */
 static void
@@ -514,6 +543,7 @@
 {
   mm_run_server *s = w->data;
   mm_time_ms now = mm_clock_now_ms ();
+  log_stall (s, now);
   update_counted_capacity (s, now);
   run_late_starts (s, now);
   mm_run_table_step (s->table, now);
