HTTP client: the time in which the process handled no events is no silence

Cause: a call's timeout was a libev timer that counted from the loop's cached time and was reported as soon as it expired. After a stall of the instance (off the processor, or one long callback) three things went wrong: - a call made right after it was overdue in the millisecond in which it was sent, as the cached time was as old as the stall was long; - the timer and the socket were ready in one round of the loop, the timer was handled first, and the answer lay unread; - a request that had not left yet counted as unanswered.

Change: when its timer expires, a call is reported as overdue only if its timeout has passed on the current clock, counted from when its request was sent, and if sockets were polled after that; watchers of sockets are handled before such timers. Calls that are answered in time cost no more than before; one that is overdue costs one more round of the loop.

Tests: test_http answer_that_came_during_a_stall_is_not_overdue, call_after_a_long_callback_has_its_whole_timeout and time_before_a_request_is_sent_does_not_count; all three failed before.

--- a/include/masticmill.h
+++ b/include/masticmill.h
@@ -205,8 +205,8 @@
     /* From the call until its body was passed to the connection, -1: it was
        not, or there is none.  */
     mm_time_ms unsent_ms;
-    /* Overdue calls: how long after timeout_ms that was noticed.  The process
-       handled no events for about this long.  */
+    /* Overdue calls: how long after their timeout that was noticed.  The
+       process handled no events for about this long.  */
     mm_time_ms overrun_ms;
   } mm_http_result;
   /* Called with the result of a call, which is valid during the callback.  */
--- a/src/mm_http_client.c
+++ b/src/mm_http_client.c
@@ -8,6 +8,9 @@
 #include <curl/curl.h>
 #include <string.h>
 
+#define OVERDUE_PRIORITY                                                      \
+  (-1) /* of the libev watchers, below that of sockets */
+
 struct mm_http_client
 {
   struct ev_loop *loop;
@@ -38,6 +41,7 @@
   mm_time_ms created_ms;  /* when the call was made */
   mm_time_ms timeout_ms;  /* when it becomes overdue, from created_ms on */
   ev_timer overdue_timer; /* started if the call may become overdue */
+  bool polled;            /* sockets were polled after the call's timeout */
   bool overdue;           /* @done was called because the answer is overdue */
   mm_http_done done;
   void *ctx; /* argument of @done */
@@ -60,20 +64,46 @@
   return sent ? c->cursor.sent_ms - c->created_ms : -1;
 }
 
+/* Returns when the timeout of a call ends.  The time in which this process had
+   not sent the request yet does not count.  */
+static mm_time_ms
+timeout_end_ms (const call *c)
+{
+  return c->created_ms + MAX (unsent_ms (c), 0) + c->timeout_ms;
+}
+
+static void
+start_overdue_timer (call *c, mm_time_ms after_ms)
+{
+  ev_timer_set (&c->overdue_timer, (double)after_ms / 1000., 0.);
+  ev_timer_start (c->client->loop, &c->overdue_timer);
+}
+
 /* Reports a call as timed out but leaves it open.  The caller continues
    without the answer; an answer that still comes is reported as late, which
-   shows how long answers take.  */
+   shows how long answers take.
+
+   While this process handles no events, answers stay unread.  A call is
+   therefore reported only after a poll that began after its timeout.  The
+   timer may also expire early: it counts from the loop's cached time, which is
+   older than the call after a long callback.  */
 static void
 overdue_cb (struct ev_loop *loop, ev_timer *w, int revents)
 {
   call *c = w->data;
+  mm_time_ms overrun_ms = mm_clock_now_ms () - timeout_end_ms (c);
+  if (overrun_ms < 0 || !c->polled)
+    {
+      c->polled = overrun_ms >= 0;
+      start_overdue_timer (c, MAX (-overrun_ms, 0));
+      return;
+    }
   c->overdue = true;
-  mm_http_result res
-      = { .overdue = true,
-          .sent = true,
-          .body = "",
-          .unsent_ms = unsent_ms (c),
-          .overrun_ms = mm_clock_now_ms () - c->created_ms - c->timeout_ms };
+  mm_http_result res = { .overdue = true,
+                         .sent = true,
+                         .body = "",
+                         .unsent_ms = unsent_ms (c),
+                         .overrun_ms = overrun_ms };
   res.error
       = g_error_new_literal (MM_ERROR, MM_ERROR_TIMEOUT, "no answer in time");
   c->done (&res, c->ctx);
@@ -389,11 +419,12 @@
     limit_connection_age (new_call->easy, spec->opened_since_ms);
   curl_easy_setopt (new_call->easy, CURLOPT_HTTPHEADER, new_call->headers);
   curl_easy_setopt (new_call->easy, CURLOPT_PRIVATE, new_call);
-  ev_timer_init (&new_call->overdue_timer, overdue_cb,
-                 (double)spec->timeout_ms / 1000., 0.);
+  ev_init (&new_call->overdue_timer, overdue_cb);
   new_call->overdue_timer.data = new_call;
+  /* Sockets that are ready at the same time are read first.  */
+  ev_set_priority (&new_call->overdue_timer, OVERDUE_PRIORITY);
   if (spec->keep_overdue_ms > 0)
-    ev_timer_start (c->loop, &new_call->overdue_timer);
+    start_overdue_timer (new_call, spec->timeout_ms);
   c->in_flight++;
   curl_multi_add_handle (c->multi, new_call->easy);
 }
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -70,23 +70,38 @@
   return NULL;
 }
 
-/* Starts the server on any free port; it runs until the process exits.  */
-static void
-closing_server_start (closing_server *s)
+/* Returns a socket that listens on any free port, and the port.  */
+static int
+listen_on_any_port (uint16_t *port)
 {
   struct sockaddr_in a = { .sin_family = AF_INET };
   socklen_t len = sizeof a;
   inet_pton (AF_INET, "127.0.0.1", &a.sin_addr);
-  s->listen_fd = socket (AF_INET, SOCK_STREAM, 0);
-  ck_assert_int_eq (bind (s->listen_fd, (struct sockaddr *)&a, sizeof a), 0);
-  ck_assert_int_eq (listen (s->listen_fd, 16), 0);
-  getsockname (s->listen_fd, (struct sockaddr *)&a, &len);
-  s->port = ntohs (a.sin_port);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&a, sizeof a), 0);
+  ck_assert_int_eq (listen (fd, 16), 0);
+  getsockname (fd, (struct sockaddr *)&a, &len);
+  *port = ntohs (a.sin_port);
+  return fd;
+}
+
+/* Starts a thread that runs until it returns or the process exits.  */
+static void
+start_thread (void *(*run) (void *), void *data)
+{
   pthread_t t;
-  pthread_create (&t, NULL, serve, s);
+  pthread_create (&t, NULL, run, data);
   pthread_detach (t);
 }
 
+/* Starts the server on any free port; it runs until the process exits.  */
+static void
+closing_server_start (closing_server *s)
+{
+  s->listen_fd = listen_on_any_port (&s->port);
+  start_thread (serve, s);
+}
+
 /* Result of a call of the client, as in mm_http_result.  */
 typedef struct
 {
@@ -104,6 +119,205 @@
   ev_break (result->loop, EVBREAK_ALL);
 }
 
+/* ---- a process that handles no events for a while ---------------------- */
+
+#define TIMEOUT_MS 300 /* of a call */
+#define STALL_MS 400   /* for this long the process handles no events */
+
+/* A server with one thread and one connection that answers when it is told
+   to.  */
+typedef struct
+{
+  int listen_fd;
+  uint16_t port;
+  gint received;   /* set by the server (atomic) */
+  gint may_answer; /* set by the test (atomic) */
+  gint answered;   /* set by the server (atomic) */
+} waiting_server;
+
+/* A call to a waiting server, and what the client reported.  */
+typedef struct
+{
+  struct ev_loop *loop; /* ended when the call ends */
+  mm_http_client *client;
+  waiting_server server;
+  mm_time_ms called_ms;
+  mm_time_ms overdue_ms; /* when it was reported as overdue, 0: it was not */
+  mm_time_ms unsent_ms;  /* as reported then */
+  mm_time_ms overrun_ms; /* as reported then */
+  long status;
+} stall_test;
+
+/* Thread of the server.  */
+static void *
+serve_when_told (void *data)
+{
+  waiting_server *s = data;
+  static const char ok[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  int fd = accept (s->listen_fd, NULL, NULL);
+  while (fd >= 0 && read_request (fd))
+    {
+      g_atomic_int_set (&s->received, 1);
+      while (!g_atomic_int_get (&s->may_answer))
+        g_usleep (1000);
+      if (write (fd, ok, sizeof ok - 1) < 0)
+        break;
+      g_atomic_int_set (&s->answered, 1);
+    }
+  return NULL;
+}
+
+static void
+stall_test_begin (stall_test *t)
+{
+  *t = (stall_test){ .loop = ev_loop_new (0) };
+  t->client = mm_http_client_create (t->loop, 4);
+  t->server.listen_fd = listen_on_any_port (&t->server.port);
+  start_thread (serve_when_told, &t->server);
+}
+
+static void
+stall_test_end (stall_test *t)
+{
+  mm_http_client_destroy (t->client);
+  ev_loop_destroy (t->loop);
+}
+
+static void
+stall_done (const mm_http_result *res, void *ctx)
+{
+  stall_test *t = ctx;
+  if (res->overdue)
+    {
+      t->overdue_ms = mm_clock_now_ms ();
+      t->unsent_ms = res->unsent_ms;
+      t->overrun_ms = res->overrun_ms;
+      g_atomic_int_set (&t->server.may_answer, 1);
+      return;
+    }
+  t->status = res->status;
+  ev_break (t->loop, EVBREAK_ALL);
+}
+
+static void
+stall_call (stall_test *t)
+{
+  char url[64];
+  g_snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/runs", t->server.port);
+  mm_http_call spec = { .method = "POST",
+                        .url = url,
+                        .body = "{\"task\":1}",
+                        .timeout_ms = TIMEOUT_MS,
+                        .keep_overdue_ms = 5000 };
+  t->called_ms = mm_clock_now_ms ();
+  mm_http_client_send (t->client, &spec, stall_done, t);
+}
+
+/* Makes a call that is answered at once, so that the next one finds an open
+   connection.  A timer of curl for new connections would otherwise read the
+   answer that the next call is about.  */
+static void
+open_connection (stall_test *t)
+{
+  g_atomic_int_set (&t->server.may_answer, 1);
+  stall_call (t);
+  ev_run (t->loop, 0);
+  g_atomic_int_set (&t->server.may_answer, 0);
+  g_atomic_int_set (&t->server.received, 0);
+  g_atomic_int_set (&t->server.answered, 0);
+  t->overdue_ms = 0;
+}
+
+/* Runs @cb once from the loop, @after_ms from now.  */
+static void
+run_after (stall_test *t, ev_timer *w, mm_time_ms after_ms,
+           void (*cb) (struct ev_loop *, ev_timer *, int))
+{
+  ev_timer_init (w, cb, (double)after_ms / 1000., 0.);
+  w->data = t;
+  ev_timer_start (t->loop, w);
+}
+
+/* Handles no events from when the server has the request until it has answered
+   and the timeout is over.  */
+static void
+stall_until_answered_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  stall_test *t = w->data;
+  if (!g_atomic_int_get (&t->server.received))
+    {
+      run_after (t, w, 1, stall_until_answered_cb);
+      return;
+    }
+  g_atomic_int_set (&t->server.may_answer, 1);
+  while (!g_atomic_int_get (&t->server.answered))
+    g_usleep (1000);
+  g_usleep (STALL_MS * 1000);
+}
+
+/* Guards against a start that is given up although its answer lies in the
+   socket: the process did not read it while it handled no events.  */
+START_TEST (answer_that_came_during_a_stall_is_not_overdue)
+{
+  stall_test t;
+  ev_timer stall;
+  stall_test_begin (&t);
+  open_connection (&t);
+  stall_call (&t);
+  run_after (&t, &stall, 1, stall_until_answered_cb);
+  ev_run (t.loop, 0);
+  ck_assert_int_eq (t.status, 200);
+  ck_assert_int_eq (t.overdue_ms, 0);
+  stall_test_end (&t);
+}
+END_TEST
+
+static void
+call_after_a_stall_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  g_usleep (STALL_MS * 1000);
+  stall_call (w->data);
+}
+
+/* Guards against a start that is given up in the moment in which it is sent:
+   the loop's cached time was older than the call by a long callback.  */
+START_TEST (call_after_a_long_callback_has_its_whole_timeout)
+{
+  stall_test t;
+  ev_timer stall;
+  stall_test_begin (&t);
+  run_after (&t, &stall, 1, call_after_a_stall_cb);
+  ev_run (t.loop, 0);
+  ck_assert_int_eq (t.status, 200);
+  ck_assert_int_ge (t.overdue_ms, t.called_ms + TIMEOUT_MS);
+  ck_assert_int_ge (t.overrun_ms, 0);
+  stall_test_end (&t);
+}
+END_TEST
+
+static void
+call_before_a_stall_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  stall_call (w->data);
+  g_usleep (STALL_MS * 1000);
+}
+
+/* Guards against a start that is given up before it was sent, or right after:
+   only the time in which the upstream could answer counts.  */
+START_TEST (time_before_a_request_is_sent_does_not_count)
+{
+  stall_test t;
+  ev_timer stall;
+  stall_test_begin (&t);
+  run_after (&t, &stall, 1, call_before_a_stall_cb);
+  ev_run (t.loop, 0);
+  ck_assert_int_eq (t.status, 200);
+  ck_assert_int_ge (t.unsent_ms, STALL_MS);
+  ck_assert_int_ge (t.overdue_ms, t.called_ms + t.unsent_ms + TIMEOUT_MS);
+  stall_test_end (&t);
+}
+END_TEST
+
 /* Guards against a task that starts twice although the client sent it once.
    An upstream closes a reused connection right after it has accepted a task,
    and libcurl sends such a request again on a new connection.  The upstream
@@ -173,6 +387,9 @@
   tcase_set_timeout (tc, 30);
   tcase_add_test (tc, request_on_a_closing_reused_connection_is_sent_once);
   tcase_add_test (tc, request_before_a_refused_connection_counts_as_sent);
+  tcase_add_test (tc, answer_that_came_during_a_stall_is_not_overdue);
+  tcase_add_test (tc, call_after_a_long_callback_has_its_whole_timeout);
+  tcase_add_test (tc, time_before_a_request_is_sent_does_not_count);
   suite_add_tcase (s, tc);
   return h_run_suite (s);
 }
