Sessions ask a late upstream for its runs before they stop one

What callers saw: tasks ran twice, one run after the other (49 runs of 45 tasks, test_node_start), and their callers waited for the second run; a job that must run once was answered as failed (test_late_start, processes).

Cause: a start without an answer for 30 ms was followed by a stop on another connection. An upstream that was only late (off the processor for 40 ms, say) handled both at one moment: it started the run, answered the start, and stopped the run. The remedy cost a healthy run and the time of a second one.

Evidence: task_order_unanswered and task_order_late in runs with one upstream stopped for 40 ms: all 30 starts given up had left at once, the timeout was noticed in time, and the upstream answered them after 40 ms by its own clock; in its log it was stalled for 40 ms and used 58 us.

Change: the upstream is asked which runs it has (a hold without a wait, on a new connection). - It lists the run: the run goes on, its lease is renewed like any other. - It does not: the start is lost or has not arrived. The same order is sent once more. A run starts at most once, whichever order arrives first; and a lost start is made up for two round trips earlier than by a stop, a list and a new start. Sent only where the task may still start: not to a draining or fenced upstream, not beyond a smaller capacity, not under a short lease. - That gets no answer either and the run is not listed: it is stopped as before. The refusal of a second order says nothing about the first: the task is never reported as not run for it. Progress is counted from when a run is first seen, so that one that starts late is not taken for a stalled one.

--- a/src/config.h
+++ b/src/config.h
@@ -147,9 +147,9 @@
 /* Delay after which ends of an idle upstream are acknowledged.  */
 #define MM_ACK_DELAY_MS 300
 /* Bounds of the timeout of a call to an upstream.  An answer takes about
-   2 ms.  A start that is not answered in time is stopped and its task placed
-   elsewhere, early enough to be of use to its caller.  The minimum allows for
-   delays of some 20 ms in this process.  */
+   2 ms.  After the timeout of a start, the upstream is asked whether the task
+   runs, early enough for another start to be of use to its caller.  The
+   minimum allows for delays of some 20 ms.  */
 #define MM_RTO_MIN_MS 30
 #define MM_RTO_MAX_MS 100
 /* The longest timeout after late answers.  A caller that waits for one of
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -220,6 +220,11 @@
       "The answer to a start or stop came after its timeout, took_ms after "
       "the order, which was sent after unsent_ms. By its clock, the upstream "
       "answered it answered_ms after the order." },
+  [MM_EV_TASK_START_RESOLVED]
+  = { "task_start_resolved", RATE_HIGH, "job task upstream run how after_ms",
+      "What became of a start that got no answer, after_ms after it was "
+      "ordered: the upstream lists the run (it runs), does not list it (it is "
+      "sent again, once), or leaves that open (it is stopped)." },
   [MM_EV_TASK_STARTED_DRAINING]
   = { "task_started_draining", RATE_HIGH,
       "job task upstream run verdict ordered_ms sent_ms",
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -1,10 +1,16 @@
 /* mm_exec: one upstream's runs, leases, unanswered orders and capacity.
 
+   A start order without an answer may have been carried out, may be carried
+   out seconds later, or is lost.  The upstream is asked which runs it has. One
+   that was only late lists the run, which goes on.  Otherwise the same order
+   is sent again: the upstream starts a run at most once, whichever order
+   arrives first.  If that order gets no answer either, the run is stopped and
+   its task returned.
+
    A run uses capacity from its start order until the upstream lists its end,
-   or until it is certain that the run neither exists nor will start: an order
-   without an answer may be carried out seconds later, and the upstream starts
-   the task whether it fits or not.  A run is certain not to exist or start
-   when
+   or until it is certain that the run neither exists nor will start: the
+   upstream starts the task whether it fits or not.  A run is certain not to
+   exist or start when
    - a stop of the run was answered and a later hold does not list the run
      (the upstream rejects the start of a run that was stopped before), or
    - the deadline of the start order has passed on the upstream's clock.  */
@@ -251,12 +257,23 @@
 
 static void send_start (mm_exec_run *r);
 
+void
+mm_exec_log_resolved (const mm_exec_run *r, const char *how)
+{
+  mm_log_event (MM_EV_TASK_START_RESOLVED, MM_TASK (&r->id),
+                MM_TEXT (r->exec->info->name), MM_INT (r->number),
+                MM_TEXT (how), MM_INT (mm_clock_now_ms () - r->ordered_ms));
+}
+
 void
 mm_exec_set_running (mm_exec_run *r)
 {
   r->phase = RUN_RUNNING;
-  if (!r->running_event)
-    r->running_event = ++r->exec->last_event;
+  if (r->running_event)
+    return;
+  r->running_event = ++r->exec->last_event;
+  /* The run may have started only now, long after its order.  */
+  r->progress_ms = mm_clock_now_ms ();
 }
 
 /* Notifies the owner once more if the session is fenced.  A start that was
@@ -281,6 +298,61 @@
          && mm_resources_fit (&(mm_resources){ 0 }, &free_capacity);
 }
 
+/* Stops a run whose start may have been carried out.  */
+static void
+stop_in_doubt (mm_exec_run *r)
+{
+  mm_exec_log_resolved (r, "it is stopped");
+  mm_exec_want_stop (r, false);
+  mm_exec_send_stop (r, true);
+}
+
+void
+mm_exec_resolve_unlisted (mm_exec_run *r)
+{
+  if (r->sent_again || !r->work || !may_send_again (r->exec))
+    {
+      stop_in_doubt (r);
+      return;
+    }
+  mm_exec_log_resolved (r, "it is sent again");
+  r->sent_again = true;
+  send_start (r);
+}
+
+/* Asks which runs the upstream has.  One query is enough for all starts that
+   are given up at the same time.  */
+static void
+query_run (mm_exec_run *r)
+{
+  mm_exec *x = r->exec;
+  r->in_doubt_ms = mm_clock_now_ms ();
+  if (x->query_sent_ms < r->in_doubt_ms)
+    mm_exec_send_hold (x, 0, false);
+}
+
+/* Processes the refusal of a start that was sent again.  It does not tell
+   whether the first order was carried out, or will be, so the task must not be
+   reported as not run.  */
+static void
+on_second_start_refused (const mm_exec_call *c, mm_call_verdict v)
+{
+  mm_exec *x = c->exec;
+  if (v == MM_CALL_GONE)
+    mm_exec_on_replaced (x);
+  else if (x->fenced)
+    notify_if_fenced (x);
+  else if (v == MM_CALL_FENCED && !mm_exec_call_outdated (c, v))
+    mm_exec_become_fenced (x, NULL);
+  else
+    {
+      if (v == MM_CALL_REFUSED)
+        x->ev.upstream_unhealthy (x->ev.ctx, x);
+      mm_exec_become_suspect (x, "start", v);
+      stop_in_doubt (c->run);
+    }
+}
+
 /* Processes the verdict on a start order.  The run is running, in doubt,
    ordered again with another number, or ends here because it does not exist.
  */
@@ -314,17 +386,18 @@
       /* A run with this number or a higher one has ended there.  Doubling
          finds an unused number within a few attempts.  */
       r->number *= 2;
+      r->sent_again = false;
       send_start (r);
       break;
     case MM_CALL_NO_ANSWER:
-      /* The order may still be carried out.  The run is stopped, and its end
-         is reported once the upstream lists it or the run is certain not to
-         exist.  */
-      r->phase = RUN_IN_DOUBT;
+      /* Stopping the run now would end a run that the upstream has started
+         and only answers late.  */
       record_unanswered (c, res);
       mm_exec_become_suspect (x, "start", v);
-      mm_exec_want_stop (r, false);
-      mm_exec_send_stop (r, true);
+      if (r->stop_wanted)
+        mm_exec_send_stop (r, true);
+      else
+        query_run (r);
       notify_if_fenced (x);
       break;
     case MM_CALL_FENCED:
@@ -390,7 +463,10 @@
          find the run as RUN_ORDERED, which counts as a start without an
          answer.  */
       r->phase = RUN_IN_DOUBT;
-      if (mm_exec_call_outdated (c, res->verdict))
+      if (r->sent_again && res->verdict != MM_CALL_OK
+          && res->verdict != MM_CALL_NO_ANSWER)
+        on_second_start_refused (c, res->verdict);
+      else if (mm_exec_call_outdated (c, res->verdict))
         mm_exec_finish_run (r, MM_END_NOT_RUN, "fencing token raised");
       else
         on_start_verdict (c, res);
--- a/src/mm_exec_call.c
+++ b/src/mm_exec_call.c
@@ -106,11 +106,11 @@
       mm_time_ms now = mm_clock_now_ms ();
       mm_time_ms took_ms = now - c->sent_ms - c->wait_ms;
       mm_metrics_count (MM_CT_ANSWERS_LATE);
-      if (c->run)
-        log_late (c, res, now);
       mm_rto_late (&x->rto, took_ms);
       mm_rto_floor_late (&x->common->floor, x, took_ms, now);
       mm_exec_update_clock (x, res);
+      if (c->run)
+        log_late (c, res, now);
     }
   bool recovered = !x->closed && res->verdict == MM_CALL_OK && x->suspect
                    && !x->hold_failed_ms;
--- a/src/mm_exec_hold.c
+++ b/src/mm_exec_hold.c
@@ -83,6 +83,8 @@
     }
   mm_exec *x = c->exec;
   x->holds_in_flight--;
+  if (c->wait_ms == 0)
+    x->query_sent_ms = 0;
   if (x->closed)
     {
       mm_exec_call_close (c, res->call.overdue);
@@ -149,6 +151,8 @@
   c->acked_seq = h.acked_seq;
   c->wait_ms = wait_ms;
   x->hold_sent_ms = mm_clock_now_ms ();
+  if (wait_ms == 0)
+    x->query_sent_ms = c->sent_ms;
   x->port.hold (x->port.ctx, x->info, &h, on_hold_answer, c);
 }
 
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -150,6 +150,8 @@
         }
       else if (r->number == seen->run)
         {
+          if (r->phase == RUN_IN_DOUBT && !r->stop_wanted)
+            mm_exec_log_resolved (r, "it runs");
           mm_exec_set_running (r);
           check_progress (r, seen->percent);
           if (r->stop_wanted)
@@ -162,7 +164,8 @@
 /* Ends runs that the upstream should list and does not.  A hold lists a run
    that was confirmed as running before the hold @c was sent.  A run in doubt
    does not exist if its stop was answered, or the deadline of its start had
-   passed, before the hold was sent, and the hold does not list it.  */
+   passed, before the hold was sent, and the hold does not list it.  Otherwise
+   its start is lost or has not arrived yet.  */
 static void
 process_absent (mm_exec *x, GHashTable *present, const mm_exec_call *c)
 {
@@ -183,6 +186,9 @@
                     : "start unanswered, its deadline has passed");
       else if (ran)
         mm_exec_finish_run (r, MM_END_LOST, "not listed any more");
+      else if (r->phase == RUN_IN_DOUBT && !r->stop_wanted
+               && c->sent_ms >= r->in_doubt_ms)
+        mm_exec_resolve_unlisted (r);
     }
   g_list_free (runs);
 }
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -34,7 +34,11 @@
                            follows from awaited_ms */
   const mm_time_ms *awaited_ms; /* mm_task_request.awaited_ms, or NULL */
   bool start_in_flight;         /* a start order has no answer yet */
-  bool stop_in_flight;          /* a stop order has no answer yet */
+  mm_time_ms in_doubt_ms;       /* when its start was given up, 0: never */
+  /* The start was sent once more, as it got no answer and the run was not
+     listed.  */
+  bool sent_again;
+  bool stop_in_flight; /* a stop order has no answer yet */
   /* Event numbers (mm_exec.last_event).  */
   uint64_t running_event;       /* first confirmed as running, 0: never */
   uint64_t stop_answered_event; /* stop order was answered, 0: not yet */
@@ -68,6 +72,9 @@
   bool fenced;      /* another instance owns the upstream */
   bool replaced;    /* another incarnation is at the address */
   int holds_in_flight; /* holds that have no answer yet */
+  /* When the last hold without a wait was sent, 0: it is answered or timed
+     out.  */
+  mm_time_ms query_sent_ms;
   /* Number of the last event.  Calls, answers and confirmations of runs are
      numbered, which shows which of them came first.  */
   uint64_t last_event;
@@ -127,7 +134,12 @@
 void mm_exec_send_stop (mm_exec_run *r,
                         bool new_connection); /* unless one is open */
 void mm_exec_set_running (mm_exec_run *r);    /* the upstream confirmed it */
-void mm_exec_become_usable (mm_exec *x);      /* after an answer */
+/* Logs what became of a start that got no answer.  */
+void mm_exec_log_resolved (const mm_exec_run *r, const char *how);
+/* Handles a run whose start got no answer and that the upstream does not list:
+   sends the start again, once, or stops the run.  */
+void mm_exec_resolve_unlisted (mm_exec_run *r);
+void mm_exec_become_usable (mm_exec *x); /* after an answer */
 
 /* Stops placing tasks on the upstream after a call that failed.  @what: the
    call, for the log.  */
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -127,9 +127,9 @@
   mm_owner *o = owned->owner;
   const char *name = mm_exec_info (x)->name;
   mm_time_ms now = mm_clock_now_ms ();
-  /* An order without an answer does not count as a failure.  Its task is
-     stopped and placed again after 100 ms; if many orders to all upstreams
-     got no answer, the circuit breakers would exclude every upstream.  */
+  /* An order without an answer does not count as a failure: if many orders to
+     all upstreams got none, the circuit breakers would exclude every
+     upstream.  */
   if (how == MM_END_DONE || how == MM_END_FAILED || how == MM_END_LOST)
     update_breaker (owned, name, how == MM_END_DONE, now);
   if (how == MM_END_DONE)
--- a/tests/fake_upstreams.c
+++ b/tests/fake_upstreams.c
@@ -50,6 +50,7 @@
   bool overdue;           /* has timed out; a late answer is delivered */
   bool answered;          /* the callback is not called any more */
   bool lost;              /* gets no answer; may be executed late */
+  bool breaks;            /* its connection breaks after its execution */
 } fake_call;
 
 struct fakes
@@ -302,6 +303,9 @@
                 ? do_start (x, &o)
                 : mm_run_table_stop (x->table, &o, local_now_ms (x));
     }
+  if (c->breaks)
+    c->result
+        = (mm_call_result){ .verdict = MM_CALL_NO_ANSWER, .clock_ms = -1 };
   if (c->kind != CALL_HOLD || c->result.verdict != MM_CALL_OK)
     c->answer_ms
         = x->fakes->now_ms + LINK_MS
@@ -345,6 +349,7 @@
   c->timeout_ms = f->now_ms + timeout_ms;
   c->ctx = ctx;
   fake_mode *m = &c->upstream->mode;
+  c->breaks = kind == CALL_START && consume_loss (&m->break_starts);
   if (kind == CALL_START && consume_loss (&m->lose_starts))
     {
       c->lost = true;
--- a/tests/fake_upstreams.h
+++ b/tests/fake_upstreams.h
@@ -21,6 +21,9 @@
   uint32_t lose_starts; /* number of next starts that get no answer */
   uint32_t lose_stops;  /* number of next stops that are lost */
   uint32_t lose_holds;  /* number of next holds that are lost */
+  /* Number of next starts that are carried out, and whose connections then
+     break before the answer.  */
+  uint32_t break_starts;
   /* A lost start is carried out this long after it was sent, 0: never.  */
   mm_time_ms late_start_ms;
   /* Added to the time that a call takes to arrive, as on a full link.  */
