--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -1,12 +1,5 @@
 /* mm_exec: one upstream's runs, leases, unanswered orders and capacity.
 
-   A start order without an answer may have been carried out, may be carried
-   out seconds later, or is lost.  The upstream is asked which runs it has. One
-   that was only late lists the run, which goes on.  Otherwise the same order
-   is sent again: the upstream starts a run at most once, whichever order
-   arrives first.  If that order gets no answer either, the run is stopped and
-   its task returned.
-
    A run uses capacity from its start order until the upstream lists its end,
    or until it is certain that the run neither exists nor will start: the
    upstream starts the task whether it fits or not.  A run is certain not to
@@ -255,16 +248,6 @@
                 mm_exec_call_open (x, r, "stop"));
 }
 
-static void send_start (mm_exec_run *r);
-
-void
-mm_exec_log_resolved (const mm_exec_run *r, const char *how)
-{
-  mm_log_event (MM_EV_TASK_START_RESOLVED, MM_TASK (&r->id),
-                MM_TEXT (r->exec->info->name), MM_INT (r->number),
-                MM_TEXT (how), MM_INT (mm_clock_now_ms () - r->ordered_ms));
-}
-
 void
 mm_exec_set_running (mm_exec_run *r)
 {
@@ -276,83 +259,13 @@
   r->progress_ms = mm_clock_now_ms ();
 }
 
-/* Notifies the owner once more if the session is fenced.  A start that was
-   open when another owner took over has started the run, or may have, and only
-   the new owner can report the end of that run.  */
-static void
-notify_if_fenced (mm_exec *x)
+void
+mm_exec_notify_if_fenced (mm_exec *x)
 {
   if (x->fenced && !x->closed)
     x->ev.fenced (x->ev.ctx, x);
 }
 
-/* Returns whether a start order may be sent again.  The upstream's entry in
-   the list may have changed since the task was placed there.  The run itself
-   is already counted as used capacity, so the free capacity suffices unless it
-   is negative.  */
-static bool
-may_send_again (const mm_exec *x)
-{
-  mm_resources free_capacity = mm_exec_free_capacity (x);
-  return !x->info->draining && mm_exec_can_lease (x)
-         && mm_resources_fit (&(mm_resources){ 0 }, &free_capacity);
-}
-
-/* Stops a run whose start may have been carried out.  */
-static void
-stop_in_doubt (mm_exec_run *r)
-{
-  mm_exec_log_resolved (r, "it is stopped");
-  mm_exec_want_stop (r, false);
-  mm_exec_send_stop (r, true);
-}
-
-void
-mm_exec_resolve_unlisted (mm_exec_run *r)
-{
-  if (r->sent_again || !r->work || !may_send_again (r->exec))
-    {
-      stop_in_doubt (r);
-      return;
-    }
-  mm_exec_log_resolved (r, "it is sent again");
-  r->sent_again = true;
-  send_start (r);
-}
-
-/* Asks which runs the upstream has.  One query is enough for all starts that
-   are given up at the same time.  */
-static void
-query_run (mm_exec_run *r)
-{
-  mm_exec *x = r->exec;
-  r->in_doubt_ms = mm_clock_now_ms ();
-  if (x->query_sent_ms < r->in_doubt_ms)
-    mm_exec_send_hold (x, 0, false);
-}
-
-/* Processes the refusal of a start that was sent again.  It does not tell
-   whether the first order was carried out, or will be, so the task must not be
-   reported as not run.  */
-static void
-on_second_start_refused (const mm_exec_call *c, mm_call_verdict v)
-{
-  mm_exec *x = c->exec;
-  if (v == MM_CALL_GONE)
-    mm_exec_on_replaced (x);
-  else if (x->fenced)
-    notify_if_fenced (x);
-  else if (v == MM_CALL_FENCED && !mm_exec_call_outdated (c, v))
-    mm_exec_become_fenced (x, NULL);
-  else
-    {
-      if (v == MM_CALL_REFUSED)
-        x->ev.upstream_unhealthy (x->ev.ctx, x);
-      mm_exec_become_suspect (x, "start", v);
-      stop_in_doubt (c->run);
-    }
-}
-
 /* Processes the verdict on a start order.  The run is running, in doubt,
    ordered again with another number, or ends here because it does not exist.
  */
@@ -368,7 +281,7 @@
       mm_exec_set_running (r);
       if (r->stop_wanted)
         mm_exec_send_stop (r, false);
-      notify_if_fenced (x);
+      mm_exec_notify_if_fenced (x);
       break;
     case MM_CALL_OLD_RUN:
       if (r->stop_wanted)
@@ -378,7 +291,7 @@
               "stopped before its start");
           break;
         }
-      if (!may_send_again (x))
+      if (!mm_exec_may_send_again (x))
         {
           mm_exec_finish_run (r, MM_END_NOT_RUN, "upstream changed");
           break;
@@ -387,7 +300,7 @@
          finds an unused number within a few attempts.  */
       r->number *= 2;
       r->sent_again = false;
-      send_start (r);
+      mm_exec_send_start (r);
       break;
     case MM_CALL_NO_ANSWER:
       /* Stopping the run now would end a run that the upstream has started
@@ -397,8 +310,8 @@
       if (r->stop_wanted)
         mm_exec_send_stop (r, true);
       else
-        query_run (r);
-      notify_if_fenced (x);
+        mm_exec_query_run (r);
+      mm_exec_notify_if_fenced (x);
       break;
     case MM_CALL_FENCED:
       mm_exec_become_fenced (x, r);
@@ -440,6 +353,12 @@
                   MM_INT (now - r->ordered_ms), MM_INT (now - r->sent_ms));
 }
 
+static bool
+was_refused (mm_call_verdict v)
+{
+  return v != MM_CALL_OK && v != MM_CALL_NO_ANSWER;
+}
+
 /* Handles the answer to a start order, or the lack of one.  */
 static void
 on_start_answer (const mm_call_result *res, void *ctx)
@@ -463,9 +382,8 @@
          find the run as RUN_ORDERED, which counts as a start without an
          answer.  */
       r->phase = RUN_IN_DOUBT;
-      if (r->sent_again && res->verdict != MM_CALL_OK
-          && res->verdict != MM_CALL_NO_ANSWER)
-        on_second_start_refused (c, res->verdict);
+      if (r->sent_again && was_refused (res->verdict))
+        mm_exec_second_start_refused (c, res->verdict);
       else if (mm_exec_call_outdated (c, res->verdict))
         mm_exec_finish_run (r, MM_END_NOT_RUN, "fencing token raised");
       else
@@ -474,10 +392,10 @@
   mm_exec_call_close (c, res->overdue);
 }
 
-/* Sends the start order of a run.  The upstream does not carry the order out
-   after the time at which leases that are renewed now end.  */
-static void
-send_start (mm_exec_run *r)
+/* The upstream does not carry the order out after the time at which leases
+   that are renewed now end.  */
+void
+mm_exec_send_start (mm_exec_run *r)
 {
   mm_exec *x = r->exec;
   r->phase = RUN_ORDERED;
@@ -537,7 +455,7 @@
   mm_log_event (MM_EV_TASK_STARTED, MM_TASK (&r->id), MM_TEXT (x->info->name),
                 MM_INT (r->number), MM_INT (x->fence), MM_INT (t->waited_ms),
                 MM_INT (age_ms));
-  send_start (r);
+  mm_exec_send_start (r);
 }
 
 static mm_exec_run *
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -134,12 +134,7 @@
 void mm_exec_send_stop (mm_exec_run *r,
                         bool new_connection); /* unless one is open */
 void mm_exec_set_running (mm_exec_run *r);    /* the upstream confirmed it */
-/* Logs what became of a start that got no answer.  */
-void mm_exec_log_resolved (const mm_exec_run *r, const char *how);
-/* Handles a run whose start got no answer and that the upstream does not list:
-   sends the start again, once, or stops the run.  */
-void mm_exec_resolve_unlisted (mm_exec_run *r);
-void mm_exec_become_usable (mm_exec *x); /* after an answer */
+void mm_exec_become_usable (mm_exec *x);      /* after an answer */
 
 /* Stops placing tasks on the upstream after a call that failed.  @what: the
    call, for the log.  */
@@ -155,6 +150,28 @@
 /* Records that a run is to end.  @by_owner: its owner waits for it no more. */
 void mm_exec_want_stop (mm_exec_run *r, bool by_owner);
 
+/* Sends the start order of a run.  */
+void mm_exec_send_start (mm_exec_run *r);
+/* Notifies the owner once more if the session is fenced.  A start that was
+   open when another owner took over has started the run, or may have, and only
+   the new owner can report the end of that run.  */
+void mm_exec_notify_if_fenced (mm_exec *x);
+
+/* mm_exec_doubt.c */
+/* Returns whether a start order may be sent again.  */
+bool mm_exec_may_send_again (const mm_exec *x);
+/* Asks the upstream for its runs, as a start of @r got no answer.  */
+void mm_exec_query_run (mm_exec_run *r);
+/* Handles a run whose start got no answer and that the upstream does not list:
+   sends the start again, once, or stops the run.  */
+void mm_exec_resolve_unlisted (mm_exec_run *r);
+/* Processes the refusal of a start that was sent again.  It does not tell
+   whether the first order was carried out, or will be, so the task must not be
+   reported as not run.  */
+void mm_exec_second_start_refused (const mm_exec_call *c, mm_call_verdict v);
+/* Logs what became of a start that got no answer.  */
+void mm_exec_log_resolved (const mm_exec_run *r, const char *how);
+
 /* mm_exec_lease.c */
 /* Renews the leases; returns their end on the upstream's clock, 0: a run there
    has to end, and they are not renewed any more.  */
