Mesh: an instance reports upstreams as soon as it has gained them

What callers saw: a job refused with "would come too late" although all upstreams were free, in the moments after upstreams had changed owners or had come (test_node_start, once more for another cause than its entry names).

Cause: an instance reports its capacity at its ticks, 25 ms apart, and not within 25 ms of its last report. For that long nobody knew of the upstreams that it had gained.

Change: the owner tells the mesh of an upstream that answers for the first time, or again after it was lost; 2 ms later, in which others may follow, the mesh reports to all its peers without the pause.

Test: test_mesh gained_upstreams_are_reported_without_a_tick, which failed before (0 of 2 places known after 1 s).

--- a/src/config.h
+++ b/src/config.h
@@ -246,6 +246,10 @@
 /* Shortest pause between capacity reports over one link, when the capacity
    changes.  */
 #define MM_MESH_REPORT_MS 25
+/* An instance that gains an upstream reports that after this pause, in which
+   it may gain others.  Until then, its peers refuse jobs for want of
+   capacity.  */
+#define MM_MESH_GAINED_MS 2
 /* Approximate rate of capacity reports over all links together.  Of all costs
    that grow with the number of links, writing reports is the largest.  */
 #define MM_MESH_REPORTS_PER_S 240
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -205,16 +205,12 @@
 }
 
 /* Sends a report of the capacity over a link when the report has changed, and
-   in any case each MM_MESH_HEARTBEAT_MS, as a heartbeat.  Sends nothing within
-   mm_mesh_report_pause_ms() after the last report.  */
+   in any case each MM_MESH_HEARTBEAT_MS, as a heartbeat.  */
 static void
 send_report (mm_mesh_inbound_link *in,
              const mm_mesh_service_capacity *capacities, size_t n,
              mm_time_ms now)
 {
-  uint32_t links = mm_mesh_inbound (in->mesh);
-  if (now - in->report_ms < mm_mesh_report_pause_ms (links))
-    return;
   msgpack_sbuffer b;
   msgpack_sbuffer_init (&b);
   mm_mesh_pack_report (&b, in->seen_number, in->mesh->self, in->mesh->leaving,
@@ -233,6 +229,29 @@
   msgpack_sbuffer_destroy (&b);
 }
 
+/* Reports upstreams that this instance has gained, without the pause that
+   reports of changes in load keep.  */
+static void
+report_gained_cb (struct ev_loop *loop, ev_timer *w, int revents)
+{
+  mm_mesh *m = w->data;
+  mm_mesh_service_capacity capacities[MM_MESH_MAX_SERVICES];
+  size_t n = read_capacities (m->owner, capacities);
+  for (GList *l = m->inbound; l; l = l->next)
+    send_report (l->data, capacities, n, mm_clock_now_ms ());
+}
+
+/* Called by the owner when it has gained an upstream.  */
+static void
+on_gained (void *ctx)
+{
+  mm_mesh *m = ctx;
+  if (ev_is_active (&m->gained_timer))
+    return;
+  ev_timer_set (&m->gained_timer, MM_MESH_GAINED_MS / 1000., 0.);
+  ev_timer_start (m->loop, &m->gained_timer);
+}
+
 /* ---- outbound links: the sender of tasks ------------------------------ */
 
 /* Passes on the outcome of a task that was dispatched to the peer.  */
@@ -476,6 +495,9 @@
   m->accept_io.data = m;
   ev_io_start (loop, &m->accept_io);
   mm_mesh_attach_owner (m);
+  ev_init (&m->gained_timer, report_gained_cb);
+  m->gained_timer.data = m;
+  mm_owner_set_gained (owner, on_gained, m);
   return m;
 }
 
@@ -484,6 +506,8 @@
 {
   if (!m)
     return;
+  mm_owner_set_gained (m->owner, NULL, NULL);
+  ev_timer_stop (m->loop, &m->gained_timer);
   ev_io_stop (m->loop, &m->accept_io);
   close (m->listen_fd);
   while (m->inbound)
@@ -697,6 +721,7 @@
   g_list_free (peers);
   mm_mesh_service_capacity capacities[MM_MESH_MAX_SERVICES];
   size_t n = read_capacities (m->owner, capacities);
+  mm_time_ms pause_ms = mm_mesh_report_pause_ms (mm_mesh_inbound (m));
   GList *next;
   for (GList *l = m->inbound; l; l = next)
     {
@@ -704,7 +729,7 @@
       mm_mesh_inbound_link *in = l->data;
       if (now - mm_link_received_ms (in->link) > MM_MESH_TIMEOUT_MS)
         mm_link_close (in->link, why_unresponsive);
-      else
+      else if (now - in->report_ms >= pause_ms)
         send_report (in, capacities, n, now);
     }
 }
--- a/src/mm_mesh_priv.h
+++ b/src/mm_mesh_priv.h
@@ -101,6 +101,7 @@
   bool neighbours_stale; /* peers or links changed: choose neighbours again */
   mm_time_ms neighbours_chosen_ms; /* when neighbours were last chosen */
   bool wanted_connected;           /* all wanted links are connected */
+  ev_timer gained_timer; /* reports upstreams that this instance has gained */
 };
 
 /* mm_mesh.c */
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -229,6 +229,13 @@
   mm_uplink_record_sent (&o->common.uplink, bytes, mm_clock_now_ms ());
 }
 
+void
+mm_owner_set_gained (mm_owner *o, mm_owner_gained gained, void *ctx)
+{
+  o->gained = gained;
+  o->gained_ctx = ctx;
+}
+
 void
 mm_owner_set_list_age (mm_owner *o, const mm_exec_list_age *v)
 {
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -151,6 +151,10 @@
 /* Sets the callbacks that transfer runs; @callbacks is copied.  */
 void mm_owner_set_transfer_port (mm_owner *o,
                                  const mm_owner_transfer_port *callbacks);
+/* Called when an upstream has answered for the first time, or again after it
+   was lost: from then on its capacity is in the reports.  */
+typedef void (*mm_owner_gained) (void *ctx);
+void mm_owner_set_gained (mm_owner *o, mm_owner_gained gained, void *ctx);
 /* Claims a run that the upstream's next owner has found.  If its task was
    submitted here, fills @t with the request that the next owner take the run
    over, and returns the task for mm_owner_transfer().  Returns NULL if the
--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -55,6 +55,8 @@
   GHashTable *in_doubt;    /* mm_task_id -> mm_time_ms: may run elsewhere until
                               then */
   mm_owner_transfer_port transfer_port; /* callbacks that transfer runs */
+  mm_owner_gained gained;               /* NULL: not set */
+  void *gained_ctx;                     /* argument of @gained */
   mm_suspects *suspects;      /* NULL: suspected tasks are not recorded */
   uint64_t last_arrival;      /* arrival number of the last task */
   mm_time_ms input_read_ms;   /* mm_owner_set_input_read(), 0: not set */
--- a/src/mm_owner_suspects.c
+++ b/src/mm_owner_suspects.c
@@ -89,4 +89,6 @@
   mm_owned_upstream *owned = ctx;
   if (owned->owner->suspects)
     mm_suspects_alive (owned->owner->suspects, mm_exec_info (x)->name);
+  if (owned->owner->gained)
+    owned->owner->gained (owned->owner->gained_ctx);
 }
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -570,6 +570,50 @@
 }
 END_TEST
 
+/* Returns how many places the first instance knows of at the second one.  */
+static uint32_t
+known_places (const pair *p)
+{
+  mm_mesh_peer_capacity c[1];
+  return mm_mesh_peer_capacities (p->mesh[0], "svc", c, 1)
+             ? c[0].capacity.places
+             : 0;
+}
+
+/* Guards against jobs that are refused for want of capacity although an
+   instance has just gained upstreams: its peers must learn of these before
+   their next ticks.  */
+START_TEST (gained_upstreams_are_reported_without_a_tick)
+{
+  pair p;
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  pair_create (&p, loop);
+  pair_run (&p, 500, false);
+  ck_assert_uint_eq (mm_mesh_connected (p.mesh[0]), 1);
+  ck_assert_uint_eq (known_places (&p), 0);
+  static const char *const names[] = { "a", "b" };
+  for (int i = 0; i < 2; i++)
+    {
+      fake *x = fakes_add (p.upstreams, names[i], 32000);
+      mm_owner_add_upstream (p.owner[1], fake_info (x), 5);
+    }
+  for (int ms = 0; ms < 1000 && known_places (&p) < 2; ms++)
+    {
+      fakes_run (p.upstreams, NULL, 1);
+      g_usleep (1000);
+      ev_run (p.loop, EVRUN_NOWAIT);
+    }
+  ck_assert_uint_eq (known_places (&p), 2);
+  for (int i = 0; i < 2; i++)
+    {
+      mm_mesh_destroy (p.mesh[i]);
+      mm_owner_destroy (p.owner[i]);
+    }
+  fakes_destroy (p.upstreams);
+  ev_loop_destroy (loop);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -586,6 +630,7 @@
   tcase_add_test (c, links_stay_alive_however_many_there_are);
   tcase_add_test (c,
                   run_of_a_silent_instance_ends_before_its_job_is_sent_again);
+  tcase_add_test (c, gained_upstreams_are_reported_without_a_tick);
   suite_add_tcase (s, c);
   c = tcase_create ("bounded");
   tcase_set_tags (c, "bounded");
