--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -495,9 +495,9 @@
 } pair;
 
 static void
-pair_create (pair *p, struct ev_loop *loop)
+pair_create (pair *p)
 {
-  p->loop = loop;
+  p->loop = ev_loop_new (EVFLAG_AUTO);
   p->upstreams = fakes_create ();
   mm_exec_port port = fakes_port (p->upstreams);
   for (int i = 0; i < 2; i++)
@@ -505,7 +505,7 @@
       char name[4] = { 'n', (char)('0' + i) };
       p->owner[i] = mm_owner_create (&port);
       p->mesh[i]
-          = mm_mesh_create (loop, name, "north", "127.0.0.1",
+          = mm_mesh_create (p->loop, name, "north", "127.0.0.1",
                             (uint16_t)(h_port_base () + i), p->owner[i], NULL);
       ck_assert (p->mesh[i] != NULL);
     }
@@ -516,6 +516,18 @@
   g_free (addr);
 }
 
+static void
+pair_destroy (pair *p)
+{
+  for (int i = 0; i < 2; i++)
+    {
+      mm_mesh_destroy (p->mesh[i]);
+      mm_owner_destroy (p->owner[i]);
+    }
+  fakes_destroy (p->upstreams);
+  ev_loop_destroy (p->loop);
+}
+
 /* Advances the simulated time.  The first instance stands still if @silent. */
 static void
 pair_run (pair *p, mm_time_ms ms, bool silent)
@@ -545,8 +557,7 @@
 START_TEST (run_of_a_silent_instance_ends_before_its_job_is_sent_again)
 {
   pair p;
-  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
-  pair_create (&p, loop);
+  pair_create (&p);
   fake *a = fakes_add (p.upstreams, "a", 32000);
   mm_owner_add_upstream (p.owner[1], fake_info (a), 5);
   pair_run (&p, 1000, false);
@@ -560,13 +571,7 @@
   fake_mode_of (a)->lose_stops = G_MAXUINT32;
   pair_run (&p, MM_RESEND_MS, true);
   ck_assert_uint_eq (fake_running (a), 0);
-  for (int i = 0; i < 2; i++)
-    {
-      mm_mesh_destroy (p.mesh[i]);
-      mm_owner_destroy (p.owner[i]);
-    }
-  fakes_destroy (p.upstreams);
-  ev_loop_destroy (loop);
+  pair_destroy (&p);
 }
 END_TEST
 
@@ -586,8 +591,7 @@
 START_TEST (gained_upstreams_are_reported_without_a_tick)
 {
   pair p;
-  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
-  pair_create (&p, loop);
+  pair_create (&p);
   pair_run (&p, 500, false);
   ck_assert_uint_eq (mm_mesh_connected (p.mesh[0]), 1);
   ck_assert_uint_eq (known_places (&p), 0);
@@ -604,13 +608,7 @@
       ev_run (p.loop, EVRUN_NOWAIT);
     }
   ck_assert_uint_eq (known_places (&p), 2);
-  for (int i = 0; i < 2; i++)
-    {
-      mm_mesh_destroy (p.mesh[i]);
-      mm_owner_destroy (p.owner[i]);
-    }
-  fakes_destroy (p.upstreams);
-  ev_loop_destroy (loop);
+  pair_destroy (&p);
 }
 END_TEST
 
