Evacuations: no task is started in a data centre that operators have evacuated

What callers and operators saw: after op/evacuate of a data centre, its upstreams went on getting tasks.

Cause: nothing of the product knew of evacuations; the store adapter read only the key of the configuration from the stream that carries both.

What is built: mm_evacuations keeps which data centres are evacuated, from this instance's reads and from what peers send. Offsets of one stream order the two, so the view with the higher offset is in force; a later full read supersedes a peer's view in any case. Whether an upstream may be started on is asked in one place, mm_exec_takes_new_tasks(), for draining and evacuation together: by placement, by starts that are sent again, by reports and admission, and for the verdict on lost upstreams. A tasks's queue is returned at once when evacuations leave its owner without upstreams. Instances send each other the evacuations when a link opens and when they change; an instance owns nothing before it knows them. With all data centres evacuated, jobs are refused at once.

--- a/daemons/ctl.h
+++ b/daemons/ctl.h
@@ -42,6 +42,10 @@
 int ctl_status (bool json);
 /* Replaces the queues at the platform by those in @file, which is JSON.  */
 int ctl_queues_set (const char *file);
+/* Evacuates a data centre, returns one to service, or prints the evacuations
+   that instances know.  @argv: "begin" or "end" DATACENTRE, or "show"
+   HOST:PORT...  */
+int ctl_evacuation (int argc, char **argv);
 /* Explains a job from logs.  @argv: ID [FILE...], where ID is the job's.  */
 int ctl_explain (int argc, char **argv);
 /* Prints a row for each instance in @argv: HOST:PORT...  The exit status is 1
--- a/daemons/masticctl.c
+++ b/daemons/masticctl.c
@@ -9,6 +9,9 @@
      dump ADDR                 print the state of a process (host:port)
      fault ADDR JSON           set platform faults or an upstream's mode
      queues set FILE           set the queues that instances serve
+     evacuation begin|end DATACENTRE
+                               start no tasks there, or start them again
+     evacuation show ADDR...   what is evacuated, and what still runs there
      explain ID [FILE]...      why a job ended as it did, from several logs
      top ADDR...               print current metrics of instances in one table
      events                    list the events that instances log
@@ -132,6 +135,8 @@
   if (argc >= 3 && g_str_equal (argv[0], "queues")
       && g_str_equal (argv[1], "set"))
     return ctl_queues_set (argv[2]);
+  if (argc >= 2 && g_str_equal (argv[0], "evacuation"))
+    return ctl_evacuation (argc - 1, argv + 1);
   if (argc >= 2 && g_str_equal (argv[0], "explain"))
     return ctl_explain (argc - 1, argv + 1);
   if (argc >= 2 && g_str_equal (argv[0], "top"))
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -20,7 +20,9 @@
   leaving    an upstream that announced its shutdown started nothing more than
              two seconds after the announcement
   knew       no instance started a task on an upstream that it had itself
-             listed as draining
+             listed as draining, or in a data centre that it knew as evacuated
+  evacuated  no task was started in a data centre more than two seconds after
+             the store had accepted its evacuation, until that ended
   config     no instance went back to an older configuration
   kept       an accepted kept job ended, completed or with a failed task
   again      no task of a kept job started after it was done, unless its
@@ -39,7 +41,10 @@
 A kept job is a durable job: it is stored before its caller is told that it is
 accepted, and is run to its end whatever instance dies.
 
-  soak.py [--seed N] [--seeds N] [--file F] [--seconds S] [--jobs N] [--bin DIR] [--keep DIR]
+With --evacuations there are two data centres, which are evacuated and returned
+to service at random, also both at once.
+
+  soak.py [--seed N] [--seeds N] [--file F] [--seconds S] [--jobs N] [--bin DIR] [--keep DIR] [--evacuations]
 """
 import argparse, asyncio, json, os, random, shutil, signal, socket, subprocess, sys, tempfile, time, urllib.request
 
@@ -56,6 +61,8 @@
 CAPACITY_GRACE_S = 4.0      # a smaller capacity is in force after this time
 STORE_FAULT_GRACE_S = 12.0  # a smaller capacity is in force after this time if reads of the store failed meanwhile
 DRAIN_GRACE_S = 2.0         # a draining upstream gets no more starts after this time
+EVACUATION_GRACE_S = 2.0    # an evacuated data centre gets no more starts after this time
+DATACENTRES = ("dc1", "dc2")
 NODES, UPSTREAMS, SLOTS = 3, 5, 3  # instances, upstreams, slots of each upstream
 
 
@@ -150,6 +157,9 @@
         self.kept_rnd = random.Random(f"kept-{seed}")
         # Poison jobs and capacity changes draw from a generator of their own, for the same reason.
         self.extra_rnd = random.Random(f"extra-{seed}")
+        # Evacuations draw from a generator of their own, for the same reason.
+        self.evacuation_rnd = random.Random(f"evacuations-{seed}")
+        self.evacuation_periods = {}  # data centre -> [[ms when it was evacuated, ms when that ended]]
         self.poison_answers = {}    # poison job -> answers that its caller got
         self.capacity_changes = {}  # upstream -> [ms] of each change of its capacity
         self.counts_lost_ms = []    # ms when an instance started while no other knew the crash counts
@@ -180,12 +190,17 @@
         return self.base + {"platform": 0, "up": 10, "front": 20, "ready": 25, "mesh": 30, "state": 35,
                             "px-store": 40, "px-up": 50, "px-mesh": 60}[kind] + i
 
+    # Returns the data centre of instance or upstream i.
+    def datacentre(self, i):
+        return DATACENTRES[i % 2 if self.args.evacuations else 0]
+
     def start_platform(self):
         self.spawn("platform", "masticmill-platform", f"platform.port={self.port('platform', 0)}")
 
     def start_upstream(self, i):
         self.spawn(f"up{i}", "masticmill-upstream", f"upstream.port={self.port('up', i)}", f'upstream.name="up{i}"',
-                   f"upstream.slots={SLOTS}", f'upstream.platform_url="http://127.0.0.1:{self.port("platform", 0)}"',
+                   f"upstream.slots={SLOTS}", f'upstream.datacentre="{self.datacentre(i)}"',
+                   f'upstream.platform_url="http://127.0.0.1:{self.port("platform", 0)}"',
                    f'upstream.advertise="127.0.0.1:{self.port("px-up", i)}"', "upstream.heartbeat_ms=300",
                    f'upstream.run_log="{self.dir}/up{i}.runs"', 'upstream.poison_jobs="p"', "upstream.back_ms=2000")
         if i in self.drain_since_ms:
@@ -203,6 +218,7 @@
         self.node_start_ms[i] = now_ms()
         self.boots[i] = self.boots.get(i, 0) + 1
         self.spawn(f"node{i}", "masticmill-node", f'node.name="node{i}"',
+                   f'node.datacentre="{self.datacentre(i)}"', 'node.datacentres=["dc1","dc2"]',
                    f'node.front="127.0.0.1:{self.port("front", i)}"', f'node.ready="127.0.0.1:{self.port("ready", i)}"',
                    f"node.mesh_port={self.port('mesh', i)}", f"node.state_port={self.port('state', i)}",
                    f'node.mesh_advertise="127.0.0.1:{self.port("px-mesh", i)}"',
@@ -315,6 +331,31 @@
         await asyncio.to_thread(call, "POST", self.port("up", up), "/v1/capacity",
                                 {"cpu_milli": slots * 1000, "grace_ms": int(CAPACITY_GRACE_S * 1000)}, 1)
 
+    # Evacuates random data centres and returns them to service, and all of them at the end.
+    async def change_evacuations(self):
+        r = self.evacuation_rnd
+        while not self.stopping:
+            datacentre = r.choice(DATACENTRES)
+            await self.evacuate(datacentre, r.random() < 0.6)
+            await asyncio.sleep(r.choice([0.05, 0.5, 1, 2, 3]))
+        for datacentre in DATACENTRES:
+            while not await self.evacuate(datacentre, False):
+                await asyncio.sleep(0.2)
+
+    # Requests the evacuation of a data centre, or ends it.  Returns whether the store accepted that.
+    async def evacuate(self, datacentre, evacuated):
+        asked_ms = now_ms()
+        status, _ = await asyncio.to_thread(call, "PUT" if evacuated else "DELETE", self.port("platform", 0),
+                                            f"/v1/streams/config/evacuate/{datacentre}", {} if evacuated else None, 2)
+        periods = self.evacuation_periods.setdefault(datacentre, [])
+        is_open = bool(periods) and periods[-1][1] == float("inf")
+        if not evacuated and is_open:
+            periods[-1][1] = asked_ms  # also without an answer: the request may have been carried out
+        elif evacuated and status == 200 and not is_open:
+            periods.append([now_ms(), float("inf")])
+        self.log_fault(f"evacuate {datacentre} {evacuated} {status}")
+        return status == 200
+
     async def wait_for_kept_jobs(self):
         """Polls random instances until each accepted kept job has ended."""
         deadline = time.monotonic() + KEPT_END_TIMEOUT_S
@@ -567,6 +608,11 @@
                    and not any(fault_ms < start and healed_ms > drained for fault_ms, healed_ms in self.store_faults)
                    for drained, gone in self.drain_periods.get(up, [])):
                 self.findings.append(f"leaving: {task} started on up{up} at {start:.0f}")
+            # An instance that could not read the store may not have known of the evacuation.
+            if any(begun + EVACUATION_GRACE_S * 1000 < start < ended
+                   and not any(fault_ms < start and healed_ms > begun for fault_ms, healed_ms in self.store_faults)
+                   for begun, ended in self.evacuation_periods.get(self.datacentre(up), [])):
+                self.findings.append(f"evacuated: {task} started on up{up} at {start:.0f}")
         self.check_kept_jobs()
         for job, submitted in self.jobs.items():
             answers = [a for a in submitted["answers"]]
@@ -581,10 +627,12 @@
                 if repeated:
                     self.findings.append(f"once: {repeated} started more than once")
 
-    # Checks "knew": the log of an instance must not show a start on an upstream that the instance listed as draining.
-    def check_draining_starts(self):
+    # Checks "knew": the log of an instance must not show a start on an upstream that the instance listed as draining,
+    # or in a data centre that it knew as evacuated.
+    def check_known_starts(self):
         for i in range(NODES):
             draining = {}  # upstream -> ts_ms of the log line that listed it as draining
+            evacuated = set()  # data centres
             for line in open(f"{self.dir}/node{i}.log", errors="replace"):
                 try:
                     e = json.loads(line)
@@ -592,7 +640,13 @@
                     continue
                 event, up = e.get("event"), e.get("upstream")
                 if event == "started":
-                    draining = {}
+                    draining, evacuated = {}, set()
+                elif event == "evacuation_begun":
+                    evacuated.add(e["datacentre"])
+                elif event == "evacuation_ended":
+                    evacuated.discard(e["datacentre"])
+                elif event == "task_started" and self.datacentre(int(up[2:].split(".")[0])) in evacuated:
+                    self.findings.append(f"knew: node{i} ordered {e['job']}/{e['task']} on {up} at {e['ts_ms']}, evacuated")
                 elif event == "upstream_listed":
                     draining.pop(up, None)
                     if e["draining"]:
@@ -657,6 +711,8 @@
         callers = [asyncio.create_task(self.run_caller(k)) for k in range(8)]
         callers += [asyncio.create_task(self.run_kept_caller(k)) for k in range(2)]
         callers += [asyncio.create_task(self.run_poison_caller()), asyncio.create_task(self.change_capacities())]
+        if self.args.evacuations:
+            callers.append(asyncio.create_task(self.change_evacuations()))
         watch = asyncio.create_task(self.watch_config())
         deadline, active_faults = time.monotonic() + self.args.seconds, []
         while time.monotonic() < deadline:
@@ -685,7 +741,7 @@
         await asyncio.sleep(1)
         clocks.cancel()
         self.check_runs()
-        self.check_draining_starts()
+        self.check_known_starts()
 
 
 # Runs one seed, on the ports of the block port_block.  Returns the number of findings.
@@ -739,6 +795,7 @@
     ap.add_argument("--jobs", type=int, default=3, help="seeds run at a time")
     ap.add_argument("--bin", default=f"{here}/../build")
     ap.add_argument("--keep", help="folder for logs; the default, a temporary one, is kept on findings")
+    ap.add_argument("--evacuations", action="store_true", help="evacuate data centres too")
     ap.add_argument("--port", type=int, help="first port; 100 a seed at a time (default: a free block)")
     args = ap.parse_args()
     if args.port is None:
--- a/src/mm_admission.c
+++ b/src/mm_admission.c
@@ -78,10 +78,17 @@
 mm_admission
 mm_admission_decide (const mm_load *load, uint32_t tasks, mm_time_ms slack_ms)
 {
-  mm_admission a = { .accept = true };
+  mm_admission a = { .accept = true, .why = "would come too late" };
   uint64_t ahead = (uint64_t)load->waiting + tasks;
   if (ahead <= load->free || !MM_WITH_ADMISSION)
     return a;
+  if (load->evacuated)
+    {
+      a.accept = false;
+      a.why = "the data centres are evacuated";
+      a.retry_after_s = MM_RETRY_AFTER_NO_CAPACITY_S;
+      return a;
+    }
   if (load->places == 0)
     {
       /* During a handover no owner reports the upstreams' capacity for up to
--- a/src/mm_admission.h
+++ b/src/mm_admission.h
@@ -12,6 +12,7 @@
   uint32_t waiting;        /* tasks that are queued ahead of the job */
   mm_time_ms mean_task_ms; /* mean time for which a task uses its place */
   mm_time_ms age_ms;       /* age of the oldest report included */
+  bool evacuated; /* there are no places, as data centres are evacuated */
 } mm_load;
 
 /* The decision on a job.  */
@@ -20,6 +21,7 @@
   bool accept;            /* whether the job is accepted */
   mm_time_ms wait_ms;     /* expected wait until its last task starts */
   uint32_t retry_after_s; /* when a refused caller should retry */
+  const char *why;        /* reason of a refusal */
 } mm_admission;
 
 /* How long a job can wait for free capacity and still meet its objective,
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -50,6 +50,24 @@
   = { "config_refused", RATE_HIGH, "version in_force",
       "The configuration that was read is older than the one in force, and "
       "is ignored." },
+  [MM_EV_EVACUATION_BEGUN]
+  = { "evacuation_begun", RATE_HIGH, "datacentre peer view_ms",
+      "This instance knows that the data centre is evacuated and starts no "
+      "more tasks there. It has read that from the store, or received it from "
+      "peer, as of a read sent view_ms ago." },
+  [MM_EV_EVACUATION_IN_FORCE]
+  = { "evacuation_in_force", RATE_HIGH, "datacentre took_ms upstreams runs",
+      "The orders to start tasks in the evacuated data centre that were "
+      "under way are answered, took_ms after the evacuation was known. Of its "
+      "upstreams owned here, runs go on to their end." },
+  [MM_EV_EVACUATION_ENDED]
+  = { "evacuation_ended", RATE_HIGH, "datacentre for_ms peer view_ms",
+      "The data centre is back in service, for_ms after its evacuation was "
+      "known; peer and view_ms as in evacuation_begun." },
+  [MM_EV_EVACUATION_IGNORED]
+  = { "evacuation_ignored", RATE_HIGH, "key why",
+      "The request to evacuate a data centre under this key of the store is "
+      "not followed. What was requested there before stays in force." },
   [MM_EV_LIST_BEHIND]
   = { "list_behind", RATE_HIGH, "age_ms",
       "This instance owns upstreams, and last read their list to its "
@@ -228,7 +246,8 @@
   [MM_EV_TASK_STARTED_DRAINING]
   = { "task_started_draining", RATE_HIGH,
       "job task upstream run verdict ordered_ms sent_ms",
-      "The upstream was listed as draining before it answered the "
+      "The upstream was listed as draining, or its data centre was "
+      "evacuated, before it answered the "
       "start, which was ordered ordered_ms ago and last sent sent_ms "
       "ago." },
   [MM_EV_TASK_FOREIGN]
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -340,13 +340,14 @@
     }
 }
 
-/* Logs a start that was answered after the upstream began to drain.  */
+/* Logs a start that was answered after the upstream ceased to take new
+   tasks.  */
 static void
 log_if_draining (const mm_exec_run *r, mm_call_verdict v)
 {
   const mm_upstream_info *u = r->exec->info;
   mm_time_ms now = mm_clock_now_ms ();
-  if (u->draining)
+  if (!mm_exec_takes_new_tasks (r->exec))
     mm_log_event (MM_EV_TASK_STARTED_DRAINING, MM_TASK (&r->id),
                   MM_TEXT (u->name), MM_INT (r->number),
                   MM_TEXT (mm_call_verdict_name (v)),
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -8,6 +8,7 @@
 #ifndef MM_EXEC_H
 #define MM_EXEC_H
 
+#include "mm_evacuations.h"
 #include "mm_rto.h"
 #include "mm_uplink.h"
 #include "mm_upstream_info.h"
@@ -167,6 +168,7 @@
   mm_rto_floor floor; /* lower bound of the timeouts */
   mm_uplink uplink;   /* the link that carries the orders */
   mm_exec_list_age list_age;
+  const mm_evacuations *evacuations; /* NULL: there are none */
 } mm_exec_common;
 
 /* Starts a session with an upstream; free with mm_exec_destroy().  @common
@@ -192,8 +194,13 @@
    answer makes an upstream suspect for about 100 ms, and jobs would be refused
    if its capacity did not count for that time.  */
 bool mm_exec_in_service (const mm_exec *x);
-bool mm_exec_fenced (const mm_exec *x); /* upstream has another owner */
-bool mm_exec_idle (const mm_exec *x);   /* has no runs */
+/* Returns whether tasks may be started on the upstream, as far as the platform
+   and the operators are concerned: it is not draining, and its data centre is
+   not evacuated.  */
+bool mm_exec_takes_new_tasks (const mm_exec *x);
+bool mm_exec_evacuated (const mm_exec *x); /* its data centre is evacuated */
+bool mm_exec_fenced (const mm_exec *x);    /* upstream has another owner */
+bool mm_exec_idle (const mm_exec *x);      /* has no runs */
 /* The listed capacity without what runs, unanswered start orders and runs that
    are being stopped use; negative when they use more than that.  */
 mm_resources mm_exec_free_capacity (const mm_exec *x);
@@ -216,6 +223,8 @@
 mm_time_ms mm_exec_longest_remaining_ms (const mm_exec *x, mm_time_ms now);
 /* Number of runs in doubt: their starts got no answer.  */
 size_t mm_exec_count_in_doubt (const mm_exec *x);
+/* Number of start orders that are not answered and not given up yet.  */
+size_t mm_exec_count_open_starts (const mm_exec *x);
 const mm_upstream_info *mm_exec_info (const mm_exec *x); /* list entry */
 /* Raises our fencing token to @fence; the runs go on.  */
 void mm_exec_raise_fence (mm_exec *x, uint64_t fence);
--- a/src/mm_exec_doubt.c
+++ b/src/mm_exec_doubt.c
@@ -18,13 +18,13 @@
 }
 
 /* The upstream's entry in the list may have changed since the task was placed
-   there.  The run itself is already counted as used capacity, so the free
-   capacity suffices unless it is negative.  */
+   there, or its data centre been evacuated.  The run itself is already counted
+   as used capacity, so the free capacity suffices unless it is negative.  */
 bool
 mm_exec_may_send_again (const mm_exec *x)
 {
   mm_resources free_capacity = mm_exec_free_capacity (x);
-  return !x->info->draining && mm_exec_can_lease (x)
+  return mm_exec_takes_new_tasks (x) && mm_exec_can_lease (x)
          && mm_resources_fit (&(mm_resources){ 0 }, &free_capacity);
 }
 
--- a/src/mm_exec_state.c
+++ b/src/mm_exec_state.c
@@ -4,11 +4,23 @@
 
 #include <string.h>
 
+bool
+mm_exec_evacuated (const mm_exec *x)
+{
+  return mm_evacuations_contain (x->common->evacuations, x->info->datacentre);
+}
+
+bool
+mm_exec_takes_new_tasks (const mm_exec *x)
+{
+  return !x->info->draining && !mm_exec_evacuated (x);
+}
+
 bool
 mm_exec_in_service (const mm_exec *x)
 {
   return x->runs_known && !x->fenced && !x->replaced && !x->closed
-         && !x->info->draining && x->clock_known;
+         && mm_exec_takes_new_tasks (x) && x->clock_known;
 }
 
 bool
@@ -136,6 +148,18 @@
   return n;
 }
 
+size_t
+mm_exec_count_open_starts (const mm_exec *x)
+{
+  size_t n = 0;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, x->runs);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    n += ((mm_exec_run *)v)->start_in_flight;
+  return n;
+}
+
 const mm_upstream_info *
 mm_exec_info (const mm_exec *x)
 {
--- a/src/mm_fleet.c
+++ b/src/mm_fleet.c
@@ -17,6 +17,7 @@
   bool any_declared;     /* a declared run time was recorded */
   bool any_ended;        /* a task has ended: declared run times are ignored */
   mm_suspects *suspects; /* NULL: crashes are not tracked */
+  const mm_evacuations *evacuations; /* NULL: there are none */
 };
 
 struct mm_dispatched_task
@@ -54,6 +55,12 @@
   f->suspects = s;
 }
 
+void
+mm_fleet_set_evacuations (mm_fleet *f, const mm_evacuations *e)
+{
+  f->evacuations = e;
+}
+
 mm_suspect_action
 mm_fleet_suspect_action (const mm_fleet *f, const mm_task_id *task)
 {
@@ -87,6 +94,23 @@
                                     MM_FLEET_MAX_OWNERS - 1);
 }
 
+/* Returns whether a service for which no capacity is reported has none because
+   of evacuations: each data centre is evacuated, or its instances are
+   connected and thus report that they have none.  */
+static bool
+is_evacuated (const mm_fleet *f)
+{
+  if (!mm_evacuations_any (f->evacuations))
+    return false;
+  const char *const *all = mm_evacuations_all (f->evacuations);
+  for (size_t i = 0; all[i]; i++)
+    if (!mm_evacuations_contain (f->evacuations, all[i])
+        && strcmp (all[i], f->datacentre) != 0
+        && mm_mesh_presence_in (f->mesh, all[i]).connected == 0)
+      return false;
+  return true;
+}
+
 mm_load
 mm_fleet_load (const mm_fleet *f, const char *service, uint32_t priority)
 {
@@ -109,6 +133,7 @@
                         * owners[i].capacity.task_ms;
         }
     }
+  load.evacuated = load.places == 0 && is_evacuated (f);
   /* The mean of this instance covers only runs that were done, while the
      owners' reports include the time used by other runs.  */
   if (MM_WITH_COST && known_places > 0)
--- a/src/mm_fleet.h
+++ b/src/mm_fleet.h
@@ -25,6 +25,9 @@
    crashes upstreams.  */
 mm_suspect_action mm_fleet_suspect_action (const mm_fleet *f,
                                            const mm_task_id *task);
+/* Sets the evacuations, which tell whether a service without capacity has any
+   to come; @e must outlive the fleet.  */
+void mm_fleet_set_evacuations (mm_fleet *f, const mm_evacuations *e);
 /* Counts and logs a task that is given up as a poison task, which makes its
    job fail; the log lists the upstreams that crashed.  */
 void mm_fleet_record_given_up (const mm_fleet *f, const mm_task_id *task);
--- a/src/mm_home.c
+++ b/src/mm_home.c
@@ -473,8 +473,7 @@
   else if (!mm_job_log_in_contact (h->log))
     refuse (h, rec, "the store does not answer", 1, answered, ctx);
   else if (!(admission = admit (h, rec)).accept)
-    refuse (h, rec, "would come too late", admission.retry_after_s, answered,
-            ctx);
+    refuse (h, rec, admission.why, admission.retry_after_s, answered, ctx);
   else
     {
       j = job_create (h, rec->submission->id, rec);
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -540,7 +540,7 @@
   mm_admission admission = mm_admission_decide (&load, tasks, start_slack_ms);
   if (!refusal.why && !admission.accept)
     {
-      refusal.why = "would come too late";
+      refusal.why = admission.why;
       refusal.retry_after_s = admission.retry_after_s;
     }
   if (refusal.why)
@@ -645,11 +645,17 @@
       dispatch (&b->tasks[i]);
 }
 
-/* Dispatches again the tasks for whose service no capacity was reported, or
-   gives up the job when it is too late for them to start.  */
+/* Dispatches again the tasks for whose service no capacity was reported. Gives
+   up the job when it is too late for them to start, or when evacuations leave
+   the service without capacity, as these last.  */
 static void
 retry_without_owner (job *b, mm_time_ms now)
 {
+  if (mm_fleet_load (b->jobs->fleet, b->service, b->priority).evacuated)
+    {
+      give_up (b, "the data centres are evacuated");
+      return;
+    }
   if (now >= b->latest_start_ms)
     {
       give_up (b, "no owner in reach");
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -92,6 +92,7 @@
   g_free (in->name);
   in->name = g_strdup (msg->name);
   mm_mesh_send_losses (in->mesh, in->link);
+  mm_mesh_send_evacuations (in->mesh, in->link);
   if (in->mesh->hello)
     in->mesh->hello (in->mesh->hello_ctx, msg->name);
 }
@@ -118,6 +119,8 @@
     mm_mesh_handle_update (in->mesh, in->name, &in->queue_delay, &msg);
   else if (ok && msg.kind == MM_MESH_LOSS)
     mm_mesh_handle_loss (in->mesh, &msg);
+  else if (ok && msg.kind == MM_MESH_EVACUATIONS)
+    mm_mesh_handle_evacuations (in->mesh, in->name, &msg);
   else if (ok && msg.kind == MM_MESH_HELLO)
     handle_hello (in, &msg);
   else if (ok && msg.kind == MM_MESH_HEARTBEAT)
@@ -309,6 +312,8 @@
     mm_mesh_handle_update (p->mesh, p->info.name, &p->queue_delay, &msg);
   else if (ok && msg.kind == MM_MESH_LOSS)
     mm_mesh_handle_loss (p->mesh, &msg);
+  else if (ok && msg.kind == MM_MESH_EVACUATIONS)
+    mm_mesh_handle_evacuations (p->mesh, p->info.name, &msg);
   else
     ok = false;
   mm_mesh_msg_clear (&msg);
@@ -392,6 +397,7 @@
   mm_mesh_pack_hello (&b, p->mesh->self);
   mm_link_send (p->link, &b);
   msgpack_sbuffer_destroy (&b);
+  mm_mesh_send_evacuations (p->mesh, p->link);
 }
 
 void
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -5,6 +5,7 @@
 #ifndef MM_MESH_H
 #define MM_MESH_H
 
+#include "mm_evacuations.h"
 #include "mm_owner.h"
 #include "mm_requests.h"
 
@@ -54,6 +55,11 @@
 /* Exchanges reports of lost upstreams with the peers, and records them in @s,
    which must outlive the mesh.  */
 void mm_mesh_set_suspects (mm_mesh *m, mm_suspects *s);
+/* Exchanges the evacuations in force with each peer when a link to it opens;
+   @e must outlive the mesh.  */
+void mm_mesh_set_evacuations (mm_mesh *m, mm_evacuations *e);
+/* Sends the evacuations in force to all peers.  */
+void mm_mesh_notify_evacuations (mm_mesh *m);
 void mm_mesh_set_leaving (mm_mesh *m); /* reports the shutdown to peers */
 /* Adds an instance, or records that it is a standby; @p is copied.  */
 void mm_mesh_add_peer (mm_mesh *m, const mm_mesh_peer_info *p);
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -23,6 +23,7 @@
   FOUND_FIELDS = 7,
   UPDATE_FIELDS = 3,
   LOSS_FIELDS = 10,
+  EVACUATIONS_FIELDS = 4,
   CAPACITY_FIELDS = 6
 };
 
@@ -208,10 +209,26 @@
                       l->verdict_ms ? mm_clock_now_ms () - l->verdict_ms : 0);
 }
 
-/* The functions read_run(), read_ended(), read_loss() and read_report() read
-   the values of a message into @m or @l.  @f: the message's array, of which
-   f[0] is the kind; the caller has checked the number of values.  They return
-   false when a value is not valid.  */
+void
+mm_mesh_pack_evacuations (msgpack_sbuffer *b, const mm_evacuations_view *v)
+{
+  msgpack_packer pk;
+  pack_header (&pk, b, EVACUATIONS_FIELDS, MM_MESH_EVACUATIONS);
+  msgpack_pack_uint64 (&pk, v->offset);
+  msgpack_pack_int64 (&pk, v->age_ms);
+  msgpack_pack_array (&pk, v->n);
+  for (size_t i = 0; i < v->n; i++)
+    {
+      msgpack_pack_array (&pk, 2);
+      mm_mp_pack_text (&pk, v->evacuations[i].datacentre);
+      msgpack_pack_int64 (&pk, v->evacuations[i].for_ms);
+    }
+}
+
+/* The functions read_run(), read_ended(), read_loss(), read_evacuations() and
+   read_report() read the values of a message into @m, @l or @v.  @f: the
+   message's array, of which f[0] is the kind; the caller has checked the
+   number of values.  They return false when a value is not valid.  */
 
 /* Reads a time that is not negative.  */
 static bool
@@ -311,6 +328,26 @@
   return true;
 }
 
+static bool
+read_evacuations (const msgpack_object *f, mm_evacuations_view *v)
+{
+  if (!mm_mp_read_u64 (&f[1], &v->offset) || !read_time (&f[2], &v->age_ms)
+      || f[3].type != MSGPACK_OBJECT_ARRAY
+      || f[3].via.array.size > MM_MESH_MAX_EVACUATIONS)
+    return false;
+  v->evacuations = g_new0 (mm_evacuation, f[3].via.array.size + 1);
+  for (uint32_t i = 0; i < f[3].via.array.size; i++)
+    {
+      const msgpack_object *row = &f[3].via.array.ptr[i];
+      mm_evacuation *e = &v->evacuations[v->n++];
+      if (!mm_mp_is_array (row, 2)
+          || !mm_mp_read_text (&row->via.array.ptr[0], false, &e->datacentre)
+          || !read_time (&row->via.array.ptr[1], &e->for_ms))
+        return false;
+    }
+  return true;
+}
+
 static bool
 read_priority_levels (const msgpack_object *o, uint32_t waiting_by_priority[])
 {
@@ -407,6 +444,9 @@
              && read_bytes (&f[2], out);
     case MM_MESH_LOSS:
       return n == LOSS_FIELDS && read_loss (f, &out->loss);
+    case MM_MESH_EVACUATIONS:
+      return n == EVACUATIONS_FIELDS
+             && read_evacuations (f, &out->evacuations);
     case MM_MESH_RELEASED:
       return n == RELEASED_FIELDS
              && mm_mp_read_text (&f[1], false, (char **)&out->name);
@@ -429,6 +469,7 @@
   g_free ((char *)m->loss.upstream);
   g_free ((char *)m->loss.addr);
   g_free ((uint64_t *)m->loss.tasks);
+  mm_evacuations_view_clear (&m->evacuations);
   g_free (m->name);
   g_free (m->capacities);
 }
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -75,7 +75,12 @@
      An upstream was lost while it ran these tasks.  The last n_unconfirmed of
      them may not have run.  The message holds for how long the upstream was
      unresponsive and the verdict known, and not since when, as the clocks of
-     two instances differ.  */
+     two instances differ.
+
+   - [EVACUATIONS, offset, age_ms, [[datacentre, for_ms], ...]]
+
+     The evacuations in force at the sender, an mm_evacuations_view.  Sent when
+     a link opens and when they change.  */
 #ifndef MM_MESH_MSG_H
 #define MM_MESH_MSG_H
 
@@ -97,11 +102,14 @@
   MM_MESH_RELEASED = 9,
   MM_MESH_FOUND = 10,
   MM_MESH_UPDATE = 11,
-  MM_MESH_LOSS = 12
+  MM_MESH_LOSS = 12,
+  MM_MESH_EVACUATIONS = 13
 } mm_mesh_kind;
 
 /* Most services in a report; further ones are left out.  */
 #define MM_MESH_MAX_SERVICES 64
+/* A message with more evacuated data centres is not valid.  */
+#define MM_MESH_MAX_EVACUATIONS 256
 
 /* The capacity for one service, as in a report.  */
 typedef struct
@@ -130,6 +138,7 @@
   mm_time_ms echo_age_ms; /* HEARTBEAT */
   mm_time_ms silent_ms;   /* HEARTBEAT */
   mm_loss loss;           /* LOSS; owns the strings and the task hashes */
+  mm_evacuations_view evacuations; /* EVACUATIONS */
   /* REQUEST, ANSWER, UPDATE: the bytes carried.  They are not copied: valid
      only as long as the msgpack object that was read.  */
   const void *data;
@@ -160,6 +169,8 @@
 void mm_mesh_pack_released (msgpack_sbuffer *b, const char *group);
 void mm_mesh_pack_found (msgpack_sbuffer *b, const mm_found_run *r);
 void mm_mesh_pack_loss (msgpack_sbuffer *b, const mm_loss *l);
+void mm_mesh_pack_evacuations (msgpack_sbuffer *b,
+                               const mm_evacuations_view *v);
 void mm_mesh_pack_request (msgpack_sbuffer *b, uint64_t number, uint32_t verb,
                            const void *data, size_t len);
 void mm_mesh_pack_update (msgpack_sbuffer *b, mm_time_ms sent_ms,
--- a/src/mm_mesh_priv.h
+++ b/src/mm_mesh_priv.h
@@ -95,6 +95,7 @@
   void *update_ctx;
   bool leaving;          /* reported to peers: this instance shuts down */
   mm_suspects *suspects; /* NULL: losses of upstreams are not exchanged */
+  mm_evacuations *evacuations; /* NULL: they are not exchanged */
   mm_mesh_request_received request_received;
   void *request_ctx;
   GHashTable *closed_ms; /* data centre -> when a peer last closed a link */
@@ -126,6 +127,12 @@
 void mm_mesh_handle_loss (mm_mesh *m, const mm_mesh_msg *msg);
 void mm_mesh_send_losses (mm_mesh *m, mm_link *link); /* all known losses */
 
+/* mm_mesh_evacuation.c */
+/* @peer: name of the sender, NULL: not known yet.  */
+void mm_mesh_handle_evacuations (mm_mesh *m, const char *peer,
+                                 const mm_mesh_msg *msg);
+void mm_mesh_send_evacuations (mm_mesh *m, mm_link *link);
+
 /* mm_mesh_peers.c */
 /* Decides to which of the known instances a link is wanted.  */
 void mm_mesh_choose_neighbours (mm_mesh *m, mm_time_ms now);
--- a/src/mm_metrics.c
+++ b/src/mm_metrics.c
@@ -157,6 +157,11 @@
   [MM_GG_LOG_DROPPED]
   = { "masticmill_log_lines_dropped", NULL,
       "Log lines dropped, as nobody read standard output." },
+  [MM_GG_EVACUATED] = { "masticmill_datacentres_evacuated", NULL,
+                        "Data centres that are evacuated, as known here." },
+  [MM_GG_EVACUATED_RUNS]
+  = { "masticmill_evacuated_runs", NULL,
+      "Runs at upstreams owned here in evacuated data centres." },
   [MM_GG_UPSTREAMS_LOST]
   = { "masticmill_upstreams_lost", NULL,
       "Lost upstreams that are recorded and not known to be alive." },
--- a/src/mm_metrics.h
+++ b/src/mm_metrics.h
@@ -86,6 +86,8 @@
   MM_GG_KEPT_OPEN,
   MM_GG_LOG_DROPPED,
   MM_GG_UPSTREAMS_LOST,
+  MM_GG_EVACUATED,
+  MM_GG_EVACUATED_RUNS,
   MM_GG_COUNT
 } mm_gauge_id;
 
--- a/src/mm_native.h
+++ b/src/mm_native.h
@@ -15,6 +15,9 @@
 
 /* ---- mm_native_store: calls to the store ----
    @s must outlive the port.  */
+/* Beginning of a key in the stream of the configuration; the data centre to be
+   evacuated follows.  */
+#define MM_NATIVE_EVACUATE_PREFIX "evacuate/"
 mm_store_port mm_native_store_port (mm_store_http *s);
 
 /* ---- mm_native_front: callers' jobs ---- */
--- a/src/mm_native_store.c
+++ b/src/mm_native_store.c
@@ -80,6 +80,19 @@
   return r;
 }
 
+/* Decodes a record of the configuration stream into @item.  */
+static void
+read_config_item (const cJSON *value, mm_stream_item *item)
+{
+  if (!g_str_has_prefix (item->key, MM_NATIVE_EVACUATE_PREFIX))
+    item->routes = read_config (value);
+  else if (cJSON_IsObject (value))
+    item->evacuated
+        = g_strdup (item->key + strlen (MM_NATIVE_EVACUATE_PREFIX));
+  else
+    item->unreadable = true;
+}
+
 /* Appends the records in @list to @items; leaves out malformed ones.  A record
    without a value drops its key.  */
 static void
@@ -91,11 +104,13 @@
       const cJSON *value = cJSON_GetObjectItemCaseSensitive (row, "value");
       mm_stream_item item = { .key = string_field (row, "key") };
       if (item.key && value && kind == MM_STREAM_CONFIG)
-        item.routes = read_config (value);
+        read_config_item (value, &item);
       else if (item.key && value)
         item.upstream = read_upstream (item.key, value);
-      bool readable = item.key && (!value || item.routes || item.upstream);
-      if (readable)
+      bool usable = item.key
+                    && (!value || item.routes || item.evacuated
+                        || item.upstream || item.unreadable);
+      if (usable)
         g_array_append_val (items, item);
       else
         mm_stream_item_clear (&item);
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -4,6 +4,7 @@
 #include "config.h"
 #include "mm_catalog.h"
 #include "mm_configuration.h"
+#include "mm_evacuations.h"
 #include "mm_event.h"
 #include "mm_datacentres.h"
 #include "mm_metrics.h"
@@ -27,6 +28,7 @@
   mm_time_ms started_ms;
   mm_time_ms last_loop_ms; /* when the event loop last iterated */
   mm_catalog *catalog;
+  mm_evacuations *evacuations;
   mm_configuration *config;
   mm_list_share *list;
   mm_stream *upstreams; /* stream of the upstream list, owned by list */
@@ -200,7 +202,9 @@
   if (mm_members_loaded (n->members)
       || now - n->started_ms >= MM_PREDECESSORS_WAIT_MS)
     mm_datacentres_tick (n->owned_datacentres);
-  mm_ownership_tick (n->ownership, mm_stream_is_current (n->upstreams));
+  mm_ownership_tick (n->ownership,
+                     mm_stream_is_current (n->upstreams)
+                         && mm_evacuations_known (n->evacuations));
   mm_suspects_tick (n->suspects);
   mm_mesh_tick (n->mesh);
   mm_owner_set_confirmed (n->owner,
@@ -296,6 +300,14 @@
   return mm_stream_known_as_of_ms (((mm_node *)ctx)->upstreams);
 }
 
+static void
+on_evacuations_changed (void *ctx)
+{
+  mm_node *n = ctx;
+  mm_mesh_notify_evacuations (n->mesh);
+  tick_now (n);
+}
+
 /* Creates the modules of the instance and connects them; the owner and the
    mesh exist already.  */
 static void
@@ -308,8 +320,13 @@
   mm_owner_set_suspects (n->owner, n->suspects);
   mm_mesh_set_suspects (n->mesh, n->suspects);
   mm_fleet_set_suspects (n->fleet, n->suspects);
+  n->evacuations = mm_evacuations_create (s->datacentres);
+  mm_evacuations_on_changed (n->evacuations, on_evacuations_changed, n);
+  mm_owner_set_evacuations (n->owner, n->evacuations);
+  mm_mesh_set_evacuations (n->mesh, n->evacuations);
+  mm_fleet_set_evacuations (n->fleet, n->evacuations);
   n->jobs = mm_jobs_create (n->fleet);
-  n->config = mm_configuration_create (store);
+  n->config = mm_configuration_create (store, n->evacuations);
   n->list
       = mm_list_share_create (store, n->catalog, n->mesh, member, tick_now, n);
   n->upstreams = mm_list_share_stream (n->list);
@@ -398,6 +415,7 @@
   mm_suspects_destroy (n->suspects);
   mm_datacentres_destroy (n->owned_datacentres);
   mm_configuration_destroy (n->config);
+  mm_evacuations_destroy (n->evacuations);
   mm_catalog_destroy (n->catalog);
   g_free (n);
 }
@@ -409,8 +427,11 @@
   if (n->leaving_ms || !routes)
     return false;
   for (size_t i = 0; i < routes->n_routes; i++)
-    if (mm_fleet_load (n->fleet, routes->routes[i].service, 0).places > 0)
-      return true;
+    {
+      mm_load load = mm_fleet_load (n->fleet, routes->routes[i].service, 0);
+      if (load.places > 0 || load.evacuated)
+        return true;
+    }
   return false;
 }
 
@@ -487,6 +508,44 @@
   return routes ? (int64_t)routes->version : 0;
 }
 
+/* Returns the number of runs at the upstreams owned here in evacuated data
+   centres.  */
+static int64_t
+evacuated_runs (const mm_node *n, const mm_evacuations_view *v)
+{
+  int64_t runs = 0;
+  for (size_t i = 0; i < v->n; i++)
+    runs
+        += mm_owner_measure_datacentre (n->owner, v->evacuations[i].datacentre)
+               .runs;
+  return runs;
+}
+
+/* Adds the evacuated data centres to a state dump, and for each what goes on
+   at its upstreams owned here.  */
+static void
+dump_evacuations (const mm_node *n, cJSON *dump)
+{
+  mm_evacuations_view v = mm_evacuations_view_of (n->evacuations);
+  cJSON_AddNumberToObject (
+      dump, "evacuations_age_ms",
+      mm_evacuations_known (n->evacuations) ? (double)v.age_ms : -1);
+  cJSON *list = cJSON_AddArrayToObject (dump, "evacuations");
+  for (size_t i = 0; i < v.n; i++)
+    {
+      const mm_evacuation *e = &v.evacuations[i];
+      mm_owner_datacentre d
+          = mm_owner_measure_datacentre (n->owner, e->datacentre);
+      cJSON *row = cJSON_CreateObject ();
+      cJSON_AddStringToObject (row, "datacentre", e->datacentre);
+      cJSON_AddNumberToObject (row, "for_ms", (double)e->for_ms);
+      cJSON_AddNumberToObject (row, "upstreams", d.upstreams);
+      cJSON_AddNumberToObject (row, "runs", d.runs);
+      cJSON_AddItemToArray (list, row);
+    }
+  mm_evacuations_view_clear (&v);
+}
+
 /**
  * mm_node_metrics() - write counters, gauges and histograms as text.
  * @n: the node.
@@ -511,6 +570,10 @@
   mm_metrics_set (MM_GG_LIST_AGE, list_age_ms (n, mm_clock_now_ms ()));
   mm_metrics_set (MM_GG_UPSTREAMS_LOST,
                   (int64_t)mm_suspects_count (n->suspects));
+  mm_evacuations_view v = mm_evacuations_view_of (n->evacuations);
+  mm_metrics_set (MM_GG_EVACUATED, (int64_t)v.n);
+  mm_metrics_set (MM_GG_EVACUATED_RUNS, evacuated_runs (n, &v));
+  mm_evacuations_view_clear (&v);
   mm_metrics_set (MM_GG_LOG_DROPPED, (int64_t)mm_log_sink_dropped ());
   return mm_metrics_text ();
 }
@@ -529,6 +592,7 @@
       (double)mm_datacentres_generation (n->owned_datacentres));
   cJSON_AddNumberToObject (d, "list_age_ms",
                            (double)list_age_ms (n, mm_clock_now_ms ()));
+  dump_evacuations (n, d);
   cJSON_AddNumberToObject (d, "peers", mm_mesh_connected (n->mesh));
   cJSON_AddNumberToObject (d, "jobs", mm_jobs_count (n->jobs));
   char *owner = mm_owner_dump (n->owner);
--- a/src/mm_node.h
+++ b/src/mm_node.h
@@ -41,7 +41,7 @@
 void mm_node_destroy (mm_node *n);
 /* Returns whether the balancer may send callers to the instance: it is not
    shutting down, and it or a connected peer has capacity, free or in use, for
-   a queue of the configuration.  */
+   a queue of the configuration, or none has because of evacuations.  */
 bool mm_node_ready (const mm_node *n);
 /* Returns whether jobs are accepted: false shortly before the exit.  */
 bool mm_node_accepts_jobs (const mm_node *n);
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -214,6 +214,8 @@
   o->transferred = g_hash_table_new (NULL, NULL);
   o->in_doubt = g_hash_table_new_full (mm_task_id_hash, mm_task_id_equal,
                                        g_free, g_free);
+  o->evacuated
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return o;
 }
 
@@ -257,6 +259,7 @@
   mm_owner_destroy_transfers (o);
   g_hash_table_destroy (o->owned_upstreams);
   g_hash_table_destroy (o->active);
+  g_hash_table_destroy (o->evacuated);
   g_free (o);
 }
 
@@ -626,6 +629,8 @@
 {
   mm_time_ms now = mm_clock_now_ms ();
   expire_waiting (o, now);
+  mm_owner_return_evacuated (o);
+  mm_owner_log_evacuations (o, now);
   mm_owner_tick_adoption (o, now);
   GList *all = g_hash_table_get_values (o->owned_upstreams);
   for (GList *l = all; l; l = l->next)
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -130,6 +130,18 @@
    mm_run_hash() of the run.  */
 void mm_owner_acknowledge_end (mm_owner *o, const mm_task_id *task,
                                uint32_t hash);
+/* Sets the data centres whose upstreams get no new tasks; @e must outlive the
+   owner.  Without it there are none.  */
+void mm_owner_set_evacuations (mm_owner *o, const mm_evacuations *e);
+/* What goes on at the owned upstreams of a data centre.  */
+typedef struct
+{
+  uint32_t upstreams;
+  uint32_t runs;
+  uint32_t open_starts; /* start orders that are not answered yet */
+} mm_owner_datacentre;
+mm_owner_datacentre mm_owner_measure_datacentre (const mm_owner *o,
+                                                 const char *datacentre);
 /* Sets whether this instance's membership is confirmed, so that no other
    instance can own its upstreams.  */
 void mm_owner_set_confirmed (mm_owner *o, bool confirmed);
--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -58,6 +58,7 @@
   mm_owner_gained gained;               /* NULL: not set */
   void *gained_ctx;                     /* argument of @gained */
   mm_suspects *suspects;      /* NULL: suspected tasks are not recorded */
+  GHashTable *evacuated;      /* data centre -> mm_owner_evacuation.c */
   uint64_t last_arrival;      /* arrival number of the last task */
   mm_time_ms input_read_ms;   /* mm_owner_set_input_read(), 0: not set */
   mm_time_ms handover_end_ms; /* all handovers have ended by then */
@@ -97,6 +98,13 @@
 /* Frees a task without a report to its submitter.  */
 void mm_owner_free_work (mm_work *w);
 
+/* mm_owner_evacuation.c */
+/* Returns the waiting tasks that can start nowhere here because of
+   evacuations, so that they are dispatched elsewhere at once.  */
+void mm_owner_return_evacuated (mm_owner *o);
+/* Logs which evacuations have come into force.  */
+void mm_owner_log_evacuations (mm_owner *o, mm_time_ms now);
+
 /* mm_owner_suspects.c */
 /* Adds @by (1 or -1) to the suspects that run at @owned, if @w is one.  */
 void mm_owner_count_suspect (mm_owned_upstream *owned, const mm_work *w,
--- a/src/mm_store.c
+++ b/src/mm_store.c
@@ -9,6 +9,7 @@
   mm_stream_item *i = item;
   g_free (i->key);
   mm_routes_unref (i->routes);
+  g_free (i->evacuated);
   mm_upstream_info_free (i->upstream);
 }
 
--- a/src/mm_store.h
+++ b/src/mm_store.h
@@ -16,17 +16,21 @@
 /* The streams that mm_stream reads.  */
 typedef enum
 {
-  MM_STREAM_CONFIG,   /* the operators' configuration */
+  MM_STREAM_CONFIG,   /* the operators' configuration and evacuations */
   MM_STREAM_UPSTREAMS /* the upstream list, to which upstreams report */
 } mm_stream_kind;
 
-/* A record of a stream.  Its value is @routes or @upstream, depending on the
-   stream; a record with neither drops its key.  */
+/* A record of a stream.  Its value is @routes or @evacuated in
+   MM_STREAM_CONFIG, and @upstream in MM_STREAM_UPSTREAMS.  A record without a
+   value drops its key, unless it is @unreadable.  */
 typedef struct
 {
   char *key;
-  mm_routes *routes;          /* for MM_STREAM_CONFIG, else NULL */
-  mm_upstream_info *upstream; /* for MM_STREAM_UPSTREAMS, else NULL */
+  mm_routes *routes;
+  char *evacuated; /* a data centre to be evacuated */
+  mm_upstream_info *upstream;
+  /* It has a value that cannot be read: the one before stays in force.  */
+  bool unreadable;
 } mm_stream_item;
 
 void mm_stream_item_clear (gpointer item); /* frees its fields */
--- a/tests/fake_upstreams.c
+++ b/tests/fake_upstreams.c
@@ -171,6 +171,13 @@
   return mm_run_table_unacked_end_count (x->table);
 }
 
+void
+fake_set_datacentre (fake *x, const char *datacentre)
+{
+  g_free (x->info.datacentre);
+  x->info.datacentre = g_strdup (datacentre);
+}
+
 void
 fake_set_draining (fake *x, bool draining)
 {
--- a/tests/fake_upstreams.h
+++ b/tests/fake_upstreams.h
@@ -56,6 +56,8 @@
 const mm_upstream_info *fake_info (const fake *x);
 /* Sets whether fake_info() lists the upstream as draining.  */
 void fake_set_draining (fake *x, bool draining);
+/* Sets the data centre that fake_info() lists, "dc1" at first.  */
+void fake_set_datacentre (fake *x, const char *datacentre);
 /* Sets the capacity that fake_info() lists.  */
 void fake_set_listed_cpu (fake *x, int64_t cpu_milli);
 /* Sets the real capacity, beyond which a start counts as over_capacity.  */
--- a/tests/test_configuration.c
+++ b/tests/test_configuration.c
@@ -23,6 +23,7 @@
 #define BURST 8 /* versions in quick succession */
 
 static mm_time_ms now_ms;
+static char *datacentres[] = { "dc1", "dc2", NULL };
 
 static mm_time_ms
 test_clock (void *ctx)
@@ -253,6 +254,7 @@
   mm_time_ms fault_ends_ms; /* of the current fault */
   bool stale_since_start;   /* answers were stale since the last start */
   uint64_t stored_at_start; /* newest version at the last start */
+  mm_evacuations *evacuations;
 } fixture;
 
 /* Returns the newest usable version that was stored @age_ms ago or earlier,
@@ -277,11 +279,13 @@
 start_instance (fixture *f)
 {
   mm_configuration_destroy (f->configuration);
+  mm_evacuations_destroy (f->evacuations);
+  f->evacuations = mm_evacuations_create (datacentres);
   mm_store_port port = { .newest = store_newest,
                          .tail = store_tail,
                          .ctx = &f->store,
                          .link_mbps = f->store.link_mbps };
-  f->configuration = mm_configuration_create (&port);
+  f->configuration = mm_configuration_create (&port, f->evacuations);
   f->in_force = 0;
   f->stale_since_start = false;
   f->stored_at_start = usable_version (&f->store, 0);
@@ -305,6 +309,7 @@
 fixture_destroy (fixture *f)
 {
   mm_configuration_destroy (f->configuration);
+  mm_evacuations_destroy (f->evacuations);
   while (f->store.calls)
     answer (&f->store, f->store.calls->data);
   g_array_free (f->store.records, TRUE);
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -116,6 +116,23 @@
   g_free (f);
 }
 
+static void
+notify_evacuations (void *ctx)
+{
+  mm_mesh_notify_evacuations (ctx);
+}
+
+/* Reads the request to evacuate the second data centre, or its removal.  */
+static void
+read_evacuation (mm_evacuations *e, uint64_t offset, bool evacuated)
+{
+  mm_stream_item item
+      = { .key = "evacuate",
+          .evacuated = evacuated ? (char *)dc_names[1] : NULL };
+  mm_evacuations_read_item (e, &item);
+  mm_evacuations_read_to (e, offset, mm_clock_now_ms (), NULL);
+}
+
 /* With a link from each instance to each other one, the messages that keep
    links alive grow with the square of the number of instances, and dozens of
    instances are busy with these messages alone.  */
@@ -379,10 +396,14 @@
                    .n_unconfirmed = 1,
                    .after_start_ms = 5 };
   mm_mesh_pack_loss (&buffer, &loss);
+  mm_evacuation evacuation = { .datacentre = "dc2", .for_ms = 70 };
+  mm_evacuations_view view
+      = { .offset = 12, .age_ms = 30, .evacuations = &evacuation, .n = 1 };
+  mm_mesh_pack_evacuations (&buffer, &view);
   msgpack_unpacked unpacked;
   msgpack_unpacked_init (&unpacked);
   size_t offset = 0;
-  for (int kind = MM_MESH_RUN; kind <= MM_MESH_LOSS; kind++)
+  for (int kind = MM_MESH_RUN; kind <= MM_MESH_EVACUATIONS; kind++)
     {
       mm_mesh_msg m;
       ck_assert_int_eq (
@@ -413,6 +434,12 @@
             && m.loss.unresponsive_since_ms >= loss.unresponsive_since_ms
             && m.loss.verdict_ms >= loss.verdict_ms
             && m.loss.verdict_ms <= mm_clock_now_ms () - 300);
+      if (kind == MM_MESH_EVACUATIONS)
+        ck_assert (m.evacuations.offset == 12 && m.evacuations.age_ms == 30
+                   && m.evacuations.n == 1
+                   && m.evacuations.evacuations[0].for_ms == 70
+                   && strcmp (m.evacuations.evacuations[0].datacentre, "dc2")
+                          == 0);
       if (kind == MM_MESH_REPORT)
         ck_assert (
             m.leaving && m.sent_ms == 77
@@ -425,6 +452,36 @@
 }
 END_TEST
 
+/* Guards against starts in an evacuated data centre by instances that cannot
+   read the store: one instance reads the request, and all others learn of it
+   over the links, also those that it is not linked to.  */
+START_TEST (evacuations_reach_instances_without_the_store)
+{
+  fixture *f = fixture_create ();
+  char *all[DATACENTRES + 1] = { 0 };
+  for (int i = 0; i < DATACENTRES; i++)
+    all[i] = (char *)dc_names[i];
+  mm_evacuations *e[INSTANCES];
+  for (int i = 0; i < INSTANCES; i++)
+    {
+      e[i] = mm_evacuations_create (all);
+      mm_evacuations_on_changed (e[i], notify_evacuations, f->mesh[i]);
+      mm_mesh_set_evacuations (f->mesh[i], e[i]);
+    }
+  read_evacuation (e[0], 5, true); /* before the links open */
+  run_loop_for (f, 1.0);
+  for (int i = 0; i < INSTANCES; i++)
+    ck_assert (mm_evacuations_contain (e[i], dc_names[1]));
+  read_evacuation (e[3], 6, false);
+  run_loop_for (f, 0.3);
+  for (int i = 0; i < INSTANCES; i++)
+    ck_assert (!mm_evacuations_any (e[i]));
+  fixture_destroy (f);
+  for (int i = 0; i < INSTANCES; i++)
+    mm_evacuations_destroy (e[i]);
+}
+END_TEST
+
 /* Returns whether a message can be read; empties @b.  */
 static bool
 can_read (msgpack_sbuffer *b)
@@ -620,6 +677,7 @@
   tcase_set_timeout (c, 60);
   tcase_add_test (c, messages_are_read_as_they_were_packed);
   tcase_add_test (c, few_instances_are_all_linked_to);
+  tcase_add_test (c, evacuations_reach_instances_without_the_store);
   tcase_add_test (c, neighbours_are_bounded_near_and_far);
   tcase_add_test (c,
                   lost_neighbours_are_replaced_and_standby_instances_chosen);
