masticctl model: a load model of the decisions on tasks

The rule by which mm_dispatch chooses is a parameter now; the product passes the standing one. mm_rooms, the free capacity of single upstreams, is used by the model only so far.

--- a/daemons/ctl.c
+++ b/daemons/ctl.c
@@ -33,6 +33,7 @@
       "                         what is evacuated, and what still runs there\n"
       "  explain ID [FILE]...   why a job ended as it did, from the logs\n"
       "                         of several instances (or standard input)\n"
+      "  model FILE             compare ways to decide on a load (TOML)\n"
       "  top HOST:PORT...       live metrics of instances\n"
       "  events                 list the events that instances log\n"
       "  fault HOST:PORT JSON   (platform: /v1/faults, upstream: "
--- a/daemons/ctl.h
+++ b/daemons/ctl.h
@@ -48,6 +48,9 @@
 int ctl_evacuation (int argc, char **argv);
 /* Explains a job from logs.  @argv: ID [FILE...], where ID is the job's.  */
 int ctl_explain (int argc, char **argv);
+/* Plays the load in @file, TOML, in the model of the decisions, and prints a
+   line of JSON for each way to decide and each kind of job.  */
+int ctl_model (const char *file);
 /* Prints a row for each instance in @argv: HOST:PORT...  The exit status is 1
    when the metrics of any of them cannot be read.  */
 int ctl_top (int argc, char **argv);
--- a/daemons/masticctl.c
+++ b/daemons/masticctl.c
@@ -13,6 +13,7 @@
                                start no tasks there, or start them again
      evacuation show ADDR...   what is evacuated, and what still runs there
      explain ID [FILE]...      why a job ended as it did, from several logs
+     model FILE                compare ways to decide on a load
      top ADDR...               print current metrics of instances in one table
      events                    list the events that instances log
      bench [options]           run a load and print the ratio of latency to the
@@ -139,6 +140,8 @@
     return ctl_evacuation (argc - 1, argv + 1);
   if (argc >= 2 && g_str_equal (argv[0], "explain"))
     return ctl_explain (argc - 1, argv + 1);
+  if (argc >= 2 && g_str_equal (argv[0], "model"))
+    return ctl_model (argv[1]);
   if (argc >= 2 && g_str_equal (argv[0], "top"))
     return ctl_top (argc - 1, argv + 1);
   if (argc >= 1 && g_str_equal (argv[0], "events"))
--- a/src/mm_dispatch.c
+++ b/src/mm_dispatch.c
@@ -1,5 +1,5 @@
-/* mm_dispatch: chooses the nearest owner with free capacity, or the one with
-   the shortest queue if none has any.
+/* mm_dispatch: chooses the nearest owner with free capacity for the task, or
+   the one with the shortest queue if none has any.
 
    Traffic stays inside a data centre while there is free capacity.  A data
    centre that receives more tasks than its upstreams have capacity for sends
@@ -13,14 +13,33 @@
   return ((double)r->waiting + 1.0) / (double)r->places;
 }
 
+uint32_t
+mm_dispatch_count_fits (const mm_capacity_report *r, int64_t cpu_milli,
+                        mm_dispatch_rule rule)
+{
+  return rule == MM_DISPATCH_MOST_FREE ? r->free
+                                       : mm_rooms_count (&r->rooms, cpu_milli);
+}
+
+/* A task, and how its owner is chosen.  */
+typedef struct
+{
+  int64_t cpu_milli;
+  mm_dispatch_rule rule;
+} choice;
+
 /* Returns whether @a is preferred to @b.  */
 static bool
-is_better (const mm_dispatch_candidate *a, const mm_dispatch_candidate *b)
+is_better (const mm_dispatch_candidate *a, const mm_dispatch_candidate *b,
+           const choice *c)
 {
-  bool a_free = a->capacity.free > 0, b_free = b->capacity.free > 0;
-  if (a_free != b_free)
-    return a_free;
-  if (!a_free)
+  uint32_t a_fits
+      = mm_dispatch_count_fits (&a->capacity, c->cpu_milli, c->rule);
+  uint32_t b_fits
+      = mm_dispatch_count_fits (&b->capacity, c->cpu_milli, c->rule);
+  if ((a_fits > 0) != (b_fits > 0))
+    return a_fits > 0;
+  if (!a_fits)
     return queue_length (&a->capacity) < queue_length (&b->capacity);
   /* An owner that returned the task cannot use its free capacity for it: the
      capacity is on an upstream that the task avoids, or too small.  */
@@ -28,15 +47,21 @@
     return b->returned_task;
   if (a->near != b->near)
     return a->near < b->near;
-  return a->capacity.free > b->capacity.free;
+  if (c->rule == MM_DISPATCH_TIGHTEST)
+    return mm_rooms_tightest_milli (&a->capacity.rooms, c->cpu_milli)
+           < mm_rooms_tightest_milli (&b->capacity.rooms, c->cpu_milli);
+  return a_fits > b_fits;
 }
 
 int
-mm_dispatch_choose (const mm_dispatch_candidate *c, size_t n)
+mm_dispatch_choose (const mm_dispatch_candidate *c, size_t n,
+                    int64_t cpu_milli, mm_dispatch_rule rule)
 {
+  choice how = { .cpu_milli = cpu_milli, .rule = rule };
   int best = -1;
   for (size_t i = 0; i < n; i++)
-    if (c[i].capacity.places > 0 && (best < 0 || is_better (&c[i], &c[best])))
+    if (c[i].capacity.places > 0
+        && (best < 0 || is_better (&c[i], &c[best], &how)))
       best = (int)i;
   return best;
 }
--- a/src/mm_dispatch.h
+++ b/src/mm_dispatch.h
@@ -20,8 +20,22 @@
   mm_capacity_report capacity;
 } mm_dispatch_candidate;
 
-/* Returns the index of the candidate to dispatch to, -1 when the @n candidates
-   have no capacity, free or in use.  */
-int mm_dispatch_choose (const mm_dispatch_candidate *c, size_t n);
+/* How the owner is chosen among those with free capacity at the same
+   distance.  */
+typedef enum
+{
+  MM_DISPATCH_MOST_FREE, /* the most free places for tasks of average size */
+  MM_DISPATCH_MOST_FITS, /* free capacity for the most tasks of this size */
+  MM_DISPATCH_TIGHTEST   /* the upstream that the task fits most tightly */
+} mm_dispatch_rule;
+
+/* Returns the index of the candidate to which a task of @cpu_milli thousandths
+   of a core is dispatched, -1 when the @n candidates have no capacity, free or
+   in use.  */
+int mm_dispatch_choose (const mm_dispatch_candidate *c, size_t n,
+                        int64_t cpu_milli, mm_dispatch_rule rule);
+/* Returns how many tasks of that size fit into an owner's free capacity.  */
+uint32_t mm_dispatch_count_fits (const mm_capacity_report *r,
+                                 int64_t cpu_milli, mm_dispatch_rule rule);
 
 #endif /* MM_DISPATCH_H */
--- a/src/mm_fleet.c
+++ b/src/mm_fleet.c
@@ -216,7 +216,8 @@
       choices[i].capacity.waiting
           = mm_capacity_waiting_ahead (&owners[i].capacity, t->priority);
     }
-  int best = mm_dispatch_choose (choices, n);
+  int best = mm_dispatch_choose (choices, n, t->resources.cpu_milli,
+                                 MM_DISPATCH_RULE);
   if (best < 0)
     return NULL;
   mm_dispatched_task *handle = g_new0 (mm_dispatched_task, 1);
--- a/tests/test_decisions.c
+++ b/tests/test_decisions.c
@@ -236,7 +236,7 @@
   mm_dispatch_candidate c[]
       = { owner (MM_NEAR_SELF, 10, 0, 0), owner (MM_NEAR_FAR, 10, 9, 0),
           owner (MM_NEAR_DATACENTRE, 10, 1, 0) };
-  ck_assert_int_eq (mm_dispatch_choose (c, 3), 2);
+  ck_assert_int_eq (mm_dispatch_choose (c, 3, 1000, MM_DISPATCH_MOST_FREE), 2);
 }
 END_TEST
 
@@ -248,10 +248,10 @@
   mm_dispatch_candidate c[]
       = { owner (MM_NEAR_SELF, 10, 3, 0), owner (MM_NEAR_FAR, 10, 1, 0),
           owner (MM_NEAR_DATACENTRE, 10, 0, 0) };
-  ck_assert_int_eq (mm_dispatch_choose (c, 3), 0);
+  ck_assert_int_eq (mm_dispatch_choose (c, 3, 1000, MM_DISPATCH_MOST_FREE), 0);
   c[0].returned_task = true;
-  ck_assert_int_eq (mm_dispatch_choose (c, 3), 1);
-  ck_assert_int_eq (mm_dispatch_choose (c, 1), 0);
+  ck_assert_int_eq (mm_dispatch_choose (c, 3, 1000, MM_DISPATCH_MOST_FREE), 1);
+  ck_assert_int_eq (mm_dispatch_choose (c, 1, 1000, MM_DISPATCH_MOST_FREE), 0);
 }
 END_TEST
 
@@ -262,8 +262,9 @@
   mm_dispatch_candidate c[]
       = { owner (MM_NEAR_SELF, 10, 0, 6), owner (MM_NEAR_FAR, 40, 0, 8),
           owner (MM_NEAR_DATACENTRE, 0, 0, 0) };
-  ck_assert_int_eq (mm_dispatch_choose (c, 3), 1);
-  ck_assert_int_eq (mm_dispatch_choose (&c[2], 1), -1);
+  ck_assert_int_eq (mm_dispatch_choose (c, 3, 1000, MM_DISPATCH_MOST_FREE), 1);
+  ck_assert_int_eq (mm_dispatch_choose (&c[2], 1, 1000, MM_DISPATCH_MOST_FREE),
+                    -1);
 }
 END_TEST
 
