Owners report the free capacity of single upstreams

Cause: an owner reported capacity / average size as whole numbers for each upstream. With an average of 32.1 of 64 cores, an upstream had one place instead of two, and a free room of 31.9 none; and the sum of places does not tell whether a given task fits.

A task goes to the owner where most tasks of its size fit, and admission counts the rooms for the job's largest task. Tasks sent since a report take the tightest room in it. Places are fractions, at least one for each upstream.

--- a/src/config.h
+++ b/src/config.h
@@ -298,7 +298,7 @@
 #define MM_TASK_ESTIMATE_MS 250
 #define MM_MEAN_TASK_GAIN 0.02  /* weight of one run in the mean run time */
 #define MM_FLEET_MAX_OWNERS 128 /* owners considered for one task */
-#define MM_DISPATCH_RULE MM_DISPATCH_MOST_FREE /* see mm_dispatch */
+#define MM_DISPATCH_RULE MM_DISPATCH_MOST_FITS /* see mm_dispatch */
 
 /* The platform's store (mm_stream, mm_partitions, mm_members, mm_node).  */
 #define MM_STORE_TIMEOUT_MS 1500 /* of a call; a slow store takes 0.4 s */
--- a/src/mm_fleet.c
+++ b/src/mm_fleet.c
@@ -112,7 +112,8 @@
 }
 
 mm_load
-mm_fleet_load (const mm_fleet *f, const char *service, uint32_t priority)
+mm_fleet_load (const mm_fleet *f, const char *service, uint32_t priority,
+               int64_t cpu_milli)
 {
   mm_mesh_peer_capacity owners[MM_FLEET_MAX_OWNERS];
   size_t n = list_owners (f, service, owners);
@@ -122,7 +123,8 @@
   for (size_t i = 0; i < n; i++)
     {
       load.places += owners[i].capacity.places;
-      load.free += owners[i].capacity.free;
+      load.free += mm_dispatch_count_fits (&owners[i].capacity, cpu_milli,
+                                           MM_DISPATCH_RULE);
       load.waiting
           += mm_capacity_waiting_ahead (&owners[i].capacity, priority);
       load.age_ms = MAX (load.age_ms, owners[i].age_ms);
--- a/src/mm_fleet.h
+++ b/src/mm_fleet.h
@@ -32,9 +32,10 @@
    job fail; the log lists the upstreams that crashed.  */
 void mm_fleet_record_given_up (const mm_fleet *f, const mm_task_id *task);
 /* Returns the load of a service over this instance and all connected peers.
-   Waiting tasks are counted only if they go before a job of this priority.  */
+   Waiting tasks are counted only if they go before a job of this priority.
+   Free places are those for tasks of @cpu_milli thousandths of a core.  */
 mm_load mm_fleet_load (const mm_fleet *f, const char *service,
-                       uint32_t priority);
+                       uint32_t priority, int64_t cpu_milli);
 /* Dispatches a task to this instance or to a connected peer.  Returns a handle
    that is valid until @done, or NULL when none of them reports any capacity
    for the service.  */
--- a/src/mm_home.c
+++ b/src/mm_home.c
@@ -432,7 +432,9 @@
 static mm_admission
 admit (const mm_home *h, const mm_job_record *rec)
 {
-  mm_load load = mm_fleet_load (h->fleet, rec->service, rec->priority);
+  mm_load load
+      = mm_fleet_load (h->fleet, rec->service, rec->priority,
+                       mm_submission_largest_cpu_milli (rec->submission));
   mm_time_ms chain_ms = mm_submission_chain_ms (rec->submission);
   return mm_admission_decide (
       &load, mm_submission_first_tasks (rec->submission),
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -527,7 +527,8 @@
                         .retry_after_s = MM_RETRY_AFTER_NO_CAPACITY_S };
   refusal.why = route->needs_advice ? "queues with advice are not served"
                                     : mm_submission_unsupported_reason (s);
-  mm_load load = mm_fleet_load (j->fleet, route->service, route->priority);
+  mm_load load = mm_fleet_load (j->fleet, route->service, route->priority,
+                                mm_submission_largest_cpu_milli (s));
   mm_time_ms chain_ms = mm_submission_chain_ms (s);
   mm_time_ms start_slack_ms
       = mm_admission_slack_ms (route->stretch, route->slo_ms, chain_ms);
@@ -651,7 +652,7 @@
 static void
 retry_without_owner (job *b, mm_time_ms now)
 {
-  if (mm_fleet_load (b->jobs->fleet, b->service, b->priority).evacuated)
+  if (mm_fleet_load (b->jobs->fleet, b->service, b->priority, 1).evacuated)
     {
       give_up (b, "the data centres are evacuated");
       return;
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -596,6 +596,12 @@
     if (strcmp (p->capacities[i].service, service) == 0)
       r = p->capacities[i].capacity;
   uint64_t unseen = p->last_number - p->seen_number;
+  for (uint64_t i = p->seen_number + 1; i <= p->last_number; i++)
+    {
+      const mm_remote_task *t = g_hash_table_lookup (p->remote_tasks, &i);
+      if (t)
+        mm_rooms_take (&r.rooms, t->cpu_milli);
+    }
   uint32_t used = (uint32_t)MIN (unseen, r.free);
   r.free -= used;
   /* The priority of the unseen tasks is not known: at level 0 they count as
@@ -650,6 +656,7 @@
   mm_remote_task *r = g_new0 (mm_remote_task, 1);
   r->peer = p;
   r->number = ++p->last_number;
+  r->cpu_milli = t->resources.cpu_milli;
   r->done = done;
   r->ctx = ctx;
   g_hash_table_insert (p->remote_tasks, &r->number, r);
--- a/src/mm_mesh_priv.h
+++ b/src/mm_mesh_priv.h
@@ -43,6 +43,7 @@
 {
   mm_mesh_peer *peer;
   uint64_t number;
+  int64_t cpu_milli;
   mm_work_done done;
   void *ctx;
 };
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -428,7 +428,7 @@
     return false;
   for (size_t i = 0; i < routes->n_routes; i++)
     {
-      mm_load load = mm_fleet_load (n->fleet, routes->routes[i].service, 0);
+      mm_load load = mm_fleet_load (n->fleet, routes->routes[i].service, 0, 1);
       if (load.places > 0 || load.evacuated)
         return true;
     }
--- a/src/mm_owner_report.c
+++ b/src/mm_owner_report.c
@@ -16,13 +16,27 @@
   return MAX (cpu, 1);
 }
 
+/* Returns the capacity at an upstream that a task can use, in thousandths of a
+   core.  */
+static int64_t
+free_room_milli (const mm_owned_upstream *owned)
+{
+  const mm_upstream_info *u = mm_exec_info (owned->exec);
+  bool has_slot
+      = u->slots == 0 || mm_exec_count_runs (owned->exec) < (size_t)u->slots;
+  if (!has_slot || !mm_exec_usable (owned->exec))
+    return 0;
+  return MAX (mm_exec_free_capacity (owned->exec).cpu_milli, 0);
+}
+
 /**
  * mm_owner_report() - report capacity and load of a service here.
  * @o: the owner.
  * @service: the service.
  *
- * Capacity is counted in tasks of the average size of those submitted
- * recently.  An upstream has no places while it is not in service, while its
+ * Places are counted in tasks of the average size of those submitted recently,
+ * at least one for each upstream; the rooms tell how many tasks of a given
+ * size fit.  An upstream has no places while it is not in service, while its
  * circuit breaker is open, or while it is being handed over and the handover
  * ends before an average task would.  A suspect upstream has places, but none
  * of them counts as free.
@@ -37,6 +51,10 @@
     r.task_ms = (uint32_t)(o->average_place_ms
                            / MAX (o->done_share, MM_MIN_DONE_SHARE));
   mm_time_ms now = mm_clock_now_ms ();
+  guint n = g_hash_table_size (o->owned_upstreams);
+  int64_t *rooms_milli = g_new (int64_t, n + 1);
+  size_t n_rooms = 0;
+  double places = 0;
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init (&it, o->owned_upstreams);
@@ -50,11 +68,14 @@
           || !mm_breaker_allows (&owned->breaker, 0, now))
         continue;
       int64_t cpu = average_cpu_milli (o, u);
-      r.places += (uint32_t)(u->capacity.cpu_milli / cpu);
-      int64_t free_milli = mm_exec_free_capacity (owned->exec).cpu_milli;
-      if (free_milli > 0 && mm_exec_usable (owned->exec))
-        r.free += (uint32_t)(free_milli / cpu);
+      places += MAX ((double)u->capacity.cpu_milli / (double)cpu, 1);
+      int64_t room_milli = free_room_milli (owned);
+      r.free += (uint32_t)(room_milli / cpu);
+      rooms_milli[n_rooms++] = room_milli;
     }
+  r.places = (uint32_t)places;
+  mm_rooms_fill (&r.rooms, rooms_milli, n_rooms);
+  g_free (rooms_milli);
   for (GList *l = o->waiting->head; l; l = l->next)
     {
       const mm_work *w = l->data;
--- a/src/mm_submission.c
+++ b/src/mm_submission.c
@@ -39,6 +39,16 @@
   return n;
 }
 
+int64_t
+mm_submission_largest_cpu_milli (const mm_submission *s)
+{
+  int64_t largest = 0;
+  for (uint32_t i = 0; i < s->n_steps; i++)
+    if (s->steps[i].n_dependencies == 0)
+      largest = MAX (largest, s->steps[i].resources.cpu_milli);
+  return largest;
+}
+
 const char *
 mm_submission_unsupported_reason (const mm_submission *s)
 {
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -50,6 +50,7 @@
 START_TEST (tasks_of_half_an_upstream_are_on_time)
 {
   assert_served ("halves", 8, 1);
+  assert_served ("halves", 8, 1.2); /* two thirds of the capacity are used */
 }
 END_TEST
 
