A task waits 10 ms at one owner before it is dispatched again

A task whose owner had no room waited there for 40 ms, and up to the next tick, 50 ms on average, while other owners had room.

Owners report the sizes of their rooms since, so a second choice is seldom as blind as the first; the wait can be shorter.

The price is more messages between instances: a task that does not fit tries more owners.

--- a/src/config.h
+++ b/src/config.h
@@ -293,7 +293,7 @@
 /* A task in doubt has ended after this time, see MM_RUN_LIMIT_MS.  */
 #define MM_IN_DOUBT_MS MM_RESEND_MS
 /* Wait of a task in the queue of one owner before it tries another.  */
-#define MM_OWNER_WAIT_MS 40
+#define MM_OWNER_WAIT_MS 10
 /* Estimated run time of a task until some tasks have ended.  */
 #define MM_TASK_ESTIMATE_MS 250
 #define MM_MEAN_TASK_GAIN 0.02  /* weight of one run in the mean run time */
