--- /dev/null
+++ b/src/mm_model_events.c
@@ -0,0 +1,60 @@
+/* mm_model_events: the events to come, as a binary heap.  */
+#include "mm_model_priv.h"
+
+static bool
+is_earlier (const event *a, const event *b)
+{
+  return a->at_ms != b->at_ms ? a->at_ms < b->at_ms : a->number < b->number;
+}
+
+static event *
+event_at (model *m, guint i)
+{
+  return &g_array_index (m->heap, event, i);
+}
+
+static void
+swap_events (model *m, guint i, guint k)
+{
+  event e = *event_at (m, i);
+  *event_at (m, i) = *event_at (m, k);
+  *event_at (m, k) = e;
+}
+
+void
+mm_model_push_event (model *m, event e)
+{
+  e.number = m->n_events++;
+  g_array_append_val (m->heap, e);
+  for (guint i = m->heap->len - 1; i > 0; i = (i - 1) / 2)
+    {
+      if (!is_earlier (event_at (m, i), event_at (m, (i - 1) / 2)))
+        break;
+      swap_events (m, i, (i - 1) / 2);
+    }
+}
+
+bool
+mm_model_has_event_before (model *m, double at_ms)
+{
+  return m->heap->len > 0 && event_at (m, 0)->at_ms < at_ms;
+}
+
+event
+mm_model_pop_event (model *m)
+{
+  event first = *event_at (m, 0);
+  *event_at (m, 0) = *event_at (m, m->heap->len - 1);
+  g_array_set_size (m->heap, m->heap->len - 1);
+  for (guint i = 0, child = 1; child < m->heap->len; child = 2 * i + 1)
+    {
+      if (child + 1 < m->heap->len
+          && is_earlier (event_at (m, child + 1), event_at (m, child)))
+        child++;
+      if (!is_earlier (event_at (m, child), event_at (m, i)))
+        break;
+      swap_events (m, i, child);
+      i = child;
+    }
+  return first;
+}
