--- a/daemons/ctl_model.c
+++ b/daemons/ctl_model.c
@@ -29,8 +29,8 @@
   cJSON_AddNumberToObject (o, "on_time", r->on_time / jobs);
   cJSON_AddNumberToObject (o, "late", r->late / jobs);
   cJSON_AddNumberToObject (o, "refused", r->refused / jobs);
-  cJSON_AddNumberToObject (o, "refused_with_room",
-                           r->refused_with_room / jobs);
+  cJSON_AddNumberToObject (o, "refused_though_free",
+                           r->refused_though_free / jobs);
   cJSON_AddNumberToObject (o, "given_up", r->given_up / jobs);
   cJSON_AddNumberToObject (o, "returned",
                            r->returned / (double)MAX (r->handed, 1));
--- a/src/mm_dispatch.c
+++ b/src/mm_dispatch.c
@@ -17,8 +17,9 @@
 mm_dispatch_count_fits (const mm_capacity_report *r, int64_t cpu_milli,
                         mm_dispatch_rule rule)
 {
-  return rule == MM_DISPATCH_MOST_FREE ? r->free
-                                       : mm_rooms_count (&r->rooms, cpu_milli);
+  return rule == MM_DISPATCH_MOST_FREE
+             ? r->free
+             : mm_residuals_count (&r->residuals, cpu_milli);
 }
 
 /* A task, and how its owner is chosen.  */
@@ -48,8 +49,9 @@
   if (a->near != b->near)
     return a->near < b->near;
   if (c->rule == MM_DISPATCH_TIGHTEST)
-    return mm_rooms_tightest_milli (&a->capacity.rooms, c->cpu_milli)
-           < mm_rooms_tightest_milli (&b->capacity.rooms, c->cpu_milli);
+    return mm_residuals_tightest_milli (&a->capacity.residuals, c->cpu_milli)
+           < mm_residuals_tightest_milli (&b->capacity.residuals,
+                                          c->cpu_milli);
   return a_fits > b_fits;
 }
 
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -600,7 +600,7 @@
     {
       const mm_remote_task *t = g_hash_table_lookup (p->remote_tasks, &i);
       if (t)
-        mm_rooms_take (&r.rooms, t->cpu_milli);
+        mm_residuals_take (&r.residuals, t->cpu_milli);
     }
   uint32_t used = (uint32_t)MIN (unseen, r.free);
   r.free -= used;
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -8,8 +8,8 @@
 
 /* Sums of a few such times do not overflow.  */
 #define TIME_MAX_MS ((mm_time_ms)1 << 50)
-/* Sums of the rooms of a report do not overflow.  */
-#define ROOM_UNIT_MAX_MILLI ((int64_t)1 << 32)
+/* Sums of the residual capacities of a report do not overflow.  */
+#define RESIDUAL_UNIT_MAX_MILLI ((int64_t)1 << 32)
 
 /* Number of values in the array of a message, its kind included.
    CAPACITY_FIELDS: number of values for one service in a REPORT.  */
@@ -140,7 +140,7 @@
 }
 
 static void
-pack_rooms (msgpack_packer *pk, const mm_rooms *r)
+pack_residuals (msgpack_packer *pk, const mm_residuals *r)
 {
   msgpack_pack_int64 (pk, r->unit_milli);
   msgpack_pack_uint32 (pk, r->n_upstreams);
@@ -172,7 +172,7 @@
       for (size_t k = 0; k < MM_PRIORITY_LEVELS; k++)
         msgpack_pack_uint32 (&pk,
                              capacities[i].capacity.waiting_by_priority[k]);
-      pack_rooms (&pk, &capacities[i].capacity.rooms);
+      pack_residuals (&pk, &capacities[i].capacity.residuals);
     }
 }
 
@@ -373,22 +373,22 @@
   return true;
 }
 
-/* Reads three consecutive values, as pack_rooms() packs them.  */
+/* Reads three consecutive values, as pack_residuals() packs them.  */
 static bool
-read_rooms (const msgpack_object *values, mm_rooms *r)
+read_residuals (const msgpack_object *values, mm_residuals *r)
 {
   if (!mm_mp_read_i64 (&values[0], &r->unit_milli) || r->unit_milli < 0
-      || r->unit_milli > ROOM_UNIT_MAX_MILLI
+      || r->unit_milli > RESIDUAL_UNIT_MAX_MILLI
       || !mm_mp_read_u32 (&values[1], &r->n_upstreams)
       || values[2].type != MSGPACK_OBJECT_ARRAY
-      || values[2].via.array.size > MM_ROOMS_MAX)
+      || values[2].via.array.size > MM_RESIDUALS_MAX)
     return false;
   r->n = values[2].via.array.size;
   for (uint32_t i = 0; i < r->n; i++)
     {
       uint32_t size;
       if (!mm_mp_read_u32 (&values[2].via.array.ptr[i], &size)
-          || size > MM_ROOMS_STEPS)
+          || size > MM_RESIDUALS_STEPS)
         return false;
       r->sizes[i] = (uint8_t)size;
     }
@@ -420,7 +420,7 @@
           || !mm_mp_read_u32 (&r[3], &out->capacity.waiting)
           || !mm_mp_read_u32 (&r[4], &out->capacity.task_ms)
           || !read_priority_levels (&r[5], out->capacity.waiting_by_priority)
-          || !read_rooms (&r[6], &out->capacity.rooms))
+          || !read_residuals (&r[6], &out->capacity.residuals))
         return false;
       m->n_capacities++;
     }
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -57,7 +57,7 @@
 
    - [REPORT, seen_number, name, leaving, [[service, places, free, waiting,
      task_ms, [waiting of each priority], unit_milli, n_upstreams, [size of
-     each room]], ...], sent_ms]
+     each residual capacity]], ...], sent_ms]
 
      The capacity for each service on the sender's upstreams; name is the
      sender's member name.  The report counts all tasks received over this
--- a/src/mm_model.h
+++ b/src/mm_model.h
@@ -1,10 +1,10 @@
 /* mm_model: a load model of the decisions on tasks, to compare ways to decide.
 
    A seeded simulation of events on one clock.  It calls the modules that
-   decide in the product (mm_admission, mm_dispatch, mm_placement, mm_rooms) on
-   a stated load.  There is no network, no store and no process in it, and
-   nothing fails: instances only know each other's capacity late, and each
-   upstream may be slower than declared.  */
+   decide in the product (mm_admission, mm_dispatch, mm_placement,
+   mm_residuals) on a stated load.  There is no network, no store and no
+   process in it, and nothing fails: instances only know each other's capacity
+   late, and each upstream may be slower than declared.  */
 #ifndef MM_MODEL_H
 #define MM_MODEL_H
 
@@ -58,10 +58,10 @@
   uint32_t late;    /* ended, and still of use */
   uint32_t refused; /* at their submission */
   uint32_t given_up;
-  uint32_t refused_with_room; /* refused although all of its tasks fitted */
-  uint32_t handed;            /* dispatches of tasks to owners */
-  uint32_t returned;          /* of these, returned without a start */
-  double wait_ms;             /* sum over the tasks that were started */
+  uint32_t refused_though_free; /* refused although all of its tasks fitted */
+  uint32_t handed;              /* dispatches of tasks to owners */
+  uint32_t returned;            /* of these, returned without a start */
+  double wait_ms;               /* sum over the tasks that were started */
   uint32_t started;
 } mm_model_result;
 
--- a/src/mm_model_home.c
+++ b/src/mm_model_home.c
@@ -14,7 +14,7 @@
   mm_capacity_report r = x->report;
   for (guint i = 0; i < x->unseen->len; i++)
     {
-      mm_rooms_take (&r.rooms, g_array_index (x->unseen, int64_t, i));
+      mm_residuals_take (&r.residuals, g_array_index (x->unseen, int64_t, i));
       if (r.free > 0)
         r.free--;
       else
@@ -214,7 +214,7 @@
   if (!a.accept)
     {
       r->refused++;
-      r->refused_with_room
+      r->refused_though_free
           += count_all_fits (m, j->tasks[0].cpu_milli) >= j->n_tasks;
       j->over = true;
       return;
--- a/src/mm_model_owner.c
+++ b/src/mm_model_owner.c
@@ -18,8 +18,8 @@
 mm_model_report_of (const model *m, const instance *n)
 {
   mm_capacity_report r = { 0 };
-  int64_t rooms[4096];
-  size_t n_rooms = 0;
+  int64_t residuals[4096];
+  size_t n_residuals = 0;
   double cpu = n->average_cpu_milli > 0 ? n->average_cpu_milli
                                         : m->load->upstream_cpu_milli;
   double capacity = 0;
@@ -32,12 +32,12 @@
       if (m->load->rule == MM_DISPATCH_MOST_FREE)
         r.places += (uint32_t)(m->load->upstream_cpu_milli / cpu);
       r.free += (uint32_t)((double)u->free_milli / cpu);
-      if (n_rooms < G_N_ELEMENTS (rooms))
-        rooms[n_rooms++] = u->free_milli;
+      if (n_residuals < G_N_ELEMENTS (residuals))
+        residuals[n_residuals++] = u->free_milli;
     }
   if (m->load->rule != MM_DISPATCH_MOST_FREE)
     r.places = (uint32_t)(capacity / cpu);
-  mm_rooms_fill (&r.rooms, rooms, n_rooms);
+  mm_residuals_fill (&r.residuals, residuals, n_residuals);
   r.task_ms = (uint32_t)n->average_place_ms;
   for (guint i = 0; i < n->waiting->len; i++)
     {
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -12,7 +12,7 @@
 #include "config.h"
 #include "mm_search_result.h"
 #include "mm_exec.h"
-#include "mm_rooms.h"
+#include "mm_residuals.h"
 #include "mm_suspects.h"
 
 typedef struct mm_owner mm_owner;
@@ -42,7 +42,7 @@
   uint32_t waiting; /* tasks that wait for free capacity */
   /* Waiting tasks by priority; the last level counts all beyond it.  */
   uint32_t waiting_by_priority[MM_PRIORITY_LEVELS];
-  mm_rooms rooms; /* free capacity of the upstreams */
+  mm_residuals residuals; /* free capacity of the upstreams */
 } mm_capacity_report;
 
 /* Number of waiting tasks that go before a new task of this priority: those
--- a/src/mm_owner_report.c
+++ b/src/mm_owner_report.c
@@ -19,7 +19,7 @@
 /* Returns the capacity at an upstream that a task can use, in thousandths of a
    core.  */
 static int64_t
-free_room_milli (const mm_owned_upstream *owned)
+residual_milli_of (const mm_owned_upstream *owned)
 {
   const mm_upstream_info *u = mm_exec_info (owned->exec);
   bool has_slot
@@ -35,11 +35,11 @@
  * @service: the service.
  *
  * Places are counted in tasks of the average size of those submitted recently,
- * at least one for each upstream; the rooms tell how many tasks of a given
- * size fit.  An upstream has no places while it is not in service, while its
- * circuit breaker is open, or while it is being handed over and the handover
- * ends before an average task would.  A suspect upstream has places, but none
- * of them counts as free.
+ * at least one for each upstream; the residual capacities tell how many
+ * tasks of a given size fit.  An upstream has no places while it is not in
+ * service, while its circuit breaker is open, or while it is being handed over
+ * and the handover ends before an average task would.  A suspect upstream has
+ * places, but none of them counts as free.
  *
  * Return: the report.
  */
@@ -52,8 +52,8 @@
                            / MAX (o->done_share, MM_MIN_DONE_SHARE));
   mm_time_ms now = mm_clock_now_ms ();
   guint n = g_hash_table_size (o->owned_upstreams);
-  int64_t *rooms_milli = g_new (int64_t, n + 1);
-  size_t n_rooms = 0;
+  int64_t *residuals_milli = g_new (int64_t, n + 1);
+  size_t n_residuals = 0;
   double places = 0;
   GHashTableIter it;
   gpointer v;
@@ -69,13 +69,13 @@
         continue;
       int64_t cpu = average_cpu_milli (o, u);
       places += MAX ((double)u->capacity.cpu_milli / (double)cpu, 1);
-      int64_t room_milli = free_room_milli (owned);
-      r.free += (uint32_t)(room_milli / cpu);
-      rooms_milli[n_rooms++] = room_milli;
+      int64_t residual_milli = residual_milli_of (owned);
+      r.free += (uint32_t)(residual_milli / cpu);
+      residuals_milli[n_residuals++] = residual_milli;
     }
   r.places = (uint32_t)places;
-  mm_rooms_fill (&r.rooms, rooms_milli, n_rooms);
-  g_free (rooms_milli);
+  mm_residuals_fill (&r.residuals, residuals_milli, n_residuals);
+  g_free (residuals_milli);
   for (GList *l = o->waiting->head; l; l = l->next)
     {
       const mm_work *w = l->data;
--- a/src/mm_rooms.c
+++ b/src/mm_residuals.c
@@ -1,5 +1,5 @@
-/* mm_rooms: the free capacity of single upstreams.  */
-#include "mm_rooms.h"
+/* mm_residuals: the residual capacities of an owner's upstreams.  */
+#include "mm_residuals.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -12,7 +12,7 @@
 }
 
 void
-mm_rooms_fill (mm_rooms *r, int64_t *free_milli, size_t n)
+mm_residuals_fill (mm_residuals *r, int64_t *free_milli, size_t n)
 {
   memset (r, 0, sizeof *r);
   qsort (free_milli, n, sizeof *free_milli, larger_first);
@@ -20,19 +20,20 @@
     n--;
   if (n == 0)
     return;
-  r->unit_milli = (free_milli[0] + MM_ROOMS_STEPS - 1) / MM_ROOMS_STEPS;
+  r->unit_milli
+      = (free_milli[0] + MM_RESIDUALS_STEPS - 1) / MM_RESIDUALS_STEPS;
   r->n_upstreams = (uint32_t)n;
-  r->n = n < MM_ROOMS_MAX ? (uint32_t)n : MM_ROOMS_MAX;
+  r->n = n < MM_RESIDUALS_MAX ? (uint32_t)n : MM_RESIDUALS_MAX;
   for (uint32_t i = 0; i < r->n; i++)
     {
       int64_t size = free_milli[(size_t)i * n / r->n];
-      /* Rounded up, so that a task fits into a room of exactly its size.  */
+      /* Rounded up, so that a task fits into exactly its size.  */
       r->sizes[i] = (uint8_t)((size + r->unit_milli - 1) / r->unit_milli);
     }
 }
 
 uint32_t
-mm_rooms_count (const mm_rooms *r, int64_t cpu_milli)
+mm_residuals_count (const mm_residuals *r, int64_t cpu_milli)
 {
   uint64_t fits = 0;
   if (cpu_milli <= 0)
@@ -42,10 +43,10 @@
   return r->n ? (uint32_t)(fits * r->n_upstreams / r->n) : 0;
 }
 
-/* Returns the index of the smallest room in which the task fits, -1 if there
-   is none.  */
+/* Returns the index of the smallest residual capacity into which the task
+   fits, -1 if there is none.  */
 static int
-tightest (const mm_rooms *r, int64_t cpu_milli)
+tightest (const mm_residuals *r, int64_t cpu_milli)
 {
   int best = -1;
   for (uint32_t i = 0; i < r->n; i++)
@@ -56,14 +57,14 @@
 }
 
 int64_t
-mm_rooms_tightest_milli (const mm_rooms *r, int64_t cpu_milli)
+mm_residuals_tightest_milli (const mm_residuals *r, int64_t cpu_milli)
 {
   int i = tightest (r, cpu_milli);
   return i < 0 ? -1 : r->sizes[i] * r->unit_milli;
 }
 
 void
-mm_rooms_take (mm_rooms *r, int64_t cpu_milli)
+mm_residuals_take (mm_residuals *r, int64_t cpu_milli)
 {
   int i = tightest (r, cpu_milli);
   if (i < 0 || r->unit_milli <= 0)
