Tests of dispatch by residual capacity

Each rule of mm_dispatch is played by the three tests of the standing one, with residual capacities that fit the task. New: an owner with a large sum but no fit, exact fits, tasks sent since a report, more upstreams than a report has sizes for.

--- a/tests/test_decisions.c
+++ b/tests/test_decisions.c
@@ -219,15 +219,89 @@
 }
 END_TEST
 
-/* An owner to which a task may be dispatched, with capacity in tasks.  */
+#define DISPATCHED_CPU_MILLI 1000 /* of the task that is dispatched */
+#define MAX_FREE 16
+
+/* An owner to which a task may be dispatched.  @free: its upstreams on which
+   one such task fits.  */
 static mm_dispatch_candidate
 owner (mm_nearness near, uint32_t places, uint32_t free, uint32_t waiting)
 {
-  return (mm_dispatch_candidate){
-    .near = near,
-    .capacity = { .places = places, .free = free, .waiting = waiting }
-  };
+  mm_dispatch_candidate c
+      = { .near = near,
+          .capacity = { .places = places, .free = free, .waiting = waiting } };
+  int64_t free_milli[MAX_FREE];
+  for (uint32_t i = 0; i < free; i++)
+    free_milli[i] = DISPATCHED_CPU_MILLI;
+  mm_residuals_fill (&c.capacity.residuals, free_milli, free);
+  return c;
+}
+
+/* Guards against an owner with a large sum of free capacity, none of which
+   the task fits into, that gets it before one where it fits.  */
+START_TEST (task_goes_to_an_owner_where_it_fits)
+{
+  mm_dispatch_candidate c[] = { owner (MM_NEAR_DATACENTRE, 10, 0, 0),
+                                owner (MM_NEAR_DATACENTRE, 10, 1, 0) };
+  int64_t halves[] = { DISPATCHED_CPU_MILLI / 2, DISPATCHED_CPU_MILLI / 2,
+                       DISPATCHED_CPU_MILLI / 2, DISPATCHED_CPU_MILLI / 2 };
+  c[0].capacity.free = 2;
+  mm_residuals_fill (&c[0].capacity.residuals, halves, 4);
+  ck_assert_int_eq (
+      mm_dispatch_choose (c, 2, DISPATCHED_CPU_MILLI, MM_DISPATCH_RULE), 1);
+}
+END_TEST
+
+/* Guards against tasks that seem not to fit because sizes are rounded: two
+   halves of an upstream, and all that is left of it.  */
+START_TEST (tasks_of_exactly_the_residual_capacity_fit)
+{
+  for (int64_t cpu = 1; cpu < 70000; cpu = cpu * 3 / 2 + 1)
+    {
+      int64_t free_milli[] = { 2 * cpu, cpu };
+      mm_residuals r;
+      mm_residuals_fill (&r, free_milli, 2);
+      ck_assert_uint_eq (mm_residuals_count (&r, cpu), 3);
+      ck_assert_int_ge (mm_residuals_tightest_milli (&r, cpu), cpu);
+      ck_assert_int_lt (mm_residuals_tightest_milli (&r, cpu), 2 * cpu);
+    }
+}
+END_TEST
+
+/* Guards against several tasks sent since a report that count on the same free
+   capacity.  */
+START_TEST (tasks_sent_since_a_report_take_residual_capacity)
+{
+  int64_t free_milli[] = { 0, 10000, 25000, -5 };
+  mm_residuals r;
+  mm_residuals_fill (&r, free_milli, 4);
+  ck_assert_uint_eq (mm_residuals_count (&r, 9000), 3);
+  mm_residuals_take (&r, 9000); /* from the smaller one */
+  ck_assert_uint_eq (mm_residuals_count (&r, 9000), 2);
+  mm_residuals_take (&r, 9000);
+  ck_assert_uint_eq (mm_residuals_count (&r, 9000), 1);
+  mm_residuals_take (&r, 30000); /* fits nowhere */
+  ck_assert_uint_eq (mm_residuals_count (&r, 9000), 1);
+  mm_residuals_take (&r, 9000);
+  mm_residuals_take (&r, 9000);
+  ck_assert_uint_eq (mm_residuals_count (&r, 9000), 0);
 }
+END_TEST
+
+/* Guards against reports that grow with the number of upstreams, and against
+   capacity that is left out of them.  */
+START_TEST (some_residual_capacities_stand_for_many)
+{
+  int64_t free_milli[200];
+  for (int i = 0; i < 200; i++)
+    free_milli[i] = i % 2 ? 8000 : 4000;
+  mm_residuals r;
+  mm_residuals_fill (&r, free_milli, 200);
+  ck_assert_uint_eq (r.n, MM_RESIDUALS_MAX);
+  ck_assert_uint_eq (mm_residuals_count (&r, 8000), 100);
+  ck_assert_uint_eq (mm_residuals_count (&r, 4000), 300);
+}
+END_TEST
 
 /* This instance has no free capacity.  An owner in the same data centre must
    be preferred to one in another data centre with more free capacity.  */
@@ -236,7 +310,7 @@
   mm_dispatch_candidate c[]
       = { owner (MM_NEAR_SELF, 10, 0, 0), owner (MM_NEAR_FAR, 10, 9, 0),
           owner (MM_NEAR_DATACENTRE, 10, 1, 0) };
-  ck_assert_int_eq (mm_dispatch_choose (c, 3, 1000, MM_DISPATCH_MOST_FREE), 2);
+  ck_assert_int_eq (mm_dispatch_choose (c, 3, 1000, (mm_dispatch_rule)_i), 2);
 }
 END_TEST
 
@@ -248,10 +322,10 @@
   mm_dispatch_candidate c[]
       = { owner (MM_NEAR_SELF, 10, 3, 0), owner (MM_NEAR_FAR, 10, 1, 0),
           owner (MM_NEAR_DATACENTRE, 10, 0, 0) };
-  ck_assert_int_eq (mm_dispatch_choose (c, 3, 1000, MM_DISPATCH_MOST_FREE), 0);
+  ck_assert_int_eq (mm_dispatch_choose (c, 3, 1000, (mm_dispatch_rule)_i), 0);
   c[0].returned_task = true;
-  ck_assert_int_eq (mm_dispatch_choose (c, 3, 1000, MM_DISPATCH_MOST_FREE), 1);
-  ck_assert_int_eq (mm_dispatch_choose (c, 1, 1000, MM_DISPATCH_MOST_FREE), 0);
+  ck_assert_int_eq (mm_dispatch_choose (c, 3, 1000, (mm_dispatch_rule)_i), 1);
+  ck_assert_int_eq (mm_dispatch_choose (c, 1, 1000, (mm_dispatch_rule)_i), 0);
 }
 END_TEST
 
@@ -262,8 +336,8 @@
   mm_dispatch_candidate c[]
       = { owner (MM_NEAR_SELF, 10, 0, 6), owner (MM_NEAR_FAR, 40, 0, 8),
           owner (MM_NEAR_DATACENTRE, 0, 0, 0) };
-  ck_assert_int_eq (mm_dispatch_choose (c, 3, 1000, MM_DISPATCH_MOST_FREE), 1);
-  ck_assert_int_eq (mm_dispatch_choose (&c[2], 1, 1000, MM_DISPATCH_MOST_FREE),
+  ck_assert_int_eq (mm_dispatch_choose (c, 3, 1000, (mm_dispatch_rule)_i), 1);
+  ck_assert_int_eq (mm_dispatch_choose (&c[2], 1, 1000, (mm_dispatch_rule)_i),
                     -1);
 }
 END_TEST
@@ -468,9 +542,17 @@
   tcase_add_test (c, jobs_sent_again_after_an_outage_do_not_displace_new_jobs);
   tcase_add_test (c, remaining_timeout_shows_that_a_job_was_sent_before);
   tcase_add_test (c, urgent_job_is_not_refused_for_less_urgent_tasks);
-  tcase_add_test (c, task_goes_to_the_nearest_owner_with_free_capacity);
-  tcase_add_test (c, task_goes_last_to_the_owner_that_returned_it);
-  tcase_add_test (c, task_goes_to_the_shortest_queue_when_all_owners_are_full);
+  tcase_add_loop_test (c, task_goes_to_the_nearest_owner_with_free_capacity,
+                       MM_DISPATCH_MOST_FREE, MM_DISPATCH_TIGHTEST + 1);
+  tcase_add_loop_test (c, task_goes_last_to_the_owner_that_returned_it,
+                       MM_DISPATCH_MOST_FREE, MM_DISPATCH_TIGHTEST + 1);
+  tcase_add_loop_test (
+      c, task_goes_to_the_shortest_queue_when_all_owners_are_full,
+      MM_DISPATCH_MOST_FREE, MM_DISPATCH_TIGHTEST + 1);
+  tcase_add_test (c, task_goes_to_an_owner_where_it_fits);
+  tcase_add_test (c, tasks_of_exactly_the_residual_capacity_fit);
+  tcase_add_test (c, tasks_sent_since_a_report_take_residual_capacity);
+  tcase_add_test (c, some_residual_capacities_stand_for_many);
   tcase_add_test (c, task_is_placed_on_a_fast_upstream_and_fits_tightly);
   tcase_add_test (c, memory_and_gpus_limit_placement_too);
   tcase_add_test (
