Suspects: a crash before an evacuation counts against its task

Cause: took the loss of any upstream in an evacuated data centre as planned. An owner notices a crash by the end of the leases, a second after it.

Change: only the loss of a draining upstream is planned, as before. An evacuation does not say that upstreams leave.

The test of that asked for the opposite was wrong: an upstream that is switched off in an evacuated data centre cannot be told from one that its task crashed, and a task that crashes upstreams does more harm than one retry saves. It is replaced by crash_before_an_evacuation_counts_against_its_task, which fails on the code before (0 crashes counted, 1 expected).

--- a/src/mm_owner_suspects.c
+++ b/src/mm_owner_suspects.c
@@ -54,16 +54,16 @@
 }
 
 /* Records the tasks that ran on a lost upstream as suspects, and those that
-   failed there shortly before.  An upstream that takes no new tasks, because
-   it drains or its data centre is evacuated, leaves as planned: its loss
-   counts against no task.  */
+   failed there shortly before.  A draining upstream leaves as planned, so its
+   loss counts against no task.  One in an evacuated data centre does not have
+   to leave, and may have crashed before the evacuation.  */
 void
 mm_owner_on_upstream_lost (void *ctx, mm_exec *x, bool crashed)
 {
   mm_owned_upstream *owned = ctx;
   const mm_upstream_info *u = mm_exec_info (x);
   mm_suspects *suspects = owned->owner->suspects;
-  if (!suspects || !mm_exec_takes_new_tasks (x))
+  if (!suspects || u->draining)
     return;
   GArray *hashes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   add_suspects (hashes, u->name, mm_exec_confirmed_tasks (x));
--- a/tests/test_evacuations.c
+++ b/tests/test_evacuations.c
@@ -375,9 +375,9 @@
 }
 END_TEST
 
-/* Guards against tasks that are given up as crashing their upstreams because
-   operators switch off the upstreams of an evacuated data centre.  */
-START_TEST (upstream_lost_in_an_evacuated_data_centre_accuses_no_task)
+/* Guards against a task that crashes more upstreams than allowed: it crashes
+   one, whose data centre is evacuated before its owner notices the crash.  */
+START_TEST (crash_before_an_evacuation_counts_against_its_task)
 {
   site s = site_create ();
   mm_suspects *suspects = mm_suspects_create ();
@@ -387,10 +387,11 @@
   submit (&s.fx, &r, "job", 0, 5000);
   fixture_run (&s.fx, 200);
   ck_assert_uint_eq (fake_running (s.a), 1);
-  evacuate (&s, "dc1", true);
   fake_restart (s.a);
+  evacuate (&s, "dc1", true);
   fixture_run (&s.fx, 2000);
-  ck_assert_uint_eq (mm_suspects_count (suspects), 0);
+  mm_task_request t = fakes_task ("job", 0, TASK_CPU_MILLI, 5000);
+  ck_assert_uint_eq (mm_suspects_count_crashes (suspects, &t.id), 1);
   site_destroy (&s);
   mm_suspects_destroy (suspects);
 }
@@ -528,8 +529,7 @@
   tcase_add_test (c, queue_is_returned_when_all_upstreams_are_evacuated);
   tcase_add_test (
       c, next_owner_keeps_runs_and_starts_nothing_after_an_evacuation);
-  tcase_add_test (c,
-                  upstream_lost_in_an_evacuated_data_centre_accuses_no_task);
+  tcase_add_test (c, crash_before_an_evacuation_counts_against_its_task);
   suite_add_tcase (s, c);
   c = tcase_create ("jobs");
   tcase_add_test (
