Sessions reckon with the leases that earlier owners have renewed

Cause: a lease covers all runs on an upstream and is never shortened. A new session knew only the leases that it had granted itself. If the first hold listed no run, it took the upstream for free of leases, while the previous owner may have renewed them until up to 1,000 ms after the change of owner. A task that starts within that time under a short lease of its own (its caller's instance was last heard 240 to 890 ms ago) holds the longer one. If the owner then loses contact, it reports the run as lost at the end of its own lease, "lease expired out of contact", and the task is dispatched again at once: up to 600 ms before the first run ends. mm_exec_accepts(), which keeps a task away from leases that are longer than its limit, knew nothing of them either.

Evidence: test_succession run_is_not_lost_before_the_lease_of_the_previous_owner_has_ended failed before: the task is reported as lost while the upstream runs it.

Change: when an upstream accepts the fencing token, all orders of earlier owners are refused from then on, and their leases end within MM_LEASE_MS. That is now the least end of leases of the session. Tasks with a shorter limit wait or are placed elsewhere for that second, the others start as before.

--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -222,8 +222,14 @@
       x->ev.upstream_back (x->ev.ctx, x);
     }
   if (fence_accepted)
-    mm_log_event (MM_EV_UPSTREAM_OWNED, MM_TEXT (x->info->name),
-                  MM_INT (x->fence));
+    {
+      /* A lease that an earlier owner renewed until now covers the runs that
+         are started here from now on.  */
+      x->leases_expire_ms
+          = MAX (x->leases_expire_ms, mm_clock_now_ms () + MM_LEASE_MS);
+      mm_log_event (MM_EV_UPSTREAM_OWNED, MM_TEXT (x->info->name),
+                    MM_INT (x->fence));
+    }
   x->runs_known = true;
   x->fence_known = x->fence_known || fence_accepted;
   process_ends (x, res);
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -320,6 +320,31 @@
 }
 END_TEST
 
+/* Guards against a run that is reported as lost at the end of its own lease
+   while the lease of the previous owner, which covers it too, still holds.  */
+START_TEST (run_is_not_lost_before_the_lease_of_the_previous_owner_has_ended)
+{
+  fixture fx = fixture_create ();
+  fake *a = fixture_add (&fx, "a");
+  fake_renew_foreign (a, 4);
+  fixture_run (&fx, 10);
+  mm_time_ms awaited_ms
+      = fakes_now (fx.upstreams) + MM_LEASE_MIN_MS + 50 - MM_RUN_LIMIT_MS;
+  outcome r = { 0 };
+  mm_task_request t = fakes_task ("job", 0, TASK_CPU_MILLI, 5000);
+  t.awaited_ms = &awaited_ms;
+  r.work = mm_owner_submit (fx.owner, &t, on_done, &r);
+  fixture_run (&fx, 20);
+  fake_mode_of (a)->unresponsive = true;
+  for (int ms = 0; ms < 1500; ms++)
+    {
+      fixture_run (&fx, 1);
+      ck_assert (r.answers == 0 || fake_running (a) == 0);
+    }
+  fixture_destroy (&fx);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -332,6 +357,8 @@
   tcase_add_test (c, outranked_owner_claims_nothing_of_the_next);
   tcase_add_test (c, starts_refused_together_both_run_elsewhere);
   tcase_add_test (c, unclaimed_runs_are_stopped);
+  tcase_add_test (
+      c, run_is_not_lost_before_the_lease_of_the_previous_owner_has_ended);
   suite_add_tcase (s, c);
   return h_run_suite (s);
 }
