Logs: up to 200 starts of tasks a second have a line, not 40

A run that ends as usual has no other line at its owner, so the second run of a pair could not be told at all.

task_started has the limit of failures now.

starts_of_a_busy_second_are_logged failed before: 40 lines of 200 starts.

--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -234,7 +234,7 @@
   = { "task_handed", RATE_LOW, "job task owner free waiting age_ms attempt",
       "The task was dispatched to this owner of upstreams." },
   [MM_EV_TASK_STARTED]
-  = { "task_started", RATE_LOW,
+  = { "task_started", RATE_HIGH,
       "job task upstream run fence waited_ms view_ms lease_ms",
       "The owner sent the start of the task to an upstream. The list of "
       "upstreams was last known to be current view_ms ago. The leases "
--- a/tests/test_run_log.c
+++ b/tests/test_run_log.c
@@ -156,6 +156,31 @@
 }
 END_TEST
 
+/* Guards against two runs of a task of which only one start has a line, as
+   many tasks start within the second.  */
+START_TEST (starts_of_a_busy_second_are_logged)
+{
+  GPtrArray *lines = keep_lines ();
+  fixture fx = fixture_create ();
+  fake *a = fixture_add (&fx, "a");
+  fixture_run (&fx, 100);
+  outcome results[MM_LOG_RATE_HIGH];
+  for (uint32_t i = 0; i < MM_LOG_RATE_HIGH; i++)
+    {
+      mm_task_request t = fakes_task ("j1", i, 10, 100);
+      mm_owner_submit (fx.owner, &t, on_done, &results[i]);
+    }
+  fixture_run (&fx, 1000);
+  cJSON *l;
+  ck_assert_int_eq (count_events (lines, "task_started", &l),
+                    MM_LOG_RATE_HIGH);
+  cJSON_Delete (l);
+  ck_assert_uint_eq (fake_starts (a), MM_LOG_RATE_HIGH);
+  fixture_destroy (&fx);
+  g_ptr_array_free (lines, TRUE);
+}
+END_TEST
+
 /* ---- a session whose calls the test answers ----------------------------- */
 
 static mm_call_done start_done;
@@ -381,6 +406,7 @@
   tcase_add_test (c, run_out_of_contact_is_logged_with_its_lease);
   tcase_add_test (c, end_of_a_stopped_run_is_logged);
   tcase_add_test (c, ordinary_run_logs_its_start_and_end_only);
+  tcase_add_test (c, starts_of_a_busy_second_are_logged);
   tcase_add_test (c, listed_run_with_another_number_is_logged_once);
   suite_add_tcase (s, c);
   c = tcase_create ("report");
