tests: calls that cross, and requests that wait for a stalled instance

The model of test_resend did not know orders that are carried out late one by one, answers that take long and overtake each other, fencing tokens that are raised in one session, instances that stand still between two steps of an iteration, links closed at one end, and requests that arrive while an instance stands still. A second property test draws all of them; upstreams' clocks are slow by up to 2 %. Upstreams take the deadline of a start also if it starts nothing, as the protocol says, and the start of a higher run beside a lower one counts as a double run.

An instance that stood still accepts a connection in one iteration, reads its request in the next and sees its close in the one after that. The request counts as read at a time at which its caller may have left long before: its task starts beside a run elsewhere, for one iteration after a stall of 2,600 ms, and for up to its lease after one of 650 ms if the stop is lost.

--- a/src/mm_run_table.c
+++ b/src/mm_run_table.c
@@ -136,7 +136,8 @@
   g_array_remove_index (t->runs, i);
 }
 
-/* Extends the lease of all runs to @deadline_ms, but at most to max_lease_ms
+/* Extends the lease of all runs to @deadline_ms, also for a start that starts
+   nothing, but at most to max_lease_ms
    from now.  A lease is never shortened.  */
 static void
 extend_lease (mm_run_table *t, mm_time_ms deadline_ms, mm_time_ms now_ms)
@@ -193,6 +194,17 @@
   return true;
 }
 
+bool
+mm_run_table_would_run_beside (const mm_run_table *t, const mm_order *o,
+                               mm_time_ms now_ms)
+{
+  const table_run *current = find_run (t, o->task);
+  return current && o->fence >= t->fence && current->number < o->run
+         && o->deadline_ms > now_ms && now_ms < t->lease_expires_ms
+         && now_ms < current->ends_ms
+         && o->run > highest_refused_run (t, o->task);
+}
+
 /**
  * mm_run_table_start() - carry out an order to start a run.
  * @t: the table.
@@ -215,18 +227,19 @@
   if (!accept_fence (t, o->fence))
     return MM_CALL_FENCED;
   const table_run *current = find_run (t, o->task);
-  if (current && current->number == o->run)
-    return MM_CALL_OK;
+  bool again = current && current->number == o->run;
   if (o->deadline_ms <= now_ms)
-    return MM_CALL_LATE;
+    return again ? MM_CALL_OK : MM_CALL_LATE;
+  if (t->mode.refuses && !current)
+    return MM_CALL_REFUSED;
+  extend_lease (t, o->deadline_ms, now_ms);
+  if (again)
+    return MM_CALL_OK;
   if (current || o->run <= highest_refused_run (t, o->task))
     return MM_CALL_OLD_RUN;
-  if (t->mode.refuses)
-    return MM_CALL_REFUSED;
   mm_resources free = free_capacity (t);
   if (t->enforce_capacity && !mm_resources_fit (required, &free))
     return MM_CALL_NO_CAPACITY;
-  extend_lease (t, o->deadline_ms, now_ms);
   add_run (t, o, required, run_ms, now_ms);
   return MM_CALL_OK;
 }
--- a/src/mm_run_table.h
+++ b/src/mm_run_table.h
@@ -50,6 +50,10 @@
 void mm_run_table_set_mode (mm_run_table *t, mm_run_mode mode);
 /* Runs go on, also when they exceed a smaller capacity.  */
 void mm_run_table_set_capacity (mm_run_table *t, const mm_resources *capacity);
+/* Returns whether the start of a run of a task arrives while a run with a
+   lower number goes on.  */
+bool mm_run_table_would_run_beside (const mm_run_table *t, const mm_order *o,
+                                    mm_time_ms now_ms);
 /* Carries out an order to start a run of a task that uses @required and takes
    @run_ms.  Return: MM_CALL_OK if the run was started now or is running
    already, otherwise the reason why it was not started.  */
--- a/tests/fake_upstreams.c
+++ b/tests/fake_upstreams.c
@@ -295,6 +295,9 @@
   sscanf (o->payload, "%lld %lld", &cpu, &run_ms);
   mm_resources required = { .cpu_milli = cpu };
   bool was_running = mm_run_table_is_running (x->table, o->task);
+  /* Nothing says that an upstream refuses a higher run beside a lower one.  */
+  if (mm_run_table_would_run_beside (x->table, o, local_now_ms (x)))
+    x->fakes->counts.double_runs++;
   mm_call_verdict v
       = mm_run_table_start (x->table, o, &required, run_ms, local_now_ms (x));
   if (!was_running && v == MM_CALL_OK)
--- a/tests/resend_calls.c
+++ b/tests/resend_calls.c
@@ -33,6 +33,7 @@
 call_keep_result (call *c, const mm_hold_result *r)
 {
   c->answered = true;
+  c->answer_due_ms = sim_now (c->from->s) + c->answer_transit_ms;
   c->result = *r;
   c->result.running
       = g_memdup2 (r->running, r->n_running * sizeof *r->running);
@@ -46,7 +47,7 @@
   c->at_upstream = false;
   bool lost = c->answer_lost || c->from->paths[c->upstream].answers_cut
               || c->from->dead || r->call.verdict == MM_CALL_NO_ANSWER;
-  if (c->open && !lost && sim_is_awake (c->from))
+  if (c->open && !lost && sim_is_awake (c->from) && !c->answer_transit_ms)
     {
       mm_hold_result result = *r;
       result.call.was_overdue = c->overdue;
@@ -85,6 +86,13 @@
     s->port.start (s->port.ctx, u, &c->order, on_order_answer, c);
 }
 
+/* Returns a time from 0 to @limit_ms - 1, 0 without a limit.  */
+static mm_time_ms
+any_below (sim *s, mm_time_ms limit_ms)
+{
+  return limit_ms > 0 ? sim_random (s, (int)limit_ms) : 0;
+}
+
 /* Creates a call and decides whether it arrives and is answered.  */
 static call *
 call_create (instance *from, const mm_upstream_info *u, call_kind kind,
@@ -103,13 +111,15 @@
   double lost = kind == CALL_START  ? p->lost_starts
                 : kind == CALL_STOP ? p->lost_stops
                                     : p->lost_holds;
-  c->forward_ms = sim_now (s);
-  if (p->requests_cut)
-    c->forward_ms = -1;
-  else if (sim_chance (s, lost))
-    c->forward_ms = p->late_ms ? sim_now (s) + p->late_ms : -1;
-  c->answer_lost
-      = c->forward_ms != sim_now (s) || sim_chance (s, p->lost_answers);
+  bool arrives = !p->requests_cut && !sim_chance (s, lost);
+  c->answer_lost = !arrives || sim_chance (s, p->lost_answers);
+  c->forward_ms = -1;
+  if (arrives)
+    c->forward_ms = sim_now (s) + any_below (s, p->transit_ms);
+  else if (!p->requests_cut && p->late_ms)
+    c->forward_ms
+        = sim_now (s) + p->late_ms + any_below (s, p->late_spread_ms);
+  c->answer_transit_ms = any_below (s, p->transit_ms);
   s->calls = g_list_append (s->calls, c);
   return c;
 }
@@ -164,7 +174,8 @@
   mm_time_ms now = sim_now (c->from->s);
   if (c->forward_ms >= 0 && now >= c->forward_ms)
     call_forward (c);
-  if (c->open && sim_is_awake (c->from) && c->answered)
+  if (c->open && sim_is_awake (c->from) && c->answered
+      && now >= c->answer_due_ms)
     {
       c->answered = false;
       c->result.call.was_overdue = c->overdue;
--- a/tests/resend_fixture.c
+++ b/tests/resend_fixture.c
@@ -1,6 +1,19 @@
 /* resend_fixture: instances and their upstreams, see resend_fixture.h.  */
 #include "resend_priv.h"
 
+/* The steps of an iteration of an instance's event loop.  */
+typedef enum
+{
+  STAGE_BEGIN,
+  STAGE_LINK_TIMERS,
+  STAGE_OWNER_TIMERS,
+  STAGE_JOB_TIMERS,
+  STAGE_LINKS,
+  STAGE_CALLERS,
+  STAGE_REQUESTS,
+  STAGES
+} stage;
+
 /* ---- time ------------------------------------------------------------- */
 
 static mm_time_ms
@@ -80,8 +93,9 @@
   const instance *before = sim_enter (&s->instances[owner]);
   s->owner_of[u] = owner;
   s->assign_ms[u] = 0;
-  mm_owner_add_upstream (s->instances[owner].owner,
-                         fake_info (s->upstreams[u]), ++s->fence);
+  const mm_upstream_info *info = fake_info (s->upstreams[u]);
+  mm_owner_raise_fence (s->instances[owner].owner, info->name, ++s->fence);
+  mm_owner_add_upstream (s->instances[owner].owner, info, s->fence);
   sim_leave (s, before);
 }
 
@@ -118,6 +132,14 @@
   own (s, u, next);
 }
 
+void
+sim_renew (sim *s, int u)
+{
+  int owner = s->owner_of[u];
+  if (!s->gone[u] && sim_is_awake (&s->instances[owner]))
+    own (s, u, owner);
+}
+
 void
 sim_restart (sim *s, int u)
 {
@@ -198,6 +220,14 @@
     i->clock_lag_ms += ms;
 }
 
+void
+sim_freeze_midway (sim *s, int n, mm_time_ms ms)
+{
+  instance *i = &s->instances[n];
+  i->freeze_stage = 1 + sim_random (s, STAGES - 1);
+  i->freeze_ms = ms;
+}
+
 void
 sim_read_links_every (sim *s, int n, mm_time_ms ms)
 {
@@ -216,17 +246,11 @@
   return &s->instances[from].link_paths[to];
 }
 
-/* Runs the event loop of an instance once.  Timers are due before messages
-   are read, as in libev.  */
+/* Begins an iteration of the event loop, as stall_cb() of mm_node.  */
 static void
-instance_step (instance *i)
+begin_iteration (instance *i)
 {
   mm_time_ms now = sim_now (i->s);
-  if (i->frozen_until_ms && now >= i->frozen_until_ms)
-    i->frozen_until_ms = 0;
-  if (!sim_is_awake (i))
-    return;
-  const instance *before = sim_enter (i);
   mm_time_ms clock_ms = mm_clock_now_ms ();
   bool stalled = clock_ms - i->last_loop_ms > MM_STALL_MS;
   bool woken = clock_ms - i->last_loop_ms > 1;
@@ -237,14 +261,66 @@
       sim_close_links (i);
       sim_abandon_jobs (i);
     }
-  if (woken || now % MM_EXEC_TICK_MS == i->index * 5)
+  i->timers_due = woken || now % MM_EXEC_TICK_MS == i->index * 5;
+}
+
+static void
+run_stage (instance *i, stage k)
+{
+  switch (k)
+    {
+    case STAGE_BEGIN:
+      begin_iteration (i);
+      break;
+    case STAGE_LINK_TIMERS:
+      if (i->timers_due)
+        sim_tick_links (i);
+      break;
+    case STAGE_OWNER_TIMERS:
+      if (i->timers_due)
+        mm_owner_tick (i->owner);
+      break;
+    case STAGE_JOB_TIMERS:
+      if (i->timers_due)
+        sim_tick_jobs (i);
+      break;
+    case STAGE_LINKS:
+      sim_read_links (i);
+      break;
+    case STAGE_CALLERS:
+      sim_read_callers (i);
+      break;
+    case STAGE_REQUESTS:
+      sim_read_requests (i);
+      break;
+    case STAGES:
+      break;
+    }
+}
+
+/* Runs the event loop of an instance once.  Timers are due before messages
+   are read, as in libev.  */
+static void
+instance_step (instance *i)
+{
+  mm_time_ms now = sim_now (i->s);
+  if (i->frozen_until_ms && now >= i->frozen_until_ms)
+    i->frozen_until_ms = 0;
+  if (!sim_is_awake (i))
+    return;
+  const instance *before = sim_enter (i);
+  for (; i->stage < STAGES && sim_is_awake (i); i->stage++)
     {
-      sim_tick_links (i);
-      mm_owner_tick (i->owner);
-      sim_tick_jobs (i);
+      if (i->freeze_stage && i->freeze_stage == i->stage)
+        {
+          i->freeze_stage = 0;
+          sim_freeze (i->s, i->index, i->freeze_ms, true);
+          break;
+        }
+      run_stage (i, (stage)i->stage);
     }
-  sim_read_links (i);
-  sim_read_callers (i);
+  if (i->stage == STAGES)
+    i->stage = STAGE_BEGIN;
   sim_leave (i->s, before);
 }
 
--- a/tests/resend_fixture.h
+++ b/tests/resend_fixture.h
@@ -32,6 +32,9 @@
   double lost_answers;                        /* calls without an answer */
   mm_time_ms late_ms; /* calls that do not arrive are carried out this long
                          after they were sent, 0: never */
+  mm_time_ms late_spread_ms; /* and up to this much later, drawn for each */
+  /* A call, and its answer, each take up to this long, drawn for each.  */
+  mm_time_ms transit_ms;
 } sim_path;
 
 /* Faults of the path from one instance to another.  */
@@ -58,6 +61,9 @@
 /* Assigns an upstream to another instance.  Its previous owner learns of it
    @disown_after_ms later, or, if negative, when a call is refused.  */
 void sim_move (sim *s, int upstream, int next, mm_time_ms disown_after_ms);
+/* Gives the owner of an upstream a new fencing token, as when it may have lost
+   the upstream and got it back without notice.  */
+void sim_renew (sim *s, int upstream);
 /* Crashes an upstream for good and adds another one in its place.  */
 void sim_restart (sim *s, int upstream);
 
@@ -67,11 +73,18 @@
 bool sim_alive (const sim *s, int instance);
 /* Stops an instance for a time, which its clock counts if @counted.  */
 void sim_freeze (sim *s, int instance, mm_time_ms ms, bool counted);
+/* The same, between two steps of the handling of its events.  Events that are
+   handled after it belong to the iteration that began before it.  */
+void sim_freeze_midway (sim *s, int instance, mm_time_ms ms);
 /* Lets an instance read its links only each @ms.  */
 void sim_read_links_every (sim *s, int instance, mm_time_ms ms);
 sim_path *sim_path_to (sim *s, int instance, int upstream);
 sim_link_path *sim_link_path_to (sim *s, int from, int to);
 
+/* Closes the link that one instance has opened to another, at the first
+   (@end 0) or the other instance, which loses what it has not read.  */
+void sim_close_link (sim *s, int from, int to, int end);
+
 /* Submits job @job, which runs for @run_ms, at an instance.  @owner: the
    instance that its task is dispatched to, -1: any.  */
 void sim_submit (sim *s, int job, mm_time_ms run_ms, int instance, int owner);
--- a/tests/resend_jobs.c
+++ b/tests/resend_jobs.c
@@ -107,6 +107,20 @@
     }
 }
 
+/* Reads the requests that arrived while the instance stood still.  A
+   connection is accepted in one iteration, its request read in the next, and
+   its close in the one after that.  */
+void
+sim_read_requests (instance *i)
+{
+  for (GList *g = i->submissions; g; g = g->next)
+    {
+      submission *b = g->data;
+      if (b->unread && --b->unread == 0)
+        dispatch (b);
+    }
+}
+
 /* Frees the submissions whose callers have left.  */
 void
 sim_read_callers (instance *i)
@@ -115,7 +129,8 @@
   for (GList *g = i->submissions; g; g = next)
     {
       next = g->next;
-      if (((submission *)g->data)->caller_left)
+      const submission *b = g->data;
+      if (b->caller_left && !b->unread)
         submission_free (g->data);
     }
 }
@@ -124,9 +139,13 @@
 void
 sim_abandon_jobs (instance *i)
 {
-  while (i->submissions)
+  GList *next;
+  for (GList *g = i->submissions; g; g = next)
     {
-      submission *b = i->submissions->data;
+      submission *b = g->data;
+      next = g->next;
+      if (b->unread)
+        continue;
       if (b->job->current == b)
         sim_caller_retries (i->s, b->job);
       submission_free (b);
@@ -146,7 +165,9 @@
   b->job = &s->jobs[n];
   b->owner = owner;
   i->submissions = g_list_append (i->submissions, b);
-  dispatch (b);
+  b->unread = sim_is_awake (i) ? 0 : 2;
+  if (!b->unread)
+    dispatch (b);
   sim_leave (s, before);
 }
 
@@ -214,7 +235,8 @@
         continue;
       int at
           = j->resend_at >= 0 ? j->resend_at : sim_random (s, SIM_INSTANCES);
-      if (sim_is_awake (&s->instances[at]))
+      const instance *i = &s->instances[at];
+      if (sim_is_awake (i) || (!i->dead && j->resend_at >= 0))
         sim_submit (s, n, j->run_ms, at, j->owner_at);
     }
 }
--- a/tests/resend_links.c
+++ b/tests/resend_links.c
@@ -343,6 +343,19 @@
         close_end (g->data, e);
 }
 
+void
+sim_close_link (sim *s, int from, int to, int end)
+{
+  link *l = find_link (&s->instances[from], &s->instances[to]);
+  if (!l || !sim_is_awake (l->end[end].at))
+    return;
+  const instance *before = sim_enter (l->end[end].at);
+  g_queue_clear_full (l->end[end].inbox, sim_message_free);
+  close_end (l, end);
+  s->instances[from].connect_tried_ms[to] = 0;
+  sim_leave (s, before);
+}
+
 void
 sim_free_closed_links (sim *s)
 {
--- a/tests/resend_priv.h
+++ b/tests/resend_priv.h
@@ -26,6 +26,10 @@
   mm_time_ms clock_lag_ms;    /* its clock behind the simulated time */
   mm_time_ms last_loop_ms;    /* by its clock */
   mm_time_ms read_every_ms;   /* 0: at once */
+  bool timers_due;            /* in this iteration */
+  int stage;                  /* next step of this iteration */
+  int freeze_stage;           /* freezes before this step, 0: it does not */
+  mm_time_ms freeze_ms;       /* and for this long */
   GList *submissions;
   mm_time_ms connect_tried_ms[SIM_INSTANCES];
   sim_path paths[SIM_UPSTREAMS];
@@ -52,6 +56,7 @@
   job *job;
   int owner;           /* that the task is dispatched to, -1: any */
   bool caller_left;    /* not read by the instance yet */
+  int unread;          /* iterations until the request is read, 0: it is */
   mm_work *work;       /* dispatched to this instance */
   sent_run *sent;      /* dispatched to another instance */
   mm_time_ms retry_ms; /* next dispatch, by the instance's clock */
@@ -143,6 +148,8 @@
   void *ctx;
   mm_time_ms forward_ms; /* when it is handed to the upstream, -1: not */
   mm_time_ms timeout_ms;
+  mm_time_ms answer_transit_ms; /* time that its answer takes */
+  mm_time_ms answer_due_ms;     /* when a kept result arrives */
   bool answer_lost, overdue;
   bool at_upstream; /* the simulated upstream will call back */
   bool open;        /* the session waits for a callback */
@@ -205,6 +212,7 @@
 void sim_caller_retries (sim *s, job *j);
 void sim_tick_jobs (instance *i);
 void sim_read_callers (instance *i);
+void sim_read_requests (instance *i);
 void sim_abandon_jobs (instance *i);
 void sim_resend_jobs (sim *s);
 
--- a/tests/test_resend.c
+++ b/tests/test_resend.c
@@ -416,6 +416,45 @@
 }
 END_TEST
 
+/* Lets a request for JOB wait at its origin, which owns an upstream and stands
+   still for @stall_ms, while its caller loses its connection.  */
+static scene
+queue_request (mm_time_ms stall_ms, double lost_stops)
+{
+  scene c = { .s = sim_create (1) };
+  c.a = sim_add_upstream (c.s, ORIGIN);
+  c.b = sim_add_upstream (c.s, ELSEWHERE);
+  sim_run (c.s, 100);
+  sim_path_to (c.s, ORIGIN, c.a)->lost_stops = lost_stops;
+  sim_freeze (c.s, ORIGIN, stall_ms, true);
+  sim_run (c.s, 5);
+  sim_submit (c.s, JOB, RUN_MS, ORIGIN, ORIGIN);
+  sim_resend_at (c.s, JOB, ELSEWHERE, ELSEWHERE);
+  sim_run (c.s, 5);
+  sim_break_caller (c.s, JOB);
+  return c;
+}
+
+/* Guards against an instance that stood still, and starts a task whose caller
+   has sent the job elsewhere meanwhile.  */
+START_TEST (request_that_waited_for_a_stalled_instance_starts_nothing)
+{
+  scene c = queue_request (2 * MM_RESEND_MS, 0);
+  sim_run (c.s, 2 * RESENT_MS);
+  ck_assert_uint_eq (fake_starts (sim_upstream (c.s, c.a)), 0);
+  assert_runs_once (&c);
+}
+END_TEST
+
+/* The same for a shorter time, with a run that cannot be stopped.  */
+START_TEST (run_of_a_request_that_waited_ends_before_its_job_is_sent_again)
+{
+  scene c = queue_request (MM_STALL_MS - 50, 1);
+  sim_run (c.s, RESENT_MS);
+  assert_runs_once (&c);
+}
+END_TEST
+
 /* ---- overlapping faults ----------------------------------------------- */
 
 enum
@@ -563,6 +602,13 @@
 {
   int job;
   mm_time_ms move_ms, owner_ms; /* 0: it does not follow */
+  /* An upstream goes back to the owner that it had.  */
+  int back_upstream, back_owner;
+  mm_time_ms back_ms;
+  /* A request waits at an instance that stands still, and its caller leaves.
+   */
+  int queued_job, queued_at;
+  mm_time_ms stall_ms, leave_ms;
 } trouble;
 
 /* Half of the faults hit a job: the upstream of its task may move, its owner
@@ -617,14 +663,148 @@
     }
 }
 
+/* ---- calls that cross ------------------------------------------------- */
+
+enum
+{
+  TRANSIT_MAX_MS = 600,
+  LATE_SOON_MS = 50, /* calls are carried out late: soon, or after longer */
+  LATE_MS = 2000,
+  LATE_MAX_MS = 12000,
+  SHORT_STALL_MS = 50,
+  LONG_STALL = 5,    /* times a short one */
+  CLOCK_SLOW_MAX = 3 /* clocks of upstreams are slow by less, in percent */
+};
+
+/* Lets calls and answers take long and overtake each other, and carries out a
+   share of the calls late.  */
+static void
+cross_calls (sim *s, int instance, int upstream)
+{
+  sim_path *p = sim_path_to (s, instance, upstream);
+  bool soon = sim_random (s, 2);
+  *p = (sim_path){ 0 };
+  p->transit_ms = sim_random (s, 2) * sim_random (s, TRANSIT_MAX_MS);
+  p->late_ms = soon ? LATE_SOON_MS : LATE_MS;
+  p->late_spread_ms = soon ? LATE_MS - LATE_SOON_MS : LATE_MAX_MS - LATE_MS;
+  p->lost_starts = any_share (s);
+  p->lost_stops = any_share (s);
+  p->lost_holds = sim_random (s, 2) ? any_share (s) : 0;
+  p->lost_answers = sim_random (s, 2) ? any_share (s) : 0;
+}
+
+static mm_time_ms
+short_stall_ms (sim *s)
+{
+  return SHORT_STALL_MS + sim_random (s, MM_STALL_MS - SHORT_STALL_MS);
+}
+
+/* Moves an upstream to another owner that may give it back at once; the
+   previous owner may not have noticed.  */
+static void
+move_to_and_fro (sim *s, int upstream, trouble *t)
+{
+  int owner = sim_owner_of (s, upstream);
+  move_any (s, upstream);
+  t->back_upstream = upstream;
+  t->back_owner = owner;
+  t->back_ms = owner >= 0 ? sim_now (s) + 1 + sim_random (s, FOLLOWS_MS) : 0;
+}
+
+/* Lets a caller send its job again to an instance that stands still, and leave
+   before its request is read.  */
+static void
+queue_any_request (sim *s, trouble *t)
+{
+  if (t->stall_ms || t->leave_ms)
+    return;
+  t->queued_job = sim_random (s, SIM_JOBS);
+  t->queued_at = sim_random (s, SIM_INSTANCES);
+  if (sim_instance_of (s, t->queued_job) < 0)
+    return;
+  sim_break_caller (s, t->queued_job);
+  sim_resend_at (s, t->queued_job, t->queued_at, -1);
+  t->stall_ms = sim_now (s) + MM_RESEND_MS - 1 - sim_random (s, FOLLOWS_MS);
+}
+
+static void
+continue_queued (sim *s, trouble *t)
+{
+  if (t->stall_ms && sim_now (s) >= t->stall_ms)
+    {
+      bool longer = sim_random (s, 2);
+      t->stall_ms = 0;
+      sim_freeze (s, t->queued_at,
+                  longer ? short_stall_ms (s) * LONG_STALL : MM_RESEND_MS,
+                  true);
+      t->leave_ms = sim_now (s) + FOLLOWS_MS + sim_random (s, FOLLOWS_MS);
+    }
+  if (!t->leave_ms || sim_now (s) < t->leave_ms)
+    return;
+  t->leave_ms = 0;
+  sim_resend_at (s, t->queued_job, -1, -1);
+  sim_break_caller (s, t->queued_job);
+}
+
+static void
+cross_anything (sim *s, trouble *t)
+{
+  int instance = sim_random (s, SIM_INSTANCES);
+  int other = sim_random (s, SIM_INSTANCES);
+  int upstream = sim_random (s, sim_upstreams (s));
+  int owner = sim_owner_of (s, upstream);
+  switch (sim_random (s, 9))
+    {
+    case 8:
+      queue_any_request (s, t);
+      break;
+    case 0:
+      sim_freeze (s, instance, short_stall_ms (s), true);
+      break;
+    case 1:
+      sim_freeze_midway (s, instance, short_stall_ms (s));
+      break;
+    case 2:
+      sim_renew (s, upstream);
+      break;
+    case 3:
+      move_to_and_fro (s, upstream, t);
+      break;
+    case 4:
+      sim_close_link (s, instance, other, sim_random (s, 2));
+      break;
+    case 5:
+      sim_break_caller (s, sim_random (s, SIM_JOBS));
+      break;
+    default:
+      cross_calls (s, owner >= 0 ? owner : instance, upstream);
+      break;
+    }
+}
+
+static void
+continue_crossing (sim *s, trouble *t)
+{
+  if (!t->back_ms || sim_now (s) < t->back_ms)
+    return;
+  t->back_ms = 0;
+  sim_move (s, t->back_upstream, t->back_owner, sim_random (s, 400) - 100);
+}
+
 /* Guards against any combination of faults that lets a task run twice at a
    time after its job was sent again, or that leaves a job unanswered.  */
-START_TEST (no_task_runs_twice_while_faults_overlap)
+static void
+overlap_faults (int seed, bool crossing)
 {
-  sim *s = sim_create ((uint32_t)_i);
+  sim *s = sim_create ((uint32_t)seed);
   trouble now = { 0 };
   for (int u = 0; u < UPSTREAMS; u++)
-    sim_add_upstream (s, sim_random (s, SIM_INSTANCES));
+    {
+      int n = sim_add_upstream (s, sim_random (s, SIM_INSTANCES));
+      if (crossing)
+        fake_mode_of (sim_upstream (s, n))->clock_slow_percent
+            = sim_random (s, CLOCK_SLOW_MAX);
+    }
   sim_run (s, 50);
   for (int t = 0; t < END_MS; t++)
     {
@@ -633,18 +813,38 @@
                              RUN_MIN_MS
                                  + sim_random (s, RUN_MAX_MS - RUN_MIN_MS));
       if (t < FAULTS_MS && sim_random (s, FAULT_EVERY_MS) == 0)
-        cause_fault (s, &now);
+        {
+          if (crossing && sim_random (s, 2))
+            cross_anything (s, &now);
+          else
+            cause_fault (s, &now);
+        }
       continue_fault (s, &now);
+      continue_crossing (s, &now);
+      continue_queued (s, &now);
       if (t == HEAL_MS)
         heal_all (s);
       sim_run (s, 1);
-      ck_assert_msg (sim_double_runs (s) == 0, "seed %d, at %d: ran twice", _i,
-                     t);
+      ck_assert_msg (sim_double_runs (s) == 0, "seed %d, at %d: ran twice",
+                     seed, t);
     }
   for (int n = 0; n < SIM_JOBS; n++)
-    ck_assert_msg (sim_job_done (s, n), "seed %d: job %d has no end", _i, n);
+    ck_assert_msg (sim_job_done (s, n), "seed %d: job %d has no end", seed, n);
   sim_destroy (s);
 }
+
+START_TEST (no_task_runs_twice_while_faults_overlap)
+{
+  overlap_faults (_i, false);
+}
+END_TEST
+
+/* The same while calls are carried out late and cross, upstreams move to and
+   fro, and instances stand still in the midst of their work.  */
+START_TEST (no_task_runs_twice_while_calls_cross)
+{
+  overlap_faults (_i, true);
+}
 END_TEST
 
 static void
@@ -679,7 +879,9 @@
       = { messages_that_waited_in_a_queue_do_not_prolong_a_run,
           messages_that_are_read_late_do_not_prolong_a_run,
           task_that_arrives_late_does_not_share_a_longer_lease,
-          time_in_which_the_origin_stood_still_does_not_prolong_a_run };
+          time_in_which_the_origin_stood_still_does_not_prolong_a_run,
+          request_that_waited_for_a_stalled_instance_starts_nothing,
+          run_of_a_request_that_waited_ends_before_its_job_is_sent_again };
   const TTest *const passed[]
       = { second_submission_waits_for_a_run_that_was_passed_on,
           second_submission_waits_for_a_run_that_is_not_claimed,
@@ -695,6 +897,7 @@
   tcase_set_timeout (random, 60);
   tcase_add_loop_test (random, no_task_runs_twice_while_faults_overlap, 0,
                        SEEDS);
+  tcase_add_loop_test (random, no_task_runs_twice_while_calls_cross, 0, SEEDS);
   suite_add_tcase (s, random);
   return h_run_suite (s);
 }
