owner: a run found before its start is answered is claimed

A job whose upstream got another owner was answered 502, "upstream handed over, run not taken over", though its run went on there until the next owner stopped it.

Cause: the next owner found the run while the answer to its start was still under way to the previous owner, and asked whose it was. A run whose start is open was not claimed, and the question is asked once.

The question says that the upstream lists the run with this number, as a hold of the previous owner would. The run counts as confirmed then, so that it is claimed at once. A start that is still under way cannot start another run, as the upstream refuses the lower token.

--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -144,12 +144,6 @@
   g_list_free (runs);
 }
 
-void
-mm_exec_set_fenced (mm_exec *x)
-{
-  mm_exec_become_fenced (x, NULL);
-}
-
 static void
 end_all_runs (mm_exec *x, const char *why)
 {
@@ -267,6 +261,19 @@
     x->ev.fenced (x->ev.ctx, x);
 }
 
+void
+mm_exec_found_by_next (mm_exec *x, const mm_task_id *task, uint32_t run)
+{
+  mm_exec_run *r = g_hash_table_lookup (x->runs, task);
+  bool confirmed = r && r->number == run && r->phase == RUN_ORDERED;
+  if (confirmed)
+    mm_exec_set_running (r);
+  if (!x->fenced)
+    mm_exec_become_fenced (x, NULL);
+  else if (confirmed)
+    mm_exec_notify_if_fenced (x);
+}
+
 /* Processes the verdict on a start order.  The run is running, in doubt,
    ordered again with another number, or ends here because it does not exist.
  */
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -231,9 +231,11 @@
 /* Raises our fencing token to @fence; the runs go on.  */
 void mm_exec_raise_fence (mm_exec *x, uint64_t fence);
 uint64_t mm_exec_fence (const mm_exec *x); /* our fencing token there */
-/* Ends the session because another owner's higher fencing token is known to
-   have been seen at the upstream.  */
-void mm_exec_set_fenced (mm_exec *x);
+/* Ends the session, if it has not ended, because the next owner of the
+   upstream, which has a higher fencing token, found this run of the task
+   there.  If the start of that run has no answer yet, the run counts as
+   confirmed.  */
+void mm_exec_found_by_next (mm_exec *x, const mm_task_id *task, uint32_t run);
 /* Orders the start of a task, which must fit the free capacity; the session
    must accept it.  @work is passed to run_ended().  */
 void mm_exec_start (mm_exec *x, const mm_task_request *t, void *work);
--- a/src/mm_owner_adopt.c
+++ b/src/mm_owner_adopt.c
@@ -77,18 +77,18 @@
 }
 
 /* Ends the session with the upstream of a found run, if the owner that found
-   the run holds a higher fencing token there: its tasks become orphans.  This
-   instance may not have noticed yet that the upstream has another owner.  A
-   previous owner with a lower token may also find runs that were started here:
-   a hold that it sent before the change of owner is still answered.  */
+   the run holds a higher fencing token there: its tasks become orphans, that
+   of the found run also if its start has no answer yet.  This instance may not
+   have noticed yet that the upstream has another owner.  A previous owner with
+   a lower token may also find runs that were started here: a hold that it sent
+   before the change of owner is still answered.  */
 static void
 fence_if_outranked (mm_owner *o, const mm_found_run *r)
 {
   mm_owned_upstream *owned
       = g_hash_table_lookup (o->owned_upstreams, r->upstream);
-  if (owned && !mm_exec_fenced (owned->exec)
-      && r->fence > mm_exec_fence (owned->exec))
-    mm_exec_set_fenced (owned->exec);
+  if (owned && r->fence > mm_exec_fence (owned->exec))
+    mm_exec_found_by_next (owned->exec, &r->task, r->run);
 }
 
 mm_work *
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -225,6 +225,61 @@
 }
 END_TEST
 
+/* Guards against a run that no owner claims, because the next owner requests
+   it before its start is answered.  */
+START_TEST (run_requested_before_its_start_is_answered_goes_on)
+{
+  succession s;
+  succession_init (&s, false);
+  fake *a = fixture_add (&s.fx, "a");
+  succession_run (&s, 10);
+  fake_mode_of (a)->start_answer_delay_ms = 20;
+  outcome r;
+  submit (&s.fx, &r, "early", 0, 600);
+  succession_run (&s, 5);
+  ck_assert_uint_eq (fake_running (a), 1);
+  mm_owner_add_upstream (s.next, fake_info (a), 6);
+  succession_run (&s, 1200);
+  ck_assert_uint_eq (r.answers, 1);
+  ck_assert_int_eq (r.how, MM_END_DONE);
+  ck_assert_uint_eq (fake_starts (a), 1);
+  assert_invariants (&s.fx);
+  succession_clear (&s);
+}
+END_TEST
+
+/* The same, with a previous owner that was refused before that request, so
+   that its session has ended already.  */
+START_TEST (run_requested_after_the_session_has_ended_goes_on)
+{
+  succession s;
+  succession_init (&s, false);
+  fake *a = fixture_add (&s.fx, "a");
+  succession_run (&s, 10);
+  outcome r, refused;
+  fake_mode_of (a)->start_answer_delay_ms = 40;
+  submit (&s.fx, &r, "early", 0, 600);
+  succession_run (&s, 5);
+  mm_owner_transfer_port l = { .found = on_found_later,
+                               .cancel = on_cancel_transferred,
+                               .ctx = &s };
+  mm_owner_set_transfer_port (s.next, &l);
+  mm_owner_add_upstream (s.next, fake_info (a), 6);
+  succession_run (&s, 2);
+  fake_mode_of (a)->start_answer_delay_ms = 0;
+  submit (&s.fx, &refused, "refused", 0, 100);
+  succession_run (&s, 3);
+  ck_assert (mm_owner_fenced (s.fx.owner, "a"));
+  ck_assert_int_ne (s.requested_ms, 0);
+  succession_run (&s, 1200);
+  ck_assert_uint_eq (r.answers, 1);
+  ck_assert_int_eq (r.how, MM_END_DONE);
+  ck_assert_uint_eq (fake_starts (a), 1);
+  assert_invariants (&s.fx);
+  succession_clear (&s);
+}
+END_TEST
+
 /* Handles a run that the first owner has found: if the second owner has the
    task of that run, the task is transferred to the first owner.  */
 static void
@@ -354,6 +409,8 @@
   tcase_add_test (c, run_that_passes_away_and_back_goes_on);
   tcase_add_test (c, run_taken_over_is_not_lost_while_its_first_lease_lasts);
   tcase_add_test (c, task_claimed_before_its_start_is_answered_ends_once);
+  tcase_add_test (c, run_requested_before_its_start_is_answered_goes_on);
+  tcase_add_test (c, run_requested_after_the_session_has_ended_goes_on);
   tcase_add_test (c, outranked_owner_claims_nothing_of_the_next);
   tcase_add_test (c, starts_refused_together_both_run_elsewhere);
   tcase_add_test (c, unclaimed_runs_are_stopped);
