owner: an end that is listed after the upstream's owner changed counts

A job was answered 502, "upstream handed over, run not taken over", although its tasks were done.

Cause: the runs ended as the next owner of their upstream began. It asks for the runs that it finds there, not for those that have ended. A claim of another run ended the session of the previous owner, so that its tasks waited to be claimed; a hold that it had sent before listed the ends just after that, and they were dropped, as the runs had been detached from their tasks.

The end that an upstream lists is certain, whoever owns the upstream now: it is reported to the submitter of the task, if the task was not claimed meanwhile.

test_succession run_that_ends_as_the_next_owner_begins_is_done failed before, at one of 40 moments (the task ended as unknown), and passes now.

--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -133,6 +133,10 @@
      its start order; @why says how this was found out.  */
   void (*run_ended) (void *ctx, mm_exec *x, void *work, uint32_t run,
                      mm_end how, mm_time_ms ran_ms, const char *why);
+  /* The upstream lists the end of a run of @task that this session started
+     and whose work was detached, or reported before.  */
+  void (*detached_run_ended) (void *ctx, mm_exec *x, const mm_task_id *task,
+                              uint32_t run, mm_end how);
   /* Capacity became free, or the session became usable.  */
   void (*capacity_freed) (void *ctx, mm_exec *x);
   /* The upstream refused a start, or a task there is stalled.  */
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -73,9 +73,12 @@
         update_slowness (x, r);
       if (e->how == MM_END_FAILED)
         remember_failed (x, &e->task);
+      bool detached = own_run && !r->work;
       /* A run that was stopped because its start had no answer is reported
          as stopped and not as "not run", because it did run for a while.  */
       mm_exec_finish_run (r, e->how, MM_WHY_LISTED);
+      if (detached && !x->closed)
+        x->ev.detached_run_ended (x->ev.ctx, x, &e->task, e->run, e->how);
     }
   if (x->seen_seq > x->acked_seq && !x->unacked_since_ms)
     x->unacked_since_ms = mm_clock_now_ms ();
--- a/src/mm_owner_adopt.c
+++ b/src/mm_owner_adopt.c
@@ -11,6 +11,7 @@
 
    Tasks of kept jobs are searched for by their homes instead.  */
 #include "config.h"
+#include "mm_event.h"
 #include "mm_owner_priv.h"
 
 #include <string.h>
@@ -76,6 +77,27 @@
   g_list_free (works);
 }
 
+/* The end that a hold lists is certain, whoever owns the upstream now: a hold
+   that was sent before the change of owner is still answered.  The next owner
+   requests no run that has ended.  */
+void
+mm_owner_on_orphan_ended (void *ctx, mm_exec *x, const mm_task_id *task,
+                          uint32_t run, mm_end how)
+{
+  mm_owner *o = ((mm_owned_upstream *)ctx)->owner;
+  mm_work *w = g_hash_table_lookup (o->orphans, task);
+  const char *upstream = mm_exec_info (x)->name;
+  if (!w || w->run != run || w->orphaned_fence != mm_exec_fence (x)
+      || strcmp (w->orphaned_on, upstream) != 0)
+    return;
+  mm_time_ms ran_ms = w->ran_ms + mm_clock_now_ms () - w->orphaned_ms;
+  g_hash_table_remove (o->orphans, task);
+  if (how == MM_END_DONE)
+    mm_log_event (MM_EV_TASK_ENDED, MM_TASK (task), MM_TEXT (upstream),
+                  MM_INT (ran_ms));
+  mm_owner_finish (w, how, upstream, run, ran_ms, "listed");
+}
+
 /* Ends the session with the upstream of a found run, if the owner that found
    the run holds a higher fencing token there: its tasks become orphans, that
    of the found run also if its start has no answer yet.  This instance may not
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -280,6 +280,46 @@
 }
 END_TEST
 
+/* Lets a run end at various moments while its upstream gets another owner,
+   beside a run that goes on.  Both must be answered as done.  */
+static void
+end_while_owner_changes (void (*found) (void *ctx, const mm_found_run *r))
+{
+  for (mm_time_ms begins_ms = 80; begins_ms < 120; begins_ms++)
+    {
+      succession s;
+      succession_init (&s, false);
+      fake *a = fixture_add (&s.fx, "a");
+      mm_owner_transfer_port l
+          = { .found = found, .cancel = on_cancel_transferred, .ctx = &s };
+      mm_owner_set_transfer_port (s.next, &l);
+      succession_run (&s, 10);
+      outcome r[2];
+      submit (&s.fx, &r[0], "ends", 0, 100);
+      submit (&s.fx, &r[1], "stays", 0, 600);
+      succession_run (&s, begins_ms);
+      mm_owner_add_upstream (s.next, fake_info (a), 6);
+      succession_run (&s, 1200);
+      for (int i = 0; i < 2; i++)
+        {
+          ck_assert_uint_eq (r[i].answers, 1);
+          ck_assert_msg (r[i].how == MM_END_DONE, "task %d, after %d ms: %d",
+                         i, (int)begins_ms, (int)r[i].how);
+        }
+      ck_assert_uint_eq (fake_starts (a), 2);
+      assert_invariants (&s.fx);
+      succession_clear (&s);
+    }
+}
+
+/* Guards against the loss of an end that the previous owner reads just after
+   the next one has claimed another run there.  */
+START_TEST (run_that_ends_as_the_next_owner_begins_is_done)
+{
+  end_while_owner_changes (on_found);
+}
+END_TEST
+
 /* Handles a run that the first owner has found: if the second owner has the
    task of that run, the task is transferred to the first owner.  */
 static void
@@ -411,6 +451,7 @@
   tcase_add_test (c, task_claimed_before_its_start_is_answered_ends_once);
   tcase_add_test (c, run_requested_before_its_start_is_answered_goes_on);
   tcase_add_test (c, run_requested_after_the_session_has_ended_goes_on);
+  tcase_add_test (c, run_that_ends_as_the_next_owner_begins_is_done);
   tcase_add_test (c, outranked_owner_claims_nothing_of_the_next);
   tcase_add_test (c, starts_refused_together_both_run_elsewhere);
   tcase_add_test (c, unclaimed_runs_are_stopped);
