owner: a run that ended before its task was transferred is not in doubt

A job was answered 502, "not there any more", although its tasks were done.

Cause: the next owner of an upstream found a run and asked for it. The run ended before its task arrived from the previous owner, so that there was nothing to take over, and the task was reported as in doubt.

The upstream lists the end of the run, and the next owner keeps ends of runs that it did not start until it knows that no home needs them. It reports that end for a task that arrives late.

test_succession run_that_ends_before_its_task_is_transferred_is_done failed before (the task ended as unknown), and passes now.

--- a/src/mm_owner_adopt.c
+++ b/src/mm_owner_adopt.c
@@ -77,6 +77,17 @@
   g_list_free (works);
 }
 
+/* Reports the end of a run that the upstream lists.  */
+static void
+finish_listed (mm_work *w, mm_end how, const char *upstream, uint32_t run,
+               mm_time_ms ran_ms)
+{
+  if (how == MM_END_DONE)
+    mm_log_event (MM_EV_TASK_ENDED, MM_TASK (&w->request.id),
+                  MM_TEXT (upstream), MM_INT (ran_ms));
+  mm_owner_finish (w, how, upstream, run, ran_ms, "listed");
+}
+
 /* The end that a hold lists is certain, whoever owns the upstream now: a hold
    that was sent before the change of owner is still answered.  The next owner
    requests no run that has ended.  */
@@ -90,12 +101,9 @@
   if (!w || w->run != run || w->orphaned_fence != mm_exec_fence (x)
       || strcmp (w->orphaned_on, upstream) != 0)
     return;
-  mm_time_ms ran_ms = w->ran_ms + mm_clock_now_ms () - w->orphaned_ms;
   g_hash_table_remove (o->orphans, task);
-  if (how == MM_END_DONE)
-    mm_log_event (MM_EV_TASK_ENDED, MM_TASK (task), MM_TEXT (upstream),
-                  MM_INT (ran_ms));
-  mm_owner_finish (w, how, upstream, run, ran_ms, "listed");
+  finish_listed (w, how, upstream, run,
+                 w->ran_ms + mm_clock_now_ms () - w->orphaned_ms);
 }
 
 /* Ends the session with the upstream of a found run, if the owner that found
@@ -237,6 +245,19 @@
 
 /* ---- next owner of an upstream ---------------------------------------- */
 
+/* Returns how the upstream lists the end of the run at which @t is said to
+   run, MM_END_UNKNOWN if it does not.  */
+static mm_end
+listed_end (const mm_exec *x, const mm_task_request *t)
+{
+  size_t n;
+  const mm_unacked_end *ends = mm_exec_unacked_ends (x, &n);
+  for (size_t i = 0; i < n; i++)
+    if (ends[i].run == t->run && mm_task_id_equal (&ends[i].task, &t->id))
+      return ends[i].how;
+  return MM_END_UNKNOWN;
+}
+
 void
 mm_owner_adopt (mm_owner *o, mm_work *w)
 {
@@ -250,6 +271,9 @@
       g_hash_table_insert (o->active, &w->request.id, w);
       return;
     }
+  /* The run may have ended since it was found.  */
+  w->listed_end
+      = owned ? listed_end (owned->exec, &w->request) : MM_END_UNKNOWN;
   /* Reported at the next tick, when the submitter has the task's handle.  */
   o->unadopted = g_list_prepend (o->unadopted, w);
 }
@@ -285,8 +309,12 @@
     {
       w = o->unadopted->data;
       o->unadopted = g_list_delete_link (o->unadopted, o->unadopted);
-      mm_owner_finish (w, MM_END_UNKNOWN, w->request.running_at,
-                       w->request.run, 0, "not there any more");
+      if (w->listed_end != MM_END_UNKNOWN)
+        finish_listed (w, w->listed_end, w->request.running_at, w->request.run,
+                       w->request.ran_ms);
+      else
+        mm_owner_finish (w, MM_END_UNKNOWN, w->request.running_at,
+                         w->request.run, 0, "not there any more");
     }
 }
 
--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -33,6 +33,7 @@
   uint64_t orphaned_fence; /* orphans: fencing token held there */
   mm_time_ms ran_ms;       /* orphans: run time until @orphaned_ms */
   mm_time_ms orphaned_ms;  /* orphans: when the upstream was given up */
+  mm_end listed_end;       /* not adopted: how its run ended, if listed */
   /* The handle under which the upstream's next owner runs the task, or NULL:
      not transferred.  */
   void *transfer;
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -16,6 +16,11 @@
   mm_time_ms requested_ms; /* when the pending request was sent, 0: none */
   char upstream[32];       /* name of the upstream in the pending request */
   mm_found_run found;      /* found run that the pending request is about */
+  /* Claimed tasks that are under way to the second owner.  */
+  mm_work *claimed[2];
+  mm_task_request claimed_requests[2];
+  int n_claimed;
+  mm_time_ms claimed_ms; /* when the last of them was claimed */
 } succession;
 
 #define REQUEST_MS 5 /* time until a request arrives */
@@ -45,6 +50,29 @@
   s->found.upstream = s->upstream;
 }
 
+/* Claims a found run; succession_run() transfers its task REQUEST_MS later. */
+static void
+on_found_transfer_later (void *ctx, const mm_found_run *r)
+{
+  succession *s = ctx;
+  int i = s->n_claimed;
+  s->claimed[i] = mm_owner_claim (s->fx.owner, r, &s->claimed_requests[i]);
+  s->n_claimed += s->claimed[i] != NULL;
+  s->claimed_ms = fakes_now (s->fx.upstreams);
+}
+
+/* Transfers the claimed tasks to the second owner.  */
+static void
+transfer_claimed (succession *s)
+{
+  for (int i = 0; i < s->n_claimed; i++)
+    mm_owner_transfer (s->fx.owner, s->claimed[i],
+                       mm_owner_submit (s->next, &s->claimed_requests[i],
+                                        mm_owner_transferred_end,
+                                        s->claimed[i]));
+  s->n_claimed = 0;
+}
+
 /* Cancels a transferred task at the second owner.  */
 static void
 on_cancel_transferred (void *ctx, void *transfer)
@@ -76,6 +104,8 @@
     {
       fakes_run (s->fx.upstreams, s->fx.owner, 1);
       mm_owner_tick (s->next);
+      if (fakes_now (s->fx.upstreams) - s->claimed_ms >= REQUEST_MS)
+        transfer_claimed (s);
       if (!s->requested_ms
           || fakes_now (s->fx.upstreams) - s->requested_ms < REQUEST_MS)
         continue;
@@ -320,6 +350,14 @@
 }
 END_TEST
 
+/* Guards against the loss of an end that the next owner reads before the task
+   of the run that it found arrives.  */
+START_TEST (run_that_ends_before_its_task_is_transferred_is_done)
+{
+  end_while_owner_changes (on_found_transfer_later);
+}
+END_TEST
+
 /* Handles a run that the first owner has found: if the second owner has the
    task of that run, the task is transferred to the first owner.  */
 static void
@@ -452,6 +490,7 @@
   tcase_add_test (c, run_requested_before_its_start_is_answered_goes_on);
   tcase_add_test (c, run_requested_after_the_session_has_ended_goes_on);
   tcase_add_test (c, run_that_ends_as_the_next_owner_begins_is_done);
+  tcase_add_test (c, run_that_ends_before_its_task_is_transferred_is_done);
   tcase_add_test (c, outranked_owner_claims_nothing_of_the_next);
   tcase_add_test (c, starts_refused_together_both_run_elsewhere);
   tcase_add_test (c, unclaimed_runs_are_stopped);
