node: callers are known to wait until the loop's wait began, not ended

Callers saw two runs of one task: an instance stood still for 300 ms and more, the caller left meanwhile and sent its job again 1,300 ms later, and the stops of the first run were lost. The first run went on until 1,520 ms after its caller had left with a stall of 300 ms, 1,820 ms with one of 600 ms.

Cause: after an iteration, callers counted as waiting until the end of the wait that began it. A process that is continued after a stop ends its wait without events (EINTR), so that the closes of its callers are read one iteration later. Leases renewed in between, and the limit of a run whose caller left, counted from the end of the stall.

They count from the beginning of the wait now: what was received before that is among its events, or was handled before. A wait of 25 ms costs no lease anything, as leases have 240 ms to spare.

--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -24,10 +24,12 @@
   mm_node_settings settings; /* the strings belong to the caller */
   ev_timer tick;
   ev_check stall_check;
-  ev_prepare log_prepare;
+  ev_prepare before_wait;
   mm_time_ms started_ms;
   mm_time_ms last_loop_ms; /* when the event loop last iterated */
-  mm_time_ms wait_from_ms; /* when it last began to wait for events */
+  mm_time_ms wait_ms;      /* when its last wait began */
+  mm_time_ms handled_ms;   /* when the last wait began whose events have been
+                              handled, or are being handled */
   mm_catalog *catalog;
   mm_evacuations *evacuations;
   mm_configuration *config;
@@ -217,14 +219,15 @@
                              && mm_list_share_complete (n->list));
 }
 
-/* Writes the log.  Runs last before each wait of the event loop, so that the
+/* Writes the log and records the beginning of the wait.  Runs last before each
+   wait of the event loop, so that the
    log of a process that is killed holds the lines of all requests that it
    answered.  */
 static void
-flush_log_cb (struct ev_loop *loop, ev_prepare *w, int revents)
+before_wait_cb (struct ev_loop *loop, ev_prepare *w, int revents)
 {
-  ((mm_node *)w->data)->wait_from_ms = mm_clock_now_ms ();
   mm_log_flush ();
+  ((mm_node *)w->data)->wait_ms = mm_clock_now_ms ();
 }
 
 /* Detects a stall of the process.  Runs first after each wait of the event
@@ -239,9 +242,13 @@
   mm_node *n = w->data;
   mm_time_ms now = mm_clock_now_ms ();
   mm_time_ms stalled_ms = now - n->last_loop_ms;
-  /* The events of the previous wait have been handled.  */
-  mm_owner_set_input_read (n->owner, n->last_loop_ms);
-  mm_time_ms busy_ms = n->wait_from_ms - n->last_loop_ms;
+  /* The events of the previous wait have been handled: what was received
+     before it began.  What was received before it ended may not be among them,
+     as a process that is continued after a stop ends its wait without
+     events.  */
+  mm_owner_set_input_read (n->owner, n->handled_ms);
+  n->handled_ms = n->wait_ms;
+  mm_time_ms busy_ms = n->wait_ms - n->last_loop_ms;
   n->last_loop_ms = now;
   if (stalled_ms > MM_LOOP_GAP_MS && stalled_ms <= MM_STALL_MS)
     mm_log_event (MM_EV_LOOP_GAP, MM_INT (stalled_ms),
@@ -259,7 +266,8 @@
 static void
 start_timers (mm_node *n)
 {
-  n->started_ms = n->last_loop_ms = n->wait_from_ms = mm_clock_now_ms ();
+  n->started_ms = n->last_loop_ms = mm_clock_now_ms ();
+  n->wait_ms = n->handled_ms = n->started_ms;
   ev_timer_init (&n->tick, tick_cb, 0., MM_EXEC_TICK_MS / 1000.);
   n->tick.data = n;
   ev_timer_start (n->loop, &n->tick);
@@ -267,10 +275,10 @@
   ev_set_priority (&n->stall_check, EV_MAXPRI);
   n->stall_check.data = n;
   ev_check_start (n->loop, &n->stall_check);
-  ev_prepare_init (&n->log_prepare, flush_log_cb);
-  ev_set_priority (&n->log_prepare, EV_MINPRI);
-  n->log_prepare.data = n;
-  ev_prepare_start (n->loop, &n->log_prepare);
+  ev_prepare_init (&n->before_wait, before_wait_cb);
+  ev_set_priority (&n->before_wait, EV_MINPRI);
+  n->before_wait.data = n;
+  ev_prepare_start (n->loop, &n->before_wait);
 }
 
 /* Returns a member name that is unique to this incarnation.  A restarted
@@ -409,7 +417,7 @@
     return;
   ev_timer_stop (n->loop, &n->tick);
   ev_check_stop (n->loop, &n->stall_check);
-  ev_prepare_stop (n->loop, &n->log_prepare);
+  ev_prepare_stop (n->loop, &n->before_wait);
   mm_jobs_destroy (n->jobs);
   mm_kept_destroy (n->kept);
   mm_fleet_destroy (n->fleet);
