Sessions: a run whose end is known is not found again by an older list

A hold that waits for an end is answered when the run ends; one that was sent later, without a wait, has an older list, and its answer may come last, on another connection. The run, unknown by then, was taken for one of an earlier owner and offered to all owners. A home of a kept job that is searching would adopt it, and start the task again when it is lost, after it was done.

Change: the session remembers ended runs for longer than a hold is open; a list that shows one of them as running is older than its end. The record of failed runs, kept for crashes, is part of that one now.

--- a/src/config.h
+++ b/src/config.h
@@ -158,6 +158,9 @@
 #define MM_ORDER_BYTES 600u /* size of an upstream call without payload */
 /* After the timeout of a call, its answer is still received for this long.  */
 #define MM_LATE_ANSWER_MS 500
+/* Ended runs are remembered for this long, which is more than a hold is open:
+   its wait, its longest timeout and MM_LATE_ANSWER_MS.  */
+#define MM_ENDED_RUNS_KEEP_MS 1500
 /* Late answers of two upstreams within this time have a common cause, such as
    the link or the processor of this instance.  */
 #define MM_RTO_COMMON_CAUSE_MS 1000
--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -31,7 +31,7 @@
     return;
   g_hash_table_destroy (x->runs);
   g_array_free (x->unacked, TRUE);
-  g_array_free (x->failed, TRUE);
+  g_array_free (x->ended, TRUE);
   mm_upstream_info_free (x->info);
   g_free (x);
 }
@@ -554,7 +554,7 @@
   x->slowness = 1.0;
   x->lease_limit_ms = G_MAXINT64;
   x->unacked = g_array_new (FALSE, FALSE, sizeof (mm_unacked_end));
-  x->failed = g_array_new (FALSE, FALSE, sizeof (mm_exec_failed_run));
+  x->ended = g_array_new (FALSE, FALSE, sizeof (mm_exec_ended_run));
   x->runs = g_hash_table_new_full (mm_task_id_hash, mm_task_id_equal, NULL,
                                    run_free);
   mm_exec_send_hold (x, 0, false);
--- a/src/mm_exec_incarnation.c
+++ b/src/mm_exec_incarnation.c
@@ -19,6 +19,7 @@
   x->seen_seq = x->acked_seq = 0;
   x->unacked_since_ms = 0;
   g_array_set_size (x->unacked, 0);
+  g_array_set_size (x->ended, 0);
   /* The deadline of an order was computed for the earlier clock and may be
      far ahead on the new one, which cuts leases to their longest.  */
   x->leases_expire_ms
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -33,21 +33,41 @@
   g_array_append_val (x->unacked, end);
 }
 
-/* Remembers a failed run for MM_SUSPECTS_AFTER_END_MS: if the upstream crashes
-   within that time, its task may have caused the crash.  */
+/* Remembers a run that has ended for MM_ENDED_RUNS_KEEP_MS.  @known: it was
+   known before its end.  */
 static void
-remember_failed (mm_exec *x, const mm_task_id *task)
+remember_ended (mm_exec *x, const mm_listed_end *e, bool known)
 {
-  mm_exec_failed_run f = { .task = *task, .ended_ms = mm_clock_now_ms () };
+  mm_exec_ended_run ended = { .task = e->task,
+                              .number = e->run,
+                              .failed = known && e->how == MM_END_FAILED,
+                              .ended_ms = mm_clock_now_ms () };
   guint n_old = 0;
-  while (n_old < x->failed->len
-         && f.ended_ms
-                    - g_array_index (x->failed, mm_exec_failed_run, n_old)
-                          .ended_ms
-                > MM_SUSPECTS_AFTER_END_MS)
+  while (
+      n_old < x->ended->len
+      && ended.ended_ms
+                 - g_array_index (x->ended, mm_exec_ended_run, n_old).ended_ms
+             > MM_ENDED_RUNS_KEEP_MS)
     n_old++;
-  g_array_remove_range (x->failed, 0, n_old);
-  g_array_append_val (x->failed, f);
+  g_array_remove_range (x->ended, 0, n_old);
+  g_array_append_val (x->ended, ended);
+}
+
+/* Returns whether the end of a listed run is known.  Answers overtake each
+   other: a hold that waited for an end can be answered before one that was
+   sent later, and whose list is older.  */
+static bool
+has_ended (const mm_exec *x, const mm_listed_run *seen)
+{
+  for (guint i = 0; i < x->ended->len; i++)
+    {
+      const mm_exec_ended_run *ended
+          = &g_array_index (x->ended, mm_exec_ended_run, i);
+      if (ended->number == seen->run
+          && mm_task_id_equal (&ended->task, &seen->task))
+        return true;
+    }
+  return false;
 }
 
 /* Processes the list of ends; skips ends that earlier lists had.  */
@@ -66,13 +86,12 @@
          its end is treated as one of a kept job.  */
       if (!own_run || r->kept)
         keep_end (x, e, !own_run);
+      remember_ended (x, e, r && r->number == e->run);
       mm_exec_log_other_run (r, e->run, "ended");
       if (!r || r->number != e->run)
         continue;
       if (e->how == MM_END_DONE)
         update_slowness (x, r);
-      if (e->how == MM_END_FAILED)
-        remember_failed (x, &e->task);
       bool detached = own_run && !r->work;
       /* A run that was stopped because its start had no answer is reported
          as stopped and not as "not run", because it did run for a while.  */
@@ -147,6 +166,8 @@
     {
       const mm_listed_run *seen = &res->running[i];
       mm_exec_run *r = g_hash_table_lookup (x->runs, &seen->task);
+      if (!r && has_ended (x, seen))
+        continue;
       if (!r)
         {
           add_foreign_run (x, seen);
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -99,7 +99,7 @@
   uint64_t seen_seq;           /* sequence number of the newest end seen */
   uint64_t acked_seq;     /* newest end whose acknowledgement was answered */
   GArray *unacked;        /* mm_unacked_end, which homes still need */
-  GArray *failed;         /* mm_exec_failed_run, oldest first */
+  GArray *ended;          /* mm_exec_ended_run, oldest first */
   uint32_t holds_failed;  /* consecutively */
   mm_rto rto;             /* timeout of the calls to this upstream */
   mm_exec_common *common; /* shared with the owner's other sessions */
@@ -111,12 +111,14 @@
   double slowness;                /* average of run time / estimate */
 };
 
-/* A run that has failed a short time ago.  */
+/* A run that has ended a short time ago.  */
 typedef struct
 {
   mm_task_id task;
+  uint32_t number;
+  bool failed;         /* it failed, and was known before */
   mm_time_ms ended_ms; /* when its end was first listed */
-} mm_exec_failed_run;
+} mm_exec_ended_run;
 
 /* A call to the upstream that is still open.  */
 typedef struct
--- a/src/mm_exec_state.c
+++ b/src/mm_exec_state.c
@@ -91,11 +91,10 @@
   GList *tasks = list_tasks (x, false);
   mm_time_ms lost_ms
       = x->hold_failed_ms ? x->unresponsive_since_ms : mm_clock_now_ms ();
-  for (guint i = 0; i < x->failed->len; i++)
+  for (guint i = 0; i < x->ended->len; i++)
     {
-      mm_exec_failed_run *f
-          = &g_array_index (x->failed, mm_exec_failed_run, i);
-      if (lost_ms - f->ended_ms <= MM_SUSPECTS_AFTER_END_MS)
+      mm_exec_ended_run *f = &g_array_index (x->ended, mm_exec_ended_run, i);
+      if (f->failed && lost_ms - f->ended_ms <= MM_SUSPECTS_AFTER_END_MS)
         tasks = g_list_prepend (tasks, &f->task);
     }
   return tasks;
--- a/tests/test_resend.c
+++ b/tests/test_resend.c
@@ -847,6 +847,29 @@
 }
 END_TEST
 
+/* Guards against an ended run that an older list, which arrives after the one
+   with its end, makes look like a run of an earlier owner.  */
+START_TEST (run_that_has_ended_is_not_found_again_when_answers_cross)
+{
+  uint64_t found_before = mm_metrics_counter (MM_CT_FOREIGN_RUNS);
+  for (uint32_t seed = 0; seed < 100; seed++)
+    {
+      sim *s = sim_create (seed);
+      int a = sim_add_upstream (s, OWNER);
+      sim_run (s, 20);
+      *sim_path_to (s, OWNER, a)
+          = (sim_path){ .transit_ms = 80, .lost_answers = 0.3 };
+      for (int n = 0; n < SIM_JOBS; n++)
+        {
+          sim_submit (s, n, 60 + sim_random (s, 100), OWNER, OWNER);
+          sim_run (s, 20);
+        }
+      sim_destroy (s);
+    }
+  ck_assert_uint_eq (mm_metrics_counter (MM_CT_FOREIGN_RUNS), found_before);
+}
+END_TEST
+
 static void
 add_case (Suite *s, const char *tag, const TTest *const tests[], int n)
 {
@@ -880,6 +903,7 @@
           messages_that_are_read_late_do_not_prolong_a_run,
           task_that_arrives_late_does_not_share_a_longer_lease,
           time_in_which_the_origin_stood_still_does_not_prolong_a_run,
+          run_that_has_ended_is_not_found_again_when_answers_cross,
           request_that_waited_for_a_stalled_instance_starts_nothing,
           run_of_a_request_that_waited_ends_before_its_job_is_sent_again };
   const TTest *const passed[]
