owner: a fencing token that was raised after a restart is used again

An owner raises its token when an upstream starts again under its name. If the upstream then left the list and came back (a gap of the list is enough), the owner opened a new session with the token that it was assigned, and its own raised token refused it: no task ran there until the assignment changed.

The owner remembers the raised token of a session that ends, and opens the next one with it; a token assigned later is higher and goes first. The functions on tokens have a file of their own now.

Evidence: test_incarnation upstream_is_used_again_after_a_restart_and_a_gap_in_the_list failed before (the task got no answer).

--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -214,6 +214,8 @@
   o->transferred = g_hash_table_new (NULL, NULL);
   o->in_doubt = g_hash_table_new_full (mm_task_id_hash, mm_task_id_equal,
                                        g_free, g_free);
+  o->raised_fences
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   o->evacuated
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return o;
@@ -260,6 +262,7 @@
   g_hash_table_destroy (o->owned_upstreams);
   g_hash_table_destroy (o->active);
   g_hash_table_destroy (o->evacuated);
+  g_hash_table_destroy (o->raised_fences);
   g_free (o);
 }
 
@@ -295,31 +298,12 @@
                         .upstream_lost = mm_owner_on_upstream_lost,
                         .upstream_back = mm_owner_on_upstream_back,
                         .ctx = owned };
-  owned->exec = mm_exec_create (u, fence, &o->port, &o->common, &ev);
+  owned->assigned_fence = fence;
+  owned->exec = mm_exec_create (u, mm_owner_session_fence (o, u->name, fence),
+                                &o->port, &o->common, &ev);
   g_hash_table_insert (o->owned_upstreams, g_strdup (u->name), owned);
 }
 
-/**
- * mm_owner_raise_fence() - use a higher fencing token at an upstream.
- * @o: the owner.
- * @upstream: name of the upstream; nothing is done unless it is owned here.
- * @fence: the new token.
- *
- * For an instance that may have lost the upstream and got it back without
- * notice.  A session that has ended because of the owner in between is left to
- * mm_owner_add_upstream(), which begins another one.
- */
-void
-mm_owner_raise_fence (mm_owner *o, const char *upstream, uint64_t fence)
-{
-  mm_owned_upstream *owned
-      = g_hash_table_lookup (o->owned_upstreams, upstream);
-  if (!owned || mm_exec_fenced (owned->exec)
-      || fence <= mm_exec_fence (owned->exec))
-    return;
-  mm_exec_raise_fence (owned->exec, fence);
-}
-
 void
 mm_owner_update_upstream (mm_owner *o, const mm_upstream_info *u)
 {
@@ -342,6 +326,7 @@
   if (mm_exec_unresponsive_since_ms (owned->exec)
       && !mm_exec_fenced (owned->exec))
     mm_owner_on_upstream_lost (owned, owned->exec, false);
+  mm_owner_keep_raised_fence (owned);
   owned->removed = true;
   mm_owner_orphan_all (o, owned, "upstream handed over or gone");
   g_hash_table_remove (o->owned_upstreams, upstream);
@@ -374,14 +359,6 @@
              && end_ms <= (double)owned->owner->handover_end_ms);
 }
 
-bool
-mm_owner_fenced (const mm_owner *o, const char *upstream)
-{
-  mm_owned_upstream *owned
-      = g_hash_table_lookup (o->owned_upstreams, upstream);
-  return owned && mm_exec_fenced (owned->exec);
-}
-
 GList *
 mm_owner_upstream_names (const mm_owner *o)
 {
--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -9,7 +9,9 @@
 typedef struct
 {
   mm_owner *owner;
-  mm_exec *exec; /* the session with the upstream */
+  mm_exec *exec;           /* the session with the upstream */
+  uint64_t assigned_fence; /* the fencing token that this owner was assigned;
+                              the session may have raised its own */
   mm_breaker breaker;
   bool handing_over;   /* a handover to another owner is under way */
   bool removed;        /* no longer owned; its session is being closed */
@@ -58,8 +60,11 @@
   mm_owner_transfer_port transfer_port; /* callbacks that transfer runs */
   mm_owner_gained gained;               /* NULL: not set */
   void *gained_ctx;                     /* argument of @gained */
-  mm_suspects *suspects;      /* NULL: suspected tasks are not recorded */
-  GHashTable *evacuated;      /* data centre -> mm_owner_evacuation.c */
+  mm_suspects *suspects; /* NULL: suspected tasks are not recorded */
+  GHashTable *evacuated; /* data centre -> mm_owner_evacuation.c */
+  /* Upstream name -> uint64_t: fencing token of the last session, where that
+     had raised the token which its owner was assigned.  */
+  GHashTable *raised_fences;
   uint64_t last_arrival;      /* arrival number of the last task */
   mm_time_ms input_read_ms;   /* mm_owner_set_input_read(), 0: not set */
   mm_time_ms handover_end_ms; /* all handovers have ended by then */
@@ -75,6 +80,15 @@
   bool destroyed;   /* mm_owner_destroy() is running: start nothing */
 };
 
+/* mm_owner_fence.c */
+/* Remembers the fencing token of a session that ends, if it is higher than the
+   one that was assigned.  The upstream refuses lower tokens.  */
+void mm_owner_keep_raised_fence (const mm_owned_upstream *owned);
+/* Returns the fencing token for a new session with an upstream: @assigned, or
+   a higher one that the last session here has used.  */
+uint64_t mm_owner_session_fence (mm_owner *o, const char *upstream,
+                                 uint64_t assigned);
+
 /* mm_owner_adopt.c */
 /* Detaches all tasks that run at @owned, which is no longer owned here.  Tasks
    that cannot be transferred are reported with the reason @why.  */
--- a/tests/test_incarnation.c
+++ b/tests/test_incarnation.c
@@ -138,6 +138,29 @@
 }
 END_TEST
 
+/* Guards against an owner whose own raised fencing token keeps it from an
+   upstream that left its list after a restart and is back.  */
+START_TEST (upstream_is_used_again_after_a_restart_and_a_gap_in_the_list)
+{
+  fixture fx = fixture_create ();
+  fake *a = fixture_add (&fx, "a");
+  fixture_run (&fx, 10);
+  fake_restart_same_name (a);
+  mm_owner_update_upstream (fx.owner, fake_info (a));
+  fixture_run (&fx, 100);
+  mm_owner_remove_upstream (fx.owner, "a");
+  fixture_run (&fx, 100);
+  mm_owner_add_upstream (fx.owner, fake_info (a), 5);
+  fixture_run (&fx, 100);
+  outcome r;
+  submit (&fx, &r, "job", 0, 100);
+  fixture_run (&fx, 500);
+  ck_assert_uint_eq (r.answers, 1);
+  ck_assert_int_eq (r.how, MM_END_DONE);
+  fixture_destroy (&fx);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -147,7 +170,8 @@
           late_order_starts_nothing_after_a_restart_that_a_hold_shows,
           task_that_is_done_at_a_new_incarnation_does_not_run_again,
           runs_of_an_earlier_incarnation_are_reported_as_lost,
-          lease_at_a_new_incarnation_ends_when_its_caller_is_out_of_reach };
+          lease_at_a_new_incarnation_ends_when_its_caller_is_out_of_reach,
+          upstream_is_used_again_after_a_restart_and_a_gap_in_the_list };
   TCase *c = tcase_create ("incarnation");
   for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
     tcase_add_test (c, tests[i]);
