test_stall: jobs whose callers left while their instance stood still

Real processes: an instance stands still (300 to 4,000 ms, its store away for the long ones) while a caller sends it a job and closes the connection, and sends the job to another instance.

--- a/tests/test_stall.c
+++ b/tests/test_stall.c
@@ -13,8 +13,11 @@
 {
   UPSTREAMS = 4,
   SLOTS = 4,
+  INSTANCES = 2,
   STALLED = 0, /* the instance that stands still */
-  RUN_MS = 4000
+  OTHER = 1,
+  RUN_MS = 4000,
+  SHORT_RUN_MS = 100
 };
 
 static void
@@ -29,6 +32,12 @@
   sleep_ms (MAX (ms - mm_clock_now_ms (), 0));
 }
 
+static void
+start_site (void)
+{
+  h_start_nodes (UPSTREAMS, SLOTS, INSTANCES);
+}
+
 /* Returns a connection to an instance.  */
 static int
 connect_to (int instance)
@@ -64,6 +73,107 @@
   g_free (job);
 }
 
+/* Returns the number of runs that have ended.  */
+static int
+count_runs (void)
+{
+  GArray *runs = h_read_runs (UPSTREAMS, NULL);
+  int n = (int)runs->len;
+  g_array_free (runs, TRUE);
+  return n;
+}
+
+/* Returns how many starts an instance has ordered.  */
+static int
+ordered_starts (int instance)
+{
+  sleep_ms (4 * MM_EXEC_TICK_MS); /* the log is written at each tick */
+  return h_count_in_log (h_instances[instance], "\"event\":\"task_started\"");
+}
+
+/* ---- requests that were queued during a stall --------------------------- */
+
+static const struct
+{
+  mm_time_ms stall_ms;
+  bool connected_before; /* the connection is older than the stall */
+} queued[] = {
+  { 300, false }, { 300, true },   { 600, false },
+  { 600, true },  { 1100, false }, { 1100, true },
+};
+
+/* Guards against a start although the close is queued behind the request.  */
+START_TEST (job_of_a_caller_that_left_during_a_stall_is_not_started)
+{
+  start_site ();
+  int fd = queued[_i].connected_before ? connect_to (STALLED) : -1;
+  sleep_ms (100);
+  kill (h_instances[STALLED], SIGSTOP);
+  mm_time_ms stopped_ms = mm_clock_now_ms ();
+  sleep_ms (20);
+  if (fd < 0)
+    fd = connect_to (STALLED);
+  send_job (fd, "left", RUN_MS);
+  sleep_ms (20);
+  close (fd);
+  sleep_until (stopped_ms + queued[_i].stall_ms);
+  kill (h_instances[STALLED], SIGCONT);
+  sleep_ms (300);
+  ck_assert_int_eq (ordered_starts (STALLED), 0);
+  ck_assert_int_eq (count_runs (), 0);
+  h_stop_cluster ();
+}
+END_TEST
+
+/* Guards against a check that drops the jobs of callers who still wait.  */
+START_TEST (job_of_a_caller_that_still_waits_after_a_stall_is_started)
+{
+  start_site ();
+  int fd = queued[_i].connected_before ? connect_to (STALLED) : -1;
+  sleep_ms (100);
+  kill (h_instances[STALLED], SIGSTOP);
+  sleep_ms (20);
+  if (fd < 0)
+    fd = connect_to (STALLED);
+  send_job (fd, "waits", SHORT_RUN_MS);
+  sleep_ms (queued[_i].stall_ms - 20);
+  kill (h_instances[STALLED], SIGCONT);
+  char status[16] = "";
+  ck_assert_int_gt (recv (fd, status, sizeof status - 1, 0), 12);
+  ck_assert_str_eq (status + 9, "200 OK");
+  ck_assert_int_eq (count_runs (), 1);
+  close (fd);
+  h_stop_cluster ();
+}
+END_TEST
+
+/* Guards against two runs of a task: without a store, owners stay owners.  */
+START_TEST (job_sent_elsewhere_during_a_stall_runs_once)
+{
+  start_site ();
+  sleep_ms (100);
+  kill (h_platform, SIGSTOP);
+  kill (h_instances[STALLED], SIGSTOP);
+  sleep_ms (20);
+  int fd = connect_to (STALLED);
+  send_job (fd, "twice", RUN_MS);
+  sleep_ms (20);
+  close (fd);
+  sleep_ms (MM_RESEND_MS);
+  int again = connect_to (OTHER);
+  send_job (again, "twice", RUN_MS);
+  sleep_ms (700);
+  kill (h_instances[STALLED], SIGCONT);
+  sleep_ms (500);
+  close (again);
+  sleep_ms (300);
+  ck_assert_int_eq (count_runs (), 1);
+  h_stop_cluster ();
+}
+END_TEST
+
+/* ---- runs of callers that leave during a stall -------------------------- */
+
 /* Sends a job that leaves one slot free: the leases of all upstreams are
    renewed for it from then on.  */
 static int
@@ -129,7 +239,17 @@
 main (void)
 {
   Suite *s = suite_create ("stall");
-  TCase *c = tcase_create ("running");
+  TCase *c = tcase_create ("queued");
+  tcase_set_timeout (c, 60);
+  tcase_add_loop_test (c,
+                       job_of_a_caller_that_left_during_a_stall_is_not_started,
+                       0, G_N_ELEMENTS (queued));
+  tcase_add_loop_test (
+      c, job_of_a_caller_that_still_waits_after_a_stall_is_started, 0,
+      G_N_ELEMENTS (queued));
+  tcase_add_test (c, job_sent_elsewhere_during_a_stall_runs_once);
+  suite_add_tcase (s, c);
+  c = tcase_create ("running");
   tcase_set_timeout (c, 60);
   for (int stall_ms = 300; stall_ms <= 600; stall_ms += 300)
     tcase_add_loop_test (c,
