test_late_start: a start that a stall holds back is void

An iteration of the event loop may stand still between the decision to start a task and the order, and goes on with what it had queued before it is noticed. The test orders starts before and after a stall of 0 to 2.5 s in one iteration, for own callers and for those of a peer, with and without a lease that is renewed for another task, all stops lost: 250 cases of eight combinations, none with a run 1,300 ms after its caller left.

--- a/tests/test_late_start.c
+++ b/tests/test_late_start.c
@@ -286,6 +286,79 @@
 }
 END_TEST
 
+/* ---- an owner that stands still with a start in hand -------------------- */
+
+/* Who the task is from, and when the owner orders its start.  */
+typedef enum
+{
+  OWN_CALLER,        /* before the stall; it is sent after the stall */
+  OWN_CALLER_AT_END, /* after the stall, in the same iteration */
+  PEER,              /* as OWN_CALLER, received over a link */
+  PEER_AT_END,
+  N_SENDERS
+} sender;
+
+#define LONG_RUN_MS 5000
+
+/* Submits the task.  @awaited_ms: when the peer was last heard of.  */
+static void
+submit_awaited (late_start *t, sender from, const mm_time_ms *awaited_ms)
+{
+  mm_task_request r = fakes_task ("late", 0, TASK_CPU_MILLI, LONG_RUN_MS);
+  if (from == PEER || from == PEER_AT_END)
+    r.awaited_ms = awaited_ms;
+  t->result.work = mm_owner_submit (t->fx.owner, &r, on_done, &t->result);
+}
+
+/* Asserts that no run of the task goes on when its caller, who is not known to
+   have left before a stall of @stall_ms is over, has sent the job again.  No
+   stop arrives.  @beside: leases are renewed for another task.  */
+static void
+check_stalled_start (sender from, mm_time_ms stall_ms, bool beside)
+{
+  late_start t = { .fx = fixture_create () };
+  outcome other;
+  t.upstream = fixture_add (&t.fx, "a");
+  fixture_run (&t.fx, 10);
+  if (beside)
+    submit (&t.fx, &other, "beside", 0, LONG_RUN_MS);
+  fixture_run (&t.fx, 100);
+  mm_time_ms left_ms = fakes_now (t.fx.upstreams);
+  mm_time_ms awaited_ms = left_ms;
+  mm_owner_set_input_read (t.fx.owner, left_ms);
+  fake_mode_of (t.upstream)->lose_stops = G_MAXUINT32;
+  fake_mode_of (t.upstream)->delivery_delay_ms = stall_ms;
+  if (from == OWN_CALLER || from == PEER)
+    submit_awaited (&t, from, &awaited_ms);
+  fakes_run (t.fx.upstreams, NULL, stall_ms);
+  fake_mode_of (t.upstream)->delivery_delay_ms = 0;
+  if (from == OWN_CALLER_AT_END || from == PEER_AT_END)
+    submit_awaited (&t, from, &awaited_ms);
+  fixture_run (&t.fx, ROUND_TRIP_MS);
+  if (t.result.work)
+    mm_owner_cancel (t.fx.owner, t.result.work);
+  mm_task_id id = { .job = "late" };
+  while (fakes_now (t.fx.upstreams) < left_ms + LONG_RUN_MS)
+    {
+      mm_owner_set_input_read (t.fx.owner, fakes_now (t.fx.upstreams));
+      fixture_run (&t.fx, 1);
+      ck_assert (fakes_now (t.fx.upstreams) < left_ms + MM_RESEND_MS
+                 || !fake_is_running (t.upstream, &id));
+    }
+  fixture_destroy (&t.fx);
+}
+
+/* Guards against starts and leases that do not count the time of a stall.  */
+START_TEST (start_of_a_caller_that_left_is_void_after_a_stall)
+{
+  for (sender from = 0; from < N_SENDERS; from++)
+    {
+      check_stalled_start (from, _i * 10, false);
+      check_stalled_start (from, _i * 10, true);
+    }
+}
+END_TEST
+
 /* ---- processes ---------------------------------------------------------- */
 
 #define TASKS 4
@@ -342,6 +415,8 @@
       N_REFUSALS);
   tcase_add_test (
       c, first_start_that_arrives_after_the_second_was_refused_runs_nothing);
+  tcase_add_loop_test (c, start_of_a_caller_that_left_is_void_after_a_stall, 0,
+                       250);
   suite_add_tcase (s, c);
   c = tcase_create ("processes");
   tcase_set_timeout (c, 60);
