list: an instance that reads by itself reads at once when told of a drain

An upstream that had begun to drain got starts up to 0.15 s after another instance had listed it as draining, by an instance that listed it 0.6 s later.

Cause: for 5 s after a full read an instance ignores the updates of its peers, as they lack what a peer takes for unchanged, and reads the list by itself each 0.8 s or more. Applying the changes of such an update would not do: an answer of the store that is older than the update would undo them.

An update that tells of an upstream that begins to drain makes the instance read at once, or again if a read is under way. Its own read brings the change, and no record is skipped.

--- a/src/mm_list_share.c
+++ b/src/mm_list_share.c
@@ -124,7 +124,8 @@
    Peers may have seen an upstream leave that this instance never saw join, or
    the reverse.  So changes that are new to this instance may be none to a
    peer, which then does not send them.  Within MM_LIST_OWN_READS_MS every live
-   upstream writes to the list again.  */
+   upstream writes to the list again.  An update that tells of an upstream that
+   begins to drain makes this instance read at once.  */
 static void
 on_full_read (void *ctx, GHashTable *keys)
 {
@@ -173,6 +174,24 @@
     mm_mesh_notify_peer (l->mesh, peer, pack_update_for, l);
 }
 
+/* Returns whether an upstream that is known here begins to drain with the
+   update.  */
+static bool
+tells_of_drain (const mm_list_share *l, const mm_list_update *update)
+{
+  for (size_t i = 0; i < update->n_changes; i++)
+    {
+      const mm_list_change *c = &update->changes[i];
+      const mm_upstream_info *known
+          = c->info && c->info->draining
+                ? mm_catalog_find (l->catalog, c->name)
+                : NULL;
+      if (known && !known->draining)
+        return true;
+    }
+  return false;
+}
+
 /* Applies an update of a peer, and sends it on when the update changed the
    catalog or MM_LIST_NOTIFY_MS have passed since the last notification.  */
 static void
@@ -183,7 +202,11 @@
   l->round = MAX (l->round, update->round);
   mm_mesh_set_known_list_offset (l->mesh, peer, update->to_offset);
   if (now < l->own_reads_until_ms)
-    return;
+    {
+      if (tells_of_drain (l, update))
+        mm_stream_poll_now (l->stream);
+      return;
+    }
   if (!mm_stream_advance (l->stream, update->from_offset, update->to_offset,
                           as_of_ms))
     {
--- a/src/mm_stream.c
+++ b/src/mm_stream.c
@@ -25,6 +25,7 @@
   mm_stream_events ev;
   mm_time_ms wait_ms;   /* how long a read waits at the store for a record */
   bool in_flight;       /* a call has not been answered yet */
+  bool read_again;      /* another read is due once that call is answered */
   bool tailing;         /* reads appended records; false: the newest records */
   bool in_contact;      /* the last call succeeded */
   bool paused;          /* paused since the last tick */
@@ -216,6 +217,9 @@
     handle_changes (s, res);
   else if (res->ok)
     handle_page (s, res);
+  if (res->ok && s->read_again)
+    s->next_read_ms = now;
+  s->read_again = false;
   stream_unref (s);
 }
 
@@ -274,6 +278,8 @@
 mm_stream_poll_now (mm_stream *s)
 {
   s->next_read_ms = 0;
+  /* The answer to a call in flight may lack the newest records.  */
+  s->read_again = s->in_flight;
 }
 
 bool
--- a/src/mm_stream.h
+++ b/src/mm_stream.h
@@ -49,7 +49,9 @@
    have not been read yet.  */
 bool mm_stream_advance (mm_stream *s, uint64_t from, uint64_t to,
                         mm_time_ms as_of_ms);
-void mm_stream_poll_now (mm_stream *s); /* makes the next tick send a read */
+/* Makes the next tick send a read, or, if a call is in flight, the first tick
+   after its answer.  */
+void mm_stream_poll_now (mm_stream *s);
 /* Called in place of mm_stream_tick() while the stream is not needed; no read
    is sent.  */
 void mm_stream_pause (mm_stream *s);
--- a/tests/test_list_share.c
+++ b/tests/test_list_share.c
@@ -18,6 +18,9 @@
 /* Shortest time, of all platforms, after which a draining upstream must get no
    start.  */
 #define DRAIN_BOUND_MS 2000
+/* Most ticks from the first instance that lists an upstream as draining to the
+   last one: 100 ms, as in test_drain.  */
+#define LISTED_BOUND_TICKS (100 / MM_EXEC_TICK_MS)
 
 /* A record of the stream: the list entry of an upstream.  */
 typedef struct
@@ -33,6 +36,7 @@
   ev_timer tick;           /* ticks the instances */
   ev_timer heartbeat;      /* appends the records of heartbeats */
   GArray *records;         /* record, in the order of the stream */
+  int n_ticks;             /* of the instances */
   uint32_t n_reads;        /* calls to the store */
   uint32_t n_records_sent; /* in answers to all reads */
   int last_reader;         /* instance that sent the last read */
@@ -162,6 +166,7 @@
 tick_cb (struct ev_loop *loop, ev_timer *t, int revents)
 {
   fixture *fx = t->data;
+  fx->n_ticks++;
   for (int i = 0; i < INSTANCES; i++)
     if (fx->mesh[i])
       {
@@ -442,6 +447,40 @@
 }
 END_TEST
 
+/* Returns how many instances know that an upstream is draining.  */
+static int
+count_knowing (const fixture *fx, int upstream)
+{
+  int n = 0;
+  for (int i = 0; i < INSTANCES; i++)
+    n += knows_draining (fx, i, upstream);
+  return n;
+}
+
+/* Guards against tasks started on a draining upstream by an instance that
+   reads the list by itself after a full read, long after others have listed
+   it.  */
+START_TEST (drain_is_known_to_an_instance_after_its_full_read)
+{
+  fixture *fx = fixture_create ();
+  fx->no_history = 0;
+  while (fx->no_history >= 0)
+    run_for (fx, MM_EXEC_TICK_MS);
+  for (int i = 0; i < 4; i++)
+    {
+      run_for (fx, MM_LIST_POLL_MS);
+      append_record (fx, i, true);
+      while (count_knowing (fx, i) == 0)
+        run_for (fx, 1);
+      int ticks_before = fx->n_ticks;
+      while (count_knowing (fx, i) < INSTANCES
+             && fx->n_ticks - ticks_before <= LISTED_BOUND_TICKS)
+        run_for (fx, 1);
+      ck_assert_int_le (fx->n_ticks - ticks_before, LISTED_BOUND_TICKS);
+    }
+}
+END_TEST
+
 /* Guards against tasks that are started twice after an outage of the store, in
    which list entries have expired.  An instance that starts at that time reads
    an incomplete list.  Upstreams that are missing from the list may still have
@@ -593,6 +632,7 @@
   tcase_add_test (c, reader_without_the_store_is_updated_by_the_others);
   tcase_add_test (c,
                   instance_refused_after_a_full_read_is_updated_by_the_others);
+  tcase_add_test (c, drain_is_known_to_an_instance_after_its_full_read);
   tcase_add_test (c, delayed_update_is_not_taken_for_a_new_one);
   tcase_add_test (c, list_read_for_the_first_time_is_not_complete_at_once);
   tcase_add_test (c, readers_alternate);
