owner: the end of a run whose task is under way to the next owner counts

Cause: the previous owner read the question of the next one 54 ms after it was asked, and sent the task. The run had ended meanwhile, and the next owner had most likely dropped its end, as it drops ends that no home of a kept job needs.

The previous owner reads the end as well, from a hold that it sent before the change of owner. It reports the end and cancels the task at the next owner.

test_succession run_that_ends_while_its_task_is_under_way_is_done failed before (no answer within 100 ms) and passes now.

--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -290,7 +290,7 @@
   owned = g_new0 (mm_owned_upstream, 1);
   owned->owner = o;
   mm_exec_events ev = { .run_ended = on_ended,
-                        .detached_run_ended = mm_owner_on_orphan_ended,
+                        .detached_run_ended = mm_owner_on_detached_ended,
                         .capacity_freed = on_capacity_freed,
                         .upstream_unhealthy = on_unhealthy,
                         .foreign_run_found = on_found,
--- a/src/mm_owner_adopt.c
+++ b/src/mm_owner_adopt.c
@@ -88,20 +88,42 @@
   mm_owner_finish (w, how, upstream, run, ran_ms, "listed");
 }
 
+/* Returns the transferred task with this id, or NULL.  */
+static mm_work *
+find_transferred (const mm_owner *o, const mm_task_id *task)
+{
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, o->transferred);
+  while (g_hash_table_iter_next (&it, &v, NULL))
+    if (mm_task_id_equal (&((mm_work *)v)->request.id, task))
+      return v;
+  return NULL;
+}
+
 /* The end that a hold lists is certain, whoever owns the upstream now: a hold
    that was sent before the change of owner is still answered.  The next owner
-   requests no run that has ended.  */
+   requests no run that has ended, and may have dropped the end of a run before
+   the run's task arrives there.  */
 void
-mm_owner_on_orphan_ended (void *ctx, mm_exec *x, const mm_task_id *task,
-                          uint32_t run, mm_end how)
+mm_owner_on_detached_ended (void *ctx, mm_exec *x, const mm_task_id *task,
+                            uint32_t run, mm_end how)
 {
   mm_owner *o = ((mm_owned_upstream *)ctx)->owner;
-  mm_work *w = g_hash_table_lookup (o->orphans, task);
+  mm_work *orphan = g_hash_table_lookup (o->orphans, task);
+  mm_work *w = orphan ? orphan : find_transferred (o, task);
   const char *upstream = mm_exec_info (x)->name;
-  if (!w || w->run != run || w->orphaned_fence != mm_exec_fence (x)
+  if (!w || !w->orphaned_on || w->run != run
+      || w->orphaned_fence != mm_exec_fence (x)
       || strcmp (w->orphaned_on, upstream) != 0)
     return;
-  g_hash_table_remove (o->orphans, task);
+  if (orphan)
+    g_hash_table_remove (o->orphans, task);
+  else
+    {
+      g_hash_table_remove (o->transferred, w);
+      o->transfer_port.cancel (o->transfer_port.ctx, w->transfer);
+    }
   finish_listed (w, how, upstream, run,
                  w->ran_ms + mm_clock_now_ms () - w->orphaned_ms);
 }
@@ -210,18 +232,6 @@
   return *(mm_time_ms *)until_ms <= *(mm_time_ms *)now;
 }
 
-static bool
-is_transferred (const mm_owner *o, const mm_task_id *task)
-{
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init (&it, o->transferred);
-  while (g_hash_table_iter_next (&it, &v, NULL))
-    if (mm_task_id_equal (&((mm_work *)v)->request.id, task))
-      return true;
-  return false;
-}
-
 static bool
 is_found (const mm_owner *o, const mm_task_id *task)
 {
@@ -240,7 +250,7 @@
   return g_hash_table_contains (o->active, task)
          || g_hash_table_contains (o->orphans, task)
          || g_hash_table_contains (o->in_doubt, task)
-         || is_transferred (o, task) || is_found (o, task);
+         || find_transferred (o, task) || is_found (o, task);
 }
 
 /* ---- next owner of an upstream ---------------------------------------- */
--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -96,9 +96,9 @@
                           const char *why);
 /* Event of the session with an upstream that is no longer owned
    (mm_exec_events): reports the end of the run @run to the submitter of its
-   task, if that is an orphan.  */
-void mm_owner_on_orphan_ended (void *ctx, mm_exec *x, const mm_task_id *task,
-                               uint32_t run, mm_end how);
+   task, if that is an orphan, or was transferred.  */
+void mm_owner_on_detached_ended (void *ctx, mm_exec *x, const mm_task_id *task,
+                                 uint32_t run, mm_end how);
 /* Attaches a submitted task to its run at @w->request.running_at.  */
 void mm_owner_adopt (mm_owner *o, mm_work *w);
 /* Reports the ends of orphans whose runs no next owner requested in time, and
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -21,6 +21,7 @@
   mm_task_request claimed_requests[2];
   int n_claimed;
   mm_time_ms claimed_ms; /* when the last of them was claimed */
+  int n_held_up;         /* cancelled tasks that never arrived there */
 } succession;
 
 #define REQUEST_MS 5 /* time until a request arrives */
@@ -358,6 +359,51 @@
 }
 END_TEST
 
+/* Claims a found run, whose task never arrives at the second owner.  */
+static void
+on_found_held_up (void *ctx, const mm_found_run *r)
+{
+  succession *s = ctx;
+  mm_task_request t;
+  mm_work *w = mm_owner_claim (s->fx.owner, r, &t);
+  if (w)
+    mm_owner_transfer (s->fx.owner, w, &s->n_held_up);
+}
+
+static void
+on_cancel_held_up (void *ctx, void *transfer)
+{
+  succession *s = ctx;
+  ck_assert_ptr_eq (transfer, &s->n_held_up);
+  s->n_held_up++;
+}
+
+/* Guards against the loss of an end that the previous owner reads while its
+   task is under way to the next one, which may have dropped the end by then.
+ */
+START_TEST (run_that_ends_while_its_task_is_under_way_is_done)
+{
+  succession s;
+  succession_init (&s, false);
+  fake *a = fixture_add (&s.fx, "a");
+  mm_owner_transfer_port l = { .found = on_found_held_up, .ctx = &s };
+  mm_owner_set_transfer_port (s.next, &l);
+  l.cancel = on_cancel_held_up;
+  mm_owner_set_transfer_port (s.fx.owner, &l);
+  succession_run (&s, 10);
+  outcome r;
+  submit (&s.fx, &r, "ends", 0, 100);
+  succession_run (&s, 70);
+  mm_owner_add_upstream (s.next, fake_info (a), 6);
+  succession_run (&s, 100);
+  ck_assert_uint_eq (r.answers, 1);
+  ck_assert_int_eq (r.how, MM_END_DONE);
+  ck_assert_int_eq (s.n_held_up, 1);
+  assert_invariants (&s.fx);
+  succession_clear (&s);
+}
+END_TEST
+
 /* Handles a run that the first owner has found: if the second owner has the
    task of that run, the task is transferred to the first owner.  */
 static void
@@ -491,6 +537,7 @@
   tcase_add_test (c, run_requested_after_the_session_has_ended_goes_on);
   tcase_add_test (c, run_that_ends_as_the_next_owner_begins_is_done);
   tcase_add_test (c, run_that_ends_before_its_task_is_transferred_is_done);
+  tcase_add_test (c, run_that_ends_while_its_task_is_under_way_is_done);
   tcase_add_test (c, outranked_owner_claims_nothing_of_the_next);
   tcase_add_test (c, starts_refused_together_both_run_elsewhere);
   tcase_add_test (c, unclaimed_runs_are_stopped);
