exec: no task starts before the runs of an owner in between are known

An upstream could get more tasks than it has room for.

Cause: an owner that gets an upstream back raises its token, and starts nothing until a hold with that token has listed the runs of an owner in between. The token counted as known before the lists of that hold were processed. An end in them freed capacity, and a waiting task was started before the other owner's runs, which are listed in the same answer, were added.

The token counts as known once the runs have been added.

--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -260,10 +260,12 @@
                     MM_INT (x->fence));
     }
   x->runs_known = true;
-  x->fence_known = x->fence_known || fence_accepted;
   process_ends (x, res);
   if (!x->closed)
     process_running (x, res, present);
+  /* Ends free capacity, but nothing may start before the runs of an owner in
+     between are known.  */
+  x->fence_known = x->fence_known || fence_accepted;
   /* A run that is in neither list may have its end on a later page.  */
   if (!x->closed && !res->more_ended)
     process_absent (x, present, c);
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -447,6 +447,32 @@
 }
 END_TEST
 
+/* Guards against a start beside a run of an owner in between: the upstream
+   lists that run, and the end of a run from before, in the same answer.  */
+START_TEST (task_waits_for_the_run_of_an_owner_in_between)
+{
+  fixture fx = fixture_create ();
+  fake *a = fixture_add (&fx, "a");
+  fixture_run (&fx, 10);
+  /* Nothing tells the owner of the end of the first task.  */
+  fake_mode_of (a)->lose_holds = 1;
+  outcome r[3];
+  submit (&fx, &r[0], "ends", 0, 100);
+  submit (&fx, &r[1], "stays", 0, 2000);
+  submit (&fx, &r[2], "waits", 0, 100);
+  fixture_run (&fx, 150);
+  ck_assert_uint_eq (fake_running (a), 1);
+  fake_start_foreign (a, "between", 6, TASK_CPU_MILLI, 500);
+  mm_owner_raise_fence (fx.owner, "a", 7);
+  fixture_run (&fx, 2500);
+  ck_assert_uint_eq (r[0].answers, 1);
+  ck_assert_uint_eq (r[2].answers, 1);
+  ck_assert_int_eq (r[2].how, MM_END_DONE);
+  assert_invariants (&fx);
+  fixture_destroy (&fx);
+}
+END_TEST
+
 /* An owner starts two tasks at the same time on an upstream that already has
    another owner, and both starts are refused.  The first refusal ends the
    session.  The second refusal must count as well; otherwise its task, which
@@ -539,6 +565,7 @@
   tcase_add_test (c, run_that_ends_before_its_task_is_transferred_is_done);
   tcase_add_test (c, run_that_ends_while_its_task_is_under_way_is_done);
   tcase_add_test (c, outranked_owner_claims_nothing_of_the_next);
+  tcase_add_test (c, task_waits_for_the_run_of_an_owner_in_between);
   tcase_add_test (c, starts_refused_together_both_run_elsewhere);
   tcase_add_test (c, unclaimed_runs_are_stopped);
   tcase_add_test (
