Answers to calls from before a restart say nothing of the new incarnation

What callers would see: a task that runs at two upstreams at the same time.

Cause: when the upstream list shows that an upstream has restarted under its name, calls that were sent before may still be answered. - A hold with the earlier token that the new incarnation answers lists none of the runs. They were reported as lost, although the upstream did not know the new token yet and would still carry out a late start of them. - An answer of the earlier incarnation set the clock, as it had just been forgotten. That clock is far ahead of the new one: leases last their longest, and starts are not void after their deadline. An instance that stood still may read the list first.

Lists, acknowledgements and clocks in the answers to calls that were sent before the restart was known are ignored now.

test_incarnation hold_that_was_sent_before_a_restart_does_not_end_runs and late_answer_of_an_earlier_incarnation_does_not_set_its_clock failed before, and pass now.

--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -172,7 +172,7 @@
       mm_exec_call_close (c, res->overdue);
       return false;
     }
-  mm_exec_update_clock (c->exec, res);
+  mm_exec_update_clock (c->exec, c, res);
   mm_exec_record_time (c->exec, c, res->verdict);
   return true;
 }
--- a/src/mm_exec_call.c
+++ b/src/mm_exec_call.c
@@ -14,9 +14,10 @@
 }
 
 void
-mm_exec_update_clock (mm_exec *x, const mm_call_result *res)
+mm_exec_update_clock (mm_exec *x, const mm_exec_call *c,
+                      const mm_call_result *res)
 {
-  if (res->clock_ms < 0)
+  if (res->clock_ms < 0 || mm_exec_call_precedes_incarnation (c))
     return;
   /* The upstream's clock appears to be behind if its answer travelled for
      long, or if the upstream read its clock before a hold waited.  A lease
@@ -108,7 +109,7 @@
       mm_metrics_count (MM_CT_ANSWERS_LATE);
       mm_rto_late (&x->rto, took_ms);
       mm_rto_floor_late (&x->common->floor, x, took_ms, now);
-      mm_exec_update_clock (x, res);
+      mm_exec_update_clock (x, c, res);
       if (c->run)
         log_late (c, res, now);
     }
--- a/src/mm_exec_incarnation.c
+++ b/src/mm_exec_incarnation.c
@@ -15,6 +15,7 @@
 reset (mm_exec *x, int64_t born_ms)
 {
   x->born_ms = born_ms;
+  x->born_event = ++x->last_event;
   x->clock_known = false;
   x->seen_seq = x->acked_seq = 0;
   x->unacked_since_ms = 0;
@@ -47,3 +48,9 @@
   reset (x, born_ms);
   mm_exec_raise_fence (x, x->fence + 1);
 }
+
+bool
+mm_exec_call_precedes_incarnation (const mm_exec_call *c)
+{
+  return c->sent_event < c->exec->born_event;
+}
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -225,11 +225,10 @@
 mm_exec_process_lists (mm_exec *x, const mm_exec_call *c,
                        const mm_hold_result *res)
 {
-  bool restarted = x->born_ms && res->born_ms > x->born_ms;
   mm_exec_set_incarnation (x, res->born_ms);
-  if (restarted || (res->born_ms && res->born_ms < x->born_ms))
+  if (mm_exec_call_precedes_incarnation (c))
     return;
-  mm_exec_update_clock (x, &res->call);
+  mm_exec_update_clock (x, c, &res->call);
   mm_exec_become_usable (x);
   x->hold_failed_ms = 0;
   x->holds_failed = 0;
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -60,14 +60,15 @@
   int refs;    /* one for the owner, one for each open call */
   bool closed; /* destroyed by its owner; open calls are still answered */
   mm_upstream_info *info; /* latest list entry of the upstream */
-  int64_t born_ms;   /* mm_upstream_info.born_ms of the newest incarnation that
-                        is known, 0: unknown */
-  uint64_t fence;    /* our fencing token there */
-  mm_exec_port port; /* calls to the upstream */
-  mm_exec_events ev; /* notifications to the owner */
-  GHashTable *runs;  /* mm_task_id -> run */
-  mm_resources used; /* sum over all runs */
-  uint32_t n_foreign; /* number of foreign runs */
+  int64_t born_ms; /* mm_upstream_info.born_ms of the newest incarnation that
+                      is known, 0: unknown */
+  uint64_t born_event; /* event number at which it became known, 0: at first */
+  uint64_t fence;      /* our fencing token there */
+  mm_exec_port port;   /* calls to the upstream */
+  mm_exec_events ev;   /* notifications to the owner */
+  GHashTable *runs;    /* mm_task_id -> run */
+  mm_resources used;   /* sum over all runs */
+  uint32_t n_foreign;  /* number of foreign runs */
   bool runs_known;  /* a hold has listed the runs; false again after a loss */
   bool fence_known; /* the upstream knows our fencing token, and a hold with
                        that token has listed the runs */
@@ -223,8 +224,9 @@
    nothing about the network and is left out.  */
 void mm_exec_record_time (mm_exec *x, const mm_exec_call *c,
                           mm_call_verdict v);
-/* Updates the estimate of the upstream's clock from an answer.  */
-void mm_exec_update_clock (mm_exec *x, const mm_call_result *res);
+/* Updates the estimate of the upstream's clock from the answer to @c.  */
+void mm_exec_update_clock (mm_exec *x, const mm_exec_call *c,
+                           const mm_call_result *res);
 /* Returns how far the upstream's clock is ahead of ours at least, however slow
    it has been since it was last read.  */
 mm_time_ms mm_exec_clock_offset_ms (const mm_exec *x, mm_time_ms now);
@@ -234,6 +236,9 @@
    start than was known is a restart under the same name: the runs are lost,
    and the fencing token is raised.  */
 void mm_exec_set_incarnation (mm_exec *x, int64_t born_ms);
+/* Whether a call was sent before the newest incarnation was known: an earlier
+   one may have answered it.  */
+bool mm_exec_call_precedes_incarnation (const mm_exec_call *c);
 
 /* mm_exec_log.c */
 /* The reason for the end of a run that the upstream lists.  */
--- a/tests/test_incarnation.c
+++ b/tests/test_incarnation.c
@@ -119,22 +119,75 @@
 }
 END_TEST
 
-/* Guards against leases that are renewed on the clock of an earlier
-   incarnation, and so outlast the time by which a run has to end.  */
-START_TEST (lease_at_a_new_incarnation_ends_when_its_caller_is_out_of_reach)
+/* Guards against runs that are reported as lost before the new incarnation
+   knows a token with which it refuses their late orders.  */
+START_TEST (hold_that_was_sent_before_a_restart_does_not_end_runs)
 {
   fixture fx = fixture_create ();
   fake *a = fixture_add (&fx, "a");
-  fixture_run (&fx, 5000);
+  fixture_run (&fx, 10);
+  outcome r;
+  submit (&fx, &r, "job", 0, RUN_MS);
+  fixture_run (&fx, 100);
+  fake_mode_of (a)->delivery_delay_ms = 20;
+  uint32_t calls = fakes_count (fx.upstreams).calls;
+  while (fakes_count (fx.upstreams).calls == calls)
+    fixture_run (&fx, 1);
   fake_restart_same_name (a);
-  mm_time_ms awaited_ms = fakes_now (fx.upstreams);
+  fake_mode_of (a)->lose_holds = UINT32_MAX;
+  mm_owner_update_upstream (fx.owner, fake_info (a));
+  fixture_run (&fx, MM_HOLD_WAIT_MS + 2 * MM_RTO_MAX_MS);
+  ck_assert_uint_eq (r.answers, 0);
+  fake_mode_of (a)->lose_holds = 0;
+  fixture_run (&fx, 500);
+  ck_assert_int_eq (r.how, MM_END_LOST);
+  fixture_destroy (&fx);
+}
+END_TEST
+
+/* Starts a task whose caller is not heard any more, and asserts that its run
+   has ended when the caller may send its job again.  */
+static void
+assert_run_ends_in_time (fixture *fx, const fake *a)
+{
+  mm_time_ms awaited_ms = fakes_now (fx->upstreams);
   outcome r = { 0 };
   mm_task_request t = fakes_task ("job", 0, TASK_CPU_MILLI, RUN_MS);
   t.awaited_ms = &awaited_ms;
-  r.work = mm_owner_submit (fx.owner, &t, on_done, &r);
-  fixture_run (&fx, MM_RESEND_MS);
+  r.work = mm_owner_submit (fx->owner, &t, on_done, &r);
+  fixture_run (fx, MM_RESEND_MS);
   ck_assert_uint_eq (fake_running (a), 0);
-  fixture_destroy (&fx);
+  fixture_destroy (fx);
+}
+
+/* Guards against leases that are renewed on the clock of an earlier
+   incarnation, and so outlast the time by which a run has to end.  */
+START_TEST (lease_at_a_new_incarnation_ends_when_its_caller_is_out_of_reach)
+{
+  fixture fx = fixture_create ();
+  fake *a = fixture_add (&fx, "a");
+  fixture_run (&fx, 5000);
+  fake_restart_same_name (a);
+  assert_run_ends_in_time (&fx, a);
+}
+END_TEST
+
+/* Guards against the same when an answer of the earlier incarnation is read
+   after the restart is known.  */
+START_TEST (late_answer_of_an_earlier_incarnation_does_not_set_its_clock)
+{
+  fixture fx = fixture_create ();
+  fake *a = fixture_add (&fx, "a");
+  fixture_run (&fx, 5000);
+  fake_mode_of (a)->start_answer_delay_ms = 20;
+  outcome r;
+  submit (&fx, &r, "before", 0, RUN_MS);
+  fixture_run (&fx, 10);
+  ck_assert_uint_eq (fake_running (a), 1);
+  fake_restart_same_name (a);
+  mm_owner_update_upstream (fx.owner, fake_info (a));
+  fixture_run (&fx, 200);
+  assert_run_ends_in_time (&fx, a);
 }
 END_TEST
 
@@ -170,7 +223,9 @@
           late_order_starts_nothing_after_a_restart_that_a_hold_shows,
           task_that_is_done_at_a_new_incarnation_does_not_run_again,
           runs_of_an_earlier_incarnation_are_reported_as_lost,
+          hold_that_was_sent_before_a_restart_does_not_end_runs,
           lease_at_a_new_incarnation_ends_when_its_caller_is_out_of_reach,
+          late_answer_of_an_earlier_incarnation_does_not_set_its_clock,
           upstream_is_used_again_after_a_restart_and_a_gap_in_the_list };
   TCase *c = tcase_create ("incarnation");
   for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
