Restarts under one name: an earlier start is a restart, too

The start that an upstream states is a time of day, which can jump back. Any other start than the known one is a restart now, if the call that shows it was sent after the known one was learned; of list entries only a change counts, as the list lags.

test_incarnation restart_with_an_earlier_time_of_day_is_noticed failed before (a task that was done was reported as lost), and passes now.

--- a/src/mm_exec_incarnation.c
+++ b/src/mm_exec_incarnation.c
@@ -32,7 +32,7 @@
 void
 mm_exec_set_incarnation (mm_exec *x, int64_t born_ms)
 {
-  if (born_ms <= x->born_ms || x->fenced || x->replaced)
+  if (!born_ms || born_ms == x->born_ms || x->fenced || x->replaced)
     return;
   if (!x->born_ms)
     {
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -225,7 +225,8 @@
 mm_exec_process_lists (mm_exec *x, const mm_exec_call *c,
                        const mm_hold_result *res)
 {
-  mm_exec_set_incarnation (x, res->born_ms);
+  if (!mm_exec_call_precedes_incarnation (c))
+    mm_exec_set_incarnation (x, res->born_ms);
   if (mm_exec_call_precedes_incarnation (c))
     return;
   mm_exec_update_clock (x, c, &res->call);
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -232,9 +232,10 @@
 mm_time_ms mm_exec_clock_offset_ms (const mm_exec *x, mm_time_ms now);
 
 /* mm_exec_incarnation.c */
-/* Processes that the upstream was started at @born_ms, 0: unknown.  A later
+/* Processes that the upstream was started at @born_ms, 0: unknown.  Another
    start than was known is a restart under the same name: the runs are lost,
-   and the fencing token is raised.  */
+   and the fencing token is raised.  The time may be earlier, as the upstream's
+   time of day can jump.  */
 void mm_exec_set_incarnation (mm_exec *x, int64_t born_ms);
 /* Whether a call was sent before the newest incarnation was known: an earlier
    one may have answered it.  */
--- a/tests/fake_upstreams.c
+++ b/tests/fake_upstreams.c
@@ -181,6 +181,12 @@
   x->clock_anew = true;
 }
 
+void
+fake_set_born (fake *x, int64_t born_ms)
+{
+  x->info.born_ms = born_ms;
+}
+
 const mm_upstream_info *
 fake_info (const fake *x)
 {
--- a/tests/test_incarnation.c
+++ b/tests/test_incarnation.c
@@ -74,9 +74,10 @@
 }
 END_TEST
 
-/* Guards against ends of a new incarnation that are taken for earlier ones, so
-   that tasks that are done run again.  */
-START_TEST (task_that_is_done_at_a_new_incarnation_does_not_run_again)
+/* Lets tasks end at an upstream before and after its restart.  @born_ms: the
+   start that it states then, 0: the time.  */
+static void
+end_tasks_before_and_after (int64_t born_ms)
 {
   fixture fx = fixture_create ();
   fake *a = fixture_add (&fx, "a");
@@ -86,6 +87,8 @@
     submit (&fx, &r[i], "before", i, 20);
   fixture_run (&fx, 200);
   fake_restart_same_name (a);
+  if (born_ms)
+    fake_set_born (a, born_ms);
   submit (&fx, &r[4], "after", 0, 100);
   fixture_run (&fx, 1000);
   for (uint32_t i = 0; i < 5; i++)
@@ -97,6 +100,21 @@
   assert_invariants (&fx);
   fixture_destroy (&fx);
 }
+
+/* Guards against ends of a new incarnation that are taken for earlier ones, so
+   that tasks that are done run again.  */
+START_TEST (task_that_is_done_at_a_new_incarnation_does_not_run_again)
+{
+  end_tasks_before_and_after (0);
+}
+END_TEST
+
+/* Guards against a restart that goes unnoticed, as the time of day has jumped
+   back.  */
+START_TEST (restart_with_an_earlier_time_of_day_is_noticed)
+{
+  end_tasks_before_and_after (1);
+}
 END_TEST
 
 /* Guards against runs that are lost without notice, and an upstream that is
@@ -221,6 +239,7 @@
   const TTest *const tests[]
       = { late_order_starts_nothing_after_a_restart_that_the_list_shows,
           late_order_starts_nothing_after_a_restart_that_a_hold_shows,
+          restart_with_an_earlier_time_of_day_is_noticed,
           task_that_is_done_at_a_new_incarnation_does_not_run_again,
           runs_of_an_earlier_incarnation_are_reported_as_lost,
           hold_that_was_sent_before_a_restart_does_not_end_runs,
