test_resend: waits that a signal ends, and upstreams that refuse starts

A process that is continued after a stop ends its wait without events. The model now has such iterations, and handles answers of upstreams as a step of an iteration of their instance, ahead of what its callers sent. A start that is refused after an earlier copy of it got no answer does not show that the earlier one will not be carried out: upstreams that refuse starts are in the draw of the second property test.

--- a/tests/resend_calls.c
+++ b/tests/resend_calls.c
@@ -167,21 +167,27 @@
     call_forward (c);
 }
 
-/* Forwards a late call and reports timeouts.  */
+/* Forwards a late call.  */
 void
 sim_call_step (call *c)
 {
-  mm_time_ms now = sim_now (c->from->s);
-  if (c->forward_ms >= 0 && now >= c->forward_ms)
+  if (c->forward_ms >= 0 && sim_now (c->from->s) >= c->forward_ms)
     call_forward (c);
-  if (c->open && sim_is_awake (c->from) && c->answered
-      && now >= c->answer_due_ms)
+  sim_call_free_if_unused (c);
+}
+
+/* Reports the answer to a call, or its timeout.  */
+static void
+read_answer (call *c)
+{
+  mm_time_ms now = sim_now (c->from->s);
+  if (c->open && c->answered && now >= c->answer_due_ms)
     {
       c->answered = false;
       c->result.call.was_overdue = c->overdue;
       sim_call_report (c, &c->result);
     }
-  else if (c->open && sim_is_awake (c->from) && now >= c->timeout_ms)
+  else if (c->open && now >= c->timeout_ms)
     {
       c->timeout_ms += MM_LATE_ANSWER_MS;
       mm_hold_result r = { .call = { .verdict = MM_CALL_NO_ANSWER,
@@ -192,3 +198,13 @@
     }
   sim_call_free_if_unused (c);
 }
+
+void
+sim_read_answers (instance *i)
+{
+  GList *calls = g_list_copy (i->s->calls);
+  for (GList *g = calls; g; g = g->next)
+    if (((call *)g->data)->from == i)
+      read_answer (g->data);
+  g_list_free (calls);
+}
--- a/tests/resend_fixture.c
+++ b/tests/resend_fixture.c
@@ -8,6 +8,7 @@
   STAGE_LINK_TIMERS,
   STAGE_OWNER_TIMERS,
   STAGE_JOB_TIMERS,
+  STAGE_ANSWERS,
   STAGE_LINKS,
   STAGE_CALLERS,
   STAGE_REQUESTS,
@@ -228,6 +229,12 @@
   i->freeze_ms = ms;
 }
 
+void
+sim_wake_blind (sim *s, int n, int iterations)
+{
+  s->instances[n].blind = iterations;
+}
+
 void
 sim_read_links_every (sim *s, int n, mm_time_ms ms)
 {
@@ -254,7 +261,8 @@
   mm_time_ms clock_ms = mm_clock_now_ms ();
   bool stalled = clock_ms - i->last_loop_ms > MM_STALL_MS;
   bool woken = clock_ms - i->last_loop_ms > 1;
-  mm_owner_set_input_read (i->owner, i->last_loop_ms);
+  mm_owner_set_input_read (i->owner, i->handled_ms);
+  i->handled_ms = i->wait_ms;
   i->last_loop_ms = clock_ms;
   if (stalled)
     {
@@ -267,6 +275,8 @@
 static void
 run_stage (instance *i, stage k)
 {
+  if (i->blind && k >= STAGE_ANSWERS)
+    return;
   switch (k)
     {
     case STAGE_BEGIN:
@@ -284,6 +294,9 @@
       if (i->timers_due)
         sim_tick_jobs (i);
       break;
+    case STAGE_ANSWERS:
+      sim_read_answers (i);
+      break;
     case STAGE_LINKS:
       sim_read_links (i);
       break;
@@ -320,7 +333,11 @@
       run_stage (i, (stage)i->stage);
     }
   if (i->stage == STAGES)
-    i->stage = STAGE_BEGIN;
+    {
+      i->stage = STAGE_BEGIN;
+      i->wait_ms = mm_clock_now_ms ();
+      i->blind = MAX (i->blind - 1, 0);
+    }
   sim_leave (i->s, before);
 }
 
@@ -352,7 +369,7 @@
   instance *i = &s->instances[n];
   i->s = s;
   i->index = n;
-  i->last_loop_ms = sim_now (s);
+  i->last_loop_ms = i->wait_ms = i->handled_ms = sim_now (s);
   mm_exec_port port = { .start = sim_port_start,
                         .stop = sim_port_stop,
                         .hold = sim_port_hold,
--- a/tests/resend_fixture.h
+++ b/tests/resend_fixture.h
@@ -76,6 +76,9 @@
 /* The same, between two steps of the handling of its events.  Events that are
    handled after it belong to the iteration that began before it.  */
 void sim_freeze_midway (sim *s, int instance, mm_time_ms ms);
+/* Lets an instance begin as many iterations in which it reads nothing when it
+   goes on after it was frozen, as when a signal ends its wait.  */
+void sim_wake_blind (sim *s, int instance, int iterations);
 /* Lets an instance read its links only each @ms.  */
 void sim_read_links_every (sim *s, int instance, mm_time_ms ms);
 sim_path *sim_path_to (sim *s, int instance, int upstream);
--- a/tests/resend_priv.h
+++ b/tests/resend_priv.h
@@ -25,7 +25,10 @@
   bool freeze_counted;        /* its clock counts the freeze */
   mm_time_ms clock_lag_ms;    /* its clock behind the simulated time */
   mm_time_ms last_loop_ms;    /* by its clock */
+  mm_time_ms wait_ms;         /* when its last wait began, by its clock */
+  mm_time_ms handled_ms;      /* the same of the wait before that */
   mm_time_ms read_every_ms;   /* 0: at once */
+  int blind;                  /* next iterations that read nothing */
   bool timers_due;            /* in this iteration */
   int stage;                  /* next step of this iteration */
   int freeze_stage;           /* freezes before this step, 0: it does not */
@@ -193,6 +196,7 @@
 void sim_port_hold (void *ctx, const mm_upstream_info *u, const mm_hold *h,
                     mm_hold_done done, void *done_ctx);
 void sim_call_step (call *c);
+void sim_read_answers (instance *i);
 
 /* resend_links.c */
 void sim_message_free (gpointer p);
--- a/tests/test_resend.c
+++ b/tests/test_resend.c
@@ -455,6 +455,32 @@
 }
 END_TEST
 
+/* Guards against an instance that was suspended, and whose first wait a signal
+   ends: the close of a caller is read one iteration later.  */
+START_TEST (iteration_that_reads_nothing_does_not_prolong_a_run)
+{
+  for (mm_time_ms p = 0; p < PHASE_MAX_MS; p += PHASE_STEP_MS)
+    {
+      scene c = { .s = sim_create (1) };
+      c.a = sim_add_upstream (c.s, ORIGIN);
+      c.b = sim_add_upstream (c.s, ELSEWHERE);
+      sim_run (c.s, 100);
+      sim_submit (c.s, JOB, RUN_MS, ORIGIN, ORIGIN);
+      sim_submit (c.s, OTHER, RUN_MS, ORIGIN, ORIGIN);
+      sim_resend_at (c.s, JOB, ELSEWHERE, ELSEWHERE);
+      sim_run (c.s, 600 + p);
+      sim_path_to (c.s, ORIGIN, c.a)->lost_stops = 1;
+      sim_freeze (c.s, ORIGIN, MM_STALL_MS - 50, true);
+      sim_wake_blind (c.s, ORIGIN, 1);
+      sim_run (c.s, 5);
+      sim_break_caller (c.s, JOB);
+      sim_run (c.s, RESENT_MS);
+      ck_assert_msg (sim_double_runs (c.s) == 0, "phase %d", (int)p);
+      assert_runs_once (&c);
+    }
+}
+END_TEST
+
 /* ---- overlapping faults ----------------------------------------------- */
 
 enum
@@ -661,6 +687,8 @@
       for (int u = 0; u < SIM_UPSTREAMS; u++)
         *sim_path_to (s, i, u) = (sim_path){ 0 };
     }
+  for (int u = 0; u < sim_upstreams (s); u++)
+    fake_mode_of (sim_upstream (s, u))->unhealthy = false;
 }
 
 /* ---- calls that cross ------------------------------------------------- */
@@ -753,13 +781,17 @@
   int other = sim_random (s, SIM_INSTANCES);
   int upstream = sim_random (s, sim_upstreams (s));
   int owner = sim_owner_of (s, upstream);
-  switch (sim_random (s, 9))
+  switch (sim_random (s, 10))
     {
+    case 9:
+      fake_mode_of (sim_upstream (s, upstream))->unhealthy = sim_random (s, 2);
+      break;
     case 8:
       queue_any_request (s, t);
       break;
     case 0:
       sim_freeze (s, instance, short_stall_ms (s), true);
+      sim_wake_blind (s, instance, sim_random (s, 2));
       break;
     case 1:
       sim_freeze_midway (s, instance, short_stall_ms (s));
@@ -905,7 +937,8 @@
           time_in_which_the_origin_stood_still_does_not_prolong_a_run,
           run_that_has_ended_is_not_found_again_when_answers_cross,
           request_that_waited_for_a_stalled_instance_starts_nothing,
-          run_of_a_request_that_waited_ends_before_its_job_is_sent_again };
+          run_of_a_request_that_waited_ends_before_its_job_is_sent_again,
+          iteration_that_reads_nothing_does_not_prolong_a_run };
   const TTest *const passed[]
       = { second_submission_waits_for_a_run_that_was_passed_on,
           second_submission_waits_for_a_run_that_is_not_claimed,
