--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -220,8 +220,8 @@
 }
 
 /* Writes the log and records the beginning of the wait.  Runs last before each
-   wait of the event loop, so that the log of a process that is killed holds the
-   lines of all requests that it answered.  */
+   wait of the event loop, so that the log of a process that is killed holds
+   the lines of all requests that it answered.  */
 static void
 before_wait_cb (struct ev_loop *loop, ev_prepare *w, int revents)
 {
