--- a/src/mm_exec_incarnation.c
+++ b/src/mm_exec_incarnation.c
@@ -5,7 +5,8 @@
    carried out late is neither refused nor void there, and starts a task that
    may run elsewhere by then.  The session therefore raises its fencing token:
    the runs that the upstream has lost are ended by a hold with the new token,
-   after which no earlier order can start them.  */
+   after which no earlier order can start them.  An order that is carried out
+   before that hold arrives does start its task; that hold finds it.  */
 #include "config.h"
 #include "mm_event.h"
 #include "mm_exec_priv.h"
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -26,10 +26,10 @@
   ev_check stall_check;
   ev_prepare before_wait;
   mm_time_ms started_ms;
-  mm_time_ms last_loop_ms; /* when the event loop last iterated */
-  mm_time_ms wait_ms;      /* when its last wait began */
-  mm_time_ms handled_ms;   /* when the last wait began whose events have been
-                              handled, or are being handled */
+  mm_time_ms last_loop_ms;    /* when the event loop last iterated */
+  mm_time_ms wait_from_ms;    /* when its last wait began */
+  mm_time_ms handled_from_ms; /* when the last wait began whose events have
+                                 been handled, or are being handled */
   mm_catalog *catalog;
   mm_evacuations *evacuations;
   mm_configuration *config;
@@ -226,7 +226,7 @@
 before_wait_cb (struct ev_loop *loop, ev_prepare *w, int revents)
 {
   mm_log_flush ();
-  ((mm_node *)w->data)->wait_ms = mm_clock_now_ms ();
+  ((mm_node *)w->data)->wait_from_ms = mm_clock_now_ms ();
 }
 
 /* Detects a stall of the process.  Runs first after each wait of the event
@@ -245,9 +245,9 @@
      before it began.  What was received before it ended may not be among them,
      as a process that is continued after a stop ends its wait without
      events.  */
-  mm_owner_set_input_read (n->owner, n->handled_ms);
-  n->handled_ms = n->wait_ms;
-  mm_time_ms busy_ms = n->wait_ms - n->last_loop_ms;
+  mm_owner_set_input_read (n->owner, n->handled_from_ms);
+  n->handled_from_ms = n->wait_from_ms;
+  mm_time_ms busy_ms = n->wait_from_ms - n->last_loop_ms;
   n->last_loop_ms = now;
   if (stalled_ms > MM_LOOP_GAP_MS && stalled_ms <= MM_STALL_MS)
     mm_log_event (MM_EV_LOOP_GAP, MM_INT (stalled_ms),
@@ -266,7 +266,7 @@
 start_timers (mm_node *n)
 {
   n->started_ms = n->last_loop_ms = mm_clock_now_ms ();
-  n->wait_ms = n->handled_ms = n->started_ms;
+  n->wait_from_ms = n->handled_from_ms = n->started_ms;
   ev_timer_init (&n->tick, tick_cb, 0., MM_EXEC_TICK_MS / 1000.);
   n->tick.data = n;
   ev_timer_start (n->loop, &n->tick);
