--- a/tests/test_resend.c
+++ b/tests/test_resend.c
@@ -7,6 +7,7 @@
 #include "resend_fixture.h"
 
 #include <check.h>
+#include <string.h>
 
 enum
 {
@@ -635,6 +636,7 @@
    */
   int queued_job, queued_at;
   mm_time_ms stall_ms, leave_ms;
+  bool refuses[SIM_UPSTREAMS]; /* upstreams that refuse a part of the starts */
 } trouble;
 
 /* Half of the faults hit a job: the upstream of its task may move, its owner
@@ -687,8 +689,6 @@
       for (int u = 0; u < SIM_UPSTREAMS; u++)
         *sim_path_to (s, i, u) = (sim_path){ 0 };
     }
-  for (int u = 0; u < sim_upstreams (s); u++)
-    fake_mode_of (sim_upstream (s, u))->unhealthy = false;
 }
 
 /* ---- calls that cross ------------------------------------------------- */
@@ -784,7 +784,7 @@
   switch (sim_random (s, 10))
     {
     case 9:
-      fake_mode_of (sim_upstream (s, upstream))->unhealthy = sim_random (s, 2);
+      t->refuses[upstream] = sim_random (s, 2);
       break;
     case 8:
       queue_any_request (s, t);
@@ -817,6 +817,9 @@
 static void
 continue_crossing (sim *s, trouble *t)
 {
+  for (int u = 0; u < sim_upstreams (s); u++)
+    fake_mode_of (sim_upstream (s, u))->unhealthy
+        = t->refuses[u] && sim_now (s) % 3;
   if (!t->back_ms || sim_now (s) < t->back_ms)
     return;
   t->back_ms = 0;
@@ -855,7 +858,10 @@
       continue_crossing (s, &now);
       continue_queued (s, &now);
       if (t == HEAL_MS)
-        heal_all (s);
+        {
+          heal_all (s);
+          memset (now.refuses, 0, sizeof now.refuses);
+        }
       sim_run (s, 1);
       ck_assert_msg (sim_double_runs (s) == 0, "seed %d, at %d: ran twice",
                      seed, t);
