--- a/tests/test_resend.c
+++ b/tests/test_resend.c
@@ -885,6 +885,49 @@
 }
 END_TEST
 
+/* Hands an idle upstream over @idle_ms after it got a job of that length,
+   while messages of JOB's instance to the next owner are late, and cuts that
+   owner off the upstream @cut_after_ms after JOB has started there.  Returns
+   the number of double runs.  */
+static uint32_t
+lose_contact_after_handover (mm_time_ms idle_ms, mm_time_ms cut_after_ms)
+{
+  scene c = { .s = sim_create (1) };
+  c.a = sim_add_upstream (c.s, OWNER);
+  c.b = sim_add_upstream (c.s, NEXT);
+  cut (c.s, NEXT, c.b);
+  sim_run (c.s, 100);
+  sim_link_path_to (c.s, ORIGIN, NEXT)->delay_ms = 540;
+  sim_run (c.s, 1500);
+  sim_submit (c.s, OTHER, idle_ms, OWNER, OWNER);
+  sim_submit (c.s, JOB, RUN_MS, ORIGIN, NEXT);
+  while (!sim_job_done (c.s, OTHER))
+    sim_run (c.s, 1);
+  sim_move (c.s, c.a, NEXT, 0);
+  for (int ms = 0; ms < 1500 && sim_upstream_of (c.s, JOB) < 0; ms++)
+    sim_run (c.s, 1);
+  sim_run (c.s, cut_after_ms);
+  cut (c.s, NEXT, c.a);
+  *sim_path_to (c.s, NEXT, c.b) = (sim_path){ 0 };
+  sim_link_path_to (c.s, ORIGIN, NEXT)->delay_ms = 1;
+  sim_run (c.s, 2000);
+  uint32_t double_runs = sim_double_runs (c.s);
+  sim_destroy (c.s);
+  return double_runs;
+}
+
+/* Guards against a next owner that takes a run for ended while leases that the
+   previous owner has renewed still cover it.  */
+START_TEST (run_after_a_handover_ends_before_its_task_is_dispatched_again)
+{
+  for (mm_time_ms idle_ms = 150; idle_ms < 650; idle_ms += 25)
+    for (mm_time_ms cut_after_ms = 0; cut_after_ms < 60; cut_after_ms += 10)
+      ck_assert_msg (lose_contact_after_handover (idle_ms, cut_after_ms) == 0,
+                     "handover after %d ms, cut after %d ms", (int)idle_ms,
+                     (int)cut_after_ms);
+}
+END_TEST
+
 /* Guards against an ended run that an older list, which arrives after the one
    with its end, makes look like a run of an earlier owner.  */
 START_TEST (run_that_has_ended_is_not_found_again_when_answers_cross)
@@ -949,7 +992,8 @@
       = { second_submission_waits_for_a_run_that_was_passed_on,
           second_submission_waits_for_a_run_that_is_not_claimed,
           submission_waits_for_a_run_that_was_found,
-          claimed_task_is_not_started_again_by_its_previous_owner };
+          claimed_task_is_not_started_again_by_its_previous_owner,
+          run_after_a_handover_ends_before_its_task_is_dispatched_again };
   add_case (s, "alone", alone, G_N_ELEMENTS (alone));
   add_case (s, "stop", stops, G_N_ELEMENTS (stops));
   add_case (s, "origin", origins, G_N_ELEMENTS (origins));
