--- a/src/mm_explain.c
+++ b/src/mm_explain.c
@@ -146,9 +146,8 @@
    lines.  */
 typedef struct
 {
-  mm_time_ms from_ms; /* time of the job's first line, G_MAXINT64: no
-                         mm_explain_line */
-  mm_time_ms to_ms;   /* time of the job's last mm_explain_line */
+  mm_time_ms from_ms; /* time of the job's first line, G_MAXINT64: no line */
+  mm_time_ms to_ms;   /* time of the job's last line */
   GHashTable *names;  /* set: upstreams and owners that the job's lines name */
   GHashTable *sources; /* set: logs that have lines of the job */
 } scope;
