A stop that an earlier incarnation answered does not count at the next

What callers would see: a run of a task whose caller has left goes on until its lease ends, or as long as other runs there renew it.

Cause: a stop is sent until it is answered. An upstream that restarts under its name forgets the stop, and a late start that it carries out before it knows the new fencing token is listed, but was not stopped again.

test_incarnation late_run_that_an_earlier_incarnation_has_stopped_is_stopped failed before, and passes now.

--- a/src/mm_exec_incarnation.c
+++ b/src/mm_exec_incarnation.c
@@ -28,6 +28,11 @@
       = MAX (x->leases_expire_ms, mm_clock_now_ms () + MM_LEASE_MS);
   x->lost = false;
   x->runs_known = true;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, x->runs);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    ((mm_exec_run *)v)->stop_answered_event = 0;
 }
 
 void
--- a/tests/test_incarnation.c
+++ b/tests/test_incarnation.c
@@ -163,6 +163,32 @@
 }
 END_TEST
 
+/* Guards against a run that goes on because its stop was answered by the
+   earlier incarnation.  */
+START_TEST (late_run_that_an_earlier_incarnation_has_stopped_is_stopped)
+{
+  fixture fx = fixture_create ();
+  fake *a = fixture_add (&fx, "a");
+  fixture_run (&fx, 10);
+  fake_mode_of (a)->lose_starts = 1;
+  fake_mode_of (a)->late_start_ms = 300;
+  fake_mode_of (a)->lose_holds = UINT32_MAX;
+  outcome r;
+  submit (&fx, &r, "job", 0, RUN_MS);
+  fixture_run (&fx, 150);
+  mm_owner_cancel (fx.owner, r.work);
+  fixture_run (&fx, 50);
+  fake_restart_same_name (a);
+  mm_owner_update_upstream (fx.owner, fake_info (a));
+  fixture_run (&fx, 120);
+  ck_assert_uint_eq (fake_running (a), 1);
+  fake_mode_of (a)->lose_holds = 0;
+  fixture_run (&fx, 400);
+  ck_assert_uint_eq (fake_running (a), 0);
+  fixture_destroy (&fx);
+}
+END_TEST
+
 /* Starts a task whose caller is not heard any more, and asserts that its run
    has ended when the caller may send its job again.  */
 static void
@@ -243,6 +269,7 @@
           task_that_is_done_at_a_new_incarnation_does_not_run_again,
           runs_of_an_earlier_incarnation_are_reported_as_lost,
           hold_that_was_sent_before_a_restart_does_not_end_runs,
+          late_run_that_an_earlier_incarnation_has_stopped_is_stopped,
           lease_at_a_new_incarnation_ends_when_its_caller_is_out_of_reach,
           late_answer_of_an_earlier_incarnation_does_not_set_its_clock,
           upstream_is_used_again_after_a_restart_and_a_gap_in_the_list };
