Restarts under one name: a list from the past is no restart

The list lags and may be read anew from the past. An entry from before a restart counted as another restart: the fencing token was raised, the upstream taken for crashed, its tasks suspected, and nothing started there until a hold was answered.

Of list entries only a later start counts now; a restart that states an earlier time is shown by a hold.

test_incarnation list_from_before_a_restart_changes_nothing failed before (the task was not started), and passes now.

--- a/src/mm_exec.c
+++ b/src/mm_exec.c
@@ -639,7 +639,9 @@
   if (u->draining && !old->draining)
     log_draining (x);
   record_capacity_change (x, &old->capacity, &u->capacity);
-  if (u->born_ms != old->born_ms)
+  /* The list lags, and may be read anew from the past: only a hold shows that
+     a restart states an earlier time.  */
+  if (u->born_ms != old->born_ms && u->born_ms > x->born_ms)
     mm_exec_set_incarnation (x, u->born_ms);
   mm_upstream_info_free (old);
 }
--- a/tests/test_incarnation.c
+++ b/tests/test_incarnation.c
@@ -117,6 +117,31 @@
 }
 END_TEST
 
+/* Guards against a list from before a restart that is taken for another
+   restart: runs are lost and the upstream counts as crashed.  */
+START_TEST (list_from_before_a_restart_changes_nothing)
+{
+  fixture fx = fixture_create ();
+  fake *a = fixture_add (&fx, "a");
+  fixture_run (&fx, 10);
+  int64_t born_ms = fake_info (a)->born_ms;
+  fake_restart_same_name (a);
+  mm_owner_update_upstream (fx.owner, fake_info (a));
+  fixture_run (&fx, 100);
+  int64_t born_again_ms = fake_info (a)->born_ms;
+  fake_set_born (a, born_ms);
+  mm_owner_update_upstream (fx.owner, fake_info (a));
+  fake_set_born (a, born_again_ms);
+  outcome r;
+  submit (&fx, &r, "job", 0, 100);
+  fixture_run (&fx, 4);
+  ck_assert_uint_eq (fake_running (a), 1);
+  fixture_run (&fx, 300);
+  ck_assert_int_eq (r.how, MM_END_DONE);
+  fixture_destroy (&fx);
+}
+END_TEST
+
 /* Guards against runs that are lost without notice, and an upstream that is
    not used again.  */
 START_TEST (runs_of_an_earlier_incarnation_are_reported_as_lost)
@@ -266,6 +291,7 @@
       = { late_order_starts_nothing_after_a_restart_that_the_list_shows,
           late_order_starts_nothing_after_a_restart_that_a_hold_shows,
           restart_with_an_earlier_time_of_day_is_noticed,
+          list_from_before_a_restart_changes_nothing,
           task_that_is_done_at_a_new_incarnation_does_not_run_again,
           runs_of_an_earlier_incarnation_are_reported_as_lost,
           hold_that_was_sent_before_a_restart_does_not_end_runs,
