--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -281,6 +281,10 @@
   tcase_add_test (tc, stalled_owner_starts_nothing_when_it_resumes);
   tcase_add_test (tc, owner_killed_in_an_outage_leaves_no_double_start);
   tcase_add_test (tc, lost_answers_of_the_log_double_nothing);
+  suite_add_tcase (s, tc);
+  tc = tcase_create ("disconnected");
+  tcase_set_tags (tc, "disconnected");
+  tcase_set_timeout (tc, 90);
   tcase_add_test (tc,
                   instance_disconnected_from_the_platform_passes_its_jobs_on);
   suite_add_tcase (s, tc);
