soak: an upstream that has crashed does not drain any more

Its log and those of the instances show that a poison task crashed it 0.6 s after that; it came back under new names, listed as not draining, and got tasks. The check took it for draining until its process was started anew.

A crash ends the drain now; an upstream that drains and has not crashed is checked as before, with the same bound.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -590,9 +590,14 @@
                 if '"event":"task_given_up"' in line and not json.loads(line)["job"].startswith("p"):
                     self.findings.append(f"poison: node{i} gave up {json.loads(line)['job']}")
 
+    def drain_end(self, up, drained, restarted, crashes):
+        """Returns the ms until which an upstream drained: its crash, after which it is back and serves, or its restart."""
+        return min([ms for job in crashes.values() for ms, i in job if i == up and ms > drained] + [restarted])
+
     # Checks the guarantees on runs: "poison", "twice", "leaving", those of kept jobs, "whole", "unrun" and "once".
     def check_runs(self):
-        self.check_poison_jobs(self.read_crashes())
+        crashes = self.read_crashes()
+        self.check_poison_jobs(crashes)
         by_task, starts, done = {}, {}, set()
         for task, up, start, end, how in sorted(self.read_runs(), key=lambda r: r[2]):
             job = task.split("/")[0]
@@ -604,7 +609,7 @@
                     self.findings.append(f"twice: {task} on up{up2} {start2:.0f}-{end2:.0f} and up{up} {start:.0f}-{end:.0f}")
             by_task.setdefault(task, []).append((up, start, end))
             # An instance that could not read the store had no way to know that the upstream was draining.
-            if any(drained + DRAIN_GRACE_S * 1000 < start < gone
+            if any(drained + DRAIN_GRACE_S * 1000 < start < self.drain_end(up, drained, gone, crashes)
                    and not any(fault_ms < start and healed_ms > drained for fault_ms, healed_ms in self.store_faults)
                    for drained, gone in self.drain_periods.get(up, [])):
                 self.findings.append(f"leaving: {task} started on up{up} at {start:.0f}")
