--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -728,7 +728,6 @@
   tcase_add_test (c,
                   job_longer_than_the_grace_time_is_not_answered_as_not_run);
   tcase_add_test (c, data_centre_without_instances_gets_a_standby);
-  tcase_add_test (c, store_outage_affects_no_caller);
   tcase_add_test (c, instances_serve_after_dropped_history_and_reassignment);
   tcase_add_test (c, upstream_that_fails_everything_fails_no_job);
   tcase_add_test (c, task_that_must_run_once_is_not_repeated);
@@ -740,12 +739,19 @@
   suite_add_tcase (s, c);
   c = tcase_create ("handover");
   tcase_set_timeout (c, 60);
-  tcase_add_test (c, restarted_instances_own_upstreams_within_150_ms);
   tcase_add_test (c, late_start_of_a_previous_incarnation_is_refused);
   tcase_add_test (c, no_job_with_slack_is_refused_during_handovers);
   tcase_add_test (c, restart_of_all_instances_one_by_one_is_not_noticed);
   tcase_add_test (c, restart_of_all_instances_in_pairs_is_not_noticed);
   suite_add_tcase (s, c);
+  c = tcase_create ("restart");
+  tcase_set_timeout (c, 60);
+  tcase_add_test (c, restarted_instances_own_upstreams_within_150_ms);
+  suite_add_tcase (s, c);
+  c = tcase_create ("outage");
+  tcase_set_timeout (c, 60);
+  tcase_add_test (c, store_outage_affects_no_caller);
+  suite_add_tcase (s, c);
   c = tcase_create ("deal");
   tcase_set_timeout (c, 60);
   tcase_add_test (c, reassignment_loses_no_job);
