Losses are of an incarnation: crashes of upstreams that restart under one name

What callers would see: a task that crashes its upstreams is run again and again on upstreams that restart under their name, and an innocent job can be given up.

It found a loss by the upstream's name. A second crash under that name was a report of the first one and counted nothing. An upstream out of contact that had crashed before added its tasks to the earlier crash, and when it answered again that crash was taken back.

Change: a loss has the start of its incarnation, and so has the message between instances (one field more). Only the same incarnation can answer again or leave as planned; a list entry of its name with a later start proves the crash. A list from before the start, or without one, proves nothing.

Tests only follow the new parameter of mm_suspects_alive() otherwise.

--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -232,6 +232,8 @@
 /* Number of start orders that are not answered and not given up yet.  */
 size_t mm_exec_count_open_starts (const mm_exec *x);
 const mm_upstream_info *mm_exec_info (const mm_exec *x); /* list entry */
+/* mm_upstream_info.born_ms of the newest incarnation that is known.  */
+int64_t mm_exec_born_ms (const mm_exec *x);
 /* Raises our fencing token to @fence; the runs go on.  */
 void mm_exec_raise_fence (mm_exec *x, uint64_t fence);
 uint64_t mm_exec_fence (const mm_exec *x); /* our fencing token there */
--- a/src/mm_exec_state.c
+++ b/src/mm_exec_state.c
@@ -165,6 +165,12 @@
   return x->info;
 }
 
+int64_t
+mm_exec_born_ms (const mm_exec *x)
+{
+  return x->born_ms;
+}
+
 uint64_t
 mm_exec_fence (const mm_exec *x)
 {
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -24,7 +24,7 @@
   RELEASED_FIELDS = 2,
   FOUND_FIELDS = 7,
   UPDATE_FIELDS = 3,
-  LOSS_FIELDS = 10,
+  LOSS_FIELDS = 11,
   EVACUATIONS_FIELDS = 4,
   CAPACITY_FIELDS = 9
 };
@@ -220,6 +220,7 @@
   msgpack_pack_int64 (&pk, l->after_start_ms);
   msgpack_pack_int64 (&pk,
                       l->verdict_ms ? mm_clock_now_ms () - l->verdict_ms : 0);
+  msgpack_pack_int64 (&pk, l->born_ms);
 }
 
 void
@@ -332,7 +333,8 @@
       || !read_task_hashes (&f[6], l)
       || !mm_mp_read_u32 (&f[7], &n_unconfirmed) || n_unconfirmed > l->n_tasks
       || !read_time (&f[8], &l->after_start_ms)
-      || !read_time (&f[9], &verdict_for_ms))
+      || !read_time (&f[9], &verdict_for_ms)
+      || !mm_mp_read_i64 (&f[10], &l->born_ms))
     return false;
   l->n_unconfirmed = n_unconfirmed;
   l->verdict = (mm_loss_verdict)verdict;
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -71,7 +71,7 @@
      A change of the upstream list; sent_ms is by the sender's clock.
 
    - [LOSS, upstream, addr, verdict, unresponsive_for_ms, occurrence,
-      [task hash, ...], n_unconfirmed, after_start_ms, verdict_for_ms]
+      [task hash, ...], n_unconfirmed, after_start_ms, verdict_for_ms, born_ms]
 
      An upstream was lost while it ran these tasks.  The last n_unconfirmed of
      them may not have run.  The message holds for how long the upstream was
--- a/src/mm_owner_suspects.c
+++ b/src/mm_owner_suspects.c
@@ -73,6 +73,7 @@
   since_ms = since_ms ? since_ms : mm_clock_now_ms ();
   mm_loss loss
       = { .upstream = u->name,
+          .born_ms = mm_exec_born_ms (x),
           .addr = u->addr,
           .verdict = crashed ? MM_LOSS_CRASHED : MM_LOSS_OPEN,
           .unresponsive_since_ms = since_ms,
@@ -89,7 +90,8 @@
 {
   mm_owned_upstream *owned = ctx;
   if (owned->owner->suspects)
-    mm_suspects_alive (owned->owner->suspects, mm_exec_info (x)->name);
+    mm_suspects_alive (owned->owner->suspects, mm_exec_info (x)->name,
+                       mm_exec_born_ms (x));
   if (owned->owner->gained)
     owned->owner->gained (owned->owner->gained_ctx);
 }
--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -1,9 +1,9 @@
 /* mm_suspects: lost upstreams and the tasks that ran there.
 
-   Only another incarnation at the address proves a crash.  A disconnected
-   upstream does not answer either, and its list entry expires like that of a
-   crashed one, so neither sign proves a crash.  An upstream that was
-   listed as draining has left as planned.
+   Only another incarnation at the address or with the same name proves a
+   crash.  A disconnected upstream does not answer either, and its list entry
+   expires like that of a crashed one, so neither sign proves a crash.  An
+   upstream that was listed as draining has left as planned.
 
    Several tasks may run on an upstream when it crashes, and usually only one
    of them is a poison task.  The first crash makes them suspect, and each then
@@ -36,11 +36,12 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* One lost upstream.  */
+/* One lost incarnation of an upstream.  */
 typedef struct
 {
-  char *upstream; /* name of the incarnation */
-  char *addr;     /* "ip:port" */
+  char *upstream;  /* its name */
+  int64_t born_ms; /* as in mm_loss */
+  char *addr;      /* "ip:port" */
   mm_loss_verdict verdict;
   mm_time_ms unresponsive_since_ms; /* when it stopped answering */
   mm_time_ms after_start_ms;        /* as in mm_loss */
@@ -117,6 +118,7 @@
 view_of (const loss *l)
 {
   return (mm_loss){ .upstream = l->upstream,
+                    .born_ms = l->born_ms,
                     .addr = l->addr,
                     .verdict = l->verdict,
                     .unresponsive_since_ms = l->unresponsive_since_ms,
@@ -151,11 +153,20 @@
     }
 }
 
+/* Returns whether the loss is of this incarnation.  One whose start is unknown
+   is taken for any of its name.  */
+static bool
+is_of (const loss *l, const char *upstream, int64_t born_ms)
+{
+  return strcmp (l->upstream, upstream) == 0
+         && (l->born_ms == born_ms || !l->born_ms || !born_ms);
+}
+
 static loss *
-find_loss (const mm_suspects *s, const char *upstream)
+find_loss (const mm_suspects *s, const char *upstream, int64_t born_ms)
 {
   for (GList *l = s->losses->head; l; l = l->next)
-    if (strcmp (((loss *)l->data)->upstream, upstream) == 0)
+    if (is_of (l->data, upstream, born_ms))
       return l->data;
   return NULL;
 }
@@ -249,6 +260,7 @@
 {
   loss *l = g_new0 (loss, 1);
   l->upstream = g_strdup (from->upstream);
+  l->born_ms = from->born_ms;
   l->addr = g_strdup (from->addr);
   l->unresponsive_since_ms = from->unresponsive_since_ms;
   l->after_start_ms = from->after_start_ms;
@@ -301,7 +313,7 @@
 void
 mm_suspects_record (mm_suspects *s, const mm_loss *from)
 {
-  loss *l = find_loss (s, from->upstream);
+  loss *l = find_loss (s, from->upstream, from->born_ms);
   /* Without tasks only a crash counts, whatever is recorded: an idle upstream
      is lost as soon as one hold gets no answer.  */
   bool silent = from->n_tasks == 0 && from->verdict == MM_LOSS_OPEN;
@@ -358,9 +370,9 @@
 }
 
 void
-mm_suspects_alive (mm_suspects *s, const char *upstream)
+mm_suspects_alive (mm_suspects *s, const char *upstream, int64_t born_ms)
 {
-  loss *l = find_loss (s, upstream);
+  loss *l = find_loss (s, upstream, born_ms);
   if (l)
     change_verdict (s, l, MM_LOSS_ALIVE, "it answers again");
 }
@@ -373,12 +385,16 @@
       loss *l = node->data;
       if (l->verdict != MM_LOSS_OPEN)
         continue;
-      bool same = strcmp (l->upstream, u->name) == 0;
-      if (same && u->draining)
+      bool same_name = strcmp (l->upstream, u->name) == 0;
+      if (is_of (l, u->name, u->born_ms) && u->draining)
         change_verdict (s, l, MM_LOSS_ALIVE, "it left as planned");
-      else if (!same && strcmp (l->addr, u->addr) == 0)
+      else if (!same_name && strcmp (l->addr, u->addr) == 0)
         change_verdict (s, l, MM_LOSS_CRASHED,
                         "another incarnation at its address");
+      /* The list may be from before the lost incarnation started.  */
+      else if (same_name && l->born_ms && u->born_ms > l->born_ms)
+        change_verdict (s, l, MM_LOSS_CRASHED,
+                        "another incarnation with its name");
     }
 }
 
--- a/src/mm_suspects.h
+++ b/src/mm_suspects.h
@@ -14,7 +14,7 @@
 typedef enum
 {
   MM_LOSS_OPEN,    /* unresponsive: crashed or disconnected */
-  MM_LOSS_CRASHED, /* another incarnation is at its address */
+  MM_LOSS_CRASHED, /* another incarnation has its address or name */
   MM_LOSS_ALIVE    /* it answered again, or left as planned */
 } mm_loss_verdict;
 #define MM_LOSS_VERDICT_COUNT (MM_LOSS_ALIVE + 1) /* number of verdicts */
@@ -22,7 +22,8 @@
 /* A lost upstream.  */
 typedef struct
 {
-  const char *upstream; /* name of the incarnation */
+  const char *upstream; /* its name */
+  int64_t born_ms;      /* mm_upstream_info.born_ms of the lost incarnation */
   const char *addr;     /* "ip:port" */
   mm_loss_verdict verdict;
   /* When it stopped answering, which is about when it crashed.  */
@@ -30,8 +31,8 @@
   /* Time from the last start of @tasks there until then; far longer than
      MM_SUSPECTS_AFTER_START_MS if no start is known.  */
   mm_time_ms after_start_ms;
-  /* How many times the upstream has been lost, this loss included; 0: as seen
-     by this instance, which counts it.  */
+  /* How many times the incarnation has been lost, this loss included; 0: as
+     seen by this instance, which counts it.  */
   uint32_t occurrence;
   mm_time_ms verdict_ms; /* when @verdict was known first; 0: now */
   const uint64_t *tasks; /* mm_task_hash() of the tasks that ran there */
@@ -69,10 +70,11 @@
 /* Records that an upstream was lost, as seen by this or by another instance;
    @l is copied.  */
 void mm_suspects_record (mm_suspects *s, const mm_loss *l);
-/* Records that this incarnation of an upstream answers.  */
-void mm_suspects_alive (mm_suspects *s, const char *upstream);
+/* Records that this incarnation of an upstream answers.  @born_ms: as in
+   mm_loss.  */
+void mm_suspects_alive (mm_suspects *s, const char *upstream, int64_t born_ms);
 /* Updates losses from an entry of the upstream list: another incarnation at
-   the address of a lost upstream proves a crash.  */
+   the address or with the name of a lost upstream proves a crash.  */
 void mm_suspects_listed (mm_suspects *s, const mm_upstream_info *u);
 /* Decides from the recorded losses how a task may be run.  */
 mm_suspect_action mm_suspects_decide (const mm_suspects *s,
--- a/tests/test_dispatch_once.c
+++ b/tests/test_dispatch_once.c
@@ -146,8 +146,8 @@
   fake *second = fakes_add (fx.upstreams, "up1", UPSTREAM_CPU_MILLI);
   mm_owner_add_upstream (fx.owner, fake_info (second), 5);
   fakes_run (fx.upstreams, fx.owner, MM_EXEC_TICK_MS);
-  mm_suspects_alive (fx.suspects, "lost0");
-  mm_suspects_alive (fx.suspects, "lost1");
+  mm_suspects_alive (fx.suspects, "lost0", 0);
+  mm_suspects_alive (fx.suspects, "lost1", 0);
   run (&fx, 2 * LONG_RUN_MS);
   ck_assert_uint_eq (fx.answers, 1);
   ck_assert_int_eq (fx.answer, MM_ANSWER_COMPLETED);
--- a/tests/test_incarnation.c
+++ b/tests/test_incarnation.c
@@ -283,6 +283,73 @@
 }
 END_TEST
 
+/* Loses a task to a crash, after which its upstream starts again under the
+   same name.  */
+static void
+lose_task_to_a_crash (fixture *fx, fake *a)
+{
+  outcome r;
+  submit (fx, &r, "job", 0, RUN_MS);
+  fixture_run (fx, 100);
+  ck_assert_uint_eq (fake_running (a), 1);
+  fake_restart_same_name (a);
+  mm_owner_update_upstream (fx->owner, fake_info (a));
+  fixture_run (fx, 500);
+  ck_assert_int_eq (r.how, MM_END_LOST);
+}
+
+/* Returns how many crashes count against task 0 of a job.  */
+static uint32_t
+count_crashes (const mm_suspects *s, const char *job)
+{
+  mm_task_request t = fakes_task (job, 0, TASK_CPU_MILLI, RUN_MS);
+  return mm_suspects_count_crashes (s, &t.id);
+}
+
+/* Guards against a task that crashes its upstream each time and of whose
+   crashes only the first one counts.  */
+START_TEST (crash_of_each_incarnation_counts)
+{
+  fixture fx = fixture_create ();
+  mm_suspects *s = mm_suspects_create ();
+  mm_owner_set_suspects (fx.owner, s);
+  fake *a = fixture_add (&fx, "a");
+  fixture_run (&fx, 10);
+  for (uint32_t i = 1; i <= 3; i++)
+    {
+      lose_task_to_a_crash (&fx, a);
+      ck_assert_uint_eq (count_crashes (s, "job"), i);
+    }
+  fixture_destroy (&fx);
+  mm_suspects_destroy (s);
+}
+END_TEST
+
+/* Guards against a crash that counts no more, or against another task, once
+   the next incarnation was out of contact and answers again.  */
+START_TEST (lost_contact_with_the_next_incarnation_changes_no_crash)
+{
+  fixture fx = fixture_create ();
+  mm_suspects *s = mm_suspects_create ();
+  mm_owner_set_suspects (fx.owner, s);
+  fake *a = fixture_add (&fx, "a");
+  fixture_run (&fx, 10);
+  lose_task_to_a_crash (&fx, a);
+  outcome r;
+  submit (&fx, &r, "other", 0, RUN_MS);
+  fixture_run (&fx, 100);
+  fake_mode_of (a)->unresponsive = true;
+  fixture_run (&fx, 3000);
+  ck_assert_int_eq (r.how, MM_END_LOST);
+  ck_assert_uint_eq (count_crashes (s, "other"), 0);
+  fake_mode_of (a)->unresponsive = false;
+  fixture_run (&fx, 1000);
+  ck_assert_uint_eq (count_crashes (s, "job"), 1);
+  fixture_destroy (&fx);
+  mm_suspects_destroy (s);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -298,7 +365,9 @@
           late_run_that_an_earlier_incarnation_has_stopped_is_stopped,
           lease_at_a_new_incarnation_ends_when_its_caller_is_out_of_reach,
           late_answer_of_an_earlier_incarnation_does_not_set_its_clock,
-          upstream_is_used_again_after_a_restart_and_a_gap_in_the_list };
+          upstream_is_used_again_after_a_restart_and_a_gap_in_the_list,
+          crash_of_each_incarnation_counts,
+          lost_contact_with_the_next_incarnation_changes_no_crash };
   TCase *c = tcase_create ("incarnation");
   for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
     tcase_add_test (c, tests[i]);
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -386,6 +386,7 @@
   mm_mesh_pack_update (&buffer, 5, "x", 1);
   uint64_t task_hashes[2] = { 77, 78 };
   mm_loss loss = { .upstream = "up",
+                   .born_ms = 1700000000000,
                    .addr = "127.0.0.1:1",
                    .verdict = MM_LOSS_CRASHED,
                    .unresponsive_since_ms = mm_clock_now_ms () - 500,
@@ -426,6 +427,7 @@
       if (kind == MM_MESH_LOSS)
         ck_assert (
             strcmp (m.loss.upstream, "up") == 0
+            && m.loss.born_ms == 1700000000000
             && strcmp (m.loss.addr, "127.0.0.1:1") == 0
             && m.loss.verdict == MM_LOSS_CRASHED && m.loss.n_tasks == 2
             && m.loss.occurrence == 2 && m.loss.tasks[0] == task_hashes[0]
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -85,6 +85,45 @@
   mm_suspects_listed (s, &u);
 }
 
+/* Records the loss of the upstream "up0" that started at @born_ms, then list
+   entries of that name.  Returns how many crashes count against the task.  */
+static uint32_t
+count_after_listing (int64_t born_ms, int64_t listed_born_ms, bool draining)
+{
+  mm_suspects *s = suspects_setup ();
+  mm_task_id id = task ("job", 0);
+  uint64_t hash = mm_task_hash (&id);
+  mm_loss l = { .upstream = "up0",
+                .born_ms = born_ms,
+                .addr = "127.0.0.1:1",
+                .unresponsive_since_ms = now_ms,
+                .tasks = &hash,
+                .n_tasks = 1 };
+  mm_suspects_record (s, &l);
+  mm_upstream_info u = { .name = (char *)"up0",
+                         .born_ms = listed_born_ms,
+                         .addr = (char *)"127.0.0.1:1",
+                         .draining = draining };
+  mm_suspects_listed (s, &u);
+  uint32_t n = mm_suspects_count_crashes (s, &id);
+  suspects_teardown (s);
+  return n;
+}
+
+/* Guards against a crash that is not known although the list shows the next
+   incarnation, and against one that an old or incomplete list shows.  */
+START_TEST (later_incarnation_with_its_name_shows_a_crash)
+{
+  ck_assert_uint_eq (count_after_listing (20, 21, false), 1);
+  ck_assert_uint_eq (count_after_listing (20, 21, true), 1);
+  ck_assert_uint_eq (count_after_listing (20, 20, false), 0);
+  ck_assert_uint_eq (count_after_listing (20, 20, true), 0);
+  ck_assert_uint_eq (count_after_listing (20, 19, false), 0);
+  ck_assert_uint_eq (count_after_listing (20, 0, false), 0);
+  ck_assert_uint_eq (count_after_listing (0, 20, false), 0);
+}
+END_TEST
+
 /* A task whose upstream was lost must run isolated.  After a second loss the
    task must wait until other incarnations at both addresses prove two crashes,
    and must then be given up.  */
@@ -119,7 +158,7 @@
       record_loss (s, number, MM_LOSS_OPEN, &id, 1);
       char name[16];
       g_snprintf (name, sizeof name, "up%d", number);
-      mm_suspects_alive (s, name); /* the upstream is reachable again */
+      mm_suspects_alive (s, name, 0); /* the upstream is reachable again */
       ck_assert_int_eq (mm_suspects_decide (s, &id), MM_SUSPECT_RUN);
       record_loss (s, number + 1, MM_LOSS_OPEN, &id, 1);
       /* The upstream was draining.  */
@@ -296,7 +335,7 @@
       char name[16];
       g_snprintf (name, sizeof name, "up%d", i);
       record_loss_since (s, i, MM_LOSS_OPEN, now_ms, &other, 1);
-      mm_suspects_alive (s, name);
+      mm_suspects_alive (s, name, 0);
     }
   ck_assert_uint_eq (occurrence, 1);
   now_ms += 5000;
@@ -403,7 +442,7 @@
   mm_suspects *s = suspects_setup ();
   mm_task_id ids[2] = { task ("innocent", 0), task ("culprit", 0) };
   record_loss (s, 0, MM_LOSS_OPEN, ids, 1);
-  mm_suspects_alive (s, "up0");
+  mm_suspects_alive (s, "up0", 0);
   now_ms += 9000;
   record_loss_since (s, 1, MM_LOSS_CRASHED, now_ms - 3000, ids, 2);
   record_loss_since (s, 0, MM_LOSS_CRASHED, now_ms - 6000, ids, 1);
@@ -453,7 +492,7 @@
   mm_suspects *s = suspects_setup ();
   mm_task_id id = task ("again", 0);
   record_loss (s, 0, MM_LOSS_OPEN, &id, 1);
-  mm_suspects_alive (s, "up0");
+  mm_suspects_alive (s, "up0", 0);
   record_loss (s, 0, MM_LOSS_OPEN, &id, 1); /* late report of the same loss */
   ck_assert_int_eq (mm_suspects_decide (s, &id), MM_SUSPECT_RUN);
   now_ms += 5000;
@@ -590,7 +629,7 @@
       n.from = twice;
       record_loss (n.records[twice], 0, MM_LOSS_OPEN, &id, 1);
       now_ms += 100;
-      mm_suspects_alive (n.records[twice], "up0");
+      mm_suspects_alive (n.records[twice], "up0", 0);
       for (int t = 0; t < 5000 && deliveries < MAX_DELIVERIES; t++, now_ms++)
         deliveries += deliver_reports (&n);
     }
@@ -629,7 +668,7 @@
   mm_suspects *stays = suspects_setup (), *restarted = mm_suspects_create ();
   mm_task_id innocent = task ("innocent", 0), poison = task ("poison", 0);
   record_loss (stays, 0, MM_LOSS_OPEN, &innocent, 1);
-  mm_suspects_alive (stays, "up0");
+  mm_suspects_alive (stays, "up0", 0);
   now_ms += 3000;
   mm_suspects_foreach (stays, record_report, restarted);
   now_ms += 3000;
@@ -649,7 +688,7 @@
   mm_suspects *s[2] = { suspects_setup (), mm_suspects_create () };
   mm_task_id id = task ("innocent", 0);
   record_loss (s[0], 0, MM_LOSS_OPEN, &id, 1);
-  mm_suspects_alive (s[0], "up0");
+  mm_suspects_alive (s[0], "up0", 0);
   loss_network n = { .random = NULL };
   const mm_time_ms unlinked_ms = 10000;
   now_ms += unlinked_ms;
@@ -1278,6 +1317,7 @@
   Suite *s = suite_create ("suspects");
   TCase *c = tcase_create ("blame");
   tcase_add_test (c, task_is_given_up_after_two_crashes);
+  tcase_add_test (c, later_incarnation_with_its_name_shows_a_crash);
   tcase_add_test (c, disconnects_drains_and_expired_entries_are_no_crashes);
   tcase_add_test (c, tasks_beside_a_poison_task_are_not_given_up);
   tcase_add_test (c, suspect_beside_a_new_poison_task_is_not_given_up);
