masticctl explain: the loss and the restart of an upstream are context lines

What operators saw: the report on a job whose run was lost, because its upstream restarted under its name or crashed, had no line of that: only lines of some events without the job's id are shown, and these two were left out.

Evidence: test_logs report_has_the_restart_and_the_loss_of_the_upstream fails without the change (no line of the restart) and passes with it. A line of an upstream that no line of the job names is still left out.

--- a/src/mm_explain.c
+++ b/src/mm_explain.c
@@ -77,13 +77,26 @@
 static bool
 may_be_context (const mm_explain_line *l)
 {
-  static const char *const events[]
-      = { "stalled",           "loop_gap",        "stopping",
-          "stopped",           "started",         "peer_lost",
-          "sender_lost",       "upstream_fenced", "upstream_suspect",
-          "upstream_excluded", "upstream_gone",   "store_lost",
-          "group_changed",     "jobs_fenced",     "jobs_loaded",
-          "jobs_handed_over",  "config_applied",  "upstream_listed" };
+  static const char *const events[] = { "stalled",
+                                        "loop_gap",
+                                        "stopping",
+                                        "stopped",
+                                        "started",
+                                        "peer_lost",
+                                        "sender_lost",
+                                        "upstream_fenced",
+                                        "upstream_suspect",
+                                        "upstream_excluded",
+                                        "upstream_gone",
+                                        "upstream_lost",
+                                        "upstream_restarted",
+                                        "store_lost",
+                                        "group_changed",
+                                        "jobs_fenced",
+                                        "jobs_loaded",
+                                        "jobs_handed_over",
+                                        "config_applied",
+                                        "upstream_listed" };
   for (size_t i = 0; i < G_N_ELEMENTS (events); i++)
     if (mm_explain_is (l, events[i]))
       return true;
--- a/tests/test_logs.c
+++ b/tests/test_logs.c
@@ -238,6 +238,36 @@
 }
 END_TEST
 
+/* Guards against a report on a lost run that leaves out what became of its
+   upstream.  */
+START_TEST (report_has_the_restart_and_the_loss_of_the_upstream)
+{
+  const char *lines[]
+      = { "a.log",
+          "{\"ts_ms\":5000,\"event\":\"task_started\",\"job\":\"j1\","
+          "\"task\":\"0.0\",\"upstream\":\"u3\",\"run\":1,\"fence\":3}",
+          "a.log",
+          "{\"ts_ms\":5100,\"event\":\"upstream_restarted\","
+          "\"upstream\":\"u3\",\"fence\":3,\"runs\":1,\"after_ms\":900}",
+          "b.log",
+          "{\"ts_ms\":5101,\"event\":\"upstream_lost\","
+          "\"upstream\":\"u3\",\"verdict\":\"crashed\",\"tasks\":1}",
+          "b.log",
+          "{\"ts_ms\":5102,\"event\":\"upstream_lost\","
+          "\"upstream\":\"u4\",\"verdict\":\"crashed\",\"tasks\":1}",
+          "a.log",
+          "{\"ts_ms\":5200,\"event\":\"job_answered\",\"job\":\"j1\","
+          "\"queue\":\"q\",\"outcome\":\"completed\",\"took_ms\":200}",
+          NULL };
+  char *report = explain_job ("j1", lines);
+  const char *restarted = strstr (report, "upstream_restarted");
+  ck_assert_ptr_nonnull (restarted);
+  ck_assert_ptr_nonnull (strstr (restarted, "upstream_lost"));
+  ck_assert_ptr_null (strstr (report, "upstream=u4"));
+  g_free (report);
+}
+END_TEST
+
 /* A poison task crashes each upstream that starts it.  The report must name
    the task and these upstreams.  */
 START_TEST (given_up_job_is_explained_by_the_upstreams_it_crashed)
@@ -331,6 +361,7 @@
   tcase_add_test (c, refused_job_is_explained_by_the_free_capacity);
   tcase_add_test (c, unknown_outcome_is_explained_by_the_instance_that_died);
   tcase_add_test (c, failed_job_is_explained_by_the_upstream);
+  tcase_add_test (c, report_has_the_restart_and_the_loss_of_the_upstream);
   tcase_add_test (c, given_up_job_is_explained_by_the_upstreams_it_crashed);
   tcase_add_test (c, kept_job_is_explained_across_homes);
   suite_add_tcase (s, c);
