Restarts under one name: the upstream is reported as back

Cause: the restart was reported as a loss, but the flag that the loss is still to be followed by "back" was cleared with what was known of the earlier incarnation.

Evidence: test_incarnation restarted_upstream_is_reported_as_back fails without the change (1 report of a gain, 2 asked) and passes with it; test_owner (268 cases), test_succession, test_resend (622), test_adoption (800) pass.

--- a/src/mm_exec_incarnation.c
+++ b/src/mm_exec_incarnation.c
@@ -26,7 +26,7 @@
      far ahead on the new one, which cuts leases to their longest.  */
   x->leases_expire_ms
       = MAX (x->leases_expire_ms, mm_clock_now_ms () + MM_LEASE_MS);
-  x->lost = false;
+  x->lost = true;
   x->runs_known = true;
   GHashTableIter it;
   gpointer v;
--- a/tests/test_incarnation.c
+++ b/tests/test_incarnation.c
@@ -350,6 +350,30 @@
 }
 END_TEST
 
+static void
+on_gained (void *ctx)
+{
+  ++*(uint32_t *)ctx;
+}
+
+/* Guards against other instances that dispatch no task to an upstream which
+   has restarted, as they are not told that it takes tasks again.  */
+START_TEST (restarted_upstream_is_reported_as_back)
+{
+  fixture fx = fixture_create ();
+  uint32_t gains = 0;
+  mm_owner_set_gained (fx.owner, on_gained, &gains);
+  fake *a = fixture_add (&fx, "a");
+  fixture_run (&fx, 100);
+  uint32_t before = gains;
+  fake_restart_same_name (a);
+  mm_owner_update_upstream (fx.owner, fake_info (a));
+  fixture_run (&fx, 100);
+  ck_assert_uint_eq (gains, before + 1);
+  fixture_destroy (&fx);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -367,7 +391,8 @@
           late_answer_of_an_earlier_incarnation_does_not_set_its_clock,
           upstream_is_used_again_after_a_restart_and_a_gap_in_the_list,
           crash_of_each_incarnation_counts,
-          lost_contact_with_the_next_incarnation_changes_no_crash };
+          lost_contact_with_the_next_incarnation_changes_no_crash,
+          restarted_upstream_is_reported_as_back };
   TCase *c = tcase_create ("incarnation");
   for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
     tcase_add_test (c, tests[i]);
