Handovers: put off while the store does not answer

Cause: a handover ends with a join that the store has to carry out. The owner gave its sessions up before it sent that join, and started next to nothing from the beginning of the handover on. When the join was refused, or could not be sent, nobody owned the upstreams until the store was back.

Change: the handover of upstreams is put off while joins fail, or one takes over 0.8 s: the owner serves on, its joins name the generation before, so that the store gives nothing away, and the handover begins anew once the store answers. A session is kept, and starts nothing, from the release until the store has confirmed it. If the store answers 503 or 429, which by its page says that nothing was done, the release is taken back. Without an answer it stays in doubt, and nothing is started until a later join has succeeded: the next owner may have been given the upstream. A released upstream is not reported as free of a task. The handover of kept jobs is as before: nothing can be stored then.

Evidence: test_handover_outage, without a network, takes the store away 0 to 400 ms after another member has joined.

--- a/src/config.h
+++ b/src/config.h
@@ -365,6 +365,9 @@
 /* For this long after a confirmed join, no other instance owns the partitions
    of this one.  The rest of the TTL is for calls that are under way.  */
 #define MM_GROUP_CONFIRMED_MS 1000
+/* When a join takes longer, the store counts as not answering; a slow store
+   takes 0.4 s.  */
+#define MM_GROUP_ANSWER_MS 800
 #define MM_MEMBERS_POLL_MS 3000   /* between reads of the list of instances */
 #define MM_MEMBERS_FIRST_POLLS 4u /* first reads of that list at a start */
 #define MM_MEMBERS_FIRST_POLL_MS 100 /* between these first reads */
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -189,9 +189,12 @@
 on_fenced (void *ctx, mm_exec *x)
 {
   mm_owned_upstream *owned = ctx;
-  mm_metrics_count (MM_CT_FENCED);
-  mm_log_event (MM_EV_UPSTREAM_FENCED, MM_TEXT (mm_exec_info (x)->name),
-                MM_INT (mm_exec_fence (x)));
+  if (!owned->released)
+    {
+      mm_metrics_count (MM_CT_FENCED);
+      mm_log_event (MM_EV_UPSTREAM_FENCED, MM_TEXT (mm_exec_info (x)->name),
+                    MM_INT (mm_exec_fence (x)));
+    }
   mm_owner_orphan_all (owned->owner, owned, "fenced");
 }
 
@@ -281,7 +284,7 @@
   mm_owned_upstream *owned = g_hash_table_lookup (o->owned_upstreams, u->name);
   if (owned && mm_exec_fence (owned->exec) >= fence)
     {
-      owned->handing_over = false;
+      owned->handing_over = owned->released = false;
       start_waiting (o);
       return;
     }
@@ -347,6 +350,26 @@
              now + MIN (left_ms, MM_HANDOVER_MS - MM_HANDOVER_MARGIN_MS));
 }
 
+void
+mm_owner_set_released (mm_owner *o, const char *upstream)
+{
+  mm_owned_upstream *owned
+      = g_hash_table_lookup (o->owned_upstreams, upstream);
+  if (owned)
+    owned->handing_over = owned->released = true;
+}
+
+void
+mm_owner_cancel_handover (mm_owner *o, const char *upstream)
+{
+  mm_owned_upstream *owned
+      = g_hash_table_lookup (o->owned_upstreams, upstream);
+  if (!owned || !owned->handing_over)
+    return;
+  owned->handing_over = owned->released = false;
+  start_waiting (o);
+}
+
 bool
 mm_owner_ends_before_handover (const mm_owned_upstream *owned, double run_ms,
                                mm_time_ms now)
@@ -355,7 +378,7 @@
                   + run_ms * MM_ESTIMATE_ERROR_FACTOR
                         * MAX (mm_exec_slowness (owned->exec), 1.0);
   return !owned->handing_over
-         || (MM_WITH_HANDOVER_RUNS && run_ms > 0
+         || (MM_WITH_HANDOVER_RUNS && run_ms > 0 && !owned->released
              && end_ms <= (double)owned->owner->handover_end_ms);
 }
 
--- a/src/mm_owner_kept.c
+++ b/src/mm_owner_kept.c
@@ -67,12 +67,13 @@
   g_hash_table_iter_init (&it, o->owned_upstreams);
   while (g_hash_table_iter_next (&it, NULL, &v))
     {
-      const mm_exec *x = ((mm_owned_upstream *)v)->exec;
+      const mm_owned_upstream *owned = v;
+      const mm_exec *x = owned->exec;
       out->present += mm_exec_count_runs_of (x, tasks);
       /* An upstream counts as free of the tasks only if this instance is
          confirmed as its owner and the session has listed its runs: another
          owner with a higher fencing token may have started one there.  */
-      if (!o->confirmed || !mm_exec_runs_confirmed (x))
+      if (!o->confirmed || owned->released || !mm_exec_runs_confirmed (x))
         continue;
       uint64_t hash = mm_upstream_hash (mm_exec_info (x)->name);
       g_array_append_val (out->clear_upstreams, hash);
--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -14,6 +14,7 @@
                               the session may have raised its own */
   mm_breaker breaker;
   bool handing_over;   /* a handover to another owner is under way */
+  bool released;       /* the next owner may have it: nothing is started */
   bool removed;        /* no longer owned; its session is being closed */
   uint32_t n_suspects; /* suspected poison tasks that run there */
 } mm_owned_upstream;
--- a/src/mm_ownership.c
+++ b/src/mm_ownership.c
@@ -68,8 +68,9 @@
 }
 
 /* Closes the sessions with upstreams whose partitions are assigned elsewhere,
-   begins the handover of upstreams whose partitions are being released, and
-   raises the fencing tokens of those whose partitions may have had another
+   begins the handover of upstreams whose partitions are being released, starts
+   nothing where they have been released, cancels a handover that was put off,
+   and raises the fencing tokens of those whose partitions may have had another
    owner in between.  Does not wait for a fresh list: the next owner may
    already start tasks, and the one in between may go on with its own.  */
 static void
@@ -87,8 +88,13 @@
         mm_owner_remove_upstream (ownership->owner, l->data);
       else if (state == MM_PARTITION_RELEASING)
         mm_owner_begin_handover (ownership->owner, l->data);
+      else if (state == MM_PARTITION_RELEASED)
+        mm_owner_set_released (ownership->owner, l->data);
       else
-        mm_owner_raise_fence (ownership->owner, l->data, fence);
+        {
+          mm_owner_cancel_handover (ownership->owner, l->data);
+          mm_owner_raise_fence (ownership->owner, l->data, fence);
+        }
     }
   g_list_free (owned);
 }
--- a/src/mm_partitions.c
+++ b/src/mm_partitions.c
@@ -10,7 +10,13 @@
 
    While the store is unreachable, this instance keeps its partitions.  If the
    store has assigned them to another member meanwhile, the new owner's higher
-   token stops this instance at the upstreams.  */
+   token stops this instance at the upstreams.
+
+   A handover cannot end without the store, and until it ends no other member
+   gets the partitions.  As long as the join that releases them has not been
+   sent, or the store has answered that it did nothing, the handover is put off
+   while the store does not answer, and begins again once it does.  While the
+   store may have carried that join out, no task is started.  */
 #include "mm_partitions.h"
 
 #include "config.h"
@@ -24,6 +30,7 @@
 {
   uint64_t fence;    /* fencing token; 0: not owned by this instance */
   bool is_releasing; /* owned, but no longer listed for this instance */
+  bool is_released;  /* released, but the store may not know it yet */
 } partition;
 
 struct mm_partitions
@@ -41,14 +48,18 @@
   bool in_flight;                /* a call has not been answered yet */
   bool in_contact;               /* the last join succeeded */
   mm_time_ms call_sent_ms;       /* when the last call was sent */
-  mm_time_ms confirmed_ms;  /* when the last join that succeeded was sent */
-  bool leaving;             /* mm_partitions_leave() was called */
-  bool has_left;            /* the store has confirmed the leave call */
-  mm_time_ms next_call_ms;  /* when the next call is due */
-  uint64_t changes;         /* changes of partition states so far */
-  mm_time_ms created_ms;    /* when this object was created */
-  uint64_t sent_generation; /* generation that the call in flight confirms */
+  mm_time_ms confirmed_ms; /* when the last join that succeeded was sent */
+  bool leaving;            /* mm_partitions_leave() was called */
+  bool has_left;           /* the store has confirmed the leave call */
+  mm_time_ms next_call_ms; /* when the next call is due */
+  uint64_t changes;        /* changes of partition states so far */
+  mm_time_ms created_ms;   /* when this object was created */
   bool release_pending; /* no join has handed over released partitions yet */
+  bool release_sent;    /* the call in flight hands them over */
+  bool release_unsure;  /* a call without an answer may have done so */
+  uint64_t held_generation; /* confirmed_generation before the release */
+  bool serves_on;           /* handovers are put off during outages */
+  bool put_off;             /* the handover under way is put off */
   mm_partitions_events ev;
 };
 
@@ -117,6 +128,7 @@
       if (is_assigned && (!p->fence || skipped))
         p->fence = res->generation;
       p->is_releasing = p->fence && !is_assigned;
+      p->is_released = p->is_released && !is_assigned;
       n_owned += is_assigned;
       n_releasing += p->is_releasing;
     }
@@ -142,6 +154,70 @@
     set->ev.released (set->ev.ctx, set->group);
 }
 
+/* Ends the release of partitions, which the store has confirmed.  */
+static void
+finish_release (mm_partitions *set)
+{
+  for (uint32_t i = 0; i < set->n_partitions; i++)
+    if (set->partitions[i].is_released)
+      set->partitions[i] = (partition){ 0 };
+  set->release_pending = set->release_unsure = false;
+  set->changes++;
+  notify_released (set);
+  if (set->ev.changed && !set->closed)
+    set->ev.changed (set->ev.ctx);
+}
+
+/* Takes back the release of partitions, which the store has not carried out.
+   Until they are released again, joins confirm the generation before.  */
+static void
+take_release_back (mm_partitions *set)
+{
+  if (!set->serves_on || !set->release_pending || set->release_unsure)
+    return;
+  for (uint32_t i = 0; i < set->n_partitions; i++)
+    set->partitions[i].is_released = false;
+  set->release_pending = false;
+  set->confirmed_generation = set->held_generation;
+  set->releasing_since_ms = mm_clock_now_ms ();
+  set->changes++;
+}
+
+/* Handles the outcome of a join while partitions are released.  Only a join
+   that was sent after the release hands them over.  */
+static void
+update_release (mm_partitions *set, const mm_join_result *res)
+{
+  if (set->release_sent && res->ok)
+    finish_release (set);
+  if (set->release_sent && !res->ok && !res->nothing_done)
+    set->release_unsure = true;
+  set->release_sent = false;
+  if (!res->ok)
+    take_release_back (set);
+}
+
+/* Puts the handover under way off while the store does not answer.  It has its
+   full time again after calls have failed.  */
+static void
+update_put_off (mm_partitions *set, mm_time_ms now)
+{
+  bool overdue
+      = set->in_flight && now - set->call_sent_ms > MM_GROUP_ANSWER_MS;
+  if (overdue && !set->release_sent)
+    take_release_back (set);
+  if (set->serves_on && !set->in_contact && set->releasing_since_ms)
+    set->releasing_since_ms = now;
+  bool put_off = set->serves_on && set->releasing_since_ms
+                 && (!set->in_contact || overdue);
+  if (put_off == set->put_off)
+    return;
+  set->put_off = put_off;
+  set->changes++;
+  if (set->ev.changed)
+    set->ev.changed (set->ev.ctx);
+}
+
 /* Handles the answer to a join, which lists this instance's partitions.  */
 static void
 on_joined (const mm_join_result *res, void *ctx)
@@ -154,13 +230,10 @@
     mm_store_record_contact (&set->in_contact, res->ok, set->group, res->why);
   if (res->ok)
     set->confirmed_ms = set->call_sent_ms;
-  /* Only a join that was sent after the release hands the partitions over.  */
-  if (res->ok && set->release_pending
-      && set->sent_generation == set->confirmed_generation)
-    {
-      set->release_pending = false;
-      notify_released (set);
-    }
+  if (set->release_pending)
+    update_release (set, res);
+  if (!set->closed && !set->leaving)
+    update_put_off (set, mm_clock_now_ms ());
   if (!set->closed && res->ok && !set->leaving
       && res->generation != set->listed_generation)
     {
@@ -196,6 +269,7 @@
 mm_partitions_tick (mm_partitions *set)
 {
   mm_time_ms now = mm_clock_now_ms ();
+  update_put_off (set, now);
   /* A handover waits for running tasks no longer than MM_HANDOVER_MS.  */
   if (set->releasing_since_ms
       && now - set->releasing_since_ms > MM_HANDOVER_MS)
@@ -204,7 +278,7 @@
     return;
   set->in_flight = true;
   set->call_sent_ms = now;
-  set->sent_generation = set->confirmed_generation;
+  set->release_sent = set->release_pending && !set->leaving;
   set->next_call_ms = now + join_interval_ms (set, now);
   set->refs++;
   if (set->leaving)
@@ -254,25 +328,28 @@
 }
 
 static mm_partition_state
-state_of (const partition *p, uint64_t *fence)
+state_of (const mm_partitions *set, const partition *p, uint64_t *fence)
 {
   *fence = p->fence;
   if (!p->fence)
     return MM_PARTITION_ELSEWHERE;
-  return p->is_releasing ? MM_PARTITION_RELEASING : MM_PARTITION_OWNED;
+  if (p->is_released)
+    return MM_PARTITION_RELEASED;
+  return p->is_releasing && !set->put_off ? MM_PARTITION_RELEASING
+                                          : MM_PARTITION_OWNED;
 }
 
 mm_partition_state
 mm_partitions_upstream_state (const mm_partitions *set, const char *upstream,
                               uint64_t *fence)
 {
-  return state_of (partition_of (set, upstream), fence);
+  return state_of (set, partition_of (set, upstream), fence);
 }
 
 mm_partition_state
 mm_partitions_state (const mm_partitions *set, uint32_t index, uint64_t *fence)
 {
-  return state_of (&set->partitions[index], fence);
+  return state_of (set, &set->partitions[index], fence);
 }
 
 mm_time_ms
@@ -305,14 +382,32 @@
   renew_fence (set, &set->partitions[index]);
 }
 
+void
+mm_partitions_serve_on (mm_partitions *set)
+{
+  set->serves_on = true;
+}
+
+/**
+ * mm_partitions_release() - hand over the partitions that are being released.
+ * @set: the partitions.
+ *
+ * Does nothing while the handover is put off.
+ */
 void
 mm_partitions_release (mm_partitions *set)
 {
+  if (set->put_off)
+    return;
   for (uint32_t i = 0; i < set->n_partitions; i++)
-    if (set->partitions[i].is_releasing)
+    if (set->partitions[i].is_releasing && set->serves_on)
+      set->partitions[i].is_released = true;
+    else if (set->partitions[i].is_releasing)
       set->partitions[i] = (partition){ 0 };
   set->releasing_since_ms = 0;
   set->changes++;
+  if (!set->release_pending)
+    set->held_generation = set->confirmed_generation;
   set->confirmed_generation = set->listed_generation;
   set->release_pending = true;
   set->next_call_ms = 0;
@@ -321,7 +416,7 @@
 bool
 mm_partitions_releasing (const mm_partitions *set)
 {
-  return set->releasing_since_ms != 0;
+  return set->releasing_since_ms && !set->put_off;
 }
 
 bool
--- a/src/mm_partitions.h
+++ b/src/mm_partitions.h
@@ -16,7 +16,10 @@
 {
   MM_PARTITION_ELSEWHERE, /* assigned to another instance, or to none */
   MM_PARTITION_OWNED,     /* tasks may be started */
-  MM_PARTITION_RELEASING  /* handed over once the runs there have ended */
+  MM_PARTITION_RELEASING, /* handed over once the runs there have ended */
+  /* Handed over; the store may not know it yet.  Nothing may be started.  Only
+     after mm_partitions_serve_on(), else MM_PARTITION_ELSEWHERE.  */
+  MM_PARTITION_RELEASED
 } mm_partition_state;
 
 /* Joins the group with the first tick.  @port is copied; @member: the member
@@ -40,6 +43,9 @@
 /* Sets the callbacks; @ev is copied.  */
 void mm_partitions_set_events (mm_partitions *set,
                                const mm_partitions_events *ev);
+/* Puts handovers off while the store does not answer: until then, the state of
+   the partitions is MM_PARTITION_OWNED.  */
+void mm_partitions_serve_on (mm_partitions *set);
 /* Makes the next tick call the store.  */
 void mm_partitions_poll_now (mm_partitions *set);
 /* Sends a call to the store when one is due, and releases partitions whose
@@ -69,7 +75,8 @@
                                          const char *upstream);
 void mm_partitions_renew_fence (mm_partitions *set, uint32_t index);
 /* Hands over the partitions in state MM_PARTITION_RELEASING.  Must be called
-   once nothing runs there any more.  */
+   once nothing runs there any more.  If the store does not carry the release
+   out, they are owned again.  */
 void mm_partitions_release (mm_partitions *set);
 /* Returns whether any partition is in state MM_PARTITION_RELEASING.  */
 bool mm_partitions_releasing (const mm_partitions *set);
--- a/src/mm_store.h
+++ b/src/mm_store.h
@@ -52,6 +52,7 @@
 typedef struct
 {
   bool ok;
+  bool nothing_done;          /* failed, and has certainly had no effect */
   const char *why;            /* reason of the failure, NULL when ok */
   uint64_t generation;        /* current generation of the group */
   const uint32_t *partitions; /* partitions assigned to this member */
--- a/src/mm_store_http.c
+++ b/src/mm_store_http.c
@@ -168,6 +168,9 @@
                       mm_join_result *r, GArray *partitions)
 {
   mm_metrics_add (MM_CT_BYTES_JOIN, res->body_bytes);
+  /* The store answers 503 and 429 only to calls that it did not carry out.  */
+  r->nothing_done
+      = !r->ok && !res->error && (res->status == 503 || res->status == 429);
   char *why = failure_reason (r->ok, res);
   r->why = why;
   r->partitions = (const uint32_t *)(void *)partitions->data;
