Join again once the previous incarnation has left

Seen: a restarted instance owned upstreams a poll of the store (40 ms, 50 ms by the ticks) after its previous incarnation had left the group. Callers were refused meanwhile.

Cause: the call that removes the previous incarnation and the first join are under way together. When the store carries the join out first, it lists no partition, and nothing followed from the answer to the removal: the next join was that of the fast poll.

The answer to the removal now makes the next tick join, in the group of the upstreams and in that of the kept jobs. A join right after the removal is the first one that can list its partitions.

--- a/src/mm_kept.c
+++ b/src/mm_kept.c
@@ -313,6 +313,12 @@
   search_in_doubt (k, list_fresh, now);
 }
 
+void
+mm_kept_poll_now (mm_kept *k)
+{
+  mm_partitions_poll_now (k->partitions);
+}
+
 void
 mm_kept_leave (mm_kept *k)
 {
--- a/src/mm_kept.h
+++ b/src/mm_kept.h
@@ -67,6 +67,8 @@
 /* Stops starting tasks, and leaves the group once no task of a kept job runs
    here, at the latest after MM_HANDOVER_MS.  */
 void mm_kept_leave (mm_kept *k);
+/* Makes the next tick ask the store for the partitions of kept jobs.  */
+void mm_kept_poll_now (mm_kept *k);
 /* Whether the group has been left, so that all partitions are handed over.  */
 bool mm_kept_left (const mm_kept *k);
 /* Number of jobs that have not ended and whose home is this instance.  */
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -308,6 +308,17 @@
   tick_now (n);
 }
 
+/* The partitions of a previous incarnation are assigned to other members, of
+   which this instance is one, once it has been removed.  */
+static void
+on_predecessor_removed (void *ctx, const char *group)
+{
+  mm_node *n = ctx;
+  if (strcmp (group, MM_JOBS_GROUP) == 0)
+    mm_kept_poll_now (n->kept);
+  on_group_changed (n, group);
+}
+
 static mm_time_ms
 list_known_ms (void *ctx)
 {
@@ -358,6 +369,7 @@
                                          .ctx = n };
   n->ownership = mm_ownership_create (n->catalog, n->owner, &partitions);
   n->predecessors = mm_predecessors_create (store, member);
+  mm_predecessors_on_removed (n->predecessors, on_predecessor_removed, n);
   mm_mesh_on_released (n->mesh, on_group_changed, n);
   mm_kept_deps kept = { .store = *store,
                         .mesh = n->mesh,
--- a/src/mm_predecessors.c
+++ b/src/mm_predecessors.c
@@ -21,6 +21,8 @@
   char *self;                  /* member name of this instance */
   char *addr;                  /* address that this instance listens on */
   GHashTable *leaving_members; /* "group member" of each call in flight */
+  mm_predecessors_removed removed;
+  void *removed_ctx;
 };
 
 /* A call in flight that removes a member from a group.  */
@@ -28,6 +30,7 @@
 {
   mm_predecessors *predecessors;
   char *key; /* its key in leaving_members */
+  char *group;
 } leave_call;
 
 static void
@@ -59,11 +62,21 @@
   return p;
 }
 
+void
+mm_predecessors_on_removed (mm_predecessors *p,
+                            mm_predecessors_removed removed, void *ctx)
+{
+  p->removed = removed;
+  p->removed_ctx = ctx;
+}
+
 void
 mm_predecessors_destroy (mm_predecessors *p)
 {
-  if (p)
-    predecessors_unref (p);
+  if (!p)
+    return;
+  p->removed = NULL;
+  predecessors_unref (p);
 }
 
 /* Handles the answer to a leave call.  A failure needs no handling: the store
@@ -72,9 +85,13 @@
 on_left (const mm_join_result *res, void *ctx)
 {
   leave_call *call = ctx;
-  g_hash_table_remove (call->predecessors->leaving_members, call->key);
-  predecessors_unref (call->predecessors);
+  mm_predecessors *p = call->predecessors;
+  g_hash_table_remove (p->leaving_members, call->key);
+  if (res->ok && p->removed)
+    p->removed (p->removed_ctx, call->group);
+  predecessors_unref (p);
   g_free (call->key);
+  g_free (call->group);
   g_free (call);
 }
 
@@ -104,7 +121,9 @@
   mm_log_event (MM_EV_PREDECESSOR, MM_TEXT (group), MM_TEXT (member));
   g_hash_table_add (p->leaving_members, g_strdup (key));
   leave_call *call = g_new (leave_call, 1);
-  *call = (leave_call){ .predecessors = p, .key = key };
+  *call = (leave_call){ .predecessors = p,
+                        .key = key,
+                        .group = g_strdup (group) };
   p->refs++;
   p->port.leave (p->port.ctx, group, member, MM_STORE_TIMEOUT_MS, on_left,
                  call);
