Confirm at once a generation that was skipped to

Seen: of two instances that were restarted together, the second owned its first upstream 155 ms after its start (test_node_restart, 1 of 30 runs at load 12). Callers were refused until then, as no instance owned these upstreams.

Cause, from that run's logs: the first instance was assigned all partitions and lost half of them to the second before its next call. It learned of both at 51 ms, had nothing to release, and yet confirmed the new generation only with its next poll, at 104 ms. The store passes partitions on when their last member has confirmed, so the second one got none at its poll at 101 ms, and waited for the one at 151 ms. An instance that owns partitions already confirms only with its next heartbeat, 300 ms later.

A list that skips a generation may hide partitions that this instance never knew; such a generation is now confirmed with the next tick. An early call is not followed by another early one, so that joins at most double while many instances join; a test counts them. Releases wait for idle upstreams as before.

--- a/src/mm_partitions.c
+++ b/src/mm_partitions.c
@@ -54,6 +54,8 @@
   mm_time_ms next_call_ms; /* when the next call is due */
   uint64_t changes;        /* changes of partition states so far */
   mm_time_ms created_ms;   /* when this object was created */
+  bool confirm_early;      /* the next call confirms without its usual pause */
+  bool sent_early;         /* so did the last call that was sent */
   bool release_pending; /* no join has handed over released partitions yet */
   bool release_sent;    /* the call in flight hands them over */
   bool release_unsure;  /* a call without an answer may have done so */
@@ -108,6 +110,21 @@
   return false;
 }
 
+/* Makes the next tick confirm a generation that the store's answers have
+   skipped to.  Partitions may have been assigned to this instance and then to
+   another one in generations that it has not seen; the other one gets them
+   only once this instance has confirmed.  While many instances join, each
+   answer has a new generation: a call that was early is not followed by
+   another one.  */
+static void
+confirm_unseen (mm_partitions *set)
+{
+  if (!set->listed_generation || set->sent_early)
+    return; /* a first join has nothing to give up */
+  set->confirm_early = true;
+  set->next_call_ms = 0;
+}
+
 /* Applies the store's list of partitions that are assigned to this instance.
    An owned partition that is not listed any more is releasing from now on.
    If the list skips a generation, another member may have held any partition
@@ -136,13 +153,15 @@
   mm_log_event (MM_EV_GROUP_CHANGED, MM_TEXT (set->group),
                 MM_INT (res->generation), MM_INT (n_owned),
                 MM_INT (n_releasing));
-  set->listed_generation = res->generation;
   /* The next join confirms the new generation, unless partitions have to be
      released first.  */
   if (!n_releasing)
     set->confirmed_generation = res->generation;
   else if (!set->releasing_since_ms)
     set->releasing_since_ms = mm_clock_now_ms ();
+  if (!n_releasing && skipped)
+    confirm_unseen (set);
+  set->listed_generation = res->generation;
   if (set->ev.changed)
     set->ev.changed (set->ev.ctx);
 }
@@ -277,6 +296,8 @@
   if (set->in_flight || set->has_left || now < set->next_call_ms)
     return;
   set->in_flight = true;
+  set->sent_early = set->confirm_early;
+  set->confirm_early = false;
   set->call_sent_ms = now;
   set->release_sent = set->release_pending && !set->leaving;
   set->next_call_ms = now + join_interval_ms (set, now);
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -4,6 +4,7 @@
 #include "config.h"
 #include "mm_group_table.h"
 #include "mm_node.h"
+#include "mm_partitions.h"
 #include "harness.h"
 
 #include <check.h>
@@ -43,6 +44,7 @@
   mm_group_table *owners, *jobs; /* the groups */
   GQueue calls;
   bool leaves_last; /* carries leaves out after the other calls that wait */
+  guint n_joins;    /* joins of the instance that were carried out */
   size_t own_partitions; /* in the last answer to a join of the upstreams'
                             group */
 } store;
@@ -125,6 +127,7 @@
   for (uint32_t i = 0; c->kind == CALL_JOIN && i < MM_DEFAULT_PARTITIONS; i++)
     if (g_strcmp0 (mm_group_table_holder (g, i), c->member) == 0)
       partitions[res.n_partitions++] = i;
+  s->n_joins += c->kind == CALL_JOIN;
   if (c->kind == CALL_JOIN && g == s->owners)
     s->own_partitions = res.n_partitions;
   c->joined (&res, c->ctx);
@@ -274,12 +277,82 @@
 }
 END_TEST
 
+/* Returns how many partitions a member of the upstreams' group holds.  */
+static size_t
+count_held (const store *s, const char *member)
+{
+  size_t n = 0;
+  for (uint32_t i = 0; i < MM_DEFAULT_PARTITIONS; i++)
+    n += g_strcmp0 (mm_group_table_holder (s->owners, i), member) == 0;
+  return n;
+}
+
+/* Runs a membership without any time passing.  */
+static void
+run_membership (fixture *f, mm_partitions *set)
+{
+  for (int i = 0; i < 10; i++)
+    {
+      mm_partitions_tick (set);
+      store_step (&f->store);
+    }
+}
+
+/* Guards against an instance that lets the next owner of partitions wait for
+   its next poll though it never knew that they were its own.  */
+START_TEST (partitions_assigned_unseen_are_passed_on_at_once)
+{
+  fixture *f = fixture_create ();
+  mm_store_port port = { .join = store_join, .ctx = &f->store };
+  add_member (f, "gone");
+  mm_partitions *set = mm_partitions_create (&port, OWNERS_GROUP, "n1",
+                                             MM_DEFAULT_PARTITIONS);
+  run_membership (f, set);
+  mm_group_table_leave (f->store.owners, "gone");
+  add_member (f, "n2");
+  ck_assert_uint_eq (count_held (&f->store, "n2"), 0);
+  mm_partitions_poll_now (set);
+  run_membership (f, set);
+  ck_assert_uint_eq (count_held (&f->store, "n1"), MM_DEFAULT_PARTITIONS / 2);
+  ck_assert_uint_eq (count_held (&f->store, "n2"), MM_DEFAULT_PARTITIONS / 2);
+  mm_partitions_destroy (set);
+  fixture_destroy (f);
+}
+END_TEST
+
+/* Guards against a flood of joins: while other members change without a
+   pause, each regular call is followed by one early confirmation at most.  */
+START_TEST (early_confirmations_are_bounded)
+{
+  fixture *f = fixture_create ();
+  mm_store_port port = { .join = store_join, .ctx = &f->store };
+  add_member (f, "owner");
+  mm_partitions *set = mm_partitions_create (&port, OWNERS_GROUP, "n1",
+                                             MM_DEFAULT_PARTITIONS);
+  run_membership (f, set);
+  mm_partitions_poll_now (set);
+  f->store.n_joins = 0;
+  for (int i = 0; i < 40; i++)
+    {
+      add_member (f, "n2");
+      mm_group_table_leave (f->store.owners, "n2");
+      mm_partitions_tick (set);
+      store_step (&f->store);
+    }
+  ck_assert_uint_eq (f->store.n_joins, 2);
+  mm_partitions_destroy (set);
+  fixture_destroy (f);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *s = suite_create ("restart");
   TCase *c = tcase_create ("restart");
   tcase_add_test (c, partitions_are_asked_for_once_the_predecessor_has_left);
+  tcase_add_test (c, partitions_assigned_unseen_are_passed_on_at_once);
+  tcase_add_test (c, early_confirmations_are_bounded);
   suite_add_tcase (s, c);
   return h_run_suite (s);
 }
