Harness: pass over blocks of ports that other programs use

Cause: a test case marks its block of 40 ports by listening on the last one. Programs that are no tests mark none: a bench and a soak that ran by hand had listening ports from 28000 up, inside the tests' range. A case whose process id mapped to such a block used it. In other tests that shows as a cluster that does not come up.

All ports of a block are now tried before it is chosen. The check binds them as the daemons do, so that closing connections do not count.

--- a/tests/harness.c
+++ b/tests/harness.c
@@ -32,23 +32,53 @@
 #define PORT_BLOCKS 500
 #define PORTS_PER_BLOCK 40
 
-/* Listens on a port of the loopback address until the process exits.  Returns
-   false when the port is in use.  */
-static bool
-listen_on_port (int port)
+/* Binds a socket to a port of the loopback address.  Returns -1 when the port
+   is in use.  @reuse: ports whose last connections are still closing are not,
+   as for the processes under test.  */
+static int
+bind_port (int port, bool reuse)
 {
   struct sockaddr_in addr = { .sin_family = AF_INET,
                               .sin_port = htons ((uint16_t)port),
                               .sin_addr = { htonl (INADDR_LOOPBACK) } };
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (fd >= 0 && bind (fd, (struct sockaddr *)&addr, sizeof addr) == 0
-      && listen (fd, 1) == 0)
+  int on = reuse;
+  if (fd >= 0 && setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0
+      && bind (fd, (struct sockaddr *)&addr, sizeof addr) == 0)
+    return fd;
+  if (fd >= 0)
+    close (fd);
+  return -1;
+}
+
+/* Listens on a port of the loopback address until the process exits.  Returns
+   false when the port is in use.  */
+static bool
+listen_on_port (int port)
+{
+  int fd = bind_port (port, false);
+  if (fd >= 0 && listen (fd, 1) == 0)
     return true;
   if (fd >= 0)
     close (fd);
   return false;
 }
 
+/* A program that is no test, such as a soak or a bench by hand, uses ports
+   without marking a block.  */
+bool
+h_ports_are_free (int first, int n)
+{
+  for (int port = first; port < first + n; port++)
+    {
+      int fd = bind_port (port, true);
+      if (fd < 0)
+        return false;
+      close (fd);
+    }
+  return true;
+}
+
 /* Each test case runs in a forked process.  That inherits @base, but must
    choose a block of its own.  */
 int
@@ -63,7 +93,8 @@
   for (int n_tried = 0; n_tried < PORT_BLOCKS; n_tried++)
     {
       base = FIRST_PORT + block * PORTS_PER_BLOCK;
-      if (listen_on_port (base + PORTS_PER_BLOCK - 1))
+      if (h_ports_are_free (base, PORTS_PER_BLOCK - 1)
+          && listen_on_port (base + PORTS_PER_BLOCK - 1))
         return base;
       block = (block + 1) % PORT_BLOCKS;
     }
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -11,6 +11,8 @@
 
 /* Return: the first port of the block of ports of this test process.  */
 int h_port_base (void);
+/* Returns whether none of @n ports from @first on is in use.  */
+bool h_ports_are_free (int first, int n);
 /* Starts a daemon.  The arguments after @program are values of --set; the last
    one is NULL.  */
 pid_t h_start (const char *program, ...);
--- a/tests/test_units.c
+++ b/tests/test_units.c
@@ -4,6 +4,7 @@
 #include "harness.h"
 #include "mm_cfg.h"
 #include "mm_contact.h"
+#include "mm_link.h"
 #include "mm_pool.h"
 #include "mm_quota.h"
 
@@ -376,6 +377,20 @@
 }
 END_TEST
 
+/* Guards against a test that fails because another program uses its ports.  */
+START_TEST (ports_in_use_are_not_given_to_a_test)
+{
+  int base = h_port_base ();
+  ck_assert (h_ports_are_free (base, 8));
+  int fd = mm_link_listen ("127.0.0.1", (uint16_t)(base + 7), NULL);
+  ck_assert_int_ge (fd, 0);
+  ck_assert (!h_ports_are_free (base, 8));
+  ck_assert (h_ports_are_free (base, 7));
+  close (fd);
+  ck_assert (h_ports_are_free (base, 8));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -393,6 +408,7 @@
                   restarted_upstream_does_not_cover_its_previous_incarnation);
   tcase_add_test (tc, failing_upstream_stays_half_open);
   tcase_add_test (tc, usage_adds_up_and_expires);
+  tcase_add_test (tc, ports_in_use_are_not_given_to_a_test);
   tcase_add_test (tc, decoders_survive_fuzzing);
   suite_add_tcase (s, tc);
   return h_run_suite (s);
