Loss of an upstream is reported as soon as connections to it fail

Cause: an owner recorded the loss of an upstream only once the leases there had expired, about 1.07 s after the crash. An owner that died before took the crash along uncounted, and the next owner recorded a crash without tasks.

Now: when a hold fails because its connection is refused or closed, and the next one on a new connection too, the loss is recorded as open and sent to the other instances, some milliseconds after the crash. What runs there counts as lost only when its lease has expired, as before, so nothing runs earlier elsewhere. A timeout is no such sign: a cut or slow upstream is reported with its leases. If the upstream answers again, also as fenced, the loss is over.

--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -150,8 +150,9 @@
      ended.  */
   void (*fenced) (void *ctx, mm_exec *x);
   /* The upstream is lost with all its runs: it was out of contact for longer
-     than any lease, or another incarnation answers (@crashed).  The ends of
-     the runs are reported after this call.  */
+     than any lease, its connections fail, or another incarnation answers
+     (@crashed).  The ends of the runs are reported after this call; if only
+     its connections fail, once no lease can last any longer.  */
   void (*upstream_lost) (void *ctx, mm_exec *x, bool crashed);
   /* An upstream answers for the first time, or again after it was reported as
      lost by this session.  */
@@ -218,6 +219,8 @@
    is known: their starts got no answer, or their runs failed shortly before.
    Return: as above.  */
 GList *mm_exec_unconfirmed_tasks (const mm_exec *x);
+/* Returns whether the upstream was reported as lost, and not as back yet.  */
+bool mm_exec_is_lost (const mm_exec *x);
 /* When the first of the holds failed that have failed since the lists were
    last received, 0: none has.  */
 mm_time_ms mm_exec_unresponsive_since_ms (const mm_exec *x);
--- a/src/mm_exec_hold.c
+++ b/src/mm_exec_hold.c
@@ -42,20 +42,59 @@
       mm_exec_send_stop (v, true);
 }
 
+/* Reports the upstream as lost, once until it answers again.  */
+static void
+report_lost (mm_exec *x)
+{
+  if (x->lost)
+    return;
+  x->ev.upstream_lost (x->ev.ctx, x, false);
+  x->lost = true;
+}
+
+/* Returns whether a hold failed because its connection could not be opened or
+   was closed.  An answer that is only late leaves its connection open.  */
+static bool
+connection_failed (const mm_call_result *res)
+{
+  return !res->overdue
+         && (res->verdict == MM_CALL_NO_ANSWER
+             || res->verdict == MM_CALL_NOT_SENT);
+}
+
 /* A single lost hold must not let the leases expire.  After the first hold
    that fails, another is sent at once on a new connection, and the leases are
-   renewed as soon as that second hold is answered.  */
+   renewed as soon as that second hold is answered.
+
+   If a connection fails for a later hold too, the process at the other end
+   has probably died.  The loss is reported then, so that the tasks there are
+   known as suspects even if this instance fails before their leases expire.
+   Starts without an answer are waited for: they may not have been sent.  */
 static void
-on_hold_failed (mm_exec *x, mm_call_verdict v)
+on_hold_failed (mm_exec *x, const mm_call_result *res)
 {
   bool first = !x->hold_failed_ms;
-  mm_exec_become_suspect (x, "hold", v);
+  mm_exec_become_suspect (x, "hold", res->verdict);
   x->hold_failed_ms = mm_clock_now_ms ();
   if (first)
     x->unresponsive_since_ms = x->hold_failed_ms;
   x->holds_failed++;
   if (first)
     mm_exec_send_hold (x, 0, false);
+  else if (x->runs_known && connection_failed (res)
+           && mm_exec_count_open_starts (x) == 0)
+    report_lost (x);
+}
+
+/* Another owner has the upstream, which answers.  */
+static void
+on_hold_fenced (mm_exec *x)
+{
+  if (x->lost)
+    x->ev.upstream_back (x->ev.ctx, x);
+  x->lost = false;
+  if (!x->closed)
+    mm_exec_become_fenced (x, NULL);
 }
 
 /* Processes the lists in a late answer, unless the lists of a later hold were
@@ -108,14 +147,14 @@
       if (mm_exec_call_outdated (c, res->call.verdict))
         mm_exec_tick (x);
       else
-        mm_exec_become_fenced (x, NULL);
+        on_hold_fenced (x);
       break;
     case MM_CALL_GONE:
       mm_exec_on_replaced (x);
       break;
     default:
       mm_metrics_count (MM_CT_HOLDS_FAILED);
-      on_hold_failed (x, res->call.verdict);
+      on_hold_failed (x, &res->call);
       break;
     }
   mm_exec_call_close (c, res->call.overdue);
@@ -164,12 +203,9 @@
 {
   if (!x->hold_failed_ms || now <= x->leases_expire_ms + MM_LEASE_SLACK_MS)
     return;
-  /* Reported once: runs_known is false until the upstream answers again.  */
+  /* runs_known is false until the upstream answers again.  */
   if (x->runs_known)
-    {
-      x->lost = true;
-      x->ev.upstream_lost (x->ev.ctx, x, false);
-    }
+    report_lost (x);
   GList *runs = g_hash_table_get_values (x->runs);
   for (GList *l = runs; l && !x->closed; l = l->next)
     {
--- a/src/mm_exec_state.c
+++ b/src/mm_exec_state.c
@@ -100,6 +100,12 @@
   return tasks;
 }
 
+bool
+mm_exec_is_lost (const mm_exec *x)
+{
+  return x->lost;
+}
+
 mm_time_ms
 mm_exec_unresponsive_since_ms (const mm_exec *x)
 {
--- a/src/mm_owner_suspects.c
+++ b/src/mm_owner_suspects.c
@@ -36,18 +36,20 @@
 }
 
 /* Appends the hashes of @tasks, which is freed, and logs that the tasks are
-   suspect.  Returns their number.  */
+   suspect unless the loss was reported before.  Returns their number.  */
 static size_t
-add_suspects (GArray *hashes, const char *upstream, GList *tasks)
+add_suspects (GArray *hashes, const mm_exec *x, GList *tasks)
 {
   size_t n = 0;
   for (GList *l = tasks; l; l = l->next, n++)
     {
       uint64_t hash = mm_task_hash (l->data);
       g_array_append_val (hashes, hash);
+      if (mm_exec_is_lost (x))
+        continue;
       mm_metrics_count (MM_CT_TASKS_SUSPECT);
       mm_log_event (MM_EV_TASK_SUSPECT, MM_TASK ((const mm_task_id *)l->data),
-                    MM_TEXT (upstream));
+                    MM_TEXT (mm_exec_info (x)->name));
     }
   g_list_free (tasks);
   return n;
@@ -66,9 +68,9 @@
   if (!suspects || u->draining)
     return;
   GArray *hashes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  add_suspects (hashes, u->name, mm_exec_confirmed_tasks (x));
+  add_suspects (hashes, x, mm_exec_confirmed_tasks (x));
   size_t n_unconfirmed
-      = add_suspects (hashes, u->name, mm_exec_unconfirmed_tasks (x));
+      = add_suspects (hashes, x, mm_exec_unconfirmed_tasks (x));
   mm_time_ms since_ms = mm_exec_unresponsive_since_ms (x);
   since_ms = since_ms ? since_ms : mm_clock_now_ms ();
   mm_loss loss
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -11,6 +11,7 @@
   SLOTS = 3,
   MAX_CRASHES = 2,               /* upstreams that a poison task may crash */
   MAX_CRASHES_BESIDE_OTHERS = 3, /* the same while other jobs run there */
+  NOTICE_MS = 200, /* an owner notices a crash within this time */
   CALLER_TIMEOUT_MS = 15000
 };
 
@@ -160,6 +161,44 @@
 }
 END_TEST
 
+/* Waits until the job has crashed an upstream.  Returns the instance that
+   started its task there.  */
+static int
+wait_for_crash (const char *job)
+{
+  for (int i = 0; i < 2000 && count_crashes (job) == 0; i++)
+    g_usleep (5000);
+  ck_assert_int_eq (count_crashes (job), 1);
+  return h_log_time_ms (h_instances[0], "\"task_started\"", job) >= 0 ? 0 : 1;
+}
+
+/* Guards against a crash that counts for no task because the owner of the
+   upstream dies before the leases there have expired.  */
+START_TEST (crash_counts_though_the_owner_dies)
+{
+  start_cluster ();
+  pid_t caller = submit (0, "poison-owner", 1, 500, true);
+  int owner = wait_for_crash ("poison-owner"), other = 1 - owner;
+  g_usleep (NOTICE_MS * 1000);
+  h_stop (h_instances[owner], SIGKILL);
+  ck_assert (!h_submit_completed (caller));
+  ck_assert (
+      h_log_time_ms (h_instances[other], "\"upstream_lost\"", "\"tasks\":1")
+      >= 0);
+  bool failed = false;
+  for (int i = 0; i < 5 && !failed; i++)
+    {
+      caller = submit (other, "poison-owner", 1, 500, true);
+      failed = h_submit_status_class (caller) == 2;
+      if (!failed)
+        g_usleep (1000000);
+    }
+  ck_assert (failed);
+  ck_assert_int_le (count_crashes ("poison-owner"), MAX_CRASHES);
+  h_stop_cluster ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -170,6 +209,7 @@
   tcase_add_test (tc, resubmitted_poison_job_fails_at_once);
   tcase_add_test (tc, jobs_beside_a_poison_job_complete);
   tcase_add_test (tc, kept_poison_job_ends_failed);
+  tcase_add_test (tc, crash_counts_though_the_owner_dies);
   suite_add_tcase (s, tc);
   /* CMakeLists.txt runs this case separately, as test_poison_limit.  */
   tc = tcase_create ("limit");
