A crash of a draining upstream counts for tasks that had just started there

Cause: the loss of an upstream that is listed as draining counted as a planned leave, whenever the list said so.

Now: an upstream that leaves as planned does so after its tasks have ended. So a loss carries the tasks that had started at most 100 ms before and were confirmed; if the upstream is, or later is found to be, draining, these and only these stay suspects. They are no evidence: the crash counts for the bound of three, once another incarnation is at the address, and gives no task up. Without such tasks it is a planned leave, as before, and accuses none; an unanswered start there accuses none either. The LOSS message has two more fields.

Tests: test_lost_upstreams, six new cases. With the old rule at the owner 1 failed, with the old rule for the list 2 of them, with all tasks accused 3.

--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -219,6 +219,9 @@
    is known: their starts got no answer, or their runs failed shortly before.
    Return: as above.  */
 GList *mm_exec_unconfirmed_tasks (const mm_exec *x);
+/* Tasks that ran when the upstream stopped answering, and had started no more
+   than MM_SUSPECTS_AFTER_START_MS before.  Return: as above.  */
+GList *mm_exec_just_started_tasks (const mm_exec *x);
 /* Returns whether the upstream was reported as lost, and not as back yet.  */
 bool mm_exec_is_lost (const mm_exec *x);
 /* When the first of the holds failed that have failed since the lists were
--- a/src/mm_exec_state.c
+++ b/src/mm_exec_state.c
@@ -85,12 +85,36 @@
   return list_tasks (x, true);
 }
 
+/* Returns when the upstream stopped answering.  */
+static mm_time_ms
+lost_ms_of (const mm_exec *x)
+{
+  return x->hold_failed_ms ? x->unresponsive_since_ms : mm_clock_now_ms ();
+}
+
+GList *
+mm_exec_just_started_tasks (const mm_exec *x)
+{
+  GList *tasks = NULL;
+  mm_time_ms lost_ms = lost_ms_of (x);
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, x->runs);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      mm_exec_run *r = v;
+      if (r->running_event && r->sent_ms
+          && lost_ms - r->sent_ms <= MM_SUSPECTS_AFTER_START_MS)
+        tasks = g_list_prepend (tasks, &r->id);
+    }
+  return tasks;
+}
+
 GList *
 mm_exec_unconfirmed_tasks (const mm_exec *x)
 {
   GList *tasks = list_tasks (x, false);
-  mm_time_ms lost_ms
-      = x->hold_failed_ms ? x->unresponsive_since_ms : mm_clock_now_ms ();
+  mm_time_ms lost_ms = lost_ms_of (x);
   for (guint i = 0; i < x->ended->len; i++)
     {
       mm_exec_ended_run *f = &g_array_index (x->ended, mm_exec_ended_run, i);
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -24,7 +24,7 @@
   RELEASED_FIELDS = 2,
   FOUND_FIELDS = 7,
   UPDATE_FIELDS = 3,
-  LOSS_FIELDS = 11,
+  LOSS_FIELDS = 13,
   EVACUATIONS_FIELDS = 4,
   CAPACITY_FIELDS = 9
 };
@@ -203,6 +203,14 @@
   msgpack_pack_uint64 (&pk, r->fence);
 }
 
+static void
+pack_task_hashes (msgpack_packer *pk, const uint64_t *hashes, size_t n)
+{
+  msgpack_pack_array (pk, n);
+  for (size_t i = 0; i < n; i++)
+    msgpack_pack_uint64 (pk, hashes[i]);
+}
+
 void
 mm_mesh_pack_loss (msgpack_sbuffer *b, const mm_loss *l)
 {
@@ -213,14 +221,14 @@
   msgpack_pack_int (&pk, l->verdict);
   msgpack_pack_int64 (&pk, mm_clock_now_ms () - l->unresponsive_since_ms);
   msgpack_pack_uint32 (&pk, l->occurrence);
-  msgpack_pack_array (&pk, l->n_tasks);
-  for (size_t i = 0; i < l->n_tasks; i++)
-    msgpack_pack_uint64 (&pk, l->tasks[i]);
+  pack_task_hashes (&pk, l->tasks, l->n_tasks);
   msgpack_pack_uint64 (&pk, l->n_unconfirmed);
   msgpack_pack_int64 (&pk, l->after_start_ms);
   msgpack_pack_int64 (&pk,
                       l->verdict_ms ? mm_clock_now_ms () - l->verdict_ms : 0);
   msgpack_pack_int64 (&pk, l->born_ms);
+  mm_mp_pack_bool (&pk, l->draining);
+  pack_task_hashes (&pk, l->just_started, l->n_just_started);
 }
 
 void
@@ -305,15 +313,15 @@
 }
 
 static bool
-read_task_hashes (const msgpack_object *o, mm_loss *l)
+read_task_hashes (const msgpack_object *o, const uint64_t **out, size_t *n)
 {
   if (o->type != MSGPACK_OBJECT_ARRAY
       || o->via.array.size > MM_SUSPECTS_TASKS_MAX)
     return false;
-  l->n_tasks = o->via.array.size;
-  uint64_t *hashes = g_new0 (uint64_t, l->n_tasks + 1);
-  l->tasks = hashes;
-  for (size_t i = 0; i < l->n_tasks; i++)
+  *n = o->via.array.size;
+  uint64_t *hashes = g_new0 (uint64_t, *n + 1);
+  *out = hashes;
+  for (size_t i = 0; i < *n; i++)
     if (!mm_mp_read_u64 (&o->via.array.ptr[i], &hashes[i]))
       return false;
   return true;
@@ -330,11 +338,13 @@
       || !mm_mp_read_u32 (&f[3], &verdict) || verdict >= MM_LOSS_VERDICT_COUNT
       || !read_time (&f[4], &unresponsive_for_ms)
       || !mm_mp_read_u32 (&f[5], &l->occurrence) || l->occurrence == 0
-      || !read_task_hashes (&f[6], l)
+      || !read_task_hashes (&f[6], &l->tasks, &l->n_tasks)
       || !mm_mp_read_u32 (&f[7], &n_unconfirmed) || n_unconfirmed > l->n_tasks
       || !read_time (&f[8], &l->after_start_ms)
       || !read_time (&f[9], &verdict_for_ms)
-      || !mm_mp_read_i64 (&f[10], &l->born_ms))
+      || !mm_mp_read_i64 (&f[10], &l->born_ms)
+      || !mm_mp_read_bool (&f[11], &l->draining)
+      || !read_task_hashes (&f[12], &l->just_started, &l->n_just_started))
     return false;
   l->n_unconfirmed = n_unconfirmed;
   l->verdict = (mm_loss_verdict)verdict;
@@ -507,6 +517,7 @@
   g_free ((char *)m->loss.upstream);
   g_free ((char *)m->loss.addr);
   g_free ((uint64_t *)m->loss.tasks);
+  g_free ((uint64_t *)m->loss.just_started);
   mm_evacuations_view_clear (&m->evacuations);
   g_free (m->name);
   g_free (m->capacities);
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -71,10 +71,12 @@
      A change of the upstream list; sent_ms is by the sender's clock.
 
    - [LOSS, upstream, addr, verdict, unresponsive_for_ms, occurrence,
-      [task hash, ...], n_unconfirmed, after_start_ms, verdict_for_ms, born_ms]
+      [task hash, ...], n_unconfirmed, after_start_ms, verdict_for_ms,
+      born_ms, draining, [task hash, ...]]
 
      An upstream was lost while it ran these tasks.  The last n_unconfirmed of
-     them may not have run.  The message holds for how long the upstream was
+     them may not have run.  draining: see mm_loss.  Then come the tasks that
+     had just started.  The message holds for how long the upstream was
      unresponsive and the verdict known, and not since when, as the clocks of
      two instances differ.
 
--- a/src/mm_owner_suspects.c
+++ b/src/mm_owner_suspects.c
@@ -55,36 +55,60 @@
   return n;
 }
 
+/* Returns the hashes of @tasks, which is freed.  */
+static GArray *
+hashes_of (GList *tasks)
+{
+  GArray *hashes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  for (GList *l = tasks; l; l = l->next)
+    {
+      uint64_t hash = mm_task_hash (l->data);
+      g_array_append_val (hashes, hash);
+    }
+  g_list_free (tasks);
+  return hashes;
+}
+
 /* Records the tasks that ran on a lost upstream as suspects, and those that
    failed there shortly before.  A draining upstream leaves as planned, so its
-   loss counts against no task.  One in an evacuated data centre does not have
-   to leave, and may have crashed before the evacuation.  */
+   loss counts only against tasks that had just started there, and is no
+   evidence.  One in an evacuated data centre does not have to leave, and may
+   have crashed before the evacuation.  */
 void
 mm_owner_on_upstream_lost (void *ctx, mm_exec *x, bool crashed)
 {
   mm_owned_upstream *owned = ctx;
   const mm_upstream_info *u = mm_exec_info (x);
   mm_suspects *suspects = owned->owner->suspects;
-  if (!suspects || u->draining)
+  if (!suspects)
     return;
   GArray *hashes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  add_suspects (hashes, x, mm_exec_confirmed_tasks (x));
+  if (!u->draining)
+    add_suspects (hashes, x, mm_exec_confirmed_tasks (x));
   size_t n_unconfirmed
-      = add_suspects (hashes, x, mm_exec_unconfirmed_tasks (x));
+      = add_suspects (hashes, x,
+                      u->draining ? mm_exec_just_started_tasks (x)
+                                  : mm_exec_unconfirmed_tasks (x));
+  GArray *just_started = hashes_of (mm_exec_just_started_tasks (x));
   mm_time_ms since_ms = mm_exec_unresponsive_since_ms (x);
   since_ms = since_ms ? since_ms : mm_clock_now_ms ();
   mm_loss loss
       = { .upstream = u->name,
           .born_ms = mm_exec_born_ms (x),
           .addr = u->addr,
+          .draining = u->draining,
           .verdict = crashed ? MM_LOSS_CRASHED : MM_LOSS_OPEN,
           .unresponsive_since_ms = since_ms,
           .after_start_ms = MAX (since_ms - mm_exec_last_start_ms (x), 0),
           .tasks = (const uint64_t *)(const void *)hashes->data,
           .n_tasks = hashes->len,
-          .n_unconfirmed = n_unconfirmed };
-  mm_suspects_record (suspects, &loss);
+          .n_unconfirmed = n_unconfirmed,
+          .just_started = (const uint64_t *)(const void *)just_started->data,
+          .n_just_started = just_started->len };
+  if (!u->draining || hashes->len)
+    mm_suspects_record (suspects, &loss);
   g_array_free (hashes, TRUE);
+  g_array_free (just_started, TRUE);
 }
 
 void
--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -3,7 +3,8 @@
    Only another incarnation at the address or with the same name proves a
    crash.  A disconnected upstream does not answer either, and its list entry
    expires like that of a crashed one, so neither sign proves a crash.  An
-   upstream that was listed as draining has left as planned.
+   upstream that was listed as draining has left as planned, unless tasks had
+   just started there: an upstream that leaves does so after they have ended.
 
    Several tasks may run on an upstream when it crashes, and usually only one
    of them is a poison task.  The first crash makes them suspect, and each then
@@ -42,6 +43,7 @@
   char *upstream;  /* its name */
   int64_t born_ms; /* as in mm_loss */
   char *addr;      /* "ip:port" */
+  bool draining;   /* as in mm_loss */
   mm_loss_verdict verdict;
   mm_time_ms unresponsive_since_ms; /* when it stopped answering */
   mm_time_ms after_start_ms;        /* as in mm_loss */
@@ -51,6 +53,7 @@
      may not have run.  */
   GArray *tasks;
   guint n_unconfirmed;
+  GArray *just_started; /* as in mm_loss, uint64_t */
 } loss;
 
 struct mm_suspects
@@ -71,6 +74,7 @@
   g_free (l->upstream);
   g_free (l->addr);
   g_array_free (l->tasks, TRUE);
+  g_array_free (l->just_started, TRUE);
   g_free (l);
 }
 
@@ -120,6 +124,7 @@
   return (mm_loss){ .upstream = l->upstream,
                     .born_ms = l->born_ms,
                     .addr = l->addr,
+                    .draining = l->draining,
                     .verdict = l->verdict,
                     .unresponsive_since_ms = l->unresponsive_since_ms,
                     .after_start_ms = l->after_start_ms,
@@ -127,7 +132,10 @@
                     .verdict_ms = l->verdict_ms,
                     .tasks = (const uint64_t *)(const void *)l->tasks->data,
                     .n_tasks = l->tasks->len,
-                    .n_unconfirmed = l->n_unconfirmed };
+                    .n_unconfirmed = l->n_unconfirmed,
+                    .just_started
+                    = (const uint64_t *)(const void *)l->just_started->data,
+                    .n_just_started = l->just_started->len };
 }
 
 static void
@@ -171,16 +179,22 @@
   return NULL;
 }
 
-/* Returns the index of a task in the loss, -1 if it is not there.  */
 static int
-find_task (const loss *l, uint64_t hash)
+find_hash (const GArray *hashes, uint64_t hash)
 {
-  for (guint i = 0; i < l->tasks->len; i++)
-    if (g_array_index (l->tasks, uint64_t, i) == hash)
+  for (guint i = 0; i < hashes->len; i++)
+    if (g_array_index (hashes, uint64_t, i) == hash)
       return (int)i;
   return -1;
 }
 
+/* Returns the index of a task in the loss, -1 if it is not there.  */
+static int
+find_task (const loss *l, uint64_t hash)
+{
+  return find_hash (l->tasks, hash);
+}
+
 static bool
 has_task (const loss *l, uint64_t hash)
 {
@@ -220,11 +234,38 @@
   return true;
 }
 
-/* Adds the tasks of @from.  Returns whether the loss has changed.  */
+static void
+drop_tasks (loss *l)
+{
+  g_array_set_size (l->tasks, 0);
+  l->n_unconfirmed = 0;
+}
+
+/* Adds a task that had just started.  Returns whether the loss has changed. */
+static bool
+add_just_started (loss *l, uint64_t hash)
+{
+  if (find_hash (l->just_started, hash) >= 0
+      || l->just_started->len >= MM_SUSPECTS_TASKS_MAX)
+    return false;
+  g_array_append_val (l->just_started, hash);
+  return true;
+}
+
+/* Adds the tasks of @from.  If one of the reports of a loss says that the
+   upstream was draining, only the tasks in such reports count.  Returns
+   whether the loss has changed.  */
 static bool
 add_tasks (loss *l, const mm_loss *from)
 {
-  bool changed = false;
+  bool changed = from->draining && !l->draining;
+  if (l->draining && !from->draining)
+    return false;
+  if (changed)
+    drop_tasks (l);
+  l->draining = from->draining;
+  for (size_t i = 0; i < from->n_just_started; i++)
+    changed = add_just_started (l, from->just_started[i]) || changed;
   for (size_t i = 0; i < from->n_tasks; i++)
     changed
         = add_task (l, from->tasks[i], i < from->n_tasks - from->n_unconfirmed)
@@ -266,6 +307,7 @@
   l->after_start_ms = from->after_start_ms;
   l->occurrence = MAX (from->occurrence, 1);
   l->tasks = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  l->just_started = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   g_queue_insert_sorted (s->losses, l, compare_times, NULL);
   return l;
 }
@@ -338,8 +380,9 @@
   if (is_later)
     {
       /* The tasks of the earlier loss did not cause this one.  */
-      g_array_set_size (l->tasks, 0);
-      l->n_unconfirmed = 0;
+      drop_tasks (l);
+      g_array_set_size (l->just_started, 0);
+      l->draining = false;
       l->occurrence = occurrence;
       l->unresponsive_since_ms = from->unresponsive_since_ms;
       l->after_start_ms = from->after_start_ms;
@@ -377,6 +420,26 @@
     change_verdict (s, l, MM_LOSS_ALIVE, "it answers again");
 }
 
+/* The upstream of an open loss was draining.  It has left as planned, unless
+   tasks had just started there.  */
+static void
+set_draining (mm_suspects *s, loss *l)
+{
+  if (l->draining)
+    return;
+  if (l->just_started->len == 0)
+    {
+      change_verdict (s, l, MM_LOSS_ALIVE, "it left as planned");
+      return;
+    }
+  drop_tasks (l);
+  l->draining = true;
+  for (guint i = 0; i < l->just_started->len; i++)
+    add_task (l, g_array_index (l->just_started, uint64_t, i), false);
+  rebuild_hashes (s);
+  report_change (s, l);
+}
+
 void
 mm_suspects_listed (mm_suspects *s, const mm_upstream_info *u)
 {
@@ -387,7 +450,7 @@
         continue;
       bool same_name = strcmp (l->upstream, u->name) == 0;
       if (is_of (l, u->name, u->born_ms) && u->draining)
-        change_verdict (s, l, MM_LOSS_ALIVE, "it left as planned");
+        set_draining (s, l);
       else if (!same_name && strcmp (l->addr, u->addr) == 0)
         change_verdict (s, l, MM_LOSS_CRASHED,
                         "another incarnation at its address");
--- a/src/mm_suspects.h
+++ b/src/mm_suspects.h
@@ -26,6 +26,9 @@
   int64_t born_ms;      /* mm_upstream_info.born_ms of the lost incarnation */
   const char *addr;     /* "ip:port" */
   mm_loss_verdict verdict;
+  /* It was listed as draining, but @tasks, all of them unconfirmed, had just
+     started there: it has not left as planned.  */
+  bool draining;
   /* When it stopped answering, which is about when it crashed.  */
   mm_time_ms unresponsive_since_ms;
   /* Time from the last start of @tasks there until then; far longer than
@@ -40,6 +43,10 @@
   /* The last ones of @tasks, which may not have run when the upstream was
      lost: their starts got no answer, or they had failed shortly before.  */
   size_t n_unconfirmed;
+  /* Those that ran there and had started no more than
+     MM_SUSPECTS_AFTER_START_MS before.  */
+  const uint64_t *just_started;
+  size_t n_just_started;
 } mm_loss;
 
 /* How a task may be run.  */
--- a/tests/test_lost_upstreams.c
+++ b/tests/test_lost_upstreams.c
@@ -3,6 +3,7 @@
 #include "config.h"
 #include "fake_upstreams.h"
 #include "harness.h"
+#include "mm_mesh_msg.h"
 #include "mm_metrics.h"
 
 enum
@@ -140,6 +141,157 @@
 }
 END_TEST
 
+/* The upstream drains, and another incarnation is there, @ms after the start
+   of a second task.  Return: the second task.  */
+static mm_task_id
+restart_while_draining (fixture *fx, mm_time_ms ms, mm_end *how)
+{
+  mm_task_id second = start_task (fx, "second", how);
+  fakes_run (fx->upstreams, fx->owner, ms);
+  fake_set_draining (fx->a, true);
+  mm_owner_update_upstream (fx->owner, fake_info (fx->a));
+  fake_restart (fx->a);
+  fakes_run (fx->upstreams, fx->owner, MM_HOLD_WAIT_MS);
+  ck_assert_int_eq (*how, MM_END_LOST);
+  mm_owner_update_upstream (fx->owner, fake_info (fx->a));
+  return second;
+}
+
+/* Guards against a poison task whose crash counts for nothing because its
+   upstream had just begun to drain.  Other tasks there must not be suspect. */
+START_TEST (crash_while_draining_counts_for_a_task_that_just_started)
+{
+  fixture fx;
+  mm_end how;
+  fixture_create (&fx);
+  mm_task_id second = restart_while_draining (&fx, 20, &how);
+  ck_assert_uint_eq (mm_suspects_count_crashes (fx.suspects, &second), 1);
+  ck_assert_int_eq (mm_suspects_decide (fx.suspects, &second),
+                    MM_SUSPECT_ISOLATE);
+  ck_assert_int_eq (mm_suspects_decide (fx.suspects, &fx.task),
+                    MM_SUSPECT_RUN);
+  fixture_destroy (&fx);
+}
+END_TEST
+
+/* Guards against tasks that are suspect because their upstream left as
+   planned.  */
+START_TEST (planned_leave_accuses_no_task)
+{
+  fixture fx;
+  mm_end how;
+  fixture_create (&fx);
+  restart_while_draining (&fx, 4 * MM_SUSPECTS_AFTER_START_MS, &how);
+  ck_assert_uint_eq (mm_suspects_count (fx.suspects), 0);
+  fixture_destroy (&fx);
+}
+END_TEST
+
+/* Guards against a task that is suspect because its start reached an upstream
+   that left as planned before it could answer.  */
+START_TEST (unanswered_start_at_a_leaving_upstream_accuses_no_task)
+{
+  fixture fx;
+  mm_end how;
+  fixture_create (&fx);
+  fake_mode_of (fx.a)->lose_starts = 1;
+  restart_while_draining (&fx, 20, &how);
+  ck_assert_uint_eq (mm_suspects_count (fx.suspects), 0);
+  fixture_destroy (&fx);
+}
+END_TEST
+
+/* Sends a loss to another instance, which records it.  */
+static void
+send_loss (void *ctx, const mm_loss *l)
+{
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init (&b);
+  mm_mesh_pack_loss (&b, l);
+  msgpack_unpacked u;
+  msgpack_unpacked_init (&u);
+  ck_assert_int_eq (msgpack_unpack_next (&u, b.data, b.size, NULL),
+                    MSGPACK_UNPACK_SUCCESS);
+  mm_mesh_msg msg;
+  ck_assert (mm_mesh_msg_read (&u.data, &msg));
+  mm_suspects_record (ctx, &msg.loss);
+  mm_mesh_msg_clear (&msg);
+  msgpack_unpacked_destroy (&u);
+  msgpack_sbuffer_destroy (&b);
+}
+
+/* Guards against a crash that counts for nothing because the upstream is
+   listed as draining only after its loss was recorded.  @_i: whether other
+   instances learn that first.  */
+START_TEST (crash_counts_though_the_drain_is_listed_later)
+{
+  fixture fx;
+  mm_end how;
+  fixture_create (&fx);
+  mm_suspects *other = mm_suspects_create ();
+  mm_suspects_on_changed (fx.suspects, send_loss, other);
+  /* After a lost hold, the next ones wait only MM_HOLD_WAIT_SHORT_MS.  */
+  fake_mode_of (fx.a)->lose_holds = 1;
+  fakes_run (fx.upstreams, fx.owner, 2 * MM_HOLD_WAIT_MS);
+  mm_task_id second = start_task (&fx, "second", &how);
+  fakes_run (fx.upstreams, fx.owner, 10);
+  refuse_connections (&fx, NOTICE_MS);
+  mm_suspects *hears_first = _i ? other : fx.suspects;
+  ck_assert_int_eq (mm_suspects_decide (hears_first, &fx.task),
+                    MM_SUSPECT_ISOLATE);
+  fake_set_draining (fx.a, true);
+  mm_suspects_listed (hears_first, fake_info (fx.a));
+  if (_i)
+    mm_suspects_foreach (other, send_loss, fx.suspects);
+  mm_upstream_info again = *fake_info (fx.a);
+  again.name = (char *)"a-again";
+  mm_suspects_listed (fx.suspects, &again);
+  for (int i = 0; i < 2; i++)
+    {
+      const mm_suspects *s = i ? other : fx.suspects;
+      ck_assert_uint_eq (mm_suspects_count_crashes (s, &second), 1);
+      ck_assert_uint_eq (mm_suspects_count_crashes (s, &fx.task), 0);
+    }
+  mm_suspects_destroy (other);
+  fixture_destroy (&fx);
+}
+END_TEST
+
+/* Guards against an instance that takes such a crash for a planned leave, or
+   for evidence, because it only heard of it.  */
+START_TEST (crashes_while_draining_are_known_elsewhere_but_no_evidence)
+{
+  fixture fx;
+  fixture_create (&fx);
+  uint64_t hash = mm_task_hash (&fx.task);
+  mm_suspects *other = mm_suspects_create ();
+  mm_suspects_on_changed (fx.suspects, send_loss, other);
+  for (int i = 0; i < 3; i++)
+    {
+      char name[16];
+      g_snprintf (name, sizeof name, "up%d", i);
+      mm_loss l = { .upstream = name,
+                    .addr = name,
+                    .draining = true,
+                    .unresponsive_since_ms = mm_clock_now_ms (),
+                    .tasks = &hash,
+                    .n_tasks = 1,
+                    .n_unconfirmed = 1 };
+      mm_suspects_record (fx.suspects, &l);
+      mm_upstream_info u = { .name = name, .addr = name, .draining = true };
+      mm_suspects_listed (other, &u);
+      ck_assert_uint_eq (mm_suspects_count (other), (size_t)i + 1);
+      u.name = (char *)"again";
+      mm_suspects_listed (other, &u);
+      fakes_run (fx.upstreams, fx.owner, 2 * MM_SUSPECTS_COINCIDE_MS);
+    }
+  ck_assert_uint_eq (mm_suspects_count_crashes (other, &fx.task), 3);
+  ck_assert_int_eq (mm_suspects_decide (other, &fx.task), MM_SUSPECT_POSTPONE);
+  mm_suspects_destroy (other);
+  fixture_destroy (&fx);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -149,6 +301,14 @@
   tcase_add_loop_test (tc, upstream_that_answers_again_is_not_lost, 0, 2);
   tcase_add_test (tc, timeouts_report_no_loss);
   tcase_add_test (tc, lost_upstream_is_reported_once);
+  tcase_add_test (tc,
+                  crash_while_draining_counts_for_a_task_that_just_started);
+  tcase_add_test (tc, planned_leave_accuses_no_task);
+  tcase_add_test (tc, unanswered_start_at_a_leaving_upstream_accuses_no_task);
+  tcase_add_loop_test (tc, crash_counts_though_the_drain_is_listed_later, 0,
+                       2);
+  tcase_add_test (tc,
+                  crashes_while_draining_are_known_elsewhere_but_no_evidence);
   suite_add_tcase (s, tc);
   return h_run_suite (s);
 }
