Links are silent only by input that has been read

In a site: an instance that stands still for half a second closes all of its links, the tasks on them are in doubt or stopped, and it looks for standbys.

Cause: after each wait the tick runs before sockets are read. It compared the time of the last bytes of a link with the present. After a pause of 450 to 700 ms of the instance itself, what its peers had sent meanwhile was in the sockets, and every link counted as silent for more than 600 ms. (A pause above 700 ms counts as a stall, which closes the links on purpose.)

The silence of a link now ends at the time until which this instance has read its input, which mm_node already gives to the owner. The fixture of test_mesh does as mm_node.

--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -451,12 +451,21 @@
   msgpack_sbuffer_destroy (&b);
 }
 
+/* Returns whether nothing arrived over a link for MM_MESH_TIMEOUT_MS.  While
+   this instance itself stands still, messages arrive that it reads later.  */
+static bool
+is_unresponsive (const mm_mesh *m, const mm_link *link)
+{
+  return mm_owner_input_read_ms (m->owner) - mm_link_received_ms (link)
+         > MM_MESH_TIMEOUT_MS;
+}
+
 /* Closes or opens the link to a peer as needed, and sends the heartbeat over
    it.  */
 static void
 peer_tick (mm_mesh_peer *p, mm_time_ms now)
 {
-  if (p->link && now - mm_link_received_ms (p->link) > MM_MESH_TIMEOUT_MS)
+  if (p->link && is_unresponsive (p->mesh, p->link))
     mm_link_close (p->link, why_unresponsive);
   if (can_close (p))
     mm_link_close (p->link, why_unneeded);
@@ -744,7 +753,7 @@
     {
       next = l->next;
       mm_mesh_inbound_link *in = l->data;
-      if (now - mm_link_received_ms (in->link) > MM_MESH_TIMEOUT_MS)
+      if (is_unresponsive (m, in->link))
         mm_link_close (in->link, why_unresponsive);
       else if (now - in->report_ms >= pause_ms)
         send_report (in, capacities, n, now);
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -613,6 +613,12 @@
   o->input_read_ms = until_ms;
 }
 
+mm_time_ms
+mm_owner_input_read_ms (const mm_owner *o)
+{
+  return o->input_read_ms ? o->input_read_ms : mm_clock_now_ms ();
+}
+
 /* Drops ends that were not acknowledged for MM_UNACKED_END_TTL_MS, so that
    they do not accumulate at the upstreams.  */
 static void
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -156,6 +156,8 @@
    If it is never called, they are taken to wait until their tasks are
    cancelled.  */
 void mm_owner_set_input_read (mm_owner *o, mm_time_ms until_ms);
+/* Returns the time that was last set, the present if none was.  */
+mm_time_ms mm_owner_input_read_ms (const mm_owner *o);
 /* Searches here for @tasks, a set of mm_task_id, which are in doubt at their
    home, and adds the result to @out.  */
 void mm_owner_search (const mm_owner *o, GHashTable *tasks,
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -22,6 +22,10 @@
 {
   struct ev_loop *loop;
   ev_timer tick;
+  ev_prepare before_wait;
+  ev_check after_wait;
+  mm_time_ms wait_from_ms;    /* when the last wait began */
+  mm_time_ms handled_from_ms; /* when the one before it did */
   mm_owner *owner[INSTANCES];
   mm_mesh *mesh[INSTANCES];
   mm_mesh_peer_info info[INSTANCES];
@@ -42,6 +46,36 @@
       mm_mesh_tick (f->mesh[i]);
 }
 
+static void
+before_wait_cb (struct ev_loop *loop, ev_prepare *w, int revents)
+{
+  ((fixture *)w->data)->wait_from_ms = mm_clock_now_ms ();
+}
+
+/* Tells the instances until when they have read their input, as mm_node
+   does.  */
+static void
+after_wait_cb (struct ev_loop *loop, ev_check *w, int revents)
+{
+  fixture *f = w->data;
+  for (int i = 0; i < INSTANCES; i++)
+    mm_owner_set_input_read (f->owner[i], f->handled_from_ms);
+  f->handled_from_ms = f->wait_from_ms;
+}
+
+static void
+watch_waits (fixture *f)
+{
+  f->wait_from_ms = f->handled_from_ms = mm_clock_now_ms ();
+  ev_prepare_init (&f->before_wait, before_wait_cb);
+  ev_check_init (&f->after_wait, after_wait_cb);
+  ev_set_priority (&f->before_wait, EV_MINPRI);
+  ev_set_priority (&f->after_wait, EV_MAXPRI);
+  f->before_wait.data = f->after_wait.data = f;
+  ev_prepare_start (f->loop, &f->before_wait);
+  ev_check_start (f->loop, &f->after_wait);
+}
+
 static void
 stop_loop (struct ev_loop *loop, ev_timer *w, int revents)
 {
@@ -92,6 +126,7 @@
   ev_timer_init (&f->tick, tick_cb, 0., MM_EXEC_TICK_MS / 1000.);
   f->tick.data = f;
   ev_timer_start (f->loop, &f->tick);
+  watch_waits (f);
   return f;
 }
 
@@ -106,6 +141,8 @@
 fixture_destroy (fixture *f)
 {
   ev_timer_stop (f->loop, &f->tick);
+  ev_prepare_stop (f->loop, &f->before_wait);
+  ev_check_stop (f->loop, &f->after_wait);
   for (int i = 0; i < INSTANCES; i++)
     {
       mm_mesh_destroy (f->mesh[i]);
@@ -671,6 +708,31 @@
 }
 END_TEST
 
+/* Guards against an instance that stands still for half a second and then
+   closes its links as silent, though what its peers sent meanwhile is only not
+   read yet.  */
+START_TEST (links_survive_a_pause_of_this_instance)
+{
+  pair p;
+  pair_create (&p);
+  pair_run (&p, 500, false);
+  ck_assert_uint_eq (mm_mesh_connected (p.mesh[0]), 1);
+  fakes_run (p.upstreams, NULL, MM_STALL_MS);
+  for (int i = 0; i < 2; i++)
+    mm_mesh_tick (p.mesh[i]);
+  ck_assert_uint_eq (mm_mesh_connected (p.mesh[0]), 1);
+  ck_assert_uint_eq (mm_mesh_inbound (p.mesh[1]), 1);
+  for (int i = 0; i < 3; i++)
+    ev_run (p.loop, EVRUN_NOWAIT);
+  pair_run (&p, 500, false);
+  ck_assert_uint_eq (mm_mesh_connected (p.mesh[0]), 1);
+  ck_assert_uint_eq (mm_mesh_inbound (p.mesh[1]), 1);
+  pair_run (&p, MM_MESH_TIMEOUT_MS + 2 * MM_MESH_HEARTBEAT_MS, true);
+  ck_assert_uint_eq (mm_mesh_inbound (p.mesh[1]), 0);
+  pair_destroy (&p);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -689,6 +751,7 @@
   tcase_add_test (c,
                   run_of_a_silent_instance_ends_before_its_job_is_sent_again);
   tcase_add_test (c, gained_upstreams_are_reported_without_a_tick);
+  tcase_add_test (c, links_survive_a_pause_of_this_instance);
   suite_add_tcase (s, c);
   c = tcase_create ("bounded");
   tcase_set_tags (c, "bounded");
