A stall of this instance does not look like peers that have closed

Seen, by reading while test_mesh_last was traced: an instance that has stalled for more than MM_STALL_MS becomes standby for every other data centre, unless a link there is back within 0.1 s.

Cause: it closes all links after its stall, and each of these was recorded as closed by the peer, which is what a process does that ends. With no link and every peer lost a moment ago, that record is the proof that a data centre has no instance left.

Evidence: test_mesh, two instances on simulated time: after the instance had closed its links for its own stall, its data centre had a closing time in 5 of 5 runs on the code before, none in 5 of 5 after; when the peer ends, it has one. What a site saw of it was not measured.

Links closed for the own stall are now left out, as those closed for silence.

--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -27,6 +27,7 @@
 /* Reasons for closing a link, compared by address.  */
 static const char why_unresponsive[] = "silent";
 static const char why_unneeded[] = "not a neighbour any more";
+static const char why_stalled[] = "this instance stood still";
 
 /* ---- inbound links: the owner of upstreams ---------------------------- */
 
@@ -328,11 +329,12 @@
 
 /* Records when the peer closed its link.  A process that ends closes its
    links.  A peer that is disconnected, stalled or without power does not: this
-   instance closes the link as unresponsive, and that is not recorded.  */
+   instance closes the link as unresponsive, and that is not recorded.  Nor is
+   that this instance has stalled itself.  */
 static void
 record_closed (mm_mesh_peer *p, const char *why)
 {
-  if (why == why_unresponsive || why == why_unneeded)
+  if (why == why_unresponsive || why == why_unneeded || why == why_stalled)
     return;
   mm_time_ms *now = g_new (mm_time_ms, 1);
   *now = mm_clock_now_ms ();
@@ -703,13 +705,13 @@
 {
   while (m->inbound)
     mm_link_close (((mm_mesh_inbound_link *)m->inbound->data)->link,
-                   "this instance stood still");
+                   why_stalled);
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init (&it, m->peers);
   while (g_hash_table_iter_next (&it, NULL, &v))
     if (((mm_mesh_peer *)v)->link)
-      mm_link_close (((mm_mesh_peer *)v)->link, "this instance stood still");
+      mm_link_close (((mm_mesh_peer *)v)->link, why_stalled);
 }
 
 /* Returns the peers that have a link or to which one is wanted; free the list.
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -733,6 +733,28 @@
 }
 END_TEST
 
+/* Guards against an instance that stalls and then takes all data centres for
+   left by their instances, for which it would become standby.  */
+START_TEST (own_stall_is_no_sign_of_a_data_centre_without_instances)
+{
+  pair p;
+  pair_create (&p);
+  pair_run (&p, 500, false);
+  ck_assert_uint_eq (mm_mesh_connected (p.mesh[0]), 1);
+  mm_mesh_close_links (p.mesh[0]);
+  mm_mesh_presence north = mm_mesh_presence_in (p.mesh[0], "north");
+  ck_assert_uint_eq (north.connected, 0);
+  ck_assert_int_eq (north.closed_ms, 0);
+  pair_run (&p, 500, false);
+  mm_mesh_destroy (p.mesh[1]);
+  p.mesh[1] = NULL;
+  for (int i = 0; i < 3; i++)
+    ev_run (p.loop, EVRUN_NOWAIT);
+  ck_assert_int_gt (mm_mesh_presence_in (p.mesh[0], "north").closed_ms, 0);
+  pair_destroy (&p);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -752,6 +774,7 @@
                   run_of_a_silent_instance_ends_before_its_job_is_sent_again);
   tcase_add_test (c, gained_upstreams_are_reported_without_a_tick);
   tcase_add_test (c, links_survive_a_pause_of_this_instance);
+  tcase_add_test (c, own_stall_is_no_sign_of_a_data_centre_without_instances);
   suite_add_tcase (s, c);
   c = tcase_create ("bounded");
   tcase_set_tags (c, "bounded");
