tests: the logs of a failed case are kept, and their ends printed

Callers saw nothing of this; whoever traced a case that failed once found little. The logs of all runs lay in one folder, named by port and process id, with nothing that says which case they belong to; the message was only in the output, which the next ctest run overwrites; masticctl's output in test_config and the answers of forked callers in test_jobs were thrown away.

Each run of a test program has a folder of its own, with check's log and a folder for each case: the logs of its processes, the answers its callers got and masticctl's output. A case that passes marks its folder. After a failure the folders without a mark are printed, with the last lines of each file. No check changes.

--- a/tests/harness.c
+++ b/tests/harness.c
@@ -1,6 +1,8 @@
 /* harness: see harness.h.  */
 #include "harness.h"
 
+#include "harness_logs.h"
+
 #include <arpa/inet.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -102,19 +104,23 @@
   return 0;
 }
 
+/* Returns the path of the log of a process of this test case, g_free().  */
+static char *
+log_path (const char *program, pid_t pid)
+{
+  return g_strdup_printf ("%s/%s-%d.log", h_log_directory (), program,
+                          (int)pid);
+}
+
 /* Appends the output of a child process to a file, so that a test that fails
    only once can be traced from the logs of its processes.  */
 static void
-redirect_output (int port_base, const char *program)
+redirect_output (const char *program)
 {
-  char *directory = g_strdup_printf ("%s/test-logs", MM_BIN_DIR);
-  char *path = g_strdup_printf ("%s/%d-%s-%d.log", directory, port_base,
-                                program, (int)getpid ());
-  g_mkdir_with_parents (directory, 0755);
+  char *path = log_path (program, getpid ());
   freopen (path, "a", stderr);
   freopen (path, "a", stdout);
   g_free (path);
-  g_free (directory);
 }
 
 pid_t
@@ -133,7 +139,7 @@
     }
   va_end (arg_list);
   g_ptr_array_add (args, NULL);
-  int port_base = h_port_base ();
+  h_log_directory (); /* which the child process inherits */
   pid_t pid = fork ();
   if (pid == 0)
     {
@@ -141,7 +147,7 @@
          assertion ends it early.  */
       prctl (PR_SET_PDEATHSIG, SIGKILL);
       if (!g_getenv ("MM_TEST_LOGS"))
-        redirect_output (port_base, program);
+        redirect_output (program);
       execv (path, (char **)args->pdata);
       _exit (127);
     }
@@ -269,9 +275,7 @@
       = cJSON_GetStringValue (cJSON_GetObjectItem (o, "status"));
   if (st == 200 && status && g_str_equal (status, "complete"))
     _exit (SUBMIT_COMPLETE + 2);
-  char *text = cJSON_PrintUnformatted (o);
-  fprintf (stderr, "instance %d answered %ld: %.300s\n", instance, st,
-           text ? text : "(none)");
+  h_keep_answer (instance, st, o);
   _exit ((int)(st / 100));
 }
 
@@ -303,16 +307,6 @@
   cJSON_Delete (h_call ("POST", h_platform_port, "/v1/faults", json, NULL));
 }
 
-int
-h_run_suite (Suite *s)
-{
-  SRunner *r = srunner_create (s);
-  srunner_run_all (r, CK_NORMAL);
-  int failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? 1 : 0;
-}
-
 bool
 h_wait_json (int port, const char *path, const char *key, double want,
              mm_time_ms timeout_ms)
@@ -415,8 +409,7 @@
 static char *
 read_log (const char *program, pid_t pid)
 {
-  char *path = g_strdup_printf ("%s/test-logs/%d-%s-%d.log", MM_BIN_DIR,
-                                h_port_base (), program, (int)pid);
+  char *path = log_path (program, pid);
   char *log = NULL;
   if (!g_file_get_contents (path, &log, NULL, NULL))
     log = g_strdup ("");
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -3,6 +3,7 @@
    that publish at the same time, platform outages, the log's retention and
    instances that start late.  */
 #include "harness.h"
+#include "harness_logs.h"
 
 #include <string.h>
 #include <stdio.h>
@@ -50,10 +51,11 @@
 {
   char *path = g_strdup_printf ("/tmp/mm-cfg-%d.toml", getpid ());
   g_file_set_contents (path, base_text, -1, NULL);
-  char *cmd
-      = g_strdup_printf ("%s/masticctl --platform http://127.0.0.1:%d "
-                         "--wait-ms 3000 config publish %s >/dev/null 2>&1",
-                         MM_BIN_DIR, h_platform_port, path);
+  char *cmd = g_strdup_printf ("%s/masticctl --platform http://127.0.0.1:%d "
+                               "--wait-ms 3000 config publish %s "
+                               ">>%s/masticctl.log 2>&1",
+                               MM_BIN_DIR, h_platform_port, path,
+                               h_log_directory ());
   int rc = system (cmd);
   unlink (path);
   g_free (cmd);
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -5,6 +5,7 @@
    most once; "not run" is true; stops are graceful; jobs that cannot be served
    are refused early.  */
 #include "harness.h"
+#include "harness_logs.h"
 
 #include <signal.h>
 #include <sys/wait.h>
@@ -231,6 +232,7 @@
       long status = 0;
       cJSON *o
           = h_call ("POST", h_instance_ports[0], "/v1/jobs", job, &status);
+      h_keep_answer (0, status, o);
       _exit (status == 200 && tasks_in_state (o, "done") == 20 ? 0 : 1);
     }
   g_usleep (300000);
@@ -341,6 +343,7 @@
       long status = 0;
       cJSON *o
           = h_call ("POST", h_instance_ports[0], "/v1/jobs", again, &status);
+      h_keep_answer (0, status, o);
       _exit (status == 200 && tasks_in_state (o, "done") == 12 ? 0 : 1);
     }
   pid_t killer = fork ();
@@ -384,6 +387,7 @@
       long status = 0;
       cJSON *o
           = h_call ("POST", h_instance_ports[0], "/v1/jobs", job, &status);
+      h_keep_answer (0, status, o);
       _exit (status == 200 && tasks_in_state (o, "done") == 30 ? 0 : 1);
     }
   g_usleep (300000);
