mm_shard: a check of the log that times out is no lost contact

Callers of the older instance got 503, "the platform's log cannot be reached", for jobs at an instance that was not cut off, while another one was: "job cut1" of test_takeover_disconnected.

Cause: a check whether a shard is still owned (mm_shard_verify) is given up after 300 ms, as the answer to a caller waits for it. Its timeout was recorded as a failed call, and a failed call with no success for 500 ms counts as lost contact, although all other calls to the platform have 1000 ms. So a platform that did not answer for some 550 ms had an outage for the instances that had such a check in flight; their peers' votes agreed, and jobs of shards that no reachable instance owned were refused. The instances check all their shards 2 s after their list of peers has changed, which is while job cut1 runs.

A check that times out is not recorded any more; an answer still is, and so is a refused connection. What the check tells a caller does not change.

A platform that does not answer for over 1 s still has an outage, as designed.

--- a/src/mm_shard.c
+++ b/src/mm_shard.c
@@ -636,7 +636,10 @@
 verify_done (const mm_http_result *res, void *ctx)
 {
   mm_shard *s = ctx;
-  s->env->contact (platform_answered (res), s->env->ctx);
+  /* The answer to a caller waits for this call, so it is given up earlier than
+     others.  That it timed out does not show that contact is lost.  */
+  if (!res->error || res->error->code != MM_ERROR_TIMEOUT)
+    s->env->contact (platform_answered (res), s->env->ctx);
   int64_t epoch = res->status == 200 ? answer_field (res, "epoch") : 0;
   bool owned = s->state == SHARD_OWNED && epoch == s->epoch;
   /* A call without an answer must not pass 0, which would mean a refusal.  */
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -213,6 +213,49 @@
 }
 END_TEST
 
+/* Returns how many instances report that they saw an outage of the platform.
+ */
+static int
+instances_that_saw_an_outage (void)
+{
+  cJSON *list = h_call ("GET", h_platform_port, "/v1/members", NULL, NULL);
+  int n_instances = 0, n_saw = 0;
+  const cJSON *member;
+  cJSON_ArrayForEach (member, cJSON_GetObjectItem (list, "members"))
+    {
+      const cJSON *outage_ms = cJSON_GetObjectItem (member, "outage_ms");
+      n_instances += cJSON_IsNumber (outage_ms);
+      n_saw += cJSON_IsNumber (outage_ms) && outage_ms->valuedouble > 0;
+    }
+  cJSON_Delete (list);
+  ck_assert_int_eq (n_instances, N_ENTRIES);
+  return n_saw;
+}
+
+/* Guards against jobs answered with 503 because a check of the log, which is
+   given up after 300 ms, was taken for an outage of the platform.  */
+START_TEST (platform_that_pauses_for_700_ms_has_no_outage)
+{
+  start_cluster ();
+  /* A job that misses its deadline is answered after such a check.  */
+  char *job = h_job_json ("pause1", 200, 1000, 20, false);
+  pid_t callers[N_ENTRIES];
+  kill (h_platform, SIGSTOP);
+  g_usleep (300000);
+  for (int i = 0; i < N_ENTRIES; i++)
+    callers[i] = h_submit (i, job);
+  g_usleep (400000);
+  kill (h_platform, SIGCONT);
+  for (int i = 0; i < N_ENTRIES; i++)
+    ck_assert_int_eq (h_submit_status_class (callers[i]), 5);
+  g_usleep (1000000);
+  ck_assert_int_eq (h_count_starts ("pause1", NULL), 0);
+  ck_assert_int_eq (instances_that_saw_an_outage (), 0);
+  g_free (job);
+  h_stop_cluster ();
+}
+END_TEST
+
 /* Guards against jobs that run twice while an instance joins and another
    leaves gracefully: every job is submitted at two instances, whose member
    lists differ for a moment.  */
@@ -282,6 +325,10 @@
   tcase_add_test (tc, owner_killed_in_an_outage_leaves_no_double_start);
   tcase_add_test (tc, lost_answers_of_the_log_double_nothing);
   suite_add_tcase (s, tc);
+  tc = tcase_create ("pause");
+  tcase_set_timeout (tc, 60);
+  tcase_add_test (tc, platform_that_pauses_for_700_ms_has_no_outage);
+  suite_add_tcase (s, tc);
   tc = tcase_create ("disconnected");
   tcase_set_tags (tc, "disconnected");
   tcase_set_timeout (tc, 90);
