test_membership: handovers that are put off, refused calls, tokens that differ

The members of the tests now serve on in outages, as the groups of upstreams do, and the random faults have refused calls. Those faults also check what their comment says: two instances never own a partition with the same fencing token.

--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -33,6 +33,7 @@
 {
   bool disconnected;   /* calls are neither carried out nor answered */
   bool lose_answers;   /* calls are carried out, but not answered */
+  bool refused;        /* calls are answered as not carried out */
   mm_time_ms delay_ms; /* added to the time of a call */
 } faults;
 
@@ -44,6 +45,7 @@
   bool leave;            /* a call to leave the group, else to join */
   bool executed;         /* the store has carried the call out */
   bool answer_lost;      /* the caller gets a timeout */
+  bool refused;          /* the store does not carry the call out */
   char member[32];       /* name of the instance that calls */
   uint64_t generation;
   mm_time_ms ttl_ms;
@@ -91,8 +93,10 @@
 {
   g_strlcpy (c->member, member, sizeof c->member);
   mm_time_ms round_trip_ms = CALL_MS + s->faults->delay_ms;
-  c->execute_ms
-      = s->faults->disconnected ? G_MAXINT64 : now_ms + round_trip_ms / 2;
+  c->execute_ms = s->faults->disconnected || s->faults->refused
+                      ? G_MAXINT64
+                      : now_ms + round_trip_ms / 2;
+  c->refused = s->faults->refused && !s->faults->disconnected;
   c->answer_lost = s->faults->disconnected || s->faults->lose_answers;
   c->answer_ms
       = now_ms
@@ -155,6 +159,7 @@
   char name[16];
   snprintf (name, sizeof name, "node%d", i);
   f->partitions[i] = mm_partitions_create (&port, "room", name, PARTITIONS);
+  mm_partitions_serve_on (f->partitions[i]);
 }
 
 /* Advances the clock by 1 ms: carries out and answers the calls that are due,
@@ -176,6 +181,7 @@
       f->calls = g_list_delete_link (f->calls, l);
       if (c->answer_lost)
         c->result.ok = false;
+      c->result.nothing_done = c->refused && !c->answer_lost;
       c->done (&c->result, c->ctx);
       g_free (c);
     }
@@ -507,7 +513,31 @@
 }
 END_TEST
 
-/* Fifty seeds of disconnections, lost answers, slow calls and reassignments.
+/* Runs for @ms and checks that no two instances own a partition with the same
+   fencing token.  */
+static void
+assert_tokens_differ (fixture *f, mm_time_ms ms)
+{
+  for (mm_time_ms t = 0; t < ms; t++)
+    {
+      fixture_step (f);
+      for (uint32_t p = 0; p < PARTITIONS; p++)
+        {
+          uint64_t fences[INSTANCES] = { 0 };
+          for (int i = 0; i < INSTANCES; i++)
+            if (mm_partitions_state (f->partitions[i], p, &fences[i])
+                != MM_PARTITION_OWNED)
+              fences[i] = 0;
+          for (int i = 0; i < INSTANCES; i++)
+            for (int k = 0; k < i; k++)
+              if (fences[i] && fences[i] == fences[k])
+                ck_abort_msg ("partition %u: two owners with one token", p);
+        }
+    }
+}
+
+/* Fifty seeds of disconnections, lost answers, refused and slow calls, and
+   reassignments.
    Two instances may claim an upstream meanwhile, always with different fencing
    tokens.  Once the faults have ended, each upstream must have one owner.  */
 START_TEST (random_faults_end_with_one_owner_each)
@@ -522,10 +552,11 @@
           = &f->faults[g_rand_int_range (rnd, 0, INSTANCES)];
       instance_faults->disconnected = g_rand_int_range (rnd, 0, 4) == 0;
       instance_faults->lose_answers = g_rand_int_range (rnd, 0, 4) == 0;
+      instance_faults->refused = g_rand_int_range (rnd, 0, 4) == 0;
       instance_faults->delay_ms = g_rand_int_range (rnd, 0, 3) ? 0 : 300;
       if (g_rand_int_range (rnd, 0, 10) == 0)
         mm_group_table_reassign_all (f->group);
-      fixture_run (f, g_rand_int_range (rnd, 50, 900));
+      assert_tokens_differ (f, g_rand_int_range (rnd, 50, 900));
     }
   for (int i = 0; i < INSTANCES; i++)
     f->faults[i] = (faults){ 0 };
