--- a/src/mm_partitions.c
+++ b/src/mm_partitions.c
@@ -54,8 +54,7 @@
   mm_time_ms next_call_ms; /* when the next call is due */
   uint64_t changes;        /* changes of partition states so far */
   mm_time_ms created_ms;   /* when this object was created */
-  bool confirm_early;      /* the next call confirms without its usual pause */
-  bool sent_early;         /* so did the last call that was sent */
+  mm_time_ms early_ms;     /* when a call last went without its usual pause */
   bool release_pending; /* no join has handed over released partitions yet */
   bool release_sent;    /* the call in flight hands them over */
   bool release_unsure;  /* a call without an answer may have done so */
@@ -114,14 +113,14 @@
    skipped to.  Partitions may have been assigned to this instance and then to
    another one in generations that it has not seen; the other one gets them
    only once this instance has confirmed.  While many instances join, each
-   answer has a new generation: a call that was early is not followed by
-   another one.  */
+   answer has a new generation: one call a heartbeat is early.  */
 static void
 confirm_unseen (mm_partitions *set)
 {
-  if (!set->listed_generation || set->sent_early)
+  mm_time_ms now = mm_clock_now_ms ();
+  if (!set->listed_generation || now - set->early_ms < MM_GROUP_HEARTBEAT_MS)
     return; /* a first join has nothing to give up */
-  set->confirm_early = true;
+  set->early_ms = now;
   set->next_call_ms = 0;
 }
 
@@ -296,8 +295,6 @@
   if (set->in_flight || set->has_left || now < set->next_call_ms)
     return;
   set->in_flight = true;
-  set->sent_early = set->confirm_early;
-  set->confirm_early = false;
   set->call_sent_ms = now;
   set->release_sent = set->release_pending && !set->leaving;
   set->next_call_ms = now + join_interval_ms (set, now);
