Handovers: a release is sent at once, and a released upstream gets no order

With a store that takes over 0.8 s for a join, a handover never ended: the release waited behind an ordinary join and was taken back when that one was overdue, which also started the time of the handover anew. The session that is kept until the store has confirmed the release went on to send holds, also idle ones. When the answer to the release was lost, they reached the upstream after the next owner's token. It refuses them, but two holders in touch must not take turns.

Now a release is made only while no call is in flight, and sent with the same tick, so that it is sent or not made. The released session is suspended and sends nothing; when the release is taken back, the upstream has to answer before it gets tasks. A release that does not wait for running tasks, after MM_HANDOVER_MS, ends their sessions at once, as it did before, and is final.

The fixture releases before it ticks, as mm_datacentres does now.

--- a/src/mm_datacentres.c
+++ b/src/mm_datacentres.c
@@ -183,13 +183,12 @@
     }
 }
 
-/* Calls the store when a call is due, and releases partitions or leaves the
-   group once the upstreams there are idle.  A standby's membership ends once
+/* Releases partitions or leaves the group once the upstreams there are idle,
+   and calls the store when a call is due.  A standby's membership ends once
    the store has confirmed the leave call.  */
 static void
 tick_membership (mm_datacentres *dcs, membership *m, mm_time_ms now)
 {
-  mm_partitions_tick (m->partitions);
   bool releasing = mm_partitions_releasing (m->partitions);
   bool idle = (releasing || m->retiring)
               && dcs->ev.idle (dcs->ev.ctx, m->datacentre);
@@ -197,6 +196,7 @@
     mm_partitions_release (m->partitions);
   if (m->retiring && (idle || now - m->retiring_since_ms > MM_HANDOVER_MS))
     mm_partitions_leave (m->partitions);
+  mm_partitions_tick (m->partitions);
   if (!mm_partitions_has_left (m->partitions) || m->own)
     return;
   /* Keeps the sum of all changes from falling when the membership ends.  */
--- a/src/mm_exec_hold.c
+++ b/src/mm_exec_hold.c
@@ -176,7 +176,7 @@
 void
 mm_exec_send_hold (mm_exec *x, mm_time_ms wait_ms, bool renew)
 {
-  if (x->fenced || x->replaced)
+  if (x->fenced || x->replaced || x->suspended)
     return;
   mm_hold h = { .fence = x->fence,
                 .acked_seq = ackable_seq (x),
@@ -280,7 +280,7 @@
 void
 mm_exec_tick (mm_exec *x)
 {
-  if (x->fenced || x->replaced || x->closed)
+  if (x->fenced || x->replaced || x->closed || x->suspended)
     return;
   mm_time_ms now = mm_clock_now_ms ();
   mm_exec_update_lease_limit (x);
@@ -313,3 +313,11 @@
   else if (ack_due (x, now) || clock_refresh_due (x, now))
     mm_exec_send_hold (x, 0, false);
 }
+
+void
+mm_exec_set_suspended (mm_exec *x, bool suspended)
+{
+  if (x->suspended && !suspended)
+    x->runs_known = false;
+  x->suspended = suspended;
+}
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -75,6 +75,7 @@
   bool lost;        /* reported as lost, and not as back yet */
   bool suspect;     /* the last call got no answer or a bad one */
   bool stops_due;   /* stops are sent again at the next tick */
+  bool suspended;   /* nothing is sent */
   bool fenced;      /* another instance owns the upstream */
   bool replaced;    /* another incarnation is at the address */
   int holds_in_flight; /* holds that have no answer yet */
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -269,6 +269,14 @@
   g_free (o);
 }
 
+/* Ends a handover: tasks are started there as before.  */
+static void
+resume (mm_owned_upstream *owned)
+{
+  owned->handing_over = owned->released = false;
+  mm_exec_set_suspended (owned->exec, false);
+}
+
 /**
  * mm_owner_add_upstream() - start to own an upstream.
  * @o: the owner.
@@ -284,7 +292,7 @@
   mm_owned_upstream *owned = g_hash_table_lookup (o->owned_upstreams, u->name);
   if (owned && mm_exec_fence (owned->exec) >= fence)
     {
-      owned->handing_over = owned->released = false;
+      resume (owned);
       start_waiting (o);
       return;
     }
@@ -355,8 +363,10 @@
 {
   mm_owned_upstream *owned
       = g_hash_table_lookup (o->owned_upstreams, upstream);
-  if (owned)
-    owned->handing_over = owned->released = true;
+  if (!owned || owned->released)
+    return;
+  owned->handing_over = owned->released = true;
+  mm_exec_set_suspended (owned->exec, true);
 }
 
 void
@@ -366,7 +376,7 @@
       = g_hash_table_lookup (o->owned_upstreams, upstream);
   if (!owned || !owned->handing_over)
     return;
-  owned->handing_over = owned->released = false;
+  resume (owned);
   start_waiting (o);
 }
 
--- a/src/mm_partitions.c
+++ b/src/mm_partitions.c
@@ -57,7 +57,9 @@
   mm_time_ms early_ms;     /* when a call last went without its usual pause */
   bool release_pending; /* no join has handed over released partitions yet */
   bool release_sent;    /* the call in flight hands them over */
-  bool release_unsure;  /* a call without an answer may have done so */
+  /* The release is not taken back: a call without an answer may have done it,
+     or tasks that ran there were given up.  */
+  bool release_final;
   uint64_t held_generation; /* confirmed_generation before the release */
   bool serves_on;           /* handovers are put off during outages */
   bool put_off;             /* the handover under way is put off */
@@ -179,7 +181,7 @@
   for (uint32_t i = 0; i < set->n_partitions; i++)
     if (set->partitions[i].is_released)
       set->partitions[i] = (partition){ 0 };
-  set->release_pending = set->release_unsure = false;
+  set->release_pending = set->release_final = false;
   set->changes++;
   notify_released (set);
   if (set->ev.changed && !set->closed)
@@ -191,7 +193,7 @@
 static void
 take_release_back (mm_partitions *set)
 {
-  if (!set->serves_on || !set->release_pending || set->release_unsure)
+  if (!set->serves_on || !set->release_pending || set->release_final)
     return;
   for (uint32_t i = 0; i < set->n_partitions; i++)
     set->partitions[i].is_released = false;
@@ -209,7 +211,7 @@
   if (set->release_sent && res->ok)
     finish_release (set);
   if (set->release_sent && !res->ok && !res->nothing_done)
-    set->release_unsure = true;
+    set->release_final = true;
   set->release_sent = false;
   if (!res->ok)
     take_release_back (set);
@@ -222,8 +224,6 @@
 {
   bool overdue
       = set->in_flight && now - set->call_sent_ms > MM_GROUP_ANSWER_MS;
-  if (overdue && !set->release_sent)
-    take_release_back (set);
   if (set->serves_on && !set->in_contact && set->releasing_since_ms)
     set->releasing_since_ms = now;
   bool put_off = set->serves_on && set->releasing_since_ms
@@ -283,6 +283,28 @@
   return fast_poll ? MM_GROUP_FAST_POLL_MS : MM_GROUP_HEARTBEAT_MS;
 }
 
+/* Releases partitions.  @can_take_back: nothing runs there, so that they are
+   kept until the store has confirmed the release.  */
+static void
+release (mm_partitions *set, bool can_take_back)
+{
+  if (set->put_off || (set->serves_on && set->in_flight))
+    return;
+  for (uint32_t i = 0; i < set->n_partitions; i++)
+    if (set->partitions[i].is_releasing && can_take_back)
+      set->partitions[i].is_released = true;
+    else if (set->partitions[i].is_releasing)
+      set->partitions[i] = (partition){ 0 };
+  set->releasing_since_ms = 0;
+  set->changes++;
+  if (!set->release_pending)
+    set->held_generation = set->confirmed_generation;
+  set->confirmed_generation = set->listed_generation;
+  set->release_pending = true;
+  set->release_final = set->release_final || !can_take_back;
+  set->next_call_ms = 0;
+}
+
 void
 mm_partitions_tick (mm_partitions *set)
 {
@@ -291,7 +313,7 @@
   /* A handover waits for running tasks no longer than MM_HANDOVER_MS.  */
   if (set->releasing_since_ms
       && now - set->releasing_since_ms > MM_HANDOVER_MS)
-    mm_partitions_release (set);
+    release (set, false);
   if (set->in_flight || set->has_left || now < set->next_call_ms)
     return;
   set->in_flight = true;
@@ -410,25 +432,14 @@
  * mm_partitions_release() - hand over the partitions that are being released.
  * @set: the partitions.
  *
- * Does nothing while the handover is put off.
+ * Does nothing while the handover is put off.  With mm_partitions_serve_on()
+ * it does nothing either while a call is in flight: the release is sent with
+ * the next tick or not at all.
  */
 void
 mm_partitions_release (mm_partitions *set)
 {
-  if (set->put_off)
-    return;
-  for (uint32_t i = 0; i < set->n_partitions; i++)
-    if (set->partitions[i].is_releasing && set->serves_on)
-      set->partitions[i].is_released = true;
-    else if (set->partitions[i].is_releasing)
-      set->partitions[i] = (partition){ 0 };
-  set->releasing_since_ms = 0;
-  set->changes++;
-  if (!set->release_pending)
-    set->held_generation = set->confirmed_generation;
-  set->confirmed_generation = set->listed_generation;
-  set->release_pending = true;
-  set->next_call_ms = 0;
+  release (set, set->serves_on);
 }
 
 bool
--- a/tests/test_handover_outage.c
+++ b/tests/test_handover_outage.c
@@ -66,6 +66,8 @@
   mm_ownership *ownership;
   bool other_joined;
   uint32_t n_tasks;
+  mm_time_ms slow_ms; /* the store takes that long for a join */
+  mm_time_ms ttl_ms;  /* of memberships */
 } fixture;
 
 /* ---- the store -------------------------------------------------------- */
@@ -79,7 +81,7 @@
   ck_assert_ptr_null (f->call);
   f->call = g_new0 (join_call, 1);
   f->call->generation = generation;
-  f->call->arrives_ms = mm_clock_now_ms () + CALL_MS / 2;
+  f->call->arrives_ms = mm_clock_now_ms () + CALL_MS / 2 + f->slow_ms;
   f->call->answer_ms = mm_clock_now_ms () + timeout_ms;
   f->call->result.why = "no answer";
   f->call->done = done;
@@ -90,8 +92,8 @@
 static void
 carry_out (fixture *f, join_call *c)
 {
-  c->result.generation = mm_group_table_join (
-      f->group, "self", c->generation, MM_GROUP_TTL_MS, mm_clock_now_ms ());
+  c->result.generation = mm_group_table_join (f->group, "self", c->generation,
+                                              f->ttl_ms, mm_clock_now_ms ());
   for (uint32_t i = 0; i < PARTITIONS; i++)
     if (g_strcmp0 (mm_group_table_holder (f->group, i), "self") == 0)
       c->partitions[c->result.n_partitions++] = i;
@@ -126,7 +128,7 @@
 join_other (fixture *f)
 {
   mm_group_table_join (f->group, "other", mm_group_table_generation (f->group),
-                       MM_GROUP_TTL_MS, mm_clock_now_ms ());
+                       f->ttl_ms, mm_clock_now_ms ());
 }
 
 static void
@@ -209,10 +211,10 @@
   store_step (f);
   if (mm_clock_now_ms () % MM_EXEC_TICK_MS == 0)
     {
-      mm_partitions_tick (f->partitions);
       if (mm_partitions_releasing (f->partitions)
           && mm_ownership_idle (f->ownership, "dc1"))
         mm_partitions_release (f->partitions);
+      mm_partitions_tick (f->partitions);
       mm_ownership_tick (f->ownership, true);
     }
   if (mm_clock_now_ms () % SHORT_MS == 0)
@@ -234,6 +236,7 @@
 fixture_create (void)
 {
   fixture *f = g_new0 (fixture, 1);
+  f->ttl_ms = MM_GROUP_TTL_MS;
   f->fake_upstreams = fakes_create ();
   f->group = mm_group_table_create (PARTITIONS);
   mm_exec_port port = fakes_port (f->fake_upstreams);
@@ -378,6 +381,58 @@
 }
 END_TEST
 
+/* Guards against a handover that never ends, as each call takes longer than
+   the store takes when it is slow.  */
+START_TEST (handover_ends_however_slow_the_store_is)
+{
+  static const mm_time_ms slow_ms[] = { 0, 400, 900, 1200, 1450 };
+  for (size_t i = 0; i < G_N_ELEMENTS (slow_ms); i++)
+    {
+      fixture *f = fixture_create ();
+      f->ttl_ms = 10 * MM_GROUP_TTL_MS;
+      f->slow_ms = slow_ms[i];
+      run_for (f, 2 * MM_STORE_TIMEOUT_MS);
+      join_second (f);
+      run_for (f, 2 * (MM_HANDOVER_MS + MM_STORE_TIMEOUT_MS));
+      ck_assert_str_eq (mm_group_table_holder (f->group, 0), "other");
+      fixture_destroy (f);
+    }
+}
+END_TEST
+
+/* Runs until the store has been sent the release of the upstream, or has given
+   it to the other member.  */
+static void
+run_until_given_away (fixture *f)
+{
+  while (!f->unsure
+         && g_strcmp0 (mm_group_table_holder (f->group, 0), "other") != 0)
+    step (f);
+}
+
+/* Guards against an owner that sends orders with its token after the next
+   owner's, as it does not know yet that the store has handed over.  @_i: run
+   time of the task that the handover does not wait for, in LONG_MS.  */
+START_TEST (released_upstream_gets_no_order_of_its_last_owner)
+{
+  fixture *f = fixture_create ();
+  if (_i)
+    submit (f, _i * LONG_MS);
+  run_for (f, SHORT_MS);
+  join_second (f);
+  while (!f->call || f->call->generation < f->unlisted_generation)
+    step (f);
+  f->state = STORE_LOSES_ANSWERS;
+  f->notice_by_ms = G_MAXINT64;
+  run_until_given_away (f);
+  step (f);
+  uint32_t holds = fakes_count (f->fake_upstreams).holds;
+  run_for (f, 2 * MM_STORE_TIMEOUT_MS);
+  ck_assert_uint_eq (fakes_count (f->fake_upstreams).holds, holds);
+  fixture_destroy (f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -391,6 +446,9 @@
                        n);
   tcase_add_loop_test (tc, nothing_starts_after_a_release_without_an_answer, 0,
                        n);
+  tcase_add_test (tc, handover_ends_however_slow_the_store_is);
+  tcase_add_loop_test (tc, released_upstream_gets_no_order_of_its_last_owner,
+                       0, 6);
   suite_add_tcase (s, tc);
   return h_run_suite (s);
 }
