A partition that is listed again gets a higher fencing token

Cause: only a list that skips a generation renewed tokens. A partition that was not in the last list, and is in the next one, may have been held by another member as well: this instance's membership had expired before a late answer.

Now such a partition gets the generation of the list as its token; the runs there go on.

--- a/src/mm_partitions.c
+++ b/src/mm_partitions.c
@@ -131,8 +131,8 @@
    If the list skips a generation, another member may have held any partition
    in between, even one that was listed before and is listed again: this
    instance's membership may have expired meanwhile, or the store may have
-   reassigned the partitions twice.  Such a partition gets a new fencing
-   token.  */
+   reassigned the partitions twice.  So may a partition have been held that the
+   last list did not have.  Such a partition gets a new fencing token.  */
 static void
 apply_assignment (mm_partitions *set, const mm_join_result *res)
 {
@@ -143,7 +143,7 @@
     {
       partition *p = &set->partitions[i];
       bool is_assigned = is_assigned_in (res, i);
-      if (is_assigned && (!p->fence || skipped))
+      if (is_assigned && (!p->fence || skipped || p->is_releasing))
         p->fence = res->generation;
       p->is_releasing = p->fence && !is_assigned;
       p->is_released = p->is_released && !is_assigned;
--- a/tests/test_handover_outage.c
+++ b/tests/test_handover_outage.c
@@ -433,6 +433,30 @@
 }
 END_TEST
 
+/* Guards against two owners with one fencing token: another member may have
+   held a partition that was not listed for a while.  */
+START_TEST (partition_that_is_listed_again_has_a_higher_token)
+{
+  uint64_t first, again;
+  fixture *f = fixture_create ();
+  submit (f, LONG_MS);
+  run_for (f, SHORT_MS);
+  partition_state (f, fake_info (f->upstream), &first);
+  join_second (f);
+  while (partition_state (f, fake_info (f->upstream), &again)
+         == MM_PARTITION_OWNED)
+    step (f);
+  f->other_joined = false;
+  f->unlisted_generation = 0;
+  mm_group_table_leave (f->group, "other");
+  while (partition_state (f, fake_info (f->upstream), &again)
+         != MM_PARTITION_OWNED)
+    step (f);
+  ck_assert_uint_gt (again, first);
+  fixture_destroy (f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -449,6 +473,7 @@
   tcase_add_test (tc, handover_ends_however_slow_the_store_is);
   tcase_add_loop_test (tc, released_upstream_gets_no_order_of_its_last_owner,
                        0, 6);
+  tcase_add_test (tc, partition_that_is_listed_again_has_a_higher_token);
   suite_add_tcase (s, tc);
   return h_run_suite (s);
 }
