test_jobs: the stop of an upstream waits for its starts

graceful_stop_of_an_upstream_finishes_its_tasks counted the starts of an upstream 300 ms after the job was submitted, then sent SIGTERM. With an instance that gets no processor for those 300 ms nothing had started, and what started between the count and the signal was not counted.

The case waits until the upstream runs as many tasks as it has slots (before: at least one), sends SIGTERM, and counts once the upstream drains, from when on it starts nothing. All checks stay.

--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -374,6 +374,43 @@
 }
 END_TEST
 
+/* Waits until an upstream has started @n tasks of a job.  Returns whether it
+   has within 5 s.  */
+static bool
+wait_starts (int upstream, const char *job_id, int n)
+{
+  mm_time_ms timeout_at_ms = mm_clock_now_ms () + 5000;
+  while (h_count_upstream_starts (h_upstream_ports[upstream], job_id, NULL)
+         < n)
+    {
+      if (mm_clock_now_ms () > timeout_at_ms)
+        return false;
+      g_usleep (10000);
+    }
+  return true;
+}
+
+/* Waits until an upstream drains.  Returns false when it has exited or does
+   not within 5 s.  */
+static bool
+wait_drain (int upstream)
+{
+  mm_time_ms timeout_at_ms = mm_clock_now_ms () + 5000;
+  bool drains = false, answered = true;
+  while (!drains && answered && mm_clock_now_ms () < timeout_at_ms)
+    {
+      long status = 0;
+      cJSON *o = h_call ("GET", h_upstream_ports[upstream], "/v1/state", NULL,
+                         &status);
+      const char *mode
+          = cJSON_GetStringValue (cJSON_GetObjectItem (o, "mode"));
+      drains = mode && g_str_equal (mode, "drain");
+      answered = status == 200;
+      cJSON_Delete (o);
+    }
+  return drains;
+}
+
 /* An upstream is stopped with SIGTERM while it runs tasks of a non-idempotent
    job.  It must finish its tasks: the job completes, each task is started
    once, and the process exits by itself.  */
@@ -390,9 +427,11 @@
       h_keep_answer (0, status, o);
       _exit (status == 200 && tasks_in_state (o, "done") == 30 ? 0 : 1);
     }
-  g_usleep (300000);
-  int before = h_count_upstream_starts (h_upstream_ports[0], "ug1", NULL);
+  ck_assert (wait_starts (0, "ug1", 8)); /* as many as it has slots */
   kill (h_upstreams[0], SIGTERM);
+  /* From then on it starts nothing.  */
+  ck_assert (wait_drain (0));
+  int before = h_count_upstream_starts (h_upstream_ports[0], "ug1", NULL);
   int wait_status;
   waitpid (child, &wait_status, 0);
   ck_assert (WIFEXITED (wait_status) && WEXITSTATUS (wait_status) == 0);
