Soak: look at all ports of a block

Seen: soak and soak_evacuations ended at once with "address already in use" (port 30440), 2 of 2 runs each, beside a soak by hand of another clone.

Cause: a run uses 100 ports for each of its jobs, 400 here, and three of them were tried: a block from 30100 on was taken while another soak had ports from 30400 on.

All ports of the block are now tried, as the processes bind them. Two soaks that start in the same moment can still choose the same block.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -781,8 +781,9 @@
     """Returns the first of n ports that are free at the moment, above those of the tests and below the ephemeral ones."""
     for base in range(30100, 32700 - n, 300):
         try:
-            for port in (base, base + 20, base + 100):
+            for port in range(base, base + n):
                 with socket.socket() as s:
+                    s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                     s.bind(("127.0.0.1", port))
             return base
         except OSError:
