Losses that are over make room for a new one

A crash in that time counted for no task.

Cause: no recorded loss made room, as it would be news again when an instance that still has it reports it. That holds for losses without a verdict and for crashes. One that is over is reported on by no instance, so it can go.

Evidence: test_suspects loss_that_is_over_makes_room fails without the change (0 crashes counted) and passes with it; loss_beyond_the_bound_is_not_passed_on and losses_are_bounded_and_expire pass as before. What remains: 512 losses that are open at the same time leave no room, as before, and such a refusal is still told to all linked instances, upstream by upstream.

--- a/src/mm_suspects.c
+++ b/src/mm_suspects.c
@@ -343,6 +343,24 @@
              || is_expired (from->verdict, from->verdict_ms));
 }
 
+/* Removes the oldest loss that is over, to make room for one that is not.  Any
+   other one would be news again when it is reported by an instance that still
+   has it, and the reports would never cease; one that is over is reported on
+   by no instance.  Returns false if there is none.  */
+static bool
+make_room (mm_suspects *s, const mm_loss *from)
+{
+  for (GList *node = s->losses->head; node && from->verdict != MM_LOSS_ALIVE;
+       node = node->next)
+    if (((loss *)node->data)->verdict == MM_LOSS_ALIVE)
+      {
+        loss_free (node->data);
+        g_queue_delete_link (s->losses, node);
+        return true;
+      }
+  return false;
+}
+
 /**
  * mm_suspects_record() - record a lost upstream.
  * @s: the record of losses.
@@ -361,9 +379,7 @@
   bool silent = from->n_tasks == 0 && from->verdict == MM_LOSS_OPEN;
   if (silent || (!l && is_left_out (from)))
     return;
-  /* No recorded loss makes room: it would be news again when it is reported by
-     an instance that still has it, and the reports would never cease.  */
-  if (!l && s->losses->length >= MM_SUSPECTS_MAX)
+  if (!l && s->losses->length >= MM_SUSPECTS_MAX && !make_room (s, from))
     {
       mm_metrics_count (MM_CT_LOSSES_LEFT_OUT);
       mm_log_event (MM_EV_LOSS_LEFT_OUT, MM_TEXT (from->upstream),
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -756,6 +756,27 @@
 }
 END_TEST
 
+/* Guards against a crash that counts for no task, as losses that are over fill
+   the record.  */
+START_TEST (loss_that_is_over_makes_room)
+{
+  mm_suspects *s = suspects_setup ();
+  for (int i = 0; i < (int)MM_SUSPECTS_MAX; i++)
+    {
+      char name[16];
+      mm_task_id id = task ("many", (uint32_t)i);
+      record_loss (s, i, MM_LOSS_OPEN, &id, 1);
+      g_snprintf (name, sizeof name, "up%d", i);
+      mm_suspects_alive (s, name, 0);
+    }
+  mm_task_id id = task ("crashed", 0);
+  record_loss (s, MM_SUSPECTS_MAX, MM_LOSS_CRASHED, &id, 1);
+  ck_assert_uint_eq (mm_suspects_count_crashes (s, &id), 1);
+  ck_assert_uint_eq (mm_suspects_count (s), 1);
+  suspects_teardown (s);
+}
+END_TEST
+
 /* ---- with an owner ---------------------------------------------------- */
 
 /* In thousandths of a core.  Two tasks of TASK_CPU_MILLI fit.  */
@@ -1341,6 +1362,7 @@
   tcase_add_test (c, loss_that_is_over_expires_everywhere_at_the_same_time);
   tcase_add_test (c, losses_are_bounded_and_expire);
   tcase_add_test (c, loss_beyond_the_bound_is_not_passed_on);
+  tcase_add_test (c, loss_that_is_over_makes_room);
   suite_add_tcase (s, c);
   c = tcase_create ("owner");
   tcase_add_test (c, task_on_disconnected_upstreams_is_never_given_up);
