--- a/src/mm_datacentres.c
+++ b/src/mm_datacentres.c
@@ -68,7 +68,7 @@
   mm_partitions_events ev
       = { .released = on_released, .changed = on_changed, .ctx = dcs };
   mm_partitions_set_events (m->partitions, &ev);
-  mm_partitions_serve_on (m->partitions);
+  mm_partitions_defer_in_outages (m->partitions);
   m->retiring = false;
 }
 
--- a/src/mm_ownership.c
+++ b/src/mm_ownership.c
@@ -69,7 +69,7 @@
 
 /* Closes the sessions with upstreams whose partitions are assigned elsewhere,
    begins the handover of upstreams whose partitions are being released, starts
-   nothing where they have been released, cancels a handover that was put off,
+   nothing where they have been released, cancels a handover that was deferred,
    and raises the fencing tokens of those whose partitions may have had another
    owner in between.  Does not wait for a fresh list: the next owner may
    already start tasks, and the one in between may go on with its own.  */
--- a/src/mm_partitions.c
+++ b/src/mm_partitions.c
@@ -14,9 +14,9 @@
 
    A handover cannot end without the store, and until it ends no other member
    gets the partitions.  As long as the join that releases them has not been
-   sent, or the store has answered that it did nothing, the handover is put off
-   while the store does not answer, and begins again once it does.  While the
-   store may have carried that join out, no task is started.  */
+   sent, or the store has answered that it did nothing, the handover is
+   deferred while the store does not answer, and begins again once it does.
+   While the store may have carried that join out, no task is started.  */
 #include "mm_partitions.h"
 
 #include "config.h"
@@ -57,12 +57,12 @@
   mm_time_ms early_ms;     /* when a call last went without its usual pause */
   bool release_pending; /* no join has handed over released partitions yet */
   bool release_sent;    /* the call in flight hands them over */
-  /* The release is not taken back: a call without an answer may have done it,
+  /* The release is not reverted: a call without an answer may have done it,
      or tasks that ran there were given up.  */
   bool release_final;
   uint64_t held_generation; /* confirmed_generation before the release */
-  bool serves_on;           /* handovers are put off during outages */
-  bool put_off;             /* the handover under way is put off */
+  bool defers_in_outages;   /* handovers are deferred in outages */
+  bool deferred;            /* the handover under way is deferred */
   mm_partitions_events ev;
 };
 
@@ -191,9 +191,9 @@
 /* Takes back the release of partitions, which the store has not carried out.
    Until they are released again, joins confirm the generation before.  */
 static void
-take_release_back (mm_partitions *set)
+revert_release (mm_partitions *set)
 {
-  if (!set->serves_on || !set->release_pending || set->release_final)
+  if (!set->defers_in_outages || !set->release_pending || set->release_final)
     return;
   for (uint32_t i = 0; i < set->n_partitions; i++)
     set->partitions[i].is_released = false;
@@ -214,23 +214,23 @@
     set->release_final = true;
   set->release_sent = false;
   if (!res->ok)
-    take_release_back (set);
+    revert_release (set);
 }
 
-/* Puts the handover under way off while the store does not answer.  It has its
+/* Defers the handover under way while the store does not answer.  It has its
    full time again after calls have failed.  */
 static void
-update_put_off (mm_partitions *set, mm_time_ms now)
+update_deferral (mm_partitions *set, mm_time_ms now)
 {
   bool overdue
       = set->in_flight && now - set->call_sent_ms > MM_GROUP_ANSWER_MS;
-  if (set->serves_on && !set->in_contact && set->releasing_since_ms)
+  if (set->defers_in_outages && !set->in_contact && set->releasing_since_ms)
     set->releasing_since_ms = now;
-  bool put_off = set->serves_on && set->releasing_since_ms
-                 && (!set->in_contact || overdue);
-  if (put_off == set->put_off)
+  bool deferred = set->defers_in_outages && set->releasing_since_ms
+                  && (!set->in_contact || overdue);
+  if (deferred == set->deferred)
     return;
-  set->put_off = put_off;
+  set->deferred = deferred;
   set->changes++;
   if (set->ev.changed)
     set->ev.changed (set->ev.ctx);
@@ -251,7 +251,7 @@
   if (set->release_pending)
     update_release (set, res);
   if (!set->closed && !set->leaving)
-    update_put_off (set, mm_clock_now_ms ());
+    update_deferral (set, mm_clock_now_ms ());
   if (!set->closed && res->ok && !set->leaving
       && res->generation != set->listed_generation)
     {
@@ -283,15 +283,15 @@
   return fast_poll ? MM_GROUP_FAST_POLL_MS : MM_GROUP_HEARTBEAT_MS;
 }
 
-/* Releases partitions.  @can_take_back: nothing runs there, so that they are
+/* Releases partitions.  @revertible: nothing runs there, so that they are
    kept until the store has confirmed the release.  */
 static void
-release (mm_partitions *set, bool can_take_back)
+release (mm_partitions *set, bool revertible)
 {
-  if (set->put_off || (set->serves_on && set->in_flight))
+  if (set->deferred || (set->defers_in_outages && set->in_flight))
     return;
   for (uint32_t i = 0; i < set->n_partitions; i++)
-    if (set->partitions[i].is_releasing && can_take_back)
+    if (set->partitions[i].is_releasing && revertible)
       set->partitions[i].is_released = true;
     else if (set->partitions[i].is_releasing)
       set->partitions[i] = (partition){ 0 };
@@ -301,7 +301,7 @@
     set->held_generation = set->confirmed_generation;
   set->confirmed_generation = set->listed_generation;
   set->release_pending = true;
-  set->release_final = set->release_final || !can_take_back;
+  set->release_final = set->release_final || !revertible;
   set->next_call_ms = 0;
 }
 
@@ -309,7 +309,7 @@
 mm_partitions_tick (mm_partitions *set)
 {
   mm_time_ms now = mm_clock_now_ms ();
-  update_put_off (set, now);
+  update_deferral (set, now);
   /* A handover waits for running tasks no longer than MM_HANDOVER_MS.  */
   if (set->releasing_since_ms
       && now - set->releasing_since_ms > MM_HANDOVER_MS)
@@ -375,8 +375,8 @@
     return MM_PARTITION_ELSEWHERE;
   if (p->is_released)
     return MM_PARTITION_RELEASED;
-  return p->is_releasing && !set->put_off ? MM_PARTITION_RELEASING
-                                          : MM_PARTITION_OWNED;
+  return p->is_releasing && !set->deferred ? MM_PARTITION_RELEASING
+                                           : MM_PARTITION_OWNED;
 }
 
 mm_partition_state
@@ -423,29 +423,29 @@
 }
 
 void
-mm_partitions_serve_on (mm_partitions *set)
+mm_partitions_defer_in_outages (mm_partitions *set)
 {
-  set->serves_on = true;
+  set->defers_in_outages = true;
 }
 
 /**
  * mm_partitions_release() - hand over the partitions that are being released.
  * @set: the partitions.
  *
- * Does nothing while the handover is put off.  With mm_partitions_serve_on()
- * it does nothing either while a call is in flight: the release is sent with
- * the next tick or not at all.
+ * Does nothing while the handover is deferred.  With
+ * mm_partitions_defer_in_outages() it does nothing either while a call is in
+ * flight: the release is sent with the next tick or not at all.
  */
 void
 mm_partitions_release (mm_partitions *set)
 {
-  release (set, set->serves_on);
+  release (set, set->defers_in_outages);
 }
 
 bool
 mm_partitions_releasing (const mm_partitions *set)
 {
-  return set->releasing_since_ms && !set->put_off;
+  return set->releasing_since_ms && !set->deferred;
 }
 
 bool
--- a/src/mm_partitions.h
+++ b/src/mm_partitions.h
@@ -18,7 +18,7 @@
   MM_PARTITION_OWNED,     /* tasks may be started */
   MM_PARTITION_RELEASING, /* handed over once the runs there have ended */
   /* Handed over; the store may not know it yet.  Nothing may be started.  Only
-     after mm_partitions_serve_on(), else MM_PARTITION_ELSEWHERE.  */
+     after mm_partitions_defer_in_outages(), else MM_PARTITION_ELSEWHERE.  */
   MM_PARTITION_RELEASED
 } mm_partition_state;
 
@@ -43,9 +43,9 @@
 /* Sets the callbacks; @ev is copied.  */
 void mm_partitions_set_events (mm_partitions *set,
                                const mm_partitions_events *ev);
-/* Puts handovers off while the store does not answer: until then, the state of
+/* Defers handovers while the store does not answer: until then, the state of
    the partitions is MM_PARTITION_OWNED.  */
-void mm_partitions_serve_on (mm_partitions *set);
+void mm_partitions_defer_in_outages (mm_partitions *set);
 /* Makes the next tick call the store.  */
 void mm_partitions_poll_now (mm_partitions *set);
 /* Sends a call to the store when one is due, and releases partitions whose
--- a/tests/test_handover_outage.c
+++ b/tests/test_handover_outage.c
@@ -249,7 +249,7 @@
   mm_catalog_put (f->catalog, fake_info (f->upstream), &read);
   mm_store_port store = { .join = store_join, .ctx = f };
   f->partitions = mm_partitions_create (&store, "room", "self", PARTITIONS);
-  mm_partitions_serve_on (f->partitions);
+  mm_partitions_defer_in_outages (f->partitions);
   mm_ownership_partitions p = { .state_of = partition_state,
                                 .renew_fence = renew_fence,
                                 .change_count = partition_changes,
@@ -357,7 +357,7 @@
 
 /* Guards against an owner that starts nothing for the length of an outage of
    the store, which refuses calls, because it began in a handover.  */
-START_TEST (handover_is_put_off_while_the_store_refuses_calls)
+START_TEST (handover_is_deferred_while_the_store_refuses_calls)
 {
   take_store_away (STORE_REFUSES, (mm_time_ms)_i * DELAY_STEP_MS, false);
   take_store_away (STORE_REFUSES, (mm_time_ms)_i * DELAY_STEP_MS, true);
@@ -365,7 +365,7 @@
 END_TEST
 
 /* Guards against the same while the store does not answer.  */
-START_TEST (handover_is_put_off_while_the_store_is_silent)
+START_TEST (handover_is_deferred_while_the_store_is_silent)
 {
   take_store_away (STORE_SILENT, (mm_time_ms)_i * DELAY_STEP_MS, false);
   take_store_away (STORE_SILENT, (mm_time_ms)_i * DELAY_STEP_MS, true);
@@ -464,9 +464,9 @@
   TCase *tc = tcase_create ("handover");
   tcase_set_timeout (tc, 60);
   int n = LAST_DELAY_MS / DELAY_STEP_MS + 1;
-  tcase_add_loop_test (tc, handover_is_put_off_while_the_store_refuses_calls,
+  tcase_add_loop_test (tc, handover_is_deferred_while_the_store_refuses_calls,
                        0, n);
-  tcase_add_loop_test (tc, handover_is_put_off_while_the_store_is_silent, 0,
+  tcase_add_loop_test (tc, handover_is_deferred_while_the_store_is_silent, 0,
                        n);
   tcase_add_loop_test (tc, nothing_starts_after_a_release_without_an_answer, 0,
                        n);
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -159,7 +159,7 @@
   char name[16];
   snprintf (name, sizeof name, "node%d", i);
   f->partitions[i] = mm_partitions_create (&port, "room", name, PARTITIONS);
-  mm_partitions_serve_on (f->partitions[i]);
+  mm_partitions_defer_in_outages (f->partitions[i]);
 }
 
 /* Advances the clock by 1 ms: carries out and answers the calls that are due,
