--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -113,8 +113,8 @@
    keeping the upstreams idle would take half of a data centre's capacity away
    for that time at each restart.  */
 void mm_owner_begin_handover (mm_owner *o, const char *upstream);
-/* Sends nothing to the upstream any more, on which nothing runs: the next owner
-   may have it.  */
+/* Sends nothing to the upstream any more, on which nothing runs: the next
+   owner may have it.  */
 void mm_owner_set_released (mm_owner *o, const char *upstream);
 /* Cancels a handover; nothing may have been given to the next owner.  */
 void mm_owner_cancel_handover (mm_owner *o, const char *upstream);
