--- a/src/config.h
+++ b/src/config.h
@@ -239,6 +239,27 @@
 #define MM_MIN_DONE_SHARE 0.2
 #define MM_PRIORITY_LEVELS 4u /* distinguished in capacity reports */
 
+/* Late binding (mm_reservation).  */
+#define MM_DEFAULT_RESERVATIONS 4 /* owners that a task reserves at */
+#define MM_RESERVATIONS_MAX 16    /* an instance has 16 chosen links */
+/* An offer that is not accepted for this long is withdrawn.  It covers a round
+   trip between data centres and a tick of the home.  */
+#define MM_OFFER_MS 40
+/* After this time without an offer, the owners are chosen again.  */
+#define MM_RESERVATION_MS 100
+
+/* Overload control (mm_overload).  */
+/* Queueing delay above which a priority is overloaded.  */
+#define MM_DEFAULT_OVERLOAD_TARGET_MS 50
+#define MM_OVERLOAD_WINDOW_MS                                                 \
+  500 /* delays and starts are measured over this */
+/* Reports of peers that are older do not count.  */
+#define MM_OVERLOAD_REPORT_TTL_MS 600
+#define MM_RETRY_AFTER_MAX_S 10 /* of the expected end of an overload */
+/* One of so many starts is of the first yielding task, so that none waits for
+   ever.  */
+#define MM_YIELDING_START_EVERY 8u
+
 /* Links between instances (mm_link, mm_mesh).  */
 /* A link with more unread or unsent bytes than this is closed.  */
 #define MM_LINK_MAX_BYTES (8u << 20)
--- a/src/mm_admission.c
+++ b/src/mm_admission.c
@@ -64,15 +64,36 @@
 }
 
 /**
- * mm_admission_decide() - accept or refuse a job.
+ * mm_admission_expected_wait_ms() - estimate the wait of a job's last task.
  * @load: known load and capacity of the job's service.
  * @tasks: number of tasks of the job that are ready to start.
- * @slack_ms: from mm_admission_slack_ms().
  *
  * Assumes that places become free at an even rate over a task's run time.
  * The shortfall is the number of tasks that do not fit on arrival; the last
  * of them starts after about shortfall / places run times.
  *
+ * Return: the wait in ms; MM_NO_OWNER_WAIT_MS while no owner reports capacity,
+ * as none does during a handover.
+ */
+mm_time_ms
+mm_admission_expected_wait_ms (const mm_load *load, uint32_t tasks)
+{
+  uint64_t ahead = (uint64_t)load->waiting + tasks;
+  if (ahead <= load->free)
+    return 0;
+  if (load->places == 0)
+    return MM_NO_OWNER_WAIT_MS;
+  double shortfall = (double)(ahead - load->free);
+  return (mm_time_ms)ceil (shortfall * (double)load->mean_task_ms
+                           / (double)load->places);
+}
+
+/**
+ * mm_admission_decide() - accept or refuse a job.
+ * @load: known load and capacity of the job's service.
+ * @tasks: number of tasks of the job that are ready to start.
+ * @slack_ms: from mm_admission_slack_ms().
+ *
  * Return: the decision, with the expected wait.
  */
 mm_admission
@@ -89,19 +110,9 @@
       a.retry_after_s = MM_RETRY_AFTER_NO_CAPACITY_S;
       return a;
     }
-  if (load->places == 0)
-    {
-      /* During a handover no owner reports the upstreams' capacity for up to
-         MM_NO_OWNER_WAIT_MS.  */
-      a.wait_ms = MM_NO_OWNER_WAIT_MS;
-      a.accept = a.wait_ms <= slack_ms;
-      a.retry_after_s = MM_RETRY_AFTER_NO_CAPACITY_S;
-      return a;
-    }
-  double shortfall = (double)(ahead - load->free);
-  a.wait_ms = (mm_time_ms)ceil (shortfall * (double)load->mean_task_ms
-                                / (double)load->places);
+  a.wait_ms = mm_admission_expected_wait_ms (load, tasks);
   a.accept = a.wait_ms <= slack_ms;
-  a.retry_after_s = (uint32_t)(1 + a.wait_ms / 1000);
+  a.retry_after_s = load->places == 0 ? MM_RETRY_AFTER_NO_CAPACITY_S
+                                      : (uint32_t)(1 + a.wait_ms / 1000);
   return a;
 }
--- a/src/mm_admission.h
+++ b/src/mm_admission.h
@@ -12,6 +12,11 @@
   uint32_t waiting;        /* tasks that are queued ahead of the job */
   mm_time_ms mean_task_ms; /* mean time for which a task uses its place */
   mm_time_ms age_ms;       /* age of the oldest report included */
+  /* Of the job's own priority; 0 without overload control.  */
+  bool measured;                /* the next three values are known */
+  uint32_t waiting_same;        /* tasks that wait */
+  uint32_t starts_per_s;        /* tasks started in the last second */
+  mm_time_ms overloaded_for_ms; /* since the overload began, 0: none */
   bool evacuated; /* there are no places, as data centres are evacuated */
 } mm_load;
 
@@ -41,6 +46,9 @@
 /* Like mm_admission_limit_ms(), for an objective that is already computed. */
 mm_time_ms mm_admission_limit_of_objective_ms (mm_time_ms objective_ms,
                                                mm_time_ms chain_ms);
+/* Returns how long the last of @tasks tasks that are ready to start is
+   expected to wait.  */
+mm_time_ms mm_admission_expected_wait_ms (const mm_load *load, uint32_t tasks);
 /* Accepts or refuses a job of which @tasks tasks are ready to start.
    @slack_ms: from mm_admission_slack_ms().  */
 mm_admission mm_admission_decide (const mm_load *load, uint32_t tasks,
--- a/src/mm_mesh_msg.c
+++ b/src/mm_mesh_msg.c
@@ -15,7 +15,9 @@
    CAPACITY_FIELDS: number of values for one service in a REPORT.  */
 enum
 {
-  RUN_FIELDS = 23,
+  RUN_FIELDS = 24,
+  RESERVE_FIELDS = RUN_FIELDS + 1,
+  ACCEPT_FIELDS = 3,
   HEARTBEAT_FIELDS = 4,
   ENDED_FIELDS = 7,
   REQUEST_FIELDS = 4,
@@ -26,7 +28,8 @@
   UPDATE_FIELDS = 3,
   LOSS_FIELDS = 13,
   EVACUATIONS_FIELDS = 4,
-  CAPACITY_FIELDS = 9
+  CAPACITY_FIELDS = 11,
+  CAPACITY_FIELDS_WITHOUT_OVERLOAD = 9
 };
 
 /* Starts a message of @fields values and packs its kind.  */
@@ -39,6 +42,32 @@
   msgpack_pack_int (pk, kind);
 }
 
+/* Packs the values of a RUN after its number.  */
+static void
+pack_task_request (msgpack_packer *pk, const mm_task_request *t)
+{
+  mm_mp_pack_task (pk, &t->id);
+  mm_mp_pack_text (pk, t->service);
+  mm_mp_pack_text (pk, t->payload);
+  mm_mp_pack_text (pk, t->label);
+  mm_mp_pack_text (pk, t->data_label);
+  mm_mp_pack_text (pk, t->avoid_upstream);
+  msgpack_pack_int64 (pk, t->resources.cpu_milli);
+  msgpack_pack_int64 (pk, t->resources.mem_mb);
+  msgpack_pack_int64 (pk, t->resources.gpus);
+  msgpack_pack_uint32 (pk, t->priority);
+  msgpack_pack_int64 (pk, t->estimate_ms);
+  msgpack_pack_int64 (pk, t->due_within_ms);
+  msgpack_pack_int64 (pk, t->start_within_ms);
+  mm_mp_pack_bool (pk, t->kept);
+  mm_mp_pack_text (pk, t->running_at);
+  msgpack_pack_uint32 (pk, t->run);
+  msgpack_pack_int64 (pk, t->ran_ms);
+  mm_mp_pack_bool (pk, t->isolated);
+  msgpack_pack_int64 (pk, t->silent_ms);
+  mm_mp_pack_bool (pk, t->yields);
+}
+
 void
 mm_mesh_pack_run (msgpack_sbuffer *b, uint64_t number,
                   const mm_task_request *t)
@@ -46,25 +75,37 @@
   msgpack_packer pk;
   pack_header (&pk, b, RUN_FIELDS, MM_MESH_RUN);
   msgpack_pack_uint64 (&pk, number);
-  mm_mp_pack_task (&pk, &t->id);
-  mm_mp_pack_text (&pk, t->service);
-  mm_mp_pack_text (&pk, t->payload);
-  mm_mp_pack_text (&pk, t->label);
-  mm_mp_pack_text (&pk, t->data_label);
-  mm_mp_pack_text (&pk, t->avoid_upstream);
-  msgpack_pack_int64 (&pk, t->resources.cpu_milli);
-  msgpack_pack_int64 (&pk, t->resources.mem_mb);
-  msgpack_pack_int64 (&pk, t->resources.gpus);
-  msgpack_pack_uint32 (&pk, t->priority);
-  msgpack_pack_int64 (&pk, t->estimate_ms);
-  msgpack_pack_int64 (&pk, t->due_within_ms);
-  msgpack_pack_int64 (&pk, t->start_within_ms);
-  mm_mp_pack_bool (&pk, t->kept);
-  mm_mp_pack_text (&pk, t->running_at);
-  msgpack_pack_uint32 (&pk, t->run);
-  msgpack_pack_int64 (&pk, t->ran_ms);
-  mm_mp_pack_bool (&pk, t->isolated);
-  msgpack_pack_int64 (&pk, t->silent_ms);
+  pack_task_request (&pk, t);
+}
+
+void
+mm_mesh_pack_reserve (msgpack_sbuffer *b, uint64_t number, uint32_t copies,
+                      const mm_task_request *t)
+{
+  mm_task_request without_payload = *t;
+  without_payload.payload = NULL;
+  msgpack_packer pk;
+  pack_header (&pk, b, RESERVE_FIELDS, MM_MESH_RESERVE);
+  msgpack_pack_uint64 (&pk, number);
+  msgpack_pack_uint32 (&pk, copies);
+  pack_task_request (&pk, &without_payload);
+}
+
+void
+mm_mesh_pack_offer (msgpack_sbuffer *b, uint64_t number)
+{
+  msgpack_packer pk;
+  pack_header (&pk, b, 2, MM_MESH_OFFER);
+  msgpack_pack_uint64 (&pk, number);
+}
+
+void
+mm_mesh_pack_accept (msgpack_sbuffer *b, uint64_t number, const char *payload)
+{
+  msgpack_packer pk;
+  pack_header (&pk, b, ACCEPT_FIELDS, MM_MESH_ACCEPT);
+  msgpack_pack_uint64 (&pk, number);
+  mm_mp_pack_text (&pk, payload);
 }
 
 void
@@ -139,6 +180,14 @@
   mm_mp_pack_bytes (&pk, data, len);
 }
 
+static void
+pack_priority_levels (msgpack_packer *pk, const uint32_t values[])
+{
+  msgpack_pack_array (pk, MM_PRIORITY_LEVELS);
+  for (size_t i = 0; i < MM_PRIORITY_LEVELS; i++)
+    msgpack_pack_uint32 (pk, values[i]);
+}
+
 static void
 pack_residuals (msgpack_packer *pk, const mm_residuals *r)
 {
@@ -168,11 +217,10 @@
       msgpack_pack_uint32 (&pk, capacities[i].capacity.free);
       msgpack_pack_uint32 (&pk, capacities[i].capacity.waiting);
       msgpack_pack_uint32 (&pk, capacities[i].capacity.task_ms);
-      msgpack_pack_array (&pk, MM_PRIORITY_LEVELS);
-      for (size_t k = 0; k < MM_PRIORITY_LEVELS; k++)
-        msgpack_pack_uint32 (&pk,
-                             capacities[i].capacity.waiting_by_priority[k]);
+      pack_priority_levels (&pk, capacities[i].capacity.waiting_by_priority);
       pack_residuals (&pk, &capacities[i].capacity.residuals);
+      pack_priority_levels (&pk, capacities[i].capacity.starts_per_s);
+      pack_priority_levels (&pk, capacities[i].capacity.least_wait_ms);
     }
 }
 
@@ -247,10 +295,11 @@
     }
 }
 
-/* The functions read_run(), read_ended(), read_loss(), read_evacuations() and
-   read_report() read the values of a message into @m, @l or @v.  @f: the
-   message's array, of which f[0] is the kind; the caller has checked the
-   number of values.  They return false when a value is not valid.  */
+/* The functions read_run(), read_reserve(), read_ended(), read_loss(),
+   read_evacuations() and read_report() read the values of a message into @m,
+   @l or @v.  @f: the message's array, of which f[0] is the kind; the caller
+   has checked the number of values.  They return false when a value is not
+   valid.  */
 
 /* Reads a time that is not negative.  */
 static bool
@@ -259,32 +308,50 @@
   return mm_mp_read_i64 (f, out) && *out >= 0 && *out <= TIME_MAX_MS;
 }
 
+/* Reads the values that pack_task_request() packs, of which @f is the first.
+   @has_payload: whether the payload must not be nil.  */
 static bool
-read_run (const msgpack_object *f, mm_mesh_msg *m)
+read_task_request (const msgpack_object *f, bool has_payload,
+                   mm_task_request *t)
 {
-  mm_task_request *t = &m->request;
-  return mm_mp_read_u64 (&f[1], &m->number) && mm_mp_read_task (&f[2], &t->id)
-         && mm_mp_read_text (&f[5], false, (char **)&t->service)
-         && mm_mp_read_text (&f[6], false, (char **)&t->payload)
-         && mm_mp_read_text (&f[7], true, (char **)&t->label)
-         && mm_mp_read_text (&f[8], true, (char **)&t->data_label)
-         && mm_mp_read_text (&f[9], true, (char **)&t->avoid_upstream)
-         && mm_mp_read_i64 (&f[10], &t->resources.cpu_milli)
-         && mm_mp_read_i64 (&f[11], &t->resources.mem_mb)
-         && mm_mp_read_i64 (&f[12], &t->resources.gpus)
-         && mm_mp_read_u32 (&f[13], &t->priority)
-         && mm_mp_read_i64 (&f[14], &t->estimate_ms)
-         && mm_mp_read_i64 (&f[15], &t->due_within_ms)
-         && mm_mp_read_i64 (&f[16], &t->start_within_ms)
-         && mm_mp_read_bool (&f[17], &t->kept)
-         && mm_mp_read_text (&f[18], true, (char **)&t->running_at)
-         && mm_mp_read_u32 (&f[19], &t->run)
-         && mm_mp_read_i64 (&f[20], &t->ran_ms)
-         && mm_mp_read_bool (&f[21], &t->isolated)
-         && read_time (&f[22], &t->silent_ms) && t->resources.cpu_milli >= 0
+  return mm_mp_read_task (&f[0], &t->id)
+         && mm_mp_read_text (&f[3], false, (char **)&t->service)
+         && mm_mp_read_text (&f[4], !has_payload, (char **)&t->payload)
+         && mm_mp_read_text (&f[5], true, (char **)&t->label)
+         && mm_mp_read_text (&f[6], true, (char **)&t->data_label)
+         && mm_mp_read_text (&f[7], true, (char **)&t->avoid_upstream)
+         && mm_mp_read_i64 (&f[8], &t->resources.cpu_milli)
+         && mm_mp_read_i64 (&f[9], &t->resources.mem_mb)
+         && mm_mp_read_i64 (&f[10], &t->resources.gpus)
+         && mm_mp_read_u32 (&f[11], &t->priority)
+         && mm_mp_read_i64 (&f[12], &t->estimate_ms)
+         && mm_mp_read_i64 (&f[13], &t->due_within_ms)
+         && mm_mp_read_i64 (&f[14], &t->start_within_ms)
+         && mm_mp_read_bool (&f[15], &t->kept)
+         && mm_mp_read_text (&f[16], true, (char **)&t->running_at)
+         && mm_mp_read_u32 (&f[17], &t->run)
+         && mm_mp_read_i64 (&f[18], &t->ran_ms)
+         && mm_mp_read_bool (&f[19], &t->isolated)
+         && read_time (&f[20], &t->silent_ms)
+         && mm_mp_read_bool (&f[21], &t->yields) && t->resources.cpu_milli >= 0
          && t->resources.mem_mb >= 0 && t->resources.gpus >= 0;
 }
 
+static bool
+read_run (const msgpack_object *f, mm_mesh_msg *m)
+{
+  return mm_mp_read_u64 (&f[1], &m->number)
+         && read_task_request (&f[2], true, &m->request);
+}
+
+static bool
+read_reserve (const msgpack_object *f, mm_mesh_msg *m)
+{
+  return mm_mp_read_u64 (&f[1], &m->number)
+         && mm_mp_read_u32 (&f[2], &m->copies) && m->copies > 0
+         && read_task_request (&f[3], false, &m->request);
+}
+
 static bool
 read_ended (const msgpack_object *f, mm_mesh_msg *m)
 {
@@ -374,13 +441,13 @@
 }
 
 static bool
-read_priority_levels (const msgpack_object *o, uint32_t waiting_by_priority[])
+read_priority_levels (const msgpack_object *o, uint32_t values[])
 {
   if (o->type != MSGPACK_OBJECT_ARRAY
       || o->via.array.size != MM_PRIORITY_LEVELS)
     return false;
   for (size_t i = 0; i < MM_PRIORITY_LEVELS; i++)
-    if (!mm_mp_read_u32 (&o->via.array.ptr[i], &waiting_by_priority[i]))
+    if (!mm_mp_read_u32 (&o->via.array.ptr[i], &values[i]))
       return false;
   return true;
 }
@@ -422,7 +489,8 @@
     {
       const msgpack_object *row = &f[4].via.array.ptr[i];
       if (row->type != MSGPACK_OBJECT_ARRAY
-          || row->via.array.size != CAPACITY_FIELDS)
+          || (row->via.array.size != CAPACITY_FIELDS
+              && row->via.array.size != CAPACITY_FIELDS_WITHOUT_OVERLOAD))
         return false;
       const msgpack_object *r = row->via.array.ptr;
       mm_mesh_service_capacity *out = &m->capacities[m->n_capacities];
@@ -434,6 +502,10 @@
           || !read_priority_levels (&r[5], out->capacity.waiting_by_priority)
           || !read_residuals (&r[6], &out->capacity.residuals))
         return false;
+      if (row->via.array.size == CAPACITY_FIELDS
+          && (!read_priority_levels (&r[9], out->capacity.starts_per_s)
+              || !read_priority_levels (&r[10], out->capacity.least_wait_ms)))
+        return false;
       m->n_capacities++;
     }
   return true;
@@ -463,7 +535,13 @@
     {
     case MM_MESH_RUN:
       return n == RUN_FIELDS && read_run (f, out);
+    case MM_MESH_RESERVE:
+      return n == RESERVE_FIELDS && read_reserve (f, out);
+    case MM_MESH_ACCEPT:
+      return n == ACCEPT_FIELDS && mm_mp_read_u64 (&f[1], &out->number)
+             && mm_mp_read_text (&f[2], false, (char **)&out->request.payload);
     case MM_MESH_CANCEL:
+    case MM_MESH_OFFER:
       return n == 2 && mm_mp_read_u64 (&f[1], &out->number);
     case MM_MESH_HEARTBEAT:
       return n == HEARTBEAT_FIELDS && read_time (&f[1], &out->echo_ms)
--- a/src/mm_mesh_msg.h
+++ b/src/mm_mesh_msg.h
@@ -14,14 +14,25 @@
    - [RUN, number, job, step, index, service, payload, label, data_label,
      avoid_upstream, cpu_milli, mem_mb, gpus, priority, estimate_ms,
      due_within_ms, start_within_ms, kept, running_at, run, ran_ms, isolated,
-     silent_ms]
+     silent_ms, yields]
 
      A task to run; the values after the number are fields of
      mm_task_request.
 
+   - [RESERVE, number, copies, job, ..., yields]
+
+     A task for which the receiver is to offer capacity; the values after
+     copies are those of a RUN, without a payload.  copies: number of owners
+     that hold a reservation for the task.
+
+   - [ACCEPT, number, payload]
+
+     The receiver's offer is accepted: the task of the reservation is to be
+     run.  It is ignored when the reservation has ended.
+
    - [CANCEL, number]
 
-     The task is to be stopped.
+     The task is to be stopped, or the reservation to be dropped.
 
    - [HEARTBEAT, echo_ms, echo_age_ms, silent_ms]
 
@@ -51,13 +62,18 @@
      The outcome of a task; the values after the number are fields of
      mm_work_result.
 
+   - [OFFER, number]
+
+     Capacity is set aside for the reservation, for MM_OFFER_MS.
+
    - [ANSWER, number, bytes]
 
      The answer to a request.
 
    - [REPORT, seen_number, name, leaving, [[service, places, free, waiting,
      task_ms, [waiting of each priority], unit_milli, n_upstreams, [size of
-     each residual capacity]], ...], sent_ms]
+     each residual capacity], [starts a second of each priority], [least wait
+     of each priority]], ...], sent_ms]
 
      The capacity for each service on the sender's upstreams; name is the
      sender's member name.  The report counts all tasks received over this
@@ -106,7 +122,10 @@
   MM_MESH_FOUND = 10,
   MM_MESH_UPDATE = 11,
   MM_MESH_LOSS = 12,
-  MM_MESH_EVACUATIONS = 13
+  MM_MESH_EVACUATIONS = 13,
+  MM_MESH_RESERVE = 14,
+  MM_MESH_OFFER = 15,
+  MM_MESH_ACCEPT = 16
 } mm_mesh_kind;
 
 /* Most services in a report; further ones are left out.  */
@@ -126,12 +145,15 @@
 typedef struct
 {
   mm_mesh_kind kind;
-  uint64_t number; /* RUN, CANCEL, ENDED: of the task; REQUEST, ANSWER: of the
-                      request; REPORT: highest task number received */
-  mm_task_request request; /* RUN; owns the strings */
-  mm_work_result result;   /* ENDED; owns the strings */
-  char *name;              /* HELLO, REPORT: of the sender; RELEASED: group */
-  bool leaving;            /* REPORT: the sender is shutting down */
+  /* RUN, RESERVE, OFFER, ACCEPT, CANCEL, ENDED: of the task; REQUEST, ANSWER:
+     of the request; REPORT: highest task number received.  */
+  uint64_t number;
+  /* RUN, RESERVE; ACCEPT: only the payload.  Owns the strings.  */
+  mm_task_request request;
+  uint32_t copies;       /* RESERVE */
+  mm_work_result result; /* ENDED; owns the strings */
+  char *name;            /* HELLO, REPORT: of the sender; RELEASED: group */
+  bool leaving;          /* REPORT: the sender is shutting down */
   mm_mesh_service_capacity *capacities; /* REPORT */
   size_t n_capacities;
   mm_found_run found;     /* FOUND; owns the upstream's name */
@@ -156,6 +178,12 @@
 /* Each mm_mesh_pack_ function appends one message to @b.  */
 void mm_mesh_pack_run (msgpack_sbuffer *b, uint64_t number,
                        const mm_task_request *t);
+/* Packs a RESERVE; the payload of @t is left out.  */
+void mm_mesh_pack_reserve (msgpack_sbuffer *b, uint64_t number,
+                           uint32_t copies, const mm_task_request *t);
+void mm_mesh_pack_offer (msgpack_sbuffer *b, uint64_t number);
+void mm_mesh_pack_accept (msgpack_sbuffer *b, uint64_t number,
+                          const char *payload);
 void mm_mesh_pack_cancel (msgpack_sbuffer *b, uint64_t number);
 void mm_mesh_pack_hello (msgpack_sbuffer *b, const char *name);
 void mm_mesh_pack_heartbeat (msgpack_sbuffer *b, mm_time_ms echo_ms,
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -53,37 +53,47 @@
 };
 
 #define F(field) offsetof (mm_node_settings, field)
-const mm_setting_spec mm_node_setting_specs[]
-    = { { "node.name", MM_SETTING_STRING, F (name), 0, 0,
-          "name of this machine" },
-        { "node.address", MM_SETTING_STRING, F (address), 0, 0,
-          "IP address to listen on" },
-        { "node.datacentre", MM_SETTING_STRING, F (datacentre), 0, 0,
-          "data centre of this machine" },
-        { "node.datacentres", MM_SETTING_STRINGS, F (datacentres), 0, 0,
-          "all data centres" },
-        { "node.front", MM_SETTING_STRING, F (front), 0, 0,
-          "ip:port where callers submit jobs" },
-        { "node.ready", MM_SETTING_STRING, F (ready), 0, 0,
-          "ip:port of the balancer's readiness check" },
-        { "node.mesh_port", MM_SETTING_INT, F (mesh_port), 1, 65535,
-          "port for the other instances" },
-        { "node.mesh_advertise", MM_SETTING_STRING, F (mesh_advertise), 0, 0,
-          "ip:port that other instances connect to, empty for address and "
-          "mesh_port" },
-        { "node.state_port", MM_SETTING_INT, F (state_port), 1, 65535,
-          "port of the state dump" },
-        { "node.interface", MM_SETTING_STRING, F (interface), 0, 0,
-          "protocol to the platform: own (of the stand-ins) or platform" },
-        { "node.grace_ms", MM_SETTING_INT, F (grace_ms), 1000, 600000,
-          "ms from SIGTERM to the kill" },
-        { "node.link_mbps", MM_SETTING_FLOAT, F (link_mbps), 0, 1000000,
-          "Mbit/s of this machine's link, 0 for no limit" },
-        { "store.address", MM_SETTING_STRING, F (store), 0, 0,
-          "ip:port of the platform's store" },
-        { "store.partitions", MM_SETTING_INT, F (partitions), 1, 4096,
-          "partitions of a topic" },
-        { NULL, 0, 0, 0, 0, NULL } };
+const mm_setting_spec mm_node_setting_specs[] = {
+  { "node.name", MM_SETTING_STRING, F (name), 0, 0, "name of this machine" },
+  { "node.address", MM_SETTING_STRING, F (address), 0, 0,
+    "IP address to listen on" },
+  { "node.datacentre", MM_SETTING_STRING, F (datacentre), 0, 0,
+    "data centre of this machine" },
+  { "node.datacentres", MM_SETTING_STRINGS, F (datacentres), 0, 0,
+    "all data centres" },
+  { "node.front", MM_SETTING_STRING, F (front), 0, 0,
+    "ip:port where callers submit jobs" },
+  { "node.ready", MM_SETTING_STRING, F (ready), 0, 0,
+    "ip:port of the balancer's readiness check" },
+  { "node.mesh_port", MM_SETTING_INT, F (mesh_port), 1, 65535,
+    "port for the other instances" },
+  { "node.mesh_advertise", MM_SETTING_STRING, F (mesh_advertise), 0, 0,
+    "ip:port that other instances connect to, empty for address and "
+    "mesh_port" },
+  { "node.state_port", MM_SETTING_INT, F (state_port), 1, 65535,
+    "port of the state dump" },
+  { "node.interface", MM_SETTING_STRING, F (interface), 0, 0,
+    "protocol to the platform: own (of the stand-ins) or platform" },
+  { "node.grace_ms", MM_SETTING_INT, F (grace_ms), 1000, 600000,
+    "ms from SIGTERM to the kill" },
+  { "node.link_mbps", MM_SETTING_FLOAT, F (link_mbps), 0, 1000000,
+    "Mbit/s of this machine's link, 0 for no limit" },
+  { "dispatch.late_binding", MM_SETTING_BOOL, F (late_binding), 0, 0,
+    "tasks without free capacity reserve at several owners" },
+  { "dispatch.reservations", MM_SETTING_INT, F (reservations), 1,
+    MM_RESERVATIONS_MAX, "owners that a task reserves at" },
+  { "dispatch.overload_control", MM_SETTING_BOOL, F (overload_control), 0, 0,
+    "refuse and drop jobs by measured queueing delays" },
+  { "dispatch.overload_target_ms", MM_SETTING_INT, F (overload_target_ms), 1,
+    10000, "queueing delay in ms above which a priority is overloaded" },
+  { "ownership.transfer_runs", MM_SETTING_BOOL, F (transfer_runs), 0, 0,
+    "planned handovers transfer the runs of upstreams" },
+  { "store.address", MM_SETTING_STRING, F (store), 0, 0,
+    "ip:port of the platform's store" },
+  { "store.partitions", MM_SETTING_INT, F (partitions), 1, 4096,
+    "partitions of a topic" },
+  { NULL, 0, 0, 0, 0, NULL }
+};
 #undef F
 
 void
@@ -98,6 +108,8 @@
   s->ready = g_strdup ("127.0.0.1:7401");
   s->store = g_strdup ("127.0.0.1:7000");
   s->interface = g_strdup ("own");
+  s->reservations = MM_DEFAULT_RESERVATIONS;
+  s->overload_target_ms = MM_DEFAULT_OVERLOAD_TARGET_MS;
   s->mesh_advertise = g_strdup ("");
   s->mesh_port = MM_DEFAULT_MESH_PORT;
   s->state_port = MM_DEFAULT_STATE_PORT;
--- a/src/mm_node.h
+++ b/src/mm_node.h
@@ -12,21 +12,28 @@
 /* Settings of an instance.  */
 typedef struct
 {
-  char *name;           /* name of the machine */
-  char *address;        /* IP address to listen on */
-  char *datacentre;     /* data centre of the machine */
-  char **datacentres;   /* all data centres */
-  char *front;          /* "ip:port" where callers submit jobs */
-  char *ready;          /* "ip:port" of the balancer's readiness check */
-  char *store;          /* "ip:port" of the platform's store */
-  char *mesh_advertise; /* "ip:port" that other instances connect to; "":
-                           address and mesh_port */
-  int64_t mesh_port;    /* port for the other instances */
-  int64_t state_port;   /* port of the state dump for operators */
-  int64_t partitions;   /* number of partitions of a topic of the store */
-  char *interface;      /* protocol: "own" (of the stand-ins) or "platform" */
-  int64_t grace_ms;     /* time from SIGTERM to SIGKILL */
-  double link_mbps;     /* Mbit/s of this machine's link, 0: no limit */
+  char *name;            /* name of the machine */
+  char *address;         /* IP address to listen on */
+  char *datacentre;      /* data centre of the machine */
+  char **datacentres;    /* all data centres */
+  char *front;           /* "ip:port" where callers submit jobs */
+  char *ready;           /* "ip:port" of the balancer's readiness check */
+  char *store;           /* "ip:port" of the platform's store */
+  char *mesh_advertise;  /* "ip:port" that other instances connect to; "":
+                            address and mesh_port */
+  int64_t mesh_port;     /* port for the other instances */
+  int64_t state_port;    /* port of the state dump for operators */
+  int64_t partitions;    /* number of partitions of a topic of the store */
+  char *interface;       /* protocol: "own" (of the stand-ins) or "platform" */
+  int64_t grace_ms;      /* time from SIGTERM to SIGKILL */
+  double link_mbps;      /* Mbit/s of this machine's link, 0: no limit */
+  bool late_binding;     /* tasks without free capacity reserve at several
+                            owners */
+  int64_t reservations;  /* owners that a task reserves at */
+  bool overload_control; /* refuse and drop jobs by measured delays */
+  int64_t overload_target_ms; /* queueing delay above which a priority is
+                                 overloaded */
+  bool transfer_runs;         /* planned handovers do not wait for the runs */
 } mm_node_settings;
 
 extern const mm_setting_spec mm_node_setting_specs[];
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -43,6 +43,11 @@
   /* Waiting tasks by priority; the last level counts all beyond it.  */
   uint32_t waiting_by_priority[MM_PRIORITY_LEVELS];
   mm_residuals residuals; /* free capacity of the upstreams */
+  /* Tasks of each priority started in the last second, and the shortest time
+     that any of them waited since the submission of its job.  The last level
+     covers all beyond it.  All 0 without overload control.  */
+  uint32_t starts_per_s[MM_PRIORITY_LEVELS];
+  uint32_t least_wait_ms[MM_PRIORITY_LEVELS];
 } mm_capacity_report;
 
 /* Number of waiting tasks that go before a new task of this priority: those
--- /dev/null
+++ b/src/mm_shedding.c
@@ -0,0 +1,31 @@
+/* mm_shedding: decides on waiting jobs that can no longer be on time.  */
+#include "mm_shedding.h"
+
+/**
+ * mm_shedding_decide() - decide on a job of which no task may have started.
+ * @j: the job.
+ *
+ * A job that can only be late is worth less to its caller than one that is on
+ * time, and needs the same capacity.  It therefore yields to jobs that can be
+ * on time, and is rejected while there are more of those than capacity.
+ *
+ * Return: the decision.
+ */
+mm_shedding_verdict
+mm_shedding_decide (const mm_shedding_job *j)
+{
+  if (j->now_ms + j->expected_wait_ms > j->latest_start_ms)
+    return MM_SHEDDING_REJECT;
+  if (j->now_ms <= j->on_time_start_ms)
+    return MM_SHEDDING_KEEP;
+  return j->overloaded ? MM_SHEDDING_REJECT : MM_SHEDDING_YIELD;
+}
+
+const char *
+mm_shedding_name (mm_shedding_verdict v)
+{
+  static const char *const names[] = { [MM_SHEDDING_KEEP] = "keep",
+                                       [MM_SHEDDING_YIELD] = "yield",
+                                       [MM_SHEDDING_REJECT] = "reject" };
+  return names[v];
+}
--- a/src/mm_task.h
+++ b/src/mm_task.h
@@ -61,13 +61,14 @@
   const char *data_label;     /* label of upstreams near its data, or NULL */
   const char *avoid_upstream; /* name of an upstream not to use, or NULL */
   mm_resources resources;
-  bool kept;                /* of a kept job: its home acknowledges its end */
-  bool isolated;            /* suspected of crashing its upstreams */
-  uint32_t attempt;         /* number of earlier attempts that failed */
-  uint32_t priority;        /* 0 is the highest */
-  mm_time_ms estimate_ms;   /* declared run time, not binding */
-  mm_time_ms waited_ms;     /* time spent in queues so far */
-  mm_time_ms due_within_ms; /* ms from now; orders tasks of equal priority */
+  bool kept;         /* of a kept job: its home acknowledges its end */
+  bool isolated;     /* suspected of crashing its upstreams */
+  bool yields;       /* goes behind tasks of any priority that do not yield */
+  uint32_t attempt;  /* number of earlier attempts that failed */
+  uint32_t priority; /* 0 is the highest */
+  mm_time_ms estimate_ms;     /* declared run time, not binding */
+  mm_time_ms waited_ms;       /* time spent in queues so far */
+  mm_time_ms due_within_ms;   /* ms from now; orders tasks of equal priority */
   mm_time_ms start_within_ms; /* ms from now; after that returned as not run */
   /* Upstream where the task runs already, to be adopted there; or NULL.  */
   const char *running_at;
