mm_reservation: owners are chosen by expected delay and distance

With the nearest owners first, all reservations of a task stay in its data centre, although its own queue is long and another data centre has none: the loads of data centres swing out of step. A distant owner now counts as 10 ms later, the round trip of an offer included.

--- a/src/config.h
+++ b/src/config.h
@@ -247,6 +247,10 @@
 #define MM_OFFER_MS 40
 /* After this time without an offer, the owners are chosen again.  */
 #define MM_RESERVATION_MS 100
+/* A task reserves in another data centre if it is expected to start sooner
+   there by this time.  That covers the round trip of the offer, for which the
+   capacity is idle.  */
+#define MM_RESERVATION_FAR_MS 10
 
 /* Overload control (mm_overload).  */
 /* Queueing delay above which a priority is overloaded.  */
--- a/src/mm_reservation.c
+++ b/src/mm_reservation.c
@@ -1,24 +1,31 @@
 /* mm_reservation: chooses the owners at which a task reserves.  */
 #include "mm_reservation.h"
 
-/* Returns the waiting tasks per place.  */
+#include "config.h"
+
+/* Returns how long a task is expected to wait at an owner, in ms, with what
+   the distance to the owner costs.  */
 static double
-queue_length (const mm_capacity_report *r)
+expected_delay_ms (const mm_dispatch_candidate *c)
 {
-  return (double)r->waiting / (double)r->places;
+  double waiting = (double)c->capacity.waiting / (double)c->capacity.places;
+  double task_ms
+      = c->capacity.task_ms ? c->capacity.task_ms : MM_TASK_ESTIMATE_MS;
+  double distance_ms = c->near == MM_NEAR_FAR ? MM_RESERVATION_FAR_MS : 0;
+  return waiting * task_ms + distance_ms;
 }
 
 /* Returns whether @a is preferred to @b.  */
 static bool
 is_better (const mm_dispatch_candidate *a, const mm_dispatch_candidate *b)
 {
-  if (a->near != b->near)
-    return a->near < b->near;
-  double length_a = queue_length (&a->capacity);
-  double length_b = queue_length (&b->capacity);
-  if (length_a != length_b)
-    return length_a < length_b;
-  return !a->returned_task && b->returned_task;
+  double delay_a_ms = expected_delay_ms (a);
+  double delay_b_ms = expected_delay_ms (b);
+  if (delay_a_ms != delay_b_ms)
+    return delay_a_ms < delay_b_ms;
+  if (a->returned_task != b->returned_task)
+    return b->returned_task;
+  return a->near < b->near;
 }
 
 size_t
--- a/src/mm_reservation.h
+++ b/src/mm_reservation.h
@@ -9,11 +9,11 @@
 
 #include "mm_dispatch.h"
 
-/* Chooses the owners at which a task reserves: those with capacity, the
-   nearest first, then those with the shortest queues, then those that have not
-   just returned the task.  Sets @chosen, an array of @max entries, to indexes
-   of @c in that order.  Returns the number of entries set, 0 when none of the
-   @n candidates has capacity.  */
+/* Chooses the owners at which a task reserves: those with capacity that are
+   expected to start it soonest, by their queues and their distance.  Sets
+   @chosen, an array of @max entries, to indexes of @c in that order.  Returns
+   the number of entries set, 0 when none of the @n candidates has
+   capacity.  */
 size_t mm_reservation_choose (const mm_dispatch_candidate *c, size_t n,
                               size_t max, size_t *chosen);
 
