Late binding: tasks without free capacity reserve at several owners

Callers saw a third of the dispatches under load come back unstarted: a task was sent to one owner by a report that is up to 200 ms old. With dispatch.late_binding, a task for which no owner reports free capacity, or that was returned, reserves at several owners and is bound to the first one that offers capacity. Off by default; decisions are then as before.

--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -233,6 +233,27 @@
   [MM_EV_TASK_HANDED]
   = { "task_handed", RATE_LOW, "job task owner free waiting age_ms attempt",
       "The task was dispatched to this owner of upstreams." },
+  [MM_EV_TASK_RESERVED]
+  = { "task_reserved", RATE_LOW,
+      "job task owners nearest free waiting age_ms attempt",
+      "No owner of upstreams reported free capacity for the task, or one "
+      "returned it: it has reservations at so many owners. nearest is the "
+      "first of them, with its report." },
+  [MM_EV_TASK_OFFERED]
+  = { "task_offered", RATE_LOW, "job task upstream waited_ms owners",
+      "Capacity at the upstream is set aside for a reservation that waited "
+      "here, and offered to the instance that made it. owners is how many "
+      "have a reservation for the task." },
+  [MM_EV_TASK_OFFER_ACCEPTED]
+  = { "task_offer_accepted", RATE_LOW, "job task owner waited_ms open",
+      "The task is bound to this owner, which offered capacity waited_ms "
+      "after the reservations were made. The open ones at other owners are "
+      "cancelled." },
+  [MM_EV_TASK_OFFER_DROPPED]
+  = { "task_offer_dropped", RATE_HIGH, "job task upstream offered_ms why",
+      "Capacity that was set aside for an offer is free again, offered_ms "
+      "after the offer. If the offer was not accepted in time, the "
+      "reservation has ended; otherwise it waits for capacity elsewhere." },
   [MM_EV_TASK_STARTED]
   = { "task_started", RATE_HIGH,
       "job task upstream run fence waited_ms view_ms lease_ms",
--- a/src/mm_fleet.c
+++ b/src/mm_fleet.c
@@ -5,6 +5,8 @@
 #include "mm_event.h"
 #include "mm_metrics.h"
 #include "mm_dispatch.h"
+#include "mm_reservation.h"
+#include "mm_reservation_set.h"
 
 #include <string.h>
 
@@ -18,13 +20,18 @@
   bool any_ended;        /* a task has ended: declared run times are ignored */
   mm_suspects *suspects; /* NULL: crashes are not tracked */
   const mm_evacuations *evacuations; /* NULL: there are none */
+  bool late_binding;                 /* see mm_fleet_set_late_binding() */
+  uint32_t reservations;             /* owners that a task reserves at */
+  GQueue *reserving;                 /* mm_dispatched_task that have a @set */
+  GQueue *expiring; /* the same, taken out by mm_fleet_tick() */
 };
 
 struct mm_dispatched_task
 {
   mm_fleet *fleet;
-  mm_work *work;          /* dispatched to this instance; else NULL */
-  mm_remote_task *remote; /* dispatched to a peer; else NULL */
+  mm_work *work;           /* dispatched to this instance; else NULL */
+  mm_remote_task *remote;  /* dispatched to a peer; else NULL */
+  mm_reservation_set *set; /* late binding; else NULL */
   mm_work_done done;
   void *ctx;
 };
@@ -37,6 +44,8 @@
   f->mesh = mesh;
   f->datacentre = g_strdup (datacentre);
   f->mean_task_ms = MM_TASK_ESTIMATE_MS;
+  f->reserving = g_queue_new ();
+  f->expiring = g_queue_new ();
   return f;
 }
 
@@ -45,6 +54,8 @@
 {
   if (!f)
     return;
+  g_queue_free (f->reserving);
+  g_queue_free (f->expiring);
   g_free (f->datacentre);
   g_free (f);
 }
@@ -166,6 +177,19 @@
   record_run_time (f, run_ms);
 }
 
+/* Frees the handle of a dispatch that has ended or is cancelled.  */
+static void
+free_dispatched (mm_dispatched_task *t)
+{
+  if (t->set)
+    {
+      g_queue_remove (t->fleet->reserving, t);
+      g_queue_remove (t->fleet->expiring, t);
+      mm_reservation_set_destroy (t->set);
+    }
+  g_free (t);
+}
+
 static void
 on_done (void *ctx, const mm_work_result *r)
 {
@@ -179,7 +203,108 @@
       record_run_time (t->fleet, r->ran_ms);
     }
   t->done (t->ctx, r);
-  g_free (t);
+  free_dispatched (t);
+}
+
+void
+mm_fleet_set_late_binding (mm_fleet *f, bool on, uint32_t reservations)
+{
+  f->late_binding = on;
+  f->reservations = MIN (reservations, MM_RESERVATIONS_MAX);
+}
+
+/* ---- reservations (mm_reservation_port) --------------------------------- */
+
+static void *
+port_reserve (void *ctx, const char *owner, const mm_task_request *t,
+              uint32_t copies, mm_work_offered offered, mm_work_done done,
+              void *done_ctx)
+{
+  mm_fleet *f = ctx;
+  if (!owner)
+    return mm_owner_reserve (f->owner, t, copies, offered, done, done_ctx);
+  return mm_mesh_reserve (f->mesh, owner, t, copies, offered, done, done_ctx);
+}
+
+static void
+port_accept (void *ctx, const char *owner, void *handle, const char *payload)
+{
+  mm_fleet *f = ctx;
+  if (!owner)
+    mm_owner_accept (f->owner, handle, payload);
+  else
+    mm_mesh_accept (f->mesh, handle, payload);
+}
+
+static void
+port_cancel (void *ctx, const char *owner, void *handle)
+{
+  mm_fleet *f = ctx;
+  if (!owner)
+    mm_owner_cancel (f->owner, handle);
+  else
+    mm_mesh_cancel (f->mesh, handle);
+}
+
+/* Returns whether a task reserves instead of being sent to the owner @best,
+   the best choice.  Tasks of kept jobs and isolated ones are bound at once:
+   their homes track at which owner they may be.  */
+static bool
+binds_late (const mm_fleet *f, const mm_task_request *t,
+            const char *returned_by, const mm_dispatch_candidate *best)
+{
+  if (!f->late_binding || t->kept || t->isolated || t->running_at)
+    return false;
+  return returned_by
+         || mm_dispatch_count_fits (&best->capacity, t->resources.cpu_milli,
+                                    MM_DISPATCH_RULE)
+                == 0;
+}
+
+/* Reserves for a task at several owners.  Returns NULL when none of them is
+   connected.  */
+static mm_dispatched_task *
+reserve (mm_fleet *f, const mm_task_request *t,
+         const mm_mesh_peer_capacity *owners,
+         const mm_dispatch_candidate *choices, size_t n, mm_work_done done,
+         void *ctx)
+{
+  size_t chosen[MM_RESERVATIONS_MAX];
+  const char *names[MM_RESERVATIONS_MAX];
+  size_t n_chosen
+      = mm_reservation_choose (choices, n, f->reservations, chosen);
+  if (n_chosen == 0)
+    return NULL;
+  for (size_t i = 0; i < n_chosen; i++)
+    names[i] = owners[chosen[i]].name;
+  mm_task_request r = *t;
+  r.start_within_ms = t->useful_within_ms
+                          ? MIN (t->useful_within_ms, MM_RESERVATION_MS)
+                          : MM_RESERVATION_MS;
+  const mm_mesh_peer_capacity *nearest = &owners[chosen[0]];
+  mm_log_event (MM_EV_TASK_RESERVED, MM_TASK (&t->id), MM_INT (n_chosen),
+                MM_TEXT (nearest->name ? nearest->name : "self"),
+                MM_INT (nearest->capacity.free),
+                MM_INT (nearest->capacity.waiting), MM_INT (nearest->age_ms),
+                MM_INT (t->attempt));
+  mm_dispatched_task *handle = g_new0 (mm_dispatched_task, 1);
+  handle->fleet = f;
+  handle->done = done;
+  handle->ctx = ctx;
+  mm_reservation_port port = { .reserve = port_reserve,
+                               .accept = port_accept,
+                               .cancel = port_cancel,
+                               .ctx = f };
+  handle->set = mm_reservation_set_create (&port, &r, names, n_chosen, on_done,
+                                           handle);
+  if (!handle->set)
+    {
+      g_free (handle);
+      return NULL;
+    }
+  mm_metrics_count (MM_CT_TASKS_HANDED);
+  g_queue_push_tail (f->reserving, handle);
+  return handle;
 }
 
 /**
@@ -192,7 +317,8 @@
  *        cancelled first.
  * @ctx: for @done.
  *
- * The task waits at the owner if no capacity is free there.
+ * The task waits at the owner if no capacity is free there.  With late binding
+ * it reserves at several owners instead, see mm_fleet_set_late_binding().
  *
  * Return: a handle valid until @done, or NULL when neither this instance nor a
  * connected peer reports any capacity for the service, free or in use.
@@ -222,6 +348,8 @@
                                  MM_DISPATCH_RULE);
   if (best < 0)
     return NULL;
+  if (binds_late (f, t, returned_by, &choices[best]))
+    return reserve (f, t, owners, choices, n, done, ctx);
   mm_dispatched_task *handle = g_new0 (mm_dispatched_task, 1);
   handle->fleet = f;
   handle->done = done;
@@ -245,7 +373,47 @@
 {
   if (t->work)
     mm_owner_cancel (f->owner, t->work);
-  else
+  else if (t->remote)
     mm_mesh_cancel (f->mesh, t->remote);
-  g_free (t);
+  free_dispatched (t);
+}
+
+bool
+mm_fleet_may_have_started (const mm_dispatched_task *t)
+{
+  return !t->set || mm_reservation_set_accepted (t->set);
+}
+
+uint32_t
+mm_fleet_count_reserving (const mm_fleet *f)
+{
+  uint32_t n = 0;
+  for (GList *l = f->reserving->head; l; l = l->next)
+    n += !mm_fleet_may_have_started (l->data);
+  return n;
+}
+
+/* The due tasks are taken out first, because the callback of one of them may
+   cancel others and dispatch it again.  */
+void
+mm_fleet_tick (mm_fleet *f)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  GList *next;
+  for (GList *l = f->reserving->head; l; l = next)
+    {
+      next = l->next;
+      if (!mm_reservation_set_is_due (((mm_dispatched_task *)l->data)->set,
+                                      now))
+        continue;
+      g_queue_unlink (f->reserving, l);
+      g_queue_push_tail_link (f->expiring, l);
+    }
+  mm_dispatched_task *t;
+  while ((t = g_queue_pop_head (f->expiring)))
+    /* A callback may have freed capacity that was offered to this one.  */
+    if (mm_reservation_set_is_due (t->set, now))
+      mm_reservation_set_expire (t->set);
+    else
+      g_queue_push_tail (f->reserving, t);
 }
--- a/src/mm_fleet.h
+++ b/src/mm_fleet.h
@@ -42,6 +42,16 @@
 mm_dispatched_task *mm_fleet_submit (mm_fleet *f, const mm_task_request *t,
                                      const char *returned_by,
                                      mm_work_done done, void *ctx);
+/* Sets whether tasks for which no owner reports free capacity, or that were
+   returned, reserve at up to @reservations owners; off at first.  */
+void mm_fleet_set_late_binding (mm_fleet *f, bool on, uint32_t reservations);
+/* Returns whether a dispatched task may have started: false while it only has
+   reservations.  */
+bool mm_fleet_may_have_started (const mm_dispatched_task *t);
+/* Returns the number of tasks that only have reservations.  */
+uint32_t mm_fleet_count_reserving (const mm_fleet *f);
+/* Ends reservations without an offer; call each MM_EXEC_TICK_MS.  */
+void mm_fleet_tick (mm_fleet *f);
 /* Cancels a dispatched task and frees its handle; @done is not called.  */
 void mm_fleet_cancel (mm_fleet *f, mm_dispatched_task *t);
 
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -222,7 +222,8 @@
           .priority = b->priority,
           .estimate_ms = step->estimate_ms,
           .waited_ms = now - b->submitted_ms,
-          .due_within_ms = MAX (b->on_time_start_ms - now, 0) };
+          .due_within_ms = MAX (b->on_time_start_ms - now, 0),
+          .useful_within_ms = MAX (b->latest_start_ms - now, 1) };
   /* The task waits in one owner's queue for a short time only and is then
      placed again, since capacity may have become free at another owner.  */
   r.start_within_ms = CLAMP (b->latest_start_ms - now, 1,
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -16,14 +16,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* A task received over a link.  */
-typedef struct
-{
-  mm_mesh_inbound_link *inbound;
-  uint64_t number;
-  mm_work *work;
-} inbound_task;
-
 /* Reasons for closing a link, compared by address.  */
 static const char why_unresponsive[] = "silent";
 static const char why_unneeded[] = "not a neighbour any more";
@@ -31,12 +23,10 @@
 
 /* ---- inbound links: the owner of upstreams ---------------------------- */
 
-/* Sends the outcome of a task over the link on which the task was
-   received.  */
-static void
-on_inbound_task_done (void *ctx, const mm_work_result *r)
+void
+mm_mesh_on_inbound_task_done (void *ctx, const mm_work_result *r)
 {
-  inbound_task *t = ctx;
+  mm_mesh_inbound_task *t = ctx;
   mm_mesh_inbound_link *in = t->inbound;
   msgpack_sbuffer b;
   msgpack_sbuffer_init (&b);
@@ -46,31 +36,39 @@
   g_hash_table_remove (in->tasks, &t->number);
 }
 
-/* Submits a task that a peer dispatched to this instance.  A number that is in
-   use for another task on the link is ignored.  */
-static void
-handle_run (mm_mesh_inbound_link *in, mm_mesh_msg *msg)
+mm_mesh_inbound_task *
+mm_mesh_add_inbound_task (mm_mesh_inbound_link *in, mm_mesh_msg *msg)
 {
   if (g_hash_table_contains (in->tasks, &msg->number))
-    return;
+    return NULL;
   in->awaited_ms = MIN (in->awaited_ms, in->heard_ms - msg->request.silent_ms);
   msg->request.awaited_ms = &in->awaited_ms;
-  inbound_task *t = g_new0 (inbound_task, 1);
+  mm_mesh_inbound_task *t = g_new0 (mm_mesh_inbound_task, 1);
   t->inbound = in;
   t->number = msg->number;
   in->seen_number = MAX (in->seen_number, msg->number);
   g_hash_table_insert (in->tasks, &t->number, t);
-  t->work = mm_owner_submit (in->mesh->owner, &msg->request,
-                             on_inbound_task_done, t);
+  return t;
+}
+
+/* Submits a task that a peer dispatched to this instance.  A number that is in
+   use for another task on the link is ignored.  */
+static void
+handle_run (mm_mesh_inbound_link *in, mm_mesh_msg *msg)
+{
+  mm_mesh_inbound_task *t = mm_mesh_add_inbound_task (in, msg);
+  if (t)
+    t->work = mm_owner_submit (in->mesh->owner, &msg->request,
+                               mm_mesh_on_inbound_task_done, t);
 }
 
 static void
 handle_cancel (mm_mesh_inbound_link *in, uint64_t number)
 {
-  inbound_task *t = g_hash_table_lookup (in->tasks, &number);
+  mm_mesh_inbound_task *t = g_hash_table_lookup (in->tasks, &number);
   if (!t)
     return;
-  mm_owner_cancel (in->mesh->owner, t->work);
+  mm_owner_withdraw (in->mesh->owner, t->work);
   g_hash_table_remove (in->tasks, &number);
 }
 
@@ -108,6 +106,10 @@
   bool ok = mm_mesh_msg_read (o, &msg);
   if (ok && msg.kind == MM_MESH_RUN)
     handle_run (in, &msg);
+  else if (ok && msg.kind == MM_MESH_RESERVE)
+    mm_mesh_handle_reserve (in, &msg);
+  else if (ok && msg.kind == MM_MESH_ACCEPT)
+    mm_mesh_handle_accept (in, &msg);
   else if (ok && msg.kind == MM_MESH_CANCEL)
     handle_cancel (in, msg.number);
   else if (ok && msg.kind == MM_MESH_REQUEST)
@@ -148,7 +150,7 @@
   gpointer v;
   g_hash_table_iter_init (&it, in->tasks);
   while (g_hash_table_iter_next (&it, NULL, &v))
-    mm_owner_cancel (m->owner, ((inbound_task *)v)->work);
+    mm_owner_cancel (m->owner, ((mm_mesh_inbound_task *)v)->work);
   g_hash_table_destroy (in->tasks);
   for (GList *l = in->requests; l; l = l->next)
     ((mm_mesh_inbound_request *)l->data)->to = NULL;
@@ -289,6 +291,7 @@
   p->connected = true;
   p->leaving = msg->leaving;
   p->seen_number = msg->number;
+  mm_mesh_forget_seen_reserves (p);
   g_free (p->capacities);
   p->capacities = g_steal_pointer (&msg->capacities);
   p->n_capacities = msg->n_capacities;
@@ -307,6 +310,8 @@
   bool ok = mm_mesh_msg_read (o, &msg);
   if (ok && msg.kind == MM_MESH_ENDED)
     handle_ended (p, &msg);
+  else if (ok && msg.kind == MM_MESH_OFFER)
+    mm_mesh_handle_offer (p, &msg);
   else if (ok && msg.kind == MM_MESH_ANSWER)
     mm_requests_answer (p->requests, msg.number, msg.data, msg.len);
   else if (ok && msg.kind == MM_MESH_REPORT)
@@ -326,6 +331,9 @@
 /* Outcome of the tasks on a link that has closed.  */
 static const mm_work_result out_of_contact
     = { .how = MM_END_UNKNOWN, .why = "owner out of contact" };
+/* Outcome of the reservations there: none was accepted, so none has run.  */
+static const mm_work_result not_accepted
+    = { .how = MM_END_NOT_RUN, .why = "owner out of contact" };
 
 /* Records when the peer closed its link.  A process that ends closes its
    links.  A peer that is disconnected, stalled or without power does not: this
@@ -342,7 +350,8 @@
                         now);
 }
 
-/* Ends the tasks on the closed link as in doubt and fails its requests.  */
+/* Ends the tasks on the closed link as in doubt, reservations as not run, and
+   fails its requests.  */
 static void
 on_peer_closed (void *ctx, const char *why)
 {
@@ -371,7 +380,7 @@
     {
       mm_remote_task *r = v;
       g_hash_table_iter_steal (&it);
-      r->done (r->ctx, &out_of_contact);
+      r->done (r->ctx, r->offered ? &not_accepted : &out_of_contact);
       g_free (r);
     }
   mm_requests_fail_all (p->requests);
@@ -390,6 +399,7 @@
   GError *error = NULL;
   p->last_number = p->seen_number = p->known_list_offset = 0;
   p->report_sent_ms = 0;
+  g_array_set_size (p->unseen_reserves, 0);
   p->queue_delay = (mm_queue_delay){ 0 };
   p->link = mm_link_connect (p->mesh->loop, p->info.addr, &ev, &error);
   if (!p->link)
@@ -422,6 +432,7 @@
   if (p->link)
     mm_link_close (p->link, "peer not listed any more");
   g_hash_table_destroy (p->remote_tasks);
+  g_array_free (p->unseen_reserves, TRUE);
   mm_requests_destroy (p->requests);
   g_free (p->capacities);
   mm_mesh_peer_info_clear (&p->info);
@@ -610,11 +621,12 @@
   for (size_t i = 0; i < p->n_capacities; i++)
     if (strcmp (p->capacities[i].service, service) == 0)
       r = p->capacities[i].capacity;
-  uint64_t unseen = p->last_number - p->seen_number;
+  uint64_t unseen = p->last_number - p->seen_number
+                    - mm_mesh_count_unseen_reserves (p, &r);
   for (uint64_t i = p->seen_number + 1; i <= p->last_number; i++)
     {
       const mm_remote_task *t = g_hash_table_lookup (p->remote_tasks, &i);
-      if (t)
+      if (t && !t->offered)
         mm_residuals_take (&r.residuals, t->cpu_milli);
     }
   uint32_t used = (uint32_t)MIN (unseen, r.free);
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -75,7 +75,18 @@
 mm_remote_task *mm_mesh_submit (mm_mesh *m, const char *peer,
                                 const mm_task_request *t, mm_work_done done,
                                 void *ctx);
-/* Cancels a dispatched task and frees @r; its @done is not called.  */
+/* Reserves at a peer for a task, whose payload is sent with mm_mesh_accept().
+   @copies: owners at which the task has reservations.  @offered: called when
+   the peer has set capacity aside.  Until mm_mesh_accept(), a link that closes
+   ends the reservation as not run.  Returns a handle as mm_mesh_submit().  */
+mm_remote_task *mm_mesh_reserve (mm_mesh *m, const char *peer,
+                                 const mm_task_request *t, uint32_t copies,
+                                 mm_work_offered offered, mm_work_done done,
+                                 void *ctx);
+/* Accepts the peer's offer: the task is bound to the peer.  */
+void mm_mesh_accept (mm_mesh *m, mm_remote_task *r, const char *payload);
+/* Cancels a dispatched task or a reservation and frees @r; its @done is not
+ * called.  */
 void mm_mesh_cancel (mm_mesh *m, mm_remote_task *r);
 /* Sends a request to a peer, or a notification when @answered is NULL.  @verb:
    what is requested, an mm_kept_verb.  @answered is called once; it is called
--- a/src/mm_mesh_peers.c
+++ b/src/mm_mesh_peers.c
@@ -67,6 +67,7 @@
   p->info.is_standby = info->is_standby;
   p->known_ms = mm_clock_now_ms ();
   p->remote_tasks = g_hash_table_new (g_int64_hash, g_int64_equal);
+  p->unseen_reserves = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   p->requests = mm_requests_create ();
   g_hash_table_insert (m->peers, p->info.name, p);
 }
--- a/src/mm_mesh_priv.h
+++ b/src/mm_mesh_priv.h
@@ -27,6 +27,7 @@
   uint64_t last_number;     /* number of the last task sent over the link */
   uint64_t seen_number;     /* highest task number that the report counts */
   GHashTable *remote_tasks; /* task number -> mm_remote_task */
+  GArray *unseen_reserves;  /* numbers of reservations after seen_number */
   /* The peer's last report, one entry per service.  */
   mm_mesh_service_capacity *capacities;
   size_t n_capacities;
@@ -45,15 +46,18 @@
   uint64_t number;
   int64_t cpu_milli;
   mm_work_done done;
+  mm_work_offered offered; /* reservations: not accepted yet; else NULL */
+  uint32_t copies;         /* reservations: owners with one for the task */
   void *ctx;
 };
 
 /* A link opened by another instance.  */
-typedef struct
+typedef struct mm_mesh_inbound_link mm_mesh_inbound_link;
+struct mm_mesh_inbound_link
 {
   mm_mesh *mesh;
   mm_link *link;
-  GHashTable *tasks;    /* task number -> inbound_task */
+  GHashTable *tasks;    /* task number -> mm_mesh_inbound_task */
   GList *requests;      /* mm_mesh_inbound_request: requests to be answered */
   char *name;           /* of the sender, NULL until its HELLO */
   uint64_t seen_number; /* highest task number received */
@@ -68,7 +72,15 @@
                           updates were sent over the link */
   /* Queueing delay of the updates received over the link.  */
   mm_queue_delay queue_delay;
-} mm_mesh_inbound_link;
+};
+
+/* A task or reservation received over a link.  */
+typedef struct
+{
+  mm_mesh_inbound_link *inbound;
+  uint64_t number;
+  mm_work *work;
+} mm_mesh_inbound_task;
 
 struct mm_mesh_inbound_request
 {
@@ -110,6 +122,26 @@
 /* Sends packed messages to all connected peers.  */
 void mm_mesh_send_all (mm_mesh *m, const msgpack_sbuffer *b);
 
+/* Records a task that was received over a link.  Returns NULL if its number is
+   in use for another one there.  */
+mm_mesh_inbound_task *mm_mesh_add_inbound_task (mm_mesh_inbound_link *in,
+                                                mm_mesh_msg *msg);
+/* Sends the outcome of a task, @ctx, over the link on which it was
+   received.  */
+void mm_mesh_on_inbound_task_done (void *ctx, const mm_work_result *r);
+
+/* mm_mesh_reserve.c */
+void mm_mesh_handle_reserve (mm_mesh_inbound_link *in, mm_mesh_msg *msg);
+void mm_mesh_handle_accept (mm_mesh_inbound_link *in, const mm_mesh_msg *msg);
+void mm_mesh_handle_offer (mm_mesh_peer *p, const mm_mesh_msg *msg);
+/* Forgets the reservations that the peer's report counts.  */
+void mm_mesh_forget_seen_reserves (mm_mesh_peer *p);
+/* Counts the reservations at a peer that its report does not count yet as
+   waiting.  Returns the number of those that are not accepted, including those
+   that have ended.  */
+uint64_t mm_mesh_count_unseen_reserves (const mm_mesh_peer *p,
+                                        mm_capacity_report *r);
+
 /* mm_mesh_adopt.c */
 /* Sets the callbacks of the owner that use the links.  */
 void mm_mesh_attach_owner (mm_mesh *m);
--- a/src/mm_metrics.c
+++ b/src/mm_metrics.c
@@ -40,6 +40,17 @@
   [MM_CT_JOBS_REFUSED_OTHER] = { REFUSED, "reason=\"other\"", REFUSED_HELP },
   [MM_CT_TASKS_HANDED] = { "masticmill_tasks_handed_total", NULL,
                            "Tasks handed to an owner of upstreams." },
+  [MM_CT_RESERVATIONS]
+  = { "masticmill_reservations_total", NULL,
+      "Reservations that this instance made at owners for its tasks." },
+  [MM_CT_OFFERS] = { "masticmill_offers_total", NULL,
+                     "Offers of capacity made for reservations here." },
+  [MM_CT_OFFERS_ACCEPTED]
+  = { "masticmill_offers_accepted_total", NULL,
+      "Offers that this instance accepted for its tasks." },
+  [MM_CT_OFFERS_EXPIRED]
+  = { "masticmill_offers_expired_total", NULL,
+      "Offers made here that were neither accepted nor cancelled in time." },
   [MM_CT_TASKS_STARTED] = { "masticmill_tasks_started_total", NULL,
                             "Starts ordered at upstreams owned here." },
   [MM_CT_TASKS_DONE] = { TASKS, "how=\"done\"", TASKS_HELP },
@@ -172,6 +183,9 @@
                   "Submission to answer, completed jobs." },
   [MM_HG_QUEUE_WAIT] = { "masticmill_queue_wait_seconds", NULL,
                          "Taken in by an owner until ordered to start." },
+  [MM_HG_RESERVATION]
+  = { "masticmill_reservation_seconds", NULL,
+      "Reservations of a task made until an offer is accepted." },
   [MM_HG_START_CALL] = { "masticmill_start_call_seconds", NULL,
                          "Order to start until its answer." },
   [MM_HG_TASK_RUN] = { "masticmill_task_run_seconds", NULL,
--- a/src/mm_metrics.h
+++ b/src/mm_metrics.h
@@ -23,6 +23,10 @@
   MM_CT_JOBS_REFUSED_KIND,
   MM_CT_JOBS_REFUSED_OTHER,
   MM_CT_TASKS_HANDED,
+  MM_CT_RESERVATIONS,
+  MM_CT_OFFERS,
+  MM_CT_OFFERS_ACCEPTED,
+  MM_CT_OFFERS_EXPIRED,
   MM_CT_TASKS_STARTED,
   MM_CT_TASKS_DONE,
   MM_CT_TASKS_FAILED,
@@ -94,13 +98,14 @@
 /* The histograms of durations.  */
 typedef enum
 {
-  MM_HG_JOB,        /* from submission to answer, of completed jobs */
-  MM_HG_QUEUE_WAIT, /* from dispatch to an owner until the start is sent */
-  MM_HG_START_CALL, /* from a start until its answer */
-  MM_HG_TASK_RUN,   /* from a start until the end, of tasks that are done */
-  MM_HG_RUN_STOP,   /* from the first stop of a run until its end */
-  MM_HG_JOIN_CALL,  /* a call to the store that joins a group */
-  MM_HG_START_VIEW, /* age of the list of upstreams at a start */
+  MM_HG_JOB,         /* from submission to answer, of completed jobs */
+  MM_HG_QUEUE_WAIT,  /* from dispatch to an owner until the start is sent */
+  MM_HG_RESERVATION, /* from reservations of a task until one is accepted */
+  MM_HG_START_CALL,  /* from a start until its answer */
+  MM_HG_TASK_RUN,    /* from a start until the end, of tasks that are done */
+  MM_HG_RUN_STOP,    /* from the first stop of a run until its end */
+  MM_HG_JOIN_CALL,   /* a call to the store that joins a group */
+  MM_HG_START_VIEW,  /* age of the list of upstreams at a start */
   MM_HG_COUNT
 } mm_histogram_id;
 
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -225,6 +225,7 @@
   mm_owner_set_confirmed (n->owner,
                           mm_datacentres_confirmed (n->owned_datacentres));
   mm_owner_tick (n->owner);
+  mm_fleet_tick (n->fleet);
   mm_jobs_tick (n->jobs);
   mm_list_share_tick (n->list);
   mm_kept_tick (n->kept, mm_stream_is_current (n->upstreams)
@@ -353,6 +354,8 @@
   const mm_node_settings *s = &n->settings;
   n->catalog = mm_catalog_create ();
   n->fleet = mm_fleet_create (n->owner, n->mesh, s->datacentre);
+  mm_fleet_set_late_binding (n->fleet, s->late_binding,
+                             (uint32_t)s->reservations);
   n->suspects = mm_suspects_create ();
   mm_owner_set_suspects (n->owner, n->suspects);
   mm_mesh_set_suspects (n->mesh, n->suspects);
@@ -633,6 +636,8 @@
   dump_evacuations (n, d);
   cJSON_AddNumberToObject (d, "peers", mm_mesh_connected (n->mesh));
   cJSON_AddNumberToObject (d, "jobs", mm_jobs_count (n->jobs));
+  cJSON_AddNumberToObject (d, "tasks_reserving",
+                           mm_fleet_count_reserving (n->fleet));
   char *owner = mm_owner_dump (n->owner);
   cJSON_AddItemToObject (d, "owner", cJSON_Parse (owner));
   free (owner);
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -13,8 +13,6 @@
 
 #include <string.h>
 
-static void start_waiting (mm_owner *o);
-
 void
 mm_owner_free_work (mm_work *w)
 {
@@ -25,6 +23,7 @@
   g_free ((char *)w->request.avoid_upstream);
   g_free ((char *)w->request.running_at);
   g_free (w->orphaned_on);
+  g_free (w->reservation);
   g_free (w);
 }
 
@@ -55,8 +54,8 @@
   return x->arrival < y->arrival ? -1 : x->arrival > y->arrival;
 }
 
-static void
-enqueue (mm_owner *o, mm_work *w)
+void
+mm_owner_enqueue (mm_owner *o, mm_work *w)
 {
   w->running_on = NULL;
   g_queue_insert_sorted (o->waiting, w, work_order, NULL);
@@ -72,7 +71,7 @@
   if (w->cancelled || late || o->destroyed)
     mm_owner_finish (w, MM_END_NOT_RUN, upstream, 0, 0, why);
   else
-    enqueue (o, w);
+    mm_owner_enqueue (o, w);
 }
 
 /* Records a success or failure in the upstream's circuit breaker, and logs
@@ -151,7 +150,7 @@
 on_capacity_freed (void *ctx, mm_exec *x)
 {
   mm_owned_upstream *owned = ctx;
-  start_waiting (owned->owner);
+  mm_owner_start_waiting (owned->owner);
 }
 
 static void
@@ -195,6 +194,7 @@
       mm_log_event (MM_EV_UPSTREAM_FENCED, MM_TEXT (mm_exec_info (x)->name),
                     MM_INT (mm_exec_fence (x)));
     }
+  mm_owner_drop_offers (owned->owner, owned, "fenced");
   mm_owner_orphan_all (owned->owner, owned, "fenced");
 }
 
@@ -212,6 +212,7 @@
   o->owned_upstreams = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                               owned_upstream_free);
   o->waiting = g_queue_new ();
+  o->offers = g_queue_new ();
   o->active = g_hash_table_new (mm_task_id_hash, mm_task_id_equal);
   o->orphans = g_hash_table_new (mm_task_id_hash, mm_task_id_equal);
   o->transferred = g_hash_table_new (NULL, NULL);
@@ -261,6 +262,7 @@
   while (g_hash_table_iter_next (&it, NULL, &v))
     mm_owner_free_work (v);
   g_queue_free_full (o->waiting, (GDestroyNotify)mm_owner_free_work);
+  g_queue_free_full (o->offers, (GDestroyNotify)mm_owner_free_work);
   mm_owner_destroy_transfers (o);
   g_hash_table_destroy (o->owned_upstreams);
   g_hash_table_destroy (o->active);
@@ -293,7 +295,7 @@
   if (owned && mm_exec_fence (owned->exec) >= fence)
     {
       resume (owned);
-      start_waiting (o);
+      mm_owner_start_waiting (o);
       return;
     }
   if (owned)
@@ -320,7 +322,10 @@
 {
   mm_owned_upstream *owned = g_hash_table_lookup (o->owned_upstreams, u->name);
   if (owned)
-    mm_exec_update (owned->exec, u);
+    {
+      mm_exec_update (owned->exec, u);
+      mm_owner_check_offers (o);
+    }
   if (o->suspects)
     mm_suspects_listed (o->suspects, u);
 }
@@ -339,6 +344,7 @@
     mm_owner_on_upstream_lost (owned, owned->exec, false);
   mm_owner_keep_raised_fence (owned);
   owned->removed = true;
+  mm_owner_drop_offers (o, owned, "upstream handed over or gone");
   mm_owner_orphan_all (o, owned, "upstream handed over or gone");
   g_hash_table_remove (o->owned_upstreams, upstream);
 }
@@ -351,7 +357,7 @@
   if (!owned || !owned->handing_over)
     return;
   resume (owned);
-  start_waiting (o);
+  mm_owner_start_waiting (o);
 }
 
 GList *
@@ -382,10 +388,9 @@
 candidate (mm_owned_upstream *owned, const mm_work *w, mm_time_ms now)
 {
   const mm_upstream_info *u = mm_exec_info (owned->exec);
-  mm_placement_candidate c
-      = { .free_capacity = mm_exec_free_capacity (owned->exec),
-          .slowness = mm_exec_slowness (owned->exec) };
-  size_t runs = mm_exec_count_runs (owned->exec);
+  mm_placement_candidate c = { .free_capacity = mm_owner_free_capacity (owned),
+                               .slowness = mm_exec_slowness (owned->exec) };
+  size_t runs = mm_owner_count_used_slots (owned);
   c.contention = mm_owner_contention (owned, w);
   c.near_data = w->request.data_label && has_label (u, w->request.data_label);
   c.allowed = mm_owner_ends_before_handover (
@@ -401,14 +406,21 @@
   return c;
 }
 
-/* Starts @w on the upstream where it fits best.  Returns whether it was
-   started.  */
-static bool
-place_task (mm_owner *o, mm_work *w, mm_time_ms now)
+bool
+mm_owner_accepts (mm_owned_upstream *owned, const mm_work *w, mm_time_ms now)
+{
+  mm_placement_candidate c = candidate (owned, w, now);
+  return c.allowed
+         && mm_resources_fit (&w->request.resources, &c.free_capacity);
+}
+
+/* Returns the upstream where @w fits best, NULL if there is none.  */
+static mm_owned_upstream *
+choose_upstream (const mm_owner *o, const mm_work *w, mm_time_ms now)
 {
   guint n = g_hash_table_size (o->owned_upstreams);
   if (n == 0 || mm_owner_has_earlier_run (o, &w->request.id))
-    return false;
+    return NULL;
   mm_placement_candidate *c = g_new (mm_placement_candidate, n);
   mm_owned_upstream **candidates = g_new (mm_owned_upstream *, n);
   GHashTableIter it;
@@ -421,19 +433,38 @@
       c[i++] = candidate (v, w, now);
     }
   int best = mm_placement_choose (c, n, &w->request.resources);
-  if (best >= 0)
-    {
-      w->running_on = candidates[best];
-      g_hash_table_insert (o->active, &w->request.id, w);
-      mm_owner_count_suspect (w->running_on, w, 1);
-      mm_metrics_count (MM_CT_TASKS_STARTED);
-      w->request.waited_ms += now - w->accepted_ms;
-      mm_metrics_time (MM_HG_QUEUE_WAIT, now - w->accepted_ms);
-      mm_exec_start (w->running_on->exec, &w->request, w);
-    }
+  mm_owned_upstream *owned = best >= 0 ? candidates[best] : NULL;
   g_free (c);
   g_free (candidates);
-  return best >= 0;
+  return owned;
+}
+
+void
+mm_owner_start (mm_owner *o, mm_owned_upstream *owned, mm_work *w,
+                mm_time_ms now)
+{
+  w->running_on = owned;
+  g_hash_table_insert (o->active, &w->request.id, w);
+  mm_owner_count_suspect (owned, w, 1);
+  mm_metrics_count (MM_CT_TASKS_STARTED);
+  w->request.waited_ms += now - w->accepted_ms;
+  mm_metrics_time (MM_HG_QUEUE_WAIT, now - w->accepted_ms);
+  mm_exec_start (owned->exec, &w->request, w);
+}
+
+/* Starts @w on the upstream where it fits best, or sets capacity aside there
+   for a reservation.  Returns whether there is such an upstream.  */
+static bool
+place_task (mm_owner *o, mm_work *w, mm_time_ms now)
+{
+  mm_owned_upstream *owned = choose_upstream (o, w, now);
+  if (!owned)
+    return false;
+  if (w->reservation)
+    mm_owner_set_aside (o, owned, w, now);
+  else
+    mm_owner_start (o, owned, w, now);
+  return true;
 }
 
 static mm_work *
@@ -489,8 +520,8 @@
 
 /* Starts waiting tasks that fit.  A call from a callback of the pass that is
    running makes another pass follow.  */
-static void
-start_waiting (mm_owner *o)
+void
+mm_owner_start_waiting (mm_owner *o)
 {
   if (o->destroyed)
     return;
@@ -502,23 +533,14 @@
     {
       o->start_again = false;
       start_waiting_once (o);
+      mm_owner_send_offers (o);
     }
   o->starting = false;
 }
 
-/**
- * mm_owner_submit() - queue a task until there is free capacity for it.
- * @o: the owner.
- * @t: the task; copied.
- * @done: called once with the outcome, after this function has returned,
- *        unless the task is cancelled before.
- * @ctx: for @done.
- *
- * Return: a handle for mm_owner_cancel(), valid until @done.
- */
 mm_work *
-mm_owner_submit (mm_owner *o, const mm_task_request *t, mm_work_done done,
-                 void *ctx)
+mm_owner_create_work (mm_owner *o, const mm_task_request *t, mm_work_done done,
+                      void *ctx)
 {
   mm_work *w = g_new0 (mm_work, 1);
   w->owner = o;
@@ -537,15 +559,39 @@
   w->ctx = ctx;
   if (!t->awaited_ms && o->input_read_ms)
     w->request.awaited_ms = &o->input_read_ms;
+  return w;
+}
+
+void
+mm_owner_record_size (mm_owner *o, const mm_task_request *t)
+{
   update_average (&o->average_cpu_milli, (double)t->resources.cpu_milli);
   update_average (&o->average_run_ms, (double)t->estimate_ms);
+}
+
+/**
+ * mm_owner_submit() - queue a task until there is free capacity for it.
+ * @o: the owner.
+ * @t: the task; copied.
+ * @done: called once with the outcome, after this function has returned,
+ *        unless the task is cancelled before.
+ * @ctx: for @done.
+ *
+ * Return: a handle for mm_owner_cancel(), valid until @done.
+ */
+mm_work *
+mm_owner_submit (mm_owner *o, const mm_task_request *t, mm_work_done done,
+                 void *ctx)
+{
+  mm_work *w = mm_owner_create_work (o, t, done, ctx);
+  mm_owner_record_size (o, t);
   if (t->running_at)
     {
       mm_owner_adopt (o, w);
       return w;
     }
-  enqueue (o, w);
-  start_waiting (o);
+  mm_owner_enqueue (o, w);
+  mm_owner_start_waiting (o);
   return w;
 }
 
@@ -569,7 +615,8 @@
       mm_exec_stop (w->running_on->exec, w);
       return;
     }
-  g_queue_remove (o->waiting, w);
+  if (!mm_owner_free_offer (o, w))
+    g_queue_remove (o->waiting, w);
   mm_owner_free_work (w);
 }
 
@@ -608,6 +655,7 @@
 {
   mm_time_ms now = mm_clock_now_ms ();
   expire_waiting (o, now);
+  mm_owner_tick_offers (o, now);
   mm_owner_return_evacuated (o);
   mm_owner_log_evacuations (o, now);
   mm_owner_tick_adoption (o, now);
@@ -620,5 +668,5 @@
     }
   g_list_free (all);
   if (o->waiting->length)
-    start_waiting (o);
+    mm_owner_start_waiting (o);
 }
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -31,6 +31,8 @@
 
 /* Called once with the outcome of a task, unless the task is cancelled.  */
 typedef void (*mm_work_done) (void *ctx, const mm_work_result *r);
+/* Called at most once, when capacity is set aside for a reservation.  */
+typedef void (*mm_work_offered) (void *ctx);
 
 /* Capacity and load of one service on the upstreams of one owner.  */
 typedef struct
@@ -135,6 +137,27 @@
    returned.  */
 mm_work *mm_owner_submit (mm_owner *o, const mm_task_request *t,
                           mm_work_done done, void *ctx);
+/* Queues a reservation for a task; @t is copied, and its payload is not used.
+   @copies: owners at which the task has reservations.  @offered: called when
+   capacity is set aside, for MM_OFFER_MS, possibly during this call.  Nothing
+   starts before mm_owner_accept().  @done is called after this function has
+   returned.  */
+mm_work *mm_owner_reserve (mm_owner *o, const mm_task_request *t,
+                           uint32_t copies, mm_work_offered offered,
+                           mm_work_done done, void *ctx);
+/* Binds the task of a reservation to this owner: it is started on the capacity
+   set aside, or waits like a submitted task if there is none any more.  */
+void mm_owner_accept (mm_owner *o, mm_work *w, const char *payload);
+/* Cancels a task like mm_owner_cancel(); capacity that was set aside for it is
+   used at once.  */
+void mm_owner_withdraw (mm_owner *o, mm_work *w);
+/* Reservations that wait in the queue, and offers that are not accepted.  */
+typedef struct
+{
+  uint32_t waiting;
+  uint32_t offers;
+} mm_owner_reservations;
+mm_owner_reservations mm_owner_count_reservations (const mm_owner *o);
 /* Cancels a task; its @done is not called, and the handle @w is not valid
    after this call.  */
 void mm_owner_cancel (mm_owner *o, mm_work *w);
--- a/src/mm_owner_handover.c
+++ b/src/mm_owner_handover.c
@@ -16,6 +16,7 @@
   o->handover_end_ms
       = MAX (o->handover_end_ms,
              now + MIN (left_ms, MM_HANDOVER_MS - MM_HANDOVER_MARGIN_MS));
+  mm_owner_check_offers (o);
 }
 
 void
@@ -27,6 +28,7 @@
     return;
   owned->handing_over = owned->released = true;
   mm_exec_set_suspended (owned->exec, true);
+  mm_owner_drop_offers (o, owned, "upstream handed over");
 }
 
 bool
--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -13,12 +13,26 @@
   uint64_t assigned_fence; /* the fencing token that this owner was assigned;
                               the session may have raised its own */
   mm_breaker breaker;
-  bool handing_over;   /* a handover to another owner is under way */
-  bool released;       /* the next owner may have it: nothing is started */
-  bool removed;        /* no longer owned; its session is being closed */
-  uint32_t n_suspects; /* suspected poison tasks that run there */
+  bool handing_over;      /* a handover to another owner is under way */
+  bool released;          /* the next owner may have it: nothing is started */
+  bool removed;           /* no longer owned; its session is being closed */
+  uint32_t n_suspects;    /* suspected poison tasks that run there */
+  mm_resources set_aside; /* for the offers of reservations */
+  uint32_t n_set_aside;   /* number of these offers */
 } mm_owned_upstream;
 
+/* A task that is to be offered to its submitter before it starts.  Not part of
+   the mm_work of other tasks.  */
+typedef struct
+{
+  uint32_t copies;         /* owners at which the task has reservations */
+  mm_work_offered offered; /* NULL once it was called */
+  void *ctx;               /* for @offered */
+  mm_time_ms end_ms; /* returned then unless accepted, 0: not offered yet */
+  /* Where capacity is set aside; NULL while it waits in the queue.  */
+  mm_owned_upstream *set_aside_at;
+} mm_owner_reservation;
+
 /* A task that was submitted to the owner.  An orphan is a task that runs at an
    upstream which this instance no longer owns.  */
 struct mm_work
@@ -40,6 +54,7 @@
   /* The handle under which the upstream's next owner runs the task, or NULL:
      not transferred.  */
   void *transfer;
+  mm_owner_reservation *reservation; /* NULL: not, or accepted */
   bool cancelled; /* the submitter waits no longer: @done is not called */
   mm_work_done done;
   void *ctx; /* for @done */
@@ -51,6 +66,7 @@
   mm_exec_common common;       /* shared by the sessions */
   GHashTable *owned_upstreams; /* upstream name -> mm_owned_upstream */
   GQueue *waiting;             /* mm_work, by priority, due time and arrival */
+  GQueue *offers;              /* mm_work for which capacity is set aside */
   GHashTable *active;          /* mm_task_id -> mm_work that has a run here */
   GHashTable *orphans;         /* mm_task_id -> mm_work that run at an upstream
                                   that is no longer owned */
@@ -76,11 +92,51 @@
   double done_share;          /* share of the runs that ended as done, 0..1 */
   bool confirmed;   /* membership is confirmed: no other instance can own
                        the upstreams owned here */
-  bool starting;    /* start_waiting() is running */
-  bool start_again; /* start_waiting() was called while it was running */
+  bool starting;    /* mm_owner_start_waiting() is running */
+  bool start_again; /* it was called while it was running */
   bool destroyed;   /* mm_owner_destroy() is running: start nothing */
 };
 
+/* mm_owner.c */
+/* Creates a task that was submitted here; it is not queued.  */
+mm_work *mm_owner_create_work (mm_owner *o, const mm_task_request *t,
+                               mm_work_done done, void *ctx);
+/* Counts a task in the average size of the tasks submitted here.  */
+void mm_owner_record_size (mm_owner *o, const mm_task_request *t);
+void mm_owner_enqueue (mm_owner *o, mm_work *w);
+/* Starts waiting tasks that fit, and sets capacity aside for reservations.  */
+void mm_owner_start_waiting (mm_owner *o);
+/* Returns whether @w may start at @owned and fits there.  */
+bool mm_owner_accepts (mm_owned_upstream *owned, const mm_work *w,
+                       mm_time_ms now);
+/* Starts a task, which is in no queue, on an upstream that accepts it.  */
+void mm_owner_start (mm_owner *o, mm_owned_upstream *owned, mm_work *w,
+                     mm_time_ms now);
+
+/* mm_owner_reserve.c */
+/* The capacity at an upstream that is neither used nor set aside.  */
+mm_resources mm_owner_free_capacity (const mm_owned_upstream *owned);
+/* Runs there, and offers for which capacity is set aside.  */
+size_t mm_owner_count_used_slots (const mm_owned_upstream *owned);
+/* Sets capacity aside for a reservation, which is in no queue.  */
+void mm_owner_set_aside (mm_owner *o, mm_owned_upstream *owned, mm_work *w,
+                         mm_time_ms now);
+/* Calls @offered of the reservations for which capacity was set aside.  */
+void mm_owner_send_offers (mm_owner *o);
+/* Queues the reservations again whose upstreams do not accept their tasks any
+   more.  */
+void mm_owner_check_offers (mm_owner *o);
+/* Queues the reservations again for which capacity is set aside at @owned.  */
+void mm_owner_drop_offers (mm_owner *o, const mm_owned_upstream *owned,
+                           const char *why);
+/* Ends the offers that were not accepted in time, and checks the others.  */
+void mm_owner_tick_offers (mm_owner *o, mm_time_ms now);
+/* Frees the capacity that is set aside for @w.  Returns whether there was
+   any.  */
+bool mm_owner_free_offer (mm_owner *o, mm_work *w);
+/* Number of tasks as which a waiting one counts in reports.  */
+double mm_owner_waiting_weight (const mm_work *w);
+
 /* mm_owner_fence.c */
 /* Remembers the fencing token of a session that ends, if it is higher than the
    one that was assigned.  The upstream refuses lower tokens.  */
--- a/src/mm_owner_report.c
+++ b/src/mm_owner_report.c
@@ -3,6 +3,7 @@
 #include "mm_owner_priv.h"
 
 #include <cJSON.h>
+#include <math.h>
 #include <string.h>
 
 /* Returns the average cpu of a task, in thousandths of a core.  Until a task
@@ -23,10 +24,29 @@
 {
   const mm_upstream_info *u = mm_exec_info (owned->exec);
   bool has_slot
-      = u->slots == 0 || mm_exec_count_runs (owned->exec) < (size_t)u->slots;
+      = u->slots == 0 || mm_owner_count_used_slots (owned) < (size_t)u->slots;
   if (!has_slot || !mm_exec_usable (owned->exec))
     return 0;
-  return MAX (mm_exec_free_capacity (owned->exec).cpu_milli, 0);
+  return MAX (mm_owner_free_capacity (owned).cpu_milli, 0);
+}
+
+/* Counts the waiting tasks of a service.  */
+static void
+report_waiting (const mm_owner *o, const char *service, mm_capacity_report *r)
+{
+  double waiting = 0, by_priority[MM_PRIORITY_LEVELS] = { 0 };
+  for (GList *l = o->waiting->head; l; l = l->next)
+    {
+      const mm_work *w = l->data;
+      if (strcmp (w->request.service, service) != 0)
+        continue;
+      double weight = mm_owner_waiting_weight (w);
+      waiting += weight;
+      by_priority[MIN (w->request.priority, MM_PRIORITY_LEVELS - 1)] += weight;
+    }
+  r->waiting = (uint32_t)lround (waiting);
+  for (int i = 0; i < (int)MM_PRIORITY_LEVELS; i++)
+    r->waiting_by_priority[i] = (uint32_t)lround (by_priority[i]);
 }
 
 /**
@@ -76,15 +96,7 @@
   r.places = (uint32_t)places;
   mm_residuals_fill (&r.residuals, residuals_milli, n_residuals);
   g_free (residuals_milli);
-  for (GList *l = o->waiting->head; l; l = l->next)
-    {
-      const mm_work *w = l->data;
-      if (strcmp (w->request.service, service) != 0)
-        continue;
-      r.waiting++;
-      r.waiting_by_priority[MIN (w->request.priority,
-                                 MM_PRIORITY_LEVELS - 1)]++;
-    }
+  report_waiting (o, service, &r);
   return r;
 }
 
@@ -151,6 +163,9 @@
 {
   cJSON *d = cJSON_CreateObject ();
   cJSON_AddNumberToObject (d, "waiting", o->waiting->length);
+  mm_owner_reservations reserved = mm_owner_count_reservations (o);
+  cJSON_AddNumberToObject (d, "waiting_reservations", reserved.waiting);
+  cJSON_AddNumberToObject (d, "offers", reserved.offers);
   cJSON *a = cJSON_AddArrayToObject (d, "upstreams");
   GHashTableIter it;
   gpointer v;
@@ -167,7 +182,7 @@
                                (double)mm_exec_count_runs (owned->exec));
       cJSON_AddNumberToObject (
           u, "free_cpu_milli",
-          (double)mm_exec_free_capacity (owned->exec).cpu_milli);
+          (double)mm_owner_free_capacity (owned).cpu_milli);
       cJSON_AddNumberToObject (u, "slowness", mm_exec_slowness (owned->exec));
       cJSON_AddItemToArray (a, u);
     }
