--- a/tests/fake_upstreams.c
+++ b/tests/fake_upstreams.c
@@ -62,6 +62,7 @@
   GList *upstreams;
   GList *calls;        /* in order of sending */
   fakes_counts counts; /* without the counts of the run tables */
+  GHashTable *started; /* set of mm_task_id */
 };
 
 static mm_time_ms
@@ -86,6 +87,8 @@
 {
   fakes *f = g_new0 (fakes, 1);
   f->now_ms = 100000;
+  f->started = g_hash_table_new_full (mm_task_id_hash, mm_task_id_equal,
+                                      g_free, NULL);
   mm_clock_set_source (read_fake_clock, f);
   return f;
 }
@@ -119,6 +122,7 @@
       deliver_timeout (l->data);
   g_list_free_full (f->calls, call_free);
   g_list_free_full (f->upstreams, fake_free);
+  g_hash_table_destroy (f->started);
   mm_clock_set_source (NULL, NULL);
   g_free (f);
 }
@@ -307,7 +311,12 @@
   mm_call_verdict v
       = mm_run_table_start (x->table, o, &required, run_ms, local_now_ms (x));
   if (!was_running && v == MM_CALL_OK)
-    count_double_runs (x, o->task);
+    {
+      count_double_runs (x, o->task);
+      mm_task_id *id = g_new (mm_task_id, 1);
+      *id = *o->task;
+      x->fakes->counts.repeated += !g_hash_table_add (x->fakes->started, id);
+    }
   return v;
 }
 
--- a/tests/fake_upstreams.h
+++ b/tests/fake_upstreams.h
@@ -95,6 +95,7 @@
   uint32_t starts;        /* starts carried out */
   uint32_t over_capacity; /* starts beyond an upstream's real capacity */
   uint32_t double_runs;   /* starts of a task that ran on another upstream */
+  uint32_t repeated;      /* starts of a task that was started before */
   uint32_t holds;         /* holds that arrived */
   uint32_t calls;         /* calls that were sent, also those that were lost */
 } fakes_counts;
--- a/tests/resend_fixture.c
+++ b/tests/resend_fixture.c
@@ -1,6 +1,8 @@
 /* resend_fixture: instances and their upstreams, see resend_fixture.h.  */
 #include "resend_priv.h"
 
+#include "mm_owner_priv.h"
+
 /* The steps of an iteration of an instance's event loop.  */
 typedef enum
 {
@@ -102,11 +104,18 @@
 
 int
 sim_add_upstream (sim *s, int owner)
+{
+  return sim_add_small_upstream (s, owner,
+                                 SIM_UPSTREAM_CPU_MILLI / SIM_CPU_MILLI);
+}
+
+int
+sim_add_small_upstream (sim *s, int owner, int tasks)
 {
   int u = s->n_upstreams++;
   char name[8];
   g_snprintf (name, sizeof name, "u%d", u);
-  s->upstreams[u] = fakes_add (s->fakes, name, SIM_UPSTREAM_CPU_MILLI);
+  s->upstreams[u] = fakes_add (s->fakes, name, (int64_t)tasks * SIM_CPU_MILLI);
   s->disowned[u] = -1;
   own (s, u, owner);
   return u;
@@ -382,6 +391,60 @@
     i->link_paths[k].delay_ms = DELAY_MS;
 }
 
+void
+sim_bind_late (sim *s)
+{
+  s->binds_late = true;
+}
+
+void
+sim_run_once (sim *s)
+{
+  s->runs_once = true;
+}
+
+uint32_t
+sim_overdue_offers (const sim *s)
+{
+  uint32_t n = 0;
+  for (int k = 0; k < SIM_INSTANCES; k++)
+    {
+      const instance *i = &s->instances[k];
+      /* An instance that stood still ends its offers at its next tick.  */
+      if (!sim_is_awake (i) || i->stage != STAGE_BEGIN
+          || i->wait_ms - i->last_loop_ms > 1)
+        continue;
+      mm_time_ms now = sim_now (s) - i->clock_lag_ms;
+      /* Ticks follow the simulated time: by a clock that stood still, two of
+         them are up to twice as far apart.  */
+      mm_time_ms tick_ms = MM_EXEC_TICK_MS * (i->clock_lag_ms ? 2 : 1);
+      for (GList *l = i->owner->offers->head; l; l = l->next)
+        n += now - ((mm_work *)l->data)->reservation->end_ms > tick_ms;
+    }
+  return n;
+}
+
+uint32_t
+sim_reserved (const sim *s)
+{
+  uint32_t n = 0;
+  for (int k = 0; k < SIM_INSTANCES; k++)
+    {
+      const instance *i = &s->instances[k];
+      if (i->dead)
+        continue;
+      mm_owner_reservations r = mm_owner_count_reservations (i->owner);
+      n += r.waiting + r.offers;
+      GHashTableIter it;
+      gpointer v;
+      g_hash_table_iter_init (&it, i->owner->owned_upstreams);
+      while (g_hash_table_iter_next (&it, NULL, &v))
+        n += ((mm_owned_upstream *)v)->n_set_aside != 0
+             || ((mm_owned_upstream *)v)->set_aside.cpu_milli != 0;
+    }
+  return n;
+}
+
 sim *
 sim_create (uint32_t seed)
 {
@@ -402,9 +465,10 @@
 void
 sim_destroy (sim *s)
 {
+  s->destroyed = true;
   for (int k = 0; k < SIM_INSTANCES; k++)
     {
-      g_list_free_full (s->instances[k].submissions, g_free);
+      sim_free_submissions (&s->instances[k]);
       mm_owner_destroy (s->instances[k].owner);
     }
   /* A session keeps a call until its last callback.  */
--- a/tests/resend_fixture.h
+++ b/tests/resend_fixture.h
@@ -52,8 +52,22 @@
 int sim_random (sim *s, int below); /* a number from 0 to @below - 1 */
 fakes *sim_fakes (sim *s);
 
+/* Lets tasks reserve at several owners, as mm_fleet does with late binding. */
+void sim_bind_late (sim *s);
+/* Lets a job whose task may have started end instead of being sent again, as
+   one whose tasks run only once.  */
+void sim_run_once (sim *s);
+/* Number of offers, of all instances that run, that are open for longer than
+   MM_OFFER_MS and a tick.  */
+uint32_t sim_overdue_offers (const sim *s);
+/* Number of reservations and offers at all instances that run, and of the
+   upstreams there with capacity set aside.  */
+uint32_t sim_reserved (const sim *s);
+
 /* Adds an upstream that instance @owner owns; returns its index.  */
 int sim_add_upstream (sim *s, int owner);
+/* The same, on which @tasks tasks fit.  */
+int sim_add_small_upstream (sim *s, int owner, int tasks);
 int sim_upstreams (const sim *s); /* number of upstreams added */
 /* Returns the index of its owner, -1 while the upstream has none.  */
 int sim_owner_of (const sim *s, int upstream);
--- a/tests/resend_jobs.c
+++ b/tests/resend_jobs.c
@@ -36,6 +36,80 @@
   return -1;
 }
 
+/* ---- late binding: the instances as owners (mm_reservation_port) -------- */
+
+static void *
+port_reserve (void *ctx, const char *owner, const mm_task_request *t,
+              uint32_t copies, mm_work_offered offered, mm_work_done done,
+              void *done_ctx)
+{
+  instance *self = ctx;
+  if (!owner)
+    return mm_owner_reserve (self->owner, t, copies, offered, done, done_ctx);
+  link *l = sim_find_connected (self, &self->s->instances[*owner - '0']);
+  if (!l)
+    return NULL;
+  sent_run *r = sim_send_reserve (l, t);
+  r->offered = offered;
+  r->done = done;
+  r->ctx = done_ctx;
+  return r;
+}
+
+static void
+port_accept (void *ctx, const char *owner, void *handle, const char *payload)
+{
+  if (owner)
+    sim_send_accept (handle, payload);
+  else
+    mm_owner_accept (((instance *)ctx)->owner, handle, payload);
+}
+
+static void
+port_cancel (void *ctx, const char *owner, void *handle)
+{
+  if (((instance *)ctx)->s->destroyed)
+    return;
+  if (owner)
+    sim_cancel_sent (handle);
+  else
+    mm_owner_cancel (((instance *)ctx)->owner, handle);
+}
+
+static void
+on_set_done (void *ctx, const mm_work_result *r)
+{
+  submission *b = ctx;
+  mm_reservation_set_destroy (g_steal_pointer (&b->set));
+  sim_on_submission_ended (b, r->how);
+}
+
+/* Reserves at this instance, if it owns upstreams, and at up to three others.
+ */
+static bool
+reserve (submission *b, const mm_task_request *t)
+{
+  static const char *const names[SIM_INSTANCES] = { "0", "1", "2", "3", "4" };
+  sim *s = b->at->s;
+  const char *owners[SIM_INSTANCES];
+  size_t n = 0;
+  if (owns_any (s, b->at->index))
+    owners[n++] = NULL;
+  int first = sim_random (s, SIM_INSTANCES);
+  for (int k = 0; k < SIM_INSTANCES && n < MM_DEFAULT_RESERVATIONS; k++)
+    {
+      int i = (first + k) % SIM_INSTANCES;
+      if (i != b->at->index && owns_any (s, i))
+        owners[n++] = names[i];
+    }
+  mm_reservation_port port = { .reserve = port_reserve,
+                               .accept = port_accept,
+                               .cancel = port_cancel,
+                               .ctx = b->at };
+  b->set = mm_reservation_set_create (&port, t, owners, n, on_set_done, b);
+  return b->set != NULL;
+}
+
 static void
 dispatch (submission *b)
 {
@@ -49,6 +123,13 @@
   g_snprintf (name, sizeof name, "job-%d", b->job->index);
   mm_task_request t = fakes_task (name, 0, SIM_CPU_MILLI, b->job->run_ms);
   t.start_within_ms = MM_OWNER_WAIT_MS;
+  if (s->binds_late)
+    {
+      t.start_within_ms = MM_RESERVATION_MS;
+      if (!reserve (b, &t))
+        b->retry_ms = mm_clock_now_ms () + MM_EXEC_TICK_MS;
+      return;
+    }
   if (owner == b->at->index)
     b->work = mm_owner_submit (b->at->owner, &t, on_work_done, b);
   else
@@ -66,6 +147,7 @@
     mm_owner_cancel (b->at->owner, b->work);
   if (b->sent)
     sim_cancel_sent (b->sent);
+  mm_reservation_set_destroy (b->set);
   if (b->job->current == b)
     b->job->current = NULL;
   b->at->submissions = g_list_remove (b->at->submissions, b);
@@ -78,7 +160,7 @@
 sim_on_submission_ended (submission *b, mm_end how)
 {
   mm_time_ms now = mm_clock_now_ms ();
-  if (how == MM_END_DONE)
+  if (how == MM_END_DONE || (b->at->s->runs_once && how != MM_END_NOT_RUN))
     {
       b->job->done = b->job->done || b->job->current == b;
       submission_free (b);
@@ -91,7 +173,10 @@
 sim_caller_retries (sim *s, job *j)
 {
   j->current = NULL;
-  j->resend_ms = sim_now (s) + MM_RESEND_MS;
+  if (s->runs_once)
+    j->done = true;
+  else
+    j->resend_ms = sim_now (s) + MM_RESEND_MS;
 }
 
 void
@@ -102,6 +187,8 @@
     {
       submission *b = g->data;
       next = g->next;
+      if (b->set && mm_reservation_set_is_due (b->set, mm_clock_now_ms ()))
+        mm_reservation_set_expire (b->set);
       if (b->retry_ms && mm_clock_now_ms () >= b->retry_ms)
         dispatch (b);
     }
@@ -141,6 +228,14 @@
     }
 }
 
+void
+sim_free_submissions (instance *i)
+{
+  for (GList *g = i->submissions; g; g = g->next)
+    mm_reservation_set_destroy (((submission *)g->data)->set);
+  g_list_free_full (i->submissions, g_free);
+}
+
 /* Answers all jobs as unknown.  */
 void
 sim_abandon_jobs (instance *i)
--- a/tests/resend_links.c
+++ b/tests/resend_links.c
@@ -101,7 +101,9 @@
 static void
 sent_run_ended (sent_run *r, const mm_work_result *res)
 {
-  if (r->sub)
+  if (r->done)
+    r->done (r->ctx, res);
+  else if (r->sub)
     {
       r->sub->sent = NULL;
       sim_on_submission_ended (r->sub, res->how);
@@ -127,7 +129,10 @@
            g_hash_table_iter_next (&it, NULL, &v))
       {
         g_hash_table_iter_steal (&it);
-        mm_work_result lost = { .how = MM_END_UNKNOWN, .why = "link lost" };
+        bool reserved = ((sent_run *)v)->offered;
+        mm_work_result lost
+            = { .how = reserved ? MM_END_NOT_RUN : MM_END_UNKNOWN,
+                .why = "link lost" };
         sent_run_ended (v, &lost);
       }
   else
@@ -153,6 +158,15 @@
   g_hash_table_remove (l->received, &received->number);
 }
 
+static void
+on_received_run_offered (void *ctx)
+{
+  const received_run *r = ctx;
+  message *m = message_create (MSG_OFFER);
+  m->number = r->number;
+  send_message (r->via, 1, m);
+}
+
 static void
 receive_run (link *l, message *m)
 {
@@ -162,8 +176,27 @@
   r->via = l;
   r->number = m->number;
   g_hash_table_insert (l->received, &r->number, r);
-  r->work = mm_owner_submit (l->end[1].at->owner, &m->request,
-                             on_received_run_done, r);
+  mm_owner *o = l->end[1].at->owner;
+  r->work = m->kind == MSG_RUN
+                ? mm_owner_submit (o, &m->request, on_received_run_done, r)
+                : mm_owner_reserve (o, &m->request, 1, on_received_run_offered,
+                                    on_received_run_done, r);
+}
+
+static void
+receive_offer (link *l, const message *m)
+{
+  sent_run *r = g_hash_table_lookup (l->sent, &m->number);
+  if (r && r->offered)
+    r->offered (r->ctx);
+}
+
+static void
+receive_accept (link *l, const message *m)
+{
+  received_run *r = g_hash_table_lookup (l->received, &m->number);
+  if (r)
+    mm_owner_accept (l->end[1].at->owner, r->work, m->request.payload);
 }
 
 static void
@@ -172,27 +205,49 @@
   received_run *r = g_hash_table_lookup (l->received, &m->number);
   if (!r)
     return;
-  mm_owner_cancel (l->end[1].at->owner, r->work);
+  mm_owner_withdraw (l->end[1].at->owner, r->work);
   g_hash_table_remove (l->received, &m->number);
 }
 
-sent_run *
-sim_send_run (link *l, const mm_task_request *t)
+static sent_run *
+send_task (link *l, const mm_task_request *t, message_kind kind)
 {
   sent_run *r = g_new0 (sent_run, 1);
   r->via = l;
   r->number = ++l->last_number;
   g_hash_table_insert (l->sent, &r->number, r);
-  message *m = message_create (MSG_RUN);
+  message *m = message_create (kind);
   m->number = r->number;
   m->request = *t;
   m->request.service = g_strdup (t->service);
-  m->request.payload = g_strdup (t->payload);
+  m->request.payload = kind == MSG_RUN ? g_strdup (t->payload) : NULL;
   m->request.running_at = g_strdup (t->running_at);
   send_message (l, 0, m);
   return r;
 }
 
+sent_run *
+sim_send_run (link *l, const mm_task_request *t)
+{
+  return send_task (l, t, MSG_RUN);
+}
+
+sent_run *
+sim_send_reserve (link *l, const mm_task_request *t)
+{
+  return send_task (l, t, MSG_RESERVE);
+}
+
+void
+sim_send_accept (sent_run *r, const char *payload)
+{
+  message *m = message_create (MSG_ACCEPT);
+  m->number = r->number;
+  m->request.payload = g_strdup (payload);
+  r->offered = NULL;
+  send_message (r->via, 0, m);
+}
+
 void
 sim_cancel_sent (sent_run *r)
 {
@@ -257,8 +312,15 @@
       receive_heartbeat (l, end, m);
       break;
     case MSG_RUN:
+    case MSG_RESERVE:
       receive_run (l, m);
       break;
+    case MSG_OFFER:
+      receive_offer (l, m);
+      break;
+    case MSG_ACCEPT:
+      receive_accept (l, m);
+      break;
     case MSG_CANCEL:
       receive_cancel (l, m);
       break;
--- a/tests/resend_priv.h
+++ b/tests/resend_priv.h
@@ -5,6 +5,7 @@
 #include "resend_fixture.h"
 
 #include "config.h"
+#include "mm_reservation_set.h"
 
 #include <string.h>
 
@@ -57,12 +58,13 @@
 {
   instance *at;
   job *job;
-  int owner;           /* that the task is dispatched to, -1: any */
-  bool caller_left;    /* not read by the instance yet */
-  int unread;          /* iterations until the request is read, 0: it is */
-  mm_work *work;       /* dispatched to this instance */
-  sent_run *sent;      /* dispatched to another instance */
-  mm_time_ms retry_ms; /* next dispatch, by the instance's clock */
+  int owner;               /* that the task is dispatched to, -1: any */
+  bool caller_left;        /* not read by the instance yet */
+  int unread;              /* iterations until the request is read, 0: it is */
+  mm_work *work;           /* dispatched to this instance */
+  sent_run *sent;          /* dispatched to another instance */
+  mm_reservation_set *set; /* late binding: the reservations, or NULL */
+  mm_time_ms retry_ms;     /* next dispatch, by the instance's clock */
 };
 
 typedef enum
@@ -70,6 +72,9 @@
   MSG_HEARTBEAT,
   MSG_RUN,
   MSG_CANCEL,
+  MSG_RESERVE,
+  MSG_OFFER,
+  MSG_ACCEPT,
   MSG_FOUND,
   MSG_ENDED,
   MSG_CLOSE
@@ -79,8 +84,8 @@
 {
   message_kind kind;
   mm_time_ms delivery_ms;
-  uint64_t number;         /* RUN, CANCEL, ENDED */
-  mm_task_request request; /* RUN: its strings are copies */
+  uint64_t number;         /* RUN, CANCEL, RESERVE, OFFER, ACCEPT, ENDED */
+  mm_task_request request; /* RUN, RESERVE, ACCEPT: its strings are copies */
   mm_found_run found;      /* FOUND, except the upstream */
   char upstream[16];       /* FOUND, ENDED */
   mm_end how;              /* ENDED */
@@ -118,8 +123,11 @@
 {
   link *via;
   uint64_t number;
-  submission *sub; /* or NULL */
-  mm_work *work;   /* transferred by the owner, or NULL */
+  submission *sub;         /* or NULL */
+  mm_work *work;           /* transferred by the owner, or NULL */
+  mm_work_done done;       /* reservations, or NULL */
+  mm_work_offered offered; /* reservations: not accepted yet, or NULL */
+  void *ctx;               /* for @done and @offered */
 };
 
 typedef struct
@@ -177,6 +185,8 @@
   mm_time_ms disown_ms[SIM_UPSTREAMS];
   uint64_t fence;
   job jobs[SIM_JOBS];
+  bool binds_late, runs_once;
+  bool destroyed;          /* sim_destroy() is running: cancels nothing */
   const instance *current; /* whose code runs */
 };
 
@@ -203,6 +213,8 @@
 link *sim_find_connected (const instance *from, const instance *to);
 void sim_link_free (link *l);
 sent_run *sim_send_run (link *l, const mm_task_request *t);
+sent_run *sim_send_reserve (link *l, const mm_task_request *t);
+void sim_send_accept (sent_run *r, const char *payload);
 void sim_cancel_sent (sent_run *r);
 void sim_read_links (instance *i);
 void sim_tick_links (instance *i);
@@ -219,5 +231,6 @@
 void sim_read_requests (instance *i);
 void sim_abandon_jobs (instance *i);
 void sim_resend_jobs (sim *s);
+void sim_free_submissions (instance *i); /* at the end of a test */
 
 #endif /* RESEND_PRIV_H */
--- a/tests/test_dispatch_once.c
+++ b/tests/test_dispatch_once.c
@@ -4,6 +4,7 @@
 #include "fake_upstreams.h"
 #include "harness.h"
 #include "mm_jobs.h"
+#include "mm_metrics.h"
 
 #include <ev.h>
 #include <string.h>
@@ -156,12 +157,139 @@
 }
 END_TEST
 
+/* ---- late binding ------------------------------------------------------- */
+
+/* Runs with late binding and one upstream, which a task fills for
+   SHORT_RUN_MS.  */
+static fake *
+fill_upstream (fixture *fx, bool late_binding)
+{
+  fixture_create (fx);
+  mm_fleet_set_late_binding (fx->fleet, late_binding, 4);
+  fake *x = fakes_add (fx->upstreams, "up0", TASK_CPU_MILLI);
+  mm_owner_add_upstream (fx->owner, fake_info (x), 5);
+  run (fx, 2 * MM_EXEC_TICK_MS);
+  submit (fx, (const mm_time_ms[]){ SHORT_RUN_MS }, 1);
+  ck_assert_uint_eq (mm_owner_measure (fx->owner).runs, 1);
+  return x;
+}
+
+static void
+on_task_ended (void *ctx, const mm_work_result *r)
+{
+  *(mm_end *)ctx = r->how;
+}
+
+/* Dispatches a task to the full upstream; returns how many reservations that
+   makes.  */
+static uint64_t
+dispatch_one (fixture *fx, const mm_task_request *t, mm_dispatched_task **h,
+              mm_end *how)
+{
+  uint64_t before = mm_metrics_counter (MM_CT_RESERVATIONS);
+  *how = MM_END_COUNT;
+  *h = mm_fleet_submit (fx->fleet, t, NULL, on_task_ended, how);
+  ck_assert_ptr_nonnull (*h);
+  return mm_metrics_counter (MM_CT_RESERVATIONS) - before;
+}
+
+/* Guards against decisions that change while the setting is off, and against
+   kept or isolated tasks that are not bound to an owner when dispatched.  */
+START_TEST (only_tasks_of_best_effort_jobs_reserve_if_the_setting_is_on)
+{
+  fixture fx;
+  mm_end how;
+  mm_dispatched_task *h;
+  mm_task_request t = fakes_task ("once", 0, TASK_CPU_MILLI, SHORT_RUN_MS);
+  t.start_within_ms = MM_OWNER_WAIT_MS;
+  fill_upstream (&fx, false);
+  ck_assert_uint_eq (dispatch_one (&fx, &t, &h, &how), 0);
+  ck_assert (mm_fleet_may_have_started (h));
+  run (&fx, MM_EXEC_TICK_MS);
+  ck_assert_int_eq (how, MM_END_NOT_RUN); /* it waited for 10 ms */
+  fixture_destroy (&fx);
+  fill_upstream (&fx, true);
+  t.kept = true;
+  ck_assert_uint_eq (dispatch_one (&fx, &t, &h, &how), 0);
+  mm_fleet_cancel (fx.fleet, h);
+  t.kept = false;
+  t.isolated = true;
+  ck_assert_uint_eq (dispatch_one (&fx, &t, &h, &how), 0);
+  mm_fleet_cancel (fx.fleet, h);
+  t.isolated = false;
+  ck_assert_uint_eq (dispatch_one (&fx, &t, &h, &how), 1);
+  ck_assert (!mm_fleet_may_have_started (h));
+  mm_fleet_cancel (fx.fleet, h);
+  fixture_destroy (&fx);
+}
+END_TEST
+
+/* Guards against a task with reservations that is forgotten, starts after it
+   was cancelled, or counts as not started while it runs.  */
+START_TEST (task_that_reserves_starts_unless_it_is_cancelled)
+{
+  for (mm_time_ms cancel_ms = 0; cancel_ms <= 4 * SHORT_RUN_MS;
+       cancel_ms += MM_EXEC_TICK_MS)
+    {
+      fixture fx;
+      mm_end how;
+      mm_dispatched_task *h;
+      fake *x = fill_upstream (&fx, true);
+      mm_task_request t = fakes_task ("once", 0, TASK_CPU_MILLI, SHORT_RUN_MS);
+      ck_assert_uint_eq (dispatch_one (&fx, &t, &h, &how), 1);
+      for (mm_time_ms ms = 0; ms < cancel_ms; ms += MM_EXEC_TICK_MS)
+        {
+          run (&fx, MM_EXEC_TICK_MS);
+          mm_fleet_tick (fx.fleet);
+        }
+      bool ended = how != MM_END_COUNT;
+      bool may_have_started = ended || mm_fleet_may_have_started (h);
+      ck_assert (may_have_started || fake_starts (x) == 1);
+      ck_assert (!ended || (how == MM_END_DONE && fake_starts (x) == 2));
+      ck_assert (cancel_ms < 4 * SHORT_RUN_MS || ended);
+      if (!ended)
+        mm_fleet_cancel (fx.fleet, h);
+      run (&fx, 4 * SHORT_RUN_MS);
+      ck_assert_uint_eq (fake_starts (x), may_have_started ? 2 : 1);
+      ck_assert_uint_eq (mm_fleet_count_reserving (fx.fleet), 0);
+      ck_assert_uint_eq (mm_owner_measure (fx.owner).runs, 0);
+      fixture_destroy (&fx);
+    }
+}
+END_TEST
+
+/* Guards against a task that waits for an offer for ever: its dispatch ends as
+   not run, and its job dispatches it again until it is too late.  */
+START_TEST (task_without_an_offer_is_returned)
+{
+  fixture fx;
+  mm_end how;
+  mm_dispatched_task *h;
+  fill_upstream (&fx, true);
+  mm_task_request t = fakes_task ("once", 0, 2 * TASK_CPU_MILLI, SHORT_RUN_MS);
+  dispatch_one (&fx, &t, &h, &how);
+  for (mm_time_ms ms = 0; ms < MM_RESERVATION_MS; ms += MM_EXEC_TICK_MS)
+    {
+      ck_assert_int_eq (how, MM_END_COUNT);
+      run (&fx, MM_EXEC_TICK_MS);
+      mm_fleet_tick (fx.fleet);
+    }
+  ck_assert_int_eq (how, MM_END_NOT_RUN);
+  ck_assert_uint_eq (mm_owner_count_reservations (fx.owner).waiting, 0);
+  fixture_destroy (&fx);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *s = suite_create ("dispatch_once");
   TCase *c = tcase_create ("jobs");
   tcase_add_test (c, task_cleared_of_suspicion_as_owners_return_starts_once);
+  tcase_add_test (c,
+                  only_tasks_of_best_effort_jobs_reserve_if_the_setting_is_on);
+  tcase_add_test (c, task_that_reserves_starts_unless_it_is_cancelled);
+  tcase_add_test (c, task_without_an_offer_is_returned);
   suite_add_tcase (s, c);
   return h_run_suite (s);
 }
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -438,10 +438,13 @@
   mm_evacuations_view view
       = { .offset = 12, .age_ms = 30, .evacuations = &evacuation, .n = 1 };
   mm_mesh_pack_evacuations (&buffer, &view);
+  mm_mesh_pack_reserve (&buffer, 7, 4, &t);
+  mm_mesh_pack_offer (&buffer, 7);
+  mm_mesh_pack_accept (&buffer, 7, "p");
   msgpack_unpacked unpacked;
   msgpack_unpacked_init (&unpacked);
   size_t offset = 0;
-  for (int kind = MM_MESH_RUN; kind <= MM_MESH_EVACUATIONS; kind++)
+  for (int kind = MM_MESH_RUN; kind <= MM_MESH_ACCEPT; kind++)
     {
       mm_mesh_msg m;
       ck_assert_int_eq (
@@ -454,6 +457,11 @@
                    && strcmp (m.request.running_at, "up") == 0
                    && m.request.run == 3 && m.request.ran_ms == 40
                    && m.request.silent_ms == 60);
+      if (kind == MM_MESH_RESERVE)
+        ck_assert (m.number == 7 && m.copies == 4 && !m.request.payload
+                   && mm_task_id_equal (&m.request.id, &t.id));
+      if (kind == MM_MESH_ACCEPT)
+        ck_assert (m.number == 7 && strcmp (m.request.payload, "p") == 0);
       if (kind == MM_MESH_HEARTBEAT)
         ck_assert (m.echo_ms == 99 && m.echo_age_ms == 20
                    && m.silent_ms == 170);
@@ -671,6 +679,81 @@
 }
 END_TEST
 
+/* What the first instance hears of a reservation at the second one.  */
+typedef struct
+{
+  uint32_t offers, ends;
+  mm_end how;
+} heard;
+
+static void
+on_offered (void *ctx)
+{
+  ((heard *)ctx)->offers++;
+}
+
+static void
+on_ended (void *ctx, const mm_work_result *r)
+{
+  ((heard *)ctx)->ends++;
+  ((heard *)ctx)->how = r->how;
+}
+
+static mm_remote_task *
+reserve (pair *p, const char *job, heard *h)
+{
+  mm_task_request t = fakes_task (job, 0, 16000, 200);
+  t.start_within_ms = MM_RESERVATION_MS;
+  *h = (heard){ 0 };
+  return mm_mesh_reserve (p->mesh[0], "n1", &t, 4, on_offered, on_ended, h);
+}
+
+/* Guards against a reservation that starts without ACCEPT or after CANCEL, an
+   offer that is kept by a home that is gone, and a home that takes a task for
+   not run that was accepted when the link closed.  */
+START_TEST (reservations_pass_between_instances)
+{
+  pair p;
+  heard a, b, c;
+  pair_create (&p);
+  fake *x = fakes_add (p.upstreams, "a", 32000);
+  mm_owner_add_upstream (p.owner[1], fake_info (x), 5);
+  pair_run (&p, 1000, false);
+  mm_remote_task *ra = reserve (&p, "a", &a), *rb = reserve (&p, "b", &b);
+  mm_remote_task *rc = reserve (&p, "c", &c);
+  pair_run (&p, 5, false);
+  ck_assert (a.offers == 1 && b.offers == 1 && c.offers == 0);
+  ck_assert_uint_eq (fake_starts (x), 0);
+  mm_mesh_cancel (p.mesh[0], rb);
+  mm_task_request t = fakes_task ("a", 0, 16000, 200);
+  mm_mesh_accept (p.mesh[0], ra, t.payload);
+  pair_run (&p, 5, false);
+  ck_assert_uint_eq (c.offers, 1);
+  ck_assert_uint_eq (fake_starts (x), 1);
+  pair_run (&p, MM_OFFER_MS + MM_EXEC_TICK_MS, false);
+  ck_assert (c.ends == 1 && c.how == MM_END_NOT_RUN);
+  pair_run (&p, 400, false);
+  ck_assert (a.ends == 1 && a.how == MM_END_DONE);
+  ra = reserve (&p, "d", &a);
+  rc = reserve (&p, "e", &c);
+  pair_run (&p, 5, false);
+  ck_assert (a.offers == 1 && c.offers == 1 && rc != NULL);
+  t = fakes_task ("d", 0, 16000, 2000);
+  mm_mesh_accept (p.mesh[0], ra, t.payload);
+  pair_run (&p, 5, false);
+  mm_mesh_close_links (p.mesh[0]);
+  ck_assert (a.ends == 1 && a.how == MM_END_UNKNOWN);
+  ck_assert (c.ends == 1 && c.how == MM_END_NOT_RUN);
+  pair_run (&p, 5, false);
+  ck_assert_uint_eq (mm_owner_count_reservations (p.owner[1]).offers, 0);
+  pair_run (&p, 100, false);
+  ck_assert_uint_eq (fake_running (x), 0);
+  ck_assert_uint_eq (fake_starts (x), 2);
+  ck_assert_uint_eq (b.ends, 0);
+  pair_destroy (&p);
+}
+END_TEST
+
 /* Returns how many places the first instance knows of at the second one.  */
 static uint32_t
 known_places (const pair *p)
@@ -770,6 +853,7 @@
   tcase_add_test (c, link_stays_when_a_member_list_lacks_the_peer);
   tcase_add_test (c, times_out_of_range_are_refused);
   tcase_add_test (c, links_stay_alive_however_many_there_are);
+  tcase_add_test (c, reservations_pass_between_instances);
   tcase_add_test (c,
                   run_of_a_silent_instance_ends_before_its_job_is_sent_again);
   tcase_add_test (c, gained_upstreams_are_reported_without_a_tick);
--- a/tests/test_resend.c
+++ b/tests/test_resend.c
@@ -829,9 +829,11 @@
 /* Guards against any combination of faults that lets a task run twice at a
    time after its job was sent again, or that leaves a job unanswered.  */
 static void
-overlap_faults (int seed, bool crossing)
+overlap_faults (int seed, bool crossing, bool late_binding)
 {
   sim *s = sim_create ((uint32_t)seed);
+  if (late_binding)
+    sim_bind_late (s);
   trouble now = { 0 };
   for (int u = 0; u < UPSTREAMS; u++)
     {
@@ -873,7 +875,7 @@
 
 START_TEST (no_task_runs_twice_while_faults_overlap)
 {
-  overlap_faults (_i, false);
+  overlap_faults (_i, false, false);
 }
 END_TEST
 
@@ -881,7 +883,15 @@
    fro, and instances stand still in the midst of their work.  */
 START_TEST (no_task_runs_twice_while_calls_cross)
 {
-  overlap_faults (_i, true);
+  overlap_faults (_i, true, false);
+}
+END_TEST
+
+/* The same while each task reserves at several owners and the first offer is
+   accepted.  */
+START_TEST (no_task_with_reservations_runs_twice_while_faults_overlap)
+{
+  overlap_faults (_i, _i % 2, true);
 }
 END_TEST
 
@@ -1005,6 +1015,9 @@
   tcase_add_loop_test (random, no_task_runs_twice_while_faults_overlap, 0,
                        SEEDS);
   tcase_add_loop_test (random, no_task_runs_twice_while_calls_cross, 0, SEEDS);
+  tcase_add_loop_test (
+      random, no_task_with_reservations_runs_twice_while_faults_overlap, 0,
+      SEEDS / 3);
   suite_add_tcase (s, random);
   return h_run_suite (s);
 }
