Owner: queue tasks that yield behind all others

Late jobs took capacity from jobs that could still be on time, since the queue only knew priority and due time. Tasks with the request field yields go last; one of every nine starts is of the first yielding task that fits, so that none starves. The order and the pass over the queue are mm_start_order, which tests call without upstreams.

Yielding tasks count in a report's waiting, but not by priority: they do not wait ahead of a new job.

--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -42,17 +42,22 @@
   mm_owner_free_work (w);
 }
 
-/* Orders tasks by priority, due time and arrival.  The due time gives a task
-   that was moved from another owner's queue the same turn here.  */
+static mm_start_key
+start_key (const mm_work *w)
+{
+  return (mm_start_key){ .yields = w->request.yields,
+                         .priority = w->request.priority,
+                         .due_ms = w->due_ms,
+                         .arrival = w->arrival };
+}
+
+/* Orders tasks by mm_start_key.  The due time gives a task that was moved from
+   another owner's queue the same turn here.  */
 static gint
 work_order (gconstpointer a, gconstpointer b, gpointer unused)
 {
-  const mm_work *x = a, *y = b;
-  if (x->request.priority != y->request.priority)
-    return x->request.priority < y->request.priority ? -1 : 1;
-  if (x->due_ms != y->due_ms)
-    return x->due_ms < y->due_ms ? -1 : 1;
-  return x->arrival < y->arrival ? -1 : x->arrival > y->arrival;
+  mm_start_key x = start_key (a), y = start_key (b);
+  return mm_start_key_compare (&x, &y);
 }
 
 static void
@@ -459,32 +464,16 @@
     }
 }
 
-/* Passes over the queue once and starts the tasks that fit.  A task that does
-   not fit does not block smaller tasks behind it; after
-   MM_OWNER_MAX_MISSES tasks that do not fit, the pass ends.  */
-static void
-start_waiting_once (mm_owner *o)
+static bool
+work_yields (const void *w)
 {
-  mm_time_ms now = mm_clock_now_ms ();
-  uint32_t misses = 0;
-  GList *l = o->waiting->head;
-  while (l && misses < MM_OWNER_MAX_MISSES)
-    {
-      GList *next = l->next;
-      mm_work *w = l->data;
-      g_queue_unlink (o->waiting, l);
-      if (place_task (o, w, now))
-        g_list_free (l);
-      else
-        {
-          misses++;
-          if (next)
-            g_queue_insert_before_link (o->waiting, next, l);
-          else
-            g_queue_push_tail_link (o->waiting, l);
-        }
-      l = next;
-    }
+  return ((const mm_work *)w)->request.yields;
+}
+
+static bool
+start_work (void *ctx, void *w)
+{
+  return place_task (ctx, w, mm_clock_now_ms ());
 }
 
 /* Starts waiting tasks that fit.  A call from a callback of the pass that is
@@ -497,11 +486,13 @@
   o->start_again = true;
   if (o->starting)
     return;
+  mm_start_port port
+      = { .yields = work_yields, .start = start_work, .ctx = o };
   o->starting = true;
   while (o->start_again)
     {
       o->start_again = false;
-      start_waiting_once (o);
+      mm_start_pass (&o->start_turns, o->waiting, &port);
     }
   o->starting = false;
 }
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -40,7 +40,8 @@
   uint32_t task_ms; /* average time that a task needs a place until it is
                        done, unsuccessful runs included, 0: unknown */
   uint32_t waiting; /* tasks that wait for free capacity */
-  /* Waiting tasks by priority; the last level counts all beyond it.  */
+  /* Waiting tasks that do not yield, by priority; the last level counts all
+     beyond it.  */
   uint32_t waiting_by_priority[MM_PRIORITY_LEVELS];
   mm_residuals residuals; /* free capacity of the upstreams */
   /* Tasks of each priority started in the last second, and the shortest time
--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -4,6 +4,7 @@
 
 #include "mm_owner.h"
 #include "mm_breaker.h"
+#include "mm_start_order.h"
 
 /* An upstream that this instance owns.  */
 typedef struct
@@ -50,7 +51,8 @@
   mm_exec_port port;           /* calls to upstreams */
   mm_exec_common common;       /* shared by the sessions */
   GHashTable *owned_upstreams; /* upstream name -> mm_owned_upstream */
-  GQueue *waiting;             /* mm_work, by priority, due time and arrival */
+  GQueue *waiting;             /* mm_work, in the order of mm_start_key */
+  mm_start_turns start_turns;  /* decides the turns of yielding tasks */
   GHashTable *active;          /* mm_task_id -> mm_work that has a run here */
   GHashTable *orphans;         /* mm_task_id -> mm_work that run at an upstream
                                   that is no longer owned */
--- a/src/mm_owner_report.c
+++ b/src/mm_owner_report.c
@@ -82,8 +82,10 @@
       if (strcmp (w->request.service, service) != 0)
         continue;
       r.waiting++;
-      r.waiting_by_priority[MIN (w->request.priority,
-                                 MM_PRIORITY_LEVELS - 1)]++;
+      /* Tasks that yield go before no task that does not.  */
+      if (!w->request.yields)
+        r.waiting_by_priority[MIN (w->request.priority,
+                                   MM_PRIORITY_LEVELS - 1)]++;
     }
   return r;
 }
