Jobs: shed waiting jobs that can only be late

A job that could not be served was held until three times its objective, and one whose tasks had all been returned was answered 504 as if it could have run. With dispatch.overload_control, jobs of which no task may have started are decided on at each tick and when their last task is returned: they keep their turn, yield, or are refused (503, not run). With it off nothing changes.

The declarations of mm_jobs are in mm_jobs_priv.h now. mm_shedding_decide() no longer adds the expected wait to the time, which overflowed for the largest wait. mm_fleet_may_have_started() is true until there are reservations.

--- a/daemons/ctl_top.c
+++ b/daemons/ctl_top.c
@@ -18,6 +18,7 @@
   { "LOST", "masticmill_jobs_answered_total{outcome=\"unknown\"}" },
   { "GIVEN-UP", "masticmill_jobs_answered_total{outcome=\"given_up\"}" },
   { "REFUSED", "masticmill_jobs_refused_total{reason=\"too_late\"}" },
+  { "SHED", "masticmill_jobs_shed_total{verdict=\"reject\"}" },
   { "PLACES", "masticmill_places" },
   { "FREE", "masticmill_places_free" },
   { "WAITING", "masticmill_tasks_waiting" },
--- a/src/config.h
+++ b/src/config.h
@@ -260,6 +260,12 @@
    ever.  */
 #define MM_YIELDING_START_EVERY 8u
 
+/* Load shedding (mm_jobs_shedding).  */
+/* A task that was dispatched and not returned for this long has probably
+   started.  It covers the wait at the owner, a tick of the owner and a round
+   trip between data centres, 10 + 25 + 40 ms, with a reserve of a tick.  */
+#define MM_SHEDDING_DEFER_MS 100
+
 /* Links between instances (mm_link, mm_mesh).  */
 /* A link with more unread or unsent bytes than this is closed.  */
 #define MM_LINK_MAX_BYTES (8u << 20)
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -185,6 +185,17 @@
       "wait_ms slack_ms why",
       "The job was refused, at the capacity known then; none of its "
       "tasks ran. age_ms is the age of the oldest report used." },
+  [MM_EV_JOB_SHED]
+  = { "job_shed", RATE_HIGH,
+      "job queue verdict waited_ms on_time_in_ms useful_in_ms wait_ms "
+      "overloaded_for_ms places waiting age_ms",
+      "The decision on an accepted job of which no task has started: reject "
+      "(answered as refused, it has not run and will not run), yield (its "
+      "tasks go behind those that can be on time) or keep (it yields no "
+      "longer). It can start on time for on_time_in_ms more, and usefully for "
+      "useful_in_ms; negative values are in the past. wait_ms is its expected "
+      "wait, overloaded_for_ms the overload of its priority (0: none); age_ms "
+      "is the age of the oldest report used." },
   [MM_EV_JOB_ANSWERED]
   = { "job_answered", RATE_HIGH, "job queue outcome took_ms why",
       "The callers of the job got their answer." },
--- a/src/mm_fleet.c
+++ b/src/mm_fleet.c
@@ -215,8 +215,10 @@
           = returned_by
             && strcmp (owners[i].name ? owners[i].name : "", returned_by) == 0;
       choices[i].capacity = owners[i].capacity;
-      choices[i].capacity.waiting
-          = mm_capacity_waiting_ahead (&owners[i].capacity, t->priority);
+      /* All waiting tasks go before one that yields.  */
+      if (!t->yields)
+        choices[i].capacity.waiting
+            = mm_capacity_waiting_ahead (&owners[i].capacity, t->priority);
     }
   int best = mm_dispatch_choose (choices, n, t->resources.cpu_milli,
                                  MM_DISPATCH_RULE);
@@ -240,6 +242,12 @@
   return handle;
 }
 
+bool
+mm_fleet_may_have_started (const mm_dispatched_task *t)
+{
+  return true;
+}
+
 void
 mm_fleet_cancel (mm_fleet *f, mm_dispatched_task *t)
 {
--- a/src/mm_fleet.h
+++ b/src/mm_fleet.h
@@ -42,6 +42,9 @@
 mm_dispatched_task *mm_fleet_submit (mm_fleet *f, const mm_task_request *t,
                                      const char *returned_by,
                                      mm_work_done done, void *ctx);
+/* Returns whether the task may have started.  False while a dispatch consists
+   of reservations only, true for every other dispatch.  */
+bool mm_fleet_may_have_started (const mm_dispatched_task *t);
 /* Cancels a dispatched task and frees its handle; @done is not called.  */
 void mm_fleet_cancel (mm_fleet *f, mm_dispatched_task *t);
 
--- a/src/mm_jobs.c
+++ b/src/mm_jobs.c
@@ -4,83 +4,15 @@
    These jobs are not stored: a job lives as long as the open request of a
    caller.  When the last caller leaves, the job's tasks are stopped, so that
    none of them still runs when the same job is sent to another instance.  */
-#include "mm_jobs.h"
+#include "mm_jobs_priv.h"
 
 #include "config.h"
 #include "mm_event.h"
 #include "mm_metrics.h"
 #include "mm_caller_wait.h"
-#include "mm_steps.h"
 
 #include <string.h>
 
-typedef struct job job;
-
-/* What a task that is not dispatched waits for.  */
-typedef enum
-{
-  WAIT_NONE,    /* it does not wait to be dispatched */
-  WAIT_OWNER,   /* at the last dispatch, neither this instance nor a connected
-                   peer reported any capacity for the service, free or in use */
-  WAIT_VERDICT, /* it is suspect, and may not run for now */
-  WAIT_COUNT
-} task_wait;
-
-/* A task of a job.  */
-typedef struct
-{
-  job *job;
-  mm_task_id id;
-  /* Its dispatch to an owner, NULL: not dispatched.  */
-  mm_dispatched_task *handle;
-  uint32_t n_failures;      /* runs that failed */
-  mm_time_ms dispatched_ms; /* when last dispatched */
-  char *avoid_upstream;     /* where the last unsuccessful run was; or NULL */
-  char *returned_by;        /* owner that returned the task unstarted, "": this
-                               instance; or NULL */
-  task_wait wait;
-  bool isolated; /* dispatched as a suspect task that runs isolated */
-  mm_time_ms redispatch_ms; /* next dispatch of a task in doubt, else 0 */
-  bool done;                /* a run has ended successfully */
-} task;
-
-/* A job that is not answered yet.  */
-struct job
-{
-  mm_jobs *jobs;
-  mm_submission *submission;
-  char *service;     /* service whose upstreams run its tasks */
-  char *queue;       /* name of its queue */
-  uint32_t priority; /* 0 is served first */
-  uint32_t attempts; /* failed runs of a task after which the job fails */
-  mm_time_ms submitted_ms;
-  mm_time_ms deadline_ms;      /* when the caller stops waiting */
-  mm_time_ms on_time_start_ms; /* latest start that meets the objective */
-  mm_time_ms latest_start_ms;  /* a task that starts later is too late */
-  task *tasks;
-  uint32_t n_tasks;
-  mm_steps *steps;
-  bool dispatched; /* a task was dispatched and may have started */
-  uint32_t n_waiting[WAIT_COUNT]; /* tasks by their @wait */
-  uint32_t n_in_doubt;            /* tasks with @redispatch_ms set */
-  uint32_t n_isolated;            /* tasks with @isolated set */
-  GList *callers;                 /* mm_caller: all get the answer */
-};
-
-struct mm_caller
-{
-  job *job;
-  mm_job_answered answered;
-  void *ctx;
-};
-
-struct mm_jobs
-{
-  mm_fleet *fleet;
-  GHashTable *by_id;       /* job id -> job */
-  GHashTable *caller_wait; /* queue -> mm_caller_wait */
-};
-
 mm_jobs *
 mm_jobs_create (mm_fleet *fleet)
 {
@@ -119,9 +51,9 @@
   g_free (b);
 }
 
-/* Sends the same answer to every caller of the job, then frees the job.  */
-static void
-answer (job *b, mm_answer_kind kind, const char *why, uint32_t retry_after_s)
+void
+mm_jobs_answer (job *b, mm_answer_kind kind, const char *why,
+                uint32_t retry_after_s)
 {
   static const struct
   {
@@ -169,24 +101,30 @@
   g_list_free_full (jobs, (GDestroyNotify)job_free);
   g_hash_table_destroy (j->by_id);
   g_hash_table_destroy (j->caller_wait);
+  mm_jobs_shedding_destroy (j);
   g_free (j);
 }
 
-/* Ends a job that cannot be finished in time.  The answer is "refused" when
-   none of its tasks can have run.  */
-static void
-give_up (job *b, const char *why)
+/* Returns whether a caller whose job ends now may be told that none of its
+   tasks has run.  Without load shedding, a job that was dispatched once counts
+   as one that may have run.  */
+static bool
+has_not_run (const job *b)
 {
-  if (b->dispatched)
-    answer (b, MM_ANSWER_GIVEN_UP, why, MM_RETRY_AFTER_NO_CAPACITY_S);
-  else
-    answer (b, MM_ANSWER_REFUSED, why, MM_RETRY_AFTER_NO_CAPACITY_S);
+  return b->jobs->shedding ? !mm_jobs_may_have_run (b) : !b->dispatched;
+}
+
+void
+mm_jobs_give_up (job *b, const char *why)
+{
+  mm_jobs_answer (b, has_not_run (b) ? MM_ANSWER_REFUSED : MM_ANSWER_GIVEN_UP,
+                  why, MM_RETRY_AFTER_NO_CAPACITY_S);
 }
 
 static void on_task_ended (void *ctx, const mm_work_result *r);
 
-static void
-set_wait (task *t, task_wait wait)
+void
+mm_jobs_set_wait (task *t, task_wait wait)
 {
   t->job->n_waiting[t->wait]--;
   t->wait = wait;
@@ -204,7 +142,7 @@
   mm_suspect_action action = mm_fleet_suspect_action (b->jobs->fleet, &t->id);
   if (!mm_suspect_may_run (action, b->n_isolated))
     {
-      set_wait (t, WAIT_VERDICT);
+      mm_jobs_set_wait (t, WAIT_VERDICT);
       return;
     }
   const mm_step *step = &b->submission->steps[t->id.step];
@@ -218,6 +156,7 @@
           .avoid_upstream = t->avoid_upstream,
           .resources = step->resources,
           .isolated = action == MM_SUSPECT_ISOLATE,
+          .yields = b->yields,
           .attempt = t->n_failures,
           .priority = b->priority,
           .estimate_ms = step->estimate_ms,
@@ -231,7 +170,7 @@
   t->dispatched_ms = now;
   t->handle
       = mm_fleet_submit (b->jobs->fleet, &r, t->returned_by, on_task_ended, t);
-  set_wait (t, t->handle ? WAIT_NONE : WAIT_OWNER);
+  mm_jobs_set_wait (t, t->handle ? WAIT_NONE : WAIT_OWNER);
   t->isolated = t->handle && r.isolated;
   b->n_isolated += t->isolated;
   b->dispatched = b->dispatched || t->handle;
@@ -252,7 +191,7 @@
   t->done = true;
   mm_steps_task_done (b->steps, (uint32_t)(t - b->tasks));
   if (mm_steps_all_done (b->steps))
-    answer (b, MM_ANSWER_COMPLETED, "", 0);
+    mm_jobs_answer (b, MM_ANSWER_COMPLETED, "", 0);
   else
     mm_steps_start_ready (b->steps, start_task, b);
 }
@@ -280,7 +219,7 @@
   set_avoid_upstream (t, upstream);
   t->n_failures++;
   if (t->n_failures >= b->attempts || runs_once (t))
-    answer (b, MM_ANSWER_FAILED, "a task failed in every attempt", 0);
+    mm_jobs_answer (b, MM_ANSWER_FAILED, "a task failed in every attempt", 0);
   else
     dispatch (t);
 }
@@ -316,6 +255,8 @@
   if (how == MM_END_FAILED)
     return t->n_failures + 1 < b->attempts ? "another attempt"
                                            : "job fails: no attempt left";
+  if (how == MM_END_NOT_RUN && b->jobs->shedding)
+    return "dispatched again, unless its job is shed";
   mm_suspect_action action = mm_fleet_suspect_action (b->jobs->fleet, &t->id);
   if (how == MM_END_LOST && action == MM_SUSPECT_WAIT)
     return "waits: upstreams were lost while running it";
@@ -371,6 +312,8 @@
   g_clear_pointer (&t->returned_by, g_free);
   if (how == MM_END_NOT_RUN)
     t->returned_by = g_strdup (r->owner ? r->owner : "");
+  else
+    t->may_have_run = true;
   mm_metrics_count (end_counters[how]);
   log_task_end (t, r, now);
   switch (how)
@@ -385,25 +328,29 @@
     case MM_END_LOST:
       set_avoid_upstream (t, r->upstream);
       if (runs_once (t))
-        answer (b, MM_ANSWER_FAILED, "a task was lost and runs only once", 0);
+        mm_jobs_answer (b, MM_ANSWER_FAILED,
+                        "a task was lost and runs only once", 0);
       else if (now < b->deadline_ms)
         dispatch (t);
       else
-        give_up (b, "a task was lost too late");
+        mm_jobs_give_up (b, "a task was lost too late");
       break;
     case MM_END_NOT_RUN:
-      if (now < b->latest_start_ms)
+      if (b->jobs->shedding)
+        mm_jobs_shed_returned (t, now);
+      else if (now < b->latest_start_ms)
         dispatch (t);
       else
-        give_up (b, "no room in time");
+        mm_jobs_give_up (b, "no room in time");
       break;
     case MM_END_UNKNOWN:
       if (runs_once (t))
-        answer (b, MM_ANSWER_FAILED, "a task is out of sight", 0);
+        mm_jobs_answer (b, MM_ANSWER_FAILED, "a task is out of sight", 0);
       else if (may_redispatch (b, now))
         schedule_redispatch (t, now);
       else
-        answer (b, MM_ANSWER_UNKNOWN, r->why, MM_RETRY_AFTER_NO_CAPACITY_S);
+        mm_jobs_answer (b, MM_ANSWER_UNKNOWN, r->why,
+                        MM_RETRY_AFTER_NO_CAPACITY_S);
       break;
     }
 }
@@ -430,7 +377,7 @@
   if (!t)
     return false;
   mm_fleet_record_given_up (b->jobs->fleet, &t->id);
-  answer (b, MM_ANSWER_FAILED, "a task crashes its upstreams", 0);
+  mm_jobs_answer (b, MM_ANSWER_FAILED, "a task crashes its upstreams", 0);
   return true;
 }
 
@@ -567,7 +514,7 @@
   mm_caller *c = add_caller (b, answered, ctx);
   if (b->n_tasks == 0)
     {
-      answer (b, MM_ANSWER_COMPLETED, "", 0);
+      mm_jobs_answer (b, MM_ANSWER_COMPLETED, "", 0);
       return NULL;
     }
   /* A job sent again with a known poison task fails before the task can crash
@@ -604,20 +551,26 @@
 {
   job *b = g_hash_table_lookup (j->by_id, job_id);
   if (b)
-    answer (b, MM_ANSWER_CANCELLED, "by its caller", 0);
+    mm_jobs_answer (b, MM_ANSWER_CANCELLED, "by its caller", 0);
   return b != NULL;
 }
 
-/* Sends the same answer to all jobs whose deadline is before
-   @deadline_before_ms.  */
+/* Gives up the jobs whose callers' time is over.  Only with load shedding,
+   callers are told that their job has not run if that is so.  */
 static void
-answer_all (mm_jobs *j, mm_answer_kind kind, const char *why,
-            mm_time_ms deadline_before_ms)
+give_up_expired (mm_jobs *j, mm_time_ms now)
 {
   GList *jobs = g_hash_table_get_values (j->by_id);
   for (GList *l = jobs; l; l = l->next)
-    if (((job *)l->data)->deadline_ms < deadline_before_ms)
-      answer (l->data, kind, why, MM_RETRY_AFTER_NO_CAPACITY_S);
+    {
+      job *b = l->data;
+      if (b->deadline_ms >= now)
+        continue;
+      bool refused = j->shedding && has_not_run (b);
+      mm_jobs_answer (b, refused ? MM_ANSWER_REFUSED : MM_ANSWER_GIVEN_UP,
+                      "the caller's time is over",
+                      MM_RETRY_AFTER_NO_CAPACITY_S);
+    }
   g_list_free (jobs);
 }
 
@@ -634,12 +587,15 @@
 void
 mm_jobs_abandon (mm_jobs *j, const char *why)
 {
-  answer_all (j, MM_ANSWER_UNKNOWN, why, G_MAXINT64);
+  GList *jobs = g_hash_table_get_values (j->by_id);
+  for (GList *l = jobs; l; l = l->next)
+    mm_jobs_answer (l->data, MM_ANSWER_UNKNOWN, why,
+                    MM_RETRY_AFTER_NO_CAPACITY_S);
+  g_list_free (jobs);
 }
 
-/* Dispatches again the tasks of a job that wait for the same.  */
-static void
-dispatch_waiting (job *b, task_wait wait)
+void
+mm_jobs_dispatch_waiting (job *b, task_wait wait)
 {
   for (uint32_t i = 0; i < b->n_tasks; i++)
     if (b->tasks[i].wait == wait)
@@ -654,15 +610,15 @@
 {
   if (mm_fleet_load (b->jobs->fleet, b->service, b->priority, 1).evacuated)
     {
-      give_up (b, "the data centres are evacuated");
+      mm_jobs_give_up (b, "the data centres are evacuated");
       return;
     }
   if (now >= b->latest_start_ms)
     {
-      give_up (b, "no owner in reach");
+      mm_jobs_give_up (b, "no owner in reach");
       return;
     }
-  dispatch_waiting (b, WAIT_OWNER);
+  mm_jobs_dispatch_waiting (b, WAIT_OWNER);
 }
 
 /* Dispatches the tasks in doubt whose earlier runs have ended by now.  */
@@ -704,10 +660,10 @@
     return;
   if (now >= b->deadline_ms || has_postponed_task (b))
     {
-      give_up (b, "upstreams were lost under a task");
+      mm_jobs_give_up (b, "upstreams were lost under a task");
       return;
     }
-  dispatch_waiting (b, WAIT_VERDICT);
+  mm_jobs_dispatch_waiting (b, WAIT_VERDICT);
 }
 
 static void
@@ -724,6 +680,8 @@
 mm_jobs_tick (mm_jobs *j)
 {
   mm_time_ms now = mm_clock_now_ms ();
+  if (j->shedding)
+    mm_jobs_shed (j, now);
   GList *jobs = g_hash_table_get_values (j->by_id);
   for (GList *l = jobs; l; l = l->next)
     {
@@ -735,8 +693,7 @@
     }
   g_list_free (jobs);
   retry_all_suspects (j, now);
-  answer_all (j, MM_ANSWER_GIVEN_UP, "the caller's time is over",
-              mm_clock_now_ms ());
+  give_up_expired (j, mm_clock_now_ms ());
 }
 
 uint32_t
--- a/src/mm_jobs.h
+++ b/src/mm_jobs.h
@@ -51,6 +51,18 @@
 /* Ends all jobs and answers their callers that the outcome is unknown; @why is
    the reason given.  */
 void mm_jobs_abandon (mm_jobs *j, const char *why);
+/* Sets whether waiting jobs that can only be late are shed, see
+   mm_shedding.h.  Off at first.  */
+void mm_jobs_set_shedding (mm_jobs *j, bool on);
+/* What load shedding does at present.  */
+typedef struct
+{
+  bool on;
+  uint32_t yielding; /* jobs that yield to those that can be on time */
+  uint32_t deferred; /* jobs with returned tasks, undecided while others of
+                        their tasks may have started */
+} mm_jobs_shedding_state;
+mm_jobs_shedding_state mm_jobs_measure_shedding (const mm_jobs *j);
 void mm_jobs_tick (mm_jobs *j);            /* called every MM_EXEC_TICK_MS */
 uint32_t mm_jobs_count (const mm_jobs *j); /* jobs not answered yet */
 
--- a/src/mm_metrics.c
+++ b/src/mm_metrics.c
@@ -18,6 +18,8 @@
 #define JOBS_HELP "Jobs answered, by outcome."
 #define REFUSED "masticmill_jobs_refused_total"
 #define REFUSED_HELP "Jobs refused at once, by reason."
+#define SHED "masticmill_jobs_shed_total"
+#define SHED_HELP "Decisions on accepted jobs that waited, by verdict."
 #define TASKS "masticmill_tasks_ended_total"
 #define TASKS_HELP "Tasks of this instance's jobs that ended, by how."
 #define STORE "masticmill_store_calls_total"
@@ -38,6 +40,8 @@
   [MM_CT_JOBS_REFUSED_KIND]
   = { REFUSED, "reason=\"not_served\"", REFUSED_HELP },
   [MM_CT_JOBS_REFUSED_OTHER] = { REFUSED, "reason=\"other\"", REFUSED_HELP },
+  [MM_CT_JOBS_SHED_REJECT] = { SHED, "verdict=\"reject\"", SHED_HELP },
+  [MM_CT_JOBS_SHED_YIELD] = { SHED, "verdict=\"yield\"", SHED_HELP },
   [MM_CT_TASKS_HANDED] = { "masticmill_tasks_handed_total", NULL,
                            "Tasks handed to an owner of upstreams." },
   [MM_CT_TASKS_STARTED] = { "masticmill_tasks_started_total", NULL,
@@ -170,6 +174,9 @@
 static const series histogram_table[MM_HG_COUNT] = {
   [MM_HG_JOB] = { "masticmill_job_duration_seconds", NULL,
                   "Submission to answer, completed jobs." },
+  [MM_HG_SHED_WAIT] = { "masticmill_shed_wait_seconds", NULL,
+                        "Submission to rejection, accepted jobs that were "
+                        "shed." },
   [MM_HG_QUEUE_WAIT] = { "masticmill_queue_wait_seconds", NULL,
                          "Taken in by an owner until ordered to start." },
   [MM_HG_START_CALL] = { "masticmill_start_call_seconds", NULL,
--- a/src/mm_metrics.h
+++ b/src/mm_metrics.h
@@ -22,6 +22,8 @@
   MM_CT_JOBS_REFUSED_LATE,
   MM_CT_JOBS_REFUSED_KIND,
   MM_CT_JOBS_REFUSED_OTHER,
+  MM_CT_JOBS_SHED_REJECT,
+  MM_CT_JOBS_SHED_YIELD,
   MM_CT_TASKS_HANDED,
   MM_CT_TASKS_STARTED,
   MM_CT_TASKS_DONE,
@@ -95,6 +97,7 @@
 typedef enum
 {
   MM_HG_JOB,        /* from submission to answer, of completed jobs */
+  MM_HG_SHED_WAIT,  /* from submission to rejection, of shed jobs */
   MM_HG_QUEUE_WAIT, /* from dispatch to an owner until the start is sent */
   MM_HG_START_CALL, /* from a start until its answer */
   MM_HG_TASK_RUN,   /* from a start until the end, of tasks that are done */
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -363,6 +363,7 @@
   mm_mesh_set_evacuations (n->mesh, n->evacuations);
   mm_fleet_set_evacuations (n->fleet, n->evacuations);
   n->jobs = mm_jobs_create (n->fleet);
+  mm_jobs_set_shedding (n->jobs, s->overload_control);
   n->config = mm_configuration_create (store, n->evacuations);
   n->list
       = mm_list_share_create (store, n->catalog, n->mesh, member, tick_now, n);
@@ -616,6 +617,19 @@
   return mm_metrics_text ();
 }
 
+/* Adds the state of load shedding.  */
+static void
+dump_shedding (const mm_node *n, cJSON *d)
+{
+  mm_jobs_shedding_state s = mm_jobs_measure_shedding (n->jobs);
+  cJSON *o = cJSON_AddObjectToObject (d, "shedding");
+  cJSON_AddBoolToObject (o, "on", s.on);
+  cJSON_AddNumberToObject (o, "yielding_jobs", s.yielding);
+  cJSON_AddNumberToObject (o, "deferred_jobs", s.deferred);
+  cJSON_AddNumberToObject (
+      o, "rejected", (double)mm_metrics_counter (MM_CT_JOBS_SHED_REJECT));
+}
+
 char *
 mm_node_dump (const mm_node *n)
 {
@@ -633,6 +647,7 @@
   dump_evacuations (n, d);
   cJSON_AddNumberToObject (d, "peers", mm_mesh_connected (n->mesh));
   cJSON_AddNumberToObject (d, "jobs", mm_jobs_count (n->jobs));
+  dump_shedding (n, d);
   char *owner = mm_owner_dump (n->owner);
   cJSON_AddItemToObject (d, "owner", cJSON_Parse (owner));
   free (owner);
--- a/src/mm_shedding.c
+++ b/src/mm_shedding.c
@@ -14,7 +14,9 @@
 mm_shedding_verdict
 mm_shedding_decide (const mm_shedding_job *j)
 {
-  if (j->now_ms + j->expected_wait_ms > j->latest_start_ms)
+  /* Subtracted rather than added: where no capacity is expected, the wait may
+     be the largest value.  */
+  if (j->expected_wait_ms > j->latest_start_ms - j->now_ms)
     return MM_SHEDDING_REJECT;
   if (j->now_ms <= j->on_time_start_ms)
     return MM_SHEDDING_KEEP;
