Mesh: tasks that yield do not count as waiting ahead before a peer reports them

Tasks sent since a peer's last report count as waiting ahead of all priorities. Yielding tasks go behind all others, so they would have made homes refuse jobs that go before them.

--- a/src/mm_jobs_shedding.c
+++ b/src/mm_jobs_shedding.c
@@ -55,10 +55,11 @@
   j->shedding = on;
 }
 
-/* A task that waits for a verdict ran on an upstream that was lost, maybe when
-   the job was sent to another instance.  */
+/* Returns whether a task may have run before.  One that waits for a verdict
+   ran on an upstream that was lost, maybe when the job was sent to another
+   instance.  */
 static bool
-has_certainly_run (const task *t)
+may_have_run_before (const task *t)
 {
   return t->may_have_run || t->wait == WAIT_VERDICT;
 }
@@ -69,7 +70,7 @@
   for (uint32_t i = 0; i < b->n_tasks; i++)
     {
       const task *t = &b->tasks[i];
-      if (has_certainly_run (t)
+      if (may_have_run_before (t)
           || (t->handle && mm_fleet_may_have_started (t->handle)))
         return true;
     }
@@ -83,7 +84,7 @@
   for (uint32_t i = 0; i < b->n_tasks; i++)
     {
       const task *t = &b->tasks[i];
-      if (has_certainly_run (t))
+      if (may_have_run_before (t))
         return STARTED_LIKELY;
       if (!t->handle || !mm_fleet_may_have_started (t->handle))
         continue;
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -611,18 +611,22 @@
     if (strcmp (p->capacities[i].service, service) == 0)
       r = p->capacities[i].capacity;
   uint64_t unseen = p->last_number - p->seen_number;
+  uint32_t yielding = 0;
   for (uint64_t i = p->seen_number + 1; i <= p->last_number; i++)
     {
       const mm_remote_task *t = g_hash_table_lookup (p->remote_tasks, &i);
-      if (t)
-        mm_residuals_take (&r.residuals, t->cpu_milli);
+      if (!t)
+        continue;
+      mm_residuals_take (&r.residuals, t->cpu_milli);
+      yielding += t->yields;
     }
   uint32_t used = (uint32_t)MIN (unseen, r.free);
   r.free -= used;
   /* The priority of the unseen tasks is not known: at level 0 they count as
-     waiting ahead of tasks of every priority.  */
-  r.waiting += (uint32_t)(unseen - used);
-  r.waiting_by_priority[0] += (uint32_t)(unseen - used);
+     waiting ahead of tasks of every priority, unless they yield.  */
+  uint32_t waiting = (uint32_t)(unseen - used);
+  r.waiting += waiting;
+  r.waiting_by_priority[0] += waiting - MIN (waiting, yielding);
   return r;
 }
 
@@ -672,6 +676,7 @@
   r->peer = p;
   r->number = ++p->last_number;
   r->cpu_milli = t->resources.cpu_milli;
+  r->yields = t->yields;
   r->done = done;
   r->ctx = ctx;
   g_hash_table_insert (p->remote_tasks, &r->number, r);
--- a/src/mm_mesh_priv.h
+++ b/src/mm_mesh_priv.h
@@ -44,6 +44,7 @@
   mm_mesh_peer *peer;
   uint64_t number;
   int64_t cpu_milli;
+  bool yields; /* mm_task_request.yields */
   mm_work_done done;
   void *ctx;
 };
--- a/tests/test_shedding.c
+++ b/tests/test_shedding.c
@@ -183,29 +183,33 @@
   uint32_t retry_after_s;
 } fake_fleet;
 
-/* These replace the functions of mm_fleet, see CMakeLists.txt.  */
-mm_load __wrap_mm_fleet_load (const mm_fleet *f, const char *service,
-                              uint32_t priority, int64_t cpu_milli);
-mm_dispatched_task *__wrap_mm_fleet_submit (mm_fleet *f,
-                                            const mm_task_request *t,
-                                            const char *returned_by,
-                                            mm_work_done done, void *ctx);
-void __wrap_mm_fleet_cancel (mm_fleet *f, mm_dispatched_task *t);
-bool __wrap_mm_fleet_may_have_started (const mm_dispatched_task *t);
-mm_suspect_action __wrap_mm_fleet_suspect_action (const mm_fleet *f,
-                                                  const mm_task_id *task);
+/* Makes a function replace one of mm_fleet; see --wrap in CMakeLists.txt.  */
+#define REPLACES(name) __asm__("__wrap_" #name)
+
+mm_load fake_load (const mm_fleet *f, const char *service, uint32_t priority,
+                   int64_t cpu_milli) REPLACES (mm_fleet_load);
+mm_dispatched_task *fake_submit (mm_fleet *f, const mm_task_request *t,
+                                 const char *returned_by, mm_work_done done,
+                                 void *ctx) REPLACES (mm_fleet_submit);
+void fake_cancel (mm_fleet *f, mm_dispatched_task *t)
+    REPLACES (mm_fleet_cancel);
+bool fake_may_have_started (const mm_dispatched_task *t)
+    REPLACES (mm_fleet_may_have_started);
+mm_suspect_action fake_suspect_action (const mm_fleet *f,
+                                       const mm_task_id *task)
+    REPLACES (mm_fleet_suspect_action);
 
 mm_load
-__wrap_mm_fleet_load (const mm_fleet *f, const char *service,
-                      uint32_t priority, int64_t cpu_milli)
+fake_load (const mm_fleet *f, const char *service, uint32_t priority,
+           int64_t cpu_milli)
 {
   fake_fleet.load_calls++;
   return fake_fleet.load;
 }
 
 mm_dispatched_task *
-__wrap_mm_fleet_submit (mm_fleet *f, const mm_task_request *t,
-                        const char *returned_by, mm_work_done done, void *ctx)
+fake_submit (mm_fleet *f, const mm_task_request *t, const char *returned_by,
+             mm_work_done done, void *ctx)
 {
   if (fake_fleet.no_owner)
     return NULL;
@@ -219,20 +223,20 @@
 }
 
 void
-__wrap_mm_fleet_cancel (mm_fleet *f, mm_dispatched_task *t)
+fake_cancel (mm_fleet *f, mm_dispatched_task *t)
 {
   fake_fleet.dispatched = g_list_remove (fake_fleet.dispatched, t);
   g_free (t);
 }
 
 bool
-__wrap_mm_fleet_may_have_started (const mm_dispatched_task *t)
+fake_may_have_started (const mm_dispatched_task *t)
 {
   return !t->reserved;
 }
 
 mm_suspect_action
-__wrap_mm_fleet_suspect_action (const mm_fleet *f, const mm_task_id *task)
+fake_suspect_action (const mm_fleet *f, const mm_task_id *task)
 {
   return MM_SUSPECT_RUN;
 }
