--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -35,6 +35,8 @@
              stalled before it could notice the crash, but all crashes together
              are five at most.  The job of such a task was never answered as
              complete, and no other job was given up for crashes
+  answered   a job of a burst got one answer, with the state of each of its
+             tasks, unless its instance was killed, stopped or stalled meanwhile
   back       each instance serves again after the faults
   exits      no process exited by itself
 
@@ -44,9 +46,13 @@
 With --evacuations there are two data centres, which are evacuated and returned
 to service at random, also both at once.
 
+With --high-load there are bursts of more jobs than the upstreams have capacity
+for, and odd seeds run with the settings for high load (HIGH_LOAD_SETTINGS).
+
   soak.py [--seed N] [--seeds N] [--file F] [--seconds S] [--jobs N] [--bin DIR] [--keep DIR] [--evacuations]
+          [--high-load]
 """
-import argparse, asyncio, json, os, random, shutil, signal, socket, subprocess, sys, tempfile, time, urllib.request
+import argparse, asyncio, concurrent.futures, json, os, random, shutil, signal, socket, subprocess, sys, tempfile, time, urllib.request
 
 RESEND_DELAY_S = 1.3        # callers wait this long before they send a job again
 SETTLE_S = 7                # fault-free time at the end; longer than every lease and TTL
@@ -64,6 +70,10 @@
 EVACUATION_GRACE_S = 2.0    # an evacuated data centre gets no more starts after this time
 DATACENTRES = ("dc1", "dc2")
 NODES, UPSTREAMS, SLOTS = 3, 5, 3  # instances, upstreams, slots of each upstream
+HIGH_LOAD_SETTINGS = ("dispatch.late_binding=true", "dispatch.overload_control=true", "ownership.transfer_runs=true")
+BURST_CALLERS = 24          # a burst's jobs in progress; their 2 to 4 tasks are more than 3 times the capacity
+BURST_TIMEOUT_S = 10        # callers of a burst wait for longer than any job takes
+NODE_DOWN_S = 6             # a killed, stopped or stalled instance may be without answers for this long
 
 
 # Returns the time in ms since the machine was started, on the clock of the run logs.
@@ -159,6 +169,11 @@
         self.extra_rnd = random.Random(f"extra-{seed}")
         # Evacuations draw from a generator of their own, for the same reason.
         self.evacuation_rnd = random.Random(f"evacuations-{seed}")
+        # Bursts draw from a generator of their own, for the same reason.
+        self.burst_rnd = random.Random(f"bursts-{seed}")
+        self.high_load_settings = args.high_load and seed % 2 == 1
+        self.bursts = {}            # job of a burst -> (instance, ms of submission and answer, status, states of tasks)
+        self.burst_threads = concurrent.futures.ThreadPoolExecutor(BURST_CALLERS) if args.high_load else None
         self.evacuation_periods = {}  # data centre -> [[ms when it was evacuated, ms when that ended]]
         self.poison_answers = {}    # poison job -> answers that its caller got
         self.capacity_changes = {}  # upstream -> [ms] of each change of its capacity
@@ -222,7 +237,8 @@
                    f'node.front="127.0.0.1:{self.port("front", i)}"', f'node.ready="127.0.0.1:{self.port("ready", i)}"',
                    f"node.mesh_port={self.port('mesh', i)}", f"node.state_port={self.port('state', i)}",
                    f'node.mesh_advertise="127.0.0.1:{self.port("px-mesh", i)}"',
-                   f'store.address="127.0.0.1:{self.port("px-store", i)}"')
+                   f'store.address="127.0.0.1:{self.port("px-store", i)}"',
+                   *(HIGH_LOAD_SETTINGS if self.high_load_settings else ()))
 
     # Sends a signal that may end a process, and waits for its end in the case of SIGKILL.
     def kill(self, name, sig=signal.SIGKILL):
@@ -315,6 +331,48 @@
                     break
                 await asyncio.sleep(RESEND_DELAY_S)
 
+    # Submits bursts of more jobs than there is capacity for.
+    async def run_bursts(self):
+        r, burst_no = self.burst_rnd, 0
+        while not self.stopping:
+            await asyncio.sleep(r.uniform(0.5, 3))
+            burst_no += 1
+            end = time.monotonic() + r.uniform(0.5, 2.5)
+            self.log_fault(f"overload {burst_no} {end - time.monotonic():.1f}s")
+            await asyncio.gather(*(self.run_burst_caller(f"b{burst_no}-{k}", end, random.Random(r.random()))
+                                   for k in range(BURST_CALLERS)))
+
+    # Submits one job after the other until the burst ends.
+    async def run_burst_caller(self, name, end, r):
+        job_no = 0
+        while time.monotonic() < end and not self.stopping:
+            job_no += 1
+            job, node, once = f"{name}-{job_no}", r.randrange(NODES), r.random() < 0.5
+            tasks = [{"id": f"t{k}", "payload": "x", "run_ms": r.choice([60, 150, 400]), "deadline_ms": 6000,
+                      "idempotent": not once} for k in range(r.randint(2, 4))]
+            submitted = self.jobs[job] = {"tasks": len(tasks), "once": once, "answers": []}
+            from_ms = now_ms()
+            status, answer = await asyncio.get_running_loop().run_in_executor(
+                self.burst_threads, call, "POST", self.port("front", node), "/v1/jobs", {"job_id": job, "tasks": tasks},
+                BURST_TIMEOUT_S)
+            submitted["answers"].append((status, answer.get("status")))
+            states = [t.get("state") for t in answer.get("tasks", [])]
+            self.bursts[job] = (node, from_ms, now_ms(), status, states)
+            # Refusals come at once; without a pause their callers would slow down the proxies of this process.
+            await asyncio.sleep(r.uniform(0.1, 0.4))
+
+    # Checks "answered".
+    def check_bursts(self):
+        for job, (node, from_ms, to_ms, status, states) in self.bursts.items():
+            if any(from_ms - NODE_DOWN_S * 1000 < down < to_ms for down in self.node_down_ms.get(node, [])):
+                continue
+            if status == 0:
+                self.findings.append(f"answered: {job} got no answer from node{node} in {to_ms - from_ms:.0f} ms")
+            if states and len(states) != self.jobs[job]["tasks"]:
+                self.findings.append(f"answered: {job} got {len(states)} states of {self.jobs[job]['tasks']} tasks")
+            if status == 503 and any(state != "not_run" for state in states):
+                self.findings.append(f"answered: {job} was refused with tasks {states}")
+
     # Changes the capacities of random upstreams, and restores all of them at the end.
     async def change_capacities(self):
         r = self.extra_rnd
@@ -718,6 +776,8 @@
         callers += [asyncio.create_task(self.run_poison_caller()), asyncio.create_task(self.change_capacities())]
         if self.args.evacuations:
             callers.append(asyncio.create_task(self.change_evacuations()))
+        if self.args.high_load:
+            callers.append(asyncio.create_task(self.run_bursts()))
         watch = asyncio.create_task(self.watch_config())
         deadline, active_faults = time.monotonic() + self.args.seconds, []
         while time.monotonic() < deadline:
@@ -747,6 +807,7 @@
         clocks.cancel()
         self.check_runs()
         self.check_known_starts()
+        self.check_bursts()
 
 
 # Runs one seed, on the ports of the block port_block.  Returns the number of findings.
@@ -766,9 +827,10 @@
             p.server.close()
             p.reset()
     complete = sum(any(t == "complete" for _, t in j["answers"]) for j in fixture.jobs.values())
+    bursts = f"{len(fixture.bursts)} in bursts, " if args.high_load else ""
     kept = sum(k["accepted"] for k in fixture.kept_jobs.values())
     completed = sum(k.get("state") == "completed" for k in fixture.kept_jobs.values())
-    print(f"seed {seed}: {len(fixture.jobs)} jobs, {complete} complete, {kept} kept, {completed} completed, "
+    print(f"seed {seed}: {len(fixture.jobs)} jobs, {complete} complete, {bursts}{kept} kept, {completed} completed, "
           f"{len(fixture.findings)} findings", flush=True)
     for f in fixture.findings[:10]:
         print(f"  seed {seed}: {f}", flush=True)
@@ -802,6 +864,7 @@
     ap.add_argument("--bin", default=f"{here}/../build")
     ap.add_argument("--keep", help="folder for logs; the default, a temporary one, is kept on findings")
     ap.add_argument("--evacuations", action="store_true", help="evacuate data centres too")
+    ap.add_argument("--high-load", action="store_true", help="bursts; odd seeds have the settings for high load")
     ap.add_argument("--port", type=int, help="first port; 100 a seed at a time (default: a free block)")
     args = ap.parse_args()
     if args.port is None:
