--- a/src/mm_fleet.c
+++ b/src/mm_fleet.c
@@ -255,7 +255,9 @@
 {
   if (!f->late_binding || t->kept || t->isolated || t->running_at)
     return false;
-  return returned_by
+  /* Tasks that wait ahead take the free capacity that a report still
+     shows.  */
+  return returned_by || best->capacity.waiting > 0
          || mm_dispatch_count_fits (&best->capacity, t->resources.cpu_milli,
                                     MM_DISPATCH_RULE)
                 == 0;
@@ -341,8 +343,10 @@
           = returned_by
             && strcmp (owners[i].name ? owners[i].name : "", returned_by) == 0;
       choices[i].capacity = owners[i].capacity;
-      choices[i].capacity.waiting
-          = mm_capacity_waiting_ahead (&owners[i].capacity, t->priority);
+      /* All waiting tasks go before one that yields.  */
+      if (!t->yields)
+        choices[i].capacity.waiting
+            = mm_capacity_waiting_ahead (&owners[i].capacity, t->priority);
     }
   int best = mm_dispatch_choose (choices, n, t->resources.cpu_milli,
                                  MM_DISPATCH_RULE);
--- a/src/mm_mesh_priv.h
+++ b/src/mm_mesh_priv.h
@@ -45,6 +45,7 @@
   mm_mesh_peer *peer;
   uint64_t number;
   int64_t cpu_milli;
+  bool yields; /* mm_task_request.yields */
   mm_work_done done;
   mm_work_offered offered; /* reservations: not accepted yet; else NULL */
   uint32_t copies;         /* reservations: owners with one for the task */
--- a/src/mm_mesh_reserve.c
+++ b/src/mm_mesh_reserve.c
@@ -79,6 +79,7 @@
   r->number = ++p->last_number;
   r->cpu_milli = t->resources.cpu_milli;
   r->copies = MAX (copies, 1);
+  r->yields = t->yields;
   r->offered = offered;
   r->done = done;
   r->ctx = ctx;
@@ -119,17 +120,19 @@
 mm_mesh_count_unseen_reserves (const mm_mesh_peer *p, mm_capacity_report *r)
 {
   uint64_t n_accepted = 0;
-  double waiting = 0;
+  double waiting = 0, yielding = 0;
   for (guint i = 0; i < p->unseen_reserves->len; i++)
     {
       uint64_t number = g_array_index (p->unseen_reserves, uint64_t, i);
       const mm_remote_task *t = g_hash_table_lookup (p->remote_tasks, &number);
       if (t && t->offered)
         waiting += 1.0 / t->copies;
+      if (t && t->offered && t->yields)
+        yielding += 1.0 / t->copies;
       n_accepted += t && !t->offered;
     }
   /* The priority of these is not known here, see capacity_of_peer().  */
   r->waiting += (uint32_t)lround (waiting);
-  r->waiting_by_priority[0] += (uint32_t)lround (waiting);
+  r->waiting_by_priority[0] += (uint32_t)lround (waiting - yielding);
   return p->unseen_reserves->len - n_accepted;
 }
--- a/src/mm_owner_report.c
+++ b/src/mm_owner_report.c
@@ -42,7 +42,10 @@
         continue;
       double weight = mm_owner_waiting_weight (w);
       waiting += weight;
-      by_priority[MIN (w->request.priority, MM_PRIORITY_LEVELS - 1)] += weight;
+      /* Tasks that yield go before no task that does not.  */
+      if (!w->request.yields)
+        by_priority[MIN (w->request.priority, MM_PRIORITY_LEVELS - 1)]
+            += weight;
     }
   r->waiting = (uint32_t)lround (waiting);
   for (int i = 0; i < (int)MM_PRIORITY_LEVELS; i++)
