--- a/src/mm_metrics.c
+++ b/src/mm_metrics.c
@@ -331,7 +331,8 @@
     }
   for (int i = 0; i < MM_GG_COUNT; i++)
     {
-      append_header (s, &gauge_table[i], NULL, "gauge");
+      append_header (s, &gauge_table[i], i ? &gauge_table[i - 1] : NULL,
+                     "gauge");
       append_value (s, &gauge_table[i], gauges[i]);
     }
   for (int i = 0; i < MM_HG_COUNT; i++)
--- a/tests/test_logs.c
+++ b/tests/test_logs.c
@@ -133,10 +133,15 @@
       text, "masticmill_job_duration_seconds_bucket{le=\"+Inf\"} 2\n"));
   ck_assert_ptr_nonnull (
       strstr (text, "masticmill_job_duration_seconds_sum 0.07\n"));
-  const char *type = "# TYPE masticmill_jobs_answered_total ";
-  const char *first = strstr (text, type);
-  ck_assert_ptr_nonnull (first);
-  ck_assert_ptr_null (strstr (first + 1, type));
+  static const char *const types[]
+      = { "# TYPE masticmill_jobs_answered_total ",
+          "# TYPE masticmill_overloaded " };
+  for (size_t i = 0; i < G_N_ELEMENTS (types); i++)
+    {
+      const char *first = strstr (text, types[i]);
+      ck_assert_ptr_nonnull (first);
+      ck_assert_ptr_null (strstr (first + 1, types[i]));
+    }
   g_free (text);
 }
 END_TEST
