--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -639,6 +639,7 @@
   uint32_t waiting = (uint32_t)(unseen - used);
   r.waiting += waiting;
   r.waiting_by_priority[0] += waiting - MIN (waiting, yielding);
+  r.waiting_unseen += waiting - MIN (waiting, yielding);
   return r;
 }
 
--- a/src/mm_mesh_reserve.c
+++ b/src/mm_mesh_reserve.c
@@ -133,6 +133,8 @@
     }
   /* The priority of these is not known here, see capacity_of_peer().  */
   r->waiting += (uint32_t)lround (waiting);
-  r->waiting_by_priority[0] += (uint32_t)lround (waiting - yielding);
+  uint32_t ahead = (uint32_t)lround (waiting - yielding);
+  r->waiting_by_priority[0] += ahead;
+  r->waiting_unseen += ahead;
   return p->unseen_reserves->len - n_accepted;
 }
