--- a/src/mm_explain.c
+++ b/src/mm_explain.c
@@ -254,6 +254,19 @@
   return NULL;
 }
 
+/* Returns the line that names the owner to which the task was last bound, by
+   its dispatch or by an accepted offer, or NULL.  */
+static const mm_explain_line *
+last_binding (const mm_explain *x, guint end_line, const char *task)
+{
+  const mm_explain_line *sent
+      = last_own (x, end_line, "task_handed", "task", task);
+  const mm_explain_line *accepted
+      = last_own (x, end_line, "task_offer_accepted", "task", task);
+  return sent && (!accepted || sent->ts_ms > accepted->ts_ms) ? sent
+                                                              : accepted;
+}
+
 /* Returns the first context line of @event, or NULL.  Unless @field is NULL,
    that field must have the text @value.  */
 static const mm_explain_line *
@@ -296,8 +309,7 @@
   const mm_explain_line *failed
       = last_own (x, end_line, "task_failed", "how", "unknown");
   const mm_explain_line *dispatched
-      = failed ? last_own (x, end_line, "task_handed", "task",
-                           mm_explain_text (failed, "task"))
+      = failed ? last_binding (x, end_line, mm_explain_text (failed, "task"))
                : NULL;
   const mm_explain_line *peer
       = dispatched ? first_context (x, s, "peer_lost", "peer",
--- a/tests/test_reservation.c
+++ b/tests/test_reservation.c
@@ -216,9 +216,9 @@
 }
 
 /* Offers capacity at an upstream that ceases to take the task, and accepts
-   after that.  With @elsewhere, another upstream has capacity by then.  */
+   @after_ms later.  With @elsewhere, another upstream has capacity by then. */
 static reserved
-accept_after (way w, bool elsewhere, uint32_t *n_starts)
+accept_after (way w, mm_time_ms after_ms, bool elsewhere, uint32_t *n_starts)
 {
   fake *x;
   fixture fx = owner_of_one (&x);
@@ -235,7 +235,7 @@
       fake_set_datacentre (y, "dc2");
       mm_owner_add_upstream (fx.owner, fake_info (y), 5);
     }
-  fixture_run (&fx, MM_OFFER_MS - 5);
+  fixture_run (&fx, after_ms);
   /* An owner without capacity that is not evacuated returns it before.  */
   if (r.out.work)
     accept (&fx, &r, "a");
@@ -255,13 +255,16 @@
 START_TEST (accepted_task_whose_upstream_ceased_waits_for_another)
 {
   uint32_t starts;
-  reserved r = accept_after ((way)_i, true, &starts);
+  reserved r = accept_after ((way)_i, MM_OFFER_MS - 5, true, &starts);
   ck_assert_msg (r.out.how == MM_END_DONE && starts == 1, "way %d", _i);
   ck_assert_str_eq (r.out.upstream, "b");
-  r = accept_after ((way)_i, false, &starts);
-  ck_assert_msg (r.out.answers == 1 && r.out.how == MM_END_NOT_RUN
-                     && starts == 0,
-                 "way %d", _i);
+  for (mm_time_ms after_ms = 0; after_ms < MM_OFFER_MS; after_ms += 7)
+    {
+      r = accept_after ((way)_i, after_ms, false, &starts);
+      ck_assert_msg (r.out.answers == 1 && r.out.how == MM_END_NOT_RUN
+                         && starts == 0,
+                     "way %d after %d ms", _i, (int)after_ms);
+    }
 }
 END_TEST
 
