--- a/tests/test_shedding.c
+++ b/tests/test_shedding.c
@@ -153,6 +153,9 @@
   mm_capacity_report report = mm_owner_report (fx.owner, t.service);
   ck_assert_uint_eq (report.waiting, 2);
   ck_assert_uint_eq (mm_capacity_waiting_ahead (&report, 9), 1);
+  fixture_run (&fx, 2500);
+  for (int i = 0; i < 4; i++)
+    ck_assert_int_eq (r[i].how, MM_END_DONE);
   fixture_destroy (&fx);
 }
 END_TEST
