Model: plays are faster

Reports are kept up to date where they are known, queues are searched by bisection and candidates are not allocated for each task.

--- a/src/mm_model.c
+++ b/src/mm_model.c
@@ -28,21 +28,21 @@
   return -log (1 - g_rand_double (m->random)) / per_ms;
 }
 
-/* ---- set-up ----------------------------------------------------------- */
-
-static void
-neighbour_free (gpointer p)
+uint32_t
+mm_model_priority_level (const model *m, const task *t)
 {
-  neighbour *x = p;
-  g_array_free (x->unseen, TRUE);
-  g_free (x);
+  int64_t priority = m->load->kinds[t->job->kind].priority;
+  return (uint32_t)MIN (priority, MM_PRIORITY_LEVELS - 1);
 }
 
+/* ---- set-up ----------------------------------------------------------- */
+
 static void
 instance_free (gpointer p)
 {
   instance *n = p;
   g_ptr_array_free (n->upstreams, TRUE);
+  g_free (n->candidates);
   g_ptr_array_free (n->waiting, TRUE);
   g_ptr_array_free (n->neighbours, TRUE);
   g_ptr_array_free (n->readers, TRUE);
@@ -64,7 +64,7 @@
   n->datacentre = datacentre;
   n->upstreams = g_ptr_array_new ();
   n->waiting = g_ptr_array_new ();
-  n->neighbours = g_ptr_array_new_with_free_func (neighbour_free);
+  n->neighbours = g_ptr_array_new_with_free_func (g_free);
   n->readers = g_ptr_array_new ();
   n->mean_task_ms = MM_TASK_ESTIMATE_MS;
   return n;
@@ -84,13 +84,34 @@
         continue;
       neighbour *x = g_new0 (neighbour, 1);
       x->of = other;
-      x->unseen = g_array_new (FALSE, FALSE, sizeof (int64_t));
       g_ptr_array_add (n->neighbours, x);
       g_ptr_array_add (other->readers, x);
       count--;
     }
 }
 
+static void
+update_upstreams (const model *m)
+{
+  for (guint i = 0; i < m->upstreams->len; i++)
+    mm_model_update_upstream (m, m->upstreams->pdata[i]);
+}
+
+/* Sets the time, and whether the first data centre is lost then.  */
+static void
+set_time (model *m, double now_ms)
+{
+  const mm_model_load *load = m->load;
+  m->now_ms = now_ms;
+  double second = now_ms / 1000;
+  bool lost = load->lost_for_s > 0 && second >= load->lost_from_s
+              && second < load->lost_from_s + load->lost_for_s;
+  if (lost == m->datacentre_lost)
+    return;
+  m->datacentre_lost = lost;
+  update_upstreams (m);
+}
+
 static void
 create_site (model *m)
 {
@@ -110,8 +131,15 @@
                         ? load->slow_factor
                         : 1;
       g_ptr_array_add (m->upstreams, u);
+      u->index = u->owner->upstreams->len;
       g_ptr_array_add (u->owner->upstreams, u);
     }
+  for (guint i = 0; i < m->instances->len; i++)
+    {
+      instance *n = m->instances->pdata[i];
+      n->candidates = g_new0 (mm_placement_candidate, n->upstreams->len);
+    }
+  update_upstreams (m);
   for (guint i = 0; i < m->instances->len; i++)
     {
       link_to_some (m, m->instances->pdata[i], true, MM_NEIGHBOURS_NEAR);
@@ -170,7 +198,7 @@
   while (mm_model_has_event_before (&m, end_ms))
     {
       event e = mm_model_pop_event (&m);
-      m.now_ms = e.at_ms;
+      set_time (&m, e.at_ms);
       handle (&m, &e);
     }
   double capacity = load->upstream_cpu_milli * (double)load->upstreams;
--- a/src/mm_model_events.c
+++ b/src/mm_model_events.c
@@ -13,25 +13,15 @@
   return &g_array_index (m->heap, event, i);
 }
 
-static void
-swap_events (model *m, guint i, guint k)
-{
-  event e = *event_at (m, i);
-  *event_at (m, i) = *event_at (m, k);
-  *event_at (m, k) = e;
-}
-
 void
 mm_model_push_event (model *m, event e)
 {
   e.number = m->n_events++;
   g_array_append_val (m->heap, e);
-  for (guint i = m->heap->len - 1; i > 0; i = (i - 1) / 2)
-    {
-      if (!is_earlier (event_at (m, i), event_at (m, (i - 1) / 2)))
-        break;
-      swap_events (m, i, (i - 1) / 2);
-    }
+  guint i = m->heap->len - 1;
+  for (; i > 0 && is_earlier (&e, event_at (m, (i - 1) / 2)); i = (i - 1) / 2)
+    *event_at (m, i) = *event_at (m, (i - 1) / 2);
+  *event_at (m, i) = e;
 }
 
 bool
@@ -44,17 +34,19 @@
 mm_model_pop_event (model *m)
 {
   event first = *event_at (m, 0);
-  *event_at (m, 0) = *event_at (m, m->heap->len - 1);
-  g_array_set_size (m->heap, m->heap->len - 1);
-  for (guint i = 0, child = 1; child < m->heap->len; child = 2 * i + 1)
+  guint n = m->heap->len - 1, i = 0;
+  event last = *event_at (m, n);
+  for (guint child = 1; child < n; child = 2 * i + 1)
     {
-      if (child + 1 < m->heap->len
+      if (child + 1 < n
           && is_earlier (event_at (m, child + 1), event_at (m, child)))
         child++;
-      if (!is_earlier (event_at (m, child), event_at (m, i)))
+      if (!is_earlier (event_at (m, child), &last))
         break;
-      swap_events (m, i, child);
+      *event_at (m, i) = *event_at (m, child);
       i = child;
     }
+  *event_at (m, i) = last;
+  g_array_set_size (m->heap, n);
   return first;
 }
--- a/src/mm_model_home.c
+++ b/src/mm_model_home.c
@@ -6,33 +6,38 @@
 
 #include <math.h>
 
-/* Returns the capacity of a neighbour as known at its home: the last report,
-   less the tasks sent since.  */
-static mm_capacity_report
-known_capacity (const neighbour *x)
+/* Takes a task that was sent to a neighbour from its known capacity, until the
+   next report.  */
+static void
+take_known_capacity (mm_capacity_report *r, int64_t cpu_milli)
 {
-  mm_capacity_report r = x->report;
-  for (guint i = 0; i < x->unseen->len; i++)
+  mm_residuals_take (&r->residuals, cpu_milli);
+  if (r->free > 0)
+    r->free--;
+  else
     {
-      mm_residuals_take (&r.residuals, g_array_index (x->unseen, int64_t, i));
-      if (r.free > 0)
-        r.free--;
-      else
-        {
-          r.waiting++;
-          r.waiting_by_priority[0]++;
-        }
+      r->waiting++;
+      r->waiting_by_priority[0]++;
     }
-  return r;
+}
+
+/* Returns whether a task of that size fits into one of the capacities.  */
+static bool
+any_fits (const mm_residuals *r, int64_t cpu_milli)
+{
+  for (uint32_t i = 0; i < r->n; i++)
+    if (r->sizes[i] * r->unit_milli >= cpu_milli)
+      return true;
+  return false;
 }
 
 /* Fills @out with what @n knows of itself and its neighbours.  Returns the
    number of entries.  */
 static size_t
-list_owners (const model *m, const instance *n, mm_dispatch_candidate *out)
+list_owners (const model *m, instance *n, mm_dispatch_candidate *out)
 {
   out[0] = (mm_dispatch_candidate){ .near = MM_NEAR_SELF,
-                                    .capacity = mm_model_report_of (m, n) };
+                                    .capacity = *mm_model_report_of (m, n) };
   size_t count = 1;
   for (guint i = 0; i < n->neighbours->len; i++)
     {
@@ -41,18 +46,18 @@
           = (mm_dispatch_candidate){ .near = x->of->datacentre == n->datacentre
                                                  ? MM_NEAR_DATACENTRE
                                                  : MM_NEAR_FAR,
-                                     .capacity = known_capacity (x) };
+                                     .capacity = x->known };
     }
   return count;
 }
 
 static void
-end_job (job *j)
+end_job (const model *m, job *j)
 {
   j->over = true;
   for (uint32_t i = 0; i < j->n_tasks; i++)
     if (j->tasks[i].at)
-      mm_model_leave_queue (j->tasks[i].at, &j->tasks[i]);
+      mm_model_leave_queue (m, j->tasks[i].at, &j->tasks[i]);
 }
 
 /* Sends a task to an owner.  */
@@ -66,6 +71,10 @@
     {
       instance *owner
           = i ? ((neighbour *)home->neighbours->pdata[i - 1])->of : home;
+      /* Without capacities, the comparisons are fast and have the same
+         results.  */
+      if (!any_fits (&c[i].capacity.residuals, t->cpu_milli))
+        c[i].capacity.residuals.n = 0;
       c[i].returned_task = owner == t->returned_by;
       c[i].capacity.waiting = mm_capacity_waiting_ahead (
           &c[i].capacity, (uint32_t)m->load->kinds[t->job->kind].priority);
@@ -87,7 +96,7 @@
     {
       neighbour *x = home->neighbours->pdata[best - 1];
       t->at = x->of;
-      g_array_append_val (x->unseen, t->cpu_milli);
+      take_known_capacity (&x->known, t->cpu_milli);
       delay_ms = m->load->link_ms;
     }
   t->start_by_ms = m->now_ms + delay_ms + wait_ms;
@@ -110,12 +119,12 @@
       return;
     }
   m->results[j->kind].given_up++;
-  end_job (j);
+  end_job (m, j);
 }
 
 /* Returns the known load for a job, as mm_fleet_load() does.  */
 static mm_load
-known_load (const model *m, const instance *home, const job *j)
+known_load (const model *m, instance *home, const job *j)
 {
   mm_dispatch_candidate c[MM_FLEET_MAX_OWNERS];
   size_t n = list_owners (m, home, c);
@@ -239,6 +248,7 @@
   j->home->any_ended = true;
   j->home->mean_task_ms
       += MM_MEAN_TASK_GAIN * (ran_ms - j->home->mean_task_ms);
+  mm_model_update_upstream (m, t->on);
   mm_model_start_waiting (m, n);
   if (--j->n_left > 0 || j->over)
     return;
--- a/src/mm_model_owner.c
+++ b/src/mm_model_owner.c
@@ -2,22 +2,26 @@
    reports.  */
 #include "mm_model_priv.h"
 
-#include "mm_placement.h"
-
 bool
 mm_model_is_lost (const model *m, const upstream *u)
 {
-  double second = m->now_ms / 1000;
-  return m->load->lost_for_s > 0 && u->datacentre == 0
-         && second >= m->load->lost_from_s
-         && second < m->load->lost_from_s + m->load->lost_for_s;
+  return m->datacentre_lost && u->datacentre == 0;
 }
 
-/* Returns what an owner reports, as mm_owner_report() does.  */
-mm_capacity_report
-mm_model_report_of (const model *m, const instance *n)
+void
+mm_model_update_upstream (const model *m, const upstream *u)
+{
+  mm_placement_candidate *c = &u->owner->candidates[u->index];
+  c->allowed = !mm_model_is_lost (m, u);
+  c->slowness = u->known_slowness;
+  c->free_capacity = (mm_resources){ .cpu_milli = u->free_milli, .mem_mb = 1 };
+  u->owner->report_valid = false;
+}
+
+/* Sets the capacity in a report.  */
+static void
+report_capacity (const model *m, const instance *n, mm_capacity_report *r)
 {
-  mm_capacity_report r = { 0 };
   int64_t residuals[4096];
   size_t n_residuals = 0;
   double cpu = n->average_cpu_milli > 0 ? n->average_cpu_milli
@@ -30,23 +34,30 @@
         continue;
       capacity += m->load->upstream_cpu_milli;
       if (m->load->rule == MM_DISPATCH_MOST_FREE)
-        r.places += (uint32_t)(m->load->upstream_cpu_milli / cpu);
-      r.free += (uint32_t)((double)u->free_milli / cpu);
+        r->places += (uint32_t)(m->load->upstream_cpu_milli / cpu);
+      r->free += (uint32_t)((double)u->free_milli / cpu);
       if (n_residuals < G_N_ELEMENTS (residuals))
         residuals[n_residuals++] = u->free_milli;
     }
   if (m->load->rule != MM_DISPATCH_MOST_FREE)
-    r.places = (uint32_t)(capacity / cpu);
-  mm_residuals_fill (&r.residuals, residuals, n_residuals);
-  r.task_ms = (uint32_t)n->average_place_ms;
-  for (guint i = 0; i < n->waiting->len; i++)
-    {
-      const task *t = n->waiting->pdata[i];
-      int64_t priority = m->load->kinds[t->job->kind].priority;
-      r.waiting++;
-      r.waiting_by_priority[MIN (priority, MM_PRIORITY_LEVELS - 1)]++;
-    }
-  return r;
+    r->places = (uint32_t)(capacity / cpu);
+  mm_residuals_fill (&r->residuals, residuals, n_residuals);
+}
+
+/* Returns what an owner reports, as mm_owner_report() does.  */
+const mm_capacity_report *
+mm_model_report_of (const model *m, instance *n)
+{
+  if (n->report_valid)
+    return &n->report;
+  mm_capacity_report r = { .waiting = n->waiting->len,
+                           .task_ms = (uint32_t)n->average_place_ms };
+  report_capacity (m, n, &r);
+  for (size_t i = 0; i < MM_PRIORITY_LEVELS; i++)
+    r.waiting_by_priority[i] = n->waiting_by_priority[i];
+  n->report = r;
+  n->report_valid = true;
+  return &n->report;
 }
 
 void
@@ -60,24 +71,14 @@
 static bool
 start_task (model *m, instance *n, task *t)
 {
-  guint n_upstreams = n->upstreams->len;
-  mm_placement_candidate *c = g_new0 (mm_placement_candidate, n_upstreams);
-  for (guint i = 0; i < n_upstreams; i++)
-    {
-      const upstream *u = n->upstreams->pdata[i];
-      c[i].allowed = !mm_model_is_lost (m, u);
-      c[i].slowness = u->known_slowness;
-      c[i].free_capacity
-          = (mm_resources){ .cpu_milli = u->free_milli, .mem_mb = 1 };
-    }
   mm_resources need = { .cpu_milli = t->cpu_milli };
-  int best = mm_placement_choose (c, n_upstreams, &need);
-  g_free (c);
+  int best = mm_placement_choose (n->candidates, n->upstreams->len, &need);
   if (best < 0)
     return false;
   mm_model_result *r = &m->results[t->job->kind];
   t->on = n->upstreams->pdata[best];
   t->on->free_milli -= t->cpu_milli;
+  mm_model_update_upstream (m, t->on);
   t->started_ms = m->now_ms;
   r->started++;
   r->wait_ms += m->now_ms - t->job->submitted_ms;
@@ -101,28 +102,68 @@
   return a->arrival < b->arrival;
 }
 
+/* Returns the index in the queue of @t, or at which it is inserted.  */
+static guint
+find_turn (const model *m, const instance *n, const task *t)
+{
+  guint from = 0, to = n->waiting->len;
+  while (from < to)
+    {
+      guint middle = from + (to - from) / 2;
+      if (goes_before (m, n->waiting->pdata[middle], t))
+        from = middle + 1;
+      else
+        to = middle;
+    }
+  return from;
+}
+
 static void
-enqueue (model *m, instance *n, task *t)
+enqueue (const model *m, instance *n, task *t)
 {
-  guint i = 0;
-  while (i < n->waiting->len && goes_before (m, n->waiting->pdata[i], t))
-    i++;
-  g_ptr_array_insert (n->waiting, (gint)i, t);
+  g_ptr_array_insert (n->waiting, (gint)find_turn (m, n, t), t);
   t->waiting = true;
+  n->waiting_by_priority[mm_model_priority_level (m, t)]++;
+  n->report_valid = false;
+}
+
+/* Removes the task at that index from the queue.  */
+static void
+remove_waiting (const model *m, instance *n, guint i)
+{
+  task *t = n->waiting->pdata[i];
+  t->waiting = false;
+  g_ptr_array_remove_index (n->waiting, i);
+  n->waiting_by_priority[mm_model_priority_level (m, t)]--;
+  n->report_valid = false;
+}
+
+/* Returns the largest free capacity at one upstream.  */
+static int64_t
+largest_free_milli (const instance *n)
+{
+  int64_t largest = -1;
+  for (guint i = 0; i < n->upstreams->len; i++)
+    if (n->candidates[i].allowed)
+      largest = MAX (largest, n->candidates[i].free_capacity.cpu_milli);
+  return largest;
 }
 
 /* Starts the waiting tasks that fit.  */
 void
 mm_model_start_waiting (model *m, instance *n)
 {
+  if (n->waiting->len == 0)
+    return;
   uint32_t misses = 0;
+  int64_t largest_milli = largest_free_milli (n);
   for (guint i = 0; i < n->waiting->len && misses < MM_OWNER_MAX_MISSES;)
     {
       task *t = n->waiting->pdata[i];
-      if (start_task (m, n, t))
+      if (t->cpu_milli <= largest_milli && start_task (m, n, t))
         {
-          t->waiting = false;
-          g_ptr_array_remove_index (n->waiting, i);
+          remove_waiting (m, n, i);
+          largest_milli = largest_free_milli (n);
         }
       else
         {
@@ -133,11 +174,10 @@
 }
 
 void
-mm_model_leave_queue (instance *n, task *t)
+mm_model_leave_queue (const model *m, instance *n, task *t)
 {
   if (t->waiting)
-    g_ptr_array_remove (n->waiting, t);
-  t->waiting = false;
+    remove_waiting (m, n, find_turn (m, n, t));
 }
 
 /* A task has arrived at an owner.  */
@@ -165,7 +205,7 @@
 {
   if (!t->waiting || t->at != n || t->start_by_ms > m->now_ms)
     return;
-  mm_model_leave_queue (n, t);
+  mm_model_leave_queue (m, n, t);
   m->results[t->job->kind].returned++;
   t->returned_by = n;
   mm_model_push_event (
@@ -179,12 +219,10 @@
 void
 mm_model_on_report (model *m, instance *n)
 {
-  mm_capacity_report r = mm_model_report_of (m, n);
   for (guint i = 0; i < n->readers->len; i++)
     {
       neighbour *reader = n->readers->pdata[i];
-      reader->report = r;
-      g_array_set_size (reader->unseen, 0);
+      reader->known = *mm_model_report_of (m, n);
     }
   mm_model_push_event (m, (event){ .at_ms = m->now_ms + m->load->report_ms,
                                    .kind = EVENT_REPORT,
--- a/src/mm_model_priv.h
+++ b/src/mm_model_priv.h
@@ -3,6 +3,7 @@
 #define MM_MODEL_PRIV_H
 
 #include "mm_model.h"
+#include "mm_placement.h"
 
 typedef struct model model;
 typedef struct job job;
@@ -11,6 +12,7 @@
 typedef struct
 {
   instance *owner;
+  uint32_t index; /* in @owner->upstreams */
   int datacentre;
   int64_t free_milli;
   double slowness;       /* run times, relative to the declared ones */
@@ -46,20 +48,23 @@
   task *tasks;
 };
 
-/* A report that an instance has of another one.  */
+/* What an instance knows of another one.  */
 typedef struct
 {
   instance *of;
-  mm_capacity_report report;
-  GArray *unseen; /* int64_t: cpu of the tasks sent since the last report */
+  mm_capacity_report known; /* last report, less the tasks sent since */
 } neighbour;
 
 struct instance
 {
   int index;
   int datacentre;
-  GPtrArray *upstreams;  /* owned */
-  GPtrArray *waiting;    /* task, in the order of the queue */
+  GPtrArray *upstreams; /* owned */
+  GPtrArray *waiting;   /* task, in the order of the queue */
+  uint32_t waiting_by_priority[MM_PRIORITY_LEVELS];
+  mm_placement_candidate *candidates; /* of each of @upstreams */
+  mm_capacity_report report;          /* of itself, if @report_valid */
+  bool report_valid;
   GPtrArray *neighbours; /* neighbour */
   GPtrArray *readers;    /* neighbour of other instances that stands for it */
   double average_cpu_milli;
@@ -96,6 +101,7 @@
   GArray *heap; /* event, a binary heap */
   uint64_t n_events, n_arrivals;
   double now_ms;
+  bool datacentre_lost; /* the first data centre takes no tasks now */
   GPtrArray *instances, *upstreams, *jobs;
   double busy_milli_ms; /* capacity in use, summed over time */
 };
@@ -112,13 +118,18 @@
 /* Returns the time until the next job of a kind arrives.  */
 double mm_model_next_interval_ms (model *m, const mm_model_kind *k);
 
+/* Returns the level in capacity reports of a task's priority.  */
+uint32_t mm_model_priority_level (const model *m, const task *t);
+
 /* mm_model_owner.c */
 /* Returns whether the upstream is in the data centre that takes no tasks at
    the moment.  */
 bool mm_model_is_lost (const model *m, const upstream *u);
-mm_capacity_report mm_model_report_of (const model *m, const instance *n);
+const mm_capacity_report *mm_model_report_of (const model *m, instance *n);
+/* Updates the candidate that stands for an upstream, and the report.  */
+void mm_model_update_upstream (const model *m, const upstream *u);
 void mm_model_start_waiting (model *m, instance *n);
-void mm_model_leave_queue (instance *n, task *t);
+void mm_model_leave_queue (const model *m, instance *n, task *t);
 void mm_model_update_average (double *average, double value, double gain);
 void mm_model_on_handed (model *m, instance *n, task *t);
 void mm_model_on_expire (model *m, instance *n, task *t);
