--- a/src/mm_model_owner.c
+++ b/src/mm_model_owner.c
@@ -16,32 +16,43 @@
   c->slowness = u->known_slowness;
   c->free_capacity = (mm_resources){ .cpu_milli = u->free_milli, .mem_mb = 1 };
   u->owner->report_valid = false;
+  u->owner->residuals_valid = false;
 }
 
-/* Sets the capacity in a report.  */
 static void
-report_capacity (const model *m, const instance *n, mm_capacity_report *r)
+update_residuals (instance *n)
 {
   int64_t residuals[4096];
   size_t n_residuals = 0;
+  for (guint i = 0; i < n->upstreams->len; i++)
+    if (n->candidates[i].allowed && n_residuals < G_N_ELEMENTS (residuals))
+      residuals[n_residuals++] = n->candidates[i].free_capacity.cpu_milli;
+  mm_residuals_fill (&n->residuals, residuals, n_residuals);
+  n->residuals_valid = true;
+}
+
+/* Sets the capacity in a report.  */
+static void
+report_capacity (const model *m, instance *n, mm_capacity_report *r)
+{
   double cpu = n->average_cpu_milli > 0 ? n->average_cpu_milli
                                         : m->load->upstream_cpu_milli;
   double capacity = 0;
   for (guint i = 0; i < n->upstreams->len; i++)
     {
-      const upstream *u = n->upstreams->pdata[i];
-      if (mm_model_is_lost (m, u))
+      if (!n->candidates[i].allowed)
         continue;
       capacity += m->load->upstream_cpu_milli;
       if (m->load->rule == MM_DISPATCH_MOST_FREE)
         r->places += (uint32_t)(m->load->upstream_cpu_milli / cpu);
-      r->free += (uint32_t)((double)u->free_milli / cpu);
-      if (n_residuals < G_N_ELEMENTS (residuals))
-        residuals[n_residuals++] = u->free_milli;
+      r->free += (uint32_t)((double)n->candidates[i].free_capacity.cpu_milli
+                            / cpu);
     }
   if (m->load->rule != MM_DISPATCH_MOST_FREE)
     r->places = (uint32_t)(capacity / cpu);
-  mm_residuals_fill (&r->residuals, residuals, n_residuals);
+  if (!n->residuals_valid)
+    update_residuals (n);
+  r->residuals = n->residuals;
 }
 
 /* Returns what an owner reports, as mm_owner_report() does.  */
--- a/src/mm_model_priv.h
+++ b/src/mm_model_priv.h
@@ -65,6 +65,8 @@
   mm_placement_candidate *candidates; /* of each of @upstreams */
   mm_capacity_report report;          /* of itself, if @report_valid */
   bool report_valid;
+  mm_residuals residuals; /* of @upstreams, if @residuals_valid */
+  bool residuals_valid;
   GPtrArray *neighbours; /* neighbour */
   GPtrArray *readers;    /* neighbour of other instances that stands for it */
   double average_cpu_milli;
