--- a/daemons/ctl.h
+++ b/daemons/ctl.h
@@ -51,6 +51,9 @@
 /* Plays the load in @file, TOML, in the model of the decisions, and prints a
    line of JSON for each way to decide and each kind of job.  */
 int ctl_model (const char *file);
+/* Plays the load in @file with 0.5 to 3 times its jobs, with the current and
+   the new decisions and with one owner that has complete information.  */
+int ctl_model_sweep (const char *file);
 /* Prints a row for each instance in @argv: HOST:PORT...  The exit status is 1
    when the metrics of any of them cannot be read.  */
 int ctl_top (int argc, char **argv);
--- a/daemons/masticctl.c
+++ b/daemons/masticctl.c
@@ -13,7 +13,8 @@
                                start no tasks there, or start them again
      evacuation show ADDR...   what is evacuated, and what still runs there
      explain ID [FILE]...      why a job ended as it did, from several logs
-     model FILE                compare ways to decide on a load
+     model [--sweep] FILE      compare ways to decide on a load, or on
+                               multiples of it
      top ADDR...               print current metrics of instances in one table
      events                    list the events that instances log
      bench [options]           run a load and print the ratio of latency to the
@@ -141,7 +142,9 @@
   if (argc >= 2 && g_str_equal (argv[0], "explain"))
     return ctl_explain (argc - 1, argv + 1);
   if (argc >= 2 && g_str_equal (argv[0], "model"))
-    return ctl_model (argv[1]);
+    return argc >= 3 && g_str_equal (argv[1], "--sweep")
+               ? ctl_model_sweep (argv[2])
+               : ctl_model (argv[1]);
   if (argc >= 2 && g_str_equal (argv[0], "top"))
     return ctl_top (argc - 1, argv + 1);
   if (argc >= 1 && g_str_equal (argv[0], "events"))
--- a/src/mm_model.c
+++ b/src/mm_model.c
@@ -2,41 +2,8 @@
    events.  */
 #include "mm_model_priv.h"
 
-#include <math.h>
 #include <string.h>
 
-/* ---- random numbers --------------------------------------------------- */
-
-/* Returns a value of a log-normal distribution with this mean and relative
-   standard deviation.  */
-double
-mm_model_spread_around (model *m, double mean, double spread)
-{
-  double u = 1 - g_rand_double (m->random), v = g_rand_double (m->random);
-  double normal = sqrt (-2 * log (u)) * cos (2 * G_PI * v);
-  double variance = log (1 + spread * spread);
-  return mean * exp (normal * sqrt (variance) - variance / 2);
-}
-
-double
-mm_model_next_interval_ms (model *m, const mm_model_kind *k)
-{
-  double second = m->now_ms / 1000;
-  bool burst = second >= m->load->burst_from_s
-               && second < m->load->burst_from_s + m->load->burst_for_s;
-  double per_ms = k->per_s * (burst ? k->burst : 1) / 1000;
-  return -log (1 - g_rand_double (m->random)) / per_ms;
-}
-
-uint32_t
-mm_model_priority_level (const model *m, const task *t)
-{
-  int64_t priority = m->load->kinds[t->job->kind].priority;
-  return (uint32_t)MIN (priority, MM_PRIORITY_LEVELS - 1);
-}
-
-/* ---- set-up ----------------------------------------------------------- */
-
 static void
 instance_free (gpointer p)
 {
@@ -44,6 +11,7 @@
   g_ptr_array_free (n->upstreams, TRUE);
   g_free (n->candidates);
   g_ptr_array_free (n->waiting, TRUE);
+  g_ptr_array_free (n->open, TRUE);
   g_ptr_array_free (n->neighbours, TRUE);
   g_ptr_array_free (n->readers, TRUE);
   g_free (n);
@@ -64,6 +32,7 @@
   n->datacentre = datacentre;
   n->upstreams = g_ptr_array_new ();
   n->waiting = g_ptr_array_new ();
+  n->open = g_ptr_array_new ();
   n->neighbours = g_ptr_array_new_with_free_func (g_free);
   n->readers = g_ptr_array_new ();
   n->mean_task_ms = MM_TASK_ESTIMATE_MS;
@@ -125,11 +94,7 @@
       upstream *u = g_new0 (upstream, 1);
       u->owner = m->instances->pdata[i % n_instances];
       u->datacentre = (int)(i % load->datacentres);
-      u->free_milli = (int64_t)load->upstream_cpu_milli;
-      u->known_slowness = 1;
-      u->slowness = g_rand_double (m->random) < load->slow_share
-                        ? load->slow_factor
-                        : 1;
+      mm_model_draw_upstream (m, u);
       g_ptr_array_add (m->upstreams, u);
       u->index = u->owner->upstreams->len;
       g_ptr_array_add (u->owner->upstreams, u);
@@ -142,31 +107,66 @@
   update_upstreams (m);
   for (guint i = 0; i < m->instances->len; i++)
     {
-      link_to_some (m, m->instances->pdata[i], true, MM_NEIGHBOURS_NEAR);
-      link_to_some (m, m->instances->pdata[i], false, MM_NEIGHBOURS_FAR);
+      instance *n = m->instances->pdata[i];
+      link_to_some (m, n, true, MM_NEIGHBOURS_NEAR);
+      link_to_some (m, n, false, MM_NEIGHBOURS_FAR);
       mm_model_push_event (
           m, (event){ .at_ms = load->report_ms * i / (double)m->instances->len,
                       .kind = EVENT_REPORT,
-                      .instance = m->instances->pdata[i] });
+                      .instance = n });
+      if (load->overload_control)
+        mm_model_push_event (m, (event){ .at_ms = MM_EXEC_TICK_MS * i
+                                                  / (double)m->instances->len,
+                                         .kind = EVENT_TICK,
+                                         .instance = n });
     }
 }
 
 static void
-handle (model *m, const event *e)
+handle_work (model *m, const event *e)
 {
+  if (e->generation != e->work->generation)
+    return;
   switch (e->kind)
     {
-    case EVENT_JOB:
-      mm_model_on_job (m, e->job_kind);
-      break;
     case EVENT_HANDED:
-      mm_model_on_handed (m, e->instance, e->task);
+      mm_model_on_handed (m, e->work);
       break;
     case EVENT_EXPIRE:
-      mm_model_on_expire (m, e->instance, e->task);
+      mm_model_on_expire (m, e->work);
       break;
     case EVENT_RETURN:
-      mm_model_on_return (m, e->task);
+      mm_model_on_return (m, e->work);
+      break;
+    case EVENT_OFFER:
+      mm_model_on_offer (m, e->work);
+      break;
+    case EVENT_ACCEPT:
+      mm_model_on_accept (m, e->work);
+      break;
+    case EVENT_CANCEL:
+      mm_model_on_cancel (m, e->work);
+      break;
+    default:
+      mm_model_on_offer_end (m, e->work);
+      break;
+    }
+}
+
+static void
+handle (model *m, const event *e)
+{
+  switch (e->kind)
+    {
+    case EVENT_JOB:
+      mm_model_on_job (m, e->job_kind);
+      break;
+    case EVENT_AGAIN:
+      mm_model_on_again (m, e->task);
+      break;
+    case EVENT_RENEW:
+      if (e->generation == e->task->round)
+        mm_model_on_renew (m, e->task);
       break;
     case EVENT_END:
       mm_model_on_end (m, e->task);
@@ -174,9 +174,36 @@
     case EVENT_REPORT:
       mm_model_on_report (m, e->instance);
       break;
+    case EVENT_TICK:
+      mm_model_on_tick (m, e->instance);
+      break;
+    default:
+      handle_work (m, e);
+      break;
     }
 }
 
+static double
+capacity_of (const model *m)
+{
+  double sum = 0;
+  for (guint i = 0; i < m->upstreams->len; i++)
+    sum += (double)((const upstream *)m->upstreams->pdata[i])->cpu_milli;
+  return sum;
+}
+
+static void
+clear (model *m)
+{
+  g_ptr_array_free (m->jobs, TRUE);
+  g_ptr_array_free (m->works, TRUE);
+  g_ptr_array_free (m->free_works, TRUE);
+  g_ptr_array_free (m->instances, TRUE);
+  g_ptr_array_free (m->upstreams, TRUE);
+  g_array_free (m->heap, TRUE);
+  g_rand_free (m->random);
+}
+
 double
 mm_model_play (const mm_model_load *load, mm_model_result *results)
 {
@@ -187,6 +214,8 @@
   m.instances = g_ptr_array_new_with_free_func (instance_free);
   m.upstreams = g_ptr_array_new_with_free_func (g_free);
   m.jobs = g_ptr_array_new_with_free_func (job_free);
+  m.works = g_ptr_array_new_with_free_func (g_free);
+  m.free_works = g_ptr_array_new ();
   create_site (&m);
   for (size_t i = 0; i < load->n_kinds; i++)
     mm_model_push_event (&m, (event){ .at_ms = load->report_ms,
@@ -201,12 +230,8 @@
       set_time (&m, e.at_ms);
       handle (&m, &e);
     }
-  double capacity = load->upstream_cpu_milli * (double)load->upstreams;
-  double used = m.busy_milli_ms / (capacity * load->length_s * 1000);
-  g_ptr_array_free (m.jobs, TRUE);
-  g_ptr_array_free (m.instances, TRUE);
-  g_ptr_array_free (m.upstreams, TRUE);
-  g_array_free (m.heap, TRUE);
-  g_rand_free (m.random);
+  double used = m.busy_milli_ms / (capacity_of (&m) * load->length_s * 1000);
+  mm_model_sum_up (&m);
+  clear (&m);
   return used;
 }
--- a/src/mm_model_events.c
+++ b/src/mm_model_events.c
@@ -24,6 +24,15 @@
   *event_at (m, i) = e;
 }
 
+void
+mm_model_push_work_event (model *m, event_kind kind, work *w, double at_ms)
+{
+  mm_model_push_event (m, (event){ .at_ms = at_ms,
+                                   .kind = kind,
+                                   .work = w,
+                                   .generation = w->generation });
+}
+
 bool
 mm_model_has_event_before (model *m, double at_ms)
 {
--- a/src/mm_model_home.c
+++ b/src/mm_model_home.c
@@ -2,10 +2,6 @@
    their tasks.  */
 #include "mm_model_priv.h"
 
-#include "mm_admission.h"
-
-#include <math.h>
-
 /* Takes a task that was sent to a neighbour from its known capacity, until the
    next report.  */
 static void
@@ -31,10 +27,8 @@
   return false;
 }
 
-/* Fills @out with what @n knows of itself and its neighbours.  Returns the
-   number of entries.  */
-static size_t
-list_owners (const model *m, instance *n, mm_dispatch_candidate *out)
+size_t
+mm_model_list_owners (const model *m, instance *n, mm_dispatch_candidate *out)
 {
   out[0] = (mm_dispatch_candidate){ .near = MM_NEAR_SELF,
                                     .capacity = *mm_model_report_of (m, n) };
@@ -51,99 +45,156 @@
   return count;
 }
 
-static void
-end_job (const model *m, job *j)
+void
+mm_model_answer (model *m, job *j, size_t outcome)
 {
+  mm_model_result *r = &m->results[j->kind];
+  double held_ms = m->now_ms - j->submitted_ms;
   j->over = true;
+  j->outcome = outcome;
+  if (outcome == offsetof (mm_model_outcomes, rejected))
+    r->rejected_held_ms += held_ms;
+  if (outcome == offsetof (mm_model_outcomes, given_up))
+    r->given_up_held_ms += held_ms;
   for (uint32_t i = 0; i < j->n_tasks; i++)
-    if (j->tasks[i].at)
-      mm_model_leave_queue (m, j->tasks[i].at, &j->tasks[i]);
+    {
+      task *t = &j->tasks[i];
+      mm_model_cancel_reservations (m, t, NULL);
+      if (!t->bound || t->bound->state != WORK_WAITING)
+        continue;
+      mm_model_cancel_waiting (m, t->bound);
+      t->bound = NULL;
+    }
 }
 
-/* Sends a task to an owner.  */
-static void
-dispatch (model *m, task *t)
+bool
+mm_model_may_have_started (const job *j)
 {
-  instance *home = t->job->home;
-  mm_dispatch_candidate c[MM_FLEET_MAX_OWNERS];
-  size_t n = list_owners (m, home, c);
+  for (uint32_t i = 0; i < j->n_tasks; i++)
+    if (j->tasks[i].started || j->tasks[i].bound)
+      return true;
+  return false;
+}
+
+/* Sets what the choice of an owner for @t depends on.  Returns whether an
+   owner is known to have free capacity for it.  */
+static bool
+prepare_candidates (const model *m, const task *t, mm_dispatch_candidate *c,
+                    size_t n)
+{
+  const instance *home = t->job->home;
+  bool any = false;
   for (size_t i = 0; i < n; i++)
     {
-      instance *owner
+      const instance *owner
           = i ? ((neighbour *)home->neighbours->pdata[i - 1])->of : home;
       /* Without capacities, the comparisons are fast and have the same
          results.  */
       if (!any_fits (&c[i].capacity.residuals, t->cpu_milli))
         c[i].capacity.residuals.n = 0;
+      any |= c[i].capacity.residuals.n > 0;
       c[i].returned_task = owner == t->returned_by;
       c[i].capacity.waiting = mm_capacity_waiting_ahead (
           &c[i].capacity, (uint32_t)m->load->kinds[t->job->kind].priority);
     }
-  int best = mm_dispatch_choose (c, n, t->cpu_milli, m->load->rule);
+  return any;
+}
+
+/* Sends a task to the owner with that index in the list of owners.  */
+static void
+send_run (model *m, task *t, int index)
+{
+  instance *home = t->job->home;
   double wait_ms = MIN (m->load->owner_wait_ms,
                         MAX (t->job->latest_start_ms - m->now_ms, 1));
-  if (best < 0)
-    {
-      mm_model_push_event (m, (event){ .at_ms = m->now_ms + MM_EXEC_TICK_MS,
-                                       .kind = EVENT_RETURN,
-                                       .task = t });
-      return;
-    }
+  neighbour *x = index ? home->neighbours->pdata[index - 1] : NULL;
+  if (x)
+    take_known_capacity (&x->known, t->cpu_milli);
   m->results[t->job->kind].handed++;
-  t->at = home;
-  double delay_ms = 0;
-  if (best > 0)
-    {
-      neighbour *x = home->neighbours->pdata[best - 1];
-      t->at = x->of;
-      take_known_capacity (&x->known, t->cpu_milli);
-      delay_ms = m->load->link_ms;
-    }
-  t->start_by_ms = m->now_ms + delay_ms + wait_ms;
-  mm_model_push_event (m, (event){ .at_ms = m->now_ms + delay_ms,
-                                   .kind = EVENT_HANDED,
-                                   .task = t,
-                                   .instance = t->at });
+  t->bound = mm_model_work_new (m, t, x ? x->of : home);
+  double arrival_ms = m->now_ms + mm_model_link_ms (m, t->bound);
+  t->bound->start_by_ms = arrival_ms + wait_ms;
+  mm_model_push_work_event (m, EVENT_HANDED, t->bound, arrival_ms);
 }
 
-/* A task is back at its home without a start.  */
 void
-mm_model_on_return (model *m, task *t)
+mm_model_dispatch (model *m, task *t)
+{
+  mm_dispatch_candidate c[MM_FLEET_MAX_OWNERS];
+  size_t n = mm_model_list_owners (m, t->job->home, c);
+  bool any_free = prepare_candidates (m, t, c, n);
+  int best = mm_dispatch_choose (c, n, t->cpu_milli, m->load->rule);
+  if (best < 0)
+    mm_model_push_event (m, (event){ .at_ms = m->now_ms + MM_EXEC_TICK_MS,
+                                     .kind = EVENT_AGAIN,
+                                     .task = t });
+  else if (m->load->late_binding && (!any_free || t->returned_by))
+    mm_model_reserve (m, t, c, n);
+  else
+    send_run (m, t, best);
+}
+
+/* A task without an owner is dispatched, or its job is given up.  */
+void
+mm_model_on_again (model *m, task *t)
 {
   job *j = t->job;
   if (j->over)
     return;
   if (m->now_ms < j->latest_start_ms)
+    mm_model_dispatch (m, t);
+  else
+    mm_model_answer (m, j, offsetof (mm_model_outcomes, given_up));
+}
+
+/* Work is back at its home without a start.  */
+void
+mm_model_on_return (model *m, work *w)
+{
+  task *t = w->task;
+  bool was_bound = t->bound == w;
+  if (was_bound)
     {
-      dispatch (m, t);
-      return;
+      t->bound = NULL;
+      t->returned_by = w->owner;
+    }
+  bool was_last = mm_model_forget_reservation (t, w) && t->n_reservations == 0;
+  mm_model_work_free (m, w);
+  if (was_bound || was_last)
+    {
+      t->round++;
+      mm_model_on_again (m, t);
     }
-  m->results[j->kind].given_up++;
-  end_job (m, j);
 }
 
-/* Returns the known load for a job, as mm_fleet_load() does.  */
-static mm_load
-known_load (const model *m, instance *home, const job *j)
+mm_load
+mm_model_known_load (const model *m, instance *home, int kind,
+                     int64_t cpu_milli)
 {
   mm_dispatch_candidate c[MM_FLEET_MAX_OWNERS];
-  size_t n = list_owners (m, home, c);
+  size_t n = mm_model_list_owners (m, home, c);
   mm_load load = { .mean_task_ms = (mm_time_ms)home->mean_task_ms };
+  uint32_t priority = (uint32_t)m->load->kinds[kind].priority;
+  uint32_t level = MIN (priority, MM_PRIORITY_LEVELS - 1);
   double known_places = 0, run_ms_sum = 0;
   for (size_t i = 0; i < n; i++)
     {
       const mm_capacity_report *r = &c[i].capacity;
       load.places += r->places;
-      load.free
-          += mm_dispatch_count_fits (r, j->tasks[0].cpu_milli, m->load->rule);
-      load.waiting += mm_capacity_waiting_ahead (
-          r, (uint32_t)m->load->kinds[j->kind].priority);
+      load.free += mm_dispatch_count_fits (r, cpu_milli, m->load->rule);
+      load.waiting += mm_capacity_waiting_ahead (r, priority);
+      load.waiting_same += r->waiting_by_priority[level];
+      load.starts_per_s += r->starts_per_s[level];
       known_places += r->task_ms ? r->places : 0;
       run_ms_sum += (double)r->places * r->task_ms;
     }
   if (known_places > 0)
     load.mean_task_ms
         = MAX (load.mean_task_ms, (mm_time_ms)(run_ms_sum / known_places));
+  if (m->load->overload_control)
+    mm_model_fill_measured (m, home, level, &load);
+  else
+    load.waiting_same = load.starts_per_s = 0;
   return load;
 }
 
@@ -161,48 +212,6 @@
   return fits;
 }
 
-/* Draws a job of a kind.  */
-static job *
-job_draw (model *m, int kind)
-{
-  const mm_model_kind *k = &m->load->kinds[kind];
-  job *j = g_new0 (job, 1);
-  g_ptr_array_add (m->jobs, j);
-  j->kind = kind;
-  j->home = m->instances->pdata[g_rand_int_range (m->random, 0,
-                                                  (gint32)m->instances->len)];
-  j->submitted_ms = m->now_ms;
-  double width = round (mm_model_spread_around (m, k->width, 0.4));
-  j->n_tasks = j->n_left = (uint32_t)MAX (width, 1);
-  j->tasks = g_new0 (task, j->n_tasks);
-  double longest_ms = 0, declared_ms = 0;
-  double cpu = mm_model_spread_around (m, k->cpu_milli, k->cpu_spread);
-  cpu = CLAMP (cpu, 1, m->load->upstream_cpu_milli);
-  for (uint32_t i = 0; i < j->n_tasks; i++)
-    {
-      task *t = &j->tasks[i];
-      t->job = j;
-      t->cpu_milli = (int64_t)cpu;
-      double run_ms = mm_model_spread_around (m, k->run_ms, k->run_spread);
-      t->run_ms = MAX (run_ms, 1);
-      t->estimate_ms
-          = t->run_ms
-            * (1 + k->estimate_error * g_rand_double_range (m->random, -1, 1));
-      longest_ms = MAX (longest_ms, t->run_ms);
-      declared_ms = MAX (declared_ms, t->estimate_ms);
-    }
-  j->objective_ms = m->load->stretch * longest_ms + m->load->slo_ms;
-  j->on_time_start_ms = m->now_ms
-                        + (double)mm_admission_slack_ms (
-                            m->load->stretch, (mm_time_ms)m->load->slo_ms,
-                            (mm_time_ms)declared_ms);
-  j->latest_start_ms = m->now_ms
-                       + (double)mm_admission_limit_ms (
-                           m->load->stretch, (mm_time_ms)m->load->slo_ms,
-                           (mm_time_ms)declared_ms);
-  return j;
-}
-
 /* A job arrives, and the next one of its kind is scheduled.  */
 void
 mm_model_on_job (model *m, int kind)
@@ -212,24 +221,47 @@
   if (next_ms < m->load->length_s * 1000)
     mm_model_push_event (
         m, (event){ .at_ms = next_ms, .kind = EVENT_JOB, .job_kind = kind });
-  mm_model_result *r = &m->results[kind];
-  job *j = job_draw (m, kind);
-  r->jobs++;
+  job *j = mm_model_draw_job (m, kind);
+  int64_t cpu_milli = j->tasks[0].cpu_milli;
   if (!j->home->any_ended && j->home->mean_task_ms == MM_TASK_ESTIMATE_MS)
     j->home->mean_task_ms = j->tasks[0].estimate_ms;
-  mm_load load = known_load (m, j->home, j);
+  mm_load load = mm_model_known_load (m, j->home, kind, cpu_milli);
   mm_admission a = mm_admission_decide (
       &load, j->n_tasks, (mm_time_ms)(j->on_time_start_ms - m->now_ms));
   if (!a.accept)
     {
-      r->refused++;
-      r->refused_though_free
-          += count_all_fits (m, j->tasks[0].cpu_milli) >= j->n_tasks;
-      j->over = true;
+      m->results[kind].refused_though_free
+          += count_all_fits (m, cpu_milli) >= j->n_tasks;
+      mm_model_answer (m, j, offsetof (mm_model_outcomes, refused));
       return;
     }
+  if (m->load->overload_control)
+    g_ptr_array_add (j->home->open, j);
   for (uint32_t i = 0; i < j->n_tasks; i++)
-    dispatch (m, &j->tasks[i]);
+    mm_model_dispatch (m, &j->tasks[i]);
+}
+
+/* Returns what became of a job whose last task has just ended.  */
+static size_t
+outcome_of (const model *m, const job *j)
+{
+  double took_ms = m->now_ms - j->submitted_ms;
+  if (took_ms <= j->objective_ms)
+    return offsetof (mm_model_outcomes, on_time);
+  return took_ms <= MM_LATE_FACTOR * j->objective_ms
+             ? offsetof (mm_model_outcomes, late)
+             : offsetof (mm_model_outcomes, given_up);
+}
+
+/* Records the capacity that a run has used.  */
+static void
+record_use (model *m, const task *t)
+{
+  double milli_ms = (m->now_ms - t->started_ms) * (double)t->cpu_milli;
+  if (m->now_ms < m->load->length_s * 1000)
+    m->busy_milli_ms += milli_ms;
+  m->results[t->job->kind].used_milli_ms += milli_ms;
+  t->job->used_milli_ms += milli_ms;
 }
 
 /* A run has ended.  */
@@ -240,8 +272,7 @@
   instance *n = t->on->owner;
   double ran_ms = m->now_ms - t->started_ms;
   t->on->free_milli += t->cpu_milli;
-  if (m->now_ms < m->load->length_s * 1000)
-    m->busy_milli_ms += ran_ms * (double)t->cpu_milli;
+  record_use (m, t);
   t->on->known_slowness
       += MM_SLOWNESS_GAIN * (ran_ms / t->estimate_ms - t->on->known_slowness);
   mm_model_update_average (&n->average_place_ms, ran_ms, MM_AVERAGE_GAIN);
@@ -252,13 +283,7 @@
   mm_model_start_waiting (m, n);
   if (--j->n_left > 0 || j->over)
     return;
-  j->over = true;
-  double took_ms = m->now_ms - j->submitted_ms;
-  mm_model_result *r = &m->results[j->kind];
-  if (took_ms <= j->objective_ms)
-    r->on_time++;
-  else if (took_ms <= MM_LATE_FACTOR * j->objective_ms)
-    r->late++;
-  else
-    r->given_up++;
+  mm_model_answer (m, j, outcome_of (m, j));
+  if (j->outcome == offsetof (mm_model_outcomes, on_time))
+    m->results[j->kind].on_time_milli_ms += j->used_milli_ms;
 }
--- a/src/mm_model_owner.c
+++ b/src/mm_model_owner.c
@@ -1,5 +1,4 @@
-/* mm_model_owner: owners of upstreams in the model: their queues and
-   reports.  */
+/* mm_model_owner: owners of upstreams in the model and their queues.  */
 #include "mm_model_priv.h"
 
 bool
@@ -19,109 +18,73 @@
   u->owner->residuals_valid = false;
 }
 
-static void
-update_residuals (instance *n)
-{
-  int64_t residuals[4096];
-  size_t n_residuals = 0;
-  for (guint i = 0; i < n->upstreams->len; i++)
-    if (n->candidates[i].allowed && n_residuals < G_N_ELEMENTS (residuals))
-      residuals[n_residuals++] = n->candidates[i].free_capacity.cpu_milli;
-  mm_residuals_fill (&n->residuals, residuals, n_residuals);
-  n->residuals_valid = true;
-}
-
-/* Sets the capacity in a report.  */
-static void
-report_capacity (const model *m, instance *n, mm_capacity_report *r)
-{
-  double cpu = n->average_cpu_milli > 0 ? n->average_cpu_milli
-                                        : m->load->upstream_cpu_milli;
-  double capacity = 0;
-  for (guint i = 0; i < n->upstreams->len; i++)
-    {
-      if (!n->candidates[i].allowed)
-        continue;
-      capacity += m->load->upstream_cpu_milli;
-      if (m->load->rule == MM_DISPATCH_MOST_FREE)
-        r->places += (uint32_t)(m->load->upstream_cpu_milli / cpu);
-      r->free += (uint32_t)((double)n->candidates[i].free_capacity.cpu_milli
-                            / cpu);
-    }
-  if (m->load->rule != MM_DISPATCH_MOST_FREE)
-    r->places = (uint32_t)(capacity / cpu);
-  if (!n->residuals_valid)
-    update_residuals (n);
-  r->residuals = n->residuals;
-}
-
-/* Returns what an owner reports, as mm_owner_report() does.  */
-const mm_capacity_report *
-mm_model_report_of (const model *m, instance *n)
-{
-  if (n->report_valid)
-    return &n->report;
-  mm_capacity_report r = { .waiting = n->waiting->len,
-                           .task_ms = (uint32_t)n->average_place_ms };
-  report_capacity (m, n, &r);
-  for (size_t i = 0; i < MM_PRIORITY_LEVELS; i++)
-    r.waiting_by_priority[i] = n->waiting_by_priority[i];
-  n->report = r;
-  n->report_valid = true;
-  return &n->report;
-}
-
 void
 mm_model_update_average (double *average, double value, double gain)
 {
   *average = *average > 0 ? *average + gain * (value - *average) : value;
 }
 
-/* Starts a task at the upstream that mm_placement chooses.  Returns false when
-   it fits nowhere.  */
-static bool
-start_task (model *m, instance *n, task *t)
+void
+mm_model_start (model *m, work *w)
 {
-  mm_resources need = { .cpu_milli = t->cpu_milli };
-  int best = mm_placement_choose (n->candidates, n->upstreams->len, &need);
-  if (best < 0)
-    return false;
+  task *t = w->task;
   mm_model_result *r = &m->results[t->job->kind];
-  t->on = n->upstreams->pdata[best];
-  t->on->free_milli -= t->cpu_milli;
-  mm_model_update_upstream (m, t->on);
+  t->on = w->on;
+  t->started = true;
   t->started_ms = m->now_ms;
   r->started++;
   r->wait_ms += m->now_ms - t->job->submitted_ms;
+  mm_model_record_start (m, w->owner, t);
+  t->bound = NULL;
+  mm_model_work_free (m, w);
   mm_model_push_event (
       m, (event){ .at_ms = m->now_ms + t->run_ms * t->on->slowness,
                   .kind = EVENT_END,
                   .task = t });
+}
+
+/* Takes capacity for @w at the upstream that mm_placement chooses.  Returns
+   false when it fits nowhere.  */
+static bool
+take_capacity (model *m, work *w)
+{
+  instance *n = w->owner;
+  mm_resources need = { .cpu_milli = w->task->cpu_milli };
+  int best = mm_placement_choose (n->candidates, n->upstreams->len, &need);
+  if (best < 0)
+    return false;
+  w->on = n->upstreams->pdata[best];
+  w->on->free_milli -= w->task->cpu_milli;
+  mm_model_update_upstream (m, w->on);
   return true;
 }
 
 /* Returns whether @a goes before @b in an owner's queue, as in mm_owner.  */
 static bool
-goes_before (const model *m, const task *a, const task *b)
+goes_before (const model *m, const work *a, const work *b)
 {
-  int64_t pa = m->load->kinds[a->job->kind].priority;
-  int64_t pb = m->load->kinds[b->job->kind].priority;
+  if (a->yields != b->yields)
+    return b->yields;
+  const job *ja = a->task->job, *jb = b->task->job;
+  int64_t pa = m->load->kinds[ja->kind].priority;
+  int64_t pb = m->load->kinds[jb->kind].priority;
   if (pa != pb)
     return pa < pb;
-  if (a->job->on_time_start_ms != b->job->on_time_start_ms)
-    return a->job->on_time_start_ms < b->job->on_time_start_ms;
+  if (ja->on_time_start_ms != jb->on_time_start_ms)
+    return ja->on_time_start_ms < jb->on_time_start_ms;
   return a->arrival < b->arrival;
 }
 
-/* Returns the index in the queue of @t, or at which it is inserted.  */
+/* Returns the index in the queue of @w, or at which it is inserted.  */
 static guint
-find_turn (const model *m, const instance *n, const task *t)
+find_turn (const model *m, const work *w)
 {
-  guint from = 0, to = n->waiting->len;
+  const GPtrArray *waiting = w->owner->waiting;
+  guint from = 0, to = waiting->len;
   while (from < to)
     {
       guint middle = from + (to - from) / 2;
-      if (goes_before (m, n->waiting->pdata[middle], t))
+      if (goes_before (m, waiting->pdata[middle], w))
         from = middle + 1;
       else
         to = middle;
@@ -129,24 +92,40 @@
   return from;
 }
 
+/* Changes the number of waiting tasks by that of @w.  Yielding tasks count at
+   the last level, as all others go before them.  */
 static void
-enqueue (const model *m, instance *n, task *t)
+count_waiting (const model *m, const work *w, double sign)
 {
-  g_ptr_array_insert (n->waiting, (gint)find_turn (m, n, t), t);
-  t->waiting = true;
-  n->waiting_by_priority[mm_model_priority_level (m, t)]++;
-  n->report_valid = false;
+  uint32_t level = w->yields ? MM_PRIORITY_LEVELS - 1
+                             : mm_model_priority_level (m, w->task);
+  w->owner->waiting_by_priority[level] += sign / w->copies;
+  w->owner->n_yielding += w->yields ? (sign > 0 ? 1 : -1) : 0;
+  w->owner->report_valid = false;
 }
 
-/* Removes the task at that index from the queue.  */
+void
+mm_model_enqueue (model *m, work *w)
+{
+  w->arrival = ++m->n_arrivals;
+  w->state = WORK_WAITING;
+  g_ptr_array_insert (w->owner->waiting, (gint)find_turn (m, w), w);
+  count_waiting (m, w, 1);
+}
+
+/* Removes the entry at that index from the queue.  */
 static void
 remove_waiting (const model *m, instance *n, guint i)
 {
-  task *t = n->waiting->pdata[i];
-  t->waiting = false;
+  count_waiting (m, n->waiting->pdata[i], -1);
   g_ptr_array_remove_index (n->waiting, i);
-  n->waiting_by_priority[mm_model_priority_level (m, t)]--;
-  n->report_valid = false;
+}
+
+void
+mm_model_cancel_waiting (model *m, work *w)
+{
+  remove_waiting (m, w->owner, find_turn (m, w));
+  mm_model_work_free (m, w);
 }
 
 /* Returns the largest free capacity at one upstream.  */
@@ -160,7 +139,23 @@
   return largest;
 }
 
-/* Starts the waiting tasks that fit.  */
+/* Starts the task at that index in the queue, or offers capacity to it if it
+   is a reservation.  Returns false when it fits nowhere.  */
+static bool
+start_at (model *m, instance *n, guint i)
+{
+  work *w = n->waiting->pdata[i];
+  if (!take_capacity (m, w))
+    return false;
+  remove_waiting (m, n, i);
+  n->starts_since_yielding = w->yields ? 0 : n->starts_since_yielding + 1;
+  if (w->is_reservation)
+    mm_model_offer (m, w);
+  else
+    mm_model_start (m, w);
+  return true;
+}
+
 void
 mm_model_start_waiting (model *m, instance *n)
 {
@@ -170,12 +165,14 @@
   int64_t largest_milli = largest_free_milli (n);
   for (guint i = 0; i < n->waiting->len && misses < MM_OWNER_MAX_MISSES;)
     {
-      task *t = n->waiting->pdata[i];
-      if (t->cpu_milli <= largest_milli && start_task (m, n, t))
-        {
-          remove_waiting (m, n, i);
-          largest_milli = largest_free_milli (n);
-        }
+      bool yielding_first
+          = n->n_yielding > 0
+            && n->starts_since_yielding + 1 >= MM_YIELDING_START_EVERY;
+      guint first_yielding = n->waiting->len - n->n_yielding;
+      const work *w = n->waiting->pdata[i];
+      if ((yielding_first && start_at (m, n, first_yielding))
+          || (w->task->cpu_milli <= largest_milli && start_at (m, n, i)))
+        largest_milli = largest_free_milli (n);
       else
         {
           misses++;
@@ -184,58 +181,34 @@
     }
 }
 
+/* A task or a reservation has arrived at an owner.  */
 void
-mm_model_leave_queue (const model *m, instance *n, task *t)
+mm_model_on_handed (model *m, work *w)
 {
-  if (t->waiting)
-    remove_waiting (m, n, find_turn (m, n, t));
-}
-
-/* A task has arrived at an owner.  */
-void
-mm_model_on_handed (model *m, instance *n, task *t)
-{
-  if (t->job->over)
-    return;
-  t->accepted_ms = m->now_ms;
-  t->arrival = ++m->n_arrivals;
-  mm_model_update_average (&n->average_cpu_milli, (double)t->cpu_milli,
+  if (w->task->job->over && !w->is_reservation)
+    {
+      mm_model_work_free (m, w);
+      return;
+    }
+  instance *n = w->owner;
+  uint64_t generation = w->generation;
+  mm_model_update_average (&n->average_cpu_milli, (double)w->task->cpu_milli,
                            MM_AVERAGE_GAIN);
-  enqueue (m, n, t);
+  mm_model_enqueue (m, w);
   mm_model_start_waiting (m, n);
-  if (t->waiting)
-    mm_model_push_event (m, (event){ .at_ms = t->start_by_ms,
-                                     .kind = EVENT_EXPIRE,
-                                     .task = t,
-                                     .instance = n });
+  if (w->generation == generation && !w->is_reservation)
+    mm_model_push_work_event (m, EVENT_EXPIRE, w, w->start_by_ms);
 }
 
 /* A task has waited long enough at an owner.  */
 void
-mm_model_on_expire (model *m, instance *n, task *t)
+mm_model_on_expire (model *m, work *w)
 {
-  if (!t->waiting || t->at != n || t->start_by_ms > m->now_ms)
+  if (w->state != WORK_WAITING)
     return;
-  mm_model_leave_queue (m, n, t);
-  m->results[t->job->kind].returned++;
-  t->returned_by = n;
-  mm_model_push_event (
-      m,
-      (event){ .at_ms = m->now_ms + (n == t->job->home ? 0 : m->load->link_ms),
-               .kind = EVENT_RETURN,
-               .task = t });
-}
-
-/* Sends a report to the instances linked to this one.  */
-void
-mm_model_on_report (model *m, instance *n)
-{
-  for (guint i = 0; i < n->readers->len; i++)
-    {
-      neighbour *reader = n->readers->pdata[i];
-      reader->known = *mm_model_report_of (m, n);
-    }
-  mm_model_push_event (m, (event){ .at_ms = m->now_ms + m->load->report_ms,
-                                   .kind = EVENT_REPORT,
-                                   .instance = n });
+  remove_waiting (m, w->owner, find_turn (m, w));
+  w->state = WORK_ENDED;
+  m->results[w->task->job->kind].returned++;
+  mm_model_push_work_event (m, EVENT_RETURN, w,
+                            m->now_ms + mm_model_link_ms (m, w));
 }
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -36,12 +36,12 @@
   mm_model_play (&load, r);
   for (size_t i = 0; i < load.n_kinds; i++)
     {
-      ck_assert_msg (r[i].on_time >= ON_TIME_MIN * r[i].jobs,
+      ck_assert_msg (r[i].all.on_time >= ON_TIME_MIN * r[i].all.jobs,
                      "%s, %s: %u of %u on time", name, load.kinds[i].name,
-                     r[i].on_time, r[i].jobs);
-      ck_assert_msg (r[i].refused <= REFUSED_MAX * r[i].jobs,
+                     r[i].all.on_time, r[i].all.jobs);
+      ck_assert_msg (r[i].all.refused <= REFUSED_MAX * r[i].all.jobs,
                      "%s, %s: %u of %u refused", name, load.kinds[i].name,
-                     r[i].refused, r[i].jobs);
+                     r[i].all.refused, r[i].all.jobs);
     }
 }
 
@@ -70,8 +70,9 @@
   ck_assert_double_eq (mm_model_play (&load, b), used);
   ck_assert_mem_eq (a, b, load.n_kinds * sizeof *a);
   for (size_t i = 0; i < load.n_kinds; i++)
-    ck_assert_uint_eq (a[i].jobs, a[i].on_time + a[i].late + a[i].refused
-                                      + a[i].given_up);
+    ck_assert_uint_eq (a[i].all.jobs, a[i].all.on_time + a[i].all.late
+                                          + a[i].all.refused
+                                          + a[i].all.given_up);
 }
 END_TEST
 
