--- a/src/mm_model_owner.c
+++ b/src/mm_model_owner.c
@@ -92,16 +92,21 @@
   return from;
 }
 
-/* Changes the number of waiting tasks by that of @w.  Yielding tasks count at
-   the last level, as all others go before them.  */
+/* Changes the number of waiting tasks by that of @w.  Yielding tasks go before
+   no others and are not counted at any level.  */
 static void
 count_waiting (const model *m, const work *w, double sign)
 {
-  uint32_t level = w->yields ? MM_PRIORITY_LEVELS - 1
-                             : mm_model_priority_level (m, w->task);
-  w->owner->waiting_by_priority[level] += sign / w->copies;
-  w->owner->n_yielding += w->yields ? (sign > 0 ? 1 : -1) : 0;
-  w->owner->report_valid = false;
+  instance *n = w->owner;
+  n->report_valid = false;
+  if (!w->yields)
+    {
+      uint32_t level = mm_model_priority_level (m, w->task);
+      n->waiting_by_priority[level] += sign / w->copies;
+      return;
+    }
+  n->waiting_yielding += sign / w->copies;
+  n->n_yielding += sign > 0 ? 1 : -1;
 }
 
 void
--- a/src/mm_model_priv.h
+++ b/src/mm_model_priv.h
@@ -114,7 +114,8 @@
   GPtrArray *waiting;   /* work, in the order of the queue */
   uint32_t n_yielding;  /* of these, the last ones */
   uint32_t starts_since_yielding;
-  double waiting_by_priority[MM_PRIORITY_LEVELS];
+  double waiting_by_priority[MM_PRIORITY_LEVELS]; /* without yielding ones */
+  double waiting_yielding;
   start_window windows[MM_PRIORITY_LEVELS];
   overload overloads[MM_PRIORITY_LEVELS];
   GPtrArray *open;                    /* job, of which no task may have run */
--- a/src/mm_model_report.c
+++ b/src/mm_model_report.c
@@ -47,6 +47,7 @@
     return &n->report;
   mm_capacity_report r = { .task_ms = (uint32_t)n->average_place_ms };
   report_capacity (m, n, &r);
+  r.waiting = (uint32_t)lround (n->waiting_yielding);
   for (size_t i = 0; i < MM_PRIORITY_LEVELS; i++)
     {
       r.waiting_by_priority[i] = (uint32_t)lround (n->waiting_by_priority[i]);
