--- a/daemons/ctl_model.c
+++ b/daemons/ctl_model.c
@@ -78,6 +78,8 @@
   double used = MAX (r->used_milli_ms, 1);
   cJSON_AddNumberToObject (o, "set_aside", r->set_aside_milli_ms / used);
   cJSON_AddNumberToObject (o, "used_on_time", r->on_time_milli_ms / used);
+  cJSON_AddNumberToObject (o, "on_time_cores",
+                           r->on_time_milli_ms / 1e6 / p->load->length_s);
   print_line (o);
   o = outcomes_new (p, kind, &r->largest);
   cJSON_AddStringToObject (o, "part", "largest tenth");
