--- a/src/mm_model.h
+++ b/src/mm_model.h
@@ -46,6 +46,7 @@
   double slow_factor;  /* run times there, relative to the declared ones */
   double report_ms;    /* pause between reports of one owner */
   double link_ms;      /* delay of a message between instances */
+  double far_link_ms;  /* between data centres, 0: @link_ms */
   double burst_from_s, burst_for_s;
   /* The jobs of each data centre vary by this share of their mean, out of step
      with the other data centres; the first one has its crest after a quarter
--- a/src/mm_model_load.c
+++ b/src/mm_model_load.c
@@ -27,6 +27,7 @@
   { "slow_factor", F (slow_factor), MM_TOML_FLOAT, .min = 1 },
   { "report_ms", F (report_ms), MM_TOML_FLOAT, .min = 1 },
   { "link_ms", F (link_ms), MM_TOML_FLOAT, .min = 0 },
+  { "far_link_ms", F (far_link_ms), MM_TOML_FLOAT, .min = 0 },
   { "burst_from_s", F (burst_from_s), MM_TOML_FLOAT, .min = 0 },
   { "burst_for_s", F (burst_for_s), MM_TOML_FLOAT, .min = 0 },
   { "wave", F (wave), MM_TOML_FLOAT, .min = 0, .max = 1 },
--- a/src/mm_model_work.c
+++ b/src/mm_model_work.c
@@ -38,5 +38,10 @@
 double
 mm_model_link_ms (const model *m, const work *w)
 {
-  return w->owner == w->task->job->home ? 0 : m->load->link_ms;
+  const instance *home = w->task->job->home;
+  if (w->owner == home)
+    return 0;
+  bool far = w->owner->datacentre != home->datacentre;
+  return far && m->load->far_link_ms > 0 ? m->load->far_link_ms
+                                         : m->load->link_ms;
 }
