--- a/src/mm_model.h
+++ b/src/mm_model.h
@@ -59,8 +59,14 @@
   double owner_wait_ms; /* wait at an owner before a task is returned */
   bool late_binding;
   int64_t reservations; /* owners that a task reserves at */
+  /* Variant: a task also reserves when tasks wait ahead of it at the owner
+     that reports free capacity.  */
+  bool reserve_behind;
   bool overload_control;
   double overload_target_ms; /* wait above which a priority is overloaded */
+  /* Variant: a waiting job is rejected as soon as it is expected to be late.
+   */
+  bool reject_early;
   size_t n_kinds;
   mm_model_kind kinds[MM_MODEL_MAX_KINDS];
 } mm_model_load;
--- a/src/mm_model_home.c
+++ b/src/mm_model_home.c
@@ -76,28 +76,35 @@
   return false;
 }
 
-/* Sets what the choice of an owner for @t depends on.  Returns whether an
-   owner is known to have free capacity for it.  */
-static bool
+/* Sets what the choice of an owner for @t depends on.  */
+static void
 prepare_candidates (const model *m, const task *t, mm_dispatch_candidate *c,
                     size_t n)
 {
   const instance *home = t->job->home;
-  bool any = false;
   for (size_t i = 0; i < n; i++)
     {
       const instance *owner
           = i ? ((neighbour *)home->neighbours->pdata[i - 1])->of : home;
-      /* Without capacities, the comparisons are fast and have the same
-         results.  */
+      /* Without residual capacities, the comparisons are faster and have the
+         same results.  */
       if (!any_fits (&c[i].capacity.residuals, t->cpu_milli))
         c[i].capacity.residuals.n = 0;
-      any |= c[i].capacity.residuals.n > 0;
       c[i].returned_task = owner == t->returned_by;
       c[i].capacity.waiting = mm_capacity_waiting_ahead (
           &c[i].capacity, (uint32_t)m->load->kinds[t->job->kind].priority);
     }
-  return any;
+}
+
+/* Returns whether a task reserves instead of being sent to the owner @best,
+   the best choice.  */
+static bool
+binds_late (const model *m, const task *t, const mm_dispatch_candidate *best)
+{
+  if (!m->load->late_binding)
+    return false;
+  return t->returned_by || best->capacity.residuals.n == 0
+         || (m->load->reserve_behind && best->capacity.waiting > 0);
 }
 
 /* Sends a task to the owner with that index in the list of owners.  */
@@ -122,13 +129,13 @@
 {
   mm_dispatch_candidate c[MM_FLEET_MAX_OWNERS];
   size_t n = mm_model_list_owners (m, t->job->home, c);
-  bool any_free = prepare_candidates (m, t, c, n);
+  prepare_candidates (m, t, c, n);
   int best = mm_dispatch_choose (c, n, t->cpu_milli, m->load->rule);
   if (best < 0)
     mm_model_push_event (m, (event){ .at_ms = m->now_ms + MM_EXEC_TICK_MS,
                                      .kind = EVENT_AGAIN,
                                      .task = t });
-  else if (m->load->late_binding && (!any_free || t->returned_by))
+  else if (binds_late (m, t, &c[best]))
     mm_model_reserve (m, t, c, n);
   else
     send_run (m, t, best);
--- a/src/mm_model_owner.c
+++ b/src/mm_model_owner.c
@@ -31,6 +31,7 @@
   mm_model_result *r = &m->results[t->job->kind];
   t->on = w->on;
   t->started = true;
+  t->job->yields = false; /* what it has run would be lost */
   t->started_ms = m->now_ms;
   r->started++;
   r->wait_ms += m->now_ms - t->job->submitted_ms;
--- a/src/mm_model_shed.c
+++ b/src/mm_model_shed.c
@@ -11,7 +11,7 @@
 } waits;
 
 /* Returns the expected wait of a job.  Its own tasks are among those that
-   wait.  */
+   wait, and one more is added, as in mm_jobs.  */
 static mm_time_ms
 expected_wait_ms (const model *m, instance *n, const job *j, waits *w)
 {
@@ -19,7 +19,7 @@
     {
       mm_load load
           = mm_model_known_load (m, n, j->kind, j->tasks[0].cpu_milli);
-      w->wait_ms[j->kind] = mm_admission_expected_wait_ms (&load, 0);
+      w->wait_ms[j->kind] = mm_admission_expected_wait_ms (&load, 1);
       w->known[j->kind] = true;
     }
   return w->wait_ms[j->kind];
@@ -47,6 +47,9 @@
                         .expected_wait_ms = expected_wait_ms (m, n, j, w),
                         .overloaded = n->overloads[level].on };
   mm_shedding_verdict v = mm_shedding_decide (&s);
+  if (m->load->reject_early
+      && s.now_ms + s.expected_wait_ms > s.on_time_start_ms)
+    v = MM_SHEDDING_REJECT;
   if (v == MM_SHEDDING_REJECT)
     mm_model_answer (m, j, offsetof (mm_model_outcomes, rejected));
   else if (v == MM_SHEDDING_YIELD && !j->yields)
