--- a/tests/test_shedding.c
+++ b/tests/test_shedding.c
@@ -198,6 +198,8 @@
     REPLACES (mm_fleet_cancel);
 bool fake_may_have_started (const mm_dispatched_task *t)
     REPLACES (mm_fleet_may_have_started);
+void fake_record_job (mm_fleet *f, const char *service, uint32_t priority,
+                      uint32_t tasks) REPLACES (mm_fleet_record_job);
 mm_suspect_action fake_suspect_action (const mm_fleet *f,
                                        const mm_task_id *task)
     REPLACES (mm_fleet_suspect_action);
@@ -244,6 +246,12 @@
   return MM_SUSPECT_RUN;
 }
 
+void
+fake_record_job (mm_fleet *f, const char *service, uint32_t priority,
+                 uint32_t tasks)
+{
+}
+
 static mm_time_ms
 read_clock (void *ctx)
 {
