--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -398,7 +398,8 @@
                         .running_at = "up",
                         .run = 3,
                         .ran_ms = 40,
-                        .silent_ms = 60 };
+                        .silent_ms = 60,
+                        .waited_ms = 70 };
   mm_mesh_service_capacity capacity = {
     .service = "s",
     .capacity
@@ -453,7 +454,7 @@
         ck_assert (mm_task_id_equal (&m.request.id, &t.id)
                    && strcmp (m.request.running_at, "up") == 0
                    && m.request.run == 3 && m.request.ran_ms == 40
-                   && m.request.silent_ms == 60);
+                   && m.request.silent_ms == 60 && m.request.waited_ms == 70);
       if (kind == MM_MESH_HEARTBEAT)
         ck_assert (m.echo_ms == 99 && m.echo_age_ms == 20
                    && m.silent_ms == 170);
