Merge overload control; late jobs are rejected while tasks wait

A late job that yielded was served by every eighth start, and then kept its turn with a due time in the past, ahead of jobs that could still be on time.

--- a/tests/test_shedding.c
+++ b/tests/test_shedding.c
@@ -39,6 +39,7 @@
     { 100, G_MAXINT64, false, MM_SHEDDING_REJECT },
     { 101, 0, false, MM_SHEDDING_YIELD },
     { 101, 0, true, MM_SHEDDING_REJECT },
+    { 101, 1, false, MM_SHEDDING_REJECT },
     { 301, 0, false, MM_SHEDDING_REJECT },
   };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
