Planned handovers: runs go on under the next owner (ownership.transfer_runs)

Callers saw up to 1 s without starts at upstreams whose owner restarts or that move to an instance that has joined: only tasks that end before the longest run were started. With the setting on, starts go on until the release, which waits for links and open starts only; the next owner adopts the runs, and the session is kept until it has found them.

--- a/src/config.h
+++ b/src/config.h
@@ -396,6 +396,14 @@
 #define MM_MEMBERS_FAR_PER_POLL 4u
 /* A handover waits this long at most for the runs on the upstream to end.  */
 #define MM_HANDOVER_MS 2500
+/* With transferred runs, a handover waits this long for links to the instances
+   that may be the next owner.  A connection and the first report take up to
+   50 ms.  */
+#define MM_HANDOVER_LINK_MS 300
+/* Runs are transferred only if the last join took no longer than this: between
+   the release and the first hold of the next owner there are two calls to the
+   store, in which the leases must not expire.  */
+#define MM_HANDOVER_STORE_MS 200
 /* The next owner of an upstream notifies the other instances of the runs that
    it found there, and stops those that none of them claims within this time.
    An answer takes 2 ms, and at most two ticks pass.  */
--- a/src/mm_datacentres.c
+++ b/src/mm_datacentres.c
@@ -11,6 +11,7 @@
 #include "config.h"
 #include "mm_event.h"
 #include "mm_members.h"
+#include "mm_metrics.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -25,6 +26,9 @@
   bool retiring;             /* leaves the group once its upstreams are idle */
   mm_time_ms retiring_since_ms;
   mm_time_ms standby_needed_since_ms; /* 0: no standby is needed */
+  mm_time_ms handover_since_ms;       /* 0: no handover is under way */
+  mm_handover_step step;              /* of that handover */
+  bool waited;                        /* it has waited for the runs */
 } membership;
 
 struct mm_datacentres
@@ -38,6 +42,7 @@
   size_t n_memberships;
   /* Changes so far, besides those that the current memberships count.  */
   uint64_t changes;
+  bool transfer_runs;    /* mm_datacentres_set_transfer_runs() */
   bool leaving;          /* mm_datacentres_leave() was called */
   mm_time_ms checked_ms; /* when the need for a standby was last checked */
   /* While leaving: partitions are released from alone_after_ms on if no peer
@@ -183,18 +188,83 @@
     }
 }
 
-/* Releases partitions or leaves the group once the upstreams there are idle,
-   and calls the store when a call is due.  A standby's membership ends once
+void
+mm_datacentres_set_transfer_runs (mm_datacentres *dcs, bool transfer_runs)
+{
+  dcs->transfer_runs = transfer_runs;
+}
+
+/* Counts and logs a change of the step of a handover of busy upstreams.  */
+static void
+record_step (membership *m, mm_handover_step step, const mm_handover_facts *f)
+{
+  if (step == m->step || (!f->busy && step == MM_HANDOVER_RELEASE))
+    return;
+  m->step = step;
+  if (step == MM_HANDOVER_RELEASE)
+    mm_metrics_count (MM_CT_HANDOVERS_TRANSFERRED);
+  if (step == MM_HANDOVER_WAIT_RUNS && !m->waited)
+    mm_metrics_count (MM_CT_HANDOVERS_WAITED);
+  m->waited = m->waited || step == MM_HANDOVER_WAIT_RUNS;
+  mm_log_event (MM_EV_HANDOVER, MM_TEXT (m->datacentre),
+                MM_TEXT (mm_handover_step_name (step)),
+                MM_INT (f->waited_ms), MM_INT (f->candidates),
+                MM_INT (f->runs), MM_INT (f->open_starts),
+                MM_INT (f->in_doubt), MM_INT (f->foreign), MM_INT (f->kept),
+                MM_INT (f->unresponsive), MM_INT (f->unlinked),
+                MM_INT (f->store_ms));
+}
+
+/* Adds the state of the links and of the store.  The next owner of a partition
+   that is moved is an instance that has joined; the store does not name it.
+   Of an instance that leaves, all others may be next owners.  */
+static void
+add_transfer_facts (mm_datacentres *dcs, const membership *m,
+                    mm_handover_facts *f)
+{
+  mm_mesh_require_links_in (dcs->mesh, m->datacentre);
+  mm_mesh_links links = mm_mesh_links_in (dcs->mesh, m->datacentre);
+  f->transfer_runs = true;
+  f->store_ms = mm_partitions_answer_ms (m->partitions);
+  f->unlinked = links.unlinked;
+  f->candidates = m->retiring ? links.linked : links.joined;
+}
+
+/* Returns the next step of the handover of partitions that are being released,
+   or that a leaving member has.  */
+static mm_handover_step
+advance_handover (mm_datacentres *dcs, membership *m, mm_time_ms now)
+{
+  if (!m->handover_since_ms)
+    {
+      m->handover_since_ms = now;
+      m->waited = false;
+      m->step = MM_HANDOVER_WAIT_LINKS;
+    }
+  mm_handover_facts f = { .waited_ms = now - m->handover_since_ms };
+  if (dcs->transfer_runs)
+    add_transfer_facts (dcs, m, &f);
+  mm_handover_step step = dcs->ev.advance (dcs->ev.ctx, m->datacentre, &f);
+  if (dcs->transfer_runs)
+    record_step (m, step, &f);
+  return step;
+}
+
+/* Releases partitions or leaves the group once the handover of their upstreams
+   allows that, and calls the store when a call is due.  A standby's membership ends once
    the store has confirmed the leave call.  */
 static void
 tick_membership (mm_datacentres *dcs, membership *m, mm_time_ms now)
 {
   bool releasing = mm_partitions_releasing (m->partitions);
-  bool idle = (releasing || m->retiring)
-              && dcs->ev.idle (dcs->ev.ctx, m->datacentre);
-  if (releasing && idle)
+  bool release = false;
+  if (releasing || m->retiring)
+    release = advance_handover (dcs, m, now) == MM_HANDOVER_RELEASE;
+  else
+    m->handover_since_ms = 0;
+  if (releasing && release)
     mm_partitions_release (m->partitions);
-  if (m->retiring && (idle || now - m->retiring_since_ms > MM_HANDOVER_MS))
+  if (m->retiring && (release || now - m->retiring_since_ms > MM_HANDOVER_MS))
     mm_partitions_leave (m->partitions);
   mm_partitions_tick (m->partitions);
   if (!mm_partitions_has_left (m->partitions) || m->own)
--- a/src/mm_datacentres.h
+++ b/src/mm_datacentres.h
@@ -8,6 +8,7 @@
 #ifndef MM_DATACENTRES_H
 #define MM_DATACENTRES_H
 
+#include "mm_handover_plan.h"
 #include "mm_mesh.h"
 #include "mm_partitions.h"
 
@@ -16,9 +17,11 @@
 /* Callbacks of mm_datacentres.  */
 typedef struct
 {
-  /* Returns whether nothing runs any more on those upstreams of a data centre
-     whose partitions are being released.  */
-  bool (*idle) (void *ctx, const char *datacentre);
+  /* Advances the handover of those upstreams of a data centre whose partitions
+     are being released, and returns its next step.  @f: the state of the store
+     and the links; that of the upstreams is added.  */
+  mm_handover_step (*advance) (void *ctx, const char *datacentre,
+                               mm_handover_facts *f);
   /* The store has reassigned partitions of a joined group.  */
   void (*changed) (void *ctx);
   void *ctx;
@@ -34,6 +37,10 @@
                                        uint32_t n_partitions,
                                        const mm_datacentres_events *ev);
 void mm_datacentres_destroy (mm_datacentres *dcs); /* leaves no group */
+/* Sets whether partitions are released while tasks run on their upstreams, if
+   the next owners can take the runs over.  */
+void mm_datacentres_set_transfer_runs (mm_datacentres *dcs,
+                                       bool transfer_runs);
 /* Joins and leaves groups, renews the memberships, and releases partitions
    whose upstreams are idle.  Must be called every MM_EXEC_TICK_MS.  */
 void mm_datacentres_tick (mm_datacentres *dcs);
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -106,6 +106,17 @@
   = { "group_changed", RATE_HIGH, "group generation ours leaving",
       "The store reassigned the partitions of the group. ours is how many "
       "are assigned to this instance, leaving how many it releases." },
+  [MM_EV_HANDOVER]
+  = { "handover", RATE_HIGH,
+      "datacentre step waited_ms candidates runs open_starts in_doubt foreign kept "
+      "unresponsive unlinked store_ms",
+      "What the handover of upstreams of the data centre does next: wait_runs "
+      "(until the runs have ended), wait_links (to the possible next owners, "
+      "unlinked of which have none), wait_starts (until open_starts are "
+      "answered) or release (the runs go on under the next owner). It began "
+      "waited_ms ago; the last join took store_ms, -1 if it failed. candidates "
+      "are the linked instances that may be the next owner, unresponsive the "
+      "busy upstreams that do not answer. The other fields count the runs." },
   [MM_EV_STANDBY]
   = { "standby", RATE_HIGH, "datacentre closed_ms",
       "The instances of the data centre are gone, and this instance is "
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -238,6 +238,17 @@
 mm_time_ms mm_exec_longest_remaining_ms (const mm_exec *x, mm_time_ms now);
 /* Number of runs in doubt: their starts got no answer.  */
 size_t mm_exec_count_in_doubt (const mm_exec *x);
+/* Numbers of runs that a handover has to consider.  */
+typedef struct
+{
+  uint32_t runs;        /* all runs that use capacity */
+  uint32_t open_starts; /* as mm_exec_count_open_starts() */
+  uint32_t in_doubt;    /* as mm_exec_count_in_doubt() */
+  uint32_t foreign;     /* runs of an earlier owner that are not adopted */
+  uint32_t kept;        /* runs of kept jobs */
+} mm_exec_run_counts;
+
+mm_exec_run_counts mm_exec_count_by_state (const mm_exec *x);
 /* Number of start orders that are not answered and not given up yet.  */
 size_t mm_exec_count_open_starts (const mm_exec *x);
 const mm_upstream_info *mm_exec_info (const mm_exec *x); /* list entry */
--- a/src/mm_exec_state.c
+++ b/src/mm_exec_state.c
@@ -189,6 +189,22 @@
   return n;
 }
 
+mm_exec_run_counts
+mm_exec_count_by_state (const mm_exec *x)
+{
+  mm_exec_run_counts n
+      = { .runs = (uint32_t)mm_exec_count_runs (x),
+          .open_starts = (uint32_t)mm_exec_count_open_starts (x),
+          .in_doubt = (uint32_t)mm_exec_count_in_doubt (x),
+          .foreign = x->n_foreign };
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, x->runs);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    n.kept += ((mm_exec_run *)v)->kept;
+  return n;
+}
+
 const mm_upstream_info *
 mm_exec_info (const mm_exec *x)
 {
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -115,7 +115,7 @@
   else if (ok && msg.kind == MM_MESH_RELEASED && in->mesh->released)
     in->mesh->released (in->mesh->released_ctx, msg.name);
   else if (ok && msg.kind == MM_MESH_FOUND)
-    mm_mesh_handle_found (in, &msg);
+    mm_mesh_handle_found (in->mesh, in->name, &msg);
   else if (ok && msg.kind == MM_MESH_UPDATE)
     mm_mesh_handle_update (in->mesh, in->name, &in->queue_delay, &msg);
   else if (ok && msg.kind == MM_MESH_LOSS)
@@ -317,6 +317,8 @@
     mm_mesh_handle_loss (p->mesh, &msg);
   else if (ok && msg.kind == MM_MESH_EVACUATIONS)
     mm_mesh_handle_evacuations (p->mesh, p->info.name, &msg);
+  else if (ok && msg.kind == MM_MESH_FOUND)
+    mm_mesh_handle_found (p->mesh, p->info.name, &msg);
   else
     ok = false;
   mm_mesh_msg_clear (&msg);
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -126,6 +126,20 @@
 /* Keeps a link to @peer for MM_MESH_LINK_KEEP_MS, whether or not the peer is a
    neighbour.  NULL: keeps a link to every known instance.  */
 void mm_mesh_require_link (mm_mesh *m, const char *peer);
+/* Sets whether planned handovers leave runs to the next owner of an upstream;
+   all instances must have the same setting.  */
+void mm_mesh_set_transfer_runs (mm_mesh *m, bool transfer_runs);
+/* Links to the instances that may get upstreams of a data centre.  */
+typedef struct
+{
+  uint32_t linked;   /* this instance is connected to them */
+  uint32_t unlinked; /* it is not, and they may run */
+  uint32_t joined;   /* of those linked: became known lately */
+} mm_mesh_links;
+
+mm_mesh_links mm_mesh_links_in (const mm_mesh *m, const char *datacentre);
+/* Keeps a link to each of these instances for MM_MESH_LINK_KEEP_MS.  */
+void mm_mesh_require_links_in (mm_mesh *m, const char *datacentre);
 /* Returns whether a report of the peer was received over this instance's link
    to it.  */
 bool mm_mesh_is_connected (const mm_mesh *m, const char *peer);
--- a/src/mm_mesh_peers.c
+++ b/src/mm_mesh_peers.c
@@ -138,6 +138,74 @@
     }
 }
 
+/* Returns whether an instance may be a member of the group of a data centre.
+   Of which group a standby is a member is not known here.  */
+static bool
+may_be_member (const mm_mesh_peer *p, const char *datacentre, mm_time_ms now)
+{
+  return may_have_capacity (p, now)
+         && (p->info.is_standby
+             || strcmp (p->info.datacentre, datacentre) == 0);
+}
+
+/* Returns whether the address of a peer is that of another, connected one: its
+   next incarnation.  */
+static bool
+is_replaced (const mm_mesh *m, const mm_mesh_peer *p)
+{
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      const mm_mesh_peer *other = v;
+      if (other != p && other->connected
+          && strcmp (other->info.addr, p->info.addr) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* The member list lags, and names instances that have left their groups.  Such
+   an instance has reported that it is leaving before its link closed, or its
+   next incarnation is connected.  */
+mm_mesh_links
+mm_mesh_links_in (const mm_mesh *m, const char *datacentre)
+{
+  mm_mesh_links r = { 0 };
+  mm_time_ms now = mm_clock_now_ms ();
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      const mm_mesh_peer *p = v;
+      if (!may_be_member (p, datacentre, now))
+        continue;
+      r.linked += p->connected;
+      r.joined += p->connected && now - p->known_ms < MM_NEIGHBOUR_NEW_MS;
+      r.unlinked += !p->connected && !p->leaving && !is_replaced (m, p);
+    }
+  return r;
+}
+
+void
+mm_mesh_require_links_in (mm_mesh *m, const char *datacentre)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, m->peers);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      mm_mesh_peer *p = v;
+      if (!may_be_member (p, datacentre, now))
+        continue;
+      m->neighbours_stale = m->neighbours_stale || !p->wanted;
+      p->wanted_until_ms = now + MM_MESH_LINK_KEEP_MS;
+    }
+}
+
 bool
 mm_mesh_is_connected (const mm_mesh *m, const char *peer_name)
 {
--- a/src/mm_mesh_priv.h
+++ b/src/mm_mesh_priv.h
@@ -95,6 +95,7 @@
   mm_mesh_updated updated;
   void *update_ctx;
   bool leaving;          /* reported to peers: this instance shuts down */
+  bool transfer_runs;    /* planned handovers leave runs to the next owner */
   mm_suspects *suspects; /* NULL: losses of upstreams are not exchanged */
   mm_evacuations *evacuations; /* NULL: they are not exchanged */
   mm_mesh_request_received request_received;
@@ -113,7 +114,9 @@
 /* mm_mesh_adopt.c */
 /* Sets the callbacks of the owner that use the links.  */
 void mm_mesh_attach_owner (mm_mesh *m);
-void mm_mesh_handle_found (mm_mesh_inbound_link *in, const mm_mesh_msg *msg);
+/* @peer: name of the sender, NULL: not known yet.  */
+void mm_mesh_handle_found (mm_mesh *m, const char *peer,
+                           const mm_mesh_msg *msg);
 
 /* mm_mesh_request.c */
 void mm_mesh_handle_request (mm_mesh_inbound_link *in, const mm_mesh_msg *msg);
--- a/src/mm_metrics.c
+++ b/src/mm_metrics.c
@@ -21,6 +21,8 @@
 #define TASKS "masticmill_tasks_ended_total"
 #define TASKS_HELP "Tasks of this instance's jobs that ended, by how."
 #define STORE "masticmill_store_calls_total"
+#define HANDOVERS_HELP \
+  "Handovers of busy upstreams: runs transferred, or waited for."
 #define STORE_HELP "Calls to the platform's store, by kind and outcome."
 #define BYTES "masticmill_store_bytes_total"
 #define BYTES_HELP "Bytes of the store's answers, by kind of call."
@@ -87,6 +89,10 @@
       "Tasks given up, as upstreams crashed under them." },
   [MM_CT_OWNERSHIP_CHANGES] = { "masticmill_ownership_changes_total", NULL,
                                 "New sharings-out of the partitions." },
+  [MM_CT_HANDOVERS_TRANSFERRED]
+  = { "masticmill_handovers_total", "runs=\"transferred\"", HANDOVERS_HELP },
+  [MM_CT_HANDOVERS_WAITED]
+  = { "masticmill_handovers_total", "runs=\"waited_for\"", HANDOVERS_HELP },
   [MM_CT_PEERS_LOST] = { "masticmill_peers_lost_total", NULL,
                          "Links to other instances that ended." },
   [MM_CT_STALLS]
@@ -180,6 +186,10 @@
                        "First order to stop a run until it has ended." },
   [MM_HG_JOIN_CALL] = { "masticmill_join_call_seconds", NULL,
                         "Calls that keep the group membership." },
+  [MM_HG_HANDOVER]
+  = { "masticmill_handover_seconds", NULL,
+      "Last possible start at an upstream that is handed over until its next "
+      "owner has found a run there." },
   [MM_HG_START_VIEW] = { "masticmill_start_view_age_seconds", NULL,
                          "Age of the view of the upstreams at a start." },
 };
--- a/src/mm_metrics.h
+++ b/src/mm_metrics.h
@@ -45,6 +45,8 @@
   MM_CT_TASKS_SUSPECT,
   MM_CT_TASKS_GIVEN_UP,
   MM_CT_OWNERSHIP_CHANGES,
+  MM_CT_HANDOVERS_TRANSFERRED,
+  MM_CT_HANDOVERS_WAITED,
   MM_CT_PEERS_LOST,
   MM_CT_STALLS,
   MM_CT_CONFIG_OK,
@@ -100,6 +102,9 @@
   MM_HG_TASK_RUN,   /* from a start until the end, of tasks that are done */
   MM_HG_RUN_STOP,   /* from the first stop of a run until its end */
   MM_HG_JOIN_CALL,  /* a call to the store that joins a group */
+  /* From the last possible start at an upstream that is handed over until its
+     next owner has found a run there.  */
+  MM_HG_HANDOVER,
   MM_HG_START_VIEW, /* age of the list of upstreams at a start */
   MM_HG_COUNT
 } mm_histogram_id;
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -128,11 +128,11 @@
   ev_feed_event (n->loop, &n->tick, EV_TIMER);
 }
 
-static bool
-handover_idle (void *ctx, const char *datacentre)
+static mm_handover_step
+advance_handover (void *ctx, const char *datacentre, mm_handover_facts *f)
 {
-  mm_node *n = ctx;
-  return mm_ownership_idle (n->ownership, datacentre);
+  return mm_ownership_advance_handover (((mm_node *)ctx)->ownership,
+                                        datacentre, f);
 }
 
 static mm_partition_state
@@ -317,6 +317,11 @@
   mm_node *n = ctx;
   if (group)
     mm_datacentres_poll_now (n->owned_datacentres, group);
+  /* The owners of the upstreams that this instance will get must know it when
+     they release them: they transfer the runs to it.  */
+  else if (n->settings.transfer_runs
+           && mm_clock_now_ms () - n->started_ms < MM_MESH_LINK_KEEP_MS)
+    mm_mesh_require_links_in (n->mesh, n->settings.datacentre);
   tick_now (n);
 }
 
@@ -370,10 +375,13 @@
   mm_exec_list_age list_age = { .list_current_ms = list_known_ms, .ctx = n };
   mm_owner_set_list_age (n->owner, &list_age);
   mm_datacentres_events ev
-      = { .idle = handover_idle, .changed = tick_now, .ctx = n };
+      = { .advance = advance_handover, .changed = tick_now, .ctx = n };
   n->owned_datacentres
       = mm_datacentres_create (store, n->mesh, s->datacentres, s->datacentre,
                                member, (uint32_t)s->partitions, &ev);
+  mm_datacentres_set_transfer_runs (n->owned_datacentres, s->transfer_runs);
+  mm_owner_set_transfer_runs (n->owner, s->transfer_runs);
+  mm_mesh_set_transfer_runs (n->mesh, s->transfer_runs);
   mm_ownership_partitions partitions = { .state_of = partition_state_of,
                                          .renew_fence = renew_fence,
                                          .change_count = partition_changes,
@@ -535,6 +543,8 @@
   return leaving_for_ms >= MM_LEAVE_DRAIN_MS
          && mm_datacentres_has_left (n->owned_datacentres)
          && mm_kept_left (n->kept) && mm_jobs_count (n->jobs) == 0
+         && (!n->settings.transfer_runs
+             || mm_owner_count_unreported (n->owner) == 0)
          && open_connections == 0;
 }
 
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -189,6 +189,8 @@
 on_fenced (void *ctx, mm_exec *x)
 {
   mm_owned_upstream *owned = ctx;
+  if (!owned->fenced_ms)
+    owned->fenced_ms = mm_clock_now_ms ();
   if (!owned->released)
     {
       mm_metrics_count (MM_CT_FENCED);
@@ -269,14 +271,6 @@
   g_free (o);
 }
 
-/* Ends a handover: tasks are started there as before.  */
-static void
-resume (mm_owned_upstream *owned)
-{
-  owned->handing_over = owned->released = false;
-  mm_exec_set_suspended (owned->exec, false);
-}
-
 /**
  * mm_owner_add_upstream() - start to own an upstream.
  * @o: the owner.
@@ -292,12 +286,12 @@
   mm_owned_upstream *owned = g_hash_table_lookup (o->owned_upstreams, u->name);
   if (owned && mm_exec_fence (owned->exec) >= fence)
     {
-      resume (owned);
+      mm_owner_resume (owned);
       start_waiting (o);
       return;
     }
   if (owned)
-    mm_owner_remove_upstream (o, u->name);
+    mm_owner_close_session (owned);
   owned = g_new0 (mm_owned_upstream, 1);
   owned->owner = o;
   mm_exec_events ev = { .run_ended = on_ended,
@@ -326,12 +320,9 @@
 }
 
 void
-mm_owner_remove_upstream (mm_owner *o, const char *upstream)
+mm_owner_close_session (mm_owned_upstream *owned)
 {
-  mm_owned_upstream *owned
-      = g_hash_table_lookup (o->owned_upstreams, upstream);
-  if (!owned)
-    return;
+  mm_owner *o = owned->owner;
   /* The next owner does not know what ran there if it has crashed.  The
      upstream of a fenced session is in touch with its next owner.  */
   if (mm_exec_unresponsive_since_ms (owned->exec)
@@ -340,7 +331,16 @@
   mm_owner_keep_raised_fence (owned);
   owned->removed = true;
   mm_owner_orphan_all (o, owned, "upstream handed over or gone");
-  g_hash_table_remove (o->owned_upstreams, upstream);
+  g_hash_table_remove (o->owned_upstreams, mm_exec_info (owned->exec)->name);
+}
+
+void
+mm_owner_remove_upstream (mm_owner *o, const char *upstream)
+{
+  mm_owned_upstream *owned
+      = g_hash_table_lookup (o->owned_upstreams, upstream);
+  if (owned && !mm_owner_linger (owned))
+    mm_owner_close_session (owned);
 }
 
 void
@@ -348,9 +348,11 @@
 {
   mm_owned_upstream *owned
       = g_hash_table_lookup (o->owned_upstreams, upstream);
-  if (!owned || !owned->handing_over)
+  /* A session that lingers is resumed by mm_owner_add_upstream(), with the
+     higher fencing token that another assignment of the upstream has.  */
+  if (!owned || !owned->handing_over || owned->lingering)
     return;
-  resume (owned);
+  mm_owner_resume (owned);
   start_waiting (o);
 }
 
@@ -619,6 +621,7 @@
       mm_exec_tick (x);
     }
   g_list_free (all);
+  mm_owner_end_lingering (o, now);
   if (o->waiting->length)
     start_waiting (o);
 }
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -12,6 +12,7 @@
 #include "config.h"
 #include "mm_search_result.h"
 #include "mm_exec.h"
+#include "mm_handover_plan.h"
 #include "mm_residuals.h"
 #include "mm_suspects.h"
 
@@ -118,8 +119,21 @@
    keeping the upstreams idle would take half of a data centre's capacity away
    for that time at each restart.  */
 void mm_owner_begin_handover (mm_owner *o, const char *upstream);
-/* Sends nothing to the upstream any more, on which nothing runs: the next
-   owner may have it.  */
+/* Sets whether handovers leave runs to the next owner of the upstream.  */
+void mm_owner_set_transfer_runs (mm_owner *o, bool transfer_runs);
+/* Adds the state of an upstream that is being handed over to @f.  */
+void mm_owner_add_handover_facts (const mm_owner *o, const char *upstream,
+                                  mm_handover_facts *f);
+/* Sets what the handover of an upstream does next.  Without transferred runs
+   this does nothing.  */
+void mm_owner_set_handover_step (mm_owner *o, const char *upstream,
+                                 mm_handover_step step);
+/* Returns how many tasks have runs here, or runs that were left to the next
+   owners of their upstreams.  Their ends are still to be reported.  */
+uint32_t mm_owner_count_unreported (const mm_owner *o);
+/* The next owner may have the upstream.  Nothing is started there any more;
+   the leases of the runs that go on are renewed until the next owner has found
+   them.  */
 void mm_owner_set_released (mm_owner *o, const char *upstream);
 /* Cancels a handover; nothing may have been given to the next owner.  */
 void mm_owner_cancel_handover (mm_owner *o, const char *upstream);
--- a/src/mm_owner_adopt.c
+++ b/src/mm_owner_adopt.c
@@ -139,8 +139,10 @@
 {
   mm_owned_upstream *owned
       = g_hash_table_lookup (o->owned_upstreams, r->upstream);
-  if (owned && r->fence > mm_exec_fence (owned->exec))
-    mm_exec_found_by_next (owned->exec, &r->task, r->run);
+  if (!owned || r->fence <= mm_exec_fence (owned->exec))
+    return;
+  mm_owner_record_found (owned);
+  mm_exec_found_by_next (owned->exec, &r->task, r->run);
 }
 
 mm_work *
--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -4,6 +4,7 @@
 
 #include "mm_owner.h"
 #include "mm_breaker.h"
+#include "mm_handover_plan.h"
 
 /* An upstream that this instance owns.  */
 typedef struct
@@ -14,6 +15,13 @@
                               the session may have raised its own */
   mm_breaker breaker;
   bool handing_over;   /* a handover to another owner is under way */
+  /* Of the handover, with transferred runs; else MM_HANDOVER_WAIT_RUNS.  */
+  mm_handover_step step;
+  bool waits_for_runs; /* the handover has waited for the runs */
+  mm_time_ms last_start_ms; /* tasks were started until then, 0: they are */
+  /* Assigned to another owner while runs that it can adopt go on here.  */
+  bool lingering;
+  mm_time_ms fenced_ms; /* when another owner's token was seen, 0: never */
   bool released;       /* the next owner may have it: nothing is started */
   bool removed;        /* no longer owned; its session is being closed */
   uint32_t n_suspects; /* suspected poison tasks that run there */
@@ -74,6 +82,7 @@
   double average_place_ms;    /* average time for which a run used its place,
                                  done or not */
   double done_share;          /* share of the runs that ended as done, 0..1 */
+  bool transfer_runs; /* handovers do not wait for the runs */
   bool confirmed;   /* membership is confirmed: no other instance can own
                        the upstreams owned here */
   bool starting;    /* start_waiting() is running */
@@ -119,6 +128,20 @@
 /* Frees a task without a report to its submitter.  */
 void mm_owner_free_work (mm_work *w);
 
+/* mm_owner_handover.c */
+/* Keeps the session with a released upstream until its next owner has found
+   the runs there, or they have ended.  Returns false if it is not to be
+   kept.  */
+bool mm_owner_linger (mm_owned_upstream *owned);
+/* Ends the sessions that are kept for no run any more.  */
+void mm_owner_end_lingering (mm_owner *o, mm_time_ms now);
+/* Records that the next owner of an upstream has found a run there.  */
+void mm_owner_record_found (mm_owned_upstream *owned);
+/* Ends a handover; tasks are started as before once the upstream answers.  */
+void mm_owner_resume (mm_owned_upstream *owned);
+/* Ends the session with an upstream that is no longer owned.  */
+void mm_owner_close_session (mm_owned_upstream *owned);
+
 /* mm_owner_evacuation.c */
 /* Returns the waiting tasks that can start nowhere here because of
    evacuations, so that they are dispatched elsewhere at once.  */
--- a/src/mm_ownership.c
+++ b/src/mm_ownership.c
@@ -147,21 +147,47 @@
   own_assigned (ownership);
 }
 
-bool
-mm_ownership_idle (const mm_ownership *ownership, const char *datacentre)
+/* Returns the owned upstreams of a data centre whose partitions are being
+   released; free the list, not the names.  */
+static GList *
+releasing_names (const mm_ownership *ownership, const char *datacentre)
 {
-  bool idle = true;
+  GList *names = NULL;
   GList *owned = mm_owner_upstream_names (ownership->owner);
-  for (GList *l = owned; l && idle; l = l->next)
+  for (GList *l = owned; l; l = l->next)
     {
       uint64_t fence;
       const mm_upstream_info *u
           = mm_catalog_find (ownership->catalog, l->data);
       if (u && strcmp (u->datacentre, datacentre) == 0
-          && state_of (ownership, u, &fence) == MM_PARTITION_RELEASING
-          && !mm_owner_idle (ownership->owner, l->data))
-        idle = false;
+          && state_of (ownership, u, &fence) == MM_PARTITION_RELEASING)
+        names = g_list_prepend (names, l->data);
     }
   g_list_free (owned);
-  return idle;
+  return names;
+}
+
+mm_handover_step
+mm_ownership_advance_handover (mm_ownership *ownership, const char *datacentre,
+                               mm_handover_facts *f)
+{
+  GList *names = releasing_names (ownership, datacentre);
+  for (GList *l = names; l; l = l->next)
+    mm_owner_add_handover_facts (ownership->owner, l->data, f);
+  mm_handover_step step = mm_handover_plan (f);
+  for (GList *l = names; l; l = l->next)
+    mm_owner_set_handover_step (ownership->owner, l->data, step);
+  g_list_free (names);
+  return step;
+}
+
+bool
+mm_ownership_idle (const mm_ownership *ownership, const char *datacentre)
+{
+  mm_handover_facts f = { 0 };
+  GList *names = releasing_names (ownership, datacentre);
+  for (GList *l = names; l; l = l->next)
+    mm_owner_add_handover_facts (ownership->owner, l->data, &f);
+  g_list_free (names);
+  return f.busy == 0;
 }
--- a/src/mm_ownership.h
+++ b/src/mm_ownership.h
@@ -44,6 +44,12 @@
 void mm_ownership_tick (mm_ownership *ownership, bool list_fresh);
 /* Returns whether nothing runs any more on those upstreams of a data centre
    whose partitions are being released.  */
+/* Adds the state of the upstreams of a data centre whose partitions are being
+   released to @f, and advances their handover by the step that follows from
+   it, which is returned.  */
+mm_handover_step mm_ownership_advance_handover (mm_ownership *ownership,
+                                                const char *datacentre,
+                                                mm_handover_facts *f);
 bool mm_ownership_idle (const mm_ownership *ownership, const char *datacentre);
 
 #endif /* MM_OWNERSHIP_H */
--- a/src/mm_partitions.h
+++ b/src/mm_partitions.h
@@ -68,6 +68,10 @@
    sent, 0: never.  No other instance gets this instance's partitions until
    MM_GROUP_TTL_MS after that time.  */
 mm_time_ms mm_partitions_confirmed_ms (const mm_partitions *set);
+/* Returns how long the last join that was answered took, or for how long the
+   one in flight has waited if that is longer; -1: the last join failed, or
+   there was none.  */
+mm_time_ms mm_partitions_answer_ms (const mm_partitions *set);
 /* Makes the newest generation of the group the fencing token of the upstream's
    partition, or of partition @index, if this instance owns it.  Needed after a
    higher token than this instance's was seen there.  */
