--- a/src/mm_handover_plan.h
+++ b/src/mm_handover_plan.h
@@ -20,10 +20,10 @@
    together.  */
 typedef struct
 {
-  bool transfer_runs;  /* the setting: runs may go on under the next owner */
-  uint32_t busy;       /* upstreams on which something runs */
-  mm_time_ms store_ms; /* duration of the last join, or of the one that is not
-                          answered yet; -1: the last one failed */
+  bool transfer_runs;   /* the setting: runs may go on under the next owner */
+  uint32_t busy;        /* upstreams on which something runs */
+  mm_time_ms store_ms;  /* duration of the last join, or of the one that is not
+                           answered yet; -1: the last one failed */
   mm_time_ms waited_ms; /* time since the handover began */
   uint32_t unlinked;    /* instances that may be the next owner, to which this
                            one has no link */
--- a/src/mm_owner_handover.c
+++ b/src/mm_owner_handover.c
@@ -112,8 +112,7 @@
 bool
 mm_owner_linger (mm_owned_upstream *owned)
 {
-  bool was_released
-      = owned->released || owned->step == MM_HANDOVER_RELEASE;
+  bool was_released = owned->released || owned->step == MM_HANDOVER_RELEASE;
   if (!owned->owner->transfer_runs || !was_released
       || mm_exec_idle (owned->exec))
     return false;
@@ -150,8 +149,7 @@
 {
   if (!owned->released || !owned->last_start_ms)
     return;
-  mm_metrics_time (MM_HG_HANDOVER,
-                   mm_clock_now_ms () - owned->last_start_ms);
+  mm_metrics_time (MM_HG_HANDOVER, mm_clock_now_ms () - owned->last_start_ms);
   owned->last_start_ms = 0;
 }
 
@@ -159,8 +157,7 @@
 mm_owner_count_unreported (const mm_owner *o)
 {
   return g_hash_table_size (o->active) + g_hash_table_size (o->orphans)
-         + g_hash_table_size (o->transferred)
-         + g_list_length (o->unadopted);
+         + g_hash_table_size (o->transferred) + g_list_length (o->unadopted);
 }
 
 bool
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -15,7 +15,7 @@
 
 pid_t h_platform, h_upstreams[8], h_instances[8];
 const char *h_platform_extra_setting, *h_entry_extra_setting,
-    *h_upstream_extra_setting;
+    *h_upstream_extra_setting, *h_node_extra_setting;
 const char *h_datacentres[8];
 int h_platform_port, h_upstream_ports[8], h_instance_ports[8];
 /* Numbers of used elements in h_upstreams and h_instances.  */
@@ -358,7 +358,8 @@
   g_snprintf (set[5], 80, "store.address=\"127.0.0.1:%d\"", base);
   h_instances[i]
       = h_start ("masticmill-node", set[0], set[1], set[2], set[3], set[4],
-                 set[5], set[6], "node.datacentres=[\"dc1\",\"dc2\"]", NULL);
+                 set[5], set[6], "node.datacentres=[\"dc1\",\"dc2\"]",
+                 h_node_extra_setting, NULL);
   n_started_instances = MAX (n_started_instances, i + 1);
 }
 
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -88,10 +88,10 @@
 /* Waits until the instances are linked to each other and own all upstreams.
    Return: false if that does not happen within @timeout_ms.  */
 bool h_wait_nodes (int n_nodes, int n_upstreams, mm_time_ms timeout_ms);
-/* An additional value of --set for the platform, for each entry instance and
-   for each upstream; NULL: none.  */
+/* An additional value of --set for the platform, for each entry instance, for
+   each upstream and for each instance of masticmill-node; NULL: none.  */
 extern const char *h_platform_extra_setting, *h_entry_extra_setting,
-    *h_upstream_extra_setting;
+    *h_upstream_extra_setting, *h_node_extra_setting;
 /* Return: how often @text occurs in the log of upstream @i.  */
 int h_count_in_upstream_log (int i, const char *text);
 /* The processes that were started last, and their HTTP ports.  */
