--- a/src/mm_owner_handover.c
+++ b/src/mm_owner_handover.c
@@ -51,7 +51,9 @@
 {
   const mm_owned_upstream *owned
       = g_hash_table_lookup (o->owned_upstreams, upstream);
-  if (!owned || mm_owner_idle (o, upstream))
+  if (!owned
+      || (o->transfer_runs ? mm_exec_idle (owned->exec)
+                           : mm_owner_idle (o, upstream)))
     return;
   mm_exec_run_counts n = mm_exec_count_by_state (owned->exec);
   f->busy++;
