--- a/src/mm_datacentres.c
+++ b/src/mm_datacentres.c
@@ -206,13 +206,12 @@
   if (step == MM_HANDOVER_WAIT_RUNS && !m->waited)
     mm_metrics_count (MM_CT_HANDOVERS_WAITED);
   m->waited = m->waited || step == MM_HANDOVER_WAIT_RUNS;
-  mm_log_event (MM_EV_HANDOVER, MM_TEXT (m->datacentre),
-                MM_TEXT (mm_handover_step_name (step)),
-                MM_INT (f->waited_ms), MM_INT (f->candidates),
-                MM_INT (f->runs), MM_INT (f->open_starts),
-                MM_INT (f->in_doubt), MM_INT (f->foreign), MM_INT (f->kept),
-                MM_INT (f->unresponsive), MM_INT (f->unlinked),
-                MM_INT (f->store_ms));
+  mm_log_event (
+      MM_EV_HANDOVER, MM_TEXT (m->datacentre),
+      MM_TEXT (mm_handover_step_name (step)), MM_INT (f->waited_ms),
+      MM_INT (f->candidates), MM_INT (f->runs), MM_INT (f->open_starts),
+      MM_INT (f->in_doubt), MM_INT (f->foreign), MM_INT (f->kept),
+      MM_INT (f->unresponsive), MM_INT (f->unlinked), MM_INT (f->store_ms));
 }
 
 /* Adds the state of the links and of the store.  The next owner of a partition
@@ -251,8 +250,8 @@
 }
 
 /* Releases partitions or leaves the group once the handover of their upstreams
-   allows that, and calls the store when a call is due.  A standby's membership ends once
-   the store has confirmed the leave call.  */
+   allows that, and calls the store when a call is due.  A standby's membership
+   ends once the store has confirmed the leave call.  */
 static void
 tick_membership (mm_datacentres *dcs, membership *m, mm_time_ms now)
 {
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -108,13 +108,15 @@
       "are assigned to this instance, leaving how many it releases." },
   [MM_EV_HANDOVER]
   = { "handover", RATE_HIGH,
-      "datacentre step waited_ms candidates runs open_starts in_doubt foreign kept "
+      "datacentre step waited_ms candidates runs open_starts in_doubt foreign "
+      "kept "
       "unresponsive unlinked store_ms",
       "What the handover of upstreams of the data centre does next: wait_runs "
       "(until the runs have ended), wait_links (to the possible next owners, "
       "unlinked of which have none), wait_starts (until open_starts are "
       "answered) or release (the runs go on under the next owner). It began "
-      "waited_ms ago; the last join took store_ms, -1 if it failed. candidates "
+      "waited_ms ago; the last join took store_ms, -1 if it failed. "
+      "candidates "
       "are the linked instances that may be the next owner, unresponsive the "
       "busy upstreams that do not answer. The other fields count the runs." },
   [MM_EV_STANDBY]
--- a/src/mm_metrics.c
+++ b/src/mm_metrics.c
@@ -21,7 +21,7 @@
 #define TASKS "masticmill_tasks_ended_total"
 #define TASKS_HELP "Tasks of this instance's jobs that ended, by how."
 #define STORE "masticmill_store_calls_total"
-#define HANDOVERS_HELP \
+#define HANDOVERS_HELP                                                        \
   "Handovers of busy upstreams: runs transferred, or waited for."
 #define STORE_HELP "Calls to the platform's store, by kind and outcome."
 #define BYTES "masticmill_store_bytes_total"
--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -14,17 +14,17 @@
   uint64_t assigned_fence; /* the fencing token that this owner was assigned;
                               the session may have raised its own */
   mm_breaker breaker;
-  bool handing_over;   /* a handover to another owner is under way */
+  bool handing_over; /* a handover to another owner is under way */
   /* Of the handover, with transferred runs; else MM_HANDOVER_WAIT_RUNS.  */
   mm_handover_step step;
-  bool waits_for_runs; /* the handover has waited for the runs */
+  bool waits_for_runs;      /* the handover has waited for the runs */
   mm_time_ms last_start_ms; /* tasks were started until then, 0: they are */
   /* Assigned to another owner while runs that it can adopt go on here.  */
   bool lingering;
   mm_time_ms fenced_ms; /* when another owner's token was seen, 0: never */
-  bool released;       /* the next owner may have it: nothing is started */
-  bool removed;        /* no longer owned; its session is being closed */
-  uint32_t n_suspects; /* suspected poison tasks that run there */
+  bool released;        /* the next owner may have it: nothing is started */
+  bool removed;         /* no longer owned; its session is being closed */
+  uint32_t n_suspects;  /* suspected poison tasks that run there */
 } mm_owned_upstream;
 
 /* A task that was submitted to the owner.  An orphan is a task that runs at an
@@ -82,7 +82,7 @@
   double average_place_ms;    /* average time for which a run used its place,
                                  done or not */
   double done_share;          /* share of the runs that ended as done, 0..1 */
-  bool transfer_runs; /* handovers do not wait for the runs */
+  bool transfer_runs;         /* handovers do not wait for the runs */
   bool confirmed;   /* membership is confirmed: no other instance can own
                        the upstreams owned here */
   bool starting;    /* start_waiting() is running */
--- a/src/mm_partitions.c
+++ b/src/mm_partitions.c
@@ -48,7 +48,7 @@
   bool in_flight;                /* a call has not been answered yet */
   bool in_contact;               /* the last join succeeded */
   mm_time_ms call_sent_ms;       /* when the last call was sent */
-  mm_time_ms answer_ms;    /* how long that join took */
+  mm_time_ms answer_ms;          /* how long that join took */
   mm_time_ms confirmed_ms; /* when the last join that succeeded was sent */
   bool leaving;            /* mm_partitions_leave() was called */
   bool has_left;           /* the store has confirmed the leave call */
@@ -407,9 +407,9 @@
 {
   if (!set->in_contact || !set->confirmed_ms)
     return -1;
-  return set->in_flight ? MAX (set->answer_ms,
-                               mm_clock_now_ms () - set->call_sent_ms)
-                        : set->answer_ms;
+  return set->in_flight
+             ? MAX (set->answer_ms, mm_clock_now_ms () - set->call_sent_ms)
+             : set->answer_ms;
 }
 
 /* Raises the fencing token of an owned partition to the generation in the last
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -537,6 +537,10 @@
   RUN_MS = 600 /* two tasks a job: three quarters of 16 places are in use */
 };
 
+/* The processes of the instances, in the order of their starts.  */
+static pid_t instances[2 * NODES];
+static int n_instances;
+
 /* Sends SIGTERM to instances 1 and 2 in turn, each once the one before runs
    again, and starts an instance whose process has exited.  */
 static void
@@ -553,7 +557,8 @@
     }
   else if (waitpid (h_instances[*node], &st, WNOHANG) > 0)
     {
-      h_start_node ((*node)++);
+      h_start_node (*node);
+      instances[n_instances++] = h_instances[(*node)++];
       *term_sent = false;
       *due_ms = now + 700;
     }
@@ -566,13 +571,13 @@
   return (x->from_ms > y->from_ms) - (x->from_ms < y->from_ms);
 }
 
-/* Returns how often @text is in the logs of the instances that run now.  */
+/* Returns how often @text is in the logs of the instances.  */
 static int
 count_in_logs (const char *text)
 {
   int n = 0;
-  for (int i = 0; i < NODES; i++)
-    n += h_count_in_log (h_instances[i], text);
+  for (int i = 0; i < n_instances; i++)
+    n += h_count_in_log (instances[i], text);
   return n;
 }
 
@@ -602,6 +607,8 @@
   int node = 1, done = 0;
   bool term_sent = false;
   h_start_nodes (8, 2, NODES);
+  memcpy (instances, h_instances, NODES * sizeof *instances);
+  n_instances = NODES;
   mm_time_ms due_ms = mm_clock_now_ms () + 700;
   for (int i = 0; i < JOBS; i++)
     {
