--- a/src/mm_owner_handover.c
+++ b/src/mm_owner_handover.c
@@ -155,6 +155,25 @@
   owned->last_start_ms = 0;
 }
 
+mm_owner_handovers
+mm_owner_measure_handovers (const mm_owner *o)
+{
+  mm_owner_handovers h = { .orphans = g_hash_table_size (o->orphans),
+                           .transferred = g_hash_table_size (o->transferred) };
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, o->owned_upstreams);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      const mm_owned_upstream *owned = v;
+      h.upstreams += owned->handing_over;
+      h.released += owned->released;
+      h.waiting_for_runs += owned->handing_over && !owned->released
+                            && owned->step == MM_HANDOVER_WAIT_RUNS;
+    }
+  return h;
+}
+
 uint32_t
 mm_owner_count_unreported (const mm_owner *o)
 {
--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -129,6 +129,18 @@
 void mm_owner_free_work (mm_work *w);
 
 /* mm_owner_handover.c */
+/* Numbers of upstreams that are being handed over, and of tasks whose runs
+   were left to the next owners.  */
+typedef struct
+{
+  uint32_t upstreams;        /* being handed over or released */
+  uint32_t waiting_for_runs; /* of these: handed over once the runs ended */
+  uint32_t released;         /* of these: nothing is started there any more */
+  uint32_t orphans;          /* tasks whose next owner is not known yet */
+  uint32_t transferred;      /* tasks that run under the next owner */
+} mm_owner_handovers;
+
+mm_owner_handovers mm_owner_measure_handovers (const mm_owner *o);
 /* Keeps the session with a released upstream until its next owner has found
    the runs there, or they have ended.  Returns false if it is not to be
    kept.  */
--- a/src/mm_owner_report.c
+++ b/src/mm_owner_report.c
@@ -102,12 +102,13 @@
 mm_owner_gauges
 mm_owner_measure (const mm_owner *o)
 {
-  mm_owner_gauges g = { .upstreams = g_hash_table_size (o->owned_upstreams) };
+  mm_owner_gauges g = { 0 };
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init (&it, o->owned_upstreams);
   while (g_hash_table_iter_next (&it, NULL, &v))
     {
+      g.upstreams += !((mm_owned_upstream *)v)->lingering;
       g.runs += (uint32_t)mm_exec_count_runs (((mm_owned_upstream *)v)->exec);
       g.in_doubt
           += (uint32_t)mm_exec_count_in_doubt (((mm_owned_upstream *)v)->exec);
@@ -151,6 +152,14 @@
 {
   cJSON *d = cJSON_CreateObject ();
   cJSON_AddNumberToObject (d, "waiting", o->waiting->length);
+  mm_owner_handovers h = mm_owner_measure_handovers (o);
+  cJSON *handovers = cJSON_AddObjectToObject (d, "handovers");
+  cJSON_AddBoolToObject (handovers, "transfer_runs", o->transfer_runs);
+  cJSON_AddNumberToObject (handovers, "upstreams", h.upstreams);
+  cJSON_AddNumberToObject (handovers, "waiting_for_runs", h.waiting_for_runs);
+  cJSON_AddNumberToObject (handovers, "released", h.released);
+  cJSON_AddNumberToObject (handovers, "orphans", h.orphans);
+  cJSON_AddNumberToObject (handovers, "transferred", h.transferred);
   cJSON *a = cJSON_AddArrayToObject (d, "upstreams");
   GHashTableIter it;
   gpointer v;
@@ -162,7 +171,8 @@
       cJSON_AddStringToObject (u, "name", mm_exec_info (owned->exec)->name);
       cJSON_AddNumberToObject (u, "fence",
                                (double)mm_exec_fence (owned->exec));
-      cJSON_AddBoolToObject (u, "usable", mm_exec_usable (owned->exec));
+      cJSON_AddBoolToObject (
+          u, "usable", mm_exec_usable (owned->exec) && !owned->lingering);
       cJSON_AddNumberToObject (u, "runs",
                                (double)mm_exec_count_runs (owned->exec));
       cJSON_AddNumberToObject (
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -6,6 +6,8 @@
 #include "fake_upstreams.h"
 #include "harness.h"
 #include "mm_group_table.h"
+#include "mm_mesh.h"
+#include "mm_owner_priv.h"
 #include "mm_ownership.h"
 
 #include <string.h>
@@ -527,6 +529,75 @@
 }
 END_TEST
 
+/* ---- links ------------------------------------------------------------ */
+
+static void
+tick_meshes (struct ev_loop *loop, ev_timer *t, int revents)
+{
+  mm_mesh **meshes = t->data;
+  for (int i = 0; i < 2; i++)
+    mm_mesh_tick (meshes[i]);
+}
+
+static void
+stop_loop (struct ev_loop *loop, ev_timer *t, int revents)
+{
+  ev_break (loop, EVBREAK_ALL);
+}
+
+/* Guards against the loss of a run whose next owner has no link to the last
+   one: only the last owner has opened one.  */
+START_TEST (found_run_is_claimed_over_a_link_of_one_direction)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  mm_exec_port no_calls = { 0 };
+  mm_owner *owners[2];
+  mm_mesh *meshes[2];
+  for (int i = 0; i < 2; i++)
+    {
+      owners[i] = mm_owner_create (&no_calls);
+      meshes[i]
+          = mm_mesh_create (loop, i ? "next" : "last", "dc1", "127.0.0.1",
+                            (uint16_t)(h_port_base () + i), owners[i], NULL);
+      mm_mesh_set_transfer_runs (meshes[i], _i != 0);
+    }
+  char *addr = g_strdup_printf ("127.0.0.1:%d", h_port_base () + 1);
+  mm_mesh_peer_info next = { "next", addr, "dc1", false };
+  mm_mesh_set_peers (meshes[0], &next, 1);
+  ck_assert_uint_eq (mm_mesh_links_in (meshes[0], "dc1").unlinked, 1);
+  ev_timer tick, stop;
+  ev_timer_init (&tick, tick_meshes, 0., MM_EXEC_TICK_MS / 1000.);
+  tick.data = meshes;
+  ev_timer_start (loop, &tick);
+  ev_timer_init (&stop, stop_loop, 0.3, 0.3);
+  ev_timer_start (loop, &stop);
+  ev_run (loop, 0);
+  mm_mesh_links links = mm_mesh_links_in (meshes[0], "dc1");
+  ck_assert (links.linked == 1 && links.joined == 1 && links.unlinked == 0);
+  ck_assert_uint_eq (mm_mesh_connected (meshes[1]), 0);
+  mm_work *w = g_new0 (mm_work, 1);
+  w->owner = owners[0];
+  w->request = (mm_task_request){ .id = { .job = "job" } };
+  w->orphaned_on = g_strdup ("up");
+  w->orphaned_fence = 1;
+  w->run = 1;
+  w->cancelled = true; /* nobody waits for its end */
+  g_hash_table_insert (owners[0]->orphans, &w->request.id, w);
+  mm_found_run r
+      = { .upstream = "up", .task = w->request.id, .run = 1, .fence = 2 };
+  owners[1]->transfer_port.found (owners[1]->transfer_port.ctx, &r);
+  ev_run (loop, 0);
+  ck_assert_uint_eq (g_hash_table_size (owners[0]->orphans), 1 - _i);
+  for (int i = 0; i < 2; i++)
+    {
+      mm_mesh_destroy (meshes[i]);
+      mm_owner_destroy (owners[i]);
+    }
+  ev_loop_destroy (loop);
+  g_free (addr);
+}
+END_TEST
+
 /* ---- processes -------------------------------------------------------- */
 
 enum
@@ -664,6 +735,9 @@
   tcase_add_test (c, next_owner_dies_before_its_first_hold);
   tcase_add_test (c, partition_given_back);
   tcase_add_test (c, old_owner_killed_while_it_passes_results_on);
+  /* With 0 the setting is off: as before, the run is not claimed.  */
+  tcase_add_loop_test (c, found_run_is_claimed_over_a_link_of_one_direction, 0,
+                       2);
   suite_add_tcase (s, c);
   c = tcase_create ("processes");
   tcase_set_timeout (c, 120);
