--- a/src/mm_datacentres.c
+++ b/src/mm_datacentres.c
@@ -225,6 +225,7 @@
   mm_mesh_links links = mm_mesh_links_in (dcs->mesh, m->datacentre);
   f->transfer_runs = true;
   f->store_ms = mm_partitions_answer_ms (m->partitions);
+  f->store_busy = mm_partitions_is_calling (m->partitions);
   f->unlinked = links.unlinked;
   f->candidates = m->retiring ? links.linked : links.joined;
 }
--- a/src/mm_exec.h
+++ b/src/mm_exec.h
@@ -222,8 +222,8 @@
 /* Tasks that ran when the upstream stopped answering, and had started no more
    than MM_SUSPECTS_AFTER_START_MS before.  Return: as above.  */
 GList *mm_exec_just_started_tasks (const mm_exec *x);
-/* Sends nothing to the upstream from now on, or again.  Nothing may run there.
-   Before a task can start, the upstream must answer again.  */
+/* Sends nothing to the upstream from now on, or again.  Nothing may run there
+   in between.  Before a task can start, the upstream must answer again.  */
 void mm_exec_set_suspended (mm_exec *x, bool suspended);
 /* Returns whether the upstream was reported as lost, and not as back yet.  */
 bool mm_exec_is_lost (const mm_exec *x);
--- a/src/mm_handover_plan.c
+++ b/src/mm_handover_plan.c
@@ -43,5 +43,7 @@
   if (f->unlinked || f->candidates == 0)
     return f->waited_ms < MM_HANDOVER_LINK_MS ? MM_HANDOVER_WAIT_LINKS
                                               : MM_HANDOVER_WAIT_RUNS;
+  if (f->store_busy)
+    return MM_HANDOVER_WAIT_LINKS;
   return f->open_starts ? MM_HANDOVER_WAIT_STARTS : MM_HANDOVER_RELEASE;
 }
--- a/src/mm_handover_plan.h
+++ b/src/mm_handover_plan.h
@@ -10,7 +10,9 @@
 {
   /* Waits for the runs; only tasks that end before them are started.  */
   MM_HANDOVER_WAIT_RUNS,
-  MM_HANDOVER_WAIT_LINKS, /* waits for links; tasks are started as before */
+  /* Waits for links, or for an answer of the store without which nothing can
+     be released; tasks are started as before.  */
+  MM_HANDOVER_WAIT_LINKS,
   /* Waits for the answers to starts; no task is started.  */
   MM_HANDOVER_WAIT_STARTS,
   MM_HANDOVER_RELEASE /* the upstreams are released; no task is started */
@@ -24,6 +26,7 @@
   uint32_t busy;        /* upstreams on which something runs */
   mm_time_ms store_ms;  /* duration of the last join, or of the one that is not
                            answered yet; -1: the last one failed */
+  bool store_busy;      /* a call to the store is under way */
   mm_time_ms waited_ms; /* time since the handover began */
   uint32_t unlinked;    /* instances that may be the next owner, to which this
                            one has no link */
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -512,10 +512,11 @@
  * @n: the node.
  *
  * The upstreams are handed over to instances that are not shutting down, once
- * the tasks running there have ended.  While there is no such instance, this
- * one goes on starting tasks there: for MM_LEAVE_DRAIN_MS when it is connected
- * to no other instance, else until what is left of the grace time is needed
- * for the handover.  Callers are served until they have closed their
+ * the tasks running there have ended or, with ownership.transfer_runs, once
+ * the next owners can take the runs over.  While there is no such instance,
+ * this one goes on starting tasks there: for MM_LEAVE_DRAIN_MS when it is
+ * connected to no other instance, else until what is left of the grace time is
+ * needed for the handover.  Callers are served until they have closed their
  * connections.
  */
 void
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -117,7 +117,8 @@
    on any upstream being handed over, which takes up to 1 s.  Tasks that end
    before the longest one may still start: they do not delay the handover, and
    keeping the upstreams idle would take half of a data centre's capacity away
-   for that time at each restart.  */
+   for that time at each restart.  With transferred runs, tasks are started as
+   before until mm_owner_set_handover_step().  */
 void mm_owner_begin_handover (mm_owner *o, const char *upstream);
 /* Sets whether handovers leave runs to the next owner of the upstream.  */
 void mm_owner_set_transfer_runs (mm_owner *o, bool transfer_runs);
--- a/src/mm_partitions.c
+++ b/src/mm_partitions.c
@@ -412,6 +412,12 @@
              : set->answer_ms;
 }
 
+bool
+mm_partitions_is_calling (const mm_partitions *set)
+{
+  return set->in_flight;
+}
+
 /* Raises the fencing token of an owned partition to the generation in the last
    answer of the store.  */
 static void
--- a/src/mm_partitions.h
+++ b/src/mm_partitions.h
@@ -16,7 +16,8 @@
 {
   MM_PARTITION_ELSEWHERE, /* assigned to another instance, or to none */
   MM_PARTITION_OWNED,     /* tasks may be started */
-  MM_PARTITION_RELEASING, /* handed over once the runs there have ended */
+  MM_PARTITION_RELEASING, /* handed over once the runs there have ended, or can
+                             be left to the next owner */
   /* Handed over; the store may not know it yet.  Nothing may be started.  Only
      after mm_partitions_defer_in_outages(), else MM_PARTITION_ELSEWHERE.  */
   MM_PARTITION_RELEASED
@@ -72,6 +73,9 @@
    one in flight has waited if that is longer; -1: the last join failed, or
    there was none.  */
 mm_time_ms mm_partitions_answer_ms (const mm_partitions *set);
+/* Returns whether a call to the store is under way: nothing is released before
+   its answer.  */
+bool mm_partitions_is_calling (const mm_partitions *set);
 /* Makes the newest generation of the group the fencing token of the upstream's
    partition, or of partition @index, if this instance owns it.  Needed after a
    higher token than this instance's was seen there.  */
@@ -79,7 +83,8 @@
                                          const char *upstream);
 void mm_partitions_renew_fence (mm_partitions *set, uint32_t index);
 /* Hands over the partitions in state MM_PARTITION_RELEASING.  Must be called
-   once nothing runs there any more.  If the store does not carry the release
+   once nothing runs there any more, or only runs that are left to the next
+   owner.  If the store does not carry the release
    out, they are owned again.  */
 void mm_partitions_release (mm_partitions *set);
 /* Returns whether any partition is in state MM_PARTITION_RELEASING.  */
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -28,26 +28,27 @@
   static const struct
   {
     mm_handover_facts
-        f; /* transfer, busy, store, waited, unlinked, candidates,
+        f; /* transfer, busy, store, calling, waited, unlinked, candidates,
               runs, open, doubt, foreign, kept, unresponsive */
     mm_handover_step step;
   } rows[] = {
-    { { 1, 2, 4, 0, 0, 1, 3, 0, 0, 0, 0, 0 }, MM_HANDOVER_RELEASE },
-    { { 1, 2, 4, 0, 0, 1, 3, 1, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_STARTS },
-    { { 1, 2, 4, 0, 1, 1, 3, 1, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_LINKS },
-    { { 1, 2, 4, 0, 0, 0, 3, 0, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_LINKS },
-    { { 1, 2, 4, LINK, 1, 1, 3, 0, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_RUNS },
-    { { 1, 2, 4, LINK, 0, 0, 3, 0, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_RUNS },
-    { { 1, 2, 4, LINK, 0, 1, 3, 0, 0, 0, 0, 0 }, MM_HANDOVER_RELEASE },
-    { { 1, 2, SLOW, 0, 0, 1, 3, 0, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_RUNS },
-    { { 1, 2, -1, 0, 0, 1, 3, 0, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_RUNS },
-    { { 1, 2, 4, 0, 0, 1, 3, 0, 1, 0, 0, 0 }, MM_HANDOVER_WAIT_RUNS },
-    { { 1, 2, 4, 0, 0, 1, 3, 0, 0, 1, 0, 0 }, MM_HANDOVER_WAIT_RUNS },
-    { { 1, 2, 4, 0, 0, 1, 3, 0, 0, 0, 1, 0 }, MM_HANDOVER_WAIT_RUNS },
-    { { 1, 2, 4, 0, 0, 1, 3, 0, 0, 0, 0, 1 }, MM_HANDOVER_WAIT_RUNS },
-    { { 1, 0, -1, 0, 1, 0, 0, 0, 0, 0, 0, 0 }, MM_HANDOVER_RELEASE },
-    { { 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }, MM_HANDOVER_RELEASE },
-    { { 0, 1, 4, 0, 0, 1, 1, 0, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_RUNS },
+    { { 1, 2, 4, 0, 0, 0, 1, 3, 0, 0, 0, 0, 0 }, MM_HANDOVER_RELEASE },
+    { { 1, 2, 4, 0, 0, 0, 1, 3, 1, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_STARTS },
+    { { 1, 2, 4, 0, 0, 1, 1, 3, 1, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_LINKS },
+    { { 1, 2, 4, 0, 0, 0, 0, 3, 0, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_LINKS },
+    { { 1, 2, 4, 0, LINK, 1, 1, 3, 0, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_RUNS },
+    { { 1, 2, 4, 0, LINK, 0, 0, 3, 0, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_RUNS },
+    { { 1, 2, 4, 0, LINK, 0, 1, 3, 0, 0, 0, 0, 0 }, MM_HANDOVER_RELEASE },
+    { { 1, 2, SLOW, 0, 0, 0, 1, 3, 0, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_RUNS },
+    { { 1, 2, -1, 0, 0, 0, 1, 3, 0, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_RUNS },
+    { { 1, 2, 4, 0, 0, 0, 1, 3, 0, 1, 0, 0, 0 }, MM_HANDOVER_WAIT_RUNS },
+    { { 1, 2, 4, 0, 0, 0, 1, 3, 0, 0, 1, 0, 0 }, MM_HANDOVER_WAIT_RUNS },
+    { { 1, 2, 4, 0, 0, 0, 1, 3, 0, 0, 0, 1, 0 }, MM_HANDOVER_WAIT_RUNS },
+    { { 1, 2, 4, 0, 0, 0, 1, 3, 0, 0, 0, 0, 1 }, MM_HANDOVER_WAIT_RUNS },
+    { { 1, 2, 4, 1, 0, 0, 1, 3, 1, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_LINKS },
+    { { 1, 0, -1, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0 }, MM_HANDOVER_RELEASE },
+    { { 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }, MM_HANDOVER_RELEASE },
+    { { 0, 1, 4, 0, 0, 0, 1, 1, 0, 0, 0, 0, 0 }, MM_HANDOVER_WAIT_RUNS },
   };
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     ck_assert_msg (mm_handover_plan (&rows[i].f) == rows[i].step,
@@ -236,11 +237,13 @@
       m->since_ms = now;
       return;
     }
-  mm_handover_facts f = { .transfer_runs = m->w->transfer_runs,
-                          .store_ms = mm_partitions_answer_ms (m->partitions),
-                          .waited_ms = now - m->since_ms,
-                          .unlinked = m->w->unlinked,
-                          .candidates = 1 };
+  mm_handover_facts f
+      = { .transfer_runs = m->w->transfer_runs,
+          .store_ms = mm_partitions_answer_ms (m->partitions),
+          .store_busy = mm_partitions_is_calling (m->partitions),
+          .waited_ms = now - m->since_ms,
+          .unlinked = m->w->unlinked,
+          .candidates = 1 };
   if (mm_ownership_advance_handover (m->ownership, "dc1", &f)
       != MM_HANDOVER_RELEASE)
     return;
