--- a/src/mm_metrics.h
+++ b/src/mm_metrics.h
@@ -53,6 +53,8 @@
   MM_CT_TASKS_SUSPECT,
   MM_CT_TASKS_GIVEN_UP,
   MM_CT_OWNERSHIP_CHANGES,
+  MM_CT_HANDOVERS_TRANSFERRED,
+  MM_CT_HANDOVERS_WAITED,
   MM_CT_PEERS_LOST,
   MM_CT_STALLS,
   MM_CT_CONFIG_OK,
@@ -115,6 +117,9 @@
   /* From a task being ready until its start is sent, by which overload control
      decides.  */
   MM_HG_OVERLOAD_WAIT,
+  /* From the last possible start at an upstream that is handed over until its
+     next owner has found a run there.  */
+  MM_HG_HANDOVER,
   MM_HG_START_VIEW, /* age of the list of upstreams at a start */
   MM_HG_COUNT
 } mm_histogram_id;
--- a/src/mm_owner_priv.h
+++ b/src/mm_owner_priv.h
@@ -4,6 +4,7 @@
 
 #include "mm_owner.h"
 #include "mm_breaker.h"
+#include "mm_handover_plan.h"
 #include "mm_overload.h"
 #include "mm_start_order.h"
 
@@ -15,7 +16,14 @@
   uint64_t assigned_fence; /* the fencing token that this owner was assigned;
                               the session may have raised its own */
   mm_breaker breaker;
-  bool handing_over;      /* a handover to another owner is under way */
+  bool handing_over; /* a handover to another owner is under way */
+  /* Of the handover, with transferred runs; else MM_HANDOVER_WAIT_RUNS.  */
+  mm_handover_step step;
+  bool waits_for_runs;      /* the handover has waited for the runs */
+  mm_time_ms last_start_ms; /* tasks were started until then, 0: they are */
+  /* Assigned to another owner while runs that it can adopt go on here.  */
+  bool lingering;
+  mm_time_ms fenced_ms;   /* when another owner's token was seen, 0: never */
   bool released;          /* the next owner may have it: nothing is started */
   bool removed;           /* no longer owned; its session is being closed */
   uint32_t n_suspects;    /* suspected poison tasks that run there */
@@ -95,6 +103,7 @@
   double average_place_ms;    /* average time for which a run used its place,
                                  done or not */
   double done_share;          /* share of the runs that ended as done, 0..1 */
+  bool transfer_runs;         /* handovers do not wait for the runs */
   bool confirmed;   /* membership is confirmed: no other instance can own
                        the upstreams owned here */
   bool starting;    /* mm_owner_start_waiting() is running */
@@ -180,6 +189,32 @@
 /* Frees a task without a report to its submitter.  */
 void mm_owner_free_work (mm_work *w);
 
+/* mm_owner_handover.c */
+/* Numbers of upstreams that are being handed over, and of tasks whose runs
+   were left to the next owners.  */
+typedef struct
+{
+  uint32_t upstreams;        /* being handed over or released */
+  uint32_t waiting_for_runs; /* of these: handed over once the runs ended */
+  uint32_t released;         /* of these: nothing is started there any more */
+  uint32_t orphans;          /* tasks whose next owner is not known yet */
+  uint32_t transferred;      /* tasks that run under the next owner */
+} mm_owner_handovers;
+
+mm_owner_handovers mm_owner_measure_handovers (const mm_owner *o);
+/* Keeps the session with a released upstream until its next owner has found
+   the runs there, or they have ended.  Returns false if it is not to be
+   kept.  */
+bool mm_owner_linger (mm_owned_upstream *owned);
+/* Ends the sessions that are kept for no run any more.  */
+void mm_owner_end_lingering (mm_owner *o, mm_time_ms now);
+/* Records that the next owner of an upstream has found a run there.  */
+void mm_owner_record_found (mm_owned_upstream *owned);
+/* Ends a handover; tasks are started as before once the upstream answers.  */
+void mm_owner_resume (mm_owned_upstream *owned);
+/* Ends the session with an upstream that is no longer owned.  */
+void mm_owner_close_session (mm_owned_upstream *owned);
+
 /* mm_owner_evacuation.c */
 /* Returns the waiting tasks that can start nowhere here because of
    evacuations, so that they are dispatched elsewhere at once.  */
