--- a/src/mm_fleet.c
+++ b/src/mm_fleet.c
@@ -320,14 +320,21 @@
     mm_mesh_cancel (f->mesh, handle);
 }
 
+/* Returns whether a task may reserve.  Tasks of kept jobs and isolated ones
+   are bound at once: their homes track at which owner they may be.  */
+static bool
+may_reserve (const mm_fleet *f, const mm_task_request *t)
+{
+  return f->late_binding && !t->kept && !t->isolated && !t->running_at;
+}
+
 /* Returns whether a task reserves instead of being sent to the owner @best,
-   the best choice.  Tasks of kept jobs and isolated ones are bound at once:
-   their homes track at which owner they may be.  */
+   the best choice.  */
 static bool
 binds_late (const mm_fleet *f, const mm_task_request *t,
             const char *returned_by, const mm_dispatch_candidate *best)
 {
-  if (!f->late_binding || t->kept || t->isolated || t->running_at)
+  if (!may_reserve (f, t))
     return false;
   /* Tasks that wait ahead take the free capacity that a report still
      shows.  */
@@ -438,11 +445,15 @@
                 MM_INT (owners[best].capacity.free),
                 MM_INT (owners[best].capacity.waiting),
                 MM_INT (owners[best].age_ms), MM_INT (t->attempt));
+  /* A task that does not fit waits in several queues rather than in one.  */
+  mm_task_request r = *t;
+  if (may_reserve (f, t))
+    r.start_within_ms = 0;
   if (best == 0)
     handle->work = mm_owner_submit (f->owner, t, on_done, handle);
   else
     handle->remote
-        = mm_mesh_submit (f->mesh, owners[best].name, t, on_done, handle);
+        = mm_mesh_submit (f->mesh, owners[best].name, &r, on_done, handle);
   return handle;
 }
 
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -57,9 +57,12 @@
 handle_run (mm_mesh_inbound_link *in, mm_mesh_msg *msg)
 {
   mm_mesh_inbound_task *t = mm_mesh_add_inbound_task (in, msg);
-  if (t)
-    t->work = mm_owner_submit (in->mesh->owner, &msg->request,
-                               mm_mesh_on_inbound_task_done, t);
+  if (!t)
+    return;
+  t->work = mm_owner_submit (in->mesh->owner, &msg->request,
+                             mm_mesh_on_inbound_task_done, t);
+  if (msg->request.start_within_ms == 0)
+    mm_owner_return_waiting (in->mesh->owner, t->work);
 }
 
 static void
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -518,6 +518,13 @@
     }
 }
 
+void
+mm_owner_return_waiting (mm_owner *o, mm_work *w)
+{
+  if (g_queue_remove (o->waiting, w))
+    mm_owner_finish (w, MM_END_NOT_RUN, NULL, 0, 0, "no free capacity");
+}
+
 static bool
 work_yields (const void *w)
 {
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -180,6 +180,8 @@
   uint32_t offers;
 } mm_owner_reservations;
 mm_owner_reservations mm_owner_count_reservations (const mm_owner *o);
+/* Returns a task as not run, during this call, if it still waits.  */
+void mm_owner_return_waiting (mm_owner *o, mm_work *w);
 /* Cancels a task; its @done is not called, and the handle @w is not valid
    after this call.  */
 void mm_owner_cancel (mm_owner *o, mm_work *w);
--- a/src/mm_task.h
+++ b/src/mm_task.h
@@ -69,7 +69,8 @@
   mm_time_ms estimate_ms;     /* declared run time, not binding */
   mm_time_ms waited_ms;       /* time spent in queues so far */
   mm_time_ms due_within_ms;   /* ms from now; orders tasks of equal priority */
-  mm_time_ms start_within_ms; /* ms from now; after that returned as not run */
+  mm_time_ms start_within_ms; /* ms from now; after that returned as not run;
+                                 0: returned at once if it does not fit */
   mm_time_ms useful_within_ms; /* ms from now; a reservation does not wait
                                   longer, 0: not limited; not sent to peers */
   /* Upstream where the task runs already, to be adopted there; or NULL.  */
