--- a/src/mm_model.h
+++ b/src/mm_model.h
@@ -57,6 +57,7 @@
   mm_dispatch_rule rule;
   bool one_owner;       /* one instance knows and owns everything */
   double owner_wait_ms; /* wait at an owner before a task is returned */
+  int64_t owner_misses; /* waiting tasks that do not fit and others pass */
   bool late_binding;
   int64_t reservations; /* owners that a task reserves at */
   /* Variant: a task also reserves when tasks wait ahead of it at the owner
--- a/src/mm_model_load.c
+++ b/src/mm_model_load.c
@@ -32,6 +32,7 @@
   { "burst_for_s", F (burst_for_s), MM_TOML_FLOAT, .min = 0 },
   { "wave", F (wave), MM_TOML_FLOAT, .min = 0, .max = 1 },
   { "wave_period_s", F (wave_period_s), MM_TOML_FLOAT, .min = 0.1 },
+  { "owner_misses", F (owner_misses), MM_TOML_INT, .min = 1, .max = 1000 },
   { "late_binding", F (late_binding), MM_TOML_BOOL, .min = 0 },
   { "reservations", F (reservations), MM_TOML_INT, .min = 1,
     .max = MM_RESERVATIONS_MAX },
@@ -177,6 +178,7 @@
                           .report_ms = MM_MESH_REPORT_MS,
                           .stretch = 1,
                           .owner_wait_ms = MM_OWNER_WAIT_MS,
+                          .owner_misses = MM_OWNER_MAX_MISSES,
                           .rule = MM_DISPATCH_RULE };
   for (size_t i = 0; i < mm_toml_count (t); i++)
     {
--- a/src/mm_model_owner.c
+++ b/src/mm_model_owner.c
@@ -167,9 +167,9 @@
 {
   if (n->waiting->len == 0)
     return;
-  uint32_t misses = 0;
+  int64_t misses = 0;
   int64_t largest_milli = largest_free_milli (n);
-  for (guint i = 0; i < n->waiting->len && misses < MM_OWNER_MAX_MISSES;)
+  for (guint i = 0; i < n->waiting->len && misses < m->load->owner_misses;)
     {
       bool yielding_first
           = n->n_yielding > 0
