--- a/src/mm_model.c
+++ b/src/mm_model.c
@@ -12,6 +12,8 @@
   g_free (n->candidates);
   g_ptr_array_free (n->waiting, TRUE);
   g_ptr_array_free (n->open, TRUE);
+  mm_overload_destroy (n->starts);
+  mm_overload_state_destroy (n->overloads);
   g_ptr_array_free (n->neighbours, TRUE);
   g_ptr_array_free (n->readers, TRUE);
   g_free (n);
@@ -114,11 +116,15 @@
           m, (event){ .at_ms = load->report_ms * i / (double)m->instances->len,
                       .kind = EVENT_REPORT,
                       .instance = n });
-      if (load->overload_control)
-        mm_model_push_event (m, (event){ .at_ms = MM_EXEC_TICK_MS * i
-                                                  / (double)m->instances->len,
-                                         .kind = EVENT_TICK,
-                                         .instance = n });
+      if (!load->overload_control)
+        continue;
+      n->starts = mm_overload_create ();
+      n->overloads
+          = mm_overload_state_create ((mm_time_ms)load->overload_target_ms);
+      mm_model_push_event (
+          m, (event){ .at_ms = MM_EXEC_TICK_MS * i / (double)m->instances->len,
+                      .kind = EVENT_TICK,
+                      .instance = n });
     }
 }
 
--- a/src/mm_model.h
+++ b/src/mm_model.h
@@ -60,9 +60,6 @@
   int64_t owner_misses; /* waiting tasks that do not fit and others pass */
   bool late_binding;
   int64_t reservations; /* owners that a task reserves at */
-  /* Variant: a task also reserves when tasks wait ahead of it at the owner
-     that reports free capacity.  */
-  bool reserve_behind;
   bool overload_control;
   double overload_target_ms; /* wait above which a priority is overloaded */
   /* Variant: a waiting job is rejected as soon as it is expected to be late.
--- a/src/mm_model_home.c
+++ b/src/mm_model_home.c
@@ -12,8 +12,10 @@
     r->free--;
   else
     {
+      /* At level 0, as the priority of these tasks is not known.  */
       r->waiting++;
       r->waiting_by_priority[0]++;
+      r->waiting_unseen++;
     }
 }
 
@@ -103,8 +105,8 @@
 {
   if (!m->load->late_binding)
     return false;
-  return t->returned_by || best->capacity.residuals.n == 0
-         || (m->load->reserve_behind && best->capacity.waiting > 0);
+  return t->returned_by || best->capacity.waiting > 0
+         || best->capacity.residuals.n == 0;
 }
 
 /* Sends a task to the owner with that index in the list of owners.  */
@@ -190,8 +192,6 @@
       load.places += r->places;
       load.free += mm_dispatch_count_fits (r, cpu_milli, m->load->rule);
       load.waiting += mm_capacity_waiting_ahead (r, priority);
-      load.waiting_same += r->waiting_by_priority[level];
-      load.starts_per_s += r->starts_per_s[level];
       known_places += r->task_ms ? r->places : 0;
       run_ms_sum += (double)r->places * r->task_ms;
     }
@@ -199,9 +199,7 @@
     load.mean_task_ms
         = MAX (load.mean_task_ms, (mm_time_ms)(run_ms_sum / known_places));
   if (m->load->overload_control)
-    mm_model_fill_measured (m, home, level, &load);
-  else
-    load.waiting_same = load.starts_per_s = 0;
+    mm_model_fill_measured (m, home, c, n, level, &load);
   return load;
 }
 
@@ -233,6 +231,7 @@
   if (!j->home->any_ended && j->home->mean_task_ms == MM_TASK_ESTIMATE_MS)
     j->home->mean_task_ms = j->tasks[0].estimate_ms;
   mm_load load = mm_model_known_load (m, j->home, kind, cpu_milli);
+  mm_model_record_job (m, j);
   mm_admission a = mm_admission_decide (
       &load, j->n_tasks, (mm_time_ms)(j->on_time_start_ms - m->now_ms));
   if (!a.accept)
--- a/src/mm_model_load.c
+++ b/src/mm_model_load.c
@@ -36,7 +36,6 @@
   { "late_binding", F (late_binding), MM_TOML_BOOL, .min = 0 },
   { "reservations", F (reservations), MM_TOML_INT, .min = 1,
     .max = MM_RESERVATIONS_MAX },
-  { "reserve_behind", F (reserve_behind), MM_TOML_BOOL, .min = 0 },
   { "reject_early", F (reject_early), MM_TOML_BOOL, .min = 0 },
   { "overload_control", F (overload_control), MM_TOML_BOOL, .min = 0 },
   { "overload_target_ms", F (overload_target_ms), MM_TOML_FLOAT, .min = 1,
--- a/src/mm_model_overload.c
+++ b/src/mm_model_overload.c
@@ -1,98 +1,95 @@
-/* mm_model_overload: what overload control measures in the model.  */
+/* mm_model_overload: overload control in the model.  */
 #include "mm_model_priv.h"
 
-#define SLOT_MS ((double)MM_OVERLOAD_WINDOW_MS / WINDOW_SLOTS)
+/* All kinds of job use the same upstreams.  */
+#define SERVICE "model"
 
 void
-mm_model_record_start (model *m, instance *n, const task *t)
+mm_model_record_start (const model *m, instance *n, const task *t)
 {
-  start_window *w = &n->windows[mm_model_priority_level (m, t)];
-  int64_t number = (int64_t)(m->now_ms / SLOT_MS);
-  int i = (int)(number % WINDOW_SLOTS);
-  double wait_ms = m->now_ms - t->job->submitted_ms;
-  if (w->slot[i] != number)
-    {
-      w->slot[i] = number;
-      w->starts[i] = 0;
-      w->least_wait_ms[i] = wait_ms;
-    }
-  w->starts[i]++;
-  w->least_wait_ms[i] = MIN (w->least_wait_ms[i], wait_ms);
+  if (m->load->overload_control)
+    mm_overload_record_start (
+        n->starts, SERVICE, mm_model_priority_level (m, t),
+        (mm_time_ms)(m->now_ms - t->job->submitted_ms), (mm_time_ms)m->now_ms);
 }
 
 void
 mm_model_report_starts (const model *m, const instance *n,
                         mm_capacity_report *r)
 {
-  int64_t number = (int64_t)(m->now_ms / SLOT_MS);
+  mm_time_ms oldest_wait_ms[MM_PRIORITY_LEVELS] = { 0 };
+  guint first = 0;
   for (size_t p = 0; p < MM_PRIORITY_LEVELS; p++)
     {
-      const start_window *w = &n->windows[p];
-      uint32_t starts = 0;
-      double least_ms = G_MAXDOUBLE;
-      for (size_t i = 0; i < WINDOW_SLOTS; i++)
-        if (w->starts[i] > 0 && w->slot[i] > number - WINDOW_SLOTS)
-          {
-            starts += w->starts[i];
-            least_ms = MIN (least_ms, w->least_wait_ms[i]);
-          }
-      r->starts_per_s[p] = starts * 1000 / MM_OVERLOAD_WINDOW_MS;
-      r->least_wait_ms[p] = starts ? (uint32_t)least_ms : 0;
+      if (n->n_waiting[p] == 0)
+        continue;
+      /* The first one in the queue is among those that wait longest.  At least
+         1 ms, as 0 stands for no waiting task.  */
+      const work *w = n->waiting->pdata[first];
+      mm_time_ms wait_ms
+          = (mm_time_ms)(m->now_ms - w->task->job->submitted_ms);
+      oldest_wait_ms[p] = MAX (wait_ms, 1);
+      first += n->n_waiting[p];
     }
+  mm_overload_fill_report (n->starts, SERVICE, oldest_wait_ms,
+                           (mm_time_ms)m->now_ms, r);
 }
 
-/* Returns the least wait of a priority, weighted by the owners' places.  An
-   owner at which tasks wait and none has started counts as beyond any target;
-   one without waiting tasks and starts says nothing.  */
-static double
-least_wait_ms (const model *m, const mm_dispatch_candidate *c, size_t n,
-               size_t level)
+/* Updates the state of a priority from the reports known to @n, and returns
+   their sums.  */
+static mm_overload_figures
+update_level (const model *m, instance *n, const mm_dispatch_candidate *c,
+              size_t count, uint32_t level)
 {
-  double sum = 0, places = 0;
-  for (size_t i = 0; i < n; i++)
+  mm_overload_figures sum = { 0 };
+  for (size_t i = 0; i < count; i++)
     {
-      const mm_capacity_report *r = &c[i].capacity;
-      bool any = r->starts_per_s[level] > 0;
-      if (!any && r->waiting_by_priority[level] == 0)
-        continue;
-      places += r->places;
-      sum += r->places
-             * (any ? r->least_wait_ms[level]
-                    : 2 * m->load->overload_target_ms);
+      double at_ms = i ? ((neighbour *)n->neighbours->pdata[i - 1])->known_ms
+                       : m->now_ms;
+      mm_overload_figures_add (&sum, &c[i].capacity, level,
+                               (mm_time_ms)(m->now_ms - at_ms));
     }
-  return places > 0 ? sum / places : 0;
+  mm_overload_state_update (n->overloads, SERVICE, level, &sum,
+                            (mm_time_ms)m->now_ms);
+  return sum;
 }
 
-static void
-update_overload (const model *m, overload *o, double wait_ms)
+void
+mm_model_update_overloads (const model *m, instance *n)
 {
-  double target_ms = m->load->overload_target_ms;
-  bool other = o->on ? wait_ms < target_ms / 2 : wait_ms > target_ms;
-  if (!other || !o->is_other)
-    o->other_since_ms = m->now_ms;
-  o->is_other = other;
-  if (!other || m->now_ms - o->other_since_ms < MM_OVERLOAD_WINDOW_MS)
-    return;
-  o->on = !o->on;
-  o->since_ms = m->now_ms;
-  o->is_other = false;
+  mm_dispatch_candidate c[MM_FLEET_MAX_OWNERS];
+  size_t count = mm_model_list_owners (m, n, c);
+  for (uint32_t p = 0; p < MM_PRIORITY_LEVELS; p++)
+    update_level (m, n, c, count, p);
 }
 
 void
-mm_model_update_overloads (model *m, instance *n)
+mm_model_record_job (const model *m, const job *j)
 {
-  mm_dispatch_candidate c[MM_FLEET_MAX_OWNERS];
-  size_t count = mm_model_list_owners (m, n, c);
-  for (size_t p = 0; p < MM_PRIORITY_LEVELS; p++)
-    update_overload (m, &n->overloads[p], least_wait_ms (m, c, count, p));
+  if (m->load->overload_control)
+    mm_overload_state_record_job (j->home->overloads, SERVICE,
+                                  mm_model_priority_level (m, &j->tasks[0]),
+                                  j->n_tasks);
+}
+
+bool
+mm_model_is_overloaded (const instance *n, uint32_t level)
+{
+  return mm_overload_state_is_on (n->overloads, SERVICE, level);
 }
 
 void
-mm_model_fill_measured (const model *m, const instance *home, uint32_t level,
-                        mm_load *load)
+mm_model_fill_measured (const model *m, instance *home,
+                        const mm_dispatch_candidate *c, size_t n,
+                        uint32_t level, mm_load *load)
 {
-  const overload *o = &home->overloads[level];
-  load->measured = true;
-  load->overloaded_for_ms
-      = o->on ? MAX ((mm_time_ms)(m->now_ms - o->since_ms), 1) : 0;
+  mm_overload_figures sum = update_level (m, home, c, n, level);
+  const mm_overload_state *s = home->overloads;
+  load->measured = mm_overload_state_is_short (s, SERVICE, level);
+  load->waiting_same = sum.waiting;
+  load->starts_per_s = sum.starts_per_s;
+  load->least_tasks = mm_overload_state_least_tasks (s, SERVICE, level);
+  if (mm_overload_state_is_on (s, SERVICE, level))
+    load->overloaded_for_ms = (mm_time_ms)m->now_ms
+                              - mm_overload_state_since_ms (s, SERVICE, level);
 }
--- a/src/mm_model_owner.c
+++ b/src/mm_model_owner.c
@@ -104,6 +104,7 @@
     {
       uint32_t level = mm_model_priority_level (m, w->task);
       n->waiting_by_priority[level] += sign / w->copies;
+      n->n_waiting[level] += sign > 0 ? 1 : -1;
       return;
     }
   n->waiting_yielding += sign / w->copies;
--- a/src/mm_model_priv.h
+++ b/src/mm_model_priv.h
@@ -4,6 +4,8 @@
 
 #include "mm_admission.h"
 #include "mm_model.h"
+#include "mm_overload.h"
+#include "mm_overload_state.h"
 #include "mm_placement.h"
 
 typedef struct model model;
@@ -84,28 +86,10 @@
 {
   instance *of;
   mm_capacity_report known; /* last report, less the tasks sent since */
+  double known_ms;          /* when that was reported */
   double unseen_copies;     /* part of a waiting task, not yet in @known */
 } neighbour;
 
-#define WINDOW_SLOTS 20 /* of MM_OVERLOAD_WINDOW_MS / WINDOW_SLOTS each */
-
-/* Starts of one priority at an owner in the last window.  */
-typedef struct
-{
-  int64_t slot[WINDOW_SLOTS]; /* number of the slot since the beginning */
-  uint32_t starts[WINDOW_SLOTS];
-  double least_wait_ms[WINDOW_SLOTS];
-} start_window;
-
-/* Whether a priority is overloaded, as known to an instance.  */
-typedef struct
-{
-  bool on;
-  double since_ms;       /* of the overload */
-  double other_since_ms; /* the wait has been beyond the bound of a change */
-  bool is_other;
-} overload;
-
 struct instance
 {
   int index;
@@ -116,8 +100,9 @@
   uint32_t starts_since_yielding;
   double waiting_by_priority[MM_PRIORITY_LEVELS]; /* without yielding ones */
   double waiting_yielding;
-  start_window windows[MM_PRIORITY_LEVELS];
-  overload overloads[MM_PRIORITY_LEVELS];
+  uint32_t n_waiting[MM_PRIORITY_LEVELS]; /* without yielding ones */
+  mm_overload *starts;                    /* NULL: no overload control */
+  mm_overload_state *overloads;
   GPtrArray *open;                    /* job, of which no task may have run */
   mm_placement_candidate *candidates; /* of each of @upstreams */
   mm_capacity_report report;          /* of itself, if @report_valid */
@@ -259,13 +244,18 @@
 void mm_model_on_renew (model *m, task *t);
 
 /* mm_model_overload.c: what the overload control measures.  */
-void mm_model_record_start (model *m, instance *n, const task *t);
+void mm_model_record_start (const model *m, instance *n, const task *t);
 void mm_model_report_starts (const model *m, const instance *n,
                              mm_capacity_report *r);
+void mm_model_record_job (const model *m, const job *j);
 /* Updates what @n knows about overloads.  */
-void mm_model_update_overloads (model *m, instance *n);
-/* Fills the fields of @load that overload control uses.  */
-void mm_model_fill_measured (const model *m, const instance *home,
+void mm_model_update_overloads (const model *m, instance *n);
+/* Returns whether @n knows of an overload of the priority.  */
+bool mm_model_is_overloaded (const instance *n, uint32_t level);
+/* Fills the fields of @load that overload control uses from the list of
+   owners @c.  */
+void mm_model_fill_measured (const model *m, instance *home,
+                             const mm_dispatch_candidate *c, size_t n,
                              uint32_t level, mm_load *load);
 
 /* mm_model_shed.c */
--- a/src/mm_model_report.c
+++ b/src/mm_model_report.c
@@ -69,6 +69,7 @@
     {
       neighbour *reader = n->readers->pdata[i];
       reader->known = *mm_model_report_of (m, n);
+      reader->known_ms = m->now_ms;
       reader->unseen_copies = 0;
     }
   mm_model_push_event (m, (event){ .at_ms = m->now_ms + m->load->report_ms,
--- a/src/mm_model_reserve.c
+++ b/src/mm_model_reserve.c
@@ -3,16 +3,18 @@
 
 #include "mm_reservation.h"
 
-/* Adds part of a waiting task to what is known of an owner.  */
+/* Adds part of a waiting task to what is known of an owner, at level 0 as the
+   priority is not known.  */
 static void
-add_known_waiting (neighbour *x, uint32_t level, uint32_t copies)
+add_known_waiting (neighbour *x, uint32_t copies)
 {
   x->unseen_copies += 1.0 / copies;
   if (x->unseen_copies < 1)
     return;
   x->unseen_copies--;
   x->known.waiting++;
-  x->known.waiting_by_priority[level]++;
+  x->known.waiting_by_priority[0]++;
+  x->known.waiting_unseen++;
 }
 
 void
@@ -29,8 +31,8 @@
       w->is_reservation = true;
       w->copies = (uint32_t)count;
       t->reservations[t->n_reservations++] = w;
-      if (x)
-        add_known_waiting (x, mm_model_priority_level (m, t), w->copies);
+      if (x && !w->yields)
+        add_known_waiting (x, w->copies);
       m->results[t->job->kind].reserved++;
       mm_model_push_work_event (m, EVENT_HANDED, w,
                                 m->now_ms + mm_model_link_ms (m, w));
--- a/src/mm_model_shed.c
+++ b/src/mm_model_shed.c
@@ -45,7 +45,7 @@
                         .on_time_start_ms = (mm_time_ms)j->on_time_start_ms,
                         .latest_start_ms = (mm_time_ms)j->latest_start_ms,
                         .expected_wait_ms = expected_wait_ms (m, n, j, w),
-                        .overloaded = n->overloads[level].on };
+                        .overloaded = mm_model_is_overloaded (n, level) };
   mm_shedding_verdict v = mm_shedding_decide (&s);
   if (m->load->reject_early
       && s.now_ms + s.expected_wait_ms > s.on_time_start_ms)
