--- a/daemons/ctl_model.c
+++ b/daemons/ctl_model.c
@@ -132,7 +132,6 @@
   mm_model_load load;
   if (!read_load (file, &load, &err))
     return ctl_print_error (err);
-  mm_log_close ();
   for (size_t i = 0; i < G_N_ELEMENTS (rule_names); i++)
     {
       load.rule = (mm_dispatch_rule)i;
@@ -167,7 +166,6 @@
   mm_model_load load;
   if (!read_load (file, &load, &err))
     return ctl_print_error (err);
-  mm_log_close (); /* the overloads of the play are not events of this one */
   for (size_t i = 0; i < G_N_ELEMENTS (factors); i++)
     play_ways (&load, factors[i]);
   return 0;
