Model: tasks at their own home start at once, as in mm_owner_submit()

Tasks of one job were all sent to their home before the first of them took its capacity, which counted some dispatches as returned that are not.

--- a/src/mm_model_owner.c
+++ b/src/mm_model_owner.c
@@ -207,6 +207,15 @@
     mm_model_push_work_event (m, EVENT_EXPIRE, w, w->start_by_ms);
 }
 
+void
+mm_model_hand (model *m, work *w, double arrival_ms)
+{
+  if (w->owner == w->task->job->home)
+    mm_model_on_handed (m, w);
+  else
+    mm_model_push_work_event (m, EVENT_HANDED, w, arrival_ms);
+}
+
 /* A task has waited long enough at an owner.  */
 void
 mm_model_on_expire (model *m, work *w)
--- a/src/mm_model_priv.h
+++ b/src/mm_model_priv.h
@@ -198,6 +198,9 @@
 void mm_model_start (model *m, work *w);
 void mm_model_enqueue (model *m, work *w);
 void mm_model_on_handed (model *m, work *w);
+/* Hands work to its owner: at once at its home, so that the next task of the
+   job finds the capacity in use, else after the delay of the link.  */
+void mm_model_hand (model *m, work *w, double arrival_ms);
 void mm_model_on_expire (model *m, work *w);
 
 /* mm_model_offers.c: offers at owners.  */
