--- a/src/mm_shedding.c
+++ b/src/mm_shedding.c
@@ -6,8 +6,9 @@
  * @j: the job.
  *
  * A job that can only be late is worth less to its caller than one that is on
- * time, and needs the same capacity.  It therefore yields to jobs that can be
- * on time, and is rejected while there are more of those than capacity.
+ * time, and needs the same capacity.  It is therefore rejected while tasks wait
+ * for capacity: each start of a late task would make another job late.  While
+ * capacity is free it is served late, behind jobs that can be on time.
  *
  * Return: the decision.
  */
@@ -20,7 +21,8 @@
     return MM_SHEDDING_REJECT;
   if (j->now_ms <= j->on_time_start_ms)
     return MM_SHEDDING_KEEP;
-  return j->overloaded ? MM_SHEDDING_REJECT : MM_SHEDDING_YIELD;
+  return j->overloaded || j->expected_wait_ms > 0 ? MM_SHEDDING_REJECT
+                                                  : MM_SHEDDING_YIELD;
 }
 
 const char *
