--- a/src/mm_model_owner.c
+++ b/src/mm_model_owner.c
@@ -104,6 +104,7 @@
     {
       uint32_t level = mm_model_priority_level (m, w->task);
       n->waiting_by_priority[level] += sign / w->copies;
+      n->n_waiting[level] += sign > 0 ? 1 : -1;
       return;
     }
   n->waiting_yielding += sign / w->copies;
@@ -167,9 +168,9 @@
 {
   if (n->waiting->len == 0)
     return;
-  uint32_t misses = 0;
+  int64_t misses = 0;
   int64_t largest_milli = largest_free_milli (n);
-  for (guint i = 0; i < n->waiting->len && misses < MM_OWNER_MAX_MISSES;)
+  for (guint i = 0; i < n->waiting->len && misses < m->load->owner_misses;)
     {
       bool yielding_first
           = n->n_yielding > 0
@@ -206,6 +207,15 @@
     mm_model_push_work_event (m, EVENT_EXPIRE, w, w->start_by_ms);
 }
 
+void
+mm_model_hand (model *m, work *w, double arrival_ms)
+{
+  if (w->owner == w->task->job->home)
+    mm_model_on_handed (m, w);
+  else
+    mm_model_push_work_event (m, EVENT_HANDED, w, arrival_ms);
+}
+
 /* A task has waited long enough at an owner.  */
 void
 mm_model_on_expire (model *m, work *w)
