--- a/src/config.h
+++ b/src/config.h
@@ -275,6 +275,9 @@
 /* Reports of peers that are older do not count.  */
 #define MM_OVERLOAD_REPORT_TTL_MS 600
 #define MM_RETRY_AFTER_MAX_S 10 /* of the expected end of an overload */
+/* A job that is not late yet is rejected only for an expected wait of at least
+   this.  Shorter waits come and go when there is no overload.  */
+#define MM_SHEDDING_WAIT_MS 50
 /* One of so many starts is of the first yielding task, so that none waits for
    ever.  */
 #define MM_YIELDING_START_EVERY 8u
--- a/src/mm_shedding.h
+++ b/src/mm_shedding.h
@@ -1,4 +1,4 @@
-/* mm_shedding: decides on waiting jobs that can no longer be on time.
+/* mm_shedding: decides on waiting jobs that are expected to be late.
 
    Under overload, jobs that can only be late use capacity that others need to
    be on time, and jobs that will not be served hold their callers.  */
