Review: wrong refusals, and a second start beside an adopted run

Waiting jobs were refused while no owner was in reach, as in a handover. Shed jobs of one tick got the same Retry-After. Starts of yielding tasks counted as delays of their priority. Late jobs are served while capacity is free, also during an overload.

--- a/src/config.h
+++ b/src/config.h
@@ -272,6 +272,9 @@
 #define MM_OVERLOAD_JOB_GAIN 0.02 /* weight of one job in that mean */
 /* Expected wait while no capacity is expected: longer than any limit.  */
 #define MM_NO_CAPACITY_WAIT_MS 3600000
+/* No capacity is expected if nothing was started for this many mean run
+   times.  */
+#define MM_NO_START_FACTOR 2
 /* Reports of peers that are older do not count.  */
 #define MM_OVERLOAD_REPORT_TTL_MS 600
 #define MM_RETRY_AFTER_MAX_S 10 /* of the expected end of an overload */
--- a/src/mm_admission.c
+++ b/src/mm_admission.c
@@ -83,14 +83,17 @@
    that wait and its own ones that do not fit, at the rate at which tasks of
    that priority start.  Higher priorities have had their share of the capacity
    already.  0: the rate says nothing, as none of them waits and places are
-   free, or nothing was started.  */
+   free, or nothing was started for a time in which tasks that run may just not
+   have ended.  */
 static mm_time_ms
 measured_wait_ms (const mm_load *load, uint32_t tasks)
 {
   if (!load->waiting_same && (load->free || !load->starts_per_s))
     return 0;
   if (!load->starts_per_s)
-    return MM_NO_CAPACITY_WAIT_MS;
+    return load->least_wait_ms > MM_NO_START_FACTOR * load->mean_task_ms
+               ? MM_NO_CAPACITY_WAIT_MS
+               : 0;
   uint64_t ahead
       = (uint64_t)load->waiting_same + (tasks - MIN (tasks, load->free));
   return (mm_time_ms)MIN (ahead * 1000 / load->starts_per_s,
--- a/src/mm_admission.h
+++ b/src/mm_admission.h
@@ -13,11 +13,13 @@
   mm_time_ms mean_task_ms; /* mean time for which a task uses its place */
   mm_time_ms age_ms;       /* age of the oldest report included */
   /* Of the job's own priority; 0 without overload control.  */
-  bool measured;                /* tasks wait for want of capacity, which is
-                                   @starts_per_s */
-  uint32_t waiting_same;        /* tasks that wait */
-  uint32_t starts_per_s;        /* tasks started in the last second */
-  uint32_t least_tasks;         /* a job counts as at least so many tasks */
+  bool measured;            /* tasks wait for want of capacity, which is
+                               @starts_per_s */
+  uint32_t waiting_same;    /* tasks that wait */
+  uint32_t starts_per_s;    /* tasks started in the last second */
+  uint32_t least_tasks;     /* a job counts as at least so many tasks */
+  mm_time_ms least_wait_ms; /* of the tasks started lately, or, if none was, of
+                               the one that waits longest */
   mm_time_ms overloaded_for_ms; /* since the overload began, 0: none */
   bool evacuated; /* there are no places, as data centres are evacuated */
 } mm_load;
--- a/src/mm_fleet.c
+++ b/src/mm_fleet.c
@@ -167,6 +167,7 @@
   load->measured = mm_overload_state_is_short (f->overload, service, priority);
   load->waiting_same = sum.waiting;
   load->starts_per_s = sum.starts_per_s;
+  load->least_wait_ms = mm_overload_figures_wait_ms (&sum);
   load->least_tasks
       = mm_overload_state_least_tasks (f->overload, service, priority);
   if (mm_overload_state_is_on (f->overload, service, priority))
--- a/src/mm_jobs_shedding.c
+++ b/src/mm_jobs_shedding.c
@@ -134,14 +134,15 @@
   return k;
 }
 
+/* Without an owner in reach no wait is known: the capacity is most likely
+   being handed over, and back within a tick or two.  */
 static mm_shedding_verdict
 decide (const job *b, const known_load *k, mm_time_ms now)
 {
   mm_shedding_job in = { .now_ms = now,
                          .on_time_start_ms = b->on_time_start_ms,
                          .latest_start_ms = b->latest_start_ms,
-                         .expected_wait_ms = k->wait_ms,
-                         .overloaded = k->load.overloaded_for_ms > 0 };
+                         .expected_wait_ms = k->load.places ? k->wait_ms : 0 };
   return mm_shedding_decide (&in);
 }
 
@@ -163,15 +164,15 @@
 static void
 reject (job *b, const known_load *k, mm_time_ms now)
 {
-  mm_admission a = mm_admission_decide (&k->load, 1, 0);
+  uint32_t retry_after_s
+      = mm_admission_retry_after_s (&k->load, k->wait_ms, b->submission->id);
   mm_metrics_count (MM_CT_JOBS_SHED_REJECT);
   mm_metrics_time (MM_HG_SHED_WAIT, now - b->submitted_ms);
   log_decision (b, k, MM_SHEDDING_REJECT, now);
   const char *why = k->wait_ms > b->latest_start_ms - now
                         ? "no capacity is expected in time"
-                        : "would come too late, and the queue is overloaded";
-  mm_jobs_answer (b, MM_ANSWER_REFUSED, why,
-                  MAX (a.retry_after_s, MM_RETRY_AFTER_NO_CAPACITY_S));
+                        : "would come too late, and others wait";
+  mm_jobs_answer (b, MM_ANSWER_REFUSED, why, retry_after_s);
 }
 
 /* Withdraws the reservations of a job of which no task has started; its tasks
--- a/src/mm_model_overload.c
+++ b/src/mm_model_overload.c
@@ -88,6 +88,7 @@
   load->measured = mm_overload_state_is_short (s, SERVICE, level);
   load->waiting_same = sum.waiting;
   load->starts_per_s = sum.starts_per_s;
+  load->least_wait_ms = mm_overload_figures_wait_ms (&sum);
   load->least_tasks = mm_overload_state_least_tasks (s, SERVICE, level);
   if (mm_overload_state_is_on (s, SERVICE, level))
     load->overloaded_for_ms = (mm_time_ms)m->now_ms
--- a/src/mm_owner.c
+++ b/src/mm_owner.c
@@ -473,7 +473,8 @@
   g_hash_table_insert (o->active, &w->request.id, w);
   mm_owner_count_suspect (owned, w, 1);
   mm_metrics_count (MM_CT_TASKS_STARTED);
-  if (o->overload)
+  /* A task that yields has waited for longer than others would.  */
+  if (o->overload && !w->request.yields)
     record_delay (o, w, now);
   w->request.waited_ms += now - w->accepted_ms;
   mm_metrics_time (MM_HG_QUEUE_WAIT, now - w->accepted_ms);
--- a/src/mm_owner_adopt.c
+++ b/src/mm_owner_adopt.c
@@ -275,13 +275,19 @@
 {
   mm_owned_upstream *owned
       = g_hash_table_lookup (o->owned_upstreams, w->request.running_at);
-  if (owned && !g_hash_table_contains (o->active, &w->request.id)
-      && mm_exec_adopt (owned->exec, &w->request, w))
+  if (owned && !g_hash_table_contains (o->active, &w->request.id))
     {
+      /* The adoption frees capacity for waiting tasks.  A second submission of
+         this task must not be started then, so the run is entered first.  */
       w->running_on = owned;
-      mm_owner_count_suspect (owned, w, 1);
       g_hash_table_insert (o->active, &w->request.id, w);
-      return;
+      if (mm_exec_adopt (owned->exec, &w->request, w))
+        {
+          mm_owner_count_suspect (owned, w, 1);
+          return;
+        }
+      g_hash_table_remove (o->active, &w->request.id);
+      w->running_on = NULL;
     }
   /* The run may have ended since it was found.  */
   w->listed_end
--- a/src/mm_owner_handover.c
+++ b/src/mm_owner_handover.c
@@ -121,6 +121,8 @@
       || mm_exec_idle (owned->exec))
     return false;
   owned->released = owned->lingering = true;
+  if (mm_exec_fenced (owned->exec) && !owned->fenced_ms)
+    owned->fenced_ms = mm_clock_now_ms ();
   return true;
 }
 
--- a/src/mm_shedding.c
+++ b/src/mm_shedding.c
@@ -30,7 +30,7 @@
     return MM_SHEDDING_REJECT;
   if (slack_ms >= 0)
     return MM_SHEDDING_KEEP;
-  return j->overloaded ? MM_SHEDDING_REJECT : MM_SHEDDING_YIELD;
+  return MM_SHEDDING_YIELD;
 }
 
 const char *
--- a/src/mm_shedding.h
+++ b/src/mm_shedding.h
@@ -21,7 +21,6 @@
   mm_time_ms on_time_start_ms; /* latest start that meets the objective */
   mm_time_ms latest_start_ms;  /* latest start that is of use to the caller */
   mm_time_ms expected_wait_ms; /* until its last task can start */
-  bool overloaded;             /* its priority is overloaded */
 } mm_shedding_job;
 
 mm_shedding_verdict mm_shedding_decide (const mm_shedding_job *j);
