review: the stand-ins need no Python newer than 3.8

Cause: asyncio.timeout() is new in Python 3.11, and the machine that runs the scripts may have an older one. The temporary folder is removed too, and a SIGTERM of a script ends the processes that it started.

Evidence: read; only Python 3.11 is here.

--- a/review/standins/mill.py
+++ b/review/standins/mill.py
@@ -4,7 +4,7 @@
 
 All addresses are loopback addresses.  Nothing outlives main().
 """
-import asyncio, base64, json, os, random, signal, socket, subprocess, sys, tempfile, time, urllib.parse
+import asyncio, base64, json, os, random, shutil, signal, socket, subprocess, sys, tempfile, time, urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PARTS = 16              # partitions of a topic, as in the settings of a small deployment
@@ -76,32 +76,34 @@
     return server, server.sockets[0].getsockname()[1]
 
 
+async def exchange(addr, head, data):
+    """Sends one request on a connection of its own.  Returns the status line and the body."""
+    ip, port = addr.split(":")
+    reader, writer = await asyncio.open_connection(ip, int(port), limit=8 << 20)
+    try:
+        writer.write(head.encode() + data)
+        first, headers, answer = await read_request(reader)
+        return first, answer
+    finally:
+        writer.close()
+
+
 async def call(addr, method, path, host, body=None, timeout_s=5.0):
-    """Sends one request on a connection of its own.  Returns (status, object),
-    (None, reason) without an answer."""
-    writer = None
+    """Calls an instance.  Returns (status, object), and (None, reason) without an answer."""
+    data = b"" if body is None else json.dumps(body).encode()
+    head = (f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nContent-Length: {len(data)}\r\n"
+            f"X-Masticmill-Deadline-Ms: {int(timeout_s * 1000)}\r\nContent-Type: application/json\r\n\r\n")
     try:
-        async with asyncio.timeout(timeout_s):
-            ip, port = addr.split(":")
-            reader, writer = await asyncio.open_connection(ip, int(port), limit=8 << 20)
-            data = b"" if body is None else json.dumps(body).encode()
-            head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nContent-Length: {len(data)}\r\n"
-            head += f"X-Masticmill-Deadline-Ms: {int(timeout_s * 1000)}\r\n"
-            head += "Content-Type: application/json\r\n\r\n"
-            writer.write(head.encode() + data)
-            first, headers, answer = await read_request(reader)
-            try:
-                parsed = json.loads(answer) if answer else {}
-            except ValueError:
-                parsed = {}
-            return int(first.split(" ")[1]), parsed
-    except TimeoutError:
+        first, answer = await asyncio.wait_for(exchange(addr, head, data), timeout_s)
+    except (TimeoutError, asyncio.TimeoutError):
         return None, "no answer in time"
-    except (OSError, asyncio.IncompleteReadError, ValueError) as e:
+    except (OSError, asyncio.IncompleteReadError) as e:
         return None, "connection ended: " + type(e).__name__
-    finally:
-        if writer:
-            writer.close()
+    try:
+        parsed = json.loads(answer) if answer else {}
+    except ValueError:
+        parsed = {}
+    return int(first.split(" ")[1]), parsed
 
 
 # ---- the platform's store ---------------------------------------------------
@@ -286,7 +288,7 @@
         if start >= len(p.records) and wait:
             try:
                 await asyncio.wait_for(p.grown.wait(), wait)
-            except TimeoutError:
+            except (TimeoutError, asyncio.TimeoutError):
                 pass
         await asyncio.sleep(ANSWER_MS * self.slow / 1000)
         out = [len(p.records).to_bytes(8, "big"), (0).to_bytes(8, "big")]
@@ -477,7 +479,7 @@
         if not self.finished and o.get("waitMs"):
             try:
                 await asyncio.wait_for(self.change.wait(), o["waitMs"] / 1000)
-            except TimeoutError:
+            except (TimeoutError, asyncio.TimeoutError):
                 pass
         return 200, {"running": [[r.task, r.run, "", min(99, int(100 * (now_ms() - r.start) / max(r.work_ms, 1)))]
                                  for r in self.running.values()], "finished": self.finished[:500]}
@@ -592,9 +594,10 @@
                 p.kill()
         for p in self.nodes.values():
             p.wait()
-        for e in self.executors:
+        for e in getattr(self, "executors", []):
             e.up = False
         self.record.close()
+        shutil.rmtree(self.tmp, ignore_errors=True)
 
 
 class CannotRun(Exception):
@@ -614,17 +617,21 @@
 
 def main(case, folder, **options):
     """Runs case(world, trouble), which returns the list of breaks of the rule."""
+    async def play():
+        world = World(folder, **options)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        try:
+            await world.start()
+            return await case(world, os.environ.get("TROUBLE", "1") != "0")
+        finally:
+            await world.stop()
+
     async def body():
-        async with asyncio.timeout(115):
-            world = World(folder, **options)
-            try:
-                await world.start()
-                return await case(world, os.environ.get("TROUBLE", "1") != "0")
-            finally:
-                await world.stop()
+        return await asyncio.wait_for(play(), 115)
+
     try:
         breaks = asyncio.run(body())
-    except (CannotRun, OSError, TimeoutError) as e:
+    except (CannotRun, OSError, TimeoutError, asyncio.TimeoutError, asyncio.CancelledError) as e:
         print("the case could not run:", repr(e))
         sys.exit(2)
     for b in breaks:
