--- a/review/standins-2/executor.py
+++ b/review/standins-2/executor.py
@@ -111,7 +111,7 @@
         self.finished.append([self.next_n, task, run.number, how, ""])
         self.lapses_at_end[self.next_n] = self.lapses
         self.record("end", executor=self.name, task=task, run=run.number,
-                    how=how, n=self.next_n)
+                    how=how, n=self.next_n, born=self.born_ms)
         self.next_n += 1
         self.changed.set()
         self.changed = asyncio.Event()
@@ -184,6 +184,7 @@
             if row[0] <= acked:
                 self.record("taken_note", executor=self.name, task=row[1],
                             run=row[2], how=row[3], n=row[0],
+                            born=self.born_ms,
                             lease_lapsed=self.lapses
                             != self.lapses_at_end[row[0]])
         self.finished = [row for row in self.finished if row[0] > acked]
