Standby: a data centre whose instances lost power is taken over

Cause: a standby took over only a data centre whose last instance had closed its links. Machines without power close none, so nobody owned the upstreams there, a search for tasks in doubt never got the answer of an owner for each listed upstream, and a job with one task in doubt starts none. The same after MM_STANDBY_FORGET_MS, and once the instances that had seen the loss were restarted: the decision rested on an event that somebody had to have seen.

Change: an instance also becomes standby when the store has listed no instance of the data centre for MM_STANDBY_ABSENT_MS, none can be linked to, and the list still names upstreams there. Instances that the list ceased to name are linked to once more meanwhile: they may have lost only their memberships. The standby event says for how long the store listed none.

Why it works: the rule is one on the store's state, which every instance can read at any time, whatever it has seen.

--- a/src/config.h
+++ b/src/config.h
@@ -328,6 +328,9 @@
 #define MM_NEIGHBOUR_NEW_MS 5000
 /* A link is kept for this long after it was last needed.  */
 #define MM_MESH_LINK_KEEP_MS 10000
+/* An instance that is neither listed nor connected is remembered for this
+   long, which covers the time until a standby takes over.  */
+#define MM_MESH_UNLISTED_KEEP_MS (2 * MM_STANDBY_ABSENT_MS)
 /* The neighbours are chosen again at least this often.  */
 #define MM_NEIGHBOURS_CHECK_MS 500
 
@@ -582,5 +585,11 @@
 /* No standby takes over later than this after the last link to the data centre
    was lost: its instances are restarted or replaced by then.  */
 #define MM_STANDBY_FORGET_MS 20000
+/* Delay until a standby takes over a data centre whose instances the store
+   does not list any more.  The upstreams of a data centre that is disconnected
+   as a whole leave the upstream list within it, and need no standby.  */
+#define MM_STANDBY_ABSENT_MS 3500
+/* Pause between reads of the list of instances of such a data centre.  */
+#define MM_STANDBY_ABSENT_POLL_MS 500
 
 #endif /* MM_CONFIG_H */
--- a/src/mm_catalog.c
+++ b/src/mm_catalog.c
@@ -162,6 +162,22 @@
   return all;
 }
 
+bool
+mm_catalog_lists_any_in (const mm_catalog *c, const char *datacentre)
+{
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, c->by_name);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      const entry *e = v;
+      if (!e->missing_since_ms
+          && g_strcmp0 (e->info->datacentre, datacentre) == 0)
+        return true;
+    }
+  return false;
+}
+
 const mm_upstream_info *
 mm_catalog_find (const mm_catalog *c, const char *name)
 {
--- a/src/mm_catalog.h
+++ b/src/mm_catalog.h
@@ -39,6 +39,8 @@
 void mm_catalog_tick (mm_catalog *c, bool in_contact);
 /* Returns a list of mm_upstream_info; the caller frees the list only.  */
 GList *mm_catalog_all (const mm_catalog *c);
+/* Returns whether any upstream of a data centre is listed, and not missing. */
+bool mm_catalog_lists_any_in (const mm_catalog *c, const char *datacentre);
 /* Returns the entry of an upstream, or NULL when it is unknown.  */
 const mm_upstream_info *mm_catalog_find (const mm_catalog *c,
                                          const char *name);
--- a/src/mm_datacentres.c
+++ b/src/mm_datacentres.c
@@ -1,11 +1,14 @@
 /* mm_datacentres: partitions of the own data centre, and of others as standby.
 
-   An instance becomes standby only for a data centre whose last instance
-   closed its links, not for one whose links became unresponsive.  An instance
-   that is unreachable because of a network fault goes on serving its
-   upstreams, and the higher fencing token of a standby would stop the runs
-   there once the network works again.  Of all instances that are connected to
-   each other, MM_STANDBY_COUNT become standby.  */
+   An instance becomes standby at once for a data centre whose last instance
+   closed its links.  When the links became unresponsive, the instances there
+   may have lost power, or be unreachable because of a network fault.  In the
+   second case they go on serving their upstreams, and the higher fencing token
+   of a standby would stop the runs there once the network works again.  So an
+   instance then becomes standby only after the store has listed none of them,
+   but some of their upstreams, for MM_STANDBY_ABSENT_MS.  That also holds for
+   an instance that was started after the loss.  Of all instances that are
+   connected to each other, MM_STANDBY_COUNT become standby.  */
 #include "mm_datacentres.h"
 
 #include "config.h"
@@ -35,6 +38,7 @@
 {
   mm_store_port port;
   mm_mesh *mesh;
+  mm_members *members; /* NULL: the store's list of instances is not used */
   char *member;
   uint32_t n_partitions;
   mm_datacentres_events ev;
@@ -155,39 +159,70 @@
   return n_before < MM_STANDBY_COUNT;
 }
 
+/* Returns for how long the store has listed no instance of a data centre that
+   cannot be reached and has upstreams; 0: no standby is needed for that
+   reason.  @presence: what the links show of it.  */
+static mm_time_ms
+absent_ms (const mm_datacentres *dcs, const membership *m,
+           const mm_mesh_presence *presence, mm_time_ms now)
+{
+  if (!dcs->members || presence->connected || !is_chosen_standby (dcs, m))
+    return 0;
+  bool lost_lately = presence->lost_ms
+                     && now - presence->lost_ms < MM_MESH_UNLISTED_KEEP_MS;
+  mm_members_absence absence
+      = mm_members_absence_of (dcs->members, m->datacentre, lost_lately);
+  if (absence.absent_ms == 0 || absence.n_members >= MM_STANDBY_COUNT
+      || !dcs->ev.lists_upstreams (dcs->ev.ctx, m->datacentre))
+    return 0;
+  /* The instances may run and have lost only their membership.  */
+  mm_mesh_reach_datacentre (dcs->mesh, m->datacentre);
+  return absence.absent_ms;
+}
+
 /* Becomes standby for a data centre that needs one, and begins to leave its
    group again once one of the data centre's own instances stays connected.  */
 static void
 update_standby (mm_datacentres *dcs, membership *m, mm_time_ms now)
 {
   mm_mesh_presence presence = mm_mesh_presence_in (dcs->mesh, m->datacentre);
+  if (presence.staying)
+    retire (dcs, m);
+  if (m->partitions)
+    return;
   /* This instance has links to only some instances of the data centre, so all
      are lost only when no untried one remains.  A loss is forgotten after
      MM_STANDBY_FORGET_MS, when the instances have been restarted or replaced.
      A standby is also needed when all connected instances are shutting down:
      they serve until they can hand over their partitions.  */
-  bool all_lost = presence.connected == 0 && presence.untried == 0
-                  && presence.closed_ms
-                  && now - presence.closed_ms < MM_STANDBY_FORGET_MS;
-  bool needs_standby = all_lost || (presence.connected && !presence.staying);
-  if (!needs_standby)
+  bool all_closed = presence.connected == 0 && presence.untried == 0
+                    && presence.closed_ms
+                    && now - presence.closed_ms < MM_STANDBY_FORGET_MS;
+  bool all_leaving = presence.connected && !presence.staying;
+  mm_time_ms absent_for_ms = absent_ms (dcs, m, &presence, now);
+  if (!all_closed && !all_leaving && absent_for_ms < MM_STANDBY_ABSENT_MS)
     {
       m->standby_needed_since_ms = 0;
-      if (presence.staying)
-        retire (dcs, m);
       return;
     }
   if (!m->standby_needed_since_ms)
     m->standby_needed_since_ms = now;
-  if (!m->partitions && now - m->standby_needed_since_ms >= MM_STANDBY_AFTER_MS
+  if (now - m->standby_needed_since_ms >= MM_STANDBY_AFTER_MS
       && is_chosen_standby (dcs, m))
     {
       mm_log_event (MM_EV_STANDBY, MM_TEXT (m->datacentre),
-                    MM_INT (all_lost ? now - presence.closed_ms : 0));
+                    MM_INT (all_closed ? now - presence.closed_ms : 0),
+                    MM_INT (absent_for_ms));
       join_group (dcs, m);
     }
 }
 
+void
+mm_datacentres_set_members (mm_datacentres *dcs, mm_members *members)
+{
+  dcs->members = members;
+}
+
 void
 mm_datacentres_set_transfer_runs (mm_datacentres *dcs, bool transfer_runs)
 {
--- a/src/mm_datacentres.h
+++ b/src/mm_datacentres.h
@@ -3,12 +3,14 @@
 
    These are its own data centre, always, and those that it is standby for.  A
    data centre needs a standby while all of its own instances are killed,
-   stopped or being replaced.  Without one, its upstreams would be idle: a
-   quarter of all upstreams, with four data centres of equal size.  */
+   stopped, without power or being replaced.  Without one, its upstreams would
+   be idle: a quarter of all upstreams, with four data centres of equal size.
+ */
 #ifndef MM_DATACENTRES_H
 #define MM_DATACENTRES_H
 
 #include "mm_handover_plan.h"
+#include "mm_members.h"
 #include "mm_mesh.h"
 #include "mm_partitions.h"
 
@@ -22,6 +24,9 @@
      and the links; that of the upstreams is added.  */
   mm_handover_step (*advance) (void *ctx, const char *datacentre,
                                mm_handover_facts *f);
+  /* Returns whether the upstream list names any upstream of a data centre, or
+     is not known.  */
+  bool (*lists_upstreams) (void *ctx, const char *datacentre);
   /* The store has reassigned partitions of a joined group.  */
   void (*changed) (void *ctx);
   void *ctx;
@@ -37,6 +42,9 @@
                                        uint32_t n_partitions,
                                        const mm_datacentres_events *ev);
 void mm_datacentres_destroy (mm_datacentres *dcs); /* leaves no group */
+/* Makes data centres get a standby whose instances the store does not list any
+   more; @members must outlive @dcs.  */
+void mm_datacentres_set_members (mm_datacentres *dcs, mm_members *members);
 /* Sets whether partitions are released while tasks run on their upstreams, if
    the next owners can take the runs over.  */
 void mm_datacentres_set_transfer_runs (mm_datacentres *dcs,
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -120,9 +120,10 @@
       "are the linked instances that may be the next owner, unresponsive the "
       "busy upstreams that do not answer. The other fields count the runs." },
   [MM_EV_STANDBY]
-  = { "standby", RATE_HIGH, "datacentre closed_ms",
+  = { "standby", RATE_HIGH, "datacentre closed_ms absent_ms",
       "The instances of the data centre are gone, and this instance is "
-      "a standby: it owns a part of the upstreams there." },
+      "a standby: it owns a part of the upstreams there.  They closed their "
+      "links this long ago, or the store has not listed them for so long." },
   [MM_EV_PREDECESSOR]
   = { "predecessor", RATE_HIGH, "group member",
       "A previous incarnation of this instance was still a member of "
--- a/src/mm_members.c
+++ b/src/mm_members.c
@@ -18,6 +18,10 @@
   char **member_names;     /* names in the last answer; NULL: none yet */
   GHashTable *holders;     /* partition -> member name, in the last answer */
   mm_time_ms requested_ms; /* when the members were last requested */
+  mm_time_ms absent_since_ms; /* request of the first of the answers in a row
+                                 that list none of its instances, 0: the last
+                                 one lists some */
+  mm_time_ms absent_until_ms; /* request of the last of these answers */
   bool in_flight;
 } datacentre;
 
@@ -169,6 +173,30 @@
   g_array_free (peers, TRUE);
 }
 
+/* Returns whether a member of a group is an instance of the data centre, and
+   not a standby.  */
+static bool
+is_in_datacentre (const char *member, const char *name)
+{
+  const char *slash = strrchr (member, DATACENTRE_SEPARATOR);
+  return slash && strcmp (slash + 1, name) == 0;
+}
+
+/* Records whether the last answer lists any instance of the data centre.  */
+static void
+update_absence (datacentre *dc)
+{
+  for (char **member = dc->member_names; *member; member++)
+    if (is_in_datacentre (*member, dc->name))
+      {
+        dc->absent_since_ms = 0;
+        return;
+      }
+  if (!dc->absent_since_ms)
+    dc->absent_since_ms = dc->requested_ms;
+  dc->absent_until_ms = dc->requested_ms;
+}
+
 /* Handles the answer to a read of the members of a data centre's group.  After
    a failure the members of the last answer are kept.  */
 static void
@@ -185,6 +213,7 @@
       dc->member_names = g_new0 (char *, res->n_members + 1);
       for (size_t i = 0; i < res->n_members; i++)
         dc->member_names[i] = g_strdup (res->members[i]);
+      update_absence (dc);
       g_hash_table_remove_all (dc->holders);
       for (size_t i = 0; i < res->n_holders; i++)
         g_hash_table_replace (dc->holders,
@@ -228,20 +257,43 @@
   return true;
 }
 
+static datacentre *
+find_datacentre (const mm_members *m, const char *name)
+{
+  for (size_t i = 0; i < m->n_datacentres; i++)
+    if (strcmp (m->datacentres[i].name, name) == 0)
+      return &m->datacentres[i];
+  return NULL;
+}
+
 const char *
 mm_members_holder (mm_members *m, const char *datacentre_name,
                    uint32_t partition)
 {
-  for (size_t i = 0; i < m->n_datacentres; i++)
-    {
-      datacentre *dc = &m->datacentres[i];
-      if (strcmp (dc->name, datacentre_name) != 0)
-        continue;
-      if (mm_clock_now_ms () - dc->requested_ms >= MM_OWNER_FINDER_AGE_MS)
-        request_members (dc);
-      return g_hash_table_lookup (dc->holders, GUINT_TO_POINTER (partition));
-    }
-  return NULL;
+  datacentre *dc = find_datacentre (m, datacentre_name);
+  if (!dc)
+    return NULL;
+  if (mm_clock_now_ms () - dc->requested_ms >= MM_OWNER_FINDER_AGE_MS)
+    request_members (dc);
+  return g_hash_table_lookup (dc->holders, GUINT_TO_POINTER (partition));
+}
+
+mm_members_absence
+mm_members_absence_of (mm_members *m, const char *datacentre_name,
+                       bool suspected)
+{
+  datacentre *dc = find_datacentre (m, datacentre_name);
+  if (!dc)
+    return (mm_members_absence){ 0 };
+  if ((suspected || dc->absent_since_ms)
+      && mm_clock_now_ms () - dc->requested_ms >= MM_STANDBY_ABSENT_POLL_MS)
+    request_members (dc);
+  mm_members_absence r = { 0 };
+  if (dc->member_names)
+    r.n_members = g_strv_length (dc->member_names);
+  if (dc->absent_since_ms)
+    r.absent_ms = dc->absent_until_ms - dc->absent_since_ms;
+  return r;
 }
 
 /* Polls all data centres the first time, and after that the own one each time
--- a/src/mm_members.h
+++ b/src/mm_members.h
@@ -41,6 +41,20 @@
    again now if that was last done MM_OWNER_FINDER_AGE_MS ago.  */
 const char *mm_members_holder (mm_members *m, const char *datacentre,
                                uint32_t partition);
+/* What the store lists of the instances of a data centre.  */
+typedef struct
+{
+  /* For how long it has listed none of them, up to the last answer; 0: it
+     lists one, or has listed none for the first time or never answered.  */
+  mm_time_ms absent_ms;
+  uint32_t n_members; /* members of the group, with standbys */
+} mm_members_absence;
+
+/* Returns what is known of the data centre.  Its members are read again now if
+   that was last done MM_STANDBY_ABSENT_POLL_MS ago and the last answer listed
+   none of its instances, or @suspected is set.  */
+mm_members_absence
+mm_members_absence_of (mm_members *m, const char *datacentre, bool suspected);
 /* Reads members from the store when a read is due, and passes them to the mesh
    as its peers.  Must be called every MM_EXEC_TICK_MS.  */
 void mm_members_tick (mm_members *m);
--- a/src/mm_mesh.c
+++ b/src/mm_mesh.c
@@ -534,6 +534,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   m->listen_fd = fd;
   m->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
+  m->unlisted = g_queue_new ();
   msgpack_sbuffer_init (&m->kinds);
   ev_io_init (&m->accept_io, accept_cb, fd, EV_READ);
   m->accept_io.data = m;
@@ -558,6 +559,7 @@
     mm_link_close (((mm_mesh_inbound_link *)m->inbound->data)->link,
                    "shutdown");
   g_hash_table_destroy (m->peers);
+  g_queue_free_full (m->unlisted, mm_mesh_unlisted_free);
   g_hash_table_destroy (m->closed_ms);
   msgpack_sbuffer_destroy (&m->kinds);
   g_free (m->self);
--- a/src/mm_mesh.h
+++ b/src/mm_mesh.h
@@ -165,10 +165,14 @@
   uint32_t untried;     /* known instances that may own upstreams and to which
                            no link was lost within MM_NEIGHBOUR_LOST_MS */
   mm_time_ms closed_ms; /* when a peer there last closed its link, 0: never */
+  mm_time_ms lost_ms;   /* when a link there was last lost, 0: never */
 } mm_mesh_presence;
 
 mm_mesh_presence mm_mesh_presence_in (const mm_mesh *m,
                                       const char *datacentre);
+/* Tries to link to the instances of a data centre that were dropped in the
+   last MM_MESH_UNLISTED_KEEP_MS, as they were not listed any more.  */
+void mm_mesh_reach_datacentre (mm_mesh *m, const char *datacentre);
 uint32_t mm_mesh_connected (const mm_mesh *m); /* number of connected peers */
 /* Number of links from other instances.  */
 uint32_t mm_mesh_inbound (const mm_mesh *m);
--- a/src/mm_mesh_peers.c
+++ b/src/mm_mesh_peers.c
@@ -16,6 +16,39 @@
   return false;
 }
 
+void
+mm_mesh_unlisted_free (gpointer unlisted)
+{
+  mm_mesh_unlisted *u = unlisted;
+  mm_mesh_peer_info_clear (&u->info);
+  g_free (u);
+}
+
+/* Frees entries of peers that were dropped long ago.  */
+static void
+expire_unlisted (mm_mesh *m, mm_time_ms now)
+{
+  const mm_mesh_unlisted *oldest;
+  while ((oldest = g_queue_peek_head (m->unlisted))
+         && now - oldest->dropped_ms > MM_MESH_UNLISTED_KEEP_MS)
+    mm_mesh_unlisted_free (g_queue_pop_head (m->unlisted));
+}
+
+/* Remembers a peer that is being dropped.  It may run and only have lost its
+   membership.  */
+static void
+remember_unlisted (const mm_mesh_peer *p, mm_time_ms now)
+{
+  if (p->revived)
+    return;
+  mm_mesh_unlisted *u = g_new0 (mm_mesh_unlisted, 1);
+  u->info.name = g_strdup (p->info.name);
+  u->info.addr = g_strdup (p->info.addr);
+  u->info.datacentre = g_strdup (p->info.datacentre);
+  u->dropped_ms = now;
+  g_queue_push_tail (p->mesh->unlisted, u);
+}
+
 /**
  * mm_mesh_set_peers() - set the list of the other instances.
  * @m: the mesh.
@@ -23,11 +56,14 @@
  * @n: number of @peers.
  *
  * A peer that is not listed any more is kept while it is connected: the list
- * lags, and the tasks dispatched to that peer go on running.
+ * lags, and the tasks dispatched to that peer go on running.  Otherwise it is
+ * dropped, and mm_mesh_reach_datacentre() can add it again for a while.
  */
 void
 mm_mesh_set_peers (mm_mesh *m, const mm_mesh_peer_info *peers, size_t n)
 {
+  mm_time_ms now = mm_clock_now_ms ();
+  expire_unlisted (m, now);
   GHashTableIter it;
   gpointer k, v;
   g_hash_table_iter_init (&it, m->peers);
@@ -40,9 +76,12 @@
       p->info.is_standby = false;
       p->listed = is_listed (k, peers, n);
       if (was_listed && !p->listed)
-        p->unlisted_ms = mm_clock_now_ms ();
-      if (!p->connected && !p->listed)
-        g_hash_table_iter_remove (&it);
+        p->unlisted_ms = now;
+      p->revived = p->revived && !p->connected && !p->listed;
+      if (p->connected || p->listed)
+        continue;
+      remember_unlisted (p, now);
+      g_hash_table_iter_remove (&it);
     }
   m->neighbours_stale = true;
   for (size_t i = 0; i < n; i++)
@@ -113,6 +152,7 @@
         continue;
       r.connected += p->connected;
       r.staying += p->connected && !p->leaving;
+      r.lost_ms = MAX (r.lost_ms, p->lost_ms);
       r.untried
           += may_have_capacity (p, now)
              && (!p->lost_ms || now - p->lost_ms >= MM_NEIGHBOUR_LOST_MS);
@@ -122,6 +162,23 @@
   return r;
 }
 
+void
+mm_mesh_reach_datacentre (mm_mesh *m, const char *datacentre)
+{
+  expire_unlisted (m, mm_clock_now_ms ());
+  for (GList *l = m->unlisted->head; l; l = l->next)
+    {
+      const mm_mesh_unlisted *u = l->data;
+      if (strcmp (u->info.datacentre, datacentre) != 0
+          || g_hash_table_contains (m->peers, u->info.name))
+        continue;
+      mm_mesh_add_peer (m, &u->info);
+      mm_mesh_require_link (m, u->info.name);
+      mm_mesh_peer *p = g_hash_table_lookup (m->peers, u->info.name);
+      p->revived = true;
+    }
+}
+
 void
 mm_mesh_require_link (mm_mesh *m, const char *peer_name)
 {
--- a/src/mm_mesh_priv.h
+++ b/src/mm_mesh_priv.h
@@ -16,10 +16,12 @@
   bool listed;            /* the member list names the peer as an owner */
   mm_time_ms known_ms;    /* when the peer was added */
   mm_time_ms unlisted_ms; /* when the list last ceased to name it, 0: never */
-  bool wanted;            /* a link to the peer is wanted */
-  bool connected;         /* a report was received over the link */
-  bool leaving;           /* the peer reported that it is shutting down */
-  mm_time_ms lost_ms;     /* when a link was last lost, 0: never */
+  bool revived;   /* mm_mesh_reach_datacentre() added it again; neither listed
+                     nor   connected since */
+  bool wanted;    /* a link to the peer is wanted */
+  bool connected; /* a report was received over the link */
+  bool leaving;   /* the peer reported that it is shutting down */
+  mm_time_ms lost_ms;           /* when a link was last lost, 0: never */
   mm_time_ms wanted_until_ms;   /* a link is wanted at least until then */
   mm_requests *requests;        /* requests sent, without an answer yet */
   mm_time_ms connect_tried_ms;  /* when connecting was last tried */
@@ -40,6 +42,13 @@
   mm_queue_delay queue_delay;
 } mm_mesh_peer;
 
+/* A peer that was dropped, as it was neither listed nor connected any more. */
+typedef struct
+{
+  mm_mesh_peer_info info;
+  mm_time_ms dropped_ms;
+} mm_mesh_unlisted;
+
 /* A task that was dispatched to a peer and whose end was not received yet.  */
 struct mm_remote_task
 {
@@ -102,6 +111,7 @@
   int listen_fd;
   ev_io accept_io;
   GHashTable *peers; /* name -> mm_mesh_peer */
+  GQueue *unlisted;  /* mm_mesh_unlisted: dropped peers, oldest first */
   GList *inbound;    /* mm_mesh_inbound_link */
   mm_mesh_hello hello;
   void *hello_ctx;
@@ -125,6 +135,9 @@
   mm_time_ms kinds_packed_ms; /* when @kinds was last brought up to date */
 };
 
+/* mm_mesh_peers.c */
+void mm_mesh_unlisted_free (gpointer unlisted);
+
 /* mm_mesh.c */
 /* Sends packed messages to all connected peers.  */
 void mm_mesh_send_all (mm_mesh *m, const msgpack_sbuffer *b);
--- a/src/mm_node.c
+++ b/src/mm_node.c
@@ -136,6 +136,14 @@
                                         datacentre, f);
 }
 
+static bool
+lists_upstreams (void *ctx, const char *datacentre)
+{
+  const mm_node *n = ctx;
+  return !mm_stream_is_current (n->upstreams)
+         || mm_catalog_lists_any_in (n->catalog, datacentre);
+}
+
 static mm_partition_state
 partition_state_of (void *ctx, const mm_upstream_info *u, uint64_t *fence)
 {
@@ -402,8 +410,10 @@
   n->upstreams = mm_list_share_stream (n->list);
   mm_exec_list_age list_age = { .list_current_ms = list_known_ms, .ctx = n };
   mm_owner_set_list_age (n->owner, &list_age);
-  mm_datacentres_events ev
-      = { .advance = advance_handover, .changed = tick_now, .ctx = n };
+  mm_datacentres_events ev = { .advance = advance_handover,
+                               .lists_upstreams = lists_upstreams,
+                               .changed = tick_now,
+                               .ctx = n };
   n->owned_datacentres
       = mm_datacentres_create (store, n->mesh, s->datacentres, s->datacentre,
                                member, (uint32_t)s->partitions, &ev);
@@ -431,6 +441,7 @@
   n->members = mm_members_create (store, n->mesh, s->datacentres,
                                   s->datacentre, member, n->predecessors);
   mm_members_on_changed (n->members, on_group_changed, n);
+  mm_datacentres_set_members (n->owned_datacentres, n->members);
   mm_owner_finder_port finder = { .catalog = n->catalog,
                                   .owner_of = owner_of_upstream,
                                   .list_complete = list_complete,
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -347,6 +347,37 @@
   return ((mm_mesh_peer *)g_hash_table_lookup (m->peers, peer))->wanted;
 }
 
+/* Guards against a standby for instances that run and only lost their
+   memberships: those that the list ceased to name are linked to once more.  */
+START_TEST (dropped_peers_of_a_data_centre_are_reached_for_a_while)
+{
+  now_ms = 1000;
+  mm_clock_set_source (test_clock, NULL);
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  mm_exec_port no_calls = { 0 };
+  mm_owner *owner = mm_owner_create (&no_calls);
+  mm_mesh *m = mm_mesh_create (loop, "self", "north", "127.0.0.1",
+                               (uint16_t)h_port_base (), owner, NULL);
+  ck_assert_ptr_nonnull (m);
+  const mm_mesh_peer_info peers[] = {
+    { (char *)"near", (char *)"127.0.0.1:1", (char *)"north", false },
+    { (char *)"far", (char *)"127.0.0.1:1", (char *)"south", false },
+  };
+  mm_mesh_set_peers (m, peers, 2);
+  mm_mesh_set_peers (m, NULL, 0);
+  mm_mesh_reach_datacentre (m, "south");
+  ck_assert (wants_link (m, "far", 0));
+  ck_assert_ptr_null (g_hash_table_lookup (m->peers, "near"));
+  mm_mesh_set_peers (m, NULL, 0);
+  now_ms += MM_MESH_UNLISTED_KEEP_MS + 1;
+  mm_mesh_reach_datacentre (m, "south");
+  ck_assert_ptr_null (g_hash_table_lookup (m->peers, "far"));
+  mm_mesh_destroy (m);
+  mm_owner_destroy (owner);
+  ev_loop_destroy (loop);
+}
+END_TEST
+
 /* Guards against an outage of the store after which an instance reaches no
    owner for seconds: it rejoins before its peers and reads a member list
    without them.  The links to connected peers must stay for longer than until
@@ -877,6 +908,7 @@
   tcase_add_test (c,
                   lost_neighbours_are_replaced_and_standby_instances_chosen);
   tcase_add_test (c, link_stays_when_a_member_list_lacks_the_peer);
+  tcase_add_test (c, dropped_peers_of_a_data_centre_are_reached_for_a_while);
   tcase_add_test (c, times_out_of_range_are_refused);
   tcase_add_test (c, links_stay_alive_however_many_there_are);
   tcase_add_test (c, reservations_pass_between_instances);
