Search: an upstream that lists only some of its ends is not clear of a task

Cause: an upstream lists 500 ends, and the others once these are acknowledged. In the outage the ends of kept tasks can't be stored, so nothing behind them is acknowledged. The next owner's first list named the running tasks and the first 500 ends; a task in neither counted as one that isn't there, and its home started it again.

Change: an owner answers that an upstream is clear only if its newest list held all ends. The ends that are listed are reported all the same, or the first page would wait for the homes and the homes for the last page. New events: upstream_ends (an upstream lists only the first of its ends, how many wait to be stored, since when) and kept_search_waits (what a search waits for, since when).

Why it works: absence is concluded only from a list that is whole, as it was already where a session looks for its own runs.

--- a/src/config.h
+++ b/src/config.h
@@ -511,6 +511,8 @@
    of its upstream is 2 % slow and the last renewal was long under way.  */
 #define MM_KEPT_LEASE_EXPIRY_MS 1100
 #define MM_KEPT_SEARCH_PAUSE_MS 250 /* between searches for tasks in doubt */
+/* Pause between log lines of what searches wait for.  */
+#define MM_KEPT_SEARCH_LOG_MS 2000
 /* The outcomes of kept jobs are kept for this long; 120 s are required.  */
 #define MM_KEPT_OUTCOME_TTL_MS 150000
 /* Homes are no longer looked up this long after they were last used.  */
--- a/src/mm_event.c
+++ b/src/mm_event.c
@@ -161,6 +161,13 @@
       "The upstream has started again under the same name, after_ms after "
       "its earlier start. Its runs are lost; the fencing token of this "
       "instance, fence, is raised by one." },
+  [MM_EV_UPSTREAM_ENDS]
+  = { "upstream_ends", RATE_HIGH, "upstream complete listed unacked oldest_ms",
+      "The upstream lists only the first of its ends from now on (complete "
+      "0), or all of them again (1). The others follow once the first are "
+      "acknowledged: unacked of them wait until their jobs are stored, the "
+      "oldest for oldest_ms. Until then no task that is searched for is taken "
+      "for one that does not run there." },
   [MM_EV_LEASES_LIMITED]
   = { "leases_limited", RATE_HIGH,
       "job task upstream run left_ms stopping_ms runs",
@@ -277,6 +284,12 @@
   = { "kept_found", RATE_HIGH, "job tasks",
       "Every upstream has answered the search; tasks that are not done "
       "are dispatched again." },
+  [MM_EV_KEPT_SEARCH_WAITS]
+  = { "kept_search_waits", RATE_HIGH,
+      "tasks present upstream list_known waited_ms",
+      "For waited_ms, no search for tasks in doubt has shown that none of "
+      "them is left: some are present, the upstream list is not known "
+      "(list_known 0), or no owner has answered for the upstream." },
   [MM_EV_TASK_HANDED]
   = { "task_handed", RATE_LOW, "job task owner free waiting age_ms attempt",
       "The task was dispatched to this owner of upstreams." },
--- a/src/mm_exec_incarnation.c
+++ b/src/mm_exec_incarnation.c
@@ -28,6 +28,7 @@
       = MAX (x->leases_expire_ms, mm_clock_now_ms () + MM_LEASE_MS);
   x->lost = true;
   x->runs_known = true;
+  x->more_ends = false;
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init (&it, x->runs);
--- a/src/mm_exec_lists.c
+++ b/src/mm_exec_lists.c
@@ -221,6 +221,23 @@
   g_list_free (runs);
 }
 
+/* Records whether the lists lack ends, and logs a change.  */
+static void
+update_more_ends (mm_exec *x, const mm_hold_result *res)
+{
+  if (x->more_ends == res->more_ended)
+    return;
+  x->more_ends = res->more_ended;
+  mm_time_ms now = mm_clock_now_ms (), oldest_ms = now;
+  for (guint i = 0; i < x->unacked->len; i++)
+    oldest_ms
+        = MIN (oldest_ms,
+               g_array_index (x->unacked, mm_unacked_end, i).first_seen_ms);
+  mm_log_event (MM_EV_UPSTREAM_ENDS, MM_TEXT (x->info->name),
+                MM_INT (!x->more_ends), MM_INT (res->n_ended),
+                MM_INT (x->unacked->len), MM_INT (now - oldest_ms));
+}
+
 void
 mm_exec_process_lists (mm_exec *x, const mm_exec_call *c,
                        const mm_hold_result *res)
@@ -260,6 +277,7 @@
                     MM_INT (x->fence));
     }
   x->runs_known = true;
+  update_more_ends (x, res);
   process_ends (x, res);
   if (!x->closed)
     process_running (x, res, present);
--- a/src/mm_exec_state.c
+++ b/src/mm_exec_state.c
@@ -259,11 +259,12 @@
  * mm_exec_runs_confirmed() - whether the runs on the upstream are known.
  * @x: the session.
  *
- * Return: true once a hold has listed the runs, and also when the upstream was
- * out of contact for longer than any lease: an upstream that knows this
- * instance's fencing token lets no earlier owner renew a lease.  True as well
- * if another incarnation has replaced the upstream; otherwise false when the
- * session is fenced or closed.
+ * Return: true once a hold has listed the runs and all ends, and also when the
+ * upstream was out of contact for longer than any lease: an upstream that
+ * knows this instance's fencing token lets no earlier owner renew a lease.
+ * True as well if another incarnation has replaced the upstream; otherwise
+ * false when the session is fenced or closed.  A run that is not listed may
+ * have its end behind those that the hold had room for.
  */
 bool
 mm_exec_runs_confirmed (const mm_exec *x)
@@ -274,7 +275,7 @@
       = x->hold_failed_ms
         && mm_clock_now_ms () > x->leases_expire_ms + MM_LEASE_SLACK_MS;
   return !x->fenced && !x->closed && x->fence_known
-         && (x->runs_known || leases_expired);
+         && ((x->runs_known && !x->more_ends) || leases_expired);
 }
 
 bool
--- a/src/mm_owner_kept.c
+++ b/src/mm_owner_kept.c
@@ -70,14 +70,18 @@
       const mm_owned_upstream *owned = v;
       const mm_exec *x = owned->exec;
       out->present += mm_exec_count_runs_of (x, tasks);
+      if (!o->confirmed || owned->released || mm_exec_fenced (x))
+        continue;
+      /* A listed end is certain.  The ends behind it are listed only once it
+         is acknowledged, so it must not wait until the upstream is clear.  */
+      append_unacked_ends (x, tasks, out->ends);
       /* An upstream counts as free of the tasks only if this instance is
          confirmed as its owner and the session has listed its runs: another
          owner with a higher fencing token may have started one there.  */
-      if (!o->confirmed || owned->released || !mm_exec_runs_confirmed (x))
+      if (!mm_exec_runs_confirmed (x))
         continue;
       uint64_t hash = mm_upstream_hash (mm_exec_info (x)->name);
       g_array_append_val (out->clear_upstreams, hash);
-      append_unacked_ends (x, tasks, out->ends);
     }
 }
 
--- a/src/mm_task_search.c
+++ b/src/mm_task_search.c
@@ -4,6 +4,7 @@
 #include "mm_task_search.h"
 
 #include "config.h"
+#include "mm_event.h"
 #include "mm_kept_wire.h"
 
 struct mm_task_search
@@ -21,6 +22,9 @@
   bool complete; /* the catalog names every upstream that may run a task */
   uint32_t outstanding; /* requests not answered yet, plus one while they are
                            being sent */
+  mm_time_ms waits_since_ms; /* end of the first of the rounds in a row that
+                                found a task or were incomplete, 0: none */
+  mm_time_ms logged_ms;      /* when that was last logged */
 };
 
 /* A request to one peer.  */
@@ -89,21 +93,38 @@
                owner);
 }
 
-/* Whether an owner has answered for every upstream of the catalog that none of
-   the tasks runs there.  */
-static bool
-all_upstreams_clear (const mm_task_search *s)
+/* Returns an upstream of the catalog for which no owner has answered that none
+   of the tasks runs there; NULL: there is none.  */
+static const char *
+find_unclear_upstream (const mm_task_search *s)
 {
-  bool all = true;
+  const char *unclear = NULL;
   GList *list = mm_catalog_all (s->catalog);
-  for (GList *l = list; l && all; l = l->next)
+  for (GList *l = list; l && !unclear; l = l->next)
     {
-      uint64_t hash
-          = mm_upstream_hash (((const mm_upstream_info *)l->data)->name);
-      all = g_hash_table_contains (s->clear_upstreams, &hash);
+      const char *name = ((const mm_upstream_info *)l->data)->name;
+      uint64_t hash = mm_upstream_hash (name);
+      if (!g_hash_table_contains (s->clear_upstreams, &hash))
+        unclear = name;
     }
   g_list_free (list);
-  return all;
+  return unclear;
+}
+
+/* Logs from time to time what keeps rounds from showing that no run is left.
+ */
+static void
+log_waiting (mm_task_search *s, guint n_tasks, const char *unclear)
+{
+  mm_time_ms now = mm_clock_now_ms ();
+  if (!s->waits_since_ms)
+    s->waits_since_ms = s->logged_ms = now;
+  if (now - s->logged_ms < MM_KEPT_SEARCH_LOG_MS)
+    return;
+  s->logged_ms = now;
+  mm_log_event (MM_EV_KEPT_SEARCH_WAITS, MM_INT (n_tasks),
+                MM_INT (s->n_present), MM_TEXT (unclear ? unclear : ""),
+                MM_INT (s->complete), MM_INT (now - s->waits_since_ms));
 }
 
 /* Reports that no run is left, if the answers of this round show it.  */
@@ -111,8 +132,14 @@
 end_round (mm_task_search *s)
 {
   GHashTable *tasks = g_steal_pointer (&s->tasks);
-  if (s->complete && s->n_present == 0 && all_upstreams_clear (s))
-    s->ev.none_left (s->ev.ctx, tasks);
+  const char *unclear = find_unclear_upstream (s);
+  if (s->complete && s->n_present == 0 && !unclear)
+    {
+      s->waits_since_ms = 0;
+      s->ev.none_left (s->ev.ctx, tasks);
+    }
+  else
+    log_waiting (s, g_hash_table_size (tasks), unclear);
   g_hash_table_destroy (tasks);
 }
 
--- a/tests/fake_upstreams.c
+++ b/tests/fake_upstreams.c
@@ -242,6 +242,18 @@
   return mm_run_table_run_count (x->table);
 }
 
+uint32_t
+fake_done_runs (const fake *x, const mm_task_id *task)
+{
+  size_t n;
+  uint32_t done = 0;
+  const mm_ended_run *runs = mm_run_table_ended_runs (x->table, &n);
+  for (size_t i = 0; i < n; i++)
+    done += runs[i].how == MM_END_DONE
+            && mm_task_id_equal (&runs[i].task, task);
+  return done;
+}
+
 bool
 fake_is_running (const fake *x, const mm_task_id *task)
 {
--- a/tests/fake_upstreams.h
+++ b/tests/fake_upstreams.h
@@ -70,6 +70,8 @@
 size_t fake_running (const fake *x);  /* number of current runs */
 uint32_t fake_starts (const fake *x); /* starts carried out so far */
 bool fake_is_running (const fake *x, const mm_task_id *task);
+/* Returns how many runs of the task were done there.  */
+uint32_t fake_done_runs (const fake *x, const mm_task_id *task);
 /* Returns the number of ends that are not acknowledged.  */
 size_t fake_unacked_ends (const fake *x);
 /* Starts task 0 of @job as another owner with the fencing token @fence does.
