Kept jobs: stored ends are acknowledged by whoever holds them

What callers saw: nothing by itself.

Cause: the home acknowledges an end once, to the owner that reported it. If that owner is gone or the message is lost, the next owner asked about the job, was answered "running", and held the end until the job's end or for MM_UNACKED_END_TTL_MS; an owner that had found the end itself did not ask.

In memory: an end is left if its session is replaced 140 ms after it.

Change: the question to the home names the tasks whose ends are held, and the answer those that the stored record has as done, which is so when no write of it is due or under way, at a confirmed home. Owners ask each second about ends that they have held for a second as well. The state dump has unacked_ends for each upstream.

Why it works: the fact is asked for as long as it is needed, not told once. Messages of the release before are understood, and the other way round.

--- a/fuzz/fuzz_wire.c
+++ b/fuzz/fuzz_wire.c
@@ -94,6 +94,13 @@
   mm_search_result_read (data, size, &result);
   mm_search_result_clear (&result);
   mm_end_acks_read (data, size, ignore_end_ack, NULL);
+  char job_id[MM_JOB_ID_MAX + 1];
+  tasks = mm_foreign_request_read (data, size, job_id);
+  if (tasks)
+    g_hash_table_destroy (tasks);
+  mm_foreign_answer_read (data, size, &kept_answer, &tasks);
+  if (tasks)
+    g_hash_table_destroy (tasks);
 }
 
 /* Feeds one input to every decoder.  */
--- a/src/mm_home.c
+++ b/src/mm_home.c
@@ -45,6 +45,7 @@
   mm_time_ms ended_ms;         /* when the outcome was stored, 0: not yet */
   mm_time_ms progress_due_ms;  /* when to store the progress, 0: there is none
                                   to store */
+  uint32_t n_writes;           /* writes of the record that have not ended */
 } job;
 
 /* mm_home_confirm_state() or mm_home_cancel().  */
@@ -173,8 +174,9 @@
 
 /* The context of a write of the job's record as it is now.  */
 static pending_write *
-pending_write_create (const job *j)
+pending_write_create (job *j)
 {
+  j->n_writes++;
   pending_write *w = g_new0 (pending_write, 1);
   w->home = j->home;
   g_strlcpy (w->id, j->id, sizeof w->id);
@@ -190,6 +192,8 @@
 {
   mm_home *h = w->home;
   job *j = h->fenced ? NULL : g_hash_table_lookup (h->jobs, w->id);
+  if (j)
+    j->n_writes--;
   if (ok && w->acks && w->acks->len)
     h->ev.stored (h->ev.ctx, w->acks);
   if (w->acks)
@@ -537,6 +541,15 @@
     out->phase = phase_of (j);
 }
 
+bool
+mm_home_has_stored_done (const mm_home *h, const mm_task_id *task)
+{
+  const job *j = g_hash_table_lookup (h->jobs, task->job);
+  /* What is in the record is stored if no write of it is due or under way.  */
+  return h->loaded && j && j->stored && j->kept_tasks && !j->n_writes
+         && !j->progress_due_ms && mm_kept_tasks_is_done (j->kept_tasks, task);
+}
+
 /* A request about a job that the home did not know when it arrived.  */
 typedef struct
 {
--- a/src/mm_home.h
+++ b/src/mm_home.h
@@ -49,6 +49,9 @@
                      void *ctx);
 /* Sets @out to the job's state as this instance knows it.  */
 void mm_home_state (mm_home *h, const char *job_id, mm_kept_answer *out);
+/* Whether the record that is stored of a job that goes on has this task as
+   done: its ends are of no use any more.  */
+bool mm_home_has_stored_done (const mm_home *h, const mm_task_id *task);
 /* Answers with the job's state; with MM_KEPT_NO_JOB only once the store has
    confirmed that this instance is still the home.  */
 void mm_home_confirm_state (mm_home *h, const char *job_id,
--- a/src/mm_kept_peer.c
+++ b/src/mm_kept_peer.c
@@ -187,6 +187,27 @@
     g_hash_table_destroy (tasks);
 }
 
+/* Answers whether the home here needs the ends of a job, and which of the
+   tasks that the peer names are stored as done.  */
+static void
+handle_foreign (mm_kept *k, const void *data, size_t len,
+                mm_mesh_inbound_request *request)
+{
+  char job_id[MM_JOB_ID_MAX + 1];
+  mm_kept_answer a;
+  GHashTable *tasks = mm_foreign_request_read (data, len, job_id);
+  if (!tasks)
+    tasks = mm_task_set_new ();
+  mm_kept_answer_foreign (k, job_id, &a);
+  mm_kept_keep_stored (k, &a, tasks);
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init (&b);
+  mm_foreign_answer_pack (&b, &a, tasks);
+  mm_mesh_answer (request, b.data, b.size);
+  msgpack_sbuffer_destroy (&b);
+  g_hash_table_destroy (tasks);
+}
+
 /* Acknowledges one stored end; @ctx: the mm_owner.  */
 static void
 ack_end (void *ctx, const mm_task_id *task, uint32_t run_hash)
@@ -213,12 +234,8 @@
       handle_pending (k, text, request);
       break;
     case MM_KEPT_REQUEST_FOREIGN:
-      {
-        mm_kept_answer a;
-        mm_kept_answer_foreign (k, text, &a);
-        answer_peer (request, &a);
-        break;
-      }
+      handle_foreign (k, data, len, request);
+      break;
     case MM_KEPT_REQUEST_SEARCH:
       handle_search (k, data, len, request);
       break;
--- a/src/mm_kept_priv.h
+++ b/src/mm_kept_priv.h
@@ -29,6 +29,7 @@
      earlier owner of its upstream.  */
   GHashTable *foreign_pending;
   mm_time_ms foreign_checked_ms; /* when foreign runs were last checked */
+  mm_time_ms overdue_checked_ms; /* when all overdue ends last were */
   bool leaving;
   mm_time_ms leaving_ms; /* when mm_kept_leave() was called */
 };
@@ -44,8 +45,9 @@
 bool mm_kept_home_confirmed (const mm_kept *k, uint32_t partition);
 
 /* mm_kept_foreign.c: checks the jobs of all foreign runs whose ends are held
-   here, each MM_KEPT_FOREIGN_PAUSE_MS.  Drops the ends that no home needs; a
-   home at another instance is asked first.  */
+   here, each MM_KEPT_FOREIGN_PAUSE_MS, and those of overdue ends, each
+   MM_UNACKED_END_OVERDUE_MS.  Drops the ends that no home needs; a home at
+   another instance is asked first.  */
 void mm_kept_resolve_foreign (mm_kept *k, mm_time_ms now);
 /* mm_kept_foreign.c: sets @out to the state of a job, or to MM_KEPT_BUSY
    unless this instance is confirmed as the job's home: a superseded home does
@@ -53,6 +55,11 @@
 void mm_kept_answer_foreign (const mm_kept *k, const char *job_id,
                              mm_kept_answer *out);
 
+/* mm_kept_foreign.c: removes from @tasks, a mm_task_set, those that are not
+   stored as done at a home here.  @a: the answer about their job.  */
+void mm_kept_keep_stored (const mm_kept *k, const mm_kept_answer *a,
+                          GHashTable *tasks);
+
 /* mm_kept_request.c: retries the requests that wait for their home, or refuses
    them when @k is closed.  */
 void mm_kept_retry_requests (mm_kept *k);
--- a/src/mm_kept_tasks.c
+++ b/src/mm_kept_tasks.c
@@ -358,6 +358,13 @@
   return mm_steps_all_done (k->steps);
 }
 
+bool
+mm_kept_tasks_is_done (const mm_kept_tasks *k, const mm_task_id *task)
+{
+  int64_t number = mm_steps_task_number (k->steps, task);
+  return number >= 0 && k->tasks[number].state == TASK_DONE;
+}
+
 bool
 mm_kept_tasks_started (const mm_kept_tasks *k)
 {
--- a/src/mm_kept_tasks.h
+++ b/src/mm_kept_tasks.h
@@ -49,6 +49,8 @@
 void mm_kept_tasks_tick (mm_kept_tasks *k, mm_time_ms start_until_ms);
 /* Whether every task is done according to the record.  */
 bool mm_kept_tasks_all_done (const mm_kept_tasks *k);
+/* Whether this task of the job is done according to the record.  */
+bool mm_kept_tasks_is_done (const mm_kept_tasks *k, const mm_task_id *task);
 /* Whether any task is known to have been started.  */
 bool mm_kept_tasks_started (const mm_kept_tasks *k);
 /* Number of tasks that are at owners, waiting or running.  */
--- a/src/mm_kept_wire.c
+++ b/src/mm_kept_wire.c
@@ -3,6 +3,8 @@
 
 #include "mm_msgpack.h"
 
+#include <string.h>
+
 /* Lengths of the arrays that encode one value.  */
 enum
 {
@@ -118,6 +120,55 @@
   return NULL;
 }
 
+void
+mm_foreign_request_pack (msgpack_sbuffer *b, const char *job_id,
+                         GHashTable *tasks)
+{
+  msgpack_sbuffer_write (b, job_id, strlen (job_id) + 1);
+  mm_task_set_pack (b, tasks);
+}
+
+GHashTable *
+mm_foreign_request_read (const void *data, size_t len, char *job_id)
+{
+  const char *text = data;
+  size_t id_len = text ? strnlen (text, len) : 0;
+  g_strlcpy (job_id, "", MM_JOB_ID_MAX + 1);
+  if (id_len > MM_JOB_ID_MAX)
+    return NULL;
+  if (id_len)
+    memcpy (job_id, text, id_len);
+  job_id[id_len] = '\0';
+  return id_len < len ? mm_task_set_read (text + id_len + 1, len - id_len - 1)
+                      : NULL;
+}
+
+void
+mm_foreign_answer_pack (msgpack_sbuffer *b, const mm_kept_answer *a,
+                        GHashTable *stored)
+{
+  mm_kept_answer_pack (b, a);
+  mm_task_set_pack (b, stored);
+}
+
+bool
+mm_foreign_answer_read (const void *data, size_t len, mm_kept_answer *out,
+                        GHashTable **stored)
+{
+  size_t off = 0;
+  msgpack_unpacked msg;
+  *stored = NULL;
+  msgpack_unpacked_init (&msg);
+  bool ok = data
+            && msgpack_unpack_next (&msg, data, len, &off)
+                   == MSGPACK_UNPACK_SUCCESS
+            && read_answer (&msg.data, out);
+  msgpack_unpacked_destroy (&msg);
+  if (ok && off < len)
+    *stored = mm_task_set_read ((const char *)data + off, len - off);
+  return ok;
+}
+
 void
 mm_search_result_pack (msgpack_sbuffer *b, const mm_search_result *result)
 {
--- a/src/mm_kept_wire.h
+++ b/src/mm_kept_wire.h
@@ -8,8 +8,10 @@
      REQUEST_STATE    the job's id            -> mm_kept_answer
      REQUEST_CANCEL   the job's id            -> mm_kept_answer
      REQUEST_PENDING  the queue's name        -> mm_kept_answer
-     REQUEST_FOREIGN  the job's id            -> mm_kept_answer; BUSY when the
-                        instance is not confirmed as the job's home
+     REQUEST_FOREIGN  the job's id, a zero byte, a task set
+                      -> mm_kept_answer; BUSY when the instance is not
+                         confirmed as the job's home.  A task set follows:
+                         those of the tasks that are stored as done
      REQUEST_SEARCH   a task set: [[job, step, index], ...]
                       -> a mm_search_result: [present, [upstream hash, ...],
                          [[job, step, index, how, run hash], ...]]
@@ -70,6 +72,20 @@
 /* Returns NULL when @data is not a valid set.  */
 GHashTable *mm_task_set_read (const void *data, size_t len);
 
+/* The data of a REQUEST_FOREIGN.  The reader returns the set of tasks, NULL
+   when it is missing or not valid, and copies the job's id to @job_id, an
+   array of MM_JOB_ID_MAX + 1.  */
+void mm_foreign_request_pack (msgpack_sbuffer *b, const char *job_id,
+                              GHashTable *tasks);
+GHashTable *mm_foreign_request_read (const void *data, size_t len,
+                                     char *job_id);
+/* The answer to it.  The reader sets @stored to the set that follows the
+   answer, or to NULL.  */
+void mm_foreign_answer_pack (msgpack_sbuffer *b, const mm_kept_answer *a,
+                             GHashTable *stored);
+bool mm_foreign_answer_read (const void *data, size_t len, mm_kept_answer *out,
+                             GHashTable **stored);
+
 void mm_search_result_pack (msgpack_sbuffer *b,
                             const mm_search_result *result);
 /* Adds the contents of @data to @out.  Returns false when @data is not valid;
--- a/src/mm_owner.h
+++ b/src/mm_owner.h
@@ -219,6 +219,15 @@
 /* Adds copies of the ids of jobs for which ends of a previous owner's runs are
    held until their homes request them.  */
 void mm_owner_foreign_jobs (const mm_owner *o, GHashTable *ids);
+/* Adds copies of the ids of these jobs, and of those for which any end is held
+   for MM_UNACKED_END_OVERDUE_MS: its acknowledgement may be lost.  */
+void mm_owner_overdue_jobs (const mm_owner *o, GHashTable *ids);
+/* Adds copies of the tasks of a job whose ends are held to a mm_task_set.  */
+void mm_owner_held_tasks (const mm_owner *o, const char *job_id,
+                          GHashTable *tasks);
+/* Acknowledges all ends of @tasks, a set of mm_task_id: they are stored as
+   done.  */
+void mm_owner_acknowledge_tasks (mm_owner *o, GHashTable *tasks);
 /* Drops the ends of a job that no home will request: it is not a kept job, or
    its outcome is stored.  */
 void mm_owner_forget_job (mm_owner *o, const char *job_id);
--- a/src/mm_owner_kept.c
+++ b/src/mm_owner_kept.c
@@ -2,6 +2,8 @@
    stored them, and searches for tasks that are in doubt at their homes.  */
 #include "mm_owner_priv.h"
 
+#include "config.h"
+
 #include <string.h>
 
 void
@@ -85,8 +87,10 @@
     }
 }
 
-void
-mm_owner_foreign_jobs (const mm_owner *o, GHashTable *ids)
+/* Adds copies of the ids of jobs for which ends of foreign runs are held, or
+   ends that were first seen by @seen_by_ms.  */
+static void
+add_jobs_with_ends (const mm_owner *o, mm_time_ms seen_by_ms, GHashTable *ids)
 {
   GHashTableIter it;
   gpointer v;
@@ -97,12 +101,59 @@
       const mm_unacked_end *unacked
           = mm_exec_unacked_ends (((mm_owned_upstream *)v)->exec, &n);
       for (size_t i = 0; i < n; i++)
-        if (unacked[i].foreign
+        if ((unacked[i].foreign || unacked[i].first_seen_ms <= seen_by_ms)
             && !g_hash_table_contains (ids, unacked[i].task.job))
           g_hash_table_add (ids, g_strdup (unacked[i].task.job));
     }
 }
 
+void
+mm_owner_foreign_jobs (const mm_owner *o, GHashTable *ids)
+{
+  add_jobs_with_ends (o, 0, ids);
+}
+
+void
+mm_owner_overdue_jobs (const mm_owner *o, GHashTable *ids)
+{
+  add_jobs_with_ends (o, mm_clock_now_ms () - MM_UNACKED_END_OVERDUE_MS, ids);
+}
+
+void
+mm_owner_held_tasks (const mm_owner *o, const char *job_id, GHashTable *tasks)
+{
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, o->owned_upstreams);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      size_t n;
+      const mm_unacked_end *unacked
+          = mm_exec_unacked_ends (((mm_owned_upstream *)v)->exec, &n);
+      for (size_t i = 0; i < n; i++)
+        if (strcmp (unacked[i].task.job, job_id) == 0)
+          g_hash_table_add (
+              tasks, g_memdup2 (&unacked[i].task, sizeof unacked[i].task));
+    }
+}
+
+void
+mm_owner_acknowledge_tasks (mm_owner *o, GHashTable *tasks)
+{
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init (&it, o->owned_upstreams);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      mm_exec *x = ((mm_owned_upstream *)v)->exec;
+      size_t n;
+      const mm_unacked_end *unacked = mm_exec_unacked_ends (x, &n);
+      for (size_t i = n; i-- > 0;)
+        if (g_hash_table_contains (tasks, &unacked[i].task))
+          mm_exec_ack_end (x, i);
+    }
+}
+
 void
 mm_owner_forget_job (mm_owner *o, const char *job_id)
 {
--- a/src/mm_owner_report.c
+++ b/src/mm_owner_report.c
@@ -266,6 +266,9 @@
           u, "usable", mm_exec_usable (owned->exec) && !owned->lingering);
       cJSON_AddNumberToObject (u, "runs",
                                (double)mm_exec_count_runs (owned->exec));
+      size_t n_unacked;
+      mm_exec_unacked_ends (owned->exec, &n_unacked);
+      cJSON_AddNumberToObject (u, "unacked_ends", (double)n_unacked);
       cJSON_AddNumberToObject (
           u, "free_cpu_milli",
           (double)mm_owner_free_capacity (owned).cpu_milli);
--- a/tests/test_home_return.c
+++ b/tests/test_home_return.c
@@ -595,6 +595,47 @@
 }
 END_TEST
 
+/* Runs until the upstream lists no end.  Returns false if the job ends before
+   that.  */
+static bool
+all_ends_acknowledged (fixture *fx, const char *id)
+{
+  mm_kept_answer a = { .status = MM_KEPT_OK, .phase = MM_JOB_RUNNING };
+  while (!mm_job_phase_ended (a.phase))
+    {
+      if (fake_unacked_ends (fx->upstream) == 0)
+        return true;
+      fixture_run (fx, 5);
+      mm_kept_answer_foreign (fx->kept, id, &a);
+    }
+  return false;
+}
+
+/* Guards against ends that hold up all later ones at their upstream: the end
+   is stored, but the session that found it is gone before it acknowledges it,
+   and the job goes on.  */
+START_TEST (end_left_by_an_earlier_session_is_acknowledged_while_its_job_runs)
+{
+  for (mm_time_ms offset = 0; offset <= 300; offset += 20)
+    {
+      fixture *fx = fixture_create ();
+      add_upstream (fx);
+      fixture_run (fx, 200);
+      submit (fx, "j", 4, 1000);
+      while (fake_unacked_ends (fx->upstream) == 0)
+        fixture_run (fx, 1);
+      fixture_run (fx, offset);
+      uint64_t fence = mm_group_table_generation (fx->store.owners) + 1;
+      mm_owner_add_upstream (fx->owner, fake_info (fx->upstream),
+                             fence << MM_FENCE_RESTART_BITS);
+      fixture_run (fx, 50);
+      ck_assert_msg (all_ends_acknowledged (fx, "j"),
+                     "ends are left, %d ms after the first one", (int)offset);
+      fixture_destroy (fx);
+    }
+}
+END_TEST
+
 /* Guards against a second run of a task beside one of another owner: that
    owner got the upstream while this instance was away, is cut off from all but
    the upstream now, and renews the lease of its run.  */
@@ -691,6 +732,8 @@
   tcase_add_test (tc, returned_home_starts_no_task_that_another_home_finished);
   tcase_add_test (tc, partition_moved_away_and_back_is_read_again);
   tcase_add_test (tc, returned_home_denies_no_job_that_another_home_accepted);
+  tcase_add_test (
+      tc, end_left_by_an_earlier_session_is_acknowledged_while_its_job_runs);
   tcase_add_test (tc, run_of_another_owner_is_found_before_its_task_starts);
   tcase_add_test (tc, home_that_nobody_replaced_goes_on_after_an_outage);
   tcase_add_test (tc, run_goes_on_over_an_outage);
--- a/tests/test_kept.c
+++ b/tests/test_kept.c
@@ -156,6 +156,74 @@
 }
 END_TEST
 
+/* Returns how many ends instances @first to @last hold until their homes have
+   stored them.  */
+static int
+count_held_ends (int first, int last)
+{
+  int held = 0;
+  for (int i = first; i <= last; i++)
+    {
+      cJSON *o = h_call ("GET", h_node_state_port (i), "/", NULL, NULL);
+      const cJSON *row, *owner = cJSON_GetObjectItem (o, "owner");
+      cJSON_ArrayForEach (row, cJSON_GetObjectItem (owner, "upstreams"))
+        {
+          const cJSON *n = cJSON_GetObjectItem (row, "unacked_ends");
+          ck_assert (cJSON_IsNumber (n));
+          held += (int)n->valuedouble;
+        }
+      cJSON_Delete (o);
+    }
+  return held;
+}
+
+/* Guards against ends that stay listed, and hold up all later ones, while
+   their jobs go on: their owner was killed before it acknowledged them, and
+   the home had stored them already.  */
+START_TEST (ends_of_a_killed_owner_are_acknowledged_while_their_jobs_go_on)
+{
+  enum
+  {
+    JOBS = 24,
+    LONG_MS = 9000
+  };
+  h_start_nodes (3, 16, 3);
+  for (int i = 0; i < JOBS; i++)
+    {
+      /* The short tasks end one after another, until the kill.  */
+      char *job = g_strdup_printf (
+          "{\"kept\":true,\"job_id\":\"held-%02d\",\"tasks\":["
+          "{\"id\":\"s\",\"run_ms\":%d,\"idempotent\":true},"
+          "{\"id\":\"l\",\"run_ms\":%d,\"idempotent\":true}]}",
+          i, 600 + 25 * (i % 12), LONG_MS);
+      long status = 0;
+      cJSON_Delete (h_call ("POST", h_instance_ports[2 * (i % 2)], "/v1/jobs",
+                            job, &status));
+      ck_assert_int_eq (status, 202);
+      g_free (job);
+    }
+  sleep_ms (800);
+  h_stop (h_instances[1], SIGKILL);
+  sleep_ms (MM_GROUP_TTL_MS + 500);
+  int held = count_held_ends (0, 0) + count_held_ends (2, 2);
+  for (int waited = 0; waited < 3000 && held; waited += 100)
+    {
+      sleep_ms (100);
+      held = count_held_ends (0, 0) + count_held_ends (2, 2);
+    }
+  ck_assert_msg (held == 0, "%d ends are held", held);
+  ck_assert (!wait_state (0, "held-00", "completed", 100));
+  for (int i = 0; i < JOBS; i++)
+    {
+      char id[16];
+      g_snprintf (id, sizeof id, "held-%02d", i);
+      ck_assert (wait_state (0, id, "completed", 2 * LONG_MS));
+      assert_done_once (3, id, 2);
+    }
+  h_stop_cluster ();
+}
+END_TEST
+
 /* Sets whether the tasks that start on an upstream hang.  */
 static void
 set_hang (int upstream, bool on)
@@ -991,6 +1059,8 @@
   TCase *c = tcase_create ("processes");
   tcase_set_timeout (c, 60);
   tcase_add_test (c, every_instance_answers_the_state_of_a_kept_job);
+  tcase_add_test (
+      c, ends_of_a_killed_owner_are_acknowledged_while_their_jobs_go_on);
   tcase_add_test (c, killed_instances_lose_no_accepted_job_and_repeat_no_task);
   tcase_add_test (c, job_asked_for_before_it_arrives_outlives_its_home);
   tcase_add_test (c, accepted_jobs_finish_after_all_instances_are_killed);
