Standby: absence is checked before the rank; search log after a pause

Read with fresh eyes: mm_members_absence_of() both told and refreshed what the store lists; now mm_members_refresh() is a call of its own, and an instance works out its rank among its peers only when the store lists no instance of a data centre or a link there was lost. kept_search_waits counted the time in which no task was in doubt.

--- a/src/mm_datacentres.c
+++ b/src/mm_datacentres.c
@@ -166,13 +166,16 @@
 absent_ms (const mm_datacentres *dcs, const membership *m,
            const mm_mesh_presence *presence, mm_time_ms now)
 {
-  if (!dcs->members || presence->connected || !is_chosen_standby (dcs, m))
+  if (!dcs->members || presence->connected)
     return 0;
+  mm_members_absence absence
+      = mm_members_absence_of (dcs->members, m->datacentre);
   bool lost_lately = presence->lost_ms
                      && now - presence->lost_ms < MM_MESH_UNLISTED_KEEP_MS;
-  mm_members_absence absence
-      = mm_members_absence_of (dcs->members, m->datacentre, lost_lately);
-  if (absence.absent_ms == 0 || absence.n_members >= MM_STANDBY_COUNT
+  if ((!absence.absent && !lost_lately) || !is_chosen_standby (dcs, m))
+    return 0;
+  mm_members_refresh (dcs->members, m->datacentre);
+  if (!absence.absent || absence.n_members >= MM_STANDBY_COUNT
       || !dcs->ev.lists_upstreams (dcs->ev.ctx, m->datacentre))
     return 0;
   /* The instances may run and have lost only their membership.  */
--- a/src/mm_datacentres.h
+++ b/src/mm_datacentres.h
@@ -4,8 +4,7 @@
    These are its own data centre, always, and those that it is standby for.  A
    data centre needs a standby while all of its own instances are killed,
    stopped, without power or being replaced.  Without one, its upstreams would
-   be idle: a quarter of all upstreams, with four data centres of equal size.
- */
+   be idle, a quarter of all with four data centres of equal size.  */
 #ifndef MM_DATACENTRES_H
 #define MM_DATACENTRES_H
 
--- a/src/mm_members.c
+++ b/src/mm_members.c
@@ -279,23 +279,27 @@
 }
 
 mm_members_absence
-mm_members_absence_of (mm_members *m, const char *datacentre_name,
-                       bool suspected)
+mm_members_absence_of (const mm_members *m, const char *datacentre_name)
 {
-  datacentre *dc = find_datacentre (m, datacentre_name);
-  if (!dc)
-    return (mm_members_absence){ 0 };
-  if ((suspected || dc->absent_since_ms)
-      && mm_clock_now_ms () - dc->requested_ms >= MM_STANDBY_ABSENT_POLL_MS)
-    request_members (dc);
   mm_members_absence r = { 0 };
-  if (dc->member_names)
-    r.n_members = g_strv_length (dc->member_names);
-  if (dc->absent_since_ms)
+  const datacentre *dc = find_datacentre (m, datacentre_name);
+  if (!dc || !dc->member_names)
+    return r;
+  r.n_members = g_strv_length (dc->member_names);
+  r.absent = dc->absent_since_ms != 0;
+  if (r.absent)
     r.absent_ms = dc->absent_until_ms - dc->absent_since_ms;
   return r;
 }
 
+void
+mm_members_refresh (mm_members *m, const char *datacentre_name)
+{
+  datacentre *dc = find_datacentre (m, datacentre_name);
+  if (dc && mm_clock_now_ms () - dc->requested_ms >= MM_STANDBY_ABSENT_POLL_MS)
+    request_members (dc);
+}
+
 /* Polls all data centres the first time, and after that the own one each time
    and the others in turn.  With dozens of data centres, the answers of all
    together would be most of what an instance reads.  */
--- a/src/mm_members.h
+++ b/src/mm_members.h
@@ -44,17 +44,18 @@
 /* What the store lists of the instances of a data centre.  */
 typedef struct
 {
-  /* For how long it has listed none of them, up to the last answer; 0: it
-     lists one, or has listed none for the first time or never answered.  */
-  mm_time_ms absent_ms;
-  uint32_t n_members; /* members of the group, with standbys */
+  bool absent;          /* its last answer lists none of them */
+  mm_time_ms absent_ms; /* for how long its answers have listed none, up to the
+                           last one */
+  uint32_t n_members;   /* members of the group, with standbys */
 } mm_members_absence;
 
-/* Returns what is known of the data centre.  Its members are read again now if
-   that was last done MM_STANDBY_ABSENT_POLL_MS ago and the last answer listed
-   none of its instances, or @suspected is set.  */
-mm_members_absence
-mm_members_absence_of (mm_members *m, const char *datacentre, bool suspected);
+/* Returns what the last answers of the store show of a data centre.  */
+mm_members_absence mm_members_absence_of (const mm_members *m,
+                                          const char *datacentre);
+/* Reads the members of a data centre again now if that was last done
+   MM_STANDBY_ABSENT_POLL_MS ago.  */
+void mm_members_refresh (mm_members *m, const char *datacentre);
 /* Reads members from the store when a read is due, and passes them to the mesh
    as its peers.  Must be called every MM_EXEC_TICK_MS.  */
 void mm_members_tick (mm_members *m);
--- a/src/mm_mesh_priv.h
+++ b/src/mm_mesh_priv.h
@@ -16,12 +16,12 @@
   bool listed;            /* the member list names the peer as an owner */
   mm_time_ms known_ms;    /* when the peer was added */
   mm_time_ms unlisted_ms; /* when the list last ceased to name it, 0: never */
-  bool revived;   /* mm_mesh_reach_datacentre() added it again; neither listed
-                     nor   connected since */
-  bool wanted;    /* a link to the peer is wanted */
-  bool connected; /* a report was received over the link */
-  bool leaving;   /* the peer reported that it is shutting down */
-  mm_time_ms lost_ms;           /* when a link was last lost, 0: never */
+  bool revived;       /* added again by mm_mesh_reach_datacentre(), and neither
+                         listed       nor connected since */
+  bool wanted;        /* a link to the peer is wanted */
+  bool connected;     /* a report was received over the link */
+  bool leaving;       /* the peer reported that it is shutting down */
+  mm_time_ms lost_ms; /* when a link was last lost, 0: never */
   mm_time_ms wanted_until_ms;   /* a link is wanted at least until then */
   mm_requests *requests;        /* requests sent, without an answer yet */
   mm_time_ms connect_tried_ms;  /* when connecting was last tried */
--- a/src/mm_task_search.c
+++ b/src/mm_task_search.c
@@ -24,6 +24,7 @@
                            being sent */
   mm_time_ms waits_since_ms; /* end of the first of the rounds in a row that
                                 found a task or were incomplete, 0: none */
+  mm_time_ms waited_ms;      /* end of the last of them */
   mm_time_ms logged_ms;      /* when that was last logged */
 };
 
@@ -117,8 +118,10 @@
 log_waiting (mm_task_search *s, guint n_tasks, const char *unclear)
 {
   mm_time_ms now = mm_clock_now_ms ();
-  if (!s->waits_since_ms)
+  /* After a longer pause, no task was in doubt in between.  */
+  if (!s->waits_since_ms || now - s->waited_ms > MM_KEPT_SEARCH_LOG_MS)
     s->waits_since_ms = s->logged_ms = now;
+  s->waited_ms = now;
   if (now - s->logged_ms < MM_KEPT_SEARCH_LOG_MS)
     return;
   s->logged_ms = now;
