--- a/src/config.h
+++ b/src/config.h
@@ -526,9 +526,8 @@
 #define MM_KEPT_FIND_HOME_TIMEOUT_MS 400
 /* Pause between records by which the read barrier confirms "no such job".  */
 #define MM_READ_BARRIER_PAUSE_MS 50
-/* An end that is not acknowledged after this time is asked about at its home,
-   with the pause between these questions.  Most ends are acknowledged within
-   0.3 s.  */
+/* After this time without an acknowledgement, the home of an end is asked
+   whether the end is stored, and again after each such time.  */
 #define MM_UNACKED_END_OVERDUE_MS 1000
 /* Ends that are not acknowledged are kept this long, which is longer than a
    data centre is usually unreachable.  */
--- a/src/mm_exec_priv.h
+++ b/src/mm_exec_priv.h
@@ -70,7 +70,7 @@
   mm_resources used;   /* sum over all runs */
   uint32_t n_foreign;  /* number of foreign runs */
   bool runs_known;  /* a hold has listed the runs; false again after a loss */
-  bool more_ends;   /* the newest lists held only the first of the ends */
+  bool more_ends;   /* the newest list of ends was only its first page */
   bool fence_known; /* the upstream knows our fencing token, and a hold with
                        that token has listed the runs */
   bool lost;        /* reported as lost, and not as back yet */
--- a/src/mm_exec_state.c
+++ b/src/mm_exec_state.c
@@ -263,8 +263,8 @@
  * upstream was out of contact for longer than any lease: an upstream that
  * knows this instance's fencing token lets no earlier owner renew a lease.
  * True as well if another incarnation has replaced the upstream; otherwise
- * false when the session is fenced or closed.  A run that is not listed may
- * have its end behind those that the hold had room for.
+ * false when the session is fenced or closed.  The end of a run that is not
+ * listed may be on a later page of the list.
  */
 bool
 mm_exec_runs_confirmed (const mm_exec *x)
--- a/src/mm_kept_foreign.c
+++ b/src/mm_kept_foreign.c
@@ -1,6 +1,5 @@
-/* mm_kept_foreign: decides which ends can be acknowledged that their homes did
-   not acknowledge.  Most are those of foreign runs, which an earlier owner of
-   the upstream started.
+/* mm_kept_foreign: asks homes about ends that they have not acknowledged. Most
+   are those of foreign runs, which an earlier owner of the upstream started.
 
    A new owner finds ends at its upstreams that were never acknowledged.  The
    ends of a kept job must stay listed until the job's home has requested them.
--- a/src/mm_owner_kept.c
+++ b/src/mm_owner_kept.c
@@ -74,8 +74,8 @@
       out->present += mm_exec_count_runs_of (x, tasks);
       if (!o->confirmed || owned->released || mm_exec_fenced (x))
         continue;
-      /* A listed end is certain.  The ends behind it are listed only once it
-         is acknowledged, so it must not wait until the upstream is clear.  */
+      /* A listed end is certain.  Later pages are listed only once it is
+         acknowledged, so it must not wait until the upstream is clear.  */
       append_unacked_ends (x, tasks, out->ends);
       /* An upstream counts as free of the tasks only if this instance is
          confirmed as its owner and the session has listed its runs: another
