--- a/review/10/case.py
+++ b/review/10/case.py
@@ -44,4 +44,4 @@
                       % len(set(twice)))
 
 
-main(case, HERE)
+main(case, HERE, executors=10)
--- a/review/standins-3/mill.py
+++ b/review/standins-3/mill.py
@@ -28,6 +28,7 @@
 MAX_HOLD_MS = 1000
 STORE_ANSWER_S = 0.004
 APPEND_S = 0.003
+BEAT_S = 1.5
 
 START = time.monotonic()
 
@@ -533,7 +534,7 @@
         while True:
             self.seq += 1
             self.cluster.store.write("keyed.servers", self.id, self.entry())
-            await asyncio.sleep(1.5)
+            await asyncio.sleep(BEAT_S)
 
     def stop_server(self):
         self.server.close()
@@ -543,17 +544,34 @@
     async def restart(self, down_s):
         """Crashes, and starts again under its id: it then knows nothing of
         before, and its counts start anew."""
+        self.crash()
+        await asyncio.sleep(down_s)
+        self.reset()
+        await self.start()
+        self.log("starts again")
+
+    async def replace(self, down_s):
+        """Crashes; another incarnation, with a new id, starts at its address.
+        The entry of the old one is removed after three heartbeats."""
+        self.crash()
+        old = self.id
+        asyncio.get_event_loop().call_later(
+            3 * BEAT_S, self.cluster.store.write, "keyed.servers", old, None)
+        await asyncio.sleep(down_s)
+        self.id = old.split("-life")[0] + "-life%d" % now_ms()
+        self.reset()
+        await self.start()
+        self.log("starts in place of", old)
+
+    def crash(self):
         self.log("crashes, running:", *self.runs)
         for r in self.runs.values():
             r.ends.cancel()
             self.cluster.crashed(self, r)
+        self.runs = {}
         if self.lapse:
             self.lapse.cancel()
         self.stop_server()
-        await asyncio.sleep(down_s)
-        self.reset()
-        await self.start()
-        self.log("starts again")
 
     def log(self, what, *rest):
         self.cluster.record("executor", self.id, what, *rest)
@@ -791,6 +809,11 @@
                 break
             await asyncio.sleep(0.1)
         else:
+            for i in self.instances:
+                with open(os.path.join(self.folder, i.name + ".log"),
+                          encoding="utf-8", errors="replace") as f:
+                    self.record("instance", i.name, "exit",
+                                i.process.returncode, f.read()[-2000:])
             raise CannotRun("the instances are not ready after 10 s")
         await asyncio.sleep(4)
         self.record("cluster", "ready")
@@ -846,13 +869,13 @@
         return [s for s in self.starts if s[1].startswith(job_id + ".")]
 
 
-def main(case, folder):
+def main(case, folder, executors=6):
     """Runs @case(cluster, trouble), a coroutine that returns None if the rule
     held, else what broke it.  Exits with 0, 1, or 2 if it could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
-        cluster = Cluster(folder)
+        cluster = Cluster(folder, executors=executors)
         try:
             broken = await asyncio.wait_for(case(cluster, trouble), 110)
         finally:
